--- /dev/null
+++ b/Makefile
@@ -0,0 +1,161 @@
+# monsoonspindle: the whole build.
+#
+#   make            everything, optimised, in build/release
+#   make help       lists the targets
+
+MODE ?= release
+OUT = build/$(MODE)
+PREFIX ?= /usr/local
+DESTDIR ?=
+VERSION = 0.1.0
+
+LIB_PACKAGES = base config coord steer
+NET_PACKAGES = net platform
+DEPS = libwebsockets libtirpc argtable2 json-c libxxhash
+
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+    -Wmissing-prototypes -Wpointer-arith -Wwrite-strings -Wformat=2 \
+    -Wno-format-truncation
+CFLAGS_release = -O2 -g
+CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
+    -fno-omit-frame-pointer
+CFLAGS_ALL = -std=gnu11 $(WARN) $(CFLAGS_$(MODE)) $(CFLAGS) -Iinclude \
+    -Itests/support $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
+LIBS = $(shell pkg-config --libs $(DEPS) 2>/dev/null) -llog4c -lbsd -lm
+# The output of rpcgen is compiled as it comes.
+GENERATED_CFLAGS = -Wno-unused-variable -Wno-cast-function-type \
+    -Wno-missing-prototypes -Wno-incompatible-pointer-types
+
+LIB_SOURCES = $(foreach p,$(LIB_PACKAGES),$(wildcard source/$(p)/*.c))
+NET_SOURCES = $(foreach p,$(NET_PACKAGES),$(wildcard source/$(p)/*.c))
+DAEMON_SOURCES = $(wildcard source/spindled/*.c)
+CTL_SOURCES = $(wildcard source/spindlectl/*.c)
+SUPPORT_SOURCES = $(wildcard tests/support/*.c)
+STANDIN_SHARED = $(wildcard standins/shared/*.c)
+STANDINS = $(patsubst standins/%.c,%,$(wildcard standins/*.c))
+MEASURES = $(patsubst measure/%.c,%,$(wildcard measure/*.c))
+EXAMPLES = $(patsubst examples/%.c,%,$(wildcard examples/*.c))
+TESTS = $(patsubst tests/%.c,%,$(wildcard tests/*/test_*.c))
+GENERATED = $(wildcard source/*/*_xdr.c include/monsoonspindle/*/*_xdr.h)
+HANDWRITTEN = $(filter-out $(GENERATED),$(wildcard source/*/*.[ch] \
+    include/*.h include/monsoonspindle/*.h include/monsoonspindle/*/*.h \
+    tests/*/*.[ch] standins/*.[ch] standins/*/*.[ch] measure/*.[ch] \
+    measure/*/*.[ch] examples/*.c))
+
+obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
+LIB = $(OUT)/libmonsoonspindle.a
+NETLIB = $(OUT)/libmonsoonspindle-net.a
+SUPPORT = $(OUT)/libsupport.a
+BINARIES = $(OUT)/bin/spindled $(OUT)/bin/spindlectl
+TOOLS = $(STANDINS:%=$(OUT)/bin/%) $(MEASURES:%=$(OUT)/measure/%)
+TEST_BINARIES = $(TESTS:%=$(OUT)/tests/%)
+
+.PHONY: all help setup check demo lint format measure measure-capacity loc \
+    install clean tests
+.SECONDARY:
+
+all: setup
+	@$(MAKE) --no-print-directory build-all
+
+.PHONY: build-all
+build-all: $(BINARIES) $(TOOLS) $(EXAMPLES:%=$(OUT)/examples/%)
+
+help:
+	@echo "make           build everything, optimised"
+	@echo "make demo      run the whole path as separate processes"
+	@echo "make check     build with sanitizers and run all tests"
+	@echo "make lint      formatter, linters and manual pages"
+	@echo "make format    rewrite the sources in the project's format"
+	@echo "make measure   the figures of docs/MEASUREMENTS.md"
+	@echo "make measure-capacity   the slopes of docs/CAPACITY.md"
+	@echo "make loc       lines of code by kind"
+	@echo "make install   into PREFIX ($(PREFIX))"
+
+# Installs the packages that are missing, with one apt-get line.
+setup:
+	@sh scripts/install-packages
+
+$(OUT)/obj/%_xdr.o: %_xdr.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) $(GENERATED_CFLAGS) -MMD -MP -c -o $@ $<
+
+$(OUT)/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
+
+$(LIB): $(call obj,$(LIB_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(NETLIB): $(call obj,$(NET_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(SUPPORT): $(call obj,$(SUPPORT_SOURCES))
+	@rm -f $@
+	ar rcs $@ $^
+
+$(OUT)/bin/spindled: $(call obj,$(DAEMON_SOURCES)) $(NETLIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+$(OUT)/bin/spindlectl: $(call obj,$(CTL_SOURCES)) $(NETLIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+$(OUT)/bin/%: $(OUT)/obj/standins/%.o $(call obj,$(STANDIN_SHARED)) \
+    $(NETLIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+$(OUT)/measure/%: $(OUT)/obj/measure/%.o $(SUPPORT) $(NETLIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+$(OUT)/examples/%: $(OUT)/obj/examples/%.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+$(OUT)/tests/%: $(OUT)/obj/tests/%.o $(SUPPORT) $(NETLIB) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ -lcmocka $(LIBS)
+
+tests: $(TEST_BINARIES) $(BINARIES) $(TOOLS)
+
+check: setup
+	@$(MAKE) --no-print-directory MODE=asan tests
+	@OUT=build/asan sh scripts/run-tests
+
+demo: all
+	@OUT=$(OUT) sh scripts/demo
+
+measure: all
+	@OUT=$(OUT) sh scripts/measure
+
+measure-capacity: all
+	@OUT=$(OUT) sh scripts/measure-capacity
+
+lint: setup
+	@sh scripts/lint $(HANDWRITTEN)
+
+format: setup
+	clang-format -i $(HANDWRITTEN)
+
+loc:
+	@sh scripts/loc
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	    $(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man/man8
+	install $(BINARIES) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	cp -R include/. $(DESTDIR)$(PREFIX)/include
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' \
+	    monsoonspindle.pc.in \
+	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/monsoonspindle.pc
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/monsoonspindle/base.h
@@ -0,0 +1,14 @@
+#ifndef MONSOONSPINDLE_BASE_H
+#define MONSOONSPINDLE_BASE_H
+
+#include "monsoonspindle/base/buffer.h"
+#include "monsoonspindle/base/counters.h"
+#include "monsoonspindle/base/decision.h"
+#include "monsoonspindle/base/env.h"
+#include "monsoonspindle/base/hash.h"
+#include "monsoonspindle/base/histogram.h"
+#include "monsoonspindle/base/map.h"
+#include "monsoonspindle/base/refusal.h"
+#include "monsoonspindle/base/status.h"
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/base/map.h
@@ -0,0 +1,36 @@
+#ifndef MONSOONSPINDLE_BASE_MAP_H
+#define MONSOONSPINDLE_BASE_MAP_H
+
+#include <stddef.h>
+
+#include "monsoonspindle/base/status.h"
+
+/*
+ * A hash map from text to a pointer. Keys are copied; values are borrowed.
+ * The order of a walk is that of the table and changes with insertions.
+ */
+typedef struct msp_map msp_map_t;
+
+/* Returns NULL without memory. */
+msp_map_t *msp_new_map(void);
+void msp_drop_map(msp_map_t *map);
+
+/* Returns the value of `key`, or NULL. */
+void *msp_map_get(const msp_map_t *map, const char *key);
+
+/* Sets `key` to `value`, which must not be NULL. */
+msp_status_t msp_map_put(msp_map_t *map, const char *key, void *value);
+
+/* Removes `key` and returns its value, or NULL if it was absent. */
+void *msp_map_remove(msp_map_t *map, const char *key);
+
+size_t msp_map_count(const msp_map_t *map);
+
+/*
+ * Walks the map: start with *cursor 0; returns 0 at the end. The entry just
+ * returned may be removed during a walk; nothing may be put.
+ */
+int msp_map_next(
+    const msp_map_t *map, size_t *cursor, const char **key, void **value);
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/config.h
@@ -0,0 +1,4 @@
+#ifndef MONSOONSPINDLE_CONFIG_H
+#define MONSOONSPINDLE_CONFIG_H
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/coord.h
@@ -0,0 +1,4 @@
+#ifndef MONSOONSPINDLE_COORD_H
+#define MONSOONSPINDLE_COORD_H
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/net.h
@@ -0,0 +1,10 @@
+#ifndef MONSOONSPINDLE_NET_H
+#define MONSOONSPINDLE_NET_H
+
+#include "monsoonspindle/net/http.h"
+#include "monsoonspindle/net/http_client.h"
+#include "monsoonspindle/net/http_server.h"
+#include "monsoonspindle/net/loop.h"
+#include "monsoonspindle/net/rpc.h"
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/net/http.h
@@ -0,0 +1,53 @@
+#ifndef MONSOONSPINDLE_NET_HTTP_H
+#define MONSOONSPINDLE_NET_HTTP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "monsoonspindle/base/buffer.h"
+
+#define MSP_HEADERS_MAX 64 /* header fields of one message */
+#define MSP_PATH_MAX 4096 /* bytes, with the query */
+
+/* One header field. In a list that is received, names are in lower case. */
+typedef struct msp_header {
+	char *name;
+	char *value;
+} msp_header_t;
+
+/* Header fields; strings owned by the list. Zero-initialise. */
+typedef struct msp_headers {
+	msp_header_t fields[MSP_HEADERS_MAX];
+	size_t count;
+} msp_headers_t;
+
+/* MSP_E_HEADERS_TOO_LARGE past MSP_HEADERS_MAX. Copies both strings. */
+msp_status_t msp_add_header(
+    msp_headers_t *headers, const char *name, const char *value);
+msp_status_t msp_print_header(msp_headers_t *headers, const char *name,
+    const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
+/* Returns the first value of `name` (any case), or NULL. Borrowed. */
+const char *msp_find_header(const msp_headers_t *headers, const char *name);
+void msp_drop_headers(msp_headers_t *headers);
+
+/* A whole request. Zero-initialise; msp_drop_request() frees what it owns. */
+typedef struct msp_request {
+	char method[16];
+	char path[MSP_PATH_MAX]; /* with "?query" if there is one */
+	msp_headers_t headers; /* without host, connection and length */
+	msp_buffer_t body;
+} msp_request_t;
+
+/* A whole answer. Zero-initialise; msp_drop_response() frees what it owns. */
+typedef struct msp_response {
+	int status; /* HTTP status code */
+	msp_headers_t headers; /* without connection and length */
+	msp_buffer_t body;
+} msp_response_t;
+
+void msp_drop_request(msp_request_t *request);
+void msp_drop_response(msp_response_t *response);
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/platform/store.h
@@ -0,0 +1,99 @@
+#ifndef MONSOONSPINDLE_PLATFORM_STORE_H
+#define MONSOONSPINDLE_PLATFORM_STORE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "monsoonspindle/base/status.h"
+
+#define MSP_ROW_KEY_MAX 512 /* bytes, without the final 0 */
+#define MSP_ROW_VALUE_MAX (256 * 1024) /* bytes */
+#define MSP_TXN_ITEMS_MAX 512 /* conditions, and writes, of a transaction */
+
+/* One row of the platform's table. Version 0: there is no such row. */
+typedef struct msp_row {
+	const char *key;
+	const char *value; /* NULL if the row is absent */
+	size_t value_len; /* bytes */
+	uint64_t version; /* grows by each write of the row; never reused */
+} msp_row_t;
+
+/* Holds if the row is at `version` (0: absent). */
+typedef struct msp_condition {
+	const char *key;
+	uint64_t version;
+} msp_condition_t;
+
+/* Sets a row, or deletes it if `value` is NULL. */
+typedef struct msp_write {
+	const char *key;
+	const char *value;
+	size_t value_len;
+} msp_write_t;
+
+/* All writes take effect together if all conditions hold, else none does. */
+typedef struct msp_txn {
+	const msp_condition_t *conditions;
+	size_t condition_count;
+	const msp_write_t *writes;
+	size_t write_count;
+} msp_txn_t;
+
+/* A VM of the platform's list, which lags. */
+typedef struct msp_vm {
+	char name[64];
+	char place[64]; /* data centre */
+	char address[64]; /* IP number */
+	uint16_t caller_port;
+	uint16_t peer_port;
+	int leaving;
+} msp_vm_t;
+
+/*
+ * The platform's answer to one call. All pointers are borrowed and valid only
+ * during the callback.
+ *
+ * MSP_OK            took effect (transact), or the data is there
+ * MSP_E_CONFLICT    transact: a condition failed, nothing took effect; `rows`
+ *                   holds the present state of every condition's row
+ * MSP_E_STORE_DOWN  the call never reached the store, and never will
+ * MSP_E_LOST        no answer: a write may have taken effect, or still may
+ * MSP_E_NOT_FOUND   get_object: no such object
+ */
+typedef struct msp_store_reply {
+	msp_status_t status;
+	const msp_row_t *rows; /* in the order asked for, or by key (scan) */
+	size_t row_count;
+	const char *object; /* get_object */
+	size_t object_len; /* bytes */
+	const msp_vm_t *vms; /* list_vms */
+	size_t vm_count;
+} msp_store_reply_t;
+
+typedef void msp_store_done_t(void *ctx, const msp_store_reply_t *reply);
+
+/*
+ * The platform's table service, object store and list of VMs. An
+ * implementation calls `done` exactly once a call, never from inside it, and
+ * within `timeout_ms` milliseconds. Arguments are borrowed during the call.
+ */
+typedef struct msp_store {
+	void *ctx;
+	void (*get)(void *ctx, const char *const *keys, size_t count,
+	    uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx);
+	/* Rows whose key starts with `prefix` and sorts after `after`. */
+	void (*scan)(void *ctx, const char *prefix, const char *after,
+	    size_t limit, uint32_t timeout_ms, msp_store_done_t *done,
+	    void *done_ctx);
+	void (*transact)(void *ctx, const msp_txn_t *txn, uint32_t timeout_ms,
+	    msp_store_done_t *done, void *done_ctx);
+	void (*get_object)(void *ctx, const char *name, uint32_t timeout_ms,
+	    msp_store_done_t *done, void *done_ctx);
+	void (*put_object)(void *ctx, const char *name, const void *data,
+	    size_t len, uint32_t timeout_ms, msp_store_done_t *done,
+	    void *done_ctx);
+	void (*list_vms)(void *ctx, uint32_t timeout_ms, msp_store_done_t *done,
+	    void *done_ctx);
+} msp_store_t;
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/steer.h
@@ -0,0 +1,4 @@
+#ifndef MONSOONSPINDLE_STEER_H
+#define MONSOONSPINDLE_STEER_H
+
+#endif
--- /dev/null
+++ b/tests/base/test_base.c
@@ -0,0 +1,141 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/base.h"
+
+static void
+every_status_has_an_answer(void **state)
+{
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < MSP_STATUS_COUNT; i++) {
+		const msp_answer_t *answer = msp_status_answer((msp_status_t)i);
+
+		assert_non_null(answer->kind);
+		assert_non_null(answer->title);
+		assert_in_range(answer->http_status, 200, 599);
+		assert_int_equal(msp_find_status(answer->kind), i);
+	}
+}
+
+static void
+map_keeps_what_was_put(void **state)
+{
+	msp_map_t *map = msp_new_map();
+	static int values[1000];
+	char key[32];
+	int i;
+
+	(void)state;
+	for (i = 0; i < 1000; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		assert_int_equal(msp_map_put(map, key, &values[i]), MSP_OK);
+	}
+	for (i = 0; i < 1000; i += 2) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		assert_ptr_equal(msp_map_remove(map, key), &values[i]);
+	}
+	for (i = 0; i < 1000; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		assert_ptr_equal(
+		    msp_map_get(map, key), i % 2 ? &values[i] : NULL);
+	}
+	assert_int_equal(msp_map_count(map), 500);
+	msp_drop_map(map);
+}
+
+static void
+map_survives_churn(void **state)
+{
+	msp_map_t *map = msp_new_map();
+	char key[32];
+	int i;
+
+	(void)state;
+	for (i = 0; i < 100000; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		assert_int_equal(msp_map_put(map, key, map), MSP_OK);
+		assert_ptr_equal(msp_map_remove(map, key), map);
+	}
+	assert_int_equal(msp_map_count(map), 0);
+	msp_drop_map(map);
+}
+
+static void
+buffer_stays_under_its_limit(void **state)
+{
+	msp_buffer_t buffer = {.limit = 4};
+
+	(void)state;
+	assert_int_equal(msp_append_buffer(&buffer, "abcd", 4), MSP_OK);
+	assert_int_equal(msp_append_buffer(&buffer, "e", 1), MSP_E_TOO_LARGE);
+	assert_string_equal(msp_buffer_text(&buffer), "abcd");
+	msp_drop_buffer(&buffer);
+}
+
+static void
+quantiles_are_close(void **state)
+{
+	static msp_histogram_t histogram;
+	uint64_t i;
+
+	(void)state;
+	for (i = 1; i <= 100000; i++)
+		msp_record(&histogram, i);
+	assert_in_range(msp_quantile(&histogram, 0.5), 50000, 53200);
+	assert_in_range(msp_quantile(&histogram, 0.99), 99000, 100000);
+	assert_int_equal(msp_quantile(&histogram, 1.0), 100000);
+}
+
+static void
+digests_print_and_parse(void **state)
+{
+	msp_digest_t digest = msp_digest("abc", 3);
+	msp_digest_t back;
+	char text[MSP_DIGEST_TEXT_SIZE];
+
+	(void)state;
+	msp_print_digest(digest, text);
+	assert_int_equal(msp_parse_digest(text, &back), 0);
+	assert_true(msp_digest_equal(digest, back));
+	assert_int_equal(msp_parse_digest("xyz", &back), -1);
+}
+
+static void
+counters_print_sorted(void **state)
+{
+	msp_counters_t *counters = msp_new_counters();
+	msp_buffer_t out = {0};
+
+	(void)state;
+	msp_count(counters, 2, "b{x=\"%d\"}", 1);
+	msp_count(counters, 1, "a");
+	msp_count(counters, 1, "b{x=\"%d\"}", 1);
+	assert_int_equal(msp_print_counters(counters, &out), MSP_OK);
+	assert_string_equal(msp_buffer_text(&out), "a 1\nb{x=\"1\"} 3\n");
+	msp_drop_buffer(&out);
+	msp_drop_counters(counters);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(every_status_has_an_answer),
+	    cmocka_unit_test(map_keeps_what_was_put),
+	    cmocka_unit_test(map_survives_churn),
+	    cmocka_unit_test(buffer_stays_under_its_limit),
+	    cmocka_unit_test(quantiles_are_close),
+	    cmocka_unit_test(digests_print_and_parse),
+	    cmocka_unit_test(counters_print_sorted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
