--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -1,4 +1,6 @@
 #ifndef MONSOONSPINDLE_COORD_H
 #define MONSOONSPINDLE_COORD_H
 
+#include "monsoonspindle/coord/retry_budget.h"
+
 #endif
--- /dev/null
+++ b/source/steer/attempt.c
@@ -0,0 +1,185 @@
+#include "dispatcher_private.h"
+
+#define CANCEL_HOLD (10 * MSP_MS) /* until a cancelled target slot is free */
+
+msp_job_attempt_t *
+msp_find_attempt(msp_job_t *job, msp_attempt_t token)
+{
+	int i;
+
+	for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+		if (token != 0 && job->attempts[i].token == token)
+			return &job->attempts[i];
+	}
+	return NULL;
+}
+
+msp_job_attempt_t *
+msp_any_attempt(msp_job_t *job)
+{
+	int i;
+
+	for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+		if (job->attempts[i].token != 0)
+			return &job->attempts[i];
+	}
+	return NULL;
+}
+
+static bool
+is_suspect(const msp_dispatcher_t *d, const msp_job_t *job)
+{
+	return msp_check_suspicion(d->quarantine, job->fingerprint, NULL) ==
+	    MSP_SUSPICION_SUSPECT;
+}
+
+/* Whether a request with this fingerprint is in flight. */
+static bool
+runs_already(const msp_dispatcher_t *d, msp_digest_t fingerprint)
+{
+	const msp_job_t *job;
+
+	TAILQ_FOREACH(job, &d->running, link) {
+		if (msp_digest_equal(job->fingerprint, fingerprint))
+			return true;
+	}
+	return false;
+}
+
+/* Whether `a` is the better of two targets with free slots. */
+static bool
+is_better(const msp_dispatcher_t *d, const msp_target_t *a,
+    const msp_target_t *b, msp_time_t now, uint32_t *ties)
+{
+	uint32_t free_a = msp_target_free(a, now);
+	uint32_t free_b = msp_target_free(b, now);
+
+	if (free_a != free_b) {
+		*ties = 1;
+		return free_a > free_b;
+	}
+	/* Latencies within a quarter of each other are a tie. */
+	if (a->latency * 5 < b->latency * 4 ||
+	    b->latency * 5 < a->latency * 4) {
+		*ties = 1;
+		return a->latency < b->latency;
+	}
+	(*ties)++;
+	return msp_random_below(&d->env, *ties) == 0;
+}
+
+msp_target_t *
+msp_choose_target(
+    msp_dispatcher_t *d, const msp_job_t *job, const msp_target_t *never)
+{
+	msp_time_t now = msp_now(&d->env);
+	bool suspect = is_suspect(d, job);
+	msp_target_t *target;
+	msp_target_t *best = NULL;
+	msp_target_t *last = NULL;
+	uint32_t ties = 1;
+
+	if (suspect && runs_already(d, job->fingerprint))
+		return NULL;
+	TAILQ_FOREACH(target, &d->targets, link) {
+		if (target == never || msp_target_free(target, now) == 0 ||
+		    (suspect && target->suspect != 0))
+			continue;
+		if (target == job->avoid)
+			last = target;
+		else if (best == NULL || is_better(d, target, best, now, &ties))
+			best = target;
+	}
+	return best != NULL ? best : last;
+}
+
+void
+msp_start_attempt(msp_dispatcher_t *d, msp_job_t *job, msp_target_t *target)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_target_ref_t ref = {
+	    .name = target->name,
+	    .address = target->address,
+	};
+	msp_job_attempt_t *attempt = &job->attempts[0];
+	msp_attempt_t token = ++d->last_token;
+	bool fresh = job->class == MSP_CLASS_COMMIT || job->wants_fresh ||
+	    now < target->fresh_until;
+
+	if (attempt->token != 0)
+		attempt = &job->attempts[1];
+	*attempt = (msp_job_attempt_t){
+	    .token = token,
+	    .target = target,
+	    .started = now,
+	    .fresh = fresh,
+	};
+	if (job->state != JOB_RUNNING)
+		TAILQ_INSERT_TAIL(&d->running, job, link);
+	job->state = JOB_RUNNING;
+	job->sent = true;
+	job->wants_fresh = false;
+	target->in_flight++;
+	d->in_flight++;
+	if (is_suspect(d, job))
+		target->suspect = token;
+	msp_tell_decision(d, "dispatch", job, target,
+	    msp_find_attempt(job, token) == &job->attempts[1] ? "hedge"
+		: job->avoid != NULL			      ? "retry"
+							      : "least-loaded");
+	d->callbacks.start(d->callbacks.ctx, job, &ref, fresh, token);
+}
+
+void
+msp_leave_target(msp_dispatcher_t *d, msp_job_attempt_t *attempt)
+{
+	msp_target_t *target = attempt->target;
+
+	if (target->suspect == attempt->token)
+		target->suspect = 0;
+	target->in_flight--;
+	d->in_flight--;
+	attempt->token = 0;
+}
+
+void
+msp_abandon_attempt(
+    msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
+{
+	msp_attempt_t token = attempt->token;
+	msp_target_t *target = attempt->target;
+
+	msp_leave_target(d, attempt);
+	msp_hold_slots(target, 1, msp_now(&d->env) + CANCEL_HOLD);
+	d->callbacks.cancel_attempt(d->callbacks.ctx, job, token);
+}
+
+bool
+msp_cancel_job(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_job_attempt_t *attempt;
+
+	msp_see_clock(d);
+	if (job->state == JOB_QUEUED) {
+		msp_unqueue_job(d, job);
+		return job->sent;
+	}
+	if (job->state != JOB_RUNNING)
+		return job->sent;
+	TAILQ_REMOVE(&d->running, job, link);
+	job->state = JOB_IDLE;
+	while ((attempt = msp_any_attempt(job)) != NULL)
+		msp_abandon_attempt(d, job, attempt);
+	msp_tell_decision(d, "cancel", job, NULL, "caller-left");
+	return true;
+}
+
+void
+msp_attempt_answered(msp_dispatcher_t *d, msp_job_t *job, msp_attempt_t token)
+{
+	msp_job_attempt_t *attempt = msp_find_attempt(job, token);
+
+	msp_see_clock(d);
+	if (attempt != NULL)
+		attempt->answered = true;
+}
--- /dev/null
+++ b/source/steer/dispatcher_private.h
@@ -0,0 +1,104 @@
+#ifndef SOURCE_STEER_DISPATCHER_PRIVATE_H
+#define SOURCE_STEER_DISPATCHER_PRIVATE_H
+
+#include <bsd/sys/queue.h>
+
+#include "monsoonspindle/base/histogram.h"
+#include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/steer/dispatcher.h"
+#include "target.h"
+
+#define MSP_HEARTBEAT (250 * MSP_MS) /* longest time between two ticks */
+#define MSP_QUEUE_REVIEW                                    \
+	(20 * MSP_MS) /* how often waiting jobs are weighed \
+		       */
+
+/* States of a job. */
+enum {
+	JOB_IDLE,
+	JOB_QUEUED,
+	JOB_RUNNING
+};
+
+TAILQ_HEAD(msp_job_list, msp_job);
+
+struct msp_dispatcher {
+	msp_env_t env;
+	msp_dispatcher_callbacks_t callbacks;
+	char *service;
+	char *place;
+	msp_dispatch_policy_t policy;
+	msp_time_t pause_bound;
+	msp_quarantine_list_t *quarantine;
+	bool owns_quarantine;
+	TAILQ_HEAD(msp_target_list, msp_target) targets;
+	struct msp_job_list queue[MSP_CLASS_COUNT];
+	uint32_t queued[MSP_CLASS_COUNT];
+	struct msp_job_list running;
+	uint32_t in_flight; /* attempts */
+	msp_attempt_t last_token;
+	msp_retry_budget_t retries;
+	msp_histogram_t latency; /* of recent whole answers */
+	msp_time_t service_time; /* moving mean; 0: none yet */
+	/* Background starts in the last window while some were waiting. */
+	uint32_t background_starts;
+	uint32_t background_rate; /* a window */
+	bool background_measured;
+	msp_time_t window_start;
+	msp_time_t last_seen; /* when the dispatcher was last called */
+	bool paused;
+	bool retired;
+	bool pumping;
+	bool pump_again;
+};
+
+/* queue.c: waiting jobs. */
+void msp_queue_job(msp_dispatcher_t *d, msp_job_t *job, bool at_head);
+void msp_unqueue_job(msp_dispatcher_t *d, msp_job_t *job);
+void msp_pump_queue(msp_dispatcher_t *d);
+/* Refuses the waiting jobs that can't be started in time any more. */
+void msp_review_queue(msp_dispatcher_t *d);
+/* Refuses at once if the wait for `ahead` jobs is too long for this one. */
+bool msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
+
+/* estimate.c: capacity and waits. */
+uint32_t msp_total_limit(const msp_dispatcher_t *d);
+uint32_t msp_total_free(const msp_dispatcher_t *d);
+uint32_t msp_reserve(const msp_dispatcher_t *d);
+msp_time_t msp_mean_service(const msp_dispatcher_t *d);
+/* Time until a job of `class` with `ahead` jobs before it starts. */
+msp_time_t msp_wait_behind(
+    const msp_dispatcher_t *d, msp_class_t class, uint32_t ahead);
+/* Jobs that go before a new one of `class`. */
+uint32_t msp_jobs_ahead(const msp_dispatcher_t *d, msp_class_t class);
+/* Longest wait that still lets the job end by its deadline. */
+msp_time_t msp_allowed_wait(const msp_dispatcher_t *d, const msp_job_t *job);
+
+/* attempt.c: jobs in flight. */
+msp_target_t *msp_choose_target(
+    msp_dispatcher_t *d, const msp_job_t *job, const msp_target_t *never);
+void msp_start_attempt(
+    msp_dispatcher_t *d, msp_job_t *job, msp_target_t *target);
+msp_job_attempt_t *msp_find_attempt(msp_job_t *job, msp_attempt_t token);
+msp_job_attempt_t *msp_any_attempt(msp_job_t *job);
+/* Takes the attempt off its target; the slot stays held for a moment. */
+void msp_abandon_attempt(
+    msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt);
+void msp_leave_target(msp_dispatcher_t *d, msp_job_attempt_t *attempt);
+
+/* outcome.c: what an attempt's end means. */
+void msp_note_silence(msp_dispatcher_t *d, const msp_job_attempt_t *attempt);
+/* Puts the job back or refuses it. */
+msp_verdict_t msp_settle_failure(
+    msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome);
+
+/* dispatcher.c */
+void msp_refuse_job(msp_dispatcher_t *d, msp_job_t *job, msp_status_t status,
+    msp_run_t run, msp_time_t retry_after, const char *reason);
+void msp_tell_decision(const msp_dispatcher_t *d, const char *what,
+    const msp_job_t *job, const msp_target_t *target, const char *reason);
+void msp_forget_unlisted(msp_dispatcher_t *d);
+/* Called first by each public function: notices pauses. */
+msp_time_t msp_see_clock(msp_dispatcher_t *d);
+
+#endif
--- /dev/null
+++ b/source/steer/estimate.c
@@ -0,0 +1,122 @@
+#include "dispatcher_private.h"
+
+#define RATE_WINDOW MSP_SECOND
+
+uint32_t
+msp_total_limit(const msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	const msp_target_t *target;
+	uint32_t sum = 0;
+
+	TAILQ_FOREACH(target, &d->targets, link)
+		sum += msp_target_limit(target, now);
+	return sum;
+}
+
+uint32_t
+msp_total_free(const msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	const msp_target_t *target;
+	uint32_t sum = 0;
+
+	TAILQ_FOREACH(target, &d->targets, link)
+		sum += msp_target_free(target, now);
+	return sum;
+}
+
+uint32_t
+msp_reserve(const msp_dispatcher_t *d)
+{
+	return (msp_total_limit(d) * d->policy.reserve_percent + 99) / 100;
+}
+
+msp_time_t
+msp_mean_service(const msp_dispatcher_t *d)
+{
+	return d->service_time != 0 ? d->service_time
+				    : d->policy.expected_service;
+}
+
+uint32_t
+msp_jobs_ahead(const msp_dispatcher_t *d, msp_class_t class)
+{
+	uint32_t ahead =
+	    d->queued[MSP_CLASS_INTERACTIVE] + d->queued[MSP_CLASS_COMMIT];
+
+	if (class == MSP_CLASS_BACKGROUND)
+		ahead += d->queued[MSP_CLASS_BACKGROUND];
+	return ahead;
+}
+
+/* Time until the first closed target that may take work opens. */
+static msp_time_t
+time_to_open(const msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t first = MSP_NEVER;
+	const msp_target_t *target;
+
+	TAILQ_FOREACH(target, &d->targets, link) {
+		if (!target->listed || target->leaving)
+			continue;
+		if (target->closed_until < first)
+			first = target->closed_until;
+	}
+	if (first == MSP_NEVER)
+		return MSP_NEVER;
+	return first > now ? first - now : 0;
+}
+
+msp_time_t
+msp_wait_behind(const msp_dispatcher_t *d, msp_class_t class, uint32_t ahead)
+{
+	uint32_t capacity = msp_total_limit(d);
+	uint32_t spare = msp_total_free(d);
+	msp_time_t opens = 0;
+	msp_time_t wait;
+	msp_time_t measured;
+
+	if (capacity == 0) {
+		opens = time_to_open(d);
+		if (opens == MSP_NEVER)
+			return MSP_NEVER;
+		capacity = 1;
+	}
+	if (class == MSP_CLASS_BACKGROUND) {
+		uint32_t reserve = msp_reserve(d);
+
+		spare = spare > reserve ? spare - reserve : 0;
+	}
+	if (ahead < spare)
+		return 0;
+	wait = opens +
+	    (msp_time_t)(ahead - spare + 1) * msp_mean_service(d) / capacity;
+	if (class != MSP_CLASS_BACKGROUND || !d->background_measured)
+		return wait;
+	measured = (msp_time_t)(d->queued[MSP_CLASS_BACKGROUND] + 1) *
+	    RATE_WINDOW / (d->background_rate + 1);
+	return measured > wait ? measured : wait;
+}
+
+msp_time_t
+msp_estimate_wait(const msp_dispatcher_t *d, msp_class_t class)
+{
+	return msp_wait_behind(d, class, msp_jobs_ahead(d, class));
+}
+
+msp_time_t
+msp_allowed_wait(const msp_dispatcher_t *d, const msp_job_t *job)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t spent = now > job->arrival ? now - job->arrival : 0;
+	msp_time_t end = now + msp_mean_service(d);
+	msp_time_t allowed = job->deadline > end ? job->deadline - end : 0;
+	msp_time_t bound = d->policy.max_wait;
+
+	if (bound == 0 || job->class == MSP_CLASS_BACKGROUND)
+		return allowed;
+	bound = bound > spent ? bound - spent : 0;
+	return allowed < bound ? allowed : bound;
+}
--- /dev/null
+++ b/source/steer/outcome.c
@@ -0,0 +1,219 @@
+#include "dispatcher_private.h"
+
+#define LATENCY_MEMORY 2000 /* answers until older ones weigh half */
+#define SERVICE_WEIGHT 32 /* answers that the moving mean remembers */
+#define SILENT_LIMIT 2 /* silent connections until the kept ones are closed */
+#define FRESH_SPAN (10 * MSP_SECOND)
+#define CRASH_WINDOW (2 * MSP_SECOND) /* from a cut to a refused connection */
+#define RETRY_AFTER_FAILURE (100 * MSP_MS)
+
+static void
+note_whole(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
+{
+	msp_target_t *target = attempt->target;
+	msp_target_ref_t ref = {
+	    .name = target->name,
+	    .address = target->address,
+	};
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t latency = now - attempt->started;
+	bool fresh = attempt->fresh;
+
+	msp_clear_strikes(d->quarantine, job->fingerprint);
+	msp_note_whole(target, now, latency);
+	msp_record(&d->latency, latency);
+	if (d->latency.count >= LATENCY_MEMORY)
+		msp_decay_histogram(&d->latency);
+	if (d->service_time == 0)
+		d->service_time = latency;
+	else
+		d->service_time =
+		    (d->service_time * (SERVICE_WEIGHT - 1) + latency) /
+		    SERVICE_WEIGHT;
+	if (!fresh || target->silent < SILENT_LIMIT)
+		return;
+	target->silent = 0;
+	target->fresh_until = 0;
+	if (d->callbacks.forget_connections != NULL)
+		d->callbacks.forget_connections(d->callbacks.ctx, &ref);
+}
+
+void
+msp_note_silence(msp_dispatcher_t *d, const msp_job_attempt_t *attempt)
+{
+	msp_target_t *target = attempt->target;
+	msp_time_t now = msp_now(&d->env);
+
+	if (!attempt->fresh) {
+		if (now >= target->fresh_until)
+			target->silent = 0;
+		target->silent++;
+		target->fresh_until = now + FRESH_SPAN;
+		return;
+	}
+	/* A target that answered others meanwhile is only slow here. */
+	if (target->last_whole < attempt->started)
+		msp_note_failure(target, now);
+}
+
+static void
+note_cut(
+    msp_dispatcher_t *d, const msp_job_t *job, const msp_job_attempt_t *attempt)
+{
+	msp_target_t *target = attempt->target;
+	msp_cut_t *cut = &target->cuts[target->next_cut];
+
+	target->next_cut = (target->next_cut + 1) % MSP_RECENT_CUTS;
+	*cut = (msp_cut_t){
+	    .fingerprint = job->fingerprint,
+	    .started = attempt->started,
+	    .ended = msp_now(&d->env),
+	};
+}
+
+/* A connection refused just after others were cut: the target died. */
+static void
+strike_cut_jobs(msp_dispatcher_t *d, msp_target_t *target)
+{
+	msp_time_t now = msp_now(&d->env);
+	int i;
+
+	for (i = 0; i < MSP_RECENT_CUTS; i++) {
+		msp_cut_t *cut = &target->cuts[i];
+
+		if (cut->ended == 0)
+			continue;
+		if (now - cut->ended <= CRASH_WINDOW)
+			msp_strike(d->quarantine, cut->fingerprint,
+			    cut->started, cut->ended);
+		cut->ended = 0;
+	}
+}
+
+/* Whether a failed job may run again, which spends a retry. */
+static bool
+may_run_again(msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome)
+{
+	if (outcome == MSP_OUTCOME_REFUSED_CONNECTION)
+		return true;
+	if (!job->is_idempotent || job->retries_left == 0)
+		return false;
+	if (!msp_spend_retry(&d->retries))
+		return false;
+	job->retries_left--;
+	return true;
+}
+
+static void
+refuse_failed(msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome)
+{
+	msp_time_t after = msp_estimate_wait(d, job->class);
+
+	if (after < RETRY_AFTER_FAILURE || after == MSP_NEVER)
+		after = RETRY_AFTER_FAILURE;
+	if (outcome == MSP_OUTCOME_SHED) {
+		msp_refuse_job(d, job, MSP_E_OVERLOAD,
+		    job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO, after,
+		    "the target shed the request");
+	} else if (job->is_idempotent) {
+		msp_refuse_job(d, job, MSP_E_CUT_ANSWER, MSP_RUN_UNKNOWN, after,
+		    "the target's answer was lost");
+	} else {
+		msp_refuse_job(d, job, MSP_E_IN_DOUBT, MSP_RUN_UNKNOWN, 0,
+		    "the target's answer was lost");
+	}
+}
+
+msp_verdict_t
+msp_settle_failure(msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome)
+{
+	if (msp_any_attempt(job) != NULL)
+		return MSP_VERDICT_PENDING;
+	TAILQ_REMOVE(&d->running, job, link);
+	job->state = JOB_IDLE;
+	if (!may_run_again(d, job, outcome)) {
+		refuse_failed(d, job, outcome);
+		return MSP_VERDICT_REFUSED;
+	}
+	if (d->retired) {
+		msp_refuse_job(d, job, MSP_E_LEAVING,
+		    job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO, 0,
+		    "the dispatcher has moved");
+		return MSP_VERDICT_REFUSED;
+	}
+	if (msp_refuse_hopeless(d, job, 0))
+		return MSP_VERDICT_REFUSED;
+	msp_queue_job(d, job, true);
+	return MSP_VERDICT_PENDING;
+}
+
+/* Takes the other attempts back and gives the job to the caller. */
+static void
+finish_job(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_job_attempt_t *other;
+
+	TAILQ_REMOVE(&d->running, job, link);
+	job->state = JOB_IDLE;
+	while ((other = msp_any_attempt(job)) != NULL)
+		msp_abandon_attempt(d, job, other);
+}
+
+msp_verdict_t
+msp_attempt_ended(msp_dispatcher_t *d, msp_job_t *job, msp_attempt_t token,
+    msp_outcome_t outcome, msp_time_t retry_after)
+{
+	msp_time_t now = msp_see_clock(d);
+	msp_job_attempt_t *attempt = msp_find_attempt(job, token);
+	msp_job_attempt_t ended;
+	msp_verdict_t verdict;
+
+	if (attempt == NULL)
+		return MSP_VERDICT_PENDING;
+	ended = *attempt;
+	msp_leave_target(d, attempt);
+	job->avoid = ended.target;
+	switch (outcome) {
+	case MSP_OUTCOME_WHOLE:
+		note_whole(d, job, &ended);
+		break;
+	case MSP_OUTCOME_SHED:
+		/* A commit has one attempt, and the target did not take it. */
+		if (!job->is_idempotent)
+			job->sent = false;
+		msp_note_shed(ended.target, now, ended.started, retry_after);
+		break;
+	case MSP_OUTCOME_REFUSED_CONNECTION:
+		job->hops++;
+		/* Only a read can have another attempt that was sent. */
+		if (!job->is_idempotent)
+			job->sent = false;
+		msp_note_failure(ended.target, now);
+		strike_cut_jobs(d, ended.target);
+		break;
+	case MSP_OUTCOME_CUT:
+		note_cut(d, job, &ended);
+		job->wants_fresh = true;
+		break;
+	case MSP_OUTCOME_SILENT:
+		msp_note_silence(d, &ended);
+		job->wants_fresh = true;
+		break;
+	case MSP_OUTCOME_CRASHED:
+		msp_note_failure(ended.target, now);
+		msp_strike(d->quarantine, job->fingerprint, ended.started, now);
+		break;
+	case MSP_OUTCOME_CANCELLED:
+	case MSP_OUTCOME_COUNT:
+		break;
+	}
+	if (outcome == MSP_OUTCOME_WHOLE) {
+		finish_job(d, job);
+		verdict = MSP_VERDICT_DONE;
+	} else {
+		verdict = msp_settle_failure(d, job, outcome);
+	}
+	msp_forget_unlisted(d);
+	msp_pump_queue(d);
+	return verdict;
+}
--- /dev/null
+++ b/source/steer/queue.c
@@ -0,0 +1,200 @@
+#include "dispatcher_private.h"
+
+#define SHORTEST_RETRY_AFTER (50 * MSP_MS)
+#define RETRY_WITHOUT_TARGET MSP_SECOND
+
+void
+msp_queue_job(msp_dispatcher_t *d, msp_job_t *job, bool at_head)
+{
+	job->state = JOB_QUEUED;
+	job->queued_at = msp_now(&d->env);
+	d->queued[job->class]++;
+	if (at_head)
+		TAILQ_INSERT_HEAD(&d->queue[job->class], job, link);
+	else
+		TAILQ_INSERT_TAIL(&d->queue[job->class], job, link);
+}
+
+void
+msp_unqueue_job(msp_dispatcher_t *d, msp_job_t *job)
+{
+	TAILQ_REMOVE(&d->queue[job->class], job, link);
+	d->queued[job->class]--;
+	job->state = JOB_IDLE;
+}
+
+/* When a newcomer would have to wait for half of what it can. */
+static msp_time_t
+time_to_come_back(msp_dispatcher_t *d, msp_time_t wait, msp_time_t allowed)
+{
+	msp_time_t span;
+
+	if (wait == MSP_NEVER)
+		return RETRY_WITHOUT_TARGET;
+	span = wait > allowed / 2 ? wait - allowed / 2 : 0;
+	if (span < SHORTEST_RETRY_AFTER)
+		span = SHORTEST_RETRY_AFTER;
+	return span + msp_random_below(&d->env, span / 4 + 1);
+}
+
+bool
+msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead)
+{
+	msp_time_t wait = msp_wait_behind(d, job->class, ahead);
+	msp_time_t allowed = msp_allowed_wait(d, job);
+	msp_run_t run = job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO;
+	msp_status_t status = MSP_E_OVERLOAD;
+	const char *reason = "the queue is longer than the deadline allows";
+
+	if (wait <= allowed && allowed > 0)
+		return false;
+	if (wait == MSP_NEVER) {
+		status = MSP_E_NO_TARGET;
+		reason = "no target takes new work";
+	} else if (allowed == 0 && wait == 0 &&
+	    msp_now(&d->env) < job->deadline && d->policy.max_wait == 0) {
+		return false;
+	}
+	if (job->state == JOB_QUEUED)
+		msp_unqueue_job(d, job);
+	msp_refuse_job(
+	    d, job, status, run, time_to_come_back(d, wait, allowed), reason);
+	return true;
+}
+
+void
+msp_review_queue(msp_dispatcher_t *d)
+{
+	msp_job_t *job, *next;
+	uint32_t class;
+	uint32_t ahead = 0;
+
+	for (class = 0; class < MSP_CLASS_COUNT; class ++) {
+		TAILQ_FOREACH_SAFE(job, &d->queue[class], link, next) {
+			if (!msp_refuse_hopeless(d, job, ahead))
+				ahead++;
+		}
+	}
+}
+
+/* Returns the class whose first job goes next, or MSP_CLASS_COUNT. */
+static msp_class_t
+next_class(const msp_dispatcher_t *d)
+{
+	const msp_job_t *read = TAILQ_FIRST(&d->queue[MSP_CLASS_INTERACTIVE]);
+	const msp_job_t *commit = TAILQ_FIRST(&d->queue[MSP_CLASS_COMMIT]);
+
+	if (read != NULL && commit != NULL)
+		return read->arrival <= commit->arrival ? MSP_CLASS_INTERACTIVE
+							: MSP_CLASS_COMMIT;
+	if (read != NULL)
+		return MSP_CLASS_INTERACTIVE;
+	if (commit != NULL)
+		return MSP_CLASS_COMMIT;
+	if (d->queued[MSP_CLASS_BACKGROUND] == 0 ||
+	    msp_total_free(d) <= msp_reserve(d))
+		return MSP_CLASS_COUNT;
+	return MSP_CLASS_BACKGROUND;
+}
+
+/* Refuses the job if its fingerprint was put in quarantine. */
+static bool
+refuse_quarantined(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_time_t remaining = 0;
+
+	if (msp_check_suspicion(d->quarantine, job->fingerprint, &remaining) !=
+	    MSP_SUSPICION_QUARANTINED)
+		return false;
+	if (job->state == JOB_QUEUED)
+		msp_unqueue_job(d, job);
+	msp_refuse_job(d, job, MSP_E_QUARANTINED,
+	    job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO, remaining,
+	    "this request ended the targets that ran it");
+	return true;
+}
+
+/* Starts or refuses one waiting job; false if none can go now. */
+static bool
+advance(msp_dispatcher_t *d)
+{
+	msp_class_t class = next_class(d);
+	msp_target_t *target;
+	msp_job_t *job;
+
+	if (class == MSP_CLASS_COUNT)
+		return false;
+	/* A suspect request may have to wait while others can go. */
+	TAILQ_FOREACH(job, &d->queue[class], link) {
+		if (refuse_quarantined(d, job))
+			return true;
+		target = msp_choose_target(d, job, NULL);
+		if (target == NULL)
+			continue;
+		msp_unqueue_job(d, job);
+		if (class == MSP_CLASS_BACKGROUND)
+			d->background_starts++;
+		msp_start_attempt(d, job, target);
+		return true;
+	}
+	return false;
+}
+
+void
+msp_pump_queue(msp_dispatcher_t *d)
+{
+	if (d->pumping) {
+		d->pump_again = true;
+		return;
+	}
+	d->pumping = true;
+	do {
+		d->pump_again = false;
+		while (!d->paused && msp_total_free(d) > 0 && advance(d))
+			;
+	} while (d->pump_again);
+	d->pumping = false;
+}
+
+void
+msp_submit_job(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_time_t now = msp_see_clock(d);
+	uint32_t waiting = d->queued[MSP_CLASS_INTERACTIVE] +
+	    d->queued[MSP_CLASS_COMMIT] + d->queued[MSP_CLASS_BACKGROUND];
+
+	if (job->arrival == 0)
+		job->arrival = now;
+	if (job->deadline == 0)
+		job->deadline = job->arrival + d->policy.default_deadline;
+	if (job->class == MSP_CLASS_COMMIT)
+		job->is_idempotent = false;
+	job->state = JOB_IDLE;
+	job->sent = false;
+	job->hops = 0;
+	job->avoid = NULL;
+	msp_earn_retry(&d->retries);
+	if (d->retired) {
+		msp_refuse_job(d, job, MSP_E_LEAVING, MSP_RUN_NO, 0,
+		    "the dispatcher has moved");
+		return;
+	}
+	if (now >= job->deadline) {
+		msp_refuse_job(d, job, MSP_E_DEADLINE, MSP_RUN_NO, 0,
+		    "the deadline has passed");
+		return;
+	}
+	if (refuse_quarantined(d, job))
+		return;
+	if (waiting >= d->policy.queue_bound) {
+		msp_refuse_job(d, job, MSP_E_OVERLOAD, MSP_RUN_NO,
+		    time_to_come_back(d, msp_estimate_wait(d, job->class),
+			msp_allowed_wait(d, job)),
+		    "the queue is full");
+		return;
+	}
+	if (msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class)))
+		return;
+	msp_queue_job(d, job, false);
+	msp_pump_queue(d);
+}
--- /dev/null
+++ b/source/steer/target.c
@@ -0,0 +1,176 @@
+#include "target.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_BACKOFF (100 * MSP_MS)
+#define LAST_BACKOFF (2 * MSP_SECOND)
+#define MOST_RETRY_AFTER MSP_SECOND
+#define GROWTH 0.25 /* slots for each limit's worth of answers */
+#define LATENCY_WEIGHT 8 /* answers that the moving mean remembers */
+
+msp_target_t *
+msp_new_target(const msp_target_spec_t *spec)
+{
+	msp_target_t *target = calloc(1, sizeof(*target));
+
+	if (target == NULL)
+		return NULL;
+	target->name = strdup(spec->name);
+	if (target->name == NULL) {
+		free(target);
+		return NULL;
+	}
+	TAILQ_INIT(&target->holds);
+	target->slots = spec->slots;
+	target->reported_slots = spec->slots;
+	if (spec->state == MSP_TARGET_COLD)
+		msp_ramp_target(target, 1);
+	else
+		target->limit = spec->slots;
+	msp_update_target(target, spec);
+	return target;
+}
+
+void
+msp_drop_target(msp_target_t *target)
+{
+	msp_hold_t *hold;
+
+	if (target == NULL)
+		return;
+	while ((hold = TAILQ_FIRST(&target->holds)) != NULL) {
+		TAILQ_REMOVE(&target->holds, hold, link);
+		free(hold);
+	}
+	free(target->name);
+	free(target);
+}
+
+void
+msp_ramp_target(msp_target_t *target, uint32_t slots)
+{
+	target->limit = slots == 0 ? 1 : slots;
+	target->ramping = true;
+}
+
+void
+msp_update_target(msp_target_t *target, const msp_target_spec_t *spec)
+{
+	bool was_leaving = target->leaving;
+
+	target->address = spec->address;
+	if (target->slots != spec->slots) {
+		/* A raised number is reached by growth. */
+		target->slots = spec->slots;
+		target->reported_slots = spec->slots;
+	}
+	if (target->limit > target->slots)
+		target->limit = target->slots;
+	target->listed = true;
+	target->leaving = spec->state == MSP_TARGET_LEAVING;
+	if (was_leaving && !target->leaving)
+		msp_ramp_target(target, 1);
+}
+
+uint32_t
+msp_target_limit(const msp_target_t *target, msp_time_t now)
+{
+	uint32_t limit = (uint32_t)target->limit;
+
+	if (!target->listed || target->leaving || now < target->closed_until)
+		return 0;
+	return limit < target->reported_slots ? limit : target->reported_slots;
+}
+
+uint32_t
+msp_target_free(const msp_target_t *target, msp_time_t now)
+{
+	uint32_t limit = msp_target_limit(target, now);
+	uint32_t used = target->in_flight + target->held;
+
+	return used < limit ? limit - used : 0;
+}
+
+void
+msp_hold_slots(msp_target_t *target, uint32_t count, msp_time_t until)
+{
+	msp_hold_t *hold;
+
+	if (count == 0)
+		return;
+	hold = malloc(sizeof(*hold));
+	if (hold == NULL)
+		return;
+	*hold = (msp_hold_t){.count = count, .until = until};
+	TAILQ_INSERT_TAIL(&target->holds, hold, link);
+	target->held += count;
+}
+
+void
+msp_release_holds(msp_target_t *target, msp_time_t now)
+{
+	msp_hold_t *hold, *next;
+
+	TAILQ_FOREACH_SAFE(hold, &target->holds, link, next) {
+		if (hold->until > now)
+			continue;
+		TAILQ_REMOVE(&target->holds, hold, link);
+		target->held -= hold->count;
+		free(hold);
+	}
+}
+
+void
+msp_note_whole(msp_target_t *target, msp_time_t now, msp_time_t latency)
+{
+	bool used =
+	    target->in_flight + target->held + 1 >= (uint32_t)target->limit;
+
+	target->last_whole = now;
+	target->backoff = 0;
+	if (target->latency == 0)
+		target->latency = latency;
+	else
+		target->latency =
+		    (target->latency * (LATENCY_WEIGHT - 1) + latency) /
+		    LATENCY_WEIGHT;
+	if (!used)
+		return;
+	target->limit += target->ramping ? 1.0 : GROWTH / target->limit;
+	if (target->limit >= target->slots) {
+		target->limit = target->slots;
+		target->ramping = false;
+	}
+}
+
+void
+msp_note_shed(msp_target_t *target, msp_time_t now, msp_time_t started,
+    msp_time_t retry_after)
+{
+	/* Attempts started before the last cut of the limit tell no more. */
+	if (target->last_shed == 0 || started >= target->last_shed) {
+		target->limit /= 2;
+		if (target->limit < 1)
+			target->limit = 1;
+		target->ramping = false;
+		target->last_shed = now;
+	}
+	if (retry_after > MOST_RETRY_AFTER)
+		retry_after = MOST_RETRY_AFTER;
+	if (target->closed_until < now + retry_after)
+		target->closed_until = now + retry_after;
+}
+
+void
+msp_note_failure(msp_target_t *target, msp_time_t now)
+{
+	msp_ramp_target(target, 1);
+	if (now < target->closed_until)
+		return;
+	target->backoff =
+	    target->backoff == 0 ? FIRST_BACKOFF : target->backoff * 2;
+	if (target->backoff > LAST_BACKOFF)
+		target->backoff = LAST_BACKOFF;
+	target->closed_until = now + target->backoff;
+}
--- /dev/null
+++ b/source/steer/target.h
@@ -0,0 +1,85 @@
+#ifndef SOURCE_STEER_TARGET_H
+#define SOURCE_STEER_TARGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <bsd/sys/queue.h>
+
+#include "monsoonspindle/steer/dispatcher.h"
+
+#define MSP_RECENT_CUTS 32
+
+/* Slots that stay empty until a point: inherited or cancelled work. */
+typedef struct msp_hold {
+	TAILQ_ENTRY(msp_hold) link;
+	uint32_t count;
+	msp_time_t until;
+} msp_hold_t;
+
+/* An attempt whose connection broke, perhaps because the target died. */
+typedef struct msp_cut {
+	msp_digest_t fingerprint;
+	msp_time_t started;
+	msp_time_t ended; /* 0: none */
+} msp_cut_t;
+
+/* One target as seen by its dispatcher. */
+typedef struct msp_target {
+	TAILQ_ENTRY(msp_target) link;
+	char *name;
+	void *address;
+	uint32_t slots; /* as listed */
+	uint32_t reported_slots; /* the last fresh report's, if lower */
+	bool listed;
+	bool leaving;
+	bool seen; /* scratch, while a list is taken in */
+	bool ramping; /* the limit grows by one with each answer */
+	double limit; /* own limit, 1 to slots */
+	uint32_t in_flight; /* own attempts */
+	uint32_t held; /* sum of holds */
+	TAILQ_HEAD(msp_hold_list, msp_hold) holds;
+	msp_attempt_t suspect; /* the suspect request it runs, or 0 */
+	msp_time_t closed_until; /* no new work before */
+	msp_time_t backoff; /* next span of being closed; 0: none yet */
+	msp_time_t last_shed; /* 0: never */
+	msp_time_t last_whole;
+	msp_time_t latency; /* moving mean of whole answers; 0: none yet */
+	uint32_t silent; /* kept connections found silent */
+	msp_time_t fresh_until; /* only fresh connections before */
+	msp_cut_t cuts[MSP_RECENT_CUTS];
+	uint32_t next_cut;
+} msp_target_t;
+
+msp_target_t *msp_new_target(const msp_target_spec_t *spec);
+void msp_drop_target(msp_target_t *target);
+
+/* Takes in a listed target's slots and state. */
+void msp_update_target(msp_target_t *target, const msp_target_spec_t *spec);
+
+/* Slots that may be in use now. */
+uint32_t msp_target_limit(const msp_target_t *target, msp_time_t now);
+
+/* Slots that an attempt could take now. */
+uint32_t msp_target_free(const msp_target_t *target, msp_time_t now);
+
+/* Keeps `count` slots empty until a point; without memory, none. */
+void msp_hold_slots(msp_target_t *target, uint32_t count, msp_time_t until);
+
+/* Frees the slots whose hold ended. */
+void msp_release_holds(msp_target_t *target, msp_time_t now);
+
+/* The target answered whole after `latency`. */
+void msp_note_whole(msp_target_t *target, msp_time_t now, msp_time_t latency);
+
+/* The target shed an attempt that was started at `started`. */
+void msp_note_shed(msp_target_t *target, msp_time_t now, msp_time_t started,
+    msp_time_t retry_after);
+
+/* The target failed: closed for a growing span, then one slot. */
+void msp_note_failure(msp_target_t *target, msp_time_t now);
+
+/* The limit starts again at `slots` and ramps. */
+void msp_ramp_target(msp_target_t *target, uint32_t slots);
+
+#endif
--- /dev/null
+++ b/source/steer/tick.c
@@ -0,0 +1,204 @@
+#include "dispatcher_private.h"
+
+#define FEWEST_ANSWERS 50 /* until the recent latency is known */
+#define SILENT_FACTOR 4 /* of the 99th percentile */
+#define SHORTEST_SILENCE (250 * MSP_MS)
+#define LONGEST_SILENCE (5 * MSP_SECOND)
+#define HEDGE_QUANTILE 0.95
+#define RATE_WINDOW MSP_SECOND
+
+/* How long the first byte may take before a connection counts as silent. */
+static msp_time_t
+silent_bound(const msp_dispatcher_t *d)
+{
+	msp_time_t bound = 20 * d->policy.expected_service;
+
+	if (d->latency.count >= FEWEST_ANSWERS)
+		bound = SILENT_FACTOR * msp_quantile(&d->latency, 0.99);
+	if (bound < SHORTEST_SILENCE)
+		return SHORTEST_SILENCE;
+	return bound > LONGEST_SILENCE ? LONGEST_SILENCE : bound;
+}
+
+/* When a read is worth a second attempt, or MSP_NEVER. */
+static msp_time_t
+hedge_delay(const msp_dispatcher_t *d)
+{
+	if (!d->policy.hedge || d->latency.count < FEWEST_ANSWERS)
+		return MSP_NEVER;
+	return msp_quantile(&d->latency, HEDGE_QUANTILE);
+}
+
+static bool
+can_hedge(const msp_dispatcher_t *d, const msp_job_t *job)
+{
+	return job->class == MSP_CLASS_INTERACTIVE && job->is_idempotent &&
+	    job->retries_left > 0 && job->attempts[1].token == 0 &&
+	    job->attempts[0].token != 0 && !job->attempts[0].answered &&
+	    d->queued[MSP_CLASS_INTERACTIVE] == 0 &&
+	    d->queued[MSP_CLASS_COMMIT] == 0 && !d->paused && !d->retired;
+}
+
+static void
+hedge(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_target_t *target;
+
+	if (msp_total_free(d) <= msp_reserve(d) ||
+	    msp_check_suspicion(d->quarantine, job->fingerprint, NULL) !=
+		MSP_SUSPICION_NONE)
+		return;
+	target = msp_choose_target(d, job, job->attempts[0].target);
+	if (target == NULL || !msp_spend_retry(&d->retries))
+		return;
+	job->retries_left--;
+	msp_start_attempt(d, job, target);
+}
+
+static void
+expire_job(msp_dispatcher_t *d, msp_job_t *job)
+{
+	msp_job_attempt_t *attempt;
+
+	TAILQ_REMOVE(&d->running, job, link);
+	job->state = JOB_IDLE;
+	while ((attempt = msp_any_attempt(job)) != NULL)
+		msp_abandon_attempt(d, job, attempt);
+	msp_refuse_job(d, job,
+	    job->is_idempotent ? MSP_E_DEADLINE : MSP_E_IN_DOUBT,
+	    MSP_RUN_UNKNOWN,
+	    job->is_idempotent ? msp_estimate_wait(d, job->class) : 0,
+	    "the target did not answer by the deadline");
+}
+
+/* A read on a silent connection runs again, if the budget allows. */
+static void
+check_silence(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
+{
+	msp_job_attempt_t silent = *attempt;
+
+	if (!attempt->overdue)
+		msp_note_silence(d, attempt);
+	attempt->overdue = true;
+	if (!job->is_idempotent || job->retries_left == 0 ||
+	    msp_any_attempt(job) != attempt || job->attempts[1].token != 0 ||
+	    d->retired || msp_choose_target(d, job, NULL) == NULL ||
+	    !msp_spend_retry(&d->retries))
+		return;
+	job->retries_left--;
+	msp_abandon_attempt(d, job, attempt);
+	TAILQ_REMOVE(&d->running, job, link);
+	job->avoid = silent.target;
+	job->wants_fresh = true;
+	msp_queue_job(d, job, true);
+}
+
+static void
+check_running(msp_dispatcher_t *d, msp_time_t now)
+{
+	msp_time_t silence = silent_bound(d);
+	msp_time_t delay = hedge_delay(d);
+	msp_job_t *job, *next;
+	int i;
+
+	TAILQ_FOREACH_SAFE(job, &d->running, link, next) {
+		if (now >= job->deadline) {
+			expire_job(d, job);
+			continue;
+		}
+		for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+			msp_job_attempt_t *attempt = &job->attempts[i];
+
+			if (attempt->token == 0 || attempt->answered ||
+			    now < attempt->started + silence)
+				continue;
+			check_silence(d, job, attempt);
+			if (job->state != JOB_RUNNING)
+				break;
+		}
+		if (job->state == JOB_RUNNING && delay != MSP_NEVER &&
+		    can_hedge(d, job) &&
+		    now >= job->attempts[0].started + delay)
+			hedge(d, job);
+	}
+}
+
+static void
+roll_window(msp_dispatcher_t *d, msp_time_t now)
+{
+	if (now < d->window_start + RATE_WINDOW)
+		return;
+	d->background_measured = d->queued[MSP_CLASS_BACKGROUND] > 0;
+	d->background_rate = d->background_starts;
+	d->background_starts = 0;
+	d->window_start = now;
+}
+
+void
+msp_tick_dispatcher(msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_see_clock(d);
+	msp_target_t *target;
+
+	roll_window(d, now);
+	TAILQ_FOREACH(target, &d->targets, link)
+		msp_release_holds(target, now);
+	check_running(d, now);
+	msp_forget_unlisted(d);
+	msp_review_queue(d);
+	msp_pump_queue(d);
+}
+
+static msp_time_t
+sooner(msp_time_t a, msp_time_t b)
+{
+	return a < b ? a : b;
+}
+
+static msp_time_t
+job_due(
+    const msp_job_t *job, msp_time_t silence, msp_time_t delay, msp_time_t now)
+{
+	msp_time_t due = job->deadline;
+	int i;
+
+	for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+		const msp_job_attempt_t *attempt = &job->attempts[i];
+
+		if (attempt->token == 0 || attempt->answered)
+			continue;
+		if (!attempt->overdue)
+			due = sooner(due, attempt->started + silence);
+		if (delay != MSP_NEVER && attempt->started + delay > now)
+			due = sooner(due, attempt->started + delay);
+	}
+	return due;
+}
+
+msp_time_t
+msp_dispatcher_due(const msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t due = d->last_seen + MSP_HEARTBEAT;
+	msp_time_t silence = silent_bound(d);
+	msp_time_t delay = hedge_delay(d);
+	const msp_target_t *target;
+	const msp_hold_t *hold;
+	const msp_job_t *job;
+	bool waiting = d->queued[MSP_CLASS_INTERACTIVE] > 0 ||
+	    d->queued[MSP_CLASS_COMMIT] > 0 ||
+	    d->queued[MSP_CLASS_BACKGROUND] > 0;
+
+	TAILQ_FOREACH(job, &d->running, link)
+		due = sooner(due, job_due(job, silence, delay, now));
+	if (!waiting)
+		return due;
+	due = sooner(due, d->last_seen + MSP_QUEUE_REVIEW);
+	TAILQ_FOREACH(target, &d->targets, link) {
+		if (target->closed_until > now)
+			due = sooner(due, target->closed_until);
+		TAILQ_FOREACH(hold, &target->holds, link)
+			due = sooner(due, hold->until);
+	}
+	return due;
+}
