--- a/include/monsoonspindle/platform/store.h
+++ b/include/monsoonspindle/platform/store.h
@@ -59,6 +59,7 @@
  * MSP_E_STORE_DOWN  the call never reached the store, and never will
  * MSP_E_LOST        no answer: a write may have taken effect, or still may
  * MSP_E_NOT_FOUND   get_object: no such object
+ * MSP_E_BAD_REQUEST the call breaks a bound; nothing took effect
  */
 typedef struct msp_store_reply {
 	msp_status_t status;
--- /dev/null
+++ b/source/platform/memory_store.c
@@ -0,0 +1,327 @@
+#include "monsoonspindle/platform/memory_store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "check_call.h"
+#include "store_data.h"
+
+TAILQ_HEAD(call_queue, msp_store_call);
+
+struct msp_memory_store {
+	msp_env_t env;
+	msp_store_faults_t faults;
+	msp_store_data_t data;
+	struct call_queue effects; /* by effect_at */
+	struct call_queue answers; /* by answer_at */
+	msp_time_t write_slot; /* when the next write may take effect */
+};
+
+msp_memory_store_t *
+msp_new_memory_store(const msp_env_t *env)
+{
+	msp_memory_store_t *store = calloc(1, sizeof(*store));
+
+	if (store == NULL)
+		return NULL;
+	store->env = *env;
+	msp_init_store_data(&store->data);
+	TAILQ_INIT(&store->effects);
+	TAILQ_INIT(&store->answers);
+	return store;
+}
+
+static void
+remove_effect(msp_memory_store_t *store, msp_store_call_t *call)
+{
+	TAILQ_REMOVE(&store->effects, call, effect_entry);
+	call->effect_pending = false;
+}
+
+static void
+remove_answer(msp_memory_store_t *store, msp_store_call_t *call)
+{
+	TAILQ_REMOVE(&store->answers, call, answer_entry);
+	call->answer_pending = false;
+}
+
+void
+msp_drop_memory_store(msp_memory_store_t *store)
+{
+	msp_store_call_t *call;
+
+	if (store == NULL)
+		return;
+	while ((call = TAILQ_FIRST(&store->effects)) != NULL) {
+		remove_effect(store, call);
+		if (!call->answer_pending)
+			msp_drop_store_call(call);
+	}
+	while ((call = TAILQ_FIRST(&store->answers)) != NULL) {
+		remove_answer(store, call);
+		msp_drop_store_call(call);
+	}
+	msp_clear_store_data(&store->data);
+	free(store);
+}
+
+msp_store_faults_t *
+msp_memory_store_faults(msp_memory_store_t *store)
+{
+	return &store->faults;
+}
+
+const msp_store_stats_t *
+msp_memory_store_stats(const msp_memory_store_t *store)
+{
+	return &store->data.stats;
+}
+
+msp_status_t
+msp_set_memory_vms(msp_memory_store_t *store, const msp_vm_t *vms, size_t count,
+    msp_time_t lag)
+{
+	return msp_push_vms(
+	    &store->data.vms, vms, count, msp_now(&store->env) + lag);
+}
+
+static bool
+chance(msp_memory_store_t *store, unsigned int percent)
+{
+	return percent > 0 && msp_random_below(&store->env, 100) < percent;
+}
+
+/* The time that the writes of `call` wait for the store's write rate. */
+static msp_time_t
+take_write_slot(msp_memory_store_t *store, const msp_store_call_t *call)
+{
+	const msp_store_faults_t *faults = &store->faults;
+	msp_time_t now = msp_now(&store->env);
+	uint64_t count = call->op == MSP_STORE_PUT_OBJECT ? 1
+	    : faults->count_rows			  ? call->write_count
+							  : 1;
+
+	if (faults->writes_per_second == 0 ||
+	    (call->op == MSP_STORE_TRANSACT && call->write_count == 0))
+		return 0;
+	if (store->write_slot < now)
+		store->write_slot = now;
+	store->write_slot += count * MSP_SECOND / faults->writes_per_second;
+	return store->write_slot - now;
+}
+
+static void
+queue_effect(msp_memory_store_t *store, msp_store_call_t *call)
+{
+	msp_store_call_t *before;
+
+	call->effect_pending = true;
+	TAILQ_FOREACH_REVERSE(before, &store->effects, call_queue, effect_entry)
+	if (before->effect_at <= call->effect_at)
+		break;
+	if (before == NULL)
+		TAILQ_INSERT_HEAD(&store->effects, call, effect_entry);
+	else
+		TAILQ_INSERT_AFTER(&store->effects, before, call, effect_entry);
+}
+
+static void
+queue_answer(msp_memory_store_t *store, msp_store_call_t *call)
+{
+	msp_store_call_t *before;
+
+	call->answer_pending = true;
+	TAILQ_FOREACH_REVERSE(before, &store->answers, call_queue, answer_entry)
+	if (before->answer_at <= call->answer_at)
+		break;
+	if (before == NULL)
+		TAILQ_INSERT_HEAD(&store->answers, call, answer_entry);
+	else
+		TAILQ_INSERT_AFTER(&store->answers, before, call, answer_entry);
+}
+
+/* Decides when the call takes effect and when it is answered. */
+static void
+schedule(msp_memory_store_t *store, msp_store_call_t *call, uint32_t timeout_ms)
+{
+	const msp_store_faults_t *faults = &store->faults;
+	msp_time_t now = msp_now(&store->env);
+	msp_time_t give_up = now + timeout_ms * MSP_MS;
+	msp_time_t half =
+	    (faults->latency +
+		msp_random_below(&store->env, faults->jitter + 1)) /
+	    2;
+
+	call->effect_at = now + half;
+	if (msp_is_store_write(call))
+		call->effect_at += take_write_slot(store, call);
+	call->answer_at = call->effect_at + half;
+	if (chance(store, faults->lose_call_pct)) {
+		call->effect_at = MSP_NEVER;
+		call->answer_lost = true;
+	} else if (msp_is_store_write(call) &&
+	    chance(store, faults->late_effect_pct)) {
+		call->effect_at = give_up + faults->late_effect;
+		call->answer_lost = true;
+	} else if (chance(store, faults->lose_answer_pct)) {
+		call->answer_lost = true;
+	}
+	if (call->answer_at > give_up || call->answer_lost) {
+		call->answer_at = give_up;
+		call->answer_lost = true;
+	}
+	if (call->effect_at != MSP_NEVER)
+		queue_effect(store, call);
+	queue_answer(store, call);
+}
+
+static void
+refuse(msp_memory_store_t *store, msp_store_call_t *call, msp_status_t status)
+{
+	call->captured.reply.status = status;
+	call->answer_at = msp_now(&store->env);
+	queue_answer(store, call);
+}
+
+/* Without memory for the call itself, `done` cannot be called: give up. */
+static void
+start(msp_memory_store_t *store, msp_store_call_t *call, msp_status_t checked,
+    uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx)
+{
+	if (call == NULL)
+		abort();
+	call->done = done;
+	call->done_ctx = done_ctx;
+	if (checked != MSP_OK)
+		refuse(store, call, checked);
+	else if (store->faults.down)
+		refuse(store, call, MSP_E_STORE_DOWN);
+	else
+		schedule(store, call, timeout_ms);
+}
+
+static void
+start_get(void *ctx, const char *const *keys, size_t count, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	for (i = 0; i < count && status == MSP_OK; i++)
+		status = msp_check_row_key(keys[i]);
+	start(ctx, msp_new_store_call(MSP_STORE_GET, keys, count), status,
+	    timeout_ms, done, done_ctx);
+}
+
+static void
+start_scan(void *ctx, const char *prefix, const char *after, size_t limit,
+    uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx)
+{
+	msp_store_call_t *call = msp_new_store_call(MSP_STORE_SCAN, &prefix, 1);
+
+	if (call == NULL ||
+	    (call->after = strdup(after == NULL ? "" : after)) == NULL)
+		abort();
+	call->limit = limit;
+	start(ctx, call, msp_check_row_key(prefix), timeout_ms, done, done_ctx);
+}
+
+static void
+start_transact(void *ctx, const msp_txn_t *txn, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	msp_status_t status = msp_check_txn(txn);
+	static const msp_txn_t empty;
+
+	start(ctx, msp_new_txn_call(status == MSP_OK ? txn : &empty), status,
+	    timeout_ms, done, done_ctx);
+}
+
+static void
+start_get_object(void *ctx, const char *name, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	start(ctx, msp_new_store_call(MSP_STORE_GET_OBJECT, &name, 1),
+	    msp_check_object_name(name), timeout_ms, done, done_ctx);
+}
+
+static void
+start_put_object(void *ctx, const char *name, const void *data, size_t len,
+    uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx)
+{
+	msp_store_call_t *call =
+	    msp_new_store_call(MSP_STORE_PUT_OBJECT, &name, 1);
+
+	if (call == NULL || (call->object = malloc(len + 1)) == NULL)
+		abort();
+	if (len > 0)
+		memcpy(call->object, data, len);
+	call->object_len = len;
+	start(
+	    ctx, call, msp_check_object_name(name), timeout_ms, done, done_ctx);
+}
+
+static void
+start_list_vms(
+    void *ctx, uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx)
+{
+	start(ctx, msp_new_store_call(MSP_STORE_LIST_VMS, NULL, 0), MSP_OK,
+	    timeout_ms, done, done_ctx);
+}
+
+msp_store_t
+msp_memory_store(msp_memory_store_t *store)
+{
+	return (msp_store_t){
+	    .ctx = store,
+	    .get = start_get,
+	    .scan = start_scan,
+	    .transact = start_transact,
+	    .get_object = start_get_object,
+	    .put_object = start_put_object,
+	    .list_vms = start_list_vms,
+	};
+}
+
+static void
+answer(msp_store_call_t *call)
+{
+	static const msp_store_reply_t lost = {.status = MSP_E_LOST};
+
+	call->done(
+	    call->done_ctx, call->answer_lost ? &lost : &call->captured.reply);
+}
+
+void
+msp_step_memory_store(msp_memory_store_t *store)
+{
+	msp_time_t now = msp_now(&store->env);
+	msp_store_call_t *call;
+
+	while ((call = TAILQ_FIRST(&store->effects)) != NULL &&
+	    call->effect_at <= now) {
+		remove_effect(store, call);
+		msp_run_store_call(&store->data, call, now);
+		if (!call->answer_pending)
+			msp_drop_store_call(call);
+	}
+	while ((call = TAILQ_FIRST(&store->answers)) != NULL &&
+	    call->answer_at <= now) {
+		remove_answer(store, call);
+		answer(call);
+		if (!call->effect_pending)
+			msp_drop_store_call(call);
+	}
+}
+
+msp_time_t
+msp_memory_store_deadline(const msp_memory_store_t *store)
+{
+	const msp_store_call_t *effect = TAILQ_FIRST(&store->effects);
+	const msp_store_call_t *reply = TAILQ_FIRST(&store->answers);
+	msp_time_t at = effect == NULL ? MSP_NEVER : effect->effect_at;
+
+	if (reply != NULL && reply->answer_at < at)
+		at = reply->answer_at;
+	return at;
+}
--- /dev/null
+++ b/source/platform/store_data.h
@@ -0,0 +1,26 @@
+#ifndef MSP_PLATFORM_STORE_DATA_H
+#define MSP_PLATFORM_STORE_DATA_H
+
+#include "monsoonspindle/platform/memory_store.h"
+#include "store_call.h"
+#include "table.h"
+#include "vm_list.h"
+
+/* What the memory store holds. */
+typedef struct msp_store_data {
+	msp_table_t table;
+	msp_table_t objects; /* one row each */
+	msp_vm_list_t vms;
+	msp_store_stats_t stats;
+} msp_store_data_t;
+
+void msp_init_store_data(msp_store_data_t *data);
+void msp_clear_store_data(msp_store_data_t *data);
+
+bool msp_is_store_write(const msp_store_call_t *call);
+
+/* Lets `call` take effect and captures its reply. */
+void msp_run_store_call(
+    msp_store_data_t *data, msp_store_call_t *call, msp_time_t now);
+
+#endif
--- /dev/null
+++ b/source/platform/table.c
@@ -0,0 +1,146 @@
+#include "table.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#ifndef __unused
+#define __unused __attribute__((unused)) /* wanted by RB_GENERATE_STATIC */
+#endif
+
+static int
+compare_rows(const msp_table_row_t *a, const msp_table_row_t *b)
+{
+	return strcmp(a->key, b->key);
+}
+
+/* The analyser loses track of rows in the generated tree code. */
+/* NOLINTBEGIN(clang-analyzer-unix.Malloc) */
+RB_GENERATE_STATIC(msp_table_tree, msp_table_row, entry, compare_rows)
+
+void
+msp_init_table(msp_table_t *table)
+{
+	RB_INIT(&table->tree);
+	table->last_version = 0;
+}
+
+static void
+drop_row(msp_table_row_t *row)
+{
+	if (row == NULL)
+		return;
+	free(row->key);
+	free(row->value);
+	free(row);
+}
+
+void
+msp_clear_table(msp_table_t *table)
+{
+	msp_table_row_t *row;
+
+	while ((row = RB_ROOT(&table->tree)) != NULL) {
+		RB_REMOVE(msp_table_tree, &table->tree, row);
+		drop_row(row);
+	}
+}
+
+msp_table_row_t *
+msp_find_row(msp_table_t *table, const char *key)
+{
+	msp_table_row_t probe = {.key = (char *)key};
+
+	return RB_FIND(msp_table_tree, &table->tree, &probe);
+}
+
+msp_table_row_t *
+msp_next_row(msp_table_t *table, const char *key)
+{
+	msp_table_row_t probe = {.key = (char *)key};
+	msp_table_row_t *row = RB_NFIND(msp_table_tree, &table->tree, &probe);
+
+	if (row != NULL && strcmp(row->key, key) == 0)
+		row = RB_NEXT(msp_table_tree, &table->tree, row);
+	return row;
+}
+
+static bool
+conditions_hold(msp_table_t *table, const msp_txn_t *txn)
+{
+	size_t i;
+
+	for (i = 0; i < txn->condition_count; i++) {
+		const msp_condition_t *condition = &txn->conditions[i];
+		const msp_table_row_t *row =
+		    msp_find_row(table, condition->key);
+
+		if ((row == NULL ? 0 : row->version) != condition->version)
+			return false;
+	}
+	return true;
+}
+
+static msp_table_row_t *
+new_row(const msp_write_t *write)
+{
+	msp_table_row_t *row = calloc(1, sizeof(*row));
+
+	if (row == NULL)
+		return NULL;
+	row->key = strdup(write->key);
+	row->value = malloc(write->value_len + 1);
+	if (row->key == NULL || row->value == NULL) {
+		drop_row(row);
+		return NULL;
+	}
+	memcpy(row->value, write->value, write->value_len);
+	row->value[write->value_len] = '\0';
+	row->value_len = write->value_len;
+	return row;
+}
+
+static void
+apply_write(
+    msp_table_t *table, const msp_write_t *write, msp_table_row_t *fresh)
+{
+	msp_table_row_t *old = msp_find_row(table, write->key);
+
+	if (old != NULL) {
+		RB_REMOVE(msp_table_tree, &table->tree, old);
+		drop_row(old);
+	}
+	if (fresh == NULL)
+		return;
+	fresh->version = ++table->last_version;
+	RB_INSERT(msp_table_tree, &table->tree, fresh);
+}
+
+msp_status_t
+msp_apply_txn(msp_table_t *table, const msp_txn_t *txn)
+{
+	msp_table_row_t *fresh[MSP_TXN_ITEMS_MAX] = {NULL};
+	const size_t count = txn->write_count;
+	size_t i;
+
+	if (count > MSP_TXN_ITEMS_MAX)
+		return msp_fail(MSP_E_TOO_LARGE, "too many writes");
+	if (!conditions_hold(table, txn))
+		return MSP_E_CONFLICT;
+	for (i = 0; i < count; i++) {
+		if (txn->writes[i].value == NULL)
+			continue;
+		fresh[i] = new_row(&txn->writes[i]);
+		if (fresh[i] == NULL)
+			goto no_memory;
+	}
+	for (i = 0; i < count; i++)
+		apply_write(table, &txn->writes[i], fresh[i]);
+	return MSP_OK;
+
+no_memory:
+	while (i > 0)
+		drop_row(fresh[--i]);
+	return msp_fail(MSP_E_NO_MEMORY, "no memory for a row");
+}
+/* NOLINTEND(clang-analyzer-unix.Malloc) */
--- /dev/null
+++ b/source/platform/table.h
@@ -0,0 +1,39 @@
+#ifndef MSP_PLATFORM_TABLE_H
+#define MSP_PLATFORM_TABLE_H
+
+#include <stdint.h>
+
+#include <bsd/sys/tree.h>
+
+#include "monsoonspindle/platform/store.h"
+
+/* One row, owned by its table. */
+typedef struct msp_table_row {
+	RB_ENTRY(msp_table_row) entry;
+	char *key;
+	char *value;
+	size_t value_len;
+	uint64_t version;
+} msp_table_row_t;
+
+RB_HEAD(msp_table_tree, msp_table_row);
+
+/* Rows sorted by key. Set up with msp_init_table(). */
+typedef struct msp_table {
+	struct msp_table_tree tree;
+	uint64_t last_version; /* of all rows, so that none is reused */
+} msp_table_t;
+
+void msp_init_table(msp_table_t *table);
+void msp_clear_table(msp_table_t *table);
+
+/* Returns the row of `key`, or NULL. */
+msp_table_row_t *msp_find_row(msp_table_t *table, const char *key);
+
+/* Returns the first row that sorts after `key`, or NULL. */
+msp_table_row_t *msp_next_row(msp_table_t *table, const char *key);
+
+/* MSP_E_CONFLICT if a condition does not hold; nothing took effect then. */
+msp_status_t msp_apply_txn(msp_table_t *table, const msp_txn_t *txn);
+
+#endif
