Add the platform over HTTP, its stand-in and its protocol page

msp_http_store_t speaks docs/PLATFORM.md through net's client, the store service serves it from the memory store; standins/platform.c is its process.

--- a/include/monsoonspindle/platform/http_store.h
+++ b/include/monsoonspindle/platform/http_store.h
@@ -12,10 +12,10 @@
 typedef struct msp_http_store msp_http_store_t;
 
 /*
- * `client` is borrowed and must outlive the store; `address` (IP number) is
- * copied. Returns NULL with a last message.
+ * `loop` and `client` are borrowed and must outlive the store; `address` (IP
+ * number) is copied. Returns NULL with a last message.
  */
-msp_http_store_t *msp_new_http_store(
+msp_http_store_t *msp_new_http_store(msp_loop_t *loop,
     msp_http_client_t *client, const char *address, uint16_t port);
 
 /* Cancels the calls under way; their `done` is not called. */
--- a/source/platform/check_call.c
+++ b/source/platform/check_call.c
@@ -2,35 +2,46 @@
 
 #include <string.h>
 
+#define NAME_BYTES \
+	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-"
+
 static msp_status_t
-check_name(const char *name, const char *forbidden, const char *what)
+check_length(const char *name, const char *what)
 {
 	size_t len = name == NULL ? 0 : strlen(name);
-	size_t i;
 
 	if (len == 0 || len > MSP_ROW_KEY_MAX)
 		return msp_fail(MSP_E_BAD_REQUEST, "%s of %zu bytes: 1 to %d",
 		    what, len, MSP_ROW_KEY_MAX);
-	for (i = 0; i < len; i++) {
-		if (name[i] <= ' ' || name[i] > '~' ||
-		    strchr(forbidden, name[i]) != NULL)
-			return msp_fail(MSP_E_BAD_REQUEST,
-			    "%s: byte %u is not allowed", what,
-			    (unsigned int)(unsigned char)name[i]);
-	}
 	return MSP_OK;
 }
 
 msp_status_t
 msp_check_row_key(const char *key)
 {
-	return check_name(key, "", "row key");
+	msp_status_t status = check_length(key, "row key");
+	const char *p;
+
+	if (status != MSP_OK)
+		return status;
+	for (p = key; *p != '\0'; p++) {
+		if (*p <= ' ' || *p > '~')
+			return msp_fail(MSP_E_BAD_REQUEST,
+			    "row key: byte %u is not allowed",
+			    (unsigned int)(unsigned char)*p);
+	}
+	return MSP_OK;
 }
 
 msp_status_t
 msp_check_object_name(const char *name)
 {
-	return check_name(name, "/?#%", "object name");
+	msp_status_t status = check_length(name, "object name");
+
+	if (status == MSP_OK && strspn(name, NAME_BYTES) != strlen(name))
+		status = msp_fail(MSP_E_BAD_REQUEST,
+		    "object name: letters, digits and ._:- only");
+	return status;
 }
 
 static msp_status_t
--- /dev/null
+++ b/source/platform/service_control.h
@@ -0,0 +1,15 @@
+#ifndef MSP_PLATFORM_SERVICE_CONTROL_H
+#define MSP_PLATFORM_SERVICE_CONTROL_H
+
+#include "monsoonspindle/platform/memory_store.h"
+#include "store_json.h"
+
+/*
+ * Sets the faults that `message` names and leaves the others; prints the
+ * store's statistics. MSP_E_SYNTAX, with no fault changed, for an unknown
+ * name or a value out of range.
+ */
+msp_status_t msp_apply_control(
+    msp_memory_store_t *store, struct json_object *message, msp_buffer_t *out);
+
+#endif
--- a/source/platform/table.c
+++ b/source/platform/table.c
@@ -16,6 +16,7 @@
 
 /* The analyser loses track of rows in the generated tree code. */
 /* NOLINTBEGIN(clang-analyzer-unix.Malloc) */
+/* cppcheck-suppress unknownMacro */
 RB_GENERATE_STATIC(msp_table_tree, msp_table_row, entry, compare_rows)
 
 void
--- a/source/platform/vm_list.h
+++ b/source/platform/vm_list.h
@@ -16,7 +16,8 @@
 
 /* A list of VMs that lags: older states are answered for a while. */
 typedef struct msp_vm_list {
-	TAILQ_HEAD(, msp_vm_snapshot) snapshots; /* oldest first */
+	TAILQ_HEAD(msp_vm_snapshots, msp_vm_snapshot)
+	snapshots; /* oldest first */
 } msp_vm_list_t;
 
 void msp_init_vm_list(msp_vm_list_t *list);
