--- a/source/platform/http_store.c
+++ b/source/platform/http_store.c
@@ -66,13 +66,13 @@
 msp_drop_http_store(msp_http_store_t *store)
 {
 	http_store_call_t *call;
+	http_store_call_t *next;
 
 	if (store == NULL)
 		return;
-	while ((call = TAILQ_FIRST(&store->calls)) != NULL) {
+	TAILQ_FOREACH_SAFE(call, &store->calls, entry, next) {
 		if (call->call != NULL)
 			msp_cancel_call(call->call);
-		TAILQ_REMOVE(&store->calls, call, entry);
 		free_call(call);
 	}
 	free(store);
