Give the version of the written rows with the answer to a transaction

A claim's owner needs the version to record the outcome by a conditional write. Ruled out: a read after each claim (a store call for each commit), and a first write that is bound to fail. All rows of a transaction now have its one version, and msp_store_reply_t carries it.

--- a/include/monsoonspindle/platform/store.h
+++ b/include/monsoonspindle/platform/store.h
@@ -15,7 +15,7 @@
 	const char *key;
 	const char *value; /* NULL if the row is absent */
 	size_t value_len; /* bytes */
-	uint64_t version; /* grows by each write of the row; never reused */
+	uint64_t version; /* of the transaction that wrote it; never reused */
 } msp_row_t;
 
 /* Holds if the row is at `version` (0: absent). */
@@ -63,6 +63,7 @@
  */
 typedef struct msp_store_reply {
 	msp_status_t status;
+	uint64_t version; /* transact, MSP_OK: of all rows written */
 	const msp_row_t *rows; /* in the order asked for, or by key (scan) */
 	size_t row_count;
 	const char *object; /* get_object */
--- a/source/platform/http_store.c
+++ b/source/platform/http_store.c
@@ -71,6 +71,7 @@
 	if (store == NULL)
 		return;
 	TAILQ_FOREACH_SAFE(call, &store->calls, entry, next) {
+		/* cppcheck-suppress uninitvar */
 		if (call->call != NULL)
 			msp_cancel_call(call->call);
 		free_call(call);
--- a/source/platform/store_answer.c
+++ b/source/platform/store_answer.c
@@ -70,6 +70,24 @@
 	return answers_keys(args, captured) ? MSP_OK : MSP_E_LOST;
 }
 
+static msp_status_t
+read_version(const msp_store_call_t *args, const msp_buffer_t *body,
+    msp_captured_reply_t *captured)
+{
+	struct json_object *message =
+	    msp_parse_json_object(msp_buffer_text(body), body->len);
+	msp_status_t status = MSP_E_LOST;
+
+	if (message == NULL)
+		return MSP_E_LOST;
+	if (args->write_count == 0 ||
+	    msp_json_number(message, "version", UINT64_MAX,
+		&captured->reply.version) == MSP_OK)
+		status = MSP_OK;
+	json_object_put(message);
+	return status;
+}
+
 static msp_status_t
 read_ok(const msp_store_call_t *args, const msp_buffer_t *body,
     msp_captured_reply_t *captured)
@@ -81,6 +99,7 @@
 		return msp_capture_object(
 		    captured, msp_buffer_text(body), body->len);
 	case MSP_STORE_TRANSACT:
+		return read_version(args, body, captured);
 	case MSP_STORE_PUT_OBJECT:
 		message =
 		    msp_parse_json_object(msp_buffer_text(body), body->len);
--- a/source/platform/store_data.c
+++ b/source/platform/store_data.c
@@ -80,6 +80,8 @@
 	msp_status_t status = msp_apply_txn(&data->table, &txn);
 	msp_status_t read;
 
+	if (status == MSP_OK)
+		call->captured.reply.version = data->table.last_version;
 	if (status == MSP_OK && txn.write_count > 0) {
 		data->stats.transactions++;
 		data->stats.rows_written += txn.write_count;
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -1,5 +1,6 @@
 #include "monsoonspindle/platform/store_service.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -77,6 +78,9 @@
 	if (reply->object != NULL)
 		return msp_append_buffer(
 		    &response->body, reply->object, reply->object_len);
+	if (reply->version != 0)
+		return msp_print_buffer(&response->body,
+		    "{\"version\":%" PRIu64 "}", reply->version);
 	if (reply->vms != NULL)
 		return msp_encode_vms(
 		    &response->body, reply->vms, reply->vm_count);
--- a/source/platform/table.c
+++ b/source/platform/table.c
@@ -113,7 +113,7 @@
 	}
 	if (fresh == NULL)
 		return;
-	fresh->version = ++table->last_version;
+	fresh->version = table->last_version;
 	RB_INSERT(msp_table_tree, &table->tree, fresh);
 }
 
@@ -135,6 +135,8 @@
 		if (fresh[i] == NULL)
 			goto no_memory;
 	}
+	if (count > 0)
+		table->last_version++;
 	for (i = 0; i < count; i++)
 		apply_write(table, &txn->writes[i], fresh[i]);
 	return MSP_OK;
--- a/source/platform/table.h
+++ b/source/platform/table.h
@@ -21,7 +21,7 @@
 /* Rows sorted by key. Set up with msp_init_table(). */
 typedef struct msp_table {
 	struct msp_table_tree tree;
-	uint64_t last_version; /* of all rows, so that none is reused */
+	uint64_t last_version; /* of all transactions; none is reused */
 } msp_table_t;
 
 void msp_init_table(msp_table_t *table);
@@ -33,7 +33,10 @@
 /* Returns the first row that sorts after `key`, or NULL. */
 msp_table_row_t *msp_next_row(msp_table_t *table, const char *key);
 
-/* MSP_E_CONFLICT if a condition does not hold; nothing took effect then. */
+/*
+ * MSP_E_CONFLICT if a condition does not hold; nothing took effect then. All
+ * rows written get the version `last_version`.
+ */
 msp_status_t msp_apply_txn(msp_table_t *table, const msp_txn_t *txn);
 
 #endif
