--- /dev/null
+++ b/include/monsoonspindle/coord/nonces.h
@@ -0,0 +1,44 @@
+#ifndef MONSOONSPINDLE_COORD_NONCES_H
+#define MONSOONSPINDLE_COORD_NONCES_H
+
+#include "monsoonspindle/base/env.h"
+#include "monsoonspindle/base/hash.h"
+#include "monsoonspindle/base/status.h"
+
+/* Names one claim on an idempotency key. Printed by msp_print_digest(). */
+typedef msp_digest_t msp_nonce_t;
+
+/* Draws a fresh nonce, never the zero one. */
+msp_nonce_t msp_new_nonce(const msp_env_t *env);
+
+/*
+ * The nonces that a dispatcher has taken: each runs once. The set vouches only
+ * for what it has seen itself: a nonce that was drawn before the set was made,
+ * or before its process woke from a pause, may have been taken before.
+ */
+typedef struct msp_nonces msp_nonces_t;
+
+/*
+ * `lifetime`: nonces older than this are refused, and those taken are
+ * remembered as long. Returns NULL without memory.
+ */
+msp_nonces_t *msp_new_nonces(const msp_env_t *env, msp_time_t lifetime);
+void msp_drop_nonces(msp_nonces_t *nonces);
+
+/*
+ * Takes `nonce`, drawn `age` ago.
+ *
+ * MSP_OK             taken now, for the first time
+ * MSP_E_EXISTS       was taken before
+ * MSP_E_KEY_EXPIRED  is past its lifetime
+ * MSP_E_NOT_READY    is older than what this set has seen: whether a
+ *                    predecessor took it is not known
+ * MSP_E_NO_MEMORY
+ */
+msp_status_t msp_take_nonce(
+    msp_nonces_t *nonces, msp_nonce_t nonce, msp_time_t age);
+
+/* The process was paused until now: older nonces are no longer vouched for. */
+void msp_note_nonces_pause(msp_nonces_t *nonces);
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/coord/outcome.h
@@ -0,0 +1,28 @@
+#ifndef MONSOONSPINDLE_COORD_OUTCOME_H
+#define MONSOONSPINDLE_COORD_OUTCOME_H
+
+#include <stddef.h>
+
+#include "monsoonspindle/base/status.h"
+
+#define MSP_OUTCOME_FIELDS_MAX 64
+
+/* One header field of an answer. */
+typedef struct msp_outcome_field {
+	const char *name;
+	const char *value;
+} msp_outcome_field_t;
+
+/* A target's whole answer to a commit, as it is recorded and replayed. */
+typedef struct msp_outcome {
+	int http_status;
+	const msp_outcome_field_t *fields;
+	size_t field_count;
+	const char *body;
+	size_t body_len; /* bytes */
+} msp_outcome_t;
+
+/* Returns a copy in one piece of memory, to be freed with free(), or NULL. */
+msp_outcome_t *msp_copy_outcome(const msp_outcome_t *outcome);
+
+#endif
