--- a/source/platform/table.c
+++ b/source/platform/table.c
@@ -16,6 +16,7 @@
 
 /* The analyser loses track of rows in the generated tree code. */
 /* NOLINTBEGIN(clang-analyzer-unix.Malloc) */
+/* cppcheck-suppress unknownMacro */
 RB_GENERATE_STATIC(msp_table_tree, msp_table_row, entry, compare_rows)
 
 void
@@ -112,7 +113,7 @@
 	}
 	if (fresh == NULL)
 		return;
-	fresh->version = ++table->last_version;
+	fresh->version = table->last_version;
 	RB_INSERT(msp_table_tree, &table->tree, fresh);
 }
 
@@ -134,6 +135,8 @@
 		if (fresh[i] == NULL)
 			goto no_memory;
 	}
+	if (count > 0)
+		table->last_version++;
 	for (i = 0; i < count; i++)
 		apply_write(table, &txn->writes[i], fresh[i]);
 	return MSP_OK;
