--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -5,5 +5,6 @@
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/spill.h"
 
 #endif
--- a/source/steer/attempt.c
+++ b/source/steer/attempt.c
@@ -160,12 +160,14 @@
 	msp_job_attempt_t *attempt;
 
 	msp_see_clock(d);
-	if (job->state == JOB_QUEUED) {
+	if (job->state == JOB_DOOMED)
+		TAILQ_REMOVE(&d->doomed, job, link);
+	if (job->state == JOB_QUEUED)
 		msp_unqueue_job(d, job);
+	if (job->state != JOB_RUNNING) {
+		job->state = JOB_IDLE;
 		return job->sent;
 	}
-	if (job->state != JOB_RUNNING)
-		return job->sent;
 	TAILQ_REMOVE(&d->running, job, link);
 	job->state = JOB_IDLE;
 	while ((attempt = msp_any_attempt(job)) != NULL)
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -26,6 +26,7 @@
 						   : DEFAULT_PAUSE_BOUND;
 	TAILQ_INIT(&d->targets);
 	TAILQ_INIT(&d->running);
+	TAILQ_INIT(&d->doomed);
 	for (i = 0; i < MSP_CLASS_COUNT; i++)
 		TAILQ_INIT(&d->queue[i]);
 	msp_set_retry_budget(
@@ -202,34 +203,58 @@
 	return MSP_OK;
 }
 
-void
-msp_report_target(msp_dispatcher_t *d, const char *name, uint32_t slots,
-    uint32_t in_use, msp_target_state_t state, msp_time_t age)
+/* Takes in the state of a report; older ones than the last are ignored. */
+static void
+take_state(msp_dispatcher_t *d, msp_target_t *target, msp_target_state_t state)
 {
-	msp_time_t now = msp_see_clock(d);
-	msp_target_t *target = find_target(d, name);
-	uint32_t foreign;
+	bool was_leaving = msp_target_leaving(target);
+	bool was_cold = target->cold_reported;
 
-	if (target == NULL)
-		return;
-	if (state == MSP_TARGET_LEAVING && !target->leaving) {
-		target->leaving = true;
+	target->leaving_reported = state == MSP_TARGET_LEAVING;
+	target->cold_reported = state == MSP_TARGET_COLD;
+	if (target->leaving_reported && !was_leaving) {
 		msp_tell_decision(d, "drain", NULL, target, "reported");
 		msp_review_queue(d);
 	}
-	if (age > OLD_REPORT)
-		return;
-	target->reported_slots = target->slots;
-	if (slots > 0 && slots < target->slots)
-		target->reported_slots = slots;
-	/* Work of others counts once a shed has shown that it is there. */
+	if ((was_leaving && !msp_target_leaving(target)) ||
+	    (target->cold_reported && !was_cold))
+		msp_ramp_target(target, 1);
+}
+
+/* Work of others counts once a shed has shown that it is there. */
+static void
+take_foreign_load(msp_target_t *target, uint32_t in_use, msp_time_t now)
+{
+	uint32_t foreign;
+
 	if (target->last_shed == 0 || target->last_shed + SHED_MEMORY < now ||
 	    in_use <= target->in_flight)
 		return;
 	foreign = in_use - target->in_flight;
-	if (target->limit + foreign > target->slots)
-		target->limit =
-		    foreign < target->slots ? target->slots - foreign : 1;
+	if (target->limit + foreign <= target->slots)
+		return;
+	target->limit = foreign < target->slots ? target->slots - foreign : 1;
+}
+
+void
+msp_report_target(msp_dispatcher_t *d, const char *name, uint32_t slots,
+    uint32_t in_use, msp_target_state_t state, msp_time_t age)
+{
+	msp_time_t now = msp_see_clock(d);
+	msp_target_t *target = find_target(d, name);
+	msp_time_t made = age < now ? now - age : 0;
+
+	if (target == NULL || made < target->report_time)
+		return;
+	target->report_time = made;
+	if (age <= OLD_REPORT) {
+		target->reported_slots = target->slots;
+		if (slots > 0 && slots < target->slots)
+			target->reported_slots = slots;
+		take_foreign_load(target, in_use, now);
+	}
+	take_state(d, target, state);
+	msp_pump_queue(d);
 }
 
 void
@@ -295,7 +320,7 @@
 	    .draining = true,
 	};
 	TAILQ_FOREACH(target, &d->targets, link) {
-		if (!target->listed || target->leaving)
+		if (!target->listed || msp_target_leaving(target))
 			continue;
 		load->slots += target->slots;
 		load->draining = false;
--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -17,7 +17,8 @@
 enum {
 	JOB_IDLE,
 	JOB_QUEUED,
-	JOB_RUNNING
+	JOB_RUNNING,
+	JOB_DOOMED
 };
 
 TAILQ_HEAD(msp_job_list, msp_job);
@@ -35,6 +36,7 @@
 	struct msp_job_list queue[MSP_CLASS_COUNT];
 	uint32_t queued[MSP_CLASS_COUNT];
 	struct msp_job_list running;
+	struct msp_job_list doomed; /* about to be refused by a review */
 	uint32_t in_flight; /* attempts */
 	msp_attempt_t last_token;
 	msp_retry_budget_t retries;
@@ -58,8 +60,11 @@
 void msp_pump_queue(msp_dispatcher_t *d);
 /* Refuses the waiting jobs that can't be started in time any more. */
 void msp_review_queue(msp_dispatcher_t *d);
-/* Refuses at once if the wait for `ahead` jobs is too long for this one. */
-bool msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
+/* Whether the wait behind `ahead` jobs is too long for this one. */
+bool msp_job_hopeless(
+    const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead);
+/* Refuses a job that is in no list, with the time to come back. */
+void msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
 
 /* estimate.c: capacity and waits. */
 uint32_t msp_total_limit(const msp_dispatcher_t *d);
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -59,7 +59,7 @@
 	const msp_target_t *target;
 
 	TAILQ_FOREACH(target, &d->targets, link) {
-		if (!target->listed || target->leaving)
+		if (!target->listed || msp_target_leaving(target))
 			continue;
 		if (target->closed_until < first)
 			first = target->closed_until;
@@ -110,13 +110,16 @@
 msp_allowed_wait(const msp_dispatcher_t *d, const msp_job_t *job)
 {
 	msp_time_t now = msp_now(&d->env);
-	msp_time_t spent = now > job->arrival ? now - job->arrival : 0;
 	msp_time_t end = now + msp_mean_service(d);
 	msp_time_t allowed = job->deadline > end ? job->deadline - end : 0;
 	msp_time_t bound = d->policy.max_wait;
 
 	if (bound == 0 || job->class == MSP_CLASS_BACKGROUND)
 		return allowed;
-	bound = bound > spent ? bound - spent : 0;
+	if (job->state == JOB_QUEUED) {
+		msp_time_t spent = now - job->queued_at;
+
+		bound = bound > spent ? bound - spent : 0;
+	}
 	return allowed < bound ? allowed : bound;
 }
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -141,8 +141,10 @@
 		    "the dispatcher has moved");
 		return MSP_VERDICT_REFUSED;
 	}
-	if (msp_refuse_hopeless(d, job, 0))
+	if (msp_job_hopeless(d, job, 0)) {
+		msp_refuse_hopeless(d, job, 0);
 		return MSP_VERDICT_REFUSED;
+	}
 	msp_queue_job(d, job, true);
 	return MSP_VERDICT_PENDING;
 }
--- a/source/steer/queue.c
+++ b/source/steer/queue.c
@@ -38,30 +38,37 @@
 }
 
 bool
+msp_job_hopeless(
+    const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead)
+{
+	msp_time_t wait;
+
+	if (msp_now(&d->env) >= job->deadline)
+		return true;
+	wait = msp_wait_behind(d, job->class, ahead);
+	return wait > 0 && wait > msp_allowed_wait(d, job);
+}
+
+void
 msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead)
 {
 	msp_time_t wait = msp_wait_behind(d, job->class, ahead);
-	msp_time_t allowed = msp_allowed_wait(d, job);
-	msp_run_t run = job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO;
+	msp_time_t after = time_to_come_back(d, wait, msp_allowed_wait(d, job));
 	msp_status_t status = MSP_E_OVERLOAD;
 	const char *reason = "the queue is longer than the deadline allows";
 
-	if (wait <= allowed && allowed > 0)
-		return false;
-	if (wait == MSP_NEVER) {
+	if (msp_now(&d->env) >= job->deadline) {
+		status = MSP_E_DEADLINE;
+		reason = "the deadline has passed";
+	} else if (wait == MSP_NEVER) {
 		status = MSP_E_NO_TARGET;
 		reason = "no target takes new work";
-	} else if (allowed == 0 && wait == 0 &&
-	    msp_now(&d->env) < job->deadline && d->policy.max_wait == 0) {
-		return false;
 	}
-	if (job->state == JOB_QUEUED)
-		msp_unqueue_job(d, job);
-	msp_refuse_job(
-	    d, job, status, run, time_to_come_back(d, wait, allowed), reason);
-	return true;
+	msp_refuse_job(d, job, status, job->sent ? MSP_RUN_UNKNOWN : MSP_RUN_NO,
+	    after, reason);
 }
 
+/* Collects first and refuses then: the callback may change the queues. */
 void
 msp_review_queue(msp_dispatcher_t *d)
 {
@@ -71,30 +78,33 @@
 
 	for (class = 0; class < MSP_CLASS_COUNT; class ++) {
 		TAILQ_FOREACH_SAFE(job, &d->queue[class], link, next) {
-			if (!msp_refuse_hopeless(d, job, ahead))
+			if (!msp_job_hopeless(d, job, ahead)) {
 				ahead++;
+				continue;
+			}
+			msp_unqueue_job(d, job);
+			job->state = JOB_DOOMED;
+			TAILQ_INSERT_TAIL(&d->doomed, job, link);
 		}
 	}
+	while ((job = TAILQ_FIRST(&d->doomed)) != NULL) {
+		TAILQ_REMOVE(&d->doomed, job, link);
+		job->state = JOB_IDLE;
+		msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class));
+	}
 }
 
-/* Returns the class whose first job goes next, or MSP_CLASS_COUNT. */
+/* Returns whichever of the two kinds of waited-for work came first. */
 static msp_class_t
-next_class(const msp_dispatcher_t *d)
+first_class(const msp_dispatcher_t *d)
 {
 	const msp_job_t *read = TAILQ_FIRST(&d->queue[MSP_CLASS_INTERACTIVE]);
 	const msp_job_t *commit = TAILQ_FIRST(&d->queue[MSP_CLASS_COMMIT]);
 
-	if (read != NULL && commit != NULL)
-		return read->arrival <= commit->arrival ? MSP_CLASS_INTERACTIVE
-							: MSP_CLASS_COMMIT;
-	if (read != NULL)
-		return MSP_CLASS_INTERACTIVE;
-	if (commit != NULL)
-		return MSP_CLASS_COMMIT;
-	if (d->queued[MSP_CLASS_BACKGROUND] == 0 ||
-	    msp_total_free(d) <= msp_reserve(d))
-		return MSP_CLASS_COUNT;
-	return MSP_CLASS_BACKGROUND;
+	if (read == NULL || commit == NULL)
+		return read != NULL ? MSP_CLASS_INTERACTIVE : MSP_CLASS_COMMIT;
+	return read->arrival <= commit->arrival ? MSP_CLASS_INTERACTIVE
+						: MSP_CLASS_COMMIT;
 }
 
 /* Refuses the job if its fingerprint was put in quarantine. */
@@ -114,17 +124,16 @@
 	return true;
 }
 
-/* Starts or refuses one waiting job; false if none can go now. */
+/*
+ * Starts or refuses one job of a class; false if none can go now. A suspect
+ * request may have to wait while those behind it can go.
+ */
 static bool
-advance(msp_dispatcher_t *d)
+advance_class(msp_dispatcher_t *d, msp_class_t class)
 {
-	msp_class_t class = next_class(d);
 	msp_target_t *target;
 	msp_job_t *job;
 
-	if (class == MSP_CLASS_COUNT)
-		return false;
-	/* A suspect request may have to wait while others can go. */
 	TAILQ_FOREACH(job, &d->queue[class], link) {
 		if (refuse_quarantined(d, job))
 			return true;
@@ -140,6 +149,19 @@
 	return false;
 }
 
+static bool
+advance(msp_dispatcher_t *d)
+{
+	msp_class_t first = first_class(d);
+	msp_class_t second = first == MSP_CLASS_COMMIT ? MSP_CLASS_INTERACTIVE
+						       : MSP_CLASS_COMMIT;
+
+	if (advance_class(d, first) || advance_class(d, second))
+		return true;
+	return msp_total_free(d) > msp_reserve(d) &&
+	    advance_class(d, MSP_CLASS_BACKGROUND);
+}
+
 void
 msp_pump_queue(msp_dispatcher_t *d)
 {
@@ -193,8 +215,10 @@
 		    "the queue is full");
 		return;
 	}
-	if (msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class)))
+	if (msp_job_hopeless(d, job, msp_jobs_ahead(d, job->class))) {
+		msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class));
 		return;
+	}
 	msp_queue_job(d, job, false);
 	msp_pump_queue(d);
 }
--- a/source/steer/target.c
+++ b/source/steer/target.c
@@ -57,7 +57,7 @@
 void
 msp_update_target(msp_target_t *target, const msp_target_spec_t *spec)
 {
-	bool was_leaving = target->leaving;
+	bool was_leaving = msp_target_leaving(target);
 
 	target->address = spec->address;
 	if (target->slots != spec->slots) {
@@ -68,17 +68,24 @@
 	if (target->limit > target->slots)
 		target->limit = target->slots;
 	target->listed = true;
-	target->leaving = spec->state == MSP_TARGET_LEAVING;
-	if (was_leaving && !target->leaving)
+	target->leaving_listed = spec->state == MSP_TARGET_LEAVING;
+	if (was_leaving && !msp_target_leaving(target))
 		msp_ramp_target(target, 1);
 }
 
+bool
+msp_target_leaving(const msp_target_t *target)
+{
+	return target->leaving_listed || target->leaving_reported;
+}
+
 uint32_t
 msp_target_limit(const msp_target_t *target, msp_time_t now)
 {
 	uint32_t limit = (uint32_t)target->limit;
 
-	if (!target->listed || target->leaving || now < target->closed_until)
+	if (!target->listed || msp_target_leaving(target) ||
+	    now < target->closed_until)
 		return 0;
 	return limit < target->reported_slots ? limit : target->reported_slots;
 }
--- a/source/steer/target.h
+++ b/source/steer/target.h
@@ -32,7 +32,10 @@
 	uint32_t slots; /* as listed */
 	uint32_t reported_slots; /* the last fresh report's, if lower */
 	bool listed;
-	bool leaving;
+	bool leaving_listed; /* by the list of targets */
+	bool leaving_reported; /* by its own report */
+	bool cold_reported;
+	msp_time_t report_time; /* when the last report was made */
 	bool seen; /* scratch, while a list is taken in */
 	bool ramping; /* the limit grows by one with each answer */
 	double limit; /* own limit, 1 to slots */
@@ -57,6 +60,8 @@
 /* Takes in a listed target's slots and state. */
 void msp_update_target(msp_target_t *target, const msp_target_spec_t *spec);
 
+bool msp_target_leaving(const msp_target_t *target);
+
 /* Slots that may be in use now. */
 uint32_t msp_target_limit(const msp_target_t *target, msp_time_t now);
 
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -39,7 +39,7 @@
 	    d->queued[MSP_CLASS_COMMIT] == 0 && !d->paused && !d->retired;
 }
 
-static void
+static bool
 hedge(msp_dispatcher_t *d, msp_job_t *job)
 {
 	msp_target_t *target;
@@ -47,12 +47,13 @@
 	if (msp_total_free(d) <= msp_reserve(d) ||
 	    msp_check_suspicion(d->quarantine, job->fingerprint, NULL) !=
 		MSP_SUSPICION_NONE)
-		return;
+		return false;
 	target = msp_choose_target(d, job, job->attempts[0].target);
 	if (target == NULL || !msp_spend_retry(&d->retries))
-		return;
+		return false;
 	job->retries_left--;
 	msp_start_attempt(d, job, target);
+	return true;
 }
 
 static void
@@ -72,54 +73,74 @@
 }
 
 /* A read on a silent connection runs again, if the budget allows. */
-static void
-check_silence(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
+static bool
+retry_silent(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
 {
-	msp_job_attempt_t silent = *attempt;
-
-	if (!attempt->overdue)
-		msp_note_silence(d, attempt);
-	attempt->overdue = true;
-	if (!job->is_idempotent || job->retries_left == 0 ||
-	    msp_any_attempt(job) != attempt || job->attempts[1].token != 0 ||
-	    d->retired || msp_choose_target(d, job, NULL) == NULL ||
+	if (!job->is_idempotent || job->retries_left == 0 || d->retired ||
+	    job->attempts[0].token == 0 || job->attempts[1].token != 0 ||
+	    msp_choose_target(d, job, NULL) == NULL ||
 	    !msp_spend_retry(&d->retries))
-		return;
+		return false;
 	job->retries_left--;
+	job->avoid = attempt->target;
+	job->wants_fresh = true;
 	msp_abandon_attempt(d, job, attempt);
 	TAILQ_REMOVE(&d->running, job, link);
-	job->avoid = silent.target;
-	job->wants_fresh = true;
 	msp_queue_job(d, job, true);
+	return true;
 }
 
-static void
-check_running(msp_dispatcher_t *d, msp_time_t now)
+/* Returns true if the job left the list of running ones. */
+static bool
+check_silence(
+    msp_dispatcher_t *d, msp_job_t *job, msp_time_t now, msp_time_t silence)
 {
-	msp_time_t silence = silent_bound(d);
-	msp_time_t delay = hedge_delay(d);
-	msp_job_t *job, *next;
 	int i;
 
-	TAILQ_FOREACH_SAFE(job, &d->running, link, next) {
-		if (now >= job->deadline) {
-			expire_job(d, job);
+	for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+		msp_job_attempt_t *attempt = &job->attempts[i];
+
+		if (attempt->token == 0 || attempt->answered ||
+		    now < attempt->started + silence)
 			continue;
-		}
-		for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
-			msp_job_attempt_t *attempt = &job->attempts[i];
-
-			if (attempt->token == 0 || attempt->answered ||
-			    now < attempt->started + silence)
-				continue;
-			check_silence(d, job, attempt);
-			if (job->state != JOB_RUNNING)
-				break;
-		}
-		if (job->state == JOB_RUNNING && delay != MSP_NEVER &&
-		    can_hedge(d, job) &&
-		    now >= job->attempts[0].started + delay)
-			hedge(d, job);
+		if (!attempt->overdue)
+			msp_note_silence(d, attempt);
+		attempt->overdue = true;
+		if (retry_silent(d, job, attempt))
+			return true;
+	}
+	return false;
+}
+
+/* Returns true if the list of running jobs changed. */
+static bool
+check_one_running(msp_dispatcher_t *d, msp_job_t *job, msp_time_t now)
+{
+	msp_time_t delay = hedge_delay(d);
+
+	if (now >= job->deadline) {
+		expire_job(d, job);
+		return true;
+	}
+	if (check_silence(d, job, now, silent_bound(d)))
+		return true;
+	if (delay == MSP_NEVER || !can_hedge(d, job) ||
+	    now < job->attempts[0].started + delay)
+		return false;
+	return hedge(d, job);
+}
+
+static void
+check_running(msp_dispatcher_t *d, msp_time_t now)
+{
+	msp_job_t *job = TAILQ_FIRST(&d->running);
+
+	while (job != NULL) {
+		/* The callbacks may have changed the list: start again. */
+		if (check_one_running(d, job, now))
+			job = TAILQ_FIRST(&d->running);
+		else
+			job = TAILQ_NEXT(job, link);
 	}
 }
 
