Add membership of a data centre (SWIM) without I/O

Members of one data centre find each other, probe in turns, suspect, refute and spread changes on the probes; messages are defined in gossip.x and coded by rpcgen's output.

--- /dev/null
+++ b/source/coord/member_call.c
@@ -0,0 +1,69 @@
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "membership_private.h"
+
+msp_gossip_call_t *
+msp_new_call(msp_membership_t *m, msp_call_kind_t kind, const char *name,
+    const char *address, uint16_t peer_port)
+{
+	msp_gossip_call_t *call;
+
+	if (++m->last_token == 0)
+		m->last_token = 1;
+	call = &m->calls[m->last_token % MSP_CALLS_MAX];
+	memset(call, 0, sizeof(*call));
+	call->token = m->last_token;
+	call->kind = kind;
+	call->wake = m->wake;
+	call->peer_port = peer_port;
+	strlcpy(call->name, name, sizeof(call->name));
+	strlcpy(call->address, address, sizeof(call->address));
+	return call;
+}
+
+msp_gossip_call_t *
+msp_take_call(msp_membership_t *m, uint32_t token)
+{
+	msp_gossip_call_t *call = &m->calls[token % MSP_CALLS_MAX];
+
+	return call->kind != MSP_CALL_FREE && call->token == token ? call
+								   : NULL;
+}
+
+void
+msp_send_ping(msp_membership_t *m, const msp_gossip_call_t *call)
+{
+	msp_gossip_ping_t ping = {0};
+	msp_peer_t *peer = msp_find_peer(&m->peers, call->name);
+
+	if (msp_fill_head(m, &ping.head) == MSP_OK &&
+	    msp_fill_news(m, &ping.news, peer) == MSP_OK)
+		m->callbacks.send(m->callbacks.ctx, call->address,
+		    call->peer_port, MSP_GOSSIP_PING, &ping, call->token,
+		    m->options.period);
+	xdr_free((xdrproc_t)xdr_msp_gossip_ping_t, (char *)&ping);
+}
+
+void
+msp_ping_peer(msp_membership_t *m, msp_peer_t *peer, msp_call_kind_t kind)
+{
+	msp_send_ping(m,
+	    msp_new_call(m, kind, peer->info.name, peer->info.address,
+		peer->info.peer_port));
+}
+
+void
+msp_announce_to(msp_membership_t *m, msp_peer_t *peer)
+{
+	msp_gossip_ping_t ping = {0};
+
+	if (m->self->update_sends == 0)
+		msp_queue_update(&m->peers, m->self, 1);
+	if (msp_fill_head(m, &ping.head) == MSP_OK &&
+	    msp_fill_news(m, &ping.news, peer) == MSP_OK)
+		m->callbacks.send(m->callbacks.ctx, peer->info.address,
+		    peer->info.peer_port, MSP_GOSSIP_ANNOUNCE, &ping, 0, 0);
+	xdr_free((xdrproc_t)xdr_msp_gossip_ping_t, (char *)&ping);
+}
--- /dev/null
+++ b/source/coord/member_pause.c
@@ -0,0 +1,90 @@
+#include "membership_private.h"
+
+#define PEERS_TO_HEAR 2 /* after a pause */
+
+/* Puts off what would be decided on knowledge from before the pause. */
+static void
+wake_up(msp_membership_t *m, msp_time_t jump)
+{
+	size_t i;
+
+	m->paused = true;
+	m->wake++;
+	m->probe.name[0] = '\0';
+	for (i = 0; i < m->peers.count; i++) {
+		msp_peer_t *peer = m->peers.sorted[i];
+
+		if (peer->info.state == MSP_MEMBER_SUSPECT)
+			peer->deadline += jump;
+	}
+}
+
+/* Whether as many peers were heard as there are, up to the bound. */
+static bool
+heard_enough(const msp_membership_t *m)
+{
+	size_t heard = 0;
+	size_t live = 0;
+	size_t i;
+
+	for (i = 0; i < m->peers.count; i++) {
+		const msp_peer_t *peer = m->peers.sorted[i];
+
+		if (peer == m->self || peer->info.state == MSP_MEMBER_DEAD)
+			continue;
+		live++;
+		heard += peer->heard_since == m->wake;
+	}
+	return heard >= PEERS_TO_HEAR || heard == live;
+}
+
+static bool
+is_unheard(const msp_peer_t *peer, const void *ctx)
+{
+	const msp_membership_t *m = ctx;
+
+	return peer != m->self && peer->info.state != MSP_MEMBER_DEAD &&
+	    peer->heard_since != m->wake;
+}
+
+void
+msp_look_at_clock(msp_membership_t *m)
+{
+	msp_time_t now = msp_now(&m->env);
+	msp_time_t jump = now - m->last_seen;
+	unsigned int i;
+
+	m->last_seen = now;
+	if (jump <= m->options.pause_limit)
+		return;
+	wake_up(m, jump);
+	m->next_period = now + m->options.period;
+	m->next_sync = now;
+	for (i = 0; i < PEERS_TO_HEAR + 1; i++) {
+		msp_peer_t *peer =
+		    msp_pick_peer(&m->peers, &m->env, is_unheard, m);
+
+		if (peer != NULL)
+			msp_ping_peer(m, peer, MSP_CALL_CHECK);
+	}
+	msp_trust_peers(m);
+}
+
+void
+msp_trust_peers(msp_membership_t *m)
+{
+	if (m->paused && heard_enough(m))
+		m->paused = false;
+}
+
+void
+msp_hear_peer(
+    msp_membership_t *m, const char *name, const msp_gossip_call_t *call)
+{
+	msp_peer_t *peer = msp_find_peer(&m->peers, name);
+
+	if (peer == NULL || call->wake != m->wake)
+		return;
+	peer->heard_since = m->wake;
+	msp_trust_peers(m);
+}
--- /dev/null
+++ b/source/coord/member_sync.c
@@ -0,0 +1,266 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "membership_private.h"
+#include "monsoonspindle/base/hash.h"
+
+#define PAGE_MAX 1150 /* bytes of records in a page */
+#define PAGES_MAX 128 /* of one comparison */
+#define PAGE_TRIES 3U
+#define TRY_PINGS 2 /* timeout of a page, in timeouts of a ping */
+#define FIRST_CONTACTS 3U /* seeds asked at once while none has answered */
+#define SEED_WAIT_MAX MSP_MINUTE /* between tries of a silent seed */
+
+/* Equal wherever the same is believed of the members that are not dead. */
+static uint64_t
+members_digest(const msp_membership_t *m)
+{
+	uint64_t digest = 0;
+	size_t i;
+
+	for (i = 0; i < m->peers.count; i++) {
+		const msp_member_t *info = &m->peers.sorted[i]->info;
+		uint64_t claim[3] = {
+		    info->incarnation, info->round, info->state};
+
+		if (info->state != MSP_MEMBER_DEAD)
+			digest += msp_hash(
+			    claim, sizeof(claim), msp_hash_text(info->name, 0));
+	}
+	return digest;
+}
+
+static void
+send_sync(msp_membership_t *m, const msp_gossip_call_t *call)
+{
+	msp_gossip_sync_t request = {
+	    .digest = call->digest,
+	    .after = strdup(call->after),
+	};
+
+	if (request.after != NULL &&
+	    msp_fill_head(m, &request.head) == MSP_OK &&
+	    msp_fill_record(&request.self, &m->self->info) == MSP_OK)
+		m->callbacks.send(m->callbacks.ctx, call->address,
+		    call->peer_port, MSP_GOSSIP_SYNC, &request, call->token,
+		    TRY_PINGS * m->options.ping_timeout);
+	xdr_free((xdrproc_t)xdr_msp_gossip_sync_t, (char *)&request);
+}
+
+static bool
+is_live(const msp_membership_t *m, const msp_seed_t *seed)
+{
+	size_t i;
+
+	for (i = 0; i < m->peers.count; i++) {
+		const msp_member_t *info = &m->peers.sorted[i]->info;
+
+		if (info->state != MSP_MEMBER_DEAD &&
+		    info->peer_port == seed->peer_port &&
+		    strcmp(info->address, seed->address) == 0)
+			return true;
+	}
+	return false;
+}
+
+static msp_known_seed_t *
+pick_seed(msp_membership_t *m, bool alone)
+{
+	msp_time_t now = msp_now(&m->env);
+	msp_known_seed_t *picked = NULL;
+	uint64_t seen = 0;
+	size_t i;
+
+	for (i = 0; i < m->seed_count; i++) {
+		msp_known_seed_t *known = &m->seeds[i];
+
+		if ((!alone && known->next_try > now) ||
+		    is_live(m, &known->seed))
+			continue;
+		seen++;
+		if (msp_random_below(&m->env, seen) == 0)
+			picked = known;
+	}
+	return picked;
+}
+
+static void
+contact_seed(msp_membership_t *m, bool alone)
+{
+	msp_known_seed_t *known = pick_seed(m, alone);
+
+	if (known == NULL)
+		return;
+	known->next_try = msp_now(&m->env) + known->wait;
+	known->wait =
+	    known->wait * 2 < SEED_WAIT_MAX ? known->wait * 2 : SEED_WAIT_MAX;
+	send_sync(m,
+	    msp_new_call(m, MSP_CALL_SYNC, "", known->seed.address,
+		known->seed.peer_port));
+}
+
+static bool
+is_dead(const msp_peer_t *peer, const void *ctx)
+{
+	(void)ctx;
+	return peer->info.state == MSP_MEMBER_DEAD;
+}
+
+/* Tries a seed, and a member that is taken for dead: a partition may be over.
+ */
+void
+msp_contact_lost(msp_membership_t *m)
+{
+	bool alone = msp_count_live(&m->peers) == 1;
+	unsigned int seeds = alone ? FIRST_CONTACTS : 1;
+	msp_peer_t *dead = msp_pick_peer(&m->peers, &m->env, is_dead, NULL);
+
+	while (seeds-- > 0)
+		contact_seed(m, alone);
+	if (dead != NULL)
+		msp_ping_peer(m, dead, MSP_CALL_CHECK);
+}
+
+/* With digest 0 all is sent, and nothing asked for in return. */
+static void
+sync_with(msp_membership_t *m, const msp_peer_t *peer, uint64_t digest)
+{
+	msp_gossip_call_t *call;
+
+	if (peer == NULL || peer == m->self)
+		return;
+	call = msp_new_call(m, MSP_CALL_SYNC, peer->info.name,
+	    peer->info.address, peer->info.peer_port);
+	call->digest = digest;
+	send_sync(m, call);
+}
+
+static bool
+is_other(const msp_peer_t *peer, const void *ctx)
+{
+	return peer != ctx && peer->info.state == MSP_MEMBER_ALIVE;
+}
+
+void
+msp_sync_random(msp_membership_t *m)
+{
+	sync_with(m, msp_pick_peer(&m->peers, &m->env, is_other, m->self),
+	    members_digest(m));
+}
+
+/* The dead are left out, but for the one that asks. */
+static bool
+belongs_in_page(const msp_member_t *info, const msp_gossip_sync_t *request)
+{
+	return strcmp(info->name, request->after) > 0 &&
+	    (info->state != MSP_MEMBER_DEAD ||
+		strcmp(info->name, request->self.name) == 0);
+}
+
+static msp_status_t
+fill_page(const msp_membership_t *m, const msp_gossip_sync_t *request,
+    msp_gossip_page_t *page)
+{
+	size_t used = 0;
+	size_t i;
+	msp_status_t status;
+
+	page->members.members_val =
+	    calloc(MSP_GOSSIP_UPDATES_MAX, sizeof(msp_gossip_member_t));
+	if (page->members.members_val == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for a message");
+	for (i = 0; i < m->peers.count; i++) {
+		const msp_member_t *info = &m->peers.sorted[i]->info;
+
+		if (!belongs_in_page(info, request))
+			continue;
+		used += msp_record_size(info);
+		if (page->members.members_len == MSP_GOSSIP_UPDATES_MAX ||
+		    used > PAGE_MAX) {
+			page->more = TRUE;
+			break;
+		}
+		status = msp_fill_record(
+		    &page->members.members_val[page->members.members_len++],
+		    info);
+		if (status != MSP_OK)
+			return status;
+	}
+	return MSP_OK;
+}
+
+msp_status_t
+msp_serve_sync(msp_membership_t *m, const msp_gossip_sync_t *request,
+    msp_gossip_page_t *page)
+{
+	msp_status_t status = msp_check_head(m, &request->head);
+
+	if (status != MSP_OK)
+		return status;
+	if (strcmp(request->head.from, request->self.name) != 0)
+		return msp_fail(MSP_E_BAD_REQUEST, "a record of another");
+	msp_apply_record(m, &request->self);
+	msp_merge_head(m, &request->head);
+	status = msp_fill_head(m, &page->head);
+	if (status != MSP_OK || request->digest == members_digest(m))
+		return status;
+	if (request->digest != 0)
+		sync_with(m, msp_find_peer(&m->peers, request->self.name), 0);
+	return fill_page(m, request, page);
+}
+
+/* Its seed, if it has one, is tried again soon when it is lost. */
+static void
+reset_seed(msp_membership_t *m, const msp_gossip_call_t *call)
+{
+	size_t i;
+
+	for (i = 0; i < m->seed_count; i++) {
+		if (m->seeds[i].seed.peer_port == call->peer_port &&
+		    strcmp(m->seeds[i].seed.address, call->address) == 0)
+			m->seeds[i].wait = m->options.contact_period;
+	}
+}
+
+static void
+ask_for_page(msp_membership_t *m, const msp_gossip_call_t *last,
+    unsigned int page, unsigned int tries, const char *after)
+{
+	msp_gossip_call_t *call = msp_new_call(
+	    m, MSP_CALL_SYNC, last->name, last->address, last->peer_port);
+
+	call->page = page;
+	call->tries = tries;
+	strlcpy(call->after, after, sizeof(call->after));
+	send_sync(m, call);
+}
+
+void
+msp_sync_answered(msp_membership_t *m, const msp_gossip_call_t *call,
+    msp_status_t status, const msp_gossip_page_t *page)
+{
+	bool news = false;
+	u_int count;
+	u_int i;
+
+	if (status == MSP_E_PEER_DOWN)
+		msp_membership_refused(m, call->name);
+	if (status == MSP_E_DEADLINE && call->page > 0 &&
+	    call->tries < PAGE_TRIES)
+		ask_for_page(m, call, call->page, call->tries + 1, call->after);
+	if (status != MSP_OK || msp_check_head(m, &page->head) != MSP_OK)
+		return;
+	count = page->members.members_len;
+	for (i = 0; i < count; i++)
+		news |= msp_apply_record(m, &page->members.members_val[i]);
+	if (news && m->next_sync > msp_now(&m->env) + m->options.contact_period)
+		m->next_sync = msp_now(&m->env) + m->options.contact_period;
+	msp_merge_head(m, &page->head);
+	msp_hear_peer(m, page->head.from, call);
+	reset_seed(m, call);
+	if (page->more && count > 0 && call->page < PAGES_MAX)
+		ask_for_page(m, call, call->page + 1, 0,
+		    page->members.members_val[count - 1].name);
+}
--- /dev/null
+++ b/tests/coord/test_membership.c
@@ -0,0 +1,93 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gossip_net.h"
+
+#define CONVERGENCE_BOUND (30 * MSP_SECOND)
+
+/* One net, started whole. */
+typedef struct start_case {
+	size_t nodes;
+	uint64_t seed;
+	double loss;
+} start_case_t;
+
+static const start_case_t start_cases[] = {
+    {2, 1, 0},
+    {4, 2, 0},
+    {23, 3, 0},
+    {23, 4, 0.1},
+    {23, 5, 0.3},
+    {128, 6, 0},
+    {128, 7, 0.1},
+};
+
+static net_t *
+started_net(size_t nodes, uint64_t seed)
+{
+	net_t *net = new_net(nodes, seed);
+	size_t i;
+
+	for (i = 0; i < nodes; i++)
+		start_node(net, i);
+	run_until_agreed(net, CONVERGENCE_BOUND);
+	assert_true(net_agrees(net));
+	return net;
+}
+
+static void
+all_find_each_other(void **state)
+{
+	size_t i;
+	size_t j;
+
+	(void)state;
+	for (i = 0; i < sizeof(start_cases) / sizeof(start_cases[0]); i++) {
+		const start_case_t *row = &start_cases[i];
+		net_t *net = new_net(row->nodes, row->seed);
+		msp_time_t took;
+
+		net->loss = row->loss;
+		for (j = 0; j < row->nodes; j++)
+			start_node(net, j);
+		took = run_until_agreed(net, CONVERGENCE_BOUND);
+		print_message("%zu members, loss %.0f%%: joined in %.1f s\n",
+		    row->nodes, row->loss * 100, (double)took / MSP_SECOND);
+		assert_true(net_agrees(net));
+		assert_in_range(net->largest, 1, 1400);
+		drop_net(net);
+	}
+}
+
+static void
+a_killed_member_is_dead_everywhere(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 20; seed++) {
+		net_t *net = started_net(23, seed);
+
+		kill_node(net, 5);
+		assert_in_range(
+		    run_until_agreed(net, 20 * MSP_SECOND), 0, 10 * MSP_SECOND);
+		drop_net(net);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(all_find_each_other),
+	    cmocka_unit_test(a_killed_member_is_dead_everywhere),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
