--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -8,5 +8,8 @@
 #include "monsoonspindle/coord/issued_keys.h"
 #include "monsoonspindle/coord/nonces.h"
 #include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/member.h"
+#include "monsoonspindle/coord/membership.h"
+#include "monsoonspindle/coord/rendezvous.h"
 
 #endif
