Read the settings of a VM from JSON with comments, every key checked

One table of keys drives parsing, checking and the help text. json-c takes doubled keys, single quotes, trailing commas and NaN, so a strict scanner goes over the text first; it also bounds the nesting (12) and the keys of one object (64). Escapes in keys are refused, since they could hide a doubled key.

--- /dev/null
+++ b/include/monsoonspindle/config/settings.h
@@ -0,0 +1,92 @@
+#ifndef MONSOONSPINDLE_CONFIG_SETTINGS_H
+#define MONSOONSPINDLE_CONFIG_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "monsoonspindle/base/buffer.h"
+
+#define MSP_NAME_SIZE 64 /* bytes of a name with its final 0 */
+#define MSP_ADDRESS_SIZE 48 /* bytes of an IP number as text */
+#define MSP_TOKEN_SIZE 128 /* bytes of an operator's token */
+#define MSP_LOG_FILE_SIZE 256 /* bytes of a file name */
+#define MSP_SEEDS_MAX 64
+
+typedef enum msp_log_level {
+	MSP_LOG_ERROR,
+	MSP_LOG_WARN,
+	MSP_LOG_INFO,
+	MSP_LOG_DEBUG
+} msp_log_level_t;
+
+/* Bounds of the caller and peer listeners. */
+typedef struct msp_settings_limits {
+	uint32_t max_body_bytes;
+	uint32_t max_answer_bytes;
+	uint32_t max_header_bytes;
+	uint32_t max_connections;
+	uint32_t head_timeout_ms;
+	uint32_t body_timeout_ms;
+} msp_settings_limits_t;
+
+typedef struct msp_settings_platform {
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t port;
+} msp_settings_platform_t;
+
+/* A VM to start membership from, besides the platform's list. */
+typedef struct msp_settings_seed {
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t peer_port;
+} msp_settings_seed_t;
+
+typedef struct msp_settings_log {
+	msp_log_level_t level;
+	char file[MSP_LOG_FILE_SIZE]; /* "": standard error */
+} msp_settings_log_t;
+
+/* The settings of one VM. IP numbers are in their canonical text form. */
+typedef struct msp_settings {
+	char vm[MSP_NAME_SIZE];
+	char region[MSP_NAME_SIZE];
+	char place[MSP_NAME_SIZE]; /* data centre */
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t caller_port;
+	uint16_t peer_port; /* HTTP on TCP and ONC RPC on UDP */
+	uint16_t operator_port;
+	char operator_token[MSP_TOKEN_SIZE];
+	msp_settings_platform_t platform;
+	msp_settings_seed_t *seeds; /* owned */
+	size_t seed_count;
+	msp_settings_limits_t limits;
+	uint32_t lookup_ttl_ms;
+	uint32_t gossip_period_ms;
+	uint32_t suspicion_ms;
+	uint32_t claim_retention_s;
+	uint32_t claim_batch_ms;
+	uint32_t drain_min_ms;
+	msp_settings_log_t log;
+} msp_settings_t;
+
+/*
+ * Reads settings in JSON with comments. Every key is checked: an unknown,
+ * doubled or missing one, a wrong type and a value out of range each fail, and
+ * the last message names the file, the key and its bound.
+ *
+ * On MSP_OK `settings` must be dropped; otherwise it holds nothing.
+ * MSP_E_IO if the file can't be read, MSP_E_TOO_LARGE past 256 KiB,
+ * MSP_E_SYNTAX if it is no JSON, MSP_E_RANGE if a key is at fault.
+ */
+msp_status_t msp_load_settings(const char *path, msp_settings_t *settings);
+
+/* The same from text; `origin` stands for the file name in messages. */
+msp_status_t msp_parse_settings(
+    const char *text, size_t len, const char *origin, msp_settings_t *settings);
+
+/* Frees what `settings` owns and empties it. */
+void msp_drop_settings(msp_settings_t *settings);
+
+/* Appends a table of all keys: type, bounds, default, meaning. */
+msp_status_t msp_print_settings_help(msp_buffer_t *out);
+
+#endif
--- /dev/null
+++ b/source/config/field.c
@@ -0,0 +1,399 @@
+#include "field.h"
+
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "monsoonspindle/config/prefix.h"
+#include "monsoonspindle/config/settings.h"
+
+size_t
+push_field(field_context_t *context, const char *key, size_t index)
+{
+	size_t old = context->path_len;
+	size_t room = sizeof(context->path) - old;
+	int len;
+
+	if (key == NULL)
+		len = snprintf(context->path + old, room, "[%zu]", index);
+	else
+		len = snprintf(context->path + old, room, "%s%.64s",
+		    old > 0 ? "." : "", key);
+	if (len > 0 && (size_t)len < room)
+		context->path_len += (size_t)len;
+	context->path[context->path_len] = '\0';
+	return old;
+}
+
+void
+pop_field(field_context_t *context, size_t old)
+{
+	context->path_len = old;
+	context->path[old] = '\0';
+}
+
+msp_status_t
+fail_field(field_context_t *context, const char *fmt, ...)
+{
+	char text[256];
+	va_list args;
+
+	va_start(args, fmt);
+	vsnprintf(text, sizeof(text), fmt, args);
+	va_end(args);
+	return msp_fail(MSP_E_RANGE, "%s: %s: %s", context->origin,
+	    context->path_len > 0 ? context->path : "document", text);
+}
+
+static msp_status_t
+fail_type(field_context_t *context, const char *wanted)
+{
+	return fail_field(context, "wrong type, %s expected", wanted);
+}
+
+static void
+store_number(const field_t *field, uint64_t value, char *member)
+{
+	uint16_t narrow = (uint16_t)value;
+	uint32_t middle = (uint32_t)value;
+
+	if (field->size == sizeof(narrow))
+		memcpy(member, &narrow, sizeof(narrow));
+	else if (field->size == sizeof(middle))
+		memcpy(member, &middle, sizeof(middle));
+	else
+		memcpy(member, &value, sizeof(value));
+}
+
+static msp_status_t
+read_number(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	const char *text = json_object_get_string(value);
+	uint64_t number;
+
+	if (!json_object_is_type(value, json_type_int))
+		return fail_type(context, "whole number");
+	number = json_object_get_uint64(value);
+	if (text[0] == '-' || number < field->min || number > field->max)
+		return fail_field(context,
+		    "%s is out of range %" PRIu64 "..%" PRIu64, text,
+		    field->min, field->max);
+	store_number(field, number, member);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_choice(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	char list[128] = "";
+	const char *text;
+	uint32_t i;
+
+	if (!json_object_is_type(value, json_type_string))
+		return fail_type(context, "text");
+	text = json_object_get_string(value);
+	for (i = 0; field->choices[i] != NULL; i++) {
+		if (strcmp(field->choices[i], text) == 0) {
+			memcpy(member, &i, sizeof(i));
+			return MSP_OK;
+		}
+		snprintf(list + strlen(list), sizeof(list) - strlen(list),
+		    "%s%s", i > 0 ? ", " : "", field->choices[i]);
+	}
+	return fail_field(context, "\"%.40s\" is none of %s", text, list);
+}
+
+static int
+is_name(const char *text)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789._-";
+
+	return strspn(text, allowed) == strlen(text) &&
+	    strchr("._-", text[0]) == NULL;
+}
+
+static int
+is_printable(const char *text)
+{
+	for (; *text != '\0'; text++) {
+		if ((unsigned char)*text < 0x20 || (unsigned char)*text > 0x7e)
+			return 0;
+	}
+	return 1;
+}
+
+static msp_status_t
+read_text(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	const char *text;
+	size_t len;
+
+	if (!json_object_is_type(value, json_type_string))
+		return fail_type(context, "text");
+	text = json_object_get_string(value);
+	len = strlen(text);
+	if (len < field->min || len > field->max)
+		return fail_field(context,
+		    "%zu bytes, out of range %" PRIu64 "..%" PRIu64 " bytes",
+		    len, field->min, field->max);
+	if (field->type == FIELD_NAME && !is_name(text))
+		return fail_field(context,
+		    "\"%.40s\" is no name of [a-z0-9][a-z0-9._-]*", text);
+	if (!is_printable(text))
+		return fail_field(
+		    context, "a byte is outside of printable ASCII");
+	memcpy(member, text, len + 1);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_address(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	const char *text;
+
+	if (!json_object_is_type(value, json_type_string))
+		return fail_type(context, "text");
+	text = json_object_get_string(value);
+	if (msp_normalise_address(text, member, field->size) != MSP_OK)
+		return fail_field(context, "\"%.40s\" is no IP number", text);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_prefix(field_context_t *context, struct json_object *value, char *member)
+{
+	msp_prefix_t prefix;
+	const char *text;
+
+	if (!json_object_is_type(value, json_type_string))
+		return fail_type(context, "text");
+	text = json_object_get_string(value);
+	if (msp_parse_prefix(text, &prefix) != MSP_OK)
+		return fail_field(
+		    context, "\"%.60s\": %s", text, msp_last_message());
+	memcpy(member, &prefix, sizeof(prefix));
+	return MSP_OK;
+}
+
+static msp_status_t
+read_object(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	if (!json_object_is_type(value, json_type_object))
+		return fail_type(context, "object");
+	return read_fields(context, value, field->fields, member);
+}
+
+static msp_status_t
+read_elements(field_context_t *context, struct json_object *value,
+    const field_t *field, char *elements, size_t *count)
+{
+	size_t len = json_object_array_length(value);
+	struct json_object *element;
+	msp_status_t status;
+	size_t old;
+
+	for (*count = 0; *count < len; (*count)++) {
+		old = push_field(context, NULL, *count);
+		element = json_object_array_get_idx(value, *count);
+		status = read_object(
+		    context, element, field, elements + *count * field->size);
+		if (status != MSP_OK)
+			return status;
+		pop_field(context, old);
+	}
+	return MSP_OK;
+}
+
+static msp_status_t
+read_list(field_context_t *context, struct json_object *value,
+    const field_t *field, char *out)
+{
+	msp_status_t status;
+	char *elements;
+	size_t count;
+	size_t len;
+
+	if (!json_object_is_type(value, json_type_array))
+		return fail_type(context, "list");
+	len = json_object_array_length(value);
+	if (len < field->min || len > field->max)
+		return fail_field(context,
+		    "%zu elements, out of range %" PRIu64 "..%" PRIu64, len,
+		    field->min, field->max);
+	if (len == 0)
+		return MSP_OK;
+	elements = calloc(len, field->size);
+	if (elements == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for a list");
+	status = read_elements(context, value, field, elements, &count);
+	memcpy(out + field->offset, &elements, sizeof(elements));
+	memcpy(out + field->count_offset, &count, sizeof(count));
+	return status;
+}
+
+msp_status_t
+read_field(field_context_t *context, struct json_object *value,
+    const field_t *field, void *out)
+{
+	char *member = (char *)out + field->offset;
+	bool truth;
+
+	switch (field->type) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+		return read_text(context, value, field, member);
+	case FIELD_ADDRESS:
+		return read_address(context, value, field, member);
+	case FIELD_PREFIX:
+		return read_prefix(context, value, member);
+	case FIELD_UINT:
+		return read_number(context, value, field, member);
+	case FIELD_CHOICE:
+		return read_choice(context, value, field, member);
+	case FIELD_OBJECT:
+		return read_object(context, value, field, member);
+	case FIELD_LIST:
+		return read_list(context, value, field, out);
+	case FIELD_BOOL:
+		if (!json_object_is_type(value, json_type_boolean))
+			return fail_type(context, "true or false");
+		truth = json_object_get_boolean(value);
+		memcpy(member, &truth, sizeof(truth));
+		return MSP_OK;
+	}
+	return msp_fail(MSP_E_INTERNAL, "unknown type of field");
+}
+
+static msp_status_t
+check_keys(
+    field_context_t *context, struct json_object *object, const field_t *fields)
+{
+	const field_t *field;
+
+	json_object_object_foreach(object, key, value)
+	{
+		(void)value;
+		for (field = fields; field->name != NULL; field++) {
+			if (strcmp(field->name, key) == 0)
+				break;
+		}
+		if (field->name != NULL)
+			continue;
+		push_field(context, key, 0);
+		return fail_field(context, "unknown key");
+	}
+	return MSP_OK;
+}
+
+/* A key that is left out: an object inside takes all its own defaults. */
+static msp_status_t
+read_absent(field_context_t *context, const field_t *field, void *out)
+{
+	struct json_object *empty;
+	char *member = (char *)out + field->offset;
+	msp_status_t status;
+	bool truth = field->preset != 0;
+
+	if (field->required)
+		return fail_field(context, "missing; %s", field->help);
+	if (field->type == FIELD_UINT || field->type == FIELD_CHOICE)
+		store_number(field, field->preset, member);
+	if (field->type == FIELD_BOOL)
+		memcpy(member, &truth, sizeof(truth));
+	if (field->type != FIELD_OBJECT)
+		return MSP_OK;
+	empty = json_object_new_object();
+	if (empty == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for an object");
+	status = read_fields(context, empty, field->fields, member);
+	json_object_put(empty);
+	return status;
+}
+
+msp_status_t
+read_fields(field_context_t *context, struct json_object *object,
+    const field_t *fields, void *out)
+{
+	msp_status_t status = check_keys(context, object, fields);
+	struct json_object *value;
+	const field_t *field;
+	size_t old;
+
+	for (field = fields; field->name != NULL && status == MSP_OK; field++) {
+		old = push_field(context, field->name, 0);
+		if (json_object_object_get_ex(object, field->name, &value))
+			status = read_field(context, value, field, out);
+		else
+			status = read_absent(context, field, out);
+		if (status == MSP_OK)
+			pop_field(context, old);
+	}
+	if (status != MSP_OK)
+		drop_fields(fields, out);
+	return status;
+}
+
+static void
+drop_list(const field_t *field, char *out)
+{
+	char *elements;
+	size_t count;
+	size_t i;
+
+	memcpy(&elements, out + field->offset, sizeof(elements));
+	memcpy(&count, out + field->count_offset, sizeof(count));
+	for (i = 0; i < count; i++)
+		drop_fields(field->fields, elements + i * field->size);
+	free(elements);
+	elements = NULL;
+	count = 0;
+	memcpy(out + field->offset, &elements, sizeof(elements));
+	memcpy(out + field->count_offset, &count, sizeof(count));
+}
+
+void
+drop_fields(const field_t *fields, void *out)
+{
+	const field_t *field;
+
+	for (field = fields; field->name != NULL; field++) {
+		if (field->type == FIELD_LIST)
+			drop_list(field, out);
+		if (field->type == FIELD_OBJECT)
+			drop_fields(field->fields, (char *)out + field->offset);
+	}
+}
+
+struct json_object *
+parse_object(
+    const char *text, size_t len, const char *origin, msp_status_t *status)
+{
+	struct json_tokener *tokener;
+	struct json_object *object;
+
+	*status = check_json(text, len, origin);
+	if (*status != MSP_OK)
+		return NULL;
+	tokener = json_tokener_new_ex(SCAN_DEPTH_MAX + 2);
+	if (tokener == NULL) {
+		*status = msp_fail(MSP_E_NO_MEMORY, "no memory for a parser");
+		return NULL;
+	}
+	object = json_tokener_parse_ex(tokener, text, (int)len);
+	if (json_tokener_get_error(tokener) == json_tokener_continue)
+		object = json_tokener_parse_ex(tokener, "", 1);
+	json_tokener_free(tokener);
+	if (object != NULL && json_object_is_type(object, json_type_object))
+		return object;
+	json_object_put(object);
+	*status =
+	    msp_fail(MSP_E_SYNTAX, "%s: document: no JSON object", origin);
+	return NULL;
+}
--- /dev/null
+++ b/source/config/field_print.c
@@ -0,0 +1,215 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "field.h"
+#include "monsoonspindle/config/prefix.h"
+
+#define LABEL_SIZE 96
+
+static uint64_t
+load_number(const field_t *field, const char *member)
+{
+	uint16_t narrow;
+	uint32_t middle;
+	uint64_t wide;
+
+	if (field->size == sizeof(narrow)) {
+		memcpy(&narrow, member, sizeof(narrow));
+		return narrow;
+	}
+	if (field->size == sizeof(middle)) {
+		memcpy(&middle, member, sizeof(middle));
+		return middle;
+	}
+	memcpy(&wide, member, sizeof(wide));
+	return wide;
+}
+
+msp_status_t
+print_json_text(const char *text, msp_buffer_t *out)
+{
+	msp_status_t status = msp_append_buffer(out, "\"", 1);
+	size_t plain;
+
+	while (status == MSP_OK && *text != '\0') {
+		for (plain = 0; (unsigned char)text[plain] >= 0x20 &&
+		     text[plain] != '"' && text[plain] != '\\';)
+			plain++;
+		status = msp_append_buffer(out, text, plain);
+		text += plain;
+		if (status != MSP_OK || *text == '\0')
+			break;
+		status = msp_print_buffer(
+		    out, "\\u%04x", (unsigned int)(unsigned char)*text++);
+	}
+	if (status != MSP_OK)
+		return status;
+	return msp_append_buffer(out, "\"", 1);
+}
+
+static msp_status_t
+print_list(const field_t *field, const char *in, msp_buffer_t *out)
+{
+	msp_status_t status = msp_append_buffer(out, "[", 1);
+	const char *elements;
+	size_t count;
+	size_t i;
+
+	memcpy(&elements, in + field->offset, sizeof(elements));
+	memcpy(&count, in + field->count_offset, sizeof(count));
+	for (i = 0; i < count && status == MSP_OK; i++) {
+		if (i > 0)
+			status = msp_append_buffer(out, ",", 1);
+		if (status == MSP_OK)
+			status = print_fields(
+			    field->fields, elements + i * field->size, out);
+	}
+	return status == MSP_OK ? msp_append_buffer(out, "]", 1) : status;
+}
+
+static msp_status_t
+print_prefix(const char *member, msp_buffer_t *out)
+{
+	char text[MSP_PREFIX_TEXT_SIZE];
+	msp_prefix_t prefix;
+
+	memcpy(&prefix, member, sizeof(prefix));
+	msp_print_prefix(&prefix, text);
+	return print_json_text(text, out);
+}
+
+static msp_status_t
+print_field(const field_t *field, const char *in, msp_buffer_t *out)
+{
+	const char *member = in + field->offset;
+	bool truth;
+
+	switch (field->type) {
+	case FIELD_NAME:
+	case FIELD_TEXT:
+	case FIELD_ADDRESS:
+		return print_json_text(member, out);
+	case FIELD_PREFIX:
+		return print_prefix(member, out);
+	case FIELD_UINT:
+		return msp_print_buffer(
+		    out, "%" PRIu64, load_number(field, member));
+	case FIELD_CHOICE:
+		return print_json_text(
+		    field->choices[load_number(field, member)], out);
+	case FIELD_OBJECT:
+		return print_fields(field->fields, member, out);
+	case FIELD_LIST:
+		return print_list(field, in, out);
+	case FIELD_BOOL:
+		memcpy(&truth, member, sizeof(truth));
+		return msp_print_buffer(out, "%s", truth ? "true" : "false");
+	}
+	return msp_fail(MSP_E_INTERNAL, "unknown type of field");
+}
+
+msp_status_t
+print_fields(const field_t *fields, const void *in, msp_buffer_t *out)
+{
+	msp_status_t status = msp_append_buffer(out, "{", 1);
+	const field_t *field;
+
+	for (field = fields; field->name != NULL && status == MSP_OK; field++) {
+		status = msp_print_buffer(
+		    out, "%s\"%s\":", field == fields ? "" : ",", field->name);
+		if (status == MSP_OK)
+			status = print_field(field, in, out);
+	}
+	return status == MSP_OK ? msp_append_buffer(out, "}", 1) : status;
+}
+
+static void
+describe_choices(const field_t *field, char *out, size_t size)
+{
+	size_t len = 0;
+	size_t i;
+
+	out[0] = '\0';
+	for (i = 0; field->choices[i] != NULL && len < size; i++)
+		len += (size_t)snprintf(out + len, size - len, "%s%s",
+		    i > 0 ? "|" : "", field->choices[i]);
+}
+
+static void
+describe_type(const field_t *field, char *out, size_t size)
+{
+	switch (field->type) {
+	case FIELD_NAME:
+		snprintf(out, size, "name of %" PRIu64 "..%" PRIu64 " bytes",
+		    field->min, field->max);
+		break;
+	case FIELD_TEXT:
+		snprintf(out, size, "text of %" PRIu64 "..%" PRIu64 " bytes",
+		    field->min, field->max);
+		break;
+	case FIELD_ADDRESS:
+		snprintf(out, size, "IP number");
+		break;
+	case FIELD_PREFIX:
+		snprintf(out, size, "IP number/bits");
+		break;
+	case FIELD_UINT:
+		snprintf(
+		    out, size, "%" PRIu64 "..%" PRIu64, field->min, field->max);
+		break;
+	case FIELD_BOOL:
+		snprintf(out, size, "true|false");
+		break;
+	case FIELD_CHOICE:
+		describe_choices(field, out, size);
+		break;
+	case FIELD_OBJECT:
+		snprintf(out, size, "object");
+		break;
+	case FIELD_LIST:
+		snprintf(out, size, "list of %" PRIu64 "..%" PRIu64, field->min,
+		    field->max);
+		break;
+	}
+}
+
+static void
+describe_preset(const field_t *field, char *out, size_t size)
+{
+	if (field->required)
+		snprintf(out, size, "required");
+	else if (field->type == FIELD_UINT)
+		snprintf(out, size, "%" PRIu64, field->preset);
+	else if (field->type == FIELD_BOOL)
+		snprintf(out, size, "%s", field->preset ? "true" : "false");
+	else if (field->type == FIELD_CHOICE)
+		snprintf(out, size, "%s", field->choices[field->preset]);
+	else
+		snprintf(out, size, "none");
+}
+
+msp_status_t
+print_fields_help(const field_t *fields, const char *prefix, msp_buffer_t *out)
+{
+	msp_status_t status = MSP_OK;
+	const field_t *field;
+	char name[LABEL_SIZE];
+	char type[LABEL_SIZE];
+	char preset[LABEL_SIZE];
+
+	for (field = fields; field->name != NULL && status == MSP_OK; field++) {
+		snprintf(name, sizeof(name), "%s%s%s", prefix, field->name,
+		    field->type == FIELD_LIST ? "[]" : "");
+		describe_type(field, type, sizeof(type));
+		describe_preset(field, preset, sizeof(preset));
+		if (field->type != FIELD_OBJECT)
+			status = msp_print_buffer(out, "%-26s %-24s %-10s %s\n",
+			    name, type, preset, field->help);
+		if (status != MSP_OK || field->fields == NULL)
+			continue;
+		snprintf(name + strlen(name), sizeof(name) - strlen(name), ".");
+		status = print_fields_help(field->fields, name, out);
+	}
+	return status;
+}
--- /dev/null
+++ b/source/config/scan.h
@@ -0,0 +1,21 @@
+#ifndef CONFIG_SCAN_H
+#define CONFIG_SCAN_H
+
+#include <stddef.h>
+
+#include "monsoonspindle/base/status.h"
+
+#define SCAN_DEPTH_MAX 12 /* objects and lists inside each other */
+#define SCAN_KEYS_MAX 64 /* keys of one object */
+#define SCAN_PATH_SIZE 256 /* bytes of a key path in messages */
+
+/*
+ * Checks that `text` is one JSON value by the strict grammar, with comments,
+ * in valid UTF-8, not too deep, and that no object has a key twice. json-c is
+ * lenient in all of these. Messages name `origin`, line and key path.
+ *
+ * MSP_E_SYNTAX, or MSP_E_RANGE for a doubled key.
+ */
+msp_status_t check_json(const char *text, size_t len, const char *origin);
+
+#endif
--- /dev/null
+++ b/source/config/settings.c
@@ -0,0 +1,257 @@
+#include "monsoonspindle/config/settings.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "field.h"
+#include "monsoonspindle/config/prefix.h"
+
+#define SETTINGS_BYTES_MAX (256 * 1024)
+#define READ_BYTES 4096
+#define SUSPICION_PERIODS_MIN 2 /* of gossip */
+
+static const char *const log_levels[] = {
+    [MSP_LOG_ERROR] = "error",
+    [MSP_LOG_WARN] = "warn",
+    [MSP_LOG_INFO] = "info",
+    [MSP_LOG_DEBUG] = "debug",
+    NULL,
+};
+
+#define NUMBER(name_, struct_, member_, min_, max_, preset_, help_)   \
+	{                                                             \
+		.name = (name_), FIELD(FIELD_UINT, struct_, member_), \
+		.min = (min_), .max = (max_), .preset = (preset_),    \
+		.help = (help_)                                       \
+	}
+
+#define PORT(name_, struct_, member_, help_)                              \
+	{                                                                 \
+		.name = (name_), FIELD(FIELD_UINT, struct_, member_),     \
+		.min = 1, .max = 65535, .required = true, .help = (help_) \
+	}
+
+#define NAME(name_, member_, help_)                                          \
+	{                                                                    \
+		.name = (name_), FIELD(FIELD_NAME, msp_settings_t, member_), \
+		.min = 1, .max = MSP_NAME_SIZE - 1, .required = true,        \
+		.help = (help_)                                              \
+	}
+
+#define ADDRESS(struct_, help_)                                            \
+	{                                                                  \
+		.name = "address", FIELD(FIELD_ADDRESS, struct_, address), \
+		.required = true, .help = (help_)                          \
+	}
+
+static const field_t platform_fields[] = {
+    ADDRESS(msp_settings_platform_t, "IP number of the platform"),
+    PORT("port", msp_settings_platform_t, port, "port of the platform"),
+    {0},
+};
+
+static const field_t seed_fields[] = {
+    ADDRESS(msp_settings_seed_t, "IP number of another VM"),
+    PORT("peer_port", msp_settings_seed_t, peer_port, "its peer_port"),
+    {0},
+};
+
+static const field_t limits_fields[] = {
+    NUMBER("max_body_bytes", msp_settings_limits_t, max_body_bytes, 1024,
+	64 << 20, 1 << 20, "bytes of a request body"),
+    NUMBER("max_answer_bytes", msp_settings_limits_t, max_answer_bytes, 1024,
+	256 << 20, 8 << 20, "bytes of a target's answer"),
+    NUMBER("max_header_bytes", msp_settings_limits_t, max_header_bytes, 1024,
+	65536, 16384, "bytes of request line and headers"),
+    NUMBER("max_connections", msp_settings_limits_t, max_connections, 16, 65536,
+	4096, "connections of one listener"),
+    NUMBER("head_timeout_ms", msp_settings_limits_t, head_timeout_ms, 100,
+	600000, 10000, "time for request line and headers"),
+    NUMBER("body_timeout_ms", msp_settings_limits_t, body_timeout_ms, 100,
+	600000, 30000, "time for the whole body"),
+    {0},
+};
+
+static const field_t log_fields[] = {
+    {
+	.name = "level",
+	FIELD(FIELD_CHOICE, msp_settings_log_t, level),
+	.choices = log_levels,
+	.preset = MSP_LOG_INFO,
+	.help = "least level that is logged",
+    },
+    {
+	.name = "file",
+	FIELD(FIELD_TEXT, msp_settings_log_t, file),
+	.max = MSP_LOG_FILE_SIZE - 1,
+	.help = "log file; standard error without it",
+    },
+    {0},
+};
+
+static const field_t settings_fields[] = {
+    NAME("vm", vm, "name of this VM"),
+    NAME("region", region, "region of this VM"),
+    NAME("place", place, "data centre of this VM"),
+    ADDRESS(msp_settings_t, "IP number that all listeners bind"),
+    PORT("caller_port", msp_settings_t, caller_port, "HTTP from callers"),
+    PORT("peer_port", msp_settings_t, peer_port,
+	"HTTP on TCP and ONC RPC on UDP between VMs"),
+    PORT("operator_port", msp_settings_t, operator_port, "HTTP from operators"),
+    {
+	.name = "operator_token",
+	FIELD(FIELD_TEXT, msp_settings_t, operator_token),
+	.min = 16,
+	.max = MSP_TOKEN_SIZE - 1,
+	.required = true,
+	.help = "secret that operators send",
+    },
+    {
+	.name = "platform",
+	FIELD(FIELD_OBJECT, msp_settings_t, platform),
+	.fields = platform_fields,
+	.required = true,
+	.help = "an object with address and port",
+    },
+    {
+	.name = "seeds",
+	.type = FIELD_LIST,
+	.offset = offsetof(msp_settings_t, seeds),
+	.count_offset = offsetof(msp_settings_t, seed_count),
+	.size = sizeof(msp_settings_seed_t),
+	.max = MSP_SEEDS_MAX,
+	.fields = seed_fields,
+	.help = "VMs to start membership from",
+    },
+    {
+	.name = "limits",
+	FIELD(FIELD_OBJECT, msp_settings_t, limits),
+	.fields = limits_fields,
+	.help = "bounds of the listeners",
+    },
+    NUMBER("lookup_ttl_ms", msp_settings_t, lookup_ttl_ms, 100, 60000, 2000,
+	"how long callers may cache a look-up"),
+    NUMBER("gossip_period_ms", msp_settings_t, gossip_period_ms, 20, 10000, 200,
+	"time between two probes of membership"),
+    NUMBER("suspicion_ms", msp_settings_t, suspicion_ms, 100, 60000, 1500,
+	"time from suspicion to failure"),
+    NUMBER("claim_retention_s", msp_settings_t, claim_retention_s, 60, 2592000,
+	86400, "how long claims of commits are kept"),
+    NUMBER("claim_batch_ms", msp_settings_t, claim_batch_ms, 0, 100, 5,
+	"longest wait of a claim for others of its batch"),
+    NUMBER("drain_min_ms", msp_settings_t, drain_min_ms, 0, 600000, 3000,
+	"least time between SIGTERM and exit"),
+    {
+	.name = "log",
+	FIELD(FIELD_OBJECT, msp_settings_t, log),
+	.fields = log_fields,
+	.help = "the decision log",
+    },
+    {0},
+};
+
+/* What no single key can tell. */
+static msp_status_t
+check_together(field_context_t *context, const msp_settings_t *settings)
+{
+	const char *key = NULL;
+
+	if (settings->peer_port == settings->caller_port)
+		key = "peer_port";
+	if (settings->operator_port == settings->caller_port ||
+	    settings->operator_port == settings->peer_port)
+		key = "operator_port";
+	if (key != NULL) {
+		push_field(context, key, 0);
+		return fail_field(context, "the three ports must differ");
+	}
+	if (settings->suspicion_ms <
+	    SUSPICION_PERIODS_MIN * settings->gossip_period_ms) {
+		push_field(context, "suspicion_ms", 0);
+		return fail_field(context,
+		    "%u is below twice gossip_period_ms, %u",
+		    settings->suspicion_ms,
+		    SUSPICION_PERIODS_MIN * settings->gossip_period_ms);
+	}
+	return MSP_OK;
+}
+
+msp_status_t
+msp_parse_settings(
+    const char *text, size_t len, const char *origin, msp_settings_t *settings)
+{
+	field_context_t context = {.origin = origin};
+	struct json_object *object;
+	msp_status_t status;
+
+	memset(settings, 0, sizeof(*settings));
+	if (len > SETTINGS_BYTES_MAX)
+		return msp_fail(MSP_E_TOO_LARGE, "%s: document: over %d bytes",
+		    origin, SETTINGS_BYTES_MAX);
+	object = parse_object(text, len, origin, &status);
+	if (object == NULL)
+		return status;
+	status = read_fields(&context, object, settings_fields, settings);
+	json_object_put(object);
+	if (status == MSP_OK)
+		status = check_together(&context, settings);
+	if (status != MSP_OK)
+		msp_drop_settings(settings);
+	return status;
+}
+
+static msp_status_t
+read_file(const char *path, msp_buffer_t *text)
+{
+	char part[READ_BYTES];
+	msp_status_t status = MSP_OK;
+	FILE *file = fopen(path, "r");
+	size_t len;
+
+	if (file == NULL)
+		return msp_fail(MSP_E_IO, "%s: %s", path, strerror(errno));
+	while (
+	    status == MSP_OK && (len = fread(part, 1, sizeof(part), file)) > 0)
+		status = msp_append_buffer(text, part, len);
+	if (status == MSP_OK && ferror(file))
+		status = msp_fail(MSP_E_IO, "%s: can't be read", path);
+	fclose(file);
+	if (status == MSP_E_TOO_LARGE)
+		msp_fail(
+		    status, "%s: document: over %zu bytes", path, text->limit);
+	return status;
+}
+
+msp_status_t
+msp_load_settings(const char *path, msp_settings_t *settings)
+{
+	msp_buffer_t text = {.limit = SETTINGS_BYTES_MAX};
+	msp_status_t status;
+
+	memset(settings, 0, sizeof(*settings));
+	status = read_file(path, &text);
+	if (status == MSP_OK)
+		status = msp_parse_settings(
+		    msp_buffer_text(&text), text.len, path, settings);
+	msp_drop_buffer(&text);
+	return status;
+}
+
+void
+msp_drop_settings(msp_settings_t *settings)
+{
+	drop_fields(settings_fields, settings);
+	memset(settings, 0, sizeof(*settings));
+}
+
+msp_status_t
+msp_print_settings_help(msp_buffer_t *out)
+{
+	msp_status_t status = msp_print_buffer(
+	    out, "%-26s %-24s %-10s %s\n", "KEY", "TYPE", "DEFAULT", "MEANING");
+
+	if (status != MSP_OK)
+		return status;
+	return print_fields_help(settings_fields, "", out);
+}
--- /dev/null
+++ b/tests/config/test_settings.c
@@ -0,0 +1,240 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/config.h"
+
+#define LEAST                                                                \
+	"\"vm\":\"rkv-a1\",\"region\":\"reykjavik\",\"place\":\"rkv-a\","    \
+	"\"address\":\"127.0.0.1\",\"caller_port\":8001,\"peer_port\":8002," \
+	"\"operator_port\":8003,\"operator_token\":\"0123456789abcdef\","    \
+	"\"platform\":{\"address\":\"127.0.0.1\",\"port\":9000}"
+
+typedef struct bad_case {
+	const char *text;
+	msp_status_t status;
+	const char *key; /* in the message */
+	const char *bound; /* in the message */
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+    {"", MSP_E_SYNTAX, "document", "text ends early"},
+    {"[]", MSP_E_SYNTAX, "document", "no JSON object"},
+    {"{" LEAST, MSP_E_SYNTAX, "document", "',' or end expected"},
+    {"{" LEAST "} x", MSP_E_SYNTAX, "document", "more after the end"},
+    {"{" LEAST ",}", MSP_E_SYNTAX, "document", "key in quotes expected"},
+    {"{/* " LEAST "}", MSP_E_SYNTAX, "document", "comment without end"},
+    {"{'vm':'a'}", MSP_E_SYNTAX, "document", "key in quotes expected"},
+    {"{\"vm\":NaN}", MSP_E_SYNTAX, "vm", "value expected"},
+    {"{\"vm\":01}", MSP_E_SYNTAX, "vm", "leading 0"},
+    {"{\"vm\":\"a", MSP_E_SYNTAX, "vm", "text without end"},
+    {"{\"vm\":\"a\xff\"}", MSP_E_SYNTAX, "vm", "not valid UTF-8"},
+    {"{\"vm\":\"a\xc0\x80\"}", MSP_E_SYNTAX, "vm", "not valid UTF-8"},
+    {"{\"vm\":\"a\xed\xa0\x80\"}", MSP_E_SYNTAX, "vm", "not valid UTF-8"},
+    {"{\"vm\":\"a\\u0000\"}", MSP_E_SYNTAX, "vm", "\\u0000"},
+    {"{\"vm\":\"\\x\"}", MSP_E_SYNTAX, "vm", "bad escape"},
+    {"{\"v\\u006d\":\"a\"}", MSP_E_SYNTAX, "document", "escape in a key"},
+    {"{\"a\":[[[[[[[[[[[[[1]]]]]]]]]]]]]}", MSP_E_SYNTAX, "a[0]",
+	"nested deeper than 12"},
+    {"{" LEAST ",\"vm\":\"b\"}", MSP_E_RANGE, "vm", "key given twice"},
+    {"{" LEAST ",\"log\":{\"level\":\"info\",\"level\":\"warn\"}}", MSP_E_RANGE,
+	"log.level", "key given twice"},
+    {"{" LEAST ",\"seeds\":[{\"address\":\"::1\",\"address\":\"::1\"}]}",
+	MSP_E_RANGE, "seeds[0].address", "key given twice"},
+    {"{" LEAST ",\"vmm\":1}", MSP_E_RANGE, "vmm", "unknown key"},
+    {"{" LEAST ",\"limits\":{\"max\":1}}", MSP_E_RANGE, "limits.max",
+	"unknown key"},
+    {"{}", MSP_E_RANGE, "vm", "missing; name of this VM"},
+    {"{\"vm\":\"a\"}", MSP_E_RANGE, "region", "missing"},
+    {"{" LEAST ",\"seeds\":[{\"address\":\"::1\"}]}", MSP_E_RANGE,
+	"seeds[0].peer_port", "missing"},
+    {"{" LEAST ",\"seeds\":{}}", MSP_E_RANGE, "seeds", "list expected"},
+    {"{" LEAST ",\"seeds\":[1]}", MSP_E_RANGE, "seeds[0]", "object expected"},
+    {"{" LEAST ",\"limits\":null}", MSP_E_RANGE, "limits", "object expected"},
+    {"{" LEAST ",\"lookup_ttl_ms\":\"5\"}", MSP_E_RANGE, "lookup_ttl_ms",
+	"whole number expected"},
+    {"{" LEAST ",\"lookup_ttl_ms\":500.0}", MSP_E_RANGE, "lookup_ttl_ms",
+	"whole number expected"},
+    {"{" LEAST ",\"lookup_ttl_ms\":1e3}", MSP_E_RANGE, "lookup_ttl_ms",
+	"whole number expected"},
+    {"{" LEAST ",\"lookup_ttl_ms\":99}", MSP_E_RANGE, "lookup_ttl_ms",
+	"99 is out of range 100..60000"},
+    {"{" LEAST ",\"lookup_ttl_ms\":-100}", MSP_E_RANGE, "lookup_ttl_ms",
+	"out of range 100..60000"},
+    {"{" LEAST ",\"lookup_ttl_ms\":99999999999999999999999}", MSP_E_RANGE,
+	"lookup_ttl_ms", "out of range 100..60000"},
+    {"{" LEAST ",\"lookup_ttl_ms\":4294967396}", MSP_E_RANGE, "lookup_ttl_ms",
+	"out of range 100..60000"},
+    {"{" LEAST ",\"limits\":{\"max_connections\":15}}", MSP_E_RANGE,
+	"limits.max_connections", "out of range 16..65536"},
+    {"{" LEAST ",\"log\":{\"level\":\"loud\"}}", MSP_E_RANGE, "log.level",
+	"none of error, warn, info, debug"},
+    {"{" LEAST ",\"suspicion_ms\":399}", MSP_E_RANGE, "suspicion_ms",
+	"below twice gossip_period_ms, 400"},
+};
+
+/* Changes of one key of the least settings. */
+static const struct {
+	const char *from;
+	const char *to;
+	const char *key;
+	const char *bound;
+} changed_cases[] = {
+    {"\"rkv-a1\"", "\"\"", "vm", "0 bytes, out of range 1..63 bytes"},
+    {"\"rkv-a1\"", "\"Rkv\"", "vm", "no name"},
+    {"\"rkv-a1\"", "\"-a\"", "vm", "no name"},
+    {"\"rkv-a1\"", "true", "vm", "text expected"},
+    {"\"rkv-a1\"",
+	"\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"",
+	"vm", "64 bytes, out of range 1..63"},
+    {"\"127.0.0.1\"", "\"localhost\"", "address", "no IP number"},
+    {"\"127.0.0.1\"", "\"127.0.0.256\"", "address", "no IP number"},
+    {"8001", "0", "caller_port", "0 is out of range 1..65535"},
+    {"8001", "65536", "caller_port", "65536 is out of range 1..65535"},
+    {"8002", "8001", "peer_port", "must differ"},
+    {"8003", "8002", "operator_port", "must differ"},
+    {"0123456789abcdef", "short", "operator_token", "out of range 16..127"},
+    {"0123456789abcdef", "0123456789abcde\\u0007", "operator_token",
+	"printable ASCII"},
+    {"{\"address\":\"127.0.0.1\",\"port\":9000}", "7", "platform",
+	"object expected"},
+};
+
+static void
+check_refused(const char *text, size_t len, msp_status_t status,
+    const char *key, const char *bound)
+{
+	msp_settings_t settings;
+	const char *message;
+
+	if (msp_parse_settings(text, len, "vm.json", &settings) != status)
+		fail_msg("%s: not %s but %s", text, msp_status_name(status),
+		    msp_last_message());
+	message = msp_last_message();
+	if (strncmp(message, "vm.json: ", 9) != 0 ||
+	    strstr(message, key) == NULL || strstr(message, bound) == NULL)
+		fail_msg("%s: message \"%s\"", text, message);
+}
+
+static void
+bad_settings_name_key_and_bound(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad_cases) / sizeof(bad_cases[0]); i++)
+		check_refused(bad_cases[i].text, strlen(bad_cases[i].text),
+		    bad_cases[i].status, bad_cases[i].key, bad_cases[i].bound);
+}
+
+static void
+one_bad_value_names_key_and_bound(void **state)
+{
+	static const char least[] = "{" LEAST "}";
+	const char *at;
+	char text[1024];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(changed_cases) / sizeof(changed_cases[0]); i++) {
+		at = strstr(least, changed_cases[i].from);
+		assert_non_null(at);
+		snprintf(text, sizeof(text), "%.*s%s%s", (int)(at - least),
+		    least, changed_cases[i].to,
+		    at + strlen(changed_cases[i].from));
+		check_refused(text, strlen(text), MSP_E_RANGE,
+		    changed_cases[i].key, changed_cases[i].bound);
+	}
+}
+
+static void
+every_truncation_is_refused(void **state)
+{
+	static const char whole[] =
+	    "{" LEAST ",\"seeds\":[{\"address\":\"::1\","
+	    "\"peer_port\":7}],\"log\":{}}";
+	msp_settings_t settings;
+	size_t len;
+	char *cut;
+
+	(void)state;
+	for (len = 0; len < sizeof(whole) - 1; len++) {
+		cut = malloc(len + 1);
+		assert_non_null(cut);
+		memcpy(cut, whole, len);
+		cut[len] = '\0';
+		assert_int_equal(msp_parse_settings(cut, len, "cut", &settings),
+		    MSP_E_SYNTAX);
+		free(cut);
+	}
+	assert_int_equal(
+	    msp_parse_settings(whole, len, "whole", &settings), MSP_OK);
+	msp_drop_settings(&settings);
+}
+
+static void
+file_with_comments_takes_defaults(void **state)
+{
+	static const char text[] =
+	    "// a VM\n{" LEAST ", /* more */ \"seeds\":[{\"address\":"
+	    "\"0:0::1\",\"peer_port\":7}]}\n";
+	char path[] = "/tmp/settings-XXXXXX";
+	msp_settings_t settings;
+	int fd = mkstemp(path);
+
+	(void)state;
+	assert_true(fd >= 0);
+	assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+	close(fd);
+	assert_int_equal(msp_load_settings(path, &settings), MSP_OK);
+	unlink(path);
+	assert_string_equal(settings.vm, "rkv-a1");
+	assert_int_equal(settings.operator_port, 8003);
+	assert_int_equal(settings.platform.port, 9000);
+	assert_int_equal(settings.seed_count, 1);
+	assert_string_equal(settings.seeds[0].address, "::1");
+	assert_int_equal(settings.limits.max_body_bytes, 1 << 20);
+	assert_int_equal(settings.claim_batch_ms, 5);
+	assert_int_equal(settings.log.level, MSP_LOG_INFO);
+	assert_string_equal(settings.log.file, "");
+	msp_drop_settings(&settings);
+	assert_int_equal(msp_load_settings(path, &settings), MSP_E_IO);
+	assert_non_null(strstr(msp_last_message(), path));
+}
+
+static void
+help_lists_every_key(void **state)
+{
+	static const char *const keys[] = {"operator_token", "platform.port",
+	    "seeds[].peer_port", "limits.max_answer_bytes", "log.level",
+	    "claim_retention_s"};
+	msp_buffer_t help = {0};
+	size_t i;
+
+	(void)state;
+	assert_int_equal(msp_print_settings_help(&help), MSP_OK);
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++)
+		assert_non_null(strstr(msp_buffer_text(&help), keys[i]));
+	msp_drop_buffer(&help);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(bad_settings_name_key_and_bound),
+	    cmocka_unit_test(one_bad_value_names_key_and_bound),
+	    cmocka_unit_test(every_truncation_is_refused),
+	    cmocka_unit_test(file_with_comments_takes_defaults),
+	    cmocka_unit_test(help_lists_every_key),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
