--- a/source/config/scan.c
+++ b/source/config/scan.c
@@ -338,7 +338,7 @@
 static msp_status_t
 scan_object(scanner_t *scanner)
 {
-	key_span_t keys[SCAN_KEYS_MAX];
+	key_span_t keys[SCAN_KEYS_MAX] = {{0}};
 
 	return scan_inside(scanner, keys);
 }
