--- a/source/config/scan.c
+++ b/source/config/scan.c
@@ -248,6 +248,14 @@
 	return MSP_OK;
 }
 
+static bool
+is_same_key(const key_span_t *a, const key_span_t *b)
+{
+	if (a->start == NULL || b->start == NULL || a->len != b->len)
+		return false;
+	return memcmp(a->start, b->start, a->len) == 0;
+}
+
 static msp_status_t
 check_key(scanner_t *scanner, const key_span_t *keys, size_t count)
 {
@@ -255,8 +263,7 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (keys[i].len == key->len &&
-		    memcmp(keys[i].start, key->start, key->len) == 0)
+		if (is_same_key(&keys[i], key))
 			return msp_fail(MSP_E_RANGE,
 			    "%s: line %u: %s: key given twice", scanner->origin,
 			    scanner->line, scanner->path);
