Release notes and the releases they lead to

Items of six kinds share one table of keys with parsing, printing and help. A release is immutable; its sorted lists are made of shared pages, so that a note costs the pages it touches and a copy of the page pointers, not a copy of all items. Validation looks only at what changed, since the release before was valid; an index by address finds doubled addresses.

--- a/include/monsoonspindle/config.h
+++ b/include/monsoonspindle/config.h
@@ -1,7 +1,10 @@
 #ifndef MONSOONSPINDLE_CONFIG_H
 #define MONSOONSPINDLE_CONFIG_H
 
+#include "monsoonspindle/config/item.h"
+#include "monsoonspindle/config/note.h"
 #include "monsoonspindle/config/prefix.h"
+#include "monsoonspindle/config/release.h"
 #include "monsoonspindle/config/settings.h"
 
 #endif
--- /dev/null
+++ b/include/monsoonspindle/config/note.h
@@ -0,0 +1,85 @@
+#ifndef MONSOONSPINDLE_CONFIG_NOTE_H
+#define MONSOONSPINDLE_CONFIG_NOTE_H
+
+#include "monsoonspindle/config/release.h"
+
+#define MSP_NOTE_BYTES_MAX (4 << 20) /* of a note's text */
+#define MSP_NOTE_CHANGES_MAX 50000
+#define MSP_NOTE_COMMENT_SIZE 256
+
+typedef enum msp_change_op {
+	MSP_ADD,
+	MSP_CHANGE,
+	MSP_WITHDRAW,
+	MSP_CHANGE_OPS
+} msp_change_op_t;
+
+/* "add", "change" or "withdraw". */
+const char *msp_change_op_name(msp_change_op_t op);
+
+/* One item of a note. To withdraw, only the key of `item` is set. */
+typedef struct msp_change {
+	msp_change_op_t op;
+	msp_item_kind_t kind;
+	const void *item;
+} msp_change_t;
+
+/*
+ * A release note: what is added, changed (whole items) and withdrawn, and the
+ * version that it was written against. Reference-counted. The text form is a
+ * JSON object:
+ *
+ *	{"id": "...", "base_version": 4, "base_digest": "...", "comment": "...",
+ *	 "add": {"targets": [{...}]}, "change": {"places": [{...}]},
+ *	 "withdraw": {"targets": ["name"], "blocks": ["192.0.2.0/24"]}}
+ */
+typedef struct msp_note {
+	char id[MSP_NOTE_ID_SIZE]; /* "" if the text gave none */
+	bool has_base; /* the text gave base_version and base_digest */
+	uint64_t base_version;
+	msp_digest_t base_digest;
+	char comment[MSP_NOTE_COMMENT_SIZE];
+	msp_change_t *changes; /* ordered by kind, then key */
+	size_t change_count;
+	unsigned int references; /* private */
+} msp_note_t;
+
+/*
+ * Parses a note; each key is checked as in settings. An item may be named only
+ * once. MSP_E_INVALID_NOTE with a message that names origin, key and bound, or
+ * MSP_E_NO_MEMORY.
+ */
+msp_status_t msp_parse_note(
+    const char *text, size_t len, const char *origin, msp_note_t **note);
+
+msp_note_t *msp_keep_note(msp_note_t *note);
+void msp_drop_note(msp_note_t *note);
+
+/* Sets the version that the note is applied to. */
+void msp_rebase_note(
+    msp_note_t *note, uint64_t base_version, msp_digest_t base_digest);
+
+/* Appends the canonical text: one line, keys and items in a fixed order. */
+msp_status_t msp_print_note(const msp_note_t *note, msp_buffer_t *out);
+
+/* Digest of the canonical text without base: the same after a rebase. */
+msp_status_t msp_digest_note(const msp_note_t *note, msp_digest_t *digest);
+
+/*
+ * Applies a note that is written against `base` and validates the whole
+ * resulting state. `base` stays as it is; the new release is the caller's.
+ *
+ * MSP_E_CONFLICT if the note's base is another version or digest,
+ * MSP_E_INVALID_NOTE with the item, the key and the bound, MSP_E_NO_MEMORY.
+ */
+msp_status_t msp_apply_note(
+    const msp_release_t *base, const msp_note_t *note, msp_release_t **next);
+
+/*
+ * Returns how many items both notes name, and appends "kind key" of each to
+ * `names`, joined by ", ".
+ */
+size_t msp_notes_clash(
+    const msp_note_t *a, const msp_note_t *b, msp_buffer_t *names);
+
+#endif
--- /dev/null
+++ b/include/monsoonspindle/config/release.h
@@ -0,0 +1,86 @@
+#ifndef MONSOONSPINDLE_CONFIG_RELEASE_H
+#define MONSOONSPINDLE_CONFIG_RELEASE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "monsoonspindle/base/buffer.h"
+#include "monsoonspindle/base/hash.h"
+#include "monsoonspindle/config/item.h"
+
+#define MSP_NOTE_ID_SIZE 48 /* bytes of a note's id with its final 0 */
+
+/*
+ * The whole state after a release note: immutable, reference-counted, and
+ * sharing unchanged items with the releases before and after it. Not for use
+ * by several threads.
+ */
+typedef struct msp_release {
+	uint64_t version; /* notes applied since the empty release */
+	msp_digest_t digest; /* of the chain of notes */
+	char note[MSP_NOTE_ID_SIZE]; /* id of the last note, "" without one */
+	size_t counts[MSP_ITEM_KINDS];
+	struct msp_release_lists *lists; /* private */
+} msp_release_t;
+
+/* Returns the empty release, version 0; NULL without memory. */
+msp_release_t *msp_new_release(void);
+
+/* Takes a further reference; returns `release`. */
+msp_release_t *msp_keep_release(msp_release_t *release);
+
+/* Gives a reference back; NULL is allowed. */
+void msp_drop_release(msp_release_t *release);
+
+/* A position in a walk over a release. Zero-initialise. */
+typedef struct msp_cursor {
+	size_t page;
+	size_t index;
+	bool started;
+} msp_cursor_t;
+
+/*
+ * Returns the next item of a kind in the order of keys, or NULL at the end;
+ * cast to the kind's struct. Borrowed from the release.
+ */
+const void *msp_next_item(
+    const msp_release_t *release, msp_item_kind_t kind, msp_cursor_t *cursor);
+
+/* Find by name, in logarithmic time; NULL if there is none. */
+const msp_region_t *msp_find_region(
+    const msp_release_t *release, const char *name);
+const msp_place_t *msp_find_place(
+    const msp_release_t *release, const char *name);
+const msp_service_t *msp_find_service(
+    const msp_release_t *release, const char *name);
+const msp_target_t *msp_find_target(
+    const msp_release_t *release, const char *name);
+const msp_block_t *msp_find_block(
+    const msp_release_t *release, const msp_prefix_t *prefix);
+
+/* Finds the link of two regions in either order, by a walk over all links. */
+const msp_link_t *msp_find_link(
+    const msp_release_t *release, const char *region, const char *other);
+
+/*
+ * Walks the targets of a service in one place, or in all if `place` is NULL,
+ * ordered by place and name. Start with a zeroed cursor; NULL at the end.
+ */
+const msp_target_t *msp_next_target(const msp_release_t *release,
+    const char *service, const char *place, msp_cursor_t *cursor);
+
+/*
+ * Appends a snapshot: one JSON object a line, first version, digest and a
+ * checksum, then the items.
+ */
+msp_status_t msp_print_release(const msp_release_t *release, msp_buffer_t *out);
+
+/*
+ * Reads a snapshot, with the checks that a note gets. The caller has to check
+ * digest and version against the chain. MSP_E_SYNTAX, MSP_E_RANGE,
+ * MSP_E_INVALID_NOTE, MSP_E_NO_MEMORY.
+ */
+msp_status_t msp_parse_release(
+    const char *text, size_t len, const char *origin, msp_release_t **release);
+
+#endif
--- a/source/config/field.c
+++ b/source/config/field.c
@@ -112,8 +112,9 @@
 {
 	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789._-";
 
-	return strspn(text, allowed) == strlen(text) &&
-	    strchr("._-", text[0]) == NULL;
+	if (text[0] == '.' || text[0] == '_' || text[0] == '-')
+		return 0;
+	return strspn(text, allowed) == strlen(text);
 }
 
 static int
--- /dev/null
+++ b/source/config/item.c
@@ -0,0 +1,304 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "item_kind.h"
+
+#define SLOTS_MAX 10000
+#define DAY_MS 86400000
+
+/* Precedes each item in memory; as large as the strictest alignment. */
+typedef struct item_head {
+	_Alignas(max_align_t) uint32_t references;
+} item_head_t;
+
+static const char *const states[] = {
+    [MSP_ACTIVE] = "active",
+    [MSP_DRAINING] = "draining",
+    NULL,
+};
+
+static const char *const priorities[] = {
+    [MSP_PRIORITY_LATENCY] = "latency",
+    [MSP_PRIORITY_HEADROOM] = "headroom",
+    NULL,
+};
+
+static const char *const classes[] = {
+    [MSP_CLASS_INTERACTIVE] = "interactive",
+    [MSP_CLASS_COMMIT] = "commit",
+    [MSP_CLASS_BACKGROUND] = "background",
+    NULL,
+};
+
+#define NAME(struct_, member_, least_, help_)                          \
+	{                                                              \
+		.name = #member_, FIELD(FIELD_NAME, struct_, member_), \
+		.min = (least_), .max = MSP_NAME_SIZE - 1,             \
+		.required = (least_) > 0, .help = (help_)              \
+	}
+
+#define NUMBER(struct_, member_, min_, max_, preset_, help_)           \
+	{                                                              \
+		.name = #member_, FIELD(FIELD_UINT, struct_, member_), \
+		.min = (min_), .max = (max_), .preset = (preset_),     \
+		.help = (help_)                                        \
+	}
+
+#define NEEDED(struct_, member_, min_, max_, help_)                    \
+	{                                                              \
+		.name = #member_, FIELD(FIELD_UINT, struct_, member_), \
+		.min = (min_), .max = (max_), .required = true,        \
+		.help = (help_)                                        \
+	}
+
+#define CHOICE(struct_, member_, choices_, preset_, help_)                  \
+	{                                                                   \
+		.name = #member_, FIELD(FIELD_CHOICE, struct_, member_),    \
+		.choices = (choices_), .preset = (preset_), .help = (help_) \
+	}
+
+static const field_t region_fields[] = {
+    NAME(msp_region_t, name, 1, "name of the region"),
+    {0},
+};
+
+static const field_t place_fields[] = {
+    NAME(msp_place_t, name, 1, "name of the data centre"),
+    NAME(msp_place_t, region, 1, "region it belongs to"),
+    CHOICE(msp_place_t, state, states, MSP_ACTIVE, "whether it takes work"),
+    {0},
+};
+
+static const field_t link_fields[] = {
+    NAME(msp_link_t, name, 1, "name of the link"),
+    NAME(msp_link_t, region_a, 1, "one end"),
+    NAME(msp_link_t, region_b, 1, "the other end"),
+    NEEDED(msp_link_t, max_requests_per_s, 1, 1000000000,
+	"cap of shifted requests, each way"),
+    NEEDED(msp_link_t, max_bytes_per_s, 1, 1000000000000000,
+	"cap of shifted bytes, each way"),
+    {0},
+};
+
+static const field_t route_fields[] = {
+    {
+	.name = "method",
+	FIELD(FIELD_TEXT, msp_route_t, method),
+	.min = 1,
+	.max = MSP_METHOD_SIZE - 1,
+	.required = true,
+	.help = "HTTP method, * for any",
+    },
+    {
+	.name = "prefix",
+	FIELD(FIELD_TEXT, msp_route_t, prefix),
+	.min = 1,
+	.max = MSP_ROUTE_PREFIX_SIZE - 1,
+	.required = true,
+	.help = "start of the path, from its /",
+    },
+    {
+	.name = "class",
+	FIELD(FIELD_CHOICE, msp_route_t, class),
+	.choices = classes,
+	.required = true,
+	.help = "interactive, commit or background",
+    },
+    NUMBER(msp_route_t, deadline_ms, 0, 600000, 0,
+	"default deadline; 0: the service's"),
+    {0},
+};
+
+static const field_t service_fields[] = {
+    NAME(msp_service_t, name, 1, "name of the service"),
+    CHOICE(msp_service_t, priority, priorities, MSP_PRIORITY_LATENCY,
+	"what goes first"),
+    NUMBER(msp_service_t, deadline_ms, 10, 600000, 10000,
+	"deadline of a request that names none"),
+    NUMBER(msp_service_t, max_age_ms, 1000, DAY_MS, 3600000,
+	"age of a request's first try that is still taken"),
+    NUMBER(msp_service_t, retry_budget_percent, 0, 100, 10,
+	"retries and hedges, of requests"),
+    NUMBER(msp_service_t, reserve_percent, 0, 90, 20,
+	"slots kept from background work"),
+    NUMBER(msp_service_t, ramp_ms, 0, 600000, 10000,
+	"a cold target reaches its full limit in"),
+    {
+	.name = "hedging",
+	FIELD(FIELD_BOOL, msp_service_t, hedging),
+	.preset = true,
+	.help = "second try of late reads",
+    },
+    {
+	.name = "spill",
+	FIELD(FIELD_BOOL, msp_service_t, spill),
+	.preset = true,
+	.help = "shifts to other regions",
+    },
+    {
+	.name = "load_path",
+	FIELD(FIELD_TEXT, msp_service_t, load_path),
+	.max = MSP_ROUTE_PREFIX_SIZE - 1,
+	.help = "path of a target's load report; none without it",
+    },
+    {
+	.name = "routes",
+	.type = FIELD_LIST,
+	.offset = offsetof(msp_service_t, routes),
+	.count_offset = offsetof(msp_service_t, route_count),
+	.size = sizeof(msp_route_t),
+	.max = MSP_ROUTES_MAX,
+	.fields = route_fields,
+	.help = "classes by method and path; other requests are commits",
+    },
+    {0},
+};
+
+static const field_t target_fields[] = {
+    NAME(msp_target_t, name, 1, "name of the target"),
+    NAME(msp_target_t, service, 1, "service it serves"),
+    NAME(msp_target_t, place, 1, "data centre it is in"),
+    {
+	.name = "address",
+	FIELD(FIELD_ADDRESS, msp_target_t, address),
+	.required = true,
+	.help = "IP number",
+    },
+    NEEDED(msp_target_t, port, 1, 65535, "TCP port"),
+    NEEDED(msp_target_t, slots, 1, SLOTS_MAX, "requests at once"),
+    CHOICE(msp_target_t, state, states, MSP_ACTIVE, "whether it takes work"),
+    {0},
+};
+
+static const field_t block_fields[] = {
+    {
+	.name = "prefix",
+	FIELD(FIELD_PREFIX, msp_block_t, prefix),
+	.required = true,
+	.help = "addresses of the clients",
+    },
+    NAME(msp_block_t, region, 1, "region they are near"),
+    NAME(msp_block_t, place, 0, "data centre they are near, if any"),
+    {0},
+};
+
+static const item_kind_t kinds[MSP_ITEM_KINDS] = {
+    [MSP_ITEM_REGION] = {"region", "regions", region_fields,
+	sizeof(msp_region_t), 256, false},
+    [MSP_ITEM_PLACE] = {"place", "places", place_fields, sizeof(msp_place_t),
+	4096, false},
+    [MSP_ITEM_LINK] = {"link", "links", link_fields, sizeof(msp_link_t), 32640,
+	false},
+    [MSP_ITEM_SERVICE] = {"service", "services", service_fields,
+	sizeof(msp_service_t), 4096, false},
+    [MSP_ITEM_TARGET] = {"target", "targets", target_fields,
+	sizeof(msp_target_t), 1000000, false},
+    [MSP_ITEM_BLOCK] = {"block", "blocks", block_fields, sizeof(msp_block_t),
+	8000000, true},
+};
+
+const item_kind_t *
+item_kind(msp_item_kind_t kind)
+{
+	return &kinds[kind];
+}
+
+const char *
+msp_item_section(msp_item_kind_t kind)
+{
+	return kinds[kind].section;
+}
+
+const char *
+msp_item_kind_name(msp_item_kind_t kind)
+{
+	return kinds[kind].name;
+}
+
+static item_head_t *
+head_of(const void *item)
+{
+	return (item_head_t *)((char *)item - sizeof(item_head_t));
+}
+
+void *
+new_item(msp_item_kind_t kind)
+{
+	item_head_t *head = calloc(1, sizeof(*head) + kinds[kind].size);
+
+	if (head == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for an item");
+		return NULL;
+	}
+	head->references = 1;
+	return head + 1;
+}
+
+const void *
+keep_item(const void *item)
+{
+	head_of(item)->references++;
+	return item;
+}
+
+void
+drop_item(msp_item_kind_t kind, const void *item)
+{
+	item_head_t *head;
+
+	if (item == NULL)
+		return;
+	head = head_of(item);
+	if (--head->references > 0)
+		return;
+	drop_fields(kinds[kind].fields, head + 1);
+	free(head);
+}
+
+/* Every kind but blocks starts with its name. */
+int
+compare_items(msp_item_kind_t kind, const void *a, const void *b)
+{
+	if (kinds[kind].by_prefix)
+		return msp_compare_prefixes(&((const msp_block_t *)a)->prefix,
+		    &((const msp_block_t *)b)->prefix);
+	return strcmp(a, b);
+}
+
+void
+copy_item_key(msp_item_kind_t kind, const void *from, void *to)
+{
+	memcpy(to, from,
+	    kinds[kind].by_prefix ? sizeof(msp_prefix_t) : MSP_NAME_SIZE);
+}
+
+void
+msp_print_item_key(
+    msp_item_kind_t kind, const void *item, char out[MSP_ITEM_KEY_SIZE])
+{
+	if (kinds[kind].by_prefix)
+		msp_print_prefix(&((const msp_block_t *)item)->prefix, out);
+	else
+		memcpy(out, item, MSP_NAME_SIZE);
+}
+
+msp_status_t
+msp_print_item(msp_item_kind_t kind, const void *item, msp_buffer_t *out)
+{
+	return print_fields(kinds[kind].fields, item, out);
+}
+
+msp_status_t
+msp_print_items_help(msp_buffer_t *out)
+{
+	msp_status_t status = MSP_OK;
+	unsigned int kind;
+	char prefix[32];
+
+	for (kind = 0; kind < MSP_ITEM_KINDS && status == MSP_OK; kind++) {
+		snprintf(prefix, sizeof(prefix), "%s[].", kinds[kind].section);
+		status = print_fields_help(kinds[kind].fields, prefix, out);
+	}
+	return status;
+}
--- /dev/null
+++ b/source/config/release_lists.h
@@ -0,0 +1,28 @@
+#ifndef CONFIG_RELEASE_LISTS_H
+#define CONFIG_RELEASE_LISTS_H
+
+#include "item_list.h"
+#include "monsoonspindle/config/note.h"
+
+/* The lists of one release. */
+typedef struct msp_release_lists {
+	item_list_t by_key[MSP_ITEM_KINDS];
+	item_list_t by_service; /* targets by service, place, name */
+	item_list_t by_address; /* targets by address and port */
+	unsigned int references; /* of the release */
+} release_lists_t;
+
+/*
+ * Builds the release after `changes`, sorted by kind and key, without version,
+ * digest and note. `origin` is named in messages.
+ * MSP_E_INVALID_NOTE, MSP_E_NO_MEMORY.
+ */
+msp_status_t change_release(const msp_release_t *base,
+    const msp_change_t *changes, size_t count, const char *origin,
+    msp_release_t **next);
+
+/* Validates what `changes` could have broken in `next`. */
+msp_status_t check_release(const msp_release_t *next,
+    const msp_change_t *changes, size_t count, const char *origin);
+
+#endif
--- /dev/null
+++ b/source/config/route.c
@@ -0,0 +1,52 @@
+#include <string.h>
+
+#include "monsoonspindle/config/item.h"
+
+/* Whether `prefix` ends in `path` at a '/', a '?' or the end. */
+static bool
+covers(const char *prefix, size_t len, const char *path)
+{
+	if (strncmp(prefix, path, len) != 0)
+		return false;
+	if (prefix[len - 1] == '/')
+		return true;
+	return strchr("/?", path[len]) != NULL;
+}
+
+/* 0: the method does not fit; an exact one ranks above "*". */
+static int
+rank_method(const char *wanted, const char *method)
+{
+	if (strcmp(wanted, method) == 0)
+		return 3;
+	if (strcmp(wanted, "GET") == 0 && strcmp(method, "HEAD") == 0)
+		return 2;
+	return strcmp(wanted, "*") == 0 ? 1 : 0;
+}
+
+const msp_route_t *
+msp_match_route(
+    const msp_service_t *service, const char *method, const char *path)
+{
+	const msp_route_t *best = NULL;
+	size_t best_len = 0;
+	int best_rank = 0;
+	size_t i;
+
+	for (i = 0; i < service->route_count; i++) {
+		const msp_route_t *route = &service->routes[i];
+		size_t len = strlen(route->prefix);
+		int rank = rank_method(route->method, method);
+
+		if (rank == 0 || len < best_len)
+			continue;
+		if (len == best_len && rank <= best_rank)
+			continue;
+		if (!covers(route->prefix, len, path))
+			continue;
+		best = route;
+		best_len = len;
+		best_rank = rank;
+	}
+	return best;
+}
--- a/source/config/scan.c
+++ b/source/config/scan.c
@@ -105,7 +105,7 @@
 
 	scanner->pos++;
 	c = peek(scanner);
-	if (c < 0 || strchr("\"\\/bfnrtu", c) == NULL)
+	if (c <= 0 || strchr("\"\\/bfnrtu", c) == NULL)
 		return fail(scanner, "bad escape in a text");
 	scanner->pos++;
 	if (c != 'u')
@@ -114,7 +114,7 @@
 		return fail(scanner, "\\u0000 in a text");
 	for (i = 0; i < 4; i++) {
 		c = peek(scanner);
-		if (c < 0 || strchr("0123456789abcdefABCDEF", c) == NULL)
+		if (c <= 0 || strchr("0123456789abcdefABCDEF", c) == NULL)
 			return fail(scanner, "bad \\u escape in a text");
 		scanner->pos++;
 	}
--- /dev/null
+++ b/source/config/snapshot.c
@@ -0,0 +1,280 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "monsoonspindle/config/release.h"
+#include "release_lists.h"
+
+#define SNAPSHOT_FORMAT 1
+
+/* The first line of a snapshot. */
+typedef struct snapshot_head {
+	uint32_t format;
+	uint64_t version;
+	char digest[MSP_DIGEST_TEXT_SIZE];
+	char note[MSP_NOTE_ID_SIZE];
+	uint64_t items;
+	char check[MSP_DIGEST_TEXT_SIZE]; /* of the rest of the snapshot */
+} snapshot_head_t;
+
+#define NUMBER(member_, min_, max_)                                            \
+	{                                                                      \
+		.name = #member_, FIELD(FIELD_UINT, snapshot_head_t, member_), \
+		.min = (min_), .max = (max_), .required = true, .help = ""     \
+	}
+
+#define TEXT(member_, least_)                                                  \
+	{                                                                      \
+		.name = #member_, FIELD(FIELD_TEXT, snapshot_head_t, member_), \
+		.min = (least_),                                               \
+		.max = sizeof(((snapshot_head_t *)0)->member_) - 1,            \
+		.required = true, .help = ""                                   \
+	}
+
+static const field_t head_fields[] = {
+    NUMBER(format, SNAPSHOT_FORMAT, SNAPSHOT_FORMAT),
+    NUMBER(version, 0, INT64_MAX),
+    TEXT(digest, MSP_DIGEST_TEXT_SIZE - 1),
+    TEXT(note, 0),
+    NUMBER(items, 0, INT32_MAX),
+    TEXT(check, MSP_DIGEST_TEXT_SIZE - 1),
+    {0},
+};
+
+/* Sets `check` over the other keys of the head and the items' text. */
+static msp_status_t
+set_check(snapshot_head_t *head, const char *items, size_t len)
+{
+	msp_buffer_t text = {0};
+	msp_status_t status;
+
+	memset(head->check, '0', sizeof(head->check) - 1);
+	status = print_fields(head_fields, head, &text);
+	if (status == MSP_OK)
+		msp_print_digest(
+		    msp_chain_digest(
+			msp_digest(text.data, text.len), items, len),
+		    head->check);
+	msp_drop_buffer(&text);
+	return status;
+}
+
+static msp_status_t
+print_items(const msp_release_t *release, msp_buffer_t *out)
+{
+	msp_status_t status = MSP_OK;
+	unsigned int kind;
+	const void *item;
+
+	for (kind = 0; kind < MSP_ITEM_KINDS; kind++) {
+		msp_cursor_t cursor = {0};
+
+		while (status == MSP_OK &&
+		    (item = msp_next_item(
+			 release, (msp_item_kind_t)kind, &cursor)) != NULL) {
+			status = msp_print_buffer(out, "{\"%s\":",
+			    msp_item_kind_name((msp_item_kind_t)kind));
+			if (status == MSP_OK)
+				status = msp_print_item(
+				    (msp_item_kind_t)kind, item, out);
+			if (status == MSP_OK)
+				status = msp_append_buffer(out, "}\n", 2);
+		}
+	}
+	return status;
+}
+
+msp_status_t
+msp_print_release(const msp_release_t *release, msp_buffer_t *out)
+{
+	snapshot_head_t head = {
+	    .format = SNAPSHOT_FORMAT, .version = release->version};
+	msp_buffer_t items = {0};
+	msp_status_t status = print_items(release, &items);
+	unsigned int kind;
+
+	if (status != MSP_OK)
+		goto out;
+	for (kind = 0; kind < MSP_ITEM_KINDS; kind++)
+		head.items += release->counts[kind];
+	msp_print_digest(release->digest, head.digest);
+	memcpy(head.note, release->note, sizeof(head.note));
+	status = set_check(&head, msp_buffer_text(&items), items.len);
+	if (status == MSP_OK)
+		status = print_fields(head_fields, &head, out);
+	if (status == MSP_OK)
+		status = msp_append_buffer(out, "\n", 1);
+	if (status == MSP_OK)
+		status =
+		    msp_append_buffer(out, msp_buffer_text(&items), items.len);
+out:
+	msp_drop_buffer(&items);
+	return status;
+}
+
+static msp_status_t
+read_head(
+    const char *text, size_t len, const char *origin, snapshot_head_t *head)
+{
+	field_context_t context = {.origin = origin};
+	struct json_object *object;
+	msp_status_t status;
+
+	object = parse_object(text, len, origin, &status);
+	if (object == NULL)
+		return status;
+	status = read_fields(&context, object, head_fields, head);
+	json_object_put(object);
+	return status;
+}
+
+static msp_status_t
+find_kind(field_context_t *context, struct json_object *object,
+    struct json_object **value, msp_item_kind_t *kind)
+{
+	unsigned int i;
+
+	for (i = 0; i < MSP_ITEM_KINDS; i++) {
+		*kind = (msp_item_kind_t)i;
+		if (json_object_object_get_ex(
+			object, msp_item_kind_name(*kind), value) &&
+		    json_object_is_type(*value, json_type_object) &&
+		    json_object_object_length(object) == 1)
+			return MSP_OK;
+	}
+	return fail_field(context, "no item");
+}
+
+static msp_status_t
+read_line(
+    const char *text, size_t len, const char *origin, msp_change_t *change)
+{
+	field_context_t context = {.origin = origin};
+	struct json_object *object;
+	struct json_object *value;
+	msp_status_t status;
+	void *item;
+
+	object = parse_object(text, len, origin, &status);
+	if (object == NULL)
+		return status;
+	status = find_kind(&context, object, &value, &change->kind);
+	if (status != MSP_OK)
+		goto out;
+	item = new_item(change->kind);
+	if (item == NULL) {
+		status = MSP_E_NO_MEMORY;
+		goto out;
+	}
+	push_field(&context, msp_item_kind_name(change->kind), 0);
+	status =
+	    read_fields(&context, value, item_kind(change->kind)->fields, item);
+	change->item = item;
+	if (status != MSP_OK)
+		drop_item(change->kind, item);
+out:
+	json_object_put(object);
+	return status;
+}
+
+static int
+in_order(const msp_change_t *a, const msp_change_t *b)
+{
+	if (a->kind != b->kind)
+		return a->kind < b->kind;
+	return compare_items(a->kind, a->item, b->item) < 0;
+}
+
+/* Reads `count` lines, in the order that print_items() writes them in. */
+static msp_status_t
+read_lines(const char *text, size_t len, const char *origin,
+    msp_change_t *changes, size_t count, size_t *done)
+{
+	const char *end = text + len;
+	msp_status_t status;
+	const char *next;
+
+	for (*done = 0; *done < count; (*done)++) {
+		next = memchr(text, '\n', (size_t)(end - text));
+		if (next == NULL)
+			return msp_fail(MSP_E_SYNTAX,
+			    "%s: items: %zu of %zu lines", origin, *done,
+			    count);
+		status = read_line(
+		    text, (size_t)(next - text), origin, &changes[*done]);
+		if (status != MSP_OK)
+			return status;
+		text = next + 1;
+		if (*done == 0 ||
+		    in_order(&changes[*done - 1], &changes[*done]))
+			continue;
+		drop_item(changes[*done].kind, changes[*done].item);
+		return msp_fail(MSP_E_SYNTAX, "%s: items: not in order at %zu",
+		    origin, *done);
+	}
+	if (text != end)
+		return msp_fail(MSP_E_SYNTAX, "%s: items: more than %zu lines",
+		    origin, count);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_items(const char *text, size_t len, const char *origin, size_t count,
+    msp_release_t **out)
+{
+	msp_change_t *changes = calloc(count + 1, sizeof(*changes));
+	msp_release_t *empty = msp_new_release();
+	msp_status_t status = MSP_E_NO_MEMORY;
+	size_t done = 0;
+
+	if (changes != NULL && empty != NULL)
+		status = read_lines(text, len, origin, changes, count, &done);
+	if (status == MSP_OK)
+		status = change_release(empty, changes, count, origin, out);
+	while (done > 0) {
+		done--;
+		drop_item(changes[done].kind, changes[done].item);
+	}
+	free(changes);
+	msp_drop_release(empty);
+	return status;
+}
+
+msp_status_t
+msp_parse_release(
+    const char *text, size_t len, const char *origin, msp_release_t **out)
+{
+	char check[MSP_DIGEST_TEXT_SIZE];
+	snapshot_head_t head = {0};
+	msp_digest_t digest;
+	msp_status_t status;
+	const char *items = memchr(text, '\n', len);
+
+	if (items == NULL)
+		return msp_fail(
+		    MSP_E_SYNTAX, "%s: document: no snapshot", origin);
+	status = read_head(text, (size_t)(items - text), origin, &head);
+	if (status != MSP_OK)
+		return status;
+	items++;
+	len -= (size_t)(items - text);
+	memcpy(check, head.check, sizeof(check));
+	status = set_check(&head, items, len);
+	if (status != MSP_OK)
+		return status;
+	if (strcmp(check, head.check) != 0)
+		return msp_fail(
+		    MSP_E_SYNTAX, "%s: check: not that of the text", origin);
+	if (msp_parse_digest(head.digest, &digest) != 0)
+		return msp_fail(
+		    MSP_E_SYNTAX, "%s: digest: not 32 hex digits", origin);
+	if (head.items > len)
+		return msp_fail(MSP_E_SYNTAX,
+		    "%s: items: more than there are bytes", origin);
+	status = read_items(items, len, origin, (size_t)head.items, out);
+	if (status != MSP_OK)
+		return status;
+	(*out)->version = head.version;
+	(*out)->digest = digest;
+	memcpy((*out)->note, head.note, sizeof(head.note));
+	return MSP_OK;
+}
