--- a/include/monsoonspindle.h
+++ b/include/monsoonspindle.h
@@ -8,6 +8,4 @@
 #include "monsoonspindle/coord.h"
 #include "monsoonspindle/steer.h"
 
-#define MSP_VERSION "0.1.0"
-
 #endif
--- a/include/monsoonspindle/base.h
+++ b/include/monsoonspindle/base.h
@@ -10,5 +10,6 @@
 #include "monsoonspindle/base/map.h"
 #include "monsoonspindle/base/refusal.h"
 #include "monsoonspindle/base/status.h"
+#include "monsoonspindle/base/version.h"
 
 #endif
--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -10,7 +10,7 @@
 #define MSP_ADDRESS_SIZE 48 /* bytes of an IP number as text */
 #define MSP_TOKEN_SIZE 128 /* bytes of an operator's token */
 #define MSP_LOG_FILE_SIZE 256 /* bytes of a file name */
-#define MSP_SEEDS_MAX 64
+#define MSP_SETTINGS_SEEDS_MAX 64
 
 typedef enum msp_log_level {
 	MSP_LOG_ERROR,
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -120,7 +120,7 @@
 	.offset = offsetof(msp_settings_t, seeds),
 	.count_offset = offsetof(msp_settings_t, seed_count),
 	.size = sizeof(msp_settings_seed_t),
-	.max = MSP_SEEDS_MAX,
+	.max = MSP_SETTINGS_SEEDS_MAX,
 	.fields = seed_fields,
 	.help = "VMs to start membership from",
     },
--- /dev/null
+++ b/source/spindled/commit_run.c
@@ -0,0 +1,103 @@
+#include "commit_run.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "commits.h"
+#include "commits_private.h"
+#include "daemon.h"
+#include "log.h"
+#include "route.h"
+
+/* One claimed commit on its way. */
+typedef struct commit_run {
+	commits_t *commits;
+	msp_nonce_t nonce;
+	work_t work;
+} commit_run_t;
+
+msp_outcome_t
+view_outcome(const msp_response_t *response, msp_outcome_field_t *fields)
+{
+	size_t i;
+
+	for (i = 0; i < response->headers.count; i++) {
+		fields[i].name = response->headers.fields[i].name;
+		fields[i].value = response->headers.fields[i].value;
+	}
+	return (msp_outcome_t) { .http_status = response->status,
+		.fields = fields,
+		.field_count = response->headers.count,
+		.body = msp_buffer_text(&response->body),
+		.body_len = response->body.len };
+}
+
+msp_status_t
+write_outcome(const msp_outcome_t *outcome, msp_response_t *out)
+{
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->status = outcome->http_status;
+	for (i = 0; i < outcome->field_count && status == MSP_OK; i++)
+		status = msp_add_header(&out->headers, outcome->fields[i].name,
+		    outcome->fields[i].value);
+	if (status == MSP_OK && outcome->body_len > 0)
+		status = msp_append_buffer(
+		    &out->body, outcome->body, outcome->body_len);
+	if (status != MSP_OK)
+		msp_drop_response(out);
+	return status;
+}
+
+static void
+on_run_done(void *ctx, work_t *work, work_result_t *result)
+{
+	commit_run_t *run = ctx;
+	commits_t *commits = run->commits;
+	const msp_refusal_t *refusal = &result->refusal;
+	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
+	msp_outcome_t outcome;
+	msp_status_t status;
+
+	if (result->answered) {
+		outcome = view_outcome(&result->response, fields);
+		status = msp_finish_claim(commits->claims, run->nonce, &outcome);
+	} else if (refusal->run == MSP_RUN_NO && !refusal->try_started) {
+		status = msp_release_claim(commits->claims, run->nonce, refusal);
+	} else {
+		status = msp_doubt_claim(commits->claims, run->nonce, refusal);
+	}
+	if (status != MSP_OK)
+		log_error("event=claim-end-lost request=%s error=%s", work->id,
+		    msp_last_message());
+	work_drop(work);
+	free(run);
+	arm_commits(commits);
+}
+
+msp_status_t
+start_commit_run(
+    struct commits *commits, const work_t *work, msp_nonce_t nonce)
+{
+	daemon_t *daemon = commits->daemon;
+	commit_run_t *run = calloc(1, sizeof(*run));
+
+	if (run == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory to run a commit");
+	run->work = *work;
+	if (work_copy_request(work, &run->work.request) != MSP_OK) {
+		free(run);
+		return MSP_E_NO_MEMORY;
+	}
+	run->commits = commits;
+	run->nonce = nonce;
+	msp_print_digest(nonce, run->work.nonce);
+	run->work.nonce_issued = msp_now(&daemon->env) -
+	    msp_claim_age(commits->claims, nonce);
+	run->work.done = on_run_done;
+	run->work.ctx = run;
+	run_routed(daemon, &run->work);
+	return MSP_OK;
+}
--- /dev/null
+++ b/source/spindled/commits.c
@@ -0,0 +1,196 @@
+#include "commits.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "commit_run.h"
+#include "commits_private.h"
+#include "log.h"
+#include "members.h"
+
+#define RETRY_AFTER_MS 1000
+
+static void
+step(void *ctx)
+{
+	commits_t *commits = ctx;
+
+	msp_step_claims(commits->claims);
+	arm_commits(commits);
+}
+
+void
+arm_commits(commits_t *commits)
+{
+	msp_time_t now = msp_now(&commits->daemon->env);
+	msp_time_t due = msp_claims_deadline(commits->claims);
+
+	msp_drop_timer(commits->timer);
+	commits->timer = NULL;
+	if (due != MSP_NEVER)
+		commits->timer = msp_new_timer(commits->daemon->loop,
+		    due > now ? due - now : 0, 0, step, commits);
+}
+
+/*
+ * An incarnation of this data centre is gone if it was declared dead, or its
+ * VM runs again. Of others nothing is known here: their VMs are asked.
+ */
+static bool
+is_gone(void *ctx, uint64_t incarnation)
+{
+	commits_t *commits = ctx;
+	const msp_membership_t *list = members_list(commits->daemon->members);
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (member->incarnation == incarnation)
+			return member->state == MSP_MEMBER_DEAD;
+	}
+	return false;
+}
+
+static msp_time_t
+wall(void *ctx)
+{
+	struct timespec now;
+
+	(void)ctx;
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (msp_time_t)now.tv_sec * MSP_SECOND +
+	    (msp_time_t)now.tv_nsec / 1000;
+}
+
+commits_t *
+new_commits(struct daemon *daemon)
+{
+	const msp_settings_t *settings = daemon->settings;
+	commits_t *commits = calloc(1, sizeof(*commits));
+	msp_claims_options_t options = {
+		.env = daemon->env,
+		.store = daemon->store,
+		.hooks = { .ctx = commits,
+		    .ask = ask_owner,
+		    .is_gone = is_gone,
+		    .wall = wall,
+		    .decide = log_decision },
+		.counters = daemon->counters,
+		.incarnation = daemon->incarnation,
+		.batch_window = settings->claim_batch_ms * MSP_MS,
+		.retention = settings->claim_retention_s * MSP_SECOND,
+	};
+
+	if (commits == NULL)
+		return NULL;
+	commits->daemon = daemon;
+	snprintf(commits->address, sizeof(commits->address), "%s:%u",
+	    settings->address, settings->peer_port);
+	options.address = commits->address;
+	commits->claims = msp_new_claims(&options);
+	if (commits->claims == NULL) {
+		free(commits);
+		return NULL;
+	}
+	return commits;
+}
+
+void
+drop_commits(commits_t *commits)
+{
+	if (commits == NULL)
+		return;
+	msp_drop_timer(commits->timer);
+	msp_drop_claims(commits->claims);
+	free(commits);
+}
+
+static void
+replay(entry_t *entry, const msp_outcome_t *outcome)
+{
+	work_result_t result = { .answered = true };
+	msp_refusal_t refusal = { .status = MSP_E_NO_MEMORY,
+		.run = MSP_RUN_UNKNOWN,
+		.try_started = true,
+		.retry_after_ms = RETRY_AFTER_MS,
+		.reason = "no memory for the recorded answer" };
+
+	if (write_outcome(outcome, &result.response) != MSP_OK) {
+		refuse_entry(entry, &refusal);
+		return;
+	}
+	answer_entry(entry, &result);
+	msp_drop_response(&result.response);
+}
+
+static void
+on_verdict(void *ctx, const msp_verdict_t *verdict)
+{
+	entry_t *entry = ctx;
+	commits_t *commits = entry->daemon->commits;
+	msp_refusal_t refusal = { .status = MSP_E_NO_MEMORY,
+		.run = MSP_RUN_NO,
+		.retry_after_ms = RETRY_AFTER_MS,
+		.reason = "no memory to run the request" };
+
+	switch (verdict->kind) {
+	case MSP_VERDICT_RUN:
+		if (start_commit_run(commits, &entry->work, verdict->nonce) !=
+		    MSP_OK)
+			msp_release_claim(
+			    commits->claims, verdict->nonce, &refusal);
+		return;
+	case MSP_VERDICT_REPLAY:
+		entry->tried = NULL;
+		replay(entry, verdict->outcome);
+		return;
+	case MSP_VERDICT_RELEASED:
+		/* Only forwarded tries get it. */
+	case MSP_VERDICT_REFUSE:
+		entry->tried = NULL;
+		refuse_entry(entry, &verdict->refusal);
+		return;
+	}
+}
+
+void
+start_commit(commits_t *commits, entry_t *entry)
+{
+	const work_t *work = &entry->work;
+	msp_try_params_t params = { .service = work->service,
+		.key = work->key,
+		.digest = work->fingerprint,
+		.attempt = entry->attempt,
+		.arrival = work->arrival,
+		.deadline = work->deadline };
+	msp_refusal_t refusal = { .status = MSP_E_BAD_REQUEST,
+		.reason = msp_last_message() };
+
+	entry->tried =
+	    msp_begin_try(commits->claims, &params, on_verdict, entry);
+	if (entry->tried == NULL) {
+		refusal.run = msp_unclaimed_run(
+		    commits->claims, entry->attempt, work->arrival);
+		refuse_entry(entry, &refusal);
+	}
+	arm_commits(commits);
+}
+
+void
+leave_commit(commits_t *commits, entry_t *entry)
+{
+	msp_cancel_try(entry->tried);
+	entry->tried = NULL;
+	arm_commits(commits);
+}
+
+size_t
+count_commits(const commits_t *commits)
+{
+	msp_claims_load_t load = msp_claims_present_load(commits->claims);
+
+	return load.running + load.unrecorded;
+}
--- /dev/null
+++ b/source/spindled/commits_private.h
@@ -0,0 +1,23 @@
+#ifndef SPINDLED_COMMITS_PRIVATE_H
+#define SPINDLED_COMMITS_PRIVATE_H
+
+#include "commits.h"
+#include "daemon.h"
+#include "monsoonspindle/coord/claim_doubts.h"
+#include "monsoonspindle/coord/claims.h"
+
+struct commits {
+	daemon_t *daemon;
+	msp_claims_t *claims;
+	msp_timer_t *timer;
+	char address[MSP_ADDRESS_SIZE + 8]; /* where other VMs ask this one */
+};
+
+/* Sets the timer to when the claims have something to do next. */
+void arm_commits(commits_t *commits);
+
+/* Carries a question to another VM; the callback `ask` of the claims. */
+void ask_owner(void *ctx, const msp_ask_t *ask, msp_ask_done_t *done,
+    void *done_ctx);
+
+#endif
--- /dev/null
+++ b/source/spindled/daemon.c
@@ -0,0 +1,244 @@
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "commits.h"
+#include "dispatch.h"
+#include "entry.h"
+#include "log.h"
+#include "members.h"
+#include "operators.h"
+#include "peers.h"
+#include "places.h"
+#include "releases.h"
+
+#define MAX_FDS 16384
+#define PEER_LANES 64 /* requests in flight to one VM */
+#define TARGET_LANES 16 /* more than a target has slots */
+#define REPORT_LANES 2
+#define STORE_LANES 16
+#define STORE_STEP (1 * MSP_MS)
+#define LEAVE_CHECK (50 * MSP_MS)
+
+static uint64_t
+wall_clock_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
+}
+
+static msp_http_client_t *
+new_client(daemon_t *daemon, unsigned int lanes)
+{
+	msp_http_client_options_t options = { .lanes = lanes,
+		.max_answer = daemon->settings->limits.max_answer_bytes };
+
+	return msp_new_http_client(daemon->loop, &options);
+}
+
+static void
+step_memory_store(void *ctx)
+{
+	daemon_t *daemon = ctx;
+
+	msp_step_memory_store(daemon->memory_store);
+}
+
+static msp_status_t
+open_store(daemon_t *daemon, bool standalone)
+{
+	const msp_settings_platform_t *platform = &daemon->settings->platform;
+
+	if (!standalone) {
+		daemon->store_client = new_client(daemon, STORE_LANES);
+		if (daemon->store_client == NULL)
+			return MSP_E_NO_MEMORY;
+		daemon->http_store = msp_new_http_store(
+		    daemon->store_client, platform->address, platform->port);
+		if (daemon->http_store == NULL)
+			return MSP_E_NO_MEMORY;
+		daemon->store = msp_http_store(daemon->http_store);
+		return MSP_OK;
+	}
+	daemon->memory_store = msp_new_memory_store(&daemon->env);
+	if (daemon->memory_store == NULL)
+		return MSP_E_NO_MEMORY;
+	daemon->store = msp_memory_store(daemon->memory_store);
+	daemon->store_timer = msp_new_timer(daemon->loop, STORE_STEP,
+	    STORE_STEP, step_memory_store, daemon);
+	return daemon->store_timer == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
+/* The parts, in the order in which they need each other. */
+static msp_status_t
+open_parts(daemon_t *daemon)
+{
+	daemon->entries = new_entries(daemon);
+	daemon->releases = new_releases(daemon);
+	if (daemon->entries == NULL || daemon->releases == NULL)
+		return MSP_E_NO_MEMORY;
+	daemon->members = new_members(daemon);
+	if (daemon->members == NULL)
+		return MSP_E_IO;
+	daemon->places = new_places(daemon);
+	daemon->commits = new_commits(daemon);
+	daemon->dispatchers = new_dispatchers(daemon);
+	if (daemon->places == NULL || daemon->commits == NULL ||
+	    daemon->dispatchers == NULL)
+		return MSP_E_NO_MEMORY;
+	return MSP_OK;
+}
+
+static msp_status_t
+open_listeners(daemon_t *daemon)
+{
+	daemon->peer_server = open_peer_listener(daemon);
+	if (daemon->peer_server == NULL)
+		return MSP_E_IO;
+	daemon->operator_server = open_operator_listener(daemon);
+	if (daemon->operator_server == NULL)
+		return MSP_E_IO;
+	daemon->caller_server = open_caller_listener(daemon);
+	return daemon->caller_server == NULL ? MSP_E_IO : MSP_OK;
+}
+
+static void
+on_stop_signal(void *ctx)
+{
+	daemon_leave(ctx);
+}
+
+daemon_t *
+daemon_start(const msp_settings_t *settings, bool standalone)
+{
+	daemon_t *daemon = calloc(1, sizeof(*daemon));
+
+	if (daemon == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for the daemon");
+		return NULL;
+	}
+	daemon->settings = settings;
+	daemon->env = msp_system_env();
+	daemon->incarnation = wall_clock_us();
+	daemon->counters = msp_new_counters();
+	daemon->loop = msp_new_loop(MAX_FDS);
+	if (daemon->counters == NULL || daemon->loop == NULL)
+		goto fail;
+	daemon->peer_client = new_client(daemon, PEER_LANES);
+	daemon->target_client = new_client(daemon, TARGET_LANES);
+	daemon->report_client = new_client(daemon, REPORT_LANES);
+	if (daemon->peer_client == NULL || daemon->target_client == NULL ||
+	    daemon->report_client == NULL)
+		goto fail;
+	if (open_store(daemon, standalone) != MSP_OK ||
+	    open_parts(daemon) != MSP_OK || open_listeners(daemon) != MSP_OK)
+		goto fail;
+	if (msp_watch_stop_signals(daemon->loop, on_stop_signal, daemon) !=
+	    MSP_OK)
+		goto fail;
+	log_info("event=started place=%s caller_port=%u peer_port=%u "
+		 "operator_port=%u",
+	    settings->place, settings->caller_port, settings->peer_port,
+	    settings->operator_port);
+	return daemon;
+fail:
+	daemon_drop(daemon);
+	return NULL;
+}
+
+void
+daemon_run(daemon_t *daemon)
+{
+	msp_run_loop(daemon->loop);
+	log_info("event=stopped");
+}
+
+void
+daemon_drop(daemon_t *daemon)
+{
+	if (daemon == NULL)
+		return;
+	msp_drop_timer(daemon->leave_timer);
+	msp_drop_http_server(daemon->caller_server);
+	msp_drop_http_server(daemon->operator_server);
+	msp_drop_http_server(daemon->peer_server);
+	drop_dispatchers(daemon->dispatchers);
+	drop_commits(daemon->commits);
+	drop_places(daemon->places);
+	drop_members(daemon->members);
+	drop_releases(daemon->releases);
+	drop_entries(daemon->entries);
+	msp_drop_timer(daemon->store_timer);
+	msp_drop_http_store(daemon->http_store);
+	msp_drop_memory_store(daemon->memory_store);
+	msp_drop_http_client(daemon->store_client);
+	msp_drop_http_client(daemon->report_client);
+	msp_drop_http_client(daemon->target_client);
+	msp_drop_http_client(daemon->peer_client);
+	msp_drop_loop(daemon->loop);
+	msp_drop_counters(daemon->counters);
+	free(daemon);
+}
+
+/* Clients may use a look-up answer for its whole lifetime. */
+static msp_time_t
+drain_time(const daemon_t *daemon)
+{
+	uint32_t ms = daemon->settings->lookup_ttl_ms;
+
+	if (ms < daemon->settings->drain_min_ms)
+		ms = daemon->settings->drain_min_ms;
+	return ms * MSP_MS;
+}
+
+static bool
+is_idle(const daemon_t *daemon)
+{
+	return count_entries(daemon->entries) == 0 &&
+	    count_dispatched(daemon->dispatchers) == 0 &&
+	    count_commits(daemon->commits) == 0 &&
+	    msp_http_server_busy(daemon->caller_server) == 0 &&
+	    msp_http_server_busy(daemon->peer_server) == 0;
+}
+
+static void
+check_leaving(void *ctx)
+{
+	daemon_t *daemon = ctx;
+
+	if (msp_now(&daemon->env) < daemon->leaving_since + drain_time(daemon))
+		return;
+	msp_close_http_listener(daemon->caller_server);
+	if (is_idle(daemon))
+		msp_stop_loop(daemon->loop);
+}
+
+void
+daemon_leave(daemon_t *daemon)
+{
+	if (daemon->leaving)
+		return;
+	daemon->leaving = true;
+	daemon->leaving_since = msp_now(&daemon->env);
+	log_info("event=leaving");
+	msp_leave_membership(members_list(daemon->members));
+	review_dispatchers(daemon->dispatchers);
+	daemon->leave_timer = msp_new_timer(
+	    daemon->loop, LEAVE_CHECK, LEAVE_CHECK, check_leaving, daemon);
+}
+
+bool
+daemon_ready(const daemon_t *daemon)
+{
+	return releases_ready(daemon->releases);
+}
+
+const msp_release_t *
+daemon_release(const daemon_t *daemon)
+{
+	return current_release(daemon->releases);
+}
--- /dev/null
+++ b/source/spindled/daemon.h
@@ -0,0 +1,75 @@
+#ifndef SPINDLED_DAEMON_H
+#define SPINDLED_DAEMON_H
+
+#include "monsoonspindle/base.h"
+#include "monsoonspindle/config/release.h"
+#include "monsoonspindle/config/settings.h"
+#include "monsoonspindle/net.h"
+#include "monsoonspindle/platform/http_store.h"
+#include "monsoonspindle/platform/memory_store.h"
+#include "monsoonspindle/platform/store.h"
+
+struct members;
+struct releases;
+struct commits;
+struct dispatchers;
+struct entries;
+struct places;
+
+/* One running VM: what its parts share. Each part is in a file of its own. */
+typedef struct daemon {
+	const msp_settings_t *settings;
+	msp_env_t env;
+	msp_loop_t *loop;
+	msp_counters_t *counters;
+	uint64_t incarnation; /* wall clock at the start, in microseconds */
+
+	msp_http_client_t *peer_client;
+	msp_http_client_t *target_client;
+	msp_http_client_t *report_client; /* load reports of targets */
+	msp_http_client_t *store_client;
+	msp_http_store_t *http_store;
+	msp_memory_store_t *memory_store; /* with --standalone */
+	msp_timer_t *store_timer;
+	msp_store_t store;
+
+	struct members *members;
+	struct releases *releases;
+	struct commits *commits;
+	struct dispatchers *dispatchers;
+	struct entries *entries;
+	struct places *places;
+
+	msp_http_server_t *caller_server;
+	msp_http_server_t *peer_server;
+	msp_http_server_t *operator_server;
+
+	bool leaving;
+	msp_time_t leaving_since;
+	msp_timer_t *leave_timer;
+} daemon_t;
+
+/*
+ * Starts a VM from checked settings, which must outlive it. With `standalone`
+ * the platform is held in memory. Returns NULL with a last message.
+ */
+daemon_t *daemon_start(const msp_settings_t *settings, bool standalone);
+
+/* Runs until a stop signal has been served in full. */
+void daemon_run(daemon_t *daemon);
+void daemon_drop(daemon_t *daemon);
+
+/*
+ * Starts a planned stop: leaves the look-ups, hands dispatching over, serves
+ * until clients have stopped asking and nothing is in flight, then ends the
+ * loop. Later calls do nothing.
+ */
+void daemon_leave(daemon_t *daemon);
+
+/* Whether the VM has a release to serve by. */
+bool daemon_ready(const daemon_t *daemon);
+
+/* The release in force; never NULL. Borrowed. */
+const msp_release_t *daemon_release(const daemon_t *daemon);
+
+#endif
--- /dev/null
+++ b/source/spindled/dispatch.c
@@ -0,0 +1,270 @@
+#include "dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+#include "log.h"
+#include "members.h"
+#include "service_dispatch.h"
+
+#define TICK_PERIOD (5 * MSP_MS)
+#define REVIEW_PERIOD (250 * MSP_MS)
+#define RETRY_AFTER_MS 500
+
+struct dispatchers {
+	daemon_t *daemon;
+	msp_map_t *services; /* name to service_dispatch_t */
+	LIST_HEAD(, service_dispatch) retired; /* until they are idle */
+	msp_quarantine_list_t *quarantine;
+	msp_timer_t *tick;
+	msp_timer_t *review;
+};
+
+static bool
+is_first(const dispatchers_t *dispatchers, const char *service)
+{
+	const msp_member_t *first =
+	    first_member(dispatchers->daemon->members, service);
+
+	return first != NULL &&
+	    strcmp(first->name, dispatchers->daemon->settings->vm) == 0;
+}
+
+static void
+tick(void *ctx)
+{
+	dispatchers_t *dispatchers = ctx;
+	service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		tick_service(value);
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		tick_service(one);
+}
+
+static void
+review(void *ctx)
+{
+	review_dispatchers(ctx);
+}
+
+dispatchers_t *
+new_dispatchers(struct daemon *daemon)
+{
+	dispatchers_t *dispatchers = calloc(1, sizeof(*dispatchers));
+
+	if (dispatchers == NULL)
+		return NULL;
+	dispatchers->daemon = daemon;
+	LIST_INIT(&dispatchers->retired);
+	dispatchers->services = msp_new_map();
+	dispatchers->quarantine = msp_new_quarantine_list(&daemon->env);
+	dispatchers->tick = msp_new_timer(
+	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, dispatchers);
+	dispatchers->review = msp_new_timer(
+	    daemon->loop, REVIEW_PERIOD, REVIEW_PERIOD, review, dispatchers);
+	if (dispatchers->services == NULL || dispatchers->quarantine == NULL ||
+	    dispatchers->tick == NULL || dispatchers->review == NULL) {
+		drop_dispatchers(dispatchers);
+		return NULL;
+	}
+	return dispatchers;
+}
+
+void
+drop_dispatchers(dispatchers_t *dispatchers)
+{
+	service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	if (dispatchers == NULL)
+		return;
+	msp_drop_timer(dispatchers->tick);
+	msp_drop_timer(dispatchers->review);
+	while (dispatchers->services != NULL &&
+	    msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		drop_service_dispatch(value);
+	while ((one = LIST_FIRST(&dispatchers->retired)) != NULL) {
+		LIST_REMOVE(one, link);
+		drop_service_dispatch(one);
+	}
+	msp_drop_map(dispatchers->services);
+	msp_drop_quarantine_list(dispatchers->quarantine);
+	free(dispatchers);
+}
+
+static service_dispatch_t *
+open_service(dispatchers_t *dispatchers, const char *name)
+{
+	service_dispatch_t *service = msp_map_get(dispatchers->services, name);
+
+	if (service != NULL)
+		return service;
+	service = new_service_dispatch(
+	    dispatchers->daemon, name, dispatchers->quarantine);
+	if (service == NULL)
+		return NULL;
+	if (msp_map_put(dispatchers->services, name, service) != MSP_OK) {
+		drop_service_dispatch(service);
+		return NULL;
+	}
+	inherit_loads(dispatchers->daemon->members, name, service->dispatcher);
+	log_info("event=dispatcher-start service=%s", name);
+	return service;
+}
+
+void
+run_local(dispatchers_t *dispatchers, work_t *work)
+{
+	daemon_t *daemon = dispatchers->daemon;
+	const msp_service_t *spec =
+	    msp_find_service(daemon_release(daemon), work->service);
+	service_dispatch_t *service;
+
+	if (spec == NULL) {
+		work_refuse(work, MSP_E_UNKNOWN_SERVICE, MSP_RUN_NO, false, 0,
+		    "no such service in the release in force");
+		return;
+	}
+	if (daemon->leaving || members_paused(daemon->members)) {
+		work_refuse(work, MSP_E_LEAVING, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "this VM hands its dispatching over");
+		return;
+	}
+	service = open_service(dispatchers, work->service);
+	if (service == NULL) {
+		work_refuse(work, MSP_E_NO_MEMORY, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "no memory for a dispatcher");
+		return;
+	}
+	run_service_work(service, work);
+}
+
+void
+update_dispatchers(dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		update_service_dispatch(value);
+}
+
+/* Takes a dispatcher out of use; it lives on until its last answer. */
+static void
+retire(dispatchers_t *dispatchers, const char *name)
+{
+	service_dispatch_t *service = msp_map_get(dispatchers->services, name);
+
+	msp_map_remove(dispatchers->services, service->name);
+	LIST_INSERT_HEAD(&dispatchers->retired, service, link);
+	log_info("event=dispatcher-retire service=%s", service->name);
+	msp_retire_dispatcher(service->dispatcher);
+}
+
+/* Whether a dispatcher has to go to another VM, or its service is gone. */
+static bool
+is_misplaced(const dispatchers_t *dispatchers, const char *name)
+{
+	const daemon_t *daemon = dispatchers->daemon;
+
+	return daemon->leaving || !is_first(dispatchers, name) ||
+	    msp_find_service(daemon_release(daemon), name) == NULL;
+}
+
+static const char *
+find_misplaced(const dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	const char *name;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, &name, &value)) {
+		if (is_misplaced(dispatchers, name))
+			return name;
+	}
+	return NULL;
+}
+
+static void
+resume_all(dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value)) {
+		service_dispatch_t *service = value;
+
+		if (msp_dispatcher_paused(service->dispatcher))
+			msp_resume_dispatcher(service->dispatcher);
+	}
+}
+
+static void
+drop_idle(dispatchers_t *dispatchers)
+{
+	service_dispatch_t *one, *next;
+
+	LIST_FOREACH_SAFE(one, &dispatchers->retired, link, next) {
+		if (one->busy > 0)
+			continue;
+		LIST_REMOVE(one, link);
+		drop_service_dispatch(one);
+	}
+}
+
+void
+review_dispatchers(dispatchers_t *dispatchers)
+{
+	const char *name;
+
+	drop_idle(dispatchers);
+	if (members_paused(dispatchers->daemon->members))
+		return;
+	while ((name = find_misplaced(dispatchers)) != NULL)
+		retire(dispatchers, name);
+	resume_all(dispatchers);
+}
+
+size_t
+count_dispatched(const dispatchers_t *dispatchers)
+{
+	const service_dispatch_t *one;
+	size_t cursor = 0;
+	size_t count = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		count += ((service_dispatch_t *)value)->busy;
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		count += one->busy;
+	return count;
+}
+
+msp_dispatcher_t *
+find_dispatcher(const dispatchers_t *dispatchers, const char *service)
+{
+	service_dispatch_t *one = msp_map_get(dispatchers->services, service);
+
+	return one == NULL ? NULL : one->dispatcher;
+}
+
+void
+each_dispatcher(
+    const dispatchers_t *dispatchers, visit_dispatcher_t *visit, void *ctx)
+{
+	const service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value)) {
+		one = value;
+		visit(ctx, one->name, one->dispatcher);
+	}
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		visit(ctx, one->name, one->dispatcher);
+}
--- /dev/null
+++ b/source/spindled/dispatch.h
@@ -0,0 +1,41 @@
+#ifndef SPINDLED_DISPATCH_H
+#define SPINDLED_DISPATCH_H
+
+#include "monsoonspindle/steer/dispatcher.h"
+#include "work.h"
+
+struct daemon;
+
+/*
+ * The dispatchers that this VM runs: one for each service of its data centre
+ * for which it is the first choice of rendezvous hashing.
+ */
+typedef struct dispatchers dispatchers_t;
+
+dispatchers_t *new_dispatchers(struct daemon *daemon);
+void drop_dispatchers(dispatchers_t *dispatchers);
+
+/* Dispatches the work here. */
+void run_local(dispatchers_t *dispatchers, work_t *work);
+
+/* The release in force has changed. */
+void update_dispatchers(dispatchers_t *dispatchers);
+
+/* Hands over what this VM is no longer the first choice for. */
+void review_dispatchers(dispatchers_t *dispatchers);
+
+/* Work that has not ended yet. */
+size_t count_dispatched(const dispatchers_t *dispatchers);
+
+/* NULL if this VM has no dispatcher for the service. */
+msp_dispatcher_t *find_dispatcher(
+    const dispatchers_t *dispatchers, const char *service);
+
+typedef void visit_dispatcher_t(
+    void *ctx, const char *service, msp_dispatcher_t *dispatcher);
+
+/* Visits all dispatchers, those that finish their last work too. */
+void each_dispatcher(
+    const dispatchers_t *dispatchers, visit_dispatcher_t *visit, void *ctx);
+
+#endif
--- /dev/null
+++ b/source/spindled/doubt.c
@@ -0,0 +1,173 @@
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "commits_private.h"
+#include "problem.h"
+#include "query.h"
+
+#define DEPTH_MAX 8
+#define PLACE_SIZE 512
+
+/* An operator's request that waits for the store. */
+typedef struct waiting {
+	bool gone; /* the operator went away */
+	msp_exchange_t *exchange;
+	commits_t *commits;
+} waiting_t;
+
+static waiting_t *
+wait_for_store(commits_t *commits, msp_exchange_t *exchange)
+{
+	waiting_t *waiting = calloc(1, sizeof(*waiting));
+
+	if (waiting == NULL) {
+		answer_error(exchange, MSP_E_NO_MEMORY);
+		return NULL;
+	}
+	waiting->commits = commits;
+	waiting->exchange = exchange;
+	msp_set_exchange_data(exchange, &waiting->gone);
+	return waiting;
+}
+
+static json_object *
+describe_doubt(const msp_doubt_t *doubt)
+{
+	json_object *doc = json_object_new_object();
+
+	json_object_object_add(
+	    doc, "service", json_object_new_string(doubt->service));
+	json_object_object_add(doc, "key", json_object_new_string(doubt->key));
+	json_object_object_add(
+	    doc, "owner", json_object_new_string(doubt->address));
+	json_object_object_add(doc, "owner_gone",
+	    json_object_new_boolean(doubt->owner_gone));
+	json_object_object_add(
+	    doc, "claimed_at_us", json_object_new_uint64(doubt->claimed_at));
+	return doc;
+}
+
+static void
+on_doubts(void *ctx, msp_status_t status, const msp_doubt_t *doubts,
+    size_t count, const char *next)
+{
+	waiting_t *waiting = ctx;
+	json_object *doc;
+	json_object *list;
+	size_t i;
+
+	if (!waiting->gone && status != MSP_OK) {
+		msp_fail(status, "the store did not answer");
+		answer_error(waiting->exchange, status);
+	} else if (!waiting->gone) {
+		doc = json_object_new_object();
+		list = json_object_new_array();
+		for (i = 0; i < count; i++)
+			json_object_array_add(list, describe_doubt(&doubts[i]));
+		json_object_object_add(doc, "doubts", list);
+		json_object_object_add(doc, "next",
+		    next == NULL ? NULL : json_object_new_string(next));
+		answer_json(waiting->exchange, 200,
+		    json_object_to_json_string_ext(
+			doc, JSON_C_TO_STRING_PLAIN));
+		json_object_put(doc);
+	}
+	free(waiting);
+}
+
+void
+get_doubt(commits_t *commits, msp_exchange_t *exchange)
+{
+	char after[PLACE_SIZE];
+	waiting_t *waiting;
+
+	if (read_query(msp_exchange_request(exchange)->path, "after", after,
+		sizeof(after)) != MSP_OK) {
+		answer_error(exchange, MSP_E_BAD_REQUEST);
+		return;
+	}
+	waiting = wait_for_store(commits, exchange);
+	if (waiting == NULL)
+		return;
+	msp_list_doubts(commits->claims, after, on_doubts, waiting);
+	arm_commits(commits);
+}
+
+static void
+on_ruled(void *ctx, msp_status_t status)
+{
+	waiting_t *waiting = ctx;
+
+	if (!waiting->gone && status == MSP_OK) {
+		answer_json(waiting->exchange, 200, "{\"ruled\":true}\n");
+	} else if (!waiting->gone) {
+		msp_fail(status, "the claim was not ruled: %s",
+		    msp_status_answer(status)->title);
+		answer_error(waiting->exchange, status);
+	}
+	free(waiting);
+}
+
+static const char *
+find_text(json_object *doc, const char *key)
+{
+	json_object *value;
+
+	if (!json_object_object_get_ex(doc, key, &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return NULL;
+	return json_object_get_string(value);
+}
+
+/* {"service": S, "key": K, "ruling": "ran" | "not-ran", "who": W} */
+static msp_status_t
+read_ruling(json_object *doc, msp_ruling_t *ruling)
+{
+	const char *verdict = find_text(doc, "ruling");
+
+	ruling->service = find_text(doc, "service");
+	ruling->key = find_text(doc, "key");
+	ruling->who = find_text(doc, "who");
+	if (ruling->service == NULL || ruling->key == NULL ||
+	    ruling->who == NULL)
+		return msp_fail(MSP_E_BAD_REQUEST,
+		    "service, key and who are needed, as text");
+	if (verdict == NULL ||
+	    (strcmp(verdict, "ran") != 0 && strcmp(verdict, "not-ran") != 0))
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "ruling: neither ran nor not-ran");
+	ruling->ran = strcmp(verdict, "ran") == 0;
+	return MSP_OK;
+}
+
+void
+post_doubt(commits_t *commits, msp_exchange_t *exchange)
+{
+	const msp_buffer_t *body = &msp_exchange_request(exchange)->body;
+	json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX);
+	json_object *doc = NULL;
+	msp_ruling_t ruling = { 0 };
+	waiting_t *waiting;
+	msp_status_t status;
+
+	if (tokener != NULL)
+		doc = json_tokener_parse_ex(
+		    tokener, msp_buffer_text(body), (int)body->len + 1);
+	status = json_object_is_type(doc, json_type_object) ?
+	    read_ruling(doc, &ruling) :
+	    msp_fail(MSP_E_BAD_REQUEST, "not a JSON object");
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+	} else {
+		waiting = wait_for_store(commits, exchange);
+		if (waiting != NULL)
+			msp_rule_claim(
+			    commits->claims, &ruling, on_ruled, waiting);
+		arm_commits(commits);
+	}
+	json_object_put(doc);
+	json_tokener_free(tokener);
+}
--- /dev/null
+++ b/source/spindled/entry.c
@@ -0,0 +1,214 @@
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "commits.h"
+#include "daemon.h"
+#include "entry_request.h"
+#include "log.h"
+#include "lookup.h"
+#include "problem.h"
+#include "route.h"
+
+#define RETRY_AFTER_MS 1000
+
+struct entries {
+	TAILQ_HEAD(, entry) list;
+	size_t count;
+};
+
+entries_t *
+new_entries(struct daemon *daemon)
+{
+	entries_t *entries = calloc(1, sizeof(*entries));
+
+	(void)daemon;
+	if (entries != NULL)
+		TAILQ_INIT(&entries->list);
+	return entries;
+}
+
+static void
+free_entry(entry_t *entry)
+{
+	entries_t *entries = entry->daemon->entries;
+
+	TAILQ_REMOVE(&entries->list, entry, link);
+	entries->count--;
+	work_drop(&entry->work);
+	free(entry);
+}
+
+void
+drop_entries(entries_t *entries)
+{
+	entry_t *entry;
+
+	if (entries == NULL)
+		return;
+	while ((entry = TAILQ_FIRST(&entries->list)) != NULL)
+		free_entry(entry);
+	free(entries);
+}
+
+size_t
+count_entries(const entries_t *entries)
+{
+	return entries->count;
+}
+
+void
+answer_entry(entry_t *entry, work_result_t *result)
+{
+	daemon_t *daemon = entry->daemon;
+	msp_headers_t *headers = &result->response.headers;
+
+	if (!result->answered) {
+		refuse_entry(entry, &result->refusal);
+		return;
+	}
+	msp_count(daemon->counters, 1,
+	    "msp_requests_total{service=\"%s\",class=\"%s\",ended=\"answered\"}",
+	    entry->work.service, msp_class_name(entry->work.class));
+	if (entry->exchange != NULL) {
+		if (msp_find_header(headers, "x-request-id") == NULL)
+			msp_add_header(headers, "X-Request-ID", entry->work.id);
+		msp_answer_exchange(entry->exchange, &result->response);
+	}
+	free_entry(entry);
+}
+
+void
+refuse_entry(entry_t *entry, const msp_refusal_t *refusal)
+{
+	daemon_t *daemon = entry->daemon;
+	const work_t *work = &entry->work;
+	msp_decision_t decision = { .what = "refuse",
+		.request_id = work->id,
+		.service = work->service,
+		.reason = msp_status_name(refusal->status),
+		.wait = msp_now(&daemon->env) - work->arrival };
+	problem_t problem = { .refusal = *refusal,
+		.request_id = work->id,
+		.key = work->key,
+		.attempt = entry->attempt,
+		.has_run = true };
+
+	msp_count(daemon->counters, 1, "msp_refusals_total{kind=\"%s\"}",
+	    msp_status_name(refusal->status));
+	log_decision(NULL, &decision);
+	if (entry->exchange != NULL)
+		answer_problem(entry->exchange, &problem);
+	free_entry(entry);
+}
+
+/* A refusal before anything of the request was sent anywhere. */
+static void
+refuse_early(entry_t *entry, msp_status_t status)
+{
+	const msp_answer_t *answer = msp_status_answer(status);
+	msp_refusal_t refusal = { .status = status,
+		.run = MSP_RUN_NO,
+		.retry_after_ms = answer->retry_later ? RETRY_AFTER_MS : 0,
+		.reason = msp_last_message() };
+
+	/* An earlier try of a commit may have run. */
+	if (entry->work.key[0] != '\0' && entry->attempt != 1)
+		refusal.run = MSP_RUN_UNKNOWN;
+	refuse_entry(entry, &refusal);
+}
+
+static void
+on_read_done(void *ctx, work_t *work, work_result_t *result)
+{
+	(void)work;
+	answer_entry(ctx, result);
+}
+
+static void
+start_entry(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	entry_t *entry = calloc(1, sizeof(*entry));
+	msp_status_t status;
+
+	if (entry == NULL) {
+		answer_error(exchange, MSP_E_NO_MEMORY);
+		return;
+	}
+	entry->daemon = daemon;
+	entry->exchange = exchange;
+	msp_set_exchange_data(exchange, entry);
+	TAILQ_INSERT_TAIL(&daemon->entries->list, entry, link);
+	daemon->entries->count++;
+	status = read_entry_request(daemon, entry);
+	if (status != MSP_OK) {
+		refuse_early(entry, status);
+		return;
+	}
+	if (!entry->work.is_idempotent) {
+		start_commit(daemon->commits, entry);
+		return;
+	}
+	entry->work.done = on_read_done;
+	entry->work.ctx = entry;
+	run_routed(daemon, &entry->work);
+}
+
+static void
+on_request(void *ctx, msp_exchange_t *exchange)
+{
+	daemon_t *daemon = ctx;
+	const char *path = msp_exchange_request(exchange)->path;
+
+	if (strncmp(path, SERVICES_PATH, sizeof(SERVICES_PATH) - 1) == 0) {
+		start_entry(daemon, exchange);
+	} else if (strncmp(path, "/v1/entries", 11) == 0 &&
+	    (path[11] == '\0' || path[11] == '?')) {
+		answer_lookup(daemon, exchange);
+	} else {
+		msp_fail(MSP_E_UNKNOWN_ROUTE, "no such path");
+		answer_error(exchange, MSP_E_UNKNOWN_ROUTE);
+	}
+}
+
+/*
+ * A read is cancelled down to its target. A commit goes on: its outcome is
+ * kept for the caller's next try.
+ */
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	entry_t *entry = msp_exchange_data(exchange);
+
+	(void)ctx;
+	if (entry == NULL)
+		return;
+	msp_count(entry->daemon->counters, 1, "msp_callers_gone_total");
+	entry->exchange = NULL;
+	if (entry->tried != NULL)
+		leave_commit(entry->daemon->commits, entry);
+	else
+		work_cancel(&entry->work);
+	free_entry(entry);
+}
+
+msp_http_server_t *
+open_caller_listener(struct daemon *daemon)
+{
+	const msp_settings_limits_t *limits = &daemon->settings->limits;
+	msp_http_server_options_t options = {
+		.address = daemon->settings->address,
+		.port = daemon->settings->caller_port,
+		.limits = { .max_body = limits->max_body_bytes,
+		    .max_headers = limits->max_header_bytes,
+		    .max_connections = limits->max_connections,
+		    .head_timeout_ms = limits->head_timeout_ms,
+		    .body_timeout_ms = limits->body_timeout_ms },
+		.handler = { .on_request = on_request,
+		    .on_gone = on_gone,
+		    .ctx = daemon },
+	};
+
+	return msp_new_http_server(daemon->loop, &options);
+}
--- /dev/null
+++ b/source/spindled/load_report.h
@@ -0,0 +1,17 @@
+#ifndef SPINDLED_LOAD_REPORT_H
+#define SPINDLED_LOAD_REPORT_H
+
+#include "monsoonspindle/steer/dispatcher.h"
+
+/* A target's own report of its load. */
+typedef struct load_report {
+	uint32_t slots;
+	uint32_t in_use;
+	msp_target_state_t state;
+} load_report_t;
+
+/* Reads {"slots": 9, "in_use": 2, "state": "ready"}; MSP_E_SYNTAX if wrong. */
+msp_status_t parse_load_report(
+    const char *text, size_t len, load_report_t *report);
+
+#endif
--- /dev/null
+++ b/source/spindled/lookup.h
@@ -0,0 +1,11 @@
+#ifndef SPINDLED_LOOKUP_H
+#define SPINDLED_LOOKUP_H
+
+#include "monsoonspindle/net/http_server.h"
+
+struct daemon;
+
+/* Answers `GET /v1/entries?service=S[&place=P]`: which VMs to use. */
+void answer_lookup(struct daemon *daemon, msp_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/source/spindled/members.h
@@ -0,0 +1,30 @@
+#ifndef SPINDLED_MEMBERS_H
+#define SPINDLED_MEMBERS_H
+
+#include "monsoonspindle/coord/membership.h"
+
+struct daemon;
+struct msp_dispatcher;
+
+/* The VM's membership of its data centre, over ONC RPC on UDP. */
+typedef struct members members_t;
+
+/* Returns NULL with a last message. */
+members_t *new_members(struct daemon *daemon);
+void drop_members(members_t *members);
+
+/* Borrowed. */
+msp_membership_t *members_list(const members_t *members);
+
+/* The VM that dispatches `service` in this data centre; NULL if none is up. */
+const msp_member_t *first_member(
+    const members_t *members, const char *service);
+
+/* The process was paused, and its peers were not heard yet. */
+bool members_paused(const members_t *members);
+
+/* Tells a new dispatcher what other VMs last had in flight. */
+void inherit_loads(const members_t *members, const char *service,
+    struct msp_dispatcher *dispatcher);
+
+#endif
--- /dev/null
+++ b/source/spindled/operators.c
@@ -0,0 +1,299 @@
+#include "operators.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "commits.h"
+#include "daemon.h"
+#include "dispatch.h"
+#include "entry.h"
+#include "log.h"
+#include "members.h"
+#include "places.h"
+#include "problem.h"
+#include "releases.h"
+
+typedef void serve_t(daemon_t *daemon, msp_exchange_t *exchange);
+
+/* One path of the operators' interface. */
+typedef struct operator_route {
+	const char *method;
+	const char *path;
+	bool open; /* without a token */
+	serve_t *serve;
+} operator_route_t;
+
+static void
+serve_health(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	(void)daemon;
+	answer_json(exchange, 200, "{\"healthy\":true}\n");
+}
+
+static void
+serve_ready(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	if (!daemon_ready(daemon)) {
+		msp_fail(MSP_E_NOT_READY, "no release in force here yet");
+		answer_error(exchange, MSP_E_NOT_READY);
+		return;
+	}
+	if (daemon->leaving) {
+		msp_fail(MSP_E_LEAVING, "this VM is leaving");
+		answer_error(exchange, MSP_E_LEAVING);
+		return;
+	}
+	answer_json(exchange, 200, "{\"ready\":true}\n");
+}
+
+static void
+set_gauges(daemon_t *daemon)
+{
+	msp_counters_t *counters = daemon->counters;
+
+	*msp_counter(counters, "msp_release_version") =
+	    daemon_release(daemon)->version;
+	*msp_counter(counters, "msp_requests_in_hand") =
+	    count_entries(daemon->entries);
+	*msp_counter(counters, "msp_requests_dispatched") =
+	    count_dispatched(daemon->dispatchers);
+	*msp_counter(counters, "msp_commits_open") =
+	    count_commits(daemon->commits);
+}
+
+static void
+serve_metrics(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	msp_response_t response = { .status = 200 };
+
+	set_gauges(daemon);
+	msp_add_header(&response.headers, "Content-Type",
+	    "text/plain; version=0.0.4; charset=utf-8");
+	msp_print_counters(daemon->counters, &response.body);
+	msp_answer_exchange(exchange, &response);
+}
+
+static json_object *
+describe_member(const msp_member_t *member)
+{
+	json_object *doc = json_object_new_object();
+
+	json_object_object_add(doc, "vm", json_object_new_string(member->name));
+	json_object_object_add(
+	    doc, "region", json_object_new_string(member->region));
+	json_object_object_add(
+	    doc, "place", json_object_new_string(member->place));
+	json_object_object_add(
+	    doc, "address", json_object_new_string(member->address));
+	json_object_object_add(
+	    doc, "caller_port", json_object_new_int(member->caller_port));
+	json_object_object_add(
+	    doc, "peer_port", json_object_new_int(member->peer_port));
+	json_object_object_add(doc, "state",
+	    json_object_new_string(msp_member_state_name(member->state)));
+	json_object_object_add(doc, "incarnation",
+	    json_object_new_uint64(member->incarnation));
+	json_object_object_add(
+	    doc, "version", json_object_new_uint64(member->release));
+	return doc;
+}
+
+static json_object *
+describe_members(const daemon_t *daemon, bool with_dead)
+{
+	const msp_membership_t *list = members_list(daemon->members);
+	json_object *members = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (with_dead || member->state != MSP_MEMBER_DEAD)
+			json_object_array_add(
+			    members, describe_member(member));
+	}
+	return members;
+}
+
+static void
+answer_document(msp_exchange_t *exchange, json_object *doc)
+{
+	answer_json(exchange, 200,
+	    json_object_to_json_string_ext(doc, JSON_C_TO_STRING_PLAIN));
+	json_object_put(doc);
+}
+
+static void
+serve_members(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	json_object *doc = json_object_new_object();
+
+	json_object_object_add(
+	    doc, "members", describe_members(daemon, true));
+	json_object_object_add(
+	    doc, "places", describe_places(daemon->places));
+	answer_document(exchange, doc);
+}
+
+static void
+serve_status(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	const msp_release_t *release = daemon_release(daemon);
+	json_object *doc = json_object_new_object();
+	char digest[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(release->digest, digest);
+	json_object_object_add(
+	    doc, "vm", json_object_new_string(daemon->settings->vm));
+	json_object_object_add(
+	    doc, "place", json_object_new_string(daemon->settings->place));
+	json_object_object_add(
+	    doc, "ready", json_object_new_boolean(daemon_ready(daemon)));
+	json_object_object_add(
+	    doc, "leaving", json_object_new_boolean(daemon->leaving));
+	json_object_object_add(
+	    doc, "version", json_object_new_uint64(release->version));
+	json_object_object_add(doc, "digest", json_object_new_string(digest));
+	json_object_object_add(
+	    doc, "note", json_object_new_string(release->note));
+	json_object_object_add(
+	    doc, "members", describe_members(daemon, false));
+	json_object_object_add(
+	    doc, "places", describe_places(daemon->places));
+	answer_document(exchange, doc);
+}
+
+static void
+serve_leave(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	answer_json(exchange, 202, "{\"leaving\":true}\n");
+	daemon_leave(daemon);
+}
+
+static void
+serve_post_release(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	post_release(daemon->releases, exchange);
+}
+
+static void
+serve_history(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	get_history(daemon->releases, exchange);
+}
+
+static void
+serve_release(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	get_release(daemon->releases, exchange);
+}
+
+static void
+serve_get_doubt(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	get_doubt(daemon->commits, exchange);
+}
+
+static void
+serve_post_doubt(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	post_doubt(daemon->commits, exchange);
+}
+
+static const operator_route_t routes[] = {
+	{ "GET", "/healthz", true, serve_health },
+	{ "GET", "/readyz", true, serve_ready },
+	{ "GET", "/metrics", true, serve_metrics },
+	{ "GET", "/v1/status", false, serve_status },
+	{ "GET", "/v1/members", false, serve_members },
+	{ "GET", "/v1/release", false, serve_release },
+	{ "GET", "/v1/releases", false, serve_history },
+	{ "POST", "/v1/releases", false, serve_post_release },
+	{ "GET", "/v1/doubt", false, serve_get_doubt },
+	{ "POST", "/v1/doubt", false, serve_post_doubt },
+	{ "POST", "/v1/leave", false, serve_leave },
+};
+
+/* Compares in a time that does not depend on the given token. */
+static bool
+is_token_valid(const daemon_t *daemon, const msp_request_t *request)
+{
+	const char *token = daemon->settings->operator_token;
+	const char *given = msp_find_header(&request->headers, "authorization");
+	size_t len = strlen(token);
+	unsigned char diff = 0;
+	size_t i;
+
+	if (given == NULL || strncmp(given, "Bearer ", 7) != 0)
+		return false;
+	given += 7;
+	if (strlen(given) != len)
+		return false;
+	for (i = 0; i < len; i++)
+		diff |= (unsigned char)(given[i] ^ token[i]);
+	return diff == 0;
+}
+
+static void
+on_request(void *ctx, msp_exchange_t *exchange)
+{
+	daemon_t *daemon = ctx;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	size_t len = strcspn(request->path, "?");
+	bool path_known = false;
+	size_t i;
+
+	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
+		const operator_route_t *route = &routes[i];
+
+		if (strlen(route->path) != len ||
+		    strncmp(route->path, request->path, len) != 0)
+			continue;
+		path_known = true;
+		if (strcmp(route->method, request->method) != 0)
+			continue;
+		if (!route->open && !is_token_valid(daemon, request)) {
+			log_warn("event=operator-refused peer=%s path=%s",
+			    msp_exchange_peer(exchange), route->path);
+			msp_fail(MSP_E_UNAUTHORIZED,
+			    "Authorization: Bearer TOKEN is needed");
+			answer_error(exchange, MSP_E_UNAUTHORIZED);
+			return;
+		}
+		route->serve(daemon, exchange);
+		return;
+	}
+	msp_fail(path_known ? MSP_E_METHOD : MSP_E_UNKNOWN_ROUTE,
+	    path_known ? "method not allowed here" : "no such path");
+	answer_error(exchange, path_known ? MSP_E_METHOD : MSP_E_UNKNOWN_ROUTE);
+}
+
+/* Work that waits for the store finds its exchange gone by its data. */
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	bool *gone = msp_exchange_data(exchange);
+
+	(void)ctx;
+	if (gone != NULL)
+		*gone = true;
+}
+
+msp_http_server_t *
+open_operator_listener(struct daemon *daemon)
+{
+	const msp_settings_t *settings = daemon->settings;
+	msp_http_server_options_t options = {
+		.address = settings->address,
+		.port = settings->operator_port,
+		.limits = { .max_body = 4 << 20 },
+		.handler = { .on_request = on_request,
+		    .on_gone = on_gone,
+		    .ctx = daemon },
+	};
+
+	return msp_new_http_server(daemon->loop, &options);
+}
--- /dev/null
+++ b/source/spindled/operators.h
@@ -0,0 +1,11 @@
+#ifndef SPINDLED_OPERATORS_H
+#define SPINDLED_OPERATORS_H
+
+#include "monsoonspindle/net/http_server.h"
+
+struct daemon;
+
+/* Opens the operators' listener. Returns NULL with a last message. */
+msp_http_server_t *open_operator_listener(struct daemon *daemon);
+
+#endif
--- /dev/null
+++ b/source/spindled/peers.c
@@ -0,0 +1,147 @@
+#include "peers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "commits.h"
+#include "daemon.h"
+#include "dispatch.h"
+#include "members.h"
+#include "problem.h"
+#include "releases.h"
+#include "remote.h"
+#include "wire.h"
+
+#define RETRY_AFTER_MS 500
+
+/* One work that another VM sent. */
+typedef struct peer_work {
+	daemon_t *daemon;
+	msp_exchange_t *exchange;
+	work_t work;
+} peer_work_t;
+
+static void
+on_work_done(void *ctx, work_t *work, work_result_t *result)
+{
+	peer_work_t *peer = ctx;
+	msp_response_t response = { 0 };
+	msp_status_t status;
+
+	if (result->vm[0] == '\0')
+		memcpy(result->vm, peer->daemon->settings->vm,
+		    sizeof(result->vm));
+	status = wire_write_result(result, &response);
+	if (status == MSP_OK) {
+		msp_answer_exchange(peer->exchange, &response);
+	} else {
+		msp_drop_response(&response);
+		answer_error(peer->exchange, status);
+	}
+	work_drop(work);
+	free(peer);
+}
+
+/* Passes work on that came from another data centre. */
+static void
+pass_on(daemon_t *daemon, work_t *work)
+{
+	const msp_member_t *first =
+	    first_member(daemon->members, work->service);
+
+	work->hops_left--;
+	if (first == NULL || strcmp(first->name, daemon->settings->vm) == 0)
+		run_local(daemon->dispatchers, work);
+	else
+		run_remote(daemon, work, first->address, first->peer_port);
+}
+
+static void
+take_work(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	peer_work_t *peer = calloc(1, sizeof(*peer));
+	work_t *work;
+	msp_status_t status;
+
+	if (peer == NULL) {
+		answer_error(exchange, MSP_E_NO_MEMORY);
+		return;
+	}
+	work = &peer->work;
+	peer->daemon = daemon;
+	peer->exchange = exchange;
+	work->done = on_work_done;
+	work->ctx = peer;
+	status = wire_read_work(
+	    msp_exchange_request(exchange), msp_now(&daemon->env), work);
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+		work_drop(work);
+		free(peer);
+		return;
+	}
+	msp_set_exchange_data(exchange, peer);
+	if (strcmp(work->place, daemon->settings->place) != 0) {
+		work_refuse(work, MSP_E_NO_TARGET, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "the work is for another data centre");
+		return;
+	}
+	if (work->hops_left > 0)
+		pass_on(daemon, work);
+	else
+		run_local(daemon->dispatchers, work);
+}
+
+static void
+on_request(void *ctx, msp_exchange_t *exchange)
+{
+	daemon_t *daemon = ctx;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *path = request->path;
+
+	if (strncmp(path, WIRE_PATH_PREFIX "/",
+		sizeof(WIRE_PATH_PREFIX)) == 0) {
+		take_work(daemon, exchange);
+	} else if (strncmp(path, "/v1/notes", 9) == 0) {
+		serve_notes(daemon->releases, exchange);
+	} else if (strncmp(path, "/v1/claims/", 11) == 0) {
+		serve_claim_question(daemon->commits, exchange);
+	} else {
+		msp_fail(MSP_E_UNKNOWN_ROUTE, "no such path");
+		answer_error(exchange, MSP_E_UNKNOWN_ROUTE);
+	}
+}
+
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	peer_work_t *peer = msp_exchange_data(exchange);
+
+	(void)ctx;
+	if (peer == NULL)
+		return;
+	work_cancel(&peer->work);
+	work_drop(&peer->work);
+	free(peer);
+}
+
+msp_http_server_t *
+open_peer_listener(struct daemon *daemon)
+{
+	const msp_settings_t *settings = daemon->settings;
+	msp_http_server_options_t options = {
+		.address = settings->address,
+		.port = settings->peer_port,
+		.limits = {
+		    .max_body = settings->limits.max_body_bytes,
+		    /* The system's own headers come on top of a caller's. */
+		    .max_headers = settings->limits.max_header_bytes + 8192,
+		    .max_connections = settings->limits.max_connections,
+		},
+		.handler = { .on_request = on_request,
+		    .on_gone = on_gone,
+		    .ctx = daemon },
+	};
+
+	return msp_new_http_server(daemon->loop, &options);
+}
--- /dev/null
+++ b/source/spindled/peers.h
@@ -0,0 +1,14 @@
+#ifndef SPINDLED_PEERS_H
+#define SPINDLED_PEERS_H
+
+#include "monsoonspindle/net/http_server.h"
+
+struct daemon;
+
+/*
+ * Opens the listener for other VMs: work on its way to a dispatcher, release
+ * notes, and questions about claims. Returns NULL with a last message.
+ */
+msp_http_server_t *open_peer_listener(struct daemon *daemon);
+
+#endif
--- /dev/null
+++ b/source/spindled/releases.h
@@ -0,0 +1,32 @@
+#ifndef SPINDLED_RELEASES_H
+#define SPINDLED_RELEASES_H
+
+#include "monsoonspindle/config/release.h"
+#include "monsoonspindle/net/http_server.h"
+
+struct daemon;
+
+/* The releases of this VM: the ledger, its store, and its peers. */
+typedef struct releases releases_t;
+
+releases_t *new_releases(struct daemon *daemon);
+void drop_releases(releases_t *releases);
+
+/* The release in force; never NULL. Borrowed. */
+const msp_release_t *current_release(const releases_t *releases);
+
+/* Whether there is a release from the store or from a peer. */
+bool releases_ready(const releases_t *releases);
+
+/* Answers a peer's `GET /v1/notes?after=V`. */
+void serve_notes(releases_t *releases, msp_exchange_t *exchange);
+
+/* A peer reported this version: pulls what is missing. */
+void hear_version(releases_t *releases, uint64_t version);
+
+/* The operators' requests: POST and GET /v1/releases, GET /v1/release. */
+void post_release(releases_t *releases, msp_exchange_t *exchange);
+void get_history(releases_t *releases, msp_exchange_t *exchange);
+void get_release(releases_t *releases, msp_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/source/spindled/service_dispatch.c
@@ -0,0 +1,210 @@
+#include "service_dispatch.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "target_call.h"
+#include "target_report.h"
+
+#define TARGETS_MAX 4096 /* of one service in one data centre */
+
+static void
+refuse_job(void *ctx, msp_job_t *job, const msp_refusal_t *refusal)
+{
+	service_dispatch_t *service = ctx;
+	dispatch_t *dispatch = job->user;
+	work_result_t result = { .refusal = *refusal };
+
+	msp_count(service->daemon->counters, 1,
+	    "msp_dispatch_refused_total{service=\"%s\",kind=\"%s\"}",
+	    service->name, msp_status_name(refusal->status));
+	finish_dispatch(dispatch, &result);
+}
+
+static void
+forget_connections(void *ctx, const msp_target_ref_t *target)
+{
+	service_dispatch_t *service = ctx;
+	const target_address_t *address = target->address;
+
+	log_warn("event=silent-connections service=%s target=%s", service->name,
+	    target->name);
+	msp_forget_connections(
+	    service->daemon->target_client, address->address, address->port);
+}
+
+static msp_dispatch_policy_t
+read_policy(const daemon_t *daemon, const char *name)
+{
+	const msp_service_t *spec =
+	    msp_find_service(daemon_release(daemon), name);
+	msp_dispatch_policy_t policy;
+
+	if (spec == NULL)
+		return msp_default_policy(MSP_PREFER_LATENCY);
+	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM ?
+		MSP_PREFER_HEADROOM :
+		MSP_PREFER_LATENCY);
+	policy.hedge = spec->hedging;
+	policy.retry_budget_percent = spec->retry_budget_percent;
+	policy.reserve_percent = spec->reserve_percent;
+	policy.default_deadline = spec->deadline_ms * MSP_MS;
+	return policy;
+}
+
+service_dispatch_t *
+new_service_dispatch(
+    daemon_t *daemon, const char *name, msp_quarantine_list_t *quarantine)
+{
+	service_dispatch_t *service = calloc(1, sizeof(*service));
+	msp_dispatcher_options_t options = { .service = name,
+		.place = daemon->settings->place,
+		.policy = read_policy(daemon, name),
+		.quarantine = quarantine };
+	msp_dispatcher_callbacks_t callbacks = { .start = start_target_call,
+		.cancel_attempt = cancel_target_call,
+		.refuse = refuse_job,
+		.forget_connections = forget_connections,
+		.decide = log_decision,
+		.ctx = service };
+
+	if (service == NULL)
+		return NULL;
+	service->daemon = daemon;
+	snprintf(service->name, sizeof(service->name), "%s", name);
+	LIST_INIT(&service->reports);
+	service->addresses = msp_new_map();
+	service->dispatcher =
+	    msp_new_dispatcher(&daemon->env, &options, &callbacks);
+	if (service->addresses == NULL || service->dispatcher == NULL ||
+	    start_reports(service) != MSP_OK) {
+		drop_service_dispatch(service);
+		return NULL;
+	}
+	update_service_dispatch(service);
+	return service;
+}
+
+void
+drop_service_dispatch(service_dispatch_t *service)
+{
+	size_t cursor = 0;
+	void *address;
+
+	if (service == NULL)
+		return;
+	stop_reports(service);
+	msp_drop_dispatcher(service->dispatcher);
+	while (service->addresses != NULL &&
+	    msp_map_next(service->addresses, &cursor, NULL, &address))
+		free(address);
+	msp_drop_map(service->addresses);
+	free(service);
+}
+
+static target_address_t *
+intern_address(service_dispatch_t *service, const msp_target_t *target)
+{
+	char key[MSP_ADDRESS_SIZE + 8];
+	target_address_t *address;
+
+	snprintf(key, sizeof(key), "%s:%u", target->address, target->port);
+	address = msp_map_get(service->addresses, key);
+	if (address != NULL)
+		return address;
+	address = calloc(1, sizeof(*address));
+	if (address == NULL)
+		return NULL;
+	memcpy(address->address, target->address, sizeof(address->address));
+	address->port = target->port;
+	if (msp_map_put(service->addresses, key, address) != MSP_OK) {
+		free(address);
+		return NULL;
+	}
+	return address;
+}
+
+void
+update_service_dispatch(service_dispatch_t *service)
+{
+	daemon_t *daemon = service->daemon;
+	const msp_release_t *release = daemon_release(daemon);
+	const msp_place_t *place =
+	    msp_find_place(release, daemon->settings->place);
+	bool draining = place != NULL && place->state == MSP_DRAINING;
+	msp_dispatch_policy_t policy = read_policy(daemon, service->name);
+	msp_target_spec_t *specs = calloc(TARGETS_MAX, sizeof(*specs));
+	const msp_target_t *target;
+	msp_cursor_t cursor = { 0 };
+	size_t count = 0;
+
+	if (specs == NULL)
+		return;
+	while (count < TARGETS_MAX &&
+	    (target = msp_next_target(release, service->name,
+		 daemon->settings->place, &cursor)) != NULL) {
+		msp_target_spec_t *spec = &specs[count];
+
+		spec->name = target->name;
+		spec->address = intern_address(service, target);
+		spec->slots = target->slots;
+		spec->state = draining || target->state == MSP_DRAINING ?
+		    MSP_TARGET_LEAVING :
+		    MSP_TARGET_READY;
+		if (spec->address != NULL)
+			count++;
+	}
+	msp_set_dispatcher_policy(service->dispatcher, &policy);
+	if (msp_set_dispatcher_targets(service->dispatcher, specs, count) !=
+	    MSP_OK)
+		log_error("event=targets-failed service=%s error=%s",
+		    service->name, msp_last_message());
+	free(specs);
+}
+
+static void
+cancel_dispatch(work_t *work)
+{
+	dispatch_t *dispatch = work->runner;
+	service_dispatch_t *service = dispatch->service;
+
+	msp_cancel_job(service->dispatcher, &dispatch->job);
+	service->busy--;
+	free(dispatch);
+}
+
+void
+run_service_work(service_dispatch_t *service, work_t *work)
+{
+	dispatch_t *dispatch = calloc(1, sizeof(*dispatch));
+
+	if (dispatch == NULL) {
+		work_refuse(work, MSP_E_NO_MEMORY, MSP_RUN_NO, false, 0,
+		    "no memory to dispatch the request");
+		return;
+	}
+	dispatch->service = service;
+	dispatch->work = work;
+	dispatch->job = (msp_job_t) { .request_id = work->id,
+		.class = work->class,
+		.is_idempotent = work->is_idempotent,
+		.arrival = work->arrival,
+		.deadline = work->deadline,
+		.fingerprint = work->fingerprint,
+		.retries_left = work->retries_left,
+		.user = dispatch };
+	service->busy++;
+	work->cancel = cancel_dispatch;
+	work->runner = dispatch;
+	msp_submit_job(service->dispatcher, &dispatch->job);
+}
+
+void
+tick_service(service_dispatch_t *service)
+{
+	if (msp_now(&service->daemon->env) >=
+	    msp_dispatcher_due(service->dispatcher))
+		msp_tick_dispatcher(service->dispatcher);
+}
--- /dev/null
+++ b/source/spindled/target_call.c
@@ -0,0 +1,170 @@
+#include "target_call.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HTTP_SERVICE_UNAVAILABLE 503
+#define RETRY_AFTER_MAX_S 60
+
+static target_call_t *
+find_call(dispatch_t *dispatch, msp_attempt_t attempt)
+{
+	size_t i;
+
+	for (i = 0; i < DISPATCH_CALLS; i++) {
+		if (dispatch->calls[i].attempt == attempt)
+			return &dispatch->calls[i];
+	}
+	return NULL;
+}
+
+/* A target that sheds says 503 with Retry-After: it did not take the request. */
+static bool
+is_shed(const msp_response_t *response, msp_time_t *retry_after)
+{
+	const char *value;
+	long seconds;
+
+	if (response->status != HTTP_SERVICE_UNAVAILABLE)
+		return false;
+	value = msp_find_header(&response->headers, "retry-after");
+	if (value == NULL)
+		return false;
+	seconds = strtol(value, NULL, 10);
+	if (seconds < 0)
+		seconds = 0;
+	if (seconds > RETRY_AFTER_MAX_S)
+		seconds = RETRY_AFTER_MAX_S;
+	*retry_after = (msp_time_t)seconds * MSP_SECOND;
+	return true;
+}
+
+static msp_outcome_t
+judge(const msp_call_result_t *ended, msp_time_t *retry_after)
+{
+	switch (ended->status) {
+	case MSP_OK:
+		return is_shed(ended->response, retry_after) ? MSP_OUTCOME_SHED :
+							       MSP_OUTCOME_WHOLE;
+	case MSP_E_ANSWER_TOO_LARGE:
+		return MSP_OUTCOME_WHOLE;
+	case MSP_E_PEER_DOWN:
+		return ended->maybe_sent ? MSP_OUTCOME_CUT :
+					   MSP_OUTCOME_REFUSED_CONNECTION;
+	case MSP_E_DEADLINE:
+		return ended->silent ? MSP_OUTCOME_SILENT : MSP_OUTCOME_CUT;
+	default:
+		return MSP_OUTCOME_CUT;
+	}
+}
+
+void
+finish_dispatch(dispatch_t *dispatch, work_result_t *result)
+{
+	work_t *work = dispatch->work;
+
+	snprintf(result->vm, sizeof(result->vm), "%s",
+	    dispatch->service->daemon->settings->vm);
+	dispatch->service->busy--;
+	free(dispatch);
+	work_finish(work, result);
+}
+
+static void
+on_target_answer(void *ctx, msp_call_result_t *ended)
+{
+	target_call_t *call = ctx;
+	dispatch_t *dispatch = call->dispatch;
+	service_dispatch_t *service = dispatch->service;
+	msp_attempt_t attempt = call->attempt;
+	msp_time_t retry_after = 0;
+	msp_outcome_t outcome = judge(ended, &retry_after);
+	work_result_t result = { 0 };
+
+	memcpy(result.target, call->target, sizeof(result.target));
+	memset(call, 0, sizeof(*call));
+	msp_count(service->daemon->counters, 1,
+	    "msp_target_attempts_total{service=\"%s\",target=\"%s\","
+	    "ended=\"%d\"}",
+	    service->name, result.target, (int)outcome);
+	if (msp_attempt_ended(service->dispatcher, &dispatch->job, attempt,
+		outcome, retry_after) != MSP_VERDICT_DONE)
+		return;
+	if (ended->status == MSP_E_ANSWER_TOO_LARGE) {
+		result.refusal = (msp_refusal_t) {
+			.status = MSP_E_ANSWER_TOO_LARGE,
+			.run = MSP_RUN_UNKNOWN,
+			.try_started = true,
+			.reason = "the target's answer is over the bound",
+		};
+	} else {
+		result.answered = true;
+		result.response = *ended->response;
+		memset(ended->response, 0, sizeof(*ended->response));
+	}
+	finish_dispatch(dispatch, &result);
+}
+
+/* What the target needs to know of the request's way here. */
+static msp_status_t
+add_headers(const work_t *work, msp_time_t now, msp_request_t *request)
+{
+	msp_headers_t *headers = &request->headers;
+
+	if (msp_find_header(headers, "x-request-id") == NULL &&
+	    msp_add_header(headers, "X-Request-ID", work->id) != MSP_OK)
+		return MSP_E_HEADERS_TOO_LARGE;
+	return msp_print_header(headers, "Request-Time-Left", "%u",
+	    work_time_left_ms(work, now));
+}
+
+void
+start_target_call(void *ctx, msp_job_t *job, const msp_target_ref_t *target,
+    bool fresh, msp_attempt_t attempt)
+{
+	service_dispatch_t *service = ctx;
+	dispatch_t *dispatch = job->user;
+	daemon_t *daemon = service->daemon;
+	const target_address_t *address = target->address;
+	msp_time_t now = msp_now(&daemon->env);
+	target_call_t *call = find_call(dispatch, 0);
+	msp_call_options_t options = { .address = address->address,
+		.port = address->port,
+		.timeout_ms = work_time_left_ms(dispatch->work, now),
+		.fresh = fresh };
+	msp_request_t request;
+
+	if (work_copy_request(dispatch->work, &request) != MSP_OK)
+		goto fail;
+	if (call == NULL ||
+	    add_headers(dispatch->work, now, &request) != MSP_OK) {
+		msp_drop_request(&request);
+		goto fail;
+	}
+	call->dispatch = dispatch;
+	call->attempt = attempt;
+	snprintf(call->target, sizeof(call->target), "%s", target->name);
+	call->call = msp_start_call(daemon->target_client, &options, &request,
+	    on_target_answer, call);
+	msp_drop_request(&request);
+	if (call->call != NULL)
+		return;
+	memset(call, 0, sizeof(*call));
+fail:
+	msp_attempt_ended(service->dispatcher, job, attempt,
+	    MSP_OUTCOME_REFUSED_CONNECTION, 0);
+}
+
+void
+cancel_target_call(void *ctx, msp_job_t *job, msp_attempt_t attempt)
+{
+	dispatch_t *dispatch = job->user;
+	target_call_t *call = find_call(dispatch, attempt);
+
+	(void)ctx;
+	if (call == NULL)
+		return;
+	msp_cancel_call(call->call);
+	memset(call, 0, sizeof(*call));
+}
--- /dev/null
+++ b/source/spindled/wire.c
@@ -0,0 +1,282 @@
+#include "wire.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define NUMBER_SIZE 24
+#define RETRIES_MAX 16
+#define DEADLINE_MAX_MS (60 * 60 * 1000U)
+
+/* Header fields of one connection, which no hop passes on. */
+static const char *const hop_headers[] = {"connection", "keep-alive",
+    "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+    "trailer", "transfer-encoding", "upgrade", "host", "content-length",
+    "expect", "date"};
+
+static int
+is_hop_header(const char *name)
+{
+	size_t i;
+
+	if (strncasecmp(
+		name, WIRE_HEADER_PREFIX, sizeof(WIRE_HEADER_PREFIX) - 1) == 0)
+		return 1;
+	for (i = 0; i < sizeof(hop_headers) / sizeof(hop_headers[0]); i++) {
+		if (strcasecmp(name, hop_headers[i]) == 0)
+			return 1;
+	}
+	return 0;
+}
+
+msp_status_t
+wire_copy_headers(const msp_headers_t *from, msp_headers_t *to)
+{
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	for (i = 0; i < from->count && status == MSP_OK; i++) {
+		if (is_hop_header(from->fields[i].name))
+			continue;
+		status = msp_add_header(
+		    to, from->fields[i].name, from->fields[i].value);
+	}
+	return status;
+}
+
+msp_status_t
+wire_write_work(const work_t *work, msp_time_t now, msp_request_t *out)
+{
+	msp_headers_t *headers = &out->headers;
+	char fingerprint[MSP_DIGEST_TEXT_SIZE];
+	msp_status_t status = work_copy_request(work, out);
+
+	if (status != MSP_OK)
+		return status;
+	if (snprintf(out->path, sizeof(out->path), "%s%s", WIRE_PATH_PREFIX,
+		work->request.path) >= (int)sizeof(out->path)) {
+		msp_drop_request(out);
+		return msp_fail(MSP_E_HEADERS_TOO_LARGE, "path too long");
+	}
+	msp_print_digest(work->fingerprint, fingerprint);
+	msp_add_header(headers, "msp-id", work->id);
+	msp_add_header(headers, "msp-service", work->service);
+	msp_add_header(headers, "msp-place", work->place);
+	msp_add_header(headers, "msp-client-region", work->client_region);
+	msp_add_header(headers, "msp-key", work->key);
+	msp_add_header(headers, "msp-nonce", work->nonce);
+	msp_add_header(headers, "msp-class", msp_class_name(work->class));
+	msp_add_header(headers, "msp-fingerprint", fingerprint);
+	msp_print_header(
+	    headers, "msp-idempotent", "%d", work->is_idempotent ? 1 : 0);
+	msp_print_header(headers, "msp-waited-us", "%" PRIu64,
+	    now > work->arrival ? now - work->arrival : 0);
+	msp_print_header(headers, "msp-nonce-age-us", "%" PRIu64,
+	    now > work->nonce_issued ? now - work->nonce_issued : 0);
+	msp_print_header(headers, "msp-retries", "%u", work->retries_left);
+	msp_print_header(headers, "msp-hops", "%u", work->hops_left);
+	status = msp_print_header(
+	    headers, "msp-time-left-ms", "%u", work_time_left_ms(work, now));
+	if (status != MSP_OK)
+		msp_drop_request(out);
+	return status;
+}
+
+static msp_status_t
+read_text(
+    const msp_headers_t *headers, const char *name, char *out, size_t size)
+{
+	const char *value = msp_find_header(headers, name);
+
+	if (value == NULL)
+		value = "";
+	if (strlen(value) >= size)
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "%s: over %zu bytes", name, size - 1);
+	memcpy(out, value, strlen(value) + 1);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_number(
+    const msp_headers_t *headers, const char *name, uint64_t max, uint64_t *out)
+{
+	const char *value = msp_find_header(headers, name);
+	char *end;
+
+	if (value == NULL || !isdigit((unsigned char)value[0]))
+		return msp_fail(MSP_E_BAD_REQUEST, "%s: not a number", name);
+	errno = 0;
+	*out = strtoull(value, &end, 10);
+	if (*end != '\0' || errno != 0 || *out > max)
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "%s: not 0 to %" PRIu64, name, max);
+	return MSP_OK;
+}
+
+/* The work's numbers. */
+static msp_status_t
+read_numbers(const msp_headers_t *headers, msp_time_t now, work_t *work)
+{
+	uint64_t idempotent;
+	uint64_t waited;
+	uint64_t nonce_age;
+	uint64_t retries;
+	uint64_t hops;
+	uint64_t left;
+
+	if (read_number(headers, "msp-idempotent", 1, &idempotent) != MSP_OK ||
+	    read_number(headers, "msp-waited-us", UINT32_MAX * 1000ULL,
+		&waited) != MSP_OK ||
+	    read_number(headers, "msp-nonce-age-us", UINT32_MAX * 1000ULL,
+		&nonce_age) != MSP_OK ||
+	    read_number(headers, "msp-retries", RETRIES_MAX, &retries) !=
+		MSP_OK ||
+	    read_number(headers, "msp-hops", WORK_HOPS, &hops) != MSP_OK ||
+	    read_number(headers, "msp-time-left-ms", DEADLINE_MAX_MS, &left) !=
+		MSP_OK)
+		return MSP_E_BAD_REQUEST;
+	work->is_idempotent = idempotent == 1;
+	work->arrival = now > waited ? now - waited : 1;
+	work->nonce_issued = now > nonce_age ? now - nonce_age : 1;
+	work->retries_left = (uint32_t)retries;
+	work->hops_left = (uint32_t)hops;
+	work->deadline = now + left * MSP_MS;
+	return MSP_OK;
+}
+
+msp_status_t
+wire_read_work(const msp_request_t *request, msp_time_t now, work_t *work)
+{
+	const msp_headers_t *headers = &request->headers;
+	size_t prefix = sizeof(WIRE_PATH_PREFIX) - 1;
+	char class[16];
+	char fingerprint[MSP_DIGEST_TEXT_SIZE];
+	msp_status_t status;
+
+	if (read_text(headers, "msp-id", work->id, sizeof(work->id)) !=
+		MSP_OK ||
+	    read_text(headers, "msp-service", work->service,
+		sizeof(work->service)) != MSP_OK ||
+	    read_text(headers, "msp-place", work->place, sizeof(work->place)) !=
+		MSP_OK ||
+	    read_text(headers, "msp-client-region", work->client_region,
+		sizeof(work->client_region)) != MSP_OK ||
+	    read_text(headers, "msp-key", work->key, sizeof(work->key)) !=
+		MSP_OK ||
+	    read_text(headers, "msp-nonce", work->nonce, sizeof(work->nonce)) !=
+		MSP_OK ||
+	    read_text(headers, "msp-class", class, sizeof(class)) != MSP_OK ||
+	    read_text(headers, "msp-fingerprint", fingerprint,
+		sizeof(fingerprint)) != MSP_OK)
+		return MSP_E_BAD_REQUEST;
+	if (msp_parse_class(class, &work->class) != MSP_OK)
+		return msp_fail(MSP_E_BAD_REQUEST, "msp-class: not a class");
+	if (msp_parse_digest(fingerprint, &work->fingerprint) != 0)
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "msp-fingerprint: no digest");
+	if (work->service[0] == '\0')
+		return msp_fail(MSP_E_BAD_REQUEST, "msp-service: missing");
+	status = read_numbers(headers, now, work);
+	if (status != MSP_OK)
+		return status;
+	if (!work->is_idempotent && work->nonce[0] == '\0')
+		return msp_fail(MSP_E_BAD_REQUEST, "msp-nonce: missing");
+	memcpy(work->request.method, request->method,
+	    sizeof(work->request.method));
+	snprintf(work->request.path, sizeof(work->request.path), "%s",
+	    request->path + prefix);
+	status = wire_copy_headers(headers, &work->request.headers);
+	if (status == MSP_OK && request->body.len > 0)
+		status = msp_append_buffer(
+		    &work->request.body, request->body.data, request->body.len);
+	return status;
+}
+
+msp_status_t
+wire_write_result(work_result_t *result, msp_response_t *out)
+{
+	const msp_refusal_t *refusal = &result->refusal;
+	msp_headers_t *headers = &out->headers;
+
+	if (result->answered) {
+		*out = result->response;
+		memset(&result->response, 0, sizeof(result->response));
+		msp_add_header(headers, "msp-target", result->target);
+		return msp_add_header(headers, "msp-vm", result->vm);
+	}
+	memset(out, 0, sizeof(*out));
+	out->status = msp_status_answer(refusal->status)->http_status;
+	msp_add_header(headers, "msp-vm", result->vm);
+	msp_add_header(
+	    headers, "msp-refusal", msp_status_name(refusal->status));
+	msp_add_header(headers, "msp-run", msp_run_name(refusal->run));
+	msp_add_header(
+	    headers, "msp-started", refusal->try_started ? "1" : "0");
+	msp_print_header(
+	    headers, "msp-retry-after-ms", "%u", refusal->retry_after_ms);
+	if (refusal->reason == NULL)
+		return MSP_OK;
+	return msp_append_buffer(
+	    &out->body, refusal->reason, strlen(refusal->reason));
+}
+
+/* Takes out the system's own headers, which a caller must not see. */
+static void
+drop_own_headers(msp_headers_t *headers)
+{
+	msp_headers_t kept = {0};
+	size_t i;
+
+	for (i = 0; i < headers->count; i++) {
+		if (is_hop_header(headers->fields[i].name)) {
+			free(headers->fields[i].name);
+			free(headers->fields[i].value);
+		} else {
+			kept.fields[kept.count++] = headers->fields[i];
+		}
+	}
+	*headers = kept;
+}
+
+msp_status_t
+wire_read_result(msp_response_t *response, work_result_t *result)
+{
+	const msp_headers_t *headers = &response->headers;
+	const char *kind = msp_find_header(headers, "msp-refusal");
+	const char *run = msp_find_header(headers, "msp-run");
+	const char *started = msp_find_header(headers, "msp-started");
+	uint64_t retry_after = 0;
+
+	memset(result, 0, sizeof(*result));
+	if (read_text(headers, "msp-vm", result->vm, sizeof(result->vm)) !=
+		MSP_OK ||
+	    result->vm[0] == '\0')
+		return msp_fail(MSP_E_CUT_ANSWER, "msp-vm: missing");
+	if (kind == NULL) {
+		if (read_text(headers, "msp-target", result->target,
+			sizeof(result->target)) != MSP_OK)
+			return MSP_E_CUT_ANSWER;
+		result->answered = true;
+		result->response = *response;
+		memset(response, 0, sizeof(*response));
+		drop_own_headers(&result->response.headers);
+		return MSP_OK;
+	}
+	if (run == NULL || started == NULL)
+		return msp_fail(MSP_E_CUT_ANSWER, "msp-run: missing");
+	if (read_number(headers, "msp-retry-after-ms", UINT32_MAX,
+		&retry_after) != MSP_OK)
+		return MSP_E_CUT_ANSWER;
+	result->refusal.status = msp_find_status(kind);
+	result->refusal.run =
+	    strcmp(run, "no") == 0 ? MSP_RUN_NO : MSP_RUN_UNKNOWN;
+	result->refusal.try_started = strcmp(started, "0") != 0;
+	result->refusal.retry_after_ms = (uint32_t)retry_after;
+	result->refusal.reason = "refused by the dispatcher";
+	return MSP_OK;
+}
--- /dev/null
+++ b/source/spindled/wire.h
@@ -0,0 +1,37 @@
+#ifndef SPINDLED_WIRE_H
+#define SPINDLED_WIRE_H
+
+#include "monsoonspindle/net/http.h"
+#include "work.h"
+
+/*
+ * Work and its result as HTTP messages between VMs. What concerns the system
+ * travels in headers that start with "msp-"; they are never passed on to a
+ * target, and a caller's are dropped.
+ */
+#define WIRE_PATH_PREFIX "/v1/work"
+#define WIRE_HEADER_PREFIX "msp-"
+
+/* Builds the request that carries `work` to another VM. */
+msp_status_t wire_write_work(
+    const work_t *work, msp_time_t now, msp_request_t *out);
+
+/*
+ * Reads a request into `work`, copying what it needs. MSP_E_BAD_REQUEST with a
+ * last message that names the header.
+ */
+msp_status_t wire_read_work(
+    const msp_request_t *request, msp_time_t now, work_t *work);
+
+/* Moves the result's answer, or writes its refusal, to `out`. */
+msp_status_t wire_write_result(work_result_t *result, msp_response_t *out);
+
+/*
+ * Moves a response from a VM to `result`. MSP_E_CUT_ANSWER if it is not one.
+ */
+msp_status_t wire_read_result(msp_response_t *response, work_result_t *result);
+
+/* Copies the headers of `from` that may pass a VM. */
+msp_status_t wire_copy_headers(const msp_headers_t *from, msp_headers_t *to);
+
+#endif
--- /dev/null
+++ b/source/spindled/work.c
@@ -0,0 +1,72 @@
+#include "work.h"
+
+#include <stdio.h>
+#include <string.h>
+
+msp_status_t
+work_copy_request(const work_t *work, msp_request_t *out)
+{
+	const msp_request_t *from = &work->request;
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	memcpy(out->method, from->method, sizeof(out->method));
+	memcpy(out->path, from->path, sizeof(out->path));
+	for (i = 0; i < from->headers.count && status == MSP_OK; i++)
+		status =
+		    msp_add_header(&out->headers, from->headers.fields[i].name,
+			from->headers.fields[i].value);
+	if (status == MSP_OK && from->body.len > 0)
+		status = msp_append_buffer(
+		    &out->body, from->body.data, from->body.len);
+	if (status != MSP_OK)
+		msp_drop_request(out);
+	return status;
+}
+
+void
+work_refuse(work_t *work, msp_status_t status, msp_run_t run, bool try_started,
+    uint32_t retry_after_ms, const char *reason)
+{
+	work_result_t result = {0};
+
+	result.refusal = (msp_refusal_t){.status = status,
+	    .run = run,
+	    .try_started = try_started,
+	    .retry_after_ms = retry_after_ms,
+	    .reason = reason};
+	work_finish(work, &result);
+}
+
+void
+work_finish(work_t *work, work_result_t *result)
+{
+	work->cancel = NULL;
+	work->runner = NULL;
+	work->done(work->ctx, work, result);
+	msp_drop_response(&result->response);
+}
+
+void
+work_cancel(work_t *work)
+{
+	if (work->cancel != NULL)
+		work->cancel(work);
+	work->cancel = NULL;
+	work->runner = NULL;
+}
+
+uint32_t
+work_time_left_ms(const work_t *work, msp_time_t now)
+{
+	if (work->deadline <= now + MSP_MS)
+		return 1;
+	return (uint32_t)((work->deadline - now) / MSP_MS);
+}
+
+void
+work_drop(work_t *work)
+{
+	msp_drop_request(&work->request);
+}
