Add the HTTP server, client and loop of net on libwebsockets

Header change: msp_know_header().

Found with the library: it picks a vhost by the Host header and port, so all server connections of a loop share one vhost; the address is bound and accepted by us, so that a listener can be closed alone; on a kept connection the head is handed out before the connect call returns.

--- a/include/monsoonspindle/net/http.h
+++ b/include/monsoonspindle/net/http.h
@@ -32,6 +32,15 @@
 const char *msp_find_header(const msp_headers_t *headers, const char *name);
 void msp_drop_headers(msp_headers_t *headers);
 
+/*
+ * Makes a header name known to the process. libwebsockets hands over fields
+ * that it has a token for, and others by name only, so that any further field
+ * of a message is not seen. Names of common extensions are known from the
+ * start, such as Idempotency-Key, X-Request-ID, Request-Timeout, traceparent.
+ * Fails with MSP_E_RANGE past 128 names.
+ */
+msp_status_t msp_know_header(const char *name);
+
 /* A whole request. Zero-initialise; msp_drop_request() frees what it owns. */
 typedef struct msp_request {
 	char method[16];
--- /dev/null
+++ b/source/net/answer.c
@@ -0,0 +1,164 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "connection.h"
+#include "fields.h"
+#include "socket.h"
+
+#define FIRST_WRITE (16 * 1024) /* bytes of the body sent with the head */
+#define WRITE_MAX (64 * 1024) /* bytes a turn of the loop */
+#define FIELD_SPARE 8 /* bytes around a field's name and value */
+#define HEAD_SPARE 512 /* bytes of the status line and our own fields */
+
+static bool
+has_body(const msp_exchange_t *exchange)
+{
+	int status = exchange->response.status;
+
+	return status != 204 && status != 304 && status >= 200 &&
+	    strcmp(exchange->request.method, "HEAD") != 0;
+}
+
+static bool
+write_head(msp_connection_t *connection, unsigned char **at, unsigned char *end)
+{
+	msp_exchange_t *exchange = connection->exchange;
+	msp_response_t *response = &exchange->response;
+	struct lws *wsi = connection->wsi;
+
+	if (lws_add_http_header_status(wsi,
+		(unsigned int)response->status | LWSAHH_FLAG_NO_SERVER_NAME, at,
+		end) != 0 ||
+	    !msp_write_fields(wsi, &response->headers, at, end))
+		return false;
+	if (response->status != 204 && response->status != 304 &&
+	    lws_add_http_header_content_length(
+		wsi, response->body.len, at, end) != 0)
+		return false;
+	if (connection->close_after &&
+	    lws_add_http_header_by_name(wsi,
+		(const unsigned char *)"connection:",
+		(const unsigned char *)"close", 5, at, end) != 0)
+		return false;
+	return lws_finalize_http_header(wsi, at, end) == 0;
+}
+
+/* Builds the head and the first bytes of the body in one block. */
+static bool
+build_head(msp_connection_t *connection)
+{
+	msp_response_t *response = &connection->exchange->response;
+	size_t size = HEAD_SPARE;
+	size_t body = 0;
+	unsigned char *start;
+	unsigned char *at;
+	size_t i;
+
+	for (i = 0; i < response->headers.count; i++)
+		size += strlen(response->headers.fields[i].name) +
+		    strlen(response->headers.fields[i].value) + FIELD_SPARE;
+	if (has_body(connection->exchange))
+		body = response->body.len < FIRST_WRITE ? response->body.len
+							: FIRST_WRITE;
+	connection->head = malloc(LWS_PRE + size + body);
+	if (connection->head == NULL)
+		return false;
+	start = (unsigned char *)connection->head + LWS_PRE;
+	at = start;
+	if (!write_head(connection, &at, start + size))
+		return false;
+	if (body > 0)
+		memcpy(at, response->body.data, body);
+	connection->head_len = (size_t)(at - start) + body;
+	connection->body_sent = body;
+	return true;
+}
+
+void
+msp_begin_answer(msp_exchange_t *exchange)
+{
+	msp_connection_t *connection = exchange->connection;
+	msp_http_server_t *server = connection->server;
+
+	if (server->closing)
+		connection->close_after = true;
+	connection->state = MSP_CONNECTION_SENDING;
+	connection->head_sent = false;
+	msp_set_deadline(&connection->deadline,
+	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	lws_callback_on_writable(connection->wsi);
+}
+
+/* Ready for the next request on this connection. */
+static int
+end_answer(msp_connection_t *connection)
+{
+	msp_http_server_t *server = connection->server;
+	msp_exchange_t *exchange = connection->exchange;
+	uint64_t sent;
+
+	server->busy--;
+	connection->exchange = NULL;
+	msp_drop_request(&exchange->request);
+	msp_drop_response(&exchange->response);
+	free(exchange);
+	free(connection->head);
+	connection->head = NULL;
+	if (connection->close_after || server->closing) {
+		connection->state = MSP_CONNECTION_CLOSING;
+		msp_set_deadline(
+		    &connection->deadline, msp_loop_now() + 2 * MSP_SECOND);
+		return -1;
+	}
+	connection->state = MSP_CONNECTION_IDLE;
+	msp_tcp_progress(
+	    lws_get_socket_fd(connection->wsi), &connection->received, &sent);
+	msp_set_deadline(&connection->deadline,
+	    msp_loop_now() + server->limits.idle_timeout_ms * MSP_MS);
+	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
+}
+
+int
+msp_send_answer(msp_connection_t *connection)
+{
+	msp_http_server_t *server = connection->server;
+	msp_buffer_t *body;
+	size_t len;
+	int written;
+
+	if (connection->state != MSP_CONNECTION_SENDING)
+		return connection->state == MSP_CONNECTION_CLOSING ? -1 : 0;
+	if (lws_partial_buffered(connection->wsi)) {
+		lws_callback_on_writable(connection->wsi);
+		return 0;
+	}
+	body = &connection->exchange->response.body;
+	if (!connection->head_sent) {
+		if (!build_head(connection))
+			return -1;
+		connection->head_sent = true;
+		written = lws_write(connection->wsi,
+		    (unsigned char *)connection->head + LWS_PRE,
+		    connection->head_len, LWS_WRITE_HTTP_HEADERS);
+	} else if (has_body(connection->exchange) &&
+	    connection->body_sent < body->len) {
+		len = body->len - connection->body_sent;
+		len = len < WRITE_MAX ? len : WRITE_MAX;
+		written = lws_write(connection->wsi,
+		    (unsigned char *)body->data + connection->body_sent, len,
+		    LWS_WRITE_HTTP);
+		connection->body_sent += len;
+	} else {
+		return end_answer(connection);
+	}
+	if (written < 0)
+		return -1;
+	msp_set_deadline(&connection->deadline,
+	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	if (!lws_partial_buffered(connection->wsi) &&
+	    (!has_body(connection->exchange) ||
+		connection->body_sent == body->len))
+		return end_answer(connection);
+	lws_callback_on_writable(connection->wsi);
+	return 0;
+}
--- /dev/null
+++ b/source/net/call.c
@@ -0,0 +1,154 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "client.h"
+#include "fields.h"
+#include "socket.h"
+
+#define BODY_WRITE_MAX (64 * 1024) /* bytes a turn of the loop */
+
+static void
+set_due(msp_call_t *call, msp_time_t due)
+{
+	msp_set_deadline(&call->deadline, due < call->end ? due : call->end);
+}
+
+int
+msp_write_call_head(msp_call_t *call, unsigned char **at, size_t len)
+{
+	struct lws *wsi = call->lane->wsi;
+	unsigned char *end = *at + len;
+	msp_buffer_t *body = &call->request.body;
+	bool bodiless = strcmp(call->request.method, "GET") == 0 ||
+	    strcmp(call->request.method, "HEAD") == 0;
+
+	/* From here on the library may write the head at any time. */
+	call->maybe_sent = true;
+	call->state = MSP_CALL_SENT;
+	msp_tune_tcp(lws_get_socket_fd(wsi));
+	set_due(call,
+	    call->first_byte_timeout_ms == 0
+		? call->end
+		: msp_loop_now() + call->first_byte_timeout_ms * MSP_MS);
+	if (!msp_write_fields(wsi, &call->request.headers, at, end))
+		return -1;
+	if (body->len == 0 && bodiless)
+		return 0;
+	if (lws_add_http_header_content_length(wsi, body->len, at, end) != 0)
+		return -1;
+	if (body->len > 0) {
+		lws_client_http_body_pending(wsi, 1);
+		lws_callback_on_writable(wsi);
+	}
+	return 0;
+}
+
+int
+msp_write_call_body(msp_call_t *call)
+{
+	struct lws *wsi = call->lane->wsi;
+	msp_buffer_t *body = &call->request.body;
+	size_t len = body->len - call->body_sent;
+	unsigned char buffer[LWS_PRE + BODY_WRITE_MAX];
+
+	if (len == 0)
+		return 0;
+	if (len > BODY_WRITE_MAX)
+		len = BODY_WRITE_MAX;
+	memcpy(buffer + LWS_PRE, body->data + call->body_sent, len);
+	call->body_sent += len;
+	if (call->body_sent == body->len)
+		lws_client_http_body_pending(wsi, 0);
+	else
+		lws_callback_on_writable(wsi);
+	return lws_write(wsi, buffer + LWS_PRE, len,
+		   call->body_sent == body->len ? LWS_WRITE_HTTP_FINAL
+						: LWS_WRITE_HTTP) < 0
+	    ? -1
+	    : 0;
+}
+
+/* Reads the answer's framing; false if it contradicts itself. */
+static bool
+read_framing(msp_call_t *call)
+{
+	struct lws *wsi = call->lane->wsi;
+	char text[32];
+	size_t digits;
+
+	call->length = -1;
+	call->chunked =
+	    lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
+		return true;
+	if (lws_hdr_copy(
+		wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) < 0)
+		return false;
+	digits = strspn(text, "0123456789");
+	if (digits == 0 || digits > 15 || text[digits] != '\0')
+		return false;
+	call->length = strtoll(text, NULL, 10);
+	return !call->chunked;
+}
+
+int
+msp_read_answer_head(msp_call_t *call)
+{
+	struct lws *wsi = call->lane->wsi;
+	msp_response_t *response = &call->response;
+
+	call->state = MSP_CALL_RECEIVING;
+	set_due(call, call->end);
+	response->status = (int)lws_http_client_http_response(wsi);
+	call->bodiless = strcmp(call->request.method, "HEAD") == 0 ||
+	    response->status == 204 || response->status == 304;
+	if (msp_copy_fields(wsi, &response->headers) != MSP_OK ||
+	    !read_framing(call)) {
+		msp_end_call(call, MSP_E_CUT_ANSWER);
+		return -1;
+	}
+	if (call->bodiless) {
+		/* The library would wait for a body; the connection ends. */
+		msp_end_call(call, MSP_OK);
+		return -1;
+	}
+	response->body.limit = call->client->options.max_answer;
+	if (call->length > (long long)response->body.limit) {
+		msp_end_call(call, MSP_E_ANSWER_TOO_LARGE);
+		return -1;
+	}
+	return 0;
+}
+
+int
+msp_read_answer_body(msp_call_t *call, const char *data, size_t len)
+{
+	msp_status_t status;
+
+	status = msp_append_buffer(&call->response.body, data, len);
+	if (status == MSP_OK)
+		return 0;
+	msp_end_call(
+	    call, status == MSP_E_TOO_LARGE ? MSP_E_ANSWER_TOO_LARGE : status);
+	return -1;
+}
+
+/* Whether the answer is known to be whole. */
+static bool
+is_whole(const msp_call_t *call)
+{
+	if (call->state != MSP_CALL_RECEIVING)
+		return false;
+	if (call->chunked)
+		return true;
+	return call->length >= 0 &&
+	    (size_t)call->length == call->response.body.len;
+}
+
+void
+msp_end_answer(msp_call_t *call)
+{
+	call->lane->last_active = msp_loop_now();
+	msp_end_call(call, is_whole(call) ? MSP_OK : MSP_E_CUT_ANSWER);
+}
--- /dev/null
+++ b/source/net/connection.h
@@ -0,0 +1,94 @@
+#ifndef MONSOONSPINDLE_NET_CONNECTION_H
+#define MONSOONSPINDLE_NET_CONNECTION_H
+
+#include <bsd/sys/queue.h>
+
+#include <libwebsockets.h>
+
+#include "chunks.h"
+#include "deadline.h"
+#include "monsoonspindle/net/http_server.h"
+
+#define MSP_PEER_TEXT_MAX 48 /* an IP number as text */
+
+typedef struct msp_connection msp_connection_t;
+
+struct msp_exchange {
+	msp_connection_t *connection;
+	msp_request_t request;
+	msp_response_t response;
+	msp_time_t arrival;
+	void *data;
+	char peer[MSP_PEER_TEXT_MAX];
+};
+
+/* What a connection of a server is doing. */
+typedef enum msp_connection_state {
+	MSP_CONNECTION_IDLE, /* before a request, or amid its head */
+	MSP_CONNECTION_BODY,
+	MSP_CONNECTION_WAITING, /* for the handler's answer */
+	MSP_CONNECTION_SENDING,
+	MSP_CONNECTION_CLOSING, /* refused; waits for the peer to close */
+} msp_connection_state_t;
+
+struct msp_connection {
+	LIST_ENTRY(msp_connection) link;
+	msp_http_server_t *server;
+	struct lws *wsi;
+	msp_connection_state_t state;
+	msp_deadline_t deadline;
+	msp_exchange_t *exchange; /* from the head until the answer is out */
+	msp_chunks_t chunks;
+	bool chunked;
+	bool close_after; /* this answer */
+	bool head_started; /* seen at the last look, the head not whole */
+	uint64_t received; /* bytes, when the last request was whole */
+	char *head; /* the answer's head and the first bytes of its body */
+	size_t head_len;
+	size_t body_sent; /* bytes of the body handed to the library */
+	bool head_sent;
+};
+
+LIST_HEAD(msp_connections, msp_connection);
+
+struct msp_http_server {
+	msp_loop_t *loop;
+	struct msp_watch *listener; /* NULL once closed */
+	int listen_fd;
+	uint16_t port;
+	msp_http_limits_t limits;
+	msp_http_handler_t handler;
+	struct msp_connections connections;
+	unsigned int connection_count;
+	size_t busy;
+	bool closing;
+};
+
+/* The protocol's callback for all servers of a loop. */
+int msp_on_http_event(struct lws *wsi, enum lws_callback_reasons reason,
+    void *user, void *in, size_t len);
+
+/* Makes the connection of a socket that was accepted. NULL without memory. */
+msp_connection_t *msp_new_connection(
+    msp_http_server_t *server, struct lws *wsi);
+
+/* Frees it after the socket is gone; calls on_gone if a handler is waiting. */
+void msp_drop_connection(msp_connection_t *connection);
+
+/* Events of the library; -1 closes the connection. */
+int msp_receive_head(msp_connection_t *connection);
+int msp_receive_body(
+    msp_connection_t *connection, const char *data, size_t len);
+int msp_end_body(msp_connection_t *connection);
+int msp_send_answer(msp_connection_t *connection);
+
+/* Answers with the problem document of `status` and closes after it. */
+void msp_refuse_request(msp_connection_t *connection, msp_status_t status);
+
+/* The same where the library cannot answer: amid a head. */
+void msp_refuse_connection(msp_connection_t *connection, msp_status_t status);
+
+/* Hands the answer in `exchange` over to be sent. */
+void msp_begin_answer(msp_exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/source/net/deadline.h
@@ -0,0 +1,31 @@
+#ifndef MONSOONSPINDLE_NET_DEADLINE_H
+#define MONSOONSPINDLE_NET_DEADLINE_H
+
+#include <libwebsockets.h>
+
+#include "monsoonspindle/net/loop.h"
+
+/*
+ * A timeout that is moved often and reached seldom. Moving it later costs no
+ * work in the loop's sorted list of timers: the timer fires at the earlier
+ * point and is armed again.
+ */
+typedef struct msp_deadline {
+	lws_sorted_usec_list_t sul;
+	msp_loop_t *loop;
+	msp_time_t due; /* MSP_NEVER: none */
+	msp_time_t armed; /* when the timer fires; MSP_NEVER: not armed */
+	void (*reached)(struct msp_deadline *deadline);
+} msp_deadline_t;
+
+void msp_init_deadline(msp_deadline_t *deadline, msp_loop_t *loop,
+    void (*reached)(msp_deadline_t *deadline));
+
+/* `due` on the loop's clock; MSP_NEVER clears it. */
+void msp_set_deadline(msp_deadline_t *deadline, msp_time_t due);
+void msp_clear_deadline(msp_deadline_t *deadline);
+
+/* The loop's monotonic clock. */
+msp_time_t msp_loop_now(void);
+
+#endif
--- /dev/null
+++ b/source/net/fields.c
@@ -0,0 +1,242 @@
+#include "fields.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include <libwebsockets.h>
+
+#define VALUE_SIZE 8192 /* bytes of one value and the final 0 */
+#define NAME_SIZE 128
+#define KNOWN_MAX 128
+
+/* Fields that libwebsockets has no token for; it finds them by name only. */
+static char known[KNOWN_MAX][NAME_SIZE] = {
+    "accept-patch:",
+    "access-control-allow-credentials:",
+    "access-control-allow-headers:",
+    "access-control-allow-methods:",
+    "access-control-expose-headers:",
+    "access-control-max-age:",
+    "access-control-request-method:",
+    "alt-svc:",
+    "baggage:",
+    "content-language:",
+    "content-md5:",
+    "content-security-policy:",
+    "deprecation:",
+    "dnt:",
+    "forwarded:",
+    "idempotency-key:",
+    "if-unmodified-since:",
+    "location:",
+    "prefer:",
+    "preference-applied:",
+    "priority:",
+    "ratelimit:",
+    "ratelimit-policy:",
+    "request-attempt:",
+    "request-timeout:",
+    "server-timing:",
+    "sunset:",
+    "traceparent:",
+    "tracestate:",
+    "warning:",
+    "x-content-type-options:",
+    "x-correlation-id:",
+    "x-forwarded-host:",
+    "x-forwarded-proto:",
+    "x-request-id:",
+    "x-requested-with:",
+};
+static size_t known_count = 36;
+
+static const char *const connection_fields[] = {
+    "connection",
+    "content-length",
+    "host",
+    "http2-settings",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+};
+
+msp_status_t
+msp_know_header(const char *name)
+{
+	size_t len = strlen(name);
+	size_t i;
+
+	if (len + 2 > NAME_SIZE)
+		return msp_fail(MSP_E_RANGE, "header name is too long");
+	for (i = 0; i < known_count; i++) {
+		if (strncasecmp(known[i], name, len) == 0 &&
+		    strcmp(known[i] + len, ":") == 0)
+			return MSP_OK;
+	}
+	if (known_count == KNOWN_MAX)
+		return msp_fail(MSP_E_RANGE, "too many header names");
+	for (i = 0; i < len; i++)
+		known[known_count][i] =
+		    (char)(name[i] >= 'A' && name[i] <= 'Z' ? name[i] | 0x20
+							    : name[i]);
+	known[known_count][len] = ':';
+	known_count++;
+	return MSP_OK;
+}
+
+bool
+msp_is_connection_field(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(connection_fields) / sizeof(*connection_fields);
+	     i++) {
+		if (strcasecmp(connection_fields[i], name) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+msp_is_safe_field(const char *name, const char *value)
+{
+	const unsigned char *at;
+
+	if (*name == '\0')
+		return false;
+	for (at = (const unsigned char *)name; *at != '\0'; at++) {
+		if (*at <= ' ' || *at >= 0x7f || *at == ':')
+			return false;
+	}
+	for (at = (const unsigned char *)value; *at != '\0'; at++) {
+		if ((*at < ' ' && *at != '\t') || *at == 0x7f)
+			return false;
+	}
+	return true;
+}
+
+/* Adds one field; `name` ends in ":". */
+static msp_status_t
+add_field(
+    msp_headers_t *headers, const char *name, const char *value, int value_len)
+{
+	char bare[NAME_SIZE];
+	size_t len = strlen(name) - 1;
+
+	if (value_len < 0)
+		return msp_fail(
+		    MSP_E_HEADERS_TOO_LARGE, "a header is too long");
+	memcpy(bare, name, len);
+	bare[len] = '\0';
+	if (msp_is_connection_field(bare))
+		return MSP_OK;
+	if (strlen(value) != (size_t)value_len ||
+	    !msp_is_safe_field(bare, value))
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "bad character in header \"%s\"", bare);
+	return msp_add_header(headers, bare, value);
+}
+
+static bool
+is_field_name(const char *name)
+{
+	size_t len;
+
+	if (name == NULL)
+		return false;
+	len = strlen(name);
+	return len > 1 && len < NAME_SIZE && name[0] != ':' &&
+	    name[len - 1] == ':';
+}
+
+/* Cookies may be sent several times; other repeated fields are one list. */
+static msp_status_t
+copy_fragments(struct lws *wsi, msp_headers_t *headers, const char *name,
+    enum lws_token_indexes token)
+{
+	char value[VALUE_SIZE];
+	msp_status_t status = MSP_OK;
+	int i;
+	int len;
+
+	for (i = 0; status == MSP_OK; i++) {
+		if (lws_hdr_fragment_length(wsi, token, i) <= 0)
+			break;
+		len =
+		    lws_hdr_copy_fragment(wsi, value, sizeof(value), token, i);
+		status = add_field(headers, name, value, len);
+	}
+	return status;
+}
+
+static msp_status_t
+copy_token(
+    struct lws *wsi, msp_headers_t *headers, enum lws_token_indexes token)
+{
+	const char *name = (const char *)lws_token_to_string(token);
+	char value[VALUE_SIZE];
+
+	if (!is_field_name(name) || lws_hdr_total_length(wsi, token) <= 0)
+		return MSP_OK;
+	if (token == WSI_TOKEN_HTTP_SET_COOKIE)
+		return copy_fragments(wsi, headers, name, token);
+	return add_field(headers, name, value,
+	    lws_hdr_copy(wsi, value, sizeof(value), token));
+}
+
+msp_status_t
+msp_copy_fields(struct lws *wsi, msp_headers_t *headers)
+{
+	char value[VALUE_SIZE];
+	msp_status_t status;
+	size_t i;
+	int token;
+	int len;
+
+	for (token = 0; token < _WSI_TOKEN_CLIENT_SENT_PROTOCOLS; token++) {
+		status =
+		    copy_token(wsi, headers, (enum lws_token_indexes)token);
+		if (status != MSP_OK)
+			return status;
+	}
+	for (i = 0; i < known_count; i++) {
+		len = (int)strlen(known[i]);
+		if (lws_hdr_custom_length(wsi, known[i], len) <= 0)
+			continue;
+		status = add_field(headers, known[i], value,
+		    lws_hdr_custom_copy(
+			wsi, value, sizeof(value), known[i], len));
+		if (status != MSP_OK)
+			return status;
+	}
+	return MSP_OK;
+}
+
+bool
+msp_write_fields(struct lws *wsi, const msp_headers_t *headers,
+    unsigned char **at, unsigned char *end)
+{
+	char name[NAME_SIZE];
+	const msp_header_t *field;
+	size_t i;
+
+	for (i = 0; i < headers->count; i++) {
+		field = &headers->fields[i];
+		if (msp_is_connection_field(field->name) ||
+		    !msp_is_safe_field(field->name, field->value))
+			continue;
+		if (strlen(field->name) + 2 > sizeof(name))
+			continue;
+		strcpy(name, field->name);
+		strcat(name, ":");
+		if (lws_add_http_header_by_name(wsi,
+			(const unsigned char *)name,
+			(const unsigned char *)field->value,
+			(int)strlen(field->value), at, end) != 0)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/source/net/http_client.c
@@ -0,0 +1,355 @@
+#include "monsoonspindle/net/http_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "client.h"
+#include "fields.h"
+
+#define KEY_SIZE 64
+#define HEAD_MAX 48000 /* bytes of a request's path and headers */
+
+msp_origin_t *
+msp_find_origin(msp_http_client_t *client, const char *address, uint16_t port)
+{
+	char key[KEY_SIZE];
+	msp_origin_t *origin;
+
+	snprintf(key, sizeof(key), "%s:%u", address, port);
+	origin = msp_map_get(client->origins, key);
+	if (origin != NULL)
+		return origin;
+	origin = calloc(1, sizeof(*origin));
+	if (origin == NULL)
+		return NULL;
+	origin->client = client;
+	snprintf(origin->address, sizeof(origin->address), "%s", address);
+	origin->port = port;
+	LIST_INIT(&origin->lanes);
+	TAILQ_INIT(&origin->idle);
+	TAILQ_INIT(&origin->waiting);
+	if (msp_map_put(client->origins, key, origin) != MSP_OK) {
+		free(origin);
+		return NULL;
+	}
+	return origin;
+}
+
+static void
+free_call(msp_call_t *call)
+{
+	msp_clear_deadline(&call->deadline);
+	msp_drop_request(&call->request);
+	msp_drop_response(&call->response);
+	free(call);
+}
+
+void
+msp_drop_origin(msp_origin_t *origin)
+{
+	msp_call_t *call;
+	msp_lane_t *lane;
+
+	while ((call = TAILQ_FIRST(&origin->waiting)) != NULL) {
+		TAILQ_REMOVE(&origin->waiting, call, link);
+		free_call(call);
+	}
+	while ((lane = LIST_FIRST(&origin->lanes)) != NULL) {
+		LIST_REMOVE(lane, all);
+		msp_close_lane(lane);
+		if (lane->call != NULL)
+			free_call(lane->call);
+		free(lane);
+	}
+	free(origin);
+}
+
+static void
+connect_call(msp_call_t *call, msp_lane_t *lane)
+{
+	msp_time_t due =
+	    msp_loop_now() + call->client->options.connect_timeout_ms * MSP_MS;
+
+	call->state = MSP_CALL_CONNECTING;
+	msp_set_deadline(&call->deadline, due < call->end ? due : call->end);
+	msp_connect_lane(lane, call);
+}
+
+static void
+start_waiting(msp_origin_t *origin)
+{
+	msp_call_t *call;
+	msp_lane_t *lane;
+
+	while ((call = TAILQ_FIRST(&origin->waiting)) != NULL) {
+		lane = msp_take_lane(origin, call->fresh);
+		if (lane == NULL)
+			return;
+		TAILQ_REMOVE(&origin->waiting, call, link);
+		connect_call(call, lane);
+	}
+}
+
+static void
+deliver(lws_sorted_usec_list_t *sul)
+{
+	msp_http_client_t *client =
+	    lws_container_of(sul, msp_http_client_t, deliver);
+	msp_call_t *call;
+	msp_call_result_t result;
+	msp_origin_t *origin;
+
+	while ((origin = TAILQ_FIRST(&client->ready)) != NULL) {
+		TAILQ_REMOVE(&client->ready, origin, link);
+		origin->ready = false;
+		start_waiting(origin);
+	}
+	/* `done` may start and cancel calls, and drop the client. */
+	while ((call = TAILQ_FIRST(&client->ended)) != NULL) {
+		TAILQ_REMOVE(&client->ended, call, link);
+		result = (msp_call_result_t){
+		    .status = call->status,
+		    .maybe_sent = call->maybe_sent,
+		    .silent = call->silent,
+		    .response = &call->response,
+		};
+		call->client = NULL;
+		client->delivering = &client;
+		call->done(call->ctx, &result);
+		free_call(call);
+		if (client == NULL)
+			return;
+		client->delivering = NULL;
+	}
+}
+
+static void
+schedule_delivery(msp_http_client_t *client)
+{
+	lws_sul_schedule(
+	    msp_loop_lws(client->loop), 0, &client->deliver, deliver, 1);
+}
+
+void
+msp_ready_origin(msp_origin_t *origin)
+{
+	if (origin->ready || TAILQ_EMPTY(&origin->waiting))
+		return;
+	origin->ready = true;
+	TAILQ_INSERT_TAIL(&origin->client->ready, origin, link);
+	schedule_delivery(origin->client);
+}
+
+void
+msp_end_call(msp_call_t *call, msp_status_t status)
+{
+	msp_lane_t *lane = call->lane;
+
+	if (call->state == MSP_CALL_WAITING)
+		TAILQ_REMOVE(&call->origin->waiting, call, link);
+	call->state = MSP_CALL_ENDED;
+	call->status = status;
+	msp_clear_deadline(&call->deadline);
+	call->lane = NULL;
+	if (lane != NULL)
+		lane->call = NULL;
+	/* After an error the lane is released when its connection is gone. */
+	if (lane != NULL && status == MSP_OK)
+		msp_release_lane(lane);
+	TAILQ_INSERT_TAIL(&call->client->ended, call, link);
+	schedule_delivery(call->client);
+}
+
+static void
+on_deadline(msp_deadline_t *deadline)
+{
+	msp_call_t *call = lws_container_of(deadline, msp_call_t, deadline);
+	msp_lane_t *lane = call->lane;
+	bool connecting = call->state == MSP_CALL_CONNECTING;
+
+	call->silent = call->state == MSP_CALL_SENT;
+	msp_end_call(call, connecting ? MSP_E_PEER_DOWN : MSP_E_DEADLINE);
+	if (lane == NULL)
+		return;
+	msp_close_lane(lane);
+	msp_release_lane(lane);
+}
+
+static msp_status_t
+check_request(const msp_request_t *request)
+{
+	const unsigned char *at = (const unsigned char *)request->path;
+	size_t bytes = strlen(request->path);
+	size_t i;
+
+	if (*at != '/' || !msp_is_safe_field(request->method, ""))
+		return MSP_E_BAD_REQUEST;
+	for (; *at != '\0'; at++) {
+		if (*at <= ' ' || *at >= 0x7f)
+			return MSP_E_BAD_REQUEST;
+	}
+	for (i = 0; i < request->headers.count; i++) {
+		bytes += strlen(request->headers.fields[i].name) +
+		    strlen(request->headers.fields[i].value) + 4;
+		if (!msp_is_safe_field(request->headers.fields[i].name,
+			request->headers.fields[i].value))
+			return MSP_E_BAD_REQUEST;
+	}
+	return bytes > HEAD_MAX ? MSP_E_HEADERS_TOO_LARGE : MSP_OK;
+}
+
+msp_call_t *
+msp_start_call(msp_http_client_t *client, const msp_call_options_t *options,
+    msp_request_t *request, msp_call_done_t *done, void *ctx)
+{
+	msp_call_t *call = calloc(1, sizeof(*call));
+	msp_origin_t *origin;
+	msp_lane_t *lane;
+	msp_status_t status;
+
+	if (call == NULL)
+		return NULL;
+	origin = msp_find_origin(client, options->address, options->port);
+	if (origin == NULL) {
+		free(call);
+		return NULL;
+	}
+	call->client = client;
+	call->origin = origin;
+	call->request = *request;
+	*request = (msp_request_t){0};
+	call->done = done;
+	call->ctx = ctx;
+	call->first_byte_timeout_ms = options->first_byte_timeout_ms;
+	call->fresh = options->fresh;
+	msp_init_deadline(&call->deadline, client->loop, on_deadline);
+	call->end = msp_loop_now() + options->timeout_ms * MSP_MS;
+	call->state = MSP_CALL_CONNECTING;
+	status = check_request(&call->request);
+	if (status != MSP_OK) {
+		msp_end_call(call, status);
+		return call;
+	}
+	lane = TAILQ_EMPTY(&origin->waiting)
+	    ? msp_take_lane(origin, call->fresh)
+	    : NULL;
+	if (lane != NULL) {
+		connect_call(call, lane);
+		return call;
+	}
+	call->state = MSP_CALL_WAITING;
+	TAILQ_INSERT_TAIL(&origin->waiting, call, link);
+	msp_set_deadline(&call->deadline, call->end);
+	return call;
+}
+
+void
+msp_cancel_call(msp_call_t *call)
+{
+	msp_lane_t *lane = call->lane;
+
+	if (call->client == NULL)
+		return;
+	if (call->state == MSP_CALL_WAITING)
+		TAILQ_REMOVE(&call->origin->waiting, call, link);
+	if (call->state == MSP_CALL_ENDED)
+		TAILQ_REMOVE(&call->client->ended, call, link);
+	if (lane != NULL) {
+		lane->call = NULL;
+		msp_close_lane(lane);
+		msp_release_lane(lane);
+	}
+	free_call(call);
+}
+
+bool
+msp_call_maybe_sent(const msp_call_t *call)
+{
+	return call->maybe_sent;
+}
+
+void
+msp_forget_connections(
+    msp_http_client_t *client, const char *address, uint16_t port)
+{
+	msp_origin_t *origin = msp_find_origin(client, address, port);
+	msp_lane_t *lane;
+
+	if (origin == NULL)
+		return;
+	for (lane = LIST_FIRST(&origin->lanes); lane != NULL;
+	     lane = LIST_NEXT(lane, all)) {
+		if (!lane->idle || lane->wsi == NULL)
+			continue;
+		msp_close_lane(lane);
+		msp_release_lane(lane);
+	}
+}
+
+#define DEFAULT_OPTION(field, value)                     \
+	do {                                             \
+		if (client->options.field == 0)          \
+			client->options.field = (value); \
+	} while (0)
+
+msp_http_client_t *
+msp_new_http_client(msp_loop_t *loop, const msp_http_client_options_t *options)
+{
+	msp_http_client_t *client = calloc(1, sizeof(*client));
+
+	if (client == NULL)
+		goto no_memory;
+	client->loop = loop;
+	if (options != NULL)
+		client->options = *options;
+	DEFAULT_OPTION(lanes, 64);
+	DEFAULT_OPTION(max_answer, (size_t)8 * 1024 * 1024);
+	DEFAULT_OPTION(connect_timeout_ms, 1000);
+	DEFAULT_OPTION(idle_timeout_ms, 20 * 1000);
+	TAILQ_INIT(&client->ended);
+	TAILQ_INIT(&client->ready);
+	client->vhosts =
+	    calloc(client->options.lanes, sizeof(struct lws_vhost *));
+	client->origins = msp_new_map();
+	if (client->vhosts == NULL || client->origins == NULL)
+		goto no_memory;
+	return client;
+
+no_memory:
+	if (client != NULL) {
+		free(client->vhosts);
+		msp_drop_map(client->origins);
+	}
+	free(client);
+	msp_fail(MSP_E_NO_MEMORY, "no memory for a client");
+	return NULL;
+}
+
+void
+msp_drop_http_client(msp_http_client_t *client)
+{
+	msp_call_t *call;
+	size_t cursor = 0;
+	unsigned int i;
+	void *origin;
+
+	if (client == NULL)
+		return;
+	if (client->delivering != NULL)
+		*client->delivering = NULL;
+	lws_sul_cancel(&client->deliver);
+	while ((call = TAILQ_FIRST(&client->ended)) != NULL) {
+		TAILQ_REMOVE(&client->ended, call, link);
+		free_call(call);
+	}
+	while (msp_map_next(client->origins, &cursor, NULL, &origin))
+		msp_drop_origin(origin);
+	msp_drop_map(client->origins);
+	for (i = 0; i < client->options.lanes; i++) {
+		if (client->vhosts[i] != NULL)
+			lws_vhost_destroy(client->vhosts[i]);
+	}
+	free(client->vhosts);
+	free(client);
+}
--- /dev/null
+++ b/source/net/http_server.c
@@ -0,0 +1,185 @@
+#include "monsoonspindle/net/http_server.h"
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <sys/socket.h>
+
+#include "connection.h"
+#include "socket.h"
+#include "watch.h"
+
+#define REFUSED_SPARE 64 /* refused connections that may linger */
+
+static void
+adopt_socket(msp_http_server_t *server, int fd)
+{
+	lws_adopt_desc_t desc = {
+	    .vh = msp_loop_vhost(server->loop),
+	    .type = LWS_ADOPT_HTTP | LWS_ADOPT_SOCKET,
+	    .fd.sockfd = fd,
+	};
+	struct lws *wsi = lws_adopt_descriptor_vhost_via_info(&desc);
+
+	if (wsi != NULL && msp_new_connection(server, wsi) == NULL)
+		lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
+}
+
+static void
+accept_connections(void *ctx)
+{
+	msp_http_server_t *server = ctx;
+	unsigned int most = server->limits.max_connections + REFUSED_SPARE;
+	int fd;
+
+	for (;;) {
+		fd = accept(server->listen_fd, NULL, NULL);
+		if (fd < 0)
+			return;
+		if (server->connection_count >= most) {
+			close(fd);
+			continue;
+		}
+		msp_tune_tcp(fd);
+		adopt_socket(server, fd);
+	}
+}
+
+#define DEFAULT_LIMIT(field, value)              \
+	do {                                     \
+		if (limits->field == 0)          \
+			limits->field = (value); \
+	} while (0)
+
+static void
+fill_limits(msp_http_limits_t *limits)
+{
+	DEFAULT_LIMIT(max_body, 1024 * 1024);
+	DEFAULT_LIMIT(max_headers, 16 * 1024);
+	DEFAULT_LIMIT(max_connections, 4096);
+	DEFAULT_LIMIT(head_timeout_ms, 10 * 1000);
+	DEFAULT_LIMIT(body_timeout_ms, 30 * 1000);
+	DEFAULT_LIMIT(send_timeout_ms, 30 * 1000);
+	DEFAULT_LIMIT(idle_timeout_ms, 60 * 1000);
+}
+
+msp_http_server_t *
+msp_new_http_server(msp_loop_t *loop, const msp_http_server_options_t *options)
+{
+	msp_http_server_t *server = calloc(1, sizeof(*server));
+
+	if (server == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for a server");
+		return NULL;
+	}
+	server->loop = loop;
+	server->limits = options->limits;
+	server->handler = options->handler;
+	fill_limits(&server->limits);
+	LIST_INIT(&server->connections);
+	server->listen_fd =
+	    msp_listen_tcp(options->address, options->port, &server->port);
+	if (server->listen_fd < 0) {
+		free(server);
+		return NULL;
+	}
+	server->listener =
+	    msp_new_watch(loop, server->listen_fd, accept_connections, server);
+	if (server->listener == NULL) {
+		free(server);
+		return NULL;
+	}
+	return server;
+}
+
+static void
+close_listener(msp_http_server_t *server)
+{
+	if (server->listener == NULL)
+		return;
+	/* The watch closes the socket later; it must accept nothing more. */
+	shutdown(server->listen_fd, SHUT_RDWR);
+	msp_drop_watch(server->listener);
+	server->listener = NULL;
+}
+
+void
+msp_drop_http_server(msp_http_server_t *server)
+{
+	msp_connection_t *connection;
+	struct lws *wsi;
+
+	if (server == NULL)
+		return;
+	close_listener(server);
+	while ((connection = LIST_FIRST(&server->connections)) != NULL) {
+		wsi = connection->wsi;
+		msp_drop_connection(connection);
+		lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
+	}
+	free(server);
+}
+
+void
+msp_close_http_listener(msp_http_server_t *server)
+{
+	msp_connection_t *connection;
+
+	close_listener(server);
+	server->closing = true;
+	for (connection = LIST_FIRST(&server->connections); connection != NULL;
+	     connection = LIST_NEXT(connection, link)) {
+		if (connection->state == MSP_CONNECTION_IDLE)
+			lws_set_timeout(connection->wsi, 1, LWS_TO_KILL_ASYNC);
+	}
+}
+
+size_t
+msp_http_server_busy(const msp_http_server_t *server)
+{
+	return server->busy;
+}
+
+uint16_t
+msp_http_server_port(const msp_http_server_t *server)
+{
+	return server->port;
+}
+
+const msp_request_t *
+msp_exchange_request(const msp_exchange_t *exchange)
+{
+	return &exchange->request;
+}
+
+const char *
+msp_exchange_peer(const msp_exchange_t *exchange)
+{
+	return exchange->peer;
+}
+
+msp_time_t
+msp_exchange_arrival(const msp_exchange_t *exchange)
+{
+	return exchange->arrival;
+}
+
+void
+msp_set_exchange_data(msp_exchange_t *exchange, void *data)
+{
+	exchange->data = data;
+}
+
+void *
+msp_exchange_data(const msp_exchange_t *exchange)
+{
+	return exchange->data;
+}
+
+void
+msp_answer_exchange(msp_exchange_t *exchange, msp_response_t *response)
+{
+	exchange->response = *response;
+	*response = (msp_response_t){0};
+	msp_begin_answer(exchange);
+}
--- /dev/null
+++ b/source/net/lane.c
@@ -0,0 +1,223 @@
+#include <stdlib.h>
+
+#include "client.h"
+#include "socket.h"
+
+#define FRESH_WITHIN MSP_SECOND /* bytes so recent prove a connection alive */
+#define READ_SIZE (32 * 1024) /* bytes of one read */
+
+static int
+read_body(struct lws *wsi)
+{
+	char buffer[LWS_PRE + READ_SIZE];
+	char *at = buffer + LWS_PRE;
+	int len = READ_SIZE;
+
+	return lws_http_client_read(wsi, &at, &len) < 0 ? -1 : 0;
+}
+
+/* The connection is gone. */
+static void
+lose_connection(msp_lane_t *lane, struct lws *wsi)
+{
+	if (lane->wsi != wsi)
+		return;
+	lane->wsi = NULL;
+	if (lane->call != NULL)
+		msp_end_call(lane->call,
+		    lane->call->maybe_sent ? MSP_E_CUT_ANSWER
+					   : MSP_E_PEER_DOWN);
+	if (!lane->connecting)
+		msp_release_lane(lane);
+}
+
+static int
+on_call_event(struct lws *wsi, enum lws_callback_reasons reason,
+    msp_call_t *call, void *in, size_t len)
+{
+	switch (reason) {
+	case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+		return msp_write_call_head(call, in, len);
+	case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+		return msp_write_call_body(call);
+	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+		return msp_read_answer_head(call);
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+		return read_body(wsi);
+	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+		return msp_read_answer_body(call, in, len);
+	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+		msp_end_answer(call);
+		return 0;
+	default:
+		return 0;
+	}
+}
+
+static int
+on_client(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+    void *in, size_t len)
+{
+	msp_lane_t *lane;
+
+	(void)user;
+	if (wsi == NULL)
+		return 0;
+	lane = lws_get_opaque_user_data(wsi);
+	if (lane == NULL)
+		return 0;
+	/* On a kept connection the first events come before the call returns.
+	 */
+	if (lane->connecting && lane->wsi == NULL)
+		lane->wsi = wsi;
+	switch (reason) {
+	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+	case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+	case LWS_CALLBACK_WSI_DESTROY:
+		lws_set_opaque_user_data(wsi, NULL);
+		lose_connection(lane, wsi);
+		return 0;
+	default:
+		break;
+	}
+	if (lane->wsi != wsi || lane->call == NULL)
+		return 0;
+	return on_call_event(wsi, reason, lane->call, in, len);
+}
+
+static const struct lws_protocols protocols[] = {
+    {.name = "http", .callback = on_client, .rx_buffer_size = READ_SIZE},
+    {.name = NULL},
+};
+
+static struct lws_vhost *
+find_vhost(msp_http_client_t *client, unsigned int index)
+{
+	struct lws_context_creation_info info = {
+	    .port = CONTEXT_PORT_NO_LISTEN,
+	    .protocols = protocols,
+	    .vhost_name = "msp-lane",
+	};
+
+	if (client->vhosts[index] != NULL)
+		return client->vhosts[index];
+	client->vhosts[index] =
+	    lws_create_vhost(msp_loop_lws(client->loop), &info);
+	return client->vhosts[index];
+}
+
+static msp_lane_t *
+new_lane(msp_origin_t *origin)
+{
+	msp_lane_t *lane;
+
+	if (origin->lane_count == origin->client->options.lanes)
+		return NULL;
+	lane = calloc(1, sizeof(*lane));
+	if (lane == NULL)
+		return NULL;
+	lane->origin = origin;
+	lane->vhost = find_vhost(origin->client, origin->lane_count);
+	if (lane->vhost == NULL) {
+		free(lane);
+		return NULL;
+	}
+	origin->lane_count++;
+	LIST_INSERT_HEAD(&origin->lanes, lane, all);
+	return lane;
+}
+
+static bool
+is_recent(const msp_lane_t *lane)
+{
+	return lane->wsi != NULL &&
+	    lane->last_active + FRESH_WITHIN > msp_loop_now();
+}
+
+msp_lane_t *
+msp_take_lane(msp_origin_t *origin, bool fresh)
+{
+	msp_lane_t *lane = TAILQ_FIRST(&origin->idle);
+
+	if (fresh && lane != NULL && !is_recent(lane)) {
+		/* Unconnected lanes are last, old connections before them. */
+		lane = TAILQ_LAST(&origin->idle, msp_lanes);
+		if (lane->wsi != NULL)
+			msp_close_lane(lane);
+	}
+	if (lane == NULL)
+		return new_lane(origin);
+	TAILQ_REMOVE(&origin->idle, lane, link);
+	lane->idle = false;
+	return lane;
+}
+
+void
+msp_release_lane(msp_lane_t *lane)
+{
+	msp_origin_t *origin = lane->origin;
+
+	if (lane->call != NULL)
+		return;
+	if (lane->idle)
+		TAILQ_REMOVE(&origin->idle, lane, link);
+	lane->idle = true;
+	if (lane->wsi != NULL)
+		TAILQ_INSERT_HEAD(&origin->idle, lane, link);
+	else
+		TAILQ_INSERT_TAIL(&origin->idle, lane, link);
+	msp_ready_origin(origin);
+}
+
+void
+msp_close_lane(msp_lane_t *lane)
+{
+	struct lws *wsi = lane->wsi;
+
+	if (wsi == NULL)
+		return;
+	lane->wsi = NULL;
+	lws_set_opaque_user_data(wsi, NULL);
+	lws_set_timeout(wsi, 1, LWS_TO_KILL_SYNC);
+}
+
+void
+msp_connect_lane(msp_lane_t *lane, msp_call_t *call)
+{
+	msp_origin_t *origin = lane->origin;
+	msp_http_client_t *client = origin->client;
+	struct lws_client_connect_info info = {
+	    .context = msp_loop_lws(client->loop),
+	    .vhost = lane->vhost,
+	    .address = origin->address,
+	    .host = origin->address,
+	    .port = origin->port,
+	    .path = call->request.path,
+	    .method = call->request.method,
+	    .ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT,
+	    .alpn = "http/1.1",
+	    .local_protocol_name = "http",
+	    .opaque_user_data = lane,
+	    .keep_warm_secs =
+		(uint16_t)(client->options.idle_timeout_ms / 1000),
+	    .pwsi = &lane->wsi,
+	};
+	struct lws *wsi;
+
+	lane->call = call;
+	call->lane = lane;
+	if (lane->wsi != NULL)
+		lws_set_opaque_user_data(lane->wsi, NULL);
+	lane->wsi = NULL;
+	lane->connecting = true;
+	wsi = lws_client_connect_via_info(&info);
+	lane->connecting = false;
+	if (wsi != NULL)
+		return;
+	lane->wsi = NULL;
+	if (lane->call != NULL)
+		msp_end_call(lane->call,
+		    lane->call->maybe_sent ? MSP_E_CUT_ANSWER
+					   : MSP_E_PEER_DOWN);
+	msp_release_lane(lane);
+}
--- /dev/null
+++ b/source/net/loop.c
@@ -0,0 +1,186 @@
+#include "monsoonspindle/net/loop.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sys/signalfd.h>
+
+#include <libwebsockets.h>
+
+#include "connection.h"
+#include "watch.h"
+
+#define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
+#define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_PROBES 3
+#define KEEPALIVE_INTERVAL_S 5
+#define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
+
+struct msp_loop {
+	struct lws_context *lws;
+	struct lws_vhost *vhost; /* of watches and server connections */
+	lws_sorted_usec_list_t wake;
+	int stopped;
+	msp_watch_t *signals;
+	int signal_fd;
+	void (*on_signal)(void *ctx);
+	void *signal_ctx;
+};
+
+static const struct lws_protocols protocols[] = {
+    {.name = "http", .callback = msp_on_http_event},
+    {.name = MSP_WATCH_PROTOCOL, .callback = msp_on_watch_event},
+    {.name = NULL},
+};
+
+static struct lws_vhost *
+new_vhost(struct lws_context *lws)
+{
+	struct lws_context_creation_info info = {
+	    .port = CONTEXT_PORT_NO_LISTEN_SERVER,
+	    .protocols = protocols,
+	    .vhost_name = "msp-loop",
+	    .keepalive_timeout = LIBRARY_TIMEOUT_S,
+	    .timeout_secs_ah_idle = LIBRARY_TIMEOUT_S,
+	};
+	struct lws_vhost *vhost = lws_create_vhost(lws, &info);
+
+	if (vhost == NULL)
+		msp_fail(MSP_E_NO_MEMORY, "cannot create a vhost");
+	return vhost;
+}
+
+msp_loop_t *
+msp_new_loop(unsigned int max_fds)
+{
+	struct lws_context_creation_info info = {
+	    .port = CONTEXT_PORT_NO_LISTEN,
+	    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
+		LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
+	    .fd_limit_per_thread = max_fds,
+	    .max_http_header_data2 = HEADER_BYTES_MAX,
+	    .pt_serv_buf_size = SERVICE_BUFFER,
+	    .ka_time = KEEPALIVE_IDLE_S,
+	    .ka_probes = KEEPALIVE_PROBES,
+	    .ka_interval = KEEPALIVE_INTERVAL_S,
+	    .timeout_secs = LIBRARY_TIMEOUT_S,
+	    .gid = -1,
+	    .uid = -1,
+	};
+	msp_loop_t *loop = calloc(1, sizeof(*loop));
+
+	if (loop == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for a loop");
+		return NULL;
+	}
+	loop->signal_fd = -1;
+	/* The library would send client requests through this proxy. */
+	unsetenv("http_proxy");
+	lws_set_log_level(0, NULL);
+	loop->lws = lws_create_context(&info);
+	if (loop->lws == NULL) {
+		msp_fail(MSP_E_INTERNAL, "cannot create the event loop");
+		free(loop);
+		return NULL;
+	}
+	loop->vhost = new_vhost(loop->lws);
+	if (loop->vhost == NULL) {
+		msp_drop_loop(loop);
+		return NULL;
+	}
+	return loop;
+}
+
+void
+msp_drop_loop(msp_loop_t *loop)
+{
+	if (loop == NULL)
+		return;
+	msp_drop_watch(loop->signals);
+	lws_sul_cancel(&loop->wake);
+	lws_context_destroy(loop->lws);
+	free(loop);
+}
+
+void
+msp_run_loop(msp_loop_t *loop)
+{
+	loop->stopped = 0;
+	while (!loop->stopped && lws_service(loop->lws, 0) >= 0)
+		;
+}
+
+void
+msp_stop_loop(msp_loop_t *loop)
+{
+	loop->stopped = 1;
+	lws_cancel_service(loop->lws);
+}
+
+static void
+wake(lws_sorted_usec_list_t *sul)
+{
+	(void)sul;
+}
+
+void
+msp_step_loop(msp_loop_t *loop, int max_ms)
+{
+	if (max_ms <= 0) {
+		lws_service(loop->lws, -1);
+		return;
+	}
+	lws_sul_schedule(
+	    loop->lws, 0, &loop->wake, wake, (lws_usec_t)max_ms * 1000);
+	lws_service(loop->lws, 0);
+	lws_sul_cancel(&loop->wake);
+}
+
+struct lws_context *
+msp_loop_lws(msp_loop_t *loop)
+{
+	return loop->lws;
+}
+
+struct lws_vhost *
+msp_loop_vhost(msp_loop_t *loop)
+{
+	return loop->vhost;
+}
+
+static void
+read_signal(void *ctx)
+{
+	msp_loop_t *loop = ctx;
+	struct signalfd_siginfo info;
+
+	if (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info))
+		loop->on_signal(loop->signal_ctx);
+}
+
+msp_status_t
+msp_watch_stop_signals(msp_loop_t *loop, void (*handler)(void *ctx), void *ctx)
+{
+	sigset_t set;
+
+	if (loop->signal_fd >= 0)
+		return msp_fail(MSP_E_EXISTS, "signals are watched already");
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	if (sigprocmask(SIG_BLOCK, &set, NULL) != 0)
+		return msp_fail(MSP_E_IO, "sigprocmask: %s", strerror(errno));
+	loop->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (loop->signal_fd < 0)
+		return msp_fail(MSP_E_IO, "signalfd: %s", strerror(errno));
+	loop->on_signal = handler;
+	loop->signal_ctx = ctx;
+	loop->signals = msp_new_watch(loop, loop->signal_fd, read_signal, loop);
+	if (loop->signals == NULL)
+		loop->signal_fd = -1;
+	return loop->signals == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
--- /dev/null
+++ b/source/net/socket.h
@@ -0,0 +1,23 @@
+#ifndef MONSOONSPINDLE_NET_SOCKET_H
+#define MONSOONSPINDLE_NET_SOCKET_H
+
+#include <stdint.h>
+
+#include "monsoonspindle/base/status.h"
+
+/*
+ * Opens a listening TCP socket, not blocking, on an IP number. Fills *port with
+ * the port bound. Returns -1 with a last message.
+ */
+int msp_listen_tcp(const char *address, uint16_t port, uint16_t *bound);
+
+/* The same for a UDP socket. */
+int msp_bind_udp(const char *address, uint16_t port, uint16_t *bound);
+
+/* Bounds how long written bytes may stay unacknowledged; no delay of writes. */
+void msp_tune_tcp(int fd);
+
+/* Bytes received and sent over a TCP socket since it was opened. */
+void msp_tcp_progress(int fd, uint64_t *received, uint64_t *sent);
+
+#endif
--- /dev/null
+++ b/tests/support/net_fixture.h
@@ -0,0 +1,32 @@
+#ifndef MONSOONSPINDLE_TESTS_NET_FIXTURE_H
+#define MONSOONSPINDLE_TESTS_NET_FIXTURE_H
+
+#include "monsoonspindle/net.h"
+
+#define TEST_ADDRESS "127.0.0.1"
+#define TEST_PATIENCE_MS 10000 /* a test that waits longer has failed */
+
+/* Runs the loop until the condition holds; false if it never does. */
+bool run_until(msp_loop_t *loop, bool (*holds)(void *ctx), void *ctx);
+
+/* Waits until *count is at least `wanted`. */
+bool run_until_count(
+    msp_loop_t *loop, const unsigned int *count, unsigned int wanted);
+
+/* What a call came to. */
+typedef struct test_outcome {
+	unsigned int done; /* how often `done` was called */
+	msp_status_t status;
+	bool maybe_sent;
+	bool silent;
+	int http_status;
+	msp_response_t response;
+} test_outcome_t;
+
+void keep_outcome(void *ctx, msp_call_result_t *result);
+void drop_outcome(test_outcome_t *outcome);
+
+msp_request_t new_request(
+    const char *method, const char *path, const char *body);
+
+#endif
