--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -57,7 +57,7 @@
 		daemon->store_client = new_client(daemon, STORE_LANES);
 		if (daemon->store_client == NULL)
 			return MSP_E_NO_MEMORY;
-		daemon->http_store = msp_new_http_store(
+		daemon->http_store = msp_new_http_store(daemon->loop,
 		    daemon->store_client, platform->address, platform->port);
 		if (daemon->http_store == NULL)
 			return MSP_E_NO_MEMORY;
--- /dev/null
+++ b/tests/support/fleet.h
@@ -0,0 +1,116 @@
+#ifndef SUPPORT_FLEET_H
+#define SUPPORT_FLEET_H
+
+#include <sys/types.h>
+
+#include "monsoonspindle/net.h"
+
+#define FLEET_TOKEN "fleet-operator-token"
+#define FLEET_PLACES 8
+#define FLEET_VMS 24
+#define FLEET_TARGETS 40
+#define FLEET_WAIT_MS 30000 /* for any one condition */
+
+/* One process of a fleet. */
+typedef struct fleet_process {
+	pid_t pid; /* 0: not running */
+	int status; /* of waitpid, once it has ended */
+	char name[32];
+	char place[32];
+	uint16_t port; /* callers' port, or the only one */
+	uint16_t peer_port;
+	uint16_t operator_port;
+	char settings[256]; /* file, of a VM */
+} fleet_process_t;
+
+/* A place of the fleet: data centre and region. */
+typedef struct fleet_place {
+	const char *name;
+	const char *region;
+	int vms;
+	int targets;
+} fleet_place_t;
+
+typedef struct fleet_options {
+	const fleet_place_t *places; /* ended by a NULL name */
+	const char *service;
+	int slots; /* of each target */
+	const char *const *target_args; /* further ones; ended by NULL, or NULL */
+	const char *settings; /* further members of a VM's settings, or NULL */
+	const char *priority; /* of the service; NULL: "latency" */
+} fleet_options_t;
+
+/*
+ * Separate processes on loopback: a platform stand-in, targets and VMs. Ports
+ * are free ones; binaries come from $OUT/bin. Waits step an own loop until a
+ * condition holds, and fail after FLEET_WAIT_MS.
+ */
+typedef struct fleet {
+	fleet_options_t options;
+	char dir[64]; /* settings and logs; removed by drop_fleet() */
+	fleet_process_t platform;
+	fleet_process_t vms[FLEET_VMS];
+	size_t vm_count;
+	fleet_process_t targets[FLEET_TARGETS];
+	size_t target_count;
+	msp_loop_t *loop;
+	msp_http_client_t *client;
+} fleet_t;
+
+/* Starts all processes and waits until each VM is ready. NULL on failure. */
+fleet_t *new_fleet(const fleet_options_t *options);
+
+/* Kills what still runs, by process id. */
+void drop_fleet(fleet_t *fleet);
+
+/* Starts a process again, under its old name, ports and settings. */
+int fleet_restart_vm(fleet_t *fleet, size_t vm);
+int fleet_restart_target(fleet_t *fleet, size_t target);
+int fleet_restart_platform(fleet_t *fleet);
+
+/* Sends a signal; with SIGKILL or SIGTERM use fleet_wait_exit() after it. */
+void fleet_signal(fleet_process_t *process, int number);
+
+/* Waits for the end and returns its waitpid status, or -1 after the bound. */
+int fleet_wait_exit(fleet_t *fleet, fleet_process_t *process);
+
+/* One HTTP request; `headers` ("Name: value\n..." or NULL). Returns status. */
+typedef struct fleet_reply {
+	msp_status_t status; /* as msp_call_result_t */
+	int http_status;
+	bool maybe_sent;
+	msp_response_t response; /* to be dropped */
+} fleet_reply_t;
+
+void fleet_request(fleet_t *fleet, uint16_t port, const char *method,
+    const char *path, const char *headers, const char *body,
+    fleet_reply_t *reply);
+
+/* Starts a request without waiting for it. `done` gets the result. */
+msp_call_t *fleet_start_request(fleet_t *fleet, uint16_t port,
+    const char *method, const char *path, const char *headers,
+    const char *body, uint32_t timeout_ms, msp_call_done_t *done, void *ctx);
+
+/* As fleet_request(), to a VM's operators' port with the token. */
+void fleet_operate(fleet_t *fleet, size_t vm, const char *method,
+    const char *path, const char *body, fleet_reply_t *reply);
+
+/* Steps the loop until `holds` returns true; false after the bound. */
+bool fleet_wait(fleet_t *fleet, bool (*holds)(void *ctx), void *ctx);
+
+/* Posts the note that describes the fleet, and waits until it is in force. */
+bool fleet_apply_first_note(fleet_t *fleet);
+
+/* Posts a note's text at a VM; returns the HTTP status. */
+int fleet_post_note(fleet_t *fleet, size_t vm, const char *note);
+
+/* Waits until all running VMs report at least this version. */
+bool fleet_wait_version(fleet_t *fleet, uint64_t version);
+
+/* The version that a VM reports; 0 if it does not answer. */
+uint64_t fleet_version(fleet_t *fleet, size_t vm);
+
+/* Runs of a key, added over all targets that answer. */
+int fleet_runs(fleet_t *fleet, const char *key);
+
+#endif
--- /dev/null
+++ b/tests/support/fleet_files.c
@@ -0,0 +1,148 @@
+#include "fleet_private.h"
+
+#include <stdio.h>
+#include <string.h>
+
+const char *
+fleet_region(const fleet_t *fleet, const char *place)
+{
+	const fleet_place_t *at;
+
+	for (at = fleet->options.places; at->name != NULL; at++) {
+		if (strcmp(at->name, place) == 0)
+			return at->region;
+	}
+	return "";
+}
+
+/* Every VM knows the first VM of its place as a seed. */
+static const fleet_process_t *
+find_seed(const fleet_t *fleet, const fleet_process_t *vm)
+{
+	size_t i;
+
+	for (i = 0; i < fleet->vm_count; i++) {
+		if (strcmp(fleet->vms[i].place, vm->place) == 0)
+			return &fleet->vms[i];
+	}
+	return vm;
+}
+
+int
+fleet_write_settings(const fleet_t *fleet, fleet_process_t *vm)
+{
+	const fleet_process_t *seed = find_seed(fleet, vm);
+	const char *more = fleet->options.settings;
+	FILE *file;
+
+	snprintf(vm->settings, sizeof(vm->settings), "%s/%s.json", fleet->dir,
+	    vm->name);
+	file = fopen(vm->settings, "w");
+	if (file == NULL)
+		return -1;
+	fprintf(file,
+	    "{\n"
+	    "\t// one VM of a fleet on loopback\n"
+	    "\t\"vm\": \"%s\", \"region\": \"%s\", \"place\": \"%s\",\n"
+	    "\t\"address\": \"127.0.0.1\",\n"
+	    "\t\"caller_port\": %u, \"peer_port\": %u,\n"
+	    "\t\"operator_port\": %u,\n"
+	    "\t\"operator_token\": \"" FLEET_TOKEN "\",\n"
+	    "\t\"platform\": {\"address\": \"127.0.0.1\", \"port\": %u},\n"
+	    "\t\"seeds\": [{\"address\": \"127.0.0.1\", \"peer_port\": %u}]"
+	    "%s%s\n}\n",
+	    vm->name, fleet_region(fleet, vm->place), vm->place, vm->port,
+	    vm->peer_port, vm->operator_port, fleet->platform.port,
+	    seed->peer_port, more == NULL ? "" : ",\n\t",
+	    more == NULL ? "" : more);
+	return fclose(file);
+}
+
+/* Whether a region was named by a place before `at`. */
+static bool
+is_repeated(const fleet_t *fleet, const fleet_place_t *at)
+{
+	const fleet_place_t *earlier;
+
+	for (earlier = fleet->options.places; earlier != at; earlier++) {
+		if (strcmp(earlier->region, at->region) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+write_places(const fleet_t *fleet, msp_buffer_t *out)
+{
+	const fleet_place_t *at;
+	const char *comma = "";
+
+	msp_print_buffer(out, "\"regions\": [");
+	for (at = fleet->options.places; at->name != NULL; at++) {
+		if (is_repeated(fleet, at))
+			continue;
+		msp_print_buffer(out, "%s{\"name\": \"%s\"}", comma, at->region);
+		comma = ", ";
+	}
+	msp_print_buffer(out, "], \"places\": [");
+	for (at = fleet->options.places; at->name != NULL; at++)
+		msp_print_buffer(out, "%s{\"name\": \"%s\", \"region\": \"%s\"}",
+		    at == fleet->options.places ? "" : ", ", at->name,
+		    at->region);
+	msp_print_buffer(out, "], ");
+}
+
+/* A link between each two regions. */
+static void
+write_links(const fleet_t *fleet, msp_buffer_t *out)
+{
+	const fleet_place_t *a;
+	const fleet_place_t *b;
+	const char *comma = "";
+
+	msp_print_buffer(out, "\"links\": [");
+	for (a = fleet->options.places; a->name != NULL; a++) {
+		for (b = a + 1; b->name != NULL && !is_repeated(fleet, a); b++) {
+			if (is_repeated(fleet, b))
+				continue;
+			msp_print_buffer(out,
+			    "%s{\"name\": \"%s-%s\", \"region_a\": \"%s\", "
+			    "\"region_b\": \"%s\", \"max_requests_per_s\": "
+			    "2000, \"max_bytes_per_s\": 500000000}",
+			    comma, a->region, b->region, a->region, b->region);
+			comma = ", ";
+		}
+	}
+	msp_print_buffer(out, "], ");
+}
+
+void
+fleet_write_note(const fleet_t *fleet, msp_buffer_t *out)
+{
+	const fleet_options_t *options = &fleet->options;
+	size_t i;
+
+	msp_print_buffer(out, "{\"id\": \"first\", \"add\": {");
+	write_places(fleet, out);
+	write_links(fleet, out);
+	msp_print_buffer(out,
+	    "\"services\": [{\"name\": \"%s\", \"priority\": \"%s\", "
+	    "\"routes\": ["
+	    "{\"method\": \"GET\", \"prefix\": \"/\", \"class\": "
+	    "\"interactive\"}, "
+	    "{\"method\": \"GET\", \"prefix\": \"/archive\", \"class\": "
+	    "\"background\"}, "
+	    "{\"method\": \"POST\", \"prefix\": \"/\", \"class\": "
+	    "\"commit\"}]}], \"targets\": [",
+	    options->service,
+	    options->priority == NULL ? "latency" : options->priority);
+	for (i = 0; i < fleet->target_count; i++)
+		msp_print_buffer(out,
+		    "%s{\"name\": \"%s\", \"service\": \"%s\", \"place\": "
+		    "\"%s\", \"address\": \"127.0.0.1\", \"port\": %u, "
+		    "\"slots\": %d}",
+		    i == 0 ? "" : ", ", fleet->targets[i].name,
+		    options->service, fleet->targets[i].place,
+		    fleet->targets[i].port, options->slots);
+	msp_print_buffer(out, "]}}");
+}
--- /dev/null
+++ b/tests/support/fleet_http.c
@@ -0,0 +1,197 @@
+#include "fleet_private.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#define CALL_TIMEOUT_MS 20000
+#define STEP_MS 20
+
+bool
+fleet_wait(fleet_t *fleet, bool (*holds)(void *ctx), void *ctx)
+{
+	msp_env_t env = msp_system_env();
+	msp_time_t end = msp_now(&env) + FLEET_WAIT_MS * MSP_MS;
+
+	while (!holds(ctx)) {
+		if (msp_now(&env) > end)
+			return false;
+		msp_step_loop(fleet->loop, STEP_MS);
+	}
+	return true;
+}
+
+static void
+add_headers(msp_request_t *request, const char *headers)
+{
+	char line[512];
+	char *colon;
+	size_t len;
+
+	while (headers != NULL && *headers != '\0') {
+		len = strcspn(headers, "\n");
+		snprintf(line, sizeof(line), "%.*s", (int)len, headers);
+		colon = strstr(line, ": ");
+		if (colon != NULL) {
+			*colon = '\0';
+			msp_add_header(&request->headers, line, colon + 2);
+		}
+		headers += len;
+		headers += *headers == '\n';
+	}
+}
+
+msp_call_t *
+fleet_start_request(fleet_t *fleet, uint16_t port, const char *method,
+    const char *path, const char *headers, const char *body,
+    uint32_t timeout_ms, msp_call_done_t *done, void *ctx)
+{
+	msp_call_options_t options = { .address = "127.0.0.1",
+		.port = port,
+		.timeout_ms = timeout_ms };
+	msp_request_t request = { 0 };
+	msp_call_t *call;
+
+	snprintf(request.method, sizeof(request.method), "%s", method);
+	snprintf(request.path, sizeof(request.path), "%s", path);
+	add_headers(&request, headers);
+	if (body != NULL)
+		msp_append_buffer(&request.body, body, strlen(body));
+	call = msp_start_call(fleet->client, &options, &request, done, ctx);
+	msp_drop_request(&request);
+	return call;
+}
+
+/* A reply that is waited for. */
+typedef struct pending {
+	fleet_reply_t *reply;
+	bool done;
+} pending_t;
+
+static void
+on_done(void *ctx, msp_call_result_t *result)
+{
+	pending_t *pending = ctx;
+
+	pending->reply->status = result->status;
+	pending->reply->maybe_sent = result->maybe_sent;
+	if (result->status == MSP_OK) {
+		pending->reply->http_status = result->response->status;
+		pending->reply->response = *result->response;
+		memset(result->response, 0, sizeof(*result->response));
+	}
+	pending->done = true;
+}
+
+static bool
+is_done(void *ctx)
+{
+	return ((pending_t *)ctx)->done;
+}
+
+void
+fleet_request(fleet_t *fleet, uint16_t port, const char *method,
+    const char *path, const char *headers, const char *body,
+    fleet_reply_t *reply)
+{
+	pending_t pending = { .reply = reply };
+
+	memset(reply, 0, sizeof(*reply));
+	reply->status = MSP_E_NO_MEMORY;
+	if (fleet_start_request(fleet, port, method, path, headers, body,
+		CALL_TIMEOUT_MS, on_done, &pending) != NULL)
+		fleet_wait(fleet, is_done, &pending);
+}
+
+void
+fleet_operate(fleet_t *fleet, size_t vm, const char *method, const char *path,
+    const char *body, fleet_reply_t *reply)
+{
+	fleet_request(fleet, fleet->vms[vm].operator_port, method, path,
+	    "Authorization: Bearer " FLEET_TOKEN, body, reply);
+}
+
+int
+fleet_post_note(fleet_t *fleet, size_t vm, const char *note)
+{
+	fleet_reply_t reply;
+
+	fleet_operate(fleet, vm, "POST", "/v1/releases", note, &reply);
+	if (reply.http_status != 201)
+		fprintf(stderr, "note refused: %d %s\n", reply.http_status,
+		    msp_buffer_text(&reply.response.body));
+	msp_drop_response(&reply.response);
+	return reply.http_status;
+}
+
+uint64_t
+fleet_version(fleet_t *fleet, size_t vm)
+{
+	fleet_reply_t reply;
+	json_object *doc;
+	json_object *value;
+	uint64_t version = 0;
+
+	fleet_operate(fleet, vm, "GET", "/v1/status", NULL, &reply);
+	doc = json_tokener_parse(msp_buffer_text(&reply.response.body));
+	if (doc != NULL && json_object_object_get_ex(doc, "version", &value))
+		version = json_object_get_uint64(value);
+	json_object_put(doc);
+	msp_drop_response(&reply.response);
+	return version;
+}
+
+bool
+fleet_wait_version(fleet_t *fleet, uint64_t version)
+{
+	msp_env_t env = msp_system_env();
+	msp_time_t end = msp_now(&env) + FLEET_WAIT_MS * MSP_MS;
+	size_t i = 0;
+
+	while (i < fleet->vm_count) {
+		if (fleet->vms[i].pid == 0 ||
+		    fleet_version(fleet, i) >= version)
+			i++;
+		else if (msp_now(&env) > end)
+			return false;
+		else
+			msp_step_loop(fleet->loop, STEP_MS);
+	}
+	return true;
+}
+
+bool
+fleet_apply_first_note(fleet_t *fleet)
+{
+	msp_buffer_t note = { 0 };
+	int status;
+
+	fleet_write_note(fleet, &note);
+	status = fleet_post_note(fleet, 0, msp_buffer_text(&note));
+	msp_drop_buffer(&note);
+	return status == 201 && fleet_wait_version(fleet, 1);
+}
+
+int
+fleet_runs(fleet_t *fleet, const char *key)
+{
+	fleet_reply_t reply;
+	json_object *doc;
+	json_object *value;
+	int runs = 0;
+	size_t i;
+
+	for (i = 0; i < fleet->target_count; i++) {
+		fleet_request(fleet, fleet->targets[i].port, "GET", "/runs",
+		    NULL, NULL, &reply);
+		doc = json_tokener_parse(msp_buffer_text(&reply.response.body));
+		if (doc != NULL && json_object_object_get_ex(doc, key, &value))
+			runs += json_object_get_int(value);
+		json_object_put(doc);
+		msp_drop_response(&reply.response);
+	}
+	return runs;
+}
--- /dev/null
+++ b/tests/support/fleet_private.h
@@ -0,0 +1,20 @@
+#ifndef SUPPORT_FLEET_PRIVATE_H
+#define SUPPORT_FLEET_PRIVATE_H
+
+#include "fleet.h"
+
+/* A port that is free for TCP and UDP on loopback now; 0 if there is none. */
+uint16_t fleet_free_port(void);
+
+/* Starts a program of $OUT/bin; its output goes to a file in `dir`. */
+int fleet_spawn(
+    const fleet_t *fleet, fleet_process_t *process, char *const *argv);
+
+/* Writes a VM's settings file, and the note that describes the fleet. */
+int fleet_write_settings(const fleet_t *fleet, fleet_process_t *vm);
+void fleet_write_note(const fleet_t *fleet, msp_buffer_t *out);
+
+/* The region of a place. */
+const char *fleet_region(const fleet_t *fleet, const char *place);
+
+#endif
--- /dev/null
+++ b/tests/support/fleet_process.c
@@ -0,0 +1,157 @@
+#include "fleet_private.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+extern char **environ;
+
+static int
+bind_port(int type, uint16_t *port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+		.sin_port = htons(*port),
+		.sin_addr = { .s_addr = htonl(INADDR_LOOPBACK) } };
+	socklen_t len = sizeof(address);
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return -1;
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &len) != 0) {
+		close(fd);
+		return -1;
+	}
+	*port = ntohs(address.sin_port);
+	return fd;
+}
+
+uint16_t
+fleet_free_port(void)
+{
+	uint16_t port;
+	int tries;
+	int tcp;
+	int udp;
+
+	for (tries = 0; tries < 100; tries++) {
+		port = 0;
+		tcp = bind_port(SOCK_STREAM, &port);
+		if (tcp < 0)
+			continue;
+		udp = bind_port(SOCK_DGRAM, &port);
+		close(tcp);
+		if (udp < 0)
+			continue;
+		close(udp);
+		return port;
+	}
+	return 0;
+}
+
+int
+fleet_spawn(const fleet_t *fleet, fleet_process_t *process, char *const *argv)
+{
+	const char *out = getenv("OUT");
+	posix_spawn_file_actions_t actions;
+	char path[512];
+	char log[256];
+	int code;
+
+	snprintf(path, sizeof(path), "%s/bin/%s",
+	    out == NULL ? "build/asan" : out, argv[0]);
+	snprintf(log, sizeof(log), "%s/%s.log", fleet->dir, process->name);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(
+	    &actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log,
+	    O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_adddup2(
+	    &actions, STDOUT_FILENO, STDERR_FILENO);
+	code = posix_spawn(
+	    &process->pid, path, &actions, NULL, argv, environ);
+	posix_spawn_file_actions_destroy(&actions);
+	if (code != 0) {
+		process->pid = 0;
+		fprintf(stderr, "%s: %s\n", path, strerror(code));
+	}
+	return code;
+}
+
+void
+fleet_signal(fleet_process_t *process, int number)
+{
+	if (process->pid != 0)
+		kill(process->pid, number);
+}
+
+static bool
+has_ended(void *ctx)
+{
+	fleet_process_t *process = ctx;
+
+	if (process->pid == 0)
+		return true;
+	if (waitpid(process->pid, &process->status, WNOHANG) != process->pid)
+		return false;
+	process->pid = 0;
+	return true;
+}
+
+int
+fleet_wait_exit(fleet_t *fleet, fleet_process_t *process)
+{
+	if (!fleet_wait(fleet, has_ended, process))
+		return -1;
+	return process->status;
+}
+
+static int
+start_target(fleet_t *fleet, fleet_process_t *target)
+{
+	const char *const *more = fleet->options.target_args;
+	char port[16];
+	char slots[16];
+	char *argv[32] = { "target", "--port", port, "--name", target->name,
+		"--slots", slots };
+	size_t count = 7;
+
+	snprintf(port, sizeof(port), "%u", target->port);
+	snprintf(slots, sizeof(slots), "%d", fleet->options.slots);
+	while (more != NULL && *more != NULL && count < 31)
+		argv[count++] = (char *)*more++;
+	return fleet_spawn(fleet, target, argv);
+}
+
+int
+fleet_restart_target(fleet_t *fleet, size_t target)
+{
+	return start_target(fleet, &fleet->targets[target]);
+}
+
+int
+fleet_restart_vm(fleet_t *fleet, size_t vm)
+{
+	fleet_process_t *process = &fleet->vms[vm];
+	char *argv[] = { "spindled", process->settings, NULL };
+
+	return fleet_spawn(fleet, process, argv);
+}
+
+int
+fleet_restart_platform(fleet_t *fleet)
+{
+	char port[16];
+	char *argv[] = { "platform", "--port", port, NULL };
+
+	snprintf(port, sizeof(port), "%u", fleet->platform.port);
+	return fleet_spawn(fleet, &fleet->platform, argv);
+}
