--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -2,6 +2,7 @@
 #define MONSOONSPINDLE_COORD_H
 
 #include "monsoonspindle/coord/credits.h"
+#include "monsoonspindle/coord/ledger.h"
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/coord/claim_doubts.h"
 #include "monsoonspindle/coord/claims.h"
