Add relays that exchange summaries between data centres

Each member pulls from one other a period, a few drawn ones from outside; an answer holds only what the asker lacks. A push of whole summaries was weighed and left: with some three sends of each summary it costs about three times what a member has to receive.

--- a/include/monsoonspindle/coord/gossip.x
+++ b/include/monsoonspindle/coord/gossip.x
@@ -1,6 +1,7 @@
 /*
  * Messages between the members of a data centre, and between data centres.
- * Each stays under 1400 bytes with the header of its call.
+ * Each stays under 1400 bytes with the header of its call. All of the sender's
+ * words are checked by the receiver.
  */
 const MSP_GOSSIP_NAME_MAX = 63;
 const MSP_GOSSIP_ADDRESS_MAX = 45;
@@ -137,6 +138,7 @@
 struct msp_gossip_summaries_t {
 	msp_gossip_head_t head;
 	msp_gossip_summary_t summaries<MSP_GOSSIP_SUMMARIES_MAX>;
+	bool more;
 };
 
 program MSP_GOSSIP_PROGRAM {
--- a/include/monsoonspindle/coord/gossip_xdr.h
+++ b/include/monsoonspindle/coord/gossip_xdr.h
@@ -184,6 +184,7 @@
 		u_int summaries_len;
 		msp_gossip_summary_t *summaries_val;
 	} summaries;
+	bool_t more;
 };
 typedef struct msp_gossip_summaries_t msp_gossip_summaries_t;
 
--- a/source/coord/gossip_xdr.c
+++ b/source/coord/gossip_xdr.c
@@ -275,5 +275,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->summaries.summaries_val, (u_int *) &objp->summaries.summaries_len, MSP_GOSSIP_SUMMARIES_MAX,
 		sizeof (msp_gossip_summary_t), (xdrproc_t) xdr_msp_gossip_summary_t))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->more))
+		 return FALSE;
 	return TRUE;
 }
--- a/source/coord/member_news.c
+++ b/source/coord/member_news.c
@@ -2,31 +2,27 @@
 #include <string.h>
 
 #include "membership_private.h"
+#include "names.h"
 
 #define NEWS_MAX 1150 /* bytes of updates and loads in a message */
 #define RECORD_FIXED 28 /* bytes of a record besides its strings */
 #define LOAD_FIXED 24 /* bytes of a load besides name and payload */
 #define SEQUENCE_JUMP_MAX ((uint64_t)1 << 32)
 
-static size_t
-coded_size(size_t len)
-{
-	return 4 + (len + 3) / 4 * 4;
-}
-
 size_t
 msp_record_size(const msp_member_t *info)
 {
-	return RECORD_FIXED + coded_size(strlen(info->name)) +
-	    coded_size(strlen(info->region)) + coded_size(strlen(info->place)) +
-	    coded_size(strlen(info->address));
+	return RECORD_FIXED + msp_coded_size(strlen(info->name)) +
+	    msp_coded_size(strlen(info->region)) +
+	    msp_coded_size(strlen(info->place)) +
+	    msp_coded_size(strlen(info->address));
 }
 
 static size_t
 load_size(const msp_member_t *info)
 {
-	return LOAD_FIXED + coded_size(strlen(info->name)) +
-	    coded_size(info->load_len);
+	return LOAD_FIXED + msp_coded_size(strlen(info->name)) +
+	    msp_coded_size(info->load_len);
 }
 
 msp_status_t
--- a/source/coord/member_record.c
+++ b/source/coord/member_record.c
@@ -1,11 +1,9 @@
-#include <ctype.h>
 #include <string.h>
 
 #include <bsd/string.h>
 
-#include <arpa/inet.h>
-
 #include "membership_private.h"
+#include "names.h"
 
 /* Sends of one update, and of one load, by the logarithm of the members. */
 #define SENDS_FACTOR 3U
@@ -119,24 +117,6 @@
 	}
 }
 
-static bool
-name_is_good(const char *name)
-{
-	const char *c;
-
-	for (c = name; *c != '\0'; c++) {
-		if (!isalnum((unsigned char)*c) && strchr("._-", *c) == NULL)
-			return false;
-	}
-	return c != name;
-}
-
-static bool
-port_is_good(u_int port)
-{
-	return port > 0 && port <= UINT16_MAX;
-}
-
 /* The highest incarnation that is believed now. */
 static uint64_t
 incarnation_limit(const msp_membership_t *m)
@@ -148,14 +128,12 @@
 static bool
 record_is_good(const msp_membership_t *m, const msp_gossip_member_t *record)
 {
-	unsigned char address[sizeof(struct in6_addr)];
-
-	return name_is_good(record->name) && name_is_good(record->region) &&
+	return msp_name_is_good(record->name) &&
+	    msp_name_is_good(record->region) &&
 	    strcmp(record->place, m->self->info.place) == 0 &&
-	    (inet_pton(AF_INET, record->address, address) == 1 ||
-		inet_pton(AF_INET6, record->address, address) == 1) &&
-	    port_is_good(record->caller_port) &&
-	    port_is_good(record->peer_port) &&
+	    msp_address_is_good(record->address) &&
+	    msp_port_is_good(record->caller_port) &&
+	    msp_port_is_good(record->peer_port) &&
 	    (unsigned int)record->state < MSP_MEMBER_STATE_COUNT &&
 	    record->incarnation > 0 &&
 	    record->incarnation <= incarnation_limit(m);
--- /dev/null
+++ b/source/coord/relay.c
@@ -0,0 +1,283 @@
+#include "monsoonspindle/coord/relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "monsoonspindle/coord/rendezvous.h"
+#include "relay_private.h"
+#include "summary_code.h"
+
+#define AUTHOR_KEY "summary"
+#define SEQUENCE_SLACK_MS ((uint64_t)24 * 3600 * 1000)
+
+static void
+take_defaults(msp_relay_options_t *options)
+{
+	if (options->period == 0)
+		options->period = 2 * MSP_SECOND;
+	if (options->stale_after == 0)
+		options->stale_after = MSP_MINUTE;
+	if (options->forget_after == 0)
+		options->forget_after = 60 * MSP_MINUTE;
+	if (options->relays == 0)
+		options->relays = 3;
+	if (options->pages == 0)
+		options->pages = 2;
+}
+
+msp_relay_t *
+msp_new_relay(const msp_env_t *env, const msp_membership_t *membership,
+    const msp_relay_options_t *options, const msp_relay_callbacks_t *callbacks)
+{
+	msp_relay_t *relay = calloc(1, sizeof(*relay));
+
+	if (relay == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for the relay");
+		return NULL;
+	}
+	relay->env = *env;
+	relay->membership = membership;
+	relay->options = *options;
+	relay->callbacks = *callbacks;
+	take_defaults(&relay->options);
+	relay->start = msp_now(env);
+	relay->next_period =
+	    relay->start + msp_random_below(env, relay->options.period);
+	return relay;
+}
+
+void
+msp_drop_relay(msp_relay_t *relay)
+{
+	size_t i;
+
+	if (relay == NULL)
+		return;
+	for (i = 0; i < relay->summary_count; i++)
+		free(relay->summaries[i]);
+	free(relay);
+}
+
+static size_t
+position(const msp_relay_t *relay, const char *place)
+{
+	size_t low = 0;
+	size_t high = relay->summary_count;
+
+	while (low < high) {
+		size_t middle = (low + high) / 2;
+
+		if (strcmp(relay->summaries[middle]->place, place) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+const msp_summary_t *
+msp_find_summary(const msp_relay_t *relay, const char *place)
+{
+	size_t at = position(relay, place);
+
+	if (at == relay->summary_count ||
+	    strcmp(relay->summaries[at]->place, place) != 0)
+		return NULL;
+	return relay->summaries[at];
+}
+
+/* The clock of sequences: that of incarnations, in milliseconds. */
+static uint64_t
+sequence_now(const msp_relay_t *relay)
+{
+	return (msp_membership_self(relay->membership)->incarnation +
+		   (msp_now(&relay->env) - relay->start)) /
+	    MSP_MS;
+}
+
+static bool
+is_newer(const msp_summary_t *a, const msp_summary_t *b)
+{
+	return a->sequence != b->sequence ? a->sequence > b->sequence
+					  : a->incarnation > b->incarnation;
+}
+
+/* Takes the summary in if it is newer; NULL if it is not. */
+msp_summary_t *
+msp_keep_summary(msp_relay_t *relay, const msp_summary_t *summary)
+{
+	size_t at = position(relay, summary->place);
+	msp_summary_t *kept;
+
+	if (summary->sequence > sequence_now(relay) + SEQUENCE_SLACK_MS)
+		return NULL;
+	if (at < relay->summary_count &&
+	    strcmp(relay->summaries[at]->place, summary->place) == 0) {
+		kept = relay->summaries[at];
+		if (!is_newer(summary, kept))
+			return NULL;
+		*kept = *summary;
+		return kept;
+	}
+	if (relay->summary_count == MSP_PLACES_MAX)
+		return NULL;
+	kept = malloc(sizeof(*kept));
+	if (kept == NULL)
+		return NULL;
+	*kept = *summary;
+	memmove(&relay->summaries[at + 1], &relay->summaries[at],
+	    (relay->summary_count - at) * sizeof(msp_summary_t *));
+	relay->summaries[at] = kept;
+	relay->summary_count++;
+	return kept;
+}
+
+static void
+forget_old(msp_relay_t *relay)
+{
+	msp_time_t now = msp_now(&relay->env);
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < relay->summary_count; i++) {
+		msp_summary_t *summary = relay->summaries[i];
+
+		if (msp_summary_age(summary, now) > relay->options.forget_after)
+			free(summary);
+		else
+			relay->summaries[kept++] = summary;
+	}
+	relay->summary_count = kept;
+}
+
+bool
+msp_relay_is_author(const msp_relay_t *relay)
+{
+	const msp_member_t *self = msp_membership_self(relay->membership);
+	const msp_member_t *first = NULL;
+
+	return msp_rank_members(relay->membership, AUTHOR_KEY, self->place, 0,
+		   &first, 1) == 1 &&
+	    first == self && !msp_membership_paused(relay->membership);
+}
+
+/* Fills the entries with alive members, others each time. */
+static void
+fill_entries(const msp_relay_t *relay, msp_summary_t *summary)
+{
+	const msp_member_t *ranked[MSP_MEMBERS_MAX];
+	const msp_member_t *self = msp_membership_self(relay->membership);
+	size_t count = msp_rank_members(relay->membership, AUTHOR_KEY,
+	    self->place, (uint32_t)summary->sequence, ranked, MSP_MEMBERS_MAX);
+	size_t i;
+
+	summary->live = 0;
+	summary->entry_count = 0;
+	for (i = 0; i < count && ranked[i]->state == MSP_MEMBER_ALIVE; i++) {
+		msp_entry_vm_t *entry;
+
+		summary->live++;
+		if (summary->entry_count == MSP_SUMMARY_ENTRIES_MAX)
+			continue;
+		entry = &summary->entries[summary->entry_count++];
+		memcpy(entry->name, ranked[i]->name, sizeof(entry->name));
+		memcpy(
+		    entry->address, ranked[i]->address, sizeof(entry->address));
+		entry->caller_port = ranked[i]->caller_port;
+		entry->peer_port = ranked[i]->peer_port;
+	}
+}
+
+static void
+write_summary(msp_relay_t *relay)
+{
+	const msp_member_t *self = msp_membership_self(relay->membership);
+	const msp_summary_t *last = msp_find_summary(relay, self->place);
+	msp_summary_t summary = relay->own;
+
+	memcpy(summary.place, self->place, sizeof(summary.place));
+	memcpy(summary.region, self->region, sizeof(summary.region));
+	summary.incarnation = self->incarnation;
+	summary.sequence = sequence_now(relay);
+	if (last != NULL && last->sequence >= summary.sequence)
+		summary.sequence = last->sequence + 1;
+	summary.received = msp_now(&relay->env);
+	summary.age_received = 0;
+	summary.release = self->release;
+	fill_entries(relay, &summary);
+	msp_trim_summary(&summary);
+	msp_keep_summary(relay, &summary);
+}
+
+/* True with the chance that `relays` of the live members are drawn. */
+static bool
+is_drawn(const msp_relay_t *relay)
+{
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	size_t count =
+	    msp_live_members(relay->membership, live, MSP_MEMBERS_MAX);
+
+	return msp_random_below(&relay->env, count) < relay->options.relays;
+}
+
+void
+msp_tick_relay(msp_relay_t *relay)
+{
+	msp_time_t now = msp_now(&relay->env);
+
+	if (now < relay->next_period ||
+	    msp_membership_superseded(relay->membership))
+		return;
+	relay->next_period += relay->options.period;
+	if (relay->next_period <= now)
+		relay->next_period = now + relay->options.period;
+	forget_old(relay);
+	if (msp_relay_is_author(relay))
+		write_summary(relay);
+	msp_exchange_inside(relay);
+	if (is_drawn(relay))
+		msp_exchange_outside(relay, true);
+	if (is_drawn(relay))
+		msp_exchange_outside(relay, false);
+}
+
+void
+msp_suggest_contacts(
+    msp_relay_t *relay, const msp_contact_t *contacts, size_t count)
+{
+	const char *own = msp_membership_self(relay->membership)->place;
+	size_t i;
+
+	relay->contact_count = 0;
+	for (i = 0; i < count && relay->contact_count < MSP_CONTACTS_MAX; i++) {
+		if (strcmp(contacts[i].place, own) != 0)
+			relay->contacts[relay->contact_count++] = contacts[i];
+	}
+}
+
+void
+msp_set_own_summary(msp_relay_t *relay, const msp_summary_t *own)
+{
+	relay->own = *own;
+}
+
+size_t
+msp_summary_count(const msp_relay_t *relay)
+{
+	return relay->summary_count;
+}
+
+const msp_summary_t *
+msp_summary_at(const msp_relay_t *relay, size_t index)
+{
+	return relay->summaries[index];
+}
+
+bool
+msp_summary_is_stale(const msp_relay_t *relay, const msp_summary_t *summary)
+{
+	return msp_summary_age(summary, msp_now(&relay->env)) >
+	    relay->options.stale_after;
+}
--- /dev/null
+++ b/tests/coord/test_relay.c
@@ -0,0 +1,159 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gossip_net.h"
+
+#define SUMMARIES_BOUND (120 * MSP_SECOND)
+
+typedef struct spread_case {
+	size_t nodes;
+	size_t places;
+	size_t regions;
+	uint64_t seed;
+	double loss;
+} spread_case_t;
+
+static const spread_case_t spread_cases[] = {
+    {4, 2, 1, 1, 0},
+    {23, 6, 3, 2, 0},
+    {23, 6, 3, 3, 0.1},
+    {23, 6, 3, 4, 0.3},
+    {64, 16, 4, 5, 0},
+    {186, 62, 16, 6, 0},
+};
+
+static net_t *
+started_net(const spread_case_t *row)
+{
+	net_t *net = new_net(row->nodes, row->seed);
+	size_t i;
+
+	net->loss = row->loss;
+	net->relays = true;
+	place_nodes(net, row->places, row->regions);
+	for (i = 0; i < row->nodes; i++)
+		start_node(net, i);
+	return net;
+}
+
+/* Whether all nodes of `side` hold fresh summaries of `places` places. */
+static bool
+all_hold(const net_t *net, unsigned int side, size_t places)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < net->count; i++) {
+		const msp_relay_t *relay = net->nodes[i].relay;
+		size_t fresh = 0;
+
+		if (relay == NULL || net->nodes[i].side != side)
+			continue;
+		for (j = 0; j < msp_summary_count(relay); j++)
+			fresh += !msp_summary_is_stale(
+			    relay, msp_summary_at(relay, j));
+		if (fresh != places)
+			return false;
+	}
+	return true;
+}
+
+static msp_time_t
+run_until_held(net_t *net, unsigned int side, size_t places, msp_time_t bound)
+{
+	msp_time_t start = net->now;
+
+	while (!all_hold(net, side, places) && net->now - start < bound)
+		run_net(net, 100 * MSP_MS);
+	return net->now - start;
+}
+
+static void
+every_place_hears_of_every_other(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(spread_cases) / sizeof(spread_cases[0]); i++) {
+		const spread_case_t *row = &spread_cases[i];
+		net_t *net = started_net(row);
+		msp_time_t took =
+		    run_until_held(net, 0, row->places, SUMMARIES_BOUND);
+
+		print_message("%zu places, loss %.0f%%: all hold all summaries "
+			      "after %.1f s\n",
+		    row->places, row->loss * 100, (double)took / MSP_SECOND);
+		assert_true(all_hold(net, 0, row->places));
+		assert_in_range(net->largest, 1, 1400);
+		drop_net(net);
+	}
+}
+
+/* A region is cut off: both sides keep their own and mark the others stale. */
+static void
+a_partition_is_seen_and_heals(void **state)
+{
+	const spread_case_t row = {24, 6, 3, 7, 0};
+	net_t *net = started_net(&row);
+	size_t i;
+
+	(void)state;
+	run_until_held(net, 0, 6, SUMMARIES_BOUND);
+	for (i = 0; i < 8; i++)
+		net->nodes[i].side = 1;
+	run_net(net, 90 * MSP_SECOND);
+	assert_true(all_hold(net, 1, 2));
+	assert_true(all_hold(net, 0, 4));
+	assert_int_equal(msp_summary_count(net->nodes[0].relay), 6);
+	for (i = 0; i < 8; i++)
+		net->nodes[i].side = 0;
+	assert_in_range(
+	    run_until_held(net, 0, 6, SUMMARIES_BOUND), 0, 60 * MSP_SECOND);
+	drop_net(net);
+}
+
+/* The author dies: the next one's summaries are taken. */
+static void
+a_new_author_is_heard(void **state)
+{
+	const spread_case_t row = {24, 6, 3, 8, 0};
+	net_t *net = started_net(&row);
+	const msp_summary_t *summary;
+	uint64_t before;
+	size_t i;
+
+	(void)state;
+	run_until_held(net, 0, 6, SUMMARIES_BOUND);
+	for (i = 0; i < 4; i++) {
+		if (msp_relay_is_author(net->nodes[i].relay))
+			break;
+	}
+	assert_in_range(i, 0, 3);
+	before = msp_membership_self(net->nodes[i].membership)->incarnation;
+	kill_node(net, i);
+	run_net(net, 60 * MSP_SECOND);
+	assert_true(all_hold(net, 0, 6));
+	summary = msp_find_summary(net->nodes[23].relay, "dc-00");
+	assert_non_null(summary);
+	assert_true(summary->incarnation != before);
+	assert_int_equal(summary->live, 3);
+	drop_net(net);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(every_place_hears_of_every_other),
+	    cmocka_unit_test(a_partition_is_seen_and_heals),
+	    cmocka_unit_test(a_new_author_is_heard),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/gossip_net.c
+++ b/tests/support/gossip_net.c
@@ -215,6 +215,7 @@
 		event->to = node->index;
 		event->to_run = node->run;
 		event->token = token;
+		event->procedure = procedure;
 		event->status = MSP_E_DEADLINE;
 		push(net, event);
 	}
@@ -259,6 +260,7 @@
 		msp_gossip_exchange_t exchange;
 		msp_gossip_ack_t ack;
 		msp_gossip_page_t page;
+		msp_gossip_summaries_t summaries;
 	} argument, result;
 	char bytes[4096];
 	size_t len = 0;
@@ -271,8 +273,12 @@
 	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
 	if (!codec->argument(&xdrs, &argument))
 		abort();
-	status = msp_serve_membership(
-	    node->membership, event->procedure, &argument, &result);
+	if (event->procedure == MSP_GOSSIP_EXCHANGE)
+		status = msp_serve_relay(
+		    node->relay, event->procedure, &argument, &result);
+	else
+		status = msp_serve_membership(
+		    node->membership, event->procedure, &argument, &result);
 	xdr_free(codec->argument, (char *)&argument);
 	if (codec->result != NULL && event->token != 0) {
 		if (status == MSP_OK)
@@ -286,6 +292,17 @@
 		xdr_free(codec->result, (char *)&result);
 }
 
+static void
+hand_in(net_node_t *node, const net_event_t *event, const void *result)
+{
+	if (event->procedure == MSP_GOSSIP_EXCHANGE)
+		msp_relay_answered(
+		    node->relay, event->token, event->status, result);
+	else
+		msp_membership_answered(
+		    node->membership, event->token, event->status, result);
+}
+
 static void
 serve_reply(net_node_t *node, net_event_t *event)
 {
@@ -300,16 +317,14 @@
 
 	memset(&result, 0, sizeof(result));
 	if (event->kind == EVENT_TIMEOUT || event->status != MSP_OK) {
-		msp_membership_answered(
-		    node->membership, event->token, event->status, NULL);
+		hand_in(node, event, NULL);
 		return;
 	}
 	node->bytes_in += event->len + REPLY_OVERHEAD + DATAGRAM_OVERHEAD;
 	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
 	if (!codec->result(&xdrs, &result))
 		abort();
-	msp_membership_answered(
-	    node->membership, event->token, MSP_OK, &result);
+	hand_in(node, event, &result);
 	xdr_free(codec->result, (char *)&result);
 }
 
@@ -340,6 +355,8 @@
 	} else if (node->run == event->to_run) {
 		if (event->kind == EVENT_TICK) {
 			msp_tick_membership(node->membership);
+			if (node->relay != NULL)
+				msp_tick_relay(node->relay);
 			event->at = net->now + TICK;
 			push(net, event);
 			return;
@@ -402,6 +419,21 @@
 	return net;
 }
 
+void
+place_nodes(net_t *net, size_t places, size_t regions)
+{
+	size_t i;
+
+	for (i = 0; i < net->count; i++) {
+		size_t place = i * places / net->count;
+
+		snprintf(net->nodes[i].place, sizeof(net->nodes[i].place),
+		    "dc-%02zu", place);
+		snprintf(net->nodes[i].region, sizeof(net->nodes[i].region),
+		    "region-%02zu", place * regions / places);
+	}
+}
+
 void
 drop_net(net_t *net)
 {
@@ -432,6 +464,34 @@
 	return count;
 }
 
+/* Its contacts are the first VMs of each place. */
+static void
+start_relay(net_t *net, net_node_t *node, const msp_env_t *env)
+{
+	msp_relay_callbacks_t callbacks = {.send = send_call, .ctx = node};
+	msp_contact_t contacts[MSP_CONTACTS_MAX] = {0};
+	size_t count = 0;
+	size_t i;
+
+	node->relay = msp_new_relay(
+	    env, node->membership, &net->relay_options, &callbacks);
+	for (i = 0; i < net->count && count < MSP_CONTACTS_MAX; i++) {
+		const net_node_t *other = &net->nodes[i];
+		msp_contact_t *contact = &contacts[count];
+
+		if (i >= SEEDS &&
+		    strcmp(other->place, net->nodes[i - SEEDS].place) == 0)
+			continue;
+		memcpy(contact->place, other->place, sizeof(contact->place));
+		memcpy(contact->region, other->region, sizeof(contact->region));
+		memcpy(
+		    contact->address, other->address, sizeof(contact->address));
+		contact->peer_port = other->peer_port;
+		count++;
+	}
+	msp_suggest_contacts(node->relay, contacts, count);
+}
+
 void
 start_node(net_t *net, size_t index)
 {
@@ -443,6 +503,7 @@
 	msp_seed_t seeds[SEEDS] = {0};
 	net_event_t *tick;
 
+	kill_node(net, index);
 	node->run++;
 	memcpy(options.self.name, node->name, sizeof(node->name));
 	memcpy(options.self.place, node->place, sizeof(node->place));
@@ -450,10 +511,12 @@
 	memcpy(options.self.address, node->address, sizeof(node->address));
 	options.self.peer_port = node->peer_port;
 	options.self.caller_port = 8000;
-	options.self.incarnation = START_OF_TIME + net->now;
+	options.self.incarnation = START_OF_TIME + net->now + index;
 	options.seeds = seeds;
 	options.seed_count = fill_seeds(net, node, seeds);
 	node->membership = msp_new_membership(&env, &options, &callbacks);
+	if (net->relays)
+		start_relay(net, node, &env);
 	tick = new_event(
 	    EVENT_TICK, net->now + msp_next_random(&net->rng) % TICK, NULL, 0);
 	tick->to = index;
@@ -478,7 +541,9 @@
 {
 	net_node_t *node = &net->nodes[index];
 
+	msp_drop_relay(node->relay);
 	msp_drop_membership(node->membership);
+	node->relay = NULL;
 	node->membership = NULL;
 	node->frozen = false;
 	drop_held(node);
--- a/tests/support/gossip_net.h
+++ b/tests/support/gossip_net.h
@@ -17,6 +17,7 @@
 	size_t index;
 	msp_rng_t rng;
 	msp_membership_t *membership; /* NULL: no process runs */
+	msp_relay_t *relay;
 	char name[MSP_MEMBER_NAME_SIZE];
 	char place[MSP_MEMBER_NAME_SIZE];
 	char region[MSP_MEMBER_NAME_SIZE];
@@ -43,6 +44,8 @@
 	msp_time_t late_max;
 	msp_time_t delay; /* of each message, plus up to half */
 	msp_membership_options_t options; /* of new members */
+	msp_relay_options_t relay_options;
+	bool relays; /* new members have a relay */
 	net_event_t **heap;
 	size_t heap_len;
 	size_t heap_size;
@@ -58,6 +61,9 @@
 net_t *new_net(size_t nodes, uint64_t seed);
 void drop_net(net_t *net);
 
+/* Spreads the nodes evenly, in order, over places and these over regions. */
+void place_nodes(net_t *net, size_t places, size_t regions);
+
 /* Starts a process, or a new one, whose seeds are the nodes 0, 1 and 2. */
 void start_node(net_t *net, size_t index);
 void kill_node(net_t *net, size_t index);
