--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -6,5 +6,6 @@
 #include "monsoonspindle/coord/issued_keys.h"
 #include "monsoonspindle/coord/nonces.h"
 #include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/retry_budget.h"
 
 #endif
--- /dev/null
+++ b/source/coord/issued_keys.c
@@ -0,0 +1,68 @@
+#include "monsoonspindle/coord/issued_keys.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TAG "msp1."
+#define TAG_LEN 5
+#define NUMBER_LEN 16 /* hexadecimal digits */
+
+void
+msp_issue_key_prefix(
+    uint64_t incarnation, msp_time_t now, char out[MSP_ISSUED_PREFIX_SIZE])
+{
+	snprintf(out, MSP_ISSUED_PREFIX_SIZE,
+	    TAG "%016" PRIx64 ".%016" PRIx64 ".", incarnation, now / MSP_MS);
+}
+
+/* Reads 16 digits and the dot after them. */
+static bool
+parse_number(const char *text, uint64_t *number)
+{
+	if (strspn(text, "0123456789abcdef") != NUMBER_LEN ||
+	    text[NUMBER_LEN] != '.')
+		return false;
+	return sscanf(text, "%16" SCNx64, number) == 1;
+}
+
+bool
+msp_parse_issued_key(const char *key, msp_issued_key_t *parsed)
+{
+	const char *issued = key + TAG_LEN + NUMBER_LEN + 1;
+	uint64_t issued_ms;
+
+	if (strncmp(key, TAG, TAG_LEN) != 0 ||
+	    !parse_number(key + TAG_LEN, &parsed->incarnation) ||
+	    !parse_number(issued, &issued_ms) ||
+	    issued[NUMBER_LEN + 1] == '\0' || issued_ms > UINT64_MAX / MSP_MS)
+		return false;
+	parsed->issued = issued_ms * MSP_MS;
+	return true;
+}
+
+msp_key_route_t
+msp_route_key(const char *key, uint64_t own_incarnation,
+    bool (*is_gone)(void *ctx, uint64_t incarnation), void *ctx,
+    msp_issued_key_t *parsed)
+{
+	if (!msp_parse_issued_key(key, parsed))
+		return MSP_KEY_STORE;
+	if (parsed->incarnation == own_incarnation)
+		return MSP_KEY_HERE;
+	return is_gone(ctx, parsed->incarnation) ? MSP_KEY_GONE
+						 : MSP_KEY_FORWARD;
+}
+
+msp_status_t
+msp_check_issued_key(
+    const msp_issued_key_t *parsed, msp_time_t now, msp_time_t lifetime)
+{
+	if (parsed->issued > now)
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "the key was issued in the future");
+	if (now - parsed->issued > lifetime)
+		return msp_fail(
+		    MSP_E_KEY_EXPIRED, "the key is past its lifetime");
+	return MSP_OK;
+}
