--- /dev/null
+++ b/source/coord/claim_outcome.c
@@ -0,0 +1,55 @@
+#include "monsoonspindle/coord/outcome.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static size_t
+text_size(const msp_outcome_t *outcome)
+{
+	size_t size = outcome->body_len + 1;
+	size_t i;
+
+	for (i = 0; i < outcome->field_count; i++)
+		size += strlen(outcome->fields[i].name) +
+		    strlen(outcome->fields[i].value) + 2;
+	return size;
+}
+
+/* Copies `len` bytes and a final 0 to *end, which moves on. */
+static const char *
+place(char **end, const char *data, size_t len)
+{
+	char *start = *end;
+
+	if (len > 0)
+		memcpy(start, data, len);
+	start[len] = '\0';
+	*end = start + len + 1;
+	return start;
+}
+
+msp_outcome_t *
+msp_copy_outcome(const msp_outcome_t *outcome)
+{
+	size_t fields_size = outcome->field_count * sizeof(msp_outcome_field_t);
+	msp_outcome_t *copy =
+	    malloc(sizeof(*copy) + fields_size + text_size(outcome));
+	msp_outcome_field_t *fields;
+	char *end;
+	size_t i;
+
+	if (copy == NULL)
+		return NULL;
+	fields = (msp_outcome_field_t *)(copy + 1);
+	end = (char *)(fields + outcome->field_count);
+	*copy = *outcome;
+	copy->fields = fields;
+	for (i = 0; i < outcome->field_count; i++) {
+		const msp_outcome_field_t *from = &outcome->fields[i];
+
+		fields[i].name = place(&end, from->name, strlen(from->name));
+		fields[i].value = place(&end, from->value, strlen(from->value));
+	}
+	copy->body = place(&end, outcome->body, outcome->body_len);
+	return copy;
+}
--- /dev/null
+++ b/source/coord/released.h
@@ -0,0 +1,34 @@
+#ifndef MSP_COORD_RELEASED_H
+#define MSP_COORD_RELEASED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "monsoonspindle/base/env.h"
+#include "monsoonspindle/coord/nonces.h"
+
+/*
+ * Nonces that this process has dropped for good: nothing was sent under them
+ * and nothing will be. Their claims may still take effect in the store.
+ */
+typedef struct msp_released msp_released_t;
+
+msp_released_t *msp_new_released(msp_time_t memory);
+void msp_drop_released(msp_released_t *released);
+
+/*
+ * Remembers `nonce`; `said_no`: a client was told "run: no" now. Without
+ * memory the nonce is forgotten, which leaves its key in doubt.
+ */
+void msp_note_released(
+    msp_released_t *released, msp_nonce_t nonce, bool said_no, msp_time_t now);
+
+/* Whether `nonce` is remembered; if so, when a "no" was said, 0: never. */
+bool msp_find_released(
+    const msp_released_t *released, msp_nonce_t nonce, msp_time_t *said_no_at);
+
+/* Forgets what is past the memory. */
+void msp_expire_released(msp_released_t *released, msp_time_t now);
+size_t msp_released_count(const msp_released_t *released);
+
+#endif
