--- /dev/null
+++ b/source/spindled/operator_releases.c
@@ -0,0 +1,176 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "log.h"
+#include "problem.h"
+#include "releases_private.h"
+
+#define HISTORY_DEFAULT 50
+#define HISTORY_MAX 1000
+
+/* A note that an operator posted and that is not decided yet. */
+typedef struct posted_note {
+	bool gone; /* the operator went away */
+	msp_exchange_t *exchange;
+	releases_t *releases;
+	char id[MSP_NOTE_ID_SIZE];
+} posted_note_t;
+
+static void
+answer_accepted(posted_note_t *posted, const msp_submit_result_t *result)
+{
+	json_object *doc = json_object_new_object();
+	char digest[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(result->digest, digest);
+	json_object_object_add(
+	    doc, "version", json_object_new_uint64(result->version));
+	json_object_object_add(doc, "digest", json_object_new_string(digest));
+	json_object_object_add(doc, "id", json_object_new_string(posted->id));
+	json_object_object_add(
+	    doc, "rebased", json_object_new_boolean(result->rebased));
+	answer_json(posted->exchange, 201,
+	    json_object_to_json_string_ext(doc, JSON_C_TO_STRING_PLAIN));
+	json_object_put(doc);
+}
+
+/* "a, b" as a list. */
+static json_object *
+split_clashes(const char *clashes)
+{
+	json_object *list = json_object_new_array();
+	const char *at = clashes;
+	const char *end;
+
+	while (*at != '\0') {
+		end = strstr(at, ", ");
+		if (end == NULL)
+			end = at + strlen(at);
+		json_object_array_add(list,
+		    json_object_new_string_len(at, (int)(end - at)));
+		at = *end == '\0' ? end : end + 2;
+	}
+	return list;
+}
+
+static void
+answer_refused(posted_note_t *posted, const msp_submit_result_t *result)
+{
+	const msp_answer_t *answer = msp_status_answer(result->status);
+	json_object *doc = json_object_new_object();
+
+	json_object_object_add(
+	    doc, "title", json_object_new_string(answer->title));
+	json_object_object_add(
+	    doc, "status", json_object_new_int(answer->http_status));
+	json_object_object_add(
+	    doc, "kind", json_object_new_string(answer->kind));
+	json_object_object_add(doc, "detail",
+	    json_object_new_string(
+		result->message == NULL ? "" : result->message));
+	json_object_object_add(doc, "id", json_object_new_string(posted->id));
+	if (result->status == MSP_E_CONFLICT) {
+		json_object_object_add(
+		    doc, "clashes", split_clashes(result->clashes));
+		json_object_object_add(doc, "other_note",
+		    json_object_new_string(result->other_note));
+	}
+	answer_json(posted->exchange, answer->http_status,
+	    json_object_to_json_string_ext(doc, JSON_C_TO_STRING_PLAIN));
+	json_object_put(doc);
+}
+
+static void
+on_submitted(void *ctx, const msp_submit_result_t *result)
+{
+	posted_note_t *posted = ctx;
+
+	log_info("event=note id=%s ended=%s version=%llu", posted->id,
+	    msp_status_name(result->status),
+	    (unsigned long long)result->version);
+	if (!posted->gone && result->status == MSP_OK)
+		answer_accepted(posted, result);
+	else if (!posted->gone)
+		answer_refused(posted, result);
+	free(posted);
+}
+
+void
+post_release(releases_t *releases, msp_exchange_t *exchange)
+{
+	const msp_buffer_t *body = &msp_exchange_request(exchange)->body;
+	msp_note_t *note;
+	posted_note_t *posted;
+	msp_status_t status;
+
+	status = msp_parse_note(
+	    msp_buffer_text(body), body->len, "release note", &note);
+	if (status == MSP_OK && (note->id[0] == '\0' || !note->has_base)) {
+		msp_drop_note(note);
+		status = msp_fail(MSP_E_INVALID_NOTE,
+		    "release note: id, base_version and base_digest are needed");
+	}
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+		return;
+	}
+	posted = calloc(1, sizeof(*posted));
+	if (posted == NULL) {
+		msp_drop_note(note);
+		answer_error(exchange, MSP_E_NO_MEMORY);
+		return;
+	}
+	posted->exchange = exchange;
+	posted->releases = releases;
+	memcpy(posted->id, note->id, sizeof(posted->id));
+	msp_set_exchange_data(exchange, &posted->gone);
+	msp_submit_note(releases->ledger, note, on_submitted, posted);
+	msp_drop_note(note);
+	arm_releases(releases);
+}
+
+void
+get_history(releases_t *releases, msp_exchange_t *exchange)
+{
+	const char *path = msp_exchange_request(exchange)->path;
+	msp_buffer_t text = { 0 };
+	uint64_t after;
+	uint64_t limit;
+	msp_status_t status;
+
+	status = read_version(path, "after", &after);
+	if (status == MSP_OK)
+		status = read_version(path, "limit", &limit);
+	if (status == MSP_OK && limit == 0)
+		limit = HISTORY_DEFAULT;
+	if (status == MSP_OK && limit > HISTORY_MAX)
+		status = msp_fail(
+		    MSP_E_BAD_REQUEST, "limit: not 1 to %d", HISTORY_MAX);
+	if (status == MSP_OK)
+		status = msp_print_ledger_history(
+		    releases->ledger, after, (size_t)limit, &text);
+	if (status == MSP_OK)
+		answer_json(exchange, 200, msp_buffer_text(&text));
+	else
+		answer_error(exchange, status);
+	msp_drop_buffer(&text);
+}
+
+void
+get_release(releases_t *releases, msp_exchange_t *exchange)
+{
+	msp_response_t response = { .status = 200 };
+	msp_status_t status =
+	    msp_print_release(current_release(releases), &response.body);
+
+	if (status != MSP_OK) {
+		msp_drop_response(&response);
+		answer_error(exchange, status);
+		return;
+	}
+	msp_add_header(
+	    &response.headers, "Content-Type", "application/x-ndjson");
+	msp_answer_exchange(exchange, &response);
+}
--- a/source/spindled/places.h
+++ b/source/spindled/places.h
@@ -27,6 +27,16 @@
 bool choose_place(
     places_t *places, const work_t *work, place_choice_t *choice);
 
+/*
+ * Chooses a VM of another data centre that has a newer release than `after`.
+ * Returns false if there is none.
+ */
+bool choose_release_peer(
+    places_t *places, uint64_t after, place_choice_t *choice);
+
+/* The release in force has changed. */
+void update_places(places_t *places);
+
 struct json_object;
 
 /* The other data centres as JSON; the caller puts it. */
--- /dev/null
+++ b/source/spindled/releases.c
@@ -0,0 +1,281 @@
+#include "releases.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+#include "dispatch.h"
+#include "log.h"
+#include "members.h"
+#include "monsoonspindle/coord/rendezvous.h"
+#include "places.h"
+#include "problem.h"
+#include "query.h"
+#include "releases_private.h"
+
+#define POLLERS 2 /* members of a data centre that poll the head */
+#define FETCH_TIMEOUT_MS 900
+#define VERSION_SIZE 24
+#define HEAR_PERIOD (100 * MSP_MS)
+/* The key by which the pollers are ranked. */
+#define POLL_KEY "release-head"
+
+void
+arm_releases(releases_t *releases)
+{
+	msp_time_t now = msp_now(&releases->daemon->env);
+	msp_time_t due = msp_ledger_deadline(releases->ledger);
+	msp_time_t delay = due > now ? due - now : 0;
+
+	if (delay > HEAR_PERIOD)
+		delay = HEAR_PERIOD;
+	msp_drop_timer(releases->timer);
+	releases->timer = msp_new_timer(
+	    releases->daemon->loop, delay, 0, step_releases, releases);
+}
+
+/* Whether this VM is one of those that poll the store for its data centre. */
+static bool
+is_poller(const releases_t *releases)
+{
+	const daemon_t *daemon = releases->daemon;
+	const msp_member_t *first[POLLERS];
+	size_t count;
+	size_t i;
+
+	count = msp_rank_members(members_list(daemon->members), POLL_KEY,
+	    daemon->settings->place, 0, first, POLLERS);
+	for (i = 0; i < count; i++) {
+		if (strcmp(first[i]->name, daemon->settings->vm) == 0)
+			return true;
+	}
+	return count == 0;
+}
+
+/* Tells the ledger the newest version that a member has. */
+static void
+hear_members(releases_t *releases)
+{
+	const msp_membership_t *list = members_list(releases->daemon->members);
+	uint64_t newest = 0;
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (member->release > newest)
+			newest = member->release;
+	}
+	if (newest > current_release(releases)->version)
+		msp_ledger_heard(releases->ledger, newest, NULL);
+}
+
+void
+step_releases(void *ctx)
+{
+	releases_t *releases = ctx;
+
+	if (releases->daemon->members != NULL) {
+		msp_set_ledger_turn(releases->ledger, is_poller(releases));
+		hear_members(releases);
+	}
+	msp_tick_ledger(releases->ledger);
+	arm_releases(releases);
+}
+
+static void
+on_release(void *ctx, msp_release_t *release)
+{
+	releases_t *releases = ctx;
+	char digest[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(release->digest, digest);
+	log_info("event=release version=%llu digest=%s note=%s",
+	    (unsigned long long)release->version, digest, release->note);
+	if (releases->daemon->dispatchers != NULL)
+		update_dispatchers(releases->daemon->dispatchers);
+	if (releases->daemon->places != NULL)
+		update_places(releases->daemon->places);
+}
+
+static void
+on_kept_out(void *ctx, const char *reason, uint64_t version)
+{
+	(void)ctx;
+	log_warn("event=release-kept-out reason=%s version=%llu", reason,
+	    (unsigned long long)version);
+}
+
+static void
+on_notes(void *ctx, msp_call_result_t *ended)
+{
+	releases_t *releases = ctx;
+
+	releases->fetch = NULL;
+	if (ended->status == MSP_OK && ended->response->status == 200)
+		msp_ledger_take(releases->ledger,
+		    msp_buffer_text(&ended->response->body),
+		    ended->response->body.len);
+	else
+		msp_ledger_fetch_failed(releases->ledger);
+	arm_releases(releases);
+}
+
+/* A live member that is ahead, drawn at random; NULL if there is none. */
+static const msp_member_t *
+choose_member(const releases_t *releases, uint64_t after)
+{
+	const daemon_t *daemon = releases->daemon;
+	const msp_membership_t *list = members_list(daemon->members);
+	const msp_member_t *chosen = NULL;
+	uint64_t seen = 0;
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (member->state == MSP_MEMBER_DEAD ||
+		    member->release <= after ||
+		    strcmp(member->name, daemon->settings->vm) == 0)
+			continue;
+		if (msp_random_below(&daemon->env, ++seen) == 0)
+			chosen = member;
+	}
+	return chosen;
+}
+
+static void
+fetch_from(releases_t *releases, const char *address, uint16_t port,
+    uint64_t after)
+{
+	msp_call_options_t options = { .address = address,
+		.port = port,
+		.timeout_ms = FETCH_TIMEOUT_MS };
+	msp_request_t request = { .method = "GET" };
+
+	snprintf(request.path, sizeof(request.path), "/v1/notes?after=%llu",
+	    (unsigned long long)after);
+	releases->fetch = msp_start_call(releases->daemon->peer_client,
+	    &options, &request, on_notes, releases);
+}
+
+static void
+fail_fetch(void *ctx)
+{
+	releases_t *releases = ctx;
+
+	msp_drop_timer(releases->fail_timer);
+	releases->fail_timer = NULL;
+	msp_ledger_fetch_failed(releases->ledger);
+	arm_releases(releases);
+}
+
+static void
+fetch_from_peer(void *ctx, uint64_t after)
+{
+	releases_t *releases = ctx;
+	daemon_t *daemon = releases->daemon;
+	const msp_member_t *member = NULL;
+	place_choice_t choice;
+
+	if (daemon->members != NULL)
+		member = choose_member(releases, after);
+	if (member != NULL)
+		fetch_from(
+		    releases, member->address, member->peer_port, after);
+	else if (daemon->places != NULL &&
+	    choose_release_peer(daemon->places, after, &choice))
+		fetch_from(releases, choice.address, choice.peer_port, after);
+	if (releases->fetch != NULL)
+		return;
+	msp_drop_timer(releases->fail_timer);
+	releases->fail_timer =
+	    msp_new_timer(daemon->loop, MSP_MS, 0, fail_fetch, releases);
+}
+
+releases_t *
+new_releases(struct daemon *daemon)
+{
+	releases_t *releases = calloc(1, sizeof(*releases));
+	msp_ledger_options_t options = { .env = daemon->env,
+		.store = daemon->store,
+		.counters = daemon->counters,
+		.on_release = on_release,
+		.fetch_from_peer = fetch_from_peer,
+		.on_kept_out = on_kept_out,
+		.ctx = releases };
+
+	if (releases == NULL)
+		return NULL;
+	releases->daemon = daemon;
+	releases->ledger = msp_new_ledger(&options);
+	if (releases->ledger == NULL) {
+		free(releases);
+		return NULL;
+	}
+	arm_releases(releases);
+	return releases;
+}
+
+void
+drop_releases(releases_t *releases)
+{
+	if (releases == NULL)
+		return;
+	if (releases->fetch != NULL)
+		msp_cancel_call(releases->fetch);
+	msp_drop_timer(releases->timer);
+	msp_drop_timer(releases->fail_timer);
+	msp_drop_ledger(releases->ledger);
+	free(releases);
+}
+
+const msp_release_t *
+current_release(const releases_t *releases)
+{
+	return msp_ledger_release(releases->ledger);
+}
+
+bool
+releases_ready(const releases_t *releases)
+{
+	return msp_ledger_ready(releases->ledger);
+}
+
+msp_status_t
+read_version(const char *path, const char *name, uint64_t *version)
+{
+	char text[VERSION_SIZE];
+	char *end;
+
+	*version = 0;
+	if (read_query(path, name, text, sizeof(text)) != MSP_OK)
+		return MSP_E_BAD_REQUEST;
+	if (text[0] == '\0')
+		return MSP_OK;
+	*version = strtoull(text, &end, 10);
+	if (*end != '\0' || text[0] == '-')
+		return msp_fail(MSP_E_BAD_REQUEST, "%s: not a number", name);
+	return MSP_OK;
+}
+
+void
+serve_notes(releases_t *releases, msp_exchange_t *exchange)
+{
+	msp_response_t response = { .status = 200 };
+	uint64_t after;
+	msp_status_t status;
+
+	status = read_version(
+	    msp_exchange_request(exchange)->path, "after", &after);
+	if (status == MSP_OK)
+		status = msp_ledger_notes_after(
+		    releases->ledger, after, &response.body);
+	if (status != MSP_OK) {
+		msp_drop_response(&response);
+		answer_error(exchange, status);
+		return;
+	}
+	msp_answer_exchange(exchange, &response);
+}
--- a/source/spindled/releases.h
+++ b/source/spindled/releases.h
@@ -21,9 +21,6 @@
 /* Answers a peer's `GET /v1/notes?after=V`. */
 void serve_notes(releases_t *releases, msp_exchange_t *exchange);
 
-/* A peer reported this version: pulls what is missing. */
-void hear_version(releases_t *releases, uint64_t version);
-
 /* The operators' requests: POST and GET /v1/releases, GET /v1/release. */
 void post_release(releases_t *releases, msp_exchange_t *exchange);
 void get_history(releases_t *releases, msp_exchange_t *exchange);
--- /dev/null
+++ b/source/spindled/releases_private.h
@@ -0,0 +1,25 @@
+#ifndef SPINDLED_RELEASES_PRIVATE_H
+#define SPINDLED_RELEASES_PRIVATE_H
+
+#include "daemon.h"
+#include "monsoonspindle/coord/ledger.h"
+#include "releases.h"
+
+struct releases {
+	daemon_t *daemon;
+	msp_ledger_t *ledger;
+	msp_timer_t *timer;
+	msp_timer_t *fail_timer; /* no peer could be asked */
+	msp_call_t *fetch; /* of notes, from a peer */
+};
+
+void step_releases(void *ctx);
+
+/* Sets the timer to when the ledger has something to do next. */
+void arm_releases(releases_t *releases);
+
+/* Reads a version from a path's query; 0 if it is absent. */
+msp_status_t read_version(
+    const char *path, const char *name, uint64_t *version);
+
+#endif
