--- a/include/monsoonspindle/net/rpc.h
+++ b/include/monsoonspindle/net/rpc.h
@@ -46,13 +46,19 @@
  */
 typedef void msp_rpc_done_t(void *ctx, msp_status_t status, void *result);
 
+/* Returns NULL with a last message. */
 msp_rpc_t *msp_new_rpc(msp_loop_t *loop, const msp_rpc_options_t *options);
+
+/* Calls under way end without `done`. */
 void msp_drop_rpc(msp_rpc_t *rpc);
 uint16_t msp_rpc_port(const msp_rpc_t *rpc);
 
 /*
- * Calls a procedure of `to`. With `done` NULL nothing is awaited. Fails with
- * MSP_E_TOO_LARGE if the message passes MSP_RPC_MESSAGE_MAX.
+ * Calls a procedure of `to`. With `done` NULL nothing is awaited. Sends one
+ * datagram and never repeats it. `done` is called once, never from inside this
+ * call; it may call again and may drop the endpoint. Fails, without `done`,
+ * with MSP_E_TOO_LARGE if the message passes MSP_RPC_MESSAGE_MAX, or with
+ * MSP_E_NO_MEMORY.
  */
 msp_status_t msp_call_rpc(msp_rpc_t *rpc, const struct sockaddr_in *to,
     uint32_t procedure, xdrproc_t encode_argument, void *argument,
@@ -66,6 +72,7 @@
 	uint64_t messages_in;
 	uint64_t messages_out;
 	uint64_t refused; /* malformed, wrong version, unknown procedure */
+	uint64_t stray; /* replies late, doubled or from another address */
 } msp_rpc_stats_t;
 
 const msp_rpc_stats_t *msp_rpc_statistics(const msp_rpc_t *rpc);
--- /dev/null
+++ b/source/net/rpc_serve.c
@@ -0,0 +1,150 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "rpc_endpoint.h"
+
+/* What a call is answered with, but for its xid. */
+typedef struct rpc_answer {
+	bool mismatch; /* of the RPC version */
+	enum accept_stat status;
+	xdrproc_t encode;
+	void *result;
+} rpc_answer_t;
+
+static void
+send_answer(msp_rpc_t *rpc, const struct sockaddr_in *to, uint32_t xid,
+    const rpc_answer_t *answer)
+{
+	uint32_t data[MSP_RPC_MESSAGE_MAX / sizeof(uint32_t)];
+	struct rpc_msg message = {.rm_xid = xid, .rm_direction = REPLY};
+	XDR xdr;
+
+	if (answer->mismatch) {
+		message.rm_reply.rp_stat = MSG_DENIED;
+		message.rjcted_rply.rj_stat = RPC_MISMATCH;
+		message.rjcted_rply.rj_vers.low = RPC_MSG_VERSION;
+		message.rjcted_rply.rj_vers.high = RPC_MSG_VERSION;
+	} else {
+		message.rm_reply.rp_stat = MSG_ACCEPTED;
+		message.acpted_rply.ar_verf.oa_flavor = AUTH_NONE;
+		message.acpted_rply.ar_stat = answer->status;
+	}
+	if (!answer->mismatch && answer->status == SUCCESS) {
+		message.acpted_rply.ar_results.where = answer->result;
+		message.acpted_rply.ar_results.proc = answer->encode;
+	}
+	if (!answer->mismatch && answer->status == PROG_MISMATCH) {
+		message.acpted_rply.ar_vers.low = rpc->options.version;
+		message.acpted_rply.ar_vers.high = rpc->options.version;
+	}
+	xdrmem_create(&xdr, (char *)data, sizeof(data), XDR_ENCODE);
+	if (xdr_replymsg(&xdr, &message))
+		msp_send_datagram(rpc, to, data, xdr_getpos(&xdr));
+	else if (!answer->mismatch && answer->status == SUCCESS)
+		send_answer(
+		    rpc, to, xid, &(rpc_answer_t){.status = SYSTEM_ERR});
+	xdr_destroy(&xdr);
+}
+
+static void
+refuse_call(msp_rpc_t *rpc, const struct sockaddr_in *to, uint32_t xid,
+    enum accept_stat status)
+{
+	rpc->stats.refused++;
+	send_answer(rpc, to, xid, &(rpc_answer_t){.status = status});
+}
+
+static const msp_rpc_procedure_t *
+find_procedure(const msp_rpc_t *rpc, uint32_t number)
+{
+	size_t i;
+
+	for (i = 0; i < rpc->options.procedure_count; i++) {
+		if (rpc->options.procedures[i].number == number)
+			return &rpc->options.procedures[i];
+	}
+	return NULL;
+}
+
+/* Runs the procedure; sets *answer unless the endpoint was dropped in it. */
+static void
+run_procedure(msp_rpc_t *rpc, const msp_rpc_procedure_t *procedure,
+    const struct sockaddr_in *from, uint32_t xid, void *argument)
+{
+	xdrproc_t encode = procedure->encode_result;
+	rpc_answer_t answer = {.status = SUCCESS, .encode = encode};
+	msp_status_t status;
+
+	answer.result = calloc(1, procedure->result_size + 1);
+	if (answer.result == NULL) {
+		refuse_call(rpc, from, xid, SYSTEM_ERR);
+		return;
+	}
+	status =
+	    procedure->serve(rpc->options.ctx, from, argument, answer.result);
+	if (status == MSP_E_BAD_REQUEST)
+		answer.status = GARBAGE_ARGS;
+	else if (status != MSP_OK)
+		answer.status = SYSTEM_ERR;
+	if (encode != NULL && !rpc->dropped)
+		send_answer(rpc, from, xid, &answer);
+	if (encode != NULL)
+		xdr_free(encode, answer.result);
+	free(answer.result);
+}
+
+static void
+serve_call(msp_rpc_t *rpc, const struct sockaddr_in *from, XDR *xdr, size_t len,
+    const struct rpc_msg *message)
+{
+	const msp_rpc_procedure_t *procedure;
+	void *argument;
+
+	procedure = find_procedure(rpc, (uint32_t)message->rm_call.cb_proc);
+	if (procedure == NULL) {
+		refuse_call(rpc, from, message->rm_xid, PROC_UNAVAIL);
+		return;
+	}
+	argument = calloc(1, procedure->argument_size + 1);
+	if (argument == NULL) {
+		refuse_call(rpc, from, message->rm_xid, SYSTEM_ERR);
+		return;
+	}
+	if (procedure->decode_argument(xdr, argument) && xdr_getpos(xdr) == len)
+		run_procedure(rpc, procedure, from, message->rm_xid, argument);
+	else
+		refuse_call(rpc, from, message->rm_xid, GARBAGE_ARGS);
+	xdr_free(procedure->decode_argument, argument);
+	free(argument);
+}
+
+void
+msp_serve_rpc(
+    msp_rpc_t *rpc, const struct sockaddr_in *from, char *data, size_t len)
+{
+	char credential[MAX_AUTH_BYTES];
+	char verifier[MAX_AUTH_BYTES];
+	struct rpc_msg message = {0};
+	uint32_t head[3] = {0}; /* xid, direction, RPC version */
+	XDR xdr;
+
+	memcpy(head, data, len < sizeof(head) ? len : sizeof(head));
+	if (len >= sizeof(head) && ntohl(head[2]) != RPC_MSG_VERSION) {
+		rpc->stats.refused++;
+		send_answer(rpc, from, ntohl(head[0]),
+		    &(rpc_answer_t){.mismatch = true});
+		return;
+	}
+	message.rm_call.cb_cred.oa_base = credential;
+	message.rm_call.cb_verf.oa_base = verifier;
+	xdrmem_create(&xdr, data, (u_int)len, XDR_DECODE);
+	if (!xdr_callmsg(&xdr, &message))
+		rpc->stats.refused++;
+	else if (message.rm_call.cb_prog != rpc->options.program)
+		refuse_call(rpc, from, message.rm_xid, PROG_UNAVAIL);
+	else if (message.rm_call.cb_vers != rpc->options.version)
+		refuse_call(rpc, from, message.rm_xid, PROG_MISMATCH);
+	else
+		serve_call(rpc, from, &xdr, len, &message);
+	xdr_destroy(&xdr);
+}
