--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -41,6 +41,8 @@
 	msp_attempt_t last_token;
 	msp_retry_budget_t retries;
 	msp_histogram_t latency; /* of recent whole answers */
+	msp_time_t slow_latency; /* its 95th percentile; 0: not known yet */
+	msp_time_t tail_latency; /* its 99th percentile; 0: not known yet */
 	msp_time_t service_time; /* moving mean; 0: none yet */
 	/* Background starts in the last window while some were waiting. */
 	uint32_t background_starts;
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -1,6 +1,7 @@
 #include "dispatcher_private.h"
 
 #define LATENCY_MEMORY 2000 /* answers until older ones weigh half */
+#define QUANTILE_STEP 50 /* answers between two looks at the latency */
 #define SERVICE_WEIGHT 32 /* answers that the moving mean remembers */
 #define SILENT_LIMIT 2 /* silent connections until the kept ones are closed */
 #define FRESH_SPAN (10 * MSP_SECOND)
@@ -22,6 +23,10 @@
 	msp_clear_strikes(d->quarantine, job->fingerprint);
 	msp_note_whole(target, now, latency);
 	msp_record(&d->latency, latency);
+	if (d->latency.count % QUANTILE_STEP == 0) {
+		d->slow_latency = msp_quantile(&d->latency, 0.95);
+		d->tail_latency = msp_quantile(&d->latency, 0.99);
+	}
 	if (d->latency.count >= LATENCY_MEMORY)
 		msp_decay_histogram(&d->latency);
 	if (d->service_time == 0)
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -1,10 +1,8 @@
 #include "dispatcher_private.h"
 
-#define FEWEST_ANSWERS 50 /* until the recent latency is known */
 #define SILENT_FACTOR 4 /* of the 99th percentile */
 #define SHORTEST_SILENCE (250 * MSP_MS)
 #define LONGEST_SILENCE (5 * MSP_SECOND)
-#define HEDGE_QUANTILE 0.95
 #define RATE_WINDOW MSP_SECOND
 
 /* How long the first byte may take before a connection counts as silent. */
@@ -13,8 +11,8 @@
 {
 	msp_time_t bound = 20 * d->policy.expected_service;
 
-	if (d->latency.count >= FEWEST_ANSWERS)
-		bound = SILENT_FACTOR * msp_quantile(&d->latency, 0.99);
+	if (d->tail_latency != 0)
+		bound = SILENT_FACTOR * d->tail_latency;
 	if (bound < SHORTEST_SILENCE)
 		return SHORTEST_SILENCE;
 	return bound > LONGEST_SILENCE ? LONGEST_SILENCE : bound;
@@ -24,9 +22,9 @@
 static msp_time_t
 hedge_delay(const msp_dispatcher_t *d)
 {
-	if (!d->policy.hedge || d->latency.count < FEWEST_ANSWERS)
+	if (!d->policy.hedge || d->slow_latency == 0)
 		return MSP_NEVER;
-	return msp_quantile(&d->latency, HEDGE_QUANTILE);
+	return d->slow_latency;
 }
 
 static bool
--- /dev/null
+++ b/tests/support/world.c
@@ -0,0 +1,325 @@
+#include "world.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SIGMA 0.6 /* of the lognormal service time */
+#define SAMPLE_PERIOD (5 * MSP_MS)
+#define START (100 * MSP_SECOND)
+
+static void push_arrival(world_t *world);
+
+static int
+is_before(const world_pending_t *a, const world_pending_t *b)
+{
+	return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+void
+world_at(world_t *world, msp_time_t at, world_event_t *run, void *arg)
+{
+	size_t i = world->pending++;
+	world_pending_t event = {
+	    .at = at, .order = world->order++, .run = run, .arg = arg};
+
+	if (world->pending > world->room) {
+		world->room = world->room == 0 ? 1024 : world->room * 2;
+		world->heap =
+		    realloc(world->heap, world->room * sizeof(*world->heap));
+	}
+	while (i > 0 && is_before(&event, &world->heap[(i - 1) / 2])) {
+		world->heap[i] = world->heap[(i - 1) / 2];
+		i = (i - 1) / 2;
+	}
+	world->heap[i] = event;
+}
+
+static world_pending_t
+pop_event(world_t *world)
+{
+	world_pending_t first = world->heap[0];
+	world_pending_t last = world->heap[--world->pending];
+	size_t i = 0;
+	size_t child;
+
+	while ((child = 2 * i + 1) < world->pending) {
+		if (child + 1 < world->pending &&
+		    is_before(&world->heap[child + 1], &world->heap[child]))
+			child++;
+		if (!is_before(&world->heap[child], &last))
+			break;
+		world->heap[i] = world->heap[child];
+		i = child;
+	}
+	world->heap[i] = last;
+	return first;
+}
+
+double
+draw_even(msp_rng_t *rng)
+{
+	return (double)(msp_next_random(rng) >> 11) * 0x1.0p-53;
+}
+
+double
+draw_lognormal(msp_rng_t *rng, double mean)
+{
+	double u = 1.0 - draw_even(rng);
+	double normal = sqrt(-2 * log(u)) * cos(2 * M_PI * draw_even(rng));
+
+	return mean * exp(SIGMA * normal - SIGMA * SIGMA / 2);
+}
+
+uint32_t
+place_targets(const world_t *world, uint32_t place, uint32_t *first)
+{
+	uint32_t all = world->config.targets;
+	uint32_t count = world->place_count;
+
+	*first = place * all / count;
+	return (place + 1) * all / count - *first;
+}
+
+void
+list_targets(world_place_t *place)
+{
+	msp_target_spec_t specs[WORLD_TARGETS];
+	uint32_t first;
+	uint32_t count = place_targets(place->world, place->index, &first);
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		fake_target_t *target = &place->world->targets[first + i];
+
+		specs[i] = (msp_target_spec_t){
+		    .name = target->name,
+		    .address = target,
+		    .slots = target->slots,
+		    .state = target->leaving	    ? MSP_TARGET_LEAVING
+			: place->world->config.cold ? MSP_TARGET_COLD
+						    : MSP_TARGET_READY,
+		};
+	}
+	msp_set_dispatcher_targets(place->dispatcher, specs, count);
+}
+
+static void
+set_up_places(world_t *world)
+{
+	uint32_t i;
+
+	for (i = 0; i < world->place_count; i++) {
+		world_place_t *place = &world->places[i];
+
+		place->world = world;
+		place->index = i;
+		place->region = i / world->config.centres;
+		snprintf(place->name, sizeof(place->name), "place-%u", i);
+	}
+	for (i = 0; i < world->config.targets; i++) {
+		fake_target_t *target = &world->targets[i];
+
+		target->world = world;
+		target->index = i;
+		target->slots = world->config.slots;
+		snprintf(target->name, sizeof(target->name), "target-%u", i);
+		TAILQ_INIT(&target->running);
+	}
+	for (i = 0; i < world->place_count; i++) {
+		uint32_t first, j;
+		uint32_t count = place_targets(world, i, &first);
+
+		for (j = 0; j < count; j++)
+			world->targets[first + j].place = i;
+	}
+}
+
+static void
+sample_use(world_t *world, void *arg)
+{
+	uint32_t used[WORLD_PLACES] = {0};
+	uint32_t slots[WORLD_PLACES] = {0};
+	uint32_t i;
+
+	(void)arg;
+	for (i = 0; i < world->config.targets; i++) {
+		const fake_target_t *target = &world->targets[i];
+		uint32_t region = world->places[target->place].region;
+
+		used[region] += target->in_use;
+		slots[region] += target->slots;
+		msp_record(&world->results.target_use,
+		    100ULL * target->in_use / target->slots);
+	}
+	for (i = 0; i < world->config.regions; i++) {
+		if (slots[i] > 0)
+			msp_record(&world->results.region_use,
+			    100ULL * used[i] / slots[i]);
+	}
+	if (world->venv.now < world->stop_at)
+		world_at(
+		    world, world->venv.now + SAMPLE_PERIOD, sample_use, NULL);
+}
+
+world_t *
+new_world(const world_config_t *config)
+{
+	world_t *world = calloc(1, sizeof(*world));
+	uint32_t i;
+
+	world->config = *config;
+	if (world->config.service_mean == 0)
+		world->config.service_mean = 50 * MSP_MS;
+	if (world->config.answer_bytes == 0)
+		world->config.answer_bytes = 10000;
+	world->venv =
+	    (msp_virtual_env_t){.now = START, .rng = {.state = config->seed}};
+	world->rng.state = config->seed ^ 0x5bd1e995;
+	world->stream.state = config->seed ^ 0x1b873593;
+	world->env = msp_virtual_env(&world->venv);
+	world->burst = 1;
+	world->measure_from = START + config->warm_up;
+	world->stop_at = START + config->duration;
+	world->place_count = config->regions * config->centres;
+	TAILQ_INIT(&world->requests);
+	TAILQ_INIT(&world->attempts);
+	set_up_places(world);
+	if (config->mode == WORLD_CENTRAL) {
+		for (i = 0; i < world->place_count; i++)
+			new_place_dispatcher(&world->places[i]);
+		start_gossip(world);
+	} else {
+		start_baseline(world);
+	}
+	world_at(world, world->measure_from, sample_use, NULL);
+	push_arrival(world);
+	return world;
+}
+
+void
+drop_world(world_t *world)
+{
+	world_request_t *request;
+	fake_attempt_t *attempt;
+	uint32_t i;
+
+	for (i = 0; i < world->place_count; i++) {
+		msp_drop_dispatcher(world->places[i].dispatcher);
+		msp_drop_granter(world->places[i].granter);
+		msp_drop_wallet(world->places[i].wallet);
+	}
+	while ((request = TAILQ_FIRST(&world->requests)) != NULL) {
+		TAILQ_REMOVE(&world->requests, request, link);
+		free(request);
+	}
+	while ((attempt = TAILQ_FIRST(&world->attempts)) != NULL) {
+		TAILQ_REMOVE(&world->attempts, attempt, all_link);
+		free(attempt);
+	}
+	free(world->heap);
+	free(world);
+}
+
+world_request_t *
+add_request(
+    world_t *world, uint32_t place, msp_class_t class, msp_digest_t print)
+{
+	static const msp_time_t deadlines[MSP_CLASS_COUNT] = {
+	    [MSP_CLASS_INTERACTIVE] = 2 * MSP_SECOND,
+	    [MSP_CLASS_COMMIT] = 5 * MSP_SECOND,
+	    [MSP_CLASS_BACKGROUND] = 30 * MSP_SECOND,
+	};
+	world_request_t *request = calloc(1, sizeof(*request));
+
+	request->world = world;
+	request->home = place;
+	request->at = place;
+	request->region = world->places[place].region;
+	request->entry = (uint32_t)(draw_even(&world->stream) * WORLD_ENTRIES);
+	request->born = world->venv.now;
+	request->bytes = (uint32_t)draw_lognormal(
+	    &world->stream, (double)world->config.answer_bytes);
+	request->job = (msp_job_t){
+	    .class = class,
+	    .is_idempotent = class != MSP_CLASS_COMMIT,
+	    .arrival = request->born,
+	    .deadline = request->born + deadlines[class],
+	    .fingerprint = print,
+	    .retries_left = 1,
+	    .user = request,
+	};
+	TAILQ_INSERT_TAIL(&world->requests, request, link);
+	if (request->born >= world->measure_from)
+		world->results.asked[class]++;
+	if (world->config.mode == WORLD_CENTRAL)
+		route_request(request);
+	else
+		route_baseline(request);
+	return request;
+}
+
+static void
+arrive(world_t *world, void *arg)
+{
+	double skew = world->config.skew;
+	double pick = draw_even(&world->stream);
+	double kind = draw_even(&world->stream);
+	uint32_t centres = world->config.centres;
+	uint32_t region;
+	msp_class_t class = kind < 0.7 ? MSP_CLASS_INTERACTIVE
+	    : kind < 0.85	       ? MSP_CLASS_COMMIT
+				       : MSP_CLASS_BACKGROUND;
+	msp_digest_t print = {
+	    .high = msp_next_random(&world->stream), .low = 1};
+
+	(void)arg;
+	if (world->venv.now >= world->stop_at)
+		return;
+	if (skew == 0)
+		region = (uint32_t)(pick * world->config.regions);
+	else if (pick < skew)
+		region = 0;
+	else
+		region = 1 +
+		    (uint32_t)((pick - skew) / (1 - skew) *
+			(world->config.regions - 1));
+	push_arrival(world);
+	add_request(world,
+	    region * centres + (uint32_t)(draw_even(&world->stream) * centres),
+	    class, print);
+}
+
+static void
+push_arrival(world_t *world)
+{
+	double slots = world->config.targets * world->config.slots;
+	double rate = world->config.load * world->burst * slots /
+	    (double)world->config.service_mean;
+	double gap;
+
+	if (rate <= 0)
+		return;
+	gap = -log(1.0 - draw_even(&world->stream)) / rate;
+	world_at(world, world->venv.now + (msp_time_t)gap, arrive, NULL);
+}
+
+void
+run_world_until(world_t *world, msp_time_t end)
+{
+	while (world->pending > 0 && world->heap[0].at <= end) {
+		world_pending_t event = pop_event(world);
+
+		world->venv.now = event.at;
+		event.run(world, event.arg);
+	}
+	world->venv.now = end;
+}
+
+void
+run_world(world_t *world)
+{
+	/* The longest deadline and a little more. */
+	run_world_until(world, world->stop_at + 35 * MSP_SECOND);
+}
--- /dev/null
+++ b/tests/support/world_path.c
@@ -0,0 +1,407 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "world.h"
+
+#define HOP MSP_MS /* between an entry VM and a dispatcher, both ways */
+#define REGION_RTT (55 * MSP_MS)
+#define GOSSIP_PERIOD (250 * MSP_MS)
+#define REQUEST_BYTES 1000
+
+static bool
+is_shift(const world_request_t *request)
+{
+	return request->world->places[request->at].region != request->region;
+}
+
+/* Notes what passes between two regions, over each second that ends now. */
+static void
+note_link(world_request_t *request, uint64_t bytes, uint32_t requests)
+{
+	world_t *world = request->world;
+	uint32_t to = world->places[request->at].region;
+	world_link_t *link = &world->links[request->region][to];
+	msp_time_t now = world->venv.now;
+
+	while (link->first < link->next &&
+	    (link->log[link->first % WORLD_LINK].at + MSP_SECOND <= now ||
+		link->next - link->first == WORLD_LINK)) {
+		link->bytes -= link->log[link->first % WORLD_LINK].bytes;
+		link->requests -= link->log[link->first % WORLD_LINK].requests;
+		link->first++;
+	}
+	link->log[link->next % WORLD_LINK].at = now;
+	link->log[link->next % WORLD_LINK].bytes = bytes;
+	link->log[link->next % WORLD_LINK].requests = requests;
+	link->next++;
+	link->bytes += bytes;
+	link->requests += requests;
+	if (link->bytes > link->most_bytes)
+		link->most_bytes = link->bytes;
+	if (link->requests > link->most_requests)
+		link->most_requests = link->requests;
+}
+
+static void
+deliver(world_t *world, void *arg)
+{
+	world_request_t *request = arg;
+	msp_time_t age = world->venv.now - request->born;
+	msp_class_t class = request->job.class;
+
+	if (request->born < world->measure_from)
+		return;
+	world->results.whole[class]++;
+	msp_record(&world->results.latency[class], age);
+}
+
+static void
+send_answer(world_t *world, void *arg)
+{
+	world_request_t *request = arg;
+
+	note_link(request, request->bytes, 0);
+	world_at(world, world->venv.now + REGION_RTT / 2, deliver, request);
+}
+
+void
+finish_request(world_request_t *request)
+{
+	world_t *world = request->world;
+	msp_time_t hold;
+
+	request->over = true;
+	if (is_shift(request)) {
+		hold = msp_settle_shift(world->places[request->at].granter,
+		    &request->shift, request->bytes);
+		world_at(world, world->venv.now + hold, send_answer, request);
+		return;
+	}
+	world_at(world, world->venv.now + HOP / 2, deliver, request);
+}
+
+static void
+note_refusal(world_request_t *request, const msp_refusal_t *refusal)
+{
+	world_results_t *results = &request->world->results;
+	msp_time_t now = request->world->venv.now;
+	msp_class_t class = request->job.class;
+
+	if (refusal->run == MSP_RUN_NO && request->reached > 0)
+		results->false_no++;
+	if (refusal->retry_after_ms == 0 &&
+	    msp_status_answer(refusal->status)->retry_later &&
+	    refusal->status != MSP_E_LEAVING)
+		results->no_return_time++;
+	if (now > request->job.deadline &&
+	    now - request->job.deadline > results->silence)
+		results->silence = now - request->job.deadline;
+	if (request->born < request->world->measure_from)
+		return;
+	results->refused[class]++;
+	results->refused_by[refusal->status]++;
+	if (request->region != 0 && class != MSP_CLASS_BACKGROUND)
+		results->foreign_refusals++;
+	if (refusal->run == MSP_RUN_NO &&
+	    now - request->born > results->latest_refusal)
+		results->latest_refusal = now - request->born;
+}
+
+static void
+come_back(world_t *world, void *arg)
+{
+	world_request_t *request = arg;
+
+	add_request(
+	    world, request->home, request->job.class, request->job.fingerprint)
+	    ->poison = request->poison;
+}
+
+/* Tries the sibling once when the own place does not take the request. */
+static bool
+fall_back(world_request_t *request, const msp_refusal_t *refusal)
+{
+	world_t *world = request->world;
+	uint32_t sibling = request->home ^ 1;
+
+	if (!world->config.shifts || request->fell_back ||
+	    request->at != request->home || refusal->run != MSP_RUN_NO ||
+	    world->config.centres != 2 ||
+	    world->places[sibling].told_wait == MSP_NEVER ||
+	    world->venv.now + world->places[sibling].told_wait >=
+		request->job.deadline)
+		return false;
+	request->fell_back = true;
+	request->at = sibling;
+	msp_submit_job(world->places[sibling].dispatcher, &request->job);
+	arm_tick(&world->places[sibling]);
+	return true;
+}
+
+void
+refuse_request(world_request_t *request, const msp_refusal_t *refusal)
+{
+	world_t *world = request->world;
+
+	if (is_shift(request))
+		msp_settle_shift(
+		    world->places[request->at].granter, &request->shift, 0);
+	if (fall_back(request, refusal))
+		return;
+	request->over = true;
+	note_refusal(request, refusal);
+	if (world->config.come_back && world->venv.now < world->stop_at)
+		world_at(world,
+		    world->venv.now + refusal->retry_after_ms * MSP_MS,
+		    come_back, request);
+}
+
+static void
+on_start(void *ctx, msp_job_t *job, const msp_target_ref_t *target, bool fresh,
+    msp_attempt_t attempt)
+{
+	world_place_t *place = ctx;
+	world_request_t *request = job->user;
+	msp_time_t wait = place->world->venv.now - request->born;
+
+	if (request->region != 0 && !is_shift(request) &&
+	    request->reached == 0 && job->class != MSP_CLASS_BACKGROUND &&
+	    wait > place->world->results.foreign_wait)
+		place->world->results.foreign_wait = wait;
+	reach_target(place, request, target->address, fresh, attempt);
+}
+
+static void
+on_cancel(void *ctx, msp_job_t *job, msp_attempt_t attempt)
+{
+	(void)ctx;
+	withdraw_attempt(job->user, attempt);
+}
+
+static void
+on_refuse(void *ctx, msp_job_t *job, const msp_refusal_t *refusal)
+{
+	(void)ctx;
+	refuse_request(job->user, refusal);
+}
+
+static void
+on_forget(void *ctx, const msp_target_ref_t *target)
+{
+	world_place_t *place = ctx;
+
+	/* What comes next opens new connections, which work. */
+	((fake_target_t *)target->address)->kept_silent = false;
+	place->world->results.forgets++;
+}
+
+void
+new_place_dispatcher(world_place_t *place)
+{
+	world_t *world = place->world;
+	msp_dispatcher_options_t options = {
+	    .service = "service",
+	    .place = place->name,
+	    .policy = world->config.policy,
+	};
+	msp_dispatcher_callbacks_t callbacks = {
+	    .start = on_start,
+	    .cancel_attempt = on_cancel,
+	    .refuse = on_refuse,
+	    .forget_connections = on_forget,
+	    .ctx = place,
+	};
+	msp_granter_options_t granting = {.spread = MSP_SECOND};
+
+	place->dispatcher =
+	    msp_new_dispatcher(&world->env, &options, &callbacks);
+	place->granter = msp_new_granter(&world->env, &granting);
+	place->wallet = msp_new_wallet(&world->env);
+	place->tick_at = MSP_NEVER;
+	list_targets(place);
+	arm_tick(place);
+}
+
+static void
+tick(world_t *world, void *arg)
+{
+	world_place_t *place = arg;
+
+	if (place->frozen || world->venv.now != place->tick_at)
+		return;
+	place->tick_at = MSP_NEVER;
+	msp_tick_dispatcher(place->dispatcher);
+	arm_tick(place);
+}
+
+void
+arm_tick(world_place_t *place)
+{
+	world_t *world = place->world;
+	msp_time_t due = msp_dispatcher_due(place->dispatcher);
+
+	if (due <= world->venv.now)
+		due = world->venv.now + 1;
+	if (due >= place->tick_at)
+		return;
+	place->tick_at = due;
+	world_at(world, due, tick, place);
+}
+
+/* Tells the wallets of other regions what a place offers them. */
+static void
+tell_offers(world_place_t *place)
+{
+	world_t *world = place->world;
+	msp_dispatcher_load_t load;
+	msp_credit_offer_t offer;
+	uint32_t i;
+
+	msp_get_dispatcher_load(place->dispatcher, &load);
+	place->told_wait = load.draining ? MSP_NEVER : load.wait;
+	if (!world->config.shifts || world->config.regions < 2)
+		return;
+	msp_set_granter_spare(place->granter,
+	    &(msp_spare_t){
+		.capacity = load.capacity,
+		.busy = load.in_flight + load.queued[MSP_CLASS_INTERACTIVE] +
+		    load.queued[MSP_CLASS_COMMIT],
+		.service_time = load.service_time,
+		.wait = load.wait,
+	    });
+	for (i = 0; i < world->place_count; i++) {
+		world_place_t *other = &world->places[i];
+		char region[2] = {(char)('a' + other->region), '\0'};
+
+		if (other->region == place->region || place->lost ||
+		    other->lost)
+			continue;
+		msp_get_offer(place->granter, region, &offer);
+		msp_take_offer(other->wallet, place->name, &offer,
+		    world->config.centres, REGION_RTT / 2);
+	}
+}
+
+static void
+gossip(world_t *world, void *arg)
+{
+	world_place_t *place = arg;
+
+	if (!place->frozen)
+		tell_offers(place);
+	world_at(world, world->venv.now + GOSSIP_PERIOD, gossip, place);
+}
+
+void
+start_gossip(world_t *world)
+{
+	uint32_t weights[WORLD_PLACES];
+	uint32_t i, region;
+
+	for (i = 0; i < world->config.centres; i++)
+		weights[i] = 1;
+	for (i = 0; i < world->place_count; i++) {
+		world_place_t *place = &world->places[i];
+		uint32_t at = i - place->region * world->config.centres;
+		msp_credit_rate_t share = {
+		    .requests =
+			(uint32_t)msp_split_cap(world->config.cap.requests,
+			    weights, world->config.centres, at),
+		    .bytes = msp_split_cap(world->config.cap.bytes, weights,
+			world->config.centres, at),
+		};
+
+		for (region = 0; region < world->config.regions; region++) {
+			char name[2] = {(char)('a' + region), '\0'};
+
+			if (region != place->region)
+				msp_set_granter_share(
+				    place->granter, name, &share);
+		}
+		world_at(
+		    world, world->venv.now + 1 + i * 7 * MSP_MS, gossip, place);
+	}
+}
+
+static void submit_here(world_request_t *request);
+
+static void
+arrive_shifted(world_t *world, void *arg)
+{
+	world_request_t *request = arg;
+	world_place_t *place = &world->places[request->at];
+	char region[2] = {(char)('a' + request->region), '\0'};
+
+	if (msp_admit_shift(place->granter, region, REQUEST_BYTES,
+		&request->shift) != MSP_OK) {
+		/* Not run there: the own place after all. */
+		request->at = request->home;
+		submit_here(request);
+		return;
+	}
+	note_link(request, REQUEST_BYTES, 1);
+	if (request->born >= world->measure_from)
+		world->results.shifted++;
+	submit_here(request);
+}
+
+static void
+submit_here(world_request_t *request)
+{
+	world_place_t *place = &request->world->places[request->at];
+
+	msp_submit_job(place->dispatcher, &request->job);
+	arm_tick(place);
+}
+
+static void
+submit_later(world_t *world, void *arg)
+{
+	(void)world;
+	submit_here(arg);
+}
+
+void
+route_request(world_request_t *request)
+{
+	world_t *world = request->world;
+	world_place_t *home = &world->places[request->home];
+	msp_spill_option_t options[WORLD_PLACES];
+	msp_time_t wait;
+	uint32_t i;
+	int choice;
+
+	if (!world->config.shifts) {
+		submit_here(request);
+		return;
+	}
+	for (i = 0; i < world->place_count; i++) {
+		const world_place_t *place = &world->places[i];
+
+		options[i].rtt = 2 * MSP_MS;
+		options[i].wait = place->told_wait;
+		if (i == request->home || place->lost)
+			options[i].wait = MSP_NEVER;
+		if (place->region != home->region) {
+			options[i].rtt = REGION_RTT;
+			options[i].wait =
+			    msp_offered_wait(home->wallet, place->name);
+		}
+	}
+	wait = msp_estimate_wait(home->dispatcher, request->job.class);
+	choice = msp_decide_spill(
+	    &home->spill, &world->env, wait, options, world->place_count);
+	if (choice == MSP_SPILL_LOCAL) {
+		submit_here(request);
+		return;
+	}
+	request->at = (uint32_t)choice;
+	if (!is_shift(request)) {
+		world_at(
+		    world, world->venv.now + MSP_MS, submit_later, request);
+		return;
+	}
+	msp_spend_credit(home->wallet, world->places[choice].name);
+	world_at(
+	    world, world->venv.now + REGION_RTT / 2, arrive_shifted, request);
+}
