--- a/source/spindled/daemon.h
+++ b/source/spindled/daemon.h
@@ -9,6 +9,7 @@
 #include "monsoonspindle/platform/memory_store.h"
 #include "monsoonspindle/platform/store.h"
 
+struct gossip;
 struct members;
 struct releases;
 struct commits;
@@ -33,6 +34,7 @@
 	msp_timer_t *store_timer;
 	msp_store_t store;
 
+	struct gossip *gossip;
 	struct members *members;
 	struct releases *releases;
 	struct commits *commits;
--- a/source/spindled/load_codec.c
+++ b/source/spindled/load_codec.c
@@ -4,44 +4,220 @@
 
 #include "monsoonspindle/base/hash.h"
 
+#define HEADER_SIZE 3
+#define SERVICE_SIZE 10
+#define OFFER_SIZE 14
+#define TARGET_SIZE 6
+
+#define WAIT_UNIT (4 * MSP_MS)
+#define SPAN_UNIT (100 * MSP_MS)
+#define BYTES_UNIT (16 * 1024)
+#define BYTES_UNITS_MAX 0xffffffU
+
+uint32_t
+hash_name(const char *name)
+{
+	return (uint32_t)msp_hash_text(name, 0);
+}
+
 uint32_t
 hash_target(const char *service, const char *target)
 {
 	return (uint32_t)msp_hash_text(target, msp_hash_text(service, 0));
 }
 
+/* Writes the low `size` bytes of a number in network order. */
+static uint8_t *
+put(uint8_t *out, uint64_t value, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size; i++)
+		out[i] = (uint8_t)(value >> (8 * (size - 1 - i)));
+	return out + size;
+}
+
+static const uint8_t *
+get(const uint8_t *in, uint64_t *value, size_t size)
+{
+	size_t i;
+
+	*value = 0;
+	for (i = 0; i < size; i++)
+		*value = *value << 8 | in[i];
+	return in + size;
+}
+
+static uint64_t
+in_units(uint64_t value, uint64_t unit, uint64_t max)
+{
+	uint64_t units = value / unit + (value % unit != 0);
+
+	return units > max ? max : units;
+}
+
+static uint8_t *
+put_service(uint8_t *out, const load_service_t *service)
+{
+	uint64_t wait = service->wait == MSP_NEVER ?
+	    UINT16_MAX :
+	    in_units(service->wait, WAIT_UNIT, UINT16_MAX - 1);
+
+	out = put(out, service->service, 4);
+	out = put(out, service->slots, 2);
+	out = put(out, service->free, 2);
+	return put(out, wait, 2);
+}
+
+static uint8_t *
+put_offer(uint8_t *out, const load_offer_t *offer)
+{
+	uint64_t bytes = offer->bytes / BYTES_UNIT;
+
+	out = put(out, offer->service, 4);
+	out = put(out, offer->region, 4);
+	out = put(out, offer->requests, 2);
+	out = put(out, bytes > BYTES_UNITS_MAX ? BYTES_UNITS_MAX : bytes, 3);
+	return put(out, offer->valid_for / SPAN_UNIT > UINT8_MAX ?
+		UINT8_MAX :
+		offer->valid_for / SPAN_UNIT, 1);
+}
+
+static uint8_t *
+put_target(uint8_t *out, const load_target_t *target)
+{
+	out = put(out, target->target, 4);
+	out = put(out, target->in_flight, 1);
+	return put(out, in_units(target->span, SPAN_UNIT, UINT8_MAX), 1);
+}
+
+size_t
+write_load(const load_t *load, uint8_t *out, size_t size)
+{
+	uint8_t *at = out + HEADER_SIZE;
+	const uint8_t *end = out + size;
+	uint8_t counts[HEADER_SIZE] = { 0 };
+	size_t i;
+
+	if (size < HEADER_SIZE)
+		return 0;
+	for (i = 0; i < load->service_count && at + SERVICE_SIZE <= end; i++)
+		at = put_service(at, &load->services[i]);
+	counts[0] = (uint8_t)i;
+	for (i = 0; i < load->offer_count && at + OFFER_SIZE <= end; i++)
+		at = put_offer(at, &load->offers[i]);
+	counts[1] = (uint8_t)i;
+	for (i = 0; i < load->target_count && at + TARGET_SIZE <= end; i++)
+		at = put_target(at, &load->targets[i]);
+	counts[2] = (uint8_t)i;
+	memcpy(out, counts, sizeof(counts));
+	return (size_t)(at - out);
+}
+
+static const uint8_t *
+get_service(const uint8_t *in, load_service_t *service)
+{
+	uint64_t value;
+
+	in = get(in, &value, 4);
+	service->service = (uint32_t)value;
+	in = get(in, &value, 2);
+	service->slots = (uint16_t)value;
+	in = get(in, &value, 2);
+	service->free = (uint16_t)value;
+	in = get(in, &value, 2);
+	service->wait = value == UINT16_MAX ? MSP_NEVER : value * WAIT_UNIT;
+	return in;
+}
+
+static const uint8_t *
+get_offer(const uint8_t *in, load_offer_t *offer)
+{
+	uint64_t value;
+
+	in = get(in, &value, 4);
+	offer->service = (uint32_t)value;
+	in = get(in, &value, 4);
+	offer->region = (uint32_t)value;
+	in = get(in, &value, 2);
+	offer->requests = (uint16_t)value;
+	in = get(in, &value, 3);
+	offer->bytes = value * BYTES_UNIT;
+	in = get(in, &value, 1);
+	offer->valid_for = value * SPAN_UNIT;
+	return in;
+}
+
+static const uint8_t *
+get_target(const uint8_t *in, load_target_t *target)
+{
+	uint64_t value;
+
+	in = get(in, &value, 4);
+	target->target = (uint32_t)value;
+	in = get(in, &value, 1);
+	target->in_flight = (uint8_t)value;
+	in = get(in, &value, 1);
+	target->span = value * SPAN_UNIT;
+	return in;
+}
+
 void
-write_load_record(const load_record_t *record, uint8_t *out)
+read_load(const uint8_t *in, size_t len, load_t *load)
 {
-	msp_time_t units = (record->span + LOAD_SPAN_UNIT - 1) / LOAD_SPAN_UNIT;
+	size_t i;
 
-	out[0] = (uint8_t)(record->target >> 24);
-	out[1] = (uint8_t)(record->target >> 16);
-	out[2] = (uint8_t)(record->target >> 8);
-	out[3] = (uint8_t)record->target;
-	out[4] = record->in_flight;
-	out[5] = units > UINT8_MAX ? UINT8_MAX : (uint8_t)units;
+	memset(load, 0, sizeof(*load));
+	if (len < HEADER_SIZE || in[0] > LOAD_SERVICES_MAX ||
+	    in[1] > LOAD_OFFERS_MAX || in[2] > LOAD_TARGETS_MAX ||
+	    len != HEADER_SIZE + in[0] * (size_t)SERVICE_SIZE +
+		    in[1] * (size_t)OFFER_SIZE + in[2] * (size_t)TARGET_SIZE)
+		return;
+	load->service_count = in[0];
+	load->offer_count = in[1];
+	load->target_count = in[2];
+	in += HEADER_SIZE;
+	for (i = 0; i < load->service_count; i++)
+		in = get_service(in, &load->services[i]);
+	for (i = 0; i < load->offer_count; i++)
+		in = get_offer(in, &load->offers[i]);
+	for (i = 0; i < load->target_count; i++)
+		in = get_target(in, &load->targets[i]);
 }
 
-static void
-read_load_record(const uint8_t *in, load_record_t *record)
+const load_service_t *
+find_load_service(const load_t *load, uint32_t service)
 {
-	record->target = (uint32_t)in[0] << 24 | (uint32_t)in[1] << 16 |
-	    (uint32_t)in[2] << 8 | in[3];
-	record->in_flight = in[4];
-	record->span = in[5] * LOAD_SPAN_UNIT;
+	size_t i;
+
+	for (i = 0; i < load->service_count; i++) {
+		if (load->services[i].service == service)
+			return &load->services[i];
+	}
+	return NULL;
+}
+
+const load_offer_t *
+find_load_offer(const load_t *load, uint32_t service, uint32_t region)
+{
+	size_t i;
+
+	for (i = 0; i < load->offer_count; i++) {
+		if (load->offers[i].service == service &&
+		    load->offers[i].region == region)
+			return &load->offers[i];
+	}
+	return NULL;
 }
 
-int
-find_load_record(
-    const uint8_t *load, size_t len, uint32_t target, load_record_t *record)
+const load_target_t *
+find_load_target(const load_t *load, uint32_t target)
 {
-	size_t at;
+	size_t i;
 
-	for (at = 0; at + LOAD_RECORD_SIZE <= len; at += LOAD_RECORD_SIZE) {
-		read_load_record(load + at, record);
-		if (record->target == target)
-			return 1;
+	for (i = 0; i < load->target_count; i++) {
+		if (load->targets[i].target == target)
+			return &load->targets[i];
 	}
-	return 0;
+	return NULL;
 }
--- a/source/spindled/members.h
+++ b/source/spindled/members.h
@@ -4,7 +4,6 @@
 #include "monsoonspindle/coord/membership.h"
 
 struct daemon;
-struct msp_dispatcher;
 
 /* The VM's membership of its data centre, over ONC RPC on UDP. */
 typedef struct members members_t;
@@ -23,8 +22,4 @@
 /* The process was paused, and its peers were not heard yet. */
 bool members_paused(const members_t *members);
 
-/* Tells a new dispatcher what other VMs last had in flight. */
-void inherit_loads(const members_t *members, const char *service,
-    struct msp_dispatcher *dispatcher);
-
 #endif
