Add a compact longest-prefix table of client blocks

Blocks become runs of addresses without overlap, searched through an index by the first 16 bits. Weighed: a trie (pointers alone pass 16 bytes a block) and a hash a prefix length (up to 64 probes a look-up). It is built in steps, since one loop serves everything.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -1,4 +1,7 @@
 #ifndef MONSOONSPINDLE_STEER_H
 #define MONSOONSPINDLE_STEER_H
 
+#include "monsoonspindle/steer/client_block.h"
+#include "monsoonspindle/steer/prefix_table.h"
+
 #endif
--- /dev/null
+++ b/source/steer/prefix_private.h
@@ -0,0 +1,79 @@
+#ifndef MONSOONSPINDLE_SOURCE_STEER_PREFIX_PRIVATE_H
+#define MONSOONSPINDLE_SOURCE_STEER_PREFIX_PRIVATE_H
+
+#include "monsoonspindle/steer/prefix_table.h"
+
+#define MSP_PREFIX_SLOTS 65536 /* of the index by the first 16 bits */
+
+/*
+ * The blocks of one address family as runs of addresses without overlap: run i
+ * goes from starts[i] to before starts[i + 1]. The first starts at 0.
+ */
+typedef struct msp_prefix_runs {
+	bool wide; /* starts of 64 bits, else of 32 */
+	size_t count;
+	uint32_t *starts32;
+	uint64_t *starts64;
+	uint16_t *places;
+	uint32_t
+	    index[MSP_PREFIX_SLOTS + 1]; /* run that holds the slot's start */
+} msp_prefix_runs_t;
+
+struct msp_prefix_table {
+	msp_prefix_runs_t v4;
+	msp_prefix_runs_t v6;
+};
+
+/* A block while it waits to be sorted in. */
+typedef struct msp_raw_block {
+	uint32_t high; /* bits of the address */
+	uint32_t low;
+	uint16_t place;
+	uint8_t length;
+} msp_raw_block_t;
+
+/* A part of the list that is still to be sorted. */
+typedef struct msp_sort_range {
+	size_t from;
+	size_t to; /* past the last */
+} msp_sort_range_t;
+
+#define MSP_SORT_RANGES_MAX 128
+
+/* The blocks of one family. */
+typedef struct msp_block_list {
+	msp_raw_block_t *blocks;
+	size_t count;
+	size_t capacity;
+	msp_sort_range_t ranges[MSP_SORT_RANGES_MAX];
+	size_t range_count;
+	bool started;
+	/* The blocks that hold the present address, the longest last. */
+	msp_raw_block_t open[65];
+	size_t open_count;
+	size_t next; /* block */
+} msp_block_list_t;
+
+/* Sorts about `work` blocks on; true when all are sorted by address, length. */
+bool msp_step_sort(msp_block_list_t *list, size_t *work);
+
+/* Turns about `work` blocks into runs; *done when all are. */
+msp_status_t msp_step_runs(
+    msp_block_list_t *list, msp_prefix_runs_t *runs, size_t *work, bool *done);
+
+void msp_clear_runs(msp_prefix_runs_t *runs);
+
+static inline uint64_t
+msp_block_bits(const msp_raw_block_t *block)
+{
+	return (uint64_t)block->high << 32 | block->low;
+}
+
+static inline uint64_t
+msp_run_start(const msp_prefix_runs_t *runs, size_t i)
+{
+	return runs->wide ? runs->starts64[i]
+			  : (uint64_t)runs->starts32[i] << 32;
+}
+
+#endif
--- /dev/null
+++ b/source/steer/prefix_runs.c
@@ -0,0 +1,163 @@
+#include <stdlib.h>
+
+#include "prefix_private.h"
+
+void
+msp_clear_runs(msp_prefix_runs_t *runs)
+{
+	free(runs->starts32);
+	free(runs->starts64);
+	free(runs->places);
+	runs->starts32 = NULL;
+	runs->starts64 = NULL;
+	runs->places = NULL;
+	runs->count = 0;
+}
+
+/* Room for the most runs that `blocks` blocks can make. */
+static msp_status_t
+reserve(msp_prefix_runs_t *runs, size_t blocks)
+{
+	size_t most = 2 * blocks + 1;
+
+	if (runs->wide)
+		runs->starts64 = malloc(most * sizeof(uint64_t));
+	else
+		runs->starts32 = malloc(most * sizeof(uint32_t));
+	runs->places = malloc(most * sizeof(uint16_t));
+	if ((runs->starts32 == NULL && runs->starts64 == NULL) ||
+	    runs->places == NULL)
+		return msp_fail(
+		    MSP_E_NO_MEMORY, "no memory for %zu blocks", blocks);
+	return MSP_OK;
+}
+
+/* Gives back the room that was not needed; what fails is harmless. */
+static void
+shrink(msp_prefix_runs_t *runs)
+{
+	void *starts = runs->wide
+	    ? realloc(runs->starts64, runs->count * sizeof(uint64_t))
+	    : realloc(runs->starts32, runs->count * sizeof(uint32_t));
+	uint16_t *places =
+	    realloc(runs->places, runs->count * sizeof(uint16_t));
+
+	if (starts != NULL && runs->wide)
+		runs->starts64 = starts;
+	if (starts != NULL && !runs->wide)
+		runs->starts32 = starts;
+	if (places != NULL)
+		runs->places = places;
+}
+
+/* From `start` on the place is another one. */
+static void
+add_run(msp_prefix_runs_t *runs, uint64_t start, uint16_t place)
+{
+	if (runs->count > 0 && msp_run_start(runs, runs->count - 1) == start)
+		runs->count--;
+	if (runs->count > 0 && runs->places[runs->count - 1] == place)
+		return;
+	if (runs->wide)
+		runs->starts64[runs->count] = start;
+	else
+		runs->starts32[runs->count] = (uint32_t)(start >> 32);
+	runs->places[runs->count++] = place;
+}
+
+/* The address after the block; 0 past the last of all. */
+static uint64_t
+end_of(const msp_raw_block_t *block)
+{
+	if (block->length == 0)
+		return 0;
+	return msp_block_bits(block) + ((uint64_t)1 << (64 - block->length));
+}
+
+/* Ends the open blocks that do not reach `start`. */
+static void
+close_blocks(
+    msp_block_list_t *list, msp_prefix_runs_t *runs, uint64_t start, bool all)
+{
+	while (list->open_count > 0) {
+		uint64_t end = end_of(&list->open[list->open_count - 1]);
+
+		if (end == 0 || (!all && end > start))
+			return;
+		list->open_count--;
+		add_run(runs, end,
+		    list->open_count == 0
+			? MSP_NO_PLACE
+			: list->open[list->open_count - 1].place);
+	}
+}
+
+static void
+fill_index(msp_prefix_runs_t *runs)
+{
+	size_t run = 0;
+	size_t slot;
+
+	for (slot = 0; slot < MSP_PREFIX_SLOTS; slot++) {
+		uint64_t start = (uint64_t)slot << 48;
+
+		while (run + 1 < runs->count &&
+		    msp_run_start(runs, run + 1) <= start)
+			run++;
+		runs->index[slot] = (uint32_t)run;
+	}
+	runs->index[MSP_PREFIX_SLOTS] = (uint32_t)(runs->count - 1);
+}
+
+static bool
+same_block(const msp_raw_block_t *a, const msp_raw_block_t *b)
+{
+	return msp_block_bits(a) == msp_block_bits(b) && a->length == b->length;
+}
+
+static msp_status_t
+take_block(msp_block_list_t *list, msp_prefix_runs_t *runs)
+{
+	const msp_raw_block_t *block = &list->blocks[list->next++];
+	const msp_raw_block_t *last;
+
+	close_blocks(list, runs, msp_block_bits(block), false);
+	last = list->open_count > 0 ? &list->open[list->open_count - 1] : NULL;
+	if (last != NULL && same_block(last, block)) {
+		if (last->place == block->place)
+			return MSP_OK;
+		return msp_fail(MSP_E_EXISTS,
+		    "a block of %u bits has the places %u and %u",
+		    block->length, last->place, block->place);
+	}
+	list->open[list->open_count++] = *block;
+	add_run(runs, msp_block_bits(block), block->place);
+	return MSP_OK;
+}
+
+msp_status_t
+msp_step_runs(
+    msp_block_list_t *list, msp_prefix_runs_t *runs, size_t *work, bool *done)
+{
+	msp_status_t status;
+
+	*done = false;
+	if (runs->places == NULL) {
+		status = reserve(runs, list->count);
+		if (status != MSP_OK)
+			return status;
+		add_run(runs, 0, MSP_NO_PLACE);
+	}
+	for (; list->next<list->count && * work> 0; (*work)--) {
+		status = take_block(list, runs);
+		if (status != MSP_OK)
+			return status;
+	}
+	if (list->next < list->count)
+		return MSP_OK;
+	close_blocks(list, runs, 0, true);
+	shrink(runs);
+	fill_index(runs);
+	*done = true;
+	return MSP_OK;
+}
