--- /dev/null
+++ b/source/spindled/blocks.c
@@ -0,0 +1,174 @@
+#include "blocks.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+#include "log.h"
+#include "monsoonspindle/steer/prefix_table.h"
+
+#define STEP_PERIOD (2 * MSP_MS)
+#define STEP_BLOCKS 20000
+#define NAMES_MAX 4096
+
+/* A region and data centre that blocks point to. */
+typedef struct client_place {
+	char region[MSP_NAME_SIZE];
+	char place[MSP_NAME_SIZE]; /* "": any of the region */
+} client_place_t;
+
+typedef struct client_places {
+	client_place_t *list; /* NAMES_MAX of them */
+	size_t count;
+} client_places_t;
+
+struct blocks {
+	daemon_t *daemon;
+	msp_prefix_table_t *table; /* in use; NULL without blocks */
+	client_places_t places; /* of the table in use */
+	msp_prefix_builder_t *builder; /* of the next table, or NULL */
+	client_places_t next; /* of the next table */
+	msp_timer_t *timer;
+};
+
+blocks_t *
+new_blocks(struct daemon *daemon)
+{
+	blocks_t *blocks = calloc(1, sizeof(*blocks));
+
+	if (blocks == NULL)
+		return NULL;
+	blocks->daemon = daemon;
+	update_blocks(blocks);
+	return blocks;
+}
+
+static void
+stop_build(blocks_t *blocks)
+{
+	msp_drop_timer(blocks->timer);
+	msp_drop_prefix_builder(blocks->builder);
+	free(blocks->next.list);
+	blocks->timer = NULL;
+	blocks->builder = NULL;
+	blocks->next = (client_places_t) { 0 };
+}
+
+void
+drop_blocks(blocks_t *blocks)
+{
+	if (blocks == NULL)
+		return;
+	stop_build(blocks);
+	msp_drop_prefix_table(blocks->table);
+	free(blocks->places.list);
+	free(blocks);
+}
+
+static size_t
+intern_place(client_places_t *places, const msp_block_t *block)
+{
+	size_t i;
+
+	for (i = 0; i < places->count; i++) {
+		if (strcmp(places->list[i].region, block->region) == 0 &&
+		    strcmp(places->list[i].place, block->place) == 0)
+			return i;
+	}
+	if (places->count == NAMES_MAX)
+		return MSP_NO_PLACE;
+	memcpy(places->list[i].region, block->region, sizeof(block->region));
+	memcpy(places->list[i].place, block->place, sizeof(block->place));
+	return places->count++;
+}
+
+static msp_status_t
+add_block(blocks_t *blocks, const msp_block_t *block)
+{
+	char text[MSP_PREFIX_TEXT_SIZE];
+	msp_client_block_t parsed;
+	msp_status_t status;
+
+	msp_print_prefix(&block->prefix, text);
+	status = msp_parse_client_block(text, &parsed);
+	if (status != MSP_OK)
+		return status;
+	return msp_add_client_block(blocks->builder, &parsed,
+	    (uint16_t)intern_place(&blocks->next, block));
+}
+
+static void
+use_next(blocks_t *blocks, msp_prefix_table_t *table)
+{
+	msp_swap_prefix_table(&blocks->table, table);
+	free(blocks->places.list);
+	blocks->places = blocks->next;
+	blocks->next = (client_places_t) { 0 };
+	stop_build(blocks);
+}
+
+static void
+step(void *ctx)
+{
+	blocks_t *blocks = ctx;
+	msp_prefix_table_t *table = NULL;
+
+	if (msp_step_prefix_build(blocks->builder, STEP_BLOCKS, &table) !=
+	    MSP_OK) {
+		log_error("event=blocks-not-built error=%s", msp_last_message());
+		stop_build(blocks);
+	} else if (table != NULL) {
+		use_next(blocks, table);
+	}
+}
+
+void
+update_blocks(blocks_t *blocks)
+{
+	const msp_release_t *release = daemon_release(blocks->daemon);
+	const msp_block_t *block;
+	msp_cursor_t cursor = { 0 };
+
+	stop_build(blocks);
+	if (release->counts[MSP_ITEM_BLOCK] == 0) {
+		msp_drop_prefix_table(blocks->table);
+		blocks->table = NULL;
+		return;
+	}
+	blocks->builder = msp_new_prefix_builder();
+	blocks->next.list = calloc(NAMES_MAX, sizeof(*blocks->next.list));
+	if (blocks->builder == NULL || blocks->next.list == NULL) {
+		log_error("event=blocks-not-built error=no-memory");
+		stop_build(blocks);
+		return;
+	}
+	while ((block = msp_next_item(
+		    release, MSP_ITEM_BLOCK, &cursor)) != NULL) {
+		if (add_block(blocks, block) != MSP_OK)
+			log_warn("event=block-left-out error=%s",
+			    msp_last_message());
+	}
+	blocks->timer = msp_new_timer(
+	    blocks->daemon->loop, STEP_PERIOD, STEP_PERIOD, step, blocks);
+	if (blocks->timer == NULL)
+		stop_build(blocks);
+}
+
+int
+find_client(const blocks_t *blocks, const char *address, const char **region,
+    const char **place)
+{
+	msp_client_address_t parsed;
+	uint16_t index;
+
+	if (blocks->table == NULL ||
+	    msp_parse_client_address(address, &parsed) != MSP_OK)
+		return 0;
+	index = msp_find_prefix(blocks->table, parsed);
+	if (index >= blocks->places.count)
+		return 0;
+	*region = blocks->places.list[index].region;
+	*place = blocks->places.list[index].place;
+	return 1;
+}
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -6,13 +6,16 @@
 
 #include "commits.h"
 #include "dispatch.h"
+#include "blocks.h"
 #include "entry.h"
+#include "gossip.h"
 #include "log.h"
 #include "members.h"
 #include "operators.h"
 #include "peers.h"
 #include "places.h"
 #include "releases.h"
+#include "shifts.h"
 
 #define MAX_FDS 16384
 #define PEER_LANES 64 /* requests in flight to one VM */
@@ -81,13 +84,19 @@
 	daemon->releases = new_releases(daemon);
 	if (daemon->entries == NULL || daemon->releases == NULL)
 		return MSP_E_NO_MEMORY;
+	daemon->gossip = new_gossip(daemon);
+	if (daemon->gossip == NULL)
+		return MSP_E_IO;
 	daemon->members = new_members(daemon);
 	if (daemon->members == NULL)
-		return MSP_E_IO;
+		return MSP_E_NO_MEMORY;
 	daemon->places = new_places(daemon);
+	daemon->shifts = new_shifts(daemon);
+	daemon->blocks = new_blocks(daemon);
 	daemon->commits = new_commits(daemon);
 	daemon->dispatchers = new_dispatchers(daemon);
-	if (daemon->places == NULL || daemon->commits == NULL ||
+	if (daemon->places == NULL || daemon->shifts == NULL ||
+	    daemon->blocks == NULL || daemon->commits == NULL ||
 	    daemon->dispatchers == NULL)
 		return MSP_E_NO_MEMORY;
 	return MSP_OK;
@@ -168,7 +177,10 @@
 	msp_drop_http_server(daemon->peer_server);
 	drop_dispatchers(daemon->dispatchers);
 	drop_commits(daemon->commits);
+	drop_blocks(daemon->blocks);
+	drop_shifts(daemon->shifts);
 	drop_places(daemon->places);
+	drop_gossip(daemon->gossip);
 	drop_members(daemon->members);
 	drop_releases(daemon->releases);
 	drop_entries(daemon->entries);
--- a/source/spindled/daemon.h
+++ b/source/spindled/daemon.h
@@ -16,6 +16,8 @@
 struct dispatchers;
 struct entries;
 struct places;
+struct shifts;
+struct blocks;
 
 /* One running VM: what its parts share. Each part is in a file of its own. */
 typedef struct daemon {
@@ -41,6 +43,8 @@
 	struct dispatchers *dispatchers;
 	struct entries *entries;
 	struct places *places;
+	struct shifts *shifts;
+	struct blocks *blocks;
 
 	msp_http_server_t *caller_server;
 	msp_http_server_t *peer_server;
--- a/source/spindled/dispatch.c
+++ b/source/spindled/dispatch.c
@@ -4,8 +4,10 @@
 #include <string.h>
 
 #include "daemon.h"
+#include "load.h"
 #include "log.h"
 #include "members.h"
+#include "service_credit.h"
 #include "service_dispatch.h"
 
 #define TICK_PERIOD (5 * MSP_MS)
@@ -112,7 +114,7 @@
 		drop_service_dispatch(service);
 		return NULL;
 	}
-	inherit_loads(dispatchers->daemon->members, name, service->dispatcher);
+	inherit_loads(dispatchers->daemon, name, service->dispatcher);
 	log_info("event=dispatcher-start service=%s", name);
 	return service;
 }
@@ -161,6 +163,7 @@
 	service_dispatch_t *service = msp_map_get(dispatchers->services, name);
 
 	msp_map_remove(dispatchers->services, service->name);
+	service->retired = true;
 	LIST_INSERT_HEAD(&dispatchers->retired, service, link);
 	log_info("event=dispatcher-retire service=%s", service->name);
 	msp_retire_dispatcher(service->dispatcher);
@@ -191,7 +194,7 @@
 }
 
 static void
-resume_all(dispatchers_t *dispatchers)
+refresh_all(dispatchers_t *dispatchers)
 {
 	size_t cursor = 0;
 	void *value;
@@ -201,6 +204,7 @@
 
 		if (msp_dispatcher_paused(service->dispatcher))
 			msp_resume_dispatcher(service->dispatcher);
+		refresh_offers(service);
 	}
 }
 
@@ -227,7 +231,7 @@
 		return;
 	while ((name = find_misplaced(dispatchers)) != NULL)
 		retire(dispatchers, name);
-	resume_all(dispatchers);
+	refresh_all(dispatchers);
 }
 
 size_t
@@ -245,26 +249,22 @@
 	return count;
 }
 
-msp_dispatcher_t *
-find_dispatcher(const dispatchers_t *dispatchers, const char *service)
+service_dispatch_t *
+find_service_dispatch(const dispatchers_t *dispatchers, const char *service)
 {
-	service_dispatch_t *one = msp_map_get(dispatchers->services, service);
-
-	return one == NULL ? NULL : one->dispatcher;
+	return msp_map_get(dispatchers->services, service);
 }
 
 void
 each_dispatcher(
     const dispatchers_t *dispatchers, visit_dispatcher_t *visit, void *ctx)
 {
-	const service_dispatch_t *one;
+	service_dispatch_t *one;
 	size_t cursor = 0;
 	void *value;
 
-	while (msp_map_next(dispatchers->services, &cursor, NULL, &value)) {
-		one = value;
-		visit(ctx, one->name, one->dispatcher);
-	}
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		visit(ctx, value);
 	LIST_FOREACH(one, &dispatchers->retired, link)
-		visit(ctx, one->name, one->dispatcher);
+		visit(ctx, one);
 }
--- a/source/spindled/dispatch.h
+++ b/source/spindled/dispatch.h
@@ -28,11 +28,12 @@
 size_t count_dispatched(const dispatchers_t *dispatchers);
 
 /* NULL if this VM has no dispatcher for the service. */
-msp_dispatcher_t *find_dispatcher(
+struct service_dispatch *find_service_dispatch(
     const dispatchers_t *dispatchers, const char *service);
 
-typedef void visit_dispatcher_t(
-    void *ctx, const char *service, msp_dispatcher_t *dispatcher);
+struct service_dispatch;
+
+typedef void visit_dispatcher_t(void *ctx, struct service_dispatch *service);
 
 /* Visits all dispatchers, those that finish their last work too. */
 void each_dispatcher(
--- a/source/spindled/entry_request.c
+++ b/source/spindled/entry_request.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "blocks.h"
 #include "daemon.h"
 #include "wire.h"
 
@@ -151,6 +152,20 @@
 	return MSP_OK;
 }
 
+/* A client that no block holds counts as one of this VM's region. */
+static void
+read_client_region(
+    const daemon_t *daemon, const msp_exchange_t *exchange, work_t *work)
+{
+	const char *region = daemon->settings->region;
+	const char *place;
+
+	find_client(
+	    daemon->blocks, msp_exchange_peer(exchange), &region, &place);
+	snprintf(
+	    work->client_region, sizeof(work->client_region), "%s", region);
+}
+
 msp_status_t
 read_entry_request(struct daemon *daemon, entry_t *entry)
 {
@@ -159,8 +174,7 @@
 	msp_status_t status;
 
 	work->arrival = msp_exchange_arrival(entry->exchange);
-	snprintf(work->client_region, sizeof(work->client_region), "%s",
-	    daemon->settings->region);
+	read_client_region(daemon, entry->exchange, work);
 	memcpy(work->request.method, request->method,
 	    sizeof(work->request.method));
 	status = read_id(daemon, request, work);
--- a/source/spindled/members.c
+++ b/source/spindled/members.c
@@ -181,6 +181,12 @@
 	return members->list;
 }
 
+const struct daemon *
+members_daemon(const members_t *members)
+{
+	return members->daemon;
+}
+
 const msp_member_t *
 first_member(const members_t *members, const char *service)
 {
--- a/source/spindled/members.h
+++ b/source/spindled/members.h
@@ -15,6 +15,9 @@
 /* Borrowed. */
 msp_membership_t *members_list(const members_t *members);
 
+/* The VM that it belongs to. */
+const struct daemon *members_daemon(const members_t *members);
+
 /* The VM that dispatches `service` in this data centre; NULL if none is up. */
 const msp_member_t *first_member(
     const members_t *members, const char *service);
--- a/source/spindled/operators.c
+++ b/source/spindled/operators.c
@@ -10,6 +10,7 @@
 #include "daemon.h"
 #include "dispatch.h"
 #include "entry.h"
+#include "gossip.h"
 #include "log.h"
 #include "members.h"
 #include "places.h"
@@ -54,6 +55,7 @@
 {
 	msp_counters_t *counters = daemon->counters;
 
+	count_gossip(daemon->gossip);
 	*msp_counter(counters, "msp_release_version") =
 	    daemon_release(daemon)->version;
 	*msp_counter(counters, "msp_requests_in_hand") =
--- a/source/spindled/places.c
+++ b/source/spindled/places.c
@@ -1,41 +1,251 @@
 #include "places.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+#include <json-c/json.h>
 
 #include "daemon.h"
+#include "gossip.h"
+#include "load.h"
+#include "members.h"
+
+#define RELAY_PERIOD MSP_SECOND
+#define TICK_PERIOD (100 * MSP_MS)
+#define STALE_AFTER (20 * MSP_SECOND)
 
 struct places {
 	daemon_t *daemon;
+	msp_relay_t *relay;
+	msp_timer_t *tick;
 };
 
+static void
+on_answered(void *ctx, uint32_t token, msp_status_t status, const void *result)
+{
+	places_t *places = ctx;
+
+	msp_relay_answered(places->relay, token, status, result);
+}
+
+static void
+send_message(void *ctx, const char *address, uint16_t port, uint32_t procedure,
+    const void *message, uint32_t token, msp_time_t timeout)
+{
+	places_t *places = ctx;
+
+	send_gossip(places->daemon->gossip, address, port, procedure, message,
+	    token, timeout, on_answered, places);
+}
+
+/* What this data centre tells the others, if this VM is the one to write it. */
+static void
+write_summary(places_t *places)
+{
+	const daemon_t *daemon = places->daemon;
+	const msp_service_t *service;
+	const load_service_t *found;
+	msp_summary_t own = { 0 };
+	msp_cursor_t cursor = { 0 };
+	load_t load;
+
+	gather_place_load(daemon, &load);
+	own.draining = is_place_drained(daemon, daemon->settings->place);
+	while (own.service_count < MSP_SUMMARY_SERVICES_MAX &&
+	    (service = msp_next_item(daemon_release(daemon), MSP_ITEM_SERVICE,
+		 &cursor)) != NULL) {
+		msp_headroom_t *room = &own.services[own.service_count];
+
+		found = find_load_service(&load, hash_name(service->name));
+		if (found == NULL)
+			continue;
+		strlcpy(room->service, service->name, sizeof(room->service));
+		room->slots = found->slots;
+		room->slots_free = found->free;
+		own.service_count++;
+	}
+	own.credits_len = write_load(&load, own.credits, sizeof(own.credits));
+	msp_set_own_summary(places->relay, &own);
+}
+
+static void
+tick(void *ctx)
+{
+	places_t *places = ctx;
+
+	if (places->daemon->dispatchers != NULL)
+		write_summary(places);
+	msp_tick_relay(places->relay);
+}
+
 places_t *
 new_places(struct daemon *daemon)
 {
 	places_t *places = calloc(1, sizeof(*places));
+	msp_relay_options_t options = { .period = RELAY_PERIOD,
+		.stale_after = STALE_AFTER };
+	msp_relay_callbacks_t callbacks = { .send = send_message,
+		.ctx = places };
 
-	if (places != NULL)
-		places->daemon = daemon;
+	if (places == NULL)
+		return NULL;
+	places->daemon = daemon;
+	places->relay = msp_new_relay(&daemon->env,
+	    members_list(daemon->members), &options, &callbacks);
+	places->tick = msp_new_timer(
+	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, places);
+	if (places->relay == NULL || places->tick == NULL) {
+		drop_places(places);
+		return NULL;
+	}
 	return places;
 }
 
 void
 drop_places(places_t *places)
 {
+	if (places == NULL)
+		return;
+	msp_drop_timer(places->tick);
+	msp_drop_relay(places->relay);
 	free(places);
 }
 
+msp_relay_t *
+places_relay(const places_t *places)
+{
+	return places->relay;
+}
+
+msp_status_t
+serve_exchange(places_t *places, const void *argument, void *result)
+{
+	return msp_serve_relay(
+	    places->relay, MSP_GOSSIP_EXCHANGE, argument, result);
+}
+
+/* The region of a data centre by the release in force; "" if unknown. */
+static const char *
+find_region_name(const daemon_t *daemon, const char *name)
+{
+	const msp_place_t *place =
+	    msp_find_place(daemon_release(daemon), name);
+
+	return place == NULL ? "" : place->region;
+}
+
+void
+suggest_places(places_t *places, const msp_vm_t *vms, size_t count)
+{
+	msp_contact_t *contacts = calloc(count, sizeof(*contacts));
+	size_t i;
+
+	if (contacts == NULL)
+		return;
+	for (i = 0; i < count; i++) {
+		strlcpy(contacts[i].place, vms[i].place,
+		    sizeof(contacts[i].place));
+		strlcpy(contacts[i].region,
+		    find_region_name(places->daemon, vms[i].place),
+		    sizeof(contacts[i].region));
+		strlcpy(contacts[i].address, vms[i].address,
+		    sizeof(contacts[i].address));
+		contacts[i].peer_port = vms[i].peer_port;
+	}
+	msp_suggest_contacts(places->relay, contacts,
+	    count > MSP_CONTACTS_MAX ? MSP_CONTACTS_MAX : count);
+	free(contacts);
+}
+
 bool
-choose_place(places_t *places, const work_t *work, place_choice_t *choice)
+choose_entry_vm(const places_t *places, const msp_summary_t *summary,
+    place_choice_t *choice)
+{
+	const msp_entry_vm_t *vm;
+
+	if (summary->entry_count == 0)
+		return false;
+	vm = &summary->entries[msp_random_below(
+	    &places->daemon->env, summary->entry_count)];
+	strlcpy(choice->vm, vm->name, sizeof(choice->vm));
+	strlcpy(choice->place, summary->place, sizeof(choice->place));
+	strlcpy(choice->address, vm->address, sizeof(choice->address));
+	choice->peer_port = vm->peer_port;
+	return true;
+}
+
+static bool
+is_own_place(const places_t *places, const msp_summary_t *summary)
 {
-	(void)places;
-	(void)work;
-	(void)choice;
-	return false;
+	return strcmp(summary->place, places->daemon->settings->place) == 0;
+}
+
+bool
+choose_release_peer(places_t *places, uint64_t after, place_choice_t *choice)
+{
+	const msp_summary_t *chosen = NULL;
+	uint64_t seen = 0;
+	size_t i;
+
+	for (i = 0; i < msp_summary_count(places->relay); i++) {
+		const msp_summary_t *summary =
+		    msp_summary_at(places->relay, i);
+
+		if (summary->release <= after || is_own_place(places, summary))
+			continue;
+		if (msp_random_below(&places->daemon->env, ++seen) == 0)
+			chosen = summary;
+	}
+	return chosen != NULL && choose_entry_vm(places, chosen, choice);
+}
+
+bool
+is_place_drained(const struct daemon *daemon, const char *name)
+{
+	const msp_place_t *place =
+	    msp_find_place(daemon_release(daemon), name);
+
+	return place != NULL && place->state == MSP_DRAINING;
+}
+
+static json_object *
+describe_place(const places_t *places, const msp_summary_t *summary)
+{
+	json_object *doc = json_object_new_object();
+	msp_time_t now = msp_now(&places->daemon->env);
+
+	json_object_object_add(
+	    doc, "place", json_object_new_string(summary->place));
+	json_object_object_add(
+	    doc, "region", json_object_new_string(summary->region));
+	json_object_object_add(
+	    doc, "version", json_object_new_uint64(summary->release));
+	json_object_object_add(
+	    doc, "live_vms", json_object_new_int64(summary->live));
+	json_object_object_add(doc, "age_ms",
+	    json_object_new_uint64(msp_summary_age(summary, now) / MSP_MS));
+	json_object_object_add(doc, "stale",
+	    json_object_new_boolean(
+		msp_summary_is_stale(places->relay, summary)));
+	json_object_object_add(
+	    doc, "draining", json_object_new_boolean(summary->draining));
+	return doc;
 }
 
 struct json_object *
 describe_places(const places_t *places)
 {
-	(void)places;
-	return NULL;
+	json_object *list = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < msp_summary_count(places->relay); i++) {
+		const msp_summary_t *summary =
+		    msp_summary_at(places->relay, i);
+
+		if (!is_own_place(places, summary))
+			json_object_array_add(
+			    list, describe_place(places, summary));
+	}
+	return list;
 }
--- a/source/spindled/places.h
+++ b/source/spindled/places.h
@@ -1,18 +1,21 @@
 #ifndef SPINDLED_PLACES_H
 #define SPINDLED_PLACES_H
 
+#include "monsoonspindle/coord/relay.h"
+#include "monsoonspindle/platform/store.h"
 #include "work.h"
 
 struct daemon;
+struct json_object;
 
-/* What this VM knows of other data centres. */
+/* What this VM knows of other data centres, from their summaries. */
 typedef struct places places_t;
 
-/* A VM of another data centre that may take a work. */
+/* A VM of another data centre. */
 typedef struct place_choice {
 	char vm[WORK_NAME_SIZE];
 	char place[WORK_NAME_SIZE];
-	char address[48];
+	char address[MSP_MEMBER_ADDRESS_SIZE];
 	uint16_t peer_port;
 	const char *reason; /* static */
 } place_choice_t;
@@ -20,12 +23,19 @@
 places_t *new_places(struct daemon *daemon);
 void drop_places(places_t *places);
 
-/*
- * Chooses where a work may go that its own data centre did not take: one that
- * was not tried, the region's own first. Returns false if there is none.
- */
-bool choose_place(
-    places_t *places, const work_t *work, place_choice_t *choice);
+/* Borrowed. */
+msp_relay_t *places_relay(const places_t *places);
+
+/* Serves another data centre's MSP_GOSSIP_EXCHANGE. */
+msp_status_t serve_exchange(
+    places_t *places, const void *argument, void *result);
+
+/* The platform's list of VMs has come. */
+void suggest_places(places_t *places, const msp_vm_t *vms, size_t count);
+
+/* Draws one of the entry VMs of a data centre; false if it lists none. */
+bool choose_entry_vm(const places_t *places, const msp_summary_t *summary,
+    place_choice_t *choice);
 
 /*
  * Chooses a VM of another data centre that has a newer release than `after`.
@@ -34,10 +44,8 @@
 bool choose_release_peer(
     places_t *places, uint64_t after, place_choice_t *choice);
 
-/* The release in force has changed. */
-void update_places(places_t *places);
-
-struct json_object;
+/* Whether a data centre is drained, by the release in force. */
+bool is_place_drained(const struct daemon *daemon, const char *place);
 
 /* The other data centres as JSON; the caller puts it. */
 struct json_object *describe_places(const places_t *places);
--- a/source/spindled/releases.c
+++ b/source/spindled/releases.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "blocks.h"
 #include "daemon.h"
 #include "dispatch.h"
 #include "log.h"
@@ -95,8 +96,8 @@
 	    (unsigned long long)release->version, digest, release->note);
 	if (releases->daemon->dispatchers != NULL)
 		update_dispatchers(releases->daemon->dispatchers);
-	if (releases->daemon->places != NULL)
-		update_places(releases->daemon->places);
+	if (releases->daemon->blocks != NULL)
+		update_blocks(releases->daemon->blocks);
 }
 
 static void
--- a/source/spindled/route.c
+++ b/source/spindled/route.c
@@ -5,10 +5,11 @@
 
 #include "daemon.h"
 #include "dispatch.h"
+#include "load_codec.h"
 #include "log.h"
 #include "members.h"
-#include "places.h"
 #include "remote.h"
+#include "shifts.h"
 
 #define ROUTE_HOPS 4 /* VMs and places that one work may be sent to */
 #define RETRY_AFTER_MS 1000
@@ -97,6 +98,16 @@
 	work->done(work->ctx, work, result);
 }
 
+static void
+run_there(daemon_t *daemon, work_t *work, const place_choice_t *choice)
+{
+	snprintf(work->route_vm, sizeof(work->route_vm), "%s", choice->vm);
+	snprintf(work->place, sizeof(work->place), "%s", choice->place);
+	work->hops_left = 1;
+	tell_route(daemon, work, choice->vm, choice->place, choice->reason);
+	run_remote(daemon, work, choice->address, choice->peer_port);
+}
+
 /* Sends the work to another data centre, or gives its first refusal back. */
 static void
 run_elsewhere(daemon_t *daemon, work_t *work)
@@ -104,15 +115,18 @@
 	work_result_t result = { .refusal = work->route_refusal };
 	place_choice_t choice;
 
-	if (!choose_place(daemon->places, work, &choice)) {
+	if (shift_refused(daemon->shifts, work, &choice))
+		run_there(daemon, work, &choice);
+	else
 		give_back(work, &result);
-		return;
-	}
-	snprintf(work->route_vm, sizeof(work->route_vm), "%s", choice.vm);
-	snprintf(work->place, sizeof(work->place), "%s", choice.place);
-	work->hops_left = 1;
-	tell_route(daemon, work, choice.vm, choice.place, choice.reason);
-	run_remote(daemon, work, choice.address, choice.peer_port);
+}
+
+static void
+note_tried(work_t *work)
+{
+	if (work->route_tried_count < WORK_PLACES)
+		work->route_tried[work->route_tried_count++] =
+		    hash_name(work->place);
 }
 
 static void
@@ -133,18 +147,25 @@
 		work->retries_left--;
 	if (work->route_hops++ == 0)
 		work->route_refusal = result->refusal;
-	if (here && stays_here(result))
+	if (here && stays_here(result)) {
 		run_here(daemon, work);
-	else
-		run_elsewhere(daemon, work);
+		return;
+	}
+	note_tried(work);
+	run_elsewhere(daemon, work);
 }
 
 void
 run_routed(struct daemon *daemon, work_t *work)
 {
+	place_choice_t choice;
+
 	work->route_done = work->done;
 	work->route_ctx = work->ctx;
 	work->done = on_hop_done;
 	work->ctx = daemon;
-	run_here(daemon, work);
+	if (shift_first(daemon->shifts, work, &choice))
+		run_there(daemon, work, &choice);
+	else
+		run_here(daemon, work);
 }
--- a/source/spindled/service_dispatch.c
+++ b/source/spindled/service_dispatch.c
@@ -5,9 +5,13 @@
 #include <string.h>
 
 #include "log.h"
+#include "service_credit.h"
 #include "target_call.h"
 #include "target_report.h"
 
+/* Summaries between data centres are a few seconds old. */
+#define CREDIT_LIFETIME (8 * MSP_SECOND)
+#define CREDIT_SPREAD (10 * MSP_SECOND)
 #define TARGETS_MAX 4096 /* of one service in one data centre */
 
 static void
@@ -63,6 +67,8 @@
 		.place = daemon->settings->place,
 		.policy = read_policy(daemon, name),
 		.quarantine = quarantine };
+	msp_granter_options_t granter = { .lifetime = CREDIT_LIFETIME,
+		.spread = CREDIT_SPREAD };
 	msp_dispatcher_callbacks_t callbacks = { .start = start_target_call,
 		.cancel_attempt = cancel_target_call,
 		.refuse = refuse_job,
@@ -76,9 +82,12 @@
 	snprintf(service->name, sizeof(service->name), "%s", name);
 	LIST_INIT(&service->reports);
 	service->addresses = msp_new_map();
+	LIST_INIT(&service->held);
 	service->dispatcher =
 	    msp_new_dispatcher(&daemon->env, &options, &callbacks);
+	service->granter = msp_new_granter(&daemon->env, &granter);
 	if (service->addresses == NULL || service->dispatcher == NULL ||
+	    service->granter == NULL ||
 	    start_reports(service) != MSP_OK) {
 		drop_service_dispatch(service);
 		return NULL;
@@ -96,7 +105,9 @@
 	if (service == NULL)
 		return;
 	stop_reports(service);
+	drop_held(service);
 	msp_drop_dispatcher(service->dispatcher);
+	msp_drop_granter(service->granter);
 	while (service->addresses != NULL &&
 	    msp_map_next(service->addresses, &cursor, NULL, &address))
 		free(address);
@@ -162,6 +173,7 @@
 		log_error("event=targets-failed service=%s error=%s",
 		    service->name, msp_last_message());
 	free(specs);
+	update_shares(service);
 }
 
 static void
@@ -171,6 +183,8 @@
 	service_dispatch_t *service = dispatch->service;
 
 	msp_cancel_job(service->dispatcher, &dispatch->job);
+	if (dispatch->shift.account != NULL)
+		msp_settle_shift(service->granter, &dispatch->shift, 0);
 	service->busy--;
 	free(dispatch);
 }
@@ -179,12 +193,20 @@
 run_service_work(service_dispatch_t *service, work_t *work)
 {
 	dispatch_t *dispatch = calloc(1, sizeof(*dispatch));
+	uint32_t retry_after_ms = 0;
 
 	if (dispatch == NULL) {
 		work_refuse(work, MSP_E_NO_MEMORY, MSP_RUN_NO, false, 0,
 		    "no memory to dispatch the request");
 		return;
 	}
+	if (admit_work(service, work, &dispatch->shift, &retry_after_ms) !=
+	    MSP_OK) {
+		free(dispatch);
+		work_refuse(work, MSP_E_NO_CREDIT, MSP_RUN_NO, false,
+		    retry_after_ms, "over what this place offers");
+		return;
+	}
 	dispatch->service = service;
 	dispatch->work = work;
 	dispatch->job = (msp_job_t) { .request_id = work->id,
--- a/source/spindled/service_dispatch.h
+++ b/source/spindled/service_dispatch.h
@@ -4,6 +4,7 @@
 #include <bsd/sys/queue.h>
 
 #include "daemon.h"
+#include "monsoonspindle/coord/credits.h"
 #include "monsoonspindle/steer/dispatcher.h"
 #include "work.h"
 
@@ -13,10 +14,13 @@
 	daemon_t *daemon;
 	char name[MSP_NAME_SIZE];
 	msp_dispatcher_t *dispatcher;
+	msp_granter_t *granter; /* of credits to other regions */
+	bool retired; /* finishes what is in flight */
 	msp_map_t *addresses; /* "address:port" to target_address_t */
 	msp_timer_t *report_timer;
 	size_t busy; /* work that has not ended */
 	LIST_HEAD(, report_call) reports;
+	LIST_HEAD(, held_answer) held; /* until the cap has room */
 } service_dispatch_t;
 
 /* Where a target is. Lives as long as the service_dispatch_t. */
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -59,15 +59,95 @@
 	}
 }
 
+/* An answer that waits until the cap of its link has room. */
+typedef struct held_answer {
+	LIST_ENTRY(held_answer) link;
+	service_dispatch_t *service;
+	work_t *work;
+	work_result_t result;
+	msp_timer_t *timer;
+} held_answer_t;
+
+static void
+free_held(held_answer_t *held)
+{
+	LIST_REMOVE(held, link);
+	msp_drop_timer(held->timer);
+	held->service->busy--;
+	free(held);
+}
+
+static void
+release_held(void *ctx)
+{
+	held_answer_t *held = ctx;
+	work_t *work = held->work;
+	work_result_t result = held->result;
+
+	free_held(held);
+	work_finish(work, &result);
+}
+
+static void
+cancel_held(work_t *work)
+{
+	held_answer_t *held = work->runner;
+
+	msp_drop_response(&held->result.response);
+	free_held(held);
+}
+
+void
+drop_held(service_dispatch_t *service)
+{
+	held_answer_t *held;
+
+	while ((held = LIST_FIRST(&service->held)) != NULL) {
+		msp_drop_response(&held->result.response);
+		free_held(held);
+	}
+}
+
+/* Returns false without memory: then the answer goes out at once. */
+static bool
+hold_answer(service_dispatch_t *service, work_t *work, work_result_t *result,
+    msp_time_t delay)
+{
+	held_answer_t *held = calloc(1, sizeof(*held));
+
+	if (held == NULL)
+		return false;
+	held->timer = msp_new_timer(
+	    service->daemon->loop, delay, 0, release_held, held);
+	if (held->timer == NULL) {
+		free(held);
+		return false;
+	}
+	held->service = service;
+	held->work = work;
+	held->result = *result;
+	work->cancel = cancel_held;
+	work->runner = held;
+	LIST_INSERT_HEAD(&service->held, held, link);
+	return true;
+}
+
 void
 finish_dispatch(dispatch_t *dispatch, work_result_t *result)
 {
+	service_dispatch_t *service = dispatch->service;
 	work_t *work = dispatch->work;
+	msp_time_t delay = 0;
 
 	snprintf(result->vm, sizeof(result->vm), "%s",
-	    dispatch->service->daemon->settings->vm);
-	dispatch->service->busy--;
+	    service->daemon->settings->vm);
+	if (dispatch->shift.account != NULL)
+		delay = msp_settle_shift(service->granter, &dispatch->shift,
+		    result->response.body.len);
 	free(dispatch);
+	if (delay > 0 && hold_answer(service, work, result, delay))
+		return;
+	service->busy--;
 	work_finish(work, result);
 }
 
--- a/source/spindled/target_call.h
+++ b/source/spindled/target_call.h
@@ -18,6 +18,7 @@
 	service_dispatch_t *service;
 	work_t *work;
 	msp_job_t job;
+	msp_shift_t shift; /* of work from another region */
 	target_call_t calls[DISPATCH_CALLS];
 } dispatch_t;
 
@@ -28,7 +29,13 @@
 /* The callback `cancel_attempt` of the dispatcher. */
 void cancel_target_call(void *ctx, msp_job_t *job, msp_attempt_t attempt);
 
-/* Gives the work its result and frees the dispatch. */
+/*
+ * Gives the work its result and frees the dispatch. An answer to another region
+ * is held until the cap has room for it.
+ */
 void finish_dispatch(dispatch_t *dispatch, work_result_t *result);
 
+/* Frees the answers that are held; their work gets none. */
+void drop_held(service_dispatch_t *service);
+
 #endif
--- a/source/spindled/work.h
+++ b/source/spindled/work.h
@@ -7,6 +7,7 @@
 #define WORK_ID_SIZE 64 /* bytes of a request id, with the final 0 */
 #define WORK_KEY_SIZE 129 /* bytes of an idempotency key */
 #define WORK_NAME_SIZE 64 /* bytes of a service or place name */
+#define WORK_PLACES 4 /* data centres that one request is sent to */
 #define WORK_HOPS 2 /* VMs that may pass one request on */
 
 /* How a piece of work ended. */
@@ -53,6 +54,8 @@
 	work_done_t *route_done;
 	void *route_ctx;
 	char route_vm[WORK_NAME_SIZE]; /* tried last */
+	uint32_t route_tried[WORK_PLACES]; /* hashes of places */
+	int route_tried_count;
 	msp_refusal_t route_refusal; /* of the first hop */
 };
 
