--- a/include/monsoonspindle/steer/dispatcher.h
+++ b/include/monsoonspindle/steer/dispatcher.h
@@ -116,7 +116,8 @@
 
 /*
  * Tells a new dispatcher what another one last had in flight on a target: that
- * many slots stay empty for `span`, and the target's limit ramps up.
+ * many slots stay empty for `span`, as in msp_target_load_t, or until the
+ * target is seen to have died. The target's limit ramps up.
  */
 void msp_inherit_inflight(msp_dispatcher_t *dispatcher, const char *name,
     uint32_t in_flight, msp_time_t span);
@@ -155,7 +156,8 @@
 
 /*
  * After a pause nothing is started until msp_resume_dispatcher(): the caller
- * hears its peers first and resumes only if it is still the dispatcher.
+ * hears its peers first, sets the targets anew and resumes only if it is still
+ * the dispatcher.
  */
 bool msp_dispatcher_paused(const msp_dispatcher_t *dispatcher);
 void msp_resume_dispatcher(msp_dispatcher_t *dispatcher);
@@ -172,7 +174,7 @@
 	uint32_t in_flight; /* own attempts */
 	uint32_t limit; /* slots in use at most; 0: no new work */
 	uint32_t slots; /* as listed */
-	msp_time_t span; /* time until the last one's deadline */
+	msp_time_t span; /* time in which these attempts should end */
 } msp_target_load_t;
 
 /* Copies up to `max` loads and returns the number of targets. */
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -278,6 +278,7 @@
     const msp_dispatcher_t *d, msp_target_load_t *out, size_t max)
 {
 	msp_time_t now = msp_now(&d->env);
+	msp_time_t bound = msp_silent_bound(d);
 	const msp_target_t *target;
 	const msp_job_t *job;
 	size_t count = 0;
@@ -293,10 +294,17 @@
 
 		TAILQ_FOREACH(job, &d->running, link) {
 			for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
-				if (job->attempts[i].token != 0 &&
-				    job->attempts[i].target == target &&
-				    job->deadline > now + load.span)
-					load.span = job->deadline - now;
+				const msp_job_attempt_t *attempt =
+				    &job->attempts[i];
+				msp_time_t end = attempt->started + bound;
+
+				if (attempt->token == 0 ||
+				    attempt->target != target)
+					continue;
+				if (job->deadline < end)
+					end = job->deadline;
+				if (end > now + load.span)
+					load.span = end - now;
 			}
 		}
 		if (count < max)
--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -99,6 +99,10 @@
 msp_verdict_t msp_settle_failure(
     msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome);
 
+/* tick.c */
+/* How long the first byte may take before a connection counts as silent. */
+msp_time_t msp_silent_bound(const msp_dispatcher_t *d);
+
 /* dispatcher.c */
 void msp_refuse_job(msp_dispatcher_t *d, msp_job_t *job, msp_status_t status,
     msp_run_t run, msp_time_t retry_after, const char *reason);
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -58,7 +58,7 @@
 	}
 	/* A target that answered others meanwhile is only slow here. */
 	if (target->last_whole < attempt->started)
-		msp_note_failure(target, now);
+		msp_note_failure(target, now, false);
 }
 
 static void
@@ -195,7 +195,7 @@
 		/* Only a read can have another attempt that was sent. */
 		if (!job->is_idempotent)
 			job->sent = false;
-		msp_note_failure(ended.target, now);
+		msp_note_failure(ended.target, now, true);
 		strike_cut_jobs(d, ended.target);
 		break;
 	case MSP_OUTCOME_CUT:
@@ -207,7 +207,7 @@
 		job->wants_fresh = true;
 		break;
 	case MSP_OUTCOME_CRASHED:
-		msp_note_failure(ended.target, now);
+		msp_note_failure(ended.target, now, true);
 		msp_strike(d->quarantine, job->fingerprint, ended.started, now);
 		break;
 	case MSP_OUTCOME_CANCELLED:
--- a/source/steer/target.c
+++ b/source/steer/target.c
@@ -170,9 +170,11 @@
 }
 
 void
-msp_note_failure(msp_target_t *target, msp_time_t now)
+msp_note_failure(msp_target_t *target, msp_time_t now, bool died)
 {
 	msp_ramp_target(target, 1);
+	if (died)
+		msp_release_holds(target, MSP_NEVER);
 	if (now < target->closed_until)
 		return;
 	target->backoff =
--- a/source/steer/target.h
+++ b/source/steer/target.h
@@ -81,8 +81,11 @@
 void msp_note_shed(msp_target_t *target, msp_time_t now, msp_time_t started,
     msp_time_t retry_after);
 
-/* The target failed: closed for a growing span, then one slot. */
-void msp_note_failure(msp_target_t *target, msp_time_t now);
+/*
+ * The target failed: closed for a growing span, then one slot. If it died, so
+ * did the work that slots were held for.
+ */
+void msp_note_failure(msp_target_t *target, msp_time_t now, bool died);
 
 /* The limit starts again at `slots` and ramps. */
 void msp_ramp_target(msp_target_t *target, uint32_t slots);
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -5,9 +5,8 @@
 #define LONGEST_SILENCE (5 * MSP_SECOND)
 #define RATE_WINDOW MSP_SECOND
 
-/* How long the first byte may take before a connection counts as silent. */
-static msp_time_t
-silent_bound(const msp_dispatcher_t *d)
+msp_time_t
+msp_silent_bound(const msp_dispatcher_t *d)
 {
 	msp_time_t bound = 20 * d->policy.expected_service;
 
@@ -120,7 +119,7 @@
 		expire_job(d, job);
 		return true;
 	}
-	if (check_silence(d, job, now, silent_bound(d)))
+	if (check_silence(d, job, now, msp_silent_bound(d)))
 		return true;
 	if (delay == MSP_NEVER || !can_hedge(d, job) ||
 	    now < job->attempts[0].started + delay)
@@ -199,7 +198,7 @@
 {
 	msp_time_t now = msp_now(&d->env);
 	msp_time_t due = d->last_seen + MSP_HEARTBEAT;
-	msp_time_t silence = silent_bound(d);
+	msp_time_t silence = msp_silent_bound(d);
 	msp_time_t delay = hedge_delay(d);
 	const msp_target_t *target;
 	const msp_hold_t *hold;
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -103,6 +103,8 @@
 		};
 	}
 	msp_set_dispatcher_targets(place->dispatcher, specs, count);
+	if (place->twin != NULL)
+		msp_set_dispatcher_targets(place->twin, specs, count);
 }
 
 static void
@@ -188,7 +190,7 @@
 	set_up_places(world);
 	if (config->mode == WORLD_CENTRAL) {
 		for (i = 0; i < world->place_count; i++)
-			new_place_dispatcher(&world->places[i]);
+			set_up_place(&world->places[i]);
 		start_gossip(world);
 	} else {
 		start_baseline(world);
@@ -207,6 +209,7 @@
 
 	for (i = 0; i < world->place_count; i++) {
 		msp_drop_dispatcher(world->places[i].dispatcher);
+		msp_drop_dispatcher(world->places[i].twin);
 		msp_drop_granter(world->places[i].granter);
 		msp_drop_wallet(world->places[i].wallet);
 	}
@@ -222,8 +225,8 @@
 	free(world);
 }
 
-world_request_t *
-add_request(
+static world_request_t *
+new_request(
     world_t *world, uint32_t place, msp_class_t class, msp_digest_t print)
 {
 	static const msp_time_t deadlines[MSP_CLASS_COUNT] = {
@@ -253,10 +256,36 @@
 	TAILQ_INSERT_TAIL(&world->requests, request, link);
 	if (request->born >= world->measure_from)
 		world->results.asked[class]++;
-	if (world->config.mode == WORLD_CENTRAL)
+	return request;
+}
+
+static void
+send_request(world_request_t *request)
+{
+	if (request->world->config.mode == WORLD_CENTRAL)
 		route_request(request);
 	else
 		route_baseline(request);
+}
+
+world_request_t *
+add_request(
+    world_t *world, uint32_t place, msp_class_t class, msp_digest_t print)
+{
+	world_request_t *request = new_request(world, place, class, print);
+
+	send_request(request);
+	return request;
+}
+
+world_request_t *
+add_poison(world_t *world, uint32_t place, msp_digest_t print)
+{
+	world_request_t *request =
+	    new_request(world, place, MSP_CLASS_INTERACTIVE, print);
+
+	request->poison = true;
+	send_request(request);
 	return request;
 }
 
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -82,6 +82,8 @@
 	bool fell_back;
 	bool poison;
 	bool over;
+	bool whole;
+	msp_dispatcher_t *dispatcher; /* that has it */
 	struct fake_attempt *attempts[MSP_JOB_ATTEMPTS];
 	TAILQ_ENTRY(world_request) link;
 	TAILQ_ENTRY(world_request) wait_link;
@@ -91,6 +93,7 @@
 	world_request_t *request;
 	struct world_place *place;
 	fake_target_t *target;
+	msp_dispatcher_t *dispatcher;
 	msp_attempt_t token;
 	msp_outcome_t outcome;
 	bool fresh;
@@ -115,12 +118,15 @@
 	uint32_t region;
 	char name[16];
 	msp_dispatcher_t *dispatcher;
+	msp_dispatcher_t *twin; /* a second one that should not be */
 	msp_granter_t *granter;
 	msp_wallet_t *wallet;
 	msp_spill_t spill;
 	msp_time_t tick_at;
 	bool frozen; /* the VM of the dispatcher */
-	bool lost; /* no gossip and no traffic from or to others */
+	msp_time_t thaw_at;
+	bool lost; /* takes nothing and says nothing */
+	bool cut; /* no gossip and no traffic from or to other regions */
 	msp_time_t told_wait; /* as its sibling last heard */
 	static_entry_t entries[WORLD_ENTRIES];
 } world_place_t;
@@ -182,6 +188,7 @@
 	world_pending_t *heap;
 	size_t pending, room;
 	uint64_t order;
+	uint32_t poison_left; /* times that its caller will send it again */
 	double burst; /* factor on the load now */
 	msp_time_t measure_from;
 	msp_time_t stop_at; /* of the stream of requests */
@@ -207,13 +214,35 @@
 /* Number of a place's targets; sets the first one's index. */
 uint32_t place_targets(const world_t *world, uint32_t place, uint32_t *first);
 
-/* Tells a place's dispatcher about its targets. */
+/* Tells a place's dispatchers about its targets. */
 void list_targets(world_place_t *place);
 
+/* A dispatcher of a place, with its targets. */
+msp_dispatcher_t *new_world_dispatcher(world_place_t *place);
+
+/* The VM of the dispatcher dies; another one takes over at once. */
+void kill_dispatcher(world_place_t *place);
+
+/* Faults by name, from `at` for a few seconds. */
+typedef struct world_fault {
+	const char *name;
+	void (*start)(world_t *world);
+	void (*stop)(world_t *world); /* may be NULL */
+} world_fault_t;
+
+extern const world_fault_t world_faults[];
+extern const int world_fault_count;
+
+void put_fault(
+    world_t *world, const world_fault_t *fault, msp_time_t at, msp_time_t span);
+
 /* Puts one request in at a place now. */
 world_request_t *add_request(
     world_t *world, uint32_t place, msp_class_t class, msp_digest_t print);
 
+/* A read that kills each target that runs it. */
+world_request_t *add_poison(world_t *world, uint32_t place, msp_digest_t print);
+
 /* Sends a request to a target, which answers, sheds, dies or is silent. */
 void reach_target(world_place_t *place, world_request_t *request,
     fake_target_t *target, bool fresh, msp_attempt_t token);
@@ -227,7 +256,8 @@
 void refuse_request(world_request_t *request, const msp_refusal_t *refusal);
 
 /* Path of the dispatcher mode. */
-void new_place_dispatcher(world_place_t *place);
+void set_up_place(world_place_t *place);
+void set_up_granter(world_place_t *place);
 void route_request(world_request_t *request);
 void arm_tick(world_place_t *place);
 void start_gossip(world_t *world);
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -51,6 +51,7 @@
 
 	if (request->born < world->measure_from)
 		return;
+	request->whole = true;
 	world->results.whole[class]++;
 	msp_record(&world->results.latency[class], age);
 }
@@ -117,6 +118,8 @@
 	    ->poison = request->poison;
 }
 
+static void submit_later(world_t *world, void *arg);
+
 /* Tries the sibling once when the own place does not take the request. */
 static bool
 fall_back(world_request_t *request, const msp_refusal_t *refusal)
@@ -126,15 +129,14 @@
 
 	if (!world->config.shifts || request->fell_back ||
 	    request->at != request->home || refusal->run != MSP_RUN_NO ||
-	    world->config.centres != 2 ||
+	    world->config.centres != 2 || world->places[sibling].lost ||
 	    world->places[sibling].told_wait == MSP_NEVER ||
 	    world->venv.now + world->places[sibling].told_wait >=
 		request->job.deadline)
 		return false;
 	request->fell_back = true;
 	request->at = sibling;
-	msp_submit_job(world->places[sibling].dispatcher, &request->job);
-	arm_tick(&world->places[sibling]);
+	world_at(world, world->venv.now + MSP_MS, submit_later, request);
 	return true;
 }
 
@@ -195,14 +197,13 @@
 	place->world->results.forgets++;
 }
 
-void
-new_place_dispatcher(world_place_t *place)
+msp_dispatcher_t *
+new_world_dispatcher(world_place_t *place)
 {
-	world_t *world = place->world;
 	msp_dispatcher_options_t options = {
 	    .service = "service",
 	    .place = place->name,
-	    .policy = world->config.policy,
+	    .policy = place->world->config.policy,
 	};
 	msp_dispatcher_callbacks_t callbacks = {
 	    .start = on_start,
@@ -211,11 +212,42 @@
 	    .forget_connections = on_forget,
 	    .ctx = place,
 	};
+
+	return msp_new_dispatcher(&place->world->env, &options, &callbacks);
+}
+
+void
+set_up_granter(world_place_t *place)
+{
+	const world_config_t *config = &place->world->config;
 	msp_granter_options_t granting = {.spread = MSP_SECOND};
+	uint32_t weights[WORLD_PLACES];
+	uint32_t at = place->index - place->region * config->centres;
+	msp_credit_rate_t share;
+	uint32_t i;
+
+	place->granter = msp_new_granter(&place->world->env, &granting);
+	for (i = 0; i < config->centres; i++)
+		weights[i] = 1;
+	share.requests = (uint32_t)msp_split_cap(
+	    config->cap.requests, weights, config->centres, at);
+	share.bytes =
+	    msp_split_cap(config->cap.bytes, weights, config->centres, at);
+	for (i = 0; i < config->regions; i++) {
+		char name[2] = {(char)('a' + i), '\0'};
+
+		if (i != place->region)
+			msp_set_granter_share(place->granter, name, &share);
+	}
+}
 
-	place->dispatcher =
-	    msp_new_dispatcher(&world->env, &options, &callbacks);
-	place->granter = msp_new_granter(&world->env, &granting);
+void
+set_up_place(world_place_t *place)
+{
+	world_t *world = place->world;
+
+	place->dispatcher = new_world_dispatcher(place);
+	set_up_granter(place);
 	place->wallet = msp_new_wallet(&world->env);
 	place->tick_at = MSP_NEVER;
 	list_targets(place);
@@ -231,6 +263,8 @@
 		return;
 	place->tick_at = MSP_NEVER;
 	msp_tick_dispatcher(place->dispatcher);
+	if (place->twin != NULL)
+		msp_tick_dispatcher(place->twin);
 	arm_tick(place);
 }
 
@@ -240,9 +274,11 @@
 	world_t *world = place->world;
 	msp_time_t due = msp_dispatcher_due(place->dispatcher);
 
+	if (place->twin != NULL && msp_dispatcher_due(place->twin) < due)
+		due = msp_dispatcher_due(place->twin);
 	if (due <= world->venv.now)
 		due = world->venv.now + 1;
-	if (due >= place->tick_at)
+	if (due >= place->tick_at && place->tick_at > world->venv.now)
 		return;
 	place->tick_at = due;
 	world_at(world, due, tick, place);
@@ -274,7 +310,7 @@
 		char region[2] = {(char)('a' + other->region), '\0'};
 
 		if (other->region == place->region || place->lost ||
-		    other->lost)
+		    place->cut || other->cut)
 			continue;
 		msp_get_offer(place->granter, region, &offer);
 		msp_take_offer(other->wallet, place->name, &offer,
@@ -295,32 +331,11 @@
 void
 start_gossip(world_t *world)
 {
-	uint32_t weights[WORLD_PLACES];
-	uint32_t i, region;
+	uint32_t i;
 
-	for (i = 0; i < world->config.centres; i++)
-		weights[i] = 1;
-	for (i = 0; i < world->place_count; i++) {
-		world_place_t *place = &world->places[i];
-		uint32_t at = i - place->region * world->config.centres;
-		msp_credit_rate_t share = {
-		    .requests =
-			(uint32_t)msp_split_cap(world->config.cap.requests,
-			    weights, world->config.centres, at),
-		    .bytes = msp_split_cap(world->config.cap.bytes, weights,
-			world->config.centres, at),
-		};
-
-		for (region = 0; region < world->config.regions; region++) {
-			char name[2] = {(char)('a' + region), '\0'};
-
-			if (region != place->region)
-				msp_set_granter_share(
-				    place->granter, name, &share);
-		}
-		world_at(
-		    world, world->venv.now + 1 + i * 7 * MSP_MS, gossip, place);
-	}
+	for (i = 0; i < world->place_count; i++)
+		world_at(world, world->venv.now + 1 + i * 7 * MSP_MS, gossip,
+		    &world->places[i]);
 }
 
 static void submit_here(world_request_t *request);
@@ -350,7 +365,14 @@
 {
 	world_place_t *place = &request->world->places[request->at];
 
-	msp_submit_job(place->dispatcher, &request->job);
+	if (place->frozen) {
+		world_at(place->world, place->thaw_at, submit_later, request);
+		return;
+	}
+	request->dispatcher = place->dispatcher;
+	if (place->twin != NULL && draw_even(&place->world->rng) < 0.5)
+		request->dispatcher = place->twin;
+	msp_submit_job(request->dispatcher, &request->job);
 	arm_tick(place);
 }
 
@@ -380,15 +402,20 @@
 
 		options[i].rtt = 2 * MSP_MS;
 		options[i].wait = place->told_wait;
-		if (i == request->home || place->lost)
+		if (i == request->home || place->lost ||
+		    place->told_wait == MSP_NEVER)
+			options[i].wait = MSP_NEVER;
+		if (place->region != home->region && (home->cut || place->cut))
 			options[i].wait = MSP_NEVER;
-		if (place->region != home->region) {
+		else if (place->region != home->region && !place->lost) {
 			options[i].rtt = REGION_RTT;
 			options[i].wait =
 			    msp_offered_wait(home->wallet, place->name);
 		}
 	}
-	wait = msp_estimate_wait(home->dispatcher, request->job.class);
+	wait = home->lost
+	    ? MSP_NEVER
+	    : msp_estimate_wait(home->dispatcher, request->job.class);
 	choice = msp_decide_spill(
 	    &home->spill, &world->env, wait, options, world->place_count);
 	if (choice == MSP_SPILL_LOCAL) {
--- a/tests/support/world_target.c
+++ b/tests/support/world_target.c
@@ -30,6 +30,15 @@
 	}
 }
 
+static void report_end(fake_attempt_t *attempt);
+
+static void
+report_later(world_t *world, void *arg)
+{
+	(void)world;
+	report_end(arg);
+}
+
 static void
 report_end(fake_attempt_t *attempt)
 {
@@ -38,13 +47,17 @@
 
 	if (!attempt->live)
 		return;
+	if (place->frozen) {
+		world_at(place->world, place->thaw_at, report_later, attempt);
+		return;
+	}
 	detach(attempt);
 	if (place->world->config.mode != WORLD_CENTRAL) {
 		end_baseline_attempt(attempt);
 		return;
 	}
-	if (msp_attempt_ended(place->dispatcher, &request->job, attempt->token,
-		attempt->outcome, 0) == MSP_VERDICT_DONE)
+	if (msp_attempt_ended(attempt->dispatcher, &request->job,
+		attempt->token, attempt->outcome, 0) == MSP_VERDICT_DONE)
 		finish_request(request);
 	arm_tick(place);
 }
@@ -147,6 +160,7 @@
 	    .request = request,
 	    .place = place,
 	    .target = target,
+	    .dispatcher = request->dispatcher,
 	    .token = token,
 	    .fresh = fresh,
 	    .live = true,
