--- a/include/monsoonspindle/coord/ledger.h
+++ b/include/monsoonspindle/coord/ledger.h
@@ -76,7 +76,7 @@
 /* Whether the release is known, from the store or from a peer. */
 bool msp_ledger_ready(const msp_ledger_t *ledger);
 
-/* The release in force here; borrowed. Empty and version 0 until ready. */
+/* The release in force here; borrowed. Of no use until ready. */
 msp_release_t *msp_ledger_release(const msp_ledger_t *ledger);
 
 /* Whether this VM is to poll the head of the store now. */
@@ -135,8 +135,16 @@
  *
  * An id that was accepted before is answered with its version, so a note can
  * be sent again until an answer arrives, to any VM.
+ *
+ * A refusal is written down in the store before it is given, so that no other
+ * VM, still at work on an earlier try, accepts the note afterwards; a refused
+ * id can't be used again.
  */
 void msp_submit_note(msp_ledger_t *ledger, msp_note_t *note,
     msp_submit_done_t *done, void *done_ctx);
 
+/* The same for a note that its sender sent to no VM before. */
+void msp_submit_new_note(msp_ledger_t *ledger, msp_note_t *note,
+    msp_submit_done_t *done, void *done_ctx);
+
 #endif
--- /dev/null
+++ b/source/coord/ledger.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger_state.h"
+
+#define STORE_TIMEOUT_MS 1000
+#define SUBMIT_TIMEOUT (10 * MSP_SECOND)
+#define POLL_PERIOD MSP_SECOND
+#define PEER_TIMEOUT MSP_SECOND
+#define SNAPSHOT_EVERY 64 /* notes */
+#define KEPT_NOTES 4096
+#define KEPT_BYTES (16 << 20)
+
+msp_time_t
+ledger_now(const msp_ledger_t *ledger)
+{
+	return msp_now(&ledger->options.env);
+}
+
+void
+count_ledger(msp_ledger_t *ledger, const char *event)
+{
+	if (ledger->options.counters != NULL)
+		msp_count(
+		    ledger->options.counters, 1, "msp_release_%s_total", event);
+}
+
+void
+keep_out(msp_ledger_t *ledger, const char *reason, uint64_t version)
+{
+	if (ledger->options.counters != NULL)
+		msp_count(ledger->options.counters, 1,
+		    "msp_release_kept_out_total{reason=\"%s\"}", reason);
+	if (ledger->options.on_kept_out != NULL)
+		ledger->options.on_kept_out(
+		    ledger->options.ctx, reason, version);
+}
+
+static void
+set_defaults(msp_ledger_options_t *options)
+{
+	if (options->store_timeout_ms == 0)
+		options->store_timeout_ms = STORE_TIMEOUT_MS;
+	if (options->submit_timeout == 0)
+		options->submit_timeout = SUBMIT_TIMEOUT;
+	if (options->poll_period == 0)
+		options->poll_period = POLL_PERIOD;
+	if (options->peer_timeout == 0)
+		options->peer_timeout = PEER_TIMEOUT;
+	if (options->snapshot_every == 0)
+		options->snapshot_every = SNAPSHOT_EVERY;
+	if (options->kept_notes == 0)
+		options->kept_notes = KEPT_NOTES;
+}
+
+msp_ledger_t *
+msp_new_ledger(const msp_ledger_options_t *options)
+{
+	msp_ledger_t *ledger = calloc(1, sizeof(*ledger));
+
+	if (ledger == NULL)
+		return NULL;
+	ledger->options = *options;
+	set_defaults(&ledger->options);
+	ledger->release = msp_new_release();
+	if (ledger->release == NULL) {
+		free(ledger);
+		return NULL;
+	}
+	ledger->log.most = ledger->options.kept_notes;
+	ledger->log.most_bytes = KEPT_BYTES;
+	TAILQ_INIT(&ledger->submissions);
+	ledger->next_poll = ledger_now(ledger);
+	ledger->pull.step = PULL_WAITING;
+	ledger->pull.due = ledger_now(ledger);
+	return ledger;
+}
+
+void
+msp_drop_ledger(msp_ledger_t *ledger)
+{
+	if (ledger == NULL)
+		return;
+	drop_submissions(ledger);
+	drop_note_log(&ledger->log);
+	msp_drop_release(ledger->release);
+	free(ledger);
+}
+
+bool
+msp_ledger_ready(const msp_ledger_t *ledger)
+{
+	return ledger->ready;
+}
+
+msp_release_t *
+msp_ledger_release(const msp_ledger_t *ledger)
+{
+	return ledger->release;
+}
+
+void
+msp_set_ledger_turn(msp_ledger_t *ledger, bool turn)
+{
+	ledger->turn = turn;
+}
+
+void
+msp_ledger_heard(
+    msp_ledger_t *ledger, uint64_t version, const msp_digest_t *digest)
+{
+	chain_head_t head = {.version = version};
+
+	if (!ledger->ready)
+		return;
+	if (version > ledger->release->version) {
+		if (version > ledger->heard)
+			ledger->heard = version;
+		start_pull(ledger, true);
+		return;
+	}
+	if (digest == NULL || version < ledger->release->version)
+		return;
+	head.digest = *digest;
+	check_head(ledger, &head);
+}
+
+static void
+on_polled(void *ctx, const msp_store_reply_t *reply)
+{
+	msp_ledger_t *ledger = ctx;
+	chain_head_t head;
+
+	ledger->polling = false;
+	if (reply->status != MSP_OK || reply->row_count != 1)
+		return;
+	if (parse_head_row(&reply->rows[0], &head) != MSP_OK) {
+		keep_out(ledger, "bad-rows", 0);
+		return;
+	}
+	if (!ledger->ready || check_head(ledger, &head))
+		return;
+	if (head.version <= ledger->release->version)
+		return;
+	if (head.version > ledger->heard)
+		ledger->heard = head.version;
+	start_pull(ledger, false);
+}
+
+static void
+tick_poll(msp_ledger_t *ledger)
+{
+	static const char *const keys[] = {HEAD_KEY};
+	msp_store_t *store = &ledger->options.store;
+
+	if (!ledger->turn || ledger->polling || !ledger->ready ||
+	    ledger_now(ledger) < ledger->next_poll)
+		return;
+	ledger->polling = true;
+	ledger->next_poll = ledger_now(ledger) + ledger->options.poll_period;
+	count_ledger(ledger, "polls");
+	store->get(store->ctx, keys, 1, ledger->options.store_timeout_ms,
+	    on_polled, ledger);
+}
+
+void
+msp_tick_ledger(msp_ledger_t *ledger)
+{
+	tick_poll(ledger);
+	tick_pull(ledger);
+	tick_submissions(ledger);
+}
+
+static msp_time_t
+earlier(msp_time_t a, msp_time_t b)
+{
+	return a < b ? a : b;
+}
+
+msp_time_t
+msp_ledger_deadline(const msp_ledger_t *ledger)
+{
+	msp_time_t next =
+	    earlier(pull_deadline(ledger), submit_deadline(ledger));
+
+	if (ledger->turn && ledger->ready && !ledger->polling)
+		next = earlier(next, ledger->next_poll);
+	return next;
+}
--- /dev/null
+++ b/source/coord/ledger_chain.c
@@ -0,0 +1,116 @@
+#include <string.h>
+
+#include "ledger_state.h"
+
+bool
+check_head(msp_ledger_t *ledger, const chain_head_t *head)
+{
+	const msp_release_t *release = ledger->release;
+
+	if (head->version < release->version) {
+		keep_out(ledger, "stale-head", head->version);
+		return true;
+	}
+	if (head->version > release->version)
+		return false;
+	if (msp_digest_equal(head->digest, release->digest))
+		return false;
+	keep_out(ledger, "fork", head->version);
+	return true;
+}
+
+static void
+enforce(msp_ledger_t *ledger, msp_release_t *release)
+{
+	msp_drop_release(ledger->release);
+	ledger->release = release;
+	if (ledger->heard < release->version)
+		ledger->heard = release->version;
+	if (ledger->ready && ledger->options.on_release != NULL)
+		ledger->options.on_release(ledger->options.ctx, release);
+}
+
+void
+become_ready(msp_ledger_t *ledger)
+{
+	if (ledger->ready)
+		return;
+	ledger->ready = true;
+	if (ledger->options.on_release != NULL)
+		ledger->options.on_release(
+		    ledger->options.ctx, ledger->release);
+}
+
+void
+take_release(msp_ledger_t *ledger, msp_release_t *release)
+{
+	drop_note_log(&ledger->log);
+	enforce(ledger, release);
+}
+
+/* A note at or below this VM's version: it must be the one that is known. */
+static msp_status_t
+compare_known(
+    msp_ledger_t *ledger, const msp_note_t *note, const char *text, size_t len)
+{
+	uint64_t version = note->base_version + 1;
+	const logged_note_t *known = find_logged_note(&ledger->log, version);
+
+	if (known == NULL ||
+	    msp_digest_equal(
+		known->digest, msp_chain_digest(note->base_digest, text, len)))
+		return MSP_OK;
+	keep_out(ledger, "fork", version);
+	return MSP_E_CONFLICT;
+}
+
+/* Applies the next note, whose base version is this VM's. */
+static msp_status_t
+apply_next(
+    msp_ledger_t *ledger, const msp_note_t *note, const char *text, size_t len)
+{
+	uint64_t version = note->base_version + 1;
+	msp_release_t *next;
+	msp_status_t status;
+
+	status = msp_apply_note(ledger->release, note, &next);
+	if (status == MSP_E_CONFLICT)
+		keep_out(ledger, "fork", version);
+	else if (status == MSP_E_INVALID_NOTE)
+		keep_out(ledger, "invalid-note", version);
+	if (status != MSP_OK)
+		return status;
+	/* The text as it is stored counts, whatever this VM would print. */
+	next->digest = msp_chain_digest(note->base_digest, text, len);
+	status =
+	    append_note_log(&ledger->log, version, next->digest, text, len);
+	if (status != MSP_OK) {
+		msp_drop_release(next);
+		return status;
+	}
+	count_ledger(ledger, "applied");
+	enforce(ledger, next);
+	return MSP_OK;
+}
+
+msp_status_t
+take_note(msp_ledger_t *ledger, const char *text, size_t len)
+{
+	msp_note_t *note;
+	msp_status_t status = msp_parse_note(text, len, "note", &note);
+
+	if (status != MSP_OK) {
+		keep_out(ledger, "invalid-note", ledger->release->version);
+		return status;
+	}
+	if (!note->has_base)
+		status = msp_fail(MSP_E_INVALID_NOTE, "note without a base");
+	else if (note->base_version < ledger->release->version)
+		status = compare_known(ledger, note, text, len);
+	else if (note->base_version > ledger->release->version)
+		status = msp_fail(MSP_E_NOT_FOUND, "notes are missing");
+	else
+		status = apply_next(ledger, note, text, len);
+	msp_drop_note(note);
+	return status;
+}
--- /dev/null
+++ b/source/coord/ledger_peer.c
@@ -0,0 +1,132 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ledger_state.h"
+
+#define PEER_ANSWER_BYTES (1 << 20) /* of notes; the first one in any case */
+#define FIRST_LINE_SIZE 96
+
+/*
+ * An answer starts with "notes VERSION DIGEST" or "snapshot VERSION DIGEST",
+ * the server's version; notes follow one a line, or a snapshot.
+ */
+static msp_status_t
+print_first_line(
+    const msp_ledger_t *ledger, const char *form, msp_buffer_t *out)
+{
+	char digest[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(ledger->release->digest, digest);
+	return msp_print_buffer(
+	    out, "%s %" PRIu64 " %s\n", form, ledger->release->version, digest);
+}
+
+msp_status_t
+msp_ledger_notes_after(
+    const msp_ledger_t *ledger, uint64_t after, msp_buffer_t *out)
+{
+	uint64_t last = ledger->release->version;
+	size_t start = out->len;
+	const logged_note_t *note;
+	msp_status_t status;
+
+	if (!ledger->ready)
+		return msp_fail(MSP_E_NOT_READY, "no release is known yet");
+	if (after < last && find_logged_note(&ledger->log, after + 1) == NULL) {
+		status = print_first_line(ledger, "snapshot", out);
+		if (status != MSP_OK)
+			return status;
+		return msp_print_release(ledger->release, out);
+	}
+	status = print_first_line(ledger, "notes", out);
+	while (after < last && status == MSP_OK &&
+	    out->len - start < PEER_ANSWER_BYTES) {
+		note = find_logged_note(&ledger->log, ++after);
+		status = msp_append_buffer(out, note->text, note->len);
+		if (status == MSP_OK)
+			status = msp_append_buffer(out, "\n", 1);
+	}
+	return status;
+}
+
+/* Returns what follows the first line, or NULL if that is none. */
+static const char *
+read_first_line(const char *text, size_t len, char form[16], chain_head_t *head)
+{
+	char digest[MSP_DIGEST_TEXT_SIZE];
+	char line[FIRST_LINE_SIZE];
+	const char *end = memchr(text, '\n', len);
+
+	if (end == NULL || (size_t)(end - text) >= sizeof(line))
+		return NULL;
+	memcpy(line, text, (size_t)(end - text));
+	line[end - text] = '\0';
+	if (sscanf(line, "%15s %" SCNu64 " %32s", form, &head->version,
+		digest) != 3 ||
+	    msp_parse_digest(digest, &head->digest) != 0)
+		return NULL;
+	return end + 1;
+}
+
+static void
+take_lines(msp_ledger_t *ledger, const char *text, const char *end)
+{
+	msp_status_t status = MSP_OK;
+	const char *next;
+
+	while (text < end && status == MSP_OK) {
+		next = memchr(text, '\n', (size_t)(end - text));
+		if (next == NULL) {
+			keep_out(ledger, "bad-peer-answer", 0);
+			return;
+		}
+		status = take_note(ledger, text, (size_t)(next - text));
+		text = next + 1;
+	}
+}
+
+/* A VM in service takes no snapshot: nothing would tie it to its chain. */
+static void
+take_snapshot(msp_ledger_t *ledger, const char *text, size_t len,
+    const chain_head_t *head)
+{
+	msp_release_t *release;
+
+	if (ledger->ready)
+		return;
+	if (msp_parse_release(text, len, "peer", &release) != MSP_OK) {
+		keep_out(ledger, "bad-peer-answer", head->version);
+		return;
+	}
+	if (release->version != head->version ||
+	    !msp_digest_equal(release->digest, head->digest)) {
+		msp_drop_release(release);
+		keep_out(ledger, "bad-peer-answer", head->version);
+		return;
+	}
+	take_release(ledger, release);
+}
+
+void
+msp_ledger_take(msp_ledger_t *ledger, const char *text, size_t len)
+{
+	const char *end = text + len;
+	chain_head_t head = {0};
+	char form[16];
+	const char *rest;
+
+	rest = read_first_line(text, len, form, &head);
+	if (rest != NULL && strcmp(form, "notes") == 0)
+		take_lines(ledger, rest, end);
+	else if (rest != NULL && strcmp(form, "snapshot") == 0)
+		take_snapshot(ledger, rest, (size_t)(end - rest), &head);
+	else
+		keep_out(ledger, "bad-peer-answer", 0);
+	if (rest != NULL && !ledger->ready &&
+	    ledger->release->version == head.version &&
+	    msp_digest_equal(ledger->release->digest, head.digest))
+		become_ready(ledger);
+	if (ledger->pull.step == PULL_PEER)
+		end_pull(ledger, false);
+}
--- /dev/null
+++ b/source/coord/ledger_prepare.c
@@ -0,0 +1,165 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ledger_state.h"
+
+static msp_status_t
+refuse(submission_t *submission, msp_status_t status, const char *message)
+{
+	submission->step = SUBMIT_ENDED;
+	submission->status = status;
+	snprintf(
+	    submission->message, sizeof(submission->message), "%s", message);
+	return status;
+}
+
+/* Compares the note with one that was accepted since its base. */
+static msp_status_t
+check_clash(submission_t *submission, const logged_note_t *logged)
+{
+	msp_note_t *other;
+	msp_status_t status =
+	    msp_parse_note(logged->text, logged->len, "note", &other);
+
+	if (status != MSP_OK)
+		return refuse(submission, MSP_E_INTERNAL, msp_last_message());
+	if (strcmp(other->id, submission->note->id) == 0) {
+		/* This note itself, in a chain newer than the id's row. */
+		msp_drop_note(other);
+		return refuse(submission, MSP_E_IN_DOUBT,
+		    "the store's answers differ; send the same note again");
+	}
+	if (msp_notes_clash(submission->note, other, &submission->clashes) >
+	    0) {
+		memcpy(submission->other_note, other->id, MSP_NOTE_ID_SIZE);
+		status = MSP_E_CONFLICT;
+	}
+	msp_drop_note(other);
+	if (status == MSP_OK)
+		return MSP_OK;
+	msp_fail(status, "clashes with note %s, version %llu: %s",
+	    submission->other_note, (unsigned long long)logged->version,
+	    msp_buffer_text(&submission->clashes));
+	return refuse(submission, status, msp_last_message());
+}
+
+/* The digest of the chain at the note's base, if it is still known. */
+static bool
+is_on_chain(const msp_ledger_t *ledger, const msp_note_t *note)
+{
+	const logged_note_t *base =
+	    find_logged_note(&ledger->log, note->base_version);
+	const logged_note_t *after;
+	msp_note_t *next;
+	bool same;
+
+	if (note->base_version == 0)
+		return msp_digest_equal(note->base_digest, (msp_digest_t){0});
+	if (base != NULL)
+		return msp_digest_equal(base->digest, note->base_digest);
+	after = find_logged_note(&ledger->log, note->base_version + 1);
+	if (after == NULL ||
+	    msp_parse_note(after->text, after->len, "note", &next) != MSP_OK)
+		return false;
+	same = msp_digest_equal(next->base_digest, note->base_digest);
+	msp_drop_note(next);
+	return same;
+}
+
+/*
+ * The verdict must be the same at every VM: a bound in notes, not what happens
+ * to be kept here.
+ */
+static msp_status_t
+check_base(const msp_ledger_t *ledger, submission_t *submission)
+{
+	uint64_t head = ledger->release->version;
+	const msp_note_t *note = submission->note;
+
+	if (note->base_version > head)
+		return refuse(submission, MSP_E_CONFLICT,
+		    "base_version: above the newest version");
+	if (head - note->base_version > MSP_REBASE_SPAN)
+		return refuse(submission, MSP_E_CONFLICT,
+		    "base_version: over 256 notes old; write it against the "
+		    "present release");
+	if (find_logged_note(&ledger->log, note->base_version + 1) == NULL)
+		return refuse(submission, MSP_E_NOT_READY,
+		    "base_version: this VM does not keep the notes since "
+		    "then; ask another VM, or write it against the present "
+		    "release");
+	if (!is_on_chain(ledger, note))
+		return refuse(submission, MSP_E_CONFLICT,
+		    "base_digest: not that of the base version");
+	return MSP_OK;
+}
+
+/* Moves the note to the head if no note since its base names the same items. */
+static msp_status_t
+rebase(const msp_ledger_t *ledger, submission_t *submission)
+{
+	const msp_release_t *release = ledger->release;
+	msp_note_t *note = submission->note;
+	msp_status_t status = check_base(ledger, submission);
+	uint64_t version;
+
+	if (status != MSP_OK)
+		return status;
+	for (version = note->base_version + 1; version <= release->version;
+	     version++) {
+		status = check_clash(
+		    submission, find_logged_note(&ledger->log, version));
+		if (status != MSP_OK)
+			return status;
+	}
+	if (ledger->options.no_rebase)
+		return refuse(submission, MSP_E_CONFLICT,
+		    "base_version: not the newest version");
+	msp_rebase_note(note, release->version, release->digest);
+	submission->rebased = true;
+	return MSP_OK;
+}
+
+static msp_status_t
+check_note(submission_t *submission, const msp_release_t *release,
+    msp_release_t **next)
+{
+	msp_status_t status;
+
+	status = msp_apply_note(release, submission->note, next);
+	if (status == MSP_OK)
+		return MSP_OK;
+	return refuse(submission, status, msp_last_message());
+}
+
+msp_status_t
+prepare_commit(msp_ledger_t *ledger, submission_t *submission,
+    uint64_t head_row, commit_txn_t *commit)
+{
+	const msp_release_t *release = ledger->release;
+	msp_note_t *note = submission->note;
+	msp_buffer_t text = {0};
+	msp_release_t *next = NULL;
+	msp_status_t status = MSP_OK;
+
+	if (note->base_version != release->version ||
+	    !msp_digest_equal(note->base_digest, release->digest))
+		status = rebase(ledger, submission);
+	if (status == MSP_OK)
+		status = check_note(submission, release, &next);
+	if (status != MSP_OK)
+		return status;
+	submission->next.version = next->version;
+	submission->next.digest = next->digest;
+	msp_drop_release(next);
+	status = msp_digest_note(note, &submission->next.contents);
+	if (status == MSP_OK)
+		status = msp_print_note(note, &text);
+	if (status == MSP_OK)
+		status = fill_commit_txn(
+		    commit, note->id, &text, head_row, &submission->next);
+	if (status != MSP_OK)
+		refuse(submission, status, msp_last_message());
+	msp_drop_buffer(&text);
+	return status;
+}
--- /dev/null
+++ b/source/coord/ledger_pull.c
@@ -0,0 +1,128 @@
+#include "ledger_state.h"
+
+#define RETRY_MIN (50 * MSP_MS)
+#define RETRY_MAX (2 * MSP_SECOND)
+#define RETRY_DOUBLINGS_MAX 6
+#define UNCONFIRMED_SCANS 2 /* without the version that was heard of */
+
+static void
+ask_peer(msp_ledger_t *ledger)
+{
+	ledger->pull.step = PULL_PEER;
+	ledger->pull.due = ledger_now(ledger) + ledger->options.peer_timeout;
+	ledger->options.fetch_from_peer(
+	    ledger->options.ctx, ledger->release->version);
+}
+
+/* Asks the source whose turn it is. */
+static void
+ask_source(msp_ledger_t *ledger)
+{
+	pull_t *pull = &ledger->pull;
+	bool peer = pull->from_peer && ledger->options.fetch_from_peer != NULL;
+
+	pull->started_at = ledger->release->version;
+	if (peer)
+		ask_peer(ledger);
+	else if (ledger->ready)
+		start_scan(ledger);
+	else
+		start_boot(ledger);
+}
+
+void
+start_pull(msp_ledger_t *ledger, bool from_peer)
+{
+	if (ledger->pull.step != PULL_IDLE ||
+	    ledger_now(ledger) < ledger->pull.quiet_until)
+		return;
+	ledger->pull.failures = 0;
+	ledger->pull.from_peer = from_peer;
+	ask_source(ledger);
+}
+
+static msp_time_t
+retry_delay(const msp_ledger_t *ledger)
+{
+	unsigned int doublings = ledger->pull.failures;
+	msp_time_t delay;
+
+	if (doublings > RETRY_DOUBLINGS_MAX)
+		doublings = RETRY_DOUBLINGS_MAX;
+	delay = RETRY_MIN << doublings;
+	if (delay > RETRY_MAX)
+		delay = RETRY_MAX;
+	return delay / 2 + msp_random_below(&ledger->options.env, delay / 2);
+}
+
+/* A version that the store doesn't confirm, nor any peer, is given up. */
+static void
+give_up_unconfirmed(msp_ledger_t *ledger)
+{
+	keep_out(ledger, "unconfirmed-version", ledger->heard);
+	ledger->heard = ledger->release->version;
+	ledger->pull.step = PULL_IDLE;
+	ledger->pull.quiet_until = ledger_now(ledger) + RETRY_MAX;
+}
+
+/*
+ * A source has answered or failed; `complete`: the store had nothing more.
+ * Goes on with the same source while there is progress, else with the other
+ * one after a pause.
+ */
+void
+end_pull(msp_ledger_t *ledger, bool complete)
+{
+	pull_t *pull = &ledger->pull;
+	bool progress = ledger->release->version > pull->started_at;
+
+	if (ledger->ready && ledger->heard <= ledger->release->version) {
+		pull->step = PULL_IDLE;
+		return;
+	}
+	if (progress) {
+		pull->failures = 0;
+		ask_source(ledger);
+		return;
+	}
+	pull->failures++;
+	if (ledger->ready && complete && pull->failures >= UNCONFIRMED_SCANS) {
+		give_up_unconfirmed(ledger);
+		return;
+	}
+	pull->from_peer = !pull->from_peer;
+	pull->step = PULL_WAITING;
+	pull->due = ledger_now(ledger) + retry_delay(ledger);
+}
+
+void
+tick_pull(msp_ledger_t *ledger)
+{
+	pull_t *pull = &ledger->pull;
+
+	if (ledger_now(ledger) < pull->due)
+		return;
+	if (pull->step == PULL_WAITING) {
+		ask_source(ledger);
+		return;
+	}
+	if (pull->step != PULL_PEER)
+		return;
+	count_ledger(ledger, "peer_timeouts");
+	end_pull(ledger, false);
+}
+
+msp_time_t
+pull_deadline(const msp_ledger_t *ledger)
+{
+	if (ledger->pull.step != PULL_WAITING && ledger->pull.step != PULL_PEER)
+		return MSP_NEVER;
+	return ledger->pull.due;
+}
+
+void
+msp_ledger_fetch_failed(msp_ledger_t *ledger)
+{
+	if (ledger->pull.step == PULL_PEER)
+		end_pull(ledger, false);
+}
--- /dev/null
+++ b/source/coord/ledger_scan.c
@@ -0,0 +1,85 @@
+#include "ledger_state.h"
+
+#define SCAN_ROWS NOTE_PARTS_MAX /* a whole note at least */
+
+/* Takes the notes in `rows`. Sets `bad` if one was kept out. */
+static void
+take_rows(msp_ledger_t *ledger, const msp_row_t *rows, size_t count, bool *bad)
+{
+	msp_buffer_t text = {0};
+	msp_status_t status = MSP_OK;
+	uint64_t version;
+	size_t taken;
+
+	*bad = false;
+	while (count > 0 && status == MSP_OK) {
+		msp_clear_buffer(&text);
+		status = join_parts(rows, count, &text, &version, &taken);
+		if (status == MSP_E_SYNTAX)
+			keep_out(ledger, "bad-rows", 0);
+		*bad = status != MSP_OK && status != MSP_E_NOT_FOUND;
+		if (status != MSP_OK)
+			break;
+		status = take_note(ledger, msp_buffer_text(&text), text.len);
+		*bad = status != MSP_OK;
+		rows += taken;
+		count -= taken;
+	}
+	msp_drop_buffer(&text);
+}
+
+/* Whether a starting ledger has reached the head that it read. */
+static void
+check_start(msp_ledger_t *ledger, bool bad)
+{
+	const chain_head_t *head = &ledger->pull.head;
+
+	if (ledger->release->version >= head->version &&
+	    (ledger->release->version > head->version ||
+		msp_digest_equal(ledger->release->digest, head->digest))) {
+		become_ready(ledger);
+		return;
+	}
+	/* What was read does not lead to the head: start from nothing. */
+	if (bad && ledger->release->version > 0) {
+		msp_release_t *empty = msp_new_release();
+
+		if (empty == NULL)
+			return;
+		keep_out(ledger, "bad-snapshot", ledger->release->version);
+		take_release(ledger, empty);
+		ledger->pull.snapshot_refused = true;
+	}
+}
+
+static void
+on_scanned(void *ctx, const msp_store_reply_t *reply)
+{
+	msp_ledger_t *ledger = ctx;
+	bool complete;
+	bool bad;
+
+	if (reply->status != MSP_OK) {
+		count_ledger(ledger, "store_failures");
+		end_pull(ledger, false);
+		return;
+	}
+	complete = reply->row_count < SCAN_ROWS;
+	take_rows(ledger, reply->rows, reply->row_count, &bad);
+	if (!ledger->ready)
+		check_start(ledger, bad);
+	end_pull(ledger, complete);
+}
+
+void
+start_scan(msp_ledger_t *ledger)
+{
+	msp_store_t *store = &ledger->options.store;
+	char after[LEDGER_KEY_SIZE];
+
+	ledger->pull.step = PULL_SCAN;
+	print_last_key(ledger->release->version, after);
+	count_ledger(ledger, "scans");
+	store->scan(store->ctx, NOTE_PREFIX, after, SCAN_ROWS,
+	    ledger->options.store_timeout_ms, on_scanned, ledger);
+}
--- /dev/null
+++ b/source/coord/ledger_snapshot.c
@@ -0,0 +1,21 @@
+#include "ledger_state.h"
+
+static void
+on_put(void *ctx, const msp_store_reply_t *reply)
+{
+	count_ledger(
+	    ctx, reply->status == MSP_OK ? "snapshots" : "snapshot_failures");
+}
+
+/* A snapshot that is lost is made up for by the next: the notes are kept. */
+void
+put_snapshot(msp_ledger_t *ledger)
+{
+	msp_store_t *store = &ledger->options.store;
+	msp_buffer_t text = {0};
+
+	if (msp_print_release(ledger->release, &text) == MSP_OK)
+		store->put_object(store->ctx, SNAPSHOT_NAME, text.data,
+		    text.len, ledger->options.store_timeout_ms, on_put, ledger);
+	msp_drop_buffer(&text);
+}
--- /dev/null
+++ b/source/coord/ledger_state.h
@@ -0,0 +1,139 @@
+#ifndef COORD_LEDGER_STATE_H
+#define COORD_LEDGER_STATE_H
+
+#include <bsd/sys/queue.h>
+
+#include "ledger_rows.h"
+#include "monsoonspindle/coord/ledger.h"
+#include "note_log.h"
+
+/* Where a submission stands. */
+typedef enum submit_step {
+	SUBMIT_READ, /* read head and id, when it is due */
+	SUBMIT_READING,
+	SUBMIT_CATCH_UP, /* until this VM is at the head that was read */
+	SUBMIT_WRITING,
+	SUBMIT_REFUSE, /* bar the id, when it is due */
+	SUBMIT_REFUSING,
+	SUBMIT_ENDED /* the result is set */
+} submit_step_t;
+
+/* One note on its way to the store. */
+typedef struct submission {
+	TAILQ_ENTRY(submission) link;
+	msp_note_t *note;
+	msp_submit_done_t *done;
+	void *done_ctx;
+	submit_step_t step;
+	msp_time_t due; /* of the step's read */
+	msp_time_t deadline;
+	unsigned int races; /* lost */
+	bool first_try; /* no other VM has got this note */
+	bool maybe_written; /* a write was lost */
+	bool rebased;
+	uint64_t head_version; /* CATCH_UP: to reach */
+	id_row_t next; /* WRITING: what the note becomes */
+	msp_status_t status; /* ENDED, REFUSE, REFUSING */
+	id_row_t accepted; /* ENDED with MSP_OK */
+	msp_buffer_t clashes;
+	char other_note[MSP_NOTE_ID_SIZE];
+	char message[512];
+} submission_t;
+
+/* How the ledger gets the notes that it lacks. */
+typedef enum pull_step {
+	PULL_IDLE,
+	PULL_WAITING, /* until `due` */
+	PULL_PEER, /* asked, until `due` */
+	PULL_OBJECT, /* not ready: reading the snapshot */
+	PULL_HEAD, /* not ready: reading the head */
+	PULL_SCAN /* reading notes */
+} pull_step_t;
+
+typedef struct pull {
+	pull_step_t step;
+	msp_time_t due;
+	bool from_peer; /* the next source */
+	msp_time_t quiet_until; /* after an unconfirmed version */
+	unsigned int failures; /* since the last progress */
+	uint64_t started_at; /* version when the source was asked */
+	bool snapshot_refused; /* read all notes instead */
+	chain_head_t head; /* not ready: to reach */
+} pull_t;
+
+struct msp_ledger {
+	msp_ledger_options_t options;
+	bool ready;
+	bool turn;
+	bool polling;
+	msp_time_t next_poll;
+	uint64_t heard; /* highest version heard of */
+	msp_release_t *release;
+	note_log_t log;
+	pull_t pull;
+	TAILQ_HEAD(submission_list, submission) submissions;
+	size_t submission_count;
+};
+
+/* ledger.c */
+msp_time_t ledger_now(const msp_ledger_t *ledger);
+void keep_out(msp_ledger_t *ledger, const char *reason, uint64_t version);
+void count_ledger(msp_ledger_t *ledger, const char *event);
+
+/*
+ * ledger_chain.c: takes a note in canonical text if it continues the chain.
+ * MSP_OK if it does, or if it is known already; MSP_E_NOT_FOUND if notes before
+ * it are missing; MSP_E_CONFLICT if it belongs to another chain, and others of
+ * msp_parse_note() and msp_apply_note(): counted and kept out.
+ */
+msp_status_t take_note(msp_ledger_t *ledger, const char *text, size_t len);
+
+/* Puts a whole release in force while the ledger is not ready. */
+void take_release(msp_ledger_t *ledger, msp_release_t *release);
+
+/* Marks the ledger ready with the release that it has. */
+void become_ready(msp_ledger_t *ledger);
+
+/* Compares a head with this VM's chain: true if it is behind or forked. */
+bool check_head(msp_ledger_t *ledger, const chain_head_t *head);
+
+/* ledger_pull.c */
+void start_pull(msp_ledger_t *ledger, bool from_peer);
+void tick_pull(msp_ledger_t *ledger);
+msp_time_t pull_deadline(const msp_ledger_t *ledger);
+void end_pull(msp_ledger_t *ledger, bool complete);
+
+/* ledger_boot.c: reads snapshot and head, then scans. */
+void start_boot(msp_ledger_t *ledger);
+
+/* ledger_scan.c */
+void start_scan(msp_ledger_t *ledger);
+
+/* ledger_submit.c */
+void tick_submissions(msp_ledger_t *ledger);
+msp_time_t submit_deadline(const msp_ledger_t *ledger);
+void drop_submissions(msp_ledger_t *ledger);
+void end_submission(
+    submission_t *submission, msp_status_t status, const char *message);
+void read_again(
+    msp_ledger_t *ledger, submission_t *submission, msp_time_t delay);
+void check_accepted(
+    msp_ledger_t *ledger, submission_t *submission, const msp_row_t *row);
+
+/*
+ * ledger_refuse.c: ends a submission that was found at fault. Another VM may
+ * still be at work on an earlier try and find it right later, so unless this is
+ * the first try the id is barred in the store before the answer is given.
+ */
+void end_refused(msp_ledger_t *ledger, submission_t *submission);
+void bar_id(msp_ledger_t *ledger, submission_t *submission);
+
+/* ledger_prepare.c: rebases and validates, and fills `commit` for the head;
+ * otherwise sets the submission's result. */
+msp_status_t prepare_commit(msp_ledger_t *ledger, submission_t *submission,
+    uint64_t head_row, commit_txn_t *commit);
+
+/* ledger_snapshot.c */
+void put_snapshot(msp_ledger_t *ledger);
+
+#endif
--- /dev/null
+++ b/source/coord/ledger_submit.c
@@ -0,0 +1,352 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger_state.h"
+
+#define SUBMISSIONS_MAX 64 /* waiting at one VM */
+#define RACES_MAX 32 /* lost by one note */
+#define RETRY_DELAY (100 * MSP_MS) /* after a call without an answer */
+#define RACE_DELAY (5 * MSP_MS) /* at most, for each race lost */
+#define CATCH_UP_CHECK (10 * MSP_MS)
+
+void
+end_submission(
+    submission_t *submission, msp_status_t status, const char *message)
+{
+	submission->step = SUBMIT_ENDED;
+	submission->status = status;
+	snprintf(
+	    submission->message, sizeof(submission->message), "%s", message);
+}
+
+void
+read_again(msp_ledger_t *ledger, submission_t *submission, msp_time_t delay)
+{
+	submission->step = SUBMIT_READ;
+	submission->due = ledger_now(ledger) + delay;
+}
+
+/* The store gave no use: refuse at once if nothing was written by this VM. */
+static void
+end_without_store(
+    msp_ledger_t *ledger, submission_t *submission, msp_status_t status)
+{
+	bool late = ledger_now(ledger) >= submission->deadline;
+
+	if (!submission->maybe_written && (late || status == MSP_E_STORE_DOWN))
+		end_submission(submission, MSP_E_STORE_DOWN,
+		    "the store is down; nothing was written");
+	else if (late)
+		end_submission(submission, MSP_E_IN_DOUBT,
+		    "the store does not answer; send the same note again");
+	else
+		read_again(ledger, submission, RETRY_DELAY);
+}
+
+/* The note's id is in the store already. */
+void
+check_accepted(
+    msp_ledger_t *ledger, submission_t *submission, const msp_row_t *row)
+{
+	msp_digest_t contents;
+	id_row_t id;
+
+	if (parse_id_row(row, &id) != MSP_OK ||
+	    msp_digest_note(submission->note, &contents) != MSP_OK) {
+		keep_out(ledger, "bad-rows", 0);
+		end_submission(submission, MSP_E_INTERNAL, msp_last_message());
+		return;
+	}
+	if (id.version == 0) {
+		end_submission(submission, MSP_E_CONFLICT,
+		    "id: this note was refused; send it under a new id");
+		return;
+	}
+	if (!msp_digest_equal(id.contents, contents)) {
+		memcpy(submission->other_note, submission->note->id,
+		    MSP_NOTE_ID_SIZE);
+		end_submission(submission, MSP_E_CONFLICT,
+		    "id: was used for another note");
+		return;
+	}
+	submission->accepted = id;
+	end_submission(submission, MSP_OK, "");
+	msp_ledger_heard(ledger, id.version, NULL);
+}
+
+static void on_committed(void *ctx, const msp_store_reply_t *reply);
+
+static void
+write_note(msp_ledger_t *ledger, submission_t *submission, uint64_t head_row)
+{
+	msp_store_t *store = &ledger->options.store;
+	commit_txn_t *commit = calloc(1, sizeof(*commit));
+
+	if (commit == NULL) {
+		end_submission(
+		    submission, MSP_E_NO_MEMORY, "no memory to commit");
+		return;
+	}
+	if (prepare_commit(ledger, submission, head_row, commit) == MSP_OK) {
+		submission->step = SUBMIT_WRITING;
+		store->transact(store->ctx, &commit->txn,
+		    ledger->options.store_timeout_ms, on_committed, ledger);
+	} else {
+		end_refused(ledger, submission);
+	}
+	drop_commit_txn(commit);
+	free(commit);
+}
+
+/* Head and id are read: decides what comes next. */
+static void
+examine(msp_ledger_t *ledger, submission_t *submission,
+    const msp_store_reply_t *reply)
+{
+	chain_head_t head;
+
+	if (reply->row_count != 2 ||
+	    parse_head_row(&reply->rows[0], &head) != MSP_OK) {
+		keep_out(ledger, "bad-rows", 0);
+		end_without_store(ledger, submission, MSP_E_LOST);
+		return;
+	}
+	if (reply->rows[1].value != NULL) {
+		check_accepted(ledger, submission, &reply->rows[1]);
+		return;
+	}
+	if (check_head(ledger, &head)) {
+		end_without_store(ledger, submission, MSP_E_LOST);
+		return;
+	}
+	if (head.version == ledger->release->version) {
+		write_note(ledger, submission, reply->rows[0].version);
+		return;
+	}
+	submission->step = SUBMIT_CATCH_UP;
+	submission->head_version = head.version;
+	submission->due = ledger_now(ledger) + CATCH_UP_CHECK;
+	if (head.version > ledger->heard)
+		ledger->heard = head.version;
+	start_pull(ledger, false);
+}
+
+static void
+on_read(void *ctx, const msp_store_reply_t *reply)
+{
+	msp_ledger_t *ledger = ctx;
+	submission_t *submission = TAILQ_FIRST(&ledger->submissions);
+
+	if (submission == NULL || submission->step != SUBMIT_READING)
+		return;
+	if (reply->status != MSP_OK)
+		end_without_store(ledger, submission, reply->status);
+	else
+		examine(ledger, submission, reply);
+}
+
+static void
+start_read(msp_ledger_t *ledger, submission_t *submission)
+{
+	msp_store_t *store = &ledger->options.store;
+	char id_key[LEDGER_KEY_SIZE];
+	const char *keys[] = {HEAD_KEY, id_key};
+
+	print_id_key(submission->note->id, id_key);
+	submission->step = SUBMIT_READING;
+	store->get(store->ctx, keys, 2, ledger->options.store_timeout_ms,
+	    on_read, ledger);
+}
+
+/* The transaction took effect, so this note is the next of the chain. */
+static void
+end_committed(msp_ledger_t *ledger, submission_t *submission)
+{
+	uint64_t every = ledger->options.snapshot_every;
+	msp_buffer_t text = {0};
+
+	submission->accepted = submission->next;
+	end_submission(submission, MSP_OK, "");
+	count_ledger(ledger, "accepted");
+	if (msp_print_note(submission->note, &text) == MSP_OK)
+		take_note(ledger, msp_buffer_text(&text), text.len);
+	msp_drop_buffer(&text);
+	if (submission->accepted.version % every == 0 &&
+	    ledger->release->version == submission->accepted.version)
+		put_snapshot(ledger);
+}
+
+static void
+on_committed(void *ctx, const msp_store_reply_t *reply)
+{
+	msp_ledger_t *ledger = ctx;
+	submission_t *submission = TAILQ_FIRST(&ledger->submissions);
+	msp_time_t delay;
+
+	if (submission == NULL || submission->step != SUBMIT_WRITING)
+		return;
+	switch (reply->status) {
+	case MSP_OK:
+		end_committed(ledger, submission);
+		break;
+	case MSP_E_CONFLICT:
+		if (reply->row_count == 2 && reply->rows[1].value != NULL) {
+			check_accepted(ledger, submission, &reply->rows[1]);
+			break;
+		}
+		/* The head has moved, so no earlier write of it can land. */
+		submission->races++;
+		count_ledger(ledger, "races_lost");
+		delay = submission->races * RACE_DELAY;
+		read_again(ledger, submission,
+		    msp_random_below(&ledger->options.env, delay));
+		break;
+	case MSP_E_BAD_REQUEST:
+		end_submission(
+		    submission, MSP_E_INTERNAL, "the store refused the rows");
+		break;
+	default:
+		if (reply->status != MSP_E_STORE_DOWN)
+			submission->maybe_written = true;
+		end_without_store(ledger, submission, reply->status);
+		break;
+	}
+}
+
+static void
+submit(msp_ledger_t *ledger, msp_note_t *note, bool first_try,
+    msp_submit_done_t *done, void *done_ctx)
+{
+	submission_t *submission = calloc(1, sizeof(*submission));
+
+	if (submission == NULL)
+		return;
+	submission->note = msp_keep_note(note);
+	submission->first_try = first_try;
+	submission->done = done;
+	submission->done_ctx = done_ctx;
+	submission->deadline =
+	    ledger_now(ledger) + ledger->options.submit_timeout;
+	submission->due = ledger_now(ledger);
+	if (!ledger->ready)
+		end_submission(
+		    submission, MSP_E_NOT_READY, "no release is known yet");
+	else if (note->id[0] == '\0')
+		end_submission(submission, MSP_E_INVALID_NOTE, "id: missing");
+	else if (!note->has_base)
+		end_submission(
+		    submission, MSP_E_INVALID_NOTE, "base_version: missing");
+	else if (ledger->submission_count >= SUBMISSIONS_MAX)
+		end_submission(
+		    submission, MSP_E_OVERLOAD, "64 notes are waiting here");
+	ledger->submission_count++;
+	TAILQ_INSERT_TAIL(&ledger->submissions, submission, link);
+}
+
+void
+msp_submit_note(msp_ledger_t *ledger, msp_note_t *note, msp_submit_done_t *done,
+    void *done_ctx)
+{
+	submit(ledger, note, false, done, done_ctx);
+}
+
+void
+msp_submit_new_note(msp_ledger_t *ledger, msp_note_t *note,
+    msp_submit_done_t *done, void *done_ctx)
+{
+	submit(ledger, note, true, done, done_ctx);
+}
+
+static void
+free_submission(submission_t *submission)
+{
+	msp_drop_note(submission->note);
+	msp_drop_buffer(&submission->clashes);
+	free(submission);
+}
+
+void
+drop_submissions(msp_ledger_t *ledger)
+{
+	submission_t *submission;
+	submission_t *next;
+
+	TAILQ_FOREACH_SAFE(submission, &ledger->submissions, link, next) {
+		free_submission(submission);
+	}
+	TAILQ_INIT(&ledger->submissions);
+	ledger->submission_count = 0;
+}
+
+static void
+report(msp_ledger_t *ledger, submission_t *submission)
+{
+	msp_submit_result_t result = {
+	    .status = submission->status,
+	    .version = submission->accepted.version,
+	    .digest = submission->accepted.digest,
+	    .rebased = submission->rebased,
+	    .clashes = msp_buffer_text(&submission->clashes),
+	    .other_note = submission->other_note,
+	    .message = submission->message,
+	};
+
+	TAILQ_REMOVE(&ledger->submissions, submission, link);
+	ledger->submission_count--;
+	submission->done(submission->done_ctx, &result);
+	free_submission(submission);
+}
+
+/* Steps the note that is being committed; the others wait behind it. */
+static void
+step_first(msp_ledger_t *ledger, submission_t *submission)
+{
+	msp_time_t now = ledger_now(ledger);
+
+	if (now < submission->due)
+		return;
+	if (submission->step == SUBMIT_READ && submission->races > RACES_MAX)
+		end_submission(submission,
+		    submission->maybe_written ? MSP_E_IN_DOUBT : MSP_E_OVERLOAD,
+		    "32 races were lost; send the same note again");
+	else if (submission->step == SUBMIT_READ)
+		start_read(ledger, submission);
+	else if (submission->step == SUBMIT_REFUSE)
+		bar_id(ledger, submission);
+	if (submission->step != SUBMIT_CATCH_UP)
+		return;
+	submission->due = now + CATCH_UP_CHECK;
+	if (ledger->release->version >= submission->head_version)
+		read_again(ledger, submission, 0);
+	else if (now >= submission->deadline)
+		end_without_store(ledger, submission, MSP_E_LOST);
+	else
+		start_pull(ledger, false);
+}
+
+void
+tick_submissions(msp_ledger_t *ledger)
+{
+	submission_t *submission;
+	submission_t *next;
+
+	TAILQ_FOREACH_SAFE(submission, &ledger->submissions, link, next) {
+		if (submission->step != SUBMIT_ENDED)
+			step_first(ledger, submission);
+		if (submission->step != SUBMIT_ENDED)
+			return;
+		report(ledger, submission);
+	}
+}
+
+msp_time_t
+submit_deadline(const msp_ledger_t *ledger)
+{
+	const submission_t *first = TAILQ_FIRST(&ledger->submissions);
+
+	if (first == NULL || first->step == SUBMIT_READING ||
+	    first->step == SUBMIT_WRITING || first->step == SUBMIT_REFUSING)
+		return MSP_NEVER;
+	return first->step == SUBMIT_ENDED ? 0 : first->due;
+}
