--- a/source/spindled/operators.c
+++ b/source/spindled/operators.c
@@ -131,13 +131,21 @@
 static void
 serve_members(daemon_t *daemon, msp_exchange_t *exchange)
 {
-	json_object *doc = json_object_new_object();
+	answer_document(exchange, describe_members(daemon, true));
+}
 
-	json_object_object_add(
-	    doc, "members", describe_members(daemon, true));
-	json_object_object_add(
-	    doc, "places", describe_places(daemon->places));
-	answer_document(exchange, doc);
+static void
+serve_places(daemon_t *daemon, msp_exchange_t *exchange)
+{
+	answer_document(exchange, describe_places(daemon->places));
+}
+
+static const char *
+state_name(const daemon_t *daemon)
+{
+	if (daemon->leaving)
+		return "leaving";
+	return daemon_ready(daemon) ? "ready" : "not-ready";
 }
 
 static void
@@ -153,16 +161,15 @@
 	json_object_object_add(
 	    doc, "place", json_object_new_string(daemon->settings->place));
 	json_object_object_add(
-	    doc, "ready", json_object_new_boolean(daemon_ready(daemon)));
-	json_object_object_add(
-	    doc, "leaving", json_object_new_boolean(daemon->leaving));
+	    doc, "region", json_object_new_string(daemon->settings->region));
 	json_object_object_add(
 	    doc, "version", json_object_new_uint64(release->version));
 	json_object_object_add(doc, "digest", json_object_new_string(digest));
 	json_object_object_add(
 	    doc, "note", json_object_new_string(release->note));
 	json_object_object_add(
-	    doc, "members", describe_members(daemon, false));
+	    doc, "state", json_object_new_string(state_name(daemon)));
+	json_object_object_add(doc, "vms", describe_members(daemon, false));
 	json_object_object_add(
 	    doc, "places", describe_places(daemon->places));
 	answer_document(exchange, doc);
@@ -171,7 +178,7 @@
 static void
 serve_leave(daemon_t *daemon, msp_exchange_t *exchange)
 {
-	answer_json(exchange, 202, "{\"leaving\":true}\n");
+	answer_json(exchange, 202, "{\"state\":\"leaving\"}\n");
 	daemon_leave(daemon);
 }
 
@@ -208,9 +215,10 @@
 static const operator_route_t routes[] = {
 	{ "GET", "/healthz", true, serve_health },
 	{ "GET", "/readyz", true, serve_ready },
-	{ "GET", "/metrics", true, serve_metrics },
+	{ "GET", "/metrics", false, serve_metrics },
 	{ "GET", "/v1/status", false, serve_status },
 	{ "GET", "/v1/members", false, serve_members },
+	{ "GET", "/v1/places", false, serve_places },
 	{ "GET", "/v1/release", false, serve_release },
 	{ "GET", "/v1/releases", false, serve_history },
 	{ "POST", "/v1/releases", false, serve_post_release },
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -79,7 +79,10 @@
 {
 	size_t i;
 
-	if (fleet_restart_platform(fleet) != 0)
+	if (fleet_restart_platform(fleet) != 0 ||
+	    !wait_listening(
+		fleet, &fleet->platform, fleet->platform.port, "/v1/vms") ||
+	    !fleet_list_vms(fleet))
 		return false;
 	for (i = 0; i < fleet->target_count; i++) {
 		if (fleet_restart_target(fleet, i) != 0)
@@ -90,9 +93,6 @@
 		    fleet_restart_vm(fleet, i) != 0)
 			return false;
 	}
-	if (!wait_listening(
-		fleet, &fleet->platform, fleet->platform.port, "/v1/vms"))
-		return false;
 	for (i = 0; i < fleet->target_count; i++) {
 		if (!wait_listening(fleet, &fleet->targets[i],
 			fleet->targets[i].port, "/load"))
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -63,6 +63,9 @@
 /* Kills what still runs, by process id. */
 void drop_fleet(fleet_t *fleet);
 
+/* Gives the platform its list of VMs, which it loses with a restart. */
+bool fleet_list_vms(fleet_t *fleet);
+
 /* Starts a process again, under its old name, ports and settings. */
 int fleet_restart_vm(fleet_t *fleet, size_t vm);
 int fleet_restart_target(fleet_t *fleet, size_t target);
--- /dev/null
+++ b/tests/support/fleet_ctl.c
@@ -0,0 +1,67 @@
+#include "fleet_ctl.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet_private.h"
+
+#define CTL_ARGS 24
+
+int
+fleet_write_file(const char *path, const char *text)
+{
+	FILE *file = fopen(path, "w");
+
+	if (file == NULL)
+		return -1;
+	fputs(text, file);
+	return fclose(file);
+}
+
+/* Reads the start of a process's output. */
+static void
+read_output(
+    const fleet_t *fleet, const fleet_process_t *process, char *out, size_t size)
+{
+	char path[256];
+	FILE *file;
+	size_t len;
+
+	out[0] = '\0';
+	snprintf(path, sizeof(path), "%s/%s.log", fleet->dir, process->name);
+	file = fopen(path, "r");
+	if (file == NULL)
+		return;
+	len = fread(out, 1, size - 1, file);
+	out[len] = '\0';
+	fclose(file);
+}
+
+int
+fleet_run_ctl(fleet_t *fleet, size_t vm, char *out, size_t size, ...)
+{
+	static int runs;
+	fleet_process_t ctl = { 0 };
+	char address[64];
+	char *argv[CTL_ARGS] = { "spindlectl", "--vm", address, "--token",
+		FLEET_TOKEN };
+	size_t count = 5;
+	va_list args;
+	int status;
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    fleet->vms[vm].operator_port);
+	va_start(args, size);
+	while (count < CTL_ARGS - 1 &&
+	    (argv[count] = va_arg(args, char *)) != NULL)
+		count++;
+	va_end(args);
+	argv[count] = NULL;
+	snprintf(ctl.name, sizeof(ctl.name), "ctl-%d", ++runs);
+	if (fleet_spawn(fleet, &ctl, argv) != 0)
+		return -1;
+	status = fleet_wait_exit(fleet, &ctl);
+	read_output(fleet, &ctl, out, size);
+	return status;
+}
--- a/tests/support/fleet_http.c
+++ b/tests/support/fleet_http.c
@@ -175,6 +175,30 @@
 	return status == 201 && fleet_wait_version(fleet, 1);
 }
 
+bool
+fleet_list_vms(fleet_t *fleet)
+{
+	msp_buffer_t text = { 0 };
+	fleet_reply_t reply;
+	size_t i;
+
+	msp_print_buffer(&text, "{\"vms\": [");
+	for (i = 0; i < fleet->vm_count; i++)
+		msp_print_buffer(&text,
+		    "%s{\"name\": \"%s\", \"place\": \"%s\", \"address\": "
+		    "\"127.0.0.1\", \"caller_port\": %u, \"peer_port\": %u, "
+		    "\"leaving\": false}",
+		    i == 0 ? "" : ", ", fleet->vms[i].name,
+		    fleet->vms[i].place, fleet->vms[i].port,
+		    fleet->vms[i].peer_port);
+	msp_print_buffer(&text, "]}");
+	fleet_request(fleet, fleet->platform.port, "PUT", "/v1/vms", NULL,
+	    msp_buffer_text(&text), &reply);
+	msp_drop_buffer(&text);
+	msp_drop_response(&reply.response);
+	return reply.http_status == 200;
+}
+
 int
 fleet_runs(fleet_t *fleet, const char *key)
 {
