--- a/include/monsoonspindle/coord/nonces.h
+++ b/include/monsoonspindle/coord/nonces.h
@@ -34,6 +34,9 @@
  * MSP_E_NOT_READY    is older than what this set has seen: whether a
  *                    predecessor took it is not known
  * MSP_E_NO_MEMORY
+ *
+ * After MSP_E_KEY_EXPIRED and MSP_E_NO_MEMORY this dispatcher has not run it
+ * and will not; after the other two it may have run.
  */
 msp_status_t msp_take_nonce(
     msp_nonces_t *nonces, msp_nonce_t nonce, msp_time_t age);
--- /dev/null
+++ b/source/coord/claim_begin.c
@@ -0,0 +1,290 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "claims_private.h"
+
+static void
+on_claim_alarm(void *ctx)
+{
+	msp_claim_t *claim = ctx;
+
+	switch (claim->state) {
+	case MSP_ENTRY_WRITING:
+		msp_abandon_claim(claim, MSP_E_STORE_DOWN,
+		    "the store did not answer in time");
+		break;
+	case MSP_ENTRY_FOREIGN:
+		msp_ask_owner(claim);
+		break;
+	case MSP_ENTRY_DONE:
+	case MSP_ENTRY_DOUBT:
+		msp_record_end(claim);
+		break;
+	case MSP_ENTRY_RELEASED:
+		msp_drop_entry(claim);
+		break;
+	case MSP_ENTRY_READING:
+	case MSP_ENTRY_RUNNING:
+		break;
+	}
+}
+
+/* The client stops waiting; what runs, runs on. */
+static void
+on_try_deadline(void *ctx)
+{
+	msp_try_t *tried = ctx;
+	msp_claim_t *claim = tried->claim;
+	msp_refusal_t refusal = {
+	    .status = MSP_E_DEADLINE,
+	    .run = MSP_RUN_UNKNOWN,
+	    .reason = "no decision within the deadline",
+	};
+	bool last = TAILQ_NEXT(TAILQ_FIRST(&claim->tries), entry) == NULL;
+
+	if (last && claim->state == MSP_ENTRY_WRITING) {
+		msp_abandon_claim(claim, MSP_E_DEADLINE, refusal.reason);
+		return;
+	}
+	msp_refuse_try(tried, &refusal);
+	if (last &&
+	    (claim->state == MSP_ENTRY_FOREIGN ||
+		claim->state == MSP_ENTRY_READING))
+		msp_settle_entry(claim);
+}
+
+static msp_try_t *
+new_try(msp_claims_t *claims, const msp_try_params_t *params,
+    msp_verdict_done_t *done, void *ctx)
+{
+	msp_try_t *tried = calloc(1, sizeof(*tried));
+
+	if (tried == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for a try");
+		return NULL;
+	}
+	tried->claims = claims;
+	tried->attempt = params->attempt;
+	tried->arrival = params->arrival;
+	tried->forwarded = params->forwarded;
+	tried->release_seen = params->release_seen;
+	tried->after_release = params->after_release;
+	tried->give_up = params->deadline;
+	tried->done = done;
+	tried->done_ctx = ctx;
+	tried->deadline.fire = on_try_deadline;
+	tried->deadline.ctx = tried;
+	return tried;
+}
+
+static msp_claim_t *
+new_entry(
+    msp_claims_t *claims, const char *row_key, const msp_try_params_t *params)
+{
+	msp_claim_t *claim = calloc(1, sizeof(*claim));
+
+	if (claim == NULL)
+		return NULL;
+	claim->claims = claims;
+	claim->digest = params->digest;
+	claim->alarm.fire = on_claim_alarm;
+	claim->alarm.ctx = claim;
+	snprintf(claim->row_key, sizeof(claim->row_key), "%s", row_key);
+	snprintf(claim->service, sizeof(claim->service), "%s", params->service);
+	snprintf(claim->key, sizeof(claim->key), "%s", params->key);
+	TAILQ_INIT(&claim->tries);
+	if (msp_map_put(claims->entries, row_key, claim) != MSP_OK) {
+		free(claim);
+		return NULL;
+	}
+	return claim;
+}
+
+static void
+add_try(msp_claim_t *claim, msp_try_t *tried)
+{
+	if (!TAILQ_EMPTY(&claim->tries))
+		claim->shared = true;
+	tried->claim = claim;
+	TAILQ_INSERT_TAIL(&claim->tries, tried, entry);
+	msp_set_alarm(&claim->claims->alarms, &tried->deadline, tried->give_up);
+}
+
+/* Refuses a try that no claim was made for. */
+static void
+refuse_new(msp_try_t *tried, msp_status_t status, const char *reason)
+{
+	msp_refusal_t refusal = {
+	    .status = status,
+	    .run = MSP_RUN_UNKNOWN,
+	    .reason = reason,
+	};
+
+	msp_refuse_try(tried, &refusal);
+}
+
+static void
+join(msp_claim_t *claim, msp_try_t *tried)
+{
+	add_try(claim, tried);
+	if (claim->issued) {
+		msp_join_issued(claim, tried);
+		return;
+	}
+	if (claim->state == MSP_ENTRY_DONE)
+		msp_replay_all(claim, claim->outcome);
+	else if (claim->state == MSP_ENTRY_DOUBT)
+		msp_refuse_in_doubt(claim, "an earlier try has an unknown end");
+}
+
+/* Looks for what issued the key, and refuses one past its lifetime. */
+static msp_status_t
+check_issued(msp_claims_t *claims, const char *key, msp_issued_key_t *issued,
+    bool *is_issued)
+{
+	*is_issued = msp_parse_issued_key(key, issued);
+	if (!*is_issued || issued->incarnation != claims->options.incarnation)
+		return MSP_OK;
+	return msp_check_issued_key(
+	    issued, msp_claims_now(claims), claims->options.issued_lifetime);
+}
+
+static void
+open_entry(msp_claim_t *claim, msp_try_t *tried, bool is_issued,
+    const msp_issued_key_t *issued)
+{
+	msp_claims_t *claims = claim->claims;
+
+	claim->issued =
+	    is_issued && issued->incarnation == claims->options.incarnation;
+	claim->remote = is_issued && !claim->issued;
+	if (claim->issued)
+		claim->expires =
+		    issued->issued + claims->options.issued_lifetime + 1;
+	add_try(claim, tried);
+	msp_draw_nonce(claim);
+	if (claim->issued) {
+		msp_start_try(tried);
+	} else if (claim->remote) {
+		msp_read_row(claim);
+	} else {
+		claim->claim_by =
+		    msp_claims_now(claims) + claims->options.claim_timeout;
+		msp_write_claim(claim);
+	}
+}
+
+msp_try_t *
+msp_begin_try(msp_claims_t *claims, const msp_try_params_t *params,
+    msp_verdict_done_t *done, void *ctx)
+{
+	char row_key[MSP_CLAIM_ROW_KEY_SIZE];
+	msp_issued_key_t issued;
+	bool is_issued;
+	msp_claim_t *claim;
+	msp_try_t *tried;
+	msp_status_t status;
+
+	if (msp_print_claim_row_key(params->service, params->key, row_key) !=
+	    MSP_OK)
+		return NULL;
+	tried = new_try(claims, params, done, ctx);
+	if (tried == NULL)
+		return NULL;
+	claim = msp_map_get(claims->entries, row_key);
+	status = check_issued(claims, params->key, &issued, &is_issued);
+	if (status != MSP_OK) {
+		refuse_new(tried, status, msp_last_message());
+	} else if (claim != NULL &&
+	    !msp_digest_equal(claim->digest, params->digest)) {
+		refuse_new(tried, MSP_E_KEY_MISMATCH,
+		    "the key was used with another request");
+	} else if (claim != NULL) {
+		join(claim, tried);
+	} else {
+		claim = new_entry(claims, row_key, params);
+		if (claim == NULL) {
+			free(tried);
+			msp_fail(MSP_E_NO_MEMORY, "no memory for a claim");
+			return NULL;
+		}
+		open_entry(claim, tried, is_issued, &issued);
+	}
+	return tried;
+}
+
+/* The last try of a claim that nothing runs under has gone. */
+static void
+leave_entry(msp_claim_t *claim)
+{
+	if (claim->state == MSP_ENTRY_WRITING)
+		msp_abandon_claim(claim, MSP_E_CANCELLED, "");
+	else if (claim->state == MSP_ENTRY_FOREIGN ||
+	    claim->state == MSP_ENTRY_READING)
+		msp_settle_entry(claim);
+}
+
+void
+msp_cancel_try(msp_try_t *tried)
+{
+	msp_claim_t *claim = tried->claim;
+
+	tried->cancelled = true;
+	if (claim == NULL)
+		return;
+	if (tried->started && tried->ready) {
+		/* The daemon never saw the nonce. */
+		msp_release_entry(claim,
+		    &(msp_refusal_t){.status = MSP_E_CANCELLED,
+			.reason = "its client went away"});
+		return;
+	}
+	if (tried->started)
+		return;
+	TAILQ_REMOVE(&claim->tries, tried, entry);
+	msp_clear_alarm(&claim->claims->alarms, &tried->deadline);
+	free(tried);
+	if (TAILQ_EMPTY(&claim->tries))
+		leave_entry(claim);
+}
+
+msp_run_t
+msp_unclaimed_run(
+    const msp_claims_t *claims, unsigned int attempt, msp_time_t arrival)
+{
+	msp_time_t waited = msp_claims_now(claims) - arrival;
+
+	if (attempt == 1 && waited < claims->options.first_try_window)
+		return MSP_RUN_NO;
+	return MSP_RUN_UNKNOWN;
+}
+
+void
+msp_step_claims(msp_claims_t *claims)
+{
+	msp_time_t now = msp_claims_now(claims);
+
+	msp_fire_alarms(&claims->alarms, now);
+	msp_expire_released(claims->released, now);
+	msp_deliver_verdicts(claims);
+}
+
+msp_time_t
+msp_claims_deadline(const msp_claims_t *claims)
+{
+	if (!TAILQ_EMPTY(&claims->ready))
+		return msp_claims_now(claims);
+	return msp_next_alarm(&claims->alarms);
+}
+
+msp_claims_load_t
+msp_claims_present_load(const msp_claims_t *claims)
+{
+	return (msp_claims_load_t){
+	    .entries = msp_map_count(claims->entries),
+	    .running = msp_map_count(claims->running),
+	    .unrecorded = claims->unrecorded,
+	    .released = msp_released_count(claims->released),
+	};
+}
--- /dev/null
+++ b/source/coord/claim_doubts.c
@@ -0,0 +1,228 @@
+#include "monsoonspindle/coord/claim_doubts.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "claims_private.h"
+
+#define PAGE_ROWS 500
+
+/* A page of the table being read. */
+typedef struct listing {
+	msp_claims_t *claims;
+	msp_doubts_done_t *done;
+	void *ctx;
+} listing_t;
+
+/* Whether the row is in doubt; fills `doubt` then. */
+static bool
+read_doubt(const msp_claims_t *claims, const msp_row_t *row, msp_doubt_t *doubt)
+{
+	const msp_claims_hooks_t *hooks = &claims->options.hooks;
+	char service[MSP_SERVICE_MAX + 1];
+	char key[MSP_KEY_MAX + 1];
+	msp_claim_row_t found;
+	bool in_doubt;
+
+	if (msp_parse_claim_row_key(row->key, service, key) != MSP_OK ||
+	    msp_decode_claim_row(row->value, row->value_len, &found) != MSP_OK)
+		return false;
+	*doubt = (msp_doubt_t){
+	    .incarnation = found.incarnation,
+	    .claimed_at = found.at,
+	    .owner_gone = hooks->is_gone(hooks->ctx, found.incarnation),
+	};
+	snprintf(doubt->service, sizeof(doubt->service), "%s", service);
+	snprintf(doubt->key, sizeof(doubt->key), "%s", key);
+	snprintf(doubt->address, sizeof(doubt->address), "%s", found.address);
+	in_doubt = found.state == MSP_CLAIM_DOUBT ||
+	    (found.state == MSP_CLAIM_HELD && doubt->owner_gone);
+	msp_drop_claim_row(&found);
+	return in_doubt;
+}
+
+static void
+on_page(void *ctx, const msp_store_reply_t *reply)
+{
+	listing_t *listing = ctx;
+	msp_doubt_t *doubts = calloc(PAGE_ROWS, sizeof(*doubts));
+	size_t rows = reply->status == MSP_OK ? reply->row_count : 0;
+	const char *next = NULL;
+	size_t count = 0;
+	size_t i;
+
+	if (doubts == NULL) {
+		listing->done(listing->ctx, MSP_E_NO_MEMORY, NULL, 0, NULL);
+		free(listing);
+		return;
+	}
+	for (i = 0; i < rows && i < PAGE_ROWS; i++) {
+		if (read_doubt(
+			listing->claims, &reply->rows[i], &doubts[count]))
+			count++;
+	}
+	if (rows == PAGE_ROWS)
+		next = reply->rows[rows - 1].key;
+	listing->done(listing->ctx, reply->status, doubts, count, next);
+	free(doubts);
+	free(listing);
+}
+
+void
+msp_list_doubts(
+    msp_claims_t *claims, const char *after, msp_doubts_done_t *done, void *ctx)
+{
+	const msp_claims_options_t *options = &claims->options;
+	listing_t *listing = calloc(1, sizeof(*listing));
+
+	if (listing == NULL)
+		abort();
+	*listing = (listing_t){claims, done, ctx};
+	options->store.scan(options->store.ctx, MSP_CLAIM_PREFIX, after,
+	    PAGE_ROWS, options->store_timeout_ms, on_page, listing);
+}
+
+/* A ruling being checked and written. */
+typedef struct ruling_call {
+	msp_claims_t *claims;
+	msp_ruled_t *done;
+	void *ctx;
+	char row_key[MSP_CLAIM_ROW_KEY_SIZE];
+	char who[MSP_OPERATOR_SIZE];
+	bool ran;
+	bool written; /* the write's answer was lost */
+} ruling_call_t;
+
+static void
+end_ruling(ruling_call_t *call, msp_status_t status)
+{
+	msp_ruled_t *done = call->done;
+	void *ctx = call->ctx;
+
+	free(call);
+	done(ctx, status);
+}
+
+static void read_for_ruling(ruling_call_t *call);
+
+static void
+on_ruled(void *ctx, const msp_store_reply_t *reply)
+{
+	ruling_call_t *call = ctx;
+
+	if (reply->status == MSP_E_LOST && !call->written) {
+		call->written = true;
+		read_for_ruling(call);
+		return;
+	}
+	end_ruling(call, reply->status);
+}
+
+static void
+write_ruling(ruling_call_t *call, msp_claim_row_t *found, uint64_t version)
+{
+	const msp_claims_options_t *options = &call->claims->options;
+	msp_condition_t condition = {call->row_key, version};
+	msp_buffer_t value = {.limit = MSP_ROW_VALUE_MAX};
+	msp_write_t write = {.key = call->row_key};
+	msp_txn_t txn = {&condition, 1, &write, 1};
+	msp_status_t status;
+
+	found->state =
+	    call->ran ? MSP_CLAIM_RULED_RAN : MSP_CLAIM_RULED_NOT_RUN;
+	found->at = options->hooks.wall(options->hooks.ctx);
+	snprintf(found->who, sizeof(found->who), "%s", call->who);
+	status = msp_encode_claim_row(found, &value);
+	if (status != MSP_OK) {
+		msp_drop_buffer(&value);
+		end_ruling(call, status);
+		return;
+	}
+	write.value = value.data;
+	write.value_len = value.len;
+	options->store.transact(options->store.ctx, &txn,
+	    options->store_timeout_ms, on_ruled, call);
+	msp_drop_buffer(&value);
+}
+
+static bool
+is_this_ruling(const ruling_call_t *call, const msp_claim_row_t *found)
+{
+	msp_claim_state_t wanted =
+	    call->ran ? MSP_CLAIM_RULED_RAN : MSP_CLAIM_RULED_NOT_RUN;
+
+	return found->state == wanted && strcmp(found->who, call->who) == 0;
+}
+
+static bool
+may_be_ruled(const ruling_call_t *call, const msp_claim_row_t *found)
+{
+	const msp_claims_hooks_t *hooks = &call->claims->options.hooks;
+
+	if (found->state == MSP_CLAIM_DOUBT)
+		return true;
+	return found->state == MSP_CLAIM_HELD &&
+	    hooks->is_gone(hooks->ctx, found->incarnation);
+}
+
+static void
+on_read_for_ruling(void *ctx, const msp_store_reply_t *reply)
+{
+	ruling_call_t *call = ctx;
+	msp_claim_row_t found;
+	const msp_row_t *row = reply->rows;
+
+	if (reply->status != MSP_OK) {
+		end_ruling(call, call->written ? MSP_E_LOST : reply->status);
+		return;
+	}
+	if (row->value == NULL) {
+		end_ruling(call, MSP_E_NOT_FOUND);
+		return;
+	}
+	if (msp_decode_claim_row(row->value, row->value_len, &found) !=
+	    MSP_OK) {
+		end_ruling(call, MSP_E_CONFLICT);
+		return;
+	}
+	if (is_this_ruling(call, &found))
+		end_ruling(call, MSP_OK);
+	else if (call->written)
+		end_ruling(call, MSP_E_LOST);
+	else if (may_be_ruled(call, &found))
+		write_ruling(call, &found, row->version);
+	else
+		end_ruling(call, MSP_E_CONFLICT);
+	msp_drop_claim_row(&found);
+}
+
+static void
+read_for_ruling(ruling_call_t *call)
+{
+	const msp_claims_options_t *options = &call->claims->options;
+	const char *key = call->row_key;
+
+	options->store.get(options->store.ctx, &key, 1,
+	    options->store_timeout_ms, on_read_for_ruling, call);
+}
+
+void
+msp_rule_claim(msp_claims_t *claims, const msp_ruling_t *ruling,
+    msp_ruled_t *done, void *ctx)
+{
+	ruling_call_t *call = calloc(1, sizeof(*call));
+
+	if (call == NULL)
+		abort();
+	call->claims = claims;
+	call->done = done;
+	call->ctx = ctx;
+	call->ran = ruling->ran;
+	snprintf(call->who, sizeof(call->who), "%s", ruling->who);
+	/* A malformed key has no row; an empty one is refused by the store. */
+	if (msp_print_claim_row_key(
+		ruling->service, ruling->key, call->row_key) != MSP_OK)
+		call->row_key[0] = '\0';
+	read_for_ruling(call);
+}
--- /dev/null
+++ b/source/coord/claim_end.c
@@ -0,0 +1,132 @@
+#include <stdlib.h>
+
+#include "claims_private.h"
+
+static msp_claim_t *
+find_running(const msp_claims_t *claims, msp_nonce_t nonce)
+{
+	char text[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(nonce, text);
+	return msp_map_get(claims->running, text);
+}
+
+static msp_claim_t *
+take_running(msp_claims_t *claims, msp_nonce_t nonce)
+{
+	char text[MSP_DIGEST_TEXT_SIZE];
+	msp_claim_t *claim;
+
+	msp_print_digest(nonce, text);
+	claim = msp_map_remove(claims->running, text);
+	if (claim == NULL)
+		msp_fail(MSP_E_NOT_FOUND, "nothing runs under that nonce");
+	return claim;
+}
+
+msp_status_t
+msp_finish_claim(
+    msp_claims_t *claims, msp_nonce_t nonce, const msp_outcome_t *outcome)
+{
+	msp_outcome_t *copy = msp_copy_outcome(outcome);
+	msp_claim_t *claim;
+
+	if (copy == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for an outcome");
+	claim = take_running(claims, nonce);
+	if (claim == NULL) {
+		free(copy);
+		return MSP_E_NOT_FOUND;
+	}
+	claim->state = MSP_ENTRY_DONE;
+	claim->outcome = copy;
+	claims->unrecorded++;
+	msp_replay_all(claim, copy);
+	msp_record_end(claim);
+	return MSP_OK;
+}
+
+msp_status_t
+msp_release_claim(
+    msp_claims_t *claims, msp_nonce_t nonce, const msp_refusal_t *refusal)
+{
+	msp_claim_t *claim = take_running(claims, nonce);
+
+	if (claim == NULL)
+		return MSP_E_NOT_FOUND;
+	msp_release_entry(claim, refusal);
+	return MSP_OK;
+}
+
+msp_status_t
+msp_doubt_claim(
+    msp_claims_t *claims, msp_nonce_t nonce, const msp_refusal_t *refusal)
+{
+	msp_claim_t *claim = take_running(claims, nonce);
+	msp_refusal_t unknown = *refusal;
+
+	if (claim == NULL)
+		return MSP_E_NOT_FOUND;
+	unknown.run = MSP_RUN_UNKNOWN;
+	unknown.try_started = true;
+	claim->state = MSP_ENTRY_DOUBT;
+	claims->unrecorded++;
+	msp_note_claim(claim, "doubt");
+	msp_refuse_all(claim, &unknown);
+	msp_record_end(claim);
+	return MSP_OK;
+}
+
+msp_time_t
+msp_claim_age(const msp_claims_t *claims, msp_nonce_t nonce)
+{
+	const msp_claim_t *claim = find_running(claims, nonce);
+
+	return claim == NULL ? 0 : msp_claims_now(claims) - claim->began;
+}
+
+/* What this VM's own claim on the key has come to. */
+static void
+answer_own(const msp_claim_t *claim, msp_ask_reply_t *reply)
+{
+	switch (claim->state) {
+	case MSP_ENTRY_WRITING:
+	case MSP_ENTRY_RUNNING:
+		reply->status = MSP_ASK_RUNNING;
+		break;
+	case MSP_ENTRY_DONE:
+		reply->status = MSP_ASK_OUTCOME;
+		reply->outcome = claim->outcome;
+		break;
+	case MSP_ENTRY_DOUBT:
+		reply->status = MSP_ASK_DOUBT;
+		break;
+	default:
+		break;
+	}
+}
+
+void
+msp_answer_ask(
+    msp_claims_t *claims, const msp_ask_t *ask, msp_ask_reply_t *reply)
+{
+	char row_key[MSP_CLAIM_ROW_KEY_SIZE];
+	const msp_claim_t *claim = NULL;
+	msp_time_t said_no_at;
+
+	*reply = (msp_ask_reply_t){.status = MSP_ASK_FORGOTTEN};
+	if (ask->incarnation != claims->options.incarnation) {
+		reply->status = MSP_ASK_GONE;
+		return;
+	}
+	if (msp_print_claim_row_key(ask->service, ask->key, row_key) == MSP_OK)
+		claim = msp_map_get(claims->entries, row_key);
+	if (msp_find_released(claims->released, ask->nonce, &said_no_at)) {
+		reply->status = MSP_ASK_RELEASED;
+		reply->said_no = said_no_at != 0;
+		reply->age = msp_claims_now(claims) - said_no_at;
+	} else if (claim != NULL &&
+	    msp_digest_equal(claim->nonce, ask->nonce)) {
+		answer_own(claim, reply);
+	}
+}
--- /dev/null
+++ b/source/coord/claim_examine.c
@@ -0,0 +1,166 @@
+#include "claims_private.h"
+
+/* The claim that the row holds was released: by this process, or as marked. */
+static void
+examine_released(
+    msp_claim_t *claim, const msp_claim_row_t *found, uint64_t version)
+{
+	msp_claims_t *claims = claim->claims;
+	const msp_claims_hooks_t *hooks = &claims->options.hooks;
+	msp_time_t now = msp_claims_now(claims);
+	msp_time_t said_no_at = 0;
+
+	if (found->incarnation == claims->options.incarnation) {
+		if (!msp_find_released(
+			claims->released, found->nonce, &said_no_at))
+			said_no_at = now;
+		msp_take_over(claim, version, said_no_at);
+	} else if (hooks->is_gone(hooks->ctx, found->incarnation)) {
+		/* When it was released, nobody can tell any more. */
+		msp_take_over(claim, version, now);
+	} else {
+		claim->row = *found;
+		claim->version = version;
+		msp_ask_owner(claim);
+	}
+}
+
+static void
+examine_held(msp_claim_t *claim, const msp_claim_row_t *found, uint64_t version)
+{
+	msp_claims_t *claims = claim->claims;
+	const msp_claims_hooks_t *hooks = &claims->options.hooks;
+	msp_time_t said_no_at;
+
+	if (found->incarnation == claims->options.incarnation) {
+		if (msp_find_released(
+			claims->released, found->nonce, &said_no_at))
+			msp_take_over(claim, version, said_no_at);
+		else
+			msp_refuse_in_doubt(
+			    claim, "this VM has forgotten its claim");
+	} else if (hooks->is_gone(hooks->ctx, found->incarnation)) {
+		msp_refuse_in_doubt(claim, "the VM that claimed it is gone");
+	} else {
+		claim->row = *found;
+		claim->version = version;
+		msp_ask_owner(claim);
+	}
+}
+
+static void
+examine_ruled(msp_claim_t *claim, const msp_claim_row_t *found)
+{
+	msp_refusal_t refusal = {
+	    .status = MSP_E_KEY_EXPIRED,
+	    .run = MSP_RUN_NO,
+	    .reason = "an operator ruled that it did not run; use a new key",
+	};
+
+	if (found->state == MSP_CLAIM_RULED_RAN) {
+		msp_refuse_unknown(claim, MSP_E_IN_DOUBT, 0,
+		    "an operator ruled that it ran; its answer is lost");
+	} else {
+		msp_note_claim(claim, "ruled-not-run");
+		msp_refuse_all(claim, &refusal);
+	}
+	msp_settle_entry(claim);
+}
+
+/* Takes over what `found` owns. */
+static void
+examine_done(msp_claim_t *claim, msp_claim_row_t *found)
+{
+	if (found->in_object) {
+		claim->row = *found;
+		msp_read_body(claim);
+		return;
+	}
+	msp_replay_all(claim, found->outcome);
+	msp_drop_claim_row(found);
+	msp_settle_entry(claim);
+}
+
+static void
+refuse_and_settle(msp_claim_t *claim, msp_status_t status, const char *reason)
+{
+	msp_refuse_unknown(claim, status, 0, reason);
+	msp_settle_entry(claim);
+}
+
+static void
+examine_found(msp_claim_t *claim, msp_claim_row_t *found, uint64_t version)
+{
+	switch (found->state) {
+	case MSP_CLAIM_HELD:
+		examine_held(claim, found, version);
+		break;
+	case MSP_CLAIM_RELEASED:
+		examine_released(claim, found, version);
+		break;
+	case MSP_CLAIM_DONE:
+		examine_done(claim, found);
+		break;
+	case MSP_CLAIM_RULED_RAN:
+	case MSP_CLAIM_RULED_NOT_RUN:
+		examine_ruled(claim, found);
+		break;
+	default:
+		msp_refuse_in_doubt(
+		    claim, "the VM that ran it does not know its end");
+		break;
+	}
+}
+
+static bool
+is_past_retention(const msp_claim_t *claim, const msp_claim_row_t *found)
+{
+	const msp_claims_options_t *options = &claim->claims->options;
+	msp_time_t now = options->hooks.wall(options->hooks.ctx);
+
+	return now > found->at && now - found->at > options->retention;
+}
+
+/* No claim: a key of another's memory has no outcome then, others are free. */
+static void
+examine_absent(msp_claim_t *claim)
+{
+	if (claim->remote || claim->issued) {
+		msp_refuse_unlooked(claim, MSP_E_IN_DOUBT,
+		    "the VM that issued the key does not answer");
+		msp_settle_entry(claim);
+		return;
+	}
+	claim->looked_up = true;
+	msp_take_over(claim, 0, 0);
+}
+
+void
+msp_examine_row(msp_claim_t *claim, const msp_row_t *row)
+{
+	msp_claim_row_t found;
+
+	if (row->value == NULL) {
+		examine_absent(claim);
+		return;
+	}
+	claim->looked_up = true;
+	msp_forsake_nonce(claim, claim->no_before);
+	msp_void_calls(claim);
+	msp_drop_claim_row(&claim->row);
+	if (msp_decode_claim_row(row->value, row->value_len, &found) !=
+	    MSP_OK) {
+		refuse_and_settle(
+		    claim, MSP_E_INTERNAL, "the claim's row is malformed");
+	} else if (!msp_digest_equal(found.digest, claim->digest)) {
+		msp_drop_claim_row(&found);
+		refuse_and_settle(claim, MSP_E_KEY_MISMATCH,
+		    "the key was used with another request");
+	} else if (is_past_retention(claim, &found)) {
+		msp_drop_claim_row(&found);
+		refuse_and_settle(
+		    claim, MSP_E_KEY_EXPIRED, "the key is past its retention");
+	} else {
+		examine_found(claim, &found, row->version);
+	}
+}
--- /dev/null
+++ b/source/coord/claim_store.c
@@ -0,0 +1,180 @@
+#include "claims_private.h"
+
+#define RELEASED_RETRY_AFTER_MS 200
+
+static bool
+is_own_row(const msp_claim_t *claim, const msp_row_t *row)
+{
+	msp_claim_row_t decoded;
+	bool own;
+
+	if (row == NULL || row->value == NULL ||
+	    msp_decode_claim_row(row->value, row->value_len, &decoded) !=
+		MSP_OK)
+		return false;
+	own = msp_digest_equal(decoded.nonce, claim->nonce) &&
+	    decoded.state == MSP_CLAIM_HELD;
+	msp_drop_claim_row(&decoded);
+	return own;
+}
+
+void
+msp_forsake_nonce(msp_claim_t *claim, msp_time_t said_no_at)
+{
+	msp_claims_t *claims = claim->claims;
+
+	if (claim->maybe_written)
+		msp_note_released(claims->released, claim->nonce, said_no_at,
+		    msp_claims_now(claims));
+	claim->maybe_written = false;
+}
+
+static void
+on_lost(msp_claim_t *claim, const msp_row_t *row)
+{
+	claim->maybe_written = true;
+	if (is_own_row(claim, row)) {
+		msp_confirm_claim(claim, row->version);
+		return;
+	}
+	if (row != NULL && row->version != claim->version) {
+		msp_examine_row(claim, row);
+		return;
+	}
+	/* Not there yet, which proves nothing: the same write again. */
+	if (msp_claims_now(claim->claims) >= claim->claim_by)
+		msp_abandon_claim(claim, MSP_E_STORE_DOWN,
+		    "the store did not answer in time");
+	else
+		msp_write_claim(claim);
+}
+
+static void
+on_written(void *ctx, const msp_batch_result_t *result)
+{
+	msp_claim_t *claim = ctx;
+
+	claim->write = NULL;
+	switch (result->status) {
+	case MSP_OK:
+		msp_confirm_claim(claim, result->version);
+		break;
+	case MSP_E_CONFLICT:
+		if (is_own_row(claim, result->row))
+			msp_confirm_claim(claim, result->row->version);
+		else
+			msp_examine_row(claim, result->row);
+		break;
+	case MSP_E_LOST:
+		on_lost(claim, result->row);
+		break;
+	case MSP_E_STORE_DOWN:
+		msp_abandon_claim(
+		    claim, MSP_E_STORE_DOWN, "the store is not reachable");
+		break;
+	default:
+		msp_abandon_claim(
+		    claim, MSP_E_INTERNAL, "the store refused the claim");
+		break;
+	}
+}
+
+void
+msp_write_claim(msp_claim_t *claim)
+{
+	msp_claim_row_t row = {.state = MSP_CLAIM_HELD};
+
+	claim->state = MSP_ENTRY_WRITING;
+	msp_set_claim_alarm(claim, claim->claim_by);
+	msp_fill_claim_row(claim, &row);
+	claim->write = msp_queue_claim_row(claim, &row, on_written, claim);
+	if (claim->write == NULL)
+		msp_abandon_claim(
+		    claim, MSP_E_NO_MEMORY, "no memory for the claim");
+}
+
+void
+msp_abandon_claim(msp_claim_t *claim, msp_status_t status, const char *reason)
+{
+	bool said_no = msp_refuse_unlooked(claim, status, reason);
+
+	if (claim->write != NULL && msp_cancel_batch_write(claim->write))
+		claim->maybe_written = true;
+	claim->write = NULL;
+	msp_forsake_nonce(
+	    claim, said_no ? msp_claims_now(claim->claims) : claim->no_before);
+	msp_settle_entry(claim);
+}
+
+void
+msp_take_over(msp_claim_t *claim, uint64_t version, msp_time_t said_no_at)
+{
+	msp_claims_t *claims = claim->claims;
+
+	msp_forsake_nonce(claim, claim->no_before);
+	msp_void_calls(claim);
+	if (said_no_at > claim->no_before)
+		claim->no_before = said_no_at;
+	msp_draw_nonce(claim);
+	claim->version = version;
+	claim->claim_by =
+	    msp_claims_now(claims) + claims->options.claim_timeout;
+	msp_write_claim(claim);
+}
+
+static msp_try_t *
+find_runner(const msp_claim_t *claim)
+{
+	msp_time_t now = msp_claims_now(claim->claims);
+	msp_try_t *tried;
+
+	TAILQ_FOREACH(tried, &claim->tries, entry) {
+		if (tried->arrival > claim->no_before && tried->give_up > now)
+			return tried;
+	}
+	return NULL;
+}
+
+void
+msp_confirm_claim(msp_claim_t *claim, uint64_t version)
+{
+	msp_refusal_t refusal = {
+	    .status = MSP_E_OVERLOAD,
+	    .retry_after_ms = RELEASED_RETRY_AFTER_MS,
+	    .reason = "an earlier answer said that it did not run",
+	};
+	msp_try_t *runner = find_runner(claim);
+
+	claim->maybe_written = true;
+	claim->version = version;
+	if (runner != NULL)
+		msp_start_try(runner);
+	else
+		msp_release_entry(claim, &refusal);
+}
+
+void
+msp_release_entry(msp_claim_t *claim, const msp_refusal_t *refusal)
+{
+	msp_claims_t *claims = claim->claims;
+	msp_refusal_t no = *refusal;
+	msp_time_t now = msp_claims_now(claims);
+	char nonce[MSP_DIGEST_TEXT_SIZE];
+
+	no.run = MSP_RUN_NO;
+	no.try_started = false;
+	msp_print_digest(claim->nonce, nonce);
+	msp_map_remove(claims->running, nonce);
+	if (msp_refuse_all(claim, &no))
+		claim->no_before = now;
+	msp_note_claim(claim, "released");
+	if (claim->issued) {
+		claim->state = MSP_ENTRY_RELEASED;
+		msp_set_claim_alarm(claim, claim->expires);
+		return;
+	}
+	msp_note_released(
+	    claims->released, claim->nonce, claim->no_before, now);
+	msp_mark_released(claim);
+	msp_drop_entry(claim);
+}
--- a/source/coord/released.c
+++ b/source/coord/released.c
@@ -51,8 +51,8 @@
 }
 
 void
-msp_note_released(
-    msp_released_t *released, msp_nonce_t nonce, bool said_no, msp_time_t now)
+msp_note_released(msp_released_t *released, msp_nonce_t nonce,
+    msp_time_t said_no_at, msp_time_t now)
 {
 	released_nonce_t *item = calloc(1, sizeof(*item));
 
@@ -60,7 +60,7 @@
 		return;
 	msp_print_digest(nonce, item->text);
 	item->at = now;
-	item->said_no_at = said_no ? now : 0;
+	item->said_no_at = said_no_at;
 	if (msp_map_put(released->by_text, item->text, item) != MSP_OK) {
 		free(item);
 		return;
--- a/source/spindled/claim_question.c
+++ b/source/spindled/claim_question.c
@@ -13,12 +13,12 @@
 
 /* Names of msp_ask_status_t on the wire. */
 static const char *const status_names[] = {
-	[MSP_ASK_RUNNING] = "running",
-	[MSP_ASK_OUTCOME] = "outcome",
-	[MSP_ASK_RELEASED] = "released",
-	[MSP_ASK_DOUBT] = "doubt",
-	[MSP_ASK_FORGOTTEN] = "forgotten",
-	[MSP_ASK_GONE] = "gone",
+    [MSP_ASK_RUNNING] = "running",
+    [MSP_ASK_OUTCOME] = "outcome",
+    [MSP_ASK_RELEASED] = "released",
+    [MSP_ASK_DOUBT] = "doubt",
+    [MSP_ASK_FORGOTTEN] = "forgotten",
+    [MSP_ASK_GONE] = "gone",
 };
 
 #define STATUS_NAMES (sizeof(status_names) / sizeof(status_names[0]))
@@ -54,11 +54,11 @@
 static msp_outcome_t
 read_outcome(const msp_response_t *response, msp_outcome_field_t *fields)
 {
-	msp_outcome_t outcome = { .fields = fields,
-		.http_status =
-		    atoi(header(&response->headers, "msp-outcome-status")),
-		.body = msp_buffer_text(&response->body),
-		.body_len = response->body.len };
+	msp_outcome_t outcome = {.fields = fields,
+	    .http_status =
+		atoi(header(&response->headers, "msp-outcome-status")),
+	    .body = msp_buffer_text(&response->body),
+	    .body_len = response->body.len};
 	size_t i;
 
 	for (i = 0; i < response->headers.count; i++) {
@@ -76,7 +76,7 @@
 on_answer(void *ctx, msp_call_result_t *ended)
 {
 	question_t *question = ctx;
-	msp_ask_reply_t reply = { .status = MSP_ASK_NO_ANSWER };
+	msp_ask_reply_t reply = {.status = MSP_ASK_NO_ANSWER};
 	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
 	msp_outcome_t outcome;
 
@@ -84,7 +84,8 @@
 		const msp_headers_t *headers = &ended->response->headers;
 
 		reply.status = read_status(ended->response);
-		reply.said_no = strcmp(header(headers, "msp-said-no"), "1") == 0;
+		reply.said_no =
+		    strcmp(header(headers, "msp-said-no"), "1") == 0;
 		reply.age = strtoull(header(headers, "msp-age-us"), NULL, 10);
 	}
 	if (reply.status == MSP_ASK_OUTCOME) {
@@ -130,14 +131,13 @@
 }
 
 void
-ask_owner(
-    void *ctx, const msp_ask_t *ask, msp_ask_done_t *done, void *done_ctx)
+ask_owner(void *ctx, const msp_ask_t *ask, msp_ask_done_t *done, void *done_ctx)
 {
 	commits_t *commits = ctx;
 	char address[MSP_ADDRESS_SIZE];
-	msp_call_options_t options = { .address = address,
-		.timeout_ms = ASK_TIMEOUT_MS };
-	msp_request_t request = { 0 };
+	msp_call_options_t options = {
+	    .address = address, .timeout_ms = ASK_TIMEOUT_MS};
+	msp_request_t request = {0};
 	question_t *question = calloc(1, sizeof(*question));
 
 	if (question == NULL)
@@ -161,18 +161,18 @@
 answer_question(
     commits_t *commits, msp_exchange_t *exchange, const msp_ask_t *ask)
 {
-	msp_response_t response = { 0 };
-	msp_ask_reply_t reply = { .status = MSP_ASK_NO_ANSWER };
+	msp_response_t response = {0};
+	msp_ask_reply_t reply = {.status = MSP_ASK_NO_ANSWER};
 
 	msp_answer_ask(commits->claims, ask, &reply);
 	if (reply.status == MSP_ASK_OUTCOME)
 		write_outcome(reply.outcome, &response);
-	msp_print_header(&response.headers, "msp-outcome-status", "%d",
-	    response.status);
+	msp_print_header(
+	    &response.headers, "msp-outcome-status", "%d", response.status);
 	response.status = 200;
 	if ((size_t)reply.status < STATUS_NAMES)
-		msp_add_header(&response.headers, "msp-ask",
-		    status_names[reply.status]);
+		msp_add_header(
+		    &response.headers, "msp-ask", status_names[reply.status]);
 	msp_add_header(
 	    &response.headers, "msp-said-no", reply.said_no ? "1" : "0");
 	msp_print_header(
@@ -185,11 +185,11 @@
 serve_claim_question(commits_t *commits, msp_exchange_t *exchange)
 {
 	const msp_headers_t *headers = &msp_exchange_request(exchange)->headers;
-	msp_ask_t ask = { .service = header(headers, "msp-service"),
-		.key = header(headers, "msp-key"),
-		.incarnation =
-		    strtoull(header(headers, "msp-incarnation"), NULL, 10),
-		.address = commits->address };
+	msp_ask_t ask = {.service = header(headers, "msp-service"),
+	    .key = header(headers, "msp-key"),
+	    .incarnation =
+		strtoull(header(headers, "msp-incarnation"), NULL, 10),
+	    .address = commits->address};
 
 	if (msp_parse_digest(header(headers, "msp-nonce"), &ask.nonce) != 0 ||
 	    ask.service[0] == '\0' || ask.key[0] == '\0' ||
--- a/source/spindled/commit_run.c
+++ b/source/spindled/commit_run.c
@@ -25,11 +25,11 @@
 		fields[i].name = response->headers.fields[i].name;
 		fields[i].value = response->headers.fields[i].value;
 	}
-	return (msp_outcome_t) { .http_status = response->status,
-		.fields = fields,
-		.field_count = response->headers.count,
-		.body = msp_buffer_text(&response->body),
-		.body_len = response->body.len };
+	return (msp_outcome_t){.http_status = response->status,
+	    .fields = fields,
+	    .field_count = response->headers.count,
+	    .body = msp_buffer_text(&response->body),
+	    .body_len = response->body.len};
 }
 
 msp_status_t
@@ -63,9 +63,11 @@
 
 	if (result->answered) {
 		outcome = view_outcome(&result->response, fields);
-		status = msp_finish_claim(commits->claims, run->nonce, &outcome);
+		status =
+		    msp_finish_claim(commits->claims, run->nonce, &outcome);
 	} else if (refusal->run == MSP_RUN_NO && !refusal->try_started) {
-		status = msp_release_claim(commits->claims, run->nonce, refusal);
+		status =
+		    msp_release_claim(commits->claims, run->nonce, refusal);
 	} else {
 		status = msp_doubt_claim(commits->claims, run->nonce, refusal);
 	}
@@ -78,8 +80,7 @@
 }
 
 msp_status_t
-start_commit_run(
-    struct commits *commits, const work_t *work, msp_nonce_t nonce)
+start_commit_run(struct commits *commits, const work_t *work, msp_nonce_t nonce)
 {
 	daemon_t *daemon = commits->daemon;
 	commit_run_t *run = calloc(1, sizeof(*run));
@@ -94,8 +95,8 @@
 	run->commits = commits;
 	run->nonce = nonce;
 	msp_print_digest(nonce, run->work.nonce);
-	run->work.nonce_issued = msp_now(&daemon->env) -
-	    msp_claim_age(commits->claims, nonce);
+	run->work.nonce_issued =
+	    msp_now(&daemon->env) - msp_claim_age(commits->claims, nonce);
 	run->work.done = on_run_done;
 	run->work.ctx = run;
 	run_routed(daemon, &run->work);
--- a/source/spindled/commits.c
+++ b/source/spindled/commits.c
@@ -71,17 +71,17 @@
 	const msp_settings_t *settings = daemon->settings;
 	commits_t *commits = calloc(1, sizeof(*commits));
 	msp_claims_options_t options = {
-		.env = daemon->env,
-		.store = daemon->store,
-		.hooks = { .ctx = commits,
-		    .ask = ask_owner,
-		    .is_gone = is_gone,
-		    .wall = wall,
-		    .decide = log_decision },
-		.counters = daemon->counters,
-		.incarnation = daemon->incarnation,
-		.batch_window = settings->claim_batch_ms * MSP_MS,
-		.retention = settings->claim_retention_s * MSP_SECOND,
+	    .env = daemon->env,
+	    .store = daemon->store,
+	    .hooks = {.ctx = commits,
+		.ask = ask_owner,
+		.is_gone = is_gone,
+		.wall = wall,
+		.decide = log_decision},
+	    .counters = daemon->counters,
+	    .incarnation = daemon->incarnation,
+	    .batch_window = settings->claim_batch_ms * MSP_MS,
+	    .retention = settings->claim_retention_s * MSP_SECOND,
 	};
 
 	if (commits == NULL)
@@ -111,12 +111,12 @@
 static void
 replay(entry_t *entry, const msp_outcome_t *outcome)
 {
-	work_result_t result = { .answered = true };
-	msp_refusal_t refusal = { .status = MSP_E_NO_MEMORY,
-		.run = MSP_RUN_UNKNOWN,
-		.try_started = true,
-		.retry_after_ms = RETRY_AFTER_MS,
-		.reason = "no memory for the recorded answer" };
+	work_result_t result = {.answered = true};
+	msp_refusal_t refusal = {.status = MSP_E_NO_MEMORY,
+	    .run = MSP_RUN_UNKNOWN,
+	    .try_started = true,
+	    .retry_after_ms = RETRY_AFTER_MS,
+	    .reason = "no memory for the recorded answer"};
 
 	if (write_outcome(outcome, &result.response) != MSP_OK) {
 		refuse_entry(entry, &refusal);
@@ -131,10 +131,10 @@
 {
 	entry_t *entry = ctx;
 	commits_t *commits = entry->daemon->commits;
-	msp_refusal_t refusal = { .status = MSP_E_NO_MEMORY,
-		.run = MSP_RUN_NO,
-		.retry_after_ms = RETRY_AFTER_MS,
-		.reason = "no memory to run the request" };
+	msp_refusal_t refusal = {.status = MSP_E_NO_MEMORY,
+	    .run = MSP_RUN_NO,
+	    .retry_after_ms = RETRY_AFTER_MS,
+	    .reason = "no memory to run the request"};
 
 	switch (verdict->kind) {
 	case MSP_VERDICT_RUN:
@@ -160,14 +160,14 @@
 start_commit(commits_t *commits, entry_t *entry)
 {
 	const work_t *work = &entry->work;
-	msp_try_params_t params = { .service = work->service,
-		.key = work->key,
-		.digest = work->fingerprint,
-		.attempt = entry->attempt,
-		.arrival = work->arrival,
-		.deadline = work->deadline };
-	msp_refusal_t refusal = { .status = MSP_E_BAD_REQUEST,
-		.reason = msp_last_message() };
+	msp_try_params_t params = {.service = work->service,
+	    .key = work->key,
+	    .digest = work->fingerprint,
+	    .attempt = entry->attempt,
+	    .arrival = work->arrival,
+	    .deadline = work->deadline};
+	msp_refusal_t refusal = {
+	    .status = MSP_E_BAD_REQUEST, .reason = msp_last_message()};
 
 	entry->tried =
 	    msp_begin_try(commits->claims, &params, on_verdict, entry);
--- a/source/spindled/commits_private.h
+++ b/source/spindled/commits_private.h
@@ -17,7 +17,7 @@
 void arm_commits(commits_t *commits);
 
 /* Carries a question to another VM; the callback `ask` of the claims. */
-void ask_owner(void *ctx, const msp_ask_t *ask, msp_ask_done_t *done,
-    void *done_ctx);
+void ask_owner(
+    void *ctx, const msp_ask_t *ask, msp_ask_done_t *done, void *done_ctx);
 
 #endif
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -34,8 +34,8 @@
 static msp_http_client_t *
 new_client(daemon_t *daemon, unsigned int lanes)
 {
-	msp_http_client_options_t options = { .lanes = lanes,
-		.max_answer = daemon->settings->limits.max_answer_bytes };
+	msp_http_client_options_t options = {.lanes = lanes,
+	    .max_answer = daemon->settings->limits.max_answer_bytes};
 
 	return msp_new_http_client(daemon->loop, &options);
 }
@@ -68,8 +68,8 @@
 	if (daemon->memory_store == NULL)
 		return MSP_E_NO_MEMORY;
 	daemon->store = msp_memory_store(daemon->memory_store);
-	daemon->store_timer = msp_new_timer(daemon->loop, STORE_STEP,
-	    STORE_STEP, step_memory_store, daemon);
+	daemon->store_timer = msp_new_timer(
+	    daemon->loop, STORE_STEP, STORE_STEP, step_memory_store, daemon);
 	return daemon->store_timer == NULL ? MSP_E_NO_MEMORY : MSP_OK;
 }
 
--- a/source/spindled/doubt.c
+++ b/source/spindled/doubt.c
@@ -43,8 +43,8 @@
 	json_object_object_add(doc, "key", json_object_new_string(doubt->key));
 	json_object_object_add(
 	    doc, "owner", json_object_new_string(doubt->address));
-	json_object_object_add(doc, "owner_gone",
-	    json_object_new_boolean(doubt->owner_gone));
+	json_object_object_add(
+	    doc, "owner_gone", json_object_new_boolean(doubt->owner_gone));
 	json_object_object_add(
 	    doc, "claimed_at_us", json_object_new_uint64(doubt->claimed_at));
 	return doc;
@@ -149,16 +149,16 @@
 	const msp_buffer_t *body = &msp_exchange_request(exchange)->body;
 	json_tokener *tokener = json_tokener_new_ex(DEPTH_MAX);
 	json_object *doc = NULL;
-	msp_ruling_t ruling = { 0 };
+	msp_ruling_t ruling = {0};
 	waiting_t *waiting;
 	msp_status_t status;
 
 	if (tokener != NULL)
 		doc = json_tokener_parse_ex(
 		    tokener, msp_buffer_text(body), (int)body->len + 1);
-	status = json_object_is_type(doc, json_type_object) ?
-	    read_ruling(doc, &ruling) :
-	    msp_fail(MSP_E_BAD_REQUEST, "not a JSON object");
+	status = json_object_is_type(doc, json_type_object)
+	    ? read_ruling(doc, &ruling)
+	    : msp_fail(MSP_E_BAD_REQUEST, "not a JSON object");
 	if (status != MSP_OK) {
 		answer_error(exchange, status);
 	} else {
--- a/source/spindled/entry.c
+++ b/source/spindled/entry.c
@@ -69,7 +69,8 @@
 		return;
 	}
 	msp_count(daemon->counters, 1,
-	    "msp_requests_total{service=\"%s\",class=\"%s\",ended=\"answered\"}",
+	    "msp_requests_total{service=\"%s\",class=\"%s\",ended="
+	    "\"answered\"}",
 	    entry->work.service, msp_class_name(entry->work.class));
 	if (entry->exchange != NULL) {
 		if (msp_find_header(headers, "x-request-id") == NULL)
@@ -84,16 +85,16 @@
 {
 	daemon_t *daemon = entry->daemon;
 	const work_t *work = &entry->work;
-	msp_decision_t decision = { .what = "refuse",
-		.request_id = work->id,
-		.service = work->service,
-		.reason = msp_status_name(refusal->status),
-		.wait = msp_now(&daemon->env) - work->arrival };
-	problem_t problem = { .refusal = *refusal,
-		.request_id = work->id,
-		.key = work->key,
-		.attempt = entry->attempt,
-		.has_run = true };
+	msp_decision_t decision = {.what = "refuse",
+	    .request_id = work->id,
+	    .service = work->service,
+	    .reason = msp_status_name(refusal->status),
+	    .wait = msp_now(&daemon->env) - work->arrival};
+	problem_t problem = {.refusal = *refusal,
+	    .request_id = work->id,
+	    .key = work->key,
+	    .attempt = entry->attempt,
+	    .has_run = true};
 
 	msp_count(daemon->counters, 1, "msp_refusals_total{kind=\"%s\"}",
 	    msp_status_name(refusal->status));
@@ -108,10 +109,10 @@
 refuse_early(entry_t *entry, msp_status_t status)
 {
 	const msp_answer_t *answer = msp_status_answer(status);
-	msp_refusal_t refusal = { .status = status,
-		.run = MSP_RUN_NO,
-		.retry_after_ms = answer->retry_later ? RETRY_AFTER_MS : 0,
-		.reason = msp_last_message() };
+	msp_refusal_t refusal = {.status = status,
+	    .run = MSP_RUN_NO,
+	    .retry_after_ms = answer->retry_later ? RETRY_AFTER_MS : 0,
+	    .reason = msp_last_message()};
 
 	/* An earlier try of a commit may have run. */
 	if (entry->work.key[0] != '\0' && entry->attempt != 1)
@@ -198,16 +199,16 @@
 {
 	const msp_settings_limits_t *limits = &daemon->settings->limits;
 	msp_http_server_options_t options = {
-		.address = daemon->settings->address,
-		.port = daemon->settings->caller_port,
-		.limits = { .max_body = limits->max_body_bytes,
-		    .max_headers = limits->max_header_bytes,
-		    .max_connections = limits->max_connections,
-		    .head_timeout_ms = limits->head_timeout_ms,
-		    .body_timeout_ms = limits->body_timeout_ms },
-		.handler = { .on_request = on_request,
-		    .on_gone = on_gone,
-		    .ctx = daemon },
+	    .address = daemon->settings->address,
+	    .port = daemon->settings->caller_port,
+	    .limits = {.max_body = limits->max_body_bytes,
+		.max_headers = limits->max_header_bytes,
+		.max_connections = limits->max_connections,
+		.head_timeout_ms = limits->head_timeout_ms,
+		.body_timeout_ms = limits->body_timeout_ms},
+	    .handler = {.on_request = on_request,
+		.on_gone = on_gone,
+		.ctx = daemon},
 	};
 
 	return msp_new_http_server(daemon->loop, &options);
--- a/source/spindled/entry_request.c
+++ b/source/spindled/entry_request.c
@@ -51,8 +51,8 @@
 	value = strtoul(text, &end, 10);
 	if (!isdigit((unsigned char)text[0]) || *end != '\0' || errno != 0 ||
 	    value < min || value > max)
-		return msp_fail(MSP_E_BAD_REQUEST, "%s: not %u to %u", name,
-		    min, max);
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "%s: not %u to %u", name, min, max);
 	*out = (uint32_t)value;
 	return MSP_OK;
 }
@@ -110,10 +110,9 @@
 	const msp_request_t *request = &work->request;
 	msp_digest_t digest = msp_digest(work->service, strlen(work->service));
 
-	digest = msp_chain_digest(
-	    digest, request->method, strlen(request->method));
 	digest =
-	    msp_chain_digest(digest, request->path, strlen(request->path));
+	    msp_chain_digest(digest, request->method, strlen(request->method));
+	digest = msp_chain_digest(digest, request->path, strlen(request->path));
 	return msp_chain_digest(
 	    digest, msp_buffer_text(&request->body), request->body.len);
 }
@@ -177,14 +176,15 @@
 	if (status != MSP_OK)
 		return status;
 	if (!daemon_ready(daemon))
-		return msp_fail(MSP_E_NOT_READY, "no release in force here yet");
+		return msp_fail(
+		    MSP_E_NOT_READY, "no release in force here yet");
 	status = read_route(daemon, request, work);
 	if (status != MSP_OK)
 		return status;
 	status = wire_copy_headers(&request->headers, &work->request.headers);
 	if (status == MSP_OK && request->body.len > 0)
-		status = msp_append_buffer(&work->request.body,
-		    request->body.data, request->body.len);
+		status = msp_append_buffer(
+		    &work->request.body, request->body.data, request->body.len);
 	work->fingerprint = fingerprint(work);
 	return status;
 }
--- a/source/spindled/load_codec.h
+++ b/source/spindled/load_codec.h
@@ -25,7 +25,7 @@
 void write_load_record(const load_record_t *record, uint8_t *out);
 
 /* Finds a target's record in a load; returns 0 if there is none. */
-int find_load_record(const uint8_t *load, size_t len, uint32_t target,
-    load_record_t *record);
+int find_load_record(
+    const uint8_t *load, size_t len, uint32_t target, load_record_t *record);
 
 #endif
--- a/source/spindled/load_report.c
+++ b/source/spindled/load_report.c
@@ -15,11 +15,12 @@
 
 	if (!json_object_object_get_ex(doc, key, &value) ||
 	    !json_object_is_type(value, json_type_int))
-		return msp_fail(MSP_E_SYNTAX, "load report: no number \"%s\"", key);
+		return msp_fail(
+		    MSP_E_SYNTAX, "load report: no number \"%s\"", key);
 	number = json_object_get_int64(value);
 	if (number < 0 || number > SLOTS_MAX)
-		return msp_fail(MSP_E_RANGE, "load report: %s not 0 to %d", key,
-		    SLOTS_MAX);
+		return msp_fail(
+		    MSP_E_RANGE, "load report: %s not 0 to %d", key, SLOTS_MAX);
 	*out = (uint32_t)number;
 	return MSP_OK;
 }
--- a/source/spindled/main.c
+++ b/source/spindled/main.c
@@ -12,16 +12,16 @@
 #define ARG_ERRORS 20
 
 static const char *const level_names[] = {
-	[MSP_LOG_ERROR] = "error",
-	[MSP_LOG_WARN] = "warn",
-	[MSP_LOG_INFO] = "info",
-	[MSP_LOG_DEBUG] = "debug",
+    [MSP_LOG_ERROR] = "error",
+    [MSP_LOG_WARN] = "warn",
+    [MSP_LOG_INFO] = "info",
+    [MSP_LOG_DEBUG] = "debug",
 };
 
 static int
 print_settings_help(void)
 {
-	msp_buffer_t text = { 0 };
+	msp_buffer_t text = {0};
 
 	if (msp_print_settings_help(&text) != MSP_OK)
 		return EXIT_FAILURE;
@@ -77,15 +77,15 @@
 	    arg_file0(NULL, NULL, "SETTINGS", "settings file, JSON");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the settings and start nothing");
-	struct arg_lit *standalone = arg_lit0(
-	    NULL, "standalone", "hold the platform's store in memory");
-	struct arg_lit *settings_help =
-	    arg_lit0(NULL, "help-settings", "describe each key of the settings");
+	struct arg_lit *standalone =
+	    arg_lit0(NULL, "standalone", "hold the platform's store in memory");
+	struct arg_lit *settings_help = arg_lit0(
+	    NULL, "help-settings", "describe each key of the settings");
 	struct arg_lit *help = arg_lit0("h", "help", "show this text");
 	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
 	struct arg_end *end = arg_end(ARG_ERRORS);
-	void *table[] = { settings, check, standalone, settings_help, help,
-		version, end };
+	void *table[] = {
+	    settings, check, standalone, settings_help, help, version, end};
 	int errors;
 	int code = EXIT_SUCCESS;
 
--- a/source/spindled/members.c
+++ b/source/spindled/members.c
@@ -41,8 +41,7 @@
 {
 	if (members->list == NULL)
 		return MSP_E_NOT_READY;
-	return msp_serve_membership(
-	    members->list, procedure, argument, result);
+	return msp_serve_membership(members->list, procedure, argument, result);
 }
 
 static msp_status_t
@@ -84,30 +83,30 @@
 }
 
 static const msp_rpc_procedure_t procedures[] = {
-	{ .number = MSP_GOSSIP_PING,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
-	    .argument_size = sizeof(msp_gossip_ping_t),
-	    .encode_result = (xdrproc_t)xdr_msp_gossip_ack_t,
-	    .result_size = sizeof(msp_gossip_ack_t),
-	    .serve = serve_ping },
-	{ .number = MSP_GOSSIP_PING_REQ,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_req_t,
-	    .argument_size = sizeof(msp_gossip_ping_req_t),
-	    .serve = serve_ping_req },
-	{ .number = MSP_GOSSIP_PING_OK,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_ok_t,
-	    .argument_size = sizeof(msp_gossip_ping_ok_t),
-	    .serve = serve_ping_ok },
-	{ .number = MSP_GOSSIP_ANNOUNCE,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
-	    .argument_size = sizeof(msp_gossip_ping_t),
-	    .serve = serve_announce },
-	{ .number = MSP_GOSSIP_SYNC,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_sync_t,
-	    .argument_size = sizeof(msp_gossip_sync_t),
-	    .encode_result = (xdrproc_t)xdr_msp_gossip_page_t,
-	    .result_size = sizeof(msp_gossip_page_t),
-	    .serve = serve_sync },
+    {.number = MSP_GOSSIP_PING,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
+	.argument_size = sizeof(msp_gossip_ping_t),
+	.encode_result = (xdrproc_t)xdr_msp_gossip_ack_t,
+	.result_size = sizeof(msp_gossip_ack_t),
+	.serve = serve_ping},
+    {.number = MSP_GOSSIP_PING_REQ,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_req_t,
+	.argument_size = sizeof(msp_gossip_ping_req_t),
+	.serve = serve_ping_req},
+    {.number = MSP_GOSSIP_PING_OK,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_ok_t,
+	.argument_size = sizeof(msp_gossip_ping_ok_t),
+	.serve = serve_ping_ok},
+    {.number = MSP_GOSSIP_ANNOUNCE,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
+	.argument_size = sizeof(msp_gossip_ping_t),
+	.serve = serve_announce},
+    {.number = MSP_GOSSIP_SYNC,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_sync_t,
+	.argument_size = sizeof(msp_gossip_sync_t),
+	.encode_result = (xdrproc_t)xdr_msp_gossip_page_t,
+	.result_size = sizeof(msp_gossip_page_t),
+	.serve = serve_sync},
 };
 
 static void
@@ -128,8 +127,8 @@
 {
 	members_t *members = ctx;
 	const msp_gossip_codec_t *codec = msp_find_gossip_codec(procedure);
-	struct sockaddr_in to = { .sin_family = AF_INET,
-		.sin_port = htons(peer_port) };
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET, .sin_port = htons(peer_port)};
 	waiting_call_t *waiting = NULL;
 	msp_status_t status;
 
@@ -164,8 +163,8 @@
 	msp_count(members->daemon->counters, 1,
 	    "msp_member_changes_total{state=\"%s\"}",
 	    msp_member_state_name(member->state));
-	log_info("decision=member chosen_vm=%s place=%s reason=%s", member->name,
-	    member->place, msp_member_state_name(member->state));
+	log_info("decision=member chosen_vm=%s place=%s reason=%s",
+	    member->name, member->place, msp_member_state_name(member->state));
 }
 
 /* A member's load while it is written. */
@@ -189,9 +188,9 @@
 		if (payload->len + LOAD_RECORD_SIZE > sizeof(payload->data))
 			return;
 		record.target = hash_target(service, loads[i].name);
-		record.in_flight = loads[i].in_flight > UINT8_MAX ?
-		    UINT8_MAX :
-		    (uint8_t)loads[i].in_flight;
+		record.in_flight = loads[i].in_flight > UINT8_MAX
+		    ? UINT8_MAX
+		    : (uint8_t)loads[i].in_flight;
 		record.span = loads[i].span;
 		write_load_record(&record, payload->data + payload->len);
 		payload->len += LOAD_RECORD_SIZE;
@@ -202,7 +201,7 @@
 static void
 publish_loads(members_t *members)
 {
-	load_payload_t payload = { 0 };
+	load_payload_t payload = {0};
 
 	each_dispatcher(members->daemon->dispatchers, add_loads, &payload);
 	msp_set_member_load(members->list, payload.data, payload.len);
@@ -260,14 +259,12 @@
 {
 	daemon_t *daemon = members->daemon;
 	const msp_settings_t *settings = daemon->settings;
-	msp_membership_options_t options = { .period =
-						 settings->gossip_period_ms *
-		    MSP_MS,
-		.suspicion = settings->suspicion_ms * MSP_MS,
-		.seed_count = settings->seed_count };
-	msp_membership_callbacks_t callbacks = { .send = send_message,
-		.on_change = on_change,
-		.ctx = members };
+	msp_membership_options_t options = {
+	    .period = settings->gossip_period_ms * MSP_MS,
+	    .suspicion = settings->suspicion_ms * MSP_MS,
+	    .seed_count = settings->seed_count};
+	msp_membership_callbacks_t callbacks = {
+	    .send = send_message, .on_change = on_change, .ctx = members};
 	msp_member_t *self = &options.self;
 	msp_seed_t *seeds = calloc(settings->seed_count + 1, sizeof(*seeds));
 	size_t i;
@@ -299,13 +296,13 @@
 	msp_time_t period =
 	    settings->gossip_period_ms * MSP_MS / TICKS_PER_PERIOD;
 	members_t *members = calloc(1, sizeof(*members));
-	msp_rpc_options_t options = { .address = settings->address,
-		.port = settings->peer_port,
-		.program = MSP_GOSSIP_PROGRAM,
-		.version = MSP_GOSSIP_VERSION,
-		.procedures = procedures,
-		.procedure_count = sizeof(procedures) / sizeof(procedures[0]),
-		.ctx = members };
+	msp_rpc_options_t options = {.address = settings->address,
+	    .port = settings->peer_port,
+	    .program = MSP_GOSSIP_PROGRAM,
+	    .version = MSP_GOSSIP_VERSION,
+	    .procedures = procedures,
+	    .procedure_count = sizeof(procedures) / sizeof(procedures[0]),
+	    .ctx = members};
 
 	if (members == NULL)
 		return NULL;
@@ -394,12 +391,12 @@
 }
 
 void
-inherit_loads(const members_t *members, const char *service,
-    msp_dispatcher_t *dispatcher)
+inherit_loads(
+    const members_t *members, const char *service, msp_dispatcher_t *dispatcher)
 {
 	const daemon_t *daemon = members->daemon;
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 
 	while ((target = msp_next_target(daemon_release(daemon), service,
 		    daemon->settings->place, &cursor)) != NULL)
--- a/source/spindled/members.h
+++ b/source/spindled/members.h
@@ -17,8 +17,7 @@
 msp_membership_t *members_list(const members_t *members);
 
 /* The VM that dispatches `service` in this data centre; NULL if none is up. */
-const msp_member_t *first_member(
-    const members_t *members, const char *service);
+const msp_member_t *first_member(const members_t *members, const char *service);
 
 /* The process was paused, and its peers were not heard yet. */
 bool members_paused(const members_t *members);
--- a/source/spindled/operator_releases.c
+++ b/source/spindled/operator_releases.c
@@ -48,8 +48,8 @@
 		end = strstr(at, ", ");
 		if (end == NULL)
 			end = at + strlen(at);
-		json_object_array_add(list,
-		    json_object_new_string_len(at, (int)(end - at)));
+		json_object_array_add(
+		    list, json_object_new_string_len(at, (int)(end - at)));
 		at = *end == '\0' ? end : end + 2;
 	}
 	return list;
@@ -110,7 +110,8 @@
 	if (status == MSP_OK && (note->id[0] == '\0' || !note->has_base)) {
 		msp_drop_note(note);
 		status = msp_fail(MSP_E_INVALID_NOTE,
-		    "release note: id, base_version and base_digest are needed");
+		    "release note: id, base_version and base_digest are "
+		    "needed");
 	}
 	if (status != MSP_OK) {
 		answer_error(exchange, status);
@@ -135,7 +136,7 @@
 get_history(releases_t *releases, msp_exchange_t *exchange)
 {
 	const char *path = msp_exchange_request(exchange)->path;
-	msp_buffer_t text = { 0 };
+	msp_buffer_t text = {0};
 	uint64_t after;
 	uint64_t limit;
 	msp_status_t status;
@@ -161,7 +162,7 @@
 void
 get_release(releases_t *releases, msp_exchange_t *exchange)
 {
-	msp_response_t response = { .status = 200 };
+	msp_response_t response = {.status = 200};
 	msp_status_t status =
 	    msp_print_release(current_release(releases), &response.body);
 
--- a/source/spindled/operators.c
+++ b/source/spindled/operators.c
@@ -67,7 +67,7 @@
 static void
 serve_metrics(daemon_t *daemon, msp_exchange_t *exchange)
 {
-	msp_response_t response = { .status = 200 };
+	msp_response_t response = {.status = 200};
 
 	set_gauges(daemon);
 	msp_add_header(&response.headers, "Content-Type",
@@ -94,8 +94,8 @@
 	    doc, "peer_port", json_object_new_int(member->peer_port));
 	json_object_object_add(doc, "state",
 	    json_object_new_string(msp_member_state_name(member->state)));
-	json_object_object_add(doc, "incarnation",
-	    json_object_new_uint64(member->incarnation));
+	json_object_object_add(
+	    doc, "incarnation", json_object_new_uint64(member->incarnation));
 	json_object_object_add(
 	    doc, "version", json_object_new_uint64(member->release));
 	return doc;
@@ -112,8 +112,7 @@
 		const msp_member_t *member = msp_member_at(list, i);
 
 		if (with_dead || member->state != MSP_MEMBER_DEAD)
-			json_object_array_add(
-			    members, describe_member(member));
+			json_object_array_add(members, describe_member(member));
 	}
 	return members;
 }
@@ -131,10 +130,8 @@
 {
 	json_object *doc = json_object_new_object();
 
-	json_object_object_add(
-	    doc, "members", describe_members(daemon, true));
-	json_object_object_add(
-	    doc, "places", describe_places(daemon->places));
+	json_object_object_add(doc, "members", describe_members(daemon, true));
+	json_object_object_add(doc, "places", describe_places(daemon->places));
 	answer_document(exchange, doc);
 }
 
@@ -159,10 +156,8 @@
 	json_object_object_add(doc, "digest", json_object_new_string(digest));
 	json_object_object_add(
 	    doc, "note", json_object_new_string(release->note));
-	json_object_object_add(
-	    doc, "members", describe_members(daemon, false));
-	json_object_object_add(
-	    doc, "places", describe_places(daemon->places));
+	json_object_object_add(doc, "members", describe_members(daemon, false));
+	json_object_object_add(doc, "places", describe_places(daemon->places));
 	answer_document(exchange, doc);
 }
 
@@ -204,17 +199,17 @@
 }
 
 static const operator_route_t routes[] = {
-	{ "GET", "/healthz", true, serve_health },
-	{ "GET", "/readyz", true, serve_ready },
-	{ "GET", "/metrics", true, serve_metrics },
-	{ "GET", "/v1/status", false, serve_status },
-	{ "GET", "/v1/members", false, serve_members },
-	{ "GET", "/v1/release", false, serve_release },
-	{ "GET", "/v1/releases", false, serve_history },
-	{ "POST", "/v1/releases", false, serve_post_release },
-	{ "GET", "/v1/doubt", false, serve_get_doubt },
-	{ "POST", "/v1/doubt", false, serve_post_doubt },
-	{ "POST", "/v1/leave", false, serve_leave },
+    {"GET", "/healthz", true, serve_health},
+    {"GET", "/readyz", true, serve_ready},
+    {"GET", "/metrics", true, serve_metrics},
+    {"GET", "/v1/status", false, serve_status},
+    {"GET", "/v1/members", false, serve_members},
+    {"GET", "/v1/release", false, serve_release},
+    {"GET", "/v1/releases", false, serve_history},
+    {"POST", "/v1/releases", false, serve_post_release},
+    {"GET", "/v1/doubt", false, serve_get_doubt},
+    {"POST", "/v1/doubt", false, serve_post_doubt},
+    {"POST", "/v1/leave", false, serve_leave},
 };
 
 /* Compares in a time that does not depend on the given token. */
@@ -287,12 +282,12 @@
 {
 	const msp_settings_t *settings = daemon->settings;
 	msp_http_server_options_t options = {
-		.address = settings->address,
-		.port = settings->operator_port,
-		.limits = { .max_body = 4 << 20 },
-		.handler = { .on_request = on_request,
-		    .on_gone = on_gone,
-		    .ctx = daemon },
+	    .address = settings->address,
+	    .port = settings->operator_port,
+	    .limits = {.max_body = 4 << 20},
+	    .handler = {.on_request = on_request,
+		.on_gone = on_gone,
+		.ctx = daemon},
 	};
 
 	return msp_new_http_server(daemon->loop, &options);
--- a/source/spindled/peers.c
+++ b/source/spindled/peers.c
@@ -25,12 +25,12 @@
 on_work_done(void *ctx, work_t *work, work_result_t *result)
 {
 	peer_work_t *peer = ctx;
-	msp_response_t response = { 0 };
+	msp_response_t response = {0};
 	msp_status_t status;
 
 	if (result->vm[0] == '\0')
-		memcpy(result->vm, peer->daemon->settings->vm,
-		    sizeof(result->vm));
+		memcpy(
+		    result->vm, peer->daemon->settings->vm, sizeof(result->vm));
 	status = wire_write_result(result, &response);
 	if (status == MSP_OK) {
 		msp_answer_exchange(peer->exchange, &response);
@@ -99,8 +99,8 @@
 	const msp_request_t *request = msp_exchange_request(exchange);
 	const char *path = request->path;
 
-	if (strncmp(path, WIRE_PATH_PREFIX "/",
-		sizeof(WIRE_PATH_PREFIX)) == 0) {
+	if (strncmp(path, WIRE_PATH_PREFIX "/", sizeof(WIRE_PATH_PREFIX)) ==
+	    0) {
 		take_work(daemon, exchange);
 	} else if (strncmp(path, "/v1/notes", 9) == 0) {
 		serve_notes(daemon->releases, exchange);
@@ -130,17 +130,18 @@
 {
 	const msp_settings_t *settings = daemon->settings;
 	msp_http_server_options_t options = {
-		.address = settings->address,
-		.port = settings->peer_port,
-		.limits = {
+	    .address = settings->address,
+	    .port = settings->peer_port,
+	    .limits =
+		{
 		    .max_body = settings->limits.max_body_bytes,
 		    /* The system's own headers come on top of a caller's. */
 		    .max_headers = settings->limits.max_header_bytes + 8192,
 		    .max_connections = settings->limits.max_connections,
 		},
-		.handler = { .on_request = on_request,
-		    .on_gone = on_gone,
-		    .ctx = daemon },
+	    .handler = {.on_request = on_request,
+		.on_gone = on_gone,
+		.ctx = daemon},
 	};
 
 	return msp_new_http_server(daemon->loop, &options);
--- a/source/spindled/places.h
+++ b/source/spindled/places.h
@@ -24,8 +24,7 @@
  * Chooses where a work may go that its own data centre did not take: one that
  * was not tried, the region's own first. Returns false if there is none.
  */
-bool choose_place(
-    places_t *places, const work_t *work, place_choice_t *choice);
+bool choose_place(places_t *places, const work_t *work, place_choice_t *choice);
 
 /*
  * Chooses a VM of another data centre that has a newer release than `after`.
--- a/source/spindled/problem.c
+++ b/source/spindled/problem.c
@@ -13,8 +13,8 @@
 	json_object *doc = json_object_new_object();
 	char type[96];
 
-	snprintf(type, sizeof(type), "urn:monsoonspindle:problem:%s",
-	    answer->kind);
+	snprintf(
+	    type, sizeof(type), "urn:monsoonspindle:problem:%s", answer->kind);
 	json_object_object_add(doc, "type", json_object_new_string(type));
 	json_object_object_add(
 	    doc, "title", json_object_new_string(answer->title));
@@ -39,8 +39,8 @@
 		json_object_object_add(
 		    doc, "key", json_object_new_string(problem->key));
 	if (problem->attempt != 0)
-		json_object_object_add(doc, "attempt",
-		    json_object_new_int64(problem->attempt));
+		json_object_object_add(
+		    doc, "attempt", json_object_new_int64(problem->attempt));
 	if (refusal->retry_after_ms != 0)
 		json_object_object_add(doc, "retry_after_ms",
 		    json_object_new_int64(refusal->retry_after_ms));
@@ -51,7 +51,7 @@
 answer_problem(msp_exchange_t *exchange, const problem_t *problem)
 {
 	const msp_refusal_t *refusal = &problem->refusal;
-	msp_response_t response = { 0 };
+	msp_response_t response = {0};
 	json_object *doc = describe(problem);
 	const char *text =
 	    json_object_to_json_string_ext(doc, JSON_C_TO_STRING_PLAIN);
@@ -73,8 +73,8 @@
 void
 answer_error(msp_exchange_t *exchange, msp_status_t status)
 {
-	problem_t problem = { .refusal = { .status = status,
-				  .reason = msp_last_message() } };
+	problem_t problem = {
+	    .refusal = {.status = status, .reason = msp_last_message()}};
 
 	answer_problem(exchange, &problem);
 }
@@ -82,7 +82,7 @@
 void
 answer_json(msp_exchange_t *exchange, int http_status, const char *text)
 {
-	msp_response_t response = { .status = http_status };
+	msp_response_t response = {.status = http_status};
 
 	msp_add_header(&response.headers, "Content-Type", "application/json");
 	msp_append_buffer(&response.body, text, strlen(text));
--- a/source/spindled/releases.c
+++ b/source/spindled/releases.c
@@ -146,13 +146,12 @@
 }
 
 static void
-fetch_from(releases_t *releases, const char *address, uint16_t port,
-    uint64_t after)
+fetch_from(
+    releases_t *releases, const char *address, uint16_t port, uint64_t after)
 {
-	msp_call_options_t options = { .address = address,
-		.port = port,
-		.timeout_ms = FETCH_TIMEOUT_MS };
-	msp_request_t request = { .method = "GET" };
+	msp_call_options_t options = {
+	    .address = address, .port = port, .timeout_ms = FETCH_TIMEOUT_MS};
+	msp_request_t request = {.method = "GET"};
 
 	snprintf(request.path, sizeof(request.path), "/v1/notes?after=%llu",
 	    (unsigned long long)after);
@@ -182,8 +181,7 @@
 	if (daemon->members != NULL)
 		member = choose_member(releases, after);
 	if (member != NULL)
-		fetch_from(
-		    releases, member->address, member->peer_port, after);
+		fetch_from(releases, member->address, member->peer_port, after);
 	else if (daemon->places != NULL &&
 	    choose_release_peer(daemon->places, after, &choice))
 		fetch_from(releases, choice.address, choice.peer_port, after);
@@ -198,13 +196,13 @@
 new_releases(struct daemon *daemon)
 {
 	releases_t *releases = calloc(1, sizeof(*releases));
-	msp_ledger_options_t options = { .env = daemon->env,
-		.store = daemon->store,
-		.counters = daemon->counters,
-		.on_release = on_release,
-		.fetch_from_peer = fetch_from_peer,
-		.on_kept_out = on_kept_out,
-		.ctx = releases };
+	msp_ledger_options_t options = {.env = daemon->env,
+	    .store = daemon->store,
+	    .counters = daemon->counters,
+	    .on_release = on_release,
+	    .fetch_from_peer = fetch_from_peer,
+	    .on_kept_out = on_kept_out,
+	    .ctx = releases};
 
 	if (releases == NULL)
 		return NULL;
@@ -263,12 +261,12 @@
 void
 serve_notes(releases_t *releases, msp_exchange_t *exchange)
 {
-	msp_response_t response = { .status = 200 };
+	msp_response_t response = {.status = 200};
 	uint64_t after;
 	msp_status_t status;
 
-	status = read_version(
-	    msp_exchange_request(exchange)->path, "after", &after);
+	status =
+	    read_version(msp_exchange_request(exchange)->path, "after", &after);
 	if (status == MSP_OK)
 		status = msp_ledger_notes_after(
 		    releases->ledger, after, &response.body);
--- a/source/spindled/remote.c
+++ b/source/spindled/remote.c
@@ -65,10 +65,10 @@
     uint16_t peer_port)
 {
 	msp_time_t now = msp_now(&daemon->env);
-	msp_call_options_t options = { .address = address,
-		.port = peer_port,
-		.timeout_ms = work_time_left_ms(work, now) + ANSWER_MARGIN_MS,
-		.fresh = !work->is_idempotent };
+	msp_call_options_t options = {.address = address,
+	    .port = peer_port,
+	    .timeout_ms = work_time_left_ms(work, now) + ANSWER_MARGIN_MS,
+	    .fresh = !work->is_idempotent};
 	msp_request_t request;
 	remote_t *remote = calloc(1, sizeof(*remote));
 
--- a/source/spindled/route.c
+++ b/source/spindled/route.c
@@ -17,21 +17,21 @@
 tell_route(const daemon_t *daemon, const work_t *work, const char *vm,
     const char *place, const char *reason)
 {
-	msp_decision_t decision = { .what = "route",
-		.request_id = work->id,
-		.service = work->service,
-		.place = place,
-		.vm = vm,
-		.reason = reason,
-		.wait = msp_now(&daemon->env) - work->arrival };
+	msp_decision_t decision = {.what = "route",
+	    .request_id = work->id,
+	    .service = work->service,
+	    .place = place,
+	    .vm = vm,
+	    .reason = reason,
+	    .wait = msp_now(&daemon->env) - work->arrival};
 
 	log_decision(NULL, &decision);
 }
 
 /* Whether the work may be tried elsewhere after this refusal. */
 static bool
-may_go_on(const daemon_t *daemon, const work_t *work,
-    const work_result_t *result)
+may_go_on(
+    const daemon_t *daemon, const work_t *work, const work_result_t *result)
 {
 	const msp_refusal_t *refusal = &result->refusal;
 	bool not_run = refusal->run == MSP_RUN_NO && !refusal->try_started;
@@ -101,7 +101,7 @@
 static void
 run_elsewhere(daemon_t *daemon, work_t *work)
 {
-	work_result_t result = { .refusal = work->route_refusal };
+	work_result_t result = {.refusal = work->route_refusal};
 	place_choice_t choice;
 
 	if (!choose_place(daemon->places, work, &choice)) {
--- a/source/spindled/service_dispatch.c
+++ b/source/spindled/service_dispatch.c
@@ -15,7 +15,7 @@
 {
 	service_dispatch_t *service = ctx;
 	dispatch_t *dispatch = job->user;
-	work_result_t result = { .refusal = *refusal };
+	work_result_t result = {.refusal = *refusal};
 
 	msp_count(service->daemon->counters, 1,
 	    "msp_dispatch_refused_total{service=\"%s\",kind=\"%s\"}",
@@ -44,9 +44,9 @@
 
 	if (spec == NULL)
 		return msp_default_policy(MSP_PREFER_LATENCY);
-	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM ?
-		MSP_PREFER_HEADROOM :
-		MSP_PREFER_LATENCY);
+	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM
+		? MSP_PREFER_HEADROOM
+		: MSP_PREFER_LATENCY);
 	policy.hedge = spec->hedging;
 	policy.retry_budget_percent = spec->retry_budget_percent;
 	policy.reserve_percent = spec->reserve_percent;
@@ -59,16 +59,16 @@
     daemon_t *daemon, const char *name, msp_quarantine_list_t *quarantine)
 {
 	service_dispatch_t *service = calloc(1, sizeof(*service));
-	msp_dispatcher_options_t options = { .service = name,
-		.place = daemon->settings->place,
-		.policy = read_policy(daemon, name),
-		.quarantine = quarantine };
-	msp_dispatcher_callbacks_t callbacks = { .start = start_target_call,
-		.cancel_attempt = cancel_target_call,
-		.refuse = refuse_job,
-		.forget_connections = forget_connections,
-		.decide = log_decision,
-		.ctx = service };
+	msp_dispatcher_options_t options = {.service = name,
+	    .place = daemon->settings->place,
+	    .policy = read_policy(daemon, name),
+	    .quarantine = quarantine};
+	msp_dispatcher_callbacks_t callbacks = {.start = start_target_call,
+	    .cancel_attempt = cancel_target_call,
+	    .refuse = refuse_job,
+	    .forget_connections = forget_connections,
+	    .decide = log_decision,
+	    .ctx = service};
 
 	if (service == NULL)
 		return NULL;
@@ -137,7 +137,7 @@
 	msp_dispatch_policy_t policy = read_policy(daemon, service->name);
 	msp_target_spec_t *specs = calloc(TARGETS_MAX, sizeof(*specs));
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 	size_t count = 0;
 
 	if (specs == NULL)
@@ -150,9 +150,9 @@
 		spec->name = target->name;
 		spec->address = intern_address(service, target);
 		spec->slots = target->slots;
-		spec->state = draining || target->state == MSP_DRAINING ?
-		    MSP_TARGET_LEAVING :
-		    MSP_TARGET_READY;
+		spec->state = draining || target->state == MSP_DRAINING
+		    ? MSP_TARGET_LEAVING
+		    : MSP_TARGET_READY;
 		if (spec->address != NULL)
 			count++;
 	}
@@ -187,14 +187,14 @@
 	}
 	dispatch->service = service;
 	dispatch->work = work;
-	dispatch->job = (msp_job_t) { .request_id = work->id,
-		.class = work->class,
-		.is_idempotent = work->is_idempotent,
-		.arrival = work->arrival,
-		.deadline = work->deadline,
-		.fingerprint = work->fingerprint,
-		.retries_left = work->retries_left,
-		.user = dispatch };
+	dispatch->job = (msp_job_t){.request_id = work->id,
+	    .class = work->class,
+	    .is_idempotent = work->is_idempotent,
+	    .arrival = work->arrival,
+	    .deadline = work->deadline,
+	    .fingerprint = work->fingerprint,
+	    .retries_left = work->retries_left,
+	    .user = dispatch};
 	service->busy++;
 	work->cancel = cancel_dispatch;
 	work->runner = dispatch;
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -19,7 +19,8 @@
 	return NULL;
 }
 
-/* A target that sheds says 503 with Retry-After: it did not take the request. */
+/* A target that sheds says 503 with Retry-After: it did not take the request.
+ */
 static bool
 is_shed(const msp_response_t *response, msp_time_t *retry_after)
 {
@@ -45,13 +46,14 @@
 {
 	switch (ended->status) {
 	case MSP_OK:
-		return is_shed(ended->response, retry_after) ? MSP_OUTCOME_SHED :
-							       MSP_OUTCOME_WHOLE;
+		return is_shed(ended->response, retry_after)
+		    ? MSP_OUTCOME_SHED
+		    : MSP_OUTCOME_WHOLE;
 	case MSP_E_ANSWER_TOO_LARGE:
 		return MSP_OUTCOME_WHOLE;
 	case MSP_E_PEER_DOWN:
-		return ended->maybe_sent ? MSP_OUTCOME_CUT :
-					   MSP_OUTCOME_REFUSED_CONNECTION;
+		return ended->maybe_sent ? MSP_OUTCOME_CUT
+					 : MSP_OUTCOME_REFUSED_CONNECTION;
 	case MSP_E_DEADLINE:
 		return ended->silent ? MSP_OUTCOME_SILENT : MSP_OUTCOME_CUT;
 	default:
@@ -80,7 +82,7 @@
 	msp_attempt_t attempt = call->attempt;
 	msp_time_t retry_after = 0;
 	msp_outcome_t outcome = judge(ended, &retry_after);
-	work_result_t result = { 0 };
+	work_result_t result = {0};
 
 	memcpy(result.target, call->target, sizeof(result.target));
 	memset(call, 0, sizeof(*call));
@@ -92,11 +94,11 @@
 		outcome, retry_after) != MSP_VERDICT_DONE)
 		return;
 	if (ended->status == MSP_E_ANSWER_TOO_LARGE) {
-		result.refusal = (msp_refusal_t) {
-			.status = MSP_E_ANSWER_TOO_LARGE,
-			.run = MSP_RUN_UNKNOWN,
-			.try_started = true,
-			.reason = "the target's answer is over the bound",
+		result.refusal = (msp_refusal_t){
+		    .status = MSP_E_ANSWER_TOO_LARGE,
+		    .run = MSP_RUN_UNKNOWN,
+		    .try_started = true,
+		    .reason = "the target's answer is over the bound",
 		};
 	} else {
 		result.answered = true;
@@ -115,8 +117,8 @@
 	if (msp_find_header(headers, "x-request-id") == NULL &&
 	    msp_add_header(headers, "X-Request-ID", work->id) != MSP_OK)
 		return MSP_E_HEADERS_TOO_LARGE;
-	return msp_print_header(headers, "Request-Time-Left", "%u",
-	    work_time_left_ms(work, now));
+	return msp_print_header(
+	    headers, "Request-Time-Left", "%u", work_time_left_ms(work, now));
 }
 
 void
@@ -129,10 +131,10 @@
 	const target_address_t *address = target->address;
 	msp_time_t now = msp_now(&daemon->env);
 	target_call_t *call = find_call(dispatch, 0);
-	msp_call_options_t options = { .address = address->address,
-		.port = address->port,
-		.timeout_ms = work_time_left_ms(dispatch->work, now),
-		.fresh = fresh };
+	msp_call_options_t options = {.address = address->address,
+	    .port = address->port,
+	    .timeout_ms = work_time_left_ms(dispatch->work, now),
+	    .fresh = fresh};
 	msp_request_t request;
 
 	if (work_copy_request(dispatch->work, &request) != MSP_OK)
@@ -145,8 +147,8 @@
 	call->dispatch = dispatch;
 	call->attempt = attempt;
 	snprintf(call->target, sizeof(call->target), "%s", target->name);
-	call->call = msp_start_call(daemon->target_client, &options, &request,
-	    on_target_answer, call);
+	call->call = msp_start_call(
+	    daemon->target_client, &options, &request, on_target_answer, call);
 	msp_drop_request(&request);
 	if (call->call != NULL)
 		return;
--- a/source/spindled/target_report.c
+++ b/source/spindled/target_report.c
@@ -48,10 +48,10 @@
 {
 	daemon_t *daemon = service->daemon;
 	report_call_t *asked = calloc(1, sizeof(*asked));
-	msp_call_options_t options = { .address = target->address,
-		.port = target->port,
-		.timeout_ms = REPORT_TIMEOUT_MS };
-	msp_request_t request = { .method = "GET" };
+	msp_call_options_t options = {.address = target->address,
+	    .port = target->port,
+	    .timeout_ms = REPORT_TIMEOUT_MS};
+	msp_request_t request = {.method = "GET"};
 
 	if (asked == NULL)
 		return;
@@ -76,7 +76,7 @@
 	const msp_release_t *release = daemon_release(service->daemon);
 	const msp_service_t *spec = msp_find_service(release, service->name);
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 
 	if (spec == NULL)
 		return;
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -42,8 +42,8 @@
 }
 
 static void
-name_process(fleet_process_t *process, const char *place, const char *kind,
-    int number)
+name_process(
+    fleet_process_t *process, const char *place, const char *kind, int number)
 {
 	if (place == NULL)
 		snprintf(process->name, sizeof(process->name), "%s", kind);
@@ -109,7 +109,7 @@
 fleet_t *
 new_fleet(const fleet_options_t *options)
 {
-	msp_http_client_options_t client = { .lanes = 64 };
+	msp_http_client_options_t client = {.lanes = 64};
 	fleet_t *fleet = calloc(1, sizeof(*fleet));
 
 	if (fleet == NULL)
@@ -158,8 +158,8 @@
 		return;
 	}
 	while ((entry = readdir(dir)) != NULL) {
-		snprintf(path, sizeof(path), "%s/%s", fleet->dir,
-		    entry->d_name);
+		snprintf(
+		    path, sizeof(path), "%s/%s", fleet->dir, entry->d_name);
 		if (entry->d_name[0] != '.')
 			unlink(path);
 	}
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,7 +35,8 @@
 	const fleet_place_t *places; /* ended by a NULL name */
 	const char *service;
 	int slots; /* of each target */
-	const char *const *target_args; /* further ones; ended by NULL, or NULL */
+	const char *const
+	    *target_args; /* further ones; ended by NULL, or NULL */
 	const char *settings; /* further members of a VM's settings, or NULL */
 	const char *priority; /* of the service; NULL: "latency" */
 } fleet_options_t;
@@ -88,8 +89,8 @@
 
 /* Starts a request without waiting for it. `done` gets the result. */
 msp_call_t *fleet_start_request(fleet_t *fleet, uint16_t port,
-    const char *method, const char *path, const char *headers,
-    const char *body, uint32_t timeout_ms, msp_call_done_t *done, void *ctx);
+    const char *method, const char *path, const char *headers, const char *body,
+    uint32_t timeout_ms, msp_call_done_t *done, void *ctx);
 
 /* As fleet_request(), to a VM's operators' port with the token. */
 void fleet_operate(fleet_t *fleet, size_t vm, const char *method,
--- a/tests/support/fleet_files.c
+++ b/tests/support/fleet_files.c
@@ -81,12 +81,14 @@
 	for (at = fleet->options.places; at->name != NULL; at++) {
 		if (is_repeated(fleet, at))
 			continue;
-		msp_print_buffer(out, "%s{\"name\": \"%s\"}", comma, at->region);
+		msp_print_buffer(
+		    out, "%s{\"name\": \"%s\"}", comma, at->region);
 		comma = ", ";
 	}
 	msp_print_buffer(out, "], \"places\": [");
 	for (at = fleet->options.places; at->name != NULL; at++)
-		msp_print_buffer(out, "%s{\"name\": \"%s\", \"region\": \"%s\"}",
+		msp_print_buffer(out,
+		    "%s{\"name\": \"%s\", \"region\": \"%s\"}",
 		    at == fleet->options.places ? "" : ", ", at->name,
 		    at->region);
 	msp_print_buffer(out, "], ");
@@ -102,7 +104,8 @@
 
 	msp_print_buffer(out, "\"links\": [");
 	for (a = fleet->options.places; a->name != NULL; a++) {
-		for (b = a + 1; b->name != NULL && !is_repeated(fleet, a); b++) {
+		for (b = a + 1; b->name != NULL && !is_repeated(fleet, a);
+		     b++) {
 			if (is_repeated(fleet, b))
 				continue;
 			msp_print_buffer(out,
--- a/tests/support/fleet_http.c
+++ b/tests/support/fleet_http.c
@@ -49,10 +49,9 @@
     const char *path, const char *headers, const char *body,
     uint32_t timeout_ms, msp_call_done_t *done, void *ctx)
 {
-	msp_call_options_t options = { .address = "127.0.0.1",
-		.port = port,
-		.timeout_ms = timeout_ms };
-	msp_request_t request = { 0 };
+	msp_call_options_t options = {
+	    .address = "127.0.0.1", .port = port, .timeout_ms = timeout_ms};
+	msp_request_t request = {0};
 	msp_call_t *call;
 
 	snprintf(request.method, sizeof(request.method), "%s", method);
@@ -97,7 +96,7 @@
     const char *path, const char *headers, const char *body,
     fleet_reply_t *reply)
 {
-	pending_t pending = { .reply = reply };
+	pending_t pending = {.reply = reply};
 
 	memset(reply, 0, sizeof(*reply));
 	reply->status = MSP_E_NO_MEMORY;
@@ -166,7 +165,7 @@
 bool
 fleet_apply_first_note(fleet_t *fleet)
 {
-	msp_buffer_t note = { 0 };
+	msp_buffer_t note = {0};
 	int status;
 
 	fleet_write_note(fleet, &note);
--- a/tests/support/fleet_process.c
+++ b/tests/support/fleet_process.c
@@ -17,9 +17,9 @@
 static int
 bind_port(int type, uint16_t *port)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET,
-		.sin_port = htons(*port),
-		.sin_addr = { .s_addr = htonl(INADDR_LOOPBACK) } };
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons(*port),
+	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
 	socklen_t len = sizeof(address);
 	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
 
@@ -72,12 +72,11 @@
 	posix_spawn_file_actions_init(&actions);
 	posix_spawn_file_actions_addopen(
 	    &actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log,
-	    O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_addopen(
+	    &actions, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	posix_spawn_file_actions_adddup2(
 	    &actions, STDOUT_FILENO, STDERR_FILENO);
-	code = posix_spawn(
-	    &process->pid, path, &actions, NULL, argv, environ);
+	code = posix_spawn(&process->pid, path, &actions, NULL, argv, environ);
 	posix_spawn_file_actions_destroy(&actions);
 	if (code != 0) {
 		process->pid = 0;
@@ -120,8 +119,8 @@
 	const char *const *more = fleet->options.target_args;
 	char port[16];
 	char slots[16];
-	char *argv[32] = { "target", "--port", port, "--name", target->name,
-		"--slots", slots };
+	char *argv[32] = {
+	    "target", "--port", port, "--name", target->name, "--slots", slots};
 	size_t count = 7;
 
 	snprintf(port, sizeof(port), "%u", target->port);
@@ -141,7 +140,7 @@
 fleet_restart_vm(fleet_t *fleet, size_t vm)
 {
 	fleet_process_t *process = &fleet->vms[vm];
-	char *argv[] = { "spindled", process->settings, NULL };
+	char *argv[] = {"spindled", process->settings, NULL};
 
 	return fleet_spawn(fleet, process, argv);
 }
@@ -150,7 +149,7 @@
 fleet_restart_platform(fleet_t *fleet)
 {
 	char port[16];
-	char *argv[] = { "platform", "--port", port, NULL };
+	char *argv[] = {"platform", "--port", port, NULL};
 
 	snprintf(port, sizeof(port), "%u", fleet->platform.port);
 	return fleet_spawn(fleet, &fleet->platform, argv);
