--- a/measure/demo.c
+++ b/measure/demo.c
@@ -17,9 +17,9 @@
 #define KEY "demo-order-1"
 
 static const fleet_place_t places[] = {
-	{ "tallinn-a", "tallinn", 2, 2 },
-	{ "tallinn-b", "tallinn", 2, 2 },
-	{ 0 },
+    {"tallinn-a", "tallinn", 2, 2},
+    {"tallinn-b", "tallinn", 2, 2},
+    {0},
 };
 
 static int
@@ -138,8 +138,8 @@
 	failed += apply_note(fleet);
 	for (i = 0; i < fleet->vm_count; i++) {
 		snprintf(detail, sizeof(detail), "%s", fleet->vms[i].name);
-		failed += report("version 2 in force",
-		    fleet_version(fleet, i) == 2, detail);
+		failed += report(
+		    "version 2 in force", fleet_version(fleet, i) == 2, detail);
 	}
 	return failed;
 }
@@ -147,9 +147,8 @@
 int
 main(void)
 {
-	fleet_options_t options = { .places = places,
-		.service = SERVICE,
-		.slots = 4 };
+	fleet_options_t options = {
+	    .places = places, .service = SERVICE, .slots = 4};
 	fleet_t *fleet = new_fleet(&options);
 	int failed;
 
--- a/source/spindled/blocks.c
+++ b/source/spindled/blocks.c
@@ -52,7 +52,7 @@
 	free(blocks->next.list);
 	blocks->timer = NULL;
 	blocks->builder = NULL;
-	blocks->next = (client_places_t) { 0 };
+	blocks->next = (client_places_t){0};
 }
 
 void
@@ -104,7 +104,7 @@
 	msp_swap_prefix_table(&blocks->table, table);
 	free(blocks->places.list);
 	blocks->places = blocks->next;
-	blocks->next = (client_places_t) { 0 };
+	blocks->next = (client_places_t){0};
 	stop_build(blocks);
 }
 
@@ -116,7 +116,8 @@
 
 	if (msp_step_prefix_build(blocks->builder, STEP_BLOCKS, &table) !=
 	    MSP_OK) {
-		log_error("event=blocks-not-built error=%s", msp_last_message());
+		log_error(
+		    "event=blocks-not-built error=%s", msp_last_message());
 		stop_build(blocks);
 	} else if (table != NULL) {
 		use_next(blocks, table);
@@ -128,7 +129,7 @@
 {
 	const msp_release_t *release = daemon_release(blocks->daemon);
 	const msp_block_t *block;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 
 	stop_build(blocks);
 	if (release->counts[MSP_ITEM_BLOCK] == 0) {
@@ -143,8 +144,8 @@
 		stop_build(blocks);
 		return;
 	}
-	while ((block = msp_next_item(
-		    release, MSP_ITEM_BLOCK, &cursor)) != NULL) {
+	while (
+	    (block = msp_next_item(release, MSP_ITEM_BLOCK, &cursor)) != NULL) {
 		if (add_block(blocks, block) != MSP_OK)
 			log_warn("event=block-left-out error=%s",
 			    msp_last_message());
--- a/source/spindled/gossip.c
+++ b/source/spindled/gossip.c
@@ -85,36 +85,36 @@
 }
 
 static const msp_rpc_procedure_t procedures[] = {
-	{ .number = MSP_GOSSIP_PING,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
-	    .argument_size = sizeof(msp_gossip_ping_t),
-	    .encode_result = (xdrproc_t)xdr_msp_gossip_ack_t,
-	    .result_size = sizeof(msp_gossip_ack_t),
-	    .serve = serve_ping },
-	{ .number = MSP_GOSSIP_PING_REQ,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_req_t,
-	    .argument_size = sizeof(msp_gossip_ping_req_t),
-	    .serve = serve_ping_req },
-	{ .number = MSP_GOSSIP_PING_OK,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_ok_t,
-	    .argument_size = sizeof(msp_gossip_ping_ok_t),
-	    .serve = serve_ping_ok },
-	{ .number = MSP_GOSSIP_ANNOUNCE,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
-	    .argument_size = sizeof(msp_gossip_ping_t),
-	    .serve = serve_announce },
-	{ .number = MSP_GOSSIP_SYNC,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_sync_t,
-	    .argument_size = sizeof(msp_gossip_sync_t),
-	    .encode_result = (xdrproc_t)xdr_msp_gossip_page_t,
-	    .result_size = sizeof(msp_gossip_page_t),
-	    .serve = serve_sync },
-	{ .number = MSP_GOSSIP_EXCHANGE,
-	    .decode_argument = (xdrproc_t)xdr_msp_gossip_exchange_t,
-	    .argument_size = sizeof(msp_gossip_exchange_t),
-	    .encode_result = (xdrproc_t)xdr_msp_gossip_summaries_t,
-	    .result_size = sizeof(msp_gossip_summaries_t),
-	    .serve = serve_relayed },
+    {.number = MSP_GOSSIP_PING,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
+	.argument_size = sizeof(msp_gossip_ping_t),
+	.encode_result = (xdrproc_t)xdr_msp_gossip_ack_t,
+	.result_size = sizeof(msp_gossip_ack_t),
+	.serve = serve_ping},
+    {.number = MSP_GOSSIP_PING_REQ,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_req_t,
+	.argument_size = sizeof(msp_gossip_ping_req_t),
+	.serve = serve_ping_req},
+    {.number = MSP_GOSSIP_PING_OK,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_ok_t,
+	.argument_size = sizeof(msp_gossip_ping_ok_t),
+	.serve = serve_ping_ok},
+    {.number = MSP_GOSSIP_ANNOUNCE,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_ping_t,
+	.argument_size = sizeof(msp_gossip_ping_t),
+	.serve = serve_announce},
+    {.number = MSP_GOSSIP_SYNC,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_sync_t,
+	.argument_size = sizeof(msp_gossip_sync_t),
+	.encode_result = (xdrproc_t)xdr_msp_gossip_page_t,
+	.result_size = sizeof(msp_gossip_page_t),
+	.serve = serve_sync},
+    {.number = MSP_GOSSIP_EXCHANGE,
+	.decode_argument = (xdrproc_t)xdr_msp_gossip_exchange_t,
+	.argument_size = sizeof(msp_gossip_exchange_t),
+	.encode_result = (xdrproc_t)xdr_msp_gossip_summaries_t,
+	.result_size = sizeof(msp_gossip_summaries_t),
+	.serve = serve_relayed},
 };
 
 static void
@@ -134,8 +134,8 @@
     gossip_answered_t *answered, void *ctx)
 {
 	const msp_gossip_codec_t *codec = msp_find_gossip_codec(procedure);
-	struct sockaddr_in to = { .sin_family = AF_INET,
-		.sin_port = htons(port) };
+	struct sockaddr_in to = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
 	waiting_call_t *waiting = NULL;
 	msp_status_t status;
 
@@ -167,13 +167,13 @@
 new_gossip(struct daemon *daemon)
 {
 	gossip_t *gossip = calloc(1, sizeof(*gossip));
-	msp_rpc_options_t options = { .address = daemon->settings->address,
-		.port = daemon->settings->peer_port,
-		.program = MSP_GOSSIP_PROGRAM,
-		.version = MSP_GOSSIP_VERSION,
-		.procedures = procedures,
-		.procedure_count = sizeof(procedures) / sizeof(procedures[0]),
-		.ctx = gossip };
+	msp_rpc_options_t options = {.address = daemon->settings->address,
+	    .port = daemon->settings->peer_port,
+	    .program = MSP_GOSSIP_PROGRAM,
+	    .version = MSP_GOSSIP_VERSION,
+	    .procedures = procedures,
+	    .procedure_count = sizeof(procedures) / sizeof(procedures[0]),
+	    .ctx = gossip};
 
 	if (gossip == NULL)
 		return NULL;
@@ -209,8 +209,7 @@
 	msp_counters_t *counters = gossip->daemon->counters;
 
 	*msp_counter(counters, "msp_gossip_bytes_in_total") = stats->bytes_in;
-	*msp_counter(counters, "msp_gossip_bytes_out_total") =
-	    stats->bytes_out;
+	*msp_counter(counters, "msp_gossip_bytes_out_total") = stats->bytes_out;
 	*msp_counter(counters, "msp_gossip_messages_in_total") =
 	    stats->messages_in;
 	*msp_counter(counters, "msp_gossip_messages_out_total") =
--- a/source/spindled/load.c
+++ b/source/spindled/load.c
@@ -23,9 +23,9 @@
 	msp_get_dispatcher_load(service->dispatcher, &load);
 	out->service = hash_name(service->name);
 	out->slots = cut_count(load.slots);
-	out->free = cut_count(load.capacity > load.in_flight ?
-		load.capacity - load.in_flight :
-		0);
+	out->free = cut_count(load.capacity > load.in_flight
+		? load.capacity - load.in_flight
+		: 0);
 	out->wait = load.draining || load.capacity == 0 ? MSP_NEVER : load.wait;
 }
 
@@ -33,8 +33,8 @@
 add_targets(const service_dispatch_t *service, load_t *load)
 {
 	static msp_target_load_t targets[TARGETS_MAX];
-	size_t count = msp_list_target_loads(
-	    service->dispatcher, targets, TARGETS_MAX);
+	size_t count =
+	    msp_list_target_loads(service->dispatcher, targets, TARGETS_MAX);
 	load_target_t *out;
 	size_t i;
 
@@ -44,9 +44,9 @@
 			continue;
 		out = &load->targets[load->target_count++];
 		out->target = hash_target(service->name, targets[i].name);
-		out->in_flight = targets[i].in_flight > UINT8_MAX ?
-		    UINT8_MAX :
-		    (uint8_t)targets[i].in_flight;
+		out->in_flight = targets[i].in_flight > UINT8_MAX
+		    ? UINT8_MAX
+		    : (uint8_t)targets[i].in_flight;
 		out->span = targets[i].span;
 	}
 }
@@ -68,7 +68,7 @@
 {
 	const daemon_t *daemon = members_daemon(members);
 	uint8_t payload[MSP_MEMBER_LOAD_MAX];
-	load_t load = { 0 };
+	load_t load = {0};
 
 	each_dispatcher(daemon->dispatchers, add_service, &load);
 	msp_set_member_load(members_list(members), payload,
@@ -110,7 +110,7 @@
     msp_dispatcher_t *dispatcher)
 {
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 
 	while ((target = msp_next_target(daemon_release(daemon), service,
 		    daemon->settings->place, &cursor)) != NULL)
@@ -146,7 +146,7 @@
 merge_load(load_t *load, const load_t *from)
 {
 	size_t known = load->service_count;
-	load_t before = { .service_count = known };
+	load_t before = {.service_count = known};
 	size_t i;
 
 	memcpy(before.services, load->services, sizeof(before.services));
@@ -168,7 +168,7 @@
 gather_place_load(const struct daemon *daemon, load_t *load)
 {
 	const msp_membership_t *list = members_list(daemon->members);
-	load_t one = { 0 };
+	load_t one = {0};
 	size_t i;
 
 	memset(load, 0, sizeof(*load));
--- a/source/spindled/load.h
+++ b/source/spindled/load.h
@@ -20,8 +20,8 @@
  * The load of the dispatcher that serves `service` in this data centre, its
  * own or as last heard. Returns false if nothing is known.
  */
-bool get_service_load(const struct daemon *daemon, const char *service,
-    load_service_t *load);
+bool get_service_load(
+    const struct daemon *daemon, const char *service, load_service_t *load);
 
 /* Services and offers of all dispatchers of this data centre. */
 void gather_place_load(const struct daemon *daemon, load_t *load);
--- a/source/spindled/load_codec.c
+++ b/source/spindled/load_codec.c
@@ -59,9 +59,9 @@
 static uint8_t *
 put_service(uint8_t *out, const load_service_t *service)
 {
-	uint64_t wait = service->wait == MSP_NEVER ?
-	    UINT16_MAX :
-	    in_units(service->wait, WAIT_UNIT, UINT16_MAX - 1);
+	uint64_t wait = service->wait == MSP_NEVER
+	    ? UINT16_MAX
+	    : in_units(service->wait, WAIT_UNIT, UINT16_MAX - 1);
 
 	out = put(out, service->service, 4);
 	out = put(out, service->slots, 2);
@@ -78,9 +78,11 @@
 	out = put(out, offer->region, 4);
 	out = put(out, offer->requests, 2);
 	out = put(out, bytes > BYTES_UNITS_MAX ? BYTES_UNITS_MAX : bytes, 3);
-	return put(out, offer->valid_for / SPAN_UNIT > UINT8_MAX ?
-		UINT8_MAX :
-		offer->valid_for / SPAN_UNIT, 1);
+	return put(out,
+	    offer->valid_for / SPAN_UNIT > UINT8_MAX
+		? UINT8_MAX
+		: offer->valid_for / SPAN_UNIT,
+	    1);
 }
 
 static uint8_t *
@@ -96,7 +98,7 @@
 {
 	uint8_t *at = out + HEADER_SIZE;
 	const uint8_t *end = out + size;
-	uint8_t counts[HEADER_SIZE] = { 0 };
+	uint8_t counts[HEADER_SIZE] = {0};
 	size_t i;
 
 	if (size < HEADER_SIZE)
@@ -170,7 +172,8 @@
 	memset(load, 0, sizeof(*load));
 	if (len < HEADER_SIZE || in[0] > LOAD_SERVICES_MAX ||
 	    in[1] > LOAD_OFFERS_MAX || in[2] > LOAD_TARGETS_MAX ||
-	    len != HEADER_SIZE + in[0] * (size_t)SERVICE_SIZE +
+	    len !=
+		HEADER_SIZE + in[0] * (size_t)SERVICE_SIZE +
 		    in[1] * (size_t)OFFER_SIZE + in[2] * (size_t)TARGET_SIZE)
 		return;
 	load->service_count = in[0];
--- a/source/spindled/load_codec.h
+++ b/source/spindled/load_codec.h
@@ -60,8 +60,7 @@
 void read_load(const uint8_t *in, size_t len, load_t *load);
 
 /* NULL if there is none. */
-const load_service_t *find_load_service(
-    const load_t *load, uint32_t service);
+const load_service_t *find_load_service(const load_t *load, uint32_t service);
 const load_offer_t *find_load_offer(
     const load_t *load, uint32_t service, uint32_t region);
 const load_target_t *find_load_target(const load_t *load, uint32_t target);
--- a/source/spindled/lookup.c
+++ b/source/spindled/lookup.c
@@ -48,8 +48,8 @@
 		return msp_fail(MSP_E_BAD_REQUEST, "service: missing");
 	if (daemon_ready(daemon) &&
 	    msp_find_service(release, query->service) == NULL)
-		return msp_fail(MSP_E_UNKNOWN_SERVICE, "no service \"%s\"",
-		    query->service);
+		return msp_fail(
+		    MSP_E_UNKNOWN_SERVICE, "no service \"%s\"", query->service);
 	if (query->place[0] != '\0' && daemon_ready(daemon) &&
 	    msp_find_place(release, query->place) == NULL)
 		return msp_fail(
@@ -117,9 +117,9 @@
 void
 answer_lookup(struct daemon *daemon, msp_exchange_t *exchange)
 {
-	lookup_query_t query = { 0 };
+	lookup_query_t query = {0};
 	msp_lookup_answer_t answer;
-	msp_decision_t decision = { .what = "lookup" };
+	msp_decision_t decision = {.what = "lookup"};
 	msp_status_t status;
 
 	status = read_lookup(daemon, exchange, &query);
--- a/source/spindled/members.c
+++ b/source/spindled/members.c
@@ -49,8 +49,8 @@
 	msp_count(members->daemon->counters, 1,
 	    "msp_member_changes_total{state=\"%s\"}",
 	    msp_member_state_name(member->state));
-	log_info("decision=member chosen_vm=%s place=%s reason=%s", member->name,
-	    member->place, msp_member_state_name(member->state));
+	log_info("decision=member chosen_vm=%s place=%s reason=%s",
+	    member->name, member->place, msp_member_state_name(member->state));
 }
 
 static void
@@ -108,14 +108,12 @@
 {
 	daemon_t *daemon = members->daemon;
 	const msp_settings_t *settings = daemon->settings;
-	msp_membership_options_t options = { .period =
-						 settings->gossip_period_ms *
-		    MSP_MS,
-		.suspicion = settings->suspicion_ms * MSP_MS,
-		.seed_count = settings->seed_count };
-	msp_membership_callbacks_t callbacks = { .send = send_message,
-		.on_change = on_change,
-		.ctx = members };
+	msp_membership_options_t options = {
+	    .period = settings->gossip_period_ms * MSP_MS,
+	    .suspicion = settings->suspicion_ms * MSP_MS,
+	    .seed_count = settings->seed_count};
+	msp_membership_callbacks_t callbacks = {
+	    .send = send_message, .on_change = on_change, .ctx = members};
 	msp_member_t *self = &options.self;
 	msp_seed_t *seeds = calloc(settings->seed_count + 1, sizeof(*seeds));
 	size_t i;
@@ -203,4 +201,3 @@
 {
 	return msp_membership_paused(members->list);
 }
-
--- a/source/spindled/operators.c
+++ b/source/spindled/operators.c
@@ -69,7 +69,7 @@
 static void
 serve_metrics(daemon_t *daemon, msp_exchange_t *exchange)
 {
-	msp_response_t response = { .status = 200 };
+	msp_response_t response = {.status = 200};
 
 	set_gauges(daemon);
 	msp_add_header(&response.headers, "Content-Type",
@@ -96,8 +96,8 @@
 	    doc, "peer_port", json_object_new_int(member->peer_port));
 	json_object_object_add(doc, "state",
 	    json_object_new_string(msp_member_state_name(member->state)));
-	json_object_object_add(doc, "incarnation",
-	    json_object_new_uint64(member->incarnation));
+	json_object_object_add(
+	    doc, "incarnation", json_object_new_uint64(member->incarnation));
 	json_object_object_add(
 	    doc, "version", json_object_new_uint64(member->release));
 	return doc;
@@ -114,8 +114,7 @@
 		const msp_member_t *member = msp_member_at(list, i);
 
 		if (with_dead || member->state != MSP_MEMBER_DEAD)
-			json_object_array_add(
-			    members, describe_member(member));
+			json_object_array_add(members, describe_member(member));
 	}
 	return members;
 }
@@ -170,8 +169,7 @@
 	json_object_object_add(
 	    doc, "state", json_object_new_string(state_name(daemon)));
 	json_object_object_add(doc, "vms", describe_members(daemon, false));
-	json_object_object_add(
-	    doc, "places", describe_places(daemon->places));
+	json_object_object_add(doc, "places", describe_places(daemon->places));
 	answer_document(exchange, doc);
 }
 
@@ -213,18 +211,18 @@
 }
 
 static const operator_route_t routes[] = {
-	{ "GET", "/healthz", true, serve_health },
-	{ "GET", "/readyz", true, serve_ready },
-	{ "GET", "/metrics", false, serve_metrics },
-	{ "GET", "/v1/status", false, serve_status },
-	{ "GET", "/v1/members", false, serve_members },
-	{ "GET", "/v1/places", false, serve_places },
-	{ "GET", "/v1/release", false, serve_release },
-	{ "GET", "/v1/releases", false, serve_history },
-	{ "POST", "/v1/releases", false, serve_post_release },
-	{ "GET", "/v1/doubt", false, serve_get_doubt },
-	{ "POST", "/v1/doubt", false, serve_post_doubt },
-	{ "POST", "/v1/leave", false, serve_leave },
+    {"GET", "/healthz", true, serve_health},
+    {"GET", "/readyz", true, serve_ready},
+    {"GET", "/metrics", false, serve_metrics},
+    {"GET", "/v1/status", false, serve_status},
+    {"GET", "/v1/members", false, serve_members},
+    {"GET", "/v1/places", false, serve_places},
+    {"GET", "/v1/release", false, serve_release},
+    {"GET", "/v1/releases", false, serve_history},
+    {"POST", "/v1/releases", false, serve_post_release},
+    {"GET", "/v1/doubt", false, serve_get_doubt},
+    {"POST", "/v1/doubt", false, serve_post_doubt},
+    {"POST", "/v1/leave", false, serve_leave},
 };
 
 /* Compares in a time that does not depend on the given token. */
@@ -297,12 +295,12 @@
 {
 	const msp_settings_t *settings = daemon->settings;
 	msp_http_server_options_t options = {
-		.address = settings->address,
-		.port = settings->operator_port,
-		.limits = { .max_body = 4 << 20 },
-		.handler = { .on_request = on_request,
-		    .on_gone = on_gone,
-		    .ctx = daemon },
+	    .address = settings->address,
+	    .port = settings->operator_port,
+	    .limits = {.max_body = 4 << 20},
+	    .handler = {.on_request = on_request,
+		.on_gone = on_gone,
+		.ctx = daemon},
 	};
 
 	return msp_new_http_server(daemon->loop, &options);
--- a/source/spindled/places.c
+++ b/source/spindled/places.c
@@ -46,15 +46,15 @@
 	const daemon_t *daemon = places->daemon;
 	const msp_service_t *service;
 	const load_service_t *found;
-	msp_summary_t own = { 0 };
-	msp_cursor_t cursor = { 0 };
+	msp_summary_t own = {0};
+	msp_cursor_t cursor = {0};
 	load_t load;
 
 	gather_place_load(daemon, &load);
 	own.draining = is_place_drained(daemon, daemon->settings->place);
 	while (own.service_count < MSP_SUMMARY_SERVICES_MAX &&
-	    (service = msp_next_item(daemon_release(daemon), MSP_ITEM_SERVICE,
-		 &cursor)) != NULL) {
+	    (service = msp_next_item(
+		 daemon_release(daemon), MSP_ITEM_SERVICE, &cursor)) != NULL) {
 		msp_headroom_t *room = &own.services[own.service_count];
 
 		found = find_load_service(&load, hash_name(service->name));
@@ -83,18 +83,17 @@
 new_places(struct daemon *daemon)
 {
 	places_t *places = calloc(1, sizeof(*places));
-	msp_relay_options_t options = { .period = RELAY_PERIOD,
-		.stale_after = STALE_AFTER };
-	msp_relay_callbacks_t callbacks = { .send = send_message,
-		.ctx = places };
+	msp_relay_options_t options = {
+	    .period = RELAY_PERIOD, .stale_after = STALE_AFTER};
+	msp_relay_callbacks_t callbacks = {.send = send_message, .ctx = places};
 
 	if (places == NULL)
 		return NULL;
 	places->daemon = daemon;
-	places->relay = msp_new_relay(&daemon->env,
-	    members_list(daemon->members), &options, &callbacks);
-	places->tick = msp_new_timer(
-	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, places);
+	places->relay = msp_new_relay(
+	    &daemon->env, members_list(daemon->members), &options, &callbacks);
+	places->tick =
+	    msp_new_timer(daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, places);
 	if (places->relay == NULL || places->tick == NULL) {
 		drop_places(places);
 		return NULL;
@@ -129,8 +128,7 @@
 static const char *
 find_region_name(const daemon_t *daemon, const char *name)
 {
-	const msp_place_t *place =
-	    msp_find_place(daemon_release(daemon), name);
+	const msp_place_t *place = msp_find_place(daemon_release(daemon), name);
 
 	return place == NULL ? "" : place->region;
 }
@@ -144,8 +142,8 @@
 	if (contacts == NULL)
 		return;
 	for (i = 0; i < count; i++) {
-		strlcpy(contacts[i].place, vms[i].place,
-		    sizeof(contacts[i].place));
+		strlcpy(
+		    contacts[i].place, vms[i].place, sizeof(contacts[i].place));
 		strlcpy(contacts[i].region,
 		    find_region_name(places->daemon, vms[i].place),
 		    sizeof(contacts[i].region));
@@ -189,8 +187,7 @@
 	size_t i;
 
 	for (i = 0; i < msp_summary_count(places->relay); i++) {
-		const msp_summary_t *summary =
-		    msp_summary_at(places->relay, i);
+		const msp_summary_t *summary = msp_summary_at(places->relay, i);
 
 		if (summary->release <= after || is_own_place(places, summary))
 			continue;
@@ -203,8 +200,7 @@
 bool
 is_place_drained(const struct daemon *daemon, const char *name)
 {
-	const msp_place_t *place =
-	    msp_find_place(daemon_release(daemon), name);
+	const msp_place_t *place = msp_find_place(daemon_release(daemon), name);
 
 	return place != NULL && place->state == MSP_DRAINING;
 }
@@ -240,8 +236,7 @@
 	size_t i;
 
 	for (i = 0; i < msp_summary_count(places->relay); i++) {
-		const msp_summary_t *summary =
-		    msp_summary_at(places->relay, i);
+		const msp_summary_t *summary = msp_summary_at(places->relay, i);
 
 		if (!is_own_place(places, summary))
 			json_object_array_add(
--- a/source/spindled/service_credit.c
+++ b/source/spindled/service_credit.c
@@ -19,11 +19,11 @@
     const msp_release_t *release, const char *service, const char *place)
 {
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 	uint32_t slots = 0;
 
-	while ((target = msp_next_target(
-		    release, service, place, &cursor)) != NULL)
+	while ((target = msp_next_target(release, service, place, &cursor)) !=
+	    NULL)
 		slots += target->slots;
 	return slots;
 }
@@ -39,13 +39,13 @@
 	const msp_release_t *release = daemon_release(daemon);
 	const msp_service_t *spec;
 	const msp_place_t *place;
-	msp_cursor_t services = { 0 };
+	msp_cursor_t services = {0};
 
 	receivers->count = 0;
 	receivers->own = RECEIVERS_MAX;
-	while ((spec = msp_next_item(
-		    release, MSP_ITEM_SERVICE, &services)) != NULL) {
-		msp_cursor_t places = { 0 };
+	while ((spec = msp_next_item(release, MSP_ITEM_SERVICE, &services)) !=
+	    NULL) {
+		msp_cursor_t places = {0};
 
 		while ((place = msp_next_item(
 			    release, MSP_ITEM_PLACE, &places)) != NULL) {
@@ -69,7 +69,7 @@
 	const daemon_t *daemon = service->daemon;
 	const msp_link_t *link = msp_find_link(
 	    daemon_release(daemon), daemon->settings->region, region);
-	msp_credit_rate_t share = { 0 };
+	msp_credit_rate_t share = {0};
 	uint64_t requests;
 
 	if (link != NULL && receivers->own < receivers->count) {
@@ -91,7 +91,7 @@
 	static receivers_t receivers;
 	const daemon_t *daemon = service->daemon;
 	const msp_region_t *region;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 
 	list_receivers(service, &receivers);
 	while ((region = msp_next_item(daemon_release(daemon), MSP_ITEM_REGION,
@@ -109,10 +109,10 @@
 	size_t i;
 
 	msp_get_dispatcher_load(service->dispatcher, &load);
-	spare = (msp_spare_t) { .capacity = load.draining ? 0 : load.capacity,
-		.busy = load.in_flight,
-		.service_time = load.service_time,
-		.wait = load.wait };
+	spare = (msp_spare_t){.capacity = load.draining ? 0 : load.capacity,
+	    .busy = load.in_flight,
+	    .service_time = load.service_time,
+	    .wait = load.wait};
 	for (i = 0; i < MSP_CLASS_COUNT; i++)
 		spare.busy += load.queued[i];
 	msp_set_granter_spare(service->granter, &spare);
@@ -123,7 +123,7 @@
 {
 	const daemon_t *daemon = service->daemon;
 	const msp_region_t *region;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 	msp_credit_offer_t offer;
 	load_offer_t *out;
 
@@ -138,17 +138,17 @@
 		out = &load->offers[load->offer_count++];
 		out->service = hash_name(service->name);
 		out->region = hash_name(region->name);
-		out->requests = offer.rate.requests > UINT16_MAX ?
-		    UINT16_MAX :
-		    (uint16_t)offer.rate.requests;
+		out->requests = offer.rate.requests > UINT16_MAX
+		    ? UINT16_MAX
+		    : (uint16_t)offer.rate.requests;
 		out->bytes = offer.rate.bytes;
 		out->valid_for = offer.valid_for;
 	}
 }
 
 msp_status_t
-admit_work(service_dispatch_t *service, const work_t *work,
-    msp_shift_t *shift, uint32_t *retry_after_ms)
+admit_work(service_dispatch_t *service, const work_t *work, msp_shift_t *shift,
+    uint32_t *retry_after_ms)
 {
 	const char *own = service->daemon->settings->region;
 	msp_status_t status;
@@ -160,9 +160,9 @@
 	status = msp_admit_shift(service->granter, work->client_region,
 	    work->request.body.len, shift);
 	if (status != MSP_OK)
-		*retry_after_ms = (uint32_t)(msp_shift_retry_after(
-						 service->granter,
-						 work->client_region) /
-		    MSP_MS);
+		*retry_after_ms =
+		    (uint32_t)(msp_shift_retry_after(
+				   service->granter, work->client_region) /
+			MSP_MS);
 	return status;
 }
--- a/source/spindled/service_dispatch.c
+++ b/source/spindled/service_dispatch.c
@@ -19,7 +19,7 @@
 {
 	service_dispatch_t *service = ctx;
 	dispatch_t *dispatch = job->user;
-	work_result_t result = { .refusal = *refusal };
+	work_result_t result = {.refusal = *refusal};
 
 	msp_count(service->daemon->counters, 1,
 	    "msp_dispatch_refused_total{service=\"%s\",kind=\"%s\"}",
@@ -48,9 +48,9 @@
 
 	if (spec == NULL)
 		return msp_default_policy(MSP_PREFER_LATENCY);
-	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM ?
-		MSP_PREFER_HEADROOM :
-		MSP_PREFER_LATENCY);
+	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM
+		? MSP_PREFER_HEADROOM
+		: MSP_PREFER_LATENCY);
 	policy.hedge = spec->hedging;
 	policy.retry_budget_percent = spec->retry_budget_percent;
 	policy.reserve_percent = spec->reserve_percent;
@@ -63,18 +63,18 @@
     daemon_t *daemon, const char *name, msp_quarantine_list_t *quarantine)
 {
 	service_dispatch_t *service = calloc(1, sizeof(*service));
-	msp_dispatcher_options_t options = { .service = name,
-		.place = daemon->settings->place,
-		.policy = read_policy(daemon, name),
-		.quarantine = quarantine };
-	msp_granter_options_t granter = { .lifetime = CREDIT_LIFETIME,
-		.spread = CREDIT_SPREAD };
-	msp_dispatcher_callbacks_t callbacks = { .start = start_target_call,
-		.cancel_attempt = cancel_target_call,
-		.refuse = refuse_job,
-		.forget_connections = forget_connections,
-		.decide = log_decision,
-		.ctx = service };
+	msp_dispatcher_options_t options = {.service = name,
+	    .place = daemon->settings->place,
+	    .policy = read_policy(daemon, name),
+	    .quarantine = quarantine};
+	msp_granter_options_t granter = {
+	    .lifetime = CREDIT_LIFETIME, .spread = CREDIT_SPREAD};
+	msp_dispatcher_callbacks_t callbacks = {.start = start_target_call,
+	    .cancel_attempt = cancel_target_call,
+	    .refuse = refuse_job,
+	    .forget_connections = forget_connections,
+	    .decide = log_decision,
+	    .ctx = service};
 
 	if (service == NULL)
 		return NULL;
@@ -87,8 +87,7 @@
 	    msp_new_dispatcher(&daemon->env, &options, &callbacks);
 	service->granter = msp_new_granter(&daemon->env, &granter);
 	if (service->addresses == NULL || service->dispatcher == NULL ||
-	    service->granter == NULL ||
-	    start_reports(service) != MSP_OK) {
+	    service->granter == NULL || start_reports(service) != MSP_OK) {
 		drop_service_dispatch(service);
 		return NULL;
 	}
@@ -148,7 +147,7 @@
 	msp_dispatch_policy_t policy = read_policy(daemon, service->name);
 	msp_target_spec_t *specs = calloc(TARGETS_MAX, sizeof(*specs));
 	const msp_target_t *target;
-	msp_cursor_t cursor = { 0 };
+	msp_cursor_t cursor = {0};
 	size_t count = 0;
 
 	if (specs == NULL)
@@ -161,9 +160,9 @@
 		spec->name = target->name;
 		spec->address = intern_address(service, target);
 		spec->slots = target->slots;
-		spec->state = draining || target->state == MSP_DRAINING ?
-		    MSP_TARGET_LEAVING :
-		    MSP_TARGET_READY;
+		spec->state = draining || target->state == MSP_DRAINING
+		    ? MSP_TARGET_LEAVING
+		    : MSP_TARGET_READY;
 		if (spec->address != NULL)
 			count++;
 	}
@@ -209,14 +208,14 @@
 	}
 	dispatch->service = service;
 	dispatch->work = work;
-	dispatch->job = (msp_job_t) { .request_id = work->id,
-		.class = work->class,
-		.is_idempotent = work->is_idempotent,
-		.arrival = work->arrival,
-		.deadline = work->deadline,
-		.fingerprint = work->fingerprint,
-		.retries_left = work->retries_left,
-		.user = dispatch };
+	dispatch->job = (msp_job_t){.request_id = work->id,
+	    .class = work->class,
+	    .is_idempotent = work->is_idempotent,
+	    .arrival = work->arrival,
+	    .deadline = work->deadline,
+	    .fingerprint = work->fingerprint,
+	    .retries_left = work->retries_left,
+	    .user = dispatch};
 	service->busy++;
 	work->cancel = cancel_dispatch;
 	work->runner = dispatch;
--- a/source/spindled/shifts.c
+++ b/source/spindled/shifts.c
@@ -113,7 +113,7 @@
 	msp_time_t age = msp_summary_age(summary, msp_now(&daemon->env));
 	const load_offer_t *found = find_load_offer(
 	    load, service->service, hash_name(daemon->settings->region));
-	msp_credit_offer_t offer = { 0 };
+	msp_credit_offer_t offer = {0};
 
 	if (found != NULL) {
 		offer.rate.requests = found->requests;
@@ -136,16 +136,15 @@
 
 	read_load(summary->credits, summary->credits_len, &load);
 	found = find_load_service(&load, hash_name(service));
-	if (found == NULL || found->wait == MSP_NEVER ||
-	    (far && !may_go_far) || summary->draining ||
-	    is_place_drained(daemon, summary->place) ||
+	if (found == NULL || found->wait == MSP_NEVER || (far && !may_go_far) ||
+	    summary->draining || is_place_drained(daemon, summary->place) ||
 	    msp_summary_is_stale(places_relay(daemon->places), summary))
 		return;
 	if (far)
 		take_offer(daemon, state, summary, &load, found, spenders);
 	option->rtt = far ? FAR_RTT : NEAR_RTT;
-	option->wait = far ? msp_offered_wait(state->wallet, summary->place) :
-			     found->wait;
+	option->wait =
+	    far ? msp_offered_wait(state->wallet, summary->place) : found->wait;
 	state->is_far[state->count] = far;
 	memcpy(state->names[state->count++], summary->place,
 	    sizeof(summary->place));
@@ -167,8 +166,8 @@
 	spenders = count_spenders(daemon);
 	state->refreshed = now;
 	state->count = 0;
-	for (i = 0; i < msp_summary_count(relay) &&
-	     state->count < MSP_PLACES_MAX;
+	for (i = 0;
+	     i < msp_summary_count(relay) && state->count < MSP_PLACES_MAX;
 	     i++) {
 		const msp_summary_t *summary = msp_summary_at(relay, i);
 
@@ -214,8 +213,8 @@
 		wait = load.wait;
 	if (is_place_drained(daemon, daemon->settings->place))
 		wait = MSP_NEVER;
-	index = msp_decide_spill(&state->spill, &daemon->env, wait,
-	    state->options, state->count);
+	index = msp_decide_spill(
+	    &state->spill, &daemon->env, wait, state->options, state->count);
 	if (index == MSP_SPILL_LOCAL)
 		return false;
 	return take_place(shifts, state, (size_t)index, choice);
--- a/tests/support/fleet_ctl.c
+++ b/tests/support/fleet_ctl.c
@@ -21,8 +21,8 @@
 
 /* Reads the start of a process's output. */
 static void
-read_output(
-    const fleet_t *fleet, const fleet_process_t *process, char *out, size_t size)
+read_output(const fleet_t *fleet, const fleet_process_t *process, char *out,
+    size_t size)
 {
 	char path[256];
 	FILE *file;
@@ -42,10 +42,10 @@
 fleet_run_ctl(fleet_t *fleet, size_t vm, char *out, size_t size, ...)
 {
 	static int runs;
-	fleet_process_t ctl = { 0 };
+	fleet_process_t ctl = {0};
 	char address[64];
-	char *argv[CTL_ARGS] = { "spindlectl", "--vm", address, "--token",
-		FLEET_TOKEN };
+	char *argv[CTL_ARGS] = {
+	    "spindlectl", "--vm", address, "--token", FLEET_TOKEN};
 	size_t count = 5;
 	va_list args;
 	int status;
--- a/tests/support/fleet_ctl.h
+++ b/tests/support/fleet_ctl.h
@@ -11,7 +11,6 @@
  * against a VM. The start of its output goes to `out`. Returns its waitpid
  * status, or -1.
  */
-int fleet_run_ctl(
-    fleet_t *fleet, size_t vm, char *out, size_t size, ...);
+int fleet_run_ctl(fleet_t *fleet, size_t vm, char *out, size_t size, ...);
 
 #endif
