--- a/include/monsoonspindle/coord/ledger.h
+++ b/include/monsoonspindle/coord/ledger.h
@@ -21,7 +21,7 @@
  * store or a peer says; what does not fit is kept out, counted and reported.
  *
  * Rows: "release/head", "release/id/ID", "release/note/VERSION/PART".
- * Object: "release/snapshot".
+ * Object: "release-snapshot".
  */
 typedef struct msp_ledger msp_ledger_t;
 
--- a/source/coord/ledger_prepare.c
+++ b/source/coord/ledger_prepare.c
@@ -83,6 +83,9 @@
 		return refuse(submission, MSP_E_CONFLICT,
 		    "base_version: over 256 notes old; write it against the "
 		    "present release");
+	if (note->base_version == head)
+		return refuse(submission, MSP_E_CONFLICT,
+		    "base_digest: not that of the base version");
 	if (find_logged_note(&ledger->log, note->base_version + 1) == NULL)
 		return refuse(submission, MSP_E_NOT_READY,
 		    "base_version: this VM does not keep the notes since "
--- a/source/coord/ledger_rows.h
+++ b/source/coord/ledger_rows.h
@@ -8,7 +8,7 @@
 
 #define HEAD_KEY "release/head"
 #define NOTE_PREFIX "release/note/"
-#define SNAPSHOT_NAME "release/snapshot"
+#define SNAPSHOT_NAME "release-snapshot"
 #define LEDGER_KEY_SIZE 96 /* bytes of a row's key */
 #define REFUSED_ID "refused" /* value of a refused id's row */
 #define NOTE_PART_BYTES (64 * 1024) /* of a note's text in one row */
