--- a/source/coord/claim_end.c
+++ b/source/coord/claim_end.c
@@ -26,9 +26,9 @@
 
 msp_status_t
 msp_finish_claim(
-    msp_claims_t *claims, msp_nonce_t nonce, const msp_outcome_t *outcome)
+    msp_claims_t *claims, msp_nonce_t nonce, const msp_claim_outcome_t *outcome)
 {
-	msp_outcome_t *copy = msp_copy_outcome(outcome);
+	msp_claim_outcome_t *copy = msp_copy_claim_outcome(outcome);
 	msp_claim_t *claim;
 
 	if (copy == NULL)
--- a/source/coord/claim_row_json.c
+++ b/source/coord/claim_row_json.c
@@ -37,7 +37,7 @@
 static void
 add_outcome(struct json_object *line, const msp_claim_row_t *row)
 {
-	const msp_outcome_t *outcome = row->outcome;
+	const msp_claim_outcome_t *outcome = row->outcome;
 	struct json_object *fields = json_object_new_array();
 	size_t i;
 
@@ -168,12 +168,12 @@
 
 /* Fills `fields`, whose strings belong to `array`. */
 static msp_status_t
-decode_fields(struct json_object *array, msp_outcome_field_t *fields)
+decode_fields(struct json_object *array, msp_claim_field_t *fields)
 {
 	size_t count = json_object_array_length(array);
 	size_t i;
 
-	if (count > MSP_OUTCOME_FIELDS_MAX)
+	if (count > MSP_CLAIM_FIELDS_MAX)
 		return malformed("fields");
 	for (i = 0; i < count; i++) {
 		struct json_object *pair = json_object_array_get_idx(array, i);
@@ -195,8 +195,8 @@
 decode_outcome(struct json_object *line, const char *body, size_t len,
     msp_claim_row_t *row)
 {
-	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
-	msp_outcome_t outcome = {.fields = fields, .body = body};
+	msp_claim_field_t fields[MSP_CLAIM_FIELDS_MAX];
+	msp_claim_outcome_t outcome = {.fields = fields, .body = body};
 	struct json_object *array = NULL;
 	struct json_object *object = NULL;
 	uint64_t status;
@@ -221,7 +221,7 @@
 	outcome.http_status = (int)status;
 	outcome.field_count = json_object_array_length(array);
 	outcome.body_len = len;
-	row->outcome = msp_copy_outcome(&outcome);
+	row->outcome = msp_copy_claim_outcome(&outcome);
 	if (row->outcome == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for an outcome");
 	if (!row->in_object &&
--- a/source/coord/claim_verdict.c
+++ b/source/coord/claim_verdict.c
@@ -29,8 +29,8 @@
 void
 msp_refuse_try(msp_try_t *tried, const msp_refusal_t *refusal)
 {
-	tried->verdict =
-	    (msp_verdict_t){.kind = MSP_VERDICT_REFUSE, .refusal = *refusal};
+	tried->verdict = (msp_claim_verdict_t){
+	    .kind = MSP_CLAIM_VERDICT_REFUSE, .refusal = *refusal};
 	snprintf(tried->reason, sizeof(tried->reason), "%s",
 	    refusal->reason == NULL ? "" : refusal->reason);
 	tried->verdict.refusal.reason = tried->reason;
@@ -38,7 +38,7 @@
 }
 
 void
-msp_replay_try(msp_try_t *tried, const msp_outcome_t *outcome)
+msp_replay_try(msp_try_t *tried, const msp_claim_outcome_t *outcome)
 {
 	static const msp_refusal_t no_memory = {
 	    .status = MSP_E_NO_MEMORY,
@@ -47,13 +47,13 @@
 	    .reason = "no memory for the recorded answer",
 	};
 
-	tried->outcome = msp_copy_outcome(outcome);
+	tried->outcome = msp_copy_claim_outcome(outcome);
 	if (tried->outcome == NULL) {
 		msp_refuse_try(tried, &no_memory);
 		return;
 	}
-	tried->verdict = (msp_verdict_t){
-	    .kind = MSP_VERDICT_REPLAY, .outcome = tried->outcome};
+	tried->verdict = (msp_claim_verdict_t){
+	    .kind = MSP_CLAIM_VERDICT_REPLAY, .outcome = tried->outcome};
 	make_final(tried);
 }
 
@@ -75,8 +75,8 @@
 	msp_set_claim_alarm(claim, MSP_NEVER);
 	claim->looked_up = true;
 	tried->started = true;
-	tried->verdict =
-	    (msp_verdict_t){.kind = MSP_VERDICT_RUN, .nonce = claim->nonce};
+	tried->verdict = (msp_claim_verdict_t){
+	    .kind = MSP_CLAIM_VERDICT_RUN, .nonce = claim->nonce};
 	msp_clear_alarm(&claim->claims->alarms, &tried->deadline);
 	make_ready(tried);
 	msp_note_claim(claim, "run");
@@ -87,8 +87,8 @@
 {
 	const msp_claim_t *claim = tried->claim;
 
-	tried->verdict = (msp_verdict_t){
-	    .kind = MSP_VERDICT_RELEASED,
+	tried->verdict = (msp_claim_verdict_t){
+	    .kind = MSP_CLAIM_VERDICT_RELEASED,
 	    .nonce = claim->nonce,
 	    .age = msp_claims_now(claim->claims) - claim->no_before,
 	};
@@ -127,7 +127,7 @@
 }
 
 void
-msp_replay_all(msp_claim_t *claim, const msp_outcome_t *outcome)
+msp_replay_all(msp_claim_t *claim, const msp_claim_outcome_t *outcome)
 {
 	msp_try_t *tried;
 
--- a/source/coord/claims_private.h
+++ b/source/coord/claims_private.h
@@ -28,11 +28,11 @@
 	bool final; /* its verdict ends it */
 	bool cancelled;
 	msp_time_t give_up;
-	msp_verdict_t verdict;
-	msp_outcome_t *outcome; /* owned copy for the verdict */
+	msp_claim_verdict_t verdict;
+	msp_claim_outcome_t *outcome; /* owned copy for the verdict */
 	char reason[96]; /* of the refusal */
 	msp_alarm_t deadline;
-	msp_verdict_done_t *done;
+	msp_claim_verdict_done_t *done;
 	void *done_ctx;
 };
 
@@ -76,7 +76,7 @@
 	msp_claim_row_t row;
 	msp_ask_status_t last_ask;
 	/* DONE: */
-	msp_outcome_t *outcome;
+	msp_claim_outcome_t *outcome;
 	bool in_object; /* the body has been put into its object */
 	bool recorded; /* the store has the end, or refuses it for good */
 };
@@ -122,7 +122,7 @@
 
 /* claim_verdict.c: final verdicts take the try out of its claim. */
 void msp_refuse_try(msp_try_t *tried, const msp_refusal_t *refusal);
-void msp_replay_try(msp_try_t *tried, const msp_outcome_t *outcome);
+void msp_replay_try(msp_try_t *tried, const msp_claim_outcome_t *outcome);
 void msp_start_try(msp_try_t *tried);
 void msp_answer_released(msp_try_t *tried);
 /* All tries of the claim; returns whether there were any. */
@@ -130,7 +130,7 @@
 /* All tries, "run: unknown". */
 void msp_refuse_unknown(msp_claim_t *claim, msp_status_t status,
     uint32_t retry_after_ms, const char *reason);
-void msp_replay_all(msp_claim_t *claim, const msp_outcome_t *outcome);
+void msp_replay_all(msp_claim_t *claim, const msp_claim_outcome_t *outcome);
 /* For want of an answer of the store. Returns whether "run: no" was said. */
 bool msp_refuse_unlooked(
     msp_claim_t *claim, msp_status_t status, const char *reason);
--- a/source/spindled/commit_run.c
+++ b/source/spindled/commit_run.c
@@ -16,8 +16,8 @@
 	work_t work;
 } commit_run_t;
 
-msp_outcome_t
-view_outcome(const msp_response_t *response, msp_outcome_field_t *fields)
+msp_claim_outcome_t
+view_outcome(const msp_response_t *response, msp_claim_field_t *fields)
 {
 	size_t i;
 
@@ -25,15 +25,15 @@
 		fields[i].name = response->headers.fields[i].name;
 		fields[i].value = response->headers.fields[i].value;
 	}
-	return (msp_outcome_t){.http_status = response->status,
-	    .fields = fields,
-	    .field_count = response->headers.count,
-	    .body = msp_buffer_text(&response->body),
-	    .body_len = response->body.len};
+	return (msp_claim_outcome_t) { .http_status = response->status,
+		.fields = fields,
+		.field_count = response->headers.count,
+		.body = msp_buffer_text(&response->body),
+		.body_len = response->body.len };
 }
 
 msp_status_t
-write_outcome(const msp_outcome_t *outcome, msp_response_t *out)
+write_outcome(const msp_claim_outcome_t *outcome, msp_response_t *out)
 {
 	msp_status_t status = MSP_OK;
 	size_t i;
@@ -57,17 +57,15 @@
 	commit_run_t *run = ctx;
 	commits_t *commits = run->commits;
 	const msp_refusal_t *refusal = &result->refusal;
-	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
-	msp_outcome_t outcome;
+	msp_claim_field_t fields[MSP_CLAIM_FIELDS_MAX];
+	msp_claim_outcome_t outcome;
 	msp_status_t status;
 
 	if (result->answered) {
 		outcome = view_outcome(&result->response, fields);
-		status =
-		    msp_finish_claim(commits->claims, run->nonce, &outcome);
+		status = msp_finish_claim(commits->claims, run->nonce, &outcome);
 	} else if (refusal->run == MSP_RUN_NO && !refusal->try_started) {
-		status =
-		    msp_release_claim(commits->claims, run->nonce, refusal);
+		status = msp_release_claim(commits->claims, run->nonce, refusal);
 	} else {
 		status = msp_doubt_claim(commits->claims, run->nonce, refusal);
 	}
@@ -80,7 +78,8 @@
 }
 
 msp_status_t
-start_commit_run(struct commits *commits, const work_t *work, msp_nonce_t nonce)
+start_commit_run(
+    struct commits *commits, const work_t *work, msp_nonce_t nonce)
 {
 	daemon_t *daemon = commits->daemon;
 	commit_run_t *run = calloc(1, sizeof(*run));
@@ -95,8 +94,8 @@
 	run->commits = commits;
 	run->nonce = nonce;
 	msp_print_digest(nonce, run->work.nonce);
-	run->work.nonce_issued =
-	    msp_now(&daemon->env) - msp_claim_age(commits->claims, nonce);
+	run->work.nonce_issued = msp_now(&daemon->env) -
+	    msp_claim_age(commits->claims, nonce);
 	run->work.done = on_run_done;
 	run->work.ctx = run;
 	run_routed(daemon, &run->work);
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -42,8 +42,8 @@
 }
 
 static void
-name_process(
-    fleet_process_t *process, const char *place, const char *kind, int number)
+name_process(fleet_process_t *process, const char *place, const char *kind,
+    int number)
 {
 	if (place == NULL)
 		snprintf(process->name, sizeof(process->name), "%s", kind);
@@ -79,7 +79,10 @@
 {
 	size_t i;
 
-	if (fleet_restart_platform(fleet) != 0)
+	if (fleet_restart_platform(fleet) != 0 ||
+	    !wait_listening(
+		fleet, &fleet->platform, fleet->platform.port, "/v1/vms") ||
+	    !fleet_list_vms(fleet))
 		return false;
 	for (i = 0; i < fleet->target_count; i++) {
 		if (fleet_restart_target(fleet, i) != 0)
@@ -90,9 +93,6 @@
 		    fleet_restart_vm(fleet, i) != 0)
 			return false;
 	}
-	if (!wait_listening(
-		fleet, &fleet->platform, fleet->platform.port, "/v1/vms"))
-		return false;
 	for (i = 0; i < fleet->target_count; i++) {
 		if (!wait_listening(fleet, &fleet->targets[i],
 			fleet->targets[i].port, "/load"))
@@ -109,7 +109,7 @@
 fleet_t *
 new_fleet(const fleet_options_t *options)
 {
-	msp_http_client_options_t client = {.lanes = 64};
+	msp_http_client_options_t client = { .lanes = 64 };
 	fleet_t *fleet = calloc(1, sizeof(*fleet));
 
 	if (fleet == NULL)
@@ -158,8 +158,8 @@
 		return;
 	}
 	while ((entry = readdir(dir)) != NULL) {
-		snprintf(
-		    path, sizeof(path), "%s/%s", fleet->dir, entry->d_name);
+		snprintf(path, sizeof(path), "%s/%s", fleet->dir,
+		    entry->d_name);
 		if (entry->d_name[0] != '.')
 			unlink(path);
 	}
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,8 +35,7 @@
 	const fleet_place_t *places; /* ended by a NULL name */
 	const char *service;
 	int slots; /* of each target */
-	const char *const
-	    *target_args; /* further ones; ended by NULL, or NULL */
+	const char *const *target_args; /* further ones; ended by NULL, or NULL */
 	const char *settings; /* further members of a VM's settings, or NULL */
 	const char *priority; /* of the service; NULL: "latency" */
 } fleet_options_t;
@@ -64,6 +63,9 @@
 /* Kills what still runs, by process id. */
 void drop_fleet(fleet_t *fleet);
 
+/* Gives the platform its list of VMs, which it loses with a restart. */
+bool fleet_list_vms(fleet_t *fleet);
+
 /* Starts a process again, under its old name, ports and settings. */
 int fleet_restart_vm(fleet_t *fleet, size_t vm);
 int fleet_restart_target(fleet_t *fleet, size_t target);
@@ -89,8 +91,8 @@
 
 /* Starts a request without waiting for it. `done` gets the result. */
 msp_call_t *fleet_start_request(fleet_t *fleet, uint16_t port,
-    const char *method, const char *path, const char *headers, const char *body,
-    uint32_t timeout_ms, msp_call_done_t *done, void *ctx);
+    const char *method, const char *path, const char *headers,
+    const char *body, uint32_t timeout_ms, msp_call_done_t *done, void *ctx);
 
 /* As fleet_request(), to a VM's operators' port with the token. */
 void fleet_operate(fleet_t *fleet, size_t vm, const char *method,
