--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -8,7 +8,7 @@
 #include "monsoonspindle/coord/claims.h"
 #include "monsoonspindle/coord/issued_keys.h"
 #include "monsoonspindle/coord/nonces.h"
-#include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/claim_outcome.h"
 #include "monsoonspindle/coord/member.h"
 #include "monsoonspindle/coord/membership.h"
 #include "monsoonspindle/coord/relay.h"
--- a/include/monsoonspindle/coord/claims.h
+++ b/include/monsoonspindle/coord/claims.h
@@ -11,7 +11,7 @@
 #include "monsoonspindle/base/hash.h"
 #include "monsoonspindle/base/refusal.h"
 #include "monsoonspindle/coord/nonces.h"
-#include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/claim_outcome.h"
 #include "monsoonspindle/platform/store.h"
 
 /*
@@ -46,7 +46,7 @@
 
 typedef struct msp_ask_reply {
 	msp_ask_status_t status;
-	const msp_outcome_t *outcome; /* MSP_ASK_OUTCOME; borrowed */
+	const msp_claim_outcome_t *outcome; /* MSP_ASK_OUTCOME; borrowed */
 	bool said_no; /* MSP_ASK_RELEASED: a client was told "run: no" */
 	msp_time_t age; /* since then */
 } msp_ask_reply_t;
@@ -118,30 +118,31 @@
 /* When msp_step_claims() has something to do; MSP_NEVER if nothing. */
 msp_time_t msp_claims_deadline(const msp_claims_t *claims);
 
-typedef enum msp_verdict_kind {
+typedef enum msp_claim_verdict_kind {
 	/* Dispatch it with `nonce`, then report its end. Comes first, once. */
-	MSP_VERDICT_RUN,
+	MSP_CLAIM_VERDICT_RUN,
 	/* Final: answer with the recorded outcome. */
-	MSP_VERDICT_REPLAY,
+	MSP_CLAIM_VERDICT_REPLAY,
 	/* Final: answer with the refusal. */
-	MSP_VERDICT_REFUSE,
+	MSP_CLAIM_VERDICT_REFUSE,
 	/*
 	 * Final, only to a forwarded try with an issued key: the key was
 	 * released `age` ago. Forward it again with `release_seen`.
 	 */
-	MSP_VERDICT_RELEASED
-} msp_verdict_kind_t;
+	MSP_CLAIM_VERDICT_RELEASED
+} msp_claim_verdict_kind_t;
 
 /* Pointers are borrowed during the callback. */
-typedef struct msp_verdict {
-	msp_verdict_kind_t kind;
+typedef struct msp_claim_verdict {
+	msp_claim_verdict_kind_t kind;
 	msp_nonce_t nonce; /* RUN: of the claim; RELEASED: of the release */
-	const msp_outcome_t *outcome; /* REPLAY */
+	const msp_claim_outcome_t *outcome; /* REPLAY */
 	msp_refusal_t refusal; /* REFUSE */
 	msp_time_t age; /* RELEASED */
-} msp_verdict_t;
+} msp_claim_verdict_t;
 
-typedef void msp_verdict_done_t(void *ctx, const msp_verdict_t *verdict);
+typedef void msp_claim_verdict_done_t(
+    void *ctx, const msp_claim_verdict_t *verdict);
 
 /* A commit as it arrived. Text is copied. */
 typedef struct msp_try_params {
@@ -168,7 +169,7 @@
  * then is up to the caller, see msp_unclaimed_run().
  */
 msp_try_t *msp_begin_try(msp_claims_t *claims, const msp_try_params_t *params,
-    msp_verdict_done_t *done, void *ctx);
+    msp_claim_verdict_done_t *done, void *ctx);
 
 /* The client went away: `done` is not called any more. What runs, runs on. */
 void msp_cancel_try(msp_try_t *tried);
@@ -189,8 +190,8 @@
  *	The refusal's status, time to come back and reason go to the clients.
  * doubt: it may have run, the answer is not known.
  */
-msp_status_t msp_finish_claim(
-    msp_claims_t *claims, msp_nonce_t nonce, const msp_outcome_t *outcome);
+msp_status_t msp_finish_claim(msp_claims_t *claims, msp_nonce_t nonce,
+    const msp_claim_outcome_t *outcome);
 msp_status_t msp_release_claim(
     msp_claims_t *claims, msp_nonce_t nonce, const msp_refusal_t *refusal);
 msp_status_t msp_doubt_claim(
--- a/source/coord/claim_begin.c
+++ b/source/coord/claim_begin.c
@@ -56,7 +56,7 @@
 
 static msp_try_t *
 new_try(msp_claims_t *claims, const msp_try_params_t *params,
-    msp_verdict_done_t *done, void *ctx)
+    msp_claim_verdict_done_t *done, void *ctx)
 {
 	msp_try_t *tried = calloc(1, sizeof(*tried));
 
@@ -177,7 +177,7 @@
 
 msp_try_t *
 msp_begin_try(msp_claims_t *claims, const msp_try_params_t *params,
-    msp_verdict_done_t *done, void *ctx)
+    msp_claim_verdict_done_t *done, void *ctx)
 {
 	char row_key[MSP_CLAIM_ROW_KEY_SIZE];
 	msp_issued_key_t issued;
--- a/source/coord/claim_outcome.c
+++ b/source/coord/claim_outcome.c
@@ -1,10 +1,10 @@
-#include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/claim_outcome.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 static size_t
-text_size(const msp_outcome_t *outcome)
+text_size(const msp_claim_outcome_t *outcome)
 {
 	size_t size = outcome->body_len + 1;
 	size_t i;
@@ -28,24 +28,24 @@
 	return start;
 }
 
-msp_outcome_t *
-msp_copy_outcome(const msp_outcome_t *outcome)
+msp_claim_outcome_t *
+msp_copy_claim_outcome(const msp_claim_outcome_t *outcome)
 {
-	size_t fields_size = outcome->field_count * sizeof(msp_outcome_field_t);
-	msp_outcome_t *copy =
+	size_t fields_size = outcome->field_count * sizeof(msp_claim_field_t);
+	msp_claim_outcome_t *copy =
 	    malloc(sizeof(*copy) + fields_size + text_size(outcome));
-	msp_outcome_field_t *fields;
+	msp_claim_field_t *fields;
 	char *end;
 	size_t i;
 
 	if (copy == NULL)
 		return NULL;
-	fields = (msp_outcome_field_t *)(copy + 1);
+	fields = (msp_claim_field_t *)(copy + 1);
 	end = (char *)(fields + outcome->field_count);
 	*copy = *outcome;
 	copy->fields = fields;
 	for (i = 0; i < outcome->field_count; i++) {
-		const msp_outcome_field_t *from = &outcome->fields[i];
+		const msp_claim_field_t *from = &outcome->fields[i];
 
 		fields[i].name = place(&end, from->name, strlen(from->name));
 		fields[i].value = place(&end, from->value, strlen(from->value));
--- a/source/coord/claim_row.c
+++ b/source/coord/claim_row.c
@@ -84,8 +84,8 @@
 msp_status_t
 msp_set_claim_body(msp_claim_row_t *row, const char *body, size_t len)
 {
-	msp_outcome_t whole = *row->outcome;
-	msp_outcome_t *copy;
+	msp_claim_outcome_t whole = *row->outcome;
+	msp_claim_outcome_t *copy;
 
 	if (len != row->body_len ||
 	    !msp_digest_equal(msp_digest(body, len), row->body_digest))
@@ -93,7 +93,7 @@
 		    MSP_E_CUT_ANSWER, "the recorded answer is not whole");
 	whole.body = body;
 	whole.body_len = len;
-	copy = msp_copy_outcome(&whole);
+	copy = msp_copy_claim_outcome(&whole);
 	if (copy == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for an outcome");
 	free(row->outcome);
--- a/source/coord/claim_row.h
+++ b/source/coord/claim_row.h
@@ -4,7 +4,7 @@
 #include "monsoonspindle/base/buffer.h"
 #include "monsoonspindle/base/env.h"
 #include "monsoonspindle/coord/nonces.h"
-#include "monsoonspindle/coord/outcome.h"
+#include "monsoonspindle/coord/claim_outcome.h"
 
 #define MSP_CLAIM_PREFIX "claim/"
 #define MSP_SERVICE_MAX 100 /* bytes of a service's name */
@@ -34,7 +34,8 @@
 	msp_time_t at; /* wall clock, of this write */
 	char who[MSP_OPERATOR_SIZE]; /* who ruled */
 	/* DONE: */
-	msp_outcome_t *outcome; /* owned; without its body if in an object */
+	msp_claim_outcome_t
+	    *outcome; /* owned; without its body if in an object */
 	bool in_object; /* the body is in the object named by the nonce */
 	size_t body_len;
 	msp_digest_t body_digest;
--- a/source/coord/released.h
+++ b/source/coord/released.h
@@ -17,11 +17,11 @@
 void msp_drop_released(msp_released_t *released);
 
 /*
- * Remembers `nonce`; `said_no`: a client was told "run: no" now. Without
- * memory the nonce is forgotten, which leaves its key in doubt.
+ * Remembers `nonce`, and when a client was last told "run: no" about its key
+ * (0: never). Without memory the nonce is forgotten: its key is in doubt then.
  */
-void msp_note_released(
-    msp_released_t *released, msp_nonce_t nonce, bool said_no, msp_time_t now);
+void msp_note_released(msp_released_t *released, msp_nonce_t nonce,
+    msp_time_t said_no_at, msp_time_t now);
 
 /* Whether `nonce` is remembered; if so, when a "no" was said, 0: never. */
 bool msp_find_released(
--- a/source/spindled/claim_question.c
+++ b/source/spindled/claim_question.c
@@ -51,10 +51,10 @@
 }
 
 /* The outcome in an answer, without the system's own headers. */
-static msp_outcome_t
-read_outcome(const msp_response_t *response, msp_outcome_field_t *fields)
+static msp_claim_outcome_t
+read_outcome(const msp_response_t *response, msp_claim_field_t *fields)
 {
-	msp_outcome_t outcome = {.fields = fields,
+	msp_claim_outcome_t outcome = {.fields = fields,
 	    .http_status =
 		atoi(header(&response->headers, "msp-outcome-status")),
 	    .body = msp_buffer_text(&response->body),
@@ -77,8 +77,8 @@
 {
 	question_t *question = ctx;
 	msp_ask_reply_t reply = {.status = MSP_ASK_NO_ANSWER};
-	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
-	msp_outcome_t outcome;
+	msp_claim_field_t fields[MSP_CLAIM_FIELDS_MAX];
+	msp_claim_outcome_t outcome;
 
 	if (ended->status == MSP_OK && ended->response->status == 200) {
 		const msp_headers_t *headers = &ended->response->headers;
--- a/source/spindled/commit_run.c
+++ b/source/spindled/commit_run.c
@@ -16,8 +16,8 @@
 	work_t work;
 } commit_run_t;
 
-msp_outcome_t
-view_outcome(const msp_response_t *response, msp_outcome_field_t *fields)
+msp_claim_outcome_t
+view_outcome(const msp_response_t *response, msp_claim_field_t *fields)
 {
 	size_t i;
 
@@ -25,7 +25,7 @@
 		fields[i].name = response->headers.fields[i].name;
 		fields[i].value = response->headers.fields[i].value;
 	}
-	return (msp_outcome_t){.http_status = response->status,
+	return (msp_claim_outcome_t){.http_status = response->status,
 	    .fields = fields,
 	    .field_count = response->headers.count,
 	    .body = msp_buffer_text(&response->body),
@@ -33,7 +33,7 @@
 }
 
 msp_status_t
-write_outcome(const msp_outcome_t *outcome, msp_response_t *out)
+write_outcome(const msp_claim_outcome_t *outcome, msp_response_t *out)
 {
 	msp_status_t status = MSP_OK;
 	size_t i;
@@ -57,8 +57,8 @@
 	commit_run_t *run = ctx;
 	commits_t *commits = run->commits;
 	const msp_refusal_t *refusal = &result->refusal;
-	msp_outcome_field_t fields[MSP_OUTCOME_FIELDS_MAX];
-	msp_outcome_t outcome;
+	msp_claim_field_t fields[MSP_CLAIM_FIELDS_MAX];
+	msp_claim_outcome_t outcome;
 	msp_status_t status;
 
 	if (result->answered) {
--- a/source/spindled/commits.c
+++ b/source/spindled/commits.c
@@ -109,7 +109,7 @@
 }
 
 static void
-replay(entry_t *entry, const msp_outcome_t *outcome)
+replay(entry_t *entry, const msp_claim_outcome_t *outcome)
 {
 	work_result_t result = {.answered = true};
 	msp_refusal_t refusal = {.status = MSP_E_NO_MEMORY,
@@ -127,7 +127,7 @@
 }
 
 static void
-on_verdict(void *ctx, const msp_verdict_t *verdict)
+on_verdict(void *ctx, const msp_claim_verdict_t *verdict)
 {
 	entry_t *entry = ctx;
 	commits_t *commits = entry->daemon->commits;
@@ -137,19 +137,19 @@
 	    .reason = "no memory to run the request"};
 
 	switch (verdict->kind) {
-	case MSP_VERDICT_RUN:
+	case MSP_CLAIM_VERDICT_RUN:
 		if (start_commit_run(commits, &entry->work, verdict->nonce) !=
 		    MSP_OK)
 			msp_release_claim(
 			    commits->claims, verdict->nonce, &refusal);
 		return;
-	case MSP_VERDICT_REPLAY:
+	case MSP_CLAIM_VERDICT_REPLAY:
 		entry->tried = NULL;
 		replay(entry, verdict->outcome);
 		return;
-	case MSP_VERDICT_RELEASED:
+	case MSP_CLAIM_VERDICT_RELEASED:
 		/* Only forwarded tries get it. */
-	case MSP_VERDICT_REFUSE:
+	case MSP_CLAIM_VERDICT_REFUSE:
 		entry->tried = NULL;
 		refuse_entry(entry, &verdict->refusal);
 		return;
