Step claims and ledger after each answer of the store

Cause: a commit through one VM took 3 s. The claims hand their verdict out when stepped, and the daemon stepped them at the deadline known before the answer of the store, which was the claim's timeout. Ruled out: the memory store, whose answer came at once (the claim's decision line was 3 s before the route's). Before: 3,000 ms from claim to route.

--- a/source/spindled/commits.c
+++ b/source/spindled/commits.c
@@ -34,6 +34,12 @@
 		    due > now ? due - now : 0, 0, step, commits);
 }
 
+static void
+notice_answer(void *ctx)
+{
+	arm_commits(ctx);
+}
+
 /*
  * An incarnation of this data centre is gone if it was declared dead, or its
  * VM runs again. Of others nothing is known here: their VMs are asked.
@@ -72,7 +78,6 @@
 	commits_t *commits = calloc(1, sizeof(*commits));
 	msp_claims_options_t options = {
 	    .env = daemon->env,
-	    .store = daemon->store,
 	    .hooks = {.ctx = commits,
 		.ask = ask_owner,
 		.is_gone = is_gone,
@@ -89,6 +94,9 @@
 	commits->daemon = daemon;
 	snprintf(commits->address, sizeof(commits->address), "%s:%u",
 	    settings->address, settings->peer_port);
+	commits->store =
+	    (noticed_store_t){&daemon->store, notice_answer, commits};
+	options.store = notice_store(&commits->store);
 	options.address = commits->address;
 	commits->claims = msp_new_claims(&options);
 	if (commits->claims == NULL) {
--- a/source/spindled/commits_private.h
+++ b/source/spindled/commits_private.h
@@ -5,9 +5,11 @@
 #include "daemon.h"
 #include "monsoonspindle/coord/claim_doubts.h"
 #include "monsoonspindle/coord/claims.h"
+#include "noticed_store.h"
 
 struct commits {
 	daemon_t *daemon;
+	noticed_store_t store; /* the claims are stepped after each answer */
 	msp_claims_t *claims;
 	msp_timer_t *timer;
 	char address[MSP_ADDRESS_SIZE + 8]; /* where other VMs ask this one */
--- a/source/spindled/releases.c
+++ b/source/spindled/releases.c
@@ -193,12 +193,20 @@
 	    msp_new_timer(daemon->loop, MSP_MS, 0, fail_fetch, releases);
 }
 
+static void
+notice_answer(void *ctx)
+{
+	releases_t *releases = ctx;
+
+	if (releases->ledger != NULL)
+		arm_releases(releases);
+}
+
 releases_t *
 new_releases(struct daemon *daemon)
 {
 	releases_t *releases = calloc(1, sizeof(*releases));
 	msp_ledger_options_t options = {.env = daemon->env,
-	    .store = daemon->store,
 	    .counters = daemon->counters,
 	    .on_release = on_release,
 	    .fetch_from_peer = fetch_from_peer,
@@ -208,6 +216,9 @@
 	if (releases == NULL)
 		return NULL;
 	releases->daemon = daemon;
+	releases->store =
+	    (noticed_store_t){&daemon->store, notice_answer, releases};
+	options.store = notice_store(&releases->store);
 	releases->ledger = msp_new_ledger(&options);
 	if (releases->ledger == NULL) {
 		free(releases);
--- a/source/spindled/releases_private.h
+++ b/source/spindled/releases_private.h
@@ -3,10 +3,12 @@
 
 #include "daemon.h"
 #include "monsoonspindle/coord/ledger.h"
+#include "noticed_store.h"
 #include "releases.h"
 
 struct releases {
 	daemon_t *daemon;
+	noticed_store_t store; /* the ledger is stepped after each answer */
 	msp_ledger_t *ledger;
 	msp_timer_t *timer;
 	msp_timer_t *fail_timer; /* no peer could be asked */
