--- a/source/net/answer.c
+++ b/source/net/answer.c
@@ -3,6 +3,7 @@
 
 #include "connection.h"
 #include "fields.h"
+#include "hangup.h"
 #include "socket.h"
 
 #define FIRST_WRITE (16 * 1024) /* bytes of the body sent with the head */
@@ -84,6 +85,7 @@
 		connection->close_after = true;
 	connection->state = MSP_CONNECTION_SENDING;
 	connection->head_sent = false;
+	lws_rx_flow_control(connection->wsi, 1);
 	msp_set_deadline(&connection->deadline,
 	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
 	lws_callback_on_writable(connection->wsi);
@@ -118,6 +120,18 @@
 	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
 
+/* Waits for the socket without looking at what the peer sends meanwhile. */
+static void
+wait_writable(msp_connection_t *connection)
+{
+	lws_callback_on_writable(connection->wsi);
+	if (!lws_send_pipe_choked(connection->wsi))
+		return;
+	lws_rx_flow_control(connection->wsi, 0);
+	msp_watch_writable(msp_loop_hangups(connection->server->loop),
+	    lws_get_socket_fd(connection->wsi), connection);
+}
+
 int
 msp_send_answer(msp_connection_t *connection)
 {
@@ -126,10 +140,15 @@
 	size_t len;
 	int written;
 
+	if (connection->state == MSP_CONNECTION_WAITING) {
+		/* Else the loop would spin on bytes that come meanwhile. */
+		lws_rx_flow_control(connection->wsi, 0);
+		return 0;
+	}
 	if (connection->state != MSP_CONNECTION_SENDING)
 		return connection->state == MSP_CONNECTION_CLOSING ? -1 : 0;
 	if (lws_partial_buffered(connection->wsi)) {
-		lws_callback_on_writable(connection->wsi);
+		wait_writable(connection);
 		return 0;
 	}
 	body = &connection->exchange->response.body;
@@ -159,6 +178,6 @@
 	    (!has_body(connection->exchange) ||
 		connection->body_sent == body->len))
 		return end_answer(connection);
-	lws_callback_on_writable(connection->wsi);
+	wait_writable(connection);
 	return 0;
 }
--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 
 #include "fields.h"
+#include "hangup.h"
 #include "path.h"
 #include "problem.h"
 #include "socket.h"
@@ -32,11 +33,14 @@
 		return NULL;
 	connection->server = server;
 	connection->wsi = wsi;
+	connection->opened = msp_loop_now();
 	msp_init_deadline(&connection->deadline, server->loop, on_deadline);
 	LIST_INSERT_HEAD(&server->connections, connection, link);
 	server->connection_count++;
 	lws_set_opaque_user_data(wsi, connection);
 	lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
+	msp_watch_hangup(
+	    msp_loop_hangups(server->loop), lws_get_socket_fd(wsi), connection);
 	if (server->connection_count > server->limits.max_connections)
 		msp_refuse_connection(connection, MSP_E_OVERLOAD);
 	else
@@ -68,6 +72,8 @@
 	msp_http_server_t *server = connection->server;
 
 	lws_set_opaque_user_data(connection->wsi, NULL);
+	msp_forget_hangup(
+	    msp_loop_hangups(server->loop), lws_get_socket_fd(connection->wsi));
 	msp_clear_deadline(&connection->deadline);
 	LIST_REMOVE(connection, link);
 	server->connection_count--;
@@ -79,6 +85,26 @@
 	free(connection);
 }
 
+void
+msp_end_connection(msp_connection_t *connection)
+{
+	struct lws *wsi = connection->wsi;
+
+	/* While sending, the next write tells whether the peer is gone. */
+	if (connection->state != MSP_CONNECTION_WAITING) {
+		lws_rx_flow_control(wsi, 1);
+		return;
+	}
+	msp_drop_connection(connection);
+	lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
+}
+
+void
+msp_resume_connection(msp_connection_t *connection)
+{
+	lws_rx_flow_control(connection->wsi, 1);
+}
+
 void
 msp_refuse_connection(msp_connection_t *connection, msp_status_t status)
 {
@@ -152,6 +178,8 @@
 	msp_set_deadline(&connection->deadline, MSP_NEVER);
 	lws_set_timeout(connection->wsi, NO_PENDING_TIMEOUT, 0);
 	server->handler.on_request(server->handler.ctx, connection->exchange);
+	if (connection->state == MSP_CONNECTION_WAITING)
+		lws_callback_on_writable(connection->wsi);
 	return 0;
 }
 
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -36,6 +36,7 @@
 	msp_http_server_t *server;
 	struct lws *wsi;
 	msp_connection_state_t state;
+	msp_time_t opened;
 	msp_deadline_t deadline;
 	msp_exchange_t *exchange; /* from the head until the answer is out */
 	msp_chunks_t chunks;
@@ -72,6 +73,12 @@
 msp_connection_t *msp_new_connection(
     msp_http_server_t *server, struct lws *wsi);
 
+/* The peer has closed its side: ends a request that waits for its answer. */
+void msp_end_connection(msp_connection_t *connection);
+
+/* The socket can be written once more. */
+void msp_resume_connection(msp_connection_t *connection);
+
 /* Frees it after the socket is gone; calls on_gone if a handler is waiting. */
 void msp_drop_connection(msp_connection_t *connection);
 
--- /dev/null
+++ b/source/net/hangup.c
@@ -0,0 +1,97 @@
+#include "hangup.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sys/epoll.h>
+
+#include "connection.h"
+#include "watch.h"
+
+#define BATCH 64 /* hang-ups a turn of the loop */
+
+struct msp_hangups {
+	int poll_fd;
+	msp_watch_t *watch;
+};
+
+static void
+read_hangups(void *ctx)
+{
+	msp_hangups_t *hangups = ctx;
+	struct epoll_event event;
+	int i;
+
+	/* One at a time: the end of a connection may end others. */
+	for (i = 0; i < BATCH; i++) {
+		if (epoll_wait(hangups->poll_fd, &event, 1, 0) != 1)
+			return;
+		if ((event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+			msp_end_connection(event.data.ptr);
+		else
+			msp_resume_connection(event.data.ptr);
+	}
+}
+
+msp_hangups_t *
+msp_new_hangups(msp_loop_t *loop)
+{
+	msp_hangups_t *hangups = calloc(1, sizeof(*hangups));
+
+	if (hangups == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for a loop");
+		return NULL;
+	}
+	hangups->poll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (hangups->poll_fd < 0) {
+		msp_fail(MSP_E_IO, "epoll_create1: %s", strerror(errno));
+		free(hangups);
+		return NULL;
+	}
+	hangups->watch =
+	    msp_new_watch(loop, hangups->poll_fd, read_hangups, hangups);
+	if (hangups->watch == NULL) {
+		free(hangups);
+		return NULL;
+	}
+	return hangups;
+}
+
+void
+msp_drop_hangups(msp_hangups_t *hangups)
+{
+	if (hangups == NULL)
+		return;
+	msp_drop_watch(hangups->watch);
+	free(hangups);
+}
+
+void
+msp_watch_hangup(msp_hangups_t *hangups, int fd, msp_connection_t *connection)
+{
+	struct epoll_event event = {
+	    .events = EPOLLRDHUP | EPOLLET,
+	    .data.ptr = connection,
+	};
+
+	epoll_ctl(hangups->poll_fd, EPOLL_CTL_ADD, fd, &event);
+}
+
+void
+msp_watch_writable(msp_hangups_t *hangups, int fd, msp_connection_t *connection)
+{
+	struct epoll_event event = {
+	    .events = EPOLLRDHUP | EPOLLOUT | EPOLLET,
+	    .data.ptr = connection,
+	};
+
+	epoll_ctl(hangups->poll_fd, EPOLL_CTL_MOD, fd, &event);
+}
+
+void
+msp_forget_hangup(msp_hangups_t *hangups, int fd)
+{
+	epoll_ctl(hangups->poll_fd, EPOLL_CTL_DEL, fd, NULL);
+}
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -11,6 +11,7 @@
 #include <libwebsockets.h>
 
 #include "connection.h"
+#include "hangup.h"
 #include "watch.h"
 
 #define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
@@ -23,6 +24,7 @@
 struct msp_loop {
 	struct lws_context *lws;
 	struct lws_vhost *vhost; /* of watches and server connections */
+	msp_hangups_t *hangups;
 	lws_sorted_usec_list_t wake;
 	int stopped;
 	msp_watch_t *signals;
@@ -88,7 +90,9 @@
 		return NULL;
 	}
 	loop->vhost = new_vhost(loop->lws);
-	if (loop->vhost == NULL) {
+	if (loop->vhost != NULL)
+		loop->hangups = msp_new_hangups(loop);
+	if (loop->hangups == NULL) {
 		msp_drop_loop(loop);
 		return NULL;
 	}
@@ -101,6 +105,7 @@
 	if (loop == NULL)
 		return;
 	msp_drop_watch(loop->signals);
+	msp_drop_hangups(loop->hangups);
 	lws_sul_cancel(&loop->wake);
 	lws_context_destroy(loop->lws);
 	free(loop);
@@ -152,6 +157,12 @@
 	return loop->vhost;
 }
 
+msp_hangups_t *
+msp_loop_hangups(msp_loop_t *loop)
+{
+	return loop->hangups;
+}
+
 static void
 read_signal(void *ctx)
 {
--- /dev/null
+++ b/standins/shared/reply.c
@@ -0,0 +1,94 @@
+#include "reply.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+reply_json(msp_exchange_t *exchange, int status, json_object *document)
+{
+	msp_response_t response = {.status = status};
+
+	msp_add_header(&response.headers, "content-type",
+	    status < 400 ? "application/json" : "application/problem+json");
+	if (status == 503)
+		msp_add_header(&response.headers, "retry-after", "1");
+	msp_print_buffer(&response.body, "%s\n",
+	    json_object_to_json_string_ext(document,
+		JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+	json_object_put(document);
+	msp_answer_exchange(exchange, &response);
+}
+
+void
+reply_problem(msp_exchange_t *exchange, msp_status_t status)
+{
+	const msp_answer_t *answer = msp_status_answer(status);
+	json_object *document = json_object_new_object();
+
+	json_object_object_add(
+	    document, "type", json_object_new_string("about:blank"));
+	json_object_object_add(
+	    document, "title", json_object_new_string(answer->title));
+	json_object_object_add(
+	    document, "status", json_object_new_int(answer->http_status));
+	json_object_object_add(
+	    document, "kind", json_object_new_string(answer->kind));
+	reply_json(exchange, answer->http_status, document);
+}
+
+json_object *
+parse_body(const msp_exchange_t *exchange)
+{
+	const msp_buffer_t *body = &msp_exchange_request(exchange)->body;
+	json_object *object = json_tokener_parse(msp_buffer_text(body));
+
+	if (object != NULL && !json_object_is_type(object, json_type_object)) {
+		json_object_put(object);
+		return NULL;
+	}
+	return object;
+}
+
+long long
+member_number(json_object *object, const char *name, long long otherwise)
+{
+	json_object *value;
+
+	if (!json_object_object_get_ex(object, name, &value) ||
+	    !json_object_is_type(value, json_type_int))
+		return otherwise;
+	return json_object_get_int64(value);
+}
+
+const char *
+member_text(json_object *object, const char *name, const char *otherwise)
+{
+	json_object *value;
+
+	if (!json_object_object_get_ex(object, name, &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return otherwise;
+	return json_object_get_string(value);
+}
+
+long long
+query_number(const char *path, const char *name, long long otherwise)
+{
+	const char *at = strchr(path, '?');
+	size_t len = strlen(name);
+
+	while (at != NULL) {
+		at++;
+		if (strncmp(at, name, len) == 0 && at[len] == '=')
+			return strtoll(at + len + 1, NULL, 10);
+		at = strchr(at, '&');
+	}
+	return otherwise;
+}
+
+void
+print_failure(const char *program)
+{
+	fprintf(stderr, "%s: %s\n", program, msp_last_message());
+}
