--- /dev/null
+++ b/standins/shared/lookup.c
@@ -0,0 +1,161 @@
+#include "lookup.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "reply.h"
+
+#define TIMEOUT_MS 1000
+#define RETRY_MS 200 /* after a look-up that failed */
+#define TTL_MS 1000 /* of an answer that names none */
+
+struct lookup {
+	msp_loop_t *loop;
+	msp_http_client_t *client;
+	entry_t locator;
+	char path[256];
+	entry_t entries[ENTRIES_MAX];
+	unsigned int count;
+	unsigned int tries; /* since the last answer */
+	msp_call_t *call;
+	msp_timer_t *timer;
+	void (*changed)(void *ctx);
+	void *ctx;
+};
+
+static void
+take_entries(lookup_t *lookup, json_object *entries)
+{
+	size_t i;
+	size_t len = json_object_array_length(entries);
+	entry_t *entry;
+	json_object *item;
+
+	/* An empty answer leaves the entries known so far. */
+	if (len > 0)
+		lookup->count = 0;
+	for (i = 0; i < len && lookup->count < ENTRIES_MAX; i++) {
+		item = json_object_array_get_idx(entries, i);
+		entry = &lookup->entries[lookup->count];
+		snprintf(entry->address, sizeof(entry->address), "%s",
+		    member_text(item, "address", ""));
+		entry->port = (uint16_t)member_number(item, "port", 0);
+		if (entry->port != 0)
+			lookup->count++;
+	}
+}
+
+static void
+on_timer(void *ctx)
+{
+	lookup_t *lookup = ctx;
+
+	msp_drop_timer(lookup->timer);
+	lookup->timer = NULL;
+	refresh_lookup(lookup);
+}
+
+static void
+on_answer(void *ctx, msp_call_result_t *result)
+{
+	lookup_t *lookup = ctx;
+	json_object *answer = NULL;
+	json_object *entries;
+	long long delay_ms = RETRY_MS;
+	bool found;
+
+	lookup->call = NULL;
+	if (result->status == MSP_OK && result->response->status == 200)
+		answer = json_tokener_parse(
+		    msp_buffer_text(&result->response->body));
+	found = answer != NULL &&
+	    json_object_object_get_ex(answer, "entries", &entries) &&
+	    json_object_is_type(entries, json_type_array);
+	if (found) {
+		lookup->tries = 0;
+		take_entries(lookup, entries);
+		delay_ms = member_number(answer, "ttl_ms", TTL_MS);
+	}
+	json_object_put(answer);
+	lookup->timer = msp_new_timer(lookup->loop,
+	    (msp_time_t)(delay_ms < 1 ? 1 : delay_ms) * MSP_MS, 0, on_timer,
+	    lookup);
+	if (found)
+		lookup->changed(lookup->ctx);
+}
+
+void
+refresh_lookup(lookup_t *lookup)
+{
+	msp_request_t request = {.method = "GET"};
+	const entry_t *entry = &lookup->locator;
+	msp_call_options_t options = {.timeout_ms = TIMEOUT_MS};
+
+	if (lookup->client == NULL || lookup->call != NULL)
+		return;
+	msp_drop_timer(lookup->timer);
+	lookup->timer = NULL;
+	/* Every other try asks one of the entries known so far. */
+	if (lookup->tries % 2 == 1 && lookup->count > 0)
+		entry = lookup_entry(lookup, lookup->tries / 2);
+	lookup->tries++;
+	options.address = entry->address;
+	options.port = entry->port;
+	snprintf(request.path, sizeof(request.path), "%s", lookup->path);
+	lookup->call = msp_start_call(
+	    lookup->client, &options, &request, on_answer, lookup);
+}
+
+lookup_t *
+new_fixed_lookup(const char *address, uint16_t port)
+{
+	lookup_t *lookup = calloc(1, sizeof(*lookup));
+
+	if (lookup == NULL)
+		abort();
+	snprintf(lookup->locator.address, sizeof(lookup->locator.address), "%s",
+	    address);
+	lookup->locator.port = port;
+	lookup->entries[0] = lookup->locator;
+	lookup->count = 1;
+	return lookup;
+}
+
+lookup_t *
+new_lookup(msp_loop_t *loop, msp_http_client_t *client, const char *address,
+    uint16_t port, const char *service, void (*changed)(void *ctx), void *ctx)
+{
+	lookup_t *lookup = new_fixed_lookup(address, port);
+
+	lookup->count = 0;
+	lookup->loop = loop;
+	lookup->client = client;
+	lookup->changed = changed;
+	lookup->ctx = ctx;
+	snprintf(lookup->path, sizeof(lookup->path), "/v1/entries?service=%s",
+	    service);
+	refresh_lookup(lookup);
+	return lookup;
+}
+
+void
+drop_lookup(lookup_t *lookup)
+{
+	if (lookup == NULL)
+		return;
+	if (lookup->call != NULL)
+		msp_cancel_call(lookup->call);
+	msp_drop_timer(lookup->timer);
+	free(lookup);
+}
+
+const entry_t *
+lookup_entry(const lookup_t *lookup, unsigned int n)
+{
+	if (lookup->count == 0)
+		return NULL;
+	return &lookup->entries[n % lookup->count];
+}
