Prove the promises of dispatch and credits over 1,000 seeds each

Causes: the mean service time started at the first, short, answers; newcomers were let in without a margin; background work starved without notice. Now the mean starts at the expected value and remembers 128 answers, a newcomer needs a quarter of margin, and the gap between background starts bounds their wait.

--- a/include/monsoonspindle/steer/job.h
+++ b/include/monsoonspindle/steer/job.h
@@ -60,7 +60,6 @@
 	bool sent; /* an attempt may have reached a target */
 	bool wants_fresh; /* the next attempt needs a fresh connection */
 	uint32_t hops; /* attempts that ended in a refused connection */
-	msp_time_t queued_at;
 	const struct msp_target *avoid; /* where it failed last */
 	msp_job_attempt_t attempts[MSP_JOB_ATTEMPTS];
 } msp_job_t;
--- a/include/monsoonspindle/steer/policy.h
+++ b/include/monsoonspindle/steer/policy.h
@@ -23,7 +23,11 @@
 	uint32_t retry_budget_percent;
 	bool hedge; /* a slow read may run on a second target */
 	msp_time_t default_deadline; /* for requests that name none */
-	msp_time_t max_wait; /* longest time in the queue; 0: the deadline */
+	/*
+	 * Longest wait that a new request is let in for, background ones left
+	 * out; 0: as its deadline allows.
+	 */
+	msp_time_t max_wait;
 	msp_time_t expected_service; /* assumed until answers were seen */
 	uint32_t queue_bound; /* requests waiting */
 } msp_dispatch_policy_t;
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -4,6 +4,7 @@
 #include "dispatcher_private.h"
 
 #define DEFAULT_PAUSE_BOUND (2 * MSP_SECOND)
+#define DEFAULT_SERVICE_TIME (50 * MSP_MS)
 #define RETRY_BURST 20
 #define RAMP_SHARE 2 /* a new dispatcher starts at half of the slots */
 #define OLD_REPORT (5 * MSP_SECOND)
@@ -22,6 +23,9 @@
 	d->env = *env;
 	d->callbacks = *callbacks;
 	d->policy = options->policy;
+	if (d->policy.expected_service == 0)
+		d->policy.expected_service = DEFAULT_SERVICE_TIME;
+	d->service_time = d->policy.expected_service;
 	d->pause_bound = options->pause_bound != 0 ? options->pause_bound
 						   : DEFAULT_PAUSE_BOUND;
 	TAILQ_INIT(&d->targets);
@@ -39,7 +43,6 @@
 		d->owns_quarantine = true;
 	}
 	d->last_seen = msp_now(env);
-	d->window_start = d->last_seen;
 	if (d->service == NULL || d->place == NULL || d->quarantine == NULL) {
 		msp_drop_dispatcher(d);
 		return NULL;
--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -43,12 +43,10 @@
 	msp_histogram_t latency; /* of recent whole answers */
 	msp_time_t slow_latency; /* its 95th percentile; 0: not known yet */
 	msp_time_t tail_latency; /* its 99th percentile; 0: not known yet */
-	msp_time_t service_time; /* moving mean; 0: none yet */
-	/* Background starts in the last window while some were waiting. */
-	uint32_t background_starts;
-	uint32_t background_rate; /* a window */
-	bool background_measured;
-	msp_time_t window_start;
+	msp_time_t service_time; /* moving mean */
+	/* Between two starts of background work while some is waiting. */
+	msp_time_t background_gap; /* moving mean */
+	msp_time_t background_since; /* the last start or first wait */
 	msp_time_t last_seen; /* when the dispatcher was last called */
 	bool paused;
 	bool retired;
@@ -65,6 +63,9 @@
 /* Whether the wait behind `ahead` jobs is too long for this one. */
 bool msp_job_hopeless(
     const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead);
+/* The same for a new one, with a margin for errors of the estimate. */
+bool msp_job_unwelcome(
+    const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead);
 /* Refuses a job that is in no list, with the time to come back. */
 void msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
 
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -1,7 +1,5 @@
 #include "dispatcher_private.h"
 
-#define RATE_WINDOW MSP_SECOND
-
 uint32_t
 msp_total_limit(const msp_dispatcher_t *d)
 {
@@ -35,8 +33,7 @@
 msp_time_t
 msp_mean_service(const msp_dispatcher_t *d)
 {
-	return d->service_time != 0 ? d->service_time
-				    : d->policy.expected_service;
+	return d->service_time;
 }
 
 uint32_t
@@ -69,6 +66,16 @@
 	return first > now ? first - now : 0;
 }
 
+/* Expected time between two starts of background work. */
+static msp_time_t
+background_gap(const msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t starved = now - d->background_since;
+
+	return starved > d->background_gap ? starved : d->background_gap;
+}
+
 msp_time_t
 msp_wait_behind(const msp_dispatcher_t *d, msp_class_t class, uint32_t ahead)
 {
@@ -77,6 +84,7 @@
 	msp_time_t opens = 0;
 	msp_time_t wait;
 	msp_time_t measured;
+	uint32_t others;
 
 	if (capacity == 0) {
 		opens = time_to_open(d);
@@ -93,10 +101,11 @@
 		return 0;
 	wait = opens +
 	    (msp_time_t)(ahead - spare + 1) * msp_mean_service(d) / capacity;
-	if (class != MSP_CLASS_BACKGROUND || !d->background_measured)
+	if (class != MSP_CLASS_BACKGROUND ||
+	    d->queued[MSP_CLASS_BACKGROUND] == 0)
 		return wait;
-	measured = (msp_time_t)(d->queued[MSP_CLASS_BACKGROUND] + 1) *
-	    RATE_WINDOW / (d->background_rate + 1);
+	others = msp_jobs_ahead(d, MSP_CLASS_COMMIT);
+	measured = background_gap(d) * (ahead - others + 1);
 	return measured > wait ? measured : wait;
 }
 
@@ -114,12 +123,8 @@
 	msp_time_t allowed = job->deadline > end ? job->deadline - end : 0;
 	msp_time_t bound = d->policy.max_wait;
 
-	if (bound == 0 || job->class == MSP_CLASS_BACKGROUND)
+	if (bound == 0 || job->class == MSP_CLASS_BACKGROUND ||
+	    job->state == JOB_QUEUED)
 		return allowed;
-	if (job->state == JOB_QUEUED) {
-		msp_time_t spent = now - job->queued_at;
-
-		bound = bound > spent ? bound - spent : 0;
-	}
 	return allowed < bound ? allowed : bound;
 }
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -2,7 +2,7 @@
 
 #define LATENCY_MEMORY 2000 /* answers until older ones weigh half */
 #define QUANTILE_STEP 50 /* answers between two looks at the latency */
-#define SERVICE_WEIGHT 32 /* answers that the moving mean remembers */
+#define SERVICE_WEIGHT 128 /* answers that the moving mean remembers */
 #define SILENT_LIMIT 2 /* silent connections until the kept ones are closed */
 #define FRESH_SPAN (10 * MSP_SECOND)
 #define CRASH_WINDOW (2 * MSP_SECOND) /* from a cut to a refused connection */
@@ -29,12 +29,8 @@
 	}
 	if (d->latency.count >= LATENCY_MEMORY)
 		msp_decay_histogram(&d->latency);
-	if (d->service_time == 0)
-		d->service_time = latency;
-	else
-		d->service_time =
-		    (d->service_time * (SERVICE_WEIGHT - 1) + latency) /
-		    SERVICE_WEIGHT;
+	d->service_time =
+	    (d->service_time * (SERVICE_WEIGHT - 1) + latency) / SERVICE_WEIGHT;
 	if (!fresh || target->silent < SILENT_LIMIT)
 		return;
 	target->silent = 0;
--- a/source/steer/queue.c
+++ b/source/steer/queue.c
@@ -2,12 +2,16 @@
 
 #define SHORTEST_RETRY_AFTER (50 * MSP_MS)
 #define RETRY_WITHOUT_TARGET MSP_SECOND
+#define GAP_WEIGHT 8 /* starts that the mean gap remembers */
+#define MARGIN_PART 4 /* of the estimate, for new jobs */
 
 void
 msp_queue_job(msp_dispatcher_t *d, msp_job_t *job, bool at_head)
 {
+	if (job->class == MSP_CLASS_BACKGROUND &&
+	    d->queued[MSP_CLASS_BACKGROUND] == 0)
+		d->background_since = msp_now(&d->env);
 	job->state = JOB_QUEUED;
-	job->queued_at = msp_now(&d->env);
 	d->queued[job->class]++;
 	if (at_head)
 		TAILQ_INSERT_HEAD(&d->queue[job->class], job, link);
@@ -49,6 +53,19 @@
 	return wait > 0 && wait > msp_allowed_wait(d, job);
 }
 
+bool
+msp_job_unwelcome(
+    const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead)
+{
+	msp_time_t wait;
+
+	if (msp_now(&d->env) >= job->deadline)
+		return true;
+	wait = msp_wait_behind(d, job->class, ahead);
+	return wait == MSP_NEVER ||
+	    (wait > 0 && wait + wait / MARGIN_PART > msp_allowed_wait(d, job));
+}
+
 void
 msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead)
 {
@@ -124,6 +141,17 @@
 	return true;
 }
 
+static void
+note_background_start(msp_dispatcher_t *d)
+{
+	msp_time_t now = msp_now(&d->env);
+	msp_time_t gap = now - d->background_since;
+
+	d->background_gap =
+	    (d->background_gap * (GAP_WEIGHT - 1) + gap) / GAP_WEIGHT;
+	d->background_since = now;
+}
+
 /*
  * Starts or refuses one job of a class; false if none can go now. A suspect
  * request may have to wait while those behind it can go.
@@ -142,7 +170,7 @@
 			continue;
 		msp_unqueue_job(d, job);
 		if (class == MSP_CLASS_BACKGROUND)
-			d->background_starts++;
+			note_background_start(d);
 		msp_start_attempt(d, job, target);
 		return true;
 	}
@@ -215,7 +243,7 @@
 		    "the queue is full");
 		return;
 	}
-	if (msp_job_hopeless(d, job, msp_jobs_ahead(d, job->class))) {
+	if (msp_job_unwelcome(d, job, msp_jobs_ahead(d, job->class))) {
 		msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class));
 		return;
 	}
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -3,7 +3,6 @@
 #define SILENT_FACTOR 4 /* of the 99th percentile */
 #define SHORTEST_SILENCE (250 * MSP_MS)
 #define LONGEST_SILENCE (5 * MSP_SECOND)
-#define RATE_WINDOW MSP_SECOND
 
 msp_time_t
 msp_silent_bound(const msp_dispatcher_t *d)
@@ -141,24 +140,12 @@
 	}
 }
 
-static void
-roll_window(msp_dispatcher_t *d, msp_time_t now)
-{
-	if (now < d->window_start + RATE_WINDOW)
-		return;
-	d->background_measured = d->queued[MSP_CLASS_BACKGROUND] > 0;
-	d->background_rate = d->background_starts;
-	d->background_starts = 0;
-	d->window_start = now;
-}
-
 void
 msp_tick_dispatcher(msp_dispatcher_t *d)
 {
 	msp_time_t now = msp_see_clock(d);
 	msp_target_t *target;
 
-	roll_window(d, now);
 	TAILQ_FOREACH(target, &d->targets, link)
 		msp_release_holds(target, now);
 	check_running(d, now);
--- /dev/null
+++ b/tests/coord/test_credits.c
@@ -0,0 +1,284 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/coord.h"
+
+#define SEEDS 1000
+#define RECEIVERS 3
+#define STEP (5 * MSP_MS)
+#define STEPS 2400 /* 12 s */
+#define LOG 8192
+#define IN_FLIGHT 64
+
+/* What passes on one link, in each window of one second. */
+typedef struct link_log {
+	msp_time_t at[LOG];
+	uint64_t bytes[LOG];
+	uint32_t requests[LOG];
+	uint32_t first, next;
+	uint64_t byte_sum, request_sum;
+	uint64_t most_bytes, most_requests, all_requests;
+} link_log_t;
+
+typedef struct pending {
+	msp_shift_t shift;
+	msp_time_t ends; /* 0: free */
+	msp_time_t sends; /* 0: not settled */
+	uint64_t bytes;
+} pending_t;
+
+typedef struct receiver {
+	msp_granter_t *granter;
+	pending_t pending[IN_FLIGHT];
+	msp_time_t hears_at; /* of the change of shares */
+} receiver_t;
+
+static void
+log_link(link_log_t *link, msp_time_t now, uint64_t bytes, uint32_t requests)
+{
+	while (link->first < link->next &&
+	    link->at[link->first % LOG] + MSP_SECOND <= now) {
+		link->byte_sum -= link->bytes[link->first % LOG];
+		link->request_sum -= link->requests[link->first % LOG];
+		link->first++;
+	}
+	link->at[link->next % LOG] = now;
+	link->bytes[link->next % LOG] = bytes;
+	link->requests[link->next % LOG] = requests;
+	link->next++;
+	link->byte_sum += bytes;
+	link->request_sum += requests;
+	link->all_requests += requests;
+	if (link->byte_sum > link->most_bytes)
+		link->most_bytes = link->byte_sum;
+	if (link->request_sum > link->most_requests)
+		link->most_requests = link->request_sum;
+}
+
+static void
+set_share(receiver_t *receiver, const msp_credit_rate_t *cap,
+    const uint32_t *weights, size_t index)
+{
+	msp_credit_rate_t share = {
+	    .requests = (uint32_t)msp_split_cap(
+		cap->requests, weights, RECEIVERS, index),
+	    .bytes = msp_split_cap(cap->bytes, weights, RECEIVERS, index),
+	};
+
+	assert_int_equal(
+	    msp_set_granter_share(receiver->granter, "a", &share), MSP_OK);
+}
+
+/* Answers sent now or later, as the granter says. */
+static void
+move_answers(receiver_t *receiver, link_log_t *link, msp_time_t now)
+{
+	int i;
+
+	for (i = 0; i < IN_FLIGHT; i++) {
+		pending_t *pending = &receiver->pending[i];
+
+		if (pending->ends == 0 || pending->ends > now)
+			continue;
+		if (pending->sends == 0)
+			pending->sends = now +
+			    msp_settle_shift(receiver->granter, &pending->shift,
+				pending->bytes);
+		if (pending->sends > now)
+			continue;
+		log_link(link, now, pending->bytes, 0);
+		*pending = (pending_t){0};
+	}
+}
+
+static void
+ask(receiver_t *receiver, link_log_t *link, msp_rng_t *rng, msp_time_t now)
+{
+	uint64_t largest = msp_next_random(rng) % 20 == 0 ? 60000 : 4000;
+	int i;
+
+	for (i = 0; i < IN_FLIGHT; i++) {
+		pending_t *pending = &receiver->pending[i];
+
+		if (pending->ends != 0)
+			continue;
+		if (msp_admit_shift(
+			receiver->granter, "a", 500, &pending->shift) != MSP_OK)
+			return;
+		log_link(link, now, 500, 1);
+		pending->bytes = msp_next_random(rng) % largest;
+		pending->ends = now + msp_next_random(rng) % 80000 + 1;
+		return;
+	}
+}
+
+static void
+new_receiver(receiver_t *receiver, const msp_env_t *env)
+{
+	msp_granter_options_t options = {.spread = MSP_SECOND};
+
+	msp_drop_granter(receiver->granter);
+	receiver->granter = msp_new_granter(env, &options);
+	memset(receiver->pending, 0, sizeof(receiver->pending));
+}
+
+/*
+ * Three receivers of one region share a cap. Greedy senders, answers of
+ * surprising sizes, weights that change in the middle and are heard of at
+ * different times, and a receiver that is replaced.
+ */
+static void
+shift_stays_under_its_cap(void **state)
+{
+	static link_log_t link;
+	static receiver_t receivers[RECEIVERS];
+	const msp_credit_rate_t cap = {.requests = 120, .bytes = 900000};
+	const uint32_t weights[2][RECEIVERS] = {{5, 3, 2}, {1, 2, 7}};
+	uint64_t seed, passed = 0, most_requests = 0, most_bytes = 0;
+	int i, step;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		msp_virtual_env_t venv = {
+		    .now = MSP_MINUTE, .rng = {.state = seed}};
+		msp_rng_t rng = {.state = seed * 31};
+		msp_env_t env = msp_virtual_env(&venv);
+		int replaced = (int)(seed % RECEIVERS);
+
+		memset(&link, 0, sizeof(link));
+		memset(receivers, 0, sizeof(receivers));
+		for (i = 0; i < RECEIVERS; i++) {
+			new_receiver(&receivers[i], &env);
+			set_share(&receivers[i], &cap, weights[0], (size_t)i);
+			receivers[i].hears_at = venv.now + 6 * MSP_SECOND +
+			    msp_next_random(&rng) % MSP_SECOND;
+		}
+		for (step = 0; step < STEPS; step++) {
+			venv.now += STEP + msp_next_random(&rng) % 100;
+			i = (int)(msp_next_random(&rng) % RECEIVERS);
+			if (step == 1000 + (int)seed % 300) {
+				int late =
+				    receivers[replaced].hears_at <= venv.now;
+
+				new_receiver(&receivers[replaced], &env);
+				set_share(&receivers[replaced], &cap,
+				    weights[late], (size_t)replaced);
+			}
+			for (i = 0; i < RECEIVERS; i++) {
+				receiver_t *receiver = &receivers[i];
+				msp_spare_t spare = {
+				    .capacity = 40,
+				    .service_time = 40 * MSP_MS,
+				};
+
+				if (receiver->hears_at <= venv.now)
+					set_share(receiver, &cap, weights[1],
+					    (size_t)i);
+				if (step % 50 == i)
+					msp_set_granter_spare(
+					    receiver->granter, &spare);
+				move_answers(receiver, &link, venv.now);
+				ask(receiver, &link, &rng, venv.now);
+			}
+		}
+		passed += link.all_requests;
+		if (link.most_requests > most_requests)
+			most_requests = link.most_requests;
+		if (link.most_bytes > most_bytes)
+			most_bytes = link.most_bytes;
+		for (i = 0; i < RECEIVERS; i++) {
+			msp_drop_granter(receivers[i].granter);
+			receivers[i].granter = NULL;
+		}
+	}
+	print_message("%llu requests; most in a second: %llu requests of %u, "
+		      "%llu bytes of %llu\n",
+	    (unsigned long long)passed, (unsigned long long)most_requests,
+	    cap.requests, (unsigned long long)most_bytes,
+	    (unsigned long long)cap.bytes);
+	assert_true(passed > 200 * SEEDS);
+	assert_true(most_requests <= cap.requests);
+	assert_true(most_bytes <= cap.bytes);
+}
+
+typedef struct split_case {
+	uint64_t cap;
+	uint32_t weights[3];
+	uint64_t shares[3];
+} split_case_t;
+
+static void
+shares_add_up_to_the_cap_at_most(void **state)
+{
+	static const split_case_t cases[] = {
+	    {10, {1, 1, 1}, {3, 3, 3}},
+	    {500000000, {9, 9, 18}, {125000000, 125000000, 250000000}},
+	    {1, {1, 1, 1}, {0, 0, 0}},
+	    {7, {0, 0, 0}, {0, 0, 0}},
+	    {UINT64_MAX, {1, 0, 0}, {UINT64_MAX, 0, 0}},
+	};
+	size_t i, j;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		for (j = 0; j < 3; j++)
+			assert_int_equal(
+			    msp_split_cap(cases[i].cap, cases[i].weights, 3, j),
+			    cases[i].shares[j]);
+	}
+}
+
+static void
+credit_lapses_by_itself(void **state)
+{
+	msp_virtual_env_t venv = {.now = MSP_MINUTE};
+	msp_env_t env = msp_virtual_env(&venv);
+	msp_granter_options_t options = {0};
+	msp_granter_t *granter = msp_new_granter(&env, &options);
+	msp_wallet_t *wallet = msp_new_wallet(&env);
+	msp_credit_rate_t share = {.requests = 100, .bytes = 1000000};
+	msp_spare_t spare = {.capacity = 10, .service_time = 50 * MSP_MS};
+	msp_credit_offer_t offer;
+	msp_shift_t shift;
+
+	(void)state;
+	msp_set_granter_share(granter, "a", &share);
+	msp_set_granter_spare(granter, &spare);
+	msp_get_offer(granter, "a", &offer);
+	assert_int_equal(offer.valid_for, 0); /* a new granter waits */
+	venv.now += 3100 * MSP_MS;
+	msp_set_granter_spare(granter, &spare);
+	venv.now += 500 * MSP_MS;
+	msp_get_offer(granter, "a", &offer);
+	assert_true(offer.rate.requests > 0);
+	msp_take_offer(wallet, "p", &offer, 1, 100 * MSP_MS);
+	venv.now += 500 * MSP_MS;
+	assert_int_equal(msp_spend_credit(wallet, "p"), MSP_OK);
+	assert_int_equal(msp_admit_shift(granter, "a", 1, &shift), MSP_OK);
+	msp_settle_shift(granter, &shift, 1);
+	assert_int_equal(
+	    msp_admit_shift(granter, "b", 1, &shift), MSP_E_NO_CREDIT);
+	venv.now += 3 * MSP_SECOND;
+	assert_int_equal(msp_spend_credit(wallet, "p"), MSP_E_NO_CREDIT);
+	assert_int_equal(
+	    msp_admit_shift(granter, "a", 1, &shift), MSP_E_NO_CREDIT);
+	msp_drop_wallet(wallet);
+	msp_drop_granter(granter);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(shift_stays_under_its_cap),
+	    cmocka_unit_test(shares_add_up_to_the_cap_at_most),
+	    cmocka_unit_test(credit_lapses_by_itself),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/steer/test_dispatcher_promises.c
@@ -0,0 +1,231 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "world.h"
+
+#define SEEDS 1000
+#define START (100 * MSP_SECOND)
+
+static world_config_t
+one_place(uint64_t seed, double load, msp_time_t duration)
+{
+	return (world_config_t){
+	    .seed = seed,
+	    .regions = 1,
+	    .centres = 1,
+	    .targets = 3,
+	    .slots = 3,
+	    .load = load,
+	    .policy = msp_default_policy(MSP_PREFER_LATENCY),
+	    .duration = duration,
+	};
+}
+
+static void
+leave_unheard(world_t *world, void *arg)
+{
+	fake_target_t *target = arg;
+
+	(void)world;
+	target->left_at = world->venv.now;
+}
+
+static void
+hear_by_report(world_t *world, void *arg)
+{
+	fake_target_t *target = arg;
+
+	target->left_at = world->venv.now - 3 * MSP_SECOND;
+	msp_report_target(world->places[0].dispatcher, target->name, 3, 1,
+	    MSP_TARGET_LEAVING, 0);
+}
+
+static void
+hear_by_list(world_t *world, void *arg)
+{
+	fake_target_t *target = arg;
+
+	target->left_at = world->venv.now - 3 * MSP_SECOND;
+	target->leaving = true;
+	list_targets(&world->places[0]);
+}
+
+static void
+list_again(world_t *world, void *arg)
+{
+	(void)arg;
+	list_targets(&world->places[0]);
+}
+
+/* From the moment that a dispatcher hears of it, and so after 3 s at most. */
+static void
+leaving_target_gets_no_new_work(void **state)
+{
+	uint64_t seed, late = 0;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		world_config_t config = one_place(seed, 0.8, MSP_SECOND);
+		world_t *world = new_world(&config);
+		fake_target_t *target = &world->targets[seed % 3];
+		msp_time_t at = START + (seed % 7) * 50 * MSP_MS;
+
+		world_at(world, at, leave_unheard, target);
+		world_at(world, at + 200 * MSP_MS,
+		    seed % 2 ? hear_by_report : hear_by_list, target);
+		/* A list that does not know yet must not undo the report. */
+		world_at(world, at + 300 * MSP_MS, list_again, NULL);
+		run_world(world);
+		late += target->late_starts;
+		drop_world(world);
+	}
+	assert_int_equal(late, 0);
+}
+
+static world_t *
+run_with_faults(uint64_t seed)
+{
+	world_config_t config = one_place(seed, 0.9, 1500 * MSP_MS);
+	world_t *world = new_world(&config);
+	int a = (int)(seed % (uint64_t)world_fault_count);
+	int b = (int)(seed / 7 % (uint64_t)world_fault_count);
+
+	put_fault(world, &world_faults[a], START + 300 * MSP_MS, 400 * MSP_MS);
+	if (a != b)
+		put_fault(world, &world_faults[b], START + 500 * MSP_MS,
+		    400 * MSP_MS);
+	run_world(world);
+	return world;
+}
+
+static void
+commit_reaches_a_target_at_most_once(void **state)
+{
+	uint64_t seed, doubled = 0, commits = 0;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		world_t *world = run_with_faults(seed);
+
+		doubled += world->results.doubled;
+		commits += world->results.asked[MSP_CLASS_COMMIT];
+		drop_world(world);
+	}
+	print_message("%llu commits\n", (unsigned long long)commits);
+	assert_int_equal(doubled, 0);
+}
+
+static void
+not_run_is_true(void **state)
+{
+	uint64_t seed, wrong = 0, refused = 0;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		world_t *world = run_with_faults(seed);
+		const world_results_t *r = &world->results;
+
+		wrong += r->false_no;
+		refused += r->refused[0] + r->refused[1] + r->refused[2];
+		drop_world(world);
+	}
+	print_message("%llu refusals\n", (unsigned long long)refused);
+	assert_int_equal(wrong, 0);
+}
+
+/*
+ * While no target fails, a request is refused when it comes or never; after a
+ * loss of targets, as soon as that is known.
+ */
+static void
+refusal_comes_at_once(void **state)
+{
+	uint64_t seed, refused = 0, without_time = 0;
+	msp_time_t latest[MSP_CLASS_COUNT] = {0};
+	int i;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		world_config_t config = one_place(seed, 3, 1500 * MSP_MS);
+		world_t *world;
+
+		config.policy.max_wait = seed % 2 ? 300 * MSP_MS : 0;
+		world = new_world(&config);
+		run_world(world);
+		for (i = 0; i < MSP_CLASS_COUNT; i++) {
+			msp_time_t age = world->results.latest_refusal[i];
+
+			if (age > latest[i])
+				latest[i] = age;
+		}
+		without_time += world->results.no_return_time;
+		refused += world->results.refused[0];
+		drop_world(world);
+	}
+	print_message("%llu refusals, the latest after %llu, %llu, %llu us\n",
+	    (unsigned long long)refused, (unsigned long long)latest[0],
+	    (unsigned long long)latest[1], (unsigned long long)latest[2]);
+	assert_int_equal(without_time, 0);
+	assert_true(refused > 0);
+	assert_true(latest[MSP_CLASS_INTERACTIVE] <= 20 * MSP_MS);
+	assert_true(latest[MSP_CLASS_COMMIT] <= 20 * MSP_MS);
+	/* Of 30 s: background work may hope that the others leave room. */
+	assert_true(latest[MSP_CLASS_BACKGROUND] <= 15 * MSP_SECOND);
+}
+
+static void
+no_region_is_overloaded_by_shifts(void **state)
+{
+	uint64_t seed, refused = 0, shifted = 0;
+	msp_time_t wait = 0;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		world_config_t config = {
+		    .seed = seed,
+		    .regions = 2,
+		    .centres = 1,
+		    .targets = 6,
+		    .slots = 3,
+		    .load = 0.9,
+		    .skew = 0.75,
+		    .shifts = true,
+		    .cap = {.requests = 1000, .bytes = 100000000},
+		    .policy = msp_default_policy(MSP_PREFER_LATENCY),
+		    .service_mean = 100 * MSP_MS,
+		    .duration = 6 * MSP_SECOND,
+		};
+		world_t *world = new_world(&config);
+
+		run_world(world);
+		refused += world->results.foreign_refusals;
+		shifted += world->results.shifted;
+		if (world->results.foreign_wait > wait)
+			wait = world->results.foreign_wait;
+		drop_world(world);
+	}
+	print_message("%llu shifted; clients of the receiver waited at most "
+		      "%llu ms\n",
+	    (unsigned long long)shifted, (unsigned long long)(wait / MSP_MS));
+	assert_true(shifted > SEEDS);
+	assert_int_equal(refused, 0);
+	assert_true(wait <= 300 * MSP_MS);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(leaving_target_gets_no_new_work),
+	    cmocka_unit_test(commit_reaches_a_target_at_most_once),
+	    cmocka_unit_test(not_run_is_true),
+	    cmocka_unit_test(refusal_comes_at_once),
+	    cmocka_unit_test(no_region_is_overloaded_by_shifts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/world_fault.c
+++ b/tests/support/world_fault.c
@@ -302,7 +302,8 @@
 static void
 halve_cap(world_t *world)
 {
-	world->config.skew = 0.8;
+	if (world->config.regions > 1)
+		world->config.skew = 0.8;
 }
 
 static void
