--- a/tests/coord/test_ledger.c
+++ b/tests/coord/test_ledger.c
@@ -8,81 +8,18 @@
 
 #include <cmocka.h>
 
-#include "ledger_fleet.h"
-
-#define SETTLE (20 * MSP_SECOND)
-
-static ledger_fleet_t *
-new_fleet(uint64_t seed, unsigned int vms, unsigned int places)
-{
-	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
-
-	assert_non_null(fleet);
-	init_ledger_fleet(fleet, seed, vms, places);
-	assert_true(run_fleet_together(fleet, SETTLE));
-	return fleet;
-}
-
-static void
-end_fleet(ledger_fleet_t *fleet)
-{
-	assert_int_equal(fleet->went_back, 0);
-	assert_int_equal(fleet->forked, 0);
-	clear_ledger_fleet(fleet);
-	free(fleet);
-}
-
-static void
-submit(ledger_fleet_t *fleet, unsigned int vm, msp_note_t *note,
-    fleet_result_t *result)
-{
-	memset(result, 0, sizeof(*result));
-	msp_submit_note(fleet->vms[vm].ledger, note, note_fleet_result, result);
-	msp_drop_note(note);
-}
-
-static void
-run_until_ended(ledger_fleet_t *fleet, const fleet_result_t *result)
-{
-	msp_time_t end = fleet->clock.now + MSP_MINUTE;
-
-	while (!result->ended && fleet->clock.now < end)
-		run_ledger_fleet(fleet, fleet->step);
-	assert_true(result->ended);
-}
-
-/* Submits and waits for the result. */
-static void
-try_note(ledger_fleet_t *fleet, unsigned int vm, msp_note_t *note,
-    fleet_result_t *result)
-{
-	submit(fleet, vm, note, result);
-	run_until_ended(fleet, result);
-}
-
-/* Commits the region `name` by `vm` and waits until all have it. */
-static void
-commit(ledger_fleet_t *fleet, unsigned int vm, const char *name)
-{
-	fleet_result_t result;
-
-	try_note(
-	    fleet, vm, new_region_note(&fleet->vms[vm], name, name), &result);
-	if (result.status != MSP_OK)
-		fail_msg("%s: %s", name, result.message);
-	assert_true(run_fleet_to_version(fleet, result.version, SETTLE));
-}
+#include "ledger_test.h"
 
 static void
 note_comes_into_force_everywhere(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(1, 6, 3);
+	ledger_fleet_t *fleet = new_test_fleet(1, 6, 3);
 	unsigned int i;
 
 	(void)state;
 	assert_int_equal(fleet->newest, 0);
-	commit(fleet, 0, "r1");
-	commit(fleet, 4, "r2");
+	commit_region(fleet, 0, "r1");
+	commit_region(fleet, 4, "r2");
 	for (i = 0; i < fleet->vm_count; i++) {
 		msp_release_t *release =
 		    msp_ledger_release(fleet->vms[i].ledger);
@@ -91,21 +28,21 @@
 		assert_non_null(msp_find_region(release, "r1"));
 		assert_non_null(msp_find_region(release, "r2"));
 	}
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 static void
 loser_of_a_race_is_told_what_clashes(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(2, 4, 2);
+	ledger_fleet_t *fleet = new_test_fleet(2, 4, 2);
 	fleet_result_t results[2];
 	const fleet_result_t *won = &results[0];
 	const fleet_result_t *lost = &results[1];
 
 	(void)state;
-	submit(
+	submit_note(
 	    fleet, 0, new_region_note(&fleet->vms[0], "n0", "r"), &results[0]);
-	submit(
+	submit_note(
 	    fleet, 1, new_region_note(&fleet->vms[1], "n1", "r"), &results[1]);
 	run_until_ended(fleet, &results[0]);
 	run_until_ended(fleet, &results[1]);
@@ -118,13 +55,13 @@
 	assert_string_equal(lost->clashes, "region r");
 	assert_string_equal(lost->other_note, won == &results[0] ? "n0" : "n1");
 	assert_int_equal(fleet->newest, 1);
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 static void
 disjoint_notes_are_rebased(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(3, 4, 2);
+	ledger_fleet_t *fleet = new_test_fleet(3, 4, 2);
 	fleet_result_t results[4];
 	unsigned int rebased = 0;
 	char name[8];
@@ -133,8 +70,8 @@
 	(void)state;
 	for (i = 0; i < 4; i++) {
 		snprintf(name, sizeof(name), "r%u", i);
-		submit(fleet, i, new_region_note(&fleet->vms[i], name, name),
-		    &results[i]);
+		submit_note(fleet, i,
+		    new_region_note(&fleet->vms[i], name, name), &results[i]);
 	}
 	for (i = 0; i < 4; i++) {
 		run_until_ended(fleet, &results[i]);
@@ -143,19 +80,19 @@
 	}
 	assert_int_equal(rebased, 3);
 	assert_true(run_fleet_to_version(fleet, 4, SETTLE));
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 /* Disjoint by name, but the result would have a dangling reference. */
 static void
 rebase_must_still_validate(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(4, 2, 1);
+	ledger_fleet_t *fleet = new_test_fleet(4, 2, 1);
 	fleet_result_t result;
 	msp_note_t *note;
 
 	(void)state;
-	commit(fleet, 0, "r");
+	commit_region(fleet, 0, "r");
 	note = new_fleet_note(&fleet->vms[1],
 	    "{\"id\":\"p\",\"add\":{\"places\":[{\"name\":\"p\","
 	    "\"region\":\"r\"}]}}");
@@ -167,13 +104,13 @@
 	try_note(fleet, 1, note, &result);
 	assert_int_equal(result.status, MSP_E_INVALID_NOTE);
 	assert_non_null(strstr(result.message, "add.places.p.region"));
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 static void
 refused_note_changes_nothing(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(5, 3, 1);
+	ledger_fleet_t *fleet = new_test_fleet(5, 3, 1);
 	const char *bad = "{\"id\":\"bad\",\"add\":{\"regions\":[{\"name\":"
 			  "\"ok\"}],\"places\":[{\"name\":\"p\",\"region\":"
 			  "\"no\"}]}}";
@@ -182,7 +119,7 @@
 	unsigned int i;
 
 	(void)state;
-	commit(fleet, 0, "r");
+	commit_region(fleet, 0, "r");
 	try_note(fleet, 1, new_fleet_note(&fleet->vms[1], bad), &result);
 	assert_int_equal(result.status, MSP_E_INVALID_NOTE);
 	run_ledger_fleet(fleet, SETTLE);
@@ -192,24 +129,24 @@
 		assert_null(msp_find_region(release, "ok"));
 	}
 	/* And never will: its id is barred, also once it would be valid. */
-	commit(fleet, 2, "no");
+	commit_region(fleet, 2, "no");
 	try_note(fleet, 0, new_fleet_note(&fleet->vms[0], bad), &result);
 	assert_int_equal(result.status, MSP_E_CONFLICT);
 	assert_non_null(strstr(result.message, "was refused"));
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 static void
 id_is_accepted_once(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(6, 3, 1);
+	ledger_fleet_t *fleet = new_test_fleet(6, 3, 1);
 	msp_note_t *note = new_region_note(&fleet->vms[0], "same", "r");
 	fleet_result_t result;
 
 	(void)state;
 	try_note(fleet, 0, msp_keep_note(note), &result);
 	assert_int_equal(result.version, 1);
-	commit(fleet, 1, "r2");
+	commit_region(fleet, 1, "r2");
 	try_note(fleet, 2, note, &result);
 	assert_int_equal(result.status, MSP_OK);
 	assert_int_equal(result.version, 1);
@@ -218,7 +155,7 @@
 	assert_int_equal(result.status, MSP_E_CONFLICT);
 	assert_non_null(strstr(result.message, "used for another note"));
 	assert_int_equal(fleet->newest, 2);
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 #define ADD_X "\"add\":{\"regions\":[{\"name\":\"x\"}]}}"
@@ -241,13 +178,13 @@
 static void
 bases_off_the_chain_are_refused(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(7, 2, 1);
+	ledger_fleet_t *fleet = new_test_fleet(7, 2, 1);
 	fleet_result_t result;
 	size_t i;
 
 	(void)state;
-	commit(fleet, 0, "r1");
-	commit(fleet, 0, "r2");
+	commit_region(fleet, 0, "r1");
+	commit_region(fleet, 0, "r2");
 	for (i = 0; i < sizeof(bad_bases) / sizeof(bad_bases[0]); i++) {
 		try_note(fleet, 1,
 		    new_fleet_note(&fleet->vms[1], bad_bases[i].text), &result);
@@ -256,14 +193,14 @@
 			fail_msg("case %zu: %s", i, result.message);
 	}
 	assert_int_equal(fleet->newest, 2);
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 /* One call of a commit meets one fault; the note is sent until accepted. */
 static void
 check_fault(unsigned int call, link_fault_t fault)
 {
-	ledger_fleet_t *fleet = new_fleet(100 + 10 * fault + call, 3, 1);
+	ledger_fleet_t *fleet = new_test_fleet(100 + 10 * fault + call, 3, 1);
 	msp_note_t *note = new_region_note(&fleet->vms[0], "n", "r");
 	fleet_result_t result;
 	unsigned int tries;
@@ -281,7 +218,7 @@
 	assert_true(run_fleet_to_version(fleet, 1, SETTLE));
 	run_ledger_fleet(fleet, 2 * MSP_SECOND);
 	assert_int_equal(fleet->newest, 1);
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 static void
@@ -303,7 +240,7 @@
 static void
 store_down_refuses_at_once_and_nothing_lands(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(8, 3, 1);
+	ledger_fleet_t *fleet = new_test_fleet(8, 3, 1);
 	msp_time_t start = fleet->clock.now;
 	fleet_result_t result;
 
@@ -315,14 +252,14 @@
 	msp_memory_store_faults(fleet->store)->down = false;
 	run_ledger_fleet(fleet, SETTLE);
 	assert_int_equal(fleet->newest, 0);
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 /* The write is lost, then the store is down: doubt, until it is asked again. */
 static void
 doubt_ends_when_the_note_is_sent_again(void **state)
 {
-	ledger_fleet_t *fleet = new_fleet(9, 3, 1);
+	ledger_fleet_t *fleet = new_test_fleet(9, 3, 1);
 	msp_note_t *note = new_region_note(&fleet->vms[0], "n", "r");
 	fleet_result_t result;
 
@@ -330,7 +267,7 @@
 	msp_set_ledger_turn(fleet->vms[0].ledger, false);
 	run_ledger_fleet(fleet, MSP_SECOND);
 	set_link_fault(fleet->vms[0].link, 1, LINK_LOSE_ANSWER);
-	submit(fleet, 0, msp_keep_note(note), &result);
+	submit_note(fleet, 0, msp_keep_note(note), &result);
 	run_ledger_fleet(fleet, 100 * MSP_MS);
 	msp_memory_store_faults(fleet->store)->down = true;
 	run_until_ended(fleet, &result);
@@ -340,7 +277,7 @@
 	assert_int_equal(result.status, MSP_OK);
 	assert_int_equal(result.version, 1);
 	assert_true(run_fleet_to_version(fleet, 1, SETTLE));
-	end_fleet(fleet);
+	end_test_fleet(fleet);
 }
 
 int
--- /dev/null
+++ b/tests/coord/test_ledger_chain.c
@@ -0,0 +1,398 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ledger_test.h"
+
+#define HEAD "release/head"
+#define SNAPSHOT "release-snapshot"
+#define OTHER_DIGEST "0123456789abcdef0123456789abcdef"
+
+static void
+ignore_reply(void *ctx, const msp_store_reply_t *reply)
+{
+	*(msp_status_t *)ctx = reply->status;
+}
+
+/* Writes a row past all ledgers, as a store that lost or mixed up data. */
+static void
+put_row(ledger_fleet_t *fleet, const char *key, const char *value)
+{
+	msp_store_t store = msp_memory_store(fleet->store);
+	msp_write_t write = {
+	    .key = key, .value = value, .value_len = strlen(value)};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
+	msp_status_t status = MSP_E_LOST;
+
+	store.transact(store.ctx, &txn, 1000, ignore_reply, &status);
+	run_ledger_fleet(fleet, 50 * MSP_MS);
+	assert_int_equal(status, MSP_OK);
+}
+
+static void
+put_object(ledger_fleet_t *fleet, const char *text)
+{
+	msp_store_t store = msp_memory_store(fleet->store);
+	msp_status_t status = MSP_E_LOST;
+
+	store.put_object(store.ctx, SNAPSHOT, text, strlen(text), 1000,
+	    ignore_reply, &status);
+	run_ledger_fleet(fleet, 50 * MSP_MS);
+	assert_int_equal(status, MSP_OK);
+}
+
+static void
+commit_regions(ledger_fleet_t *fleet, unsigned int count)
+{
+	char name[16];
+	unsigned int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(name, sizeof(name), "r%u", i);
+		commit_region(fleet, i % fleet->vm_count, name);
+	}
+}
+
+/* Heads that don't continue the chain of VMs at version 3. */
+static const struct {
+	const char *head;
+	const char *reason;
+} bad_heads[] = {
+    {"1 " OTHER_DIGEST " n", "stale-head"},
+    {"0 00000000000000000000000000000000 n", "stale-head"},
+    {"3 " OTHER_DIGEST " n", "fork"},
+    {"9 " OTHER_DIGEST " n", "unconfirmed-version"},
+    {"18446744073709551615 " OTHER_DIGEST " n", "unconfirmed-version"},
+    {"three", "bad-rows"},
+    {"3 xyz n", "bad-rows"},
+};
+
+static void
+bad_heads_are_kept_out(void **state)
+{
+	fleet_result_t result;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad_heads) / sizeof(bad_heads[0]); i++) {
+		ledger_fleet_t *fleet = new_test_fleet(i, 4, 2);
+
+		commit_regions(fleet, 3);
+		put_row(fleet, HEAD, bad_heads[i].head);
+		run_ledger_fleet(fleet, 5 * MSP_SECOND);
+		assert_int_equal(fleet->newest, 3);
+		assert_true(fleet->kept_out > 0);
+		assert_string_equal(fleet->last_kept_out, bad_heads[i].reason);
+		try_note(fleet, 0, new_region_note(&fleet->vms[0], "n", "x"),
+		    &result);
+		assert_int_not_equal(result.status, MSP_OK);
+		assert_int_equal(fleet->newest, 3);
+		end_test_fleet(fleet);
+	}
+}
+
+/* Rows of version 2 that must not follow version 1. */
+static const char *const bad_rows[] = {
+    "0 1\n{}",
+    "0 1\n{\"id\":\"f\",\"add\":{\"regions\":[{\"name\":\"f\"}]}}",
+    "0 1\n{\"id\":\"f\",\"base_version\":1,\"base_digest\":\"" OTHER_DIGEST
+    "\",\"add\":{\"regions\":[{\"name\":\"f\"}]}}",
+    "0 1\n{\"id\":\"f\",\"base_version\":7,\"base_digest\":\"" OTHER_DIGEST
+    "\",\"add\":{\"regions\":[{\"name\":\"f\"}]}}",
+    "0 2\n{\"id\":\"f\"",
+    "1 1\n{}",
+    "0 999\n{}",
+    "{}",
+    "",
+};
+
+static void
+bad_notes_in_the_store_are_kept_out(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad_rows) / sizeof(bad_rows[0]); i++) {
+		ledger_fleet_t *fleet = new_test_fleet(20 + i, 4, 2);
+
+		commit_regions(fleet, 1);
+		put_row(
+		    fleet, "release/note/0000000000000002/0000", bad_rows[i]);
+		put_row(fleet, HEAD, "2 " OTHER_DIGEST " f");
+		run_ledger_fleet(fleet, 5 * MSP_SECOND);
+		assert_int_equal(fleet->newest, 1);
+		assert_true(fleet->kept_out > 0);
+		end_test_fleet(fleet);
+	}
+}
+
+static const char *const bad_answers[] = {
+    "",
+    "notes",
+    "notes 2 x\n",
+    "notes 2 " OTHER_DIGEST "\n{",
+    "notes 2 " OTHER_DIGEST "\n{}\n",
+    "notes 2 " OTHER_DIGEST
+    "\n{\"id\":\"f\",\"base_version\":1,\"base_digest\":\"" OTHER_DIGEST
+    "\",\"add\":{\"regions\":[{\"name\":\"f\"}]}}\n",
+    "notes 1 " OTHER_DIGEST
+    "\n{\"id\":\"f\",\"base_version\":0,\"base_digest\":"
+    "\"00000000000000000000000000000000\",\"add\":{\"regions\":[{\"name\":"
+    "\"f\"}]}}\n",
+    "snapshot 7 " OTHER_DIGEST "\n{}\n",
+    "digest 1 " OTHER_DIGEST "\n",
+};
+
+static void
+bad_peer_answers_are_kept_out(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(40, 2, 1);
+	msp_digest_t other = {1, 2};
+	unsigned int before;
+	size_t i;
+
+	(void)state;
+	commit_regions(fleet, 1);
+	for (i = 0; i < sizeof(bad_answers) / sizeof(bad_answers[0]); i++) {
+		before = fleet->kept_out;
+		msp_ledger_take(fleet->vms[0].ledger, bad_answers[i],
+		    strlen(bad_answers[i]));
+		if (strncmp(bad_answers[i], "snapshot", 8) != 0 &&
+		    fleet->kept_out == before)
+			fail_msg("answer %zu is not counted", i);
+		assert_int_equal(fleet->vms[0].version, 1);
+	}
+	before = fleet->kept_out;
+	msp_ledger_heard(fleet->vms[0].ledger, 1, &other);
+	assert_int_equal(fleet->kept_out, before + 1);
+	end_test_fleet(fleet);
+}
+
+static void
+lagging_replica_takes_nobody_back(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(41, 4, 1);
+	fleet_result_t result;
+	unsigned int i;
+
+	(void)state;
+	commit_regions(fleet, 2);
+	for (i = 0; i < 4; i++)
+		make_store_stale(fleet->vms[i].link, true);
+	run_ledger_fleet(fleet, 5 * MSP_SECOND);
+	try_note(fleet, 0, new_region_note(&fleet->vms[0], "n", "x"), &result);
+	for (i = 0; i < 4; i++)
+		make_store_stale(fleet->vms[i].link, false);
+	if (result.status != MSP_OK)
+		assert_int_equal(fleet->newest, 2);
+	assert_true(run_fleet_together(fleet, SETTLE));
+	end_test_fleet(fleet);
+}
+
+static void
+new_vm_reads_snapshot_and_tail(void **state)
+{
+	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+
+	(void)state;
+	assert_non_null(fleet);
+	fleet->options.snapshot_every = 8;
+	init_ledger_fleet(fleet, 42, 3, 1);
+	assert_true(run_fleet_together(fleet, SETTLE));
+	commit_regions(fleet, 21);
+	assert_int_equal(
+	    *msp_counter(fleet->counters, "msp_release_snapshots_total"), 2);
+	kill_fleet_vm(fleet, 1);
+	kill_fleet_vm(fleet, 2);
+	start_fleet_vm(fleet, 1);
+	kill_fleet_vm(fleet, 0);
+	assert_true(run_fleet_to_version(fleet, 21, SETTLE));
+	/* Five notes came after the snapshot of version 16. */
+	assert_int_equal(
+	    *msp_counter(fleet->counters, "msp_release_applied_total"),
+	    21 * 3 + 5);
+	end_test_fleet(fleet);
+}
+
+static const char *const bad_snapshots[] = {
+    "",
+    "{}",
+    "nonsense\n",
+    /* An empty release that claims to be version 2 of another chain. */
+    "{\"format\":1,\"version\":2,\"digest\":\"" OTHER_DIGEST
+    "\",\"note\":\"n\",\"items\":0,\"check\":"
+    "\"00000000000000000000000000000000\"}\n",
+};
+
+static void
+bad_snapshot_is_not_used(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(43, 3, 1);
+	ledger_fleet_t *other = new_test_fleet(44, 1, 1);
+	msp_buffer_t forked = {0};
+	size_t count = sizeof(bad_snapshots) / sizeof(bad_snapshots[0]);
+	size_t i;
+
+	(void)state;
+	commit_regions(fleet, 5);
+	commit_region(other, 0, "x");
+	commit_region(other, 0, "y");
+	assert_int_equal(msp_print_release(
+			     msp_ledger_release(other->vms[0].ledger), &forked),
+	    MSP_OK);
+	for (i = 0; i <= count; i++) {
+		put_object(fleet,
+		    i < count ? bad_snapshots[i] : msp_buffer_text(&forked));
+		kill_fleet_vm(fleet, 2);
+		kill_fleet_vm(fleet, 1);
+		start_fleet_vm(fleet, 2);
+		run_ledger_fleet(fleet, MSP_SECOND);
+		assert_true(run_fleet_to_version(fleet, 5, SETTLE));
+		assert_null(msp_find_region(
+		    msp_ledger_release(fleet->vms[2].ledger), "x"));
+		start_fleet_vm(fleet, 1);
+	}
+	msp_drop_buffer(&forked);
+	end_test_fleet(other);
+	end_test_fleet(fleet);
+}
+
+static void
+new_vm_starts_from_a_peer_with_the_store_down(void **state)
+{
+	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+	size_t kept;
+
+	(void)state;
+	assert_non_null(fleet);
+	for (kept = 2; kept <= 100; kept += 98) {
+		memset(fleet, 0, sizeof(*fleet));
+		fleet->options.kept_notes = kept; /* 2: a snapshot is sent */
+		init_ledger_fleet(fleet, 45, 3, 1);
+		assert_true(run_fleet_together(fleet, SETTLE));
+		commit_regions(fleet, 6);
+		msp_memory_store_faults(fleet->store)->down = true;
+		kill_fleet_vm(fleet, 2);
+		start_fleet_vm(fleet, 2);
+		assert_true(run_fleet_to_version(fleet, 6, SETTLE));
+		/* Nobody left to ask, and no store: not ready. */
+		kill_fleet_vm(fleet, 0);
+		kill_fleet_vm(fleet, 1);
+		kill_fleet_vm(fleet, 2);
+		start_fleet_vm(fleet, 0);
+		run_ledger_fleet(fleet, SETTLE);
+		assert_false(msp_ledger_ready(fleet->vms[0].ledger));
+		msp_memory_store_faults(fleet->store)->down = false;
+		assert_true(run_fleet_to_version(fleet, 6, SETTLE));
+		assert_int_equal(fleet->went_back + fleet->forked, 0);
+		clear_ledger_fleet(fleet);
+	}
+	free(fleet);
+}
+
+static void
+cut_place_goes_on_and_catches_up(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(46, 6, 3);
+	fleet_result_t result;
+	unsigned int i;
+
+	(void)state;
+	commit_regions(fleet, 2);
+	cut_fleet_place(fleet, 1, true, true);
+	for (i = 0; i < 200; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "c%u", i);
+		try_note(fleet, 0, new_region_note(&fleet->vms[0], name, name),
+		    &result);
+		assert_int_equal(result.status, MSP_OK);
+	}
+	assert_int_equal(fleet->vms[1].version, 2);
+	assert_true(msp_ledger_ready(fleet->vms[1].ledger));
+	try_note(fleet, 1, new_region_note(&fleet->vms[1], "n", "x"), &result);
+	assert_int_equal(result.status, MSP_E_STORE_DOWN);
+	cut_fleet_place(fleet, 1, false, false);
+	assert_true(run_fleet_to_version(fleet, 202, SETTLE));
+	end_test_fleet(fleet);
+}
+
+/* A note whose text takes several rows, and one past the bound of rows. */
+static void
+large_note_takes_several_rows(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(47, 2, 1);
+	msp_buffer_t text = {0};
+	fleet_result_t result;
+	unsigned int i;
+
+	(void)state;
+	commit_region(fleet, 0, "r");
+	msp_print_buffer(&text, "{\"id\":\"large\",\"add\":{\"blocks\":[");
+	for (i = 0; i < 5000; i++)
+		msp_print_buffer(&text,
+		    "%s{\"prefix\":\"10.%u.%u.0/24\",\"region\":\"r\"}",
+		    i > 0 ? "," : "", i / 256, i % 256);
+	msp_print_buffer(&text, "]}}");
+	try_note(fleet, 0,
+	    new_fleet_note(&fleet->vms[0], msp_buffer_text(&text)), &result);
+	assert_int_equal(result.status, MSP_OK);
+	assert_true(msp_memory_store_stats(fleet->store)->rows_written > 3 + 4);
+	kill_fleet_vm(fleet, 1);
+	start_fleet_vm(fleet, 1);
+	assert_true(run_fleet_to_version(fleet, 2, SETTLE));
+	assert_int_equal(
+	    msp_ledger_release(fleet->vms[1].ledger)->counts[MSP_ITEM_BLOCK],
+	    5000);
+	msp_drop_buffer(&text);
+	end_test_fleet(fleet);
+}
+
+static void
+base_too_old_is_refused_everywhere_alike(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(48, 2, 1);
+	msp_note_t *old = new_region_note(&fleet->vms[0], "old", "x");
+	fleet_result_t result;
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i <= MSP_REBASE_SPAN; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "%u", i);
+		try_note(fleet, 0, new_region_note(&fleet->vms[0], name, "r"),
+		    &result);
+		assert_int_equal(result.status, MSP_OK);
+	}
+	assert_true(fleet->newest > MSP_REBASE_SPAN);
+	try_note(fleet, 1, old, &result);
+	assert_int_equal(result.status, MSP_E_CONFLICT);
+	assert_non_null(strstr(result.message, "over 256 notes old"));
+	end_test_fleet(fleet);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(bad_heads_are_kept_out),
+	    cmocka_unit_test(bad_notes_in_the_store_are_kept_out),
+	    cmocka_unit_test(bad_peer_answers_are_kept_out),
+	    cmocka_unit_test(lagging_replica_takes_nobody_back),
+	    cmocka_unit_test(new_vm_reads_snapshot_and_tail),
+	    cmocka_unit_test(bad_snapshot_is_not_used),
+	    cmocka_unit_test(new_vm_starts_from_a_peer_with_the_store_down),
+	    cmocka_unit_test(cut_place_goes_on_and_catches_up),
+	    cmocka_unit_test(large_note_takes_several_rows),
+	    cmocka_unit_test(base_too_old_is_refused_everywhere_alike),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/support/ledger_test.h
@@ -0,0 +1,85 @@
+#ifndef LEDGER_TEST_H
+#define LEDGER_TEST_H
+
+/* What the tests of the ledger share; include after <cmocka.h>. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "ledger_fleet.h"
+
+#define SETTLE (20 * MSP_SECOND)
+
+static inline ledger_fleet_t *
+new_test_fleet(uint64_t seed, unsigned int vms, unsigned int places)
+{
+	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+
+	assert_non_null(fleet);
+	init_ledger_fleet(fleet, seed, vms, places);
+	assert_true(run_fleet_together(fleet, SETTLE));
+	return fleet;
+}
+
+static inline void
+end_test_fleet(ledger_fleet_t *fleet)
+{
+	assert_int_equal(fleet->went_back, 0);
+	assert_int_equal(fleet->forked, 0);
+	clear_ledger_fleet(fleet);
+	free(fleet);
+}
+
+static inline void
+submit_note(ledger_fleet_t *fleet, unsigned int vm, msp_note_t *note,
+    fleet_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	msp_submit_note(fleet->vms[vm].ledger, note, note_fleet_result, result);
+	msp_drop_note(note);
+}
+
+static inline void
+run_until_ended(ledger_fleet_t *fleet, const fleet_result_t *result)
+{
+	msp_time_t end = fleet->clock.now + MSP_MINUTE;
+
+	while (!result->ended && fleet->clock.now < end)
+		run_ledger_fleet(fleet, fleet->step);
+	assert_true(result->ended);
+}
+
+/* Submits and waits for the result. */
+static inline void
+try_note(ledger_fleet_t *fleet, unsigned int vm, msp_note_t *note,
+    fleet_result_t *result)
+{
+	submit_note(fleet, vm, note, result);
+	run_until_ended(fleet, result);
+}
+
+/* Commits the region `name` by `vm` and waits until all have it. */
+static inline void
+commit_region(ledger_fleet_t *fleet, unsigned int vm, const char *name)
+{
+	fleet_result_t result;
+
+	try_note(
+	    fleet, vm, new_region_note(&fleet->vms[vm], name, name), &result);
+	if (result.status != MSP_OK)
+		fail_msg("%s: %s", name, result.message);
+	assert_true(run_fleet_to_version(fleet, result.version, SETTLE));
+}
+
+/* A submission by the sender of a first try. */
+static inline void
+submit_new_note(ledger_fleet_t *fleet, unsigned int vm, msp_note_t *note,
+    fleet_result_t *result)
+{
+	memset(result, 0, sizeof(*result));
+	msp_submit_new_note(
+	    fleet->vms[vm].ledger, note, note_fleet_result, result);
+	msp_drop_note(note);
+}
+
+#endif
