--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -5,5 +5,9 @@
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/spill.h"
+#include "monsoonspindle/steer/client_block.h"
+#include "monsoonspindle/steer/locator.h"
+#include "monsoonspindle/steer/prefix_table.h"
 
 #endif
--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -17,7 +17,8 @@
 enum {
 	JOB_IDLE,
 	JOB_QUEUED,
-	JOB_RUNNING
+	JOB_RUNNING,
+	JOB_DOOMED
 };
 
 TAILQ_HEAD(msp_job_list, msp_job);
@@ -35,10 +36,13 @@
 	struct msp_job_list queue[MSP_CLASS_COUNT];
 	uint32_t queued[MSP_CLASS_COUNT];
 	struct msp_job_list running;
+	struct msp_job_list doomed; /* about to be refused by a review */
 	uint32_t in_flight; /* attempts */
 	msp_attempt_t last_token;
 	msp_retry_budget_t retries;
 	msp_histogram_t latency; /* of recent whole answers */
+	msp_time_t slow_latency; /* its 95th percentile; 0: not known yet */
+	msp_time_t tail_latency; /* its 99th percentile; 0: not known yet */
 	msp_time_t service_time; /* moving mean; 0: none yet */
 	/* Background starts in the last window while some were waiting. */
 	uint32_t background_starts;
@@ -58,8 +62,11 @@
 void msp_pump_queue(msp_dispatcher_t *d);
 /* Refuses the waiting jobs that can't be started in time any more. */
 void msp_review_queue(msp_dispatcher_t *d);
-/* Refuses at once if the wait for `ahead` jobs is too long for this one. */
-bool msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
+/* Whether the wait behind `ahead` jobs is too long for this one. */
+bool msp_job_hopeless(
+    const msp_dispatcher_t *d, const msp_job_t *job, uint32_t ahead);
+/* Refuses a job that is in no list, with the time to come back. */
+void msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead);
 
 /* estimate.c: capacity and waits. */
 uint32_t msp_total_limit(const msp_dispatcher_t *d);
@@ -92,6 +99,10 @@
 msp_verdict_t msp_settle_failure(
     msp_dispatcher_t *d, msp_job_t *job, msp_outcome_t outcome);
 
+/* tick.c */
+/* How long the first byte may take before a connection counts as silent. */
+msp_time_t msp_silent_bound(const msp_dispatcher_t *d);
+
 /* dispatcher.c */
 void msp_refuse_job(msp_dispatcher_t *d, msp_job_t *job, msp_status_t status,
     msp_run_t run, msp_time_t retry_after, const char *reason);
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -1,6 +1,7 @@
 #include "dispatcher_private.h"
 
 #define LATENCY_MEMORY 2000 /* answers until older ones weigh half */
+#define QUANTILE_STEP 50 /* answers between two looks at the latency */
 #define SERVICE_WEIGHT 32 /* answers that the moving mean remembers */
 #define SILENT_LIMIT 2 /* silent connections until the kept ones are closed */
 #define FRESH_SPAN (10 * MSP_SECOND)
@@ -22,6 +23,10 @@
 	msp_clear_strikes(d->quarantine, job->fingerprint);
 	msp_note_whole(target, now, latency);
 	msp_record(&d->latency, latency);
+	if (d->latency.count % QUANTILE_STEP == 0) {
+		d->slow_latency = msp_quantile(&d->latency, 0.95);
+		d->tail_latency = msp_quantile(&d->latency, 0.99);
+	}
 	if (d->latency.count >= LATENCY_MEMORY)
 		msp_decay_histogram(&d->latency);
 	if (d->service_time == 0)
@@ -53,7 +58,7 @@
 	}
 	/* A target that answered others meanwhile is only slow here. */
 	if (target->last_whole < attempt->started)
-		msp_note_failure(target, now);
+		msp_note_failure(target, now, false);
 }
 
 static void
@@ -141,8 +146,10 @@
 		    "the dispatcher has moved");
 		return MSP_VERDICT_REFUSED;
 	}
-	if (msp_refuse_hopeless(d, job, 0))
+	if (msp_job_hopeless(d, job, 0)) {
+		msp_refuse_hopeless(d, job, 0);
 		return MSP_VERDICT_REFUSED;
+	}
 	msp_queue_job(d, job, true);
 	return MSP_VERDICT_PENDING;
 }
@@ -188,7 +195,7 @@
 		/* Only a read can have another attempt that was sent. */
 		if (!job->is_idempotent)
 			job->sent = false;
-		msp_note_failure(ended.target, now);
+		msp_note_failure(ended.target, now, true);
 		strike_cut_jobs(d, ended.target);
 		break;
 	case MSP_OUTCOME_CUT:
@@ -200,7 +207,7 @@
 		job->wants_fresh = true;
 		break;
 	case MSP_OUTCOME_CRASHED:
-		msp_note_failure(ended.target, now);
+		msp_note_failure(ended.target, now, true);
 		msp_strike(d->quarantine, job->fingerprint, ended.started, now);
 		break;
 	case MSP_OUTCOME_CANCELLED:
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -1,20 +1,17 @@
 #include "dispatcher_private.h"
 
-#define FEWEST_ANSWERS 50 /* until the recent latency is known */
 #define SILENT_FACTOR 4 /* of the 99th percentile */
 #define SHORTEST_SILENCE (250 * MSP_MS)
 #define LONGEST_SILENCE (5 * MSP_SECOND)
-#define HEDGE_QUANTILE 0.95
 #define RATE_WINDOW MSP_SECOND
 
-/* How long the first byte may take before a connection counts as silent. */
-static msp_time_t
-silent_bound(const msp_dispatcher_t *d)
+msp_time_t
+msp_silent_bound(const msp_dispatcher_t *d)
 {
 	msp_time_t bound = 20 * d->policy.expected_service;
 
-	if (d->latency.count >= FEWEST_ANSWERS)
-		bound = SILENT_FACTOR * msp_quantile(&d->latency, 0.99);
+	if (d->tail_latency != 0)
+		bound = SILENT_FACTOR * d->tail_latency;
 	if (bound < SHORTEST_SILENCE)
 		return SHORTEST_SILENCE;
 	return bound > LONGEST_SILENCE ? LONGEST_SILENCE : bound;
@@ -24,9 +21,9 @@
 static msp_time_t
 hedge_delay(const msp_dispatcher_t *d)
 {
-	if (!d->policy.hedge || d->latency.count < FEWEST_ANSWERS)
+	if (!d->policy.hedge || d->slow_latency == 0)
 		return MSP_NEVER;
-	return msp_quantile(&d->latency, HEDGE_QUANTILE);
+	return d->slow_latency;
 }
 
 static bool
@@ -39,7 +36,7 @@
 	    d->queued[MSP_CLASS_COMMIT] == 0 && !d->paused && !d->retired;
 }
 
-static void
+static bool
 hedge(msp_dispatcher_t *d, msp_job_t *job)
 {
 	msp_target_t *target;
@@ -47,12 +44,13 @@
 	if (msp_total_free(d) <= msp_reserve(d) ||
 	    msp_check_suspicion(d->quarantine, job->fingerprint, NULL) !=
 		MSP_SUSPICION_NONE)
-		return;
+		return false;
 	target = msp_choose_target(d, job, job->attempts[0].target);
 	if (target == NULL || !msp_spend_retry(&d->retries))
-		return;
+		return false;
 	job->retries_left--;
 	msp_start_attempt(d, job, target);
+	return true;
 }
 
 static void
@@ -72,54 +70,74 @@
 }
 
 /* A read on a silent connection runs again, if the budget allows. */
-static void
-check_silence(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
+static bool
+retry_silent(msp_dispatcher_t *d, msp_job_t *job, msp_job_attempt_t *attempt)
 {
-	msp_job_attempt_t silent = *attempt;
-
-	if (!attempt->overdue)
-		msp_note_silence(d, attempt);
-	attempt->overdue = true;
-	if (!job->is_idempotent || job->retries_left == 0 ||
-	    msp_any_attempt(job) != attempt || job->attempts[1].token != 0 ||
-	    d->retired || msp_choose_target(d, job, NULL) == NULL ||
+	if (!job->is_idempotent || job->retries_left == 0 || d->retired ||
+	    job->attempts[0].token == 0 || job->attempts[1].token != 0 ||
+	    msp_choose_target(d, job, NULL) == NULL ||
 	    !msp_spend_retry(&d->retries))
-		return;
+		return false;
 	job->retries_left--;
+	job->avoid = attempt->target;
+	job->wants_fresh = true;
 	msp_abandon_attempt(d, job, attempt);
 	TAILQ_REMOVE(&d->running, job, link);
-	job->avoid = silent.target;
-	job->wants_fresh = true;
 	msp_queue_job(d, job, true);
+	return true;
 }
 
-static void
-check_running(msp_dispatcher_t *d, msp_time_t now)
+/* Returns true if the job left the list of running ones. */
+static bool
+check_silence(
+    msp_dispatcher_t *d, msp_job_t *job, msp_time_t now, msp_time_t silence)
 {
-	msp_time_t silence = silent_bound(d);
-	msp_time_t delay = hedge_delay(d);
-	msp_job_t *job, *next;
 	int i;
 
-	TAILQ_FOREACH_SAFE(job, &d->running, link, next) {
-		if (now >= job->deadline) {
-			expire_job(d, job);
+	for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
+		msp_job_attempt_t *attempt = &job->attempts[i];
+
+		if (attempt->token == 0 || attempt->answered ||
+		    now < attempt->started + silence)
 			continue;
-		}
-		for (i = 0; i < MSP_JOB_ATTEMPTS; i++) {
-			msp_job_attempt_t *attempt = &job->attempts[i];
-
-			if (attempt->token == 0 || attempt->answered ||
-			    now < attempt->started + silence)
-				continue;
-			check_silence(d, job, attempt);
-			if (job->state != JOB_RUNNING)
-				break;
-		}
-		if (job->state == JOB_RUNNING && delay != MSP_NEVER &&
-		    can_hedge(d, job) &&
-		    now >= job->attempts[0].started + delay)
-			hedge(d, job);
+		if (!attempt->overdue)
+			msp_note_silence(d, attempt);
+		attempt->overdue = true;
+		if (retry_silent(d, job, attempt))
+			return true;
+	}
+	return false;
+}
+
+/* Returns true if the list of running jobs changed. */
+static bool
+check_one_running(msp_dispatcher_t *d, msp_job_t *job, msp_time_t now)
+{
+	msp_time_t delay = hedge_delay(d);
+
+	if (now >= job->deadline) {
+		expire_job(d, job);
+		return true;
+	}
+	if (check_silence(d, job, now, msp_silent_bound(d)))
+		return true;
+	if (delay == MSP_NEVER || !can_hedge(d, job) ||
+	    now < job->attempts[0].started + delay)
+		return false;
+	return hedge(d, job);
+}
+
+static void
+check_running(msp_dispatcher_t *d, msp_time_t now)
+{
+	msp_job_t *job = TAILQ_FIRST(&d->running);
+
+	while (job != NULL) {
+		/* The callbacks may have changed the list: start again. */
+		if (check_one_running(d, job, now))
+			job = TAILQ_FIRST(&d->running);
+		else
+			job = TAILQ_NEXT(job, link);
 	}
 }
 
@@ -180,7 +198,7 @@
 {
 	msp_time_t now = msp_now(&d->env);
 	msp_time_t due = d->last_seen + MSP_HEARTBEAT;
-	msp_time_t silence = silent_bound(d);
+	msp_time_t silence = msp_silent_bound(d);
 	msp_time_t delay = hedge_delay(d);
 	const msp_target_t *target;
 	const msp_hold_t *hold;
