Run the demo's first steps over separate processes

Not yet: the second VM's resend and the release note on the other data centre (its head rows read as malformed over HTTP), and spindlectl, which is missing.

--- a/tests/support/fleet_ctl.c
+++ b/tests/support/fleet_ctl.c
@@ -44,7 +44,7 @@
 	static int runs;
 	fleet_process_t ctl = {0};
 	char address[64];
-	char *argv[CTL_ARGS] = {
+	const char *argv[CTL_ARGS] = {
 	    "spindlectl", "--vm", address, "--token", FLEET_TOKEN};
 	size_t count = 5;
 	va_list args;
--- a/tests/support/fleet_files.c
+++ b/tests/support/fleet_files.c
@@ -125,7 +125,9 @@
 	const fleet_options_t *options = &fleet->options;
 	size_t i;
 
-	msp_print_buffer(out, "{\"id\": \"first\", \"add\": {");
+	msp_print_buffer(out,
+	    "{\"id\": \"first\", \"base_version\": 0, \"base_digest\": "
+	    "\"00000000000000000000000000000000\", \"add\": {");
 	write_places(fleet, out);
 	write_links(fleet, out);
 	msp_print_buffer(out,
--- a/tests/support/fleet_private.h
+++ b/tests/support/fleet_private.h
@@ -8,7 +8,7 @@
 
 /* Starts a program of $OUT/bin; its output goes to a file in `dir`. */
 int fleet_spawn(
-    const fleet_t *fleet, fleet_process_t *process, char *const *argv);
+    const fleet_t *fleet, fleet_process_t *process, const char *const *argv);
 
 /* Writes a VM's settings file, and the note that describes the fleet. */
 int fleet_write_settings(const fleet_t *fleet, fleet_process_t *vm);
--- a/tests/support/fleet_process.c
+++ b/tests/support/fleet_process.c
@@ -58,7 +58,8 @@
 }
 
 int
-fleet_spawn(const fleet_t *fleet, fleet_process_t *process, char *const *argv)
+fleet_spawn(
+    const fleet_t *fleet, fleet_process_t *process, const char *const *argv)
 {
 	const char *out = getenv("OUT");
 	posix_spawn_file_actions_t actions;
@@ -76,7 +77,8 @@
 	    &actions, STDOUT_FILENO, log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	posix_spawn_file_actions_adddup2(
 	    &actions, STDOUT_FILENO, STDERR_FILENO);
-	code = posix_spawn(&process->pid, path, &actions, NULL, argv, environ);
+	code = posix_spawn(
+	    &process->pid, path, &actions, NULL, (char *const *)argv, environ);
 	posix_spawn_file_actions_destroy(&actions);
 	if (code != 0) {
 		process->pid = 0;
@@ -119,14 +121,14 @@
 	const char *const *more = fleet->options.target_args;
 	char port[16];
 	char slots[16];
-	char *argv[32] = {
+	const char *argv[32] = {
 	    "target", "--port", port, "--name", target->name, "--slots", slots};
 	size_t count = 7;
 
 	snprintf(port, sizeof(port), "%u", target->port);
 	snprintf(slots, sizeof(slots), "%d", fleet->options.slots);
 	while (more != NULL && *more != NULL && count < 31)
-		argv[count++] = (char *)*more++;
+		argv[count++] = *more++;
 	return fleet_spawn(fleet, target, argv);
 }
 
@@ -140,7 +142,7 @@
 fleet_restart_vm(fleet_t *fleet, size_t vm)
 {
 	fleet_process_t *process = &fleet->vms[vm];
-	char *argv[] = {"spindled", process->settings, NULL};
+	const char *argv[] = {"spindled", process->settings, NULL};
 
 	return fleet_spawn(fleet, process, argv);
 }
@@ -149,7 +151,7 @@
 fleet_restart_platform(fleet_t *fleet)
 {
 	char port[16];
-	char *argv[] = {"platform", "--port", port, NULL};
+	const char *argv[] = {"platform", "--port", port, NULL};
 
 	snprintf(port, sizeof(port), "%u", fleet->platform.port);
 	return fleet_spawn(fleet, &fleet->platform, argv);
