--- a/source/coord/batcher.c
+++ b/source/coord/batcher.c
@@ -182,13 +182,15 @@
 	for (i = batch->count; i-- > 0;) {
 		msp_batch_write_t *write = batch->writes[i];
 
-		if (reply->rows[i].version == write->version)
-			requeue(batcher, write);
+		if (reply->rows[i].version != write->version)
+			continue;
+		batch->writes[i] = NULL;
+		requeue(batcher, write);
 	}
 	for (i = 0; i < batch->count; i++) {
 		msp_batch_write_t *write = batch->writes[i];
 
-		if (reply->rows[i].version == write->version)
+		if (write == NULL)
 			continue;
 		result.row = &reply->rows[i];
 		end_write(write, &result);
--- /dev/null
+++ b/tests/support/commit_link.c
@@ -0,0 +1,245 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commit_parts.h"
+
+#define NET_DELAY (2 * MSP_MS)
+#define FAR_DELAY (30 * MSP_MS)
+#define ASK_TIMEOUT (500 * MSP_MS)
+#define GONE_AFTER (3 * MSP_SECOND) /* until members notice */
+
+/* One store call of a VM. */
+typedef struct link_call {
+	vm_t *vm;
+	msp_store_done_t *done;
+	void *ctx;
+	msp_captured_reply_t captured;
+} link_call_t;
+
+static void
+finish_call(void *ctx)
+{
+	link_call_t *call = ctx;
+
+	call->done(call->ctx, &call->captured.reply);
+	msp_drop_captured_reply(&call->captured);
+	free(call);
+}
+
+static void
+copy_reply(msp_captured_reply_t *to, const msp_store_reply_t *from)
+{
+	size_t i;
+
+	to->reply.status = from->status;
+	to->reply.version = from->version;
+	for (i = 0; i < from->row_count; i++)
+		msp_capture_row(to, from->rows[i].key, from->rows[i].value,
+		    from->rows[i].value_len, from->rows[i].version);
+	if (from->object != NULL)
+		msp_capture_object(to, from->object, from->object_len);
+}
+
+static void
+on_reply(void *ctx, const msp_store_reply_t *reply)
+{
+	link_call_t *call = ctx;
+
+	copy_reply(&call->captured, reply);
+	cw_deliver(call->vm, finish_call, call);
+}
+
+static void
+on_cut(void *ctx)
+{
+	static const msp_store_reply_t lost = {.status = MSP_E_LOST};
+
+	on_reply(ctx, &lost);
+}
+
+/* Returns NULL if the VM is cut from the store: the call is lost. */
+static link_call_t *
+new_call(vm_t *vm, uint32_t timeout_ms, msp_store_done_t *done, void *ctx)
+{
+	link_call_t *call = calloc(1, sizeof(*call));
+
+	if (call == NULL)
+		abort();
+	*call = (link_call_t){.vm = vm, .done = done, .ctx = ctx};
+	if (!vm->cut_from_store)
+		return call;
+	cw_later(vm->world, timeout_ms * MSP_MS, on_cut, call);
+	return NULL;
+}
+
+static void
+link_get(void *ctx, const char *const *keys, size_t count, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	vm_t *vm = ctx;
+	msp_store_t store = msp_memory_store(vm->world->store);
+	link_call_t *call = new_call(vm, timeout_ms, done, done_ctx);
+
+	if (call != NULL)
+		store.get(store.ctx, keys, count, timeout_ms, on_reply, call);
+}
+
+static void
+link_transact(void *ctx, const msp_txn_t *txn, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	vm_t *vm = ctx;
+	msp_store_t store = msp_memory_store(vm->world->store);
+	link_call_t *call = new_call(vm, timeout_ms, done, done_ctx);
+
+	if (call != NULL)
+		store.transact(store.ctx, txn, timeout_ms, on_reply, call);
+}
+
+static void
+link_get_object(void *ctx, const char *name, uint32_t timeout_ms,
+    msp_store_done_t *done, void *done_ctx)
+{
+	vm_t *vm = ctx;
+	msp_store_t store = msp_memory_store(vm->world->store);
+	link_call_t *call = new_call(vm, timeout_ms, done, done_ctx);
+
+	if (call != NULL)
+		store.get_object(store.ctx, name, timeout_ms, on_reply, call);
+}
+
+static void
+link_put_object(void *ctx, const char *name, const void *data, size_t len,
+    uint32_t timeout_ms, msp_store_done_t *done, void *done_ctx)
+{
+	vm_t *vm = ctx;
+	msp_store_t store = msp_memory_store(vm->world->store);
+	link_call_t *call = new_call(vm, timeout_ms, done, done_ctx);
+
+	if (call != NULL)
+		store.put_object(
+		    store.ctx, name, data, len, timeout_ms, on_reply, call);
+}
+
+msp_store_t
+cw_link_store(vm_t *vm)
+{
+	return (msp_store_t){
+	    .ctx = vm,
+	    .get = link_get,
+	    .transact = link_transact,
+	    .get_object = link_get_object,
+	    .put_object = link_put_object,
+	};
+}
+
+/* A question on its way to an owner and back. */
+typedef struct question {
+	vm_t *from;
+	vm_t *to;
+	char service[32];
+	char key[64];
+	char address[16];
+	msp_ask_t ask;
+	msp_ask_reply_t reply;
+	msp_claim_outcome_t *outcome;
+	msp_ask_done_t *done;
+	void *ctx;
+} question_t;
+
+static void
+finish_question(void *ctx)
+{
+	question_t *question = ctx;
+
+	question->done(question->ctx, &question->reply);
+	free(question->outcome);
+	free(question);
+}
+
+static void
+return_answer(void *ctx)
+{
+	question_t *question = ctx;
+
+	cw_deliver(question->from, finish_question, question);
+}
+
+static msp_time_t
+delay_between(const vm_t *a, const vm_t *b)
+{
+	bool far = (a->index == WORLD_VMS - 1) != (b->index == WORLD_VMS - 1);
+
+	return far ? FAR_DELAY : NET_DELAY;
+}
+
+static void
+arrive(void *ctx)
+{
+	question_t *question = ctx;
+	vm_t *to = question->to;
+
+	question->reply.status = MSP_ASK_NO_ANSWER;
+	if (to->cut_from_vms || question->from->cut_from_vms ||
+	    (to->alive && cw_is_frozen(to))) {
+		cw_later(to->world, ASK_TIMEOUT, return_answer, question);
+		return;
+	}
+	if (to->alive) {
+		msp_answer_ask(to->claims, &question->ask, &question->reply);
+		if (question->reply.outcome != NULL) {
+			question->outcome =
+			    msp_copy_claim_outcome(question->reply.outcome);
+			question->reply.outcome = question->outcome;
+		}
+	}
+	cw_later(to->world, delay_between(question->from, to), return_answer,
+	    question);
+}
+
+void
+cw_ask_vm(void *ctx, const msp_ask_t *ask, msp_ask_done_t *done, void *done_ctx)
+{
+	vm_t *from = ctx;
+	question_t *question = calloc(1, sizeof(*question));
+
+	if (question == NULL)
+		abort();
+	snprintf(
+	    question->service, sizeof(question->service), "%s", ask->service);
+	snprintf(question->key, sizeof(question->key), "%s", ask->key);
+	snprintf(
+	    question->address, sizeof(question->address), "%s", ask->address);
+	question->ask = *ask;
+	question->ask.service = question->service;
+	question->ask.key = question->key;
+	question->ask.address = question->address;
+	question->from = from;
+	question->to = &from->world->vms[ask->address[2] - '0'];
+	question->done = done;
+	question->ctx = done_ctx;
+	cw_later(
+	    from->world, delay_between(from, question->to), arrive, question);
+}
+
+/* Members may be wrong: a frozen or cut-off VM is taken for gone too. */
+bool
+cw_is_gone(void *ctx, uint64_t incarnation)
+{
+	const vm_t *asking = ctx;
+	world_t *world = asking->world;
+	unsigned int i;
+
+	for (i = 0; i < WORLD_VMS; i++) {
+		const vm_t *vm = &world->vms[i];
+
+		if (vm->incarnation != incarnation)
+			continue;
+		if (!vm->alive)
+			return world->venv.now - vm->died_at >= GONE_AFTER;
+		return vm->cut_from_vms ||
+		    (cw_is_frozen(vm) && cw_below(world, 2) == 0);
+	}
+	return true;
+}
--- /dev/null
+++ b/tests/support/commit_world.c
@@ -0,0 +1,441 @@
+#include "commit_parts.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FROZEN_FOR (8 * MSP_SECOND)
+#define RESTART_AFTER MSP_SECOND
+#define STORE_FAULT_FROM (200 * MSP_MS)
+#define STORE_FAULT_FOR (9 * MSP_SECOND)
+#define WORLD_ENDS (400 * MSP_SECOND)
+#define NONCE_LIFETIME (10 * MSP_SECOND)
+#define WALL_START (1700000000 * MSP_SECOND)
+
+static const char *const fault_names[FAULT_COUNT] = {
+    [FAULT_NONE] = "none",
+    [OWNER_KILLED_BEGUN] = "owner killed before the claim",
+    [OWNER_KILLED_CLAIMED] = "owner killed before dispatch",
+    [OWNER_KILLED_DISPATCHED] = "owner killed while the target works",
+    [OWNER_KILLED_ANSWERED] = "owner killed before the record",
+    [OWNER_FROZEN_BEGUN] = "owner frozen before the claim",
+    [OWNER_FROZEN_CLAIMED] = "owner frozen before dispatch",
+    [OWNER_FROZEN_DISPATCHED] = "owner frozen while the target works",
+    [OWNER_FROZEN_ANSWERED] = "owner frozen before the record",
+    [DISPATCHER_KILLED_BEFORE] = "dispatcher killed before the run",
+    [DISPATCHER_KILLED_AFTER] = "dispatcher killed after the run",
+    [DISPATCHER_FROZEN_BEFORE] = "dispatcher frozen before the run",
+    [DISPATCHER_FROZEN_AFTER] = "dispatcher frozen after the run",
+    [TWO_DISPATCHERS] = "two dispatchers",
+    [DISPATCHER_OVERLOADED] = "dispatcher overloaded",
+    [STORE_DOWN] = "store down",
+    [STORE_SLOW] = "store slow",
+    [STORE_LOSES_CALLS] = "store loses calls",
+    [STORE_LOSES_ANSWERS] = "store loses answers",
+    [STORE_LATE_EFFECTS] = "store's effects late",
+    [STORE_DOWN_AFTER_RUN] = "store down after the run",
+    [TARGET_LATE] = "target late",
+    [TARGET_CUTS] = "target cuts its answer",
+    [TARGET_CRASHES] = "target crashes",
+    [TARGET_SILENT] = "target's connection silent",
+    [VM_CUT_FROM_STORE] = "VM cut from the store",
+    [VMS_CUT_FROM_EACH_OTHER] = "VMs cut from each other",
+    [VM_LEAVING] = "VM leaving",
+};
+
+static const char *const pattern_names[PATTERN_COUNT] = {
+    [RESEND_SAME_VM] = "same VM",
+    [RESEND_OTHER_VM] = "other VM",
+    [RESEND_OTHER_PLACE] = "other data centre",
+    [RESEND_SAME_MOMENT] = "same moment",
+    [RESEND_AFTER_A_MINUTE] = "after a minute",
+    [RESEND_CHANGED_BODY] = "changed body",
+};
+
+const char *
+commit_fault_name(fault_t fault)
+{
+	return fault_names[fault];
+}
+
+const char *
+commit_pattern_name(pattern_t pattern)
+{
+	return pattern_names[pattern];
+}
+
+bool
+cw_has_fault(const world_t *world, fault_t fault)
+{
+	return world->scenario->faults[0] == fault ||
+	    world->scenario->faults[1] == fault;
+}
+
+bool
+cw_fault_strikes(world_t *world, fault_t fault)
+{
+	unsigned int i;
+
+	for (i = 0; i < 2; i++) {
+		if (world->scenario->faults[i] != fault || world->fault_used[i])
+			continue;
+		world->fault_used[i] = true;
+		return true;
+	}
+	return false;
+}
+
+uint64_t
+cw_below(world_t *world, uint64_t bound)
+{
+	return msp_random_below(&world->env, bound);
+}
+
+static void
+push_event(struct events *events, msp_time_t at, void (*run)(void *), void *ctx)
+{
+	event_t *event = calloc(1, sizeof(*event));
+	event_t *before;
+
+	if (event == NULL)
+		abort();
+	*event = (event_t){.at = at, .run = run, .ctx = ctx};
+	TAILQ_FOREACH_REVERSE(before, events, events, entry)
+	{
+		if (before->at <= at)
+			break;
+	}
+	if (before == NULL)
+		TAILQ_INSERT_HEAD(events, event, entry);
+	else
+		TAILQ_INSERT_AFTER(events, before, event, entry);
+}
+
+static void
+pop_event(struct events *events)
+{
+	event_t *event = TAILQ_FIRST(events);
+	event_t own = *event;
+
+	TAILQ_REMOVE(events, event, entry);
+	free(event);
+	own.run(own.ctx);
+}
+
+void
+cw_later(world_t *world, msp_time_t delay, void (*run)(void *), void *ctx)
+{
+	push_event(&world->events, world->venv.now + delay, run, ctx);
+}
+
+bool
+cw_is_frozen(const vm_t *vm)
+{
+	return vm->frozen_until > vm->world->venv.now;
+}
+
+void
+cw_deliver(vm_t *vm, void (*run)(void *), void *ctx)
+{
+	if (vm->alive && cw_is_frozen(vm))
+		push_event(&vm->inbox, vm->world->venv.now, run, ctx);
+	else
+		run(ctx);
+}
+
+/* Each VM has its own clock, and they are far apart. */
+static msp_time_t
+vm_now(void *ctx)
+{
+	const vm_t *vm = ctx;
+
+	return vm->world->venv.now + vm->clock_offset;
+}
+
+static uint64_t
+vm_random(void *ctx)
+{
+	return msp_next_random(&((vm_t *)ctx)->world->venv.rng);
+}
+
+static msp_time_t
+vm_wall(void *ctx)
+{
+	return ((vm_t *)ctx)->world->venv.now + WALL_START;
+}
+
+static void
+start_vm(void *ctx)
+{
+	vm_t *vm = ctx;
+	msp_claims_options_t options = {
+	    .env = {.now = vm_now, .random = vm_random, .ctx = vm},
+	    .store = cw_link_store(vm),
+	    .hooks = {.ctx = vm,
+		.ask = cw_ask_vm,
+		.is_gone = cw_is_gone,
+		.wall = vm_wall},
+	    .address = vm->address,
+	    .issued_lifetime = 5 * MSP_MINUTE,
+	    .inline_max = 40,
+	};
+
+	vm->incarnation = ++vm->world->next_incarnation;
+	options.incarnation = vm->incarnation;
+	vm->claims = msp_new_claims(&options);
+	if (vm->claims == NULL)
+		abort();
+	vm->alive = true;
+	vm->frozen_until = 0;
+}
+
+void
+cw_kill_vm(vm_t *vm)
+{
+	msp_claims_t *claims = vm->claims;
+
+	if (!vm->alive)
+		return;
+	vm->alive = false;
+	vm->claims = NULL;
+	vm->last_incarnation = vm->incarnation;
+	vm->died_at = vm->world->venv.now;
+	while (!TAILQ_EMPTY(&vm->inbox))
+		pop_event(&vm->inbox);
+	msp_drop_claims(claims);
+	cw_later(vm->world, RESTART_AFTER, start_vm, vm);
+}
+
+void
+cw_freeze_vm(vm_t *vm)
+{
+	vm->frozen_since = vm->world->venv.now;
+	vm->frozen_until = vm->world->venv.now + FROZEN_FOR;
+}
+
+/* A killed VM dies a moment later, so that its caller's stack unwinds. */
+static void
+die(void *ctx)
+{
+	cw_kill_vm(ctx);
+}
+
+void
+cw_strike_owner(vm_t *vm, fault_t killed, fault_t frozen)
+{
+	if (cw_fault_strikes(vm->world, killed)) {
+		cw_freeze_vm(vm);
+		cw_later(vm->world, 0, die, vm);
+	}
+	if (cw_fault_strikes(vm->world, frozen))
+		cw_freeze_vm(vm);
+}
+
+static void
+set_store_faults(void *ctx)
+{
+	world_t *world = ctx;
+	msp_store_faults_t *faults = msp_memory_store_faults(world->store);
+	vm_t *cut = &world->vms[cw_below(world, WORLD_VMS)];
+
+	faults->down = cw_has_fault(world, STORE_DOWN);
+	if (cw_has_fault(world, STORE_SLOW))
+		faults->latency = 800 * MSP_MS;
+	if (cw_has_fault(world, STORE_LOSES_CALLS))
+		faults->lose_call_pct = 60;
+	if (cw_has_fault(world, STORE_LOSES_ANSWERS))
+		faults->lose_answer_pct = 60;
+	if (cw_has_fault(world, STORE_LATE_EFFECTS)) {
+		faults->late_effect_pct = 60;
+		faults->late_effect = 3 * MSP_SECOND;
+	}
+	cut->cut_from_store = cw_has_fault(world, VM_CUT_FROM_STORE);
+	cut->cut_from_vms = cw_has_fault(world, VMS_CUT_FROM_EACH_OTHER);
+	cut->leaving = cw_has_fault(world, VM_LEAVING);
+}
+
+static void
+heal(void *ctx)
+{
+	world_t *world = ctx;
+	unsigned int i;
+
+	*msp_memory_store_faults(world->store) =
+	    (msp_store_faults_t){.latency = 4 * MSP_MS, .jitter = 4 * MSP_MS};
+	for (i = 0; i < WORLD_VMS; i++) {
+		world->vms[i].cut_from_store = false;
+		world->vms[i].cut_from_vms = false;
+		world->vms[i].leaving = false;
+	}
+}
+
+static void
+open_world(world_t *world, const scenario_t *scenario)
+{
+	unsigned int i;
+
+	*world = (world_t){.scenario = scenario};
+	world->venv.now = MSP_SECOND;
+	world->venv.rng.state = scenario->seed;
+	world->env = msp_virtual_env(&world->venv);
+	TAILQ_INIT(&world->events);
+	world->store = msp_new_memory_store(&world->env);
+	if (world->store == NULL)
+		abort();
+	for (i = 0; i < WORLD_VMS; i++) {
+		vm_t *vm = &world->vms[i];
+
+		vm->world = world;
+		vm->index = i;
+		vm->clock_offset = (i + 1) * 1000 * MSP_SECOND;
+		snprintf(vm->address, sizeof(vm->address), "vm%u", i);
+		TAILQ_INIT(&vm->inbox);
+		start_vm(vm);
+	}
+	for (i = 0; i < WORLD_DISPATCHERS; i++) {
+		world->dispatchers[i] = (dispatcher_t){.world = world,
+		    .index = i,
+		    .alive = true,
+		    .nonces = msp_new_nonces(&world->env, NONCE_LIFETIME)};
+	}
+	heal(world);
+	/* The nonces of a dispatcher vouch only for what came after them. */
+	world->venv.now += 30 * MSP_SECOND;
+	if (cw_below(world, 2) == 0)
+		set_store_faults(world);
+	else
+		cw_later(world, STORE_FAULT_FROM, set_store_faults, world);
+	cw_later(world, STORE_FAULT_FROM + STORE_FAULT_FOR, heal, world);
+}
+
+/* Steps what is due now; returns when something is due next. */
+static msp_time_t
+step_world(world_t *world)
+{
+	msp_time_t next = MSP_NEVER;
+	msp_time_t at;
+	unsigned int i;
+
+	while (!TAILQ_EMPTY(&world->events) &&
+	    TAILQ_FIRST(&world->events)->at <= world->venv.now)
+		pop_event(&world->events);
+	msp_step_memory_store(world->store);
+	for (i = 0; i < WORLD_VMS; i++) {
+		vm_t *vm = &world->vms[i];
+
+		if (!vm->alive)
+			continue;
+		while (!cw_is_frozen(vm) && !TAILQ_EMPTY(&vm->inbox))
+			pop_event(&vm->inbox);
+		if (vm->alive && !cw_is_frozen(vm))
+			msp_step_claims(vm->claims);
+		at = cw_is_frozen(vm)
+		    ? vm->frozen_until
+		    : msp_claims_deadline(vm->claims) - vm->clock_offset;
+		if (at < next)
+			next = at;
+	}
+	at = msp_memory_store_deadline(world->store);
+	if (at < next)
+		next = at;
+	if (!TAILQ_EMPTY(&world->events) &&
+	    TAILQ_FIRST(&world->events)->at < next)
+		next = TAILQ_FIRST(&world->events)->at;
+	return next;
+}
+
+static bool
+is_over(const world_t *world)
+{
+	unsigned int i;
+
+	for (i = 0; i < WORLD_KEYS; i++) {
+		if (!world->callers[i].done)
+			return false;
+	}
+	return true;
+}
+
+/* Lets what is under way end, without the VMs. */
+static void
+close_world(world_t *world)
+{
+	unsigned int i;
+	msp_time_t at;
+
+	world->closing = true;
+	for (i = 0; i < WORLD_VMS; i++) {
+		vm_t *vm = &world->vms[i];
+
+		msp_drop_claims(vm->claims);
+		vm->claims = NULL;
+		vm->alive = false;
+		while (!TAILQ_EMPTY(&vm->inbox))
+			pop_event(&vm->inbox);
+	}
+	while ((at = msp_memory_store_deadline(world->store)) != MSP_NEVER) {
+		if (at > world->venv.now)
+			world->venv.now = at;
+		msp_step_memory_store(world->store);
+	}
+	while (!TAILQ_EMPTY(&world->events)) {
+		event_t *first = TAILQ_FIRST(&world->events);
+
+		if (first->run == start_vm) {
+			TAILQ_REMOVE(&world->events, first, entry);
+			free(first);
+		} else {
+			pop_event(&world->events);
+		}
+	}
+	for (i = 0; i < WORLD_DISPATCHERS; i++)
+		msp_drop_nonces(world->dispatchers[i].nonces);
+	msp_drop_memory_store(world->store);
+}
+
+result_t
+run_commit_world(const scenario_t *scenario, reasons_t *reasons)
+{
+	world_t world;
+	msp_time_t end;
+	msp_time_t next;
+
+	open_world(&world, scenario);
+	world.reasons = reasons;
+	end = world.venv.now + WORLD_ENDS;
+	cw_start_callers(&world);
+	while (!is_over(&world) && world.venv.now < end) {
+		next = step_world(&world);
+		if (next > end)
+			next = end;
+		if (next > world.venv.now)
+			world.venv.now = next;
+	}
+	cw_check_callers(&world);
+	close_world(&world);
+	return world.result;
+}
+
+void
+add_commit_result(result_t *to, const result_t *from)
+{
+	if (to->what[0] == '\0')
+		memcpy(to->what, from->what, sizeof(to->what));
+	to->runs += from->runs;
+	to->answered += from->answered;
+	to->said_no += from->said_no;
+	to->said_unknown += from->said_unknown;
+	to->unanswered += from->unanswered;
+	to->doubles += from->doubles;
+	to->false_no += from->false_no;
+	to->wrong_answers += from->wrong_answers;
+	to->stuck += from->stuck;
+}
+
+bool
+is_commit_broken(const result_t *result)
+{
+	return result->doubles + result->false_no + result->wrong_answers +
+	    result->stuck >
+	    0;
+}
