Encode base64 of values whose length is a multiple of three

Cause: the library's encoder refuses a buffer that fits its text and the final byte exactly, and the failure was ignored, so such a value reached the platform as empty text. Seen as release heads that every poll found malformed. Ruled out: the decoder (gave all seven samples back) and the table (kept what it was given). A failed encode is now refused by the receiver instead of read as empty.

--- a/source/platform/base64.c
+++ b/source/platform/base64.c
@@ -11,7 +11,9 @@
 msp_status_t
 msp_encode_base64(msp_buffer_t *out, const void *data, size_t len)
 {
-	size_t size = (len + 2) / 3 * 4 + 1;
+	size_t text_len = (len + 2) / 3 * 4;
+	/* The library refuses a buffer that fits the text and its end. */
+	size_t size = text_len + 2;
 	char *text;
 	msp_status_t status;
 
@@ -23,7 +25,7 @@
 	if (lws_b64_encode_string(data, (int)len, text, (int)size) < 0)
 		status = msp_fail(MSP_E_INTERNAL, "base64 failed");
 	else
-		status = msp_append_buffer(out, text, size - 1);
+		status = msp_append_buffer(out, text, text_len);
 	free(text);
 	return status;
 }
--- a/source/platform/encode_json.c
+++ b/source/platform/encode_json.c
@@ -1,6 +1,7 @@
 #include "base64.h"
 #include "store_json.h"
 
+/* Without memory the member is no string, which the receiver refuses. */
 static struct json_object *
 encode_value(const char *value, size_t len)
 {
@@ -9,9 +10,11 @@
 
 	if (value == NULL)
 		return NULL;
-	msp_encode_base64(&text, value, len);
-	member =
-	    json_object_new_string_len(msp_buffer_text(&text), (int)text.len);
+	if (msp_encode_base64(&text, value, len) == MSP_OK)
+		member = json_object_new_string_len(
+		    msp_buffer_text(&text), (int)text.len);
+	else
+		member = json_object_new_boolean(0);
 	msp_drop_buffer(&text);
 	return member;
 }
