Add spindlectl, the operators' command line

apply, diff, drain, history, status, members, doubt, metrics over the operators' interface; several --vm are tried in turn, with the note's id kept over resends.

--- a/include/monsoonspindle/config/release.h
+++ b/include/monsoonspindle/config/release.h
@@ -51,6 +51,8 @@
     const msp_release_t *release, const char *name);
 const msp_place_t *msp_find_place(
     const msp_release_t *release, const char *name);
+const msp_link_t *msp_find_link_by_name(
+    const msp_release_t *release, const char *name);
 const msp_service_t *msp_find_service(
     const msp_release_t *release, const char *name);
 const msp_target_t *msp_find_target(
--- a/source/config/release.c
+++ b/source/config/release.c
@@ -127,6 +127,12 @@
 	return find_by_name(release, MSP_ITEM_PLACE, name);
 }
 
+const msp_link_t *
+msp_find_link_by_name(const msp_release_t *release, const char *name)
+{
+	return find_by_name(release, MSP_ITEM_LINK, name);
+}
+
 const msp_service_t *
 msp_find_service(const msp_release_t *release, const char *name)
 {
--- /dev/null
+++ b/source/spindlectl/apply.c
@@ -0,0 +1,56 @@
+#include <stdio.h>
+
+#include "ctl.h"
+
+/* Applies the note to the present release here, and sends nothing. */
+static ctl_exit_t
+check_note(ctl_t *ctl, msp_note_t *note)
+{
+	msp_release_t *next = NULL;
+	msp_release_t *release;
+	ctl_exit_t code;
+
+	release = fetch_release(ctl, &code);
+	if (release == NULL)
+		return code;
+	if (!note->has_base)
+		msp_rebase_note(note, release->version, release->digest);
+	switch (msp_apply_note(release, note, &next)) {
+	case MSP_OK:
+		printf("%zu items would change version %llu\n",
+		    note->change_count, (unsigned long long)release->version);
+		break;
+	case MSP_E_CONFLICT:
+		complain("%s", msp_last_message());
+		code = CTL_REFUSED;
+		break;
+	default:
+		complain("%s", msp_last_message());
+		code = CTL_USAGE;
+		break;
+	}
+	msp_drop_release(next);
+	msp_drop_release(release);
+	return code;
+}
+
+ctl_exit_t
+run_apply(ctl_t *ctl)
+{
+	msp_note_t *note;
+	ctl_exit_t code;
+	bool new_id;
+
+	note = load_note(ctl->options.args[0], &code);
+	if (note == NULL)
+		return code;
+	if (ctl->options.check) {
+		code = check_note(ctl, note);
+	} else {
+		code = complete_note(ctl, note, &new_id);
+		if (code == CTL_OK)
+			code = send_note(ctl, note, new_id);
+	}
+	msp_drop_note(note);
+	return code;
+}
--- /dev/null
+++ b/source/spindlectl/diff.c
@@ -0,0 +1,140 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+static const char signs[MSP_CHANGE_OPS] = {
+    [MSP_ADD] = '+',
+    [MSP_CHANGE] = '~',
+    [MSP_WITHDRAW] = '-',
+};
+
+/* Finds the release's item of the same kind and key. */
+static const void *
+find_present(const msp_release_t *release, const msp_change_t *change)
+{
+	switch (change->kind) {
+	case MSP_ITEM_REGION:
+		return msp_find_region(release, change->item);
+	case MSP_ITEM_PLACE:
+		return msp_find_place(release, change->item);
+	case MSP_ITEM_SERVICE:
+		return msp_find_service(release, change->item);
+	case MSP_ITEM_TARGET:
+		return msp_find_target(release, change->item);
+	case MSP_ITEM_BLOCK:
+		return msp_find_block(release, change->item);
+	case MSP_ITEM_LINK:
+		return msp_find_link_by_name(release, change->item);
+	case MSP_ITEM_KINDS:
+		break;
+	}
+	return NULL;
+}
+
+static json_object *
+item_json(const msp_change_t *change, const void *item)
+{
+	msp_buffer_t text = {0};
+	json_object *object = NULL;
+
+	if (msp_print_item(change->kind, item, &text) == MSP_OK)
+		object = json_tokener_parse(msp_buffer_text(&text));
+	msp_drop_buffer(&text);
+	return object;
+}
+
+/* Prints the keys that differ, as "key: before -> after". */
+static void
+print_keys(const msp_change_t *change, const void *present)
+{
+	json_object *before = item_json(change, present);
+	json_object *after = item_json(change, change->item);
+	json_object *old = NULL;
+
+	json_object_object_foreach(after, key, value)
+	{
+		json_object_object_get_ex(before, key, &old);
+		if (json_object_equal(old, value))
+			continue;
+		printf("    %s: %s -> ", key, json_object_to_json_string(old));
+		printf("%s\n", json_object_to_json_string(value));
+	}
+	json_object_put(before);
+	json_object_put(after);
+}
+
+static void
+print_change(const msp_release_t *release, const msp_change_t *change)
+{
+	const void *present = find_present(release, change);
+	char key[MSP_ITEM_KEY_SIZE];
+	msp_buffer_t text = {0};
+
+	msp_print_item_key(change->kind, change->item, key);
+	printf("%c %s %s\n", signs[change->op],
+	    msp_item_kind_name(change->kind), key);
+	if (change->op == MSP_ADD && present != NULL)
+		printf("    is there already\n");
+	if (change->op != MSP_ADD && present == NULL)
+		printf("    is not there\n");
+	if (change->op == MSP_CHANGE && present != NULL)
+		print_keys(change, present);
+	if (change->op == MSP_ADD &&
+	    msp_print_item(change->kind, change->item, &text) == MSP_OK)
+		printf("    %s\n", msp_buffer_text(&text));
+	msp_drop_buffer(&text);
+}
+
+static void
+print_json_change(
+    const msp_release_t *release, const msp_change_t *change, bool first)
+{
+	const void *present = find_present(release, change);
+	char key[MSP_ITEM_KEY_SIZE];
+	msp_buffer_t text = {0};
+
+	msp_print_item_key(change->kind, change->item, key);
+	msp_print_buffer(&text,
+	    "%s{\"op\":\"%s\",\"kind\":\"%s\",\"key\":\"%s\",\"before\":",
+	    first ? "" : ",\n", msp_change_op_name(change->op),
+	    msp_item_kind_name(change->kind), key);
+	if (present == NULL)
+		msp_print_buffer(&text, "null");
+	else
+		msp_print_item(change->kind, present, &text);
+	msp_print_buffer(&text, ",\"after\":");
+	if (change->op == MSP_WITHDRAW)
+		msp_print_buffer(&text, "null");
+	else
+		msp_print_item(change->kind, change->item, &text);
+	printf("%s}", msp_buffer_text(&text));
+	msp_drop_buffer(&text);
+}
+
+ctl_exit_t
+run_diff(ctl_t *ctl)
+{
+	msp_release_t *release;
+	msp_note_t *note;
+	ctl_exit_t code;
+	size_t i;
+
+	note = load_note(ctl->options.args[0], &code);
+	if (note == NULL)
+		return code;
+	release = fetch_release(ctl, &code);
+	if (release != NULL && ctl->options.json)
+		printf("[");
+	for (i = 0; release != NULL && i < note->change_count; i++) {
+		if (ctl->options.json)
+			print_json_change(release, &note->changes[i], i == 0);
+		else
+			print_change(release, &note->changes[i]);
+	}
+	if (release != NULL && ctl->options.json)
+		printf("]\n");
+	msp_drop_release(release);
+	msp_drop_note(note);
+	return code;
+}
--- /dev/null
+++ b/source/spindlectl/note_file.c
@@ -0,0 +1,80 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+
+#define READ_BYTES 4096
+
+static msp_status_t
+read_all(FILE *file, const char *path, msp_buffer_t *text)
+{
+	char part[READ_BYTES];
+	msp_status_t status = MSP_OK;
+	size_t len;
+
+	while (
+	    status == MSP_OK && (len = fread(part, 1, sizeof(part), file)) > 0)
+		status = msp_append_buffer(text, part, len);
+	if (status == MSP_OK && ferror(file))
+		status = msp_fail(MSP_E_IO, "%s: can't be read", path);
+	return status;
+}
+
+msp_note_t *
+load_note(const char *path, ctl_exit_t *code)
+{
+	bool standard = strcmp(path, "-") == 0;
+	FILE *file = standard ? stdin : fopen(path, "r");
+	msp_buffer_t text = {.limit = MSP_NOTE_BYTES_MAX + 1};
+	msp_note_t *note = NULL;
+	msp_status_t status;
+
+	*code = CTL_USAGE;
+	if (file == NULL) {
+		complain("%s: %s", path, strerror(errno));
+		return NULL;
+	}
+	status = read_all(file, path, &text);
+	if (!standard)
+		fclose(file);
+	if (status == MSP_OK)
+		status = msp_parse_note(msp_buffer_text(&text), text.len,
+		    standard ? "standard input" : path, &note);
+	if (status != MSP_OK)
+		complain("%s", msp_last_message());
+	else
+		*code = CTL_OK;
+	msp_drop_buffer(&text);
+	return note;
+}
+
+ctl_exit_t
+complete_note(ctl_t *ctl, msp_note_t *note, bool *new_id)
+{
+	json_object *status;
+	msp_digest_t digest;
+	ctl_exit_t code = CTL_OK;
+
+	*new_id = note->id[0] == '\0';
+	if (*new_id)
+		snprintf(note->id, sizeof(note->id), "note-%016" PRIx64,
+		    ctl->env.random(ctl->env.ctx));
+	if (note->comment[0] == '\0' && ctl->options.comment != NULL)
+		snprintf(note->comment, sizeof(note->comment), "%s",
+		    ctl->options.comment);
+	if (note->has_base)
+		return CTL_OK;
+	status = fetch_json(ctl, "/v1/status", &code);
+	if (status == NULL)
+		return code;
+	if (msp_parse_digest(json_text(status, "digest"), &digest) == 0) {
+		msp_rebase_note(note, json_number(status, "version"), digest);
+	} else {
+		complain("the VM's status has no digest");
+		code = CTL_UNREACHABLE;
+	}
+	json_object_put(status);
+	return code;
+}
--- /dev/null
+++ b/source/spindlectl/options.c
@@ -0,0 +1,250 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "ctl.h"
+#include "monsoonspindle.h"
+
+#define TIMEOUT_S 30
+#define TIMEOUT_MAX_S 86400
+#define HISTORY_LIMIT 20
+#define HISTORY_LIMIT_MAX 1000
+#define ARG_ERRORS 8
+
+static const char commands_help[] =
+    "Commands:\n"
+    "  apply NOTE.json           send a release note; --wait until in force,\n"
+    "                            --check to check it only; - is stdin\n"
+    "  diff NOTE.json            what the note would change\n"
+    "  history                   accepted notes; --after, --limit\n"
+    "  status                    the VMs and their versions\n"
+    "  members                   membership as the VM sees it\n"
+    "  doubt [list]              commits whose outcome is not known\n"
+    "  doubt rule KEY ran|not-ran  rule one of them\n"
+    "  drain place|target NAME   a note that sets its state to draining\n"
+    "  drain vm NAME             let a VM leave\n"
+    "  metrics                   counters of the VM\n"
+    "\n"
+    "Exit codes: 0 done, 1 refused or clash, 2 bad arguments, token or note,\n"
+    "3 no final answer in time, 4 accepted but not in force everywhere in "
+    "time.\n";
+
+/* The options as argtable reads them. */
+typedef struct arg_set {
+	struct arg_str *vm;
+	struct arg_str *token;
+	struct arg_str *token_file;
+	struct arg_str *comment;
+	struct arg_int *timeout;
+	struct arg_int *after;
+	struct arg_int *limit;
+	struct arg_lit *json;
+	struct arg_lit *wait;
+	struct arg_lit *check;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_str *words;
+	struct arg_end *end;
+} arg_set_t;
+
+static msp_status_t
+parse_vm(const char *text, ctl_vm_t *vm)
+{
+	const char *colon = strrchr(text, ':');
+	char address[MSP_ADDRESS_SIZE];
+	char *end;
+	size_t len;
+	long port;
+
+	if (colon == NULL)
+		return msp_fail(
+		    MSP_E_SYNTAX, "--vm: \"%s\" is no address:port", text);
+	len = (size_t)(colon - text);
+	if (len >= 2 && text[0] == '[' && text[len - 1] == ']') {
+		text++;
+		len -= 2;
+	}
+	if (len >= sizeof(address))
+		return msp_fail(MSP_E_SYNTAX, "--vm: no IP number");
+	memcpy(address, text, len);
+	address[len] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (*end != '\0' || port < 1 || port > 65535)
+		return msp_fail(MSP_E_RANGE,
+		    "--vm: port \"%s\" is out of range 1..65535", colon + 1);
+	vm->port = (uint16_t)port;
+	if (msp_normalise_address(address, vm->address, sizeof(vm->address)) !=
+	    MSP_OK)
+		return msp_fail(
+		    MSP_E_SYNTAX, "--vm: \"%s\" is no IP number", address);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_vms(const arg_set_t *set, ctl_options_t *options)
+{
+	const char *given = getenv("MSP_VM");
+	msp_status_t status = MSP_OK;
+	int i;
+
+	for (i = 0; i < set->vm->count && status == MSP_OK; i++)
+		status = parse_vm(
+		    set->vm->sval[i], &options->vms[options->vm_count++]);
+	if (status != MSP_OK || options->vm_count > 0)
+		return status;
+	if (given == NULL)
+		return msp_fail(
+		    MSP_E_SYNTAX, "no VM: give --vm address:port, or MSP_VM");
+	options->vm_count = 1;
+	return parse_vm(given, &options->vms[0]);
+}
+
+static msp_status_t
+read_token_file(const char *path, ctl_options_t *options)
+{
+	FILE *file = fopen(path, "r");
+	size_t len;
+
+	if (file == NULL)
+		return msp_fail(MSP_E_IO, "%s: can't be read", path);
+	len = fread(options->token, 1, sizeof(options->token) - 1, file);
+	fclose(file);
+	options->token[len] = '\0';
+	options->token[strcspn(options->token, "\r\n")] = '\0';
+	return MSP_OK;
+}
+
+static msp_status_t
+read_token(const arg_set_t *set, ctl_options_t *options)
+{
+	const char *token = getenv("MSP_TOKEN");
+
+	if (set->token_file->count > 0 && set->token->count == 0)
+		return read_token_file(set->token_file->sval[0], options);
+	if (set->token->count > 0)
+		token = set->token->sval[0];
+	if (token == NULL)
+		return msp_fail(MSP_E_SYNTAX,
+		    "no token: give --token, --token-file or MSP_TOKEN");
+	if (strlen(token) >= sizeof(options->token))
+		return msp_fail(MSP_E_RANGE, "token: over %zu bytes",
+		    sizeof(options->token) - 1);
+	memcpy(options->token, token, strlen(token) + 1);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_number(const struct arg_int *arg, const char *name, int least, int most,
+    unsigned int *out)
+{
+	if (arg->count == 0)
+		return MSP_OK;
+	if (arg->ival[0] < least || arg->ival[0] > most)
+		return msp_fail(MSP_E_RANGE, "%s: %d is out of range %d..%d",
+		    name, arg->ival[0], least, most);
+	*out = (unsigned int)arg->ival[0];
+	return MSP_OK;
+}
+
+static msp_status_t
+read_set(const arg_set_t *set, ctl_options_t *options)
+{
+	unsigned int after = 0;
+	msp_status_t status;
+	int i;
+
+	options->timeout_s = TIMEOUT_S;
+	options->limit = HISTORY_LIMIT;
+	options->json = set->json->count > 0;
+	options->wait = set->wait->count > 0;
+	options->check = set->check->count > 0;
+	if (set->comment->count > 0)
+		options->comment = set->comment->sval[0];
+	if (set->words->count == 0)
+		return msp_fail(MSP_E_SYNTAX, "no command; see --help");
+	options->command = set->words->sval[0];
+	for (i = 1; i < set->words->count; i++)
+		options->args[options->arg_count++] = set->words->sval[i];
+	status = read_vms(set, options);
+	if (status == MSP_OK)
+		status = read_token(set, options);
+	if (status == MSP_OK)
+		status = read_number(set->timeout, "--timeout", 1,
+		    TIMEOUT_MAX_S, &options->timeout_s);
+	if (status == MSP_OK)
+		status = read_number(set->limit, "--limit", 1,
+		    HISTORY_LIMIT_MAX, &options->limit);
+	if (status == MSP_OK)
+		status =
+		    read_number(set->after, "--after", 0, INT32_MAX, &after);
+	options->after = after;
+	return status;
+}
+
+static void
+print_help(void **table)
+{
+	printf("Usage: spindlectl [OPTIONS] COMMAND [ARGUMENTS]\n\n"
+	       "Options:\n");
+	arg_print_glossary(stdout, table, "  %-25s %s\n");
+	printf("\n%s", commands_help);
+}
+
+bool
+parse_options(int argc, char **argv, ctl_options_t *options, ctl_exit_t *code)
+{
+	arg_set_t set = {
+	    .vm = arg_strn(NULL, "vm", "ADDRESS:PORT", 0, CTL_VMS_MAX,
+		"operator port of a VM; again for others to turn to "
+		"(MSP_VM)"),
+	    .token = arg_str0(
+		NULL, "token", "TOKEN", "operator's token (MSP_TOKEN)"),
+	    .token_file =
+		arg_str0(NULL, "token-file", "FILE", "file with the token"),
+	    .comment = arg_str0(NULL, "comment", "TEXT",
+		"for the history, if the note has none"),
+	    .timeout = arg_int0(
+		NULL, "timeout", "SECONDS", "for the whole command (30)"),
+	    .after =
+		arg_int0(NULL, "after", "VERSION", "history: notes above it"),
+	    .limit = arg_int0(NULL, "limit", "N", "history: at most (20)"),
+	    .json = arg_lit0(NULL, "json", "output for programs"),
+	    .wait =
+		arg_lit0(NULL, "wait", "until all live VMs have it in force"),
+	    .check = arg_lit0(NULL, "check", "apply: check only, send nothing"),
+	    .help = arg_lit0("h", "help", "print this and exit"),
+	    .version = arg_lit0(NULL, "version", "print the version and exit"),
+	    .words = arg_strn(NULL, NULL, "COMMAND", 0, CTL_ARGS_MAX + 1, NULL),
+	    .end = arg_end(ARG_ERRORS),
+	};
+	void *table[] = {set.vm, set.token, set.token_file, set.comment,
+	    set.timeout, set.after, set.limit, set.json, set.wait, set.check,
+	    set.help, set.version, set.words, set.end};
+	size_t count = sizeof(table) / sizeof(table[0]);
+	bool go_on = false;
+	int errors;
+
+	*code = CTL_USAGE;
+	if (arg_nullcheck(table) != 0) {
+		complain("no memory");
+		return false;
+	}
+	errors = arg_parse(argc, argv, table);
+	if (set.help->count > 0 || set.version->count > 0) {
+		*code = CTL_OK;
+		if (set.help->count > 0)
+			print_help(table);
+		else
+			printf("spindlectl %s\n", MSP_VERSION);
+	} else if (errors > 0) {
+		arg_print_errors(stderr, set.end, "spindlectl");
+	} else if (read_set(&set, options) != MSP_OK) {
+		complain("%s", msp_last_message());
+	} else {
+		go_on = true;
+	}
+	arg_freetable(table, count);
+	return go_on;
+}
--- /dev/null
+++ b/source/spindlectl/report.c
@@ -0,0 +1,94 @@
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "ctl.h"
+
+void
+complain(const char *fmt, ...)
+{
+	va_list args;
+
+	fflush(stdout);
+	fputs("spindlectl: ", stderr);
+	va_start(args, fmt);
+	vfprintf(stderr, fmt, args);
+	va_end(args);
+	fputc('\n', stderr);
+}
+
+const char *
+json_text(json_object *object, const char *key)
+{
+	json_object *value = NULL;
+
+	if (!json_object_object_get_ex(object, key, &value) || value == NULL)
+		return "";
+	return json_object_get_string(value);
+}
+
+uint64_t
+json_number(json_object *object, const char *key)
+{
+	json_object *value = NULL;
+
+	if (!json_object_object_get_ex(object, key, &value))
+		return 0;
+	return json_object_get_uint64(value);
+}
+
+static ctl_exit_t
+exit_of_status(int http_status)
+{
+	switch (http_status) {
+	case 400:
+	case 401:
+	case 413:
+	case 422:
+		return CTL_USAGE;
+	case 404:
+	case 405:
+	case 409:
+		return CTL_REFUSED;
+	default:
+		return CTL_UNREACHABLE;
+	}
+}
+
+static void
+print_clashes(json_object *problem)
+{
+	json_object *clashes = NULL;
+	size_t i;
+
+	if (!json_object_object_get_ex(problem, "clashes", &clashes) ||
+	    !json_object_is_type(clashes, json_type_array))
+		return;
+	for (i = 0; i < json_object_array_length(clashes); i++)
+		complain("  %s",
+		    json_object_get_string(
+			json_object_array_get_idx(clashes, i)));
+}
+
+ctl_exit_t
+report_problem(const ctl_t *ctl, const ctl_answer_t *answer)
+{
+	const ctl_vm_t *vm = &ctl->options.vms[ctl->current];
+	json_object *problem;
+
+	if (answer->status != MSP_OK) {
+		complain("%s port %u: no answer (%s)", vm->address, vm->port,
+		    msp_status_name(answer->status));
+		return CTL_UNREACHABLE;
+	}
+	problem = json_tokener_parse(msp_buffer_text(&answer->body));
+	if (ctl->options.json)
+		printf("%s\n", msp_buffer_text(&answer->body));
+	complain("%s: %s", json_text(problem, "kind"),
+	    json_text(problem, "detail")[0] != '\0'
+		? json_text(problem, "detail")
+		: json_text(problem, "title"));
+	print_clashes(problem);
+	json_object_put(problem);
+	return exit_of_status(answer->http_status);
+}
--- /dev/null
+++ b/source/spindlectl/request.c
@@ -0,0 +1,183 @@
+#include <string.h>
+
+#include "ctl.h"
+
+#define LOOP_FDS 64
+#define MAX_ANSWER (256 << 20) /* bytes: a whole release */
+#define CALL_TIMEOUT (12 * MSP_SECOND) /* a VM's own bound for a note is 10 s \
+					*/
+#define RETRY_PAUSE (300 * MSP_MS)
+#define STEP_MS 20
+
+/* A call that the loop is run for. */
+typedef struct pending {
+	ctl_answer_t *answer;
+	bool done;
+} pending_t;
+
+bool
+open_ctl(ctl_t *ctl)
+{
+	const msp_http_client_options_t options = {
+	    .lanes = 1, .max_answer = MAX_ANSWER};
+
+	ctl->deadline =
+	    msp_now(&ctl->env) + ctl->options.timeout_s * MSP_SECOND;
+	ctl->loop = msp_new_loop(LOOP_FDS);
+	if (ctl->loop == NULL)
+		return false;
+	ctl->client = msp_new_http_client(ctl->loop, &options);
+	if (ctl->client != NULL)
+		return true;
+	msp_drop_loop(ctl->loop);
+	return false;
+}
+
+void
+close_ctl(ctl_t *ctl)
+{
+	msp_drop_http_client(ctl->client);
+	msp_drop_loop(ctl->loop);
+}
+
+msp_time_t
+time_left(const ctl_t *ctl)
+{
+	msp_time_t now = msp_now(&ctl->env);
+
+	return now < ctl->deadline ? ctl->deadline - now : 0;
+}
+
+void
+pause_ctl(ctl_t *ctl, msp_time_t span)
+{
+	msp_time_t end = msp_now(&ctl->env) + span;
+
+	while (msp_now(&ctl->env) < end && time_left(ctl) > 0)
+		msp_step_loop(ctl->loop, STEP_MS);
+}
+
+static void
+on_done(void *ctx, msp_call_result_t *result)
+{
+	pending_t *pending = ctx;
+	ctl_answer_t *answer = pending->answer;
+
+	pending->done = true;
+	answer->status = result->status;
+	answer->maybe_sent = result->maybe_sent;
+	if (result->status != MSP_OK)
+		return;
+	answer->http_status = result->response->status;
+	answer->body = result->response->body;
+	result->response->body = (msp_buffer_t){0};
+}
+
+void
+drop_answer(ctl_answer_t *answer)
+{
+	msp_drop_buffer(&answer->body);
+}
+
+void
+ask_vm(ctl_t *ctl, const ctl_vm_t *vm, const char *method, const char *path,
+    const msp_buffer_t *body, bool first_try, ctl_answer_t *answer)
+{
+	pending_t pending = {.answer = answer};
+	msp_time_t timeout = time_left(ctl);
+	msp_call_options_t options = {.address = vm->address, .port = vm->port};
+	msp_request_t request = {0};
+
+	*answer = (ctl_answer_t){.status = MSP_E_DEADLINE};
+	if (timeout > CALL_TIMEOUT)
+		timeout = CALL_TIMEOUT;
+	if (timeout == 0)
+		return;
+	options.timeout_ms = (uint32_t)(timeout / MSP_MS) + 1;
+	strncpy(request.method, method, sizeof(request.method) - 1);
+	strncpy(request.path, path, sizeof(request.path) - 1);
+	msp_print_header(
+	    &request.headers, "Authorization", "Bearer %s", ctl->options.token);
+	if (first_try)
+		msp_add_header(&request.headers, "Request-Attempt", "1");
+	if (body != NULL) {
+		msp_add_header(
+		    &request.headers, "Content-Type", "application/json");
+		msp_append_buffer(&request.body, body->data, body->len);
+	}
+	if (msp_start_call(
+		ctl->client, &options, &request, on_done, &pending) == NULL) {
+		answer->status = MSP_E_NO_MEMORY;
+		msp_drop_request(&request);
+		return;
+	}
+	while (!pending.done)
+		msp_step_loop(ctl->loop, STEP_MS);
+}
+
+/* Whether asking again, or another VM, may give another answer. */
+static bool
+may_change(const ctl_answer_t *answer)
+{
+	return answer->status != MSP_OK || answer->http_status >= 500;
+}
+
+ctl_exit_t
+ask_any(ctl_t *ctl, const char *method, const char *path,
+    const msp_buffer_t *body, ctl_answer_t *answer)
+{
+	ctl_options_t *options = &ctl->options;
+	ctl_exit_t code;
+
+	for (;;) {
+		ask_vm(ctl, &options->vms[ctl->current], method, path, body,
+		    false, answer);
+		if (!may_change(answer) || time_left(ctl) == 0)
+			break;
+		drop_answer(answer);
+		ctl->current = (ctl->current + 1) % options->vm_count;
+		if (ctl->current == 0)
+			pause_ctl(ctl, RETRY_PAUSE);
+	}
+	if (answer->status == MSP_OK && answer->http_status < 300)
+		return CTL_OK;
+	code = report_problem(ctl, answer);
+	drop_answer(answer);
+	return code;
+}
+
+json_object *
+fetch_json(ctl_t *ctl, const char *path, ctl_exit_t *code)
+{
+	ctl_answer_t answer;
+	json_object *doc;
+
+	*code = ask_any(ctl, "GET", path, NULL, &answer);
+	if (*code != CTL_OK)
+		return NULL;
+	doc = json_tokener_parse(msp_buffer_text(&answer.body));
+	drop_answer(&answer);
+	if (doc != NULL)
+		return doc;
+	complain("%s: the VM's answer is no JSON", path);
+	*code = CTL_UNREACHABLE;
+	return NULL;
+}
+
+msp_release_t *
+fetch_release(ctl_t *ctl, ctl_exit_t *code)
+{
+	msp_release_t *release = NULL;
+	ctl_answer_t answer;
+
+	*code = ask_any(ctl, "GET", "/v1/release", NULL, &answer);
+	if (*code != CTL_OK)
+		return NULL;
+	if (msp_parse_release(msp_buffer_text(&answer.body), answer.body.len,
+		"release", &release) != MSP_OK) {
+		complain("%s", msp_last_message());
+		*code = CTL_UNREACHABLE;
+	}
+	drop_answer(&answer);
+	return release;
+}
