--- a/tests/coord/test_credits.c
+++ b/tests/coord/test_credits.c
@@ -160,7 +160,6 @@
 		}
 		for (step = 0; step < STEPS; step++) {
 			venv.now += STEP + msp_next_random(&rng) % 100;
-			i = (int)(msp_next_random(&rng) % RECEIVERS);
 			if (step == 1000 + (int)seed % 300) {
 				int late =
 				    receivers[replaced].hears_at <= venv.now;
--- a/tests/steer/test_dispatcher_faults.c
+++ b/tests/steer/test_dispatcher_faults.c
@@ -136,7 +136,8 @@
 		for (j = 0; j < world_fault_count; j++) {
 			if (i != j)
 				wrong += run_faults(&world_faults[i],
-				    &world_faults[j], (uint64_t)(100 * i + j));
+				    &world_faults[j],
+				    (uint64_t)i * 100 + (uint64_t)j);
 		}
 	}
 	assert_int_equal(wrong, 0);
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -189,6 +189,7 @@
 	world_pending_t *heap;
 	size_t pending, room;
 	uint64_t order;
+	uint32_t kills; /* targets that died */
 	uint32_t poison_left; /* times that its caller will send it again */
 	double burst; /* factor on the load now */
 	msp_time_t measure_from;
--- a/tests/support/world_target.c
+++ b/tests/support/world_target.c
@@ -98,6 +98,7 @@
 	world_t *world = target->world;
 	fake_attempt_t *attempt;
 
+	world->kills++;
 	target->dead = true;
 	while ((attempt = TAILQ_FIRST(&target->running)) != NULL) {
 		leave_slot(attempt);
