Wait for other data centres too before a note counts as in force

Cause: spindlectl looked only at the VMs of the data centre that it asked, so it said in force everywhere while two VMs of the other one were at version 1. A summary now carries the lowest version of its data centre's live VMs, and the status lists each data centre heard of, or listed by the platform and not heard of yet.

--- a/include/monsoonspindle/coord/summary.h
+++ b/include/monsoonspindle/coord/summary.h
@@ -34,7 +34,8 @@
 	uint64_t sequence; /* grows; milliseconds of the author's clock */
 	msp_time_t received; /* on this process's clock */
 	msp_time_t age_received; /* its age at that time */
-	uint64_t release; /* version in force at the author */
+	uint64_t
+	    release; /* in force at all live members, as the author knows */
 	uint32_t live; /* members that are alive */
 	bool draining; /* takes nothing new */
 	msp_entry_vm_t entries[MSP_SUMMARY_ENTRIES_MAX]; /* some of them */
--- a/source/coord/relay.c
+++ b/source/coord/relay.c
@@ -179,6 +179,8 @@
 		msp_entry_vm_t *entry;
 
 		summary->live++;
+		if (ranked[i]->release < summary->release)
+			summary->release = ranked[i]->release;
 		if (summary->entry_count == MSP_SUMMARY_ENTRIES_MAX)
 			continue;
 		entry = &summary->entries[summary->entry_count++];
--- a/source/spindlectl/wait.c
+++ b/source/spindlectl/wait.c
@@ -7,34 +7,83 @@
 #define POLL_PERIOD (100 * MSP_MS)
 #define PROGRESS_PERIOD (2 * MSP_SECOND)
 
-/* Lists the live VMs that are below `version`; returns how many there are. */
-static size_t
-list_missing(const ctl_t *ctl, json_object *status, uint64_t version,
-    size_t *total, msp_buffer_t *missing)
+/* Who is below a version, while a status is read. */
+typedef struct laggards {
+	const char *quote; /* around each name */
+	uint64_t version;
+	size_t total; /* VMs looked at, and other places */
+	size_t count; /* of those below */
+	msp_buffer_t *names;
+} laggards_t;
+
+static void
+add_laggard(laggards_t *laggards, const char *name)
+{
+	msp_print_buffer(laggards->names, "%s%s%s%s",
+	    laggards->count > 0 ? "," : "", laggards->quote, name,
+	    laggards->quote);
+	laggards->count++;
+}
+
+/* The VMs of the data centre that was asked. */
+static void
+check_vms(laggards_t *laggards, json_object *vms)
 {
-	const char *quote = ctl->options.json ? "\"" : "";
-	json_object *vms = NULL;
-	size_t count = 0;
 	size_t i;
 
-	*total = 0;
-	msp_clear_buffer(missing);
-	if (!json_object_object_get_ex(status, "vms", &vms) ||
-	    !json_object_is_type(vms, json_type_array))
-		return 1;
 	for (i = 0; i < json_object_array_length(vms); i++) {
 		json_object *vm = json_object_array_get_idx(vms, i);
 
 		if (strcmp(json_text(vm, "state"), "leaving") == 0)
 			continue;
-		(*total)++;
-		if (json_number(vm, "version") >= version)
-			continue;
-		msp_print_buffer(missing, "%s%s%s%s", count > 0 ? "," : "",
-		    quote, json_text(vm, "vm"), quote);
-		count++;
+		laggards->total++;
+		if (json_number(vm, "version") < laggards->version)
+			add_laggard(laggards, json_text(vm, "vm"));
+	}
+}
+
+/*
+ * The other data centres, each with the lowest version of its live VMs. One
+ * that was not heard of lately is below any version.
+ */
+static void
+check_places(laggards_t *laggards, json_object *places)
+{
+	json_object *stale;
+	size_t i;
+
+	for (i = 0; i < json_object_array_length(places); i++) {
+		json_object *place = json_object_array_get_idx(places, i);
+
+		laggards->total++;
+		if (json_number(place, "version") < laggards->version ||
+		    (json_object_object_get_ex(place, "stale", &stale) &&
+			json_object_get_boolean(stale)))
+			add_laggard(laggards, json_text(place, "place"));
 	}
-	return *total == 0 ? 1 : count;
+}
+
+/* Lists who is below `version`; returns how many there are. */
+static size_t
+list_missing(const ctl_t *ctl, json_object *status, uint64_t version,
+    size_t *total, msp_buffer_t *missing)
+{
+	laggards_t laggards = {.quote = ctl->options.json ? "\"" : "",
+	    .version = version,
+	    .names = missing};
+	json_object *list;
+
+	msp_clear_buffer(missing);
+	if (json_object_object_get_ex(status, "vms", &list) &&
+	    json_object_is_type(list, json_type_array))
+		check_vms(&laggards, list);
+	if (laggards.total == 0)
+		return 1;
+	if (json_object_object_get_ex(status, "places", &list) &&
+	    json_object_is_type(list, json_type_array))
+		check_places(&laggards, list);
+	*total = laggards.total;
+	return laggards.count;
 }
 
 ctl_exit_t
@@ -59,7 +108,8 @@
 			return CTL_NOT_IN_FORCE;
 		if (msp_now(&ctl->env) >= next_progress) {
 			complain("version %" PRIu64
-				 " in force at %zu of %zu VMs, waiting for %s",
+				 " in force at %zu of %zu VMs and places, "
+				 "waiting for %s",
 			    version, total - count, total,
 			    msp_buffer_text(missing));
 			next_progress += PROGRESS_PERIOD;
--- a/source/spindled/places.c
+++ b/source/spindled/places.c
@@ -19,6 +19,9 @@
 	daemon_t *daemon;
 	msp_relay_t *relay;
 	msp_timer_t *tick;
+	/* Data centres that the platform's list has VMs in. */
+	char listed[MSP_PLACES_MAX][MSP_MEMBER_NAME_SIZE];
+	size_t listed_count;
 };
 
 static void
@@ -133,6 +136,20 @@
 	return place == NULL ? "" : place->region;
 }
 
+static void
+list_place(places_t *places, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < places->listed_count; i++) {
+		if (strcmp(places->listed[i], name) == 0)
+			return;
+	}
+	if (places->listed_count < MSP_PLACES_MAX)
+		strlcpy(places->listed[places->listed_count++], name,
+		    MSP_MEMBER_NAME_SIZE);
+}
+
 void
 suggest_places(places_t *places, const msp_vm_t *vms, size_t count)
 {
@@ -141,7 +158,9 @@
 
 	if (contacts == NULL)
 		return;
+	places->listed_count = 0;
 	for (i = 0; i < count; i++) {
+		list_place(places, vms[i].place);
 		strlcpy(
 		    contacts[i].place, vms[i].place, sizeof(contacts[i].place));
 		strlcpy(contacts[i].region,
@@ -229,6 +248,20 @@
 	return doc;
 }
 
+/* A data centre that has VMs by the platform's list, but none was heard. */
+static json_object *
+describe_unheard(const places_t *places, const char *name)
+{
+	json_object *doc = json_object_new_object();
+
+	json_object_object_add(doc, "place", json_object_new_string(name));
+	json_object_object_add(doc, "region",
+	    json_object_new_string(find_region_name(places->daemon, name)));
+	json_object_object_add(doc, "version", json_object_new_uint64(0));
+	json_object_object_add(doc, "stale", json_object_new_boolean(1));
+	return doc;
+}
+
 struct json_object *
 describe_places(const places_t *places)
 {
@@ -242,5 +275,12 @@
 			json_object_array_add(
 			    list, describe_place(places, summary));
 	}
+	for (i = 0; i < places->listed_count; i++) {
+		if (strcmp(places->listed[i],
+			places->daemon->settings->place) != 0 &&
+		    msp_find_summary(places->relay, places->listed[i]) == NULL)
+			json_object_array_add(
+			    list, describe_unheard(places, places->listed[i]));
+	}
 	return list;
 }
