Refuse what breaks the HTTP server's limits, each with a problem document

Seen red before: a_dead_peer_is_found_out (the library sets no keep-alive on adopted sockets, now msp_tune_tcp does), and a_client_that_leaves_is_noticed with the hang-up ignored while a request waits. The library answers an unknown method or garbage with an HTML page of status 403, so the first bytes of a connection are looked at before it is handed over.

Ruled out: a document for a head over the library's own bound of 65,000 bytes, as it shuts the socket down before any callback; and for garbage after the first request, which would cost each request a look ahead. Both stated in the header.

--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -27,8 +27,9 @@
 	 */
 	void (*on_request)(void *ctx, msp_exchange_t *exchange);
 	/*
-	 * The client went away before the answer was handed over. The exchange
-	 * is freed when this returns and must not be answered.
+	 * The client went away, or closed its side, before the answer was
+	 * handed over. The exchange is freed when this returns and must not be
+	 * answered.
 	 */
 	void (*on_gone)(void *ctx, msp_exchange_t *exchange);
 	void *ctx;
@@ -43,7 +44,10 @@
 
 /*
  * Opens a listener. What breaks a limit is refused by the server itself with a
- * problem document; the handler never sees it.
+ * problem document, and the connection closed; the handler never sees it. Two
+ * cases get less, since libwebsockets ends them by itself: a head over 65,000
+ * bytes is closed without an answer, and garbage in place of a second or later
+ * request of a connection gets an HTML page of status 403.
  * Returns NULL with a last message.
  */
 msp_http_server_t *msp_new_http_server(
--- a/source/net/answer.c
+++ b/source/net/answer.c
@@ -86,8 +86,7 @@
 	connection->state = MSP_CONNECTION_SENDING;
 	connection->head_sent = false;
 	lws_rx_flow_control(connection->wsi, 1);
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
 	lws_callback_on_writable(connection->wsi);
 }
 
@@ -108,15 +107,12 @@
 	connection->head = NULL;
 	if (connection->close_after || server->closing) {
 		connection->state = MSP_CONNECTION_CLOSING;
-		msp_set_deadline(
-		    &connection->deadline, msp_loop_now() + 2 * MSP_SECOND);
+		msp_set_connection_timeout(connection, MSP_LINGER_MS);
 		return -1;
 	}
 	connection->state = MSP_CONNECTION_IDLE;
-	msp_tcp_progress(
-	    lws_get_socket_fd(connection->wsi), &connection->received, &sent);
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.idle_timeout_ms * MSP_MS);
+	msp_tcp_progress(connection->fd, &connection->received, &sent);
+	msp_set_connection_timeout(connection, server->limits.idle_timeout_ms);
 	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
 
@@ -128,8 +124,8 @@
 	if (!lws_send_pipe_choked(connection->wsi))
 		return;
 	lws_rx_flow_control(connection->wsi, 0);
-	msp_watch_writable(msp_loop_hangups(connection->server->loop),
-	    lws_get_socket_fd(connection->wsi), connection);
+	msp_watch_hangup(msp_loop_hangups(connection->server->loop),
+	    connection->fd, MSP_HANGUP_OR_ROOM, connection);
 }
 
 int
@@ -172,8 +168,7 @@
 	}
 	if (written < 0)
 		return -1;
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
 	if (!lws_partial_buffered(connection->wsi) &&
 	    (!has_body(connection->exchange) ||
 		connection->body_sent == body->len))
--- /dev/null
+++ b/source/net/arrival.c
@@ -0,0 +1,79 @@
+#include <errno.h>
+#include <string.h>
+
+#include <sys/socket.h>
+
+#include "connection.h"
+#include "hangup.h"
+#include "watch.h"
+
+#define METHOD_MAX 16 /* bytes, with the space after it */
+
+static const char *const methods[] = {
+    "GET ", "POST ", "PUT ", "PATCH ", "DELETE ", "HEAD ", "OPTIONS "};
+
+/* MSP_E_CANCELLED: too few bytes to tell. */
+static msp_status_t
+check_method(const char *data, size_t len)
+{
+	size_t letters = 0;
+	size_t i;
+
+	while (letters < len && data[letters] >= 'A' && data[letters] <= 'Z')
+		letters++;
+	if (letters == len)
+		return len < METHOD_MAX ? MSP_E_CANCELLED : MSP_E_METHOD;
+	if (letters == 0 || data[letters] != ' ')
+		return MSP_E_BAD_REQUEST;
+	for (i = 0; i < sizeof(methods) / sizeof(*methods); i++) {
+		if (strlen(methods[i]) == letters + 1 &&
+		    strncmp(methods[i], data, letters) == 0)
+			return MSP_OK;
+	}
+	return MSP_E_METHOD;
+}
+
+/* Hands the connection over to the library. */
+static void
+adopt(msp_connection_t *connection)
+{
+	msp_http_server_t *server = connection->server;
+	lws_adopt_desc_t desc = {
+	    .vh = msp_loop_vhost(server->loop),
+	    .type = LWS_ADOPT_HTTP | LWS_ADOPT_SOCKET,
+	    .fd.sockfd = connection->fd,
+	};
+
+	msp_watch_hangup(msp_loop_hangups(server->loop), connection->fd,
+	    MSP_HANGUP_ONLY, connection);
+	connection->state = MSP_CONNECTION_IDLE;
+	connection->wsi = lws_adopt_descriptor_vhost_via_info(&desc);
+	if (connection->wsi == NULL) {
+		/* The library has closed the socket. */
+		msp_drop_connection(connection);
+		return;
+	}
+	lws_set_opaque_user_data(connection->wsi, connection);
+	lws_set_timeout(connection->wsi, NO_PENDING_TIMEOUT, 0);
+}
+
+void
+msp_check_arrival(msp_connection_t *connection)
+{
+	char data[METHOD_MAX];
+	ssize_t len =
+	    recv(connection->fd, data, sizeof(data), MSG_PEEK | MSG_DONTWAIT);
+	msp_status_t status;
+
+	if (len < 0 && errno == EAGAIN)
+		return;
+	if (len <= 0) {
+		msp_close_connection(connection);
+		return;
+	}
+	status = check_method(data, (size_t)len);
+	if (status == MSP_OK)
+		adopt(connection);
+	else if (status != MSP_E_CANCELLED)
+		msp_refuse_connection(connection, status);
+}
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -24,6 +24,7 @@
 
 /* What a connection of a server is doing. */
 typedef enum msp_connection_state {
+	MSP_CONNECTION_ARRIVING, /* not yet the library's: no method has come */
 	MSP_CONNECTION_IDLE, /* before a request, or amid its head */
 	MSP_CONNECTION_BODY,
 	MSP_CONNECTION_WAITING, /* for the handler's answer */
@@ -34,7 +35,8 @@
 struct msp_connection {
 	LIST_ENTRY(msp_connection) link;
 	msp_http_server_t *server;
-	struct lws *wsi;
+	int fd;
+	struct lws *wsi; /* NULL while arriving or refused on arrival */
 	msp_connection_state_t state;
 	msp_time_t opened;
 	msp_deadline_t deadline;
@@ -52,6 +54,8 @@
 
 LIST_HEAD(msp_connections, msp_connection);
 
+#define MSP_LINGER_MS 2000 /* for a refused peer to read the answer */
+
 struct msp_http_server {
 	msp_loop_t *loop;
 	struct msp_watch *listener; /* NULL once closed */
@@ -69,19 +73,31 @@
 int msp_on_http_event(struct lws *wsi, enum lws_callback_reasons reason,
     void *user, void *in, size_t len);
 
-/* Makes the connection of a socket that was accepted. NULL without memory. */
-msp_connection_t *msp_new_connection(
-    msp_http_server_t *server, struct lws *wsi);
-
-/* The peer has closed its side: ends a request that waits for its answer. */
-void msp_end_connection(msp_connection_t *connection);
+/* Takes a socket over that was accepted. */
+void msp_new_connection(msp_http_server_t *server, int fd);
 
-/* The socket can be written once more. */
-void msp_resume_connection(msp_connection_t *connection);
+/*
+ * The socket of the connection has news for us: a first byte, an end of the
+ * peer's side, or room to write.
+ */
+void msp_notice_socket(msp_connection_t *connection, bool closed);
 
-/* Frees it after the socket is gone; calls on_gone if a handler is waiting. */
+/*
+ * Frees it; calls on_gone if a handler is waiting. The socket is the
+ * library's, unless it was never handed over.
+ */
 void msp_drop_connection(msp_connection_t *connection);
 
+/* The same, and closes the socket. */
+void msp_close_connection(msp_connection_t *connection);
+
+/*
+ * Looks at the first bytes of an arriving connection. The library answers an
+ * unknown method with a page of its own, so that such peers are refused before
+ * they are handed over.
+ */
+void msp_check_arrival(msp_connection_t *connection);
+
 /* Events of the library; -1 closes the connection. */
 int msp_receive_head(msp_connection_t *connection);
 int msp_receive_body(
@@ -89,6 +105,10 @@
 int msp_end_body(msp_connection_t *connection);
 int msp_send_answer(msp_connection_t *connection);
 
+/* Bounds how long the present state may last. */
+void msp_set_connection_timeout(
+    msp_connection_t *connection, uint32_t timeout_ms);
+
 /* Answers with the problem document of `status` and closes after it. */
 void msp_refuse_request(msp_connection_t *connection, msp_status_t status);
 
--- a/source/net/hangup.c
+++ b/source/net/hangup.c
@@ -28,10 +28,8 @@
 	for (i = 0; i < BATCH; i++) {
 		if (epoll_wait(hangups->poll_fd, &event, 1, 0) != 1)
 			return;
-		if ((event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
-			msp_end_connection(event.data.ptr);
-		else
-			msp_resume_connection(event.data.ptr);
+		msp_notice_socket(event.data.ptr,
+		    (event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
 	}
 }
 
@@ -69,25 +67,20 @@
 }
 
 void
-msp_watch_hangup(msp_hangups_t *hangups, int fd, msp_connection_t *connection)
+msp_watch_hangup(msp_hangups_t *hangups, int fd, msp_hangup_mode_t mode,
+    msp_connection_t *connection)
 {
 	struct epoll_event event = {
 	    .events = EPOLLRDHUP | EPOLLET,
 	    .data.ptr = connection,
 	};
 
-	epoll_ctl(hangups->poll_fd, EPOLL_CTL_ADD, fd, &event);
-}
-
-void
-msp_watch_writable(msp_hangups_t *hangups, int fd, msp_connection_t *connection)
-{
-	struct epoll_event event = {
-	    .events = EPOLLRDHUP | EPOLLOUT | EPOLLET,
-	    .data.ptr = connection,
-	};
-
-	epoll_ctl(hangups->poll_fd, EPOLL_CTL_MOD, fd, &event);
+	if (mode == MSP_HANGUP_OR_BYTES)
+		event.events |= EPOLLIN;
+	if (mode == MSP_HANGUP_OR_ROOM)
+		event.events |= EPOLLOUT;
+	if (epoll_ctl(hangups->poll_fd, EPOLL_CTL_MOD, fd, &event) != 0)
+		epoll_ctl(hangups->poll_fd, EPOLL_CTL_ADD, fd, &event);
 }
 
 void
--- a/source/net/hangup.h
+++ b/source/net/hangup.h
@@ -18,13 +18,16 @@
 /* The set of a loop. */
 msp_hangups_t *msp_loop_hangups(msp_loop_t *loop);
 
-/* Calls msp_end_connection() once the peer of `fd` has closed its side. */
-void msp_watch_hangup(
-    msp_hangups_t *hangups, int fd, msp_connection_t *connection);
-
-/* Calls msp_resume_connection() once `fd` can be written. */
-void msp_watch_writable(
-    msp_hangups_t *hangups, int fd, msp_connection_t *connection);
+/* What to look out for, besides the end of the peer's side. */
+typedef enum msp_hangup_mode {
+	MSP_HANGUP_ONLY,
+	MSP_HANGUP_OR_BYTES,
+	MSP_HANGUP_OR_ROOM, /* to write */
+} msp_hangup_mode_t;
+
+/* Calls msp_notice_socket() once each time. */
+void msp_watch_hangup(msp_hangups_t *hangups, int fd, msp_hangup_mode_t mode,
+    msp_connection_t *connection);
 void msp_forget_hangup(msp_hangups_t *hangups, int fd);
 
 #endif
--- a/source/net/http_server.c
+++ b/source/net/http_server.c
@@ -11,20 +11,6 @@
 
 #define REFUSED_SPARE 64 /* refused connections that may linger */
 
-static void
-adopt_socket(msp_http_server_t *server, int fd)
-{
-	lws_adopt_desc_t desc = {
-	    .vh = msp_loop_vhost(server->loop),
-	    .type = LWS_ADOPT_HTTP | LWS_ADOPT_SOCKET,
-	    .fd.sockfd = fd,
-	};
-	struct lws *wsi = lws_adopt_descriptor_vhost_via_info(&desc);
-
-	if (wsi != NULL && msp_new_connection(server, wsi) == NULL)
-		lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
-}
-
 static void
 accept_connections(void *ctx)
 {
@@ -41,7 +27,7 @@
 			continue;
 		}
 		msp_tune_tcp(fd);
-		adopt_socket(server, fd);
+		msp_new_connection(server, fd);
 	}
 }
 
@@ -107,30 +93,28 @@
 msp_drop_http_server(msp_http_server_t *server)
 {
 	msp_connection_t *connection;
-	struct lws *wsi;
 
 	if (server == NULL)
 		return;
 	close_listener(server);
-	while ((connection = LIST_FIRST(&server->connections)) != NULL) {
-		wsi = connection->wsi;
-		msp_drop_connection(connection);
-		lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
-	}
+	while ((connection = LIST_FIRST(&server->connections)) != NULL)
+		msp_close_connection(connection);
 	free(server);
 }
 
 void
 msp_close_http_listener(msp_http_server_t *server)
 {
-	msp_connection_t *connection;
+	msp_connection_t *connection = LIST_FIRST(&server->connections);
+	msp_connection_t *next;
 
 	close_listener(server);
 	server->closing = true;
-	for (connection = LIST_FIRST(&server->connections); connection != NULL;
-	     connection = LIST_NEXT(connection, link)) {
-		if (connection->state == MSP_CONNECTION_IDLE)
-			lws_set_timeout(connection->wsi, 1, LWS_TO_KILL_ASYNC);
+	for (; connection != NULL; connection = next) {
+		next = LIST_NEXT(connection, link);
+		if (connection->state == MSP_CONNECTION_IDLE ||
+		    connection->state == MSP_CONNECTION_ARRIVING)
+			msp_close_connection(connection);
 	}
 }
 
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -16,9 +16,6 @@
 
 #define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
-#define KEEPALIVE_IDLE_S 5
-#define KEEPALIVE_PROBES 3
-#define KEEPALIVE_INTERVAL_S 5
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -66,9 +63,6 @@
 	    .fd_limit_per_thread = max_fds,
 	    .max_http_header_data2 = HEADER_BYTES_MAX,
 	    .pt_serv_buf_size = SERVICE_BUFFER,
-	    .ka_time = KEEPALIVE_IDLE_S,
-	    .ka_probes = KEEPALIVE_PROBES,
-	    .ka_interval = KEEPALIVE_INTERVAL_S,
 	    .timeout_secs = LIBRARY_TIMEOUT_S,
 	    .gid = -1,
 	    .uid = -1,
--- /dev/null
+++ b/source/net/request.c
@@ -0,0 +1,178 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "connection.h"
+#include "fields.h"
+#include "path.h"
+
+static int
+deliver(msp_connection_t *connection)
+{
+	msp_http_server_t *server = connection->server;
+
+	server->busy++;
+	connection->state = MSP_CONNECTION_WAITING;
+	connection->exchange->arrival = msp_loop_now();
+	msp_set_deadline(&connection->deadline, MSP_NEVER);
+	lws_set_timeout(connection->wsi, NO_PENDING_TIMEOUT, 0);
+	server->handler.on_request(server->handler.ctx, connection->exchange);
+	if (connection->state == MSP_CONNECTION_WAITING)
+		lws_callback_on_writable(connection->wsi);
+	return 0;
+}
+
+/* Reads the content length; -1 if there is none. */
+static msp_status_t
+read_length(struct lws *wsi, long long *length)
+{
+	char text[32];
+	size_t digits;
+
+	*length = -1;
+	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
+		return MSP_OK;
+	if (lws_hdr_copy(
+		wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) < 0)
+		return msp_fail(MSP_E_BAD_REQUEST, "bad content length");
+	digits = strspn(text, "0123456789");
+	if (digits == 0 || digits > 15 || text[digits] != '\0')
+		return msp_fail(MSP_E_BAD_REQUEST, "bad content length");
+	*length = strtoll(text, NULL, 10);
+	return MSP_OK;
+}
+
+static msp_status_t
+read_coding(struct lws *wsi, bool *chunked)
+{
+	char text[32];
+
+	*chunked = false;
+	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) <= 0)
+		return MSP_OK;
+	if (lws_hdr_copy(wsi, text, sizeof(text),
+		WSI_TOKEN_HTTP_TRANSFER_ENCODING) < 0 ||
+	    strcasecmp(text, "chunked") != 0)
+		return msp_fail(MSP_E_BAD_REQUEST, "unknown transfer coding");
+	*chunked = true;
+	return MSP_OK;
+}
+
+static void
+send_continue(struct lws *wsi)
+{
+	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	unsigned char buffer[LWS_PRE + sizeof(text)];
+	char expect[32];
+
+	if (lws_hdr_copy(wsi, expect, sizeof(expect), WSI_TOKEN_HTTP_EXPECT) <
+		0 ||
+	    strcasecmp(expect, "100-continue") != 0)
+		return;
+	memcpy(buffer + LWS_PRE, text, sizeof(text) - 1);
+	lws_write(
+	    wsi, buffer + LWS_PRE, sizeof(text) - 1, LWS_WRITE_HTTP_HEADERS);
+}
+
+/* Copies the head and checks it against the limits. */
+static msp_status_t
+read_head(msp_connection_t *connection, long long *length)
+{
+	struct lws *wsi = connection->wsi;
+	msp_request_t *request = &connection->exchange->request;
+	const msp_http_limits_t *limits = &connection->server->limits;
+	msp_status_t status = msp_copy_request_line(wsi, request);
+	size_t bytes;
+	size_t i;
+
+	if (status == MSP_OK)
+		status = msp_copy_fields(wsi, &request->headers);
+	if (status == MSP_OK)
+		status = read_length(wsi, length);
+	if (status == MSP_OK)
+		status = read_coding(wsi, &connection->chunked);
+	if (status != MSP_OK)
+		return status;
+	bytes = strlen(request->path);
+	for (i = 0; i < request->headers.count; i++)
+		bytes += strlen(request->headers.fields[i].name) +
+		    strlen(request->headers.fields[i].value) + 4;
+	if (bytes > limits->max_headers)
+		return msp_fail(
+		    MSP_E_HEADERS_TOO_LARGE, "the head is too long");
+	if (connection->chunked && *length >= 0)
+		return msp_fail(MSP_E_BAD_REQUEST, "two body lengths");
+	if (*length > (long long)limits->max_body)
+		return msp_fail(MSP_E_TOO_LARGE, "the body is too long");
+	request->body.limit = limits->max_body;
+	return MSP_OK;
+}
+
+int
+msp_receive_head(msp_connection_t *connection)
+{
+	long long length = -1;
+	msp_status_t status;
+
+	if (connection->state != MSP_CONNECTION_IDLE)
+		return -1;
+	connection->exchange = calloc(1, sizeof(*connection->exchange));
+	if (connection->exchange == NULL)
+		return -1;
+	connection->exchange->connection = connection;
+	lws_get_peer_simple(connection->wsi, connection->exchange->peer,
+	    sizeof(connection->exchange->peer));
+	connection->state = MSP_CONNECTION_BODY;
+	connection->close_after = connection->server->closing;
+	connection->chunks = (msp_chunks_t){0};
+	lws_set_timeout(connection->wsi, NO_PENDING_TIMEOUT, 0);
+	status = read_head(connection, &length);
+	if (status != MSP_OK) {
+		msp_refuse_request(connection, status);
+		return 0;
+	}
+	if (!connection->chunked && length <= 0) {
+		/* Without a length the library would wait for a body. */
+		if (length < 0 &&
+		    strcmp(connection->exchange->request.method, "GET") != 0 &&
+		    strcmp(connection->exchange->request.method, "HEAD") != 0)
+			connection->close_after = true;
+		return deliver(connection);
+	}
+	if (connection->chunked)
+		connection->close_after = true;
+	send_continue(connection->wsi);
+	msp_set_connection_timeout(
+	    connection, connection->server->limits.body_timeout_ms);
+	return 0;
+}
+
+int
+msp_receive_body(msp_connection_t *connection, const char *data, size_t len)
+{
+	msp_buffer_t *body;
+	msp_status_t status;
+	bool done = false;
+
+	if (connection->state != MSP_CONNECTION_BODY)
+		return 0;
+	body = &connection->exchange->request.body;
+	if (connection->chunked)
+		status = msp_feed_chunks(
+		    &connection->chunks, data, len, body, &done);
+	else
+		status = msp_append_buffer(body, data, len);
+	if (status != MSP_OK) {
+		msp_refuse_request(connection, status);
+		return 0;
+	}
+	return done ? deliver(connection) : 0;
+}
+
+int
+msp_end_body(msp_connection_t *connection)
+{
+	if (connection->state != MSP_CONNECTION_BODY)
+		return 0;
+	return deliver(connection);
+}
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -11,6 +11,9 @@
 
 #define LISTEN_BACKLOG 1024
 #define USER_TIMEOUT_MS 10000
+#define KEEPALIVE_IDLE_S 5
+#define KEEPALIVE_INTERVAL_S 5
+#define KEEPALIVE_PROBES 3
 #define UDP_BUFFER (4 * 1024 * 1024) /* bytes */
 
 static int
@@ -79,8 +82,15 @@
 msp_tune_tcp(int fd)
 {
 	unsigned int timeout = USER_TIMEOUT_MS;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int probes = KEEPALIVE_PROBES;
 	int on = 1;
 
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/source/net/socket.h
+++ b/source/net/socket.h
@@ -14,7 +14,10 @@
 /* The same for a UDP socket. */
 int msp_bind_udp(const char *address, uint16_t port, uint16_t *bound);
 
-/* Bounds how long written bytes may stay unacknowledged; no delay of writes. */
+/*
+ * Finds out dead peers: keep-alive, and a bound on how long written bytes may
+ * stay unacknowledged. No delay of small writes.
+ */
 void msp_tune_tcp(int fd);
 
 /* Bytes received and sent over a TCP socket since it was opened. */
