--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -31,9 +31,15 @@
  * MSP_OK                  the whole answer is in `response`, whatever its
  *                         HTTP status; it may be taken by emptying it
  * MSP_E_PEER_DOWN         refused, unreachable or no connection in time
- * MSP_E_CUT_ANSWER        the connection ended before the whole answer
+ * MSP_E_CUT_ANSWER        the connection ended before the whole answer, or the
+ *                         answer is malformed, or one cannot tell that it is
+ *                         whole: neither length nor chunks, trailers after the
+ *                         chunks, or an interim answer (1xx) before it
  * MSP_E_DEADLINE          no whole answer within the timeout
  * MSP_E_ANSWER_TOO_LARGE  past max_answer; the rest was not read
+ * MSP_E_BAD_REQUEST       method, path or a header cannot stand in a request;
+ *                         nothing was sent
+ * MSP_E_HEADERS_TOO_LARGE path and headers are over 48,000 bytes; not sent
  */
 typedef struct msp_call_result {
 	msp_status_t status;
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -103,7 +103,9 @@
 	response->status = (int)lws_http_client_http_response(wsi);
 	call->bodiless = strcmp(call->request.method, "HEAD") == 0 ||
 	    response->status == 204 || response->status == 304;
-	if (msp_copy_fields(wsi, &response->headers) != MSP_OK ||
+	/* An interim answer; the library takes what follows for its body. */
+	if (response->status < 200 ||
+	    msp_copy_fields(wsi, &response->headers) != MSP_OK ||
 	    !read_framing(call)) {
 		msp_end_call(call, MSP_E_CUT_ANSWER);
 		return -1;
@@ -140,8 +142,13 @@
 {
 	if (call->state != MSP_CALL_RECEIVING)
 		return false;
+	/*
+	 * The library reports a chunked answer as complete also when the
+	 * connection ends before the last chunk. A read that completes one
+	 * brought its last bytes, unless it saw but the end.
+	 */
 	if (call->chunked)
-		return true;
+		return call->lane->reading && !call->lane->at_end;
 	return call->length >= 0 &&
 	    (size_t)call->length == call->response.body.len;
 }
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -29,6 +29,8 @@
 	msp_time_t last_active; /* when the last bytes came */
 	bool idle; /* in the server's idle lanes */
 	bool connecting; /* inside the library's connect call */
+	bool reading; /* inside the library's read call */
+	bool at_end; /* and that call can see but the end of the connection */
 };
 
 TAILQ_HEAD(msp_lanes, msp_lane);
--- a/source/net/lane.c
+++ b/source/net/lane.c
@@ -1,19 +1,39 @@
+#include <errno.h>
 #include <stdlib.h>
 
+#include <sys/socket.h>
+
 #include "client.h"
 #include "socket.h"
 
 #define FRESH_WITHIN MSP_SECOND /* bytes so recent prove a connection alive */
-#define READ_SIZE (32 * 1024) /* bytes of one read */
+#define READ_SIZE (64 * 1024) /* bytes; all that may come with a head */
+
+/* Whether the socket holds nothing but the end of the connection. */
+static bool
+is_at_end(struct lws *wsi)
+{
+	char byte;
+	ssize_t len =
+	    recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return len == 0 || (len < 0 && errno != EAGAIN);
+}
 
 static int
-read_body(struct lws *wsi)
+read_body(msp_lane_t *lane, struct lws *wsi)
 {
 	char buffer[LWS_PRE + READ_SIZE];
 	char *at = buffer + LWS_PRE;
 	int len = READ_SIZE;
 
-	return lws_http_client_read(wsi, &at, &len) < 0 ? -1 : 0;
+	int result;
+
+	lane->reading = true;
+	lane->at_end = lane->call->chunked && is_at_end(wsi);
+	result = lws_http_client_read(wsi, &at, &len);
+	lane->reading = false;
+	return result < 0 ? -1 : 0;
 }
 
 /* The connection is gone. */
@@ -43,8 +63,9 @@
 	case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
 		return msp_read_answer_head(call);
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-		return read_body(wsi);
+		return read_body(call->lane, wsi);
 	case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+		call->lane->at_end = false;
 		return msp_read_answer_body(call, in, len);
 	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
 		msp_end_answer(call);
--- a/tests/support/raw_socket.c
+++ b/tests/support/raw_socket.c
@@ -39,7 +39,7 @@
 	struct sockaddr_in sa = loopback(0);
 	socklen_t len = sizeof(sa);
 
-	raw.fd = socket(AF_INET, SOCK_STREAM, 0);
+	raw.fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 	if (bind(raw.fd, (struct sockaddr *)&sa, len) != 0 ||
 	    listen(raw.fd, 64) != 0)
 		raw.closed = true;
