Send fresh updates first, settle deaths that others doubt

Seen in the new fault tests: after 128 members had joined at once, a restart took up to 29 s to be known, because an update waited for the whole backlog after each send.

--- a/source/coord/member_news.c
+++ b/source/coord/member_news.c
@@ -77,6 +77,8 @@
     msp_membership_t *m, msp_gossip_news_t *news, msp_peer_t *to, size_t *used)
 {
 	msp_peer_t *picked[MSP_GOSSIP_UPDATES_MAX];
+	/* What goes to one that may not answer is not counted as sent. */
+	bool arrives = to == NULL || to->info.state == MSP_MEMBER_ALIVE;
 	size_t count = 0;
 	msp_peer_t *peer;
 	size_t i;
@@ -90,7 +92,7 @@
 	if (count > 0)
 		*used += msp_record_size(&to->info);
 	for (peer = msp_first_update(&m->peers); peer != NULL;
-	     peer = msp_next_update(peer)) {
+	     peer = msp_next_update(&m->peers, peer)) {
 		size_t size = msp_record_size(&peer->info);
 
 		if (count == MSP_GOSSIP_UPDATES_MAX || *used + size > NEWS_MAX)
@@ -111,7 +113,7 @@
 		    &news->updates.updates_val[i], &picked[i]->info);
 		if (status != MSP_OK)
 			return status;
-		if (picked[i]->update_sends > 0)
+		if (picked[i]->update_sends > 0 && arrives)
 			msp_count_update(&m->peers, picked[i]);
 	}
 	return MSP_OK;
@@ -130,7 +132,7 @@
 	if (limit > NEWS_MAX)
 		limit = NEWS_MAX;
 	for (peer = msp_first_load(&m->peers); peer != NULL;
-	     peer = msp_next_load(peer)) {
+	     peer = msp_next_load(&m->peers, peer)) {
 		used += load_size(&peer->info);
 		if (count == MSP_GOSSIP_LOADS_MAX || used > limit)
 			break;
--- a/source/coord/member_probe.c
+++ b/source/coord/member_probe.c
@@ -6,6 +6,7 @@
 
 #define DIRECT_TRIES 2U
 #define CHECKS_EACH_PERIOD 4 /* pings to one suspect, by all members */
+#define LAST_CHECKS 2 /* pings by each member before it takes one for dead */
 #define REFUSED_PERIODS 2 /* until a member with a closed port is dead */
 
 static bool
@@ -133,6 +134,7 @@
     msp_status_t status, const msp_gossip_ack_t *ack)
 {
 	msp_peer_t *peer = msp_find_peer(&m->peers, call->name);
+	bool was_dead;
 
 	if (call->kind == MSP_CALL_VERIFY) {
 		verified(m, call, status == MSP_OK ? ack : NULL);
@@ -144,8 +146,11 @@
 	}
 	if (status != MSP_OK || msp_check_head(m, &ack->head) != MSP_OK)
 		return;
+	was_dead = peer != NULL && peer->info.state == MSP_MEMBER_DEAD;
 	msp_merge_head(m, &ack->head);
 	msp_merge_news(m, &ack->news);
+	if (was_dead && peer->info.state != MSP_MEMBER_DEAD)
+		msp_sync_with(m, peer, 0);
 	if (strcmp(ack->head.from, call->name) != 0)
 		return;
 	msp_end_probe(m, call->name);
@@ -205,12 +210,16 @@
 msp_check_suspects(msp_membership_t *m)
 {
 	size_t live = msp_count_live(&m->peers);
+	msp_time_t last_chance =
+	    msp_now(&m->env) + LAST_CHECKS * m->options.period;
 	size_t i;
 
 	for (i = 0; i < m->peers.count; i++) {
 		msp_peer_t *peer = m->peers.sorted[i];
 
-		if (peer->info.state == MSP_MEMBER_SUSPECT &&
+		if (peer->info.state != MSP_MEMBER_SUSPECT)
+			continue;
+		if (peer->deadline <= last_chance ||
 		    msp_random_below(&m->env, live) < CHECKS_EACH_PERIOD)
 			msp_ping_peer(m, peer, MSP_CALL_CHECK);
 	}
--- a/source/coord/member_record.c
+++ b/source/coord/member_record.c
@@ -237,10 +237,26 @@
 		return false;
 	msp_set_peer_state(m, peer, (msp_member_state_t)record->state);
 	if (record->state == MSP_GOSSIP_DEAD)
-		msp_drop_update(&m->peers, peer);
+		msp_queue_update(&m->peers, peer, 0);
 	return true;
 }
 
+/* Others hold a member to live that is dead here: asks it to settle that. */
+static void
+question_death(
+    msp_membership_t *m, msp_peer_t *peer, const msp_gossip_member_t *record)
+{
+	msp_time_t now = msp_now(&m->env);
+
+	if (peer->info.state != MSP_MEMBER_DEAD ||
+	    record->state == MSP_GOSSIP_DEAD || peer->next_check > now ||
+	    record->incarnation != peer->info.incarnation ||
+	    record->round != peer->info.round)
+		return;
+	peer->next_check = now + m->options.contact_period;
+	msp_ping_peer(m, peer, MSP_CALL_CHECK);
+}
+
 bool
 msp_apply_record(msp_membership_t *m, const msp_gossip_member_t *record)
 {
@@ -255,8 +271,10 @@
 		apply_to_self(m, record);
 		return false;
 	}
-	if (!record_is_newer(&peer->info, record))
+	if (!record_is_newer(&peer->info, record)) {
+		question_death(m, peer, record);
 		return false;
+	}
 	if (record->incarnation != peer->info.incarnation) {
 		peer->info.release = 0;
 		peer->info.load_sequence = 0;
--- a/source/coord/member_sync.c
+++ b/source/coord/member_sync.c
@@ -8,6 +8,8 @@
 
 #define PAGE_MAX 1150 /* bytes of records in a page */
 #define PAGES_MAX 128 /* of one comparison */
+#define RECENT MSP_MINUTE /* the dead of the last minute are in pages */
+#define LISTED_SENDS 2U
 #define PAGE_TRIES 3U
 #define TRY_PINGS 2 /* timeout of a page, in timeouts of a ping */
 #define FIRST_CONTACTS 3U /* seeds asked at once while none has answered */
@@ -124,8 +126,8 @@
 }
 
 /* With digest 0 all is sent, and nothing asked for in return. */
-static void
-sync_with(msp_membership_t *m, const msp_peer_t *peer, uint64_t digest)
+void
+msp_sync_with(msp_membership_t *m, const msp_peer_t *peer, uint64_t digest)
 {
 	msp_gossip_call_t *call;
 
@@ -146,17 +148,22 @@
 void
 msp_sync_random(msp_membership_t *m)
 {
-	sync_with(m, msp_pick_peer(&m->peers, &m->env, is_other, m->self),
+	msp_sync_with(m, msp_pick_peer(&m->peers, &m->env, is_other, m->self),
 	    members_digest(m));
 }
 
-/* The dead are left out, but for the one that asks. */
+/* The dead are left out, but for the one that asks and those of late. */
 static bool
-belongs_in_page(const msp_member_t *info, const msp_gossip_sync_t *request)
+belongs_in_page(const msp_membership_t *m, const msp_peer_t *peer,
+    const msp_gossip_sync_t *request)
 {
+	const msp_member_t *info = &peer->info;
+
 	return strcmp(info->name, request->after) > 0 &&
 	    (info->state != MSP_MEMBER_DEAD ||
-		strcmp(info->name, request->self.name) == 0);
+		strcmp(info->name, request->self.name) == 0 ||
+		peer->deadline + RECENT >
+		    msp_now(&m->env) + m->options.dead_retention);
 }
 
 static msp_status_t
@@ -172,9 +179,10 @@
 	if (page->members.members_val == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for a message");
 	for (i = 0; i < m->peers.count; i++) {
-		const msp_member_t *info = &m->peers.sorted[i]->info;
+		const msp_peer_t *peer = m->peers.sorted[i];
+		const msp_member_t *info = &peer->info;
 
-		if (!belongs_in_page(info, request))
+		if (!belongs_in_page(m, peer, request))
 			continue;
 		used += msp_record_size(info);
 		if (page->members.members_len == MSP_GOSSIP_UPDATES_MAX ||
@@ -207,7 +215,8 @@
 	if (status != MSP_OK || request->digest == members_digest(m))
 		return status;
 	if (request->digest != 0)
-		sync_with(m, msp_find_peer(&m->peers, request->self.name), 0);
+		msp_sync_with(
+		    m, msp_find_peer(&m->peers, request->self.name), 0);
 	return fill_page(m, request, page);
 }
 
@@ -233,10 +242,34 @@
 
 	call->page = page;
 	call->tries = tries;
+	call->digest = page == 0 ? last->digest : 0;
 	strlcpy(call->after, after, sizeof(call->after));
 	send_sync(m, call);
 }
 
+/* What stands in a page is known to others already, and is passed on little. */
+static bool
+merge_listed(msp_membership_t *m, const msp_gossip_member_t *record)
+{
+	msp_peer_t *peer;
+
+	if (!msp_apply_record(m, record))
+		return false;
+	peer = msp_find_peer(&m->peers, record->name);
+	if (peer != NULL && peer != m->self)
+		msp_queue_update(&m->peers, peer, LISTED_SENDS);
+	return true;
+}
+
+/* A lost message: again, but for a seed where nobody may be. */
+static void
+retry_page(msp_membership_t *m, const msp_gossip_call_t *call)
+{
+	if (call->tries < PAGE_TRIES &&
+	    (call->page > 0 || call->name[0] != '\0'))
+		ask_for_page(m, call, call->page, call->tries + 1, call->after);
+}
+
 void
 msp_sync_answered(msp_membership_t *m, const msp_gossip_call_t *call,
     msp_status_t status, const msp_gossip_page_t *page)
@@ -247,14 +280,13 @@
 
 	if (status == MSP_E_PEER_DOWN)
 		msp_membership_refused(m, call->name);
-	if (status == MSP_E_DEADLINE && call->page > 0 &&
-	    call->tries < PAGE_TRIES)
-		ask_for_page(m, call, call->page, call->tries + 1, call->after);
+	if (status == MSP_E_DEADLINE)
+		retry_page(m, call);
 	if (status != MSP_OK || msp_check_head(m, &page->head) != MSP_OK)
 		return;
 	count = page->members.members_len;
 	for (i = 0; i < count; i++)
-		news |= msp_apply_record(m, &page->members.members_val[i]);
+		news |= merge_listed(m, &page->members.members_val[i]);
 	if (news && m->next_sync > msp_now(&m->env) + m->options.contact_period)
 		m->next_sync = msp_now(&m->env) + m->options.contact_period;
 	msp_merge_head(m, &page->head);
--- a/source/coord/membership_private.h
+++ b/source/coord/membership_private.h
@@ -117,6 +117,8 @@
 
 /* seeds and comparisons: member_sync.c */
 void msp_contact_lost(msp_membership_t *m);
+void msp_sync_with(
+    msp_membership_t *m, const msp_peer_t *peer, uint64_t digest);
 void msp_sync_random(msp_membership_t *m);
 msp_status_t msp_serve_sync(msp_membership_t *m,
     const msp_gossip_sync_t *request, msp_gossip_page_t *page);
--- a/source/coord/peers.c
+++ b/source/coord/peers.c
@@ -6,8 +6,12 @@
 msp_status_t
 msp_init_peers(msp_peers_t *peers)
 {
-	TAILQ_INIT(&peers->updates);
-	TAILQ_INIT(&peers->loads);
+	unsigned int i;
+
+	for (i = 0; i <= MSP_SENDS_MAX; i++) {
+		TAILQ_INIT(&peers->updates[i]);
+		TAILQ_INIT(&peers->loads[i]);
+	}
 	peers->by_name = msp_new_map();
 	if (peers->by_name == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for the members");
@@ -86,10 +90,8 @@
 void
 msp_remove_peer(msp_peers_t *peers, msp_peer_t *peer)
 {
-	if (peer->update_sends > 0)
-		TAILQ_REMOVE(&peers->updates, peer, update_link);
-	if (peer->load_sends > 0)
-		TAILQ_REMOVE(&peers->loads, peer, load_link);
+	msp_queue_update(peers, peer, 0);
+	msp_queue_load(peers, peer, 0);
 	msp_map_remove(peers->by_name, peer->info.name);
 	take_out(peers->sorted, peers->count, peer);
 	if (take_out(peers->order, peers->count, peer) < peers->next)
@@ -163,64 +165,84 @@
 msp_queue_update(msp_peers_t *peers, msp_peer_t *peer, unsigned int sends)
 {
 	if (peer->update_sends > 0)
-		TAILQ_REMOVE(&peers->updates, peer, update_link);
-	peer->update_sends = sends;
-	TAILQ_INSERT_HEAD(&peers->updates, peer, update_link);
+		TAILQ_REMOVE(
+		    &peers->updates[peer->update_sends], peer, update_link);
+	peer->update_sends = sends < MSP_SENDS_MAX ? sends : MSP_SENDS_MAX;
+	if (peer->update_sends > 0)
+		TAILQ_INSERT_TAIL(
+		    &peers->updates[peer->update_sends], peer, update_link);
 }
 
 void
-msp_queue_load(msp_peers_t *peers, msp_peer_t *peer, unsigned int sends)
+msp_count_update(msp_peers_t *peers, msp_peer_t *peer)
 {
-	if (peer->load_sends > 0)
-		TAILQ_REMOVE(&peers->loads, peer, load_link);
-	peer->load_sends = sends;
-	TAILQ_INSERT_HEAD(&peers->loads, peer, load_link);
+	msp_queue_update(peers, peer, peer->update_sends - 1);
 }
 
-void
-msp_drop_update(msp_peers_t *peers, msp_peer_t *peer)
+/* The first of those with at most `sends` left. */
+static msp_peer_t *
+first_update(const msp_peers_t *peers, unsigned int sends)
 {
-	if (peer->update_sends > 0)
-		TAILQ_REMOVE(&peers->updates, peer, update_link);
-	peer->update_sends = 0;
+	for (; sends > 0; sends--) {
+		if (!TAILQ_EMPTY(&peers->updates[sends]))
+			return TAILQ_FIRST(&peers->updates[sends]);
+	}
+	return NULL;
 }
 
-void
-msp_count_update(msp_peers_t *peers, msp_peer_t *peer)
+msp_peer_t *
+msp_first_update(const msp_peers_t *peers)
 {
-	TAILQ_REMOVE(&peers->updates, peer, update_link);
-	if (--peer->update_sends > 0)
-		TAILQ_INSERT_TAIL(&peers->updates, peer, update_link);
+	return first_update(peers, MSP_SENDS_MAX);
+}
+
+msp_peer_t *
+msp_next_update(const msp_peers_t *peers, const msp_peer_t *peer)
+{
+	msp_peer_t *next = TAILQ_NEXT(peer, update_link);
+
+	return next != NULL ? next
+			    : first_update(peers, peer->update_sends - 1);
 }
 
 void
-msp_count_load(msp_peers_t *peers, msp_peer_t *peer)
+msp_queue_load(msp_peers_t *peers, msp_peer_t *peer, unsigned int sends)
 {
-	TAILQ_REMOVE(&peers->loads, peer, load_link);
-	if (--peer->load_sends > 0)
-		TAILQ_INSERT_TAIL(&peers->loads, peer, load_link);
+	if (peer->load_sends > 0)
+		TAILQ_REMOVE(&peers->loads[peer->load_sends], peer, load_link);
+	peer->load_sends = sends < MSP_SENDS_MAX ? sends : MSP_SENDS_MAX;
+	if (peer->load_sends > 0)
+		TAILQ_INSERT_TAIL(
+		    &peers->loads[peer->load_sends], peer, load_link);
 }
 
-msp_peer_t *
-msp_first_update(const msp_peers_t *peers)
+void
+msp_count_load(msp_peers_t *peers, msp_peer_t *peer)
 {
-	return TAILQ_FIRST(&peers->updates);
+	msp_queue_load(peers, peer, peer->load_sends - 1);
 }
 
-msp_peer_t *
-msp_next_update(const msp_peer_t *peer)
+/* The first of those with at most `sends` left. */
+static msp_peer_t *
+first_load(const msp_peers_t *peers, unsigned int sends)
 {
-	return TAILQ_NEXT(peer, update_link);
+	for (; sends > 0; sends--) {
+		if (!TAILQ_EMPTY(&peers->loads[sends]))
+			return TAILQ_FIRST(&peers->loads[sends]);
+	}
+	return NULL;
 }
 
 msp_peer_t *
 msp_first_load(const msp_peers_t *peers)
 {
-	return TAILQ_FIRST(&peers->loads);
+	return first_load(peers, MSP_SENDS_MAX);
 }
 
 msp_peer_t *
-msp_next_load(const msp_peer_t *peer)
+msp_next_load(const msp_peers_t *peers, const msp_peer_t *peer)
 {
-	return TAILQ_NEXT(peer, load_link);
+	msp_peer_t *next = TAILQ_NEXT(peer, load_link);
+
+	return next != NULL ? next : first_load(peers, peer->load_sends - 1);
 }
--- a/source/coord/peers.h
+++ b/source/coord/peers.h
@@ -6,6 +6,8 @@
 #include "monsoonspindle/base/map.h"
 #include "monsoonspindle/coord/membership.h"
 
+#define MSP_SENDS_MAX 40U /* of one update or load */
+
 /* One member and what is kept about telling others of it. */
 typedef struct msp_peer {
 	TAILQ_ENTRY(msp_peer) update_link;
@@ -14,6 +16,7 @@
 	unsigned int update_sends; /* left; in the queue while not 0 */
 	unsigned int load_sends;
 	msp_time_t deadline; /* suspect: dead then; dead: forgotten then */
+	msp_time_t next_check; /* dead, but others hold it to live */
 	uint32_t heard_since; /* number of the wake-up it was heard after */
 } msp_peer_t;
 
@@ -26,8 +29,9 @@
 	msp_peer_t *order[MSP_MEMBERS_MAX]; /* of probes */
 	size_t count;
 	size_t next; /* in the order of probes */
-	struct msp_peer_queue updates;
-	struct msp_peer_queue loads;
+	/* By sends left: what was sent least goes first. */
+	struct msp_peer_queue updates[MSP_SENDS_MAX + 1];
+	struct msp_peer_queue loads[MSP_SENDS_MAX + 1];
 } msp_peers_t;
 
 msp_status_t msp_init_peers(msp_peers_t *peers);
@@ -50,20 +54,19 @@
 
 size_t msp_count_live(const msp_peers_t *peers);
 
-/* Has the peer's record, or its load, sent `sends` times from now on. */
+/* Has the peer's record, or its load, sent `sends` times from now on; 0: no
+ * more.
+ */
 void msp_queue_update(msp_peers_t *peers, msp_peer_t *peer, unsigned int sends);
 void msp_queue_load(msp_peers_t *peers, msp_peer_t *peer, unsigned int sends);
 
 /* Walk the queues; NULL at the end. */
 msp_peer_t *msp_first_update(const msp_peers_t *peers);
-msp_peer_t *msp_next_update(const msp_peer_t *peer);
+msp_peer_t *msp_next_update(const msp_peers_t *peers, const msp_peer_t *peer);
 msp_peer_t *msp_first_load(const msp_peers_t *peers);
-msp_peer_t *msp_next_load(const msp_peer_t *peer);
-
-/* Tells no more of it. */
-void msp_drop_update(msp_peers_t *peers, msp_peer_t *peer);
+msp_peer_t *msp_next_load(const msp_peers_t *peers, const msp_peer_t *peer);
 
-/* Counts one sending off, and moves the peer to the end of the queue. */
+/* Counts one sending off. */
 void msp_count_update(msp_peers_t *peers, msp_peer_t *peer);
 void msp_count_load(msp_peers_t *peers, msp_peer_t *peer);
 
