Test membership against lies and corrupted messages

A release version heard from a member now follows the last message instead of the highest, since one false high value would have stood until the member restarted.

--- a/source/coord/member_news.c
+++ b/source/coord/member_news.c
@@ -195,8 +195,7 @@
 		if (load->payload.payload_len > 0)
 			memcpy(peer->info.load, load->payload.payload_val,
 			    load->payload.payload_len);
-		if (load->release > peer->info.release)
-			peer->info.release = load->release;
+		peer->info.release = load->release;
 	}
 	msp_queue_load(&m->peers, peer, msp_load_sends(m));
 }
@@ -220,6 +219,5 @@
 	if (peer == NULL || peer == m->self ||
 	    peer->info.incarnation != head->incarnation)
 		return;
-	if (head->release > peer->info.release)
-		peer->info.release = head->release;
+	peer->info.release = head->release;
 }
--- /dev/null
+++ b/tests/coord/test_membership_hostile.c
@@ -0,0 +1,301 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gossip_net.h"
+
+#define MEMBERS 7
+#define SETTLED (20 * MSP_SECOND)
+#define CORRUPT_SEEDS 20
+#define DAY (24 * 60 * MSP_MINUTE)
+
+static net_t *
+settled_net(uint64_t seed)
+{
+	net_t *net = new_net(MEMBERS, seed);
+	size_t i;
+
+	for (i = 0; i < MEMBERS; i++)
+		start_node(net, i);
+	run_net(net, SETTLED);
+	assert_true(net_agrees(net));
+	return net;
+}
+
+/* A claim about vm-0001, sent to vm-0000. */
+typedef struct claim_case {
+	const char *what;
+	const char *name;
+	const char *place;
+	const char *address;
+	u_int peer_port;
+	int64_t incarnation; /* beside the true one */
+	u_int round;
+	int state;
+	bool taken; /* believed at first, to be refuted */
+} claim_case_t;
+
+static const claim_case_t claim_cases[] = {
+    {"dead", "vm-0001", "dc1", "10.0.0.1", 7000, 0, 0, MSP_GOSSIP_DEAD, true},
+    {"dead, last round", "vm-0001", "dc1", "10.0.0.1", 7000, 0, UINT32_MAX,
+	MSP_GOSSIP_DEAD, true},
+    {"dead, next incarnation", "vm-0001", "dc1", "10.0.0.1", 7000, 1, 0,
+	MSP_GOSSIP_DEAD, true},
+    {"dead, incarnation in range", "vm-0001", "dc1", "10.0.0.1", 7000,
+	(int64_t)(DAY / 2), 0, MSP_GOSSIP_DEAD, true},
+    {"leaving", "vm-0001", "dc1", "10.0.0.1", 7000, 0, 5, MSP_GOSSIP_LEAVING,
+	true},
+    {"at another address", "vm-0001", "dc1", "10.0.0.9", 7000, 5, 0,
+	MSP_GOSSIP_ALIVE, true},
+    {"dead, incarnation out of range", "vm-0001", "dc1", "10.0.0.1", 7000,
+	(int64_t)(2 * DAY), 0, MSP_GOSSIP_DEAD, false},
+    {"old incarnation", "vm-0001", "dc1", "10.0.0.1", 7000, -1, 9,
+	MSP_GOSSIP_DEAD, false},
+    {"another place", "vm-0001", "dc2", "10.0.0.1", 7000, 0, 0, MSP_GOSSIP_DEAD,
+	false},
+    {"no address", "vm-0001", "dc1", "localhost", 7000, 1, 0, MSP_GOSSIP_ALIVE,
+	false},
+    {"port 0", "vm-0001", "dc1", "10.0.0.1", 0, 1, 0, MSP_GOSSIP_ALIVE, false},
+    {"port too high", "vm-0001", "dc1", "10.0.0.1", 65536, 1, 0,
+	MSP_GOSSIP_ALIVE, false},
+    {"state out of range", "vm-0001", "dc1", "10.0.0.1", 7000, 1, 0, 4, false},
+    {"negative state", "vm-0001", "dc1", "10.0.0.1", 7000, 1, 0, -1, false},
+    {"bad name", "vm 0001\n", "dc1", "10.0.0.1", 7000, 1, 0, MSP_GOSSIP_ALIVE,
+	false},
+    {"empty name", "", "dc1", "10.0.0.1", 7000, 1, 0, MSP_GOSSIP_ALIVE, false},
+};
+
+static msp_status_t
+announce(net_t *net, const claim_case_t *row, u_int copies)
+{
+	msp_gossip_member_t records[MSP_GOSSIP_UPDATES_MAX];
+	const msp_member_t *truth =
+	    msp_membership_self(net->nodes[1].membership);
+	msp_gossip_ping_t ping = {
+	    .head = {.from = (char *)"vm-0002",
+		.place = (char *)"dc1",
+		.incarnation = 1},
+	    .news.updates = {.updates_len = copies, .updates_val = records},
+	};
+	u_int i;
+
+	for (i = 0; i < copies; i++)
+		records[i] = (msp_gossip_member_t){
+		    .name = (char *)row->name,
+		    .region = (char *)"region1",
+		    .place = (char *)row->place,
+		    .address = (char *)row->address,
+		    .caller_port = 8000,
+		    .peer_port = row->peer_port,
+		    .incarnation =
+			truth->incarnation + (uint64_t)row->incarnation,
+		    .round = row->round,
+		    .state = (msp_gossip_state_t)row->state,
+		};
+	return msp_serve_membership(
+	    net->nodes[0].membership, MSP_GOSSIP_ANNOUNCE, &ping, NULL);
+}
+
+static void
+lies_are_refuted_or_dropped(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(claim_cases) / sizeof(claim_cases[0]); i++) {
+		const claim_case_t *row = &claim_cases[i];
+		net_t *net = settled_net(i + 1);
+		msp_member_t before =
+		    *msp_find_member(net->nodes[0].membership, "vm-0001");
+		const msp_member_t *after;
+		msp_time_t took;
+
+		assert_int_equal(announce(net, row, 2), MSP_OK);
+		after = msp_find_member(net->nodes[0].membership, "vm-0001");
+		if (!row->taken) {
+			assert_memory_equal(&before, after, sizeof(before));
+			assert_int_equal(
+			    msp_member_count(net->nodes[0].membership),
+			    MEMBERS);
+		}
+		took = run_until_agreed(net, MSP_MINUTE);
+		print_message("%s: settled in %.1f s\n", row->what,
+		    (double)took / MSP_SECOND);
+		assert_in_range(took, 0, 20 * MSP_SECOND);
+		assert_false(
+		    msp_membership_superseded(net->nodes[1].membership));
+		assert_int_equal(state_at(net, 0, 1), MSP_MEMBER_ALIVE);
+		drop_net(net);
+	}
+}
+
+/* Names that do not exist fill no more than the table. */
+static void
+invented_members_are_bounded(void **state)
+{
+	net_t *net = settled_net(50);
+	char name[32];
+	claim_case_t row = {.name = name,
+	    .place = "dc1",
+	    .address = "10.9.9.9",
+	    .peer_port = 7000,
+	    .state = MSP_GOSSIP_ALIVE};
+	int i;
+
+	(void)state;
+	for (i = 0; i < 3 * MSP_MEMBERS_MAX; i++) {
+		snprintf(name, sizeof(name), "no-%d", i);
+		assert_int_equal(announce(net, &row, 1), MSP_OK);
+	}
+	assert_in_range(msp_member_count(net->nodes[0].membership), MEMBERS,
+	    MSP_MEMBERS_MAX);
+	drop_net(net);
+}
+
+typedef struct load_case {
+	int64_t incarnation;
+	uint64_t sequence; /* beside the true one */
+	bool taken;
+} load_case_t;
+
+static const load_case_t load_cases[] = {
+    {0, 1, true},
+    {0, 1000, true},
+    {0, (uint64_t)1 << 33, false},
+    {0, UINT64_MAX - 5, false},
+    {1, 1, false},
+    {-1, 1, false},
+};
+
+static void
+loads_out_of_range_are_dropped(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(load_cases) / sizeof(load_cases[0]); i++) {
+		const load_case_t *row = &load_cases[i];
+		net_t *net = settled_net(i + 70);
+		msp_membership_t *owner = net->nodes[1].membership;
+		char wrong[] = "wrong";
+		msp_gossip_load_t load = {.name = (char *)"vm-0001"};
+		msp_gossip_ping_t ping = {
+		    .head = {.from = (char *)"vm-0002", .place = (char *)"dc1"},
+		    .news.loads = {.loads_len = 1, .loads_val = &load},
+		};
+		const msp_member_t *seen;
+
+		assert_int_equal(msp_set_member_load(owner, "a", 1), MSP_OK);
+		run_net(net, 5 * MSP_SECOND);
+		load.incarnation = msp_membership_self(owner)->incarnation +
+		    (uint64_t)row->incarnation;
+		load.sequence =
+		    msp_membership_self(owner)->load_sequence + row->sequence;
+		load.payload.payload_val = wrong;
+		load.payload.payload_len = sizeof(wrong);
+		assert_int_equal(msp_serve_membership(net->nodes[0].membership,
+				     MSP_GOSSIP_ANNOUNCE, &ping, NULL),
+		    MSP_OK);
+		seen = msp_find_member(net->nodes[0].membership, "vm-0001");
+		assert_int_equal(seen->load_len == sizeof(wrong), row->taken);
+		/* The owner's next load wins all the same. */
+		run_net(net, 10 * MSP_SECOND);
+		assert_int_equal(msp_set_member_load(owner, "bc", 2), MSP_OK);
+		run_net(net, 10 * MSP_SECOND);
+		seen = msp_find_member(net->nodes[0].membership, "vm-0001");
+		assert_int_equal(seen->load_len, 2);
+		drop_net(net);
+	}
+}
+
+/* A VM is replaced under its name; the old one wakes and gives way. */
+static void
+a_replaced_vm_gives_way(void **state)
+{
+	net_t *net = new_net(MEMBERS + 1, 90);
+	net_node_t *old = &net->nodes[3];
+	net_node_t *new = &net->nodes[MEMBERS];
+	size_t i;
+
+	(void)state;
+	memcpy(new->name, old->name, sizeof(new->name));
+	for (i = 0; i < MEMBERS; i++)
+		start_node(net, i);
+	run_net(net, SETTLED);
+	freeze_node(net, 3);
+	run_net(net, MSP_MINUTE);
+	start_node(net, MEMBERS);
+	run_net(net, SETTLED);
+	wake_node(net, 3);
+	run_net(net, SETTLED);
+	assert_true(msp_membership_superseded(old->membership));
+	assert_false(msp_membership_superseded(new->membership));
+	for (i = 0; i < MEMBERS; i++) {
+		const msp_member_t *seen =
+		    msp_find_member(net->nodes[i].membership, new->name);
+
+		if (i != 3)
+			assert_string_equal(seen->address, new->address);
+	}
+	drop_net(net);
+}
+
+/* Bytes changed on the way, in all messages between two data centres. */
+static void
+corrupt_messages_do_no_lasting_harm(void **state)
+{
+	uint64_t seed;
+	size_t i;
+
+	(void)state;
+	for (seed = 1; seed <= CORRUPT_SEEDS; seed++) {
+		net_t *net = new_net(2 * MEMBERS, seed);
+
+		net->relays = true;
+		net->corrupt = 0.3;
+		place_nodes(net, 2, 2);
+		for (i = 0; i < net->count; i++)
+			start_node(net, i);
+		for (i = 0; i < 60; i++) {
+			msp_set_member_load(
+			    net->nodes[i % net->count].membership, &i,
+			    sizeof(i));
+			msp_set_member_release(
+			    net->nodes[i % net->count].membership, i);
+			run_net(net, MSP_SECOND);
+		}
+		net->corrupt = 0;
+		assert_in_range(
+		    run_until_agreed(net, 2 * MSP_MINUTE), 0, MSP_MINUTE);
+		run_net(net, MSP_MINUTE);
+		assert_true(net_agrees(net));
+		for (i = 0; i < MEMBERS; i++)
+			assert_in_range(
+			    msp_find_member(
+				net->nodes[0].membership, net->nodes[i].name)
+				->release,
+			    0, 60);
+		assert_non_null(msp_find_summary(net->nodes[0].relay, "dc-01"));
+		drop_net(net);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(lies_are_refuted_or_dropped),
+	    cmocka_unit_test(invented_members_are_bounded),
+	    cmocka_unit_test(loads_out_of_range_are_dropped),
+	    cmocka_unit_test(a_replaced_vm_gives_way),
+	    cmocka_unit_test(corrupt_messages_do_no_lasting_harm),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/gossip_net.c
+++ b/tests/support/gossip_net.c
@@ -126,6 +126,22 @@
 	return span;
 }
 
+static void
+corrupt(net_t *net, net_event_t *event)
+{
+	unsigned int changes = 1 + msp_next_random(&net->rng) % 4;
+
+	if (event->len == 0 || chance(net) >= net->corrupt)
+		return;
+	if (msp_next_random(&net->rng) % 4 == 0) {
+		event->len = msp_next_random(&net->rng) % event->len;
+		return;
+	}
+	while (changes-- > 0)
+		event->bytes[msp_next_random(&net->rng) % event->len] =
+		    (char)msp_next_random(&net->rng);
+}
+
 /* Puts a message on the way, perhaps twice, perhaps not at all. */
 static void
 transmit(net_t *net, const net_event_t *plan)
@@ -149,6 +165,7 @@
 		event->procedure = plan->procedure;
 		event->token = plan->token;
 		event->status = plan->status;
+		corrupt(net, event);
 		push(net, event);
 	}
 }
@@ -271,8 +288,12 @@
 	memset(&result, 0, sizeof(result));
 	node->bytes_in += event->len + CALL_OVERHEAD + DATAGRAM_OVERHEAD;
 	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
-	if (!codec->argument(&xdrs, &argument))
-		abort();
+	if (!codec->argument(&xdrs, &argument)) {
+		xdr_free(codec->argument, (char *)&argument);
+		if (codec->result != NULL && event->token != 0)
+			reply(net, event, MSP_E_BAD_REQUEST, NULL, 0);
+		return;
+	}
 	if (event->procedure == MSP_GOSSIP_EXCHANGE)
 		status = msp_serve_relay(
 		    node->relay, event->procedure, &argument, &result);
@@ -322,9 +343,12 @@
 	}
 	node->bytes_in += event->len + REPLY_OVERHEAD + DATAGRAM_OVERHEAD;
 	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
-	if (!codec->result(&xdrs, &result))
-		abort();
-	hand_in(node, event, &result);
+	if (codec->result(&xdrs, &result)) {
+		hand_in(node, event, &result);
+	} else {
+		event->status = MSP_E_BAD_REQUEST;
+		hand_in(node, event, NULL);
+	}
 	xdr_free(codec->result, (char *)&result);
 }
 
--- a/tests/support/gossip_net.h
+++ b/tests/support/gossip_net.h
@@ -40,6 +40,7 @@
 	size_t count;
 	double loss; /* of each message */
 	double doubled;
+	double corrupt; /* bytes changed, or the end cut off */
 	double late; /* by up to late_max */
 	msp_time_t late_max;
 	msp_time_t delay; /* of each message, plus up to half */
