--- /dev/null
+++ b/measure/capacity_gossip.c
@@ -0,0 +1,235 @@
+/*
+ * Bytes, messages and processor time of membership by members, and of relays
+ * by data centres, on the virtual clock with messages coded as on the wire.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gossip_net.h"
+#include "linear_fit.h"
+
+#define SEED 1
+#define SETTLE_MAX (180 * MSP_SECOND)
+#define MEASURED (60 * MSP_SECOND)
+#define LOAD_BYTES 64 /* changed by each member each second */
+#define VMS_IN_PLACE 8
+#define SERVICES 10
+#define CREDITS_BYTES 128
+
+typedef struct traffic {
+	double bytes; /* sent by a node a second, headers included */
+	double most_bytes; /* of the node that sent most */
+	double messages;
+	double microseconds; /* of processor time a node and second */
+} traffic_t;
+
+static void
+change_loads(net_t *net, uint8_t value)
+{
+	uint8_t load[LOAD_BYTES];
+	size_t i;
+
+	memset(load, value, sizeof(load));
+	for (i = 0; i < net->count; i++)
+		msp_set_member_load(
+		    net->nodes[i].membership, load, sizeof(load));
+}
+
+static traffic_t
+measure(net_t *net, bool loads)
+{
+	traffic_t traffic = {0};
+	double seconds = (double)MEASURED / MSP_SECOND;
+	double nodes = (double)net->count;
+	double start;
+	msp_time_t end = net->now + MEASURED;
+	uint8_t second = 0;
+	size_t i;
+
+	for (i = 0; i < net->count; i++) {
+		net->nodes[i].bytes_out = 0;
+		net->nodes[i].messages_out = 0;
+	}
+	start = processor_seconds();
+	while (net->now < end) {
+		if (loads)
+			change_loads(net, second++);
+		run_net(net, MSP_SECOND);
+	}
+	traffic.microseconds =
+	    (processor_seconds() - start) * 1e6 / seconds / nodes;
+	for (i = 0; i < net->count; i++) {
+		double bytes = (double)net->nodes[i].bytes_out / seconds;
+
+		traffic.bytes += bytes / nodes;
+		traffic.messages +=
+		    (double)net->nodes[i].messages_out / seconds / nodes;
+		if (bytes > traffic.most_bytes)
+			traffic.most_bytes = bytes;
+	}
+	return traffic;
+}
+
+static net_t *
+settled_net(size_t nodes, size_t places, size_t regions, bool relays)
+{
+	net_t *net = new_net(nodes, SEED);
+	size_t i;
+
+	net->relays = relays;
+	place_nodes(net, places, regions);
+	for (i = 0; i < nodes; i++) {
+		start_node(net, i);
+		run_net(net, 50 * MSP_MS);
+	}
+	if (run_until_agreed(net, SETTLE_MAX) >= SETTLE_MAX)
+		printf("not settled: %zu nodes\n", nodes);
+	run_net(net, MEASURED);
+	return net;
+}
+
+static void
+measure_members(void)
+{
+	static const size_t sizes[] = {16, 47, 128, 512};
+	enum {
+		COUNT = sizeof(sizes) / sizeof(sizes[0])
+	};
+	double x[COUNT];
+	double idle[COUNT];
+	double loaded[COUNT];
+	double cpu[COUNT];
+	size_t i;
+
+	printf("membership of one data centre, by members; each sends:\n"
+	       "members  idle B/s  loads B/s  most B/s  messages/s  "
+	       "us CPU/s (driver included)\n");
+	for (i = 0; i < COUNT; i++) {
+		net_t *net = settled_net(sizes[i], 1, 1, false);
+		traffic_t quiet = measure(net, false);
+		traffic_t busy = measure(net, true);
+
+		printf("%7zu %9.0f %10.0f %9.0f %11.1f %9.0f\n", sizes[i],
+		    quiet.bytes, busy.bytes, busy.most_bytes, busy.messages,
+		    busy.microseconds);
+		fflush(stdout);
+		x[i] = (double)sizes[i];
+		idle[i] = quiet.bytes;
+		loaded[i] = busy.bytes;
+		cpu[i] = busy.microseconds;
+		drop_net(net);
+	}
+	print_fit("idle", "bytes/s a member", "members", x, idle, COUNT, 47);
+	print_fit("loads", "bytes/s a member", "members", x, loaded, COUNT, 47);
+	print_fit("cpu", "us/s a member", "members", x, cpu, COUNT, 47);
+}
+
+/* What the summaries of each data centre carry. */
+static void
+fill_summaries(net_t *net)
+{
+	msp_summary_t own = {
+	    .service_count = SERVICES,
+	    .credits_len = CREDITS_BYTES,
+	};
+	size_t i;
+
+	for (i = 0; i < SERVICES; i++) {
+		snprintf(own.services[i].service,
+		    sizeof(own.services[i].service), "service-%02zu", i);
+		own.services[i].slots = 90;
+		own.services[i].slots_free = (uint32_t)i;
+	}
+	for (i = 0; i < net->count; i++)
+		msp_set_own_summary(net->nodes[i].relay, &own);
+}
+
+static int
+compare_ages(const void *a, const void *b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return (first > second) - (first < second);
+}
+
+/* Ages of the summaries of the own region, or of others, over all nodes. */
+static void
+print_ages(const net_t *net, bool own_region)
+{
+	double *ages = calloc(net->count * MSP_PLACES_MAX, sizeof(double));
+	size_t count = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < net->count; i++) {
+		const net_node_t *node = &net->nodes[i];
+
+		for (j = 0; j < msp_summary_count(node->relay); j++) {
+			const msp_summary_t *summary =
+			    msp_summary_at(node->relay, j);
+
+			if (strcmp(summary->place, node->place) != 0 &&
+			    (strcmp(summary->region, node->region) == 0) ==
+				own_region)
+				ages[count++] =
+				    (double)msp_summary_age(summary, net->now) /
+				    MSP_SECOND;
+		}
+	}
+	qsort(ages, count, sizeof(double), compare_ages);
+	if (count > 0)
+		printf("    %s: %zu summaries, age p50 %.1f s, p99 %.1f s\n",
+		    own_region ? "own region" : "other regions", count,
+		    ages[count / 2], ages[count * 99 / 100]);
+	free(ages);
+}
+
+static void
+measure_places(void)
+{
+	static const size_t places[] = {4, 16, 62};
+	static const size_t regions[] = {2, 4, 16};
+	enum {
+		COUNT = sizeof(places) / sizeof(places[0])
+	};
+	double x[COUNT];
+	double bytes[COUNT];
+	double cpu[COUNT];
+	size_t i;
+
+	printf("membership and relays, by data centres of %d VMs:\n"
+	       "places  B/s  most B/s  messages/s  us CPU/s  largest message\n",
+	    VMS_IN_PLACE);
+	for (i = 0; i < COUNT; i++) {
+		net_t *net = settled_net(
+		    places[i] * VMS_IN_PLACE, places[i], regions[i], true);
+		traffic_t traffic;
+
+		fill_summaries(net);
+		run_net(net, MEASURED);
+		traffic = measure(net, true);
+		printf("%6zu %5.0f %9.0f %11.1f %9.0f %12zu\n", places[i],
+		    traffic.bytes, traffic.most_bytes, traffic.messages,
+		    traffic.microseconds, net->largest);
+		print_ages(net, true);
+		print_ages(net, false);
+		fflush(stdout);
+		x[i] = (double)places[i];
+		bytes[i] = traffic.bytes;
+		cpu[i] = traffic.microseconds;
+		drop_net(net);
+	}
+	print_fit("bytes", "bytes/s a member", "places", x, bytes, COUNT, 62);
+	print_fit("cpu", "us/s a member", "places", x, cpu, COUNT, 62);
+}
+
+int
+main(void)
+{
+	printf("seed %d, %d s each\n", SEED, (int)(MEASURED / MSP_SECOND));
+	measure_members();
+	measure_places();
+	return 0;
+}
