--- a/include/monsoonspindle/steer/policy.h
+++ b/include/monsoonspindle/steer/policy.h
@@ -24,8 +24,8 @@
 	bool hedge; /* a slow read may run on a second target */
 	msp_time_t default_deadline; /* for requests that name none */
 	/*
-	 * Longest wait that a new request is let in for, background ones left
-	 * out; 0: as its deadline allows.
+	 * Longest wait that a new interactive request is let in for; 0: as its
+	 * deadline allows, as for the other classes.
 	 */
 	msp_time_t max_wait;
 	msp_time_t expected_service; /* assumed until answers were seen */
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -123,7 +123,7 @@
 	msp_time_t allowed = job->deadline > end ? job->deadline - end : 0;
 	msp_time_t bound = d->policy.max_wait;
 
-	if (bound == 0 || job->class == MSP_CLASS_BACKGROUND ||
+	if (bound == 0 || job->class != MSP_CLASS_INTERACTIVE ||
 	    job->state == JOB_QUEUED)
 		return allowed;
 	return allowed < bound ? allowed : bound;
--- a/source/steer/policy.c
+++ b/source/steer/policy.c
@@ -16,7 +16,7 @@
 	    .retry_budget_percent = 10,
 	    .hedge = true,
 	    .default_deadline = 10 * MSP_SECOND,
-	    .max_wait = 0,
+	    .max_wait = 100 * MSP_MS,
 	    .expected_service = 50 * MSP_MS,
 	    .queue_bound = 1000,
 	};
@@ -24,6 +24,7 @@
 	if (preference == MSP_PREFER_HEADROOM) {
 		policy.reserve_percent = 25;
 		policy.hedge = false;
+		policy.max_wait = 200 * MSP_MS;
 	}
 	return policy;
 }
