--- a/include/monsoonspindle/platform/store.h
+++ b/include/monsoonspindle/platform/store.h
@@ -15,7 +15,7 @@
 	const char *key;
 	const char *value; /* NULL if the row is absent */
 	size_t value_len; /* bytes */
-	uint64_t version; /* grows by each write of the row; never reused */
+	uint64_t version; /* of the transaction that wrote it; never reused */
 } msp_row_t;
 
 /* Holds if the row is at `version` (0: absent). */
@@ -59,9 +59,11 @@
  * MSP_E_STORE_DOWN  the call never reached the store, and never will
  * MSP_E_LOST        no answer: a write may have taken effect, or still may
  * MSP_E_NOT_FOUND   get_object: no such object
+ * MSP_E_BAD_REQUEST the call breaks a bound; nothing took effect
  */
 typedef struct msp_store_reply {
 	msp_status_t status;
+	uint64_t version; /* transact, MSP_OK: of all rows written */
 	const msp_row_t *rows; /* in the order asked for, or by key (scan) */
 	size_t row_count;
 	const char *object; /* get_object */
--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -6,5 +6,8 @@
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/spill.h"
+#include "monsoonspindle/steer/client_block.h"
+#include "monsoonspindle/steer/locator.h"
+#include "monsoonspindle/steer/prefix_table.h"
 
 #endif
