Take each commit's nonce once at the dispatcher

A dispatcher that is new, or woke from a pause, declines claims drawn before it could vouch for them; the entry VM then goes to another data centre.

--- a/source/spindled/dispatch.c
+++ b/source/spindled/dispatch.c
@@ -7,18 +7,21 @@
 #include "load.h"
 #include "log.h"
 #include "members.h"
+#include "monsoonspindle/coord/nonces.h"
 #include "service_credit.h"
 #include "service_dispatch.h"
 
 #define TICK_PERIOD (5 * MSP_MS)
 #define REVIEW_PERIOD (250 * MSP_MS)
 #define RETRY_AFTER_MS 500
+#define NONCE_LIFETIME MSP_MINUTE
 
 struct dispatchers {
 	daemon_t *daemon;
 	msp_map_t *services; /* name to service_dispatch_t */
 	LIST_HEAD(, service_dispatch) retired; /* until they are idle */
 	msp_quarantine_list_t *quarantine;
+	msp_nonces_t *nonces; /* of commits dispatched here */
 	msp_timer_t *tick;
 	msp_timer_t *review;
 };
@@ -64,12 +67,14 @@
 	LIST_INIT(&dispatchers->retired);
 	dispatchers->services = msp_new_map();
 	dispatchers->quarantine = msp_new_quarantine_list(&daemon->env);
+	dispatchers->nonces = msp_new_nonces(&daemon->env, NONCE_LIFETIME);
 	dispatchers->tick = msp_new_timer(
 	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, dispatchers);
 	dispatchers->review = msp_new_timer(
 	    daemon->loop, REVIEW_PERIOD, REVIEW_PERIOD, review, dispatchers);
 	if (dispatchers->services == NULL || dispatchers->quarantine == NULL ||
-	    dispatchers->tick == NULL || dispatchers->review == NULL) {
+	    dispatchers->nonces == NULL || dispatchers->tick == NULL ||
+	    dispatchers->review == NULL) {
 		drop_dispatchers(dispatchers);
 		return NULL;
 	}
@@ -96,6 +101,7 @@
 	}
 	msp_drop_map(dispatchers->services);
 	msp_drop_quarantine_list(dispatchers->quarantine);
+	msp_drop_nonces(dispatchers->nonces);
 	free(dispatchers);
 }
 
@@ -119,6 +125,39 @@
 	return service;
 }
 
+/*
+ * A commit's nonce is taken once. Returns false and refuses the work if it was
+ * taken before, or if that is not known here.
+ */
+static bool
+take_nonce(dispatchers_t *dispatchers, work_t *work)
+{
+	msp_time_t now = msp_now(&dispatchers->daemon->env);
+	msp_nonce_t nonce;
+
+	if (work->is_idempotent)
+		return true;
+	if (msp_parse_digest(work->nonce, &nonce) != 0) {
+		work_refuse(work, MSP_E_BAD_REQUEST, MSP_RUN_NO, false, 0,
+		    "a commit without a nonce");
+		return false;
+	}
+	switch (msp_take_nonce(
+	    dispatchers->nonces, nonce, now - work->nonce_issued)) {
+	case MSP_OK:
+		return true;
+	case MSP_E_EXISTS:
+		work_refuse(work, MSP_E_IN_DOUBT, MSP_RUN_UNKNOWN, true, 0,
+		    "this nonce was dispatched before");
+		return false;
+	default:
+		/* Whoever sent it sends it nowhere else without this answer. */
+		work_refuse(work, MSP_E_NOT_READY, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "the claim is older than this dispatcher");
+		return false;
+	}
+}
+
 void
 run_local(dispatchers_t *dispatchers, work_t *work)
 {
@@ -143,7 +182,8 @@
 		    RETRY_AFTER_MS, "no memory for a dispatcher");
 		return;
 	}
-	run_service_work(service, work);
+	if (take_nonce(dispatchers, work))
+		run_service_work(service, work);
 }
 
 void
@@ -193,6 +233,15 @@
 	return NULL;
 }
 
+/* After a pause: others may have dispatched what was claimed before. */
+static void
+resume(dispatchers_t *dispatchers, service_dispatch_t *service)
+{
+	log_warn("event=dispatcher-resumes service=%s", service->name);
+	msp_note_nonces_pause(dispatchers->nonces);
+	msp_resume_dispatcher(service->dispatcher);
+}
+
 static void
 refresh_all(dispatchers_t *dispatchers)
 {
@@ -203,7 +252,7 @@
 		service_dispatch_t *service = value;
 
 		if (msp_dispatcher_paused(service->dispatcher))
-			msp_resume_dispatcher(service->dispatcher);
+			resume(dispatchers, service);
 		refresh_offers(service);
 	}
 }
--- a/source/spindled/wire.c
+++ b/source/spindled/wire.c
@@ -184,8 +184,6 @@
 	status = read_numbers(headers, now, work);
 	if (status != MSP_OK)
 		return status;
-	if (!work->is_idempotent && work->nonce[0] == '\0')
-		return msp_fail(MSP_E_BAD_REQUEST, "msp-nonce: missing");
 	memcpy(work->request.method, request->method,
 	    sizeof(work->request.method));
 	snprintf(work->request.path, sizeof(work->request.path), "%s",
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -414,8 +414,8 @@
 			options[i].wait = MSP_NEVER;
 		else if (place->region != home->region && !place->lost) {
 			options[i].rtt = REGION_RTT;
-			options[i].wait = msp_offered_wait(
-			    home->wallet, place->name, request->job.class);
+			options[i].wait =
+			    msp_offered_wait(home->wallet, place->name);
 		}
 	}
 	wait = home->lost
