--- /dev/null
+++ b/tests/process/test_callers.c
@@ -0,0 +1,231 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "fleet.h"
+
+#define DESK "/v1/services/desk"
+#define LONG_300                                                               \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaa"                                                                 \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaa"                                                                 \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+	"aaaa"
+
+/* One request of a caller and the answer that it must get. */
+typedef struct caller_case {
+	const char *name;
+	const char *control; /* of all targets, first; NULL: none */
+	const char *method;
+	const char *path;
+	const char *headers;
+	const char *body;
+	int status;
+	const char *text; /* in the answer's body, or NULL */
+	const char *run; /* of a refusal, or NULL */
+	int runs; /* of the key on all targets */
+	const char *key;
+} caller_case_t;
+
+static const caller_case_t cases[] = {
+    {"read", "{\"mode\":\"ok\"}", "GET", DESK "/files/1?x=y", NULL, NULL, 200,
+	"\"path\":\"/files/1?x=y\"", NULL, 0, NULL},
+    {"head", NULL, "HEAD", DESK "/files/1", NULL, NULL, 200, NULL, NULL, 0,
+	NULL},
+    {"own request id", NULL, "GET", DESK "/files/1", "X-Request-ID: mine-7",
+	NULL, 200, "\"request_id\":\"mine-7\"", NULL, 0, NULL},
+    {"bare service path", NULL, "GET", DESK, NULL, NULL, 200, "\"path\":\"/\"",
+	NULL, 0, NULL},
+    {"commit", NULL, "POST", DESK "/orders", "Idempotency-Key: c1", "x", 200,
+	"\"runs\":1", NULL, 1, "c1"},
+    {"commit again", NULL, "POST", DESK "/orders", "Idempotency-Key: c1", "x",
+	200, "\"runs\":1", NULL, 1, "c1"},
+    {"quoted key", NULL, "POST", DESK "/orders", "Idempotency-Key: \"c1\"", "x",
+	200, "\"runs\":1", NULL, 1, "c1"},
+    {"commit, other body", NULL, "POST", DESK "/orders", "Idempotency-Key: c1",
+	"y", 422, "\"kind\":\"key-mismatch\"", NULL, 1, "c1"},
+    {"commit without key", NULL, "POST", DESK "/orders", NULL, "x", 400,
+	"\"kind\":\"no-idempotency-key\"", "no", 0, NULL},
+    {"undeclared method", NULL, "DELETE", DESK "/files/1", NULL, NULL, 400,
+	"\"kind\":\"no-idempotency-key\"", "no", 0, NULL},
+    {"key too long", NULL, "POST", DESK "/orders", "Idempotency-Key: " LONG_300,
+	"x", 400, "\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"id too long", NULL, "GET", DESK "/files/1", "X-Request-ID: " LONG_300,
+	NULL, 400, "\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"timeout not a number", NULL, "GET", DESK "/files/1",
+	"Request-Timeout: soon", NULL, 400, "\"kind\":\"bad-request\"", NULL, 0,
+	NULL},
+    {"timeout zero", NULL, "GET", DESK "/files/1", "Request-Timeout: 0", NULL,
+	400, "\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"attempt zero", NULL, "POST", DESK "/orders",
+	"Idempotency-Key: c2\nRequest-Attempt: 0", "x", 400,
+	"\"kind\":\"bad-request\"", NULL, 0, "c2"},
+    {"unknown service", NULL, "GET", "/v1/services/none/x", NULL, NULL, 404,
+	"\"kind\":\"unknown-service\"", "no", 0, NULL},
+    {"unknown path", NULL, "GET", "/v2/x", NULL, NULL, 404,
+	"\"kind\":\"unknown-route\"", NULL, 0, NULL},
+    {"look-up", NULL, "GET", "/v1/entries?service=desk", NULL, NULL, 200,
+	"\"kind\":\"near\"", NULL, 0, NULL},
+    {"look-up, other place", NULL, "GET", "/v1/entries?service=desk&place=b",
+	NULL, NULL, 200, "\"place\":\"b\"", NULL, 0, NULL},
+    {"look-up without service", NULL, "GET", "/v1/entries", NULL, NULL, 400,
+	"\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"look-up, unknown service", NULL, "GET", "/v1/entries?service=no", NULL,
+	NULL, 404, "\"kind\":\"unknown-service\"", NULL, 0, NULL},
+    {"look-up, unknown place", NULL, "GET", "/v1/entries?service=desk&place=no",
+	NULL, NULL, 400, "\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"look-up, bad escape", NULL, "GET", "/v1/entries?service=%zz", NULL, NULL,
+	400, "\"kind\":\"bad-request\"", NULL, 0, NULL},
+    {"chunked answer", "{\"mode\":\"chunked\",\"chunk_bytes\":300000}", "GET",
+	DESK "/big", NULL, NULL, 200, NULL, NULL, 0, NULL},
+    {"answer over the bound", "{\"mode\":\"chunked\",\"chunk_bytes\":3000000}",
+	"GET", DESK "/big", NULL, NULL, 502, "\"kind\":\"answer-too-large\"",
+	"unknown", 0, NULL},
+    {"cut answer to a read", "{\"mode\":\"cut\"}", "GET", DESK "/files/1", NULL,
+	NULL, 502, "\"kind\":\"cut-answer\"", "unknown", 0, NULL},
+    {"cut answer to a commit", NULL, "POST", DESK "/orders",
+	"Idempotency-Key: c3\nRequest-Attempt: 1", "x", 502,
+	"\"kind\":\"in-doubt\"", "unknown", 1, "c3"},
+    {"its resend", "{\"mode\":\"ok\"}", "POST", DESK "/orders",
+	"Idempotency-Key: c3\nRequest-Attempt: 2", "x", 502,
+	"\"kind\":\"in-doubt\"", "unknown", 1, "c3"},
+    {"silent targets, read", "{\"mode\":\"silent\"}", "GET", DESK "/files/1",
+	"Request-Timeout: 700", NULL, 504, "\"kind\":\"deadline\"", "unknown",
+	0, NULL},
+    {"silent targets, commit", NULL, "POST", DESK "/orders",
+	"Idempotency-Key: c4\nRequest-Timeout: 700", "x", 502,
+	"\"kind\":\"in-doubt\"", "unknown", 0, "c4"},
+    {"shedding targets, commit", "{\"mode\":\"shed\"}", "POST", DESK "/orders",
+	"Idempotency-Key: c5\nRequest-Timeout: 2000\nRequest-Attempt: 1", "x",
+	503, NULL, "no", 0, "c5"},
+    {"its resend runs", "{\"mode\":\"ok\"}", "POST", DESK "/orders",
+	"Idempotency-Key: c5\nRequest-Attempt: 2", "x", 200, "\"runs\":1", NULL,
+	1, "c5"},
+    {"a read after all", NULL, "GET", DESK "/files/2", NULL, NULL, 200,
+	"\"path\":\"/files/2\"", NULL, 0, NULL},
+};
+
+static const fleet_place_t places[] = {
+    {"a", "north", 2, 2}, {"b", "north", 1, 1}, {0}};
+
+static int
+start_fleet(void **state)
+{
+	fleet_options_t options = {.places = places,
+	    .service = "desk",
+	    .slots = 4,
+	    .settings = "\"limits\": {\"max_answer_bytes\": 1000000, "
+			"\"max_body_bytes\": 100000}"};
+	fleet_t *fleet = new_fleet(&options);
+
+	*state = fleet;
+	if (fleet == NULL)
+		return -1;
+	return fleet_apply_first_note(fleet) ? 0 : -1;
+}
+
+static int
+stop_fleet(void **state)
+{
+	drop_fleet(*state);
+	return 0;
+}
+
+static void
+check_case(fleet_t *fleet, const caller_case_t *one, size_t vm)
+{
+	fleet_reply_t reply;
+	const char *text;
+	char run[32];
+
+	if (one->control != NULL)
+		assert_true(fleet_control_targets(fleet, one->control));
+	fleet_request(fleet, fleet->vms[vm].port, one->method, one->path,
+	    one->headers, one->body, &reply);
+	text = msp_buffer_text(&reply.response.body);
+	if (reply.status != MSP_OK || reply.http_status != one->status)
+		fail_msg("%s at VM %zu: status %d, http %d, not %d: %s",
+		    one->name, vm, (int)reply.status, reply.http_status,
+		    one->status, text);
+	if (one->text != NULL && strstr(text, one->text) == NULL)
+		fail_msg("%s: no %s in %s", one->name, one->text, text);
+	if (one->run != NULL) {
+		snprintf(run, sizeof(run), "\"run\":\"%s\"", one->run);
+		if (strstr(text, run) == NULL)
+			fail_msg("%s: no %s in %s", one->name, run, text);
+	}
+	if (one->key != NULL)
+		assert_int_equal(fleet_runs(fleet, one->key), one->runs);
+	msp_drop_response(&reply.response);
+}
+
+/* Each request at one VM after the other, so that most cross two VMs. */
+static void
+callers_get_what_the_table_says(void **state)
+{
+	fleet_t *fleet = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check_case(fleet, &cases[i], i % fleet->vm_count);
+}
+
+static void
+large_bodies_pass_whole(void **state)
+{
+	static char body[90001];
+	fleet_t *fleet = *state;
+	fleet_reply_t reply;
+
+	memset(body, 'x', sizeof(body) - 1);
+	fleet_request(fleet, fleet->vms[1].port, "POST", DESK "/orders",
+	    "Idempotency-Key: large-1", body, &reply);
+	assert_int_equal(reply.http_status, 200);
+	msp_drop_response(&reply.response);
+	assert_true(fleet_control_targets(
+	    fleet, "{\"mode\":\"chunked\",\"chunk_bytes\":900000}"));
+	fleet_request(
+	    fleet, fleet->vms[1].port, "GET", DESK "/big", NULL, NULL, &reply);
+	assert_int_equal(reply.http_status, 200);
+	assert_int_equal(reply.response.body.len, 900000);
+	msp_drop_response(&reply.response);
+	assert_true(fleet_control_targets(fleet, "{\"mode\":\"ok\"}"));
+}
+
+static void
+oversized_body_is_refused(void **state)
+{
+	static char body[100002];
+	fleet_t *fleet = *state;
+	fleet_reply_t reply;
+
+	memset(body, 'x', sizeof(body) - 1);
+	fleet_request(fleet, fleet->vms[0].port, "POST", DESK "/orders",
+	    "Idempotency-Key: large-2", body, &reply);
+	if (reply.status == MSP_OK)
+		assert_int_equal(reply.http_status, 413);
+	msp_drop_response(&reply.response);
+	assert_int_equal(fleet_runs(fleet, "large-2"), 0);
+	fleet_request(fleet, fleet->vms[0].port, "GET", DESK "/files/1", NULL,
+	    NULL, &reply);
+	assert_int_equal(reply.http_status, 200);
+	msp_drop_response(&reply.response);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(callers_get_what_the_table_says),
+	    cmocka_unit_test(large_bodies_pass_whole),
+	    cmocka_unit_test(oversized_body_is_refused),
+	};
+
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+}
--- a/tests/support/fleet.c
+++ b/tests/support/fleet.c
@@ -121,6 +121,8 @@
 		free(fleet);
 		return NULL;
 	}
+	snprintf(
+	    fleet->journal, sizeof(fleet->journal), "%s/journal", fleet->dir);
 	fleet->loop = msp_new_loop(1024);
 	if (fleet->loop != NULL)
 		fleet->client = msp_new_http_client(fleet->loop, &client);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -49,6 +49,7 @@
 typedef struct fleet {
 	fleet_options_t options;
 	char dir[64]; /* settings and logs; removed by drop_fleet() */
+	char journal[128]; /* the keys that targets ran, one a line */
 	fleet_process_t platform;
 	fleet_process_t vms[FLEET_VMS];
 	size_t vm_count;
@@ -114,7 +115,11 @@
 /* The version that a VM reports; 0 if it does not answer. */
 uint64_t fleet_version(fleet_t *fleet, size_t vm);
 
-/* Runs of a key, added over all targets that answer. */
-int fleet_runs(fleet_t *fleet, const char *key);
+/* Runs of a key on all targets, by their journal. */
+int fleet_runs(const fleet_t *fleet, const char *key);
+
+/* Sets faults of all running targets, or of the platform; true if they did. */
+bool fleet_control_targets(fleet_t *fleet, const char *control);
+bool fleet_control_platform(fleet_t *fleet, const char *control);
 
 #endif
--- a/tests/support/fleet_http.c
+++ b/tests/support/fleet_http.c
@@ -198,22 +198,46 @@
 }
 
 int
-fleet_runs(fleet_t *fleet, const char *key)
+fleet_runs(const fleet_t *fleet, const char *key)
 {
-	fleet_reply_t reply;
-	json_object *doc;
-	json_object *value;
+	char line[512];
+	FILE *file = fopen(fleet->journal, "r");
 	int runs = 0;
+
+	while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+		line[strcspn(line, "\n")] = '\0';
+		runs += strcmp(line, key) == 0;
+	}
+	if (file != NULL)
+		fclose(file);
+	return runs;
+}
+
+bool
+fleet_control_targets(fleet_t *fleet, const char *control)
+{
+	fleet_reply_t reply;
+	bool done = true;
 	size_t i;
 
 	for (i = 0; i < fleet->target_count; i++) {
-		fleet_request(fleet, fleet->targets[i].port, "GET", "/runs",
-		    NULL, NULL, &reply);
-		doc = json_tokener_parse(msp_buffer_text(&reply.response.body));
-		if (doc != NULL && json_object_object_get_ex(doc, key, &value))
-			runs += json_object_get_int(value);
-		json_object_put(doc);
+		if (fleet->targets[i].pid == 0)
+			continue;
+		fleet_request(fleet, fleet->targets[i].port, "POST", "/control",
+		    NULL, control, &reply);
+		done = done && reply.http_status == 200;
 		msp_drop_response(&reply.response);
 	}
-	return runs;
+	return done;
+}
+
+bool
+fleet_control_platform(fleet_t *fleet, const char *control)
+{
+	fleet_reply_t reply;
+
+	fleet_request(fleet, fleet->platform.port, "POST", "/v1/control", NULL,
+	    control, &reply);
+	msp_drop_response(&reply.response);
+	return reply.http_status == 200;
 }
--- a/tests/support/fleet_process.c
+++ b/tests/support/fleet_process.c
@@ -121,9 +121,9 @@
 	const char *const *more = fleet->options.target_args;
 	char port[16];
 	char slots[16];
-	const char *argv[32] = {
-	    "target", "--port", port, "--name", target->name, "--slots", slots};
-	size_t count = 7;
+	const char *argv[32] = {"target", "--port", port, "--name",
+	    target->name, "--slots", slots, "--journal", fleet->journal};
+	size_t count = 9;
 
 	snprintf(port, sizeof(port), "%u", target->port);
 	snprintf(slots, sizeof(slots), "%d", fleet->options.slots);
