--- a/include/monsoonspindle/coord/credits.h
+++ b/include/monsoonspindle/coord/credits.h
@@ -29,6 +29,7 @@
 	msp_credit_rate_t rate;
 	msp_time_t valid_for; /* a span; 0: no offer */
 	msp_time_t wait; /* expected time in the receiver's queue */
+	msp_time_t background_wait; /* the same for background requests */
 } msp_credit_offer_t;
 
 /* The receiver's state, from its own dispatcher. */
@@ -37,6 +38,7 @@
 	uint32_t busy; /* in flight and waiting, shifted ones included */
 	msp_time_t service_time; /* mean */
 	msp_time_t wait;
+	msp_time_t background_wait;
 } msp_spare_t;
 
 /*
@@ -128,4 +130,8 @@
 /* The place's offered wait, or MSP_NEVER without a request to spend. */
 msp_time_t msp_offered_wait(const msp_wallet_t *wallet, const char *place);
 
+/* The same for a background request. */
+msp_time_t msp_offered_background_wait(
+    const msp_wallet_t *wallet, const char *place);
+
 #endif
--- a/include/monsoonspindle/steer/dispatcher.h
+++ b/include/monsoonspindle/steer/dispatcher.h
@@ -189,6 +189,7 @@
 	uint32_t queued[MSP_CLASS_COUNT];
 	msp_time_t service_time; /* mean of recent answers */
 	msp_time_t wait; /* estimated for a new interactive request */
+	msp_time_t background_wait; /* for a new background request */
 	bool draining; /* no listed target takes new work */
 } msp_dispatcher_load_t;
 
--- a/include/monsoonspindle/steer/spill.h
+++ b/include/monsoonspindle/steer/spill.h
@@ -23,7 +23,7 @@
 	msp_time_t wait;
 } msp_spill_option_t;
 
-/* One service's state. Zero-initialise. */
+/* One for each service and class. Zero-initialise. */
 typedef struct msp_spill {
 	double share; /* of the requests that go out, 0 to 1 */
 	msp_time_t moved; /* when the share last changed */
--- a/measure/policy.c
+++ b/measure/policy.c
@@ -83,7 +83,8 @@
 		    ms(&r->latency[i], 0.99), ms(&r->latency[i], 0.999));
 	printf(" %3d %3d %3d %3d %5.1f %6.0f",
 	    (int)msp_quantile(&r->target_use, 0.99), (int)r->target_use.max,
-	    (int)msp_quantile(&r->region_use, 0.99), (int)r->region_use.max,
+	    (int)msp_quantile(&r->region_use, 0.99),
+	    (int)(100 * r->full_samples / (r->region_use.count + 1)),
 	    r->attempts > 0 ? 100.0 * (double)r->sheds / (double)r->attempts
 			    : 0,
 	    (double)whole / ((double)(DURATION - WARM_UP) / 1e6));
@@ -210,7 +211,8 @@
 	setting_count = argc > 2 ? argc - 2 : 0;
 	printf("seed %llu; latency in ms, p50 p99 p99.9 for interactive, "
 	       "commit, background; slots in use %%: target p99 max, region "
-	       "p99 max; sheds %% of attempts; whole/s; not answered %% by "
+	       "p99, %% of the time over 95; sheds %% of attempts; whole/s; "
+	       "not answered %% by "
 	       "class; shifted %%\n",
 	    (unsigned long long)seed);
 	for (d = 0; d < COUNT(deployments); d++) {
--- a/source/coord/granter.c
+++ b/source/coord/granter.c
@@ -44,6 +44,7 @@
 	msp_time_t ready_at;
 	msp_time_t offered_at; /* 0: never */
 	msp_time_t wait;
+	msp_time_t background_wait;
 };
 
 msp_granter_t *
@@ -217,6 +218,7 @@
 	msp_credit_account_t *account;
 
 	granter->wait = spare->wait;
+	granter->background_wait = spare->background_wait;
 	granter->offered_at = now;
 	if (spare->service_time != 0)
 		start = RAMP_START * spare->capacity * (double)MSP_SECOND /
@@ -266,6 +268,7 @@
 		return;
 	offer->rate = account->rate;
 	offer->wait = granter->wait;
+	offer->background_wait = granter->background_wait;
 	offer->valid_for = granter->offered_at + granter->options.lifetime -
 	    msp_now(&granter->env);
 }
--- a/source/coord/wallet.c
+++ b/source/coord/wallet.c
@@ -1,3 +1,4 @@
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -13,6 +14,7 @@
 	char *place;
 	msp_time_t expires;
 	msp_time_t wait;
+	msp_time_t background_wait;
 	msp_bucket_t requests;
 } msp_credit_purse_t;
 
@@ -89,6 +91,7 @@
 	if (purse == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for a place");
 	purse->wait = offer->wait;
+	purse->background_wait = offer->background_wait;
 	purse->expires = now;
 	if (offer->valid_for > age)
 		purse->expires = now + offer->valid_for - age;
@@ -102,16 +105,34 @@
 	return MSP_OK;
 }
 
+static bool
+has_credit(const msp_wallet_t *wallet, msp_credit_purse_t *purse)
+{
+	msp_time_t now = msp_now(&wallet->env);
+
+	if (purse == NULL || now >= purse->expires)
+		return false;
+	msp_fill_bucket(&purse->requests, now);
+	return purse->requests.level >= 1;
+}
+
 msp_time_t
 msp_offered_wait(const msp_wallet_t *wallet, const char *place)
 {
 	msp_credit_purse_t *purse = find_purse(wallet, place);
-	msp_time_t now = msp_now(&wallet->env);
 
-	if (purse == NULL || now >= purse->expires)
+	return has_credit(wallet, purse) ? purse->wait : MSP_NEVER;
+}
+
+msp_time_t
+msp_offered_background_wait(const msp_wallet_t *wallet, const char *place)
+{
+	msp_credit_purse_t *purse = find_purse(wallet, place);
+
+	if (!has_credit(wallet, purse))
 		return MSP_NEVER;
-	msp_fill_bucket(&purse->requests, now);
-	return purse->requests.level < 1 ? MSP_NEVER : purse->wait;
+	return purse->background_wait > purse->wait ? purse->background_wait
+						    : purse->wait;
 }
 
 msp_status_t
@@ -119,7 +140,7 @@
 {
 	msp_credit_purse_t *purse = find_purse(wallet, place);
 
-	if (msp_offered_wait(wallet, place) == MSP_NEVER)
+	if (!has_credit(wallet, purse))
 		return msp_fail(
 		    MSP_E_NO_CREDIT, "no credit to spend at \"%s\"", place);
 	purse->requests.level -= 1;
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -328,6 +328,7 @@
 	    .capacity = msp_total_limit(d),
 	    .service_time = msp_mean_service(d),
 	    .wait = msp_estimate_wait(d, MSP_CLASS_INTERACTIVE),
+	    .background_wait = msp_estimate_wait(d, MSP_CLASS_BACKGROUND),
 	    .draining = true,
 	};
 	TAILQ_FOREACH(target, &d->targets, link) {
--- a/tests/support/world.c
+++ b/tests/support/world.c
@@ -156,9 +156,11 @@
 		    100ULL * target->in_use / target->slots);
 	}
 	for (i = 0; i < world->config.regions; i++) {
-		if (slots[i] > 0)
-			msp_record(&world->results.region_use,
-			    100ULL * used[i] / slots[i]);
+		if (slots[i] == 0)
+			continue;
+		msp_record(
+		    &world->results.region_use, 100ULL * used[i] / slots[i]);
+		world->results.full_samples += used[i] * 20 >= slots[i] * 19;
 	}
 	if (world->venv.now < world->stop_at)
 		world_at(
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -121,13 +121,14 @@
 	msp_dispatcher_t *twin; /* a second one that should not be */
 	msp_granter_t *granter;
 	msp_wallet_t *wallet;
-	msp_spill_t spill;
+	msp_spill_t spill[MSP_CLASS_COUNT];
 	msp_time_t tick_at;
 	bool frozen; /* the VM of the dispatcher */
 	msp_time_t thaw_at;
 	bool lost; /* takes nothing and says nothing */
 	bool cut; /* no gossip and no traffic from or to other regions */
 	msp_time_t told_wait; /* as its sibling last heard */
+	msp_time_t told_background_wait;
 	static_entry_t entries[WORLD_ENTRIES];
 } world_place_t;
 
@@ -149,6 +150,7 @@
 	msp_histogram_t latency[MSP_CLASS_COUNT]; /* us, whole answers */
 	msp_histogram_t target_use; /* percent of a target's slots */
 	msp_histogram_t region_use; /* percent of a region's slots */
+	uint64_t full_samples; /* of region_use, 95% or more */
 	uint64_t asked[MSP_CLASS_COUNT];
 	uint64_t whole[MSP_CLASS_COUNT];
 	uint64_t refused[MSP_CLASS_COUNT];
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -295,6 +295,8 @@
 
 	msp_get_dispatcher_load(place->dispatcher, &load);
 	place->told_wait = load.draining ? MSP_NEVER : load.wait;
+	place->told_background_wait =
+	    load.draining ? MSP_NEVER : load.background_wait;
 	if (!world->config.shifts || world->config.regions < 2)
 		return;
 	msp_set_granter_spare(place->granter,
@@ -304,6 +306,7 @@
 		    load.queued[MSP_CLASS_COMMIT],
 		.service_time = load.service_time,
 		.wait = load.wait,
+		.background_wait = load.background_wait,
 	    });
 	for (i = 0; i < world->place_count; i++) {
 		world_place_t *other = &world->places[i];
@@ -401,7 +404,9 @@
 		const world_place_t *place = &world->places[i];
 
 		options[i].rtt = 2 * MSP_MS;
-		options[i].wait = place->told_wait;
+		options[i].wait = request->job.class == MSP_CLASS_BACKGROUND
+		    ? place->told_background_wait
+		    : place->told_wait;
 		if (i == request->home || place->lost ||
 		    place->told_wait == MSP_NEVER)
 			options[i].wait = MSP_NEVER;
@@ -410,14 +415,17 @@
 		else if (place->region != home->region && !place->lost) {
 			options[i].rtt = REGION_RTT;
 			options[i].wait =
-			    msp_offered_wait(home->wallet, place->name);
+			    request->job.class == MSP_CLASS_BACKGROUND
+			    ? msp_offered_background_wait(
+				  home->wallet, place->name)
+			    : msp_offered_wait(home->wallet, place->name);
 		}
 	}
 	wait = home->lost
 	    ? MSP_NEVER
 	    : msp_estimate_wait(home->dispatcher, request->job.class);
-	choice = msp_decide_spill(
-	    &home->spill, &world->env, wait, options, world->place_count);
+	choice = msp_decide_spill(&home->spill[request->job.class], &world->env,
+	    wait, options, world->place_count);
 	if (choice == MSP_SPILL_LOCAL) {
 		submit_here(request);
 		return;
