--- /dev/null
+++ b/source/coord/released.c
@@ -0,0 +1,105 @@
+#include "released.h"
+
+#include <stdlib.h>
+
+#include <bsd/sys/queue.h>
+
+#include "monsoonspindle/base/map.h"
+
+typedef struct released_nonce {
+	TAILQ_ENTRY(released_nonce) entry;
+	msp_time_t at;
+	msp_time_t said_no_at; /* 0: nobody was told */
+	char text[MSP_DIGEST_TEXT_SIZE];
+} released_nonce_t;
+
+struct msp_released {
+	msp_time_t memory;
+	msp_map_t *by_text;
+	TAILQ_HEAD(released_nonces, released_nonce) by_time;
+};
+
+msp_released_t *
+msp_new_released(msp_time_t memory)
+{
+	msp_released_t *released = calloc(1, sizeof(*released));
+
+	if (released == NULL)
+		return NULL;
+	released->by_text = msp_new_map();
+	if (released->by_text == NULL) {
+		free(released);
+		return NULL;
+	}
+	released->memory = memory;
+	TAILQ_INIT(&released->by_time);
+	return released;
+}
+
+void
+msp_drop_released(msp_released_t *released)
+{
+	released_nonce_t *item;
+	released_nonce_t *next;
+
+	if (released == NULL)
+		return;
+	TAILQ_FOREACH_SAFE(item, &released->by_time, entry, next)
+		free(item);
+	msp_drop_map(released->by_text);
+	free(released);
+}
+
+void
+msp_note_released(msp_released_t *released, msp_nonce_t nonce,
+    msp_time_t said_no_at, msp_time_t now)
+{
+	released_nonce_t *item = calloc(1, sizeof(*item));
+
+	if (item == NULL)
+		return;
+	msp_print_digest(nonce, item->text);
+	item->at = now;
+	item->said_no_at = said_no_at;
+	if (msp_map_put(released->by_text, item->text, item) != MSP_OK) {
+		free(item);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&released->by_time, item, entry);
+}
+
+bool
+msp_find_released(
+    const msp_released_t *released, msp_nonce_t nonce, msp_time_t *said_no_at)
+{
+	char text[MSP_DIGEST_TEXT_SIZE];
+	const released_nonce_t *item;
+
+	msp_print_digest(nonce, text);
+	item = msp_map_get(released->by_text, text);
+	if (item == NULL)
+		return false;
+	*said_no_at = item->said_no_at;
+	return true;
+}
+
+void
+msp_expire_released(msp_released_t *released, msp_time_t now)
+{
+	released_nonce_t *item;
+	released_nonce_t *next;
+
+	TAILQ_FOREACH_SAFE(item, &released->by_time, entry, next) {
+		if (item->at + released->memory >= now)
+			break;
+		TAILQ_REMOVE(&released->by_time, item, entry);
+		msp_map_remove(released->by_text, item->text);
+		free(item);
+	}
+}
+
+size_t
+msp_released_count(const msp_released_t *released)
+{
+	return msp_map_count(released->by_text);
+}
--- /dev/null
+++ b/source/net/connection.c
@@ -0,0 +1,219 @@
+#include "connection.h"
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <sys/socket.h>
+
+#include "hangup.h"
+#include "problem.h"
+#include "socket.h"
+
+#define DISCARD_READS 64 /* of 16 KiB */
+
+static void on_deadline(msp_deadline_t *deadline);
+
+void
+msp_set_connection_timeout(msp_connection_t *connection, uint32_t timeout_ms)
+{
+	msp_set_deadline(
+	    &connection->deadline, msp_loop_now() + timeout_ms * MSP_MS);
+}
+
+void
+msp_new_connection(msp_http_server_t *server, int fd)
+{
+	msp_connection_t *connection = calloc(1, sizeof(*connection));
+
+	if (connection == NULL) {
+		close(fd);
+		return;
+	}
+	connection->server = server;
+	connection->fd = fd;
+	connection->opened = msp_loop_now();
+	msp_init_deadline(&connection->deadline, server->loop, on_deadline);
+	LIST_INSERT_HEAD(&server->connections, connection, link);
+	server->connection_count++;
+	msp_watch_hangup(msp_loop_hangups(server->loop), fd,
+	    MSP_HANGUP_OR_BYTES, connection);
+	if (server->connection_count > server->limits.max_connections)
+		msp_refuse_connection(connection, MSP_E_OVERLOAD);
+	else
+		msp_set_connection_timeout(
+		    connection, server->limits.head_timeout_ms);
+}
+
+/* Ends the present exchange, whether answered or not. */
+static void
+drop_exchange(msp_connection_t *connection)
+{
+	msp_exchange_t *exchange = connection->exchange;
+
+	if (exchange == NULL)
+		return;
+	connection->exchange = NULL;
+	if (connection->state != MSP_CONNECTION_BODY)
+		connection->server->busy--;
+	msp_drop_request(&exchange->request);
+	msp_drop_response(&exchange->response);
+	free(exchange);
+	free(connection->head);
+	connection->head = NULL;
+}
+
+void
+msp_drop_connection(msp_connection_t *connection)
+{
+	msp_http_server_t *server = connection->server;
+
+	if (connection->wsi != NULL)
+		lws_set_opaque_user_data(connection->wsi, NULL);
+	msp_forget_hangup(msp_loop_hangups(server->loop), connection->fd);
+	msp_clear_deadline(&connection->deadline);
+	LIST_REMOVE(connection, link);
+	server->connection_count--;
+	if (connection->state == MSP_CONNECTION_WAITING &&
+	    server->handler.on_gone != NULL)
+		server->handler.on_gone(
+		    server->handler.ctx, connection->exchange);
+	drop_exchange(connection);
+	free(connection);
+}
+
+/* Reads what the peer has sent: closing on unread bytes would reset it. */
+static void
+discard_input(int fd)
+{
+	char data[16384];
+	int i;
+
+	for (i = 0; i < DISCARD_READS; i++) {
+		if (recv(fd, data, sizeof(data), MSG_DONTWAIT) <= 0)
+			return;
+	}
+}
+
+void
+msp_close_connection(msp_connection_t *connection)
+{
+	struct lws *wsi = connection->wsi;
+	int fd = connection->fd;
+
+	msp_drop_connection(connection);
+	if (wsi != NULL) {
+		lws_set_timeout(wsi, 1, LWS_TO_KILL_ASYNC);
+		return;
+	}
+	discard_input(fd);
+	close(fd);
+}
+
+void
+msp_notice_socket(msp_connection_t *connection, bool closed)
+{
+	switch (connection->state) {
+	case MSP_CONNECTION_ARRIVING:
+		msp_check_arrival(connection);
+		break;
+	case MSP_CONNECTION_WAITING:
+		if (closed)
+			msp_close_connection(connection);
+		break;
+	case MSP_CONNECTION_CLOSING:
+		if (closed && connection->wsi == NULL)
+			msp_close_connection(connection);
+		break;
+	default:
+		/* Sending: the next write tells whether the peer is gone. */
+		lws_rx_flow_control(connection->wsi, 1);
+		break;
+	}
+}
+
+void
+msp_refuse_connection(msp_connection_t *connection, msp_status_t status)
+{
+	char text[MSP_PROBLEM_TEXT_MAX];
+	size_t len = msp_print_problem(status, text);
+	int fd = connection->fd;
+
+	if (send(fd, text, len, MSG_DONTWAIT | MSG_NOSIGNAL) > 0)
+		shutdown(fd, SHUT_WR);
+	connection->state = MSP_CONNECTION_CLOSING;
+	msp_set_connection_timeout(connection, MSP_LINGER_MS);
+}
+
+/* Before a request: tells an idle connection from a slow head. */
+static void
+check_idle(msp_connection_t *connection)
+{
+	uint64_t received;
+	uint64_t sent;
+
+	msp_tcp_progress(connection->fd, &received, &sent);
+	if (received != connection->received)
+		msp_refuse_connection(connection, MSP_E_REQUEST_TIMEOUT);
+	else
+		msp_close_connection(connection);
+}
+
+static void
+on_deadline(msp_deadline_t *deadline)
+{
+	msp_connection_t *connection =
+	    lws_container_of(deadline, msp_connection_t, deadline);
+
+	switch (connection->state) {
+	case MSP_CONNECTION_ARRIVING:
+	case MSP_CONNECTION_IDLE:
+		check_idle(connection);
+		break;
+	case MSP_CONNECTION_BODY:
+		msp_refuse_request(connection, MSP_E_REQUEST_TIMEOUT);
+		break;
+	default:
+		msp_close_connection(connection);
+		break;
+	}
+}
+
+void
+msp_refuse_request(msp_connection_t *connection, msp_status_t status)
+{
+	if (connection->state == MSP_CONNECTION_BODY)
+		connection->server->busy++;
+	connection->close_after = true;
+	msp_fill_problem(&connection->exchange->response, status);
+	connection->state = MSP_CONNECTION_WAITING;
+	msp_begin_answer(connection->exchange);
+}
+
+int
+msp_on_http_event(struct lws *wsi, enum lws_callback_reasons reason, void *user,
+    void *in, size_t len)
+{
+	msp_connection_t *connection = NULL;
+
+	(void)user;
+	if (wsi != NULL)
+		connection = lws_get_opaque_user_data(wsi);
+	if (connection == NULL)
+		return reason == LWS_CALLBACK_HTTP ? -1 : 0;
+	switch (reason) {
+	case LWS_CALLBACK_HTTP:
+		return msp_receive_head(connection);
+	case LWS_CALLBACK_HTTP_BODY:
+		return msp_receive_body(connection, in, len);
+	case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+		return msp_end_body(connection);
+	case LWS_CALLBACK_HTTP_WRITEABLE:
+		return msp_send_answer(connection);
+	case LWS_CALLBACK_CLOSED_HTTP:
+	case LWS_CALLBACK_WSI_DESTROY:
+		msp_drop_connection(connection);
+		return 0;
+	default:
+		return 0;
+	}
+}
--- /dev/null
+++ b/source/spindled/dispatch.c
@@ -0,0 +1,319 @@
+#include "dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "daemon.h"
+#include "load.h"
+#include "log.h"
+#include "members.h"
+#include "monsoonspindle/coord/nonces.h"
+#include "service_credit.h"
+#include "service_dispatch.h"
+
+#define TICK_PERIOD (5 * MSP_MS)
+#define REVIEW_PERIOD (250 * MSP_MS)
+#define RETRY_AFTER_MS 500
+#define NONCE_LIFETIME MSP_MINUTE
+
+struct dispatchers {
+	daemon_t *daemon;
+	msp_map_t *services; /* name to service_dispatch_t */
+	LIST_HEAD(, service_dispatch) retired; /* until they are idle */
+	msp_quarantine_list_t *quarantine;
+	msp_nonces_t *nonces; /* of commits dispatched here */
+	msp_timer_t *tick;
+	msp_timer_t *review;
+};
+
+static bool
+is_first(const dispatchers_t *dispatchers, const char *service)
+{
+	const msp_member_t *first =
+	    first_member(dispatchers->daemon->members, service);
+
+	return first != NULL &&
+	    strcmp(first->name, dispatchers->daemon->settings->vm) == 0;
+}
+
+static void
+tick(void *ctx)
+{
+	dispatchers_t *dispatchers = ctx;
+	service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		tick_service(value);
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		tick_service(one);
+}
+
+static void
+review(void *ctx)
+{
+	review_dispatchers(ctx);
+}
+
+dispatchers_t *
+new_dispatchers(struct daemon *daemon)
+{
+	dispatchers_t *dispatchers = calloc(1, sizeof(*dispatchers));
+
+	if (dispatchers == NULL)
+		return NULL;
+	dispatchers->daemon = daemon;
+	LIST_INIT(&dispatchers->retired);
+	dispatchers->services = msp_new_map();
+	dispatchers->quarantine = msp_new_quarantine_list(&daemon->env);
+	dispatchers->nonces = msp_new_nonces(&daemon->env, NONCE_LIFETIME);
+	dispatchers->tick = msp_new_timer(
+	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, dispatchers);
+	dispatchers->review = msp_new_timer(
+	    daemon->loop, REVIEW_PERIOD, REVIEW_PERIOD, review, dispatchers);
+	if (dispatchers->services == NULL || dispatchers->quarantine == NULL ||
+	    dispatchers->nonces == NULL || dispatchers->tick == NULL ||
+	    dispatchers->review == NULL) {
+		drop_dispatchers(dispatchers);
+		return NULL;
+	}
+	return dispatchers;
+}
+
+void
+drop_dispatchers(dispatchers_t *dispatchers)
+{
+	service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	if (dispatchers == NULL)
+		return;
+	msp_drop_timer(dispatchers->tick);
+	msp_drop_timer(dispatchers->review);
+	while (dispatchers->services != NULL &&
+	    msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		drop_service_dispatch(value);
+	while ((one = LIST_FIRST(&dispatchers->retired)) != NULL) {
+		LIST_REMOVE(one, link);
+		drop_service_dispatch(one);
+	}
+	msp_drop_map(dispatchers->services);
+	msp_drop_quarantine_list(dispatchers->quarantine);
+	msp_drop_nonces(dispatchers->nonces);
+	free(dispatchers);
+}
+
+static service_dispatch_t *
+open_service(dispatchers_t *dispatchers, const char *name)
+{
+	service_dispatch_t *service = msp_map_get(dispatchers->services, name);
+
+	if (service != NULL)
+		return service;
+	service = new_service_dispatch(
+	    dispatchers->daemon, name, dispatchers->quarantine);
+	if (service == NULL)
+		return NULL;
+	if (msp_map_put(dispatchers->services, name, service) != MSP_OK) {
+		drop_service_dispatch(service);
+		return NULL;
+	}
+	inherit_loads(dispatchers->daemon, name, service->dispatcher);
+	log_info("event=dispatcher-start service=%s", name);
+	return service;
+}
+
+/*
+ * A commit's nonce is taken once. Returns false and refuses the work if it was
+ * taken before, or if that is not known here.
+ */
+static bool
+take_nonce(dispatchers_t *dispatchers, work_t *work)
+{
+	msp_time_t now = msp_now(&dispatchers->daemon->env);
+	msp_nonce_t nonce;
+
+	if (work->is_idempotent)
+		return true;
+	if (msp_parse_digest(work->nonce, &nonce) != 0) {
+		work_refuse(work, MSP_E_BAD_REQUEST, MSP_RUN_NO, false, 0,
+		    "a commit without a nonce");
+		return false;
+	}
+	switch (msp_take_nonce(
+	    dispatchers->nonces, nonce, now - work->nonce_issued)) {
+	case MSP_OK:
+		return true;
+	case MSP_E_EXISTS:
+		work_refuse(work, MSP_E_IN_DOUBT, MSP_RUN_UNKNOWN, true, 0,
+		    "this nonce was dispatched before");
+		return false;
+	default:
+		/* Whoever sent it sends it nowhere else without this answer. */
+		work_refuse(work, MSP_E_NOT_READY, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "the claim is older than this dispatcher");
+		return false;
+	}
+}
+
+void
+run_local(dispatchers_t *dispatchers, work_t *work)
+{
+	daemon_t *daemon = dispatchers->daemon;
+	const msp_service_t *spec =
+	    msp_find_service(daemon_release(daemon), work->service);
+	service_dispatch_t *service;
+
+	if (spec == NULL) {
+		work_refuse(work, MSP_E_UNKNOWN_SERVICE, MSP_RUN_NO, false, 0,
+		    "no such service in the release in force");
+		return;
+	}
+	if (daemon->leaving || members_paused(daemon->members)) {
+		work_refuse(work, MSP_E_LEAVING, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "this VM hands its dispatching over");
+		return;
+	}
+	service = open_service(dispatchers, work->service);
+	if (service == NULL) {
+		work_refuse(work, MSP_E_NO_MEMORY, MSP_RUN_NO, false,
+		    RETRY_AFTER_MS, "no memory for a dispatcher");
+		return;
+	}
+	if (take_nonce(dispatchers, work))
+		run_service_work(service, work);
+}
+
+void
+update_dispatchers(dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		update_service_dispatch(value);
+}
+
+/* Takes a dispatcher out of use; it lives on until its last answer. */
+static void
+retire(dispatchers_t *dispatchers, const char *name)
+{
+	service_dispatch_t *service = msp_map_get(dispatchers->services, name);
+
+	msp_map_remove(dispatchers->services, service->name);
+	service->retired = true;
+	LIST_INSERT_HEAD(&dispatchers->retired, service, link);
+	log_info("event=dispatcher-retire service=%s", service->name);
+	msp_retire_dispatcher(service->dispatcher);
+}
+
+/* Whether a dispatcher has to go to another VM, or its service is gone. */
+static bool
+is_misplaced(const dispatchers_t *dispatchers, const char *name)
+{
+	const daemon_t *daemon = dispatchers->daemon;
+
+	return daemon->leaving || !is_first(dispatchers, name) ||
+	    msp_find_service(daemon_release(daemon), name) == NULL;
+}
+
+static const char *
+find_misplaced(const dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	const char *name;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, &name, &value)) {
+		if (is_misplaced(dispatchers, name))
+			return name;
+	}
+	return NULL;
+}
+
+/* After a pause: others may have dispatched what was claimed before. */
+static void
+resume(dispatchers_t *dispatchers, service_dispatch_t *service)
+{
+	log_warn("event=dispatcher-resumes service=%s", service->name);
+	msp_note_nonces_pause(dispatchers->nonces);
+	msp_resume_dispatcher(service->dispatcher);
+}
+
+static void
+refresh_all(dispatchers_t *dispatchers)
+{
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value)) {
+		service_dispatch_t *service = value;
+
+		if (msp_dispatcher_paused(service->dispatcher))
+			resume(dispatchers, service);
+		refresh_offers(service);
+	}
+}
+
+static void
+drop_idle(dispatchers_t *dispatchers)
+{
+	service_dispatch_t *one, *next;
+
+	LIST_FOREACH_SAFE(one, &dispatchers->retired, link, next) {
+		if (one->busy > 0)
+			continue;
+		LIST_REMOVE(one, link);
+		drop_service_dispatch(one);
+	}
+}
+
+void
+review_dispatchers(dispatchers_t *dispatchers)
+{
+	const char *name;
+
+	drop_idle(dispatchers);
+	if (members_paused(dispatchers->daemon->members))
+		return;
+	while ((name = find_misplaced(dispatchers)) != NULL)
+		retire(dispatchers, name);
+	refresh_all(dispatchers);
+}
+
+size_t
+count_dispatched(const dispatchers_t *dispatchers)
+{
+	const service_dispatch_t *one;
+	size_t cursor = 0;
+	size_t count = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		count += ((service_dispatch_t *)value)->busy;
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		count += one->busy;
+	return count;
+}
+
+service_dispatch_t *
+find_service_dispatch(const dispatchers_t *dispatchers, const char *service)
+{
+	return msp_map_get(dispatchers->services, service);
+}
+
+void
+each_dispatcher(
+    const dispatchers_t *dispatchers, visit_dispatcher_t *visit, void *ctx)
+{
+	service_dispatch_t *one;
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(dispatchers->services, &cursor, NULL, &value))
+		visit(ctx, value);
+	LIST_FOREACH(one, &dispatchers->retired, link)
+		visit(ctx, one);
+}
--- /dev/null
+++ b/source/spindled/members.c
@@ -0,0 +1,203 @@
+#include "members.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "daemon.h"
+#include "gossip.h"
+#include "load.h"
+#include "log.h"
+#include "monsoonspindle/coord/rendezvous.h"
+#include "places.h"
+
+#define TICKS_PER_PERIOD 10
+#define LIST_PERIOD (10 * MSP_SECOND)
+#define LIST_TIMEOUT_MS 2000
+
+struct members {
+	daemon_t *daemon;
+	msp_membership_t *list;
+	msp_timer_t *tick;
+	msp_timer_t *list_timer;
+};
+
+static void
+on_answered(void *ctx, uint32_t token, msp_status_t status, const void *result)
+{
+	members_t *members = ctx;
+
+	msp_membership_answered(members->list, token, status, result);
+}
+
+static void
+send_message(void *ctx, const char *address, uint16_t peer_port,
+    uint32_t procedure, const void *message, uint32_t token, msp_time_t timeout)
+{
+	members_t *members = ctx;
+
+	send_gossip(members->daemon->gossip, address, peer_port, procedure,
+	    message, token, timeout, on_answered, members);
+}
+
+static void
+on_change(void *ctx, const msp_member_t *member)
+{
+	members_t *members = ctx;
+
+	msp_count(members->daemon->counters, 1,
+	    "msp_member_changes_total{state=\"%s\"}",
+	    msp_member_state_name(member->state));
+	log_info("decision=member chosen_vm=%s place=%s reason=%s",
+	    member->name, member->place, msp_member_state_name(member->state));
+}
+
+static void
+tick(void *ctx)
+{
+	members_t *members = ctx;
+
+	if (members->daemon->dispatchers != NULL)
+		publish_load(members);
+	msp_set_member_release(
+	    members->list, daemon_release(members->daemon)->version);
+	msp_tick_membership(members->list);
+}
+
+static void
+on_vm_list(void *ctx, const msp_store_reply_t *reply)
+{
+	members_t *members = ctx;
+	msp_seed_t *seeds;
+	size_t count = 0;
+	size_t i;
+
+	if (reply->status != MSP_OK || reply->vm_count == 0)
+		return;
+	if (members->daemon->places != NULL)
+		suggest_places(
+		    members->daemon->places, reply->vms, reply->vm_count);
+	seeds = calloc(reply->vm_count, sizeof(*seeds));
+	if (seeds == NULL)
+		return;
+	for (i = 0; i < reply->vm_count; i++) {
+		const msp_vm_t *vm = &reply->vms[i];
+
+		if (strcmp(vm->place, members->daemon->settings->place) != 0)
+			continue;
+		strlcpy(seeds[count].address, vm->address,
+		    sizeof(seeds[count].address));
+		seeds[count++].peer_port = vm->peer_port;
+	}
+	msp_suggest_seeds(members->list, seeds, count);
+	free(seeds);
+}
+
+static void
+ask_vm_list(void *ctx)
+{
+	members_t *members = ctx;
+	const msp_store_t *store = &members->daemon->store;
+
+	store->list_vms(store->ctx, LIST_TIMEOUT_MS, on_vm_list, members);
+}
+
+static msp_status_t
+start_membership(members_t *members)
+{
+	daemon_t *daemon = members->daemon;
+	const msp_settings_t *settings = daemon->settings;
+	msp_membership_options_t options = {
+	    .period = settings->gossip_period_ms * MSP_MS,
+	    .suspicion = settings->suspicion_ms * MSP_MS,
+	    .seed_count = settings->seed_count};
+	msp_membership_callbacks_t callbacks = {
+	    .send = send_message, .on_change = on_change, .ctx = members};
+	msp_member_t *self = &options.self;
+	msp_seed_t *seeds = calloc(settings->seed_count + 1, sizeof(*seeds));
+	size_t i;
+
+	if (seeds == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for the seeds");
+	for (i = 0; i < settings->seed_count; i++) {
+		strlcpy(seeds[i].address, settings->seeds[i].address,
+		    sizeof(seeds[i].address));
+		seeds[i].peer_port = settings->seeds[i].peer_port;
+	}
+	options.seeds = seeds;
+	strlcpy(self->name, settings->vm, sizeof(self->name));
+	strlcpy(self->region, settings->region, sizeof(self->region));
+	strlcpy(self->place, settings->place, sizeof(self->place));
+	strlcpy(self->address, settings->address, sizeof(self->address));
+	self->caller_port = settings->caller_port;
+	self->peer_port = settings->peer_port;
+	self->incarnation = daemon->incarnation;
+	members->list = msp_new_membership(&daemon->env, &options, &callbacks);
+	free(seeds);
+	return members->list == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
+members_t *
+new_members(struct daemon *daemon)
+{
+	msp_time_t period =
+	    daemon->settings->gossip_period_ms * MSP_MS / TICKS_PER_PERIOD;
+	members_t *members = calloc(1, sizeof(*members));
+
+	if (members == NULL)
+		return NULL;
+	members->daemon = daemon;
+	if (start_membership(members) != MSP_OK)
+		goto fail;
+	members->tick =
+	    msp_new_timer(daemon->loop, period, period, tick, members);
+	members->list_timer = msp_new_timer(
+	    daemon->loop, period, LIST_PERIOD, ask_vm_list, members);
+	if (members->tick == NULL || members->list_timer == NULL)
+		goto fail;
+	return members;
+fail:
+	drop_members(members);
+	return NULL;
+}
+
+void
+drop_members(members_t *members)
+{
+	if (members == NULL)
+		return;
+	msp_drop_timer(members->tick);
+	msp_drop_timer(members->list_timer);
+	msp_drop_membership(members->list);
+	free(members);
+}
+
+msp_membership_t *
+members_list(const members_t *members)
+{
+	return members->list;
+}
+
+const struct daemon *
+members_daemon(const members_t *members)
+{
+	return members->daemon;
+}
+
+const msp_member_t *
+first_member(const members_t *members, const char *service)
+{
+	const msp_member_t *first = NULL;
+
+	if (msp_rank_members(members->list, service,
+		members->daemon->settings->place, 0, &first, 1) == 0)
+		return NULL;
+	return first;
+}
+
+bool
+members_paused(const members_t *members)
+{
+	return msp_membership_paused(members->list);
+}
--- /dev/null
+++ b/source/spindled/target_call.h
@@ -0,0 +1,41 @@
+#ifndef SPINDLED_TARGET_CALL_H
+#define SPINDLED_TARGET_CALL_H
+
+#include "service_dispatch.h"
+
+#define DISPATCH_CALLS 2 /* attempts of one work in flight together */
+
+/* One attempt's HTTP call. */
+typedef struct target_call {
+	struct dispatch *dispatch;
+	msp_attempt_t attempt; /* 0: free */
+	msp_call_t *call;
+	char target[MSP_NAME_SIZE];
+} target_call_t;
+
+/* One work in a dispatcher, with its job and its calls. */
+typedef struct dispatch {
+	service_dispatch_t *service;
+	work_t *work;
+	msp_job_t job;
+	msp_shift_t shift; /* of work from another region */
+	target_call_t calls[DISPATCH_CALLS];
+} dispatch_t;
+
+/* Sends the work to a target; the callback `start` of the dispatcher. */
+void start_target_call(void *ctx, msp_job_t *job,
+    const msp_target_ref_t *target, bool fresh, msp_attempt_t attempt);
+
+/* The callback `cancel_attempt` of the dispatcher. */
+void cancel_target_call(void *ctx, msp_job_t *job, msp_attempt_t attempt);
+
+/*
+ * Gives the work its result and frees the dispatch. An answer to another region
+ * is held until the cap has room for it.
+ */
+void finish_dispatch(dispatch_t *dispatch, work_result_t *result);
+
+/* Frees the answers that are held; their work gets none. */
+void drop_held(service_dispatch_t *service);
+
+#endif
