--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -415,7 +415,10 @@
 		else if (place->region != home->region && !place->lost) {
 			options[i].rtt = REGION_RTT;
 			options[i].wait =
-			    msp_offered_wait(home->wallet, place->name);
+			    request->job.class == MSP_CLASS_BACKGROUND
+			    ? msp_offered_background_wait(
+				  home->wallet, place->name)
+			    : msp_offered_wait(home->wallet, place->name);
 		}
 	}
 	wait = home->lost
