--- a/tests/support/commit_caller.c
+++ b/tests/support/commit_caller.c
@@ -6,7 +6,7 @@
 
 #define SERVICE "mergedesk"
 #define TRAVEL (8 * MSP_MS) /* from a caller to a VM */
-#define FORWARD_DELAY (2 * MSP_MS)
+#define FORWARD_DELAY (60 * MSP_MS) /* at most */
 #define FORWARD_TIMEOUT (3 * MSP_SECOND)
 #define TRY_DEADLINE (10 * MSP_SECOND)
 #define QUIET_END (40 * MSP_SECOND) /* late runs would come until then */
@@ -67,7 +67,7 @@
 {
 	caller_t *caller = sent->caller;
 	world_t *world = caller->world;
-	msp_time_t pause = 50 * MSP_MS + cw_below(world, 450 * MSP_MS);
+	msp_time_t pause = cw_below(world, 2) * cw_below(world, 500 * MSP_MS);
 
 	if (sent->number != caller->count)
 		return;
@@ -162,7 +162,7 @@
 	sent->tried = NULL;
 	sent->release_seen = verdict->nonce;
 	sent->after_release = world->venv.now - sent->arrival < verdict->age;
-	cw_later(world, FORWARD_DELAY, reach_owner, sent);
+	cw_later(world, cw_below(world, FORWARD_DELAY), reach_owner, sent);
 }
 
 static void
@@ -275,7 +275,8 @@
 	}
 	if (msp_route_key(sent->caller->key, vm->incarnation, cw_is_gone, vm,
 		&issued) == MSP_KEY_FORWARD)
-		cw_later(world, FORWARD_DELAY, reach_owner, sent);
+		cw_later(
+		    world, cw_below(world, FORWARD_DELAY), reach_owner, sent);
 	else
 		begin(sent, vm, false);
 }
--- a/tests/support/commit_dispatch.c
+++ b/tests/support/commit_dispatch.c
@@ -11,6 +11,7 @@
 #define FROZEN_FOR (8 * MSP_SECOND)
 #define RESTART_AFTER MSP_SECOND
 #define STORE_DOWN_FOR (9 * MSP_SECOND)
+#define RELEASE_RECORDED (80 * MSP_MS) /* after a release, in the store */
 #define NONCE_LIFETIME (10 * MSP_SECOND)
 
 typedef enum end {
@@ -96,6 +97,12 @@
 	msp_finish_claim(job->vm->claims, job->nonce, &outcome);
 }
 
+static void
+strike_after_release(void *ctx)
+{
+	cw_strike_owner(ctx, OWNER_KILLED_ANSWERED, OWNER_FROZEN_ANSWERED);
+}
+
 static void
 report_end(void *ctx)
 {
@@ -112,6 +119,8 @@
 		} else if (job->end == END_NOT_RUN) {
 			msp_release_claim(
 			    job->vm->claims, job->nonce, &refusal);
+			cw_later(job->vm->world, RELEASE_RECORDED,
+			    strike_after_release, job->vm);
 		} else {
 			refusal.status = MSP_E_IN_DOUBT;
 			refusal.reason = "the target's answer is not known";
--- a/tests/support/commit_world.c
+++ b/tests/support/commit_world.c
@@ -9,6 +9,8 @@
 #define STORE_FAULT_FROM (200 * MSP_MS)
 #define STORE_FAULT_FOR (9 * MSP_SECOND)
 #define WORLD_ENDS (400 * MSP_SECOND)
+#define BATCH_WINDOW (4 * MSP_MS)
+#define LONG_BATCH_WINDOW (60 * MSP_MS) /* a resend meets queued writes */
 #define NONCE_LIFETIME (10 * MSP_SECOND)
 #define WALL_START (1700000000 * MSP_SECOND)
 
@@ -178,6 +180,9 @@
 	    .address = vm->address,
 	    .issued_lifetime = 5 * MSP_MINUTE,
 	    .inline_max = 40,
+	    .batch_window = vm->world->scenario->seed % 2 == 0
+		? BATCH_WINDOW
+		: LONG_BATCH_WINDOW,
 	};
 
 	vm->incarnation = ++vm->world->next_incarnation;
