--- a/source/net/call.c
+++ b/source/net/call.c
@@ -26,7 +26,9 @@
 	/* From here on the library may write the head at any time. */
 	call->maybe_sent = true;
 	call->state = MSP_CALL_SENT;
-	msp_tune_tcp(lws_get_socket_fd(wsi));
+	if (!call->lane->tuned)
+		msp_tune_tcp(lws_get_socket_fd(wsi));
+	call->lane->tuned = true;
 	set_due(call,
 	    call->first_byte_timeout_ms == 0
 		? call->end
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -28,6 +28,7 @@
 	msp_call_t *call; /* or NULL */
 	msp_time_t last_active; /* when the last bytes came */
 	bool idle; /* in the server's idle lanes */
+	bool tuned; /* the options of the socket are set */
 	bool connecting; /* inside the library's connect call */
 	bool reading; /* inside the library's read call */
 	bool at_end; /* and that call can see but the end of the connection */
--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <arpa/inet.h>
 #include <sys/socket.h>
 
 #include "hangup.h"
@@ -21,7 +22,8 @@
 }
 
 void
-msp_new_connection(msp_http_server_t *server, int fd)
+msp_new_connection(
+    msp_http_server_t *server, int fd, const struct sockaddr_in *peer)
 {
 	msp_connection_t *connection = calloc(1, sizeof(*connection));
 
@@ -31,6 +33,8 @@
 	}
 	connection->server = server;
 	connection->fd = fd;
+	inet_ntop(AF_INET, &peer->sin_addr, connection->peer,
+	    sizeof(connection->peer));
 	connection->opened = msp_loop_now();
 	msp_init_deadline(&connection->deadline, server->loop, on_deadline);
 	LIST_INSERT_HEAD(&server->connections, connection, link);
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -4,6 +4,7 @@
 #include <bsd/sys/queue.h>
 
 #include <libwebsockets.h>
+#include <netinet/in.h>
 
 #include "chunks.h"
 #include "deadline.h"
@@ -19,7 +20,6 @@
 	msp_response_t response;
 	msp_time_t arrival;
 	void *data;
-	char peer[MSP_PEER_TEXT_MAX];
 };
 
 /* What a connection of a server is doing. */
@@ -36,6 +36,7 @@
 	LIST_ENTRY(msp_connection) link;
 	msp_http_server_t *server;
 	int fd;
+	char peer[MSP_PEER_TEXT_MAX];
 	struct lws *wsi; /* NULL while arriving or refused on arrival */
 	msp_connection_state_t state;
 	msp_time_t opened;
@@ -74,7 +75,8 @@
     void *user, void *in, size_t len);
 
 /* Takes a socket over that was accepted. */
-void msp_new_connection(msp_http_server_t *server, int fd);
+void msp_new_connection(
+    msp_http_server_t *server, int fd, const struct sockaddr_in *peer);
 
 /*
  * The socket of the connection has news for us: a first byte, an end of the
--- a/source/net/http_server.c
+++ b/source/net/http_server.c
@@ -16,10 +16,13 @@
 {
 	msp_http_server_t *server = ctx;
 	unsigned int most = server->limits.max_connections + REFUSED_SPARE;
+	struct sockaddr_in peer;
+	socklen_t len;
 	int fd;
 
 	for (;;) {
-		fd = accept(server->listen_fd, NULL, NULL);
+		len = sizeof(peer);
+		fd = accept(server->listen_fd, (struct sockaddr *)&peer, &len);
 		if (fd < 0)
 			return;
 		if (server->connection_count >= most) {
@@ -27,7 +30,7 @@
 			continue;
 		}
 		msp_tune_tcp(fd);
-		msp_new_connection(server, fd);
+		msp_new_connection(server, fd, &peer);
 	}
 }
 
@@ -139,7 +142,7 @@
 const char *
 msp_exchange_peer(const msp_exchange_t *exchange)
 {
-	return exchange->peer;
+	return exchange->connection->peer;
 }
 
 msp_time_t
--- a/source/net/lane.c
+++ b/source/net/lane.c
@@ -246,6 +246,7 @@
 
 	lane->call = call;
 	call->lane = lane;
+	lane->tuned = lane->wsi != NULL;
 	if (lane->wsi != NULL)
 		lws_set_opaque_user_data(lane->wsi, NULL);
 	lane->wsi = NULL;
--- a/source/net/request.c
+++ b/source/net/request.c
@@ -120,8 +120,6 @@
 	if (connection->exchange == NULL)
 		return -1;
 	connection->exchange->connection = connection;
-	lws_get_peer_simple(connection->wsi, connection->exchange->peer,
-	    sizeof(connection->exchange->peer));
 	connection->state = MSP_CONNECTION_BODY;
 	connection->close_after = connection->server->closing;
 	connection->chunks = (msp_chunks_t){0};
