--- a/source/spindlectl/request.c
+++ b/source/spindlectl/request.c
@@ -4,8 +4,7 @@
 
 #define LOOP_FDS 64
 #define MAX_ANSWER (256 << 20) /* bytes: a whole release */
-#define CALL_TIMEOUT (12 * MSP_SECOND) /* a VM's own bound for a note is 10 s \
-					*/
+#define CALL_TIMEOUT (12 * MSP_SECOND) /* a VM gives a note 10 s */
 #define RETRY_PAUSE (300 * MSP_MS)
 #define STEP_MS 20
 
