--- a/include/monsoonspindle/coord/relay.h
+++ b/include/monsoonspindle/coord/relay.h
@@ -26,10 +26,14 @@
 
 typedef struct msp_relay_options {
 	msp_time_t period; /* between exchanges; 0: 2 s */
-	msp_time_t stale_after; /* age of a summary; 0: 60 s */
+	/*
+	 * Age of a summary of the own region; one of another region may be
+	 * older by a period for each place that is known. 0: 60 s.
+	 */
+	msp_time_t stale_after;
 	msp_time_t forget_after; /* age of a summary; 0: 1 h */
 	unsigned int relays; /* members a period that ask outside; 0: 3 */
-	unsigned int pages; /* answers from one member in a period; 0: 2 */
+	unsigned int pages; /* answers from one member in a period; 0: 1 */
 } msp_relay_options_t;
 
 typedef struct msp_relay_callbacks {
--- a/source/coord/relay.c
+++ b/source/coord/relay.c
@@ -24,7 +24,7 @@
 	if (options->relays == 0)
 		options->relays = 3;
 	if (options->pages == 0)
-		options->pages = 2;
+		options->pages = 1;
 }
 
 msp_relay_t *
@@ -277,9 +277,14 @@
 	return relay->summaries[index];
 }
 
+/* With more places each summary has its turn less often. */
 bool
 msp_summary_is_stale(const msp_relay_t *relay, const msp_summary_t *summary)
 {
-	return msp_summary_age(summary, msp_now(&relay->env)) >
-	    relay->options.stale_after;
+	msp_time_t bound = relay->options.stale_after;
+	const char *region = msp_membership_self(relay->membership)->region;
+
+	if (strcmp(summary->region, region) != 0)
+		bound += relay->summary_count * relay->options.period;
+	return msp_summary_age(summary, msp_now(&relay->env)) > bound;
 }
--- a/source/coord/relay_exchange.c
+++ b/source/coord/relay_exchange.c
@@ -10,11 +10,12 @@
 
 #define ANSWER_MAX 1150 /* bytes of summaries in an answer */
 
+#define NEAR_WEIGHT 4U /* of a second of age of a near summary */
+
 /* A summary that the asker lacks. */
 typedef struct candidate {
 	const msp_summary_t *summary;
-	bool near; /* in the asker's region, or this data centre's own */
-	uint32_t gain; /* how much newer it is, in milliseconds */
+	uint64_t worth; /* how much newer it is, weighted by nearness */
 } candidate_t;
 
 static uint32_t
@@ -204,10 +205,8 @@
 	const candidate_t *first = a;
 	const candidate_t *second = b;
 
-	if (first->near != second->near)
-		return first->near ? -1 : 1;
-	if (first->gain != second->gain)
-		return first->gain > second->gain ? -1 : 1;
+	if (first->worth != second->worth)
+		return first->worth > second->worth ? -1 : 1;
 	return 0;
 }
 
@@ -222,14 +221,15 @@
 	for (i = 0; i < relay->summary_count; i++) {
 		const msp_summary_t *summary = relay->summaries[i];
 		uint32_t gain = gain_of(summary, request);
+		bool near; /* of the asker's region, or this data centre */
 
 		if (gain == 0)
 			continue;
+		near = strcmp(summary->place, own) == 0 ||
+		    strcmp(summary->region, request->region) == 0;
 		candidates[count++] = (candidate_t){
 		    .summary = summary,
-		    .gain = gain,
-		    .near = strcmp(summary->place, own) == 0 ||
-			strcmp(summary->region, request->region) == 0,
+		    .worth = near ? (uint64_t)gain * NEAR_WEIGHT : gain,
 		};
 	}
 	qsort(candidates, count, sizeof(candidate_t), compare_candidates);
