--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -292,10 +292,9 @@
 	    call->done_ctx, call->answer_lost ? &lost : &call->captured.reply);
 }
 
-void
-msp_step_memory_store(msp_memory_store_t *store)
+static void
+run_effects(msp_memory_store_t *store, msp_time_t now)
 {
-	msp_time_t now = msp_now(&store->env);
 	msp_store_call_t *call;
 
 	while ((call = TAILQ_FIRST(&store->effects)) != NULL &&
@@ -305,8 +304,20 @@
 		if (!call->answer_pending)
 			msp_drop_store_call(call);
 	}
-	while ((call = TAILQ_FIRST(&store->answers)) != NULL &&
-	    call->answer_at <= now) {
+}
+
+/* A call made by `done` takes effect before its own answer is due. */
+void
+msp_step_memory_store(msp_memory_store_t *store)
+{
+	msp_time_t now = msp_now(&store->env);
+	msp_store_call_t *call;
+
+	for (;;) {
+		run_effects(store, now);
+		call = TAILQ_FIRST(&store->answers);
+		if (call == NULL || call->answer_at > now)
+			return;
 		remove_answer(store, call);
 		answer(call);
 		if (!call->effect_pending)
