--- /dev/null
+++ b/tests/coord/test_claim_records.c
@@ -0,0 +1,394 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "claim_pair.h"
+
+#define A 0
+#define B 1
+#define SOON MSP_SECOND
+#define DAY (24 * 60 * MSP_MINUTE)
+
+static const char short_body[] = "printed";
+static const char long_body[] =
+    "printed, with a body that is longer than a row may hold here";
+
+static pair_t *
+new_pair(const msp_claims_options_t *options)
+{
+	pair_t *pair = calloc(1, sizeof(*pair));
+
+	assert_non_null(pair);
+	open_pair(pair, options);
+	return pair;
+}
+
+static pair_try_t *
+run_at_a(pair_t *pair, const char *key)
+{
+	pair_try_t *sent = send_key(pair, A, key);
+
+	run_pair(pair, SOON);
+	assert_int_equal(sent->runs, 1);
+	return sent;
+}
+
+static void
+assert_replayed(const pair_try_t *sent, const char *body)
+{
+	assert_int_equal(sent->finals, 1);
+	assert_int_equal(sent->kind, MSP_CLAIM_VERDICT_REPLAY);
+	assert_int_equal(sent->http_status, 201);
+	assert_string_equal(sent->body, body);
+}
+
+static void
+assert_unknown(const pair_try_t *sent, msp_status_t status)
+{
+	assert_int_equal(sent->runs, 0);
+	assert_int_equal(sent->finals, 1);
+	assert_int_equal(sent->kind, MSP_CLAIM_VERDICT_REFUSE);
+	assert_int_equal(sent->refusal.status, status);
+	assert_int_equal(sent->refusal.run, MSP_RUN_UNKNOWN);
+}
+
+typedef struct replay_case {
+	const char *body;
+	bool down; /* the store, from the answer on, for a minute */
+	bool owner_gone; /* after that */
+} replay_case_t;
+
+static void
+resend_gets_the_whole_outcome(void **state)
+{
+	static const replay_case_t cases[] = {
+	    {short_body, false, false},
+	    {short_body, false, true},
+	    {short_body, true, true},
+	    {long_body, false, false},
+	    {long_body, true, true},
+	    {"", false, true},
+	};
+	msp_claims_options_t options = {.inline_max = 16};
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		pair_t *pair = new_pair(&options);
+		pair_try_t *first = run_at_a(pair, "order-1");
+		const pair_try_t *again;
+
+		pair->faults->down = cases[i].down;
+		finish_pair(pair, A, first->nonce, cases[i].body);
+		run_pair(pair, MSP_MINUTE);
+		assert_replayed(first, cases[i].body);
+		pair->faults->down = false;
+		run_pair(pair, MSP_MINUTE);
+		if (cases[i].owner_gone)
+			kill_pair_vm(pair, A);
+		again = send_key(pair, B, "order-1");
+		run_pair(pair, SOON);
+		assert_replayed(again, cases[i].body);
+		close_pair(pair);
+	}
+}
+
+/* An outcome that is not whole, or not this one's, is not replayed. */
+static void
+damaged_outcome_is_not_replayed(void **state)
+{
+	static const char *const damaged[] = {
+	    "", "printed, with", "another body of just the same length"};
+	msp_claims_options_t options = {.inline_max = 16};
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		pair_t *pair = new_pair(&options);
+		pair_try_t *first = run_at_a(pair, "order-1");
+		char nonce[MSP_DIGEST_TEXT_SIZE];
+		char name[64];
+		const pair_try_t *again;
+
+		finish_pair(
+		    pair, A, first->nonce, "printed on the good old press now");
+		run_pair(pair, MSP_MINUTE);
+		msp_print_digest(first->nonce, nonce);
+		snprintf(name, sizeof(name), "outcome-%s", nonce);
+		put_pair_object(pair, name, damaged[i]);
+		again = send_key(pair, B, "order-1");
+		run_pair(pair, SOON);
+		assert_unknown(again, MSP_E_STORE_DOWN);
+		close_pair(pair);
+	}
+}
+
+static void
+malformed_rows_are_refused(void **state)
+{
+	static const char *const rows[] = {"", "{}", "{}\n", "[1]\n",
+	    "{\"state\":\"held\"}\n", "{\"state\":\"done\",\"digest\":\"x\"}\n",
+	    "\n\n\n",
+	    "{\"state\":\"held\",\"digest\":"
+	    "\"841a2d689ad86bd1611447453c22c6fc\",\"nonce\":5}\n"};
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		pair_t *pair = new_pair(NULL);
+		const pair_try_t *sent;
+
+		put_pair_row(pair, "claim/mergedesk/order-1", rows[i]);
+		sent = send_key(pair, A, "order-1");
+		run_pair(pair, SOON);
+		assert_unknown(sent, MSP_E_INTERNAL);
+		close_pair(pair);
+	}
+}
+
+static void
+same_key_waits_at_the_same_vm(void **state)
+{
+	pair_t *pair = new_pair(NULL);
+	pair_try_t *first = run_at_a(pair, "order-1");
+	const pair_try_t *joined = send_key(pair, A, "order-1");
+	msp_try_params_t params = pair_params(pair, "order-1", "other body");
+	const pair_try_t *other = send_pair(pair, A, &params);
+	const pair_try_t *elsewhere = send_pair(pair, B, &params);
+
+	(void)state;
+	run_pair(pair, SOON);
+	assert_int_equal(joined->finals, 0);
+	assert_unknown(other, MSP_E_KEY_MISMATCH);
+	assert_unknown(elsewhere, MSP_E_KEY_MISMATCH);
+	finish_pair(pair, A, first->nonce, short_body);
+	run_pair(pair, SOON);
+	assert_replayed(joined, short_body);
+	assert_int_equal(joined->runs, 0);
+	close_pair(pair);
+}
+
+static void
+keys_past_retention_are_refused(void **state)
+{
+	msp_claims_options_t options = {.retention = DAY};
+	pair_t *pair = new_pair(&options);
+	pair_try_t *first = run_at_a(pair, "order-1");
+	const pair_try_t *again;
+
+	(void)state;
+	finish_pair(pair, A, first->nonce, short_body);
+	run_pair(pair, DAY - MSP_MINUTE);
+	again = send_key(pair, B, "order-1");
+	run_pair(pair, 2 * MSP_MINUTE);
+	assert_replayed(again, short_body);
+	again = send_key(pair, B, "order-1");
+	run_pair(pair, SOON);
+	assert_unknown(again, MSP_E_KEY_EXPIRED);
+	close_pair(pair);
+}
+
+static void
+malformed_names_are_refused(void **state)
+{
+	static const char *const names[][2] = {
+	    {"mergedesk", ""},
+	    {"mergedesk", "a b"},
+	    {"mergedesk", "a\n"},
+	    {"mergedesk", "\xc3\xa6"},
+	    {"", "order-1"},
+	    {"merge/desk", "order-1"},
+	    {NULL, "order-1"},
+	    {"mergedesk", NULL},
+	};
+	pair_t *pair = new_pair(NULL);
+	char long_key[202];
+	msp_try_params_t params = pair_params(pair, "order-1", "body");
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		params.service = names[i][0];
+		params.key = names[i][1];
+		assert_null(send_pair(pair, A, &params)->tried);
+	}
+	memset(long_key, 'x', sizeof(long_key));
+	long_key[201] = '\0';
+	params.service = "mergedesk";
+	params.key = long_key;
+	assert_null(send_pair(pair, A, &params)->tried);
+	close_pair(pair);
+}
+
+typedef struct batch_case {
+	msp_time_t window;
+	size_t rows;
+	uint64_t transactions; /* for 100 commits at one moment */
+} batch_case_t;
+
+static void
+claims_of_one_moment_share_a_transaction(void **state)
+{
+	static const batch_case_t cases[] = {
+	    {4 * MSP_MS, 256, 1}, {4 * MSP_MS, 25, 4}, {4 * MSP_MS, 1, 100}};
+	unsigned int i;
+	unsigned int k;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		msp_claims_options_t options = {.batch_window = cases[i].window,
+		    .batch_rows = cases[i].rows};
+		pair_t *pair = new_pair(&options);
+		char key[32];
+
+		for (k = 0; k < 100; k++) {
+			snprintf(key, sizeof(key), "order-%u", k);
+			send_key(pair, A, key);
+		}
+		run_pair(pair, SOON);
+		for (k = 0; k < 100; k++)
+			assert_int_equal(pair->sent[k].runs, 1);
+		assert_int_equal(
+		    msp_memory_store_stats(pair->store)->transactions,
+		    cases[i].transactions);
+		close_pair(pair);
+	}
+}
+
+/* A row that another VM holds does not hold up the rest of its batch. */
+static void
+conflict_is_split_out_of_its_batch(void **state)
+{
+	pair_t *pair = new_pair(NULL);
+	pair_try_t *first = run_at_a(pair, "order-5");
+	const pair_try_t *sent[10];
+	char key[32];
+	unsigned int k;
+
+	(void)state;
+	for (k = 0; k < 10; k++) {
+		snprintf(key, sizeof(key), "order-%u", k);
+		sent[k] = send_key(pair, B, key);
+	}
+	run_pair(pair, SOON);
+	for (k = 0; k < 10; k++)
+		assert_int_equal(sent[k]->runs, k == 5 ? 0 : 1);
+	finish_pair(pair, A, first->nonce, short_body);
+	run_pair(pair, SOON);
+	assert_replayed(sent[5], short_body);
+	close_pair(pair);
+}
+
+typedef struct listed {
+	msp_status_t status;
+	unsigned int count;
+	char first_key[256];
+} listed_t;
+
+static void
+on_doubts(void *ctx, msp_status_t status, const msp_doubt_t *doubts,
+    size_t count, const char *next)
+{
+	listed_t *listed = ctx;
+
+	assert_null(next);
+	listed->status = status;
+	listed->count = (unsigned int)count;
+	if (count > 0)
+		snprintf(listed->first_key, sizeof(listed->first_key), "%s",
+		    doubts[0].key);
+}
+
+static void
+on_ruled(void *ctx, msp_status_t status)
+{
+	*(msp_status_t *)ctx = status;
+}
+
+static msp_status_t
+rule(pair_t *pair, const char *key, bool ran)
+{
+	msp_ruling_t ruling = {
+	    .service = "mergedesk", .key = key, .ran = ran, .who = "gudrun"};
+	msp_status_t status = MSP_STATUS_COUNT;
+
+	msp_rule_claim(pair->vms[B], &ruling, on_ruled, &status);
+	run_pair(pair, 3 * MSP_SECOND);
+	return status;
+}
+
+static unsigned int
+count_doubts(pair_t *pair, listed_t *listed)
+{
+	*listed = (listed_t){0};
+	msp_list_doubts(pair->vms[B], "", on_doubts, listed);
+	run_pair(pair, SOON);
+	assert_int_equal(listed->status, MSP_OK);
+	return listed->count;
+}
+
+static void
+doubts_are_listed_and_ruled(void **state)
+{
+	pair_t *pair = new_pair(NULL);
+	pair_try_t *held = run_at_a(pair, "order-1");
+	pair_try_t *doubt = run_at_a(pair, "order-2");
+	pair_try_t *done = run_at_a(pair, "order-3");
+	const pair_try_t *again;
+	listed_t listed;
+
+	(void)state;
+	doubt_pair(pair, A, doubt->nonce);
+	finish_pair(pair, A, done->nonce, short_body);
+	run_pair(pair, SOON);
+	assert_int_equal(held->finals, 0);
+	assert_int_equal(doubt->refusal.run, MSP_RUN_UNKNOWN);
+	assert_true(doubt->refusal.try_started);
+	assert_int_equal(count_doubts(pair, &listed), 1);
+	assert_string_equal(listed.first_key, "order-2");
+	assert_int_equal(rule(pair, "order-1", true), MSP_E_CONFLICT);
+	assert_int_equal(rule(pair, "order-3", true), MSP_E_CONFLICT);
+	assert_int_equal(rule(pair, "order-4", true), MSP_E_NOT_FOUND);
+	kill_pair_vm(pair, A);
+	assert_int_equal(count_doubts(pair, &listed), 2);
+	again = send_key(pair, B, "order-1");
+	run_pair(pair, SOON);
+	assert_unknown(again, MSP_E_IN_DOUBT);
+	assert_int_equal(rule(pair, "order-1", false), MSP_OK);
+	assert_int_equal(rule(pair, "order-1", false), MSP_OK);
+	assert_int_equal(rule(pair, "order-1", true), MSP_E_CONFLICT);
+	assert_int_equal(rule(pair, "order-2", true), MSP_OK);
+	assert_int_equal(count_doubts(pair, &listed), 0);
+	again = send_key(pair, B, "order-1");
+	run_pair(pair, SOON);
+	assert_int_equal(again->runs, 0);
+	assert_int_equal(again->refusal.run, MSP_RUN_NO);
+	again = send_key(pair, B, "order-2");
+	run_pair(pair, SOON);
+	assert_unknown(again, MSP_E_IN_DOUBT);
+	close_pair(pair);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(resend_gets_the_whole_outcome),
+	    cmocka_unit_test(damaged_outcome_is_not_replayed),
+	    cmocka_unit_test(malformed_rows_are_refused),
+	    cmocka_unit_test(same_key_waits_at_the_same_vm),
+	    cmocka_unit_test(keys_past_retention_are_refused),
+	    cmocka_unit_test(malformed_names_are_refused),
+	    cmocka_unit_test(claims_of_one_moment_share_a_transaction),
+	    cmocka_unit_test(conflict_is_split_out_of_its_batch),
+	    cmocka_unit_test(doubts_are_listed_and_ruled),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
