--- a/source/net/answer.c
+++ b/source/net/answer.c
@@ -3,6 +3,7 @@
 
 #include "connection.h"
 #include "fields.h"
+#include "hangup.h"
 #include "socket.h"
 
 #define FIRST_WRITE (16 * 1024) /* bytes of the body sent with the head */
@@ -84,8 +85,8 @@
 		connection->close_after = true;
 	connection->state = MSP_CONNECTION_SENDING;
 	connection->head_sent = false;
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	lws_rx_flow_control(connection->wsi, 1);
+	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
 	lws_callback_on_writable(connection->wsi);
 }
 
@@ -106,18 +107,27 @@
 	connection->head = NULL;
 	if (connection->close_after || server->closing) {
 		connection->state = MSP_CONNECTION_CLOSING;
-		msp_set_deadline(
-		    &connection->deadline, msp_loop_now() + 2 * MSP_SECOND);
+		msp_set_connection_timeout(connection, MSP_LINGER_MS);
 		return -1;
 	}
 	connection->state = MSP_CONNECTION_IDLE;
-	msp_tcp_progress(
-	    lws_get_socket_fd(connection->wsi), &connection->received, &sent);
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.idle_timeout_ms * MSP_MS);
+	msp_tcp_progress(connection->fd, &connection->received, &sent);
+	msp_set_connection_timeout(connection, server->limits.idle_timeout_ms);
 	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
 
+/* Waits for the socket without looking at what the peer sends meanwhile. */
+static void
+wait_writable(msp_connection_t *connection)
+{
+	lws_callback_on_writable(connection->wsi);
+	if (!lws_send_pipe_choked(connection->wsi))
+		return;
+	lws_rx_flow_control(connection->wsi, 0);
+	msp_watch_hangup(msp_loop_hangups(connection->server->loop),
+	    connection->fd, MSP_HANGUP_OR_ROOM, connection);
+}
+
 int
 msp_send_answer(msp_connection_t *connection)
 {
@@ -126,10 +136,15 @@
 	size_t len;
 	int written;
 
+	if (connection->state == MSP_CONNECTION_WAITING) {
+		/* Else the loop would spin on bytes that come meanwhile. */
+		lws_rx_flow_control(connection->wsi, 0);
+		return 0;
+	}
 	if (connection->state != MSP_CONNECTION_SENDING)
 		return connection->state == MSP_CONNECTION_CLOSING ? -1 : 0;
 	if (lws_partial_buffered(connection->wsi)) {
-		lws_callback_on_writable(connection->wsi);
+		wait_writable(connection);
 		return 0;
 	}
 	body = &connection->exchange->response.body;
@@ -153,12 +168,11 @@
 	}
 	if (written < 0)
 		return -1;
-	msp_set_deadline(&connection->deadline,
-	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS);
+	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
 	if (!lws_partial_buffered(connection->wsi) &&
 	    (!has_body(connection->exchange) ||
 		connection->body_sent == body->len))
 		return end_answer(connection);
-	lws_callback_on_writable(connection->wsi);
+	wait_writable(connection);
 	return 0;
 }
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -11,18 +11,17 @@
 #include <libwebsockets.h>
 
 #include "connection.h"
+#include "hangup.h"
 #include "watch.h"
 
 #define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
-#define KEEPALIVE_IDLE_S 5
-#define KEEPALIVE_PROBES 3
-#define KEEPALIVE_INTERVAL_S 5
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
 	struct lws_context *lws;
 	struct lws_vhost *vhost; /* of watches and server connections */
+	msp_hangups_t *hangups;
 	lws_sorted_usec_list_t wake;
 	int stopped;
 	msp_watch_t *signals;
@@ -64,9 +63,6 @@
 	    .fd_limit_per_thread = max_fds,
 	    .max_http_header_data2 = HEADER_BYTES_MAX,
 	    .pt_serv_buf_size = SERVICE_BUFFER,
-	    .ka_time = KEEPALIVE_IDLE_S,
-	    .ka_probes = KEEPALIVE_PROBES,
-	    .ka_interval = KEEPALIVE_INTERVAL_S,
 	    .timeout_secs = LIBRARY_TIMEOUT_S,
 	    .gid = -1,
 	    .uid = -1,
@@ -88,7 +84,9 @@
 		return NULL;
 	}
 	loop->vhost = new_vhost(loop->lws);
-	if (loop->vhost == NULL) {
+	if (loop->vhost != NULL)
+		loop->hangups = msp_new_hangups(loop);
+	if (loop->hangups == NULL) {
 		msp_drop_loop(loop);
 		return NULL;
 	}
@@ -101,6 +99,7 @@
 	if (loop == NULL)
 		return;
 	msp_drop_watch(loop->signals);
+	msp_drop_hangups(loop->hangups);
 	lws_sul_cancel(&loop->wake);
 	lws_context_destroy(loop->lws);
 	free(loop);
@@ -152,6 +151,12 @@
 	return loop->vhost;
 }
 
+msp_hangups_t *
+msp_loop_hangups(msp_loop_t *loop)
+{
+	return loop->hangups;
+}
+
 static void
 read_signal(void *ctx)
 {
