--- /dev/null
+++ b/tests/platform/test_store_wire.c
@@ -0,0 +1,223 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "net_fixture.h"
+#include "store_fixture.h"
+
+/* Bad input to the service, and bad answers to the HTTP store. */
+
+typedef struct bad_request {
+	const char *method;
+	const char *path;
+	const char *body;
+	int status;
+} bad_request_t;
+
+static int
+call_service(store_fixture_t *store, const bad_request_t *bad)
+{
+	msp_call_options_t options = {.address = TEST_ADDRESS,
+	    .port = msp_http_server_port(store->server),
+	    .timeout_ms = TEST_PATIENCE_MS};
+	msp_request_t request = new_request(bad->method, bad->path, bad->body);
+	test_outcome_t outcome = {0};
+	int status;
+
+	msp_start_call(
+	    store->client, &options, &request, keep_outcome, &outcome);
+	while (outcome.done == 0) {
+		msp_step_memory_store(store->memory);
+		msp_step_loop(store->loop, 1);
+	}
+	assert_int_equal(outcome.status, MSP_OK);
+	status = outcome.http_status;
+	drop_outcome(&outcome);
+	return status;
+}
+
+static void
+service_refuses_bad_requests(void **state)
+{
+	static const bad_request_t cases[] = {
+	    {"POST", "/v1/transact", "", 400},
+	    {"POST", "/v1/transact", "{", 400},
+	    {"POST", "/v1/transact", "[]", 400},
+	    {"POST", "/v1/transact", "{}", 400},
+	    {"POST", "/v1/transact", "{} {}", 400},
+	    {"POST", "/v1/transact", "{\"conditions\":[],\"writes\":5}", 400},
+	    {"POST", "/v1/transact",
+		"{\"conditions\":[{\"key\":\"k\",\"version\":-1}],"
+		"\"writes\":[]}",
+		400},
+	    {"POST", "/v1/transact",
+		"{\"conditions\":[],\"writes\":[{\"key\":\"k\","
+		"\"value\":\"a\"}]}",
+		400},
+	    {"POST", "/v1/transact",
+		"{\"conditions\":[],\"writes\":[{\"key\":\"k\\u0000\","
+		"\"value\":\"\"}]}",
+		400},
+	    {"POST", "/v1/transact",
+		"{\"conditions\":[],\"writes\":[{\"key\":\"k\"}]}", 400},
+	    {"POST", "/v1/get", "{\"keys\":\"k\"}", 400},
+	    {"POST", "/v1/get", "{\"keys\":[5]}", 400},
+	    {"POST", "/v1/get", "{\"keys\":[\"a b\"]}", 400},
+	    {"POST", "/v1/scan", "{\"prefix\":\"a\",\"after\":\"\"}", 400},
+	    {"POST", "/v1/scan",
+		"{\"prefix\":\"a\",\"after\":\"\",\"limit\":99999999}", 400},
+	    {"POST", "/v1/scan",
+		"{\"prefix\":\"a\",\"after\":\"\",\"limit\":1.5}", 400},
+	    {"POST", "/v1/get",
+		"{\"a\":[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]}", 400},
+	    {"POST", "/v1/nothing", "{}", 404},
+	    {"DELETE", "/v1/get", "", 405},
+	    {"GET", "/v1/get", "", 405},
+	    {"PUT", "/v1/vms", "{\"vms\":[{\"name\":\"x\"}]}", 400},
+	    {"PUT", "/v1/objects/", "x", 400},
+	    {"GET", "/v1/objects/a", "", 404},
+	    {"POST", "/v1/control", "{\"dwon\":true}", 400},
+	    {"POST", "/v1/control", "{\"down\":1}", 400},
+	    {"POST", "/v1/control", "{\"lose_call_pct\":101}", 400},
+	    {"POST", "/v1/control", "{\"down\":true,\"latency_ms\":\"\"}", 400},
+	    {"POST", "/v1/control", "{\"writes_per_second\":300}", 200},
+	};
+	store_fixture_t *store = open_store(STORE_HTTP);
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int status = call_service(store, &cases[i]);
+
+		if (status != cases[i].status)
+			printf("case %u: %s %s %s\n", i, cases[i].method,
+			    cases[i].path, cases[i].body);
+		assert_int_equal(status, cases[i].status);
+	}
+	assert_false(store->faults->down);
+	assert_int_equal(store->faults->writes_per_second, 300);
+	assert_int_equal(get_row(store, "k"), MSP_OK);
+	assert_int_equal(store->reply.versions[0], 0);
+	close_store(store);
+}
+
+/* A platform that answers everything in one way. */
+typedef struct bad_answer {
+	int http_status;
+	const char *body;
+	msp_status_t transact;
+	msp_status_t get;
+	msp_status_t scan;
+	msp_status_t vms;
+} bad_answer_t;
+
+static void
+answer_badly(void *ctx, msp_exchange_t *exchange)
+{
+	const bad_answer_t *const *answer = ctx;
+	msp_response_t response = {.status = (*answer)->http_status};
+
+	msp_append_buffer(
+	    &response.body, (*answer)->body, strlen((*answer)->body));
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+ignore_gone(void *ctx, msp_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
+static void
+malformed_answers_are_lost(void **state)
+{
+	static const bad_answer_t cases[] = {
+	    {200, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200, "{", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200, "{}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200, "{\"version\":\"7\"}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
+		MSP_E_LOST},
+	    {200, "{\"version\":7}", MSP_OK, MSP_E_LOST, MSP_E_LOST,
+		MSP_E_LOST},
+	    {200, "{\"rows\":[]}", MSP_E_LOST, MSP_E_LOST, MSP_OK, MSP_E_LOST},
+	    {200,
+		"{\"rows\":[{\"key\":\"other\",\"value\":\"\","
+		"\"version\":1}]}",
+		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200,
+		"{\"rows\":[{\"key\":\"k\",\"value\":null,"
+		"\"version\":1}]}",
+		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200,
+		"{\"rows\":[{\"key\":\"k\",\"value\":\"*\","
+		"\"version\":1}]}",
+		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {409, "{\"rows\":[]}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
+		MSP_E_LOST},
+	    {404, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {500, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {502, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {503, "", MSP_E_STORE_DOWN, MSP_E_STORE_DOWN, MSP_E_STORE_DOWN,
+		MSP_E_STORE_DOWN},
+	    {400, "", MSP_E_BAD_REQUEST, MSP_E_BAD_REQUEST, MSP_E_BAD_REQUEST,
+		MSP_E_BAD_REQUEST},
+	};
+	store_fixture_t *store = open_store(STORE_HTTP);
+	const bad_answer_t *now = &cases[0];
+	msp_http_server_options_t options = {.address = TEST_ADDRESS,
+	    .handler = {.on_request = answer_badly,
+		.on_gone = ignore_gone,
+		.ctx = &now}};
+	msp_http_server_t *server = msp_new_http_server(store->loop, &options);
+	unsigned int i;
+
+	(void)state;
+	assert_non_null(server);
+	msp_drop_http_store(store->http_store);
+	store->http_store = msp_new_http_store(store->loop, store->client,
+	    TEST_ADDRESS, msp_http_server_port(server));
+	store->store = msp_http_store(store->http_store);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		now = &cases[i];
+		assert_int_equal(
+		    put_row(store, "k", 0, "x", 1), cases[i].transact);
+		assert_int_equal(get_row(store, "k"), cases[i].get);
+		assert_int_equal(scan_rows(store, "k", "", 10), cases[i].scan);
+		assert_int_equal(list_vms(store), cases[i].vms);
+	}
+	msp_drop_http_server(server);
+	close_store(store);
+}
+
+/* No listener: nothing was sent, so nothing took effect. */
+static void
+refused_connection_is_store_down(void **state)
+{
+	store_fixture_t *store = open_store(STORE_HTTP);
+
+	(void)state;
+	msp_drop_http_server(store->server);
+	store->server = NULL;
+	assert_int_equal(put_row(store, "k", 0, "x", 1), MSP_E_STORE_DOWN);
+	assert_int_equal(get_row(store, "k"), MSP_E_STORE_DOWN);
+	close_store(store);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(service_refuses_bad_requests),
+	    cmocka_unit_test(malformed_answers_are_lost),
+	    cmocka_unit_test(refused_connection_is_store_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
