--- /dev/null
+++ b/tests/process/test_stop.c
@@ -0,0 +1,185 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sys/wait.h>
+
+#include "fleet.h"
+
+/*
+ * A planned stop cuts no request in flight: SIGTERM to one VM under load, whose
+ * clients cache look-ups for their whole lifetime, repeated STOPS times.
+ */
+
+#define STOPS 20
+#define IN_FLIGHT 8
+#define REQUEST_TIMEOUT_MS 10000
+
+static const fleet_place_t places[] = {
+    {"a", "north", 3, 2}, {"b", "north", 1, 1}, {0}};
+
+/* Clients that keep IN_FLIGHT requests open at one VM. */
+typedef struct stop_load {
+	fleet_t *fleet;
+	size_t vm;
+	unsigned int next;
+	size_t open;
+	size_t sent;
+	size_t whole;
+	size_t cut; /* no whole answer, or one that is no 200 */
+	bool ended; /* sends no more */
+	char last[256]; /* of those cut */
+} stop_load_t;
+
+static void send_one(stop_load_t *load);
+
+static void
+on_answer(void *ctx, msp_call_result_t *result)
+{
+	stop_load_t *load = ctx;
+
+	load->open--;
+	if (result->status == MSP_OK && result->response->status == 200) {
+		load->whole++;
+	} else {
+		load->cut++;
+		snprintf(load->last, sizeof(load->last), "status %d http %d %s",
+		    (int)result->status,
+		    result->status == MSP_OK ? result->response->status : 0,
+		    result->status == MSP_OK
+			? msp_buffer_text(&result->response->body)
+			: "");
+	}
+	if (!load->ended)
+		send_one(load);
+}
+
+static void
+send_one(stop_load_t *load)
+{
+	char key[96];
+	bool commit = load->next++ % 2 == 0;
+
+	snprintf(key, sizeof(key), "Idempotency-Key: stop-%p-%zu-%u",
+	    (void *)load, load->vm, load->next);
+	if (fleet_start_request(load->fleet, load->fleet->vms[load->vm].port,
+		commit ? "POST" : "GET", "/v1/services/desk/work",
+		commit ? key : NULL, commit ? "x" : NULL, REQUEST_TIMEOUT_MS,
+		on_answer, load) == NULL)
+		return;
+	load->open++;
+	load->sent++;
+}
+
+static bool
+has_some_answers(void *ctx)
+{
+	stop_load_t *load = ctx;
+
+	return load->whole + load->cut >= (size_t)IN_FLIGHT * 2;
+}
+
+/* Asks another VM whether look-ups still list the one that leaves. */
+static bool
+is_out_of_lookups(void *ctx)
+{
+	stop_load_t *load = ctx;
+	fleet_t *fleet = load->fleet;
+	size_t other = (load->vm + 1) % 3;
+	fleet_reply_t reply;
+	char name[64];
+	bool listed;
+
+	fleet_request(fleet, fleet->vms[other].port, "GET",
+	    "/v1/entries?service=desk", NULL, NULL, &reply);
+	snprintf(
+	    name, sizeof(name), "\"vm\":\"%s\"", fleet->vms[load->vm].name);
+	listed = strstr(msp_buffer_text(&reply.response.body), name) != NULL;
+	msp_drop_response(&reply.response);
+	return reply.http_status == 200 && !listed;
+}
+
+static bool
+has_no_open(void *ctx)
+{
+	return ((stop_load_t *)ctx)->open == 0;
+}
+
+static void
+stop_one(fleet_t *fleet, size_t vm)
+{
+	stop_load_t load = {.fleet = fleet, .vm = vm};
+	int status;
+	int i;
+
+	for (i = 0; i < IN_FLIGHT; i++)
+		send_one(&load);
+	assert_true(fleet_wait(fleet, has_some_answers, &load));
+	fleet_signal(&fleet->vms[vm], SIGTERM);
+	/* Clients go on with what they looked up before. */
+	assert_true(fleet_wait(fleet, is_out_of_lookups, &load));
+	load.ended = true;
+	assert_true(fleet_wait(fleet, has_no_open, &load));
+	if (load.cut > 0)
+		fail_msg("VM %zu: %zu of %zu cut, the last: %s", vm, load.cut,
+		    load.sent, load.last);
+	status = fleet_wait_exit(fleet, &fleet->vms[vm]);
+	if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+		fail_msg("VM %zu ended with %d", vm, status);
+}
+
+static void
+planned_stop_cuts_nothing(void **state)
+{
+	fleet_t *fleet = *state;
+	int i;
+
+	for (i = 0; i < STOPS; i++) {
+		size_t vm = (size_t)i % 3;
+
+		stop_one(fleet, vm);
+		assert_int_equal(fleet_restart_vm(fleet, vm), 0);
+		assert_true(fleet_wait_version(fleet, 1));
+		assert_true(fleet_wait_settled(fleet));
+	}
+}
+
+static int
+start_fleet(void **state)
+{
+	static const char *const target_args[] = {
+	    "--service-time-ms", "20", NULL};
+	fleet_options_t options = {.places = places,
+	    .service = "desk",
+	    .slots = 9,
+	    .target_args = target_args,
+	    .settings = "\"lookup_ttl_ms\": 300, \"drain_min_ms\": 300"};
+	fleet_t *fleet = new_fleet(&options);
+
+	*state = fleet;
+	if (fleet == NULL)
+		return -1;
+	return fleet_apply_first_note(fleet) ? 0 : -1;
+}
+
+static int
+stop_fleet(void **state)
+{
+	drop_fleet(*state);
+	return 0;
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(planned_stop_cuts_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+}
