Stop a VM only after the last look-up that lists it has lapsed

Cause: the time between SIGTERM and exit was the longer of the look-ups' lifetime and the least drain, but another VM may list this one until it has heard that it leaves, and a client keeps that answer for its lifetime: the two add up. The test's clients now go on for that long. Ports of test fleets come from below the range of outgoing connections: one set-up failed with a port taken.

--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -198,15 +198,16 @@
 	free(daemon);
 }
 
-/* Clients may use a look-up answer for its whole lifetime. */
+/*
+ * Other VMs list this one until they have heard that it leaves, and clients may
+ * use such a look-up for its whole lifetime.
+ */
 static msp_time_t
 drain_time(const daemon_t *daemon)
 {
-	uint32_t ms = daemon->settings->lookup_ttl_ms;
+	const msp_settings_t *settings = daemon->settings;
 
-	if (ms < daemon->settings->drain_min_ms)
-		ms = daemon->settings->drain_min_ms;
-	return ms * MSP_MS;
+	return (settings->drain_min_ms + settings->lookup_ttl_ms) * MSP_MS;
 }
 
 static bool
--- a/tests/process/test_stop.c
+++ b/tests/process/test_stop.c
@@ -13,11 +13,13 @@
 
 /*
  * A planned stop cuts no request in flight: SIGTERM to one VM under load, whose
- * clients cache look-ups for their whole lifetime, repeated STOPS times.
+ * clients go on for the whole lifetime of the last look-up that listed it,
+ * repeated STOPS times.
  */
 
 #define STOPS 20
 #define IN_FLIGHT 8
+#define TTL_MS 300 /* of look-ups, as in the settings */
 #define REQUEST_TIMEOUT_MS 10000
 
 static const fleet_place_t places[] = {
@@ -32,6 +34,7 @@
 	size_t sent;
 	size_t whole;
 	size_t cut; /* no whole answer, or one that is no 200 */
+	msp_time_t unlisted; /* when the last look-up listed the VM */
 	bool ended; /* sends no more */
 	char last[256]; /* of those cut */
 } stop_load_t;
@@ -104,6 +107,15 @@
 	return reply.http_status == 200 && !listed;
 }
 
+static bool
+has_ttl_passed(void *ctx)
+{
+	msp_env_t env = msp_system_env();
+
+	return msp_now(&env) >=
+	    ((stop_load_t *)ctx)->unlisted + TTL_MS * MSP_MS;
+}
+
 static bool
 has_no_open(void *ctx)
 {
@@ -114,6 +126,7 @@
 stop_one(fleet_t *fleet, size_t vm)
 {
 	stop_load_t load = {.fleet = fleet, .vm = vm};
+	msp_env_t env = msp_system_env();
 	int status;
 	int i;
 
@@ -121,8 +134,9 @@
 		send_one(&load);
 	assert_true(fleet_wait(fleet, has_some_answers, &load));
 	fleet_signal(&fleet->vms[vm], SIGTERM);
-	/* Clients go on with what they looked up before. */
 	assert_true(fleet_wait(fleet, is_out_of_lookups, &load));
+	load.unlisted = msp_now(&env);
+	assert_true(fleet_wait(fleet, has_ttl_passed, &load));
 	load.ended = true;
 	assert_true(fleet_wait(fleet, has_no_open, &load));
 	if (load.cut > 0)
@@ -158,7 +172,7 @@
 	    .service = "desk",
 	    .slots = 9,
 	    .target_args = target_args,
-	    .settings = "\"lookup_ttl_ms\": 300, \"drain_min_ms\": 300"};
+	    .settings = "\"lookup_ttl_ms\": 300, \"drain_min_ms\": 1000"};
 	fleet_t *fleet = new_fleet(&options);
 
 	*state = fleet;
--- a/tests/support/fleet_process.c
+++ b/tests/support/fleet_process.c
@@ -9,9 +9,13 @@
 #include <unistd.h>
 
 #include <arpa/inet.h>
+#include <bsd/stdlib.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 
+#define PORT_FIRST 10240
+#define PORT_LAST 32768
+
 extern char **environ;
 
 static int
@@ -34,6 +38,10 @@
 	return fd;
 }
 
+/*
+ * Draws below the range that the system takes for outgoing connections, which
+ * could take the port before its process binds it.
+ */
 uint16_t
 fleet_free_port(void)
 {
@@ -42,8 +50,9 @@
 	int tcp;
 	int udp;
 
-	for (tries = 0; tries < 100; tries++) {
-		port = 0;
+	for (tries = 0; tries < 1000; tries++) {
+		port = (uint16_t)(PORT_FIRST +
+		    arc4random_uniform(PORT_LAST - PORT_FIRST));
 		tcp = bind_port(SOCK_STREAM, &port);
 		if (tcp < 0)
 			continue;
