--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -1,6 +1,7 @@
 #include "monsoonspindle/net/loop.h"
 
 #include <errno.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +17,8 @@
 
 #define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
+#define TRIM_THRESHOLD \
+	(8 * 1024 * 1024) /* bytes free before the heap shrinks */
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -74,6 +77,8 @@
 		return NULL;
 	}
 	loop->signal_fd = -1;
+	/* The library takes and returns 64 KiB for each request. */
+	mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
 	/* The library would send client requests through this proxy. */
 	unsetenv("http_proxy");
 	lws_set_log_level(0, NULL);
