--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -1,4 +1,19 @@
 #ifndef MONSOONSPINDLE_COORD_H
 #define MONSOONSPINDLE_COORD_H
 
+#include "monsoonspindle/coord/credits.h"
+#include "monsoonspindle/coord/ledger.h"
+#include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/coord/claim_doubts.h"
+#include "monsoonspindle/coord/claims.h"
+#include "monsoonspindle/coord/issued_keys.h"
+#include "monsoonspindle/coord/nonces.h"
+#include "monsoonspindle/coord/claim_outcome.h"
+#include "monsoonspindle/coord/member.h"
+#include "monsoonspindle/coord/membership.h"
+#include "monsoonspindle/coord/relay.h"
+#include "monsoonspindle/coord/rendezvous.h"
+#include "monsoonspindle/coord/summary.h"
+#include "monsoonspindle/coord/retry_budget.h"
+
 #endif
