Prove that accepted notes stay and refused ones never come

Racing operators on six VMs in three places, with a store that is down, loses calls and answers and writes late, lagging replicas, VMs that die, and cuts. Each note is sent until its answer is final; then every accepted note must be in the chain at its version, no refused one anywhere, and all VMs at one version that never went back.

The notes since the base are now read from the store.

--- a/include/monsoonspindle/coord/ledger.h
+++ b/include/monsoonspindle/coord/ledger.h
@@ -113,7 +113,7 @@
  * MSP_E_INVALID_NOTE  refused: the resulting state is not valid
  * MSP_E_STORE_DOWN    not accepted: this VM wrote nothing
  * MSP_E_OVERLOAD      not accepted: too many races lost, or notes waiting
- * MSP_E_NOT_READY     not accepted here; another VM may
+ * MSP_E_NOT_READY     not accepted: no release is known here yet
  * MSP_E_IN_DOUBT      a write was lost: send the same note again, to any VM
  */
 typedef struct msp_submit_result {
--- /dev/null
+++ b/source/coord/ledger_fetch.c
@@ -0,0 +1,114 @@
+#include "ledger_state.h"
+
+#define FETCH_ROWS NOTE_PARTS_MAX /* a whole note at least */
+#define FETCH_BYTES (16 << 20)
+
+const logged_note_t *
+find_old_note(const msp_ledger_t *ledger, const submission_t *submission,
+    uint64_t version)
+{
+	const logged_note_t *note = find_logged_note(&ledger->log, version);
+
+	if (note != NULL)
+		return note;
+	return find_logged_note(&submission->old, version);
+}
+
+/* The version after which the next scan starts. */
+static uint64_t
+last_fetched(const submission_t *submission)
+{
+	return submission->note->base_version + submission->old.count;
+}
+
+/* Takes one note if it is the next, and continues those fetched before. */
+static msp_status_t
+take_old_note(
+    submission_t *submission, const msp_buffer_t *text, uint64_t version)
+{
+	const logged_note_t *before =
+	    find_logged_note(&submission->old, version - 1);
+	msp_digest_t digest;
+	msp_note_t *note;
+	msp_status_t status;
+
+	status =
+	    msp_parse_note(msp_buffer_text(text), text->len, "note", &note);
+	if (status != MSP_OK)
+		return status;
+	digest = msp_chain_digest(
+	    note->base_digest, msp_buffer_text(text), text->len);
+	if (version != last_fetched(submission) + 1 ||
+	    (before != NULL &&
+		!msp_digest_equal(before->digest, note->base_digest)))
+		status = msp_fail(MSP_E_CONFLICT, "notes do not fit");
+	msp_drop_note(note);
+	if (status != MSP_OK)
+		return status;
+	return append_note_log(&submission->old, version, digest,
+	    msp_buffer_text(text), text->len);
+}
+
+static msp_status_t
+take_old_rows(submission_t *submission, const msp_row_t *rows, size_t count)
+{
+	msp_status_t status = MSP_OK;
+	msp_buffer_t text = {0};
+	uint64_t version;
+	size_t taken;
+
+	while (count > 0 && status == MSP_OK) {
+		msp_clear_buffer(&text);
+		status = join_parts(rows, count, &text, &version, &taken);
+		if (status != MSP_OK)
+			break;
+		status = take_old_note(submission, &text, version);
+		rows += taken;
+		count -= taken;
+	}
+	msp_drop_buffer(&text);
+	return status == MSP_E_NOT_FOUND ? MSP_OK : status;
+}
+
+static void
+on_fetched(void *ctx, const msp_store_reply_t *reply)
+{
+	msp_ledger_t *ledger = ctx;
+	submission_t *submission = TAILQ_FIRST(&ledger->submissions);
+	size_t before;
+
+	if (submission == NULL || submission->step != SUBMIT_FETCHING)
+		return;
+	if (reply->status != MSP_OK) {
+		end_without_store(ledger, submission, reply->status);
+		return;
+	}
+	before = submission->old.count;
+	if (take_old_rows(submission, reply->rows, reply->row_count) !=
+		MSP_OK ||
+	    submission->old.count == before) {
+		keep_out(ledger, "bad-rows", last_fetched(submission));
+		drop_note_log(&submission->old);
+		end_without_store(ledger, submission, MSP_E_LOST);
+		return;
+	}
+	if (last_fetched(submission) < ledger->release->version)
+		fetch_old_notes(ledger, submission);
+	else
+		read_again(ledger, submission, 0);
+}
+
+void
+fetch_old_notes(msp_ledger_t *ledger, submission_t *submission)
+{
+	msp_store_t *store = &ledger->options.store;
+	char after[LEDGER_KEY_SIZE];
+
+	submission->old.most = 2 * MSP_REBASE_SPAN;
+	submission->old.most_bytes = FETCH_BYTES;
+	submission->step = SUBMIT_FETCHING;
+	print_last_key(last_fetched(submission), after);
+	count_ledger(ledger, "fetches");
+	store->scan(store->ctx, NOTE_PREFIX, after, FETCH_ROWS,
+	    ledger->options.store_timeout_ms, on_fetched, ledger);
+}
--- a/source/coord/ledger_prepare.c
+++ b/source/coord/ledger_prepare.c
@@ -43,23 +43,14 @@
 	return refuse(submission, status, msp_last_message());
 }
 
-/* The digest of the chain at the note's base, if it is still known. */
+/* Whether the note's base is a version of the chain. */
 static bool
-is_on_chain(const msp_ledger_t *ledger, const msp_note_t *note)
+is_on_chain(const msp_note_t *note, const logged_note_t *after)
 {
-	const logged_note_t *base =
-	    find_logged_note(&ledger->log, note->base_version);
-	const logged_note_t *after;
 	msp_note_t *next;
 	bool same;
 
-	if (note->base_version == 0)
-		return msp_digest_equal(note->base_digest, (msp_digest_t){0});
-	if (base != NULL)
-		return msp_digest_equal(base->digest, note->base_digest);
-	after = find_logged_note(&ledger->log, note->base_version + 1);
-	if (after == NULL ||
-	    msp_parse_note(after->text, after->len, "note", &next) != MSP_OK)
+	if (msp_parse_note(after->text, after->len, "note", &next) != MSP_OK)
 		return false;
 	same = msp_digest_equal(next->base_digest, note->base_digest);
 	msp_drop_note(next);
@@ -75,6 +66,7 @@
 {
 	uint64_t head = ledger->release->version;
 	const msp_note_t *note = submission->note;
+	const logged_note_t *after;
 
 	if (note->base_version > head)
 		return refuse(submission, MSP_E_CONFLICT,
@@ -86,12 +78,10 @@
 	if (note->base_version == head)
 		return refuse(submission, MSP_E_CONFLICT,
 		    "base_digest: not that of the base version");
-	if (find_logged_note(&ledger->log, note->base_version + 1) == NULL)
-		return refuse(submission, MSP_E_NOT_READY,
-		    "base_version: this VM does not keep the notes since "
-		    "then; ask another VM, or write it against the present "
-		    "release");
-	if (!is_on_chain(ledger, note))
+	after = find_old_note(ledger, submission, note->base_version + 1);
+	if (after == NULL)
+		return MSP_E_NOT_FOUND;
+	if (!is_on_chain(note, after))
 		return refuse(submission, MSP_E_CONFLICT,
 		    "base_digest: not that of the base version");
 	return MSP_OK;
@@ -104,14 +94,17 @@
 	const msp_release_t *release = ledger->release;
 	msp_note_t *note = submission->note;
 	msp_status_t status = check_base(ledger, submission);
+	const logged_note_t *logged;
 	uint64_t version;
 
 	if (status != MSP_OK)
 		return status;
 	for (version = note->base_version + 1; version <= release->version;
 	     version++) {
-		status = check_clash(
-		    submission, find_logged_note(&ledger->log, version));
+		logged = find_old_note(ledger, submission, version);
+		if (logged == NULL)
+			return MSP_E_NOT_FOUND;
+		status = check_clash(submission, logged);
 		if (status != MSP_OK)
 			return status;
 	}
--- a/source/coord/ledger_state.h
+++ b/source/coord/ledger_state.h
@@ -11,6 +11,7 @@
 typedef enum submit_step {
 	SUBMIT_READ, /* read head and id, when it is due */
 	SUBMIT_READING,
+	SUBMIT_FETCHING, /* notes since its base that are not kept here */
 	SUBMIT_CATCH_UP, /* until this VM is at the head that was read */
 	SUBMIT_WRITING,
 	SUBMIT_REFUSE, /* bar the id, when it is due */
@@ -32,6 +33,7 @@
 	bool maybe_written; /* a write was lost */
 	bool rebased;
 	uint64_t head_version; /* CATCH_UP: to reach */
+	note_log_t old; /* notes since its base, from the store */
 	id_row_t next; /* WRITING: what the note becomes */
 	msp_status_t status; /* ENDED, REFUSE, REFUSING */
 	id_row_t accepted; /* ENDED with MSP_OK */
@@ -120,6 +122,10 @@
 void check_accepted(
     msp_ledger_t *ledger, submission_t *submission, const msp_row_t *row);
 
+/* Ends it, or tries again: the store gave no use, for the reason `status`. */
+void end_without_store(
+    msp_ledger_t *ledger, submission_t *submission, msp_status_t status);
+
 /*
  * ledger_refuse.c: ends a submission that was found at fault. Another VM may
  * still be at work on an earlier try and find it right later, so unless this is
@@ -129,10 +135,18 @@
 void bar_id(msp_ledger_t *ledger, submission_t *submission);
 
 /* ledger_prepare.c: rebases and validates, and fills `commit` for the head;
- * otherwise sets the submission's result. */
+ * otherwise sets the submission's result. MSP_E_NOT_FOUND: notes since its base
+ * have to be fetched first. */
 msp_status_t prepare_commit(msp_ledger_t *ledger, submission_t *submission,
     uint64_t head_row, commit_txn_t *commit);
 
+/* ledger_fetch.c: reads the notes since the submission's base. */
+void fetch_old_notes(msp_ledger_t *ledger, submission_t *submission);
+
+/* Returns a note that is kept here or was fetched, or NULL. */
+const logged_note_t *find_old_note(const msp_ledger_t *ledger,
+    const submission_t *submission, uint64_t version);
+
 /* ledger_snapshot.c */
 void put_snapshot(msp_ledger_t *ledger);
 
--- a/source/coord/ledger_submit.c
+++ b/source/coord/ledger_submit.c
@@ -28,7 +28,7 @@
 }
 
 /* The store gave no use: refuse at once if nothing was written by this VM. */
-static void
+void
 end_without_store(
     msp_ledger_t *ledger, submission_t *submission, msp_status_t status)
 {
@@ -82,16 +82,20 @@
 {
 	msp_store_t *store = &ledger->options.store;
 	commit_txn_t *commit = calloc(1, sizeof(*commit));
+	msp_status_t status;
 
 	if (commit == NULL) {
 		end_submission(
 		    submission, MSP_E_NO_MEMORY, "no memory to commit");
 		return;
 	}
-	if (prepare_commit(ledger, submission, head_row, commit) == MSP_OK) {
+	status = prepare_commit(ledger, submission, head_row, commit);
+	if (status == MSP_OK) {
 		submission->step = SUBMIT_WRITING;
 		store->transact(store->ctx, &commit->txn,
 		    ledger->options.store_timeout_ms, on_committed, ledger);
+	} else if (status == MSP_E_NOT_FOUND) {
+		fetch_old_notes(ledger, submission);
 	} else {
 		end_refused(ledger, submission);
 	}
@@ -263,6 +267,7 @@
 {
 	msp_drop_note(submission->note);
 	msp_drop_buffer(&submission->clashes);
+	drop_note_log(&submission->old);
 	free(submission);
 }
 
@@ -346,7 +351,8 @@
 	const submission_t *first = TAILQ_FIRST(&ledger->submissions);
 
 	if (first == NULL || first->step == SUBMIT_READING ||
-	    first->step == SUBMIT_WRITING || first->step == SUBMIT_REFUSING)
+	    first->step == SUBMIT_WRITING || first->step == SUBMIT_REFUSING ||
+	    first->step == SUBMIT_FETCHING)
 		return MSP_NEVER;
 	return first->step == SUBMIT_ENDED ? 0 : first->due;
 }
--- /dev/null
+++ b/tests/coord/test_ledger_promise.c
@@ -0,0 +1,109 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ledger_test.h"
+#include "release_race.h"
+
+#define SEEDS 60
+#define FAULTY (20 * MSP_SECOND)
+#define IN_FORCE_BOUND (8 * MSP_SECOND)
+
+/* Seeds to run: the first SEEDS or MSP_SEEDS ones, or MSP_SEED alone. */
+static uint64_t
+first_seed(uint64_t *last)
+{
+	const char *given = getenv("MSP_SEED");
+	const char *count = getenv("MSP_SEEDS");
+
+	if (given == NULL) {
+		*last = count == NULL ? SEEDS : strtoull(count, NULL, 10);
+		return 1;
+	}
+	*last = strtoull(given, NULL, 10);
+	return *last;
+}
+
+/* Racing operators, a faulty store, dying VMs and cuts, over many seeds. */
+static void
+accepted_notes_stay_and_refused_ones_never_come(void **state)
+{
+	unsigned int accepted = 0;
+	unsigned int refused = 0;
+	unsigned int doubts = 0;
+	unsigned int resends = 0;
+	const char *wrong;
+	uint64_t last;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = first_seed(&last); seed <= last; seed++) {
+		release_race_t *race = calloc(1, sizeof(*race));
+
+		assert_non_null(race);
+		race->fleet.loss_pct = 10;
+		race->fleet.options.snapshot_every = 8;
+		race->fleet.options.kept_notes = 64;
+		init_release_race(race, seed, 6, 3, 5);
+		run_release_race(race, FAULTY, true);
+		if (!settle_release_race(race, MSP_MINUTE))
+			fail_msg("seed %llu: the VMs did not settle",
+			    (unsigned long long)seed);
+		wrong = check_release_race(race);
+		if (wrong != NULL)
+			fail_msg(
+			    "seed %llu: %s", (unsigned long long)seed, wrong);
+		accepted += race->accepted;
+		refused += race->refused;
+		doubts += race->doubts;
+		resends += race->resends;
+		clear_release_race(race);
+		free(race);
+	}
+	print_message("seeds %llu: %u accepted, %u refused, %u in doubt, "
+		      "%u sent again\n",
+	    (unsigned long long)last, accepted, refused, doubts, resends);
+}
+
+/* 23 VMs in six places; a tenth of the messages is lost. */
+static void
+note_is_in_force_within_seconds(void **state)
+{
+	uint64_t last;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = first_seed(&last); seed <= last / 10 + 1; seed++) {
+		ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+		fleet_result_t result;
+
+		assert_non_null(fleet);
+		fleet->loss_pct = 10;
+		init_ledger_fleet(fleet, seed, 23, 6);
+		assert_true(run_fleet_together(fleet, SETTLE));
+		try_note(fleet, (unsigned int)(seed % 23),
+		    new_region_note(&fleet->vms[seed % 23], "n", "r"), &result);
+		assert_int_equal(result.status, MSP_OK);
+		if (!run_fleet_to_version(fleet, 1, IN_FORCE_BOUND))
+			fail_msg("seed %llu: not in force after 8 s",
+			    (unsigned long long)seed);
+		end_test_fleet(fleet);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(accepted_notes_stay_and_refused_ones_never_come),
+	    cmocka_unit_test(note_is_in_force_within_seconds),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/ledger_fleet.h
+++ b/tests/support/ledger_fleet.h
@@ -56,6 +56,7 @@
 	msp_counters_t *counters;
 	TAILQ_HEAD(fleet_messages, fleet_message) messages;
 	msp_digest_t digests[FLEET_VERSIONS_MAX];
+	char notes[FLEET_VERSIONS_MAX][MSP_NOTE_ID_SIZE];
 	msp_time_t in_force[FLEET_VERSIONS_MAX]; /* at the last VM so far */
 	uint64_t newest;
 	unsigned int went_back; /* a VM's version decreased */
