--- a/tests/coord/test_membership_hostile.c
+++ b/tests/coord/test_membership_hostile.c
@@ -264,10 +264,10 @@
 			start_node(net, i);
 		for (i = 0; i < 60; i++) {
 			msp_set_member_load(
-			    net->nodes[i % net->count].membership, &i,
+			    net->nodes[i % (2 * MEMBERS)].membership, &i,
 			    sizeof(i));
 			msp_set_member_release(
-			    net->nodes[i % net->count].membership, i);
+			    net->nodes[i % (2 * MEMBERS)].membership, i);
 			run_net(net, MSP_SECOND);
 		}
 		net->corrupt = 0;
--- a/tests/coord/test_relay.c
+++ b/tests/coord/test_relay.c
@@ -146,6 +146,108 @@
 	drop_net(net);
 }
 
+/* One summary as it comes from a peer, and whether it is taken. */
+typedef struct summary_case {
+	const char *what;
+	const char *place;
+	const char *region;
+	const char *address;
+	u_int port;
+	int64_t sequence_ms; /* beside the clock of sequences */
+	u_int age_ms;
+	u_int entries;
+	bool taken;
+} summary_case_t;
+
+static const summary_case_t summary_cases[] = {
+    {"good", "dc-09", "region-09", "10.0.0.9", 7000, 0, 0, 1, true},
+    {"no entry", "dc-09", "region-09", "10.0.0.9", 7000, 0, 0, 0, true},
+    {"ahead in range", "dc-09", "region-09", "10.0.0.9", 7000, 3600000, 0, 1,
+	true},
+    {"ahead out of range", "dc-09", "region-09", "10.0.0.9", 7000,
+	(int64_t)48 * 3600000, 0, 1, false},
+    {"older than all memory", "dc-09", "region-09", "10.0.0.9", 7000, 0,
+	2 * 3600000, 1, false},
+    {"bad place", "dc 09", "region-09", "10.0.0.9", 7000, 0, 0, 1, false},
+    {"empty region", "dc-09", "", "10.0.0.9", 7000, 0, 0, 1, false},
+    {"bad address", "dc-09", "region-09", "host", 7000, 0, 0, 1, false},
+    {"port 0", "dc-09", "region-09", "10.0.0.9", 0, 0, 0, 1, false},
+    {"port too high", "dc-09", "region-09", "10.0.0.9", 70000, 0, 0, 1, false},
+    {"too many entries", "dc-09", "region-09", "10.0.0.9", 7000, 0, 0, 7,
+	false},
+};
+
+static uint32_t last_token;
+
+static void
+catch_token(void *ctx, const char *address, uint16_t peer_port,
+    uint32_t procedure, const void *message, uint32_t token, msp_time_t timeout)
+{
+	(void)ctx;
+	(void)address;
+	(void)peer_port;
+	(void)procedure;
+	(void)message;
+	(void)timeout;
+	last_token = token;
+}
+
+static void
+summaries_out_of_range_are_dropped(void **state)
+{
+	const spread_case_t nodes = {4, 1, 1, 9, 0};
+	net_t *net = started_net(&nodes);
+	msp_virtual_env_t venv = {.now = MSP_SECOND};
+	msp_env_t env = msp_virtual_env(&venv);
+	msp_relay_callbacks_t callbacks = {.send = catch_token};
+	msp_relay_options_t options = {0};
+	msp_gossip_entry_t entries[7];
+	size_t i;
+	size_t j;
+
+	(void)state;
+	run_net(net, 20 * MSP_SECOND);
+	for (i = 0; i < sizeof(summary_cases) / sizeof(summary_cases[0]); i++) {
+		const summary_case_t *row = &summary_cases[i];
+		const msp_membership_t *member = net->nodes[0].membership;
+		msp_relay_t *relay =
+		    msp_new_relay(&env, member, &options, &callbacks);
+		msp_gossip_summary_t summary = {
+		    .place = (char *)row->place,
+		    .region = (char *)row->region,
+		    .incarnation = 1,
+		    .sequence =
+			msp_membership_self(member)->incarnation / MSP_MS +
+			(uint64_t)row->sequence_ms,
+		    .age_ms = row->age_ms,
+		    .entries = {row->entries, entries},
+		};
+		msp_gossip_summaries_t answer = {
+		    .summaries = {1, &summary},
+		};
+
+		for (j = 0; j < 7; j++)
+			entries[j] = (msp_gossip_entry_t){
+			    .name = (char *)"vm-0900",
+			    .address = (char *)row->address,
+			    .caller_port = 8000,
+			    .peer_port = row->port,
+			};
+		venv.now += 3 * MSP_SECOND;
+		msp_tick_relay(relay);
+		msp_relay_answered(relay, last_token, MSP_OK, &answer);
+		print_message("%s\n", row->what);
+		assert_int_equal(
+		    msp_find_summary(relay, row->place) != NULL, row->taken);
+		/* An answer counts once. */
+		summary.place = (char *)"dc-10";
+		msp_relay_answered(relay, last_token, MSP_OK, &answer);
+		assert_null(msp_find_summary(relay, "dc-10"));
+		msp_drop_relay(relay);
+	}
+	drop_net(net);
+}
+
 int
 main(void)
 {
@@ -153,6 +255,7 @@
 	    cmocka_unit_test(every_place_hears_of_every_other),
 	    cmocka_unit_test(a_partition_is_seen_and_heals),
 	    cmocka_unit_test(a_new_author_is_heard),
+	    cmocka_unit_test(summaries_out_of_range_are_dropped),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
