Let a claim end inside its own verdict; go elsewhere when this VM declines

Cause: a VM that woke from a pause declines to dispatch, so its own claim was released from within the verdict that asked it to run; the verdict's try was then freed while it stood in the list of ready ones. Seen as a use after free in the woken VM, which never came back. Ruled out: membership (the others saw it alive for 0.3 s and then refused connections). The route also asked the same declining VM four times; it now goes to another data centre.

--- a/source/coord/claim_verdict.c
+++ b/source/coord/claim_verdict.c
@@ -166,13 +166,16 @@
 msp_deliver_verdicts(msp_claims_t *claims)
 {
 	msp_try_t *tried;
+	bool final;
 
 	while ((tried = TAILQ_FIRST(&claims->ready)) != NULL) {
 		TAILQ_REMOVE(&claims->ready, tried, ready_entry);
 		tried->ready = false;
+		final = tried->final;
 		if (!tried->cancelled)
 			tried->done(tried->done_ctx, &tried->verdict);
-		if (!tried->final)
+		/* It may have become final, and ready again, meanwhile. */
+		if (!final)
 			continue;
 		free(tried->outcome);
 		free(tried);
--- a/source/spindled/route.c
+++ b/source/spindled/route.c
@@ -57,10 +57,25 @@
 	}
 }
 
+static bool
+is_first_choice(const daemon_t *daemon, const char *service)
+{
+	const msp_member_t *first = first_member(daemon->members, service);
+
+	return first != NULL && strcmp(first->name, daemon->settings->vm) == 0;
+}
+
 /* Whether another VM of this data centre may do what the last could not. */
 static bool
-stays_here(const work_result_t *result)
+stays_here(
+    const daemon_t *daemon, const work_t *work, const work_result_t *result)
 {
+	if (strcmp(work->place, daemon->settings->place) != 0)
+		return false;
+	/* This VM itself declined, and is still the first choice. */
+	if (strcmp(work->route_vm, daemon->settings->vm) == 0 &&
+	    is_first_choice(daemon, work->service))
+		return false;
 	return result->refusal.status == MSP_E_PEER_DOWN ||
 	    result->refusal.status == MSP_E_LEAVING ||
 	    result->refusal.status == MSP_E_CUT_ANSWER;
@@ -147,7 +162,7 @@
 		work->retries_left--;
 	if (work->route_hops++ == 0)
 		work->route_refusal = result->refusal;
-	if (here && stays_here(result)) {
+	if (stays_here(daemon, work, result)) {
 		run_here(daemon, work);
 		return;
 	}
--- /dev/null
+++ b/tests/support/storm.c
@@ -0,0 +1,208 @@
+#include "storm.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/stdlib.h>
+
+static void send_try(storm_caller_t *caller);
+
+static bool
+may_try_again(const storm_t *storm, const storm_order_t *order)
+{
+	return !storm->ended && !order->answered && order->tries < STORM_TRIES;
+}
+
+static void
+start_order(storm_caller_t *caller)
+{
+	storm_t *storm = caller->storm;
+
+	caller->order = NULL;
+	if (storm->ended || storm->order_count == STORM_KEYS)
+		return;
+	caller->order = &storm->orders[storm->order_count];
+	snprintf(caller->order->key, sizeof(caller->order->key), "%s-%zu",
+	    storm->name, storm->order_count++);
+	send_try(caller);
+}
+
+static void
+note_answer(storm_t *storm, storm_order_t *order, const char *body)
+{
+	if (order->answer[0] == '\0') {
+		snprintf(order->answer, sizeof(order->answer), "%s", body);
+		storm->answered++;
+	} else if (strncmp(order->answer, body, sizeof(order->answer) - 1) !=
+	    0) {
+		order->differed = true;
+	}
+	order->answered = true;
+	order->said_no = false;
+}
+
+static void
+on_answer(void *ctx, msp_call_result_t *result)
+{
+	storm_caller_t *caller = ctx;
+	storm_t *storm = caller->storm;
+	storm_order_t *order = caller->order;
+	const char *body = "";
+
+	storm->open--;
+	if (result->status == MSP_OK)
+		body = msp_buffer_text(&result->response->body);
+	order->said_no = false;
+	if (result->status == MSP_OK && result->response->status == 200) {
+		note_answer(storm, order, body);
+	} else if (strstr(body, "\"run\":\"no\"") != NULL) {
+		order->said_no = true;
+		storm->refused++;
+	} else {
+		order->in_doubt = true;
+		storm->unknown++;
+	}
+	if (may_try_again(storm, order))
+		send_try(caller);
+	else
+		start_order(caller);
+}
+
+/* A running VM, drawn at random. */
+static size_t
+draw_vm(const fleet_t *fleet)
+{
+	size_t vm;
+
+	do {
+		vm = arc4random_uniform((uint32_t)fleet->vm_count);
+	} while (fleet->vms[vm].pid == 0);
+	return vm;
+}
+
+static void
+send_try(storm_caller_t *caller)
+{
+	storm_t *storm = caller->storm;
+	storm_order_t *order = caller->order;
+	size_t vm = draw_vm(storm->fleet);
+	char headers[160];
+
+	snprintf(headers, sizeof(headers),
+	    "Idempotency-Key: %s\nRequest-Attempt: %u\nRequest-Timeout: %d",
+	    order->key, ++order->tries, STORM_TIMEOUT_MS - 500);
+	if (fleet_start_request(storm->fleet, storm->fleet->vms[vm].port,
+		"POST", "/v1/services/desk/orders", headers, order->key,
+		STORM_TIMEOUT_MS, on_answer, caller) != NULL)
+		storm->open++;
+}
+
+void
+start_storm(storm_t *storm, fleet_t *fleet, const char *name)
+{
+	size_t i;
+
+	memset(storm, 0, sizeof(*storm));
+	storm->fleet = fleet;
+	storm->name = name;
+	for (i = 0; i < STORM_CALLERS; i++) {
+		storm->callers[i].storm = storm;
+		start_order(&storm->callers[i]);
+	}
+}
+
+/* A number of answers, or a point in time, that is waited for. */
+typedef struct storm_goal {
+	const storm_t *storm;
+	size_t answered;
+	msp_time_t end;
+} storm_goal_t;
+
+static bool
+is_answered(void *ctx)
+{
+	const storm_goal_t *goal = ctx;
+
+	return goal->storm->answered >= goal->answered;
+}
+
+bool
+wait_storm(storm_t *storm, size_t count)
+{
+	storm_goal_t goal = {storm, storm->answered + count, 0};
+
+	return fleet_wait(storm->fleet, is_answered, &goal);
+}
+
+static bool
+is_time(void *ctx)
+{
+	const storm_goal_t *goal = ctx;
+	msp_env_t env = msp_system_env();
+
+	return msp_now(&env) >= goal->end;
+}
+
+void
+run_storm(storm_t *storm, uint32_t ms)
+{
+	msp_env_t env = msp_system_env();
+	storm_goal_t goal = {storm, 0, msp_now(&env) + ms * MSP_MS};
+
+	fleet_wait(storm->fleet, is_time, &goal);
+}
+
+static bool
+has_no_open(void *ctx)
+{
+	return ((storm_t *)ctx)->open == 0;
+}
+
+bool
+end_storm(storm_t *storm)
+{
+	storm->ended = true;
+	return fleet_wait(storm->fleet, has_no_open, storm);
+}
+
+static int
+report(char *what, size_t size, const storm_order_t *order, int runs,
+    const char *promise)
+{
+	if (what[0] == '\0')
+		snprintf(what, size, "%s: %s after %u tries, %d runs",
+		    order->key, promise, order->tries, runs);
+	return 1;
+}
+
+int
+judge_storm(const storm_t *storm, char *what, size_t size)
+{
+	int broken = 0;
+	size_t i;
+
+	what[0] = '\0';
+	for (i = 0; i < storm->order_count; i++) {
+		const storm_order_t *order = &storm->orders[i];
+		int runs = fleet_runs(storm->fleet, order->key);
+
+		if (runs > 1)
+			broken += report(
+			    what, size, order, runs, "ran more than once");
+		if (order->said_no && runs > 0)
+			broken += report(
+			    what, size, order, runs, "a false \"not run\"");
+		if (order->answered && runs != 1)
+			broken += report(
+			    what, size, order, runs, "answered, not run once");
+		if (order->differed)
+			broken += report(
+			    what, size, order, runs, "two different answers");
+		if (order->answered &&
+		    strstr(order->answer, "\"runs\":1") == NULL)
+			broken += report(
+			    what, size, order, runs, "not its own answer");
+	}
+	return broken;
+}
