--- a/tests/coord/test_ledger.c
+++ b/tests/coord/test_ledger.c
@@ -280,6 +280,61 @@
 	end_test_fleet(fleet);
 }
 
+/* The answer is lost, and the replica that is read lags behind the write. */
+static void
+conflict_with_ones_own_write_is_success(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(10, 1, 1);
+	fleet_result_t result;
+
+	(void)state;
+	msp_set_ledger_turn(fleet->vms[0].ledger, false);
+	run_ledger_fleet(fleet, MSP_SECOND);
+	set_link_fault(fleet->vms[0].link, 1, LINK_LOSE_ANSWER);
+	submit_note(
+	    fleet, 0, new_region_note(&fleet->vms[0], "n", "r"), &result);
+	run_ledger_fleet(fleet, 100 * MSP_MS);
+	make_store_stale(fleet->vms[0].link, true);
+	run_until_ended(fleet, &result);
+	assert_int_equal(result.status, MSP_OK);
+	assert_int_equal(result.version, 1);
+	end_test_fleet(fleet);
+}
+
+/*
+ * One VM finds a note at fault and bars its id, slowly; meanwhile the fault is
+ * mended, and another VM, which read the id before it was barred, commits.
+ */
+static void
+barred_id_is_not_committed(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(11, 2, 1);
+	const char *text = "{\"id\":\"late\",\"add\":{\"places\":[{\"name\":"
+			   "\"p\",\"region\":\"r\"}]}}";
+	msp_store_faults_t *faults = msp_memory_store_faults(fleet->store);
+	msp_time_t quick = faults->latency;
+	fleet_result_t refused;
+	fleet_result_t other;
+
+	(void)state;
+	submit_note(fleet, 0, new_fleet_note(&fleet->vms[0], text), &refused);
+	run_ledger_fleet(fleet, fleet->step);
+	faults->latency = 600 * MSP_MS; /* the bar, after the quick read */
+	run_ledger_fleet(fleet, 50 * MSP_MS);
+	faults->latency = quick;
+	commit_region(fleet, 1, "r");
+	submit_note(fleet, 1, new_fleet_note(&fleet->vms[1], text), &other);
+	run_ledger_fleet(fleet, fleet->step);
+	faults->latency = 900 * MSP_MS; /* the commit, after the quick read */
+	run_until_ended(fleet, &refused);
+	faults->latency = quick;
+	run_until_ended(fleet, &other);
+	assert_int_equal(refused.status, MSP_E_INVALID_NOTE);
+	assert_int_equal(other.status, MSP_E_CONFLICT);
+	assert_int_equal(fleet->newest, 1);
+	end_test_fleet(fleet);
+}
+
 int
 main(void)
 {
@@ -294,6 +349,8 @@
 	    cmocka_unit_test(every_step_survives_every_fault),
 	    cmocka_unit_test(store_down_refuses_at_once_and_nothing_lands),
 	    cmocka_unit_test(doubt_ends_when_the_note_is_sent_again),
+	    cmocka_unit_test(conflict_with_ones_own_write_is_success),
+	    cmocka_unit_test(barred_id_is_not_committed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/coord/test_ledger_chain.c
+++ b/tests/coord/test_ledger_chain.c
@@ -230,39 +230,74 @@
     "\"00000000000000000000000000000000\"}\n",
 };
 
+/* With only the store to start from, a VM must get past a bad snapshot. */
+static void
+start_past_snapshot(ledger_fleet_t *fleet, const char *snapshot)
+{
+	unsigned int i;
+
+	put_object(fleet, snapshot);
+	for (i = 0; i < fleet->vm_count; i++)
+		kill_fleet_vm(fleet, i);
+	start_fleet_vm(fleet, 0);
+	assert_true(run_fleet_to_version(fleet, 5, SETTLE));
+	assert_int_equal(fleet->vms[0].version, 5);
+	assert_null(
+	    msp_find_region(msp_ledger_release(fleet->vms[0].ledger), "x0"));
+}
+
 static void
 bad_snapshot_is_not_used(void **state)
 {
 	ledger_fleet_t *fleet = new_test_fleet(43, 3, 1);
 	ledger_fleet_t *other = new_test_fleet(44, 1, 1);
 	msp_buffer_t forked = {0};
-	size_t count = sizeof(bad_snapshots) / sizeof(bad_snapshots[0]);
+	char name[16];
 	size_t i;
 
 	(void)state;
 	commit_regions(fleet, 5);
-	commit_region(other, 0, "x");
-	commit_region(other, 0, "y");
-	assert_int_equal(msp_print_release(
-			     msp_ledger_release(other->vms[0].ledger), &forked),
-	    MSP_OK);
-	for (i = 0; i <= count; i++) {
-		put_object(fleet,
-		    i < count ? bad_snapshots[i] : msp_buffer_text(&forked));
-		kill_fleet_vm(fleet, 2);
-		kill_fleet_vm(fleet, 1);
-		start_fleet_vm(fleet, 2);
-		run_ledger_fleet(fleet, MSP_SECOND);
-		assert_true(run_fleet_to_version(fleet, 5, SETTLE));
-		assert_null(msp_find_region(
-		    msp_ledger_release(fleet->vms[2].ledger), "x"));
-		start_fleet_vm(fleet, 1);
+	for (i = 0; i < sizeof(bad_snapshots) / sizeof(bad_snapshots[0]); i++)
+		start_past_snapshot(fleet, bad_snapshots[i]);
+	/* Snapshots of another chain: below, at and above the head. */
+	for (i = 0; i < 6; i++) {
+		snprintf(name, sizeof(name), "x%zu", i);
+		commit_region(other, 0, name);
+		msp_clear_buffer(&forked);
+		msp_print_release(
+		    msp_ledger_release(other->vms[0].ledger), &forked);
+		start_past_snapshot(fleet, msp_buffer_text(&forked));
 	}
 	msp_drop_buffer(&forked);
 	end_test_fleet(other);
 	end_test_fleet(fleet);
 }
 
+/* A VM in service keeps its chain, also if a peer sends a later snapshot. */
+static void
+ready_vm_takes_no_snapshot(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(49, 1, 1);
+	ledger_fleet_t *other = calloc(1, sizeof(*other));
+	msp_buffer_t answer = {0};
+
+	(void)state;
+	assert_non_null(other);
+	other->options.kept_notes = 1;
+	init_ledger_fleet(other, 50, 1, 1);
+	assert_true(run_fleet_together(other, SETTLE));
+	commit_region(fleet, 0, "r");
+	commit_regions(other, 4);
+	assert_int_equal(
+	    msp_ledger_notes_after(other->vms[0].ledger, 1, &answer), MSP_OK);
+	assert_int_equal(strncmp(answer.data, "snapshot 4 ", 11), 0);
+	msp_ledger_take(fleet->vms[0].ledger, answer.data, answer.len);
+	assert_int_equal(fleet->vms[0].version, 1);
+	msp_drop_buffer(&answer);
+	end_test_fleet(other);
+	end_test_fleet(fleet);
+}
+
 static void
 new_vm_starts_from_a_peer_with_the_store_down(void **state)
 {
@@ -388,6 +423,7 @@
 	    cmocka_unit_test(lagging_replica_takes_nobody_back),
 	    cmocka_unit_test(new_vm_reads_snapshot_and_tail),
 	    cmocka_unit_test(bad_snapshot_is_not_used),
+	    cmocka_unit_test(ready_vm_takes_no_snapshot),
 	    cmocka_unit_test(new_vm_starts_from_a_peer_with_the_store_down),
 	    cmocka_unit_test(cut_place_goes_on_and_catches_up),
 	    cmocka_unit_test(large_note_takes_several_rows),
