--- a/source/coord/ledger_prepare.c
+++ b/source/coord/ledger_prepare.c
@@ -87,7 +87,11 @@
 	return MSP_OK;
 }
 
-/* Moves the note to the head if no note since its base names the same items. */
+/*
+ * Moves the note to the head if no note since its base names the same items:
+ * such notes can be applied in either order, as WL#186 (parallel replication)
+ * finds for the row events of transactions that proceeded independently.
+ */
 static msp_status_t
 rebase(const msp_ledger_t *ledger, submission_t *submission)
 {
--- a/tests/support/ledger_fleet.c
+++ b/tests/support/ledger_fleet.c
@@ -90,8 +90,7 @@
 	fleet_message_t *answer;
 	msp_time_t delay;
 
-	if (vm->version == 0 || peer == vm->index ||
-	    fleet->vms[peer].ledger == NULL ||
+	if (peer == vm->index || fleet->vms[peer].ledger == NULL ||
 	    !can_reach(fleet, vm->index, peer))
 		peer = (unsigned int)msp_random_below(
 		    &fleet->env, fleet->vm_count);
--- a/tests/support/release_race.h
+++ b/tests/support/release_race.h
@@ -3,7 +3,7 @@
 
 #include "ledger_fleet.h"
 
-#define RACE_NOTES_MAX 512
+#define RACE_NOTES_MAX 4000
 
 struct release_race;
 
