--- a/source/coord/member_call.c
+++ b/source/coord/member_call.c
@@ -4,6 +4,8 @@
 
 #include "membership_private.h"
 
+#define URGENT_PEERS 3U
+
 msp_gossip_call_t *
 msp_new_call(msp_membership_t *m, msp_call_kind_t kind, const char *name,
     const char *address, uint16_t peer_port)
@@ -59,11 +61,42 @@
 {
 	msp_gossip_ping_t ping = {0};
 
-	if (m->self->update_sends == 0)
-		msp_queue_update(&m->peers, m->self, 1);
 	if (msp_fill_head(m, &ping.head) == MSP_OK &&
 	    msp_fill_news(m, &ping.news, peer) == MSP_OK)
 		m->callbacks.send(m->callbacks.ctx, peer->info.address,
 		    peer->info.peer_port, MSP_GOSSIP_ANNOUNCE, &ping, 0, 0);
 	xdr_free((xdrproc_t)xdr_msp_gossip_ping_t, (char *)&ping);
 }
+
+void
+msp_introduce_to(msp_membership_t *m, msp_peer_t *peer)
+{
+	if (m->self->update_sends == 0)
+		msp_queue_update(&m->peers, m->self, 1);
+	msp_announce_to(m, peer);
+}
+
+static bool
+is_reachable(const msp_peer_t *peer, const void *ctx)
+{
+	return peer != ctx && peer->info.state == MSP_MEMBER_ALIVE;
+}
+
+void
+msp_announce_urgent(msp_membership_t *m)
+{
+	msp_time_t now = msp_now(&m->env);
+	unsigned int i;
+
+	if (!m->urgent || now < m->next_urgent)
+		return;
+	m->urgent = false;
+	m->next_urgent = now + m->options.period / 2;
+	for (i = 0; i < URGENT_PEERS; i++) {
+		msp_peer_t *peer =
+		    msp_pick_peer(&m->peers, &m->env, is_reachable, m->self);
+
+		if (peer != NULL)
+			msp_announce_to(m, peer);
+	}
+}
--- a/source/coord/member_probe.c
+++ b/source/coord/member_probe.c
@@ -158,7 +158,7 @@
 	if (call->kind == MSP_CALL_INDIRECT)
 		send_ping_ok(m, call, ack->head.incarnation);
 	if (ack->unknown && peer != NULL)
-		msp_announce_to(m, peer);
+		msp_introduce_to(m, peer);
 }
 
 void
--- a/source/coord/member_record.c
+++ b/source/coord/member_record.c
@@ -68,6 +68,9 @@
 {
 	msp_time_t now = msp_now(&m->env);
 
+	/* A new member is no hurry; one that comes back or goes is. */
+	m->urgent |=
+	    state != MSP_MEMBER_ALIVE || peer->info.state != MSP_MEMBER_ALIVE;
 	peer->info.state = state;
 	peer->deadline = MSP_NEVER;
 	if (state == MSP_MEMBER_SUSPECT)
@@ -168,6 +171,7 @@
 		self->round = record->round + 1;
 	}
 	msp_queue_update(&m->peers, m->self, msp_update_sends(m));
+	m->urgent = true;
 }
 
 static bool
--- a/source/coord/membership.c
+++ b/source/coord/membership.c
@@ -99,7 +99,7 @@
 		msp_peer_t *peer = m->peers.sorted[i];
 
 		if (peer != m->self && peer->info.state != MSP_MEMBER_DEAD)
-			msp_announce_to(m, peer);
+			msp_introduce_to(m, peer);
 	}
 }
 
@@ -140,6 +140,7 @@
 		m->next_sync = now + m->options.sync_period;
 		msp_sync_random(m);
 	}
+	msp_announce_urgent(m);
 }
 
 static msp_status_t
--- a/source/coord/membership_private.h
+++ b/source/coord/membership_private.h
@@ -59,6 +59,8 @@
 	msp_time_t next_period;
 	msp_time_t next_contact;
 	msp_time_t next_sync;
+	msp_time_t next_urgent;
+	bool urgent; /* a change is to be told at once */
 	msp_time_t next_announce; /* while leaving */
 	unsigned int announces; /* left */
 	uint32_t wake; /* counts wake-ups from a pause */
@@ -103,6 +105,12 @@
 void msp_ping_peer(msp_membership_t *m, msp_peer_t *peer, msp_call_kind_t kind);
 void msp_announce_to(msp_membership_t *m, msp_peer_t *peer);
 
+/* As msp_announce_to(), this VM's own record included. */
+void msp_introduce_to(msp_membership_t *m, msp_peer_t *peer);
+
+/* Tells a few members of a change at once, at most twice a period. */
+void msp_announce_urgent(msp_membership_t *m);
+
 /* probes: member_probe.c */
 void msp_start_probe(msp_membership_t *m);
 void msp_retry_probe(msp_membership_t *m);
