Try a probe four times before suspecting

A probe was one ping, a second, and one round of indirect ones; now four pings, the last two with indirect ones, all in the same period. Only a member that does not answer costs more messages.

--- a/source/coord/member_probe.c
+++ b/source/coord/member_probe.c
@@ -4,7 +4,8 @@
 
 #include "membership_private.h"
 
-#define DIRECT_TRIES 2U
+#define TRIES 4U /* of a probe in its period */
+#define FIRST_INDIRECT 3U /* try that asks others, too */
 #define CHECKS_EACH_PERIOD 4 /* pings to one suspect, by all members */
 #define LAST_CHECKS 2 /* pings by each member before it takes one for dead */
 #define REFUSED_PERIODS 2 /* until a member with a closed port is dead */
@@ -73,16 +74,15 @@
 {
 	msp_peer_t *peer;
 
-	if (m->probe.name[0] == '\0' || m->probe.tries > DIRECT_TRIES ||
+	if (m->probe.name[0] == '\0' || m->probe.tries >= TRIES ||
 	    m->probe.next_try > msp_now(&m->env))
 		return;
 	peer = msp_find_peer(&m->peers, m->probe.name);
 	if (peer == NULL)
 		return;
 	m->probe.next_try += m->options.ping_timeout;
-	if (m->probe.tries++ < DIRECT_TRIES)
-		msp_ping_peer(m, peer, MSP_CALL_PROBE);
-	else
+	msp_ping_peer(m, peer, MSP_CALL_PROBE);
+	if (++m->probe.tries >= FIRST_INDIRECT)
 		probe_indirectly(m, peer);
 }
 
