--- a/include/monsoonspindle/steer/dispatcher.h
+++ b/include/monsoonspindle/steer/dispatcher.h
@@ -186,6 +186,7 @@
 	uint32_t in_flight;
 	uint32_t capacity; /* sum of the limits */
 	uint32_t slots; /* sum of the listed slots, leaving ones left out */
+	/* Shifted reads and commits are all counted as interactive. */
 	uint32_t queued[MSP_CLASS_COUNT];
 	msp_time_t service_time; /* mean of recent answers */
 	msp_time_t wait; /* estimated for a new interactive request */
--- a/source/steer/dispatcher.c
+++ b/source/steer/dispatcher.c
@@ -31,7 +31,7 @@
 	TAILQ_INIT(&d->targets);
 	TAILQ_INIT(&d->running);
 	TAILQ_INIT(&d->doomed);
-	for (i = 0; i < MSP_CLASS_COUNT; i++)
+	for (i = 0; i < MSP_QUEUE_COUNT; i++)
 		TAILQ_INIT(&d->queue[i]);
 	msp_set_retry_budget(
 	    &d->retries, d->policy.retry_budget_percent, RETRY_BURST);
@@ -103,7 +103,7 @@
 
 	msp_see_clock(d);
 	d->retired = true;
-	for (i = 0; i < MSP_CLASS_COUNT; i++) {
+	for (i = 0; i < MSP_QUEUE_COUNT; i++) {
 		while ((job = TAILQ_FIRST(&d->queue[i])) != NULL) {
 			msp_unqueue_job(d, job);
 			msp_refuse_job(d, job, MSP_E_LEAVING,
@@ -168,7 +168,7 @@
 	TAILQ_FOREACH_SAFE(target, &d->targets, link, next) {
 		if (target->listed || target->in_flight > 0)
 			continue;
-		for (i = 0; i < MSP_CLASS_COUNT; i++) {
+		for (i = 0; i < MSP_QUEUE_COUNT; i++) {
 			TAILQ_FOREACH(job, &d->queue[i], link) {
 				if (job->avoid == target)
 					job->avoid = NULL;
@@ -339,6 +339,7 @@
 	}
 	for (i = 0; i < MSP_CLASS_COUNT; i++)
 		load->queued[i] = d->queued[i];
+	load->queued[MSP_CLASS_INTERACTIVE] += d->queued[MSP_QUEUE_SHIFTED];
 }
 
 msp_quarantine_list_t *
--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -23,6 +23,10 @@
 
 TAILQ_HEAD(msp_job_list, msp_job);
 
+/* The queues: one for each class, and one for shifted reads and commits. */
+#define MSP_QUEUE_SHIFTED MSP_CLASS_COUNT
+#define MSP_QUEUE_COUNT (MSP_CLASS_COUNT + 1)
+
 struct msp_dispatcher {
 	msp_env_t env;
 	msp_dispatcher_callbacks_t callbacks;
@@ -33,8 +37,8 @@
 	msp_quarantine_list_t *quarantine;
 	bool owns_quarantine;
 	TAILQ_HEAD(msp_target_list, msp_target) targets;
-	struct msp_job_list queue[MSP_CLASS_COUNT];
-	uint32_t queued[MSP_CLASS_COUNT];
+	struct msp_job_list queue[MSP_QUEUE_COUNT];
+	uint32_t queued[MSP_QUEUE_COUNT];
 	struct msp_job_list running;
 	struct msp_job_list doomed; /* about to be refused by a review */
 	uint32_t in_flight; /* attempts */
@@ -74,11 +78,13 @@
 uint32_t msp_total_free(const msp_dispatcher_t *d);
 uint32_t msp_reserve(const msp_dispatcher_t *d);
 msp_time_t msp_mean_service(const msp_dispatcher_t *d);
-/* Time until a job of `class` with `ahead` jobs before it starts. */
+/* The index of the queue that a job waits in. */
+int msp_queue_of(const msp_job_t *job);
+/* Time until a job of a queue with `ahead` jobs before it starts. */
 msp_time_t msp_wait_behind(
-    const msp_dispatcher_t *d, msp_class_t class, uint32_t ahead);
-/* Jobs that go before a new one of `class`. */
-uint32_t msp_jobs_ahead(const msp_dispatcher_t *d, msp_class_t class);
+    const msp_dispatcher_t *d, int queue, uint32_t ahead);
+/* Jobs that go before a new one of a queue. */
+uint32_t msp_jobs_ahead(const msp_dispatcher_t *d, int queue);
 /* Longest wait that still lets the job end by its deadline. */
 msp_time_t msp_allowed_wait(const msp_dispatcher_t *d, const msp_job_t *job);
 
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -36,13 +36,23 @@
 	return d->service_time;
 }
 
+int
+msp_queue_of(const msp_job_t *job)
+{
+	if (job->is_shifted && job->class != MSP_CLASS_BACKGROUND)
+		return MSP_QUEUE_SHIFTED;
+	return (int)job->class;
+}
+
 uint32_t
-msp_jobs_ahead(const msp_dispatcher_t *d, msp_class_t class)
+msp_jobs_ahead(const msp_dispatcher_t *d, int queue)
 {
 	uint32_t ahead =
 	    d->queued[MSP_CLASS_INTERACTIVE] + d->queued[MSP_CLASS_COMMIT];
 
-	if (class == MSP_CLASS_BACKGROUND)
+	if (queue == MSP_CLASS_BACKGROUND || queue == MSP_QUEUE_SHIFTED)
+		ahead += d->queued[MSP_QUEUE_SHIFTED];
+	if (queue == MSP_CLASS_BACKGROUND)
 		ahead += d->queued[MSP_CLASS_BACKGROUND];
 	return ahead;
 }
@@ -77,7 +87,7 @@
 }
 
 msp_time_t
-msp_wait_behind(const msp_dispatcher_t *d, msp_class_t class, uint32_t ahead)
+msp_wait_behind(const msp_dispatcher_t *d, int queue, uint32_t ahead)
 {
 	uint32_t capacity = msp_total_limit(d);
 	uint32_t spare = msp_total_free(d);
@@ -92,7 +102,7 @@
 			return MSP_NEVER;
 		capacity = 1;
 	}
-	if (class == MSP_CLASS_BACKGROUND) {
+	if (queue == MSP_CLASS_BACKGROUND) {
 		uint32_t reserve = msp_reserve(d);
 
 		spare = spare > reserve ? spare - reserve : 0;
@@ -101,10 +111,10 @@
 		return 0;
 	wait = opens +
 	    (msp_time_t)(ahead - spare + 1) * msp_mean_service(d) / capacity;
-	if (class != MSP_CLASS_BACKGROUND ||
+	if (queue != MSP_CLASS_BACKGROUND ||
 	    d->queued[MSP_CLASS_BACKGROUND] == 0)
 		return wait;
-	others = msp_jobs_ahead(d, MSP_CLASS_COMMIT);
+	others = msp_jobs_ahead(d, MSP_QUEUE_SHIFTED);
 	measured = background_gap(d) * (ahead - others + 1);
 	return measured > wait ? measured : wait;
 }
@@ -112,7 +122,7 @@
 msp_time_t
 msp_estimate_wait(const msp_dispatcher_t *d, msp_class_t class)
 {
-	return msp_wait_behind(d, class, msp_jobs_ahead(d, class));
+	return msp_wait_behind(d, (int)class, msp_jobs_ahead(d, (int)class));
 }
 
 msp_time_t
--- a/source/steer/queue.c
+++ b/source/steer/queue.c
@@ -8,22 +8,25 @@
 void
 msp_queue_job(msp_dispatcher_t *d, msp_job_t *job, bool at_head)
 {
-	if (job->class == MSP_CLASS_BACKGROUND &&
-	    d->queued[MSP_CLASS_BACKGROUND] == 0)
+	int queue = msp_queue_of(job);
+
+	if (queue == MSP_CLASS_BACKGROUND && d->queued[queue] == 0)
 		d->background_since = msp_now(&d->env);
 	job->state = JOB_QUEUED;
-	d->queued[job->class]++;
+	d->queued[queue]++;
 	if (at_head)
-		TAILQ_INSERT_HEAD(&d->queue[job->class], job, link);
+		TAILQ_INSERT_HEAD(&d->queue[queue], job, link);
 	else
-		TAILQ_INSERT_TAIL(&d->queue[job->class], job, link);
+		TAILQ_INSERT_TAIL(&d->queue[queue], job, link);
 }
 
 void
 msp_unqueue_job(msp_dispatcher_t *d, msp_job_t *job)
 {
-	TAILQ_REMOVE(&d->queue[job->class], job, link);
-	d->queued[job->class]--;
+	int queue = msp_queue_of(job);
+
+	TAILQ_REMOVE(&d->queue[queue], job, link);
+	d->queued[queue]--;
 	job->state = JOB_IDLE;
 }
 
@@ -49,7 +52,7 @@
 
 	if (msp_now(&d->env) >= job->deadline)
 		return true;
-	wait = msp_wait_behind(d, job->class, ahead);
+	wait = msp_wait_behind(d, msp_queue_of(job), ahead);
 	return wait > 0 && wait > msp_allowed_wait(d, job);
 }
 
@@ -61,7 +64,7 @@
 
 	if (msp_now(&d->env) >= job->deadline)
 		return true;
-	wait = msp_wait_behind(d, job->class, ahead);
+	wait = msp_wait_behind(d, msp_queue_of(job), ahead);
 	return wait == MSP_NEVER ||
 	    (wait > 0 && wait + wait / MARGIN_PART > msp_allowed_wait(d, job));
 }
@@ -69,7 +72,7 @@
 void
 msp_refuse_hopeless(msp_dispatcher_t *d, msp_job_t *job, uint32_t ahead)
 {
-	msp_time_t wait = msp_wait_behind(d, job->class, ahead);
+	msp_time_t wait = msp_wait_behind(d, msp_queue_of(job), ahead);
 	msp_time_t after = time_to_come_back(d, wait, msp_allowed_wait(d, job));
 	msp_status_t status = MSP_E_OVERLOAD;
 	const char *reason = "the queue is longer than the deadline allows";
@@ -85,35 +88,45 @@
 	    after, reason);
 }
 
+/* Moves the waiting jobs of a queue that are hopeless to the doomed ones. */
+static void
+doom_hopeless(msp_dispatcher_t *d, int queue, uint32_t *ahead)
+{
+	msp_job_t *job, *next;
+
+	TAILQ_FOREACH_SAFE(job, &d->queue[queue], link, next) {
+		if (!msp_job_hopeless(d, job, *ahead)) {
+			(*ahead)++;
+			continue;
+		}
+		msp_unqueue_job(d, job);
+		job->state = JOB_DOOMED;
+		TAILQ_INSERT_TAIL(&d->doomed, job, link);
+	}
+}
+
 /* Collects first and refuses then: the callback may change the queues. */
 void
 msp_review_queue(msp_dispatcher_t *d)
 {
-	msp_job_t *job, *next;
-	uint32_t class;
 	uint32_t ahead = 0;
+	msp_job_t *job;
 
-	for (class = 0; class < MSP_CLASS_COUNT; class ++) {
-		TAILQ_FOREACH_SAFE(job, &d->queue[class], link, next) {
-			if (!msp_job_hopeless(d, job, ahead)) {
-				ahead++;
-				continue;
-			}
-			msp_unqueue_job(d, job);
-			job->state = JOB_DOOMED;
-			TAILQ_INSERT_TAIL(&d->doomed, job, link);
-		}
-	}
+	doom_hopeless(d, MSP_CLASS_INTERACTIVE, &ahead);
+	doom_hopeless(d, MSP_CLASS_COMMIT, &ahead);
+	doom_hopeless(d, MSP_QUEUE_SHIFTED, &ahead);
+	doom_hopeless(d, MSP_CLASS_BACKGROUND, &ahead);
 	while ((job = TAILQ_FIRST(&d->doomed)) != NULL) {
 		TAILQ_REMOVE(&d->doomed, job, link);
 		job->state = JOB_IDLE;
-		msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class));
+		msp_refuse_hopeless(
+		    d, job, msp_jobs_ahead(d, msp_queue_of(job)));
 	}
 }
 
 /* Returns whichever of the two kinds of waited-for work came first. */
-static msp_class_t
-first_class(const msp_dispatcher_t *d)
+static int
+first_queue(const msp_dispatcher_t *d)
 {
 	const msp_job_t *read = TAILQ_FIRST(&d->queue[MSP_CLASS_INTERACTIVE]);
 	const msp_job_t *commit = TAILQ_FIRST(&d->queue[MSP_CLASS_COMMIT]);
@@ -153,23 +166,23 @@
 }
 
 /*
- * Starts or refuses one job of a class; false if none can go now. A suspect
+ * Starts or refuses one job of a queue; false if none can go now. A suspect
  * request may have to wait while those behind it can go.
  */
 static bool
-advance_class(msp_dispatcher_t *d, msp_class_t class)
+advance_queue(msp_dispatcher_t *d, int queue)
 {
 	msp_target_t *target;
 	msp_job_t *job;
 
-	TAILQ_FOREACH(job, &d->queue[class], link) {
+	TAILQ_FOREACH(job, &d->queue[queue], link) {
 		if (refuse_quarantined(d, job))
 			return true;
 		target = msp_choose_target(d, job, NULL);
 		if (target == NULL)
 			continue;
 		msp_unqueue_job(d, job);
-		if (class == MSP_CLASS_BACKGROUND)
+		if (queue == MSP_CLASS_BACKGROUND)
 			note_background_start(d);
 		msp_start_attempt(d, job, target);
 		return true;
@@ -180,14 +193,15 @@
 static bool
 advance(msp_dispatcher_t *d)
 {
-	msp_class_t first = first_class(d);
-	msp_class_t second = first == MSP_CLASS_COMMIT ? MSP_CLASS_INTERACTIVE
-						       : MSP_CLASS_COMMIT;
+	int first = first_queue(d);
+	int second = first == MSP_CLASS_COMMIT ? MSP_CLASS_INTERACTIVE
+					       : MSP_CLASS_COMMIT;
 
-	if (advance_class(d, first) || advance_class(d, second))
+	if (advance_queue(d, first) || advance_queue(d, second) ||
+	    advance_queue(d, MSP_QUEUE_SHIFTED))
 		return true;
 	return msp_total_free(d) > msp_reserve(d) &&
-	    advance_class(d, MSP_CLASS_BACKGROUND);
+	    advance_queue(d, MSP_CLASS_BACKGROUND);
 }
 
 void
@@ -210,8 +224,7 @@
 msp_submit_job(msp_dispatcher_t *d, msp_job_t *job)
 {
 	msp_time_t now = msp_see_clock(d);
-	uint32_t waiting = d->queued[MSP_CLASS_INTERACTIVE] +
-	    d->queued[MSP_CLASS_COMMIT] + d->queued[MSP_CLASS_BACKGROUND];
+	uint32_t waiting = msp_jobs_ahead(d, MSP_CLASS_BACKGROUND);
 
 	if (job->arrival == 0)
 		job->arrival = now;
@@ -243,8 +256,9 @@
 		    "the queue is full");
 		return;
 	}
-	if (msp_job_unwelcome(d, job, msp_jobs_ahead(d, job->class))) {
-		msp_refuse_hopeless(d, job, msp_jobs_ahead(d, job->class));
+	if (msp_job_unwelcome(d, job, msp_jobs_ahead(d, msp_queue_of(job)))) {
+		msp_refuse_hopeless(
+		    d, job, msp_jobs_ahead(d, msp_queue_of(job)));
 		return;
 	}
 	msp_queue_job(d, job, false);
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -31,8 +31,8 @@
 	return job->class == MSP_CLASS_INTERACTIVE && job->is_idempotent &&
 	    job->retries_left > 0 && job->attempts[1].token == 0 &&
 	    job->attempts[0].token != 0 && !job->attempts[0].answered &&
-	    d->queued[MSP_CLASS_INTERACTIVE] == 0 &&
-	    d->queued[MSP_CLASS_COMMIT] == 0 && !d->paused && !d->retired;
+	    msp_jobs_ahead(d, MSP_QUEUE_SHIFTED) == 0 && !d->paused &&
+	    !d->retired;
 }
 
 static bool
@@ -190,9 +190,7 @@
 	const msp_target_t *target;
 	const msp_hold_t *hold;
 	const msp_job_t *job;
-	bool waiting = d->queued[MSP_CLASS_INTERACTIVE] > 0 ||
-	    d->queued[MSP_CLASS_COMMIT] > 0 ||
-	    d->queued[MSP_CLASS_BACKGROUND] > 0;
+	bool waiting = msp_jobs_ahead(d, MSP_CLASS_BACKGROUND) > 0;
 
 	TAILQ_FOREACH(job, &d->running, link)
 		due = sooner(due, job_due(job, silence, delay, now));
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -375,6 +375,7 @@
 		world_at(place->world, place->thaw_at, submit_later, request);
 		return;
 	}
+	request->job.is_shifted = is_shift(request);
 	request->dispatcher = place->dispatcher;
 	if (place->twin != NULL && draw_even(&place->world->rng) < 0.5)
 		request->dispatcher = place->twin;
