--- a/source/platform/base64.c
+++ b/source/platform/base64.c
@@ -8,12 +8,13 @@
 #define ALPHABET \
 	"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"
 
+#define SLACK 8 /* bytes that libwebsockets wants beyond the text */
+
 msp_status_t
 msp_encode_base64(msp_buffer_t *out, const void *data, size_t len)
 {
 	size_t text_len = (len + 2) / 3 * 4;
-	/* The library refuses a buffer that fits the text and its end. */
-	size_t size = text_len + 2;
+	size_t size = text_len + SLACK;
 	char *text;
 	msp_status_t status;
 
@@ -44,7 +45,7 @@
 msp_status_t
 msp_decode_base64(msp_buffer_t *out, const char *text, size_t len)
 {
-	size_t size = len / 4 * 3 + 4;
+	size_t size = len / 4 * 3 + SLACK;
 	msp_status_t status;
 	char *data;
 	int count;
