--- a/source/spindled/dispatch.c
+++ b/source/spindled/dispatch.c
@@ -84,7 +84,7 @@
 void
 drop_dispatchers(dispatchers_t *dispatchers)
 {
-	service_dispatch_t *one;
+	service_dispatch_t *one, *next;
 	size_t cursor = 0;
 	void *value;
 
@@ -95,10 +95,8 @@
 	while (dispatchers->services != NULL &&
 	    msp_map_next(dispatchers->services, &cursor, NULL, &value))
 		drop_service_dispatch(value);
-	while ((one = LIST_FIRST(&dispatchers->retired)) != NULL) {
-		LIST_REMOVE(one, link);
+	LIST_FOREACH_SAFE(one, &dispatchers->retired, link, next)
 		drop_service_dispatch(one);
-	}
 	msp_drop_map(dispatchers->services);
 	msp_drop_quarantine_list(dispatchers->quarantine);
 	msp_drop_nonces(dispatchers->nonces);
--- a/source/spindled/entry.c
+++ b/source/spindled/entry.c
@@ -43,11 +43,11 @@
 void
 drop_entries(entries_t *entries)
 {
-	entry_t *entry;
+	entry_t *entry, *next;
 
 	if (entries == NULL)
 		return;
-	while ((entry = TAILQ_FIRST(&entries->list)) != NULL)
+	TAILQ_FOREACH_SAFE(entry, &entries->list, link, next)
 		free_entry(entry);
 	free(entries);
 }
--- a/source/spindled/gossip.c
+++ b/source/spindled/gossip.c
@@ -190,11 +190,11 @@
 void
 drop_gossip(gossip_t *gossip)
 {
-	waiting_call_t *waiting;
+	waiting_call_t *waiting, *next;
 
 	if (gossip == NULL)
 		return;
-	while ((waiting = LIST_FIRST(&gossip->waiting)) != NULL) {
+	LIST_FOREACH_SAFE(waiting, &gossip->waiting, link, next) {
 		LIST_REMOVE(waiting, link);
 		free(waiting);
 	}
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -102,9 +102,9 @@
 void
 drop_held(service_dispatch_t *service)
 {
-	held_answer_t *held;
+	held_answer_t *held, *next;
 
-	while ((held = LIST_FIRST(&service->held)) != NULL) {
+	LIST_FOREACH_SAFE(held, &service->held, link, next) {
 		msp_drop_response(&held->result.response);
 		free_held(held);
 	}
--- a/source/spindled/target_report.c
+++ b/source/spindled/target_report.c
@@ -96,10 +96,10 @@
 void
 stop_reports(service_dispatch_t *service)
 {
-	report_call_t *asked;
+	report_call_t *asked, *next;
 
 	msp_drop_timer(service->report_timer);
-	while ((asked = LIST_FIRST(&service->reports)) != NULL) {
+	LIST_FOREACH_SAFE(asked, &service->reports, link, next) {
 		LIST_REMOVE(asked, link);
 		msp_cancel_call(asked->call);
 		free(asked);
--- a/source/spindled/wire.c
+++ b/source/spindled/wire.c
@@ -143,12 +143,12 @@
 static msp_status_t
 read_numbers(const msp_headers_t *headers, msp_time_t now, work_t *work)
 {
-	uint64_t idempotent;
-	uint64_t waited;
-	uint64_t nonce_age;
-	uint64_t retries;
-	uint64_t hops;
-	uint64_t left;
+	uint64_t idempotent = 0;
+	uint64_t waited = 0;
+	uint64_t nonce_age = 0;
+	uint64_t retries = 0;
+	uint64_t hops = 0;
+	uint64_t left = 0;
 
 	if (read_number(headers, "msp-idempotent", 1, &idempotent) != MSP_OK ||
 	    read_number(headers, "msp-waited-us", UINT32_MAX * 1000ULL,
