--- a/tests/support/net_fixture.c
+++ b/tests/support/net_fixture.c
@@ -12,7 +12,7 @@
 	while (!holds(ctx)) {
 		if (msp_now(&env) > end)
 			return false;
-		msp_step_loop(loop, 20);
+		msp_step_loop(loop, 1);
 	}
 	return true;
 }
