--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -372,6 +373,35 @@
 	assert_false(test->outcome.maybe_sent);
 }
 
+/* A full backlog leaves new connections unanswered. */
+static void
+a_connection_may_not_come(void **state)
+{
+	client_test_t *test = *state;
+	raw_socket_t fillers[8];
+	struct pollfd poll_fd;
+	size_t i;
+	size_t n = 0;
+
+	assert_int_equal(listen(test->listener.fd, 0), 0);
+	for (i = 0; i < 8; i++) {
+		fillers[i] = (raw_socket_t){.loop = test->loop};
+		fillers[i].fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		raw_begin_connect(&fillers[i], test->port);
+	}
+	start_to(test, "POST", "/a", &test->outcome);
+	wait_outcome(test, "no connection");
+	assert_int_equal(test->outcome.status, MSP_E_PEER_DOWN);
+	assert_false(test->outcome.maybe_sent);
+	for (i = 0; i < 8; i++) {
+		poll_fd =
+		    (struct pollfd){.fd = fillers[i].fd, .events = POLLOUT};
+		n += poll(&poll_fd, 1, 0) == 0 ? 1 : 0;
+		raw_close(&fillers[i]);
+	}
+	assert_true(n > 0); /* the backlog was indeed full */
+}
+
 static void
 a_connection_is_kept_and_reused(void **state)
 {
@@ -709,6 +739,7 @@
 	    CASE(an_answer_cut_anywhere_is_not_whole),
 	    CASE(an_answer_split_anywhere_is_whole),
 	    CASE(a_closed_port_refuses),
+	    CASE(a_connection_may_not_come),
 	    CASE(a_connection_is_kept_and_reused),
 	    CASE(a_closed_connection_is_not_used),
 	    CASE(a_request_is_never_sent_twice),
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -288,6 +288,32 @@
 	}
 }
 
+/* After a first request: nothing more, or a head that does not end. */
+static void
+a_kept_connection_does_not_stay_for_ever(void **state)
+{
+	server_test_t *test = *state;
+	raw_socket_t raw;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		raw = raw_connect(test->loop, test->port);
+		raw_say(&raw, "GET /a HTTP/1.1\r\n" HOST "\r\n");
+		assert_true(raw_expect(&raw, "<GET /a 0>"));
+		raw_forget(&raw);
+		if (i == 1) {
+			raw_say(&raw, "GET /b HTTP/1.1\r\nHo");
+			assert_true(
+			    raw_expect(&raw, "\"kind\":\"request-timeout\""));
+		}
+		assert_true(raw_expect_end(&raw));
+		if (i == 0)
+			assert_int_equal(raw.in.len, 0);
+		raw_close(&raw);
+	}
+	assert_int_equal(test->requests, 2);
+}
+
 static bool
 is_held(void *ctx)
 {
@@ -543,6 +569,7 @@
 #define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    CASE(each_request_gets_its_answer),
+	    CASE(a_kept_connection_does_not_stay_for_ever),
 	    CASE(a_client_that_leaves_is_noticed),
 	    CASE(an_answer_may_come_later),
 	    CASE(a_client_may_leave_amid_its_answer),
--- a/tests/support/raw_socket.c
+++ b/tests/support/raw_socket.c
@@ -32,6 +32,16 @@
 	return raw;
 }
 
+void
+raw_begin_connect(raw_socket_t *raw, uint16_t port)
+{
+	struct sockaddr_in sa = loopback(port);
+
+	if (connect(raw->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 &&
+	    errno != EINPROGRESS)
+		raw->closed = true;
+}
+
 raw_socket_t
 raw_listen(msp_loop_t *loop, uint16_t *port)
 {
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -16,6 +16,9 @@
 /* Connects to a port of the loopback; the loop need not run. */
 raw_socket_t raw_connect(msp_loop_t *loop, uint16_t port);
 
+/* Starts to connect a socket that does not block. */
+void raw_begin_connect(raw_socket_t *raw, uint16_t port);
+
 /* Opens a listener; fd of the listener in `fd`. */
 raw_socket_t raw_listen(msp_loop_t *loop, uint16_t *port);
 
