--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 
 #include <libwebsockets.h>
@@ -19,6 +20,7 @@
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
 #define TRIM_THRESHOLD \
 	(8 * 1024 * 1024) /* bytes free before the heap shrinks */
+#define FDS_MAX 65536 /* bounds the library's table: 16 bytes each */
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -56,6 +58,29 @@
 	return vhost;
 }
 
+/*
+ * The library keeps a table for all descriptors that the process may open. With
+ * a limit of its own it would search that table for each event instead.
+ */
+static void
+set_fd_limit(unsigned int max_fds)
+{
+	struct rlimit limit;
+	rlim_t wanted;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	wanted = limit.rlim_cur;
+	if (wanted < max_fds)
+		wanted = max_fds < limit.rlim_max ? max_fds : limit.rlim_max;
+	if (wanted > FDS_MAX)
+		wanted = FDS_MAX;
+	if (wanted == limit.rlim_cur)
+		return;
+	limit.rlim_cur = wanted;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 msp_loop_t *
 msp_new_loop(unsigned int max_fds)
 {
@@ -63,7 +88,6 @@
 	    .port = CONTEXT_PORT_NO_LISTEN,
 	    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS |
 		LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
-	    .fd_limit_per_thread = max_fds,
 	    .max_http_header_data2 = HEADER_BYTES_MAX,
 	    .pt_serv_buf_size = SERVICE_BUFFER,
 	    .timeout_secs = LIBRARY_TIMEOUT_S,
@@ -77,6 +101,7 @@
 		return NULL;
 	}
 	loop->signal_fd = -1;
+	set_fd_limit(max_fds);
 	/* The library takes and returns 64 KiB for each request. */
 	mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
 	/* The library would send client requests through this proxy. */
