Keep the descriptor table no larger than asked for

Cause: the library still searches its whole table when a kept connection is taken up for the next request (20% of a VM's samples at 20,000 descriptors).

--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -20,7 +20,7 @@
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
 #define TRIM_THRESHOLD \
 	(8 * 1024 * 1024) /* bytes free before the heap shrinks */
-#define FDS_MAX 65536 /* bounds the library's table: 16 bytes each */
+#define FDS_MIN 1024 /* descriptors that a process always may open */
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -59,8 +59,10 @@
 }
 
 /*
- * The library keeps a table for all descriptors that the process may open. With
- * a limit of its own it would search that table for each event instead.
+ * The library keeps a table for all descriptors that the process may open, and
+ * still searches all of it when a connection is taken up again; with a limit of
+ * its own it would search it for each event. So the process's limit is set, and
+ * no higher than asked for.
  */
 static void
 set_fd_limit(unsigned int max_fds)
@@ -70,13 +72,9 @@
 
 	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
 		return;
-	wanted = limit.rlim_cur;
-	if (wanted < max_fds)
-		wanted = max_fds < limit.rlim_max ? max_fds : limit.rlim_max;
-	if (wanted > FDS_MAX)
-		wanted = FDS_MAX;
-	if (wanted == limit.rlim_cur)
-		return;
+	wanted = max_fds > FDS_MIN ? max_fds : FDS_MIN;
+	if (wanted > limit.rlim_max)
+		wanted = limit.rlim_max;
 	limit.rlim_cur = wanted;
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -18,7 +18,8 @@
 #include "shifts.h"
 #include "wire.h"
 
-#define MAX_FDS 16384
+/* Descriptors beside those of the listeners' connections. */
+#define OWN_FDS 2048
 #define PEER_LANES 64 /* requests in flight to one VM */
 #define TARGET_LANES 16 /* more than a target has slots */
 #define REPORT_LANES 2
@@ -135,7 +136,7 @@
 	daemon->env = msp_system_env();
 	daemon->incarnation = wall_clock_us();
 	daemon->counters = msp_new_counters();
-	daemon->loop = msp_new_loop(MAX_FDS);
+	daemon->loop = msp_new_loop(settings->limits.max_connections + OWN_FDS);
 	if (daemon->counters == NULL || daemon->loop == NULL)
 		goto fail;
 	daemon->peer_client = new_client(daemon, PEER_LANES);
