--- a/measure/net_cost.c
+++ b/measure/net_cost.c
@@ -10,7 +10,7 @@
 #include <arpa/inet.h>
 
 #include "monsoonspindle/base.h"
-#include "monsoonspindle/net.h"
+#include "net_fixture.h"
 
 #define ADDRESS "127.0.0.1"
 #define IN_FLIGHT 9
@@ -95,26 +95,6 @@
 		abort();
 }
 
-static msp_status_t
-serve(void *ctx, const struct sockaddr_in *from, void *argument, void *result)
-{
-	(void)ctx;
-	(void)from;
-	*(uint32_t *)result = *(uint32_t *)argument + 1;
-	return MSP_OK;
-}
-
-static const msp_rpc_procedure_t procedures[] = {
-    {
-	.number = 1,
-	.decode_argument = (xdrproc_t)xdr_uint32_t,
-	.argument_size = sizeof(uint32_t),
-	.encode_result = (xdrproc_t)xdr_uint32_t,
-	.result_size = sizeof(uint32_t),
-	.serve = serve,
-    },
-};
-
 static void
 on_rpc_done(void *ctx, msp_status_t status, void *result)
 {
@@ -179,7 +159,7 @@
 	    .address = ADDRESS,
 	    .program = PROGRAM,
 	    .version = 1,
-	    .procedures = procedures,
+	    .procedures = &successor_procedure,
 	    .procedure_count = 1,
 	};
 
--- a/source/net/answer.c
+++ b/source/net/answer.c
@@ -95,16 +95,9 @@
 end_answer(msp_connection_t *connection)
 {
 	msp_http_server_t *server = connection->server;
-	msp_exchange_t *exchange = connection->exchange;
 	uint64_t sent;
 
-	server->busy--;
-	connection->exchange = NULL;
-	msp_drop_request(&exchange->request);
-	msp_drop_response(&exchange->response);
-	free(exchange);
-	free(connection->head);
-	connection->head = NULL;
+	msp_drop_exchange(connection);
 	if (connection->close_after || server->closing) {
 		connection->state = MSP_CONNECTION_CLOSING;
 		msp_set_connection_timeout(connection, MSP_LINGER_MS);
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -76,22 +76,11 @@
 read_framing(msp_call_t *call)
 {
 	struct lws *wsi = call->lane->wsi;
-	char text[32];
-	size_t digits;
 
-	call->length = -1;
 	call->chunked =
 	    lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
-	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
-		return true;
-	if (lws_hdr_copy(
-		wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) < 0)
-		return false;
-	digits = strspn(text, "0123456789");
-	if (digits == 0 || digits > 15 || text[digits] != '\0')
-		return false;
-	call->length = strtoll(text, NULL, 10);
-	return !call->chunked;
+	return msp_read_length(wsi, &call->length) &&
+	    !(call->chunked && call->length >= 0);
 }
 
 int
--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -48,9 +48,8 @@
 		    connection, server->limits.head_timeout_ms);
 }
 
-/* Ends the present exchange, whether answered or not. */
-static void
-drop_exchange(msp_connection_t *connection)
+void
+msp_drop_exchange(msp_connection_t *connection)
 {
 	msp_exchange_t *exchange = connection->exchange;
 
@@ -81,7 +80,7 @@
 	    server->handler.on_gone != NULL)
 		server->handler.on_gone(
 		    server->handler.ctx, connection->exchange);
-	drop_exchange(connection);
+	msp_drop_exchange(connection);
 	free(connection);
 }
 
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -90,7 +90,10 @@
  */
 void msp_drop_connection(msp_connection_t *connection);
 
-/* The same, and closes the socket. */
+/* Ends the present exchange, whether answered or not. */
+void msp_drop_exchange(msp_connection_t *connection);
+
+/* msp_drop_connection(), and closes the socket. */
 void msp_close_connection(msp_connection_t *connection);
 
 /*
--- a/source/net/fields.c
+++ b/source/net/fields.c
@@ -1,5 +1,6 @@
 #include "fields.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -8,6 +9,8 @@
 #define VALUE_SIZE 8192 /* bytes of one value and the final 0 */
 #define NAME_SIZE 128
 #define KNOWN_MAX 128
+#define LENGTH_SIZE 32 /* bytes of a content length and the final 0 */
+#define LENGTH_DIGITS_MAX 15
 
 /* Fields that libwebsockets has no token for; it finds them by name only. */
 static char known[KNOWN_MAX][NAME_SIZE] = {
@@ -240,3 +243,22 @@
 	}
 	return true;
 }
+
+bool
+msp_read_length(struct lws *wsi, long long *length)
+{
+	char text[LENGTH_SIZE];
+	size_t digits;
+
+	*length = -1;
+	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
+		return true;
+	if (lws_hdr_copy(
+		wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) < 0)
+		return false;
+	digits = strspn(text, "0123456789");
+	if (digits == 0 || digits > LENGTH_DIGITS_MAX || text[digits] != '\0')
+		return false;
+	*length = strtoll(text, NULL, 10);
+	return true;
+}
--- a/source/net/fields.h
+++ b/source/net/fields.h
@@ -12,6 +12,12 @@
  */
 msp_status_t msp_copy_fields(struct lws *wsi, msp_headers_t *headers);
 
+/*
+ * Reads the content length of the message that `wsi` has just received; -1 if
+ * there is none. False if it is no number.
+ */
+bool msp_read_length(struct lws *wsi, long long *length);
+
 /* Whether a field belongs to one connection and is not passed on. */
 bool msp_is_connection_field(const char *name);
 
--- a/source/net/lane.c
+++ b/source/net/lane.c
@@ -36,6 +36,14 @@
 	return result < 0 ? -1 : 0;
 }
 
+static void
+lose_call(msp_call_t *call)
+{
+	if (call != NULL)
+		msp_end_call(call,
+		    call->maybe_sent ? MSP_E_CUT_ANSWER : MSP_E_PEER_DOWN);
+}
+
 /* The connection is gone. */
 static void
 lose_connection(msp_lane_t *lane, struct lws *wsi)
@@ -43,10 +51,7 @@
 	if (lane->wsi != wsi)
 		return;
 	lane->wsi = NULL;
-	if (lane->call != NULL)
-		msp_end_call(lane->call,
-		    lane->call->maybe_sent ? MSP_E_CUT_ANSWER
-					   : MSP_E_PEER_DOWN);
+	lose_call(lane->call);
 	if (!lane->connecting)
 		msp_release_lane(lane);
 }
@@ -256,9 +261,6 @@
 	if (wsi != NULL)
 		return;
 	lane->wsi = NULL;
-	if (lane->call != NULL)
-		msp_end_call(lane->call,
-		    lane->call->maybe_sent ? MSP_E_CUT_ANSWER
-					   : MSP_E_PEER_DOWN);
+	lose_call(lane->call);
 	msp_release_lane(lane);
 }
--- a/source/net/request.c
+++ b/source/net/request.c
@@ -22,26 +22,6 @@
 	return 0;
 }
 
-/* Reads the content length; -1 if there is none. */
-static msp_status_t
-read_length(struct lws *wsi, long long *length)
-{
-	char text[32];
-	size_t digits;
-
-	*length = -1;
-	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
-		return MSP_OK;
-	if (lws_hdr_copy(
-		wsi, text, sizeof(text), WSI_TOKEN_HTTP_CONTENT_LENGTH) < 0)
-		return msp_fail(MSP_E_BAD_REQUEST, "bad content length");
-	digits = strspn(text, "0123456789");
-	if (digits == 0 || digits > 15 || text[digits] != '\0')
-		return msp_fail(MSP_E_BAD_REQUEST, "bad content length");
-	*length = strtoll(text, NULL, 10);
-	return MSP_OK;
-}
-
 static msp_status_t
 read_coding(struct lws *wsi, bool *chunked)
 {
@@ -87,8 +67,8 @@
 
 	if (status == MSP_OK)
 		status = msp_copy_fields(wsi, &request->headers);
-	if (status == MSP_OK)
-		status = read_length(wsi, length);
+	if (status == MSP_OK && !msp_read_length(wsi, length))
+		status = msp_fail(MSP_E_BAD_REQUEST, "bad content length");
 	if (status == MSP_OK)
 		status = read_coding(wsi, &connection->chunked);
 	if (status != MSP_OK)
--- a/tests/net/test_mutations.c
+++ b/tests/net/test_mutations.c
@@ -43,26 +43,6 @@
 	msp_answer_exchange(exchange, &response);
 }
 
-static msp_status_t
-serve(void *ctx, const struct sockaddr_in *from, void *argument, void *result)
-{
-	(void)ctx;
-	(void)from;
-	*(uint32_t *)result = *(uint32_t *)argument + 1;
-	return MSP_OK;
-}
-
-static const msp_rpc_procedure_t procedures[] = {
-    {
-	.number = 1,
-	.decode_argument = (xdrproc_t)xdr_uint32_t,
-	.argument_size = sizeof(uint32_t),
-	.encode_result = (xdrproc_t)xdr_uint32_t,
-	.result_size = sizeof(uint32_t),
-	.serve = serve,
-    },
-};
-
 static int
 set_up(void **state)
 {
@@ -75,7 +55,7 @@
 	    .address = TEST_ADDRESS,
 	    .program = PROGRAM,
 	    .version = 1,
-	    .procedures = procedures,
+	    .procedures = &successor_procedure,
 	    .procedure_count = 1,
 	};
 
--- a/tests/support/net_fixture.c
+++ b/tests/support/net_fixture.c
@@ -70,3 +70,22 @@
 		msp_append_buffer(&request.body, body, strlen(body));
 	return request;
 }
+
+static msp_status_t
+serve_successor(
+    void *ctx, const struct sockaddr_in *from, void *argument, void *result)
+{
+	(void)ctx;
+	(void)from;
+	*(uint32_t *)result = *(uint32_t *)argument + 1;
+	return MSP_OK;
+}
+
+const msp_rpc_procedure_t successor_procedure = {
+    .number = 1,
+    .decode_argument = (xdrproc_t)xdr_uint32_t,
+    .argument_size = sizeof(uint32_t),
+    .encode_result = (xdrproc_t)xdr_uint32_t,
+    .result_size = sizeof(uint32_t),
+    .serve = serve_successor,
+};
--- a/tests/support/net_fixture.h
+++ b/tests/support/net_fixture.h
@@ -29,4 +29,7 @@
 msp_request_t new_request(
     const char *method, const char *path, const char *body);
 
+/* Procedure 1 of an RPC program: uint32_t to the next one. */
+extern const msp_rpc_procedure_t successor_procedure;
+
 #endif
