--- /dev/null
+++ b/tests/spindlectl/test_ctl.c
@@ -0,0 +1,348 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/net.h"
+
+#define TOKEN "0123456789abcdef"
+#define ARGS_MAX 16
+#define STEPS_MAX 6
+#define OUTPUT_SIZE 8192
+#define ZEROS "00000000000000000000000000000000"
+#define STATUS(version_)                                                \
+	"{\"vm\":\"a\",\"version\":0,\"digest\":\"" ZEROS               \
+	"\",\"vms\":[{\"vm\":\"a\",\"version\":1,\"state\":\"ready\"}," \
+	"{\"vm\":\"b\",\"version\":" #version_ ",\"state\":\"ready\"}]}"
+#define ACCEPTED                             \
+	"{\"version\":1,\"digest\":\"" ZEROS \
+	"\",\"id\":\"n\",\"rebased\":false}"
+
+extern char **environ;
+
+/* One request that the VM gets, and what it answers. */
+typedef struct step {
+	const char *request; /* method, path and what the body must hold */
+	int status; /* HTTP */
+	const char *body;
+} step_t;
+
+typedef struct ctl_case {
+	const char *name;
+	const char *args[ARGS_MAX]; /* after --vm and --token */
+	const char *note; /* file that replaces the argument NOTE */
+	step_t steps[STEPS_MAX]; /* the last one is repeated */
+	int code;
+	const char *output; /* in standard output or error */
+} ctl_case_t;
+
+/* A VM that answers by a script. */
+typedef struct fake_vm {
+	msp_loop_t *loop;
+	msp_http_server_t *server;
+	const step_t *steps;
+	size_t at;
+	char wrong[256]; /* the first request that was not as expected */
+} fake_vm_t;
+
+#define NOTE_R "{\"id\":\"n\",\"add\":{\"regions\":[{\"name\":\"r\"}]}}"
+#define NOTE_NEW "{\"add\":{\"regions\":[{\"name\":\"r\"}]}}"
+
+static const ctl_case_t cases[] = {
+    {"no command", {NULL}, NULL, {{0}}, 2, "no command"},
+    {"unknown command", {"aply", NULL}, NULL, {{0}}, 2, "no command \"aply\""},
+    {"too few arguments", {"apply", NULL}, NULL, {{0}}, 2, "apply takes 1"},
+    {"unknown option", {"--frob", "status", NULL}, NULL, {{0}}, 2, "frob"},
+    {"bad timeout", {"--timeout", "0", "status", NULL}, NULL, {{0}}, 2,
+	"--timeout: 0 is out of range 1..86400"},
+    {"bad rule", {"doubt", "rule", "k", "maybe", NULL}, NULL, {{0}}, 2,
+	"ran|not-ran"},
+    {"help", {"--help", NULL}, NULL, {{0}}, 0, "Exit codes"},
+    {"version", {"--version", NULL}, NULL, {{0}}, 0, "spindlectl 0."},
+    {"no such file", {"apply", "/nonexistent", NULL}, NULL, {{0}}, 2,
+	"/nonexistent"},
+    {"bad note stays here", {"apply", "NOTE", NULL},
+	"{\"add\":{\"regions\":[{\"name\":\"R\"}]}}", {{0}}, 2,
+	"add.regions[0].name"},
+    {"accepted", {"apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases \"id\":\"n\",\"base_version\":0", 201,
+		ACCEPTED}},
+	0, "n: accepted as version 1"},
+    {"accepted, for programs", {"--json", "apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 201, ACCEPTED}},
+	0, "{\"id\":\"n\",\"version\":1,"},
+    {"waits until in force", {"apply", "--wait", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 201, ACCEPTED},
+	    {"GET /v1/status ", 200, STATUS(0)},
+	    {"GET /v1/status ", 200, STATUS(1)}},
+	0, "in force everywhere"},
+    {"not in force in time",
+	{"apply", "--wait", "--timeout", "1", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 201, ACCEPTED},
+	    {"GET /v1/status ", 200, STATUS(0)}},
+	4, "not in force in time at: b"},
+    {"clash", {"apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 409,
+		"{\"kind\":\"conflict\",\"detail\":\"clashes with note m\","
+		"\"clashes\":[\"region r\"],\"other_note\":\"m\"}"}},
+	1, "region r"},
+    {"refused as invalid", {"apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 422,
+		"{\"kind\":\"invalid-note\",\"detail\":\"add.regions.r\"}"}},
+	2, "add.regions.r"},
+    {"wrong token", {"status", NULL}, NULL,
+	{{"GET /v1/status ", 401,
+	    "{\"kind\":\"unauthorized\",\"title\":\"A token is needed\"}"}},
+	2, "A token is needed"},
+    {"sent again under the same id", {"apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases \"id\":\"n\"", 502, "{\"kind\":\"in-doubt\"}"},
+	    {"POST /v1/releases \"id\":\"n\"", 503,
+		"{\"kind\":\"store-down\"}"},
+	    {"POST /v1/releases \"id\":\"n\"", 201, ACCEPTED}},
+	0, "accepted as version 1"},
+    {"in doubt to the end", {"apply", "--timeout", "1", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 502, "{\"kind\":\"in-doubt\"}"}},
+	3, "is not known"},
+    {"store down to the end", {"apply", "--timeout", "1", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases ", 503, "{\"kind\":\"store-down\"}"}},
+	3, "was not accepted"},
+    {"marks a first try of its own id", {"apply", "NOTE", NULL}, NOTE_NEW,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases FIRST", 502, "{\"kind\":\"in-doubt\"}"},
+	    {"POST /v1/releases AGAIN", 201, ACCEPTED}},
+	0, "note-"},
+    {"a given id may have been sent before", {"apply", "NOTE", NULL}, NOTE_R,
+	{{"GET /v1/status ", 200, STATUS(1)},
+	    {"POST /v1/releases AGAIN", 201, ACCEPTED}},
+	0, "accepted"},
+    {"status", {"status", NULL}, NULL, {{"GET /v1/status ", 200, STATUS(1)}}, 0,
+	"VERSION"},
+    {"status for programs", {"--json", "status", NULL}, NULL,
+	{{"GET /v1/status ", 200, STATUS(1)}}, 0, "{\"vm\":\"a\","},
+    {"no JSON", {"members", NULL}, NULL, {{"GET /v1/members ", 200, "<html>"}},
+	3, "no JSON"},
+    {"history", {"--after", "3", "--limit", "2", "history", NULL}, NULL,
+	{{"GET /v1/releases?after=3&limit=2 ", 200,
+	    "[{\"version\":4,\"note\":{\"id\":\"n4\",\"comment\":\"c\"}}]"}},
+	0, "n4"},
+    {"doubt", {"doubt", NULL}, NULL,
+	{{"GET /v1/doubt ", 200,
+	    "[{\"service\":\"desk\",\"key\":\"k1\",\"since_ms\":5}]"}},
+	0, "k1"},
+    {"rule", {"doubt", "rule", "k1", "not-ran", NULL}, NULL,
+	{{"POST /v1/doubt \"ran\": false", 200, "{}"}}, 0, "not run"},
+    {"metrics", {"metrics", NULL}, NULL, {{"GET /metrics ", 200, "msp_x 1\n"}},
+	0, "msp_x 1"},
+    {"drain of a VM", {"drain", "vm", "a", NULL}, NULL,
+	{{"GET /v1/status ", 200, STATUS(1)}, {"POST /v1/leave ", 202, "{}"}},
+	0, "a is leaving"},
+    {"drain of something else", {"drain", "zone", "a", NULL}, NULL, {{0}}, 2,
+	"none of place, target, vm"},
+};
+
+/* "METHOD PATH " and then FIRST, AGAIN or a part of the body. */
+static bool
+is_expected(const msp_request_t *request, const char *expected)
+{
+	const char *attempt =
+	    msp_find_header(&request->headers, "Request-Attempt");
+	const char *token = msp_find_header(&request->headers, "Authorization");
+	char start[MSP_PATH_MAX + 32];
+	const char *rest;
+
+	snprintf(
+	    start, sizeof(start), "%s %s ", request->method, request->path);
+	if (token == NULL || strcmp(token, "Bearer " TOKEN) != 0)
+		return false;
+	if (strncmp(expected, start, strlen(start)) != 0)
+		return false;
+	rest = expected + strlen(start);
+	if (strcmp(rest, "FIRST") == 0)
+		return attempt != NULL && strcmp(attempt, "1") == 0;
+	if (strcmp(rest, "AGAIN") == 0)
+		return attempt == NULL;
+	return strstr(msp_buffer_text(&request->body), rest) != NULL;
+}
+
+static void
+on_request(void *ctx, msp_exchange_t *exchange)
+{
+	fake_vm_t *vm = ctx;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const step_t *step = &vm->steps[vm->at];
+	msp_response_t response = {.status = 500};
+
+	if (step->request == NULL || !is_expected(request, step->request)) {
+		if (vm->wrong[0] == '\0')
+			snprintf(vm->wrong, sizeof(vm->wrong), "%s %.200s",
+			    request->method, request->path);
+	} else {
+		response.status = step->status;
+		msp_append_buffer(
+		    &response.body, step->body, strlen(step->body));
+	}
+	if (vm->at + 1 < STEPS_MAX && vm->steps[vm->at + 1].request != NULL)
+		vm->at++;
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
+/* Writes the note of a case to `path`, made by mkstemp. */
+static void
+write_note(char *path, const char *note)
+{
+	int fd = mkstemp(path);
+
+	assert_true(fd >= 0);
+	if (note != NULL)
+		assert_int_equal(
+		    write(fd, note, strlen(note)), (ssize_t)strlen(note));
+	close(fd);
+}
+
+static pid_t
+start_ctl(const char *const *argv, const char *output)
+{
+	const char *out = getenv("OUT");
+	posix_spawn_file_actions_t actions;
+	char path[256];
+	pid_t pid;
+
+	snprintf(path, sizeof(path), "%s/bin/spindlectl",
+	    out == NULL ? "build/asan" : out);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(
+	    &actions, STDOUT_FILENO, output, O_WRONLY | O_APPEND, 0);
+	posix_spawn_file_actions_adddup2(
+	    &actions, STDOUT_FILENO, STDERR_FILENO);
+	assert_int_equal(posix_spawn(&pid, path, &actions, NULL,
+			     (char *const *)argv, environ),
+	    0);
+	posix_spawn_file_actions_destroy(&actions);
+	return pid;
+}
+
+/* Runs the tool against `vm`; returns its exit code, its output in `text`. */
+static int
+run_ctl(fake_vm_t *vm, const ctl_case_t *test, char text[OUTPUT_SIZE])
+{
+	char note[] = "/tmp/ctl-note-XXXXXX";
+	char output[] = "/tmp/ctl-output-XXXXXX";
+	char address[32];
+	const char *argv[ARGS_MAX + 6] = {
+	    "spindlectl", "--vm", address, "--token", TOKEN};
+	size_t count = 5;
+	size_t i;
+	int status = 0;
+	pid_t pid;
+	int fd;
+	ssize_t len;
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+	    msp_http_server_port(vm->server));
+	write_note(note, test->note);
+	write_note(output, NULL);
+	for (i = 0; test->args[i] != NULL; i++)
+		argv[count++] =
+		    strcmp(test->args[i], "NOTE") == 0 ? note : test->args[i];
+	pid = start_ctl(argv, output);
+	while (waitpid(pid, &status, WNOHANG) == 0)
+		msp_step_loop(vm->loop, 10);
+	fd = open(output, O_RDONLY);
+	assert_true(fd >= 0);
+	len = read(fd, text, OUTPUT_SIZE - 1);
+	text[len > 0 ? len : 0] = '\0';
+	close(fd);
+	unlink(output);
+	unlink(note);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+static void
+commands_answer_as_documented(void **state)
+{
+	fake_vm_t vm = {.loop = msp_new_loop(64)};
+	const msp_http_server_options_t options = {
+	    .address = "127.0.0.1", .handler = {on_request, on_gone, &vm}};
+	char text[OUTPUT_SIZE];
+	size_t i;
+	int code;
+
+	(void)state;
+	assert_non_null(vm.loop);
+	vm.server = msp_new_http_server(vm.loop, &options);
+	assert_non_null(vm.server);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		vm.steps = cases[i].steps;
+		vm.at = 0;
+		vm.wrong[0] = '\0';
+		code = run_ctl(&vm, &cases[i], text);
+		if (vm.wrong[0] != '\0')
+			fail_msg("%s: unexpected request %s; %s", cases[i].name,
+			    vm.wrong, text);
+		if (code != cases[i].code ||
+		    strstr(text, cases[i].output) == NULL)
+			fail_msg("%s: exit code %d, not %d: %s", cases[i].name,
+			    code, cases[i].code, text);
+	}
+	msp_drop_http_server(vm.server);
+	msp_drop_loop(vm.loop);
+}
+
+/* Nobody listens: exit code 3 within the time given. */
+static void
+unreachable_vm_ends_in_time(void **state)
+{
+	static const ctl_case_t test = {"unreachable",
+	    {"--timeout", "1", "status", NULL}, NULL, {{0}}, 3, "no answer"};
+	fake_vm_t vm = {.loop = msp_new_loop(64)};
+	const msp_http_server_options_t options = {
+	    .address = "127.0.0.1", .handler = {on_request, on_gone, &vm}};
+	char text[OUTPUT_SIZE];
+
+	(void)state;
+	assert_non_null(vm.loop);
+	vm.server = msp_new_http_server(vm.loop, &options);
+	assert_non_null(vm.server);
+	msp_close_http_listener(vm.server);
+	assert_int_equal(run_ctl(&vm, &test, text), 3);
+	assert_non_null(strstr(text, test.output));
+	msp_drop_http_server(vm.server);
+	msp_drop_loop(vm.loop);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(commands_answer_as_documented),
+	    cmocka_unit_test(unreachable_vm_ends_in_time),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
