--- a/tests/coord/test_membership_hostile.c
+++ b/tests/coord/test_membership_hostile.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <arpa/inet.h>
 #include <cmocka.h>
 
 #include "gossip_net.h"
@@ -286,6 +287,81 @@
 	}
 }
 
+/* A coded ping with one update; returns its length. */
+static size_t
+code_ping(char *bytes, size_t size)
+{
+	msp_gossip_member_t record = {
+	    .name = (char *)"vm-0001",
+	    .region = (char *)"region1",
+	    .place = (char *)"dc1",
+	    .address = (char *)"10.0.0.1",
+	};
+	msp_gossip_ping_t ping = {
+	    .head = {.from = (char *)"vm-0002", .place = (char *)"dc1"},
+	    .news.updates = {.updates_len = 1, .updates_val = &record},
+	};
+	XDR xdrs;
+	size_t len;
+
+	xdrmem_create(&xdrs, bytes, (u_int)size, XDR_ENCODE);
+	assert_true(xdr_msp_gossip_ping_t(&xdrs, &ping));
+	len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return len;
+}
+
+static bool
+decode_ping(char *bytes, size_t len)
+{
+	msp_gossip_ping_t ping = {0};
+	XDR xdrs;
+	bool good;
+
+	xdrmem_create(&xdrs, bytes, (u_int)len, XDR_DECODE);
+	good = xdr_msp_gossip_ping_t(&xdrs, &ping);
+	if (good) {
+		assert_in_range(
+		    ping.news.updates.updates_len, 0, MSP_GOSSIP_UPDATES_MAX);
+		assert_in_range(
+		    ping.news.loads.loads_len, 0, MSP_GOSSIP_LOADS_MAX);
+		assert_in_range(strlen(ping.head.from), 0, MSP_GOSSIP_NAME_MAX);
+	}
+	xdr_free((xdrproc_t)xdr_msp_gossip_ping_t, (char *)&ping);
+	return good;
+}
+
+static const uint32_t false_counts[] = {
+    2, 17, 64, 65, 1400, 0x7fffffff, 0x80000000, UINT32_MAX};
+
+static void
+cut_and_oversized_messages_are_not_decoded(void **state)
+{
+	char bytes[1400];
+	char changed[1400];
+	size_t len = code_ping(bytes, sizeof(bytes));
+	size_t at;
+	size_t i;
+
+	(void)state;
+	assert_true(decode_ping(bytes, len));
+	for (at = 0; at < len; at++)
+		assert_false(decode_ping(bytes, at));
+	for (i = 0; i < sizeof(false_counts) / sizeof(uint32_t); i++) {
+		uint32_t count = htonl(false_counts[i]);
+
+		for (at = 0; at + 4 <= len; at += 4) {
+			memcpy(changed, bytes, len);
+			memcpy(changed + at, &count, 4);
+			decode_ping(changed, len);
+		}
+		/* The count of updates follows the head. */
+		memcpy(changed, bytes, len);
+		memcpy(changed + 36, &count, 4);
+		assert_false(decode_ping(changed, len));
+	}
+}
+
 int
 main(void)
 {
@@ -295,6 +371,7 @@
 	    cmocka_unit_test(loads_out_of_range_are_dropped),
 	    cmocka_unit_test(a_replaced_vm_gives_way),
 	    cmocka_unit_test(corrupt_messages_do_no_lasting_harm),
+	    cmocka_unit_test(cut_and_oversized_messages_are_not_decoded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
