--- a/measure/capacity_gossip.c
+++ b/measure/capacity_gossip.c
@@ -24,13 +24,14 @@
 	double microseconds; /* of processor time a node and second */
 } traffic_t;
 
+/* Each load starts with the time when it was set. */
 static void
-change_loads(net_t *net, uint8_t value)
+change_loads(net_t *net)
 {
-	uint8_t load[LOAD_BYTES];
+	uint8_t load[LOAD_BYTES] = {0};
 	size_t i;
 
-	memset(load, value, sizeof(load));
+	memcpy(load, &net->now, sizeof(net->now));
 	for (i = 0; i < net->count; i++)
 		msp_set_member_load(
 		    net->nodes[i].membership, load, sizeof(load));
@@ -44,7 +45,6 @@
 	double nodes = (double)net->count;
 	double start;
 	msp_time_t end = net->now + MEASURED;
-	uint8_t second = 0;
 	size_t i;
 
 	for (i = 0; i < net->count; i++) {
@@ -54,7 +54,7 @@
 	start = processor_seconds();
 	while (net->now < end) {
 		if (loads)
-			change_loads(net, second++);
+			change_loads(net);
 		run_net(net, MSP_SECOND);
 	}
 	traffic.microseconds =
@@ -71,6 +71,46 @@
 	return traffic;
 }
 
+static int
+compare_ages(const void *a, const void *b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return (first > second) - (first < second);
+}
+
+/* How old the loads are that members hold of each other. */
+static void
+print_load_ages(const net_t *net)
+{
+	double *ages = calloc(net->count * net->count, sizeof(double));
+	size_t count = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < net->count; i++) {
+		for (j = 0; j < net->count; j++) {
+			const msp_member_t *member = msp_find_member(
+			    net->nodes[i].membership, net->nodes[j].name);
+			msp_time_t set;
+
+			if (i == j || member == NULL ||
+			    member->load_len != LOAD_BYTES)
+				continue;
+			memcpy(&set, member->load, sizeof(set));
+			ages[count++] = (double)(net->now - set) / MSP_SECOND;
+		}
+	}
+	qsort(ages, count, sizeof(double), compare_ages);
+	if (count > 0)
+		printf("    loads of others: %zu of %zu, age p50 %.1f s, "
+		       "p99 %.1f s\n",
+		    count, net->count * (net->count - 1), ages[count / 2],
+		    ages[count * 99 / 100]);
+	free(ages);
+}
+
 static net_t *
 settled_net(size_t nodes, size_t places, size_t regions, bool relays)
 {
@@ -92,7 +132,7 @@
 static void
 measure_members(void)
 {
-	static const size_t sizes[] = {16, 47, 128, 512};
+	static const size_t sizes[] = {4, 16, 47, 128, 512};
 	enum {
 		COUNT = sizeof(sizes) / sizeof(sizes[0])
 	};
@@ -113,6 +153,7 @@
 		printf("%7zu %9.0f %10.0f %9.0f %11.1f %9.0f\n", sizes[i],
 		    quiet.bytes, busy.bytes, busy.most_bytes, busy.messages,
 		    busy.microseconds);
+		print_load_ages(net);
 		fflush(stdout);
 		x[i] = (double)sizes[i];
 		idle[i] = quiet.bytes;
@@ -145,15 +186,6 @@
 		msp_set_own_summary(net->nodes[i].relay, &own);
 }
 
-static int
-compare_ages(const void *a, const void *b)
-{
-	double first = *(const double *)a;
-	double second = *(const double *)b;
-
-	return (first > second) - (first < second);
-}
-
 /* Ages of the summaries of the own region, or of others, over all nodes. */
 static void
 print_ages(const net_t *net, bool own_region)
--- /dev/null
+++ b/measure/capacity_locate.c
@@ -0,0 +1,89 @@
+/* Time of one look-up of entry VMs, by data centres and by members. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gossip_net.h"
+#include "linear_fit.h"
+#include "monsoonspindle/steer.h"
+
+#define SEED 1
+#define SETTLE (180 * MSP_SECOND)
+#define LOOKUPS 50000
+
+typedef struct size_case {
+	size_t places;
+	size_t regions;
+	size_t members; /* of each place */
+} size_case_t;
+
+static const size_case_t size_cases[] = {
+    {4, 2, 4},
+    {16, 4, 4},
+    {62, 16, 4},
+    {4, 2, 16},
+    {4, 2, 47},
+};
+
+/* Returns microseconds of processor time a look-up. */
+static double
+measure(const size_case_t *row)
+{
+	net_t *net = new_net(row->places * row->members, SEED);
+	msp_lookup_answer_t answer = {0};
+	char client[MSP_MEMBER_ADDRESS_SIZE];
+	double start;
+	double took;
+	size_t i;
+
+	net->relays = true;
+	place_nodes(net, row->places, row->regions);
+	for (i = 0; i < net->count; i++) {
+		start_node(net, i);
+		run_net(net, 50 * MSP_MS);
+	}
+	run_net(net, SETTLE);
+	start = processor_seconds();
+	for (i = 0; i < LOOKUPS; i++) {
+		msp_lookup_t lookup = {
+		    .service = "records-vault",
+		    .client = client,
+		};
+
+		snprintf(client, sizeof(client), "10.%zu.%zu.%zu", i >> 16,
+		    i >> 8 & 255, i & 255);
+		if (msp_locate(net->nodes[0].membership, net->nodes[0].relay,
+			&lookup, &answer) != MSP_OK) {
+			fprintf(stderr, "%s\n", msp_last_message());
+			exit(1);
+		}
+	}
+	took = (processor_seconds() - start) * 1e6 / LOOKUPS;
+	printf("%6zu %8zu %11.2f %12.0f %8zu\n", row->places, row->members,
+	    took, 1e6 / took, answer.count);
+	fflush(stdout);
+	drop_net(net);
+	return took;
+}
+
+int
+main(void)
+{
+	double x[] = {4, 16, 62};
+	double y[3];
+	double members[] = {4, 16, 47};
+	double by_members[3];
+	size_t i;
+
+	printf("look-ups of entry VMs, seed %d:\n"
+	       "places  members  us/look-up  look-ups/s  entries\n",
+	    SEED);
+	for (i = 0; i < 3; i++)
+		y[i] = measure(&size_cases[i]);
+	by_members[0] = y[0];
+	for (i = 1; i < 3; i++)
+		by_members[i] = measure(&size_cases[i + 2]);
+	print_fit("look-up", "us", "places", x, y, 3, 62);
+	print_fit("look-up", "us", "members", members, by_members, 3, 47);
+	return 0;
+}
