Test that callbacks may call the dispatcher again

1,000 seeds of jobs that are submitted, ended and cancelled from within each callback, with targets that come and go. A job must not be cancelled while the end of one of its attempts is being reported: the header says so now, found by the first run of the test.

--- a/include/monsoonspindle/steer/dispatcher.h
+++ b/include/monsoonspindle/steer/dispatcher.h
@@ -131,8 +131,9 @@
 
 /*
  * The caller went away: takes the job out, cancelling its attempts. The refuse
- * callback is not called. Returns true if an attempt was in flight or may have
- * reached a target before.
+ * callback is not called. Not to be called for a job while the end of one of
+ * its attempts is being reported. Returns true if an attempt was in flight or
+ * may have reached a target before.
  */
 bool msp_cancel_job(msp_dispatcher_t *dispatcher, msp_job_t *job);
 
--- /dev/null
+++ b/tests/steer/test_dispatcher_reentry.c
@@ -0,0 +1,303 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/steer.h"
+
+#define SEEDS 1000
+#define JOBS 40
+#define STEPS 300
+
+/* A caller whose callbacks call back into the dispatcher at once. */
+typedef struct caller {
+	msp_virtual_env_t venv;
+	msp_rng_t rng;
+	msp_dispatcher_t *dispatcher;
+	msp_job_t jobs[JOBS];
+	bool busy[JOBS]; /* given to the dispatcher */
+	bool ending[JOBS]; /* an attempt's end is being reported */
+	uint32_t live[JOBS]; /* attempts in flight */
+	msp_attempt_t attempts[JOBS][MSP_JOB_ATTEMPTS];
+	uint32_t finals[JOBS]; /* final answers of the present use */
+	int depth;
+	uint64_t starts, doubled, lost, commits_twice;
+	uint32_t commit_starts[JOBS];
+} caller_t;
+
+static void submit_one(caller_t *caller);
+
+static uint64_t
+draw(caller_t *caller, uint64_t bound)
+{
+	return msp_next_random(&caller->rng) % bound;
+}
+
+static size_t
+index_of(const caller_t *caller, const msp_job_t *job)
+{
+	return (size_t)(job - caller->jobs);
+}
+
+static void
+give_back(caller_t *caller, size_t i)
+{
+	caller->finals[i]++;
+	caller->doubled += caller->finals[i] > 1;
+	caller->busy[i] = false;
+	memset(caller->attempts[i], 0, sizeof(caller->attempts[i]));
+}
+
+static void
+forget_attempt(caller_t *caller, size_t i, msp_attempt_t attempt)
+{
+	int k;
+
+	for (k = 0; k < MSP_JOB_ATTEMPTS; k++) {
+		if (caller->attempts[i][k] == attempt)
+			caller->attempts[i][k] = 0;
+	}
+}
+
+static void
+end_one(caller_t *caller, size_t i, msp_attempt_t attempt)
+{
+	msp_outcome_t outcome = (msp_outcome_t)draw(caller, MSP_OUTCOME_COUNT);
+
+	msp_verdict_t verdict;
+
+	forget_attempt(caller, i, attempt);
+	if (outcome == MSP_OUTCOME_REFUSED_CONNECTION ||
+	    outcome == MSP_OUTCOME_SHED)
+		caller->commit_starts[i] = 0;
+	caller->ending[i] = true;
+	verdict = msp_attempt_ended(caller->dispatcher, &caller->jobs[i],
+	    attempt, outcome, draw(caller, 50) * MSP_MS);
+	caller->ending[i] = false;
+	if (verdict == MSP_VERDICT_DONE)
+		give_back(caller, i);
+}
+
+static void
+cancel_any(caller_t *caller)
+{
+	size_t i = draw(caller, JOBS);
+
+	if (!caller->busy[i] || caller->ending[i])
+		return;
+	msp_cancel_job(caller->dispatcher, &caller->jobs[i]);
+	give_back(caller, i);
+}
+
+static void
+call_back_in(caller_t *caller)
+{
+	if (caller->depth >= 3)
+		return;
+	caller->depth++;
+	switch (draw(caller, 6)) {
+	case 0:
+		submit_one(caller);
+		break;
+	case 1:
+		cancel_any(caller);
+		break;
+	case 2:
+		msp_tick_dispatcher(caller->dispatcher);
+		break;
+	default:
+		break;
+	}
+	caller->depth--;
+}
+
+static void
+on_start(void *ctx, msp_job_t *job, const msp_target_ref_t *target, bool fresh,
+    msp_attempt_t attempt)
+{
+	caller_t *caller = ctx;
+	size_t i = index_of(caller, job);
+	int k = caller->attempts[i][0] == 0 ? 0 : 1;
+
+	(void)target;
+	(void)fresh;
+	caller->starts++;
+	caller->lost += !caller->busy[i];
+	caller->attempts[i][k] = attempt;
+	if (job->class == MSP_CLASS_COMMIT && ++caller->commit_starts[i] > 1)
+		caller->commits_twice++;
+	if (draw(caller, 4) == 0)
+		end_one(caller, i, attempt);
+	else
+		call_back_in(caller);
+}
+
+static void
+on_cancel(void *ctx, msp_job_t *job, msp_attempt_t attempt)
+{
+	caller_t *caller = ctx;
+
+	forget_attempt(caller, index_of(caller, job), attempt);
+}
+
+static void
+on_refuse(void *ctx, msp_job_t *job, const msp_refusal_t *refusal)
+{
+	caller_t *caller = ctx;
+
+	(void)refusal;
+	give_back(caller, index_of(caller, job));
+	call_back_in(caller);
+}
+
+static void
+on_forget(void *ctx, const msp_target_ref_t *target)
+{
+	(void)target;
+	call_back_in(ctx);
+}
+
+static void
+submit_one(caller_t *caller)
+{
+	size_t i = draw(caller, JOBS);
+	msp_class_t class = (msp_class_t)draw(caller, MSP_CLASS_COUNT);
+
+	if (caller->busy[i])
+		return;
+	caller->jobs[i] = (msp_job_t){
+	    .class = class,
+	    .is_idempotent = class != MSP_CLASS_COMMIT,
+	    .is_shifted = draw(caller, 4) == 0,
+	    .deadline = caller->venv.now + 1 + draw(caller, 500) * MSP_MS,
+	    .fingerprint = {.high = draw(caller, 30)},
+	    .retries_left = (uint32_t)draw(caller, 3),
+	};
+	caller->busy[i] = true;
+	caller->finals[i] = 0;
+	caller->commit_starts[i] = 0;
+	msp_submit_job(caller->dispatcher, &caller->jobs[i]);
+}
+
+static void
+change_targets(caller_t *caller)
+{
+	static const char *const names[] = {"a", "b", "c"};
+	msp_target_spec_t specs[3];
+	size_t count = 0, i;
+
+	for (i = 0; i < 3; i++) {
+		if (draw(caller, 4) == 0)
+			continue;
+		specs[count++] = (msp_target_spec_t){
+		    .name = names[i],
+		    .slots = (uint32_t)draw(caller, 4) + 1,
+		    .state = (msp_target_state_t)draw(caller, 3),
+		};
+	}
+	msp_set_dispatcher_targets(caller->dispatcher, specs, count);
+}
+
+static void
+step(caller_t *caller)
+{
+	size_t i = draw(caller, JOBS);
+	int k = (int)draw(caller, MSP_JOB_ATTEMPTS);
+
+	caller->venv.now += draw(caller, 20) * MSP_MS;
+	if (draw(caller, 200) == 0)
+		caller->venv.now += 3 * MSP_SECOND;
+	switch (draw(caller, 8)) {
+	case 0:
+	case 1:
+	case 2:
+		submit_one(caller);
+		break;
+	case 3:
+		if (draw(caller, 5) == 0)
+			change_targets(caller);
+		break;
+	case 4:
+		cancel_any(caller);
+		break;
+	case 5:
+		msp_resume_dispatcher(caller->dispatcher);
+		break;
+	default:
+		if (caller->busy[i] && caller->attempts[i][k] != 0)
+			end_one(caller, i, caller->attempts[i][k]);
+		break;
+	}
+	msp_tick_dispatcher(caller->dispatcher);
+}
+
+static void
+callbacks_may_call_back_in(void **state)
+{
+	uint64_t seed, starts = 0, doubled = 0, lost = 0, twice = 0, left = 0;
+	int i;
+
+	(void)state;
+	for (seed = 1; seed <= SEEDS; seed++) {
+		static caller_t caller;
+		msp_dispatcher_options_t options = {
+		    .service = "s",
+		    .place = "p",
+		    .policy = msp_default_policy(
+			(msp_preference_t)(seed % MSP_PREFERENCE_COUNT)),
+		};
+		msp_dispatcher_callbacks_t callbacks = {
+		    .start = on_start,
+		    .cancel_attempt = on_cancel,
+		    .refuse = on_refuse,
+		    .forget_connections = on_forget,
+		    .ctx = &caller,
+		};
+		msp_dispatcher_load_t load;
+		msp_env_t env;
+
+		memset(&caller, 0, sizeof(caller));
+		caller.venv = (msp_virtual_env_t){
+		    .now = MSP_MINUTE, .rng = {.state = seed}};
+		caller.rng.state = seed * 7919;
+		env = msp_virtual_env(&caller.venv);
+		caller.dispatcher =
+		    msp_new_dispatcher(&env, &options, &callbacks);
+		change_targets(&caller);
+		for (i = 0; i < STEPS; i++)
+			step(&caller);
+		/* All deadlines pass: each job gets its final answer. */
+		caller.depth = 3;
+		caller.venv.now += MSP_SECOND;
+		msp_tick_dispatcher(caller.dispatcher);
+		msp_tick_dispatcher(caller.dispatcher);
+		for (i = 0; i < JOBS; i++)
+			left += caller.busy[i];
+		msp_get_dispatcher_load(caller.dispatcher, &load);
+		left += load.in_flight;
+		starts += caller.starts;
+		doubled += caller.doubled;
+		lost += caller.lost;
+		twice += caller.commits_twice;
+		msp_drop_dispatcher(caller.dispatcher);
+	}
+	print_message("%llu starts\n", (unsigned long long)starts);
+	assert_true(starts > 10 * SEEDS);
+	assert_int_equal(doubled, 0);
+	assert_int_equal(lost, 0);
+	assert_int_equal(twice, 0);
+	assert_int_equal(left, 0);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(callbacks_may_call_back_in),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
