--- a/include/monsoonspindle/coord/credits.h
+++ b/include/monsoonspindle/coord/credits.h
@@ -102,7 +102,8 @@
 /*
  * Debits the answer when its size is known, 0 if there is none, and returns
  * how long to wait before sending it so that the cap holds: 0 unless answers
- * are larger than before. One larger than the whole share can't hold it.
+ * are larger than before. One larger than the whole share can't hold it. The
+ * timer may be up to 20 ms late.
  */
 msp_time_t msp_settle_shift(
     msp_granter_t *granter, msp_shift_t *shift, uint64_t answer_bytes);
--- a/source/coord/bucket.c
+++ b/source/coord/bucket.c
@@ -29,6 +29,24 @@
 		bucket->level = burst;
 }
 
+void
+msp_limit_bucket(
+    msp_bucket_t *bucket, double rate, double burst_part, double least_burst)
+{
+	double burst = rate / burst_part;
+
+	if (burst < least_burst)
+		burst = least_burst;
+	if (rate <= 0)
+		burst = 0;
+	if (bucket->rate > rate)
+		bucket->rate = rate;
+	if (bucket->burst > burst)
+		bucket->burst = burst;
+	if (bucket->level > bucket->burst)
+		bucket->level = bucket->burst;
+}
+
 msp_time_t
 msp_bucket_wait(const msp_bucket_t *bucket, double level)
 {
--- a/source/coord/bucket.h
+++ b/source/coord/bucket.h
@@ -23,6 +23,10 @@
 void msp_set_bucket(msp_bucket_t *bucket, double cap, double burst_part,
     double least_burst, msp_time_t now);
 
+/* Lowers a bucket that was just set to a rate that may be less than its own. */
+void msp_limit_bucket(
+    msp_bucket_t *bucket, double rate, double burst_part, double least_burst);
+
 void msp_fill_bucket(msp_bucket_t *bucket, msp_time_t now);
 
 /* Time until the level is at least `level`, or MSP_NEVER. */
--- a/source/coord/granter.c
+++ b/source/coord/granter.c
@@ -10,6 +10,7 @@
 #define DEFAULT_FILL_PERCENT 85
 #define REQUEST_BURST_PART 8
 #define BYTE_BURST_PART 4
+#define BYTE_SHARE 0.98 /* the rest is for answers sent up to 20 ms late */
 #define RAMP_START 0.1 /* of the capacity */
 #define RAMP_GROWTH 1.5 /* each step in which half of the offer was used */
 #define RAMP_STEP (500 * MSP_MS)
@@ -118,10 +119,12 @@
 	msp_time_t now = msp_now(&granter->env);
 
 	account->rate = rate;
-	msp_set_bucket(
-	    &account->requests, rate.requests, REQUEST_BURST_PART, 1, now);
-	msp_set_bucket(
-	    &account->bytes, (double)rate.bytes, BYTE_BURST_PART, 1, now);
+	msp_set_bucket(&account->requests, account->share.requests,
+	    REQUEST_BURST_PART, 1, now);
+	msp_limit_bucket(
+	    &account->requests, rate.requests, REQUEST_BURST_PART, 1);
+	msp_set_bucket(&account->bytes, (double)rate.bytes * BYTE_SHARE,
+	    BYTE_BURST_PART, 1, now);
 }
 
 static msp_credit_rate_t
