Decide issued keys by the memory of the VM that issued them

A look-up hands out the start of a key that names the VM's incarnation; any VM of its data centre passes such a commit on to it. A VM of another data centre does not know where that incarnation is: it only looks for a recorded outcome.

--- a/source/spindled/commits.c
+++ b/source/spindled/commits.c
@@ -7,6 +7,7 @@
 
 #include "commit_run.h"
 #include "commits_private.h"
+#include "forward_try.h"
 #include "log.h"
 #include "members.h"
 
@@ -134,6 +135,21 @@
 	msp_drop_response(&result.response);
 }
 
+/* Tells the VM that forwarded a try that its key was released before. */
+static void
+answer_released(entry_t *entry, const msp_claim_verdict_t *verdict)
+{
+	work_result_t result = {.answered = true, .response = {.status = 200}};
+	char nonce[MSP_DIGEST_TEXT_SIZE];
+
+	msp_print_digest(verdict->nonce, nonce);
+	msp_add_header(&result.response.headers, "msp-released", nonce);
+	msp_print_header(&result.response.headers, "msp-age-us", "%llu",
+	    (unsigned long long)verdict->age);
+	answer_entry(entry, &result);
+	msp_drop_response(&result.response);
+}
+
 static void
 on_verdict(void *ctx, const msp_claim_verdict_t *verdict)
 {
@@ -156,7 +172,9 @@
 		replay(entry, verdict->outcome);
 		return;
 	case MSP_CLAIM_VERDICT_RELEASED:
-		/* Only forwarded tries get it. */
+		entry->tried = NULL;
+		answer_released(entry, verdict);
+		return;
 	case MSP_CLAIM_VERDICT_REFUSE:
 		entry->tried = NULL;
 		refuse_entry(entry, &verdict->refusal);
@@ -165,7 +183,7 @@
 }
 
 void
-start_commit(commits_t *commits, entry_t *entry)
+begin_commit(commits_t *commits, entry_t *entry)
 {
 	const work_t *work = &entry->work;
 	msp_try_params_t params = {.service = work->service,
@@ -173,7 +191,10 @@
 	    .digest = work->fingerprint,
 	    .attempt = entry->attempt,
 	    .arrival = work->arrival,
-	    .deadline = work->deadline};
+	    .deadline = work->deadline,
+	    .forwarded = entry->forwarded,
+	    .release_seen = entry->release_seen,
+	    .after_release = entry->after_release};
 	msp_refusal_t refusal = {
 	    .status = MSP_E_BAD_REQUEST, .reason = msp_last_message()};
 
@@ -187,6 +208,13 @@
 	arm_commits(commits);
 }
 
+void
+start_commit(commits_t *commits, entry_t *entry)
+{
+	if (!forward_try(commits, entry))
+		begin_commit(commits, entry);
+}
+
 void
 leave_commit(commits_t *commits, entry_t *entry)
 {
--- a/source/spindled/commits.h
+++ b/source/spindled/commits.h
@@ -11,9 +11,15 @@
 commits_t *new_commits(struct daemon *daemon);
 void drop_commits(commits_t *commits);
 
-/* Claims the entry's key, runs the request if it may, and answers it. */
+/*
+ * Claims the entry's key, runs the request if it may, and answers it. A key
+ * that another VM issued is decided by that one.
+ */
 void start_commit(commits_t *commits, entry_t *entry);
 
+/* The same, decided here. */
+void begin_commit(commits_t *commits, entry_t *entry);
+
 /* The entry's caller went away. What runs, runs on for its next try. */
 void leave_commit(commits_t *commits, entry_t *entry);
 
--- a/source/spindled/entry.c
+++ b/source/spindled/entry.c
@@ -10,6 +10,7 @@
 #include "lookup.h"
 #include "problem.h"
 #include "route.h"
+#include "wire.h"
 
 #define RETRY_AFTER_MS 1000
 
@@ -58,6 +59,21 @@
 	return entries->count;
 }
 
+/* Answers the VM that passed the request on. */
+static void
+answer_forwarder(entry_t *entry, work_result_t *result)
+{
+	msp_response_t response = {0};
+
+	memcpy(result->vm, entry->daemon->settings->vm, sizeof(result->vm));
+	if (wire_write_result(result, &response) == MSP_OK) {
+		msp_answer_exchange(entry->exchange, &response);
+		return;
+	}
+	msp_drop_response(&response);
+	answer_error(entry->exchange, MSP_E_INTERNAL);
+}
+
 void
 answer_entry(entry_t *entry, work_result_t *result)
 {
@@ -72,7 +88,9 @@
 	    "msp_requests_total{service=\"%s\",class=\"%s\",ended="
 	    "\"answered\"}",
 	    entry->work.service, msp_class_name(entry->work.class));
-	if (entry->exchange != NULL) {
+	if (entry->exchange != NULL && entry->forwarded) {
+		answer_forwarder(entry, result);
+	} else if (entry->exchange != NULL) {
 		if (msp_find_header(headers, "x-request-id") == NULL)
 			msp_add_header(headers, "X-Request-ID", entry->work.id);
 		msp_answer_exchange(entry->exchange, &result->response);
@@ -95,11 +113,14 @@
 	    .key = work->key,
 	    .attempt = entry->attempt,
 	    .has_run = true};
+	work_result_t result = {.refusal = *refusal};
 
 	msp_count(daemon->counters, 1, "msp_refusals_total{kind=\"%s\"}",
 	    msp_status_name(refusal->status));
 	log_decision(NULL, &decision);
-	if (entry->exchange != NULL)
+	if (entry->exchange != NULL && entry->forwarded)
+		answer_forwarder(entry, &result);
+	else if (entry->exchange != NULL)
 		answer_problem(entry->exchange, &problem);
 	free_entry(entry);
 }
@@ -127,21 +148,31 @@
 	answer_entry(ctx, result);
 }
 
+entry_t *
+new_entry(struct daemon *daemon, msp_exchange_t *exchange)
+{
+	entry_t *entry = calloc(1, sizeof(*entry));
+
+	if (entry == NULL)
+		return NULL;
+	entry->daemon = daemon;
+	entry->exchange = exchange;
+	msp_set_exchange_data(exchange, entry);
+	TAILQ_INSERT_TAIL(&daemon->entries->list, entry, link);
+	daemon->entries->count++;
+	return entry;
+}
+
 static void
 start_entry(daemon_t *daemon, msp_exchange_t *exchange)
 {
-	entry_t *entry = calloc(1, sizeof(*entry));
+	entry_t *entry = new_entry(daemon, exchange);
 	msp_status_t status;
 
 	if (entry == NULL) {
 		answer_error(exchange, MSP_E_NO_MEMORY);
 		return;
 	}
-	entry->daemon = daemon;
-	entry->exchange = exchange;
-	msp_set_exchange_data(exchange, entry);
-	TAILQ_INSERT_TAIL(&daemon->entries->list, entry, link);
-	daemon->entries->count++;
 	status = read_entry_request(daemon, entry);
 	if (status != MSP_OK) {
 		refuse_early(entry, status);
@@ -177,14 +208,9 @@
  * A read is cancelled down to its target. A commit goes on: its outcome is
  * kept for the caller's next try.
  */
-static void
-on_gone(void *ctx, msp_exchange_t *exchange)
+void
+leave_entry(entry_t *entry)
 {
-	entry_t *entry = msp_exchange_data(exchange);
-
-	(void)ctx;
-	if (entry == NULL)
-		return;
 	msp_count(entry->daemon->counters, 1, "msp_callers_gone_total");
 	entry->exchange = NULL;
 	if (entry->tried != NULL)
@@ -194,6 +220,16 @@
 	free_entry(entry);
 }
 
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	entry_t *entry = msp_exchange_data(exchange);
+
+	(void)ctx;
+	if (entry != NULL)
+		leave_entry(entry);
+}
+
 msp_http_server_t *
 open_caller_listener(struct daemon *daemon)
 {
--- a/source/spindled/entry.h
+++ b/source/spindled/entry.h
@@ -15,6 +15,9 @@
 	msp_exchange_t *exchange; /* NULL once the caller went away */
 	uint32_t attempt; /* the caller's own number of the try; 0: none */
 	struct msp_try *tried; /* of a commit, until its final verdict */
+	bool forwarded; /* by another VM; answered in the form for VMs */
+	bool after_release; /* as in msp_try_params_t, if forwarded */
+	msp_digest_t release_seen;
 	work_t work;
 } entry_t;
 
@@ -28,6 +31,12 @@
 /* Opens the callers' listener. Returns NULL with a last message. */
 msp_http_server_t *open_caller_listener(struct daemon *daemon);
 
+/* Takes a request in. Returns NULL without memory. */
+entry_t *new_entry(struct daemon *daemon, msp_exchange_t *exchange);
+
+/* The client went away: a read is cancelled, a commit goes on without it. */
+void leave_entry(entry_t *entry);
+
 /* Answers the caller, if it is still there, and frees the entry. */
 void answer_entry(entry_t *entry, work_result_t *result);
 
--- /dev/null
+++ b/source/spindled/forward_try.c
@@ -0,0 +1,231 @@
+#include "forward_try.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "commits_private.h"
+#include "log.h"
+#include "members.h"
+#include "monsoonspindle/coord/issued_keys.h"
+#include "problem.h"
+#include "wire.h"
+
+#define ANSWER_MARGIN_MS 250
+
+/* One try on its way to the VM that issued its key. */
+typedef struct forward {
+	commits_t *commits;
+	entry_t *entry;
+	msp_call_t *call;
+	char address[MSP_MEMBER_ADDRESS_SIZE];
+	uint16_t port;
+	char release_seen[MSP_DIGEST_TEXT_SIZE]; /* nonce, or "" */
+	bool after_release;
+} forward_t;
+
+static void send_forward(forward_t *forward);
+
+static const msp_member_t *
+find_incarnation(const commits_t *commits, uint64_t incarnation)
+{
+	const msp_membership_t *list = members_list(commits->daemon->members);
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (member->incarnation == incarnation &&
+		    member->state != MSP_MEMBER_DEAD)
+			return member;
+	}
+	return NULL;
+}
+
+/* The key was released meanwhile: whether the try came later is told once. */
+static bool
+note_release(forward_t *forward, const msp_headers_t *headers)
+{
+	const work_t *work = &forward->entry->work;
+	const char *nonce = msp_find_header(headers, "msp-released");
+	const char *age = msp_find_header(headers, "msp-age-us");
+	msp_time_t waited;
+
+	if (nonce == NULL || age == NULL ||
+	    strlen(nonce) >= sizeof(forward->release_seen) ||
+	    forward->release_seen[0] != '\0')
+		return false;
+	strcpy(forward->release_seen, nonce);
+	waited = msp_now(&forward->commits->daemon->env) - work->arrival;
+	forward->after_release = waited < strtoull(age, NULL, 10);
+	return true;
+}
+
+static void
+end_forward(forward_t *forward, msp_call_result_t *ended)
+{
+	entry_t *entry = forward->entry;
+	commits_t *commits = forward->commits;
+	bool never_sent = !ended->maybe_sent;
+	work_result_t result = {0};
+
+	free(forward);
+	entry->work.cancel = NULL;
+	if (ended->status == MSP_OK &&
+	    wire_read_result(ended->response, &result) == MSP_OK) {
+		answer_entry(entry, &result);
+		msp_drop_response(&result.response);
+		return;
+	}
+	if (never_sent) {
+		/* Nothing runs here; an outcome may be recorded. */
+		begin_commit(commits, entry);
+		return;
+	}
+	result.refusal = (msp_refusal_t){.status = MSP_E_IN_DOUBT,
+	    .run = MSP_RUN_UNKNOWN,
+	    .try_started = true,
+	    .reason = "the answer of the VM that issued the key was lost"};
+	refuse_entry(entry, &result.refusal);
+}
+
+static void
+on_answer(void *ctx, msp_call_result_t *ended)
+{
+	forward_t *forward = ctx;
+
+	if (ended->status == MSP_OK &&
+	    note_release(forward, &ended->response->headers))
+		send_forward(forward);
+	else
+		end_forward(forward, ended);
+}
+
+static void
+cancel_forward(work_t *work)
+{
+	forward_t *forward = work->runner;
+
+	msp_cancel_call(forward->call);
+	free(forward);
+}
+
+static msp_status_t
+write_forward(const forward_t *forward, msp_request_t *request)
+{
+	const entry_t *entry = forward->entry;
+	msp_time_t now = msp_now(&forward->commits->daemon->env);
+	msp_status_t status;
+
+	status = wire_write_work(&entry->work, TRIES_PATH, now, request);
+	if (status != MSP_OK)
+		return status;
+	msp_print_header(
+	    &request->headers, "msp-attempt", "%u", entry->attempt);
+	msp_add_header(
+	    &request->headers, "msp-release-seen", forward->release_seen);
+	status = msp_add_header(&request->headers, "msp-after-release",
+	    forward->after_release ? "1" : "0");
+	if (status != MSP_OK)
+		msp_drop_request(request);
+	return status;
+}
+
+static void
+send_forward(forward_t *forward)
+{
+	daemon_t *daemon = forward->commits->daemon;
+	work_t *work = &forward->entry->work;
+	msp_call_options_t options = {.address = forward->address,
+	    .port = forward->port,
+	    .timeout_ms = work_time_left_ms(work, msp_now(&daemon->env)) +
+		ANSWER_MARGIN_MS,
+	    .fresh = true};
+	msp_call_result_t failed = {.status = MSP_E_NO_MEMORY};
+	msp_request_t request;
+
+	if (write_forward(forward, &request) != MSP_OK) {
+		end_forward(forward, &failed);
+		return;
+	}
+	work->cancel = cancel_forward;
+	work->runner = forward;
+	forward->call = msp_start_call(
+	    daemon->peer_client, &options, &request, on_answer, forward);
+	msp_drop_request(&request);
+	if (forward->call == NULL)
+		end_forward(forward, &failed);
+}
+
+bool
+forward_try(commits_t *commits, entry_t *entry)
+{
+	msp_decision_t decision = {.what = "route",
+	    .request_id = entry->work.id,
+	    .service = entry->work.service,
+	    .reason = "issued-key"};
+	const msp_member_t *member;
+	msp_issued_key_t issued;
+	forward_t *forward;
+
+	if (!msp_parse_issued_key(entry->work.key, &issued) ||
+	    issued.incarnation == commits->daemon->incarnation)
+		return false;
+	member = find_incarnation(commits, issued.incarnation);
+	forward = member == NULL ? NULL : calloc(1, sizeof(*forward));
+	if (forward == NULL)
+		return false;
+	forward->commits = commits;
+	forward->entry = entry;
+	memcpy(forward->address, member->address, sizeof(member->address));
+	forward->port = member->peer_port;
+	decision.vm = member->name;
+	log_decision(NULL, &decision);
+	send_forward(forward);
+	return true;
+}
+
+static msp_status_t
+read_forwarded(commits_t *commits, const msp_request_t *request, entry_t *entry)
+{
+	const msp_headers_t *headers = &request->headers;
+	const char *seen = msp_find_header(headers, "msp-release-seen");
+	const char *after = msp_find_header(headers, "msp-after-release");
+	const char *attempt = msp_find_header(headers, "msp-attempt");
+	msp_status_t status;
+
+	status = wire_read_work(
+	    request, TRIES_PATH, msp_now(&commits->daemon->env), &entry->work);
+	if (status != MSP_OK)
+		return status;
+	if (attempt == NULL || after == NULL || entry->work.is_idempotent ||
+	    entry->work.key[0] == '\0')
+		return msp_fail(MSP_E_BAD_REQUEST, "not a forwarded try");
+	entry->attempt = (uint32_t)strtoul(attempt, NULL, 10);
+	entry->after_release = strcmp(after, "1") == 0;
+	if (seen != NULL && seen[0] != '\0' &&
+	    msp_parse_digest(seen, &entry->release_seen) != 0)
+		return msp_fail(
+		    MSP_E_BAD_REQUEST, "msp-release-seen: no nonce");
+	return MSP_OK;
+}
+
+void
+serve_forwarded_try(commits_t *commits, msp_exchange_t *exchange)
+{
+	entry_t *entry = new_entry(commits->daemon, exchange);
+	msp_refusal_t refusal = {.run = MSP_RUN_UNKNOWN};
+
+	if (entry == NULL) {
+		answer_error(exchange, MSP_E_NO_MEMORY);
+		return;
+	}
+	entry->forwarded = true;
+	refusal.status =
+	    read_forwarded(commits, msp_exchange_request(exchange), entry);
+	refusal.reason = msp_last_message();
+	if (refusal.status == MSP_OK)
+		begin_commit(commits, entry);
+	else
+		refuse_entry(entry, &refusal);
+}
--- a/source/spindled/peers.c
+++ b/source/spindled/peers.c
@@ -6,6 +6,7 @@
 #include "commits.h"
 #include "daemon.h"
 #include "dispatch.h"
+#include "forward_try.h"
 #include "members.h"
 #include "problem.h"
 #include "releases.h"
@@ -72,8 +73,8 @@
 	peer->exchange = exchange;
 	work->done = on_work_done;
 	work->ctx = peer;
-	status = wire_read_work(
-	    msp_exchange_request(exchange), msp_now(&daemon->env), work);
+	status = wire_read_work(msp_exchange_request(exchange), WORK_PATH,
+	    msp_now(&daemon->env), work);
 	if (status != MSP_OK) {
 		answer_error(exchange, status);
 		work_drop(work);
@@ -99,9 +100,10 @@
 	const msp_request_t *request = msp_exchange_request(exchange);
 	const char *path = request->path;
 
-	if (strncmp(path, WIRE_PATH_PREFIX "/", sizeof(WIRE_PATH_PREFIX)) ==
-	    0) {
+	if (strncmp(path, WORK_PATH "/", sizeof(WORK_PATH)) == 0) {
 		take_work(daemon, exchange);
+	} else if (strncmp(path, TRIES_PATH "/", sizeof(TRIES_PATH)) == 0) {
+		serve_forwarded_try(daemon->commits, exchange);
 	} else if (strncmp(path, "/v1/notes", 9) == 0) {
 		serve_notes(daemon->releases, exchange);
 	} else if (strncmp(path, "/v1/claims/", 11) == 0) {
@@ -115,11 +117,16 @@
 static void
 on_gone(void *ctx, msp_exchange_t *exchange)
 {
+	const char *path = msp_exchange_request(exchange)->path;
 	peer_work_t *peer = msp_exchange_data(exchange);
 
 	(void)ctx;
 	if (peer == NULL)
 		return;
+	if (strncmp(path, TRIES_PATH "/", sizeof(TRIES_PATH)) == 0) {
+		leave_entry(msp_exchange_data(exchange));
+		return;
+	}
 	work_cancel(&peer->work);
 	work_drop(&peer->work);
 	free(peer);
--- a/source/spindled/remote.c
+++ b/source/spindled/remote.c
@@ -72,7 +72,8 @@
 	msp_request_t request;
 	remote_t *remote = calloc(1, sizeof(*remote));
 
-	if (remote == NULL || wire_write_work(work, now, &request) != MSP_OK)
+	if (remote == NULL ||
+	    wire_write_work(work, WORK_PATH, now, &request) != MSP_OK)
 		goto fail;
 	remote->work = work;
 	work->cancel = cancel_remote;
--- a/source/spindled/remote.h
+++ b/source/spindled/remote.h
@@ -3,6 +3,8 @@
 
 #include "work.h"
 
+#define WORK_PATH "/v1/work" /* of the peers' listener */
+
 struct daemon;
 
 /*
--- a/source/spindled/wire.c
+++ b/source/spindled/wire.c
@@ -70,7 +70,8 @@
 }
 
 msp_status_t
-wire_write_work(const work_t *work, msp_time_t now, msp_request_t *out)
+wire_write_work(
+    const work_t *work, const char *path, msp_time_t now, msp_request_t *out)
 {
 	msp_headers_t *headers = &out->headers;
 	char fingerprint[MSP_DIGEST_TEXT_SIZE];
@@ -78,7 +79,7 @@
 
 	if (status != MSP_OK)
 		return status;
-	if (snprintf(out->path, sizeof(out->path), "%s%s", WIRE_PATH_PREFIX,
+	if (snprintf(out->path, sizeof(out->path), "%s%s", path,
 		work->request.path) >= (int)sizeof(out->path)) {
 		msp_drop_request(out);
 		return msp_fail(MSP_E_HEADERS_TOO_LARGE, "path too long");
@@ -171,10 +172,11 @@
 }
 
 msp_status_t
-wire_read_work(const msp_request_t *request, msp_time_t now, work_t *work)
+wire_read_work(const msp_request_t *request, const char *path, msp_time_t now,
+    work_t *work)
 {
 	const msp_headers_t *headers = &request->headers;
-	size_t prefix = sizeof(WIRE_PATH_PREFIX) - 1;
+	size_t prefix = strlen(path);
 	char class[16];
 	char fingerprint[MSP_DIGEST_TEXT_SIZE];
 	msp_status_t status;
--- a/source/spindled/wire.h
+++ b/source/spindled/wire.h
@@ -9,7 +9,6 @@
  * travels in headers that start with "msp-"; they are never passed on to a
  * target, and a caller's are dropped.
  */
-#define WIRE_PATH_PREFIX "/v1/work"
 #define WIRE_HEADER_PREFIX "msp-"
 
 /*
@@ -18,16 +17,16 @@
  */
 msp_status_t wire_know_headers(void);
 
-/* Builds the request that carries `work` to another VM. */
+/* Builds the request that carries `work` to another VM, below `path`. */
 msp_status_t wire_write_work(
-    const work_t *work, msp_time_t now, msp_request_t *out);
+    const work_t *work, const char *path, msp_time_t now, msp_request_t *out);
 
 /*
- * Reads a request into `work`, copying what it needs. MSP_E_BAD_REQUEST with a
- * last message that names the header.
+ * Reads a request below `path` into `work`, copying what it needs.
+ * MSP_E_BAD_REQUEST with a last message that names the header.
  */
-msp_status_t wire_read_work(
-    const msp_request_t *request, msp_time_t now, work_t *work);
+msp_status_t wire_read_work(const msp_request_t *request, const char *path,
+    msp_time_t now, work_t *work);
 
 /* Moves the result's answer, or writes its refusal, to `out`. */
 msp_status_t wire_write_result(work_result_t *result, msp_response_t *out);
--- a/tests/process/test_faults.c
+++ b/tests/process/test_faults.c
@@ -157,16 +157,31 @@
 	}
 }
 
+/* The start of a case's keys: the caller's own, or issued by another VM. */
 static void
-run_case(fleet_t *fleet, const fault_case_t *one)
+name_keys(fleet_t *fleet, const fault_case_t *one, bool issued, size_t vm,
+    char *out, size_t size)
+{
+	char prefix[64] = "";
+
+	if (issued)
+		assert_true(fleet_key_prefix(
+		    fleet, (vm + 1) % 3, prefix, sizeof(prefix)));
+	snprintf(out, size, "%s%s", prefix, one->name);
+}
+
+static void
+run_case(fleet_t *fleet, const fault_case_t *one, bool issued)
 {
 	storm_t *storm = calloc(1, sizeof(*storm));
 	size_t vm = find_dispatcher(fleet);
 	char what[200];
+	char name[100];
 	int broken;
 
 	assert_non_null(storm);
-	start_storm(storm, fleet, one->name);
+	name_keys(fleet, one, issued, vm, name, sizeof(name));
+	start_storm(storm, fleet, name);
 	if (!wait_storm(storm, WARM_ANSWERS))
 		fail_msg("%s: no answers before the fault", one->name);
 	start_fault(fleet, one->first, vm);
@@ -178,10 +193,11 @@
 		fail_msg("%s: no answers after the fault", one->name);
 	assert_true(end_storm(storm));
 	broken = judge_storm(storm, what, sizeof(what));
-	print_message("%-24s %4zu orders, %4zu answered, %4zu times not run, "
-		      "%4zu times unknown, %d broken\n",
-	    one->name, storm->order_count, storm->answered, storm->refused,
-	    storm->unknown, broken);
+	print_message(
+	    "%-24s %-6s %4zu orders, %4zu answered, %4zu times not run, "
+	    "%4zu times unknown, %d broken\n",
+	    one->name, issued ? "issued" : "own", storm->order_count,
+	    storm->answered, storm->refused, storm->unknown, broken);
 	free(storm);
 	if (broken > 0)
 		fail_msg("%s", what);
@@ -195,7 +211,44 @@
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
-		run_case(fleet, &cases[i]);
+		run_case(fleet, &cases[i], false);
+}
+
+static void
+commits_with_issued_keys_too(void **state)
+{
+	fleet_t *fleet = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		run_case(fleet, &cases[i], true);
+}
+
+/* Keys of a VM that is gone never run, whatever the callers do. */
+static void
+keys_of_a_killed_vm_never_run(void **state)
+{
+	fleet_t *fleet = *state;
+	char prefix[64];
+	char headers[160];
+	fleet_reply_t reply;
+	size_t vm;
+
+	assert_true(fleet_key_prefix(fleet, 2, prefix, sizeof(prefix)));
+	fleet_signal(&fleet->vms[2], SIGKILL);
+	fleet_wait_exit(fleet, &fleet->vms[2]);
+	assert_int_equal(fleet_restart_vm(fleet, 2), 0);
+	assert_true(fleet_wait_settled(fleet));
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		snprintf(headers, sizeof(headers),
+		    "Idempotency-Key: %sgone\nRequest-Timeout: 2000", prefix);
+		fleet_request(fleet, fleet->vms[vm].port, "POST",
+		    "/v1/services/desk/orders", headers, "x", &reply);
+		assert_int_not_equal(reply.http_status, 200);
+		msp_drop_response(&reply.response);
+	}
+	snprintf(headers, sizeof(headers), "%sgone", prefix);
+	assert_int_equal(fleet_runs(fleet, headers), 0);
 }
 
 static int
@@ -227,6 +280,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(commits_run_at_most_once_under_faults),
+	    cmocka_unit_test(commits_with_issued_keys_too),
+	    cmocka_unit_test(keys_of_a_killed_vm_never_run),
 	};
 
 	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -121,6 +121,9 @@
 /* The version that a VM reports; 0 if it does not answer. */
 uint64_t fleet_version(fleet_t *fleet, size_t vm);
 
+/* Asks a VM for the start of the keys that it issues; false on failure. */
+bool fleet_key_prefix(fleet_t *fleet, size_t vm, char *out, size_t size);
+
 /* Runs of a key on all targets, by their journal. */
 int fleet_runs(const fleet_t *fleet, const char *key);
 
--- a/tests/support/fleet_http.c
+++ b/tests/support/fleet_http.c
@@ -270,6 +270,24 @@
 	return true;
 }
 
+bool
+fleet_key_prefix(fleet_t *fleet, size_t vm, char *out, size_t size)
+{
+	fleet_reply_t reply;
+	json_object *doc;
+	json_object *value;
+
+	out[0] = '\0';
+	fleet_request(fleet, fleet->vms[vm].port, "GET",
+	    "/v1/entries?service=desk", NULL, NULL, &reply);
+	doc = json_tokener_parse(msp_buffer_text(&reply.response.body));
+	if (doc != NULL && json_object_object_get_ex(doc, "key_prefix", &value))
+		snprintf(out, size, "%s", json_object_get_string(value));
+	json_object_put(doc);
+	msp_drop_response(&reply.response);
+	return out[0] != '\0';
+}
+
 int
 fleet_runs(const fleet_t *fleet, const char *key)
 {
--- a/tests/support/storm.c
+++ b/tests/support/storm.c
@@ -87,7 +87,7 @@
 	storm_t *storm = caller->storm;
 	storm_order_t *order = caller->order;
 	size_t vm = draw_vm(storm->fleet);
-	char headers[160];
+	char headers[256];
 
 	snprintf(headers, sizeof(headers),
 	    "Idempotency-Key: %s\nRequest-Attempt: %u\nRequest-Timeout: %d",
--- a/tests/support/storm.h
+++ b/tests/support/storm.h
@@ -10,7 +10,7 @@
 
 /* One order of a caller, over all its tries. */
 typedef struct storm_order {
-	char key[48];
+	char key[128];
 	unsigned int tries;
 	bool answered; /* with a whole answer */
 	bool said_no; /* the last answer said "run":"no" */
