Split the larger files of config and ledger

field.c (400 lines) by values and structs, ledger_submit.c by the note that is committed and the queue, two tests by subject.

--- a/source/config/field.c
+++ b/source/config/field.c
@@ -1,4 +1,4 @@
-#include "field.h"
+#include "field_value.h"
 
 #include <inttypes.h>
 #include <stdarg.h>
@@ -6,9 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "monsoonspindle/config/prefix.h"
-#include "monsoonspindle/config/settings.h"
-
 size_t
 push_field(field_context_t *context, const char *key, size_t index)
 {
@@ -47,141 +44,12 @@
 	    context->path_len > 0 ? context->path : "document", text);
 }
 
-static msp_status_t
+msp_status_t
 fail_type(field_context_t *context, const char *wanted)
 {
 	return fail_field(context, "wrong type, %s expected", wanted);
 }
 
-static void
-store_number(const field_t *field, uint64_t value, char *member)
-{
-	uint16_t narrow = (uint16_t)value;
-	uint32_t middle = (uint32_t)value;
-
-	if (field->size == sizeof(narrow))
-		memcpy(member, &narrow, sizeof(narrow));
-	else if (field->size == sizeof(middle))
-		memcpy(member, &middle, sizeof(middle));
-	else
-		memcpy(member, &value, sizeof(value));
-}
-
-static msp_status_t
-read_number(field_context_t *context, struct json_object *value,
-    const field_t *field, char *member)
-{
-	const char *text = json_object_get_string(value);
-	uint64_t number;
-
-	if (!json_object_is_type(value, json_type_int))
-		return fail_type(context, "whole number");
-	number = json_object_get_uint64(value);
-	if (text[0] == '-' || number < field->min || number > field->max)
-		return fail_field(context,
-		    "%s is out of range %" PRIu64 "..%" PRIu64, text,
-		    field->min, field->max);
-	store_number(field, number, member);
-	return MSP_OK;
-}
-
-static msp_status_t
-read_choice(field_context_t *context, struct json_object *value,
-    const field_t *field, char *member)
-{
-	char list[128] = "";
-	const char *text;
-	uint32_t i;
-
-	if (!json_object_is_type(value, json_type_string))
-		return fail_type(context, "text");
-	text = json_object_get_string(value);
-	for (i = 0; field->choices[i] != NULL; i++) {
-		if (strcmp(field->choices[i], text) == 0) {
-			memcpy(member, &i, sizeof(i));
-			return MSP_OK;
-		}
-		snprintf(list + strlen(list), sizeof(list) - strlen(list),
-		    "%s%s", i > 0 ? ", " : "", field->choices[i]);
-	}
-	return fail_field(context, "\"%.40s\" is none of %s", text, list);
-}
-
-static int
-is_name(const char *text)
-{
-	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789._-";
-
-	if (text[0] == '.' || text[0] == '_' || text[0] == '-')
-		return 0;
-	return strspn(text, allowed) == strlen(text);
-}
-
-static int
-is_printable(const char *text)
-{
-	for (; *text != '\0'; text++) {
-		if ((unsigned char)*text < 0x20 || (unsigned char)*text > 0x7e)
-			return 0;
-	}
-	return 1;
-}
-
-static msp_status_t
-read_text(field_context_t *context, struct json_object *value,
-    const field_t *field, char *member)
-{
-	const char *text;
-	size_t len;
-
-	if (!json_object_is_type(value, json_type_string))
-		return fail_type(context, "text");
-	text = json_object_get_string(value);
-	len = strlen(text);
-	if (len < field->min || len > field->max)
-		return fail_field(context,
-		    "%zu bytes, out of range %" PRIu64 "..%" PRIu64 " bytes",
-		    len, field->min, field->max);
-	if (field->type == FIELD_NAME && !is_name(text))
-		return fail_field(context,
-		    "\"%.40s\" is no name of [a-z0-9][a-z0-9._-]*", text);
-	if (!is_printable(text))
-		return fail_field(
-		    context, "a byte is outside of printable ASCII");
-	memcpy(member, text, len + 1);
-	return MSP_OK;
-}
-
-static msp_status_t
-read_address(field_context_t *context, struct json_object *value,
-    const field_t *field, char *member)
-{
-	const char *text;
-
-	if (!json_object_is_type(value, json_type_string))
-		return fail_type(context, "text");
-	text = json_object_get_string(value);
-	if (msp_normalise_address(text, member, field->size) != MSP_OK)
-		return fail_field(context, "\"%.40s\" is no IP number", text);
-	return MSP_OK;
-}
-
-static msp_status_t
-read_prefix(field_context_t *context, struct json_object *value, char *member)
-{
-	msp_prefix_t prefix;
-	const char *text;
-
-	if (!json_object_is_type(value, json_type_string))
-		return fail_type(context, "text");
-	text = json_object_get_string(value);
-	if (msp_parse_prefix(text, &prefix) != MSP_OK)
-		return fail_field(
-		    context, "\"%.60s\": %s", text, msp_last_message());
-	memcpy(member, &prefix, sizeof(prefix));
-	return MSP_OK;
-}
-
 static msp_status_t
 read_object(field_context_t *context, struct json_object *value,
     const field_t *field, char *member)
--- a/source/coord/ledger_state.h
+++ b/source/coord/ledger_state.h
@@ -7,6 +7,8 @@
 #include "monsoonspindle/coord/ledger.h"
 #include "note_log.h"
 
+#define CATCH_UP_CHECK (10 * MSP_MS) /* while missing notes are pulled */
+
 /* Where a submission stands. */
 typedef enum submit_step {
 	SUBMIT_READ, /* read head and id, when it is due */
@@ -111,10 +113,13 @@
 /* ledger_scan.c */
 void start_scan(msp_ledger_t *ledger);
 
-/* ledger_submit.c */
+/* ledger_queue.c: the notes that wait to be committed, one after the other. */
 void tick_submissions(msp_ledger_t *ledger);
 msp_time_t submit_deadline(const msp_ledger_t *ledger);
 void drop_submissions(msp_ledger_t *ledger);
+
+/* ledger_submit.c: one note on its way. */
+void start_read(msp_ledger_t *ledger, submission_t *submission);
 void end_submission(
     submission_t *submission, msp_status_t status, const char *message);
 void read_again(
--- /dev/null
+++ b/tests/coord/test_ledger_start.c
@@ -0,0 +1,175 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "ledger_test.h"
+
+#define SNAPSHOT "release-snapshot"
+#define OTHER_DIGEST "0123456789abcdef0123456789abcdef"
+
+static void
+put_object(ledger_fleet_t *fleet, const char *text)
+{
+	msp_store_t store = msp_memory_store(fleet->store);
+	msp_status_t status = MSP_E_LOST;
+
+	store.put_object(store.ctx, SNAPSHOT, text, strlen(text), 1000,
+	    keep_status, &status);
+	run_ledger_fleet(fleet, 50 * MSP_MS);
+	assert_int_equal(status, MSP_OK);
+}
+
+static void
+new_vm_reads_snapshot_and_tail(void **state)
+{
+	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+
+	(void)state;
+	assert_non_null(fleet);
+	fleet->options.snapshot_every = 8;
+	init_ledger_fleet(fleet, 42, 3, 1);
+	assert_true(run_fleet_together(fleet, SETTLE));
+	commit_regions(fleet, 21);
+	assert_int_equal(
+	    *msp_counter(fleet->counters, "msp_release_snapshots_total"), 2);
+	kill_fleet_vm(fleet, 1);
+	kill_fleet_vm(fleet, 2);
+	start_fleet_vm(fleet, 1);
+	kill_fleet_vm(fleet, 0);
+	assert_true(run_fleet_to_version(fleet, 21, SETTLE));
+	/* Five notes came after the snapshot of version 16. */
+	assert_int_equal(
+	    *msp_counter(fleet->counters, "msp_release_applied_total"),
+	    21 * 3 + 5);
+	end_test_fleet(fleet);
+}
+
+static const char *const bad_snapshots[] = {
+    "",
+    "{}",
+    "nonsense\n",
+    /* An empty release that claims to be version 2 of another chain. */
+    "{\"format\":1,\"version\":2,\"digest\":\"" OTHER_DIGEST
+    "\",\"note\":\"n\",\"items\":0,\"check\":"
+    "\"00000000000000000000000000000000\"}\n",
+};
+
+/* With only the store to start from, a VM must get past a bad snapshot. */
+static void
+start_past_snapshot(ledger_fleet_t *fleet, const char *snapshot)
+{
+	unsigned int i;
+
+	put_object(fleet, snapshot);
+	for (i = 0; i < fleet->vm_count; i++)
+		kill_fleet_vm(fleet, i);
+	start_fleet_vm(fleet, 0);
+	assert_true(run_fleet_to_version(fleet, 5, SETTLE));
+	assert_int_equal(fleet->vms[0].version, 5);
+	assert_null(
+	    msp_find_region(msp_ledger_release(fleet->vms[0].ledger), "x0"));
+}
+
+static void
+bad_snapshot_is_not_used(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(43, 3, 1);
+	ledger_fleet_t *other = new_test_fleet(44, 1, 1);
+	msp_buffer_t forked = {0};
+	char name[16];
+	size_t i;
+
+	(void)state;
+	commit_regions(fleet, 5);
+	for (i = 0; i < sizeof(bad_snapshots) / sizeof(bad_snapshots[0]); i++)
+		start_past_snapshot(fleet, bad_snapshots[i]);
+	/* Snapshots of another chain: below, at and above the head. */
+	for (i = 0; i < 6; i++) {
+		snprintf(name, sizeof(name), "x%zu", i);
+		commit_region(other, 0, name);
+		msp_clear_buffer(&forked);
+		msp_print_release(
+		    msp_ledger_release(other->vms[0].ledger), &forked);
+		start_past_snapshot(fleet, msp_buffer_text(&forked));
+	}
+	msp_drop_buffer(&forked);
+	end_test_fleet(other);
+	end_test_fleet(fleet);
+}
+
+/* A VM in service keeps its chain, also if a peer sends a later snapshot. */
+static void
+ready_vm_takes_no_snapshot(void **state)
+{
+	ledger_fleet_t *fleet = new_test_fleet(49, 1, 1);
+	ledger_fleet_t *other = calloc(1, sizeof(*other));
+	msp_buffer_t answer = {0};
+
+	(void)state;
+	assert_non_null(other);
+	other->options.kept_notes = 1;
+	init_ledger_fleet(other, 50, 1, 1);
+	assert_true(run_fleet_together(other, SETTLE));
+	commit_region(fleet, 0, "r");
+	commit_regions(other, 4);
+	assert_int_equal(
+	    msp_ledger_notes_after(other->vms[0].ledger, 1, &answer), MSP_OK);
+	assert_int_equal(strncmp(answer.data, "snapshot 4 ", 11), 0);
+	msp_ledger_take(fleet->vms[0].ledger, answer.data, answer.len);
+	assert_int_equal(fleet->vms[0].version, 1);
+	msp_drop_buffer(&answer);
+	end_test_fleet(other);
+	end_test_fleet(fleet);
+}
+
+static void
+new_vm_starts_from_a_peer_with_the_store_down(void **state)
+{
+	ledger_fleet_t *fleet = calloc(1, sizeof(*fleet));
+	size_t kept;
+
+	(void)state;
+	assert_non_null(fleet);
+	for (kept = 2; kept <= 100; kept += 98) {
+		memset(fleet, 0, sizeof(*fleet));
+		fleet->options.kept_notes = kept; /* 2: a snapshot is sent */
+		init_ledger_fleet(fleet, 45, 3, 1);
+		assert_true(run_fleet_together(fleet, SETTLE));
+		commit_regions(fleet, 6);
+		msp_memory_store_faults(fleet->store)->down = true;
+		kill_fleet_vm(fleet, 2);
+		start_fleet_vm(fleet, 2);
+		assert_true(run_fleet_to_version(fleet, 6, SETTLE));
+		/* Nobody left to ask, and no store: not ready. */
+		kill_fleet_vm(fleet, 0);
+		kill_fleet_vm(fleet, 1);
+		kill_fleet_vm(fleet, 2);
+		start_fleet_vm(fleet, 0);
+		run_ledger_fleet(fleet, SETTLE);
+		assert_false(msp_ledger_ready(fleet->vms[0].ledger));
+		msp_memory_store_faults(fleet->store)->down = false;
+		assert_true(run_fleet_to_version(fleet, 6, SETTLE));
+		assert_int_equal(fleet->went_back + fleet->forked, 0);
+		clear_ledger_fleet(fleet);
+	}
+	free(fleet);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(new_vm_reads_snapshot_and_tail),
+	    cmocka_unit_test(bad_snapshot_is_not_used),
+	    cmocka_unit_test(ready_vm_takes_no_snapshot),
+	    cmocka_unit_test(new_vm_starts_from_a_peer_with_the_store_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/ledger_test.h
+++ b/tests/support/ledger_test.h
@@ -82,4 +82,23 @@
 	msp_drop_note(note);
 }
 
+static inline void
+keep_status(void *ctx, const msp_store_reply_t *reply)
+{
+	*(msp_status_t *)ctx = reply->status;
+}
+
+/* Commits regions r0, r1, ... by one VM after the other. */
+static inline void
+commit_regions(ledger_fleet_t *fleet, unsigned int count)
+{
+	char name[16];
+	unsigned int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(name, sizeof(name), "r%u", i);
+		commit_region(fleet, i % fleet->vm_count, name);
+	}
+}
+
 #endif
