--- a/source/steer/locator.c
+++ b/source/steer/locator.c
@@ -1,8 +1,9 @@
 #include "monsoonspindle/steer/locator.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#include <bsd/string.h>
+
 #include "locator_places.h"
 
 #define TTL_MS 10000
@@ -34,32 +35,47 @@
 	return MSP_ENTRY_REMOTE;
 }
 
-/* Adds the next entry of the place; false if it has no more, or all are had. */
+/* What the entries of one answer are taken from. */
+typedef struct lookup_state {
+	const msp_membership_t *membership;
+	msp_lookup_answer_t *answer;
+	size_t max;
+	msp_place_choices_t choices;
+} lookup_state_t;
+
+/* Adds the next `count` entries of the place, as far as there are any. */
 static bool
-add_entry(msp_lookup_answer_t *answer, msp_place_choice_t *choice, size_t max)
+add_entries(lookup_state_t *state, msp_place_choice_t *choice, size_t count)
 {
-	const msp_entry_vm_t *vm;
-	msp_entry_t *entry;
+	msp_lookup_answer_t *answer = state->answer;
+	msp_vm_choices_t vms;
+	bool added = false;
 
-	if (answer->count == max || choice->taken == choice->vm_count)
+	if (answer->count == state->max)
 		return false;
-	vm = &choice->vms[choice->taken++];
-	entry = &answer->entries[answer->count++];
-	memcpy(entry->name, vm->name, sizeof(entry->name));
-	memcpy(entry->address, vm->address, sizeof(entry->address));
-	entry->caller_port = vm->caller_port;
-	memcpy(entry->place, choice->place, sizeof(entry->place));
-	memcpy(entry->region, choice->region, sizeof(entry->region));
-	entry->kind = kind_of(choice);
-	return true;
+	msp_choose_vms(state->membership, choice, state->choices.key, &vms);
+	while (count-- > 0 && answer->count < state->max &&
+	    choice->taken < vms.count) {
+		const msp_entry_vm_t *vm = &vms.list[choice->taken++];
+		msp_entry_t *entry = &answer->entries[answer->count++];
+
+		memcpy(entry->name, vm->name, sizeof(entry->name));
+		memcpy(entry->address, vm->address, sizeof(entry->address));
+		entry->caller_port = vm->caller_port;
+		strlcpy(entry->place, choice->place, sizeof(entry->place));
+		strlcpy(entry->region, choice->region, sizeof(entry->region));
+		entry->kind = kind_of(choice);
+		added = true;
+	}
+	return added;
 }
 
 /* Adds one entry of the first place in, or out of, the region of the nearest.
  */
 static void
-add_fallback(msp_lookup_answer_t *answer, msp_place_choices_t *choices,
-    bool in_region, size_t max)
+add_fallback(lookup_state_t *state, bool in_region)
 {
+	msp_place_choices_t *choices = &state->choices;
 	size_t i;
 
 	for (i = 1; i < choices->count; i++) {
@@ -67,23 +83,25 @@
 
 		if ((strcmp(choice->region, choices->list[0].region) == 0) ==
 			in_region &&
-		    add_entry(answer, choice, max))
+		    add_entries(state, choice, 1))
 			return;
 	}
 }
 
 /* Adds one entry of each place in turn, starting with the first places. */
 static void
-add_in_turn(
-    msp_lookup_answer_t *answer, msp_place_choices_t *choices, size_t max)
+add_in_turn(lookup_state_t *state)
 {
+	msp_place_choices_t *choices = &state->choices;
 	size_t turn;
 	size_t i;
 
 	for (turn = 1; turn <= MSP_ENTRIES_MAX; turn++) {
 		for (i = 1; i < choices->count; i++) {
+			if (state->answer->count == state->max)
+				return;
 			if (choices->list[i].taken < turn)
-				add_entry(answer, &choices->list[i], max);
+				add_entries(state, &choices->list[i], 1);
 		}
 	}
 }
@@ -92,25 +110,26 @@
 msp_locate(const msp_membership_t *membership, const msp_relay_t *relay,
     const msp_lookup_t *lookup, msp_lookup_answer_t *answer)
 {
-	size_t max = lookup->max == 0 || lookup->max > MSP_ENTRIES_MAX
-	    ? MSP_ENTRIES_MAX
-	    : lookup->max;
-	msp_place_choices_t choices;
-	size_t i;
+	lookup_state_t state = {
+	    .membership = membership,
+	    .answer = answer,
+	    .max = lookup->max == 0 || lookup->max > MSP_ENTRIES_MAX
+		? MSP_ENTRIES_MAX
+		: lookup->max,
+	};
+	msp_place_choice_t *nearest = &state.choices.list[0];
 
-	memset(answer, 0, sizeof(*answer));
-	msp_choose_places(membership, relay, lookup, &choices);
-	if (choices.count == 0)
+	answer->count = 0;
+	msp_choose_places(membership, relay, lookup, &state.choices);
+	if (state.choices.count == 0)
 		return msp_fail(MSP_E_NO_TARGET, "no entry VM is known");
-	for (i = 0; i < (max + 1) / 2; i++)
-		add_entry(answer, &choices.list[0], max);
-	add_fallback(answer, &choices, true, max);
-	add_fallback(answer, &choices, false, max);
-	add_in_turn(answer, &choices, max);
-	while (add_entry(answer, &choices.list[0], max))
-		continue;
-	answer->ttl_ms = choices.list[0].distance == MSP_DISTANCE_PLACE &&
-		!choices.list[0].drained && !choices.list[0].stale &&
+	add_entries(&state, nearest, (state.max + 1) / 2);
+	add_fallback(&state, true);
+	add_fallback(&state, false);
+	add_in_turn(&state);
+	add_entries(&state, nearest, state.max);
+	answer->ttl_ms = nearest->distance == MSP_DISTANCE_PLACE &&
+		!nearest->drained && !nearest->stale &&
 		!msp_membership_paused(membership)
 	    ? TTL_MS
 	    : UNSETTLED_TTL_MS;
--- a/source/steer/locator_places.h
+++ b/source/steer/locator_places.h
@@ -7,23 +7,24 @@
 #define MSP_DISTANCE_REGION 1U
 #define MSP_DISTANCE_FIRST 2U /* of the nearest other region */
 
-/* A data centre that may serve a client, with VMs in the client's order. */
+/* A data centre that may serve a client. */
 typedef struct msp_place_choice {
-	char place[MSP_MEMBER_NAME_SIZE];
-	char region[MSP_MEMBER_NAME_SIZE];
+	const char *place;
+	const char *region;
+	const msp_summary_t *summary; /* NULL: this data centre */
 	bool drained;
 	bool stale;
 	bool full; /* the service is known to have no free slot there */
 	unsigned int distance;
 	uint64_t score; /* orders places of equal distance, for this client */
-	msp_entry_vm_t vms[MSP_ENTRIES_MAX];
-	size_t vm_count;
-	size_t taken;
+	size_t taken; /* entries */
 } msp_place_choice_t;
 
+/* Pointers are borrowed from the membership and the relay. */
 typedef struct msp_place_choices {
 	msp_place_choice_t list[MSP_PLACES_MAX + 1];
 	size_t count;
+	uint64_t key; /* of the client and the service */
 } msp_place_choices_t;
 
 /*
@@ -34,4 +35,13 @@
     const msp_relay_t *relay, const msp_lookup_t *lookup,
     msp_place_choices_t *choices);
 
+/* The VMs of one place in the client's order. */
+typedef struct msp_vm_choices {
+	msp_entry_vm_t list[MSP_ENTRIES_MAX];
+	size_t count;
+} msp_vm_choices_t;
+
+void msp_choose_vms(const msp_membership_t *membership,
+    const msp_place_choice_t *choice, uint64_t key, msp_vm_choices_t *vms);
+
 #endif
