--- a/include/monsoonspindle/coord/membership.h
+++ b/include/monsoonspindle/coord/membership.h
@@ -53,7 +53,10 @@
 	void (*send)(void *ctx, const char *address, uint16_t peer_port,
 	    uint32_t procedure, const void *message, uint32_t token,
 	    msp_time_t timeout);
-	/* `member` has a new state or incarnation. May be NULL. */
+	/*
+	 * `member`, another than this VM, has a new state or incarnation; it
+	 * is dead, too, before it is forgotten. May be NULL.
+	 */
 	void (*on_change)(void *ctx, const msp_member_t *member);
 	void *ctx;
 } msp_membership_callbacks_t;
@@ -119,7 +122,8 @@
 
 /*
  * True from the moment when the clock was seen to jump until peers were heard
- * again: what is known of them is old, and this VM may have been replaced.
+ * again: what is known of them is old, and this VM may have been replaced. Two
+ * peers suffice, or all that are left; one without live peers trusts itself.
  */
 bool msp_membership_paused(const msp_membership_t *membership);
 
--- a/include/monsoonspindle/steer/prefix_table.h
+++ b/include/monsoonspindle/steer/prefix_table.h
@@ -30,10 +30,9 @@
     const msp_client_block_t *block, uint16_t place);
 
 /*
- * Does about `work` blocks' worth of the build (one step may take the time of a
- * pass over all blocks). MSP_OK with *table NULL: call it again. Otherwise it
- * is done: *table is the caller's, and the builder may only be dropped.
- * MSP_E_EXISTS if one block was given two places.
+ * Does about `work` blocks' worth of the build. MSP_OK with *table NULL: call
+ * it again. Otherwise it is done: *table is the caller's, and the builder may
+ * only be dropped. MSP_E_EXISTS if one block was given two places.
  */
 msp_status_t msp_step_prefix_build(
     msp_prefix_builder_t *builder, size_t work, msp_prefix_table_t **table);
--- a/source/steer/prefix_private.h
+++ b/source/steer/prefix_private.h
@@ -38,6 +38,15 @@
 	size_t to; /* past the last */
 } msp_sort_range_t;
 
+/* A range that is being split in two around a middle value. */
+typedef struct msp_sort_split {
+	bool active;
+	msp_sort_range_t range;
+	msp_raw_block_t pivot;
+	size_t low;
+	size_t high;
+} msp_sort_split_t;
+
 #define MSP_SORT_RANGES_MAX 128
 
 /* The blocks of one family. */
@@ -47,6 +56,7 @@
 	size_t capacity;
 	msp_sort_range_t ranges[MSP_SORT_RANGES_MAX];
 	size_t range_count;
+	msp_sort_split_t split;
 	bool started;
 	/* The blocks that hold the present address, the longest last. */
 	msp_raw_block_t open[65];
--- a/source/steer/prefix_sort.c
+++ b/source/steer/prefix_sort.c
@@ -41,68 +41,99 @@
 	return compare_blocks(c, b) < 0 ? c : b;
 }
 
-/* Splits the range in two around a middle value. */
-static size_t
-split(msp_raw_block_t *blocks, size_t from, size_t to)
+static void
+start_split(msp_block_list_t *list, msp_sort_range_t range)
+{
+	size_t middle = range.from + (range.to - range.from) / 2;
+
+	list->split = (msp_sort_split_t){
+	    .active = true,
+	    .range = range,
+	    .pivot = *median(&list->blocks[range.from], &list->blocks[middle],
+		&list->blocks[range.to - 1]),
+	    .low = range.from,
+	    .high = range.to - 1,
+	};
+}
+
+/* True when all before high + 1 sort no later than all from there on. */
+static bool
+step_split(msp_block_list_t *list, size_t *work)
+{
+	msp_sort_split_t *split = &list->split;
+	msp_raw_block_t *blocks = list->blocks;
+
+	for (; *work > 0; (*work)--) {
+		if (compare_blocks(&blocks[split->low], &split->pivot) < 0) {
+			split->low++;
+			continue;
+		}
+		if (compare_blocks(&blocks[split->high], &split->pivot) > 0) {
+			split->high--;
+			continue;
+		}
+		if (split->low >= split->high)
+			return true;
+		exchange(&blocks[split->low++], &blocks[split->high--]);
+	}
+	return false;
+}
+
+static void
+sort_at_once(msp_block_list_t *list, msp_sort_range_t range)
+{
+	qsort(list->blocks + range.from, range.to - range.from,
+	    sizeof(msp_raw_block_t), compare_blocks);
+}
+
+/* Puts off both parts, the smaller one for less long, so that few wait. */
+static void
+end_split(msp_block_list_t *list)
 {
-	msp_raw_block_t pivot = *median(
-	    &blocks[from], &blocks[from + (to - from) / 2], &blocks[to - 1]);
-	size_t low = from;
-	size_t high = to - 1;
-
-	for (;;) {
-		while (compare_blocks(&blocks[low], &pivot) < 0)
-			low++;
-		while (compare_blocks(&blocks[high], &pivot) > 0)
-			high--;
-		if (low >= high)
-			return high + 1;
-		exchange(&blocks[low++], &blocks[high--]);
+	msp_sort_range_t range = list->split.range;
+	size_t middle = list->split.high + 1;
+	msp_sort_range_t low = {range.from, middle};
+	msp_sort_range_t high = {middle, range.to};
+	bool low_is_larger = middle - range.from > range.to - middle;
+
+	list->split.active = false;
+	if (middle == range.from || middle == range.to) {
+		sort_at_once(list, range);
+		return;
+	}
+	list->ranges[list->range_count++] = low_is_larger ? low : high;
+	list->ranges[list->range_count++] = low_is_larger ? high : low;
+}
+
+static void
+start_range(msp_block_list_t *list, size_t *work)
+{
+	msp_sort_range_t range = list->ranges[--list->range_count];
+	size_t size = range.to - range.from;
+
+	if (size > SMALL_RANGE &&
+	    list->range_count + 2 <= MSP_SORT_RANGES_MAX) {
+		start_split(list, range);
+		return;
 	}
+	sort_at_once(list, range);
+	*work -= size < *work ? size : *work;
 }
 
 bool
 msp_step_sort(msp_block_list_t *list, size_t *work)
 {
-	if (!list->started && list->count > 0) {
+	if (!list->started && list->count > 0)
 		list->ranges[list->range_count++] =
 		    (msp_sort_range_t){0, list->count};
-	}
 	list->started = true;
-	while (list->range_count > 0) {
-		msp_sort_range_t range = list->ranges[--list->range_count];
-		size_t size = range.to - range.from;
-		size_t middle;
-
-		if (*work == 0) {
-			list->range_count++;
+	while (list->split.active || list->range_count > 0) {
+		if (*work == 0)
 			return false;
-		}
-		*work -= size < *work ? size : *work;
-		if (size <= SMALL_RANGE ||
-		    list->range_count + 2 > MSP_SORT_RANGES_MAX) {
-			qsort(list->blocks + range.from, size,
-			    sizeof(msp_raw_block_t), compare_blocks);
-			continue;
-		}
-		middle = split(list->blocks, range.from, range.to);
-		if (middle - range.from == size || middle == range.from) {
-			qsort(list->blocks + range.from, size,
-			    sizeof(msp_raw_block_t), compare_blocks);
-			continue;
-		}
-		/* The smaller part next, so that few are put off. */
-		if (middle - range.from > size / 2) {
-			list->ranges[list->range_count++] =
-			    (msp_sort_range_t){range.from, middle};
-			list->ranges[list->range_count++] =
-			    (msp_sort_range_t){middle, range.to};
-		} else {
-			list->ranges[list->range_count++] =
-			    (msp_sort_range_t){middle, range.to};
-			list->ranges[list->range_count++] =
-			    (msp_sort_range_t){range.from, middle};
-		}
+		if (!list->split.active)
+			start_range(list, work);
+		else if (step_split(list, work))
+			end_split(list);
 	}
 	return true;
 }
--- a/tests/coord/test_membership_faults.c
+++ b/tests/coord/test_membership_faults.c
@@ -126,6 +126,26 @@
 	}
 }
 
+/* The new process's clock is an hour behind the old one's. */
+static void
+a_clock_set_back_is_made_up_for(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 10; seed++) {
+		net_t *net = started_net(12, seed, 0);
+
+		kill_node(net, 4);
+		run_net(net, seed * 4 * MSP_SECOND);
+		net->clock_back = 60 * MSP_MINUTE;
+		start_node(net, 4);
+		assert_in_range(
+		    run_until_agreed(net, JOIN_BOUND), 0, 10 * MSP_SECOND);
+		drop_net(net);
+	}
+}
+
 static const seeded_case_t freeze_cases[] = {
     {2, 0, 20, 10 * MSP_SECOND},
     {4, 0, 10, 10 * MSP_SECOND},
@@ -337,6 +357,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_leaving_member_is_out_of_rank_in_time),
 	    cmocka_unit_test(a_new_incarnation_is_known_everywhere),
+	    cmocka_unit_test(a_clock_set_back_is_made_up_for),
 	    cmocka_unit_test(a_woken_member_waits_for_its_peers),
 	    cmocka_unit_test(halves_part_and_meet_again),
 	    cmocka_unit_test(nobody_is_taken_for_dead),
--- a/tests/support/gossip_net.c
+++ b/tests/support/gossip_net.c
@@ -535,7 +535,8 @@
 	memcpy(options.self.address, node->address, sizeof(node->address));
 	options.self.peer_port = node->peer_port;
 	options.self.caller_port = 8000;
-	options.self.incarnation = START_OF_TIME + net->now + index;
+	options.self.incarnation =
+	    START_OF_TIME + net->now + index - net->clock_back;
 	options.seeds = seeds;
 	options.seed_count = fill_seeds(net, node, seeds);
 	node->membership = msp_new_membership(&env, &options, &callbacks);
--- a/tests/support/gossip_net.h
+++ b/tests/support/gossip_net.h
@@ -38,6 +38,7 @@
 	msp_rng_t rng;
 	net_node_t *nodes;
 	size_t count;
+	msp_time_t clock_back; /* wall clock of new processes is late by */
 	double loss; /* of each message */
 	double doubled;
 	double corrupt; /* bytes changed, or the end cut off */
