--- a/include/monsoonspindle/steer/dispatcher.h
+++ b/include/monsoonspindle/steer/dispatcher.h
@@ -131,8 +131,9 @@
 
 /*
  * The caller went away: takes the job out, cancelling its attempts. The refuse
- * callback is not called. Returns true if an attempt was in flight or may have
- * reached a target before.
+ * callback is not called. Not to be called for a job while the end of one of
+ * its attempts is being reported. Returns true if an attempt was in flight or
+ * may have reached a target before.
  */
 bool msp_cancel_job(msp_dispatcher_t *dispatcher, msp_job_t *job);
 
@@ -186,6 +187,7 @@
 	uint32_t in_flight;
 	uint32_t capacity; /* sum of the limits */
 	uint32_t slots; /* sum of the listed slots, leaving ones left out */
+	/* Shifted reads and commits are all counted as interactive. */
 	uint32_t queued[MSP_CLASS_COUNT];
 	msp_time_t service_time; /* mean of recent answers */
 	msp_time_t wait; /* estimated for a new interactive request */
