--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -110,12 +110,15 @@
 /* How long the first byte may take before a connection counts as silent. */
 msp_time_t msp_silent_bound(const msp_dispatcher_t *d);
 
+/* target_list.c: drops targets that are not listed and have no work. */
+void msp_forget_unlisted(msp_dispatcher_t *d);
+
 /* dispatcher.c */
 void msp_refuse_job(msp_dispatcher_t *d, msp_job_t *job, msp_status_t status,
     msp_run_t run, msp_time_t retry_after, const char *reason);
 void msp_tell_decision(const msp_dispatcher_t *d, const char *what,
     const msp_job_t *job, const msp_target_t *target, const char *reason);
-void msp_forget_unlisted(msp_dispatcher_t *d);
+
 /* Called first by each public function: notices pauses. */
 msp_time_t msp_see_clock(msp_dispatcher_t *d);
 
--- a/source/steer/outcome.c
+++ b/source/steer/outcome.c
@@ -35,6 +35,7 @@
 		return;
 	target->silent = 0;
 	target->fresh_until = 0;
+	msp_tell_decision(d, "forget-connections", job, target, "silent");
 	if (d->callbacks.forget_connections != NULL)
 		d->callbacks.forget_connections(d->callbacks.ctx, &ref);
 }
@@ -53,8 +54,10 @@
 		return;
 	}
 	/* A target that answered others meanwhile is only slow here. */
-	if (target->last_whole < attempt->started)
-		msp_note_failure(target, now, false);
+	if (target->last_whole >= attempt->started)
+		return;
+	msp_note_failure(target, now, false);
+	msp_tell_decision(d, "close", NULL, target, "silent");
 }
 
 static void
@@ -185,6 +188,7 @@
 		if (!job->is_idempotent)
 			job->sent = false;
 		msp_note_shed(ended.target, now, ended.started, retry_after);
+		msp_tell_decision(d, "limit", job, ended.target, "shed");
 		break;
 	case MSP_OUTCOME_REFUSED_CONNECTION:
 		job->hops++;
@@ -193,6 +197,8 @@
 			job->sent = false;
 		msp_note_failure(ended.target, now, true);
 		strike_cut_jobs(d, ended.target);
+		msp_tell_decision(
+		    d, "close", job, ended.target, "refused-connection");
 		break;
 	case MSP_OUTCOME_CUT:
 		note_cut(d, job, &ended);
@@ -205,6 +211,7 @@
 	case MSP_OUTCOME_CRASHED:
 		msp_note_failure(ended.target, now, true);
 		msp_strike(d->quarantine, job->fingerprint, ended.started, now);
+		msp_tell_decision(d, "close", job, ended.target, "crashed");
 		break;
 	case MSP_OUTCOME_CANCELLED:
 	case MSP_OUTCOME_COUNT:
--- a/tests/steer/test_dispatcher.c
+++ b/tests/steer/test_dispatcher.c
@@ -5,103 +5,7 @@
 
 #include <cmocka.h>
 
-#include "monsoonspindle/steer.h"
-
-/* One dispatcher whose attempts the test ends by hand. */
-typedef struct bench {
-	msp_virtual_env_t venv;
-	msp_env_t env;
-	msp_dispatcher_t *dispatcher;
-	uint32_t starts;
-	uint32_t cancels;
-	uint32_t refusals;
-	uint32_t forgets;
-	bool fresh; /* the last start's connection */
-	char target; /* the last start's */
-	msp_attempt_t last;
-	msp_job_t *job;
-	msp_refusal_t refusal;
-} bench_t;
-
-static void
-on_start(void *ctx, msp_job_t *job, const msp_target_ref_t *target, bool fresh,
-    msp_attempt_t attempt)
-{
-	bench_t *bench = ctx;
-
-	bench->starts++;
-	bench->job = job;
-	bench->fresh = fresh;
-	bench->target = target->name[0];
-	bench->last = attempt;
-}
-
-static void
-on_cancel(void *ctx, msp_job_t *job, msp_attempt_t attempt)
-{
-	(void)job;
-	(void)attempt;
-	((bench_t *)ctx)->cancels++;
-}
-
-static void
-on_refuse(void *ctx, msp_job_t *job, const msp_refusal_t *refusal)
-{
-	bench_t *bench = ctx;
-
-	(void)job;
-	bench->refusals++;
-	bench->refusal = *refusal;
-}
-
-static void
-on_forget(void *ctx, const msp_target_ref_t *target)
-{
-	(void)target;
-	((bench_t *)ctx)->forgets++;
-}
-
-static void
-set_up(bench_t *bench, uint32_t targets, uint32_t slots)
-{
-	static const char *const names[] = {"a", "b", "c"};
-	msp_target_spec_t specs[3];
-	msp_dispatcher_options_t options = {
-	    .service = "s",
-	    .place = "p",
-	    .policy = msp_default_policy(MSP_PREFER_LATENCY),
-	};
-	msp_dispatcher_callbacks_t callbacks = {
-	    .start = on_start,
-	    .cancel_attempt = on_cancel,
-	    .refuse = on_refuse,
-	    .forget_connections = on_forget,
-	    .ctx = bench,
-	};
-	uint32_t i;
-
-	*bench = (bench_t){.venv = {.now = MSP_MINUTE}};
-	bench->env = msp_virtual_env(&bench->venv);
-	bench->dispatcher =
-	    msp_new_dispatcher(&bench->env, &options, &callbacks);
-	for (i = 0; i < targets; i++)
-		specs[i] =
-		    (msp_target_spec_t){.name = names[i], .slots = slots};
-	assert_int_equal(
-	    msp_set_dispatcher_targets(bench->dispatcher, specs, targets),
-	    MSP_OK);
-}
-
-static void
-move_clock(bench_t *bench, msp_time_t span)
-{
-	msp_time_t end = bench->venv.now + span;
-
-	while (bench->venv.now < end) {
-		bench->venv.now += 10 * MSP_MS;
-		msp_tick_dispatcher(bench->dispatcher);
-	}
-}
+#include "dispatcher_bench.h"
 
 #define NO_STATUS MSP_OK
 
@@ -156,7 +60,7 @@
 		msp_verdict_t verdict = MSP_VERDICT_PENDING;
 		bench_t bench;
 
-		set_up(&bench, 3, 2);
+		set_up_bench(&bench, 3, 2);
 		msp_submit_job(bench.dispatcher, &job);
 		while (verdict == MSP_VERDICT_PENDING) {
 			bench.venv.now += MSP_MS;
@@ -184,7 +88,7 @@
 	char first;
 
 	(void)state;
-	set_up(&bench, 2, 1);
+	set_up_bench(&bench, 2, 1);
 	msp_submit_job(bench.dispatcher, &job);
 	assert_true(bench.fresh);
 	first = bench.target;
@@ -215,11 +119,11 @@
 	bench_t bench;
 
 	(void)state;
-	set_up(&bench, 1, 4);
+	set_up_bench(&bench, 1, 4);
 	msp_submit_job(bench.dispatcher, &jobs[0]);
 	msp_submit_job(bench.dispatcher, &jobs[1]);
 	assert_false(bench.fresh);
-	move_clock(&bench, 1100 * MSP_MS);
+	move_bench(&bench, 1100 * MSP_MS);
 	assert_int_equal(bench.cancels, 2);
 	assert_int_equal(bench.starts, 4);
 	assert_true(bench.fresh);
@@ -238,12 +142,12 @@
 	bench_t bench;
 
 	(void)state;
-	set_up(&bench, 1, 1);
-	move_clock(&bench, MSP_SECOND);
+	set_up_bench(&bench, 1, 1);
+	move_bench(&bench, MSP_SECOND);
 	bench.venv.now += 5 * MSP_SECOND;
 	msp_submit_job(bench.dispatcher, &job);
 	assert_true(msp_dispatcher_paused(bench.dispatcher));
-	move_clock(&bench, 200 * MSP_MS);
+	move_bench(&bench, 200 * MSP_MS);
 	assert_int_equal(bench.starts, 0);
 	msp_resume_dispatcher(bench.dispatcher);
 	assert_int_equal(bench.starts, 1);
@@ -258,7 +162,7 @@
 	bench_t bench;
 
 	(void)state;
-	set_up(&bench, 1, 1);
+	set_up_bench(&bench, 1, 1);
 	msp_submit_job(bench.dispatcher, &jobs[0]);
 	msp_submit_job(bench.dispatcher, &jobs[1]);
 	msp_retire_dispatcher(bench.dispatcher);
@@ -285,7 +189,7 @@
 	int i;
 
 	(void)state;
-	set_up(&bench, 2, 2);
+	set_up_bench(&bench, 2, 2);
 	for (i = 0; i < 60; i++) {
 		msp_job_t warm = {.class = MSP_CLASS_COMMIT};
 
@@ -296,7 +200,7 @@
 	}
 	bench.starts = 0;
 	msp_submit_job(bench.dispatcher, &job);
-	move_clock(&bench, 50 * MSP_MS);
+	move_bench(&bench, 50 * MSP_MS);
 	assert_int_equal(bench.starts, 2);
 	assert_int_equal(msp_attempt_ended(bench.dispatcher, &job, bench.last,
 			     MSP_OUTCOME_WHOLE, 0),
@@ -304,7 +208,7 @@
 	assert_int_equal(bench.cancels, 1);
 	job.retries_left = 1;
 	msp_submit_job(bench.dispatcher, &job);
-	move_clock(&bench, 50 * MSP_MS);
+	move_bench(&bench, 50 * MSP_MS);
 	assert_true(msp_cancel_job(bench.dispatcher, &job));
 	assert_int_equal(bench.cancels, 3);
 	msp_get_dispatcher_load(bench.dispatcher, &load);
@@ -312,78 +216,6 @@
 	msp_drop_dispatcher(bench.dispatcher);
 }
 
-typedef struct report_case {
-	const char *name;
-	uint32_t slots, in_use;
-	msp_target_state_t state;
-	msp_time_t age;
-	bool after_shed;
-	uint32_t limit;
-} report_case_t;
-
-static const report_case_t report_cases[] = {
-    {"lower", 2, 0, MSP_TARGET_READY, 0, false, 2},
-    {"higher is not believed", 20, 0, MSP_TARGET_READY, 0, false, 8},
-    {"no slots is not believed", 0, 0, MSP_TARGET_READY, 0, false, 8},
-    {"stuck at full", 8, 8, MSP_TARGET_READY, 0, false, 8},
-    {"full after a shed", 8, 7, MSP_TARGET_READY, 0, true, 1},
-    {"empty after a shed", 8, 0, MSP_TARGET_READY, 0, true, 4},
-    {"old", 1, 8, MSP_TARGET_READY, 10 * MSP_SECOND, true, 4},
-    {"leaving", 8, 0, MSP_TARGET_LEAVING, 0, false, 0},
-    {"leaving, told late", 8, 0, MSP_TARGET_LEAVING, 10 * MSP_SECOND, false, 0},
-    {"cold", 8, 0, MSP_TARGET_COLD, 0, false, 1},
-};
-
-static void
-reports_only_lower(void **state)
-{
-	size_t i;
-
-	(void)state;
-	for (i = 0; i < sizeof(report_cases) / sizeof(report_cases[0]); i++) {
-		const report_case_t *c = &report_cases[i];
-		msp_job_t job = {.class = MSP_CLASS_COMMIT};
-		msp_target_load_t load;
-		bench_t bench;
-
-		set_up(&bench, 1, 8);
-		if (c->after_shed) {
-			msp_submit_job(bench.dispatcher, &job);
-			msp_attempt_ended(bench.dispatcher, &job, bench.last,
-			    MSP_OUTCOME_SHED, 0);
-		}
-		msp_report_target(bench.dispatcher, "a", c->slots, c->in_use,
-		    c->state, c->age);
-		msp_list_target_loads(bench.dispatcher, &load, 1);
-		if (load.limit != c->limit)
-			fail_msg("%s: limit %u", c->name, load.limit);
-		msp_drop_dispatcher(bench.dispatcher);
-	}
-}
-
-static void
-inherited_work_keeps_its_slots(void **state)
-{
-	msp_job_t jobs[4] = {
-	    {.class = MSP_CLASS_COMMIT},
-	    {.class = MSP_CLASS_COMMIT},
-	    {.class = MSP_CLASS_COMMIT},
-	    {.class = MSP_CLASS_COMMIT},
-	};
-	bench_t bench;
-	int i;
-
-	(void)state;
-	set_up(&bench, 1, 4);
-	msp_inherit_inflight(bench.dispatcher, "a", 1, 500 * MSP_MS);
-	for (i = 0; i < 4; i++)
-		msp_submit_job(bench.dispatcher, &jobs[i]);
-	assert_int_equal(bench.starts, 1); /* half of the slots, less one */
-	move_clock(&bench, 600 * MSP_MS);
-	assert_int_equal(bench.starts, 2);
-	msp_drop_dispatcher(bench.dispatcher);
-}
-
 int
 main(void)
 {
@@ -394,8 +226,6 @@
 	    cmocka_unit_test(nothing_starts_after_a_pause),
 	    cmocka_unit_test(retired_dispatcher_hands_its_queue_over),
 	    cmocka_unit_test(hedges_end_together),
-	    cmocka_unit_test(reports_only_lower),
-	    cmocka_unit_test(inherited_work_keeps_its_slots),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/steer/test_target_reports.c
@@ -0,0 +1,91 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "dispatcher_bench.h"
+
+typedef struct report_case {
+	const char *name;
+	uint32_t slots, in_use;
+	msp_target_state_t state;
+	msp_time_t age;
+	bool after_shed;
+	uint32_t limit;
+} report_case_t;
+
+static const report_case_t report_cases[] = {
+    {"lower", 2, 0, MSP_TARGET_READY, 0, false, 2},
+    {"higher is not believed", 20, 0, MSP_TARGET_READY, 0, false, 8},
+    {"no slots is not believed", 0, 0, MSP_TARGET_READY, 0, false, 8},
+    {"stuck at full", 8, 8, MSP_TARGET_READY, 0, false, 8},
+    {"full after a shed", 8, 7, MSP_TARGET_READY, 0, true, 1},
+    {"empty after a shed", 8, 0, MSP_TARGET_READY, 0, true, 4},
+    {"old", 1, 8, MSP_TARGET_READY, 10 * MSP_SECOND, true, 4},
+    {"leaving", 8, 0, MSP_TARGET_LEAVING, 0, false, 0},
+    {"leaving, told late", 8, 0, MSP_TARGET_LEAVING, 10 * MSP_SECOND, false, 0},
+    {"cold", 8, 0, MSP_TARGET_COLD, 0, false, 1},
+};
+
+static void
+reports_only_lower(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(report_cases) / sizeof(report_cases[0]); i++) {
+		const report_case_t *c = &report_cases[i];
+		msp_job_t job = {.class = MSP_CLASS_COMMIT};
+		msp_target_load_t load;
+		bench_t bench;
+
+		set_up_bench(&bench, 1, 8);
+		if (c->after_shed) {
+			msp_submit_job(bench.dispatcher, &job);
+			msp_attempt_ended(bench.dispatcher, &job, bench.last,
+			    MSP_OUTCOME_SHED, 0);
+		}
+		msp_report_target(bench.dispatcher, "a", c->slots, c->in_use,
+		    c->state, c->age);
+		msp_list_target_loads(bench.dispatcher, &load, 1);
+		if (load.limit != c->limit)
+			fail_msg("%s: limit %u", c->name, load.limit);
+		msp_drop_dispatcher(bench.dispatcher);
+	}
+}
+
+static void
+inherited_work_keeps_its_slots(void **state)
+{
+	msp_job_t jobs[4] = {
+	    {.class = MSP_CLASS_COMMIT},
+	    {.class = MSP_CLASS_COMMIT},
+	    {.class = MSP_CLASS_COMMIT},
+	    {.class = MSP_CLASS_COMMIT},
+	};
+	bench_t bench;
+	int i;
+
+	(void)state;
+	set_up_bench(&bench, 1, 4);
+	msp_inherit_inflight(bench.dispatcher, "a", 1, 500 * MSP_MS);
+	for (i = 0; i < 4; i++)
+		msp_submit_job(bench.dispatcher, &jobs[i]);
+	assert_int_equal(bench.starts, 1); /* half of the slots, less one */
+	move_bench(&bench, 600 * MSP_MS);
+	assert_int_equal(bench.starts, 2);
+	msp_drop_dispatcher(bench.dispatcher);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(reports_only_lower),
+	    cmocka_unit_test(inherited_work_keeps_its_slots),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -15,6 +15,7 @@
  * targets and an open stream of requests: one data centre or a few regions.
  */
 
+#define REGION_RTT (55 * MSP_MS)
 #define WORLD_PLACES 6
 #define WORLD_TARGETS 32
 #define WORLD_ENTRIES 4 /* entry VMs in a place, for the static shares */
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -4,8 +4,6 @@
 #include "world.h"
 
 #define HOP MSP_MS /* between an entry VM and a dispatcher, both ways */
-#define REGION_RTT (55 * MSP_MS)
-#define GOSSIP_PERIOD (250 * MSP_MS)
 #define REQUEST_BYTES 1000
 
 static bool
@@ -216,34 +214,6 @@
 	return msp_new_dispatcher(&place->world->env, &options, &callbacks);
 }
 
-void
-set_up_granter(world_place_t *place)
-{
-	const world_config_t *config = &place->world->config;
-	msp_granter_options_t granting = {
-	    .spread = MSP_SECOND,
-	    .fill_percent = config->policy.fill_percent,
-	};
-	uint32_t weights[WORLD_PLACES];
-	uint32_t at = place->index - place->region * config->centres;
-	msp_credit_rate_t share;
-	uint32_t i;
-
-	place->granter = msp_new_granter(&place->world->env, &granting);
-	for (i = 0; i < config->centres; i++)
-		weights[i] = 1;
-	share.requests = (uint32_t)msp_split_cap(
-	    config->cap.requests, weights, config->centres, at);
-	share.bytes =
-	    msp_split_cap(config->cap.bytes, weights, config->centres, at);
-	for (i = 0; i < config->regions; i++) {
-		char name[2] = {(char)('a' + i), '\0'};
-
-		if (i != place->region)
-			msp_set_granter_share(place->granter, name, &share);
-	}
-}
-
 void
 set_up_place(world_place_t *place)
 {
@@ -287,63 +257,6 @@
 	world_at(world, due, tick, place);
 }
 
-/* Tells the wallets of other regions what a place offers them. */
-static void
-tell_offers(world_place_t *place)
-{
-	world_t *world = place->world;
-	msp_dispatcher_load_t load;
-	msp_credit_offer_t offer;
-	uint32_t i;
-
-	msp_get_dispatcher_load(place->dispatcher, &load);
-	place->told_wait = load.draining ? MSP_NEVER : load.wait;
-	place->told_background_wait =
-	    load.draining ? MSP_NEVER : load.background_wait;
-	if (!world->config.shifts || world->config.regions < 2)
-		return;
-	msp_set_granter_spare(place->granter,
-	    &(msp_spare_t){
-		.capacity = load.capacity,
-		.busy = load.in_flight + load.queued[MSP_CLASS_INTERACTIVE] +
-		    load.queued[MSP_CLASS_COMMIT],
-		.service_time = load.service_time,
-		.wait = load.wait,
-		.background_wait = load.background_wait,
-	    });
-	for (i = 0; i < world->place_count; i++) {
-		world_place_t *other = &world->places[i];
-		char region[2] = {(char)('a' + other->region), '\0'};
-
-		if (other->region == place->region || place->lost ||
-		    place->cut || other->cut)
-			continue;
-		msp_get_offer(place->granter, region, &offer);
-		msp_take_offer(other->wallet, place->name, &offer,
-		    world->config.centres, REGION_RTT / 2);
-	}
-}
-
-static void
-gossip(world_t *world, void *arg)
-{
-	world_place_t *place = arg;
-
-	if (!place->frozen)
-		tell_offers(place);
-	world_at(world, world->venv.now + GOSSIP_PERIOD, gossip, place);
-}
-
-void
-start_gossip(world_t *world)
-{
-	uint32_t i;
-
-	for (i = 0; i < world->place_count; i++)
-		world_at(world, world->venv.now + 1 + i * 7 * MSP_MS, gossip,
-		    &world->places[i]);
-}
-
 static void submit_here(world_request_t *request);
 
 static void
