--- a/source/steer/target.c
+++ b/source/steer/target.c
@@ -151,12 +151,28 @@
 	}
 }
 
+/* Closes the target for twice as long as the last time. */
+static void
+back_off(msp_target_t *target, msp_time_t now)
+{
+	if (now < target->closed_until)
+		return;
+	target->backoff =
+	    target->backoff == 0 ? FIRST_BACKOFF : target->backoff * 2;
+	if (target->backoff > LAST_BACKOFF)
+		target->backoff = LAST_BACKOFF;
+	target->closed_until = now + target->backoff;
+}
+
 void
 msp_note_shed(msp_target_t *target, msp_time_t now, msp_time_t started,
     msp_time_t retry_after)
 {
 	/* Attempts started before the last cut of the limit tell no more. */
 	if (target->last_shed == 0 || started >= target->last_shed) {
+		/* One that sheds its only request has to be left alone. */
+		if (target->limit < 2)
+			back_off(target, now);
 		target->limit /= 2;
 		if (target->limit < 1)
 			target->limit = 1;
@@ -175,11 +191,5 @@
 	msp_ramp_target(target, 1);
 	if (died)
 		msp_release_holds(target, MSP_NEVER);
-	if (now < target->closed_until)
-		return;
-	target->backoff =
-	    target->backoff == 0 ? FIRST_BACKOFF : target->backoff * 2;
-	if (target->backoff > LAST_BACKOFF)
-		target->backoff = LAST_BACKOFF;
-	target->closed_until = now + target->backoff;
+	back_off(target, now);
 }
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -120,6 +120,7 @@
 	char name[16];
 	msp_dispatcher_t *dispatcher;
 	msp_dispatcher_t *twin; /* a second one that should not be */
+	bool twin_retired;
 	msp_granter_t *granter;
 	msp_wallet_t *wallet;
 	msp_spill_t spill[MSP_CLASS_COUNT];
--- a/tests/support/world_fault.c
+++ b/tests/support/world_fault.c
@@ -227,6 +227,7 @@
 {
 	world_place_t *place = &world->places[0];
 
+	place->twin_retired = true;
 	if (place->twin != NULL && !place->frozen)
 		msp_retire_dispatcher(place->twin);
 }
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -290,7 +290,8 @@
 	}
 	request->job.is_shifted = is_shift(request);
 	request->dispatcher = place->dispatcher;
-	if (place->twin != NULL && draw_even(&place->world->rng) < 0.5)
+	if (place->twin != NULL && !place->twin_retired &&
+	    draw_even(&place->world->rng) < 0.5)
 		request->dispatcher = place->twin;
 	msp_submit_job(request->dispatcher, &request->job);
 	arm_tick(place);
