--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -29,7 +29,11 @@
 	unsigned int lose_answer_pct; /* calls whose answer is lost */
 	unsigned int late_effect_pct; /* writes that take effect after the */
 	msp_time_t late_effect; /* answer was given up, by this much */
-	unsigned int writes_per_second; /* most writes it takes; 0: any */
+	/*
+	 * Most writes it takes; 0: any. What would wait for more than a second
+	 * is refused: MSP_E_STORE_DOWN.
+	 */
+	unsigned int writes_per_second;
 	bool count_rows; /* a row is a write; else a transaction is */
 } msp_store_faults_t;
 
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -6,6 +6,8 @@
 #include "check_call.h"
 #include "store_data.h"
 
+#define WRITE_QUEUE_MAX MSP_SECOND
+
 TAILQ_HEAD(call_queue, msp_store_call);
 
 struct msp_memory_store {
@@ -91,7 +93,10 @@
 	return percent > 0 && msp_random_below(&store->env, 100) < percent;
 }
 
-/* The time that the writes of `call` wait for the store's write rate. */
+/*
+ * The time that the writes of `call` wait for the store's write rate;
+ * MSP_NEVER if the store refuses them, since it would be too long.
+ */
 static msp_time_t
 take_write_slot(msp_memory_store_t *store, const msp_store_call_t *call)
 {
@@ -106,6 +111,8 @@
 		return 0;
 	if (store->write_slot < now)
 		store->write_slot = now;
+	if (store->write_slot - now > WRITE_QUEUE_MAX)
+		return MSP_NEVER;
 	store->write_slot += count * MSP_SECOND / faults->writes_per_second;
 	return store->write_slot - now;
 }
@@ -140,6 +147,14 @@
 		TAILQ_INSERT_AFTER(&store->answers, before, call, answer_entry);
 }
 
+static void
+refuse(msp_memory_store_t *store, msp_store_call_t *call, msp_status_t status)
+{
+	call->captured.reply.status = status;
+	call->answer_at = msp_now(&store->env);
+	queue_answer(store, call);
+}
+
 /* Decides when the call takes effect and when it is answered. */
 static void
 schedule(msp_memory_store_t *store, msp_store_call_t *call, uint32_t timeout_ms)
@@ -153,8 +168,15 @@
 	    2;
 
 	call->effect_at = now + half;
-	if (msp_is_store_write(call))
-		call->effect_at += take_write_slot(store, call);
+	if (msp_is_store_write(call)) {
+		msp_time_t wait = take_write_slot(store, call);
+
+		if (wait == MSP_NEVER) {
+			refuse(store, call, MSP_E_STORE_DOWN);
+			return;
+		}
+		call->effect_at += wait;
+	}
 	call->answer_at = call->effect_at + half;
 	if (chance(store, faults->lose_call_pct)) {
 		call->effect_at = MSP_NEVER;
@@ -175,14 +197,6 @@
 	queue_answer(store, call);
 }
 
-static void
-refuse(msp_memory_store_t *store, msp_store_call_t *call, msp_status_t status)
-{
-	call->captured.reply.status = status;
-	call->answer_at = msp_now(&store->env);
-	queue_answer(store, call);
-}
-
 /* Without memory for the call itself, `done` cannot be called: give up. */
 static void
 start(msp_memory_store_t *store, msp_store_call_t *call, msp_status_t checked,
--- a/tests/coord/test_claim_records.c
+++ b/tests/coord/test_claim_records.c
@@ -104,7 +104,7 @@
 damaged_outcome_is_not_replayed(void **state)
 {
 	static const char *const damaged[] = {
-	    "", "printed, with", "another body of just the same length"};
+	    "", "printed, with", "printed on the bad, old press now"};
 	msp_claims_options_t options = {.inline_max = 16};
 	unsigned int i;
 
--- a/tests/coord/test_claim_refusals.c
+++ b/tests/coord/test_claim_refusals.c
@@ -189,24 +189,56 @@
 	close_pair(pair);
 }
 
-/* A try that this VM can only date to before its own "no" does not run. */
+/* As before, but the owner is gone when the other VM first sees the row. */
 static void
-no_covers_a_try_that_is_read_late(void **state)
+no_covers_a_try_that_meets_a_released_row(void **state)
 {
 	pair_t *pair = new_pair();
 	pair_try_t *first = run_at_a(pair, "order-1");
-	msp_try_params_t params = pair_params(pair, "order-1", "body");
-	const pair_try_t *late;
+	const pair_try_t *waiting;
+	const pair_try_t *later;
 
 	(void)state;
+	pair->faults->latency = 100 * MSP_MS;
 	release_pair(pair, A, first->nonce);
+	waiting = send_key(pair, B, "order-1");
+	run_pair(pair, 80 * MSP_MS);
+	assert_int_equal(first->refusal.run, MSP_RUN_NO);
+	kill_pair_vm(pair, A);
 	run_pair(pair, SOON);
-	late = send_pair(pair, A, &params);
+	assert_refused(waiting, MSP_E_OVERLOAD, MSP_RUN_NO);
+	later = send_key(pair, B, "order-1");
 	run_pair(pair, SOON);
-	assert_refused(late, MSP_E_OVERLOAD, MSP_RUN_NO);
+	assert_int_equal(later->runs, 1);
 	close_pair(pair);
 }
 
+/* A try that this VM can only date to before its own "no" does not run. */
+static void
+no_covers_a_try_that_is_read_late(void **state)
+{
+	static const bool marked[] = {
+	    true, false}; /* as released, in the row */
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		pair_t *pair = new_pair();
+		pair_try_t *first = run_at_a(pair, "order-1");
+		msp_try_params_t params = pair_params(pair, "order-1", "body");
+		const pair_try_t *late;
+
+		pair->faults->down = !marked[i];
+		release_pair(pair, A, first->nonce);
+		run_pair(pair, SOON);
+		pair->faults->down = false;
+		late = send_pair(pair, A, &params);
+		run_pair(pair, SOON);
+		assert_refused(late, MSP_E_OVERLOAD, MSP_RUN_NO);
+		close_pair(pair);
+	}
+}
+
 /* The mark of the release and the next claim wait for one batch. */
 static void
 claim_after_a_release_is_not_overwritten(void **state)
@@ -308,6 +340,7 @@
 	    cmocka_unit_test(mark_of_the_first_try_decides_in_an_outage),
 	    cmocka_unit_test(mark_does_not_outweigh_a_claim_seen),
 	    cmocka_unit_test(no_covers_a_try_that_waits_at_another_vm),
+	    cmocka_unit_test(no_covers_a_try_that_meets_a_released_row),
 	    cmocka_unit_test(
 		owner_that_never_dispatched_says_no_without_the_store),
 	    cmocka_unit_test(no_covers_a_try_that_is_read_late),
