Send two batches at once instead of four; bound the store's queue lower

One would be best with the store up, but a single lost answer would hold up the whole VM for its timeout: two.

--- a/include/monsoonspindle/coord/claims.h
+++ b/include/monsoonspindle/coord/claims.h
@@ -88,7 +88,7 @@
 	const char *address; /* where others ask this VM; copied */
 	msp_time_t batch_window; /* a write waits for others; 4 ms */
 	size_t batch_rows; /* most rows of one transaction; 256 */
-	unsigned int batches; /* transactions under way at once; 4 */
+	unsigned int batches; /* transactions under way at once; 2 */
 	uint32_t store_timeout_ms; /* of one call; 1 s */
 	msp_time_t claim_timeout; /* to get a claim or refuse; 3 s */
 	msp_time_t ask_interval; /* between questions to an owner; 200 ms */
--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -30,7 +30,7 @@
 	unsigned int late_effect_pct; /* writes that take effect after the */
 	msp_time_t late_effect; /* answer was given up, by this much */
 	/*
-	 * Most writes it takes; 0: any. What would wait for more than a second
+	 * Most writes it takes; 0: any. What would wait for more than 500 ms
 	 * is refused: MSP_E_STORE_DOWN.
 	 */
 	unsigned int writes_per_second;
--- a/measure/claims.c
+++ b/measure/claims.c
@@ -102,7 +102,7 @@
 	    .address = "vm",
 	    .batch_window = options->window,
 	    .batch_rows = options->window == 0 ? 1 : 256,
-	    .batches = options->window == 0 ? 64 : 4,
+	    .batches = options->window == 0 ? 64 : 0,
 	};
 	msp_store_faults_t *faults;
 	unsigned int i;
--- a/source/coord/claims.c
+++ b/source/coord/claims.c
@@ -6,7 +6,7 @@
 
 #define BATCH_WINDOW (4 * MSP_MS)
 #define BATCH_ROWS 256
-#define BATCHES 4
+#define BATCHES 2
 #define STORE_TIMEOUT_MS 1000
 #define CLAIM_TIMEOUT (3 * MSP_SECOND)
 #define ASK_INTERVAL (200 * MSP_MS)
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -6,7 +6,7 @@
 #include "check_call.h"
 #include "store_data.h"
 
-#define WRITE_QUEUE_MAX MSP_SECOND
+#define WRITE_QUEUE_MAX (500 * MSP_MS)
 
 TAILQ_HEAD(call_queue, msp_store_call);
 
