Probe a target at once when it cuts a connection; tell quarantines to others

Cause: a connection cut without an answer counted as a crash only once a later connection was refused, so a read and its retries killed three targets before the first strike. The dispatcher's VM now asks the target for its load at once; refused or cut again means that it died.

--- a/source/spindled/dispatch.c
+++ b/source/spindled/dispatch.c
@@ -8,6 +8,7 @@
 #include "log.h"
 #include "members.h"
 #include "monsoonspindle/coord/nonces.h"
+#include "quarantines.h"
 #include "service_credit.h"
 #include "service_dispatch.h"
 
@@ -21,6 +22,7 @@
 	msp_map_t *services; /* name to service_dispatch_t */
 	LIST_HEAD(, service_dispatch) retired; /* until they are idle */
 	msp_quarantine_list_t *quarantine;
+	quarantines_t *quarantines; /* told to other VMs */
 	msp_nonces_t *nonces; /* of commits dispatched here */
 	msp_timer_t *tick;
 	msp_timer_t *review;
@@ -67,14 +69,16 @@
 	LIST_INIT(&dispatchers->retired);
 	dispatchers->services = msp_new_map();
 	dispatchers->quarantine = msp_new_quarantine_list(&daemon->env);
+	dispatchers->quarantines =
+	    new_quarantines(daemon, dispatchers->quarantine);
 	dispatchers->nonces = msp_new_nonces(&daemon->env, NONCE_LIFETIME);
 	dispatchers->tick = msp_new_timer(
 	    daemon->loop, TICK_PERIOD, TICK_PERIOD, tick, dispatchers);
 	dispatchers->review = msp_new_timer(
 	    daemon->loop, REVIEW_PERIOD, REVIEW_PERIOD, review, dispatchers);
 	if (dispatchers->services == NULL || dispatchers->quarantine == NULL ||
-	    dispatchers->nonces == NULL || dispatchers->tick == NULL ||
-	    dispatchers->review == NULL) {
+	    dispatchers->quarantines == NULL || dispatchers->nonces == NULL ||
+	    dispatchers->tick == NULL || dispatchers->review == NULL) {
 		drop_dispatchers(dispatchers);
 		return NULL;
 	}
@@ -98,6 +102,7 @@
 	LIST_FOREACH_SAFE(one, &dispatchers->retired, link, next)
 		drop_service_dispatch(one);
 	msp_drop_map(dispatchers->services);
+	drop_quarantines(dispatchers->quarantines);
 	msp_drop_quarantine_list(dispatchers->quarantine);
 	msp_drop_nonces(dispatchers->nonces);
 	free(dispatchers);
@@ -184,6 +189,12 @@
 		run_service_work(service, work);
 }
 
+void
+hear_quarantine(dispatchers_t *dispatchers, msp_exchange_t *exchange)
+{
+	serve_quarantine(dispatchers->quarantines, exchange);
+}
+
 void
 update_dispatchers(dispatchers_t *dispatchers)
 {
--- a/source/spindled/dispatch.h
+++ b/source/spindled/dispatch.h
@@ -1,6 +1,7 @@
 #ifndef SPINDLED_DISPATCH_H
 #define SPINDLED_DISPATCH_H
 
+#include "monsoonspindle/net/http_server.h"
 #include "monsoonspindle/steer/dispatcher.h"
 #include "work.h"
 
@@ -24,6 +25,9 @@
 /* Hands over what this VM is no longer the first choice for. */
 void review_dispatchers(dispatchers_t *dispatchers);
 
+/* Takes in what another VM quarantined. */
+void hear_quarantine(dispatchers_t *dispatchers, msp_exchange_t *exchange);
+
 /* Work that has not ended yet. */
 size_t count_dispatched(const dispatchers_t *dispatchers);
 
--- a/source/spindled/peers.c
+++ b/source/spindled/peers.c
@@ -9,6 +9,7 @@
 #include "forward_try.h"
 #include "members.h"
 #include "problem.h"
+#include "quarantines.h"
 #include "releases.h"
 #include "remote.h"
 #include "wire.h"
@@ -104,6 +105,9 @@
 		take_work(daemon, exchange);
 	} else if (strncmp(path, TRIES_PATH "/", sizeof(TRIES_PATH)) == 0) {
 		serve_forwarded_try(daemon->commits, exchange);
+	} else if (strncmp(path, QUARANTINE_PATH,
+		       sizeof(QUARANTINE_PATH) - 1) == 0) {
+		hear_quarantine(daemon->dispatchers, exchange);
 	} else if (strncmp(path, "/v1/notes", 9) == 0) {
 		serve_notes(daemon->releases, exchange);
 	} else if (strncmp(path, "/v1/claims/", 11) == 0) {
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -6,6 +6,7 @@
 
 #define HTTP_SERVICE_UNAVAILABLE 503
 #define RETRY_AFTER_MAX_S 60
+#define PROBE_TIMEOUT_MS 300
 
 static target_call_t *
 find_call(dispatch_t *dispatch, msp_attempt_t attempt)
@@ -41,6 +42,22 @@
 	return true;
 }
 
+static const char *
+outcome_name(msp_outcome_t outcome)
+{
+	static const char *const names[MSP_OUTCOME_COUNT] = {
+	    [MSP_OUTCOME_WHOLE] = "whole",
+	    [MSP_OUTCOME_SHED] = "shed",
+	    [MSP_OUTCOME_REFUSED_CONNECTION] = "refused-connection",
+	    [MSP_OUTCOME_CUT] = "cut",
+	    [MSP_OUTCOME_SILENT] = "silent",
+	    [MSP_OUTCOME_CRASHED] = "crashed",
+	    [MSP_OUTCOME_CANCELLED] = "cancelled",
+	};
+
+	return names[outcome];
+}
+
 static msp_outcome_t
 judge(const msp_call_result_t *ended, msp_time_t *retry_after)
 {
@@ -153,23 +170,22 @@
 	work_finish(work, result);
 }
 
+/* Tells the dispatcher how an attempt ended, and passes a final answer on. */
 static void
-on_target_answer(void *ctx, msp_call_result_t *ended)
+end_attempt(target_call_t *call, msp_outcome_t outcome, msp_time_t retry_after,
+    msp_call_result_t *ended)
 {
-	target_call_t *call = ctx;
 	dispatch_t *dispatch = call->dispatch;
 	service_dispatch_t *service = dispatch->service;
 	msp_attempt_t attempt = call->attempt;
-	msp_time_t retry_after = 0;
-	msp_outcome_t outcome = judge(ended, &retry_after);
 	work_result_t result = {0};
 
 	memcpy(result.target, call->target, sizeof(result.target));
 	memset(call, 0, sizeof(*call));
 	msp_count(service->daemon->counters, 1,
 	    "msp_target_attempts_total{service=\"%s\",target=\"%s\","
-	    "ended=\"%d\"}",
-	    service->name, result.target, (int)outcome);
+	    "ended=\"%s\"}",
+	    service->name, result.target, outcome_name(outcome));
 	if (msp_attempt_ended(service->dispatcher, &dispatch->job, attempt,
 		outcome, retry_after) != MSP_VERDICT_DONE)
 		return;
@@ -188,6 +204,50 @@
 	finish_dispatch(dispatch, &result);
 }
 
+static void
+on_probe(void *ctx, msp_call_result_t *ended)
+{
+	/* A dying target may still accept a connection, and cut that too. */
+	bool crashed = ended->status == MSP_E_PEER_DOWN ||
+	    ended->status == MSP_E_CUT_ANSWER;
+
+	end_attempt(
+	    ctx, crashed ? MSP_OUTCOME_CRASHED : MSP_OUTCOME_CUT, 0, ended);
+}
+
+/*
+ * A connection that ended without an answer: asks the target for its load, to
+ * know at once whether it died. Returns false without memory.
+ */
+static bool
+probe_target(target_call_t *call)
+{
+	daemon_t *daemon = call->dispatch->service->daemon;
+	msp_call_options_t options = {.address = call->address->address,
+	    .port = call->address->port,
+	    .timeout_ms = PROBE_TIMEOUT_MS,
+	    .fresh = true};
+	msp_request_t request = {.method = "GET", .path = "/load"};
+
+	call->call = msp_start_call(
+	    daemon->target_client, &options, &request, on_probe, call);
+	msp_drop_request(&request);
+	return call->call != NULL;
+}
+
+static void
+on_target_answer(void *ctx, msp_call_result_t *ended)
+{
+	target_call_t *call = ctx;
+	msp_time_t retry_after = 0;
+	msp_outcome_t outcome = judge(ended, &retry_after);
+
+	if (outcome == MSP_OUTCOME_CUT && ended->status == MSP_E_CUT_ANSWER &&
+	    probe_target(call))
+		return;
+	end_attempt(call, outcome, retry_after, ended);
+}
+
 /* What the target needs to know of the request's way here. */
 static msp_status_t
 add_headers(const work_t *work, msp_time_t now, msp_request_t *request)
@@ -226,6 +286,7 @@
 	}
 	call->dispatch = dispatch;
 	call->attempt = attempt;
+	call->address = address;
 	snprintf(call->target, sizeof(call->target), "%s", target->name);
 	call->call = msp_start_call(
 	    daemon->target_client, &options, &request, on_target_answer, call);
--- a/source/spindled/target_call.h
+++ b/source/spindled/target_call.h
@@ -9,7 +9,8 @@
 typedef struct target_call {
 	struct dispatch *dispatch;
 	msp_attempt_t attempt; /* 0: free */
-	msp_call_t *call;
+	msp_call_t *call; /* the request, then perhaps a probe */
+	const target_address_t *address;
 	char target[MSP_NAME_SIZE];
 } target_call_t;
 
--- /dev/null
+++ b/tests/process/test_crash.c
@@ -0,0 +1,123 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <sys/wait.h>
+
+#include "fleet.h"
+
+/*
+ * A request that crashes each target that runs it, sent again and again to all
+ * VMs: it is quarantined, all data centres hear of it, and others are served.
+ */
+
+#define RESENDS 30
+#define DEATHS_MAX 4 /* two strikes in each of two data centres */
+
+static const fleet_place_t places[] = {
+    {"a", "north", 2, 4}, {"b", "north", 1, 3}, {0}};
+
+static int
+start_fleet(void **state)
+{
+	fleet_options_t options = {
+	    .places = places, .service = "desk", .slots = 4};
+	fleet_t *fleet = new_fleet(&options);
+
+	*state = fleet;
+	if (fleet == NULL)
+		return -1;
+	return fleet_apply_first_note(fleet) ? 0 : -1;
+}
+
+static int
+stop_fleet(void **state)
+{
+	drop_fleet(*state);
+	return 0;
+}
+
+static int
+count_dead(fleet_t *fleet)
+{
+	int dead = 0;
+	size_t i;
+
+	for (i = 0; i < fleet->target_count; i++) {
+		fleet_process_t *target = &fleet->targets[i];
+
+		if (target->pid != 0 &&
+		    waitpid(target->pid, &target->status, WNOHANG) ==
+			target->pid)
+			target->pid = 0;
+		dead += target->pid == 0;
+	}
+	return dead;
+}
+
+static bool
+is_refused(fleet_t *fleet, size_t vm)
+{
+	fleet_reply_t reply;
+	bool refused;
+
+	fleet_request(fleet, fleet->vms[vm].port, "GET",
+	    "/v1/services/desk/bad", "Request-Timeout: 3000", NULL, &reply);
+	refused = strstr(msp_buffer_text(&reply.response.body),
+		      "\"kind\":\"quarantined\"") != NULL;
+	msp_drop_response(&reply.response);
+	return refused;
+}
+
+/* Each VM refuses it, without a target. */
+static bool
+is_quarantined(void *ctx)
+{
+	fleet_t *fleet = ctx;
+	size_t vm;
+
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		if (!is_refused(fleet, vm))
+			return false;
+	}
+	return true;
+}
+
+static void
+a_crashing_request_is_quarantined(void **state)
+{
+	fleet_t *fleet = *state;
+	fleet_reply_t reply;
+	size_t vm;
+	int dead;
+	int i;
+
+	assert_true(fleet_control_targets(fleet, "{\"crash_path\":\"/bad\"}"));
+	for (i = 0; i < RESENDS; i++)
+		is_refused(fleet, (size_t)i % fleet->vm_count);
+	assert_true(fleet_wait(fleet, is_quarantined, fleet));
+	dead = count_dead(fleet);
+	if (dead > DEATHS_MAX)
+		fail_msg("%d targets died, not at most %d", dead, DEATHS_MAX);
+	print_message("%d targets died\n", dead);
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		fleet_request(fleet, fleet->vms[vm].port, "GET",
+		    "/v1/services/desk/good", NULL, NULL, &reply);
+		assert_int_equal(reply.http_status, 200);
+		msp_drop_response(&reply.response);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(a_crashing_request_is_quarantined),
+	};
+
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+}
