--- a/source/spindlectl/options.c
+++ b/source/spindlectl/options.c
@@ -44,6 +44,7 @@
 	struct arg_lit *wait;
 	struct arg_lit *check;
 	struct arg_lit *help;
+	struct arg_lit *help_notes;
 	struct arg_lit *version;
 	struct arg_str *words;
 	struct arg_end *end;
@@ -192,6 +193,17 @@
 	printf("\n%s", commands_help);
 }
 
+static ctl_exit_t
+print_notes_help(void)
+{
+	msp_buffer_t text = {0};
+	msp_status_t status = msp_print_items_help(&text);
+
+	printf("%s", msp_buffer_text(&text));
+	msp_drop_buffer(&text);
+	return status == MSP_OK ? CTL_OK : CTL_USAGE;
+}
+
 bool
 parse_options(int argc, char **argv, ctl_options_t *options, ctl_exit_t *code)
 {
@@ -215,13 +227,15 @@
 		arg_lit0(NULL, "wait", "until all live VMs have it in force"),
 	    .check = arg_lit0(NULL, "check", "apply: check only, send nothing"),
 	    .help = arg_lit0("h", "help", "print this and exit"),
+	    .help_notes = arg_lit0(NULL, "help-notes",
+		"print the keys of a note's items and exit"),
 	    .version = arg_lit0(NULL, "version", "print the version and exit"),
 	    .words = arg_strn(NULL, NULL, "COMMAND", 0, CTL_ARGS_MAX + 1, NULL),
 	    .end = arg_end(ARG_ERRORS),
 	};
 	void *table[] = {set.vm, set.token, set.token_file, set.comment,
 	    set.timeout, set.after, set.limit, set.json, set.wait, set.check,
-	    set.help, set.version, set.words, set.end};
+	    set.help, set.help_notes, set.version, set.words, set.end};
 	size_t count = sizeof(table) / sizeof(table[0]);
 	bool go_on = false;
 	int errors;
@@ -232,12 +246,14 @@
 		return false;
 	}
 	errors = arg_parse(argc, argv, table);
-	if (set.help->count > 0 || set.version->count > 0) {
+	if (set.help->count > 0) {
+		*code = CTL_OK;
+		print_help(table);
+	} else if (set.help_notes->count > 0) {
+		*code = print_notes_help();
+	} else if (set.version->count > 0) {
 		*code = CTL_OK;
-		if (set.help->count > 0)
-			print_help(table);
-		else
-			printf("spindlectl %s\n", MSP_VERSION);
+		printf("spindlectl %s\n", MSP_VERSION);
 	} else if (errors > 0) {
 		arg_print_errors(stderr, set.end, "spindlectl");
 	} else if (read_set(&set, options) != MSP_OK) {
--- a/tests/spindlectl/test_ctl.c
+++ b/tests/spindlectl/test_ctl.c
@@ -68,6 +68,8 @@
     {"bad rule", {"doubt", "rule", "k", "maybe", NULL}, NULL, {{0}}, 2,
 	"ran|not-ran"},
     {"help", {"--help", NULL}, NULL, {{0}}, 0, "Exit codes"},
+    {"help of notes", {"--help-notes", NULL}, NULL, {{0}}, 0,
+	"targets[].slots"},
     {"version", {"--version", NULL}, NULL, {{0}}, 0, "spindlectl 0."},
     {"no such file", {"apply", "/nonexistent", NULL}, NULL, {{0}}, 2,
 	"/nonexistent"},
