--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -15,6 +15,7 @@
  * targets and an open stream of requests: one data centre or a few regions.
  */
 
+#define REGION_RTT (55 * MSP_MS)
 #define WORLD_PLACES 6
 #define WORLD_TARGETS 32
 #define WORLD_ENTRIES 4 /* entry VMs in a place, for the static shares */
@@ -119,6 +120,7 @@
 	char name[16];
 	msp_dispatcher_t *dispatcher;
 	msp_dispatcher_t *twin; /* a second one that should not be */
+	bool twin_retired;
 	msp_granter_t *granter;
 	msp_wallet_t *wallet;
 	msp_spill_t spill[MSP_CLASS_COUNT];
