--- a/measure/capacity_gossip.c
+++ b/measure/capacity_gossip.c
@@ -125,7 +125,8 @@
 	}
 	if (run_until_agreed(net, SETTLE_MAX) >= SETTLE_MAX)
 		printf("not settled: %zu nodes\n", nodes);
-	run_net(net, MEASURED);
+	/* Longer than the comparisons of members go on after a change. */
+	run_net(net, 3 * MEASURED);
 	return net;
 }
 
