--- /dev/null
+++ b/tests/support/net_transport.c
@@ -0,0 +1,246 @@
+#include "net_transport.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DATAGRAM_OVERHEAD 28U /* bytes of IP and UDP headers */
+#define CALL_OVERHEAD 40U /* bytes of an ONC RPC call header */
+#define REPLY_OVERHEAD 24U
+
+static msp_time_t
+travel(net_t *net)
+{
+	msp_time_t span =
+	    net->delay + msp_next_random(&net->rng) % (net->delay / 2 + 1);
+
+	if (net->late > 0 && net_chance(net) < net->late)
+		span += msp_next_random(&net->rng) % (net->late_max + 1);
+	return span;
+}
+
+static void
+corrupt(net_t *net, net_event_t *event)
+{
+	unsigned int changes = 1 + msp_next_random(&net->rng) % 4;
+
+	if (event->len == 0 || net_chance(net) >= net->corrupt)
+		return;
+	if (msp_next_random(&net->rng) % 4 == 0) {
+		event->len = msp_next_random(&net->rng) % event->len;
+		return;
+	}
+	while (changes-- > 0)
+		event->bytes[msp_next_random(&net->rng) % event->len] =
+		    (char)msp_next_random(&net->rng);
+}
+
+/* Puts a message on the way, perhaps twice, perhaps not at all. */
+static void
+transmit(net_t *net, const net_event_t *plan)
+{
+	unsigned int copies =
+	    1 + (net->doubled > 0 && net_chance(net) < net->doubled);
+
+	if (net->nodes[plan->from].side != net->nodes[plan->to].side)
+		return;
+	while (copies-- > 0) {
+		net_event_t *event;
+
+		if (net->loss > 0 && net_chance(net) < net->loss)
+			continue;
+		event = new_event(
+		    plan->kind, net->now + travel(net), plan->bytes, plan->len);
+		event->from = plan->from;
+		event->to = plan->to;
+		event->from_run = plan->from_run;
+		event->to_run = plan->to_run;
+		event->procedure = plan->procedure;
+		event->token = plan->token;
+		event->status = plan->status;
+		corrupt(net, event);
+		push_event(net, event);
+	}
+}
+
+static size_t
+encode(xdrproc_t code, const void *message, char *out, size_t size)
+{
+	XDR xdrs;
+	size_t len;
+
+	xdrmem_create(&xdrs, out, (u_int)size, XDR_ENCODE);
+	if (!code(&xdrs, (void *)message)) {
+		fprintf(stderr, "a message does not fit\n");
+		abort();
+	}
+	len = xdr_getpos(&xdrs);
+	xdr_destroy(&xdrs);
+	return len;
+}
+
+static void
+count_message(net_node_t *node, size_t len, size_t header)
+{
+	net_t *net = node->net;
+
+	node->messages_out++;
+	node->bytes_out += len + header + DATAGRAM_OVERHEAD;
+	if (len + header > net->largest)
+		net->largest = len + header;
+}
+
+static size_t
+node_of(const net_t *net, const char *address)
+{
+	unsigned int high;
+	unsigned int low;
+	unsigned int generation;
+	size_t index;
+
+	if (sscanf(address, "10.%u.%u.%u", &generation, &high, &low) != 3)
+		return net->count;
+	index = (size_t)high * 256 + low;
+	return index < net->count &&
+		strcmp(net->nodes[index].address, address) == 0
+	    ? index
+	    : net->count;
+}
+
+void
+net_send_call(void *ctx, const char *address, uint16_t peer_port,
+    uint32_t procedure, const void *message, uint32_t token, msp_time_t timeout)
+{
+	net_node_t *node = ctx;
+	net_t *net = node->net;
+	const msp_gossip_codec_t *codec = msp_find_gossip_codec(procedure);
+	char bytes[4096];
+	size_t len = encode(codec->argument, message, bytes, sizeof(bytes));
+	size_t to = node_of(net, address);
+	net_event_t *event;
+
+	count_message(node, len, CALL_OVERHEAD);
+	if (token != 0) {
+		event = new_event(EVENT_TIMEOUT, net->now + timeout, NULL, 0);
+		event->to = node->index;
+		event->to_run = node->run;
+		event->token = token;
+		event->procedure = procedure;
+		event->status = MSP_E_DEADLINE;
+		push_event(net, event);
+	}
+	if (to == net->count || net->nodes[to].peer_port != peer_port)
+		return;
+	event = new_event(EVENT_CALL, net->now, bytes, len);
+	event->from = node->index;
+	event->from_run = node->run;
+	event->to = to;
+	event->to_run = net->nodes[to].run;
+	event->procedure = procedure;
+	event->token = token;
+	transmit(net, event);
+	free(event);
+}
+
+void
+net_reply(net_t *net, const net_event_t *call, msp_status_t status,
+    const char *bytes, size_t len)
+{
+	net_event_t *event = new_event(EVENT_REPLY, net->now, bytes, len);
+
+	event->from = call->to;
+	event->to = call->from;
+	event->to_run = call->from_run;
+	event->procedure = call->procedure;
+	event->token = call->token;
+	event->status = status;
+	transmit(net, event);
+	free(event);
+}
+
+void
+net_serve_call(net_t *net, net_node_t *node, net_event_t *event)
+{
+	const msp_gossip_codec_t *codec =
+	    msp_find_gossip_codec(event->procedure);
+	union {
+		msp_gossip_ping_t ping;
+		msp_gossip_sync_t sync;
+		msp_gossip_ping_req_t request;
+		msp_gossip_exchange_t exchange;
+		msp_gossip_ack_t ack;
+		msp_gossip_page_t page;
+		msp_gossip_summaries_t summaries;
+	} argument, result;
+	char bytes[4096];
+	size_t len = 0;
+	XDR xdrs;
+	msp_status_t status;
+
+	memset(&argument, 0, sizeof(argument));
+	memset(&result, 0, sizeof(result));
+	node->bytes_in += event->len + CALL_OVERHEAD + DATAGRAM_OVERHEAD;
+	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
+	if (!codec->argument(&xdrs, &argument)) {
+		xdr_free(codec->argument, (char *)&argument);
+		if (codec->result != NULL && event->token != 0)
+			net_reply(net, event, MSP_E_BAD_REQUEST, NULL, 0);
+		return;
+	}
+	if (event->procedure == MSP_GOSSIP_EXCHANGE)
+		status = msp_serve_relay(
+		    node->relay, event->procedure, &argument, &result);
+	else
+		status = msp_serve_membership(
+		    node->membership, event->procedure, &argument, &result);
+	xdr_free(codec->argument, (char *)&argument);
+	if (codec->result != NULL && event->token != 0) {
+		if (status == MSP_OK)
+			len = encode(
+			    codec->result, &result, bytes, sizeof(bytes));
+		count_message(node, len, REPLY_OVERHEAD);
+		net_reply(net, event,
+		    status == MSP_OK ? MSP_OK : MSP_E_BAD_REQUEST, bytes, len);
+	}
+	if (codec->result != NULL)
+		xdr_free(codec->result, (char *)&result);
+}
+
+static void
+hand_in(net_node_t *node, const net_event_t *event, const void *result)
+{
+	if (event->procedure == MSP_GOSSIP_EXCHANGE)
+		msp_relay_answered(
+		    node->relay, event->token, event->status, result);
+	else
+		msp_membership_answered(
+		    node->membership, event->token, event->status, result);
+}
+
+void
+net_serve_reply(net_node_t *node, net_event_t *event)
+{
+	const msp_gossip_codec_t *codec =
+	    msp_find_gossip_codec(event->procedure);
+	union {
+		msp_gossip_ack_t ack;
+		msp_gossip_page_t page;
+		msp_gossip_summaries_t summaries;
+	} result;
+	XDR xdrs;
+
+	memset(&result, 0, sizeof(result));
+	if (event->kind == EVENT_TIMEOUT || event->status != MSP_OK) {
+		hand_in(node, event, NULL);
+		return;
+	}
+	node->bytes_in += event->len + REPLY_OVERHEAD + DATAGRAM_OVERHEAD;
+	xdrmem_create(&xdrs, event->bytes, (u_int)event->len, XDR_DECODE);
+	if (codec->result(&xdrs, &result)) {
+		hand_in(node, event, &result);
+	} else {
+		event->status = MSP_E_BAD_REQUEST;
+		hand_in(node, event, NULL);
+	}
+	xdr_free(codec->result, (char *)&result);
+}
