--- a/tests/coord/test_membership_faults.c
+++ b/tests/coord/test_membership_faults.c
@@ -126,7 +126,28 @@
 	}
 }
 
+/* The new process's clock is an hour behind the old one's. */
+static void
+a_clock_set_back_is_made_up_for(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 10; seed++) {
+		net_t *net = started_net(12, seed, 0);
+
+		kill_node(net, 4);
+		run_net(net, seed * 4 * MSP_SECOND);
+		net->clock_back = 60 * MSP_MINUTE;
+		start_node(net, 4);
+		assert_in_range(
+		    run_until_agreed(net, JOIN_BOUND), 0, 10 * MSP_SECOND);
+		drop_net(net);
+	}
+}
+
 static const seeded_case_t freeze_cases[] = {
+    {2, 0, 20, 10 * MSP_SECOND},
     {4, 0, 10, 10 * MSP_SECOND},
     {23, 0, 10, 10 * MSP_SECOND},
     {23, 0.1, 10, 10 * MSP_SECOND},
@@ -147,14 +168,17 @@
 		for (seed = 1; seed <= row->seeds; seed++) {
 			net_t *net = started_net(row->nodes, seed, row->loss);
 			const msp_membership_t *frozen =
-			    net->nodes[2].membership;
+			    net->nodes[1].membership;
 			msp_time_t start;
 
 			assert_false(msp_membership_paused(frozen));
-			freeze_node(net, 2);
+			/* Answers are on their way when it freezes. */
+			net->delay = 80 * MSP_MS;
+			run_net(net, 2 * MSP_SECOND);
+			freeze_node(net, 1);
 			run_net(net, 5 * MSP_SECOND);
 			assert_true(msp_membership_paused(frozen));
-			wake_node(net, 2);
+			wake_node(net, 1);
 			/* Old messages wait in its socket; none counts. */
 			run_net(net, 1);
 			assert_true(msp_membership_paused(frozen));
@@ -333,6 +357,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(a_leaving_member_is_out_of_rank_in_time),
 	    cmocka_unit_test(a_new_incarnation_is_known_everywhere),
+	    cmocka_unit_test(a_clock_set_back_is_made_up_for),
 	    cmocka_unit_test(a_woken_member_waits_for_its_peers),
 	    cmocka_unit_test(halves_part_and_meet_again),
 	    cmocka_unit_test(nobody_is_taken_for_dead),
--- a/tests/support/ledger_fleet.c
+++ b/tests/support/ledger_fleet.c
@@ -27,6 +27,7 @@
 	    !msp_digest_equal(fleet->digests[version], release->digest))
 		fleet->forked++;
 	fleet->digests[version] = release->digest;
+	memcpy(fleet->notes[version], release->note, MSP_NOTE_ID_SIZE);
 	fleet->in_force[version] = fleet->clock.now;
 	if (version > fleet->newest)
 		fleet->newest = version;
@@ -89,8 +90,7 @@
 	fleet_message_t *answer;
 	msp_time_t delay;
 
-	if (vm->version == 0 || peer == vm->index ||
-	    fleet->vms[peer].ledger == NULL ||
+	if (peer == vm->index || fleet->vms[peer].ledger == NULL ||
 	    !can_reach(fleet, vm->index, peer))
 		peer = (unsigned int)msp_random_below(
 		    &fleet->env, fleet->vm_count);
