--- a/source/spindlectl/show.c
+++ b/source/spindlectl/show.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "ctl.h"
@@ -143,14 +144,18 @@
 }
 
 static ctl_exit_t
-rule_doubt(ctl_t *ctl, const char *key, bool ran)
+rule_doubt(ctl_t *ctl, const char *service, const char *key, bool ran)
 {
+	const char *who = getenv("USER");
 	json_object *doc = json_object_new_object();
 	msp_buffer_t body = {0};
 	ctl_answer_t answer;
 	ctl_exit_t code;
 
+	json_object_object_add(doc, "service", json_object_new_string(service));
 	json_object_object_add(doc, "key", json_object_new_string(key));
+	json_object_object_add(doc, "who",
+	    json_object_new_string(who == NULL ? "spindlectl" : who));
 	json_object_object_add(doc, "ran", json_object_new_boolean(ran));
 	msp_print_buffer(&body, "%s", json_object_to_json_string(doc));
 	json_object_put(doc);
@@ -174,13 +179,13 @@
 	if (ctl->options.arg_count == 0 ||
 	    (ctl->options.arg_count == 1 && strcmp(args[0], "list") == 0))
 		return list_doubt(ctl);
-	if (ctl->options.arg_count == 3 && strcmp(args[0], "rule") == 0) {
-		if (strcmp(args[2], "ran") == 0)
-			return rule_doubt(ctl, args[1], true);
-		if (strcmp(args[2], "not-ran") == 0)
-			return rule_doubt(ctl, args[1], false);
+	if (ctl->options.arg_count == 4 && strcmp(args[0], "rule") == 0) {
+		if (strcmp(args[3], "ran") == 0)
+			return rule_doubt(ctl, args[1], args[2], true);
+		if (strcmp(args[3], "not-ran") == 0)
+			return rule_doubt(ctl, args[1], args[2], false);
 	}
-	complain("doubt takes: list, or: rule KEY ran|not-ran");
+	complain("doubt takes: list, or: rule SERVICE KEY ran|not-ran");
 	return CTL_USAGE;
 }
 
--- a/source/spindled/commits.c
+++ b/source/spindled/commits.c
@@ -61,8 +61,8 @@
 	return false;
 }
 
-static msp_time_t
-wall(void *ctx)
+msp_time_t
+wall_clock(void *ctx)
 {
 	struct timespec now;
 
@@ -82,7 +82,7 @@
 	    .hooks = {.ctx = commits,
 		.ask = ask_owner,
 		.is_gone = is_gone,
-		.wall = wall,
+		.wall = wall_clock,
 		.decide = log_decision},
 	    .counters = daemon->counters,
 	    .incarnation = daemon->incarnation,
--- a/source/spindled/commits_private.h
+++ b/source/spindled/commits_private.h
@@ -18,6 +18,9 @@
 /* Sets the timer to when the claims have something to do next. */
 void arm_commits(commits_t *commits);
 
+/* Time of day in microseconds since 1970. */
+msp_time_t wall_clock(void *ctx);
+
 /* Carries a question to another VM; the callback `ask` of the claims. */
 void ask_owner(
     void *ctx, const msp_ask_t *ask, msp_ask_done_t *done, void *done_ctx);
--- a/source/spindled/doubt.c
+++ b/source/spindled/doubt.c
@@ -10,12 +10,15 @@
 
 #define DEPTH_MAX 8
 #define PLACE_SIZE 512
+#define PAGES_MAX 200 /* of the table, for one answer */
 
 /* An operator's request that waits for the store. */
 typedef struct waiting {
 	bool gone; /* the operator went away */
 	msp_exchange_t *exchange;
 	commits_t *commits;
+	json_object *list; /* of doubts */
+	unsigned int pages; /* read so far */
 } waiting_t;
 
 static waiting_t *
@@ -37,44 +40,61 @@
 describe_doubt(const msp_doubt_t *doubt)
 {
 	json_object *doc = json_object_new_object();
+	msp_time_t now = wall_clock(NULL);
 
 	json_object_object_add(
 	    doc, "service", json_object_new_string(doubt->service));
 	json_object_object_add(doc, "key", json_object_new_string(doubt->key));
+	json_object_object_add(doc, "since_ms",
+	    json_object_new_uint64(now > doubt->claimed_at
+		    ? (now - doubt->claimed_at) / MSP_MS
+		    : 0));
 	json_object_object_add(
 	    doc, "owner", json_object_new_string(doubt->address));
-	json_object_object_add(
-	    doc, "owner_gone", json_object_new_boolean(doubt->owner_gone));
-	json_object_object_add(
-	    doc, "claimed_at_us", json_object_new_uint64(doubt->claimed_at));
+	json_object_object_add(doc, "reason",
+	    json_object_new_string(
+		doubt->owner_gone ? "owner-gone" : "answer-lost"));
 	return doc;
 }
 
+static void
+answer_doubts(waiting_t *waiting, const char *next)
+{
+	msp_response_t response = {.status = 200};
+	const char *text = json_object_to_json_string_ext(
+	    waiting->list, JSON_C_TO_STRING_PLAIN);
+
+	msp_add_header(&response.headers, "Content-Type", "application/json");
+	if (next != NULL)
+		msp_add_header(&response.headers, "X-Next", next);
+	msp_append_buffer(&response.body, text, strlen(text));
+	msp_answer_exchange(waiting->exchange, &response);
+}
+
+/* One page of the table: goes on until the end, or for PAGES_MAX pages. */
 static void
 on_doubts(void *ctx, msp_status_t status, const msp_doubt_t *doubts,
     size_t count, const char *next)
 {
 	waiting_t *waiting = ctx;
-	json_object *doc;
-	json_object *list;
 	size_t i;
 
+	for (i = 0; i < count; i++)
+		json_object_array_add(
+		    waiting->list, describe_doubt(&doubts[i]));
+	if (status == MSP_OK && next != NULL && !waiting->gone &&
+	    ++waiting->pages < PAGES_MAX) {
+		msp_list_doubts(
+		    waiting->commits->claims, next, on_doubts, waiting);
+		return;
+	}
 	if (!waiting->gone && status != MSP_OK) {
 		msp_fail(status, "the store did not answer");
 		answer_error(waiting->exchange, status);
 	} else if (!waiting->gone) {
-		doc = json_object_new_object();
-		list = json_object_new_array();
-		for (i = 0; i < count; i++)
-			json_object_array_add(list, describe_doubt(&doubts[i]));
-		json_object_object_add(doc, "doubts", list);
-		json_object_object_add(doc, "next",
-		    next == NULL ? NULL : json_object_new_string(next));
-		answer_json(waiting->exchange, 200,
-		    json_object_to_json_string_ext(
-			doc, JSON_C_TO_STRING_PLAIN));
-		json_object_put(doc);
+		answer_doubts(waiting, next);
 	}
+	json_object_put(waiting->list);
 	free(waiting);
 }
 
@@ -92,6 +112,7 @@
 	waiting = wait_for_store(commits, exchange);
 	if (waiting == NULL)
 		return;
+	waiting->list = json_object_new_array();
 	msp_list_doubts(commits->claims, after, on_doubts, waiting);
 	arm_commits(commits);
 }
@@ -122,11 +143,11 @@
 	return json_object_get_string(value);
 }
 
-/* {"service": S, "key": K, "ruling": "ran" | "not-ran", "who": W} */
+/* {"service": S, "key": K, "ran": true or false, "who": W} */
 static msp_status_t
 read_ruling(json_object *doc, msp_ruling_t *ruling)
 {
-	const char *verdict = find_text(doc, "ruling");
+	json_object *ran;
 
 	ruling->service = find_text(doc, "service");
 	ruling->key = find_text(doc, "key");
@@ -135,11 +156,11 @@
 	    ruling->who == NULL)
 		return msp_fail(MSP_E_BAD_REQUEST,
 		    "service, key and who are needed, as text");
-	if (verdict == NULL ||
-	    (strcmp(verdict, "ran") != 0 && strcmp(verdict, "not-ran") != 0))
+	if (!json_object_object_get_ex(doc, "ran", &ran) ||
+	    !json_object_is_type(ran, json_type_boolean))
 		return msp_fail(
-		    MSP_E_BAD_REQUEST, "ruling: neither ran nor not-ran");
-	ruling->ran = strcmp(verdict, "ran") == 0;
+		    MSP_E_BAD_REQUEST, "ran: neither true nor false");
+	ruling->ran = json_object_get_boolean(ran);
 	return MSP_OK;
 }
 
