--- a/source/spindlectl/main.c
+++ b/source/spindlectl/main.c
@@ -16,7 +16,7 @@
     {"history", 0, 0, run_history},
     {"status", 0, 0, run_status},
     {"members", 0, 0, run_members},
-    {"doubt", 0, 3, run_doubt},
+    {"doubt", 0, 4, run_doubt},
     {"metrics", 0, 0, run_metrics},
 };
 
