--- a/source/coord/relay_exchange.c
+++ b/source/coord/relay_exchange.c
@@ -10,7 +10,7 @@
 
 #define ANSWER_MAX 1150 /* bytes of summaries in an answer */
 
-#define NEAR_WEIGHT 4U /* of a second of age of a near summary */
+#define NEAR_WEIGHT 8U /* of a second of age of a near summary */
 
 /* A summary that the asker lacks. */
 typedef struct candidate {
