--- a/include/monsoonspindle/steer/job.h
+++ b/include/monsoonspindle/steer/job.h
@@ -48,7 +48,8 @@
 	const char *request_id; /* borrowed; may be NULL */
 	msp_class_t class;
 	bool is_idempotent; /* must be false for a commit */
-	bool is_shifted; /* of another region's client: own ones go first */
+	bool
+	    is_shifted; /* of another region: goes behind, leaves the reserve */
 	msp_time_t arrival; /* when it reached the system; 0: now */
 	msp_time_t deadline; /* 0: the policy's default after arrival */
 	msp_digest_t fingerprint; /* all zero: never quarantined */
--- a/include/monsoonspindle/steer/spill.h
+++ b/include/monsoonspindle/steer/spill.h
@@ -32,7 +32,8 @@
 /*
  * Takes in the local wait, MSP_NEVER while the local targets drain or the
  * dispatcher does not answer, and returns the index of the place to use, or
- * MSP_SPILL_LOCAL.
+ * MSP_SPILL_LOCAL. When a dispatcher refuses a request with `run` no, call it
+ * once more with MSP_NEVER and without that place: the request may go there.
  */
 int msp_decide_spill(msp_spill_t *spill, const msp_env_t *env,
     msp_time_t local_wait, const msp_spill_option_t *options, size_t count);
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -102,7 +102,7 @@
 			return MSP_NEVER;
 		capacity = 1;
 	}
-	if (queue == MSP_CLASS_BACKGROUND) {
+	if (queue == MSP_CLASS_BACKGROUND || queue == MSP_QUEUE_SHIFTED) {
 		uint32_t reserve = msp_reserve(d);
 
 		spare = spare > reserve ? spare - reserve : 0;
--- a/source/steer/policy.c
+++ b/source/steer/policy.c
@@ -13,7 +13,7 @@
 	msp_dispatch_policy_t policy = {
 	    .preference = preference,
 	    .reserve_percent = 10,
-	    .fill_percent = 85,
+	    .fill_percent = 95,
 	    .retry_budget_percent = 10,
 	    .hedge = true,
 	    .default_deadline = 10 * MSP_SECOND,
--- a/source/steer/queue.c
+++ b/source/steer/queue.c
@@ -197,10 +197,12 @@
 	int second = first == MSP_CLASS_COMMIT ? MSP_CLASS_INTERACTIVE
 					       : MSP_CLASS_COMMIT;
 
-	if (advance_queue(d, first) || advance_queue(d, second) ||
-	    advance_queue(d, MSP_QUEUE_SHIFTED))
+	if (advance_queue(d, first) || advance_queue(d, second))
 		return true;
-	return msp_total_free(d) > msp_reserve(d) &&
+	/* The others leave a reserve to the own clients who wait. */
+	if (msp_total_free(d) <= msp_reserve(d))
+		return false;
+	return advance_queue(d, MSP_QUEUE_SHIFTED) ||
 	    advance_queue(d, MSP_CLASS_BACKGROUND);
 }
 
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -166,7 +166,9 @@
 	uint64_t no_return_time; /* overload refusals without a time */
 	/* Oldest age of a request refused from the queue, with `run` no. */
 	msp_time_t latest_refusal[MSP_CLASS_COUNT];
-	uint64_t foreign_refusals; /* own clients of regions but the first */
+	/* Own clients of regions but the first. */
+	uint64_t foreign_refusals;
+	uint64_t displaced; /* of these, while shifted work held slots there */
 	msp_time_t foreign_wait; /* their longest time in the queue */
 	msp_time_t silence; /* longest time from deadline to final answer */
 } world_results_t;
--- a/tests/support/world_path.c
+++ b/tests/support/world_path.c
@@ -79,6 +79,24 @@
 	world_at(world, world->venv.now + HOP / 2, deliver, request);
 }
 
+/* Whether a target of a place works for another region's client. */
+static bool
+holds_shifted_work(const world_t *world, uint32_t place)
+{
+	const fake_attempt_t *attempt;
+	uint32_t first, i;
+	uint32_t count = place_targets(world, place, &first);
+
+	for (i = first; i < first + count; i++) {
+		TAILQ_FOREACH(attempt, &world->targets[i].running, link) {
+			if (attempt->request->region !=
+			    world->places[place].region)
+				return true;
+		}
+	}
+	return false;
+}
+
 static void
 note_refusal(world_request_t *request, const msp_refusal_t *refusal)
 {
@@ -99,8 +117,11 @@
 		return;
 	results->refused[class]++;
 	results->refused_by[refusal->status]++;
-	if (request->region != 0 && class != MSP_CLASS_BACKGROUND)
+	if (request->region != 0 && class != MSP_CLASS_BACKGROUND) {
 		results->foreign_refusals++;
+		results->displaced +=
+		    holds_shifted_work(request->world, request->home);
+	}
 	if (refusal->run == MSP_RUN_NO &&
 	    now - request->born > results->latest_refusal[class])
 		results->latest_refusal[class] = now - request->born;
@@ -116,26 +137,22 @@
 	    ->poison = request->poison;
 }
 
+static bool send_elsewhere(world_request_t *request, msp_time_t wait);
 static void submit_later(world_t *world, void *arg);
 
-/* Tries the sibling once when the own place does not take the request. */
+/* Tries another place once when one does not take the request. */
 static bool
 fall_back(world_request_t *request, const msp_refusal_t *refusal)
 {
 	world_t *world = request->world;
-	uint32_t sibling = request->home ^ 1;
 
 	if (!world->config.shifts || request->fell_back ||
-	    request->at != request->home || refusal->run != MSP_RUN_NO ||
-	    world->config.centres != 2 || world->places[sibling].lost ||
-	    world->places[sibling].told_wait == MSP_NEVER ||
-	    world->venv.now + world->places[sibling].told_wait >=
-		request->job.deadline)
+	    refusal->run != MSP_RUN_NO ||
+	    world->venv.now >= request->job.deadline ||
+	    refusal->status == MSP_E_QUARANTINED)
 		return false;
 	request->fell_back = true;
-	request->at = sibling;
-	world_at(world, world->venv.now + MSP_MS, submit_later, request);
-	return true;
+	return send_elsewhere(request, MSP_NEVER);
 }
 
 void
@@ -304,57 +321,76 @@
 	submit_here(arg);
 }
 
-void
-route_request(world_request_t *request)
+/* Fills in what the other places would take, as last heard of. */
+static void
+list_options(const world_request_t *request, msp_spill_option_t *options)
 {
-	world_t *world = request->world;
-	world_place_t *home = &world->places[request->home];
-	msp_spill_option_t options[WORLD_PLACES];
-	msp_time_t wait;
+	const world_t *world = request->world;
+	const world_place_t *home = &world->places[request->home];
+	bool background = request->job.class == MSP_CLASS_BACKGROUND;
 	uint32_t i;
-	int choice;
 
-	if (!world->config.shifts) {
-		submit_here(request);
-		return;
-	}
 	for (i = 0; i < world->place_count; i++) {
 		const world_place_t *place = &world->places[i];
+		msp_spill_option_t *option = &options[i];
 
-		options[i].rtt = 2 * MSP_MS;
-		options[i].wait = request->job.class == MSP_CLASS_BACKGROUND
-		    ? place->told_background_wait
-		    : place->told_wait;
+		*option = (msp_spill_option_t){.wait = MSP_NEVER};
 		if (i == request->home || place->lost ||
-		    place->told_wait == MSP_NEVER)
-			options[i].wait = MSP_NEVER;
-		if (place->region != home->region && (home->cut || place->cut))
-			options[i].wait = MSP_NEVER;
-		else if (place->region != home->region && !place->lost) {
-			options[i].rtt = REGION_RTT;
-			options[i].wait =
-			    request->job.class == MSP_CLASS_BACKGROUND
+		    (request->fell_back && i == request->at))
+			continue;
+		if (place->region == home->region) {
+			option->rtt = 2 * MSP_MS;
+			option->wait = background ? place->told_background_wait
+						  : place->told_wait;
+		} else if (!home->cut && !place->cut) {
+			option->rtt = REGION_RTT;
+			option->wait = background
 			    ? msp_offered_background_wait(
 				  home->wallet, place->name)
 			    : msp_offered_wait(home->wallet, place->name);
 		}
 	}
-	wait = home->lost
-	    ? MSP_NEVER
-	    : msp_estimate_wait(home->dispatcher, request->job.class);
+}
+
+/* Sends a request to another place if that is better than `wait` here. */
+static bool
+send_elsewhere(world_request_t *request, msp_time_t wait)
+{
+	world_t *world = request->world;
+	world_place_t *home = &world->places[request->home];
+	msp_spill_option_t options[WORLD_PLACES];
+	int choice;
+
+	list_options(request, options);
 	choice = msp_decide_spill(&home->spill[request->job.class], &world->env,
 	    wait, options, world->place_count);
-	if (choice == MSP_SPILL_LOCAL) {
-		submit_here(request);
-		return;
-	}
+	if (choice == MSP_SPILL_LOCAL)
+		return false;
 	request->at = (uint32_t)choice;
 	if (!is_shift(request)) {
 		world_at(
 		    world, world->venv.now + MSP_MS, submit_later, request);
-		return;
+		return true;
 	}
 	msp_spend_credit(home->wallet, world->places[choice].name);
 	world_at(
 	    world, world->venv.now + REGION_RTT / 2, arrive_shifted, request);
+	return true;
+}
+
+void
+route_request(world_request_t *request)
+{
+	const world_place_t *home = &request->world->places[request->home];
+	msp_time_t wait;
+
+	if (!request->world->config.shifts) {
+		submit_here(request);
+		return;
+	}
+	wait = home->lost
+	    ? MSP_NEVER
+	    : msp_estimate_wait(home->dispatcher, request->job.class);
+	if (!send_elsewhere(request, wait))
+		submit_here(request);
 }
