--- a/tests/support/commit_parts.h
+++ b/tests/support/commit_parts.h
@@ -115,11 +115,15 @@
 /* commit_dispatch.c */
 void cw_dispatch(sent_t *sent, vm_t *vm, msp_nonce_t nonce);
 
-/* commit_caller.c */
-void cw_start_callers(world_t *world);
+/* commit_check.c */
+/* Counts a broken promise, and keeps the words of the first. */
+void cw_broke(const sent_t *sent, unsigned int *count, const char *what);
 void cw_check_callers(world_t *world);
 msp_digest_t cw_body_digest(const caller_t *caller, bool changed);
 void cw_print_outcome(
     const caller_t *caller, bool changed, char *out, size_t size);
 
+/* commit_caller.c */
+void cw_start_callers(world_t *world);
+
 #endif
