Drop the stand-in's timer at its end; say what an arrival may be

The leak check of the stand-in's process showed its step timer; it now ends with 0 and no report. An arrival must not be later than the true one: after a pause the daemon can only give the pause's beginning, else a "run: no" said meanwhile would not cover what waited in the socket.

--- a/include/monsoonspindle/coord/claims.h
+++ b/include/monsoonspindle/coord/claims.h
@@ -150,7 +150,11 @@
 	const char *key; /* 1 to 200 bytes of printable ASCII, no blanks */
 	msp_digest_t digest; /* of method, path and body */
 	unsigned int attempt; /* the client's number of this try; 0: none */
-	msp_time_t arrival; /* when its last byte arrived at this VM */
+	/*
+	 * When its last byte arrived at this VM, or earlier, never later: for
+	 * what is read after a pause of the process, when the pause began.
+	 */
+	msp_time_t arrival;
 	msp_time_t deadline; /* when its client stops waiting */
 	bool forwarded; /* from another entry VM, for an issued key */
 	/*
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -16,6 +16,7 @@
 	msp_memory_store_t *memory;
 	msp_store_service_t *service;
 	msp_http_server_t *server;
+	msp_timer_t *step;
 } platform_t;
 
 static void
@@ -55,15 +56,15 @@
 		return -1;
 	if (msp_watch_stop_signals(platform->loop, on_stop, platform) != MSP_OK)
 		return -1;
-	return msp_new_timer(platform->loop, STEP_MS * MSP_MS, STEP_MS * MSP_MS,
-		   on_step, platform) == NULL
-	    ? -1
-	    : 0;
+	platform->step = msp_new_timer(platform->loop, STEP_MS * MSP_MS,
+	    STEP_MS * MSP_MS, on_step, platform);
+	return platform->step == NULL ? -1 : 0;
 }
 
 static void
 close_platform(platform_t *platform)
 {
+	msp_drop_timer(platform->step);
 	if (platform->server != NULL)
 		msp_drop_http_server(platform->server);
 	msp_drop_memory_store(platform->memory);
