--- a/tests/process/test_bad_input.c
+++ b/tests/process/test_bad_input.c
@@ -177,6 +177,9 @@
 bad_datagrams_are_dropped(void **state)
 {
 	fleet_t *fleet = *state;
+	/* A call of the gossip's program, version and first procedure. */
+	static const unsigned char call_start[] = {0, 0, 0, 0, 0, 0, 0, 2, 0x2f,
+	    0x4d, 0x53, 0x50, 0, 0, 0, 1, 0, 0, 0, 1};
 	struct sockaddr_in to = {.sin_family = AF_INET,
 	    .sin_port = htons(fleet->vms[0].peer_port),
 	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
@@ -194,9 +197,7 @@
 			data[i] = (char)msp_next_random(&rng);
 		/* Half of them look like the start of a call. */
 		if (sent % 2 == 0 && len > 24)
-			memcpy(data + 4,
-			    "\0\0\0\0\0\0\0\2\x2f\x4d\x53\x50\0\0\0\1\0\0\0\1",
-			    20);
+			memcpy(data + 4, call_start, sizeof(call_start));
 		sendto(fd, data, len, 0, (struct sockaddr *)&to, sizeof(to));
 	}
 	close(fd);
