Bound the released nonces; answer no question without an outcome

At most 200,000 are kept now; a forgotten one is in doubt unless its row is marked as released, so no promise rests on it.

--- a/source/coord/claim_end.c
+++ b/source/coord/claim_end.c
@@ -95,6 +95,9 @@
 		reply->status = MSP_ASK_RUNNING;
 		break;
 	case MSP_ENTRY_DONE:
+		/* Without it, the outcome is in the row. */
+		if (claim->outcome == NULL)
+			break;
 		reply->status = MSP_ASK_OUTCOME;
 		reply->outcome = claim->outcome;
 		break;
--- a/source/coord/claims.c
+++ b/source/coord/claims.c
@@ -17,6 +17,7 @@
 #define OUTCOME_MEMORY (10 * MSP_SECOND)
 #define ISSUED_LIFETIME (10 * MSP_MINUTE)
 #define FIRST_TRY_WINDOW (5 * MSP_SECOND)
+#define RELEASED_MAX 200000 /* nonces */
 #define INLINE_MAX (32 * 1024) /* bytes */
 
 #define OR_DEFAULT(value, fallback) ((value) == 0 ? (fallback) : (value))
@@ -61,7 +62,8 @@
 
 	claims->entries = msp_new_map();
 	claims->running = msp_new_map();
-	claims->released = msp_new_released(options->release_memory);
+	claims->released =
+	    msp_new_released(options->release_memory, RELEASED_MAX);
 	claims->batcher = msp_new_batcher(&batching);
 	if (claims->entries == NULL || claims->running == NULL ||
 	    claims->released == NULL || claims->batcher == NULL)
--- a/source/coord/released.c
+++ b/source/coord/released.c
@@ -15,12 +15,13 @@
 
 struct msp_released {
 	msp_time_t memory;
+	size_t limit;
 	msp_map_t *by_text;
 	TAILQ_HEAD(released_nonces, released_nonce) by_time;
 };
 
 msp_released_t *
-msp_new_released(msp_time_t memory)
+msp_new_released(msp_time_t memory, size_t limit)
 {
 	msp_released_t *released = calloc(1, sizeof(*released));
 
@@ -32,6 +33,7 @@
 		return NULL;
 	}
 	released->memory = memory;
+	released->limit = limit;
 	TAILQ_INIT(&released->by_time);
 	return released;
 }
@@ -50,6 +52,14 @@
 	free(released);
 }
 
+static void
+forget(msp_released_t *released, released_nonce_t *item)
+{
+	TAILQ_REMOVE(&released->by_time, item, entry);
+	msp_map_remove(released->by_text, item->text);
+	free(item);
+}
+
 void
 msp_note_released(msp_released_t *released, msp_nonce_t nonce,
     msp_time_t said_no_at, msp_time_t now)
@@ -58,6 +68,8 @@
 
 	if (item == NULL)
 		return;
+	if (msp_map_count(released->by_text) >= released->limit)
+		forget(released, TAILQ_FIRST(&released->by_time));
 	msp_print_digest(nonce, item->text);
 	item->at = now;
 	item->said_no_at = said_no_at;
@@ -92,9 +104,7 @@
 	TAILQ_FOREACH_SAFE(item, &released->by_time, entry, next) {
 		if (item->at + released->memory >= now)
 			break;
-		TAILQ_REMOVE(&released->by_time, item, entry);
-		msp_map_remove(released->by_text, item->text);
-		free(item);
+		forget(released, item);
 	}
 }
 
--- a/source/coord/released.h
+++ b/source/coord/released.h
@@ -13,12 +13,14 @@
  */
 typedef struct msp_released msp_released_t;
 
-msp_released_t *msp_new_released(msp_time_t memory);
+/* At most `limit` nonces are remembered, for `memory` at most. */
+msp_released_t *msp_new_released(msp_time_t memory, size_t limit);
 void msp_drop_released(msp_released_t *released);
 
 /*
  * Remembers `nonce`, and when a client was last told "run: no" about its key
- * (0: never). Without memory the nonce is forgotten: its key is in doubt then.
+ * (0: never). Past the limit the oldest is forgotten: unless its row is marked
+ * as released, its key is in doubt then.
  */
 void msp_note_released(msp_released_t *released, msp_nonce_t nonce,
     msp_time_t said_no_at, msp_time_t now);
--- a/tests/coord/test_nonces.c
+++ b/tests/coord/test_nonces.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "../../source/coord/released.h"
 #include "monsoonspindle/coord/issued_keys.h"
 #include "monsoonspindle/coord/nonces.h"
 
@@ -114,6 +115,28 @@
 	    msp_route_key("order-1", 4, is_odd, NULL, &parsed), MSP_KEY_STORE);
 }
 
+static void
+released_nonces_are_bounded(void **state)
+{
+	msp_released_t *released = msp_new_released(LIFETIME, 3);
+	msp_time_t said_no_at;
+	uint64_t i;
+
+	(void)state;
+	for (i = 1; i <= 5; i++)
+		msp_note_released(
+		    released, (msp_nonce_t){.low = i}, i % 2, i * MSP_SECOND);
+	assert_int_equal(msp_released_count(released), 3);
+	for (i = 1; i <= 5; i++)
+		assert_int_equal(msp_find_released(released,
+				     (msp_nonce_t){.low = i}, &said_no_at),
+		    i >= 3);
+	assert_int_equal(said_no_at, 1);
+	msp_expire_released(released, 14 * MSP_SECOND + 1);
+	assert_int_equal(msp_released_count(released), 1);
+	msp_drop_released(released);
+}
+
 int
 main(void)
 {
@@ -121,6 +144,7 @@
 	    cmocka_unit_test(nonce_is_taken_once),
 	    cmocka_unit_test(issued_keys_are_parsed_and_routed),
 	    cmocka_unit_test(issued_keys_are_routed_by_incarnation),
+	    cmocka_unit_test(released_nonces_are_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
