Bound the process's descriptors to what the loop needs

The library walks its table of descriptors each time a kept connection is used again, so its size is paid for by each request.

--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -20,7 +20,8 @@
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
 #define TRIM_THRESHOLD \
 	(8 * 1024 * 1024) /* bytes free before the heap shrinks */
-#define FDS_MAX 65536 /* bounds the library's table: 16 bytes each */
+#define FDS_SPARE 64 /* descriptors that are no sockets */
+#define FDS_MIN 1024 /* also for several small loops in a process */
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -59,24 +60,23 @@
 }
 
 /*
- * The library keeps a table for all descriptors that the process may open. With
- * a limit of its own it would search that table for each event instead.
+ * The library keeps a table for all descriptors that the process may open, and
+ * walks it whenever a kept connection is used again. (With a limit of its own
+ * it would search such a table for each event.) So the process's limit is set
+ * to what is needed, be that lower or higher.
  */
 static void
 set_fd_limit(unsigned int max_fds)
 {
 	struct rlimit limit;
-	rlim_t wanted;
+	rlim_t wanted = max_fds + FDS_SPARE;
 
 	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
 		return;
-	wanted = limit.rlim_cur;
-	if (wanted < max_fds)
-		wanted = max_fds < limit.rlim_max ? max_fds : limit.rlim_max;
-	if (wanted > FDS_MAX)
-		wanted = FDS_MAX;
-	if (wanted == limit.rlim_cur)
-		return;
+	if (wanted < FDS_MIN)
+		wanted = FDS_MIN;
+	if (wanted > limit.rlim_max)
+		wanted = limit.rlim_max;
 	limit.rlim_cur = wanted;
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
