--- a/include/monsoonspindle/coord/claims.h
+++ b/include/monsoonspindle/coord/claims.h
@@ -88,7 +88,7 @@
 	const char *address; /* where others ask this VM; copied */
 	msp_time_t batch_window; /* a write waits for others; 4 ms */
 	size_t batch_rows; /* most rows of one transaction; 256 */
-	unsigned int batches; /* transactions under way at once; 4 */
+	unsigned int batches; /* transactions under way at once; 2 */
 	uint32_t store_timeout_ms; /* of one call; 1 s */
 	msp_time_t claim_timeout; /* to get a claim or refuse; 3 s */
 	msp_time_t ask_interval; /* between questions to an owner; 200 ms */
@@ -150,7 +150,11 @@
 	const char *key; /* 1 to 200 bytes of printable ASCII, no blanks */
 	msp_digest_t digest; /* of method, path and body */
 	unsigned int attempt; /* the client's number of this try; 0: none */
-	msp_time_t arrival; /* when its last byte arrived at this VM */
+	/*
+	 * When its last byte arrived at this VM, or earlier, never later: for
+	 * what is read after a pause of the process, when the pause began.
+	 */
+	msp_time_t arrival;
 	msp_time_t deadline; /* when its client stops waiting */
 	bool forwarded; /* from another entry VM, for an issued key */
 	/*
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -20,8 +20,7 @@
 #define SERVICE_BUFFER 65536 /* bytes; holds the head of a client request */
 #define TRIM_THRESHOLD \
 	(8 * 1024 * 1024) /* bytes free before the heap shrinks */
-#define FDS_SPARE 64 /* descriptors that are no sockets */
-#define FDS_MIN 1024 /* also for several small loops in a process */
+#define FDS_MIN 1024 /* descriptors that a process always may open */
 #define LIBRARY_TIMEOUT_S 3600 /* the modules of net have their own */
 
 struct msp_loop {
@@ -61,20 +60,19 @@
 
 /*
  * The library keeps a table for all descriptors that the process may open, and
- * walks it whenever a kept connection is used again. (With a limit of its own
- * it would search such a table for each event.) So the process's limit is set
- * to what is needed, be that lower or higher.
+ * still searches all of it when a connection is taken up again; with a limit of
+ * its own it would search it for each event. So the process's limit is set, and
+ * no higher than asked for.
  */
 static void
 set_fd_limit(unsigned int max_fds)
 {
 	struct rlimit limit;
-	rlim_t wanted = max_fds + FDS_SPARE;
+	rlim_t wanted;
 
 	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
 		return;
-	if (wanted < FDS_MIN)
-		wanted = FDS_MIN;
+	wanted = max_fds > FDS_MIN ? max_fds : FDS_MIN;
 	if (wanted > limit.rlim_max)
 		wanted = limit.rlim_max;
 	limit.rlim_cur = wanted;
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -15,6 +15,7 @@
  * targets and an open stream of requests: one data centre or a few regions.
  */
 
+#define REGION_RTT (55 * MSP_MS)
 #define WORLD_PLACES 6
 #define WORLD_TARGETS 32
 #define WORLD_ENTRIES 4 /* entry VMs in a place, for the static shares */
@@ -119,6 +120,7 @@
 	char name[16];
 	msp_dispatcher_t *dispatcher;
 	msp_dispatcher_t *twin; /* a second one that should not be */
+	bool twin_retired;
 	msp_granter_t *granter;
 	msp_wallet_t *wallet;
 	msp_spill_t spill[MSP_CLASS_COUNT];
@@ -164,7 +166,9 @@
 	uint64_t no_return_time; /* overload refusals without a time */
 	/* Oldest age of a request refused from the queue, with `run` no. */
 	msp_time_t latest_refusal[MSP_CLASS_COUNT];
-	uint64_t foreign_refusals; /* own clients of regions but the first */
+	/* Own clients of regions but the first. */
+	uint64_t foreign_refusals;
+	uint64_t displaced; /* of these, while shifted work held slots there */
 	msp_time_t foreign_wait; /* their longest time in the queue */
 	msp_time_t silence; /* longest time from deadline to final answer */
 } world_results_t;
