--- a/tests/coord/test_membership.c
+++ b/tests/coord/test_membership.c
@@ -81,12 +81,41 @@
 	}
 }
 
+/* From then on nobody ranks it before an alive one. */
+static void
+a_killed_member_is_suspected_soon(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= 20; seed++) {
+		net_t *net = started_net(23, seed);
+		msp_time_t start;
+		size_t unaware = 22;
+		size_t i;
+
+		run_net(net, MSP_MINUTE);
+		start = net->now;
+		kill_node(net, 5);
+		while (unaware > 0 && net->now - start < MSP_MINUTE) {
+			run_net(net, 100 * MSP_MS);
+			unaware = 0;
+			for (i = 0; i < 23; i++)
+				unaware += i != 5 &&
+				    state_at(net, i, 5) == MSP_MEMBER_ALIVE;
+		}
+		assert_in_range(net->now - start, 0, 4 * MSP_SECOND);
+		drop_net(net);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(all_find_each_other),
 	    cmocka_unit_test(a_killed_member_is_dead_everywhere),
+	    cmocka_unit_test(a_killed_member_is_suspected_soon),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
