--- a/source/steer/dispatcher_private.h
+++ b/source/steer/dispatcher_private.h
@@ -76,7 +76,8 @@
 /* estimate.c: capacity and waits. */
 uint32_t msp_total_limit(const msp_dispatcher_t *d);
 uint32_t msp_total_free(const msp_dispatcher_t *d);
-uint32_t msp_reserve(const msp_dispatcher_t *d);
+/* Slots that jobs of a queue leave free. */
+uint32_t msp_reserve(const msp_dispatcher_t *d, int queue);
 msp_time_t msp_mean_service(const msp_dispatcher_t *d);
 /* The index of the queue that a job waits in. */
 int msp_queue_of(const msp_job_t *job);
--- a/source/steer/estimate.c
+++ b/source/steer/estimate.c
@@ -1,5 +1,7 @@
 #include "dispatcher_private.h"
 
+#define SHIFTED_RESERVE_PERCENT 10 /* at most */
+
 uint32_t
 msp_total_limit(const msp_dispatcher_t *d)
 {
@@ -25,9 +27,13 @@
 }
 
 uint32_t
-msp_reserve(const msp_dispatcher_t *d)
+msp_reserve(const msp_dispatcher_t *d, int queue)
 {
-	return (msp_total_limit(d) * d->policy.reserve_percent + 99) / 100;
+	uint32_t percent = d->policy.reserve_percent;
+
+	if (queue == MSP_QUEUE_SHIFTED && percent > SHIFTED_RESERVE_PERCENT)
+		percent = SHIFTED_RESERVE_PERCENT;
+	return (msp_total_limit(d) * percent + 99) / 100;
 }
 
 msp_time_t
@@ -103,7 +109,7 @@
 		capacity = 1;
 	}
 	if (queue == MSP_CLASS_BACKGROUND || queue == MSP_QUEUE_SHIFTED) {
-		uint32_t reserve = msp_reserve(d);
+		uint32_t reserve = msp_reserve(d, queue);
 
 		spare = spare > reserve ? spare - reserve : 0;
 	}
--- a/source/steer/policy.c
+++ b/source/steer/policy.c
@@ -24,6 +24,7 @@
 
 	if (preference == MSP_PREFER_HEADROOM) {
 		policy.reserve_percent = 25;
+		policy.fill_percent = 85;
 		policy.hedge = false;
 		policy.max_wait = 200 * MSP_MS;
 	}
--- a/source/steer/queue.c
+++ b/source/steer/queue.c
@@ -200,9 +200,10 @@
 	if (advance_queue(d, first) || advance_queue(d, second))
 		return true;
 	/* The others leave a reserve to the own clients who wait. */
-	if (msp_total_free(d) <= msp_reserve(d))
-		return false;
-	return advance_queue(d, MSP_QUEUE_SHIFTED) ||
+	if (msp_total_free(d) > msp_reserve(d, MSP_QUEUE_SHIFTED) &&
+	    advance_queue(d, MSP_QUEUE_SHIFTED))
+		return true;
+	return msp_total_free(d) > msp_reserve(d, MSP_CLASS_BACKGROUND) &&
 	    advance_queue(d, MSP_CLASS_BACKGROUND);
 }
 
--- a/source/steer/tick.c
+++ b/source/steer/tick.c
@@ -40,7 +40,7 @@
 {
 	msp_target_t *target;
 
-	if (msp_total_free(d) <= msp_reserve(d) ||
+	if (msp_total_free(d) <= msp_reserve(d, MSP_CLASS_BACKGROUND) ||
 	    msp_check_suspicion(d->quarantine, job->fingerprint, NULL) !=
 		MSP_SUSPICION_NONE)
 		return false;
