Count a request read after a pause as arrived at the pause's beginning

What a refusal may say depends on when a try arrived; one that waited in a socket while the process was paused arrived earlier than it was read. A sender's first try of a release note no longer writes its refusal to the store.

--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -25,6 +25,8 @@
 #define REPORT_LANES 2
 #define STORE_LANES 16
 #define STORE_STEP (1 * MSP_MS)
+#define BEAT_PERIOD (20 * MSP_MS)
+#define PAUSE_MIN (200 * MSP_MS) /* between two beats */
 #define LEAVE_CHECK (50 * MSP_MS)
 
 static uint64_t
@@ -117,6 +119,30 @@
 	return daemon->caller_server == NULL ? MSP_E_IO : MSP_OK;
 }
 
+static void
+beat(void *ctx)
+{
+	daemon_t *daemon = ctx;
+	msp_time_t now = msp_now(&daemon->env);
+
+	if (now > daemon->last_beat + PAUSE_MIN) {
+		daemon->pause_began = daemon->last_beat;
+		daemon->pause_ended = now;
+	}
+	daemon->last_beat = now;
+}
+
+msp_time_t
+daemon_arrival(const daemon_t *daemon, msp_time_t read)
+{
+	if (read > daemon->last_beat + PAUSE_MIN)
+		return daemon->last_beat;
+	if (read < daemon->pause_ended + PAUSE_MIN &&
+	    read > daemon->pause_began)
+		return daemon->pause_began;
+	return read;
+}
+
 static void
 on_stop_signal(void *ctx)
 {
@@ -142,8 +168,11 @@
 	daemon->peer_client = new_client(daemon, PEER_LANES);
 	daemon->target_client = new_client(daemon, TARGET_LANES);
 	daemon->report_client = new_client(daemon, REPORT_LANES);
-	if (daemon->peer_client == NULL || daemon->target_client == NULL ||
-	    daemon->report_client == NULL)
+	daemon->last_beat = msp_now(&daemon->env);
+	daemon->beat_timer =
+	    msp_new_timer(daemon->loop, BEAT_PERIOD, BEAT_PERIOD, beat, daemon);
+	if (daemon->beat_timer == NULL || daemon->peer_client == NULL ||
+	    daemon->target_client == NULL || daemon->report_client == NULL)
 		goto fail;
 	if (wire_know_headers() != MSP_OK ||
 	    open_store(daemon, standalone) != MSP_OK ||
@@ -175,6 +204,7 @@
 	if (daemon == NULL)
 		return;
 	msp_drop_timer(daemon->leave_timer);
+	msp_drop_timer(daemon->beat_timer);
 	msp_drop_http_server(daemon->caller_server);
 	msp_drop_http_server(daemon->operator_server);
 	msp_drop_http_server(daemon->peer_server);
--- a/source/spindled/daemon.h
+++ b/source/spindled/daemon.h
@@ -50,6 +50,10 @@
 	msp_http_server_t *peer_server;
 	msp_http_server_t *operator_server;
 
+	msp_time_t last_beat; /* of a short timer: a gap is a pause */
+	msp_time_t pause_began;
+	msp_time_t pause_ended;
+	msp_timer_t *beat_timer;
 	bool leaving;
 	msp_time_t leaving_since;
 	msp_timer_t *leave_timer;
@@ -75,6 +79,12 @@
 /* Whether the VM has a release to serve by. */
 bool daemon_ready(const daemon_t *daemon);
 
+/*
+ * When a request that was read at `read` arrived at the latest: one that is
+ * read just after a pause of the process may have come at its beginning.
+ */
+msp_time_t daemon_arrival(const daemon_t *daemon, msp_time_t read);
+
 /* The release in force; never NULL. Borrowed. */
 const msp_release_t *daemon_release(const daemon_t *daemon);
 
--- a/source/spindled/entry_request.c
+++ b/source/spindled/entry_request.c
@@ -172,7 +172,8 @@
 	work_t *work = &entry->work;
 	msp_status_t status;
 
-	work->arrival = msp_exchange_arrival(entry->exchange);
+	work->arrival =
+	    daemon_arrival(daemon, msp_exchange_arrival(entry->exchange));
 	read_client_region(daemon, entry->exchange, work);
 	memcpy(work->request.method, request->method,
 	    sizeof(work->request.method));
--- a/source/spindled/operator_releases.c
+++ b/source/spindled/operator_releases.c
@@ -100,7 +100,10 @@
 void
 post_release(releases_t *releases, msp_exchange_t *exchange)
 {
-	const msp_buffer_t *body = &msp_exchange_request(exchange)->body;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *attempt =
+	    msp_find_header(&request->headers, "request-attempt");
+	const msp_buffer_t *body = &request->body;
 	msp_note_t *note;
 	posted_note_t *posted;
 	msp_status_t status;
@@ -127,7 +130,12 @@
 	posted->releases = releases;
 	memcpy(posted->id, note->id, sizeof(posted->id));
 	msp_set_exchange_data(exchange, &posted->gone);
-	msp_submit_note(releases->ledger, note, on_submitted, posted);
+	/* A sender's first try of an id of its own making. */
+	if (attempt != NULL && strcmp(attempt, "1") == 0)
+		msp_submit_new_note(
+		    releases->ledger, note, on_submitted, posted);
+	else
+		msp_submit_note(releases->ledger, note, on_submitted, posted);
 	msp_drop_note(note);
 	arm_releases(releases);
 }
