--- /dev/null
+++ b/tests/process/test_releases.c
@@ -0,0 +1,244 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <json-c/json.h>
+
+#include "fleet.h"
+
+/*
+ * Release notes over real processes: store outage, lost answers, racing
+ * operators, a frozen VM, a platform that comes back empty, a new VM.
+ */
+
+#define NOTE_SIZE 512
+
+static const fleet_place_t places[] = {
+    {"a", "north", 2, 1}, {"b", "south", 2, 1}, {0}};
+
+static int
+start_fleet(void **state)
+{
+	fleet_options_t options = {
+	    .places = places, .service = "desk", .slots = 4};
+	fleet_t *fleet = new_fleet(&options);
+
+	*state = fleet;
+	if (fleet == NULL)
+		return -1;
+	return fleet_apply_first_note(fleet) ? 0 : -1;
+}
+
+static int
+stop_fleet(void **state)
+{
+	drop_fleet(*state);
+	return 0;
+}
+
+/* A note against the present version that adds one place. */
+static void
+write_note(fleet_t *fleet, size_t vm, const char *id, const char *place,
+    char out[NOTE_SIZE])
+{
+	fleet_reply_t reply;
+	json_object *doc;
+	json_object *version;
+	json_object *digest;
+
+	fleet_operate(fleet, vm, "GET", "/v1/status", NULL, &reply);
+	doc = json_tokener_parse(msp_buffer_text(&reply.response.body));
+	assert_true(json_object_object_get_ex(doc, "version", &version));
+	assert_true(json_object_object_get_ex(doc, "digest", &digest));
+	snprintf(out, NOTE_SIZE,
+	    "{\"id\":\"%s\",\"base_version\":%llu,\"base_digest\":\"%s\","
+	    "\"add\":{\"places\":[{\"name\":\"%s\",\"region\":\"north\"}]}}",
+	    id, (unsigned long long)json_object_get_uint64(version),
+	    json_object_get_string(digest), place);
+	json_object_put(doc);
+	msp_drop_response(&reply.response);
+}
+
+static int
+post(fleet_t *fleet, size_t vm, const char *note)
+{
+	fleet_reply_t reply;
+	int status;
+
+	fleet_operate(fleet, vm, "POST", "/v1/releases", note, &reply);
+	status = reply.http_status;
+	msp_drop_response(&reply.response);
+	return status;
+}
+
+static void
+note_survives_a_store_outage(void **state)
+{
+	fleet_t *fleet = *state;
+	char note[NOTE_SIZE];
+	uint64_t version = fleet_version(fleet, 0);
+	int status;
+	size_t vm;
+
+	write_note(fleet, 0, "outage", "p-outage", note);
+	assert_true(fleet_control_platform(fleet, "{\"down\":true}"));
+	status = post(fleet, 0, note);
+	assert_true(status == 503 || status == 502);
+	for (vm = 0; vm < fleet->vm_count; vm++)
+		assert_int_equal(fleet_version(fleet, vm), version);
+	assert_true(fleet_control_platform(fleet, "{\"down\":false}"));
+	assert_int_equal(post(fleet, 1, note), 201);
+	assert_int_equal(post(fleet, 2, note), 201);
+	assert_true(fleet_wait_version(fleet, version + 1));
+	assert_int_equal(fleet_version(fleet, 3), version + 1);
+}
+
+static void
+note_survives_lost_answers(void **state)
+{
+	fleet_t *fleet = *state;
+	char note[NOTE_SIZE];
+	uint64_t version = fleet_version(fleet, 0);
+	int status;
+
+	write_note(fleet, 0, "lost", "p-lost", note);
+	assert_true(fleet_control_platform(fleet, "{\"lose_answer_pct\":100}"));
+	status = post(fleet, 0, note);
+	assert_int_not_equal(status, 409);
+	assert_int_not_equal(status, 422);
+	assert_true(fleet_control_platform(fleet, "{\"lose_answer_pct\":0}"));
+	assert_int_equal(post(fleet, 3, note), 201);
+	assert_true(fleet_wait_version(fleet, version + 1));
+	assert_int_equal(fleet_version(fleet, 0), version + 1);
+}
+
+/* Two operators' answers, waited for together. */
+typedef struct race {
+	int status[2];
+	int ended;
+} race_t;
+
+static race_t race;
+
+static void
+on_first(void *ctx, msp_call_result_t *result)
+{
+	(void)ctx;
+	race.status[0] =
+	    result->status == MSP_OK ? result->response->status : 0;
+	race.ended++;
+}
+
+static void
+on_second(void *ctx, msp_call_result_t *result)
+{
+	(void)ctx;
+	race.status[1] =
+	    result->status == MSP_OK ? result->response->status : 0;
+	race.ended++;
+}
+
+static bool
+is_raced(void *ctx)
+{
+	(void)ctx;
+	return race.ended == 2;
+}
+
+static void
+run_race(fleet_t *fleet, const char *first, const char *second)
+{
+	race = (race_t){0};
+	fleet_start_request(fleet, fleet->vms[0].operator_port, "POST",
+	    "/v1/releases", "Authorization: Bearer " FLEET_TOKEN, first, 15000,
+	    on_first, NULL);
+	fleet_start_request(fleet, fleet->vms[2].operator_port, "POST",
+	    "/v1/releases", "Authorization: Bearer " FLEET_TOKEN, second, 15000,
+	    on_second, NULL);
+	assert_true(fleet_wait(fleet, is_raced, NULL));
+}
+
+static void
+racing_notes_clash_or_are_rebased(void **state)
+{
+	fleet_t *fleet = *state;
+	char first[NOTE_SIZE];
+	char second[NOTE_SIZE];
+	uint64_t version;
+
+	assert_true(fleet_wait_version(fleet, fleet_version(fleet, 0)));
+	version = fleet_version(fleet, 0);
+	write_note(fleet, 0, "race-1", "p-race", first);
+	write_note(fleet, 0, "race-2", "p-race", second);
+	run_race(fleet, first, second);
+	assert_int_equal(race.status[0] + race.status[1], 201 + 409);
+	assert_true(fleet_wait_version(fleet, version + 1));
+	write_note(fleet, 0, "race-3", "p-race-3", first);
+	write_note(fleet, 0, "race-4", "p-race-4", second);
+	run_race(fleet, first, second);
+	assert_int_equal(race.status[0], 201);
+	assert_int_equal(race.status[1], 201);
+	assert_true(fleet_wait_version(fleet, version + 3));
+}
+
+static void
+frozen_vm_catches_up(void **state)
+{
+	fleet_t *fleet = *state;
+	char note[NOTE_SIZE];
+	uint64_t version = fleet_version(fleet, 0);
+
+	write_note(fleet, 0, "frozen", "p-frozen", note);
+	fleet_signal(&fleet->vms[1], SIGSTOP);
+	assert_int_equal(post(fleet, 0, note), 201);
+	fleet_signal(&fleet->vms[1], SIGCONT);
+	assert_true(fleet_wait_version(fleet, version + 1));
+}
+
+/* New VMs get the release from peers, and no VM goes back. */
+static void
+empty_platform_takes_nothing_back(void **state)
+{
+	fleet_t *fleet = *state;
+	uint64_t version = fleet_version(fleet, 0);
+	fleet_reply_t reply;
+	size_t vm;
+
+	fleet_signal(&fleet->platform, SIGKILL);
+	fleet_wait_exit(fleet, &fleet->platform);
+	fleet_signal(&fleet->vms[1], SIGKILL);
+	fleet_wait_exit(fleet, &fleet->vms[1]);
+	assert_int_equal(fleet_restart_vm(fleet, 1), 0);
+	assert_true(fleet_wait_version(fleet, version));
+	assert_int_equal(fleet_restart_platform(fleet), 0);
+	fleet_signal(&fleet->vms[0], SIGKILL);
+	fleet_wait_exit(fleet, &fleet->vms[0]);
+	assert_int_equal(fleet_restart_vm(fleet, 0), 0);
+	assert_true(fleet_wait_version(fleet, version));
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		assert_int_equal(fleet_version(fleet, vm), version);
+		fleet_request(fleet, fleet->vms[vm].port, "GET",
+		    "/v1/services/desk/x", NULL, NULL, &reply);
+		assert_int_equal(reply.http_status, 200);
+		msp_drop_response(&reply.response);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(note_survives_a_store_outage),
+	    cmocka_unit_test(note_survives_lost_answers),
+	    cmocka_unit_test(racing_notes_clash_or_are_rebased),
+	    cmocka_unit_test(frozen_vm_catches_up),
+	    cmocka_unit_test(empty_platform_takes_nothing_back),
+	};
+
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+}
