--- a/include/monsoonspindle/config/item.h
+++ b/include/monsoonspindle/config/item.h
@@ -14,6 +14,7 @@
 	128 /* bytes of a path prefix with its final 0 \
 	     */
 #define MSP_ROUTES_MAX 64 /* of one service */
+#define MSP_RESERVE_BY_PRIORITY 100 /* as reserve_percent */
 
 /*
  * The items of a release. Each kind has a key that is unique in it: the name,
--- a/source/config/item.c
+++ b/source/config/item.c
@@ -120,8 +120,8 @@
 	"age of a request's first try that is still taken"),
     NUMBER(msp_service_t, retry_budget_percent, 0, 100, 10,
 	"retries and hedges, of requests"),
-    NUMBER(msp_service_t, reserve_percent, 0, 90, 20,
-	"slots kept from background work"),
+    NUMBER(msp_service_t, reserve_percent, 0, 100, MSP_RESERVE_BY_PRIORITY,
+	"slots kept from background work; 100: by the priority"),
     NUMBER(msp_service_t, ramp_ms, 0, 600000, 10000,
 	"a cold target reaches its full limit in"),
     {
--- a/source/spindled/dispatch.c
+++ b/source/spindled/dispatch.c
@@ -248,6 +248,8 @@
 {
 	log_warn("event=dispatcher-resumes service=%s", service->name);
 	msp_note_nonces_pause(dispatchers->nonces);
+	/* A target may have left meanwhile. */
+	update_service_dispatch(service);
 	msp_resume_dispatcher(service->dispatcher);
 }
 
--- a/source/spindled/load.c
+++ b/source/spindled/load.c
@@ -27,6 +27,9 @@
 		? load.capacity - load.in_flight
 		: 0);
 	out->wait = load.draining || load.capacity == 0 ? MSP_NEVER : load.wait;
+	out->background_wait = out->wait == MSP_NEVER
+	    ? MSP_NEVER
+	    : msp_estimate_wait(service->dispatcher, MSP_CLASS_BACKGROUND);
 }
 
 static void
--- a/source/spindled/load_codec.c
+++ b/source/spindled/load_codec.c
@@ -5,7 +5,7 @@
 #include "monsoonspindle/base/hash.h"
 
 #define HEADER_SIZE 3
-#define SERVICE_SIZE 10
+#define SERVICE_SIZE 12
 #define OFFER_SIZE 14
 #define TARGET_SIZE 6
 
@@ -57,16 +57,22 @@
 }
 
 static uint8_t *
-put_service(uint8_t *out, const load_service_t *service)
+put_wait(uint8_t *out, msp_time_t wait)
 {
-	uint64_t wait = service->wait == MSP_NEVER
-	    ? UINT16_MAX
-	    : in_units(service->wait, WAIT_UNIT, UINT16_MAX - 1);
+	return put(out,
+	    wait == MSP_NEVER ? UINT16_MAX
+			      : in_units(wait, WAIT_UNIT, UINT16_MAX - 1),
+	    2);
+}
 
+static uint8_t *
+put_service(uint8_t *out, const load_service_t *service)
+{
 	out = put(out, service->service, 4);
 	out = put(out, service->slots, 2);
 	out = put(out, service->free, 2);
-	return put(out, wait, 2);
+	out = put_wait(out, service->wait);
+	return put_wait(out, service->background_wait);
 }
 
 static uint8_t *
@@ -116,6 +122,16 @@
 	return (size_t)(at - out);
 }
 
+static const uint8_t *
+get_wait(const uint8_t *in, msp_time_t *wait)
+{
+	uint64_t value;
+
+	in = get(in, &value, 2);
+	*wait = value == UINT16_MAX ? MSP_NEVER : value * WAIT_UNIT;
+	return in;
+}
+
 static const uint8_t *
 get_service(const uint8_t *in, load_service_t *service)
 {
@@ -127,9 +143,8 @@
 	service->slots = (uint16_t)value;
 	in = get(in, &value, 2);
 	service->free = (uint16_t)value;
-	in = get(in, &value, 2);
-	service->wait = value == UINT16_MAX ? MSP_NEVER : value * WAIT_UNIT;
-	return in;
+	in = get_wait(in, &service->wait);
+	return get_wait(in, &service->background_wait);
 }
 
 static const uint8_t *
--- a/source/spindled/load_codec.h
+++ b/source/spindled/load_codec.h
@@ -16,6 +16,7 @@
 	uint16_t slots;
 	uint16_t free;
 	msp_time_t wait; /* in its queue; MSP_NEVER: it takes nothing */
+	msp_time_t background_wait; /* of background requests */
 } load_service_t;
 
 /* Credits that a service's dispatcher offers the clients of a region. */
--- a/source/spindled/service_dispatch.c
+++ b/source/spindled/service_dispatch.c
@@ -51,9 +51,10 @@
 	policy = msp_default_policy(spec->priority == MSP_PRIORITY_HEADROOM
 		? MSP_PREFER_HEADROOM
 		: MSP_PREFER_LATENCY);
-	policy.hedge = spec->hedging;
+	policy.hedge = policy.hedge && spec->hedging;
 	policy.retry_budget_percent = spec->retry_budget_percent;
-	policy.reserve_percent = spec->reserve_percent;
+	if (spec->reserve_percent != MSP_RESERVE_BY_PRIORITY)
+		policy.reserve_percent = spec->reserve_percent;
 	policy.default_deadline = spec->deadline_ms * MSP_MS;
 	return policy;
 }
@@ -67,8 +68,9 @@
 	    .place = daemon->settings->place,
 	    .policy = read_policy(daemon, name),
 	    .quarantine = quarantine};
-	msp_granter_options_t granter = {
-	    .lifetime = CREDIT_LIFETIME, .spread = CREDIT_SPREAD};
+	msp_granter_options_t granter = {.lifetime = CREDIT_LIFETIME,
+	    .spread = CREDIT_SPREAD,
+	    .fill_percent = options.policy.fill_percent};
 	msp_dispatcher_callbacks_t callbacks = {.start = start_target_call,
 	    .cancel_attempt = cancel_target_call,
 	    .refuse = refuse_job,
@@ -211,6 +213,7 @@
 	dispatch->job = (msp_job_t){.request_id = work->id,
 	    .class = work->class,
 	    .is_idempotent = work->is_idempotent,
+	    .is_shifted = dispatch->shift.account != NULL,
 	    .arrival = work->arrival,
 	    .deadline = work->deadline,
 	    .fingerprint = work->fingerprint,
--- a/source/spindled/shifts.c
+++ b/source/spindled/shifts.c
@@ -16,10 +16,11 @@
 
 /* One service's other places, as last looked at. */
 typedef struct shift_state {
-	msp_spill_t spill;
+	msp_spill_t spill[MSP_CLASS_COUNT];
 	msp_wallet_t *wallet; /* of offers by places of other regions */
 	msp_time_t refreshed;
 	msp_spill_option_t options[MSP_PLACES_MAX];
+	msp_time_t background_waits[MSP_PLACES_MAX];
 	char names[MSP_PLACES_MAX][MSP_MEMBER_NAME_SIZE];
 	bool is_far[MSP_PLACES_MAX]; /* in another region: needs credit */
 	size_t count;
@@ -120,6 +121,7 @@
 		offer.rate.bytes = found->bytes;
 		offer.valid_for = found->valid_for;
 		offer.wait = service->wait;
+		offer.background_wait = service->background_wait;
 	}
 	msp_take_offer(state->wallet, summary->place, &offer, spenders, age);
 }
@@ -142,6 +144,9 @@
 		return;
 	if (far)
 		take_offer(daemon, state, summary, &load, found, spenders);
+	state->background_waits[state->count] = far
+	    ? msp_offered_background_wait(state->wallet, summary->place)
+	    : found->background_wait;
 	option->rtt = far ? FAR_RTT : NEAR_RTT;
 	option->wait =
 	    far ? msp_offered_wait(state->wallet, summary->place) : found->wait;
@@ -195,13 +200,41 @@
 	return true;
 }
 
+/* The options as the class of a request sees them. */
+static const msp_spill_option_t *
+view_options(
+    const shift_state_t *state, msp_class_t class, msp_spill_option_t *out)
+{
+	size_t i;
+
+	if (class != MSP_CLASS_BACKGROUND)
+		return state->options;
+	for (i = 0; i < state->count; i++) {
+		out[i].rtt = state->options[i].rtt;
+		out[i].wait = state->background_waits[i];
+	}
+	return out;
+}
+
+static msp_time_t
+find_local_wait(const daemon_t *daemon, const work_t *work)
+{
+	load_service_t load;
+
+	if (is_place_drained(daemon, daemon->settings->place))
+		return MSP_NEVER;
+	if (!get_service_load(daemon, work->service, &load))
+		return 0;
+	return work->class == MSP_CLASS_BACKGROUND ? load.background_wait
+						   : load.wait;
+}
+
 bool
 shift_first(shifts_t *shifts, const work_t *work, place_choice_t *choice)
 {
 	const daemon_t *daemon = shifts->daemon;
 	shift_state_t *state = open_state(shifts, work->service);
-	load_service_t load;
-	msp_time_t wait = 0;
+	msp_spill_option_t options[MSP_PLACES_MAX];
 	int index;
 
 	if (state == NULL)
@@ -209,12 +242,9 @@
 	refresh(shifts, state, work->service);
 	if (state->count == 0)
 		return false;
-	if (get_service_load(daemon, work->service, &load))
-		wait = load.wait;
-	if (is_place_drained(daemon, daemon->settings->place))
-		wait = MSP_NEVER;
-	index = msp_decide_spill(
-	    &state->spill, &daemon->env, wait, state->options, state->count);
+	index = msp_decide_spill(&state->spill[work->class], &daemon->env,
+	    find_local_wait(daemon, work),
+	    view_options(state, work->class, options), state->count);
 	if (index == MSP_SPILL_LOCAL)
 		return false;
 	return take_place(shifts, state, (size_t)index, choice);
@@ -237,6 +267,8 @@
 shift_refused(shifts_t *shifts, const work_t *work, place_choice_t *choice)
 {
 	shift_state_t *state = open_state(shifts, work->service);
+	msp_spill_option_t room[MSP_PLACES_MAX];
+	const msp_spill_option_t *options;
 	msp_time_t best_cost = MSP_NEVER;
 	size_t best = 0;
 	size_t i;
@@ -244,8 +276,9 @@
 	if (state == NULL)
 		return false;
 	refresh(shifts, state, work->service);
+	options = view_options(state, work->class, room);
 	for (i = 0; i < state->count; i++) {
-		const msp_spill_option_t *option = &state->options[i];
+		const msp_spill_option_t *option = &options[i];
 
 		if (option->wait == MSP_NEVER ||
 		    was_tried(work, state->names[i]) ||
