--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -9,6 +9,7 @@
 #define MSP_NAME_SIZE 64 /* bytes of a name with its final 0 */
 #define MSP_ADDRESS_SIZE 48 /* bytes of an IP number as text */
 #define MSP_TOKEN_SIZE 128 /* bytes of an operator's token */
+#define MSP_PASS_HEADERS_SIZE 1024 /* bytes of a list of header names */
 #define MSP_LOG_FILE_SIZE 256 /* bytes of a file name */
 #define MSP_SETTINGS_SEEDS_MAX 64
 
@@ -58,6 +59,7 @@
 	msp_settings_platform_t platform;
 	msp_settings_seed_t *seeds; /* owned */
 	size_t seed_count;
+	char pass_headers[MSP_PASS_HEADERS_SIZE]; /* names, by commas */
 	msp_settings_limits_t limits;
 	uint32_t lookup_ttl_ms;
 	uint32_t gossip_period_ms;
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -124,6 +124,12 @@
 	.fields = seed_fields,
 	.help = "VMs to start membership from",
     },
+    {
+	.name = "pass_headers",
+	FIELD(FIELD_TEXT, msp_settings_t, pass_headers),
+	.max = MSP_PASS_HEADERS_SIZE - 1,
+	.help = "further header names that pass, by commas",
+    },
     {
 	.name = "limits",
 	FIELD(FIELD_OBJECT, msp_settings_t, limits),
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -55,6 +55,23 @@
 	msp_step_memory_store(daemon->memory_store);
 }
 
+/* The HTTP library finds only headers whose names it was told. */
+static msp_status_t
+know_headers(const msp_settings_t *settings)
+{
+	char names[MSP_PASS_HEADERS_SIZE];
+	char *rest = names;
+	char *name;
+	msp_status_t status = wire_know_headers();
+
+	memcpy(names, settings->pass_headers, sizeof(names));
+	while (status == MSP_OK && (name = strsep(&rest, ", ")) != NULL) {
+		if (*name != '\0')
+			status = msp_know_header(name);
+	}
+	return status;
+}
+
 static msp_status_t
 open_store(daemon_t *daemon, bool standalone)
 {
@@ -174,7 +191,7 @@
 	if (daemon->beat_timer == NULL || daemon->peer_client == NULL ||
 	    daemon->target_client == NULL || daemon->report_client == NULL)
 		goto fail;
-	if (wire_know_headers() != MSP_OK ||
+	if (know_headers(settings) != MSP_OK ||
 	    open_store(daemon, standalone) != MSP_OK ||
 	    open_parts(daemon) != MSP_OK || open_listeners(daemon) != MSP_OK)
 		goto fail;
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -123,7 +123,8 @@
 	fleet_options_t options = {.places = places,
 	    .service = "desk",
 	    .slots = 4,
-	    .settings = "\"limits\": {\"max_answer_bytes\": 1000000, "
+	    .settings = "\"pass_headers\": \"X-Case, X-Court\", "
+			"\"limits\": {\"max_answer_bytes\": 1000000, "
 			"\"max_body_bytes\": 100000}"};
 	fleet_t *fleet = new_fleet(&options);
 
