--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=all \
     -fno-omit-frame-pointer
 CFLAGS_ALL = -std=gnu11 $(WARN) $(CFLAGS_$(MODE)) $(CFLAGS) -Iinclude \
-    -Itests/support $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
+    -Ibench -Itests/support $(shell pkg-config --cflags $(DEPS) 2>/dev/null)
 LIBS = $(shell pkg-config --libs $(DEPS) 2>/dev/null) -llog4c -lbsd -lm
 # The output of rpcgen is compiled as it comes.
 GENERATED_CFLAGS = -Wno-unused-variable -Wno-cast-function-type \
@@ -30,7 +30,8 @@
 NET_SOURCES = $(foreach p,$(NET_PACKAGES),$(wildcard source/$(p)/*.c))
 DAEMON_SOURCES = $(wildcard source/spindled/*.c)
 CTL_SOURCES = $(wildcard source/spindlectl/*.c)
-SUPPORT_SOURCES = $(wildcard tests/support/*.c)
+# Drivers of experiments, which tests and measurements share.
+SUPPORT_SOURCES = $(wildcard bench/*.c tests/support/*.c)
 STANDIN_SHARED = $(wildcard standins/shared/*.c)
 STANDINS = $(patsubst standins/%.c,%,$(wildcard standins/*.c))
 MEASURES = $(patsubst measure/%.c,%,$(wildcard measure/*.c))
@@ -39,7 +40,7 @@
 GENERATED = $(wildcard source/*/*_xdr.c include/monsoonspindle/*/*_xdr.h)
 HANDWRITTEN = $(filter-out $(GENERATED),$(wildcard source/*/*.[ch] \
     include/*.h include/monsoonspindle/*.h include/monsoonspindle/*/*.h \
-    tests/*/*.[ch] standins/*.[ch] standins/*/*.[ch] measure/*.[ch] \
+    bench/*.[ch] tests/*/*.[ch] standins/*.[ch] standins/*/*.[ch] measure/*.[ch] \
     measure/*/*.[ch] examples/*.c))
 
 obj = $(patsubst %.c,$(OUT)/obj/%.o,$(1))
