--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -14,6 +14,7 @@
 
 #include "connection.h"
 #include "hangup.h"
+#include "timer_queue.h"
 #include "watch.h"
 
 #define HEADER_BYTES_MAX 65000 /* request line and headers, lws's own bound */
@@ -27,6 +28,7 @@
 	struct lws_context *lws;
 	struct lws_vhost *vhost; /* of watches and server connections */
 	msp_hangups_t *hangups;
+	msp_timer_queue_t *timers;
 	lws_sorted_usec_list_t wake;
 	int stopped;
 	msp_watch_t *signals;
@@ -114,7 +116,9 @@
 	loop->vhost = new_vhost(loop->lws);
 	if (loop->vhost != NULL)
 		loop->hangups = msp_new_hangups(loop);
-	if (loop->hangups == NULL) {
+	if (loop->hangups != NULL)
+		loop->timers = msp_new_timer_queue(loop);
+	if (loop->timers == NULL) {
 		msp_drop_loop(loop);
 		return NULL;
 	}
@@ -127,6 +131,7 @@
 	if (loop == NULL)
 		return;
 	msp_drop_watch(loop->signals);
+	msp_drop_timer_queue(loop->timers);
 	msp_drop_hangups(loop->hangups);
 	lws_sul_cancel(&loop->wake);
 	lws_context_destroy(loop->lws);
@@ -179,6 +184,12 @@
 	return loop->vhost;
 }
 
+msp_timer_queue_t *
+msp_loop_timers(msp_loop_t *loop)
+{
+	return loop->timers;
+}
+
 msp_hangups_t *
 msp_loop_hangups(msp_loop_t *loop)
 {
