--- a/source/spindled/shifts.c
+++ b/source/spindled/shifts.c
@@ -267,7 +267,7 @@
 shift_refused(shifts_t *shifts, const work_t *work, place_choice_t *choice)
 {
 	shift_state_t *state = open_state(shifts, work->service);
-	msp_spill_option_t room[MSP_PLACES_MAX];
+	msp_spill_option_t room[MSP_PLACES_MAX] = {{0}};
 	const msp_spill_option_t *options;
 	msp_time_t best_cost = MSP_NEVER;
 	size_t best = 0;
