--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -109,6 +109,12 @@
 /* Posts a note's text at a VM; returns the HTTP status. */
 int fleet_post_note(fleet_t *fleet, size_t vm, const char *note);
 
+/*
+ * Returns the one of the first `count` VMs that has sent to a target last, by
+ * its counters: most likely the dispatcher of its place.
+ */
+size_t fleet_find_dispatcher(fleet_t *fleet, size_t count);
+
 /* Waits until all running VMs report at least this version. */
 bool fleet_wait_version(fleet_t *fleet, uint64_t version);
 
--- a/bench/fleet_http.c
+++ b/bench/fleet_http.c
@@ -270,6 +270,23 @@
 	return true;
 }
 
+size_t
+fleet_find_dispatcher(fleet_t *fleet, size_t count)
+{
+	fleet_reply_t reply;
+	size_t found = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		fleet_operate(fleet, i, "GET", "/metrics", NULL, &reply);
+		if (strstr(msp_buffer_text(&reply.response.body),
+			"msp_target_attempts_total") != NULL)
+			found = i;
+		msp_drop_response(&reply.response);
+	}
+	return found;
+}
+
 bool
 fleet_key_prefix(fleet_t *fleet, size_t vm, char *out, size_t size)
 {
--- a/measure/path.c
+++ b/measure/path.c
@@ -119,24 +119,6 @@
 	fflush(stdout);
 }
 
-/* The VM that dispatches is the one that has sent to a target. */
-static size_t
-find_dispatcher(fleet_t *fleet)
-{
-	fleet_reply_t reply;
-	size_t found = 0;
-	size_t i;
-
-	for (i = 0; i < fleet->vm_count; i++) {
-		fleet_operate(fleet, i, "GET", "/metrics", NULL, &reply);
-		if (strstr(msp_buffer_text(&reply.response.body),
-			"msp_target_attempts_total") != NULL)
-			found = i;
-		msp_drop_response(&reply.response);
-	}
-	return found;
-}
-
 static void
 measure_method(fleet_t *fleet, const char *method, size_t count)
 {
@@ -154,7 +136,7 @@
 	own.path = "/v1/services/" SERVICE "/work";
 	own.port = fleet->vms[0].port;
 	run_requests(&own, WARM_UP);
-	dispatcher = find_dispatcher(fleet);
+	dispatcher = fleet_find_dispatcher(fleet, fleet->vm_count);
 	own.port = fleet->vms[dispatcher].port;
 	run_requests(&own, count);
 	report("entry VM dispatches", &own, &straight);
--- a/source/net/timer.c
+++ b/source/net/timer.c
@@ -28,9 +28,6 @@
 {
 	if (timer == NULL)
 		return;
-	if (timer->dropped != NULL)
-		*timer->dropped = NULL;
-	else
-		msp_unqueue_timer(timer);
+	msp_unqueue_timer(timer);
 	free(timer);
 }
--- a/source/net/timer_queue.c
+++ b/source/net/timer_queue.c
@@ -13,6 +13,7 @@
 	TAILQ_HEAD(msp_timer_list, msp_timer) timers;
 	msp_watch_t *watch; /* of fd, which it owns */
 	int fd;
+	msp_timer_t *firing; /* NULL once it was dropped */
 	msp_time_t armed; /* MSP_NEVER: not */
 };
 
@@ -37,14 +38,14 @@
 static void
 fire(msp_timer_queue_t *queue, msp_timer_t *timer, msp_time_t now)
 {
-	msp_timer_t *alive = timer;
-
 	TAILQ_REMOVE(&queue->timers, timer, link);
-	timer->dropped = &alive;
+	timer->fires = true;
+	queue->firing = timer;
 	timer->fire(timer->ctx);
-	if (alive == NULL)
-		return;
-	timer->dropped = NULL;
+	if (queue->firing == NULL)
+		return; /* it was dropped */
+	queue->firing = NULL;
+	timer->fires = false;
 	if (timer->period == 0) {
 		timer->queue = NULL;
 		return;
@@ -130,6 +131,10 @@
 {
 	if (timer->queue == NULL)
 		return;
+	if (timer->fires) {
+		timer->queue->firing = NULL;
+		return;
+	}
 	TAILQ_REMOVE(&timer->queue->timers, timer, link);
 	arm(timer->queue);
 	timer->queue = NULL;
--- a/source/net/timer_queue.h
+++ b/source/net/timer_queue.h
@@ -1,6 +1,8 @@
 #ifndef MONSOONSPINDLE_NET_TIMER_QUEUE_H
 #define MONSOONSPINDLE_NET_TIMER_QUEUE_H
 
+#include <stdbool.h>
+
 #include <bsd/sys/queue.h>
 
 #include "monsoonspindle/net/loop.h"
@@ -13,13 +15,13 @@
 typedef struct msp_timer_queue msp_timer_queue_t;
 
 struct msp_timer {
-	TAILQ_ENTRY(msp_timer) link; /* sorted by due; unless it fires */
+	TAILQ_ENTRY(msp_timer) link; /* sorted by due; not while it fires */
 	msp_timer_queue_t *queue;
 	msp_time_t due;
 	msp_time_t period;
 	void (*fire)(void *ctx);
 	void *ctx;
-	msp_timer_t **dropped; /* set while `fire` runs */
+	bool fires; /* `fire` runs */
 };
 
 /* Returns NULL with a last message. */
@@ -29,6 +31,7 @@
 void msp_drop_timer_queue(msp_timer_queue_t *queue);
 
 void msp_queue_timer(msp_timer_queue_t *queue, msp_timer_t *timer);
+/* Takes the timer out, also while it fires; it may then be freed. */
 void msp_unqueue_timer(msp_timer_t *timer);
 
 /* Of the loop. */
--- /dev/null
+++ b/tests/net/test_http_calls.c
@@ -0,0 +1,232 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "client_fixture.h"
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+
+static const char whole_answer[] = OK_LINE "Content-Length: 2\r\n\r\nok";
+
+/* Starts a call and answers it; the connection is kept in `raw`. */
+static void
+answer_one(client_test_t *test, raw_socket_t *raw, bool connects)
+{
+	raw_forget(raw);
+	start_to(test, "GET", "/a", &test->outcome);
+	if (connects)
+		*raw = raw_accept(&test->listener);
+	assert_true(raw_expect(raw, "\r\n\r\n"));
+	raw_say(raw, whole_answer);
+	wait_outcome(test, "answer");
+	assert_int_equal(test->outcome.status, MSP_OK);
+}
+
+static bool
+has_newcomer(void *ctx)
+{
+	client_test_t *test = ctx;
+	fd_set set;
+	struct timeval none = {0};
+
+	FD_ZERO(&set);
+	FD_SET(test->listener.fd, &set);
+	return select(test->listener.fd + 1, &set, NULL, NULL, &none) > 0;
+}
+
+typedef enum cancel_point {
+	CANCEL_AT_ONCE,
+	CANCEL_SENT,
+	CANCEL_RECEIVING,
+	CANCEL_ENDED, /* the answer is whole, `done` has not been called */
+	CANCEL_WAITING, /* for a lane */
+	CANCEL_COUNT
+} cancel_point_t;
+
+static void
+cancel_at(client_test_t *test, cancel_point_t point)
+{
+	test_outcome_t others[LANES] = {{0}};
+	raw_socket_t raw = {.fd = -1};
+	msp_call_t *call;
+	int i;
+
+	for (i = 0; point == CANCEL_WAITING && i < LANES; i++)
+		start_to(test, "GET", "/other", &others[i]);
+	call = start_to(test, "POST", "/a", &test->outcome);
+	if (point != CANCEL_AT_ONCE && point != CANCEL_WAITING) {
+		raw = raw_accept(&test->listener);
+		assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+		assert_true(msp_call_maybe_sent(call));
+	}
+	if (point == CANCEL_RECEIVING)
+		raw_say(&raw, OK_LINE "Content-Length: 5\r\n\r\nabc");
+	if (point == CANCEL_ENDED)
+		raw_say(&raw, whole_answer);
+	for (i = 0; i < 100 && point == CANCEL_RECEIVING &&
+	     call->state != MSP_CALL_RECEIVING;
+	     i++)
+		msp_step_loop(test->loop, 10);
+	for (i = 0;
+	     i < 100 && point == CANCEL_ENDED && call->state != MSP_CALL_ENDED;
+	     i++)
+		msp_step_loop(test->loop, 0);
+	msp_cancel_call(call);
+	if (point == CANCEL_SENT || point == CANCEL_RECEIVING)
+		assert_true(raw_expect_end(&raw));
+	for (i = 0; i < 3; i++)
+		msp_step_loop(test->loop, 5);
+	assert_int_equal(test->outcome.done, 0);
+	raw_close(&raw);
+	for (i = 0; i < LANES; i++)
+		drop_outcome(&others[i]);
+}
+
+static void
+a_cancelled_call_is_not_heard_of(void **state)
+{
+	cancel_point_t point;
+
+	for (point = 0; point < CANCEL_COUNT; point++) {
+		cancel_at(*state, point);
+		tear_down_client(state);
+		assert_int_equal(set_up_client(state), 0);
+	}
+}
+
+/* Bytes after an answer must not become another call's answer. */
+static void
+late_bytes_are_no_answer(void **state)
+{
+	client_test_t *test = *state;
+	raw_socket_t raw = {0};
+	raw_socket_t next;
+	int i;
+
+	for (i = 0; i < 4; i++) {
+		answer_one(test, &raw, true);
+		raw_say(&raw,
+		    i < 2 ? OK_LINE "Content-Length: 5\r\n\r\nwrong" : "x");
+		/* Whether the loop has seen them or not. */
+		if (i % 2 == 0)
+			msp_step_loop(test->loop, 20);
+		start_to(test, "POST", "/b", &test->outcome);
+		next = raw_accept(&test->listener);
+		assert_true(raw_expect(&next, "\r\n\r\nbody"));
+		raw_say(&next, whole_answer);
+		wait_outcome(test, "late bytes");
+		assert_int_equal(test->outcome.status, MSP_OK);
+		assert_string_equal(
+		    msp_buffer_text(&test->outcome.response.body), "ok");
+		raw_close(&next);
+		raw_close(&raw);
+		msp_step_loop(test->loop, 20);
+	}
+}
+
+static void
+a_bad_request_is_not_sent(void **state)
+{
+	static const char *const paths[] = {
+	    "a", "", "/a b", "/a\r\nX: y", "/\x7f"};
+	static const char *const values[] = {"a\r\nX: y", "a\nb", "\x01"};
+	client_test_t *test = *state;
+	msp_request_t request;
+	size_t i;
+
+	for (i = 0; i < sizeof(paths) / sizeof(*paths); i++) {
+		start_to(test, "GET", paths[i], &test->outcome);
+		wait_outcome(test, paths[i]);
+		assert_int_equal(test->outcome.status, MSP_E_BAD_REQUEST);
+		assert_false(test->outcome.maybe_sent);
+	}
+	for (i = 0; i < sizeof(values) / sizeof(*values); i++) {
+		request = new_request("GET", "/", NULL);
+		msp_add_header(&request.headers, "X-Request-ID", values[i]);
+		drop_outcome(&test->outcome);
+		test->outcome = (test_outcome_t){0};
+		msp_start_call(test->client, &test->options, &request,
+		    keep_outcome, &test->outcome);
+		wait_outcome(test, values[i]);
+		assert_int_equal(test->outcome.status, MSP_E_BAD_REQUEST);
+	}
+	assert_false(has_newcomer(test));
+}
+
+static void
+drop_client(void *ctx, msp_call_result_t *result)
+{
+	client_test_t *test = ctx;
+
+	(void)result;
+	test->outcome.done++;
+	msp_drop_http_client(test->client);
+	test->client = NULL;
+}
+
+static void
+a_client_may_be_dropped_in_a_callback(void **state)
+{
+	client_test_t *test = *state;
+	msp_request_t request;
+	raw_socket_t raw;
+	int i;
+
+	for (i = 0; i < LANES + 2; i++) {
+		request = new_request("GET", "/a", NULL);
+		msp_start_call(
+		    test->client, &test->options, &request, drop_client, test);
+	}
+	raw = raw_accept(&test->listener);
+	assert_true(raw_expect(&raw, "\r\n\r\n"));
+	raw_say(&raw, whole_answer);
+	wait_outcome(test, "dropped client");
+	msp_step_loop(test->loop, 20);
+	assert_int_equal(test->outcome.done, 1);
+	raw_close(&raw);
+}
+
+static void
+a_dead_server_is_found_out(void **state)
+{
+	client_test_t *test = *state;
+	msp_call_t *call = start_to(test, "GET", "/a", &test->outcome);
+	raw_socket_t raw = raw_accept(&test->listener);
+	socklen_t len = sizeof(int);
+	int value = 0;
+	int fd;
+
+	assert_true(raw_expect(&raw, "\r\n\r\n"));
+	fd = lws_get_socket_fd(call->lane->wsi);
+	getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &value, &len);
+	assert_int_equal(value, 1);
+	getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, &len);
+	assert_in_range(value, 1, 20000);
+	raw_close(&raw);
+}
+
+int
+main(void)
+{
+#define CASE(name) \
+	cmocka_unit_test_setup_teardown(name, set_up_client, tear_down_client)
+	const struct CMUnitTest tests[] = {
+	    CASE(a_cancelled_call_is_not_heard_of),
+	    CASE(late_bytes_are_no_answer),
+	    CASE(a_bad_request_is_not_sent),
+	    CASE(a_client_may_be_dropped_in_a_callback),
+	    CASE(a_dead_server_is_found_out),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/net/test_http_requests.c
@@ -0,0 +1,180 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "server_fixture.h"
+
+typedef struct answer_case {
+	const char *name;
+	const char *request;
+	const char *answer; /* part of it; NULL: closed without one */
+	unsigned int served; /* requests that reach the handler */
+	bool closes;
+} answer_case_t;
+
+static const answer_case_t answers[] = {
+    {"plain", "GET /a HTTP/1.1\r\n" HOST "\r\n", "<GET /a 0>", 1, false},
+    {"HTTP/1.0", "GET /a HTTP/1.0\r\n\r\n", "<GET /a 0>", 1, true},
+    {"close", "GET /a HTTP/1.1\r\n" HOST "Connection: close\r\n\r\n",
+	"<GET /a 0>", 1, true},
+    {"HEAD", "HEAD /a HTTP/1.1\r\n" HOST "\r\n", "content-length: 11", 1,
+	false},
+    {"204", "GET /204 HTTP/1.1\r\n" HOST "\r\n", "HTTP/1.1 204 ", 1, false},
+    {"body by length",
+	"POST /a HTTP/1.1\r\n" HOST "Content-Length: 3\r\n\r\nabc",
+	"<POST /a 3>", 1, false},
+    {"body of length 0",
+	"POST /a HTTP/1.1\r\n" HOST "Content-Length: 0\r\n\r\n", "<POST /a 0>",
+	1, false},
+    {"POST without length", "POST /a HTTP/1.1\r\n" HOST "\r\n", "<POST /a 0>",
+	1, true},
+    {"chunked",
+	"POST /a HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n"
+	"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: x\r\n\r\n",
+	"<POST /a 5>", 1, true},
+    {"pipelined",
+	"GET /a HTTP/1.1\r\n" HOST "\r\nGET /b HTTP/1.1\r\n" HOST "\r\n",
+	"<GET /b 0>", 2, false},
+    {"expect",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+	"<POST /a 3>", 1, false},
+    {"too large by length",
+	"POST /a HTTP/1.1\r\n" HOST "Content-Length: 1001\r\n\r\n",
+	"\"kind\":\"too-large\"", 0, true},
+    {"length not a number",
+	"POST /a HTTP/1.1\r\n" HOST "Content-Length: 3x\r\n\r\nabc",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"negative length",
+	"POST /a HTTP/1.1\r\n" HOST "Content-Length: -1\r\n\r\nabc",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"two lengths",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"length and chunked",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"unknown coding",
+	"POST /a HTTP/1.1\r\n" HOST "Transfer-Encoding: gzip\r\n\r\n",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"bad chunk size",
+	"POST /a HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"chunk longer than its size",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"chunk size past any bound",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Transfer-Encoding: chunked\r\n\r\nfffffffffffff\r\n",
+	"\"kind\":\"bad-request\"", 0, true},
+    {"chunk past the bound of a body",
+	"POST /a HTTP/1.1\r\n" HOST
+	"Transfer-Encoding: chunked\r\n\r\n3e9\r\n%1001",
+	"\"kind\":\"too-large\"", 0, true},
+    {"body cut", "POST /a HTTP/1.1\r\n" HOST "Content-Length: 5\r\n\r\nabc",
+	"\"kind\":\"request-timeout\"", 0, true},
+    {"chunked body cut",
+	"POST /a HTTP/1.1\r\n" HOST "Transfer-Encoding: chunked\r\n\r\n3\r\nab",
+	"\"kind\":\"request-timeout\"", 0, true},
+    {"head cut", "GET /a HTTP/1.1\r\nHost", "\"kind\":\"request-timeout\"", 0,
+	true},
+    {"nothing sent", "", NULL, 0, true},
+    {"header too large", "GET /a HTTP/1.1\r\n" HOST "X-Request-ID: %5000",
+	"\"kind\":\"headers-too-large\"", 0, true},
+    {"path too long", "GET /%5000", "\"kind\":\"headers-too-large\"", 0, true},
+    {"header past the library's bound",
+	"GET /a HTTP/1.1\r\n" HOST "X-Request-ID: %70000", NULL, 0, true},
+    {"unknown method", "BREW /a HTTP/1.1\r\n" HOST "\r\n",
+	"\"kind\":\"method-not-allowed\"", 0, true},
+    {"garbage", "\x01\x02\x03 garbage\r\n\r\n", "\"kind\":\"bad-request\"", 0,
+	true},
+    {"no path", "GET\r\n\r\n", "\"kind\":\"bad-request\"", 0, true},
+};
+
+/* Sends the request; "%N" at its end stands for N bytes and an end of line. */
+static void
+send_request(raw_socket_t *raw, const char *request)
+{
+	const char *mark = strchr(request, '%');
+	size_t fill;
+	char *text;
+
+	if (mark == NULL) {
+		raw_say(raw, request);
+		return;
+	}
+	fill = strtoul(mark + 1, NULL, 10);
+	raw_send(raw, request, (size_t)(mark - request));
+	text = malloc(fill);
+	assert_non_null(text);
+	memset(text, 'a', fill);
+	raw_send(raw, text, fill);
+	raw_say(raw, "\r\n\r\n");
+	free(text);
+}
+
+static void
+run_answer_case(server_test_t *test, const answer_case_t *c)
+{
+	raw_socket_t raw = raw_connect(test->loop, test->port);
+	unsigned int before = test->requests;
+
+	send_request(&raw, c->request);
+	if (c->answer != NULL && !raw_expect(&raw, c->answer))
+		fail_msg("%s: got \"%s\"", c->name, msp_buffer_text(&raw.in));
+	if (c->answer == NULL) {
+		raw_expect_end(&raw);
+		assert_int_equal(raw.in.len, 0);
+	}
+	if (strstr(msp_buffer_text(&raw.in), "\"kind\"") != NULL &&
+	    strstr(msp_buffer_text(&raw.in), "application/problem+json") ==
+		NULL)
+		fail_msg("%s: not a problem document", c->name);
+	if (c->closes && !raw_expect_end(&raw))
+		fail_msg("%s: not closed", c->name);
+	if (!c->closes) {
+		raw_forget(&raw);
+		raw_say(&raw, "GET /again HTTP/1.1\r\n" HOST "\r\n");
+		if (!raw_expect(&raw, "<GET /again 0>"))
+			fail_msg("%s: not kept", c->name);
+		before++;
+	}
+	if (test->requests != before + c->served)
+		fail_msg("%s: %u served", c->name, test->requests - before);
+	raw_close(&raw);
+}
+
+static void
+each_request_gets_its_answer(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		run_answer_case(*state, &answers[i]);
+		assert_serving(*state, answers[i].name);
+	}
+}
+
+int
+main(void)
+{
+#define CASE(name) \
+	cmocka_unit_test_setup_teardown(name, set_up_server, tear_down_server)
+	const struct CMUnitTest tests[] = {
+	    CASE(each_request_gets_its_answer),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/net/test_rpc.c
+++ b/tests/net/test_rpc.c
@@ -10,190 +10,7 @@
 #include <cmocka.h>
 #include <sys/socket.h>
 
-#include "net_fixture.h"
-
-#define PROGRAM 0x20001234
-#define VERSION 3
-#define PROC_ADD 1 /* adds one; 13 is refused, 14 fails */
-#define PROC_TELL 2 /* has no answer */
-#define PROC_LARGE 3 /* the answer passes the bound of a datagram */
-#define TEXT_MAX 64
-
-typedef struct rpc_test {
-	msp_loop_t *loop;
-	msp_rpc_t *server;
-	msp_rpc_t *client;
-	struct sockaddr_in to; /* the server */
-	int raw; /* a plain UDP socket */
-	struct sockaddr_in raw_address;
-	unsigned int told;
-	unsigned int done;
-	msp_status_t status;
-	uint32_t result;
-} rpc_test_t;
-
-static msp_status_t
-serve_add(
-    void *ctx, const struct sockaddr_in *from, void *argument, void *result)
-{
-	uint32_t number = *(uint32_t *)argument;
-
-	(void)ctx;
-	(void)from;
-	*(uint32_t *)result = number + 1;
-	if (number == 13)
-		return MSP_E_BAD_REQUEST;
-	return number == 14 ? MSP_E_INTERNAL : MSP_OK;
-}
-
-static msp_status_t
-serve_tell(
-    void *ctx, const struct sockaddr_in *from, void *argument, void *result)
-{
-	(void)from;
-	(void)argument;
-	(void)result;
-	((rpc_test_t *)ctx)->told++;
-	return MSP_OK;
-}
-
-static bool_t
-xdr_short_text(XDR *xdr, ...)
-{
-	va_list args;
-	char **text;
-
-	va_start(args, xdr);
-	text = va_arg(args, char **);
-	va_end(args);
-	return xdr_string(xdr, text, TEXT_MAX);
-}
-
-static bool_t
-xdr_large(XDR *xdr, ...)
-{
-	uint32_t word = 0;
-	int i;
-
-	for (i = 0; i < 400; i++) {
-		if (!xdr_uint32_t(xdr, &word))
-			return FALSE;
-	}
-	return TRUE;
-}
-
-static msp_status_t
-serve_large(
-    void *ctx, const struct sockaddr_in *from, void *argument, void *result)
-{
-	(void)ctx;
-	(void)from;
-	(void)argument;
-	(void)result;
-	return MSP_OK;
-}
-
-static const msp_rpc_procedure_t procedures[] = {
-    {
-	.number = PROC_ADD,
-	.decode_argument = (xdrproc_t)xdr_uint32_t,
-	.argument_size = sizeof(uint32_t),
-	.encode_result = (xdrproc_t)xdr_uint32_t,
-	.result_size = sizeof(uint32_t),
-	.serve = serve_add,
-    },
-    {
-	.number = PROC_TELL,
-	.decode_argument = (xdrproc_t)xdr_short_text,
-	.argument_size = sizeof(char *),
-	.serve = serve_tell,
-    },
-    {
-	.number = PROC_LARGE,
-	.decode_argument = (xdrproc_t)xdr_uint32_t,
-	.argument_size = sizeof(uint32_t),
-	.encode_result = (xdrproc_t)xdr_large,
-	.result_size = sizeof(uint32_t),
-	.serve = serve_large,
-    },
-};
-
-static int
-set_up(void **state)
-{
-	static rpc_test_t test;
-	msp_rpc_options_t options = {
-	    .address = TEST_ADDRESS,
-	    .program = PROGRAM,
-	    .version = VERSION,
-	    .procedures = procedures,
-	    .procedure_count = sizeof(procedures) / sizeof(*procedures),
-	    .ctx = &test,
-	};
-	socklen_t len = sizeof(test.raw_address);
-
-	test = (rpc_test_t){0};
-	test.loop = msp_new_loop(64);
-	test.server = msp_new_rpc(test.loop, &options);
-	options.procedure_count = 0;
-	test.client = msp_new_rpc(test.loop, &options);
-	if (test.server == NULL || test.client == NULL)
-		return -1;
-	test.to.sin_family = AF_INET;
-	test.to.sin_port = htons(msp_rpc_port(test.server));
-	inet_pton(AF_INET, TEST_ADDRESS, &test.to.sin_addr);
-	test.raw = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-	test.raw_address = test.to;
-	test.raw_address.sin_port = 0;
-	if (bind(test.raw, (struct sockaddr *)&test.raw_address, len) != 0)
-		return -1;
-	getsockname(test.raw, (struct sockaddr *)&test.raw_address, &len);
-	*state = &test;
-	return 0;
-}
-
-static int
-tear_down(void **state)
-{
-	rpc_test_t *test = *state;
-
-	close(test->raw);
-	msp_drop_rpc(test->client);
-	msp_drop_rpc(test->server);
-	msp_drop_loop(test->loop);
-	return 0;
-}
-
-static void
-keep_result(void *ctx, msp_status_t status, void *result)
-{
-	rpc_test_t *test = ctx;
-
-	test->done++;
-	test->status = status;
-	test->result = result == NULL ? 0 : *(uint32_t *)result;
-}
-
-static void
-call_add(rpc_test_t *test, const struct sockaddr_in *to, uint32_t number)
-{
-	test->done = 0;
-	assert_int_equal(
-	    msp_call_rpc(test->client, to, PROC_ADD, (xdrproc_t)xdr_uint32_t,
-		&number, (xdrproc_t)xdr_uint32_t, sizeof(uint32_t),
-		200 * MSP_MS, keep_result, test),
-	    MSP_OK);
-	assert_int_equal(test->done, 0);
-}
-
-static void
-assert_served(rpc_test_t *test)
-{
-	call_add(test, &test->to, 41);
-	assert_true(run_until_count(test->loop, &test->done, 1));
-	assert_int_equal(test->status, MSP_OK);
-	assert_int_equal(test->result, 42);
-}
+#include "rpc_fixture.h"
 
 typedef struct refused_case {
 	const char *name;
@@ -463,8 +280,8 @@
 
 	for (i = 0; i < sizeof(replies) / sizeof(*replies); i++) {
 		run_reply_case(*state, &replies[i]);
-		tear_down(state);
-		assert_int_equal(set_up(state), 0);
+		tear_down_rpc(state);
+		assert_int_equal(set_up_rpc(state), 0);
 	}
 }
 
@@ -499,21 +316,16 @@
 int
 main(void)
 {
+#define CASE(name) \
+	cmocka_unit_test_setup_teardown(name, set_up_rpc, tear_down_rpc)
 	const struct CMUnitTest tests[] = {
-	    cmocka_unit_test_setup_teardown(
-		a_call_is_answered, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		a_call_too_large_is_not_sent, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		a_closed_port_is_reported, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		each_datagram_gets_its_reply, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		an_oversized_datagram_is_dropped, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		only_the_own_whole_reply_counts, set_up, tear_down),
-	    cmocka_unit_test_setup_teardown(
-		an_endpoint_may_be_dropped_in_a_callback, set_up, tear_down),
+	    CASE(a_call_is_answered),
+	    CASE(a_call_too_large_is_not_sent),
+	    CASE(a_closed_port_is_reported),
+	    CASE(each_datagram_gets_its_reply),
+	    CASE(an_oversized_datagram_is_dropped),
+	    CASE(only_the_own_whole_reply_counts),
+	    CASE(an_endpoint_may_be_dropped_in_a_callback),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/process/test_bad_input.c
+++ b/tests/process/test_bad_input.c
@@ -10,7 +10,7 @@
 #include <cmocka.h>
 #include <sys/socket.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 /*
  * Bad input from operators and peers: refused with a clear error, the daemon
@@ -116,19 +116,8 @@
 {
 	fleet_options_t options = {
 	    .places = places, .service = "desk", .slots = 4};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 static void
@@ -212,5 +201,5 @@
 	    cmocka_unit_test(bad_datagrams_are_dropped),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -7,7 +7,7 @@
 
 #include <cmocka.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 #define DESK "/v1/services/desk"
 #define LONG_300                                                               \
@@ -126,19 +126,8 @@
 	    .settings = "\"pass_headers\": \"X-Case, X-Court\", "
 			"\"limits\": {\"max_answer_bytes\": 1000000, "
 			"\"max_body_bytes\": 100000}"};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 static void
@@ -232,5 +221,5 @@
 	    cmocka_unit_test(oversized_body_is_refused),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- a/tests/process/test_crash.c
+++ b/tests/process/test_crash.c
@@ -8,7 +8,7 @@
 #include <cmocka.h>
 #include <sys/wait.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 /*
  * A request that crashes each target that runs it, sent again and again to all
@@ -26,19 +26,8 @@
 {
 	fleet_options_t options = {
 	    .places = places, .service = "desk", .slots = 4};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 static int
@@ -119,5 +108,5 @@
 	    cmocka_unit_test(a_crashing_request_is_quarantined),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- a/tests/process/test_releases.c
+++ b/tests/process/test_releases.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 #include <json-c/json.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 /*
  * Release notes over real processes: store outage, lost answers, racing
@@ -26,19 +26,8 @@
 {
 	fleet_options_t options = {
 	    .places = places, .service = "desk", .slots = 4};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 /* A note against the present version that adds one place. */
@@ -240,5 +229,5 @@
 	    cmocka_unit_test(empty_platform_takes_nothing_back),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- a/tests/process/test_shift.c
+++ b/tests/process/test_shift.c
@@ -8,7 +8,7 @@
 #include <cmocka.h>
 #include <json-c/json.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 /*
  * A data centre is drained: its clients are served by the other region, once
@@ -23,19 +23,8 @@
 {
 	fleet_options_t options = {
 	    .places = places, .service = "desk", .slots = 4};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 /* Asks a VM of the drained place; each refusal must say when to come back. */
@@ -109,5 +98,5 @@
 	    cmocka_unit_test(drained_place_shifts_to_the_other_region),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- a/tests/process/test_stop.c
+++ b/tests/process/test_stop.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 #include <sys/wait.h>
 
-#include "fleet.h"
+#include "fleet_group.h"
 
 /*
  * A planned stop cuts no request in flight: SIGTERM to one VM under load, whose
@@ -173,19 +173,8 @@
 	    .slots = 9,
 	    .target_args = target_args,
 	    .settings = "\"lookup_ttl_ms\": 300, \"drain_min_ms\": 1000"};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
-}
-
-static int
-stop_fleet(void **state)
-{
-	drop_fleet(*state);
-	return 0;
+	return start_fleet_group(state, &options);
 }
 
 int
@@ -195,5 +184,5 @@
 	    cmocka_unit_test(planned_stop_cuts_nothing),
 	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
 }
--- /dev/null
+++ b/tests/support/client_fixture.h
@@ -0,0 +1,29 @@
+#ifndef SUPPORT_CLIENT_FIXTURE_H
+#define SUPPORT_CLIENT_FIXTURE_H
+
+#include "../../source/net/client.h"
+#include "raw_socket.h"
+
+/* An HTTP client and a server that the test plays by hand. */
+
+#define LANES 2
+#define MAX_ANSWER 1000
+
+typedef struct client_test {
+	msp_loop_t *loop;
+	msp_http_client_t *client;
+	raw_socket_t listener; /* of a server that the test plays by hand */
+	uint16_t port;
+	msp_call_options_t options;
+	test_outcome_t outcome;
+} client_test_t;
+
+/* Set-up and clean-up for cmocka; *state is a client_test_t. */
+int set_up_client(void **state);
+int tear_down_client(void **state);
+msp_call_t *start_to(client_test_t *test, const char *method, const char *path,
+    test_outcome_t *outcome);
+void wait_outcome(client_test_t *test, const char *name);
+void assert_sent_once(client_test_t *test, raw_socket_t *raw, const char *name);
+
+#endif
--- a/tests/support/fault_run.c
+++ b/tests/support/fault_run.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "fault_run.h"
+#include "fleet_group.h"
 #include "storm.h"
 
 #define FAULT_MS 2500 /* longer than suspicion takes */
@@ -55,24 +56,6 @@
 static const fleet_place_t places[] = {
     {"a", "north", 3, 2}, {"b", "north", 1, 1}, {0}};
 
-/* The VM that most likely dispatches, since all of its place rank it first. */
-static size_t
-find_dispatcher(fleet_t *fleet)
-{
-	fleet_reply_t reply;
-	size_t found = 0;
-	size_t i;
-
-	for (i = 0; i < 3; i++) {
-		fleet_operate(fleet, i, "GET", "/metrics", NULL, &reply);
-		if (strstr(msp_buffer_text(&reply.response.body),
-			"msp_target_attempts_total") != NULL)
-			found = i;
-		msp_drop_response(&reply.response);
-	}
-	return found;
-}
-
 static void
 start_fault(fleet_t *fleet, fault_kind_t kind, size_t vm)
 {
@@ -170,7 +153,7 @@
 run_case(fleet_t *fleet, const fault_case_t *one, bool issued)
 {
 	storm_t *storm = calloc(1, sizeof(*storm));
-	size_t vm = find_dispatcher(fleet);
+	size_t vm = fleet_find_dispatcher(fleet, 3);
 	char what[200];
 	char name[100];
 	int broken;
@@ -218,17 +201,12 @@
 	    .service = "desk",
 	    .slots = 4,
 	    .target_args = target_args};
-	fleet_t *fleet = new_fleet(&options);
 
-	*state = fleet;
-	if (fleet == NULL)
-		return -1;
-	return fleet_apply_first_note(fleet) ? 0 : -1;
+	return start_fleet_group(state, &options);
 }
 
 int
 stop_fault_fleet(void **state)
 {
-	drop_fleet(*state);
-	return 0;
+	return stop_fleet_group(state);
 }
--- /dev/null
+++ b/tests/support/rpc_fixture.h
@@ -0,0 +1,40 @@
+#ifndef SUPPORT_RPC_FIXTURE_H
+#define SUPPORT_RPC_FIXTURE_H
+
+#include <netinet/in.h>
+
+#include "net_fixture.h"
+
+/* Two RPC endpoints, and a plain socket that the test speaks by hand. */
+
+#define PROGRAM 0x20001234
+#define VERSION 3
+#define PROC_ADD 1 /* adds one; 13 is refused, 14 fails */
+#define PROC_TELL 2 /* has no answer */
+#define PROC_LARGE 3 /* the answer passes the bound of a datagram */
+#define TEXT_MAX 64
+
+typedef struct rpc_test {
+	msp_loop_t *loop;
+	msp_rpc_t *server;
+	msp_rpc_t *client;
+	struct sockaddr_in to; /* the server */
+	int raw; /* a plain UDP socket */
+	struct sockaddr_in raw_address;
+	unsigned int told;
+	unsigned int done;
+	msp_status_t status;
+	uint32_t result;
+} rpc_test_t;
+
+/* The result of PROC_LARGE. */
+bool_t xdr_large(XDR *xdr, ...);
+
+/* Set-up and clean-up for cmocka; *state is a rpc_test_t. */
+int set_up_rpc(void **state);
+int tear_down_rpc(void **state);
+void keep_result(void *ctx, msp_status_t status, void *result);
+void call_add(rpc_test_t *test, const struct sockaddr_in *to, uint32_t number);
+void assert_served(rpc_test_t *test);
+
+#endif
--- /dev/null
+++ b/tests/support/server_fixture.h
@@ -0,0 +1,30 @@
+#ifndef SUPPORT_SERVER_FIXTURE_H
+#define SUPPORT_SERVER_FIXTURE_H
+
+#include "../../source/net/connection.h"
+#include "raw_socket.h"
+
+/* An HTTP server with small limits, and clients that the test plays by hand. */
+
+#define MAX_BODY 1000
+#define MAX_HEADERS 4000
+#define MAX_CONNECTIONS 8
+#define LARGE_ANSWER (8 * 1024 * 1024) /* past what sockets hold */
+
+typedef struct server_test {
+	msp_loop_t *loop;
+	msp_http_server_t *server;
+	uint16_t port;
+	unsigned int requests;
+	unsigned int gone;
+	msp_exchange_t *held; /* of a path that starts with /hold */
+} server_test_t;
+
+#define HOST "Host: a\r\n"
+
+/* Set-up and clean-up for cmocka; *state is a server_test_t. */
+int set_up_server(void **state);
+int tear_down_server(void **state);
+void assert_serving(server_test_t *test, const char *name);
+
+#endif
