--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -212,6 +213,68 @@
 	msp_drop_response(&reply.response);
 }
 
+static void
+ignore_answer(void *ctx, msp_call_result_t *result)
+{
+	(void)ctx;
+	(void)result;
+}
+
+/* Slots in use on all targets, by their own reports. */
+static int
+count_in_use(fleet_t *fleet)
+{
+	fleet_reply_t reply;
+	const char *text;
+	int in_use = 0;
+	size_t i;
+
+	for (i = 0; i < fleet->target_count; i++) {
+		fleet_request(fleet, fleet->targets[i].port, "GET", "/load",
+		    NULL, NULL, &reply);
+		text =
+		    strstr(msp_buffer_text(&reply.response.body), "\"in_use\"");
+		if (text != NULL)
+			in_use += atoi(strpbrk(text, "0123456789"));
+		msp_drop_response(&reply.response);
+	}
+	return in_use;
+}
+
+static bool
+is_in_use(void *ctx)
+{
+	return count_in_use(ctx) > 0;
+}
+
+static bool
+is_free(void *ctx)
+{
+	return count_in_use(ctx) == 0;
+}
+
+/* The target would work for a minute; its slot is free once the caller goes. */
+static void
+a_caller_that_goes_away_frees_the_slot(void **state)
+{
+	fleet_t *fleet = *state;
+	msp_call_t *call;
+	size_t vm;
+
+	assert_true(fleet_control_targets(
+	    fleet, "{\"mode\":\"ok\",\"slow_ms\":60000}"));
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		call = fleet_start_request(fleet, fleet->vms[vm].port, "GET",
+		    DESK "/slow", "Request-Timeout: 60000", NULL, 60000,
+		    ignore_answer, NULL);
+		assert_non_null(call);
+		assert_true(fleet_wait(fleet, is_in_use, fleet));
+		msp_cancel_call(call);
+		assert_true(fleet_wait(fleet, is_free, fleet));
+	}
+	assert_true(fleet_control_targets(fleet, "{\"mode\":\"ok\"}"));
+}
+
 int
 main(void)
 {
@@ -219,6 +282,7 @@
 	    cmocka_unit_test(callers_get_what_the_table_says),
 	    cmocka_unit_test(large_bodies_pass_whole),
 	    cmocka_unit_test(oversized_body_is_refused),
+	    cmocka_unit_test(a_caller_that_goes_away_frees_the_slot),
 	};
 
 	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
