Bound answers of the store and of peers by the size of a release

Cause: all HTTP clients of a VM took max_answer_bytes, 8 MiB by default, so a release of some 100,000 items could not have been read by a new VM.

--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -24,6 +24,8 @@
 #define TARGET_LANES 16 /* more than a target has slots */
 #define REPORT_LANES 2
 #define STORE_LANES 16
+#define SNAPSHOT_MAX (64 << 20) /* bytes of a release, from store or peer */
+#define LOAD_REPORT_MAX 4096 /* bytes */
 #define STORE_STEP (1 * MSP_MS)
 #define BEAT_PERIOD (20 * MSP_MS)
 #define PAUSE_MIN (200 * MSP_MS) /* between two beats */
@@ -39,10 +41,10 @@
 }
 
 static msp_http_client_t *
-new_client(daemon_t *daemon, unsigned int lanes)
+new_client(daemon_t *daemon, unsigned int lanes, size_t max_answer)
 {
-	msp_http_client_options_t options = {.lanes = lanes,
-	    .max_answer = daemon->settings->limits.max_answer_bytes};
+	msp_http_client_options_t options = {
+	    .lanes = lanes, .max_answer = max_answer};
 
 	return msp_new_http_client(daemon->loop, &options);
 }
@@ -78,7 +80,8 @@
 	const msp_settings_platform_t *platform = &daemon->settings->platform;
 
 	if (!standalone) {
-		daemon->store_client = new_client(daemon, STORE_LANES);
+		daemon->store_client =
+		    new_client(daemon, STORE_LANES, SNAPSHOT_MAX);
 		if (daemon->store_client == NULL)
 			return MSP_E_NO_MEMORY;
 		daemon->http_store = msp_new_http_store(daemon->loop,
@@ -182,9 +185,11 @@
 	daemon->loop = msp_new_loop(settings->limits.max_connections + OWN_FDS);
 	if (daemon->counters == NULL || daemon->loop == NULL)
 		goto fail;
-	daemon->peer_client = new_client(daemon, PEER_LANES);
-	daemon->target_client = new_client(daemon, TARGET_LANES);
-	daemon->report_client = new_client(daemon, REPORT_LANES);
+	daemon->peer_client = new_client(daemon, PEER_LANES, SNAPSHOT_MAX);
+	daemon->target_client =
+	    new_client(daemon, TARGET_LANES, settings->limits.max_answer_bytes);
+	daemon->report_client =
+	    new_client(daemon, REPORT_LANES, LOAD_REPORT_MAX);
 	daemon->last_beat = msp_now(&daemon->env);
 	daemon->beat_timer =
 	    msp_new_timer(daemon->loop, BEAT_PERIOD, BEAT_PERIOD, beat, daemon);
