Find the issuer of a key in other data centres

A VM that is given a key issued in another data centre asks one VM of each other for that incarnation and passes the try on; before, it only looked for a recorded outcome. No cache: each such try costs a question to each other data centre.

--- a/source/spindled/forward_try.c
+++ b/source/spindled/forward_try.c
@@ -1,10 +1,11 @@
 #include "forward_try.h"
 
-#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "commits_private.h"
+#include "find_issuer.h"
 #include "log.h"
 #include "members.h"
 #include "monsoonspindle/coord/issued_keys.h"
@@ -26,22 +27,6 @@
 
 static void send_forward(forward_t *forward);
 
-static const msp_member_t *
-find_incarnation(const commits_t *commits, uint64_t incarnation)
-{
-	const msp_membership_t *list = members_list(commits->daemon->members);
-	size_t i;
-
-	for (i = 0; i < msp_member_count(list); i++) {
-		const msp_member_t *member = msp_member_at(list, i);
-
-		if (member->incarnation == incarnation &&
-		    member->state != MSP_MEMBER_DEAD)
-			return member;
-	}
-	return NULL;
-}
-
 /* The key was released meanwhile: whether the try came later is told once. */
 static bool
 note_release(forward_t *forward, const msp_headers_t *headers)
@@ -157,31 +142,86 @@
 		end_forward(forward, &failed);
 }
 
-bool
-forward_try(commits_t *commits, entry_t *entry)
+static void
+tell_forward(const entry_t *entry, const char *vm, const char *reason)
 {
 	msp_decision_t decision = {.what = "route",
 	    .request_id = entry->work.id,
 	    .service = entry->work.service,
-	    .reason = "issued-key"};
+	    .vm = vm,
+	    .reason = reason};
+
+	log_decision(NULL, &decision);
+}
+
+/* Sends the try on; without memory it is decided here, where nothing runs. */
+static void
+start_forward(
+    commits_t *commits, entry_t *entry, const char *address, uint16_t port)
+{
+	forward_t *forward = calloc(1, sizeof(*forward));
+
+	if (forward == NULL) {
+		begin_commit(commits, entry);
+		return;
+	}
+	forward->commits = commits;
+	forward->entry = entry;
+	snprintf(forward->address, sizeof(forward->address), "%s", address);
+	forward->port = port;
+	send_forward(forward);
+}
+
+static void
+on_found(void *ctx, const char *address, uint16_t port)
+{
+	entry_t *entry = ctx;
+	commits_t *commits = entry->daemon->commits;
+
+	entry->work.cancel = NULL;
+	if (address == NULL) {
+		begin_commit(commits, entry);
+		return;
+	}
+	tell_forward(entry, address, "issued-elsewhere");
+	start_forward(commits, entry, address, port);
+}
+
+static void
+cancel_search(work_t *work)
+{
+	cancel_issuer_search(work->runner);
+}
+
+/* Looks for the issuer in other data centres; false if none can be asked. */
+static bool
+search_issuer(commits_t *commits, entry_t *entry, uint64_t incarnation)
+{
+	issuer_search_t *search =
+	    find_issuer(commits->daemon, incarnation, on_found, entry);
+
+	if (search == NULL)
+		return false;
+	entry->work.cancel = cancel_search;
+	entry->work.runner = search;
+	return true;
+}
+
+bool
+forward_try(commits_t *commits, entry_t *entry)
+{
+	const daemon_t *daemon = commits->daemon;
 	const msp_member_t *member;
 	msp_issued_key_t issued;
-	forward_t *forward;
 
 	if (!msp_parse_issued_key(entry->work.key, &issued) ||
-	    issued.incarnation == commits->daemon->incarnation)
-		return false;
-	member = find_incarnation(commits, issued.incarnation);
-	forward = member == NULL ? NULL : calloc(1, sizeof(*forward));
-	if (forward == NULL)
+	    issued.incarnation == daemon->incarnation)
 		return false;
-	forward->commits = commits;
-	forward->entry = entry;
-	memcpy(forward->address, member->address, sizeof(member->address));
-	forward->port = member->peer_port;
-	decision.vm = member->name;
-	log_decision(NULL, &decision);
-	send_forward(forward);
+	member = find_incarnation(daemon->members, issued.incarnation);
+	if (member == NULL)
+		return search_issuer(commits, entry, issued.incarnation);
+	tell_forward(entry, member->name, "issued-key");
+	start_forward(commits, entry, member->address, member->peer_port);
 	return true;
 }
 
--- a/source/spindled/forward_try.h
+++ b/source/spindled/forward_try.h
@@ -6,9 +6,10 @@
 #define TRIES_PATH "/v1/tries"
 
 /*
- * Passes a commit whose key another VM of this data centre issued on to that
- * VM, whose memory decides about it, and answers the entry with its answer.
- * Returns false if the VM is not known here, or is this one.
+ * Passes a commit whose key another VM issued on to that VM, whose memory
+ * decides about it, and answers the entry with its answer. A VM of another data
+ * centre is looked for. Returns false if the key is not an issued one, is of
+ * this VM, or nobody can be asked.
  */
 bool forward_try(commits_t *commits, entry_t *entry);
 
--- a/source/spindled/members.c
+++ b/source/spindled/members.c
@@ -196,6 +196,21 @@
 	return first;
 }
 
+const msp_member_t *
+find_incarnation(const members_t *members, uint64_t incarnation)
+{
+	size_t i;
+
+	for (i = 0; i < msp_member_count(members->list); i++) {
+		const msp_member_t *member = msp_member_at(members->list, i);
+
+		if (member->incarnation == incarnation &&
+		    member->state != MSP_MEMBER_DEAD)
+			return member;
+	}
+	return NULL;
+}
+
 bool
 members_paused(const members_t *members)
 {
--- a/source/spindled/members.h
+++ b/source/spindled/members.h
@@ -21,6 +21,10 @@
 /* The VM that dispatches `service` in this data centre; NULL if none is up. */
 const msp_member_t *first_member(const members_t *members, const char *service);
 
+/* The member that runs as an incarnation and is not dead; NULL if unknown. */
+const msp_member_t *find_incarnation(
+    const members_t *members, uint64_t incarnation);
+
 /* The process was paused, and its peers were not heard yet. */
 bool members_paused(const members_t *members);
 
--- a/source/spindled/peers.c
+++ b/source/spindled/peers.c
@@ -6,6 +6,7 @@
 #include "commits.h"
 #include "daemon.h"
 #include "dispatch.h"
+#include "find_issuer.h"
 #include "forward_try.h"
 #include "members.h"
 #include "problem.h"
@@ -108,6 +109,8 @@
 	} else if (strncmp(path, QUARANTINE_PATH,
 		       sizeof(QUARANTINE_PATH) - 1) == 0) {
 		hear_quarantine(daemon->dispatchers, exchange);
+	} else if (strncmp(path, ISSUER_PATH "?", sizeof(ISSUER_PATH)) == 0) {
+		serve_issuer(daemon, exchange);
 	} else if (strncmp(path, "/v1/notes", 9) == 0) {
 		serve_notes(daemon->releases, exchange);
 	} else if (strncmp(path, "/v1/claims/", 11) == 0) {
