--- a/tests/net/test_http_answers.c
+++ b/tests/net/test_http_answers.c
@@ -28,7 +28,6 @@
 	bool silent;
 } server_case_t;
 
-#define OK_LINE "HTTP/1.1 200 OK\r\n"
 #define CHUNKED OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
 
 static const server_case_t cases[] = {
--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -14,36 +14,6 @@
 
 #include "client_fixture.h"
 
-#define OK_LINE "HTTP/1.1 200 OK\r\n"
-
-static const char whole_answer[] = OK_LINE "Content-Length: 2\r\n\r\nok";
-
-/* Starts a call and answers it; the connection is kept in `raw`. */
-static void
-answer_one(client_test_t *test, raw_socket_t *raw, bool connects)
-{
-	raw_forget(raw);
-	start_to(test, "GET", "/a", &test->outcome);
-	if (connects)
-		*raw = raw_accept(&test->listener);
-	assert_true(raw_expect(raw, "\r\n\r\n"));
-	raw_say(raw, whole_answer);
-	wait_outcome(test, "answer");
-	assert_int_equal(test->outcome.status, MSP_OK);
-}
-
-static bool
-has_newcomer(void *ctx)
-{
-	client_test_t *test = ctx;
-	fd_set set;
-	struct timeval none = {0};
-
-	FD_ZERO(&set);
-	FD_SET(test->listener.fd, &set);
-	return select(test->listener.fd + 1, &set, NULL, NULL, &none) > 0;
-}
-
 typedef enum cancel_point {
 	CANCEL_AT_ONCE,
 	CANCEL_SENT,
--- a/tests/support/client_fixture.c
+++ b/tests/support/client_fixture.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <sys/select.h>
 #include <sys/socket.h>
 
 #include "client_fixture.h"
@@ -87,3 +88,30 @@
 			fail_msg("%s: sent twice", name);
 	}
 }
+
+const char whole_answer[] = OK_LINE "Content-Length: 2\r\n\r\nok";
+
+void
+answer_one(client_test_t *test, raw_socket_t *raw, bool connects)
+{
+	raw_forget(raw);
+	start_to(test, "GET", "/a", &test->outcome);
+	if (connects)
+		*raw = raw_accept(&test->listener);
+	assert_true(raw_expect(raw, "\r\n\r\n"));
+	raw_say(raw, whole_answer);
+	wait_outcome(test, "answer");
+	assert_int_equal(test->outcome.status, MSP_OK);
+}
+
+bool
+has_newcomer(void *ctx)
+{
+	client_test_t *test = ctx;
+	fd_set set;
+	struct timeval none = {0};
+
+	FD_ZERO(&set);
+	FD_SET(test->listener.fd, &set);
+	return select(test->listener.fd + 1, &set, NULL, NULL, &none) > 0;
+}
--- a/tests/support/client_fixture.h
+++ b/tests/support/client_fixture.h
@@ -9,6 +9,8 @@
 #define LANES 2
 #define MAX_ANSWER 1000
 
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+
 typedef struct client_test {
 	msp_loop_t *loop;
 	msp_http_client_t *client;
@@ -26,4 +28,12 @@
 void wait_outcome(client_test_t *test, const char *name);
 void assert_sent_once(client_test_t *test, raw_socket_t *raw, const char *name);
 
+extern const char whole_answer[]; /* to a GET: "ok" */
+
+/* Starts a call and answers it; the connection is kept in `raw`. */
+void answer_one(client_test_t *test, raw_socket_t *raw, bool connects);
+
+/* Whether a connection waits to be accepted; `ctx` is the client_test_t. */
+bool has_newcomer(void *ctx);
+
 #endif
