Notice a client whose end came with its request; keep retries from multiplying

(1) The end of a connection that arrived before its request was waited on was reported once, in a state that did not look at it, and never again: the request was held, and a target kept its slot. Ruled out: the VM (its log shows the cancellation, its side of the connection was in FIN-WAIT-2). The hang-up is now watched anew when a request is delivered. (2) An entry VM tried a read again that the dispatcher had given up after its own retries: 3 times 3 attempts. Only an answer that was lost between the VMs is tried again now.

--- a/source/net/request.c
+++ b/source/net/request.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "connection.h"
+#include "hangup.h"
 #include "fields.h"
 #include "path.h"
 
@@ -13,6 +14,9 @@
 
 	server->busy++;
 	connection->state = MSP_CONNECTION_WAITING;
+	/* Tells anew of an end that came together with the request. */
+	msp_watch_hangup(msp_loop_hangups(connection->server->loop),
+	    connection->fd, MSP_HANGUP_ONLY, connection);
 	connection->exchange->arrival = msp_loop_now();
 	msp_set_deadline(&connection->deadline, MSP_NEVER);
 	lws_set_timeout(connection->wsi, NO_PENDING_TIMEOUT, 0);
--- a/source/spindled/route.c
+++ b/source/spindled/route.c
@@ -51,7 +51,9 @@
 	case MSP_E_UNKNOWN_SERVICE:
 		return not_run;
 	case MSP_E_CUT_ANSWER:
-		return work->is_idempotent && work->retries_left > 0;
+		/* A dispatcher that says so has spent the retries itself. */
+		return result->vm[0] == '\0' && work->is_idempotent &&
+		    work->retries_left > 0;
 	default:
 		return false;
 	}
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -107,6 +107,23 @@
 	assert_int_equal(test->gone, LEAVE_COUNT);
 }
 
+/* Its end may come together with its request, before that is waited on. */
+static void
+a_client_that_leaves_at_once_is_noticed(void **state)
+{
+	server_test_t *test = *state;
+	raw_socket_t raw;
+	unsigned int i;
+
+	for (i = 1; i <= 20; i++) {
+		raw = raw_connect(test->loop, test->port);
+		raw_say(&raw, "GET /hold HTTP/1.1\r\n" HOST "\r\n");
+		raw_close(&raw);
+		assert_true(run_until_count(test->loop, &test->requests, i));
+		assert_true(run_until_count(test->loop, &test->gone, i));
+	}
+}
+
 static void
 an_answer_may_come_later(void **state)
 {
@@ -296,6 +313,7 @@
 	const struct CMUnitTest tests[] = {
 	    CASE(a_kept_connection_does_not_stay_for_ever),
 	    CASE(a_client_that_leaves_is_noticed),
+	    CASE(a_client_that_leaves_at_once_is_noticed),
 	    CASE(an_answer_may_come_later),
 	    CASE(a_client_may_leave_amid_its_answer),
 	    CASE(a_slow_reader_is_cut_off),
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -11,6 +11,7 @@
 #include "fleet_group.h"
 
 #define DESK "/v1/services/desk"
+#define REQUEST_RETRIES 2 /* of one read, over all hops */
 #define LONG_300                                                               \
 	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
 	"aaaa"                                                                 \
@@ -275,6 +276,52 @@
 	assert_true(fleet_control_targets(fleet, "{\"mode\":\"ok\"}"));
 }
 
+/* Attempts on targets so far, by the counters of all VMs. */
+static long
+count_attempts(fleet_t *fleet)
+{
+	static const char name[] = "msp_target_attempts_total";
+	fleet_reply_t reply;
+	const char *at;
+	long sum = 0;
+	size_t vm;
+
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		fleet_operate(fleet, vm, "GET", "/metrics", NULL, &reply);
+		at = msp_buffer_text(&reply.response.body);
+		while ((at = strstr(at, name)) != NULL) {
+			at = strchr(at, ' ');
+			sum += strtol(at, NULL, 10);
+		}
+		msp_drop_response(&reply.response);
+	}
+	return sum;
+}
+
+/* What a dispatcher gave up is not tried again by the entry VM. */
+static void
+retries_do_not_multiply_along_the_way(void **state)
+{
+	fleet_t *fleet = *state;
+	fleet_reply_t reply;
+	long before;
+	long attempts;
+	size_t vm;
+
+	assert_true(fleet_control_targets(fleet, "{\"mode\":\"cut\"}"));
+	for (vm = 0; vm < fleet->vm_count; vm++) {
+		before = count_attempts(fleet);
+		fleet_request(fleet, fleet->vms[vm].port, "GET", DESK "/cut",
+		    NULL, NULL, &reply);
+		assert_int_equal(reply.http_status, 502);
+		msp_drop_response(&reply.response);
+		attempts = count_attempts(fleet) - before;
+		if (attempts > 1 + REQUEST_RETRIES)
+			fail_msg("VM %zu: %ld attempts", vm, attempts);
+	}
+	assert_true(fleet_control_targets(fleet, "{\"mode\":\"ok\"}"));
+}
+
 int
 main(void)
 {
@@ -283,6 +330,7 @@
 	    cmocka_unit_test(large_bodies_pass_whole),
 	    cmocka_unit_test(oversized_body_is_refused),
 	    cmocka_unit_test(a_caller_that_goes_away_frees_the_slot),
+	    cmocka_unit_test(retries_do_not_multiply_along_the_way),
 	};
 
 	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
