--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
     -Wno-missing-prototypes -Wno-incompatible-pointer-types
 
 LIB_SOURCES = $(foreach p,$(LIB_PACKAGES),$(wildcard source/$(p)/*.c))
-NET_SOURCES = $(foreach p,$(NET_PACKAGES),$(wildcard source/$(p)/*.c))
+NET_SOURCES = $(foreach p,$(NET_PACKAGES),$(wildcard source/$(p)/*.c)) \
+    $(wildcard platform/*.c)
 DAEMON_SOURCES = $(wildcard source/spindled/*.c)
 CTL_SOURCES = $(wildcard source/spindlectl/*.c)
 # Drivers of experiments, which tests and measurements share.
@@ -39,6 +40,7 @@
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/*/test_*.c))
 GENERATED = $(wildcard source/*/*_xdr.c include/monsoonspindle/*/*_xdr.h)
 HANDWRITTEN = $(filter-out $(GENERATED),$(wildcard source/*/*.[ch] \
+    platform/*.[ch] \
     include/*.h include/monsoonspindle/*.h include/monsoonspindle/*/*.h \
     bench/*.[ch] tests/*/*.[ch] standins/*.[ch] standins/*/*.[ch] measure/*.[ch] \
     measure/*/*.[ch] examples/*.c))
--- a/include/monsoonspindle/base.h
+++ b/include/monsoonspindle/base.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONSPINDLE_BASE_H
 #define MONSOONSPINDLE_BASE_H
 
+#include "monsoonspindle/base/base64.h"
 #include "monsoonspindle/base/buffer.h"
 #include "monsoonspindle/base/counters.h"
 #include "monsoonspindle/base/decision.h"
--- a/source/platform/base64.h
+++ b/include/monsoonspindle/base/base64.h
@@ -1,5 +1,5 @@
-#ifndef MSP_PLATFORM_BASE64_H
-#define MSP_PLATFORM_BASE64_H
+#ifndef MONSOONSPINDLE_BASE_BASE64_H
+#define MONSOONSPINDLE_BASE_BASE64_H
 
 #include "monsoonspindle/base/buffer.h"
 
--- a/include/monsoonspindle/config.h
+++ b/include/monsoonspindle/config.h
@@ -5,6 +5,7 @@
 #include "monsoonspindle/config/note.h"
 #include "monsoonspindle/config/prefix.h"
 #include "monsoonspindle/config/release.h"
+#include "monsoonspindle/config/route_table.h"
 #include "monsoonspindle/config/settings.h"
 
 #endif
--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -12,6 +12,7 @@
 #define MSP_PASS_HEADERS_SIZE 1024 /* bytes of a list of header names */
 #define MSP_LOG_FILE_SIZE 256 /* bytes of a file name */
 #define MSP_SETTINGS_SEEDS_MAX 64
+#define MSP_SETTINGS_PLACES_MAX 256
 
 typedef enum msp_log_level {
 	MSP_LOG_ERROR,
@@ -35,6 +36,40 @@
 	uint16_t port;
 } msp_settings_platform_t;
 
+/* "IP:PORT" in the settings. */
+typedef struct msp_endpoint {
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t port; /* 0: none was given */
+} msp_endpoint_t;
+
+/* A data centre and the region that holds it. */
+typedef struct msp_settings_place {
+	char place[MSP_NAME_SIZE];
+	char region[MSP_NAME_SIZE];
+} msp_settings_place_t;
+
+/*
+ * Settings of a VM that sends requests to targets by itself, with routes,
+ * targets and evacuations from the platform's store. `callers.port` is 0 if
+ * the VM is run by release notes and dispatchers.
+ */
+typedef struct msp_settings_edge {
+	msp_endpoint_t callers;
+	msp_endpoint_t readiness;
+	msp_endpoint_t directory;
+	msp_endpoint_t store;
+	uint16_t metrics_port;
+	msp_settings_place_t *places; /* owned */
+	size_t place_count;
+	double cold_over; /* a cold target bears its rate times this, */
+	double cold_slack; /* and this many requests a second more */
+	double retry_ratio; /* retries a request, of all VMs together */
+	uint32_t drain_ms; /* no request goes to a draining target after */
+	uint32_t stop_grace_ms; /* from SIGTERM to the end of the process */
+	uint32_t directory_ttl_ms; /* how long clients may keep an answer */
+	uint32_t far_prior_ms; /* way to another region until it is known */
+} msp_settings_edge_t;
+
 /* A VM to start membership from, besides the platform's list. */
 typedef struct msp_settings_seed {
 	char address[MSP_ADDRESS_SIZE];
@@ -43,7 +78,7 @@
 
 typedef struct msp_settings_log {
 	msp_log_level_t level;
-	char file[MSP_LOG_FILE_SIZE]; /* "": standard error */
+	char file[MSP_LOG_FILE_SIZE]; /* "": standard error, "-": output */
 } msp_settings_log_t;
 
 /* The settings of one VM. IP numbers are in their canonical text form. */
@@ -57,6 +92,7 @@
 	uint16_t operator_port;
 	char operator_token[MSP_TOKEN_SIZE];
 	msp_settings_platform_t platform;
+	msp_settings_edge_t edge;
 	msp_settings_seed_t *seeds; /* owned */
 	size_t seed_count;
 	char pass_headers[MSP_PASS_HEADERS_SIZE]; /* names, by commas */
--- a/include/monsoonspindle/net.h
+++ b/include/monsoonspindle/net.h
@@ -5,6 +5,7 @@
 #include "monsoonspindle/net/http_client.h"
 #include "monsoonspindle/net/http_server.h"
 #include "monsoonspindle/net/loop.h"
+#include "monsoonspindle/net/query.h"
 #include "monsoonspindle/net/rpc.h"
 
 #endif
--- a/include/monsoonspindle/net/http.h
+++ b/include/monsoonspindle/net/http.h
@@ -9,6 +9,7 @@
 
 #define MSP_HEADERS_MAX 64 /* header fields of one message */
 #define MSP_PATH_MAX 4096 /* bytes, with the query */
+#define MSP_HOST_MAX 256 /* bytes of a Host field, with the final 0 */
 
 /* One header field. In a list that is received, names are in lower case. */
 typedef struct msp_header {
@@ -45,6 +46,7 @@
 typedef struct msp_request {
 	char method[16];
 	char path[MSP_PATH_MAX]; /* with "?query" if there is one */
+	char host[MSP_HOST_MAX]; /* Host field; "": the server's address */
 	msp_headers_t headers; /* without host, connection and length */
 	msp_buffer_t body;
 } msp_request_t;
--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -56,6 +56,9 @@
 /* Closes the listener and all its connections. on_gone is called as usual. */
 void msp_drop_http_server(msp_http_server_t *server);
 
+/* Closes each connection after its next answer, and still accepts new ones. */
+void msp_end_kept_connections(msp_http_server_t *server);
+
 /* Accepts no new connection, and closes each after its present answer. */
 void msp_close_http_listener(msp_http_server_t *server);
 
--- a/include/monsoonspindle/net/loop.h
+++ b/include/monsoonspindle/net/loop.h
@@ -35,6 +35,13 @@
     msp_time_t period, void (*fire)(void *ctx), void *ctx);
 void msp_drop_timer(msp_timer_t *timer);
 
+/*
+ * Calls `handler` from the loop when SIGHUP arrives, once stop signals are
+ * watched. Without one SIGHUP does nothing.
+ */
+void msp_watch_reload_signal(
+    msp_loop_t *loop, void (*handler)(void *ctx), void *ctx);
+
 /* Calls `handler` from the loop when SIGTERM or SIGINT arrives. */
 msp_status_t msp_watch_stop_signals(
     msp_loop_t *loop, void (*handler)(void *ctx), void *ctx);
--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -1,11 +1,16 @@
 #ifndef MONSOONSPINDLE_STEER_H
 #define MONSOONSPINDLE_STEER_H
 
+#include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/dispatcher.h"
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/latency_book.h"
 #include "monsoonspindle/steer/spill.h"
+#include "monsoonspindle/steer/split.h"
+#include "monsoonspindle/steer/target_load.h"
+#include "monsoonspindle/steer/target_view.h"
 #include "monsoonspindle/steer/client_block.h"
 #include "monsoonspindle/steer/locator.h"
 #include "monsoonspindle/steer/prefix_table.h"
--- /dev/null
+++ b/include/monsoonspindle/steer/latency_book.h
@@ -0,0 +1,47 @@
+#ifndef MONSOONSPINDLE_STEER_LATENCY_BOOK_H
+#define MONSOONSPINDLE_STEER_LATENCY_BOOK_H
+
+#include <stdbool.h>
+
+#include "monsoonspindle/base/env.h"
+#include "monsoonspindle/config/route_table.h"
+
+/* Whether a target still holds the object of a request in its memory. */
+typedef enum msp_warmth {
+	MSP_WARM, /* this VM had it answered there a short time ago */
+	MSP_LIKELY_WARM, /* it is the first choice of its region for it */
+	MSP_UNLIKELY_WARM,
+	MSP_WARMTH_COUNT
+} msp_warmth_t;
+
+/* "warm", "likely" or "unlikely". */
+const char *msp_warmth_name(msp_warmth_t warmth);
+
+/*
+ * What latency to expect, learned from whole answers: for each route by
+ * warmth, and for each other region the time that the way there adds. Until
+ * there are answers, multiples of the route's objective stand in.
+ */
+typedef struct msp_latency_book msp_latency_book_t;
+
+/* `far_prior`: what the way to another region adds until it is known. */
+msp_latency_book_t *msp_new_latency_book(msp_time_t far_prior);
+void msp_drop_latency_book(msp_latency_book_t *book);
+
+/* Without waiting; `region` is NULL for this VM's own. */
+msp_time_t msp_expect_latency(const msp_latency_book_t *book,
+    const msp_path_route_t *route, msp_warmth_t warmth, const char *region);
+
+/* The target's own part of it: how long a slot is taken. */
+msp_time_t msp_expect_work(const msp_latency_book_t *book,
+    const msp_path_route_t *route, msp_warmth_t warmth);
+
+/* Mean of all recent work of a service; 0: not known. */
+msp_time_t msp_mean_work(const msp_latency_book_t *book, const char *service);
+
+/* A whole answer that, as far as is known, did not wait for a slot. */
+void msp_learn_latency(msp_latency_book_t *book, const msp_path_route_t *route,
+    const char *service, msp_warmth_t warmth, const char *region,
+    msp_time_t took);
+
+#endif
--- a/source/platform/base64.c
+++ b/source/base/base64.c
@@ -1,4 +1,4 @@
-#include "base64.h"
+#include "monsoonspindle/base/base64.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/source/config/field.c
+++ b/source/config/field.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define REAL_PRESET_UNIT 1000.0
+
 size_t
 push_field(field_context_t *context, const char *key, size_t index)
 {
@@ -124,6 +126,10 @@
 		return read_prefix(context, value, member);
 	case FIELD_UINT:
 		return read_number(context, value, field, member);
+	case FIELD_REAL:
+		return read_real(context, value, field, member);
+	case FIELD_ENDPOINT:
+		return read_endpoint_field(context, value, member);
 	case FIELD_CHOICE:
 		return read_choice(context, value, field, member);
 	case FIELD_OBJECT:
@@ -174,6 +180,8 @@
 		return fail_field(context, "missing; %s", field->help);
 	if (field->type == FIELD_UINT || field->type == FIELD_CHOICE)
 		store_number(field, field->preset, member);
+	if (field->type == FIELD_REAL)
+		store_real((double)field->preset / REAL_PRESET_UNIT, member);
 	if (field->type == FIELD_BOOL)
 		memcpy(member, &truth, sizeof(truth));
 	if (field->type != FIELD_OBJECT)
--- a/source/config/field.h
+++ b/source/config/field.h
@@ -16,6 +16,8 @@
 	FIELD_ADDRESS, /* IP number */
 	FIELD_PREFIX, /* IP number/bits, into a msp_prefix_t */
 	FIELD_UINT, /* whole number min..max, of 2, 4 or 8 bytes */
+	FIELD_REAL, /* 0..max, into a double; the preset is in thousandths */
+	FIELD_ENDPOINT, /* "IP:PORT", into a msp_endpoint_t */
 	FIELD_BOOL,
 	FIELD_CHOICE, /* one of `choices`, into an enum */
 	FIELD_OBJECT, /* a struct inside, described by `fields` */
--- a/source/config/field_print.c
+++ b/source/config/field_print.c
@@ -4,6 +4,7 @@
 
 #include "field.h"
 #include "monsoonspindle/config/prefix.h"
+#include "monsoonspindle/config/settings.h"
 
 #define LABEL_SIZE 96
 
@@ -83,6 +84,8 @@
 print_field(const field_t *field, const char *in, msp_buffer_t *out)
 {
 	const char *member = in + field->offset;
+	msp_endpoint_t endpoint;
+	double real;
 	bool truth;
 
 	switch (field->type) {
@@ -102,6 +105,13 @@
 		return print_fields(field->fields, member, out);
 	case FIELD_LIST:
 		return print_list(field, in, out);
+	case FIELD_REAL:
+		memcpy(&real, member, sizeof(real));
+		return msp_print_buffer(out, "%g", real);
+	case FIELD_ENDPOINT:
+		memcpy(&endpoint, member, sizeof(endpoint));
+		return msp_print_buffer(
+		    out, "\"%s:%u\"", endpoint.address, endpoint.port);
 	case FIELD_BOOL:
 		memcpy(&truth, member, sizeof(truth));
 		return msp_print_buffer(out, "%s", truth ? "true" : "false");
@@ -158,6 +168,13 @@
 		snprintf(
 		    out, size, "%" PRIu64 "..%" PRIu64, field->min, field->max);
 		break;
+	case FIELD_REAL:
+		snprintf(out, size, "number %" PRIu64 "..%" PRIu64, field->min,
+		    field->max);
+		break;
+	case FIELD_ENDPOINT:
+		snprintf(out, size, "IP:PORT");
+		break;
 	case FIELD_BOOL:
 		snprintf(out, size, "true|false");
 		break;
@@ -181,6 +198,8 @@
 		snprintf(out, size, "required");
 	else if (field->type == FIELD_UINT)
 		snprintf(out, size, "%" PRIu64, field->preset);
+	else if (field->type == FIELD_REAL)
+		snprintf(out, size, "%g", (double)field->preset / 1000);
 	else if (field->type == FIELD_BOOL)
 		snprintf(out, size, "%s", field->preset ? "true" : "false");
 	else if (field->type == FIELD_CHOICE)
--- a/source/config/field_value.c
+++ b/source/config/field_value.c
@@ -2,9 +2,11 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "monsoonspindle/config/prefix.h"
+#include "monsoonspindle/config/settings.h"
 
 void
 store_number(const field_t *field, uint64_t value, char *member)
@@ -134,3 +136,59 @@
 	memcpy(member, &prefix, sizeof(prefix));
 	return MSP_OK;
 }
+
+void
+store_real(double value, char *member)
+{
+	memcpy(member, &value, sizeof(value));
+}
+
+msp_status_t
+read_real(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member)
+{
+	double number;
+
+	if (!json_object_is_type(value, json_type_int) &&
+	    !json_object_is_type(value, json_type_double))
+		return fail_type(context, "number");
+	number = json_object_get_double(value);
+	if (!(number >= (double)field->min && number <= (double)field->max))
+		return fail_field(context,
+		    "%g is out of range %" PRIu64 "..%" PRIu64, number,
+		    field->min, field->max);
+	store_real(number, member);
+	return MSP_OK;
+}
+
+msp_status_t
+read_endpoint_field(
+    field_context_t *context, struct json_object *value, char *member)
+{
+	msp_endpoint_t endpoint = {0};
+	char address[MSP_ADDRESS_SIZE];
+	const char *text;
+	const char *colon;
+	unsigned long port;
+	size_t digits;
+
+	if (!json_object_is_type(value, json_type_string))
+		return fail_type(context, "text");
+	text = json_object_get_string(value);
+	colon = strrchr(text, ':');
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(address))
+		return fail_field(context, "\"%.60s\" is no IP:PORT", text);
+	memcpy(address, text, (size_t)(colon - text));
+	address[colon - text] = '\0';
+	digits = strspn(colon + 1, "0123456789");
+	port = strtoul(colon + 1, NULL, 10);
+	if (digits == 0 || colon[1 + digits] != '\0' || port == 0 ||
+	    port > UINT16_MAX)
+		return fail_field(context, "\"%.60s\" has no port", text);
+	if (msp_normalise_address(
+		address, endpoint.address, sizeof(endpoint.address)) != MSP_OK)
+		return fail_field(context, "\"%.60s\" has no IP number", text);
+	endpoint.port = (uint16_t)port;
+	memcpy(member, &endpoint, sizeof(endpoint));
+	return MSP_OK;
+}
--- a/source/config/field_value.h
+++ b/source/config/field_value.h
@@ -20,5 +20,10 @@
     const field_t *field, char *member);
 msp_status_t read_prefix(
     field_context_t *context, struct json_object *value, char *member);
+msp_status_t read_real(field_context_t *context, struct json_object *value,
+    const field_t *field, char *member);
+msp_status_t read_endpoint_field(
+    field_context_t *context, struct json_object *value, char *member);
+void store_real(double value, char *member);
 
 #endif
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -9,6 +9,12 @@
 
 #define SETTINGS_BYTES_MAX (256 * 1024)
 #define READ_BYTES 4096
+#define CALLER_PORT_HELP "HTTP from callers"
+#define OPERATOR_PORT_HELP "HTTP from operators"
+#define OPERATOR_TOKEN_HELP "secret that operators send"
+#define ADDRESS_HELP "IP number that all listeners bind"
+#define PLATFORM_ADDRESS_HELP "IP number of the platform"
+#define PLATFORM_PORT_HELP "port of the platform"
 #define SUSPICION_PERIODS_MIN 2 /* of gossip */
 
 static const char *const log_levels[] = {
@@ -32,6 +38,27 @@
 		.min = 1, .max = 65535, .required = true, .help = (help_) \
 	}
 
+/* Required unless the VM has the object `edge`; see check_alone(). */
+#define PORT_ALONE(name_, struct_, member_, help_)                    \
+	{                                                             \
+		.name = (name_), FIELD(FIELD_UINT, struct_, member_), \
+		.min = 1, .max = 65535, .help = (help_)               \
+	}
+
+#define ENDPOINT(name_, member_, help_)                            \
+	{                                                          \
+		.name = (name_),                                   \
+		FIELD(FIELD_ENDPOINT, msp_settings_edge_t, member_), \
+		.help = (help_)                                    \
+	}
+
+#define REAL(name_, member_, max_, preset_, help_)                 \
+	{                                                          \
+		.name = (name_),                                   \
+		FIELD(FIELD_REAL, msp_settings_edge_t, member_),   \
+		.max = (max_), .preset = (preset_), .help = (help_) \
+	}
+
 #define NAME(name_, member_, help_)                                          \
 	{                                                                    \
 		.name = (name_), FIELD(FIELD_NAME, msp_settings_t, member_), \
@@ -46,8 +73,67 @@
 	}
 
 static const field_t platform_fields[] = {
-    ADDRESS(msp_settings_platform_t, "IP number of the platform"),
-    PORT("port", msp_settings_platform_t, port, "port of the platform"),
+    {
+	.name = "address",
+	FIELD(FIELD_ADDRESS, msp_settings_platform_t, address),
+	.help = PLATFORM_ADDRESS_HELP,
+    },
+    PORT_ALONE("port", msp_settings_platform_t, port, PLATFORM_PORT_HELP),
+    {0},
+};
+
+static const field_t place_fields[] = {
+    {
+	.name = "place",
+	FIELD(FIELD_NAME, msp_settings_place_t, place),
+	.min = 1,
+	.max = MSP_NAME_SIZE - 1,
+	.required = true,
+	.help = "a data centre",
+    },
+    {
+	.name = "region",
+	FIELD(FIELD_NAME, msp_settings_place_t, region),
+	.min = 1,
+	.max = MSP_NAME_SIZE - 1,
+	.required = true,
+	.help = "the region that holds it",
+    },
+    {0},
+};
+
+/* Presets of FIELD_REAL are in thousandths. */
+static const field_t edge_fields[] = {
+    ENDPOINT("callers", callers, "HTTP from callers"),
+    ENDPOINT("readiness", readiness, "HTTP: whether the VM is ready"),
+    ENDPOINT("directory", directory, "HTTP: which VMs clients are to use"),
+    ENDPOINT("store", store, "the platform's store"),
+    PORT_ALONE("metrics_port", msp_settings_edge_t, metrics_port,
+	"HTTP: counters and histograms"),
+    {
+	.name = "places",
+	.type = FIELD_LIST,
+	.offset = offsetof(msp_settings_edge_t, places),
+	.count_offset = offsetof(msp_settings_edge_t, place_count),
+	.size = sizeof(msp_settings_place_t),
+	.max = MSP_SETTINGS_PLACES_MAX,
+	.fields = place_fields,
+	.help = "all data centres and their regions",
+    },
+    REAL("cold_over", cold_over, 100, 1000,
+	"factor on the rate that a cold target bears"),
+    REAL("cold_slack", cold_slack, 100000, 0,
+	"requests a second that it bears above that"),
+    REAL("retry_ratio", retry_ratio, 10, 100,
+	"retries a request, over all VMs"),
+    NUMBER("drain_ms", msp_settings_edge_t, drain_ms, 100, 600000, 2500,
+	"time within which a draining target gets nothing new"),
+    NUMBER("stop_grace_ms", msp_settings_edge_t, stop_grace_ms, 500, 600000,
+	6000, "time from SIGTERM to the end of the process"),
+    NUMBER("directory_ttl_ms", msp_settings_edge_t, directory_ttl_ms, 100,
+	60000, 2000, "how long clients may keep a directory answer"),
+    NUMBER("far_prior_ms", msp_settings_edge_t, far_prior_ms, 0, 10000, 100,
+	"way to another region and back until it has been measured"),
     {0},
 };
 
@@ -94,26 +180,36 @@
     NAME("vm", vm, "name of this VM"),
     NAME("region", region, "region of this VM"),
     NAME("place", place, "data centre of this VM"),
-    ADDRESS(msp_settings_t, "IP number that all listeners bind"),
-    PORT("caller_port", msp_settings_t, caller_port, "HTTP from callers"),
+    {
+	.name = "address",
+	FIELD(FIELD_ADDRESS, msp_settings_t, address),
+	.help = ADDRESS_HELP,
+    },
+    PORT_ALONE(
+	"caller_port", msp_settings_t, caller_port, CALLER_PORT_HELP),
     PORT("peer_port", msp_settings_t, peer_port,
 	"HTTP on TCP and ONC RPC on UDP between VMs"),
-    PORT("operator_port", msp_settings_t, operator_port, "HTTP from operators"),
+    PORT_ALONE(
+	"operator_port", msp_settings_t, operator_port, OPERATOR_PORT_HELP),
     {
 	.name = "operator_token",
 	FIELD(FIELD_TEXT, msp_settings_t, operator_token),
 	.min = 16,
 	.max = MSP_TOKEN_SIZE - 1,
-	.required = true,
-	.help = "secret that operators send",
+	.help = OPERATOR_TOKEN_HELP,
     },
     {
 	.name = "platform",
 	FIELD(FIELD_OBJECT, msp_settings_t, platform),
 	.fields = platform_fields,
-	.required = true,
 	.help = "an object with address and port",
     },
+    {
+	.name = "edge",
+	FIELD(FIELD_OBJECT, msp_settings_t, edge),
+	.fields = edge_fields,
+	.help = "for a VM that sends requests to targets by itself",
+    },
     {
 	.name = "seeds",
 	.type = FIELD_LIST,
@@ -157,12 +253,83 @@
     {0},
 };
 
+static msp_status_t
+fail_missing(field_context_t *context, const char *key, const char *help)
+{
+	push_field(context, key, 0);
+	return fail_field(context, "missing; %s", help);
+}
+
+/* What a VM needs that is run by release notes and dispatchers. */
+static msp_status_t
+check_alone(field_context_t *context, const msp_settings_t *settings)
+{
+	if (settings->address[0] == '\0')
+		return fail_missing(context, "address", ADDRESS_HELP);
+	if (settings->caller_port == 0)
+		return fail_missing(context, "caller_port", CALLER_PORT_HELP);
+	if (settings->operator_port == 0)
+		return fail_missing(
+		    context, "operator_port", OPERATOR_PORT_HELP);
+	if (settings->operator_token[0] == '\0')
+		return fail_missing(
+		    context, "operator_token", OPERATOR_TOKEN_HELP);
+	if (settings->platform.address[0] == '\0')
+		return fail_missing(
+		    context, "platform.address", PLATFORM_ADDRESS_HELP);
+	if (settings->platform.port == 0)
+		return fail_missing(
+		    context, "platform.port", PLATFORM_PORT_HELP);
+	return MSP_OK;
+}
+
+static bool
+has_place(const msp_settings_edge_t *edge, const char *place)
+{
+	size_t i;
+
+	for (i = 0; i < edge->place_count; i++) {
+		if (strcmp(edge->places[i].place, place) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* What a VM needs that sends to targets by itself. */
+static msp_status_t
+check_edge(field_context_t *context, msp_settings_t *settings)
+{
+	msp_settings_edge_t *edge = &settings->edge;
+
+	push_field(context, "edge", 0);
+	if (edge->readiness.port == 0)
+		return fail_missing(context, "readiness", "IP:PORT");
+	if (edge->directory.port == 0)
+		return fail_missing(context, "directory", "IP:PORT");
+	if (edge->store.port == 0)
+		return fail_missing(context, "store", "IP:PORT");
+	if (!has_place(edge, settings->place)) {
+		push_field(context, "places", 0);
+		return fail_field(
+		    context, "does not hold \"%s\"", settings->place);
+	}
+	memcpy(settings->address, edge->callers.address,
+	    sizeof(settings->address));
+	settings->caller_port = edge->callers.port;
+	return MSP_OK;
+}
+
 /* What no single key can tell. */
 static msp_status_t
-check_together(field_context_t *context, const msp_settings_t *settings)
+check_together(field_context_t *context, msp_settings_t *settings)
 {
 	const char *key = NULL;
+	msp_status_t status = settings->edge.callers.port != 0
+	    ? check_edge(context, settings)
+	    : check_alone(context, settings);
 
+	if (status != MSP_OK)
+		return status;
 	if (settings->peer_port == settings->caller_port)
 		key = "peer_port";
 	if (settings->operator_port == settings->caller_port ||
--- a/source/net/answer.c
+++ b/source/net/answer.c
@@ -81,7 +81,7 @@
 	msp_connection_t *connection = exchange->connection;
 	msp_http_server_t *server = connection->server;
 
-	if (server->closing)
+	if (server->ending || server->closing)
 		connection->close_after = true;
 	connection->state = MSP_CONNECTION_SENDING;
 	connection->head_sent = false;
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -7,6 +7,7 @@
 #include "socket.h"
 
 #define BODY_WRITE_MAX (64 * 1024) /* bytes a turn of the loop */
+#define HEAD_OWN_MAX 512 /* bytes that the library writes besides the path */
 
 static void
 set_due(msp_call_t *call, msp_time_t due)
@@ -14,6 +15,37 @@
 	msp_set_deadline(&call->deadline, due < call->end ? due : call->end);
 }
 
+/*
+ * The library reuses a connection only if the Host field that it writes is the
+ * address, so a request's own host replaces it here. `at` is behind the fields
+ * that the library has written.
+ */
+static bool
+replace_host(const msp_call_t *call, unsigned char **at, unsigned char *end)
+{
+	static const char name[] = "\r\nHost: ";
+	const char *host = call->request.host;
+	size_t old_len = strlen(call->origin->address);
+	size_t new_len = strlen(host);
+	size_t most = strlen(call->request.path) + HEAD_OWN_MAX;
+	unsigned char *from = NULL;
+	size_t back;
+
+	for (back = sizeof(name) - 1 + old_len; back < most; back++) {
+		if (memcmp(*at - back, name, sizeof(name) - 1) == 0) {
+			from = *at - back + sizeof(name) - 1;
+			break;
+		}
+	}
+	if (from == NULL || memcmp(from, call->origin->address, old_len) != 0 ||
+	    new_len > old_len + (size_t)(end - *at))
+		return false;
+	memmove(from + new_len, from + old_len, (size_t)(*at - from) - old_len);
+	memcpy(from, host, new_len);
+	*at = *at + new_len - old_len;
+	return true;
+}
+
 int
 msp_write_call_head(msp_call_t *call, unsigned char **at, size_t len)
 {
@@ -33,6 +65,8 @@
 	    call->first_byte_timeout_ms == 0
 		? call->end
 		: msp_loop_now() + call->first_byte_timeout_ms * MSP_MS);
+	if (call->request.host[0] != '\0' && !replace_host(call, at, end))
+		return -1;
 	if (!msp_write_fields(wsi, &call->request.headers, at, end))
 		return -1;
 	if (body->len == 0 && bodiless)
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -67,6 +67,7 @@
 	struct msp_connections connections;
 	unsigned int connection_count;
 	size_t busy;
+	bool ending; /* no connection is kept after its next answer */
 	bool closing;
 };
 
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -183,7 +183,8 @@
 	size_t bytes = strlen(request->path);
 	size_t i;
 
-	if (*at != '/' || !msp_is_safe_field(request->method, ""))
+	if (*at != '/' || !msp_is_safe_field(request->method, "") ||
+	    !msp_is_safe_field("host", request->host))
 		return MSP_E_BAD_REQUEST;
 	for (; *at != '\0'; at++) {
 		if (*at <= ' ' || *at >= 0x7f)
--- a/source/net/http_server.c
+++ b/source/net/http_server.c
@@ -105,6 +105,12 @@
 	free(server);
 }
 
+void
+msp_end_kept_connections(msp_http_server_t *server)
+{
+	server->ending = true;
+}
+
 void
 msp_close_http_listener(msp_http_server_t *server)
 {
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -35,6 +35,8 @@
 	int signal_fd;
 	void (*on_signal)(void *ctx);
 	void *signal_ctx;
+	void (*on_reload)(void *ctx);
+	void *reload_ctx;
 };
 
 static const struct lws_protocols protocols[] = {
@@ -202,8 +204,20 @@
 	msp_loop_t *loop = ctx;
 	struct signalfd_siginfo info;
 
-	if (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info))
+	if (read(loop->signal_fd, &info, sizeof(info)) != sizeof(info))
+		return;
+	if (info.ssi_signo != SIGHUP)
 		loop->on_signal(loop->signal_ctx);
+	else if (loop->on_reload != NULL)
+		loop->on_reload(loop->reload_ctx);
+}
+
+void
+msp_watch_reload_signal(
+    msp_loop_t *loop, void (*handler)(void *ctx), void *ctx)
+{
+	loop->on_reload = handler;
+	loop->reload_ctx = ctx;
 }
 
 msp_status_t
@@ -216,6 +230,7 @@
 	sigemptyset(&set);
 	sigaddset(&set, SIGTERM);
 	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
 	if (sigprocmask(SIG_BLOCK, &set, NULL) != 0)
 		return msp_fail(MSP_E_IO, "sigprocmask: %s", strerror(errno));
 	loop->signal_fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/source/spindled/query.c
+++ b/source/net/query.c
@@ -1,4 +1,4 @@
-#include "query.h"
+#include "monsoonspindle/net/query.h"
 
 #include <ctype.h>
 #include <string.h>
@@ -44,7 +44,7 @@
 }
 
 msp_status_t
-read_query(const char *path, const char *name, char *out, size_t size)
+msp_read_query(const char *path, const char *name, char *out, size_t size)
 {
 	const char *at = strchr(path, '?');
 	size_t name_len = strlen(name);
--- a/source/platform/decode_json.c
+++ b/source/platform/decode_json.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base64.h"
+#include "monsoonspindle/base/base64.h"
 #include "check_call.h"
 #include "store_json.h"
 
--- a/source/platform/encode_json.c
+++ b/source/platform/encode_json.c
@@ -1,4 +1,4 @@
-#include "base64.h"
+#include "monsoonspindle/base/base64.h"
 #include "store_json.h"
 
 /* Each sets *status if it fails, and leaves it else. */
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -7,6 +7,7 @@
 #include "commits.h"
 #include "dispatch.h"
 #include "blocks.h"
+#include "edge.h"
 #include "entry.h"
 #include "gossip.h"
 #include "log.h"
@@ -15,6 +16,7 @@
 #include "peers.h"
 #include "places.h"
 #include "releases.h"
+#include "settings_file.h"
 #include "shifts.h"
 #include "wire.h"
 
@@ -30,6 +32,8 @@
 #define BEAT_PERIOD (20 * MSP_MS)
 #define PAUSE_MIN (200 * MSP_MS) /* between two beats */
 #define LEAVE_CHECK (50 * MSP_MS)
+#define OPEN_WHILE_LEAVING_PCT 40 /* of the grace period */
+#define LEAVE_SPARE (300 * MSP_MS) /* of the grace period, to end in */
 
 static uint64_t
 wall_clock_us(void)
@@ -100,6 +104,20 @@
 	return daemon->store_timer == NULL ? MSP_E_NO_MEMORY : MSP_OK;
 }
 
+/* The parts of a VM that sends to targets by itself. */
+static msp_status_t
+open_edge_parts(daemon_t *daemon)
+{
+	daemon->gossip = new_gossip(daemon);
+	if (daemon->gossip == NULL)
+		return MSP_E_IO;
+	daemon->members = new_members(daemon);
+	if (daemon->members == NULL)
+		return MSP_E_NO_MEMORY;
+	daemon->edge = new_edge(daemon);
+	return daemon->edge == NULL ? MSP_E_IO : MSP_OK;
+}
+
 /* The parts, in the order in which they need each other. */
 static msp_status_t
 open_parts(daemon_t *daemon)
@@ -169,6 +187,34 @@
 	daemon_leave(ctx);
 }
 
+/* The clients and parts of a VM that is run by release notes. */
+static msp_status_t
+open_dispatching(daemon_t *daemon, bool standalone)
+{
+	const msp_settings_t *settings = daemon->settings;
+
+	daemon->peer_client = new_client(daemon, PEER_LANES, SNAPSHOT_MAX);
+	daemon->target_client =
+	    new_client(daemon, TARGET_LANES, settings->limits.max_answer_bytes);
+	daemon->report_client =
+	    new_client(daemon, REPORT_LANES, LOAD_REPORT_MAX);
+	daemon->beat_timer =
+	    msp_new_timer(daemon->loop, BEAT_PERIOD, BEAT_PERIOD, beat, daemon);
+	if (daemon->beat_timer == NULL || daemon->peer_client == NULL ||
+	    daemon->target_client == NULL || daemon->report_client == NULL)
+		return MSP_E_NO_MEMORY;
+	if (open_store(daemon, standalone) != MSP_OK ||
+	    open_parts(daemon) != MSP_OK)
+		return MSP_E_IO;
+	return open_listeners(daemon);
+}
+
+static bool
+is_edge(const daemon_t *daemon)
+{
+	return daemon->settings->edge.callers.port != 0;
+}
+
 daemon_t *
 daemon_start(const msp_settings_t *settings, bool standalone)
 {
@@ -185,20 +231,10 @@
 	daemon->loop = msp_new_loop(settings->limits.max_connections + OWN_FDS);
 	if (daemon->counters == NULL || daemon->loop == NULL)
 		goto fail;
-	daemon->peer_client = new_client(daemon, PEER_LANES, SNAPSHOT_MAX);
-	daemon->target_client =
-	    new_client(daemon, TARGET_LANES, settings->limits.max_answer_bytes);
-	daemon->report_client =
-	    new_client(daemon, REPORT_LANES, LOAD_REPORT_MAX);
 	daemon->last_beat = msp_now(&daemon->env);
-	daemon->beat_timer =
-	    msp_new_timer(daemon->loop, BEAT_PERIOD, BEAT_PERIOD, beat, daemon);
-	if (daemon->beat_timer == NULL || daemon->peer_client == NULL ||
-	    daemon->target_client == NULL || daemon->report_client == NULL)
-		goto fail;
 	if (know_headers(settings) != MSP_OK ||
-	    open_store(daemon, standalone) != MSP_OK ||
-	    open_parts(daemon) != MSP_OK || open_listeners(daemon) != MSP_OK)
+	    (is_edge(daemon) ? open_edge_parts(daemon)
+			     : open_dispatching(daemon, standalone)) != MSP_OK)
 		goto fail;
 	if (msp_watch_stop_signals(daemon->loop, on_stop_signal, daemon) !=
 	    MSP_OK)
@@ -230,6 +266,7 @@
 	msp_drop_http_server(daemon->caller_server);
 	msp_drop_http_server(daemon->operator_server);
 	msp_drop_http_server(daemon->peer_server);
+	drop_edge(daemon->edge);
 	drop_dispatchers(daemon->dispatchers);
 	drop_commits(daemon->commits);
 	drop_blocks(daemon->blocks);
@@ -246,6 +283,7 @@
 	msp_drop_http_client(daemon->report_client);
 	msp_drop_http_client(daemon->target_client);
 	msp_drop_http_client(daemon->peer_client);
+	drop_settings_file(daemon->settings_file);
 	msp_drop_loop(daemon->loop);
 	msp_drop_counters(daemon->counters);
 	free(daemon);
@@ -273,11 +311,35 @@
 	    msp_http_server_busy(daemon->peer_server) == 0;
 }
 
+/*
+ * New requests are taken while clients may still hold an answer of a directory
+ * that names this VM; what is in hand is answered within the grace period.
+ */
+static void
+check_edge_leaving(daemon_t *daemon)
+{
+	const msp_settings_edge_t *edge = &daemon->settings->edge;
+	msp_time_t gone = msp_now(&daemon->env) - daemon->leaving_since;
+	msp_time_t grace = edge->stop_grace_ms * MSP_MS;
+	msp_time_t open = grace * OPEN_WHILE_LEAVING_PCT / 100;
+
+	if (gone < open)
+		return;
+	close_edge_listener(daemon->edge);
+	if (count_edge_requests(daemon->edge) == 0 ||
+	    gone + LEAVE_SPARE >= grace)
+		msp_stop_loop(daemon->loop);
+}
+
 static void
 check_leaving(void *ctx)
 {
 	daemon_t *daemon = ctx;
 
+	if (daemon->edge != NULL) {
+		check_edge_leaving(daemon);
+		return;
+	}
 	if (msp_now(&daemon->env) < daemon->leaving_since + drain_time(daemon))
 		return;
 	msp_close_http_listener(daemon->caller_server);
@@ -294,11 +356,32 @@
 	daemon->leaving_since = msp_now(&daemon->env);
 	log_info("event=leaving");
 	msp_leave_membership(members_list(daemon->members));
-	review_dispatchers(daemon->dispatchers);
+	if (daemon->edge != NULL)
+		leave_edge(daemon->edge);
+	else
+		review_dispatchers(daemon->dispatchers);
 	daemon->leave_timer = msp_new_timer(
 	    daemon->loop, LEAVE_CHECK, LEAVE_CHECK, check_leaving, daemon);
 }
 
+static void
+on_new_settings(void *ctx)
+{
+	daemon_t *daemon = ctx;
+
+	daemon->settings = current_settings(daemon->settings_file);
+	if (daemon->edge != NULL)
+		reload_edge(daemon->edge);
+}
+
+msp_status_t
+daemon_follow_settings(daemon_t *daemon, const char *path)
+{
+	daemon->settings_file = new_settings_file(
+	    daemon->loop, path, daemon->settings, on_new_settings, daemon);
+	return daemon->settings_file == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
 bool
 daemon_ready(const daemon_t *daemon)
 {
--- a/source/spindled/daemon.h
+++ b/source/spindled/daemon.h
@@ -18,10 +18,13 @@
 struct places;
 struct shifts;
 struct blocks;
+struct edge;
+struct settings_file;
 
 /* One running VM: what its parts share. Each part is in a file of its own. */
 typedef struct daemon {
-	const msp_settings_t *settings;
+	const msp_settings_t *settings; /* in force */
+	struct settings_file *settings_file; /* NULL: they never change */
 	msp_env_t env;
 	msp_loop_t *loop;
 	msp_counters_t *counters;
@@ -45,6 +48,7 @@
 	struct places *places;
 	struct shifts *shifts;
 	struct blocks *blocks;
+	struct edge *edge; /* NULL: run by release notes and dispatchers */
 
 	msp_http_server_t *caller_server;
 	msp_http_server_t *peer_server;
@@ -65,6 +69,12 @@
  */
 daemon_t *daemon_start(const msp_settings_t *settings, bool standalone);
 
+/*
+ * Reads the settings anew from `path` on SIGHUP, and when the file has changed.
+ * What is not valid is logged and left.
+ */
+msp_status_t daemon_follow_settings(daemon_t *daemon, const char *path);
+
 /* Runs until a stop signal has been served in full. */
 void daemon_run(daemon_t *daemon);
 void daemon_drop(daemon_t *daemon);
--- a/source/spindled/doubt.c
+++ b/source/spindled/doubt.c
@@ -6,7 +6,7 @@
 
 #include "commits_private.h"
 #include "problem.h"
-#include "query.h"
+#include "monsoonspindle/net/query.h"
 
 #define DEPTH_MAX 8
 #define PLACE_SIZE 512
@@ -104,7 +104,7 @@
 	char after[PLACE_SIZE];
 	waiting_t *waiting;
 
-	if (read_query(msp_exchange_request(exchange)->path, "after", after,
+	if (msp_read_query(msp_exchange_request(exchange)->path, "after", after,
 		sizeof(after)) != MSP_OK) {
 		answer_error(exchange, MSP_E_BAD_REQUEST);
 		return;
--- /dev/null
+++ b/source/spindled/edge.c
@@ -0,0 +1,238 @@
+#include "edge.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "log.h"
+#include "members.h"
+
+#define TARGET_LANES 24 /* connections to one target */
+#define PROBE_LANES 1
+#define STORE_LANES 4
+#define TARGET_CONNECT_MS 500
+#define TARGET_IDLE_MS 8000 /* before targets close idle connections */
+#define STORE_ANSWER_MAX (4 << 20) /* bytes */
+#define PROBE_ANSWER_MAX 4096 /* bytes */
+#define VIEW_TICK (250 * MSP_MS)
+#define COLD_MARGIN 0.9 /* share of a cold target's rate that is used */
+
+static const char *
+find_region(void *ctx, const char *place)
+{
+	const edge_t *edge = ctx;
+	const msp_settings_edge_t *settings = &edge->daemon->settings->edge;
+	size_t i;
+
+	for (i = 0; i < settings->place_count; i++) {
+		if (strcmp(settings->places[i].place, place) == 0)
+			return settings->places[i].region;
+	}
+	return NULL;
+}
+
+static void
+on_target_change(void *ctx, const msp_view_target_t *target, const char *why)
+{
+	edge_t *edge = ctx;
+	const msp_registration_t *registration = &target->registration;
+	const char *state = msp_target_status_name(target->status);
+
+	if (target->status != MSP_TARGET_DRAINS)
+		settle_strikes(edge, target, true);
+
+	msp_count(edge->daemon->counters, 1,
+	    "msp_target_changes_total{state=\"%s\"}", state);
+	log_info("event=target target=%s service=%s place=%s state=%s "
+		 "reason=%s row_version=%llu incarnation=%llu cold_ms=%u",
+	    registration->id, registration->service, registration->place, state,
+	    why, (unsigned long long)target->row_version,
+	    (unsigned long long)registration->incarnation,
+	    registration->cold_ms);
+}
+
+static bool
+is_evacuated(void *ctx, const char *place)
+{
+	const edge_t *edge = ctx;
+
+	return msp_map_get(edge->evacuations, place) != NULL;
+}
+
+/* A VM that has just started does not know yet how many share the rate. */
+static uint32_t
+count_cold_senders(void *ctx)
+{
+	const edge_t *edge = ctx;
+	const msp_membership_t *list = members_list(edge->daemon->members);
+	uint32_t count = 0;
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		if (msp_member_at(list, i)->state != MSP_MEMBER_DEAD)
+			count++;
+	}
+	return count;
+}
+
+static msp_status_t
+open_decisions(edge_t *edge)
+{
+	daemon_t *daemon = edge->daemon;
+	const msp_settings_t *settings = daemon->settings;
+	msp_view_callbacks_t view_callbacks = {.find_region = find_region,
+	    .on_change = on_target_change,
+	    .ctx = edge};
+	msp_balancer_options_t options = {.region = settings->region,
+	    .place = settings->place,
+	    .far_prior = settings->edge.far_prior_ms * MSP_MS,
+	    .cold_margin = COLD_MARGIN};
+	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
+	    .count_cold_senders = count_cold_senders,
+	    .ctx = edge};
+
+	edge->evacuations = msp_new_map();
+	edge->budgets = msp_new_map();
+	edge->split = msp_new_split();
+	edge->quarantine = msp_new_quarantine_list(&daemon->env);
+	edge->view = msp_new_target_view(&daemon->env, &view_callbacks);
+	edge->book = msp_new_latency_book(options.far_prior);
+	if (edge->evacuations == NULL || edge->budgets == NULL ||
+	    edge->split == NULL || edge->quarantine == NULL ||
+	    edge->view == NULL || edge->book == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for the edge");
+	edge->balancer = msp_new_balancer(
+	    &daemon->env, &options, &callbacks, edge->view, edge->book);
+	return edge->balancer == NULL
+	    ? msp_fail(MSP_E_NO_MEMORY, "no memory for the balancer")
+	    : MSP_OK;
+}
+
+static msp_status_t
+open_clients(edge_t *edge)
+{
+	daemon_t *daemon = edge->daemon;
+	msp_http_client_options_t targets = {.lanes = TARGET_LANES,
+	    .max_answer = daemon->settings->limits.max_answer_bytes,
+	    .connect_timeout_ms = TARGET_CONNECT_MS,
+	    .idle_timeout_ms = TARGET_IDLE_MS};
+	msp_http_client_options_t probes = {.lanes = PROBE_LANES,
+	    .max_answer = PROBE_ANSWER_MAX,
+	    .connect_timeout_ms = TARGET_CONNECT_MS,
+	    .idle_timeout_ms = MSP_MS};
+	msp_http_client_options_t store = {
+	    .lanes = STORE_LANES, .max_answer = STORE_ANSWER_MAX};
+
+	edge->target_client = msp_new_http_client(daemon->loop, &targets);
+	edge->probe_client = msp_new_http_client(daemon->loop, &probes);
+	edge->store_http = msp_new_http_client(daemon->loop, &store);
+	if (edge->target_client == NULL || edge->probe_client == NULL ||
+	    edge->store_http == NULL)
+		return MSP_E_NO_MEMORY;
+	return MSP_OK;
+}
+
+static void
+tick_view(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	msp_tick_target_view(edge->view);
+}
+
+edge_t *
+new_edge(struct daemon *daemon)
+{
+	edge_t *edge = calloc(1, sizeof(*edge));
+
+	if (edge == NULL) {
+		msp_fail(MSP_E_NO_MEMORY, "no memory for the edge");
+		return NULL;
+	}
+	edge->daemon = daemon;
+	TAILQ_INIT(&edge->requests);
+	TAILQ_INIT(&edge->strikes);
+	LIST_INIT(&edge->probes);
+	if (know_platform_fields() != MSP_OK ||
+	    open_decisions(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
+	    open_edge_listeners(edge) != MSP_OK ||
+	    open_edge_store(edge) != MSP_OK)
+		goto fail;
+	edge->view_timer = msp_new_timer(
+	    daemon->loop, VIEW_TICK, VIEW_TICK, tick_view, edge);
+	if (edge->view_timer == NULL)
+		goto fail;
+	return edge;
+fail:
+	drop_edge(edge);
+	return NULL;
+}
+
+static void
+drop_budgets(msp_map_t *budgets)
+{
+	size_t cursor = 0;
+	void *budget;
+
+	if (budgets == NULL)
+		return;
+	while (msp_map_next(budgets, &cursor, NULL, &budget))
+		free(budget);
+	msp_drop_map(budgets);
+}
+
+void
+drop_edge(edge_t *edge)
+{
+	if (edge == NULL)
+		return;
+	msp_drop_timer(edge->view_timer);
+	close_edge_listeners(edge);
+	drop_edge_requests(edge);
+	close_edge_store(edge);
+	msp_drop_http_client(edge->target_client);
+	msp_drop_http_client(edge->probe_client);
+	drop_probes(edge);
+	msp_drop_http_client(edge->store_http);
+	msp_drop_balancer(edge->balancer);
+	msp_drop_latency_book(edge->book);
+	msp_drop_target_view(edge->view);
+	msp_drop_quarantine_list(edge->quarantine);
+	msp_drop_split(edge->split);
+	msp_drop_map(edge->evacuations);
+	drop_budgets(edge->budgets);
+	msp_drop_route_table(edge->routes);
+	free(edge);
+}
+
+uint64_t
+edge_version(const edge_t *edge)
+{
+	return edge->routes == NULL ? 0 : edge->routes->version;
+}
+
+size_t
+count_edge_requests(const edge_t *edge)
+{
+	return edge->request_count + msp_http_server_busy(edge->callers);
+}
+
+void
+leave_edge(edge_t *edge)
+{
+	msp_end_kept_connections(edge->callers);
+}
+
+void
+close_edge_listener(edge_t *edge)
+{
+	msp_close_http_listener(edge->callers);
+}
+
+void
+reload_edge(edge_t *edge)
+{
+	const msp_endpoint_t *store = &edge->daemon->settings->edge.store;
+
+	move_store_client(edge->store, store->address, store->port);
+}
--- /dev/null
+++ b/source/spindled/edge_listeners.c
@@ -0,0 +1,172 @@
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "edge_private.h"
+#include "gossip.h"
+#include "log.h"
+#include "members.h"
+#include "problem.h"
+#include "table_follower.h"
+
+#define SMALL_CONNECTIONS 512 /* of the directory and the others */
+#define SMALL_IDLE_MS 30000
+
+bool
+is_edge_ready(const edge_t *edge)
+{
+	return edge->routes != NULL && is_table_known(edge->target_rows) &&
+	    !edge->daemon->leaving;
+}
+
+/* The VMs of this data centre that serve, this one among them. */
+static size_t
+list_entries(const edge_t *edge, directory_entry_t *entries)
+{
+	const msp_membership_t *list = members_list(edge->daemon->members);
+	const msp_member_t *self = msp_membership_self(list);
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0;
+	     i < msp_member_count(list) && count < DIRECTORY_ENTRIES_MAX; i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+		bool is_self = strcmp(member->name, self->name) == 0;
+
+		if (is_self ? !is_edge_ready(edge)
+			    : member->state != MSP_MEMBER_ALIVE ||
+			    member->release == 0)
+			continue;
+		strlcpy(entries[count].address, member->address,
+		    sizeof(entries[count].address));
+		entries[count++].port = member->caller_port;
+	}
+	return count;
+}
+
+static void
+on_directory(void *ctx, msp_exchange_t *exchange)
+{
+	edge_t *edge = ctx;
+	directory_entry_t entries[DIRECTORY_ENTRIES_MAX];
+	directory_query_t query;
+	msp_response_t response = {0};
+	msp_status_t status =
+	    decode_directory_query(msp_exchange_request(exchange), &query);
+	size_t count;
+
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+		return;
+	}
+	count = list_entries(edge, entries);
+	msp_count(edge->daemon->counters, 1, "msp_lookups_total");
+	if (count == 0) {
+		msp_fail(MSP_E_NOT_READY, "no VM of this data centre serves");
+		answer_error(exchange, MSP_E_NOT_READY);
+		return;
+	}
+	status = encode_directory_answer(entries, count,
+	    edge->daemon->settings->edge.directory_ttl_ms, &response);
+	if (status != MSP_OK) {
+		msp_drop_response(&response);
+		answer_error(exchange, status);
+		return;
+	}
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+on_readiness(void *ctx, msp_exchange_t *exchange)
+{
+	const edge_t *edge = ctx;
+	msp_response_t response = {.status = is_edge_ready(edge) ? 200 : 503};
+
+	if (!is_readiness_query(msp_exchange_request(exchange)))
+		response.status = 404;
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+on_metrics(void *ctx, msp_exchange_t *exchange)
+{
+	const edge_t *edge = ctx;
+	msp_counters_t *counters = edge->daemon->counters;
+	msp_response_t response = {.status = 200};
+
+	count_gossip(edge->daemon->gossip);
+	*msp_counter(counters, "msp_routes_version") = edge_version(edge);
+	*msp_counter(counters, "msp_requests_in_hand") = edge->request_count;
+	*msp_counter(counters, "msp_targets_age_ms") =
+	    targets_age(edge) / MSP_MS;
+	*msp_counter(counters, "msp_routes_age_ms") = routes_age(edge) / MSP_MS;
+	msp_add_header(&response.headers, "Content-Type",
+	    "text/plain; version=0.0.4; charset=utf-8");
+	msp_print_counters(counters, &response.body);
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+ignore_gone(void *ctx, msp_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
+static msp_http_server_t *
+open_small(edge_t *edge, const char *address, uint16_t port,
+    void (*on_request)(void *ctx, msp_exchange_t *exchange))
+{
+	msp_http_server_options_t options = {.address = address,
+	    .port = port,
+	    .limits = {.max_connections = SMALL_CONNECTIONS,
+		.idle_timeout_ms = SMALL_IDLE_MS},
+	    .handler = {.on_request = on_request,
+		.on_gone = ignore_gone,
+		.ctx = edge}};
+
+	return msp_new_http_server(edge->daemon->loop, &options);
+}
+
+msp_status_t
+open_edge_listeners(edge_t *edge)
+{
+	const msp_settings_t *settings = edge->daemon->settings;
+	const msp_settings_edge_t *own = &settings->edge;
+	msp_http_server_options_t callers = {.address = own->callers.address,
+	    .port = own->callers.port,
+	    .limits =
+		{
+		    .max_body = settings->limits.max_body_bytes,
+		    .max_headers = settings->limits.max_header_bytes,
+		    .max_connections = settings->limits.max_connections,
+		    .head_timeout_ms = settings->limits.head_timeout_ms,
+		    .body_timeout_ms = settings->limits.body_timeout_ms,
+		},
+	    .handler = {.on_request = take_edge_request,
+		.on_gone = leave_edge_request,
+		.ctx = edge}};
+
+	edge->callers = msp_new_http_server(edge->daemon->loop, &callers);
+	edge->readiness = open_small(edge, own->readiness.address,
+	    own->readiness.port, on_readiness);
+	edge->directory = open_small(edge, own->directory.address,
+	    own->directory.port, on_directory);
+	if (edge->callers == NULL || edge->readiness == NULL ||
+	    edge->directory == NULL)
+		return MSP_E_IO;
+	if (own->metrics_port == 0)
+		return MSP_OK;
+	edge->metrics = open_small(
+	    edge, own->callers.address, own->metrics_port, on_metrics);
+	return edge->metrics == NULL ? MSP_E_IO : MSP_OK;
+}
+
+void
+close_edge_listeners(edge_t *edge)
+{
+	msp_drop_http_server(edge->callers);
+	msp_drop_http_server(edge->readiness);
+	msp_drop_http_server(edge->directory);
+	msp_drop_http_server(edge->metrics);
+}
--- /dev/null
+++ b/source/spindled/edge_private.h
@@ -0,0 +1,88 @@
+#ifndef SPINDLED_EDGE_PRIVATE_H
+#define SPINDLED_EDGE_PRIVATE_H
+
+#include "../../platform/interface.h"
+#include "../../platform/request_fields.h"
+#include "../../platform/store_client.h"
+#include "daemon.h"
+#include "edge.h"
+#include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/steer/balancer.h"
+#include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/split.h"
+
+typedef struct table_follower table_follower_t;
+typedef struct edge_request edge_request_t;
+typedef struct pending_strike pending_strike_t;
+typedef struct edge_probe edge_probe_t;
+
+struct edge {
+	daemon_t *daemon;
+
+	msp_route_table_t *routes; /* in force; NULL: none yet */
+	msp_time_t routes_since;
+	msp_target_view_t *view;
+	msp_latency_book_t *book;
+	msp_balancer_t *balancer;
+	msp_split_t *split;
+	msp_quarantine_list_t *quarantine;
+	msp_map_t *evacuations; /* places that are to get nothing */
+	msp_map_t *budgets; /* msp_retry_budget_t by service */
+
+	msp_http_client_t *target_client;
+	msp_http_client_t *probe_client;
+	msp_http_client_t *store_http;
+	store_client_t *store;
+	table_follower_t *operator_rows;
+	table_follower_t *target_rows;
+	store_call_t *vm_call; /* writes or reads the VMs' rows */
+	msp_timer_t *vm_timer;
+
+	msp_http_server_t *callers;
+	msp_http_server_t *readiness;
+	msp_http_server_t *directory;
+	msp_http_server_t *metrics;
+
+	TAILQ_HEAD(, edge_request) requests;
+	size_t request_count;
+	TAILQ_HEAD(, pending_strike) strikes;
+	LIST_HEAD(, edge_probe) probes;
+	msp_timer_t *probe_timer; /* runs while targets are suspect */
+	msp_timer_t *view_timer;
+};
+
+/* edge_request.c */
+void take_edge_request(void *ctx, msp_exchange_t *exchange);
+void leave_edge_request(void *ctx, msp_exchange_t *exchange);
+void drop_edge_requests(edge_t *edge);
+
+/* edge_probe.c */
+
+/*
+ * Gives a target nothing until it has answered a health request. `fingerprint`
+ * is of the request that it had since `started`; it gets a strike if the
+ * target turns out to have ended.
+ */
+void suspect_target(edge_t *edge, msp_view_target_t *target,
+    msp_digest_t fingerprint, msp_time_t started, const char *why);
+
+/* Gives or drops the strikes of requests that the target had. */
+void settle_strikes(
+    edge_t *edge, const msp_view_target_t *target, bool ended);
+/* Call it after the probes' client was dropped. */
+void drop_probes(edge_t *edge);
+
+/* edge_store.c */
+msp_status_t open_edge_store(edge_t *edge);
+void close_edge_store(edge_t *edge);
+
+/* How old what is known of a table is. */
+msp_time_t targets_age(const edge_t *edge);
+msp_time_t routes_age(const edge_t *edge);
+
+/* edge_listeners.c */
+msp_status_t open_edge_listeners(edge_t *edge);
+void close_edge_listeners(edge_t *edge);
+bool is_edge_ready(const edge_t *edge);
+
+#endif
--- /dev/null
+++ b/source/spindled/edge_probe.c
@@ -0,0 +1,216 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "log.h"
+
+#define PROBE_TICK (250 * MSP_MS)
+#define PROBE_GAP (1 * MSP_SECOND) /* between two of one target */
+#define PROBE_TIMEOUT_MS 1000
+
+/* A request that a target had when its connection broke. */
+struct pending_strike {
+	TAILQ_ENTRY(pending_strike) link;
+	msp_view_target_t *target;
+	msp_digest_t fingerprint;
+	msp_time_t started;
+	msp_time_t ended;
+};
+
+/* One health request. */
+struct edge_probe {
+	LIST_ENTRY(edge_probe) link;
+	edge_t *edge;
+	msp_view_target_t *target;
+	uint64_t incarnation;
+};
+
+void
+settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended)
+{
+	pending_strike_t *strike;
+	pending_strike_t *next;
+
+	TAILQ_FOREACH_SAFE(strike, &edge->strikes, link, next) {
+		if (strike->target != target)
+			continue;
+		if (ended) {
+			msp_strike(edge->quarantine, strike->fingerprint,
+			    strike->started, strike->ended);
+			msp_count(
+			    edge->daemon->counters, 1, "msp_strikes_total");
+		}
+		TAILQ_REMOVE(&edge->strikes, strike, link);
+		msp_release_view_target(strike->target);
+		free(strike);
+	}
+}
+
+static void
+clear_suspicion(edge_t *edge, msp_view_target_t *target, uint32_t cold_ms)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+
+	if (cold_ms > 0)
+		target->cold_until = now + cold_ms * MSP_MS;
+	log_info("event=target target=%s state=trusted after_ms=%llu "
+		 "cold_ms=%u",
+	    target->registration.id,
+	    (unsigned long long)((now - target->load.suspect_since) / MSP_MS),
+	    cold_ms);
+	target->load.suspect_since = 0;
+	settle_strikes(edge, target, cold_ms > 0);
+}
+
+static void
+on_probe_done(void *ctx, msp_call_result_t *result)
+{
+	edge_probe_t *probe = ctx;
+	edge_t *edge = probe->edge;
+	msp_view_target_t *target = probe->target;
+	health_fields_t health = {0};
+	bool same = probe->incarnation == target->registration.incarnation;
+
+	LIST_REMOVE(probe, link);
+	free(probe);
+	target->load.probing = false;
+	if (result->status == MSP_OK)
+		decode_health_fields(
+		    result->response, target->registration.id, &health);
+	if (!same || target->load.suspect_since == 0) {
+		msp_release_view_target(target);
+		return;
+	}
+	if (result->status == MSP_OK && !health.same_target) {
+		msp_disown_target(edge->view, target, "another-target-there");
+		settle_strikes(edge, target, true);
+		target->load.suspect_since = 0;
+	} else if (health.healthy || health.busy) {
+		clear_suspicion(edge, target, health.cold_ms);
+	} else if (result->status == MSP_E_PEER_DOWN) {
+		settle_strikes(edge, target, true);
+	}
+	msp_release_view_target(target);
+}
+
+static void
+start_probe(edge_t *edge, msp_view_target_t *target)
+{
+	const msp_registration_t *registration = &target->registration;
+	msp_call_options_t options = {.address = registration->address,
+	    .port = registration->port,
+	    .timeout_ms = PROBE_TIMEOUT_MS,
+	    .fresh = true};
+	msp_request_t request = {.method = "GET"};
+	const msp_service_rule_t *rule = edge->routes == NULL
+	    ? NULL
+	    : msp_find_service_rule(edge->routes, registration->service);
+	edge_probe_t *probe;
+
+	if (rule == NULL || rule->health_path[0] != '/')
+		return;
+	probe = calloc(1, sizeof(*probe));
+	if (probe == NULL)
+		return;
+	strcpy(request.path, rule->health_path);
+	probe->edge = edge;
+	probe->target = target;
+	probe->incarnation = registration->incarnation;
+	if (msp_start_call(edge->probe_client, &options, &request,
+		on_probe_done, probe) == NULL) {
+		free(probe);
+		return;
+	}
+	LIST_INSERT_HEAD(&edge->probes, probe, link);
+	msp_keep_view_target(target);
+	target->load.probing = true;
+	target->load.probed_at = msp_now(&edge->daemon->env);
+	msp_count(edge->daemon->counters, 1, "msp_probes_total");
+}
+
+static bool
+is_in_use(const msp_view_target_t *target)
+{
+	return target->status == MSP_TARGET_LISTED ||
+	    target->status == MSP_TARGET_HELD;
+}
+
+static void
+tick_probes(void *ctx)
+{
+	edge_t *edge = ctx;
+	msp_time_t now = msp_now(&edge->daemon->env);
+	msp_view_target_t *target;
+	bool any = false;
+
+	TAILQ_FOREACH(target, msp_view_targets(edge->view), link) {
+		if (target->load.suspect_since == 0 || !is_in_use(target))
+			continue;
+		any = true;
+		if (!target->load.probing &&
+		    now >= target->load.probed_at + PROBE_GAP)
+			start_probe(edge, target);
+	}
+	if (any)
+		return;
+	msp_drop_timer(edge->probe_timer);
+	edge->probe_timer = NULL;
+}
+
+static void
+add_strike(edge_t *edge, msp_view_target_t *target, msp_digest_t fingerprint,
+    msp_time_t started)
+{
+	pending_strike_t *strike = calloc(1, sizeof(*strike));
+
+	if (strike == NULL)
+		return;
+	strike->target = msp_keep_view_target(target);
+	strike->fingerprint = fingerprint;
+	strike->started = started;
+	strike->ended = msp_now(&edge->daemon->env);
+	TAILQ_INSERT_TAIL(&edge->strikes, strike, link);
+}
+
+void
+suspect_target(edge_t *edge, msp_view_target_t *target,
+    msp_digest_t fingerprint, msp_time_t started, const char *why)
+{
+	const msp_registration_t *registration = &target->registration;
+
+	if (fingerprint.high != 0 || fingerprint.low != 0)
+		add_strike(edge, target, fingerprint, started);
+	if (target->load.suspect_since != 0 || !is_in_use(target))
+		return;
+	target->load.suspect_since = msp_now(&edge->daemon->env);
+	log_info("event=target target=%s service=%s state=suspect reason=%s",
+	    registration->id, registration->service, why);
+	msp_count(edge->daemon->counters, 1,
+	    "msp_target_suspected_total{reason=\"%s\"}", why);
+	msp_forget_connections(
+	    edge->target_client, registration->address, registration->port);
+	start_probe(edge, target);
+	if (edge->probe_timer == NULL)
+		edge->probe_timer = msp_new_timer(edge->daemon->loop,
+		    PROBE_TICK, PROBE_TICK, tick_probes, edge);
+}
+
+void
+drop_probes(edge_t *edge)
+{
+	pending_strike_t *strike;
+	edge_probe_t *probe;
+
+	msp_drop_timer(edge->probe_timer);
+	edge->probe_timer = NULL;
+	while ((probe = LIST_FIRST(&edge->probes)) != NULL) {
+		LIST_REMOVE(probe, link);
+		msp_release_view_target(probe->target);
+		free(probe);
+	}
+	while ((strike = TAILQ_FIRST(&edge->strikes)) != NULL) {
+		TAILQ_REMOVE(&edge->strikes, strike, link);
+		msp_release_view_target(strike->target);
+		free(strike);
+	}
+}
--- /dev/null
+++ b/source/spindled/edge_store.c
@@ -0,0 +1,367 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "../../platform/manifest.h"
+#include "../../platform/registration.h"
+#include "../../platform/vm_row.h"
+#include "edge_private.h"
+#include "log.h"
+#include "members.h"
+#include "table_follower.h"
+
+#define OPERATOR_WAIT_MS 2500
+#define OPERATOR_PACE (5 * MSP_MS)
+#define TARGETS_PACE (1000 * MSP_MS)
+#define READ_TIMEOUT_MS 1200
+#define VM_TIMEOUT_MS 1500
+#define VM_RETRY (700 * MSP_MS)
+#define VM_REREAD (30 * MSP_SECOND)
+
+msp_time_t
+targets_age(const edge_t *edge)
+{
+	return table_age(edge->target_rows);
+}
+
+msp_time_t
+routes_age(const edge_t *edge)
+{
+	return table_age(edge->operator_rows);
+}
+
+static void
+on_lost(edge_t *edge, const char *table, msp_status_t status)
+{
+	msp_count(edge->daemon->counters, 1,
+	    "msp_store_lost_total{table=\"%s\"}", table);
+	log_warn("event=store state=lost table=%s error=%s", table,
+	    msp_status_name(status));
+}
+
+static void
+on_back(const char *table, msp_time_t lost_for)
+{
+	log_info("event=store state=back table=%s lost_ms=%" PRIu64, table,
+	    lost_for / MSP_MS);
+}
+
+/* The operator's table. */
+
+static void
+apply_manifest(edge_t *edge, const store_row_t *row)
+{
+	msp_route_table_t *routes = decode_manifest(row->value, row->len);
+
+	if (routes == NULL) {
+		log_error("event=routes state=unusable row_version=%" PRIu64
+			  " error=%s",
+		    row->version, msp_last_message());
+		return;
+	}
+	if (edge->routes != NULL && routes->version <= edge->routes->version) {
+		if (routes->version < edge->routes->version)
+			log_warn("event=routes state=older version=%" PRIu64
+				 " in_force=%" PRIu64,
+			    routes->version, edge->routes->version);
+		msp_drop_route_table(routes);
+		return;
+	}
+	log_info("event=routes state=in-force version=%" PRIu64
+		 " before=%" PRIu64 " routes=%zu services=%zu "
+		 "row_version=%" PRIu64,
+	    routes->version, edge_version(edge), routes->route_count,
+	    routes->service_count, row->version);
+	msp_drop_route_table(edge->routes);
+	edge->routes = routes;
+	edge->routes_since = msp_now(&edge->daemon->env);
+	msp_set_member_release(
+	    members_list(edge->daemon->members), routes->version);
+}
+
+static void
+set_evacuation(edge_t *edge, const char *place, bool on)
+{
+	bool was = msp_map_get(edge->evacuations, place) != NULL;
+
+	if (was == on)
+		return;
+	if (on)
+		msp_map_put(edge->evacuations, place, edge);
+	else
+		msp_map_remove(edge->evacuations, place);
+	log_info("event=evacuation place=%s state=%s", place,
+	    on ? "begun" : "ended");
+}
+
+static void
+on_operator_row(void *ctx, const store_row_t *row)
+{
+	edge_t *edge = ctx;
+	const char *place = NULL;
+
+	switch (classify_operator_row(row->key, &place)) {
+	case OPERATOR_ROW_MANIFEST:
+		if (row->value != NULL)
+			apply_manifest(edge, row);
+		break;
+	case OPERATOR_ROW_EVACUATION:
+		set_evacuation(edge, place, row->value != NULL);
+		break;
+	case OPERATOR_ROW_OTHER:
+		break;
+	}
+}
+
+/* What was evacuated before is told anew, or has ended. */
+static void
+on_operator_begin(void *ctx)
+{
+	edge_t *edge = ctx;
+	msp_map_t *fresh = msp_new_map();
+
+	if (fresh == NULL)
+		return;
+	msp_drop_map(edge->evacuations);
+	edge->evacuations = fresh;
+}
+
+static void
+on_operator_end(void *ctx, uint64_t version)
+{
+	const edge_t *edge = ctx;
+
+	log_info("event=table table=operator state=whole version=%" PRIu64
+		 " evacuated=%zu",
+	    version, msp_map_count(edge->evacuations));
+}
+
+static void
+on_operator_lost(void *ctx, msp_status_t status)
+{
+	on_lost(ctx, "operator", status);
+}
+
+static void
+on_operator_back(void *ctx, msp_time_t lost_for)
+{
+	(void)ctx;
+	on_back("operator", lost_for);
+}
+
+/* The table of targets. */
+
+static void
+on_target_row(void *ctx, const store_row_t *row)
+{
+	edge_t *edge = ctx;
+	msp_registration_t registration;
+
+	if (row->value == NULL) {
+		msp_remove_registration(edge->view, row->key, row->version);
+		return;
+	}
+	if (decode_registration(
+		row->key, row->value, row->len, &registration) == MSP_OK) {
+		msp_apply_registration(
+		    edge->view, row->key, row->version, &registration);
+		return;
+	}
+	msp_count(edge->daemon->counters, 1, "msp_target_rows_unusable_total");
+	log_warn("event=target-row state=unusable key=%.40s "
+		 "row_version=%" PRIu64 " error=%s",
+	    row->key, row->version, msp_last_message());
+	msp_apply_registration(edge->view, row->key, row->version, NULL);
+}
+
+static void
+on_targets_begin(void *ctx)
+{
+	const edge_t *edge = ctx;
+
+	msp_begin_snapshot(edge->view);
+}
+
+static void
+on_targets_end(void *ctx, uint64_t version)
+{
+	const edge_t *edge = ctx;
+
+	msp_end_snapshot(edge->view, version);
+	log_info(
+	    "event=table table=targets state=whole version=%" PRIu64, version);
+}
+
+static void
+on_targets_lost(void *ctx, msp_status_t status)
+{
+	edge_t *edge = ctx;
+
+	msp_note_store_lost(edge->view);
+	on_lost(edge, "targets", status);
+}
+
+static void
+on_targets_back(void *ctx, msp_time_t lost_for)
+{
+	edge_t *edge = ctx;
+
+	msp_note_store_back(edge->view);
+	on_back("targets", lost_for);
+}
+
+/* The rows of this system's own VMs. */
+
+static void read_vms(void *ctx);
+static void announce_vm(void *ctx);
+
+static void
+set_vm_timer(edge_t *edge, msp_time_t delay, void (*fire)(void *ctx))
+{
+	msp_drop_timer(edge->vm_timer);
+	edge->vm_timer =
+	    msp_new_timer(edge->daemon->loop, delay, 0, fire, edge);
+}
+
+static void
+on_vms(void *ctx, const store_reply_t *reply)
+{
+	edge_t *edge = ctx;
+	const msp_settings_t *settings = edge->daemon->settings;
+	msp_seed_t *seeds;
+	vm_row_t vm;
+	size_t count = 0;
+	size_t i;
+
+	edge->vm_call = NULL;
+	if (reply->status != MSP_OK) {
+		set_vm_timer(edge, VM_RETRY, read_vms);
+		return;
+	}
+	seeds = calloc(reply->row_count + 1, sizeof(*seeds));
+	if (seeds == NULL)
+		return;
+	for (i = 0; i < reply->row_count; i++) {
+		const store_row_t *row = &reply->rows[i];
+
+		if (row->value == NULL ||
+		    decode_vm_row(row->value, row->len, &vm) != MSP_OK ||
+		    strcmp(vm.place, settings->place) != 0)
+			continue;
+		strlcpy(seeds[count].address, vm.address,
+		    sizeof(seeds[count].address));
+		seeds[count++].peer_port = vm.peer_port;
+	}
+	log_info("event=vms rows=%zu here=%zu", reply->row_count, count);
+	if (count > MSP_SEEDS_MAX)
+		count = MSP_SEEDS_MAX;
+	msp_suggest_seeds(members_list(edge->daemon->members), seeds, count);
+	free(seeds);
+	set_vm_timer(edge, VM_REREAD, read_vms);
+}
+
+static void
+read_vms(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	edge->vm_call = read_store_rows(
+	    edge->store, VMS_TABLE, NULL, VM_TIMEOUT_MS, on_vms, edge);
+	if (edge->vm_call == NULL)
+		set_vm_timer(edge, VM_RETRY, read_vms);
+}
+
+static void
+on_announced(void *ctx, const store_reply_t *reply)
+{
+	edge_t *edge = ctx;
+
+	edge->vm_call = NULL;
+	if (reply->status != MSP_OK) {
+		log_warn("event=announce error=%s",
+		    msp_status_name(reply->status));
+		set_vm_timer(edge, VM_RETRY, announce_vm);
+		return;
+	}
+	/* Of two VMs, the one that reads last sees the other. */
+	read_vms(edge);
+}
+
+static void
+announce_vm(void *ctx)
+{
+	edge_t *edge = ctx;
+	const msp_settings_t *settings = edge->daemon->settings;
+	vm_row_t vm = {.peer_port = settings->peer_port};
+	msp_buffer_t text = {0};
+	store_write_t write = {.key = settings->vm};
+	store_transaction_t transaction = {
+	    .table = VMS_TABLE, .writes = &write, .write_count = 1};
+
+	strlcpy(vm.place, settings->place, sizeof(vm.place));
+	strlcpy(vm.address, settings->address, sizeof(vm.address));
+	if (encode_vm_row(&vm, &text) == MSP_OK) {
+		write.value = text.data;
+		write.len = text.len;
+		edge->vm_call = change_store_rows(
+		    edge->store, &transaction, VM_TIMEOUT_MS, on_announced,
+		    edge);
+	}
+	msp_drop_buffer(&text);
+	if (edge->vm_call == NULL)
+		set_vm_timer(edge, VM_RETRY, announce_vm);
+}
+
+msp_status_t
+open_edge_store(edge_t *edge)
+{
+	daemon_t *daemon = edge->daemon;
+	const msp_endpoint_t *address = &daemon->settings->edge.store;
+	table_follower_options_t operator_options = {.table = OPERATOR_TABLE,
+	    .wait_ms = OPERATOR_WAIT_MS,
+	    .pace = OPERATOR_PACE,
+	    .timeout_ms = READ_TIMEOUT_MS};
+	table_follower_callbacks_t operator_callbacks = {
+	    .on_begin = on_operator_begin,
+	    .on_row = on_operator_row,
+	    .on_end = on_operator_end,
+	    .on_lost = on_operator_lost,
+	    .on_back = on_operator_back,
+	    .ctx = edge};
+	table_follower_options_t target_options = {.table = TARGETS_TABLE,
+	    .pace = TARGETS_PACE,
+	    .timeout_ms = READ_TIMEOUT_MS};
+	table_follower_callbacks_t target_callbacks = {
+	    .on_begin = on_targets_begin,
+	    .on_row = on_target_row,
+	    .on_end = on_targets_end,
+	    .on_lost = on_targets_lost,
+	    .on_back = on_targets_back,
+	    .ctx = edge};
+
+	edge->store = new_store_client(
+	    edge->store_http, address->address, address->port);
+	if (edge->store == NULL)
+		return MSP_E_NO_MEMORY;
+	edge->operator_rows = new_table_follower(daemon->loop, &daemon->env,
+	    edge->store, &operator_options, &operator_callbacks);
+	edge->target_rows = new_table_follower(daemon->loop, &daemon->env,
+	    edge->store, &target_options, &target_callbacks);
+	if (edge->operator_rows == NULL || edge->target_rows == NULL)
+		return MSP_E_NO_MEMORY;
+	announce_vm(edge);
+	return MSP_OK;
+}
+
+void
+close_edge_store(edge_t *edge)
+{
+	msp_drop_timer(edge->vm_timer);
+	cancel_store_call(edge->vm_call);
+	drop_table_follower(edge->operator_rows);
+	drop_table_follower(edge->target_rows);
+	drop_store_client(edge->store);
+}
--- a/source/spindled/find_issuer.c
+++ b/source/spindled/find_issuer.c
@@ -9,7 +9,7 @@
 #include "members.h"
 #include "places.h"
 #include "problem.h"
-#include "query.h"
+#include "monsoonspindle/net/query.h"
 
 #define ASK_TIMEOUT_MS 500
 #define ANSWER_SIZE 80
@@ -129,7 +129,7 @@
 	char text[ANSWER_SIZE];
 	uint64_t incarnation = 0;
 
-	if (read_query(msp_exchange_request(exchange)->path, "number", text,
+	if (msp_read_query(msp_exchange_request(exchange)->path, "number", text,
 		sizeof(text)) == MSP_OK)
 		incarnation = strtoull(text, NULL, 10);
 	member = find_incarnation(daemon->members, incarnation);
--- a/source/spindled/gossip.c
+++ b/source/spindled/gossip.c
@@ -30,10 +30,12 @@
 {
 	const daemon_t *daemon = gossip->daemon;
 
-	if (daemon->members == NULL || daemon->places == NULL)
+	if (daemon->members == NULL)
 		return MSP_E_NOT_READY;
 	if (procedure == MSP_GOSSIP_EXCHANGE)
-		return serve_exchange(daemon->places, argument, result);
+		return daemon->places == NULL
+		    ? MSP_E_NOT_READY
+		    : serve_exchange(daemon->places, argument, result);
 	return msp_serve_membership(
 	    members_list(daemon->members), procedure, argument, result);
 }
--- a/source/spindled/log.c
+++ b/source/spindled/log.c
@@ -63,7 +63,9 @@
 		return msp_fail(
 		    MSP_E_RANGE, "log.level: no level \"%s\"", level);
 	stream = stderr;
-	if (file != NULL && file[0] != '\0') {
+	if (file != NULL && strcmp(file, "-") == 0) {
+		stream = stdout;
+	} else if (file != NULL && file[0] != '\0') {
 		stream = fopen(file, "ae");
 		if (stream == NULL) {
 			stream = stderr;
@@ -95,7 +97,7 @@
 		return;
 	category = NULL;
 	log4c_fini();
-	if (stream != stderr)
+	if (stream != stderr && stream != stdout)
 		fclose(stream);
 	stream = NULL;
 }
--- a/source/spindled/lookup.c
+++ b/source/spindled/lookup.c
@@ -13,7 +13,7 @@
 #include "monsoonspindle/steer/locator.h"
 #include "places.h"
 #include "problem.h"
-#include "query.h"
+#include "monsoonspindle/net/query.h"
 
 /* Client, service and place of one look-up. */
 typedef struct lookup_query {
@@ -39,9 +39,9 @@
 	msp_lookup_t *lookup = &query->lookup;
 	const char *place = NULL;
 
-	if (read_query(path, "service", query->service,
+	if (msp_read_query(path, "service", query->service,
 		sizeof(query->service)) != MSP_OK ||
-	    read_query(path, "place", query->place, sizeof(query->place)) !=
+	    msp_read_query(path, "place", query->place, sizeof(query->place)) !=
 		MSP_OK)
 		return MSP_E_BAD_REQUEST;
 	if (query->service[0] == '\0')
--- a/source/spindled/main.c
+++ b/source/spindled/main.c
@@ -31,7 +31,7 @@
 }
 
 static int
-run(const msp_settings_t *settings, bool standalone)
+run(const char *path, const msp_settings_t *settings, bool standalone)
 {
 	daemon_t *daemon;
 
@@ -46,6 +46,10 @@
 		log_close();
 		return EXIT_FAILURE;
 	}
+	if (settings->edge.callers.port != 0 &&
+	    daemon_follow_settings(daemon, path) != MSP_OK)
+		log_error("event=settings state=not-followed error=%s",
+		    msp_last_message());
 	daemon_run(daemon);
 	daemon_drop(daemon);
 	log_close();
@@ -65,7 +69,7 @@
 	if (check_only)
 		printf("%s: settings of VM %s are valid\n", path, settings.vm);
 	else
-		code = run(&settings, standalone);
+		code = run(path, &settings, standalone);
 	msp_drop_settings(&settings);
 	return code;
 }
--- a/source/spindled/members.c
+++ b/source/spindled/members.c
@@ -6,6 +6,7 @@
 #include <bsd/string.h>
 
 #include "daemon.h"
+#include "edge.h"
 #include "gossip.h"
 #include "load.h"
 #include "log.h"
@@ -53,6 +54,16 @@
 	    member->name, member->place, msp_member_state_name(member->state));
 }
 
+static uint64_t
+version_in_force(const members_t *members)
+{
+	const daemon_t *daemon = members->daemon;
+
+	if (daemon->releases != NULL)
+		return daemon_release(daemon)->version;
+	return daemon->edge == NULL ? 0 : edge_version(daemon->edge);
+}
+
 static void
 tick(void *ctx)
 {
@@ -60,8 +71,7 @@
 
 	if (members->daemon->dispatchers != NULL)
 		publish_load(members);
-	msp_set_member_release(
-	    members->list, daemon_release(members->daemon)->version);
+	msp_set_member_release(members->list, version_in_force(members));
 	msp_tick_membership(members->list);
 }
 
@@ -152,9 +162,14 @@
 		goto fail;
 	members->tick =
 	    msp_new_timer(daemon->loop, period, period, tick, members);
+	if (members->tick == NULL)
+		goto fail;
+	/* Without such a list the owner suggests where others are. */
+	if (daemon->store.list_vms == NULL)
+		return members;
 	members->list_timer = msp_new_timer(
 	    daemon->loop, period, LIST_PERIOD, ask_vm_list, members);
-	if (members->tick == NULL || members->list_timer == NULL)
+	if (members->list_timer == NULL)
 		goto fail;
 	return members;
 fail:
--- a/source/spindled/releases.c
+++ b/source/spindled/releases.c
@@ -12,7 +12,7 @@
 #include "monsoonspindle/coord/rendezvous.h"
 #include "places.h"
 #include "problem.h"
-#include "query.h"
+#include "monsoonspindle/net/query.h"
 #include "releases_private.h"
 
 #define POLLERS 2 /* members of a data centre that poll the head */
@@ -260,7 +260,7 @@
 	char *end;
 
 	*version = 0;
-	if (read_query(path, name, text, sizeof(text)) != MSP_OK)
+	if (msp_read_query(path, name, text, sizeof(text)) != MSP_OK)
 		return MSP_E_BAD_REQUEST;
 	if (text[0] == '\0')
 		return MSP_OK;
--- /dev/null
+++ b/source/steer/target_load.c
@@ -0,0 +1,109 @@
+#include "monsoonspindle/steer/target_load.h"
+
+#include <math.h>
+
+#define TOLD_FADE (2 * MSP_SECOND) /* a report loses two thirds in this time */
+#define TOLD_WEIGHT 0.6 /* of a new report against those before */
+#define OUTCOME_WEIGHT 0.15 /* of one request in the share of failures */
+#define FAILURES_FADE (5 * MSP_SECOND)
+#define SLOWNESS_WEIGHT 0.2
+#define SLOWNESS_MIN 0.5
+#define SLOWNESS_MAX 12.0
+#define FULL_PAUSE (100 * MSP_MS) /* before a full target is asked again */
+
+static double
+fade(double value, msp_time_t age, msp_time_t span)
+{
+	return value * exp(-(double)age / (double)span);
+}
+
+void
+msp_note_load_told(
+    msp_target_load_t *load, msp_time_t now, const msp_load_told_t *told)
+{
+	double total = (double)told->running + (double)told->waiting;
+	double others = total - (double)load->in_flight;
+	double before = load->told_at == 0
+	    ? others
+	    : fade(load->others, now - load->told_at, TOLD_FADE);
+
+	if (others < 0)
+		others = 0;
+	load->others = before + (others - before) * TOLD_WEIGHT;
+	load->told_at = now;
+	if (total < told->slots)
+		load->full_until = 0;
+}
+
+void
+msp_note_target_full(msp_target_load_t *load, msp_time_t now)
+{
+	load->full_until = now + FULL_PAUSE;
+}
+
+void
+msp_note_target_outcome(msp_target_load_t *load, msp_time_t now, bool ok)
+{
+	double share = msp_target_failure_share(load, now);
+
+	load->failures = share + ((ok ? 0.0 : 1.0) - share) * OUTCOME_WEIGHT;
+	load->failures_at = now;
+}
+
+void
+msp_note_target_latency(
+    msp_target_load_t *load, msp_time_t took, msp_time_t expected)
+{
+	double ratio;
+
+	if (expected == 0)
+		return;
+	ratio = (double)took / (double)expected;
+	if (ratio < SLOWNESS_MIN)
+		ratio = SLOWNESS_MIN;
+	if (ratio > SLOWNESS_MAX)
+		ratio = SLOWNESS_MAX;
+	if (load->slowness == 0)
+		load->slowness = 1;
+	load->slowness += (ratio - load->slowness) * SLOWNESS_WEIGHT;
+}
+
+double
+msp_estimate_target_load(const msp_target_load_t *load, msp_time_t now)
+{
+	double others = 0;
+
+	if (load->told_at != 0)
+		others = fade(load->others, now - load->told_at, TOLD_FADE);
+	return others + (double)load->in_flight;
+}
+
+double
+msp_target_failure_share(const msp_target_load_t *load, msp_time_t now)
+{
+	if (load->failures == 0)
+		return 0;
+	return fade(load->failures, now - load->failures_at, FAILURES_FADE);
+}
+
+bool
+msp_target_full(const msp_target_load_t *load, msp_time_t now)
+{
+	return now < load->full_until;
+}
+
+bool
+msp_pace_cold_target(msp_target_load_t *load, msp_time_t now,
+    double per_second, uint32_t senders)
+{
+	double gap;
+
+	if (per_second <= 0 || senders == 0)
+		return false;
+	gap = (double)senders / per_second * (double)MSP_SECOND;
+	if (load->last_cold_send != 0 &&
+	    (double)(now - load->last_cold_send) < gap)
+		return false;
+	load->last_cold_send = now;
+	return true;
+}
--- a/tests/platform/test_base64.c
+++ b/tests/base/test_base64.c
@@ -6,7 +6,7 @@
 
 #include <cmocka.h>
 
-#include "../../source/platform/base64.h"
+#include "monsoonspindle/base/base64.h"
 
 #define LENGTH_MAX 300
 
