--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -9,7 +9,7 @@
 #include "monsoonspindle/steer/latency_book.h"
 #include "monsoonspindle/steer/spill.h"
 #include "monsoonspindle/steer/split.h"
-#include "monsoonspindle/steer/target_load.h"
+#include "monsoonspindle/steer/target_traffic.h"
 #include "monsoonspindle/steer/target_view.h"
 #include "monsoonspindle/steer/client_block.h"
 #include "monsoonspindle/steer/locator.h"
--- a/include/monsoonspindle/steer/target_load.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -1,5 +1,5 @@
-#ifndef MONSOONSPINDLE_STEER_TARGET_LOAD_H
-#define MONSOONSPINDLE_STEER_TARGET_LOAD_H
+#ifndef MONSOONSPINDLE_STEER_TARGET_TRAFFIC_H
+#define MONSOONSPINDLE_STEER_TARGET_TRAFFIC_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -10,7 +10,7 @@
  * What one VM knows of a target's load and health: its own requests, what the
  * target said with its answers, and how those turned out. Zero-initialise.
  */
-typedef struct msp_target_load {
+typedef struct msp_target_traffic {
 	uint32_t in_flight; /* of this VM */
 	double others; /* requests of other VMs there, as last told */
 	msp_time_t told_at; /* when `others` was told; 0: never */
@@ -22,7 +22,7 @@
 	msp_time_t probed_at; /* last health request; 0: none */
 	bool probing; /* one is under way */
 	msp_time_t last_cold_send; /* see msp_pace_cold_target() */
-} msp_target_load_t;
+} msp_target_traffic_t;
 
 /* The target's own report: requests that it runs and that wait there. */
 typedef struct msp_load_told {
@@ -32,31 +32,31 @@
 } msp_load_told_t;
 
 void msp_note_load_told(
-    msp_target_load_t *load, msp_time_t now, const msp_load_told_t *told);
+    msp_target_traffic_t *load, msp_time_t now, const msp_load_told_t *told);
 
 /* The target refused a request because it has no room. */
-void msp_note_target_full(msp_target_load_t *load, msp_time_t now);
+void msp_note_target_full(msp_target_traffic_t *load, msp_time_t now);
 
 /* How a request ended that the target answered or should have answered. */
-void msp_note_target_outcome(msp_target_load_t *load, msp_time_t now, bool ok);
+void msp_note_target_outcome(msp_target_traffic_t *load, msp_time_t now, bool ok);
 
 /* The latency of a whole answer, and what was expected of this target. */
 void msp_note_target_latency(
-    msp_target_load_t *load, msp_time_t took, msp_time_t expected);
+    msp_target_traffic_t *load, msp_time_t took, msp_time_t expected);
 
 /* Requests that the target holds now, by what is known. */
-double msp_estimate_target_load(const msp_target_load_t *load, msp_time_t now);
+double msp_estimate_target_load(const msp_target_traffic_t *load, msp_time_t now);
 
 /* Moving share of failures, which fades when nothing is sent. */
-double msp_target_failure_share(const msp_target_load_t *load, msp_time_t now);
+double msp_target_failure_share(const msp_target_traffic_t *load, msp_time_t now);
 
-bool msp_target_full(const msp_target_load_t *load, msp_time_t now);
+bool msp_target_full(const msp_target_traffic_t *load, msp_time_t now);
 
 /*
  * Whether one more request may go to a cold target now, if each of `senders`
  * VMs keeps to its share of `per_second`. Counts it if so.
  */
-bool msp_pace_cold_target(msp_target_load_t *load, msp_time_t now,
+bool msp_pace_cold_target(msp_target_traffic_t *load, msp_time_t now,
     double per_second, uint32_t senders);
 
 #endif
--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -9,7 +9,7 @@
 
 #include "monsoonspindle/base/env.h"
 #include "monsoonspindle/base/status.h"
-#include "monsoonspindle/steer/target_load.h"
+#include "monsoonspindle/steer/target_traffic.h"
 
 #define MSP_TARGET_ID_SIZE 208 /* bytes, with the final 0 */
 #define MSP_TARGET_NAME_SIZE 128 /* bytes of a service's or place's name */
@@ -55,7 +55,7 @@
 	msp_time_t held_until; /* held: then it counts as removed */
 	msp_time_t cold_until; /* 0: not cold */
 	uint32_t use_count; /* requests that hold it in memory */
-	msp_target_load_t load;
+	msp_target_traffic_t traffic;
 } msp_view_target_t;
 
 TAILQ_HEAD(msp_view_targets, msp_view_target);
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -56,9 +56,9 @@
 	log_info("event=target target=%s state=trusted after_ms=%llu "
 		 "cold_ms=%u",
 	    target->registration.id,
-	    (unsigned long long)((now - target->load.suspect_since) / MSP_MS),
+	    (unsigned long long)((now - target->traffic.suspect_since) / MSP_MS),
 	    cold_ms);
-	target->load.suspect_since = 0;
+	target->traffic.suspect_since = 0;
 	settle_strikes(edge, target, cold_ms > 0);
 }
 
@@ -73,18 +73,18 @@
 
 	LIST_REMOVE(probe, link);
 	free(probe);
-	target->load.probing = false;
+	target->traffic.probing = false;
 	if (result->status == MSP_OK)
 		decode_health_fields(
 		    result->response, target->registration.id, &health);
-	if (!same || target->load.suspect_since == 0) {
+	if (!same || target->traffic.suspect_since == 0) {
 		msp_release_view_target(target);
 		return;
 	}
 	if (result->status == MSP_OK && !health.same_target) {
 		msp_disown_target(edge->view, target, "another-target-there");
 		settle_strikes(edge, target, true);
-		target->load.suspect_since = 0;
+		target->traffic.suspect_since = 0;
 	} else if (health.healthy || health.busy) {
 		clear_suspicion(edge, target, health.cold_ms);
 	} else if (result->status == MSP_E_PEER_DOWN) {
@@ -123,8 +123,8 @@
 	}
 	LIST_INSERT_HEAD(&edge->probes, probe, link);
 	msp_keep_view_target(target);
-	target->load.probing = true;
-	target->load.probed_at = msp_now(&edge->daemon->env);
+	target->traffic.probing = true;
+	target->traffic.probed_at = msp_now(&edge->daemon->env);
 	msp_count(edge->daemon->counters, 1, "msp_probes_total");
 }
 
@@ -144,11 +144,11 @@
 	bool any = false;
 
 	TAILQ_FOREACH(target, msp_view_targets(edge->view), link) {
-		if (target->load.suspect_since == 0 || !is_in_use(target))
+		if (target->traffic.suspect_since == 0 || !is_in_use(target))
 			continue;
 		any = true;
-		if (!target->load.probing &&
-		    now >= target->load.probed_at + PROBE_GAP)
+		if (!target->traffic.probing &&
+		    now >= target->traffic.probed_at + PROBE_GAP)
 			start_probe(edge, target);
 	}
 	if (any)
@@ -180,9 +180,9 @@
 
 	if (fingerprint.high != 0 || fingerprint.low != 0)
 		add_strike(edge, target, fingerprint, started);
-	if (target->load.suspect_since != 0 || !is_in_use(target))
+	if (target->traffic.suspect_since != 0 || !is_in_use(target))
 		return;
-	target->load.suspect_since = msp_now(&edge->daemon->env);
+	target->traffic.suspect_since = msp_now(&edge->daemon->env);
 	log_info("event=target target=%s service=%s state=suspect reason=%s",
 	    registration->id, registration->service, why);
 	msp_count(edge->daemon->counters, 1,
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -224,15 +224,15 @@
 	edge_t *edge = request->edge;
 	msp_view_target_t *target = request->choice.target;
 	msp_time_t now = now_of(edge);
-	bool had_room = msp_estimate_target_load(&target->load, now) <
+	bool had_room = msp_estimate_target_load(&target->traffic, now) <
 	    target->registration.slots;
 
 	if (fields->names_other) {
 		msp_disown_target(edge->view, target, "another-target-there");
 	} else if (http_status == HTTP_UNAVAILABLE) {
-		msp_note_target_full(&target->load, now);
+		msp_note_target_full(&target->traffic, now);
 		/* One that has room and refuses is at fault itself. */
-		msp_note_target_outcome(&target->load, now, !had_room);
+		msp_note_target_outcome(&target->traffic, now, !had_room);
 	}
 	retry_or(request, fields->names_other ? "misdirected" : "target-full");
 }
@@ -255,7 +255,7 @@
 	msp_end_balanced(
 	    edge->balancer, &request->wanted, &request->choice, took, ok);
 	if (fields.has_load && fields.same_id)
-		msp_note_load_told(&target->load, now, &fields.load);
+		msp_note_load_told(&target->traffic, now, &fields.load);
 	if (fields.not_run && fields.same_id) {
 		handle_not_run(request, &fields, response->status);
 		return;
@@ -265,7 +265,7 @@
 		return;
 	}
 	request->may_have_run = true;
-	msp_note_target_outcome(&target->load, now, ok && !failed);
+	msp_note_target_outcome(&target->traffic, now, ok && !failed);
 	if (!ok && !failed) {
 		/* Bytes that are not this request's answer. */
 		if (request->wanted.route->idempotent)
@@ -314,7 +314,7 @@
 		return;
 	}
 	request->may_have_run = true;
-	msp_note_target_outcome(&target->load, now, false);
+	msp_note_target_outcome(&target->traffic, now, false);
 	if (!late || result->silent)
 		suspect_target(edge, target,
 		    result->silent ? nothing : request->fingerprint,
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -101,7 +101,7 @@
     const msp_view_target_t *target)
 {
 	return msp_target_usable(target, request->service->name) &&
-	    target->load.suspect_since == 0 &&
+	    target->traffic.suspect_since == 0 &&
 	    msp_route_allows_region(request->route, target->region) &&
 	    !balancer->callbacks.is_evacuated(
 		balancer->callbacks.ctx, target->registration.place);
@@ -189,14 +189,14 @@
 	msp_time_t now = msp_now(&balancer->env);
 	const char *region = far_region(balancer, target);
 	double slowness =
-	    target->load.slowness == 0 ? 1 : target->load.slowness;
+	    target->traffic.slowness == 0 ? 1 : target->traffic.slowness;
 	double work;
 	double cost;
 
 	choice->target = target;
 	choice->warmth = judge_warmth(balancer, request, firsts, target);
 	choice->cold = msp_target_cold(target, now);
-	choice->load = msp_estimate_target_load(&target->load, now);
+	choice->load = msp_estimate_target_load(&target->traffic, now);
 	choice->wait = estimate_wait(balancer, request, target, choice->load);
 	work = (double)msp_expect_work(
 	    balancer->book, request->route, choice->warmth);
@@ -209,14 +209,14 @@
 	if (slowness > 1)
 		choice->expected += (msp_time_t)(work * (slowness - 1));
 	cost = (double)choice->expected;
-	cost += msp_target_failure_share(&target->load, now) * FAILURE_COST *
+	cost += msp_target_failure_share(&target->traffic, now) * FAILURE_COST *
 	    (double)request->route->goal_ms * (double)MSP_MS;
 	if (region != NULL)
 		cost += (double)FAR_COST;
 	else if (strcmp(target->registration.place, balancer->options.place) !=
 	    0)
 		cost += (double)NEAR_COST;
-	if (msp_target_full(&target->load, now))
+	if (msp_target_full(&target->traffic, now))
 		cost += (double)FULL_COST;
 	return cost;
 }
@@ -228,7 +228,7 @@
 {
 	if (strcmp(target->registration.place, balancer->options.place) != 0)
 		return false;
-	return msp_pace_cold_target(&target->load, msp_now(&balancer->env),
+	return msp_pace_cold_target(&target->traffic, msp_now(&balancer->env),
 	    request->service->cold_per_s * balancer->options.cold_margin,
 	    balancer->callbacks.count_cold_senders(balancer->callbacks.ctx));
 }
@@ -299,7 +299,7 @@
     msp_balancer_t *balancer, const msp_balance_choice_t *choice)
 {
 	(void)balancer;
-	msp_keep_view_target(choice->target)->load.in_flight++;
+	msp_keep_view_target(choice->target)->traffic.in_flight++;
 }
 
 void
@@ -311,10 +311,10 @@
 	memory_slot_t *slot;
 	uint64_t key;
 
-	if (target->load.in_flight > 0)
-		target->load.in_flight--;
+	if (target->traffic.in_flight > 0)
+		target->traffic.in_flight--;
 	if (answered) {
-		msp_note_target_latency(&target->load, took, choice->expected);
+		msp_note_target_latency(&target->traffic, took, choice->expected);
 		if (choice->wait == 0 && !choice->cold)
 			msp_learn_latency(balancer->book, request->route,
 			    request->service->name, choice->warmth, region,
--- a/source/steer/target_load.c
+++ b/source/steer/target_traffic.c
@@ -1,4 +1,4 @@
-#include "monsoonspindle/steer/target_load.h"
+#include "monsoonspindle/steer/target_traffic.h"
 
 #include <math.h>
 
@@ -19,7 +19,7 @@
 
 void
 msp_note_load_told(
-    msp_target_load_t *load, msp_time_t now, const msp_load_told_t *told)
+    msp_target_traffic_t *load, msp_time_t now, const msp_load_told_t *told)
 {
 	double total = (double)told->running + (double)told->waiting;
 	double others = total - (double)load->in_flight;
@@ -36,13 +36,13 @@
 }
 
 void
-msp_note_target_full(msp_target_load_t *load, msp_time_t now)
+msp_note_target_full(msp_target_traffic_t *load, msp_time_t now)
 {
 	load->full_until = now + FULL_PAUSE;
 }
 
 void
-msp_note_target_outcome(msp_target_load_t *load, msp_time_t now, bool ok)
+msp_note_target_outcome(msp_target_traffic_t *load, msp_time_t now, bool ok)
 {
 	double share = msp_target_failure_share(load, now);
 
@@ -52,7 +52,7 @@
 
 void
 msp_note_target_latency(
-    msp_target_load_t *load, msp_time_t took, msp_time_t expected)
+    msp_target_traffic_t *load, msp_time_t took, msp_time_t expected)
 {
 	double ratio;
 
@@ -69,7 +69,7 @@
 }
 
 double
-msp_estimate_target_load(const msp_target_load_t *load, msp_time_t now)
+msp_estimate_target_load(const msp_target_traffic_t *load, msp_time_t now)
 {
 	double others = 0;
 
@@ -79,7 +79,7 @@
 }
 
 double
-msp_target_failure_share(const msp_target_load_t *load, msp_time_t now)
+msp_target_failure_share(const msp_target_traffic_t *load, msp_time_t now)
 {
 	if (load->failures == 0)
 		return 0;
@@ -87,13 +87,13 @@
 }
 
 bool
-msp_target_full(const msp_target_load_t *load, msp_time_t now)
+msp_target_full(const msp_target_traffic_t *load, msp_time_t now)
 {
 	return now < load->full_until;
 }
 
 bool
-msp_pace_cold_target(msp_target_load_t *load, msp_time_t now,
+msp_pace_cold_target(msp_target_traffic_t *load, msp_time_t now,
     double per_second, uint32_t senders)
 {
 	double gap;
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -128,7 +128,7 @@
 {
 	target->registration = *registration;
 	target->region = region;
-	target->load = (msp_target_load_t){0};
+	target->traffic = (msp_target_traffic_t){0};
 	set_cold(view, target);
 	change(view, target,
 	    registration->draining ? MSP_TARGET_DRAINS : MSP_TARGET_LISTED,
@@ -151,7 +151,7 @@
 	if (registration->cold_ms != 0 || old_cold != 0)
 		set_cold(view, target);
 	if (was_removed)
-		target->load = (msp_target_load_t){0};
+		target->traffic = (msp_target_traffic_t){0};
 	if (target->registration.draining) {
 		if (target->status != MSP_TARGET_DRAINS)
 			change(view, target, MSP_TARGET_DRAINS, "heartbeat");
