--- a/source/net/rpc.c
+++ b/source/net/rpc.c
@@ -101,10 +101,14 @@
 	uint32_t data[MSP_RPC_MESSAGE_MAX / sizeof(uint32_t) + 1];
 	struct sockaddr_in from;
 	socklen_t from_len;
+	struct epoll_event event;
 	ssize_t len;
 	int i;
 
 	rpc->running = true;
+	/* What is read below must not leave the epoll descriptor ready. */
+	if (epoll_wait(rpc->poll_fd, &event, 1, 0) < 0)
+		event.events = 0;
 	for (i = 0; i < BATCH && !rpc->dropped; i++) {
 		from_len = sizeof(from);
 		len = recvfrom(rpc->fd, data, sizeof(data), MSG_DONTWAIT,
