--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "monsoonspindle/base/hash.h"
+#include "monsoonspindle/base/map.h"
+#include "monsoonspindle/steer/region_share.h"
 
 #define MEMORY_SLOTS 8192 /* pairs of object and target that are remembered */
 #define MEMORY_SPAN (60 * MSP_SECOND)
@@ -26,6 +28,7 @@
 	msp_balancer_callbacks_t callbacks;
 	msp_target_view_t *view;
 	msp_latency_book_t *book;
+	msp_map_t *shares; /* msp_region_share_t by service */
 	memory_slot_t memory[MEMORY_SLOTS];
 };
 
@@ -53,12 +56,24 @@
 	balancer->callbacks = *callbacks;
 	balancer->view = view;
 	balancer->book = book;
-	return balancer;
+	balancer->shares = msp_new_map();
+	if (balancer->shares != NULL)
+		return balancer;
+	free(balancer);
+	return NULL;
 }
 
 void
 msp_drop_balancer(msp_balancer_t *balancer)
 {
+	size_t cursor = 0;
+	void *share;
+
+	if (balancer == NULL)
+		return;
+	while (msp_map_next(balancer->shares, &cursor, NULL, &share))
+		msp_drop_region_share(share);
+	msp_drop_map(balancer->shares);
 	free(balancer);
 }
 
@@ -233,11 +248,12 @@
 	    balancer->callbacks.count_cold_senders(balancer->callbacks.ctx));
 }
 
-/* The cheapest target for which `passed` is not set. */
+/* The cheapest target of a region (NULL: of any) that is not among `passed`. */
 static bool
 find_cheapest(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    const first_choices_t *firsts, const msp_view_target_t *const *passed,
-    size_t passed_count, msp_balance_choice_t *choice)
+    const char *region, const first_choices_t *firsts,
+    const msp_view_target_t *const *passed, size_t passed_count,
+    msp_balance_choice_t *choice)
 {
 	msp_balance_choice_t option;
 	msp_view_target_t *target;
@@ -248,7 +264,8 @@
 
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
 		if (!is_candidate(balancer, request, target) ||
-		    was_tried(request, target))
+		    was_tried(request, target) ||
+		    (region != NULL && strcmp(region, target->region) != 0))
 			continue;
 		for (i = 0; i < passed_count && passed[i] != target; i++)
 			;
@@ -267,9 +284,86 @@
 
 #define COLD_PASSED_MAX 16 /* cold targets that are passed over at most */
 
-msp_status_t
-msp_balance(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    msp_balance_choice_t *choice)
+/* What has not waited anywhere is tried: its latency may be a mere guess. */
+static bool
+is_hopeless(
+    const msp_balance_request_t *request, const msp_balance_choice_t *choice)
+{
+	return choice->wait > 0 && choice->expected > request->left;
+}
+
+static msp_region_share_t *
+find_share(msp_balancer_t *balancer, const char *service)
+{
+	msp_region_share_t *share = msp_map_get(balancer->shares, service);
+
+	if (share != NULL)
+		return share;
+	share = msp_new_region_share(&balancer->env);
+	if (share == NULL)
+		return NULL;
+	if (msp_map_put(balancer->shares, service, share) == MSP_OK)
+		return share;
+	msp_drop_region_share(share);
+	return NULL;
+}
+
+/* Slots and load of each region's targets that may have the request. */
+static size_t
+measure_rooms(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    msp_region_room_t *rooms)
+{
+	msp_time_t now = msp_now(&balancer->env);
+	const msp_view_target_t *target;
+	size_t count = 1;
+	size_t i;
+
+	rooms[0] =
+	    (msp_region_room_t){.region = balancer->options.region};
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!msp_target_usable(target, request->service->name))
+			continue;
+		for (i = 0; i < count; i++) {
+			if (strcmp(rooms[i].region, target->region) == 0)
+				break;
+		}
+		if (i == MSP_SHARE_REGIONS_MAX)
+			continue;
+		if (i == count)
+			rooms[count++] =
+			    (msp_region_room_t){.region = target->region};
+		if (!is_candidate(balancer, request, target) ||
+		    msp_target_cold(target, now))
+			continue;
+		rooms[i].slots += target->registration.slots;
+		rooms[i].busy +=
+		    msp_estimate_target_load(&target->traffic, now);
+	}
+	return count;
+}
+
+/* The region whose targets are to have the request; NULL: any. */
+static const char *
+choose_region(msp_balancer_t *balancer, const msp_balance_request_t *request)
+{
+	msp_region_room_t rooms[MSP_SHARE_REGIONS_MAX];
+	msp_region_share_t *share;
+	size_t count;
+
+	/* A try that failed may go anywhere; homes bind as they are. */
+	if (request->tried_count > 0 || request->route->home_count > 0)
+		return NULL;
+	share = find_share(balancer, request->service->name);
+	if (share == NULL)
+		return NULL;
+	count = measure_rooms(balancer, request, rooms);
+	msp_update_region_share(share, rooms, count);
+	return msp_share_request(share);
+}
+
+static msp_status_t
+choose_in_region(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const char *region, msp_balance_choice_t *choice)
 {
 	const msp_view_target_t *passed[COLD_PASSED_MAX];
 	first_choices_t firsts;
@@ -277,13 +371,13 @@
 
 	*choice = (msp_balance_choice_t){0};
 	find_first_choices(balancer, request, &firsts);
-	while (find_cheapest(balancer, request, &firsts, passed, passed_count,
-	    choice)) {
-		if (!choice->cold && choice->expected > request->left)
+	while (find_cheapest(balancer, request, region, &firsts, passed,
+	    passed_count, choice)) {
+		if (!choice->cold && is_hopeless(request, choice))
 			return msp_fail(MSP_E_OVERLOAD,
 			    "no target is expected to answer in time");
 		if (!choice->cold ||
-		    (choice->expected <= request->left &&
+		    (!is_hopeless(request, choice) &&
 			may_have_cold(balancer, request, choice->target)))
 			return MSP_OK;
 		if (passed_count == COLD_PASSED_MAX)
@@ -294,6 +388,18 @@
 	return msp_fail(MSP_E_NO_TARGET, "no target may have the request");
 }
 
+msp_status_t
+msp_balance(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    msp_balance_choice_t *choice)
+{
+	const char *region = choose_region(balancer, request);
+
+	if (region != NULL &&
+	    choose_in_region(balancer, request, region, choice) == MSP_OK)
+		return MSP_OK;
+	return choose_in_region(balancer, request, NULL, choice);
+}
+
 void
 msp_begin_balanced(
     msp_balancer_t *balancer, const msp_balance_choice_t *choice)
