Judge the load of targets by what they told, and keep objects where they are warm

Cause: with the load a VM was not told of taken as none, requests piled up on few targets, and what did not fit was spread to targets without its object, where it takes three times as long: the more was refused, the less was known. Now an old report gives way to the mean of the region, a target's report leaves out the request that it answers, a slot's time is priced by how busy a region is, and what would wait for longer than is of use is refused on arrival. Ruled out: memory of targets (each holds all objects of its region).

--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -24,7 +24,10 @@
 	msp_time_t last_cold_send; /* see msp_pace_cold_target() */
 } msp_target_traffic_t;
 
-/* The target's own report: requests that it runs and that wait there. */
+/*
+ * The target's own report: requests that it runs and that wait there, with the
+ * one that it answers among them.
+ */
 typedef struct msp_load_told {
 	uint32_t running;
 	uint32_t waiting;
@@ -44,8 +47,15 @@
 void msp_note_target_latency(
     msp_target_traffic_t *load, msp_time_t took, msp_time_t expected);
 
-/* Requests that the target holds now, by what is known. */
-double msp_estimate_target_load(const msp_target_traffic_t *load, msp_time_t now);
+/*
+ * Requests that the target holds now. What it told loses weight with its age
+ * against `usual`, the requests of other VMs on a target of its kind.
+ */
+double msp_estimate_target_load(
+    const msp_target_traffic_t *load, msp_time_t now, double usual);
+
+/* How much weight what the target told still has, 0 to 1. */
+double msp_told_weight(const msp_target_traffic_t *load, msp_time_t now);
 
 /* Moving share of failures, which fades when nothing is sent. */
 double msp_target_failure_share(const msp_target_traffic_t *load, msp_time_t now);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -224,7 +224,9 @@
 	edge_t *edge = request->edge;
 	msp_view_target_t *target = request->choice.target;
 	msp_time_t now = now_of(edge);
-	bool had_room = msp_estimate_target_load(&target->traffic, now) <
+	/* As far as its last report goes. */
+	bool had_room = msp_estimate_target_load(&target->traffic, now,
+			    target->registration.slots) <
 	    target->registration.slots;
 
 	if (fields->names_other) {
@@ -361,7 +363,7 @@
 		else
 			refuse(request,
 			    status == MSP_E_OVERLOAD
-				? (uint32_t)(request->choice.wait / MSP_MS / 2)
+				? (uint32_t)(request->choice.wait / MSP_MS)
 				: NOT_READY_RETRY_MS,
 			    outcome);
 		return;
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -1,5 +1,6 @@
 #include "monsoonspindle/steer/balancer.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,6 +16,18 @@
 #define FAILURE_COST 2.0 /* objectives that a failed try is worth */
 #define FULL_COST (500 * MSP_MS)
 #define NEAR_COST (1 * MSP_MS) /* another data centre of the same region */
+/*
+ * A target without the object works several times as long, so that spreading
+ * objects takes room from others. A slot's time is priced by how busy the
+ * region is: nothing up to USE_FREE of its slots, then PRESSURE for each whole
+ * use beyond it.
+ */
+#define USE_FREE 0.5
+#define PRESSURE 3.0
+#define PRESSURE_MAX 4.0
+#define WAIT_MIN 0.25 /* objectives that a request may wait in any case */
+#define URGENT_WAIT 1.5 /* factor on the wait of the most urgent requests */
+#define URGENT_FALL 0.25 /* by which each step of priority divides it */
 
 /* When this VM last had an object answered by a target. */
 typedef struct memory_slot {
@@ -32,6 +45,14 @@
 	memory_slot_t memory[MEMORY_SLOTS];
 };
 
+/* Room of each region's targets, this VM's own region first. */
+typedef struct regions {
+	msp_region_room_t rooms[MSP_SHARE_REGIONS_MAX];
+	/* Requests of other VMs a slot, over the targets that told of them. */
+	double usual[MSP_SHARE_REGIONS_MAX];
+	size_t count;
+} regions_t;
+
 /* The first choice of each region for one object. */
 typedef struct first_choices {
 	struct {
@@ -122,6 +143,92 @@
 		balancer->callbacks.ctx, target->registration.place);
 }
 
+/* Index of a region, added if it is new; MSP_SHARE_REGIONS_MAX if full. */
+static size_t
+find_or_add_region(regions_t *regions, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < regions->count; i++) {
+		if (strcmp(regions->rooms[i].region, name) == 0)
+			return i;
+	}
+	if (i < MSP_SHARE_REGIONS_MAX)
+		regions->rooms[regions->count++] =
+		    (msp_region_room_t){.region = name};
+	return i;
+}
+
+static void
+measure_usual(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    regions_t *regions)
+{
+	msp_time_t now = msp_now(&balancer->env);
+	double weights[MSP_SHARE_REGIONS_MAX] = {0};
+	const msp_view_target_t *target;
+	double weight;
+	size_t i;
+
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!is_candidate(balancer, request, target))
+			continue;
+		i = find_or_add_region(regions, target->region);
+		if (i == MSP_SHARE_REGIONS_MAX)
+			continue;
+		weight = msp_told_weight(&target->traffic, now);
+		regions->usual[i] += weight * target->traffic.others;
+		weights[i] += weight * target->registration.slots;
+	}
+	for (i = 0; i < regions->count; i++) {
+		if (weights[i] > 0)
+			regions->usual[i] /= weights[i];
+	}
+}
+
+static double
+estimate_load(const regions_t *regions, size_t region,
+    const msp_view_target_t *target, msp_time_t now)
+{
+	return msp_estimate_target_load(&target->traffic, now,
+	    regions->usual[region] * target->registration.slots);
+}
+
+/* Slots and load of each region's targets that may have the request. */
+static void
+measure_regions(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    regions_t *regions)
+{
+	msp_time_t now = msp_now(&balancer->env);
+	const msp_view_target_t *target;
+	size_t i;
+
+	*regions = (regions_t){0};
+	find_or_add_region(regions, balancer->options.region);
+	measure_usual(balancer, request, regions);
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!is_candidate(balancer, request, target) ||
+		    msp_target_cold(target, now))
+			continue;
+		i = find_or_add_region(regions, target->region);
+		if (i == MSP_SHARE_REGIONS_MAX)
+			continue;
+		regions->rooms[i].slots += target->registration.slots;
+		regions->rooms[i].busy +=
+		    estimate_load(regions, i, target, now);
+	}
+}
+
+static double
+pressure_of(const regions_t *regions, size_t region)
+{
+	double use;
+
+	if (regions->rooms[region].slots <= 0)
+		return 0;
+	use = regions->rooms[region].busy / regions->rooms[region].slots;
+	return fmax(0, fmin(PRESSURE_MAX, PRESSURE * (use - USE_FREE)));
+}
+
 static void
 find_first_choices(msp_balancer_t *balancer,
     const msp_balance_request_t *request, first_choices_t *firsts)
@@ -198,8 +305,8 @@
 /* Fills `choice` for one target and returns what it costs the caller. */
 static double
 weigh_target(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    const first_choices_t *firsts, msp_view_target_t *target,
-    msp_balance_choice_t *choice)
+    const first_choices_t *firsts, const regions_t *regions, size_t index,
+    msp_view_target_t *target, msp_balance_choice_t *choice)
 {
 	msp_time_t now = msp_now(&balancer->env);
 	const char *region = far_region(balancer, target);
@@ -211,7 +318,7 @@
 	choice->target = target;
 	choice->warmth = judge_warmth(balancer, request, firsts, target);
 	choice->cold = msp_target_cold(target, now);
-	choice->load = msp_estimate_target_load(&target->traffic, now);
+	choice->load = estimate_load(regions, index, target, now);
 	choice->wait = estimate_wait(balancer, request, target, choice->load);
 	work = (double)msp_expect_work(
 	    balancer->book, request->route, choice->warmth);
@@ -223,7 +330,7 @@
 	    (msp_time_t)((double)choice->wait * slowness);
 	if (slowness > 1)
 		choice->expected += (msp_time_t)(work * (slowness - 1));
-	cost = (double)choice->expected;
+	cost = (double)choice->expected + pressure_of(regions, index) * work;
 	cost += msp_target_failure_share(&target->traffic, now) * FAILURE_COST *
 	    (double)request->route->goal_ms * (double)MSP_MS;
 	if (region != NULL)
@@ -252,14 +359,15 @@
 static bool
 find_cheapest(msp_balancer_t *balancer, const msp_balance_request_t *request,
     const char *region, const first_choices_t *firsts,
-    const msp_view_target_t *const *passed, size_t passed_count,
-    msp_balance_choice_t *choice)
+    regions_t *regions, const msp_view_target_t *const *passed,
+    size_t passed_count, msp_balance_choice_t *choice)
 {
 	msp_balance_choice_t option;
 	msp_view_target_t *target;
 	double best = 0;
 	double cost;
 	bool found = false;
+	size_t index;
 	size_t i;
 
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
@@ -271,8 +379,11 @@
 			;
 		if (i < passed_count)
 			continue;
-		cost =
-		    weigh_target(balancer, request, firsts, target, &option);
+		index = find_or_add_region(regions, target->region);
+		if (index == MSP_SHARE_REGIONS_MAX)
+			continue;
+		cost = weigh_target(
+		    balancer, request, firsts, regions, index, target, &option);
 		if (found && cost >= best)
 			continue;
 		found = true;
@@ -284,12 +395,27 @@
 
 #define COLD_PASSED_MAX 16 /* cold targets that are passed over at most */
 
-/* What has not waited anywhere is tried: its latency may be a mere guess. */
+/*
+ * Whether the request would wait so long that it is of little use, and takes
+ * the place of others. What need not wait is tried: its latency may be a mere
+ * guess.
+ */
 static bool
 is_hopeless(
     const msp_balance_request_t *request, const msp_balance_choice_t *choice)
 {
-	return choice->wait > 0 && choice->expected > request->left;
+	const msp_path_route_t *route = request->route;
+	double goal = (double)route->goal_ms * (double)MSP_MS;
+	double work = (double)(choice->expected - choice->wait);
+	double allowed = goal - work;
+
+	if (choice->wait == 0)
+		return false;
+	if (allowed < goal * WAIT_MIN)
+		allowed = goal * WAIT_MIN;
+	allowed *= URGENT_WAIT / (1 + URGENT_FALL * route->priority);
+	return (double)choice->wait > allowed ||
+	    choice->expected > request->left;
 }
 
 static msp_region_share_t *
@@ -308,47 +434,12 @@
 	return NULL;
 }
 
-/* Slots and load of each region's targets that may have the request. */
-static size_t
-measure_rooms(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    msp_region_room_t *rooms)
-{
-	msp_time_t now = msp_now(&balancer->env);
-	const msp_view_target_t *target;
-	size_t count = 1;
-	size_t i;
-
-	rooms[0] =
-	    (msp_region_room_t){.region = balancer->options.region};
-	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
-		if (!msp_target_usable(target, request->service->name))
-			continue;
-		for (i = 0; i < count; i++) {
-			if (strcmp(rooms[i].region, target->region) == 0)
-				break;
-		}
-		if (i == MSP_SHARE_REGIONS_MAX)
-			continue;
-		if (i == count)
-			rooms[count++] =
-			    (msp_region_room_t){.region = target->region};
-		if (!is_candidate(balancer, request, target) ||
-		    msp_target_cold(target, now))
-			continue;
-		rooms[i].slots += target->registration.slots;
-		rooms[i].busy +=
-		    msp_estimate_target_load(&target->traffic, now);
-	}
-	return count;
-}
-
 /* The region whose targets are to have the request; NULL: any. */
 static const char *
-choose_region(msp_balancer_t *balancer, const msp_balance_request_t *request)
+choose_region(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const regions_t *regions)
 {
-	msp_region_room_t rooms[MSP_SHARE_REGIONS_MAX];
 	msp_region_share_t *share;
-	size_t count;
 
 	/* A try that failed may go anywhere; homes bind as they are. */
 	if (request->tried_count > 0 || request->route->home_count > 0)
@@ -356,14 +447,13 @@
 	share = find_share(balancer, request->service->name);
 	if (share == NULL)
 		return NULL;
-	count = measure_rooms(balancer, request, rooms);
-	msp_update_region_share(share, rooms, count);
+	msp_update_region_share(share, regions->rooms, regions->count);
 	return msp_share_request(share);
 }
 
 static msp_status_t
 choose_in_region(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    const char *region, msp_balance_choice_t *choice)
+    regions_t *regions, const char *region, msp_balance_choice_t *choice)
 {
 	const msp_view_target_t *passed[COLD_PASSED_MAX];
 	first_choices_t firsts;
@@ -371,8 +461,8 @@
 
 	*choice = (msp_balance_choice_t){0};
 	find_first_choices(balancer, request, &firsts);
-	while (find_cheapest(balancer, request, region, &firsts, passed,
-	    passed_count, choice)) {
+	while (find_cheapest(balancer, request, region, &firsts, regions,
+	    passed, passed_count, choice)) {
 		if (!choice->cold && is_hopeless(request, choice))
 			return msp_fail(MSP_E_OVERLOAD,
 			    "no target is expected to answer in time");
@@ -392,12 +482,16 @@
 msp_balance(msp_balancer_t *balancer, const msp_balance_request_t *request,
     msp_balance_choice_t *choice)
 {
-	const char *region = choose_region(balancer, request);
+	regions_t regions;
+	const char *region;
 
+	measure_regions(balancer, request, &regions);
+	region = choose_region(balancer, request, &regions);
 	if (region != NULL &&
-	    choose_in_region(balancer, request, region, choice) == MSP_OK)
+	    choose_in_region(balancer, request, &regions, region, choice) ==
+		MSP_OK)
 		return MSP_OK;
-	return choose_in_region(balancer, request, NULL, choice);
+	return choose_in_region(balancer, request, &regions, NULL, choice);
 }
 
 void
--- a/source/steer/target_traffic.c
+++ b/source/steer/target_traffic.c
@@ -22,14 +22,13 @@
     msp_target_traffic_t *load, msp_time_t now, const msp_load_told_t *told)
 {
 	double total = (double)told->running + (double)told->waiting;
-	double others = total - (double)load->in_flight;
-	double before = load->told_at == 0
-	    ? others
-	    : fade(load->others, now - load->told_at, TOLD_FADE);
+	/* The target still counts the request that it answers. */
+	double others = total - 1 - (double)load->in_flight;
+	double weight = msp_told_weight(load, now) * (1 - TOLD_WEIGHT);
 
 	if (others < 0)
 		others = 0;
-	load->others = before + (others - before) * TOLD_WEIGHT;
+	load->others = load->others * weight + others * (1 - weight);
 	load->told_at = now;
 	if (total < told->slots)
 		load->full_until = 0;
@@ -69,13 +68,21 @@
 }
 
 double
-msp_estimate_target_load(const msp_target_traffic_t *load, msp_time_t now)
+msp_told_weight(const msp_target_traffic_t *load, msp_time_t now)
 {
-	double others = 0;
+	if (load->told_at == 0)
+		return 0;
+	return fade(1, now - load->told_at, TOLD_FADE);
+}
+
+double
+msp_estimate_target_load(
+    const msp_target_traffic_t *load, msp_time_t now, double usual)
+{
+	double weight = msp_told_weight(load, now);
 
-	if (load->told_at != 0)
-		others = fade(load->others, now - load->told_at, TOLD_FADE);
-	return others + (double)load->in_flight;
+	return load->others * weight + usual * (1 - weight) +
+	    (double)load->in_flight;
 }
 
 double
