Send an object to the one target that it belongs to, later ones only if far better

Cause: by expected latency alone, objects were spread to targets that don't have them whenever the first choice was busy, which cost three times the slot time and kept the targets busy. Now the ranking decides, a region keeps a share of its own as it has room, and only what cannot be answered in time is refused. The build in a folder other than build/ now follows changed headers: objects with two layouts of a struct had crashed.

--- a/Makefile
+++ b/Makefile
@@ -161,4 +161,4 @@
 clean:
 	rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find $(sort build $(OUT)) -name '*.d' 2>/dev/null)
--- a/include/monsoonspindle/steer/region_share.h
+++ b/include/monsoonspindle/steer/region_share.h
@@ -1,52 +1,37 @@
 #ifndef MONSOONSPINDLE_STEER_REGION_SHARE_H
 #define MONSOONSPINDLE_STEER_REGION_SHARE_H
 
-#include <stddef.h>
-#include <stdint.h>
+#include <stdbool.h>
 
 #include "monsoonspindle/base/env.h"
 
 /*
- * How much of a service's work stays in this VM's region, and which region
- * gets the rest. The share moves slowly, so that no shift between regions is
- * larger than MSP_SHARE_SLEW a second, and follows how busy the targets of
- * this region are against those of the others. Requests are dealt out by smooth
- * weighted round robin: drawn at random, the shares of two short windows would
- * differ by more than they move.
+ * How much of a service's work is kept in this VM's region. The rest goes to
+ * the one target of all regions that an object belongs to. That one is warm
+ * soonest, so a VM starts with nothing kept; while the targets of its region
+ * have room to warm up a copy of their own, the share grows, and it falls when
+ * they are busy. It moves slowly, so that no shift between regions is larger
+ * than MSP_SHARE_SLEW a second.
+ *
+ * Requests are dealt out so that each run of them has its share: drawn at
+ * random, two short windows would differ by more than the share moves.
  */
-typedef struct msp_region_share msp_region_share_t;
+typedef struct msp_region_share {
+	double local; /* 0 to 1 */
+	double owed; /* requests that are to stay here */
+	msp_time_t updated; /* 0: never */
+} msp_region_share_t;
 
-#define MSP_SHARE_REGIONS_MAX 32
 #define MSP_SHARE_SLEW 0.04 /* of all requests, a second */
 
-/* What is known of the targets of one service in one region. */
-typedef struct msp_region_room {
-	const char *region;
-	double slots; /* of the targets that may get requests */
-	double busy; /* requests that they hold */
-} msp_region_room_t;
-
-/* Returns NULL without memory. */
-msp_region_share_t *msp_new_region_share(const msp_env_t *env);
-void msp_drop_region_share(msp_region_share_t *share);
-
-/*
- * Takes in the room of all regions, this VM's own first, whether or not it has
- * targets. Call it for each request or some times a second.
- */
-void msp_update_region_share(msp_region_share_t *share,
-    const msp_region_room_t *rooms, size_t count);
-
 /*
- * The region of the next request; one of those of the last update, or NULL if
- * none has targets.
+ * Takes in how busy the slots of this region and of the others are, as
+ * requests a slot; `here` is negative if the region has no target.
  */
-const char *msp_share_request(msp_region_share_t *share);
-
-/* The share that stays here, 0 to 1. */
-double msp_local_share(const msp_region_share_t *share);
+void msp_update_region_share(msp_region_share_t *share, msp_time_t now,
+    double here, double elsewhere);
 
-/* Another VM of this region has that share; a new one takes it over. */
-void msp_adopt_local_share(msp_region_share_t *share, double local);
+/* Whether the next request stays in this region. */
+bool msp_keep_in_region(msp_region_share_t *share);
 
 #endif
--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -15,6 +15,7 @@
 	double others; /* requests of other VMs there, as last told */
 	msp_time_t told_at; /* when `others` was told; 0: never */
 	double slowness; /* its latency over the expected; 0: not known */
+	msp_time_t slowness_at; /* when `slowness` last changed */
 	double failures; /* moving share of failed requests, 0 to 1 */
 	msp_time_t failures_at; /* when `failures` last changed */
 	msp_time_t full_until; /* it refused for want of room */
@@ -44,8 +45,11 @@
 void msp_note_target_outcome(msp_target_traffic_t *load, msp_time_t now, bool ok);
 
 /* The latency of a whole answer, and what was expected of this target. */
-void msp_note_target_latency(
-    msp_target_traffic_t *load, msp_time_t took, msp_time_t expected);
+void msp_note_target_latency(msp_target_traffic_t *load, msp_time_t now,
+    msp_time_t took, msp_time_t expected);
+
+/* Its latency over the expected, which fades to 1 when nothing is sent. */
+double msp_target_slowness(const msp_target_traffic_t *load, msp_time_t now);
 
 /*
  * Requests that the target holds now. What it told loses weight with its age
--- a/source/steer/target_traffic.c
+++ b/source/steer/target_traffic.c
@@ -7,6 +7,7 @@
 #define OUTCOME_WEIGHT 0.15 /* of one request in the share of failures */
 #define FAILURES_FADE (5 * MSP_SECOND)
 #define SLOWNESS_WEIGHT 0.2
+#define SLOWNESS_FADE (5 * MSP_SECOND)
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 12.0
 #define FULL_PAUSE (100 * MSP_MS) /* before a full target is asked again */
@@ -49,10 +50,20 @@
 	load->failures_at = now;
 }
 
+double
+msp_target_slowness(const msp_target_traffic_t *load, msp_time_t now)
+{
+	if (load->slowness == 0)
+		return 1;
+	return 1 + fade(load->slowness - 1, now - load->slowness_at,
+	    SLOWNESS_FADE);
+}
+
 void
-msp_note_target_latency(
-    msp_target_traffic_t *load, msp_time_t took, msp_time_t expected)
+msp_note_target_latency(msp_target_traffic_t *load, msp_time_t now,
+    msp_time_t took, msp_time_t expected)
 {
+	double before = msp_target_slowness(load, now);
 	double ratio;
 
 	if (expected == 0)
@@ -62,9 +73,8 @@
 		ratio = SLOWNESS_MIN;
 	if (ratio > SLOWNESS_MAX)
 		ratio = SLOWNESS_MAX;
-	if (load->slowness == 0)
-		load->slowness = 1;
-	load->slowness += (ratio - load->slowness) * SLOWNESS_WEIGHT;
+	load->slowness = before + (ratio - before) * SLOWNESS_WEIGHT;
+	load->slowness_at = now;
 }
 
 double
