--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -64,6 +64,7 @@
 	double cold_over; /* a cold target bears its rate times this, */
 	double cold_slack; /* and this many requests a second more */
 	double retry_ratio; /* retries a request, of all VMs together */
+	uint32_t heartbeat_ms; /* between two heartbeats of a target */
 	uint32_t drain_ms; /* no request goes to a draining target after */
 	uint32_t stop_grace_ms; /* from SIGTERM to the end of the process */
 	uint32_t directory_ttl_ms; /* how long clients may keep an answer */
--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -107,9 +107,15 @@
 void msp_begin_snapshot(msp_target_view_t *view);
 void msp_end_snapshot(msp_target_view_t *view, uint64_t version);
 
-/* The store did not answer, and answers once more. */
+/*
+ * It is not known how the store is, and known once more. `was_down`: it was
+ * away for targets too, whose entries may have lapsed.
+ */
 void msp_note_store_lost(msp_target_view_t *view);
-void msp_note_store_back(msp_target_view_t *view);
+void msp_note_store_back(msp_target_view_t *view, bool was_down);
+
+/* Targets that may get requests. */
+size_t msp_count_listed_targets(const msp_target_view_t *view);
 
 /* Removes held targets whose time has passed and forgets removed ones. */
 void msp_tick_target_view(msp_target_view_t *view);
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -126,6 +126,8 @@
 	"requests a second that it bears above that"),
     REAL("retry_ratio", retry_ratio, 10, 100,
 	"retries a request, over all VMs"),
+    NUMBER("heartbeat_ms", msp_settings_edge_t, heartbeat_ms, 50, 600000, 1500,
+	"time between two heartbeats of a target"),
     NUMBER("drain_ms", msp_settings_edge_t, drain_ms, 100, 600000, 2500,
 	"time within which a draining target gets nothing new"),
     NUMBER("stop_grace_ms", msp_settings_edge_t, stop_grace_ms, 500, 600000,
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -152,10 +152,12 @@
 	edge->daemon = daemon;
 	TAILQ_INIT(&edge->requests);
 	TAILQ_INIT(&edge->strikes);
+	TAILQ_INIT(&edge->readers);
 	LIST_INIT(&edge->probes);
 	if (know_platform_fields() != MSP_OK ||
 	    open_decisions(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
 	    open_edge_listeners(edge) != MSP_OK ||
+	    open_edge_relay(edge) != MSP_OK ||
 	    open_edge_store(edge) != MSP_OK)
 		goto fail;
 	edge->view_timer = msp_new_timer(
@@ -188,6 +190,7 @@
 		return;
 	msp_drop_timer(edge->view_timer);
 	close_edge_listeners(edge);
+	close_edge_relay(edge);
 	drop_edge_requests(edge);
 	close_edge_store(edge);
 	msp_drop_http_client(edge->target_client);
@@ -202,6 +205,7 @@
 	msp_drop_map(edge->evacuations);
 	drop_budgets(edge->budgets);
 	msp_drop_route_table(edge->routes);
+	free(edge->others);
 	free(edge);
 }
 
@@ -232,7 +236,7 @@
 void
 reload_edge(edge_t *edge)
 {
-	const msp_endpoint_t *store = &edge->daemon->settings->edge.store;
+	store_source_t store = store_of_settings(edge);
 
-	move_store_client(edge->store, store->address, store->port);
+	move_store_client(edge->store, &store);
 }
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -15,6 +15,7 @@
 typedef struct edge_request edge_request_t;
 typedef struct pending_strike pending_strike_t;
 typedef struct edge_probe edge_probe_t;
+typedef struct waiting_reader waiting_reader_t;
 
 struct edge {
 	daemon_t *daemon;
@@ -42,6 +43,11 @@
 	msp_http_server_t *readiness;
 	msp_http_server_t *directory;
 	msp_http_server_t *metrics;
+	msp_http_server_t *relay; /* other VMs read tables from this one */
+	TAILQ_HEAD(, waiting_reader) readers;
+
+	store_source_t *others; /* VMs of other data centres; owned */
+	size_t other_count;
 
 	TAILQ_HEAD(, edge_request) requests;
 	size_t request_count;
@@ -76,10 +82,19 @@
 msp_status_t open_edge_store(edge_t *edge);
 void close_edge_store(edge_t *edge);
 
+store_source_t store_of_settings(const edge_t *edge);
+
 /* How old what is known of a table is. */
 msp_time_t targets_age(const edge_t *edge);
 msp_time_t routes_age(const edge_t *edge);
 
+/* edge_relay.c */
+msp_status_t open_edge_relay(edge_t *edge);
+void close_edge_relay(edge_t *edge);
+
+/* The copy of a table has grown: answers the VMs that wait for that. */
+void tell_waiting_readers(edge_t *edge, const table_follower_t *table);
+
 /* edge_listeners.c */
 msp_status_t open_edge_listeners(edge_t *edge);
 void close_edge_listeners(edge_t *edge);
--- /dev/null
+++ b/source/spindled/edge_relay.c
@@ -0,0 +1,195 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../platform/row_service.h"
+#include "edge_private.h"
+#include "log.h"
+#include "problem.h"
+#include "table_follower.h"
+
+#define RELAY_CONNECTIONS 256
+#define RELAY_IDLE_MS 60000
+
+/* A VM that waits for a change of a table. */
+struct waiting_reader {
+	TAILQ_ENTRY(waiting_reader) link;
+	edge_t *edge;
+	msp_exchange_t *exchange;
+	const table_follower_t *table;
+	row_query_t query;
+	msp_timer_t *timer;
+};
+
+typedef struct answer_rows {
+	row_answer_t answer;
+	const char *table;
+	msp_status_t status;
+} answer_rows_t;
+
+static void
+add_row(void *ctx, const store_row_t *row)
+{
+	answer_rows_t *rows = ctx;
+
+	if (rows->status == MSP_OK)
+		rows->status =
+		    add_answer_row(&rows->answer, rows->table, row);
+}
+
+static uint32_t
+age_ms(const table_follower_t *table)
+{
+	msp_time_t age = table_age(table) / MSP_MS;
+
+	return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+static void
+answer_query(msp_exchange_t *exchange, const table_follower_t *table,
+    const row_query_t *query)
+{
+	const table_copy_t *copy = followed_copy(table);
+	answer_rows_t rows = {.table = query->table};
+	msp_response_t response = {0};
+
+	if (!query->whole && !holds_changes(copy, query->after)) {
+		encode_rows_gone(&response);
+		msp_answer_exchange(exchange, &response);
+		return;
+	}
+	visit_copy(copy, query->whole, query->after, add_row, &rows);
+	if (rows.status == MSP_OK)
+		rows.status = end_row_answer(
+		    &rows.answer, copy_version(copy), age_ms(table), &response);
+	if (rows.status != MSP_OK) {
+		msp_drop_buffer(&rows.answer.text);
+		msp_drop_response(&response);
+		answer_error(exchange, rows.status);
+		return;
+	}
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+free_reader(waiting_reader_t *reader)
+{
+	TAILQ_REMOVE(&reader->edge->readers, reader, link);
+	msp_drop_timer(reader->timer);
+	free(reader);
+}
+
+static void
+answer_reader(waiting_reader_t *reader)
+{
+	msp_exchange_t *exchange = reader->exchange;
+	const table_follower_t *table = reader->table;
+	row_query_t query = reader->query;
+
+	free_reader(reader);
+	answer_query(exchange, table, &query);
+}
+
+static void
+on_wait_over(void *ctx)
+{
+	answer_reader(ctx);
+}
+
+static void
+wait_for_change(edge_t *edge, msp_exchange_t *exchange,
+    const table_follower_t *table, const row_query_t *query)
+{
+	waiting_reader_t *reader = calloc(1, sizeof(*reader));
+
+	if (reader == NULL) {
+		answer_query(exchange, table, query);
+		return;
+	}
+	reader->edge = edge;
+	reader->exchange = exchange;
+	reader->table = table;
+	reader->query = *query;
+	reader->timer = msp_new_timer(edge->daemon->loop,
+	    query->wait_ms * MSP_MS, 0, on_wait_over, reader);
+	msp_set_exchange_data(exchange, reader);
+	TAILQ_INSERT_TAIL(&edge->readers, reader, link);
+}
+
+void
+tell_waiting_readers(edge_t *edge, const table_follower_t *table)
+{
+	uint64_t version = copy_version(followed_copy(table));
+	waiting_reader_t *reader;
+	waiting_reader_t *next;
+
+	TAILQ_FOREACH_SAFE(reader, &edge->readers, link, next) {
+		if (reader->table == table && version > reader->query.after)
+			answer_reader(reader);
+	}
+}
+
+static void
+on_request(void *ctx, msp_exchange_t *exchange)
+{
+	edge_t *edge = ctx;
+	const table_follower_t *table = NULL;
+	row_query_t query;
+	msp_status_t status =
+	    decode_row_query(msp_exchange_request(exchange), &query);
+
+	if (status == MSP_OK) {
+		if (strcmp(query.table, OPERATOR_TABLE) == 0)
+			table = edge->operator_rows;
+		else if (strcmp(query.table, TARGETS_TABLE) == 0)
+			table = edge->target_rows;
+		if (table == NULL || !is_table_known(table))
+			status = msp_fail(
+			    MSP_E_NOT_READY, "the table is not known here");
+	}
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+		return;
+	}
+	msp_count(edge->daemon->counters, 1, "msp_relayed_reads_total");
+	if (query.whole || query.wait_ms == 0 ||
+	    copy_version(followed_copy(table)) > query.after)
+		answer_query(exchange, table, &query);
+	else
+		wait_for_change(edge, exchange, table, &query);
+}
+
+static void
+on_gone(void *ctx, msp_exchange_t *exchange)
+{
+	waiting_reader_t *reader = msp_exchange_data(exchange);
+
+	(void)ctx;
+	if (reader != NULL)
+		free_reader(reader);
+}
+
+msp_status_t
+open_edge_relay(edge_t *edge)
+{
+	const msp_settings_t *settings = edge->daemon->settings;
+	msp_http_server_options_t options = {.address = settings->address,
+	    .port = settings->peer_port,
+	    .limits = {.max_connections = RELAY_CONNECTIONS,
+		.idle_timeout_ms = RELAY_IDLE_MS},
+	    .handler = {.on_request = on_request,
+		.on_gone = on_gone,
+		.ctx = edge}};
+
+	edge->relay = msp_new_http_server(edge->daemon->loop, &options);
+	return edge->relay == NULL ? MSP_E_IO : MSP_OK;
+}
+
+void
+close_edge_relay(edge_t *edge)
+{
+	waiting_reader_t *reader;
+
+	msp_drop_http_server(edge->relay);
+	while ((reader = TAILQ_FIRST(&edge->readers)) != NULL)
+		free_reader(reader);
+}
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -13,12 +13,15 @@
 #include "members.h"
 #include "table_follower.h"
 
-#define OPERATOR_WAIT_MS 2500
+#define OPERATOR_WAIT_MS 1600 /* below TABLE_FRESH */
 #define OPERATOR_PACE (5 * MSP_MS)
-#define TARGETS_PACE (1000 * MSP_MS)
-#define READ_TIMEOUT_MS 1200
+#define TARGETS_PACE (900 * MSP_MS)
+#define VM_WAIT_MS 1300 /* of a read from another VM */
+#define VM_PACE (5 * MSP_MS)
 #define VM_TIMEOUT_MS 1500
 #define VM_RETRY (700 * MSP_MS)
+#define READER_ROLE "store-reader" /* which member reads the store */
+#define BEATS_WHILE_UP 0.5 /* share of heartbeats that shows the store up */
 #define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
@@ -33,6 +36,80 @@
 	return table_age(edge->operator_rows);
 }
 
+store_source_t
+store_of_settings(const edge_t *edge)
+{
+	const msp_endpoint_t *store = &edge->daemon->settings->edge.store;
+	store_source_t source = {.port = store->port};
+
+	strlcpy(source.address, store->address, sizeof(source.address));
+	return source;
+}
+
+static void
+set_source(store_source_t *source, const msp_member_t *member)
+{
+	strlcpy(source->address, member->address, sizeof(source->address));
+	source->port = member->peer_port;
+}
+
+/* A member of this data centre other than this VM; false if there is none. */
+static bool
+draw_member(const edge_t *edge, store_source_t *source)
+{
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	const msp_membership_t *list = members_list(edge->daemon->members);
+	size_t count = msp_live_members(list, live, MSP_MEMBERS_MAX);
+	const msp_member_t *self = msp_membership_self(list);
+	size_t at;
+
+	if (count < 2)
+		return false;
+	at = msp_random_below(&edge->daemon->env, count);
+	if (strcmp(live[at]->name, self->name) == 0)
+		at = (at + 1) % count;
+	set_source(source, live[at]);
+	return true;
+}
+
+/* A VM of another data centre. */
+static bool
+draw_other(const edge_t *edge, store_source_t *source)
+{
+	if (edge->other_count == 0)
+		return false;
+	*source = edge->others[msp_random_below(
+	    &edge->daemon->env, edge->other_count)];
+	return true;
+}
+
+/*
+ * One VM of each data centre reads the store, and the others read from it.
+ * Whoever gets no fresh answer asks the store, then others.
+ */
+static bool
+choose_source(void *ctx, unsigned int attempt, store_source_t *source)
+{
+	const edge_t *edge = ctx;
+	const msp_member_t *first;
+
+	switch (attempt % 4) {
+	case 0:
+		first = first_member(edge->daemon->members, READER_ROLE);
+		if (first == NULL ||
+		    strcmp(first->name, edge->daemon->settings->vm) == 0)
+			return false;
+		set_source(source, first);
+		return true;
+	case 1:
+		return false;
+	case 2:
+		return draw_member(edge, source) || draw_other(edge, source);
+	default:
+		return draw_other(edge, source);
+	}
+}
+
 static void
 on_lost(edge_t *edge, const char *table, msp_status_t status)
 {
@@ -49,6 +126,22 @@
 	    lost_for / MSP_MS);
 }
 
+static void
+on_stale(edge_t *edge, const char *table)
+{
+	msp_count(edge->daemon->counters, 1,
+	    "msp_table_stale_total{table=\"%s\"}", table);
+	log_warn("event=table table=%s state=stale", table);
+}
+
+static void
+on_fresh(const char *table, msp_time_t stale_for, uint64_t versions)
+{
+	log_info("event=table table=%s state=fresh stale_ms=%" PRIu64
+		 " versions=%" PRIu64,
+	    table, stale_for / MSP_MS, versions);
+}
+
 /* The operator's table. */
 
 static void
@@ -139,6 +232,30 @@
 	    version, msp_map_count(edge->evacuations));
 }
 
+static void
+on_operator_news(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	if (edge->operator_rows != NULL)
+		tell_waiting_readers(edge, edge->operator_rows);
+}
+
+static void
+on_operator_stale(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	on_stale(edge, "operator");
+}
+
+static void
+on_operator_fresh(void *ctx, msp_time_t stale_for, uint64_t versions)
+{
+	(void)ctx;
+	on_fresh("operator", stale_for, versions);
+}
+
 static void
 on_operator_lost(void *ctx, msp_status_t status)
 {
@@ -196,20 +313,50 @@
 }
 
 static void
-on_targets_lost(void *ctx, msp_status_t status)
+on_targets_news(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	if (edge->target_rows != NULL)
+		tell_waiting_readers(edge, edge->target_rows);
+}
+
+static void
+on_targets_stale(void *ctx)
 {
 	edge_t *edge = ctx;
 
 	msp_note_store_lost(edge->view);
-	on_lost(edge, "targets", status);
+	on_stale(edge, "targets");
 }
 
+/*
+ * Heartbeats raise the store's version. If they went on, it was only out of
+ * reach of here, and entries that are missing were removed.
+ */
 static void
-on_targets_back(void *ctx, msp_time_t lost_for)
+on_targets_fresh(void *ctx, msp_time_t stale_for, uint64_t versions)
 {
 	edge_t *edge = ctx;
+	double beat = edge->daemon->settings->edge.heartbeat_ms * MSP_MS;
+	double expected = (double)msp_count_listed_targets(edge->view) *
+	    (double)stale_for / beat;
+	bool was_up = (double)versions > expected * BEATS_WHILE_UP;
+
+	msp_note_store_back(edge->view, !was_up);
+	on_fresh("targets", stale_for, versions);
+}
+
+static void
+on_targets_lost(void *ctx, msp_status_t status)
+{
+	on_lost(ctx, "targets", status);
+}
 
-	msp_note_store_back(edge->view);
+static void
+on_targets_back(void *ctx, msp_time_t lost_for)
+{
+	(void)ctx;
 	on_back("targets", lost_for);
 }
 
@@ -232,8 +379,10 @@
 	edge_t *edge = ctx;
 	const msp_settings_t *settings = edge->daemon->settings;
 	msp_seed_t *seeds;
+	store_source_t *others;
 	vm_row_t vm;
 	size_t count = 0;
+	size_t other_count = 0;
 	size_t i;
 
 	edge->vm_call = NULL;
@@ -242,15 +391,25 @@
 		return;
 	}
 	seeds = calloc(reply->row_count + 1, sizeof(*seeds));
-	if (seeds == NULL)
+	others = calloc(reply->row_count + 1, sizeof(*others));
+	if (seeds == NULL || others == NULL) {
+		free(seeds);
+		free(others);
+		set_vm_timer(edge, VM_RETRY, read_vms);
 		return;
+	}
 	for (i = 0; i < reply->row_count; i++) {
 		const store_row_t *row = &reply->rows[i];
 
 		if (row->value == NULL ||
-		    decode_vm_row(row->value, row->len, &vm) != MSP_OK ||
-		    strcmp(vm.place, settings->place) != 0)
+		    decode_vm_row(row->value, row->len, &vm) != MSP_OK)
+			continue;
+		if (strcmp(vm.place, settings->place) != 0) {
+			strlcpy(others[other_count].address, vm.address,
+			    sizeof(others[other_count].address));
+			others[other_count++].port = vm.peer_port;
 			continue;
+		}
 		strlcpy(seeds[count].address, vm.address,
 		    sizeof(seeds[count].address));
 		seeds[count++].peer_port = vm.peer_port;
@@ -260,6 +419,9 @@
 		count = MSP_SEEDS_MAX;
 	msp_suggest_seeds(members_list(edge->daemon->members), seeds, count);
 	free(seeds);
+	free(edge->others);
+	edge->others = others;
+	edge->other_count = other_count;
 	set_vm_timer(edge, VM_REREAD, read_vms);
 }
 
@@ -268,8 +430,8 @@
 {
 	edge_t *edge = ctx;
 
-	edge->vm_call = read_store_rows(
-	    edge->store, VMS_TABLE, NULL, VM_TIMEOUT_MS, on_vms, edge);
+	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
+	    VM_TIMEOUT_MS, on_vms, edge);
 	if (edge->vm_call == NULL)
 		set_vm_timer(edge, VM_RETRY, read_vms);
 }
@@ -319,31 +481,40 @@
 open_edge_store(edge_t *edge)
 {
 	daemon_t *daemon = edge->daemon;
-	const msp_endpoint_t *address = &daemon->settings->edge.store;
+	store_source_t store = store_of_settings(edge);
 	table_follower_options_t operator_options = {.table = OPERATOR_TABLE,
-	    .wait_ms = OPERATOR_WAIT_MS,
-	    .pace = OPERATOR_PACE,
-	    .timeout_ms = READ_TIMEOUT_MS};
+	    .store_wait_ms = OPERATOR_WAIT_MS,
+	    .store_pace = OPERATOR_PACE,
+	    .vm_wait_ms = VM_WAIT_MS,
+	    .vm_pace = VM_PACE};
 	table_follower_callbacks_t operator_callbacks = {
+	    .choose_source = choose_source,
 	    .on_begin = on_operator_begin,
 	    .on_row = on_operator_row,
 	    .on_end = on_operator_end,
+	    .on_news = on_operator_news,
 	    .on_lost = on_operator_lost,
 	    .on_back = on_operator_back,
+	    .on_stale = on_operator_stale,
+	    .on_fresh = on_operator_fresh,
 	    .ctx = edge};
 	table_follower_options_t target_options = {.table = TARGETS_TABLE,
-	    .pace = TARGETS_PACE,
-	    .timeout_ms = READ_TIMEOUT_MS};
+	    .store_pace = TARGETS_PACE,
+	    .vm_wait_ms = VM_WAIT_MS,
+	    .vm_pace = VM_PACE};
 	table_follower_callbacks_t target_callbacks = {
+	    .choose_source = choose_source,
 	    .on_begin = on_targets_begin,
 	    .on_row = on_target_row,
 	    .on_end = on_targets_end,
+	    .on_news = on_targets_news,
 	    .on_lost = on_targets_lost,
 	    .on_back = on_targets_back,
+	    .on_stale = on_targets_stale,
+	    .on_fresh = on_targets_fresh,
 	    .ctx = edge};
 
-	edge->store = new_store_client(
-	    edge->store_http, address->address, address->port);
+	edge->store = new_store_client(edge->store_http, &store);
 	if (edge->store == NULL)
 		return MSP_E_NO_MEMORY;
 	edge->operator_rows = new_table_follower(daemon->loop, &daemon->env,
--- /dev/null
+++ b/source/spindled/table_copy.c
@@ -0,0 +1,247 @@
+#include "table_copy.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/sys/queue.h>
+
+#include "monsoonspindle/base/map.h"
+
+#define REMOVED_MAX 512 /* removed rows that are remembered */
+
+typedef struct copy_row {
+	TAILQ_ENTRY(copy_row) link;
+	char key[STORE_KEY_MAX + 1];
+	char *value; /* owned; NULL: removed */
+	size_t len;
+	uint64_t version;
+	bool seen; /* in the present reading of the whole table */
+} copy_row_t;
+
+struct table_copy {
+	msp_env_t env;
+	TAILQ_HEAD(copy_rows, copy_row) rows;
+	TAILQ_HEAD(, copy_row) removed; /* the first removed first */
+	size_t removed_count;
+	msp_map_t *by_key;
+	uint64_t version;
+	uint64_t floor; /* changes before it are not held */
+	msp_time_t as_of;
+};
+
+table_copy_t *
+new_table_copy(const msp_env_t *env)
+{
+	table_copy_t *copy = calloc(1, sizeof(*copy));
+
+	if (copy == NULL)
+		return NULL;
+	copy->env = *env;
+	TAILQ_INIT(&copy->rows);
+	TAILQ_INIT(&copy->removed);
+	copy->by_key = msp_new_map();
+	if (copy->by_key != NULL)
+		return copy;
+	free(copy);
+	return NULL;
+}
+
+static void
+free_row(copy_row_t *row)
+{
+	free(row->value);
+	free(row);
+}
+
+void
+drop_table_copy(table_copy_t *copy)
+{
+	copy_row_t *row;
+
+	if (copy == NULL)
+		return;
+	while ((row = TAILQ_FIRST(&copy->rows)) != NULL) {
+		TAILQ_REMOVE(&copy->rows, row, link);
+		free_row(row);
+	}
+	while ((row = TAILQ_FIRST(&copy->removed)) != NULL) {
+		TAILQ_REMOVE(&copy->removed, row, link);
+		free_row(row);
+	}
+	msp_drop_map(copy->by_key);
+	free(copy);
+}
+
+/* Removed rows past the bound are forgotten, and with them older changes. */
+static void
+forget_removed(table_copy_t *copy)
+{
+	copy_row_t *row;
+
+	while (copy->removed_count > REMOVED_MAX) {
+		row = TAILQ_FIRST(&copy->removed);
+		if (row->version > copy->floor)
+			copy->floor = row->version;
+		TAILQ_REMOVE(&copy->removed, row, link);
+		copy->removed_count--;
+		msp_map_remove(copy->by_key, row->key);
+		free_row(row);
+	}
+}
+
+static void
+unlink_row(table_copy_t *copy, copy_row_t *row)
+{
+	if (row->value != NULL) {
+		TAILQ_REMOVE(&copy->rows, row, link);
+		return;
+	}
+	TAILQ_REMOVE(&copy->removed, row, link);
+	copy->removed_count--;
+}
+
+static void
+link_row(table_copy_t *copy, copy_row_t *row)
+{
+	if (row->value != NULL) {
+		TAILQ_INSERT_TAIL(&copy->rows, row, link);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&copy->removed, row, link);
+	copy->removed_count++;
+	forget_removed(copy);
+}
+
+static copy_row_t *
+find_or_add(table_copy_t *copy, const char *key)
+{
+	copy_row_t *row = msp_map_get(copy->by_key, key);
+
+	if (row != NULL || strlen(key) > STORE_KEY_MAX)
+		return row;
+	row = calloc(1, sizeof(*row));
+	if (row == NULL)
+		return NULL;
+	strcpy(row->key, key);
+	if (msp_map_put(copy->by_key, key, row) != MSP_OK) {
+		free(row);
+		return NULL;
+	}
+	TAILQ_INSERT_TAIL(&copy->removed, row, link);
+	copy->removed_count++;
+	return row;
+}
+
+static void
+set_row(table_copy_t *copy, copy_row_t *row, const char *value, size_t len,
+    uint64_t version)
+{
+	char *fresh = NULL;
+
+	if (value != NULL) {
+		fresh = malloc(len + 1);
+		if (fresh == NULL)
+			return;
+		memcpy(fresh, value, len);
+		fresh[len] = '\0';
+	}
+	unlink_row(copy, row);
+	free(row->value);
+	row->value = fresh;
+	row->len = len;
+	row->version = version;
+	link_row(copy, row);
+}
+
+void
+put_copy_row(table_copy_t *copy, const store_row_t *row)
+{
+	copy_row_t *held = find_or_add(copy, row->key);
+
+	if (held == NULL)
+		return;
+	held->seen = true;
+	if (row->version > held->version)
+		set_row(copy, held, row->value, row->len, row->version);
+}
+
+void
+begin_copy(table_copy_t *copy)
+{
+	copy_row_t *row;
+
+	TAILQ_FOREACH(row, &copy->rows, link)
+		row->seen = false;
+}
+
+void
+end_copy(table_copy_t *copy, uint64_t version)
+{
+	copy_row_t *row;
+	copy_row_t *next;
+
+	TAILQ_FOREACH_SAFE(row, &copy->rows, link, next) {
+		if (!row->seen && row->version < version)
+			set_row(copy, row, NULL, 0, version);
+	}
+	/* What was removed before this was not seen. */
+	if (copy->version == 0)
+		copy->floor = version;
+}
+
+void
+advance_copy(table_copy_t *copy, uint64_t version, msp_time_t as_of)
+{
+	if (version > copy->version)
+		copy->version = version;
+	if (as_of > copy->as_of)
+		copy->as_of = as_of;
+}
+
+uint64_t
+copy_version(const table_copy_t *copy)
+{
+	return copy->version;
+}
+
+msp_time_t
+copy_as_of(const table_copy_t *copy)
+{
+	return copy->as_of;
+}
+
+bool
+holds_changes(const table_copy_t *copy, uint64_t version)
+{
+	return copy->version != 0 && version >= copy->floor;
+}
+
+static void
+visit_row(const copy_row_t *row,
+    void (*visit)(void *ctx, const store_row_t *row), void *ctx)
+{
+	store_row_t out = {.key = row->key,
+	    .value = row->value,
+	    .len = row->len,
+	    .version = row->version};
+
+	visit(ctx, &out);
+}
+
+void
+visit_copy(const table_copy_t *copy, bool whole, uint64_t version,
+    void (*visit)(void *ctx, const store_row_t *row), void *ctx)
+{
+	const copy_row_t *row;
+
+	TAILQ_FOREACH(row, &copy->rows, link) {
+		if (whole || row->version > version)
+			visit_row(row, visit, ctx);
+	}
+	if (whole)
+		return;
+	TAILQ_FOREACH(row, &copy->removed, link) {
+		if (row->version > version)
+			visit_row(row, visit, ctx);
+	}
+}
--- a/source/spindled/table_follower.c
+++ b/source/spindled/table_follower.c
@@ -3,9 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define STORE_TIMEOUT_MS 1200 /* of one read, beyond the wait */
+#define VM_TIMEOUT_MS 400
+#define WHOLE_TIMEOUT_MS 2000 /* of one page of the whole table */
+#define QUICK_ATTEMPTS 4 /* sources tried one after the other at once */
+#define QUICK_DELAY (10 * MSP_MS)
 #define RETRY_MIN (150 * MSP_MS)
-#define RETRY_MAX (1 * MSP_SECOND)
-#define WHOLE_TIMEOUT_MS 3000 /* of one page of the whole table */
+#define RETRY_MAX (800 * MSP_MS)
 
 struct table_follower {
 	msp_loop_t *loop;
@@ -13,20 +17,28 @@
 	store_client_t *store;
 	table_follower_options_t options;
 	table_follower_callbacks_t callbacks;
+	table_copy_t *copy;
 	store_call_t *call;
 	msp_timer_t *timer;
 	bool whole; /* reading the table whole */
 	bool known;
+	bool from_vm; /* the read under way */
 	char from[STORE_KEY_MAX + 1]; /* of the next page; "": the first */
-	uint64_t version;
 	uint64_t whole_version; /* of the first page */
-	msp_time_t answered; /* 0: never */
-	msp_time_t lost_since; /* 0: the store answers */
+	unsigned int attempt;
+	msp_time_t lost_since; /* the store does not answer; 0: it does */
+	msp_time_t stale_since; /* 0: it is known how the store is */
 	msp_time_t retry_delay;
 };
 
 static void read_on(table_follower_t *follower);
 
+static msp_time_t
+now_of(const table_follower_t *follower)
+{
+	return msp_now(&follower->env);
+}
+
 static void
 on_timer(void *ctx)
 {
@@ -48,33 +60,74 @@
 }
 
 static void
-fail_read(table_follower_t *follower, msp_status_t status)
+check_stale(table_follower_t *follower)
 {
-	msp_time_t jitter;
+	if (follower->stale_since != 0 ||
+	    table_age(follower) <= TABLE_FRESH)
+		return;
+	follower->stale_since = now_of(follower);
+	follower->callbacks.on_stale(follower->callbacks.ctx);
+}
+
+/* The next source is asked at once, but not all of them over and over. */
+static void
+try_next(table_follower_t *follower)
+{
+	msp_time_t delay = QUICK_DELAY;
+
+	check_stale(follower);
+	/* Pages of one source don't go on at another. */
+	follower->from[0] = '\0';
+	follower->attempt++;
+	if (follower->attempt % QUICK_ATTEMPTS == 0) {
+		if (follower->retry_delay < RETRY_MIN)
+			follower->retry_delay = RETRY_MIN;
+		delay = follower->retry_delay +
+		    msp_random_below(&follower->env, follower->retry_delay);
+		follower->retry_delay *= 2;
+		if (follower->retry_delay > RETRY_MAX)
+			follower->retry_delay = RETRY_MAX;
+	}
+	read_after(follower, delay);
+}
 
-	if (follower->lost_since == 0) {
-		follower->lost_since = msp_now(&follower->env);
-		follower->retry_delay = RETRY_MIN;
+static void
+fail_read(table_follower_t *follower, msp_status_t status)
+{
+	if (!follower->from_vm && follower->lost_since == 0) {
+		follower->lost_since = now_of(follower);
 		follower->callbacks.on_lost(follower->callbacks.ctx, status);
 	}
-	jitter = msp_random_below(&follower->env, follower->retry_delay);
-	read_after(follower, follower->retry_delay + jitter);
-	follower->retry_delay *= 2;
-	if (follower->retry_delay > RETRY_MAX)
-		follower->retry_delay = RETRY_MAX;
+	try_next(follower);
 }
 
 static void
-note_answer(table_follower_t *follower)
+note_store_answer(table_follower_t *follower)
 {
-	msp_time_t now = msp_now(&follower->env);
 	msp_time_t lost_since = follower->lost_since;
 
-	follower->answered = now;
-	if (lost_since == 0)
+	if (follower->from_vm || lost_since == 0)
 		return;
 	follower->lost_since = 0;
-	follower->callbacks.on_back(follower->callbacks.ctx, now - lost_since);
+	follower->callbacks.on_back(
+	    follower->callbacks.ctx, now_of(follower) - lost_since);
+}
+
+/* The answer tells how the store is now. */
+static void
+note_fresh(table_follower_t *follower, const store_reply_t *reply)
+{
+	uint64_t before = copy_version(follower->copy);
+	msp_time_t stale_since = follower->stale_since;
+
+	follower->attempt = 0;
+	follower->retry_delay = 0;
+	if (stale_since == 0)
+		return;
+	follower->stale_since = 0;
+	follower->callbacks.on_fresh(follower->callbacks.ctx,
+	    now_of(follower) - stale_since + TABLE_FRESH,
+	    reply->version > before ? reply->version - before : 0);
 }
 
 static void
@@ -82,82 +135,127 @@
 {
 	size_t i;
 
-	for (i = 0; i < reply->row_count; i++)
+	for (i = 0; i < reply->row_count; i++) {
+		put_copy_row(follower->copy, &reply->rows[i]);
 		follower->callbacks.on_row(
 		    follower->callbacks.ctx, &reply->rows[i]);
+	}
 }
 
 static void
-take_page(table_follower_t *follower, const store_reply_t *reply)
+advance(table_follower_t *follower, const store_reply_t *reply,
+    uint64_t version)
+{
+	advance_copy(follower->copy, version,
+	    now_of(follower) - reply->age_ms * MSP_MS);
+	follower->callbacks.on_news(follower->callbacks.ctx);
+}
+
+/* Whether there is a next page, which is then asked for. */
+static bool
+turn_page(table_follower_t *follower, const store_reply_t *reply)
 {
 	const char *last;
 
+	if (!reply->has_more || reply->row_count == 0)
+		return false;
+	/* The next page begins with the last row of this one. */
+	last = reply->rows[reply->row_count - 1].key;
+	if (strlen(last) >= sizeof(follower->from) ||
+	    strcmp(last, follower->from) == 0)
+		return false;
+	strcpy(follower->from, last);
+	read_on(follower);
+	return true;
+}
+
+static void
+take_page(table_follower_t *follower, const store_reply_t *reply)
+{
 	if (follower->from[0] == '\0') {
 		follower->whole_version = reply->version;
+		begin_copy(follower->copy);
 		follower->callbacks.on_begin(follower->callbacks.ctx);
 	}
 	give_rows(follower, reply);
-	if (reply->has_more && reply->row_count > 0) {
-		/* The next page begins with the last row of this one. */
-		last = reply->rows[reply->row_count - 1].key;
-		if (strlen(last) < sizeof(follower->from) &&
-		    strcmp(last, follower->from) != 0) {
-			strcpy(follower->from, last);
-			read_on(follower);
-			return;
-		}
-	}
+	if (turn_page(follower, reply))
+		return;
 	follower->from[0] = '\0';
 	follower->whole = false;
 	follower->known = true;
-	follower->version = follower->whole_version;
+	end_copy(follower->copy, follower->whole_version);
+	advance(follower, reply, follower->whole_version);
 	follower->callbacks.on_end(
 	    follower->callbacks.ctx, follower->whole_version);
-	read_after(follower, follower->options.pace);
+	read_after(follower, follower->options.store_pace);
 }
 
 static void
 on_reply(void *ctx, const store_reply_t *reply)
 {
 	table_follower_t *follower = ctx;
+	const table_follower_options_t *options = &follower->options;
+	bool fresh = reply->age_ms * MSP_MS <= TABLE_FRESH;
 
 	follower->call = NULL;
-	if (reply->status == MSP_E_KEY_EXPIRED) {
-		note_answer(follower);
+	if (reply->status == MSP_E_KEY_EXPIRED && !follower->whole) {
+		note_store_answer(follower);
 		follower->whole = true;
 		follower->from[0] = '\0';
 		read_on(follower);
 		return;
 	}
-	if (reply->status != MSP_OK) {
+	/* A VM that knows less than this one is of no use. */
+	if (reply->status != MSP_OK ||
+	    reply->version < copy_version(follower->copy)) {
 		fail_read(follower, reply->status);
 		return;
 	}
-	note_answer(follower);
+	note_store_answer(follower);
+	if (fresh)
+		note_fresh(follower, reply);
 	if (follower->whole) {
 		take_page(follower, reply);
 		return;
 	}
 	give_rows(follower, reply);
-	if (reply->version > follower->version)
-		follower->version = reply->version;
-	read_after(follower, follower->options.pace);
+	advance(follower, reply, reply->version);
+	if (!fresh)
+		try_next(follower);
+	else
+		read_after(follower,
+		    follower->from_vm ? options->vm_pace : options->store_pace);
 }
 
 static void
 read_on(table_follower_t *follower)
 {
 	const table_follower_options_t *options = &follower->options;
+	const table_follower_callbacks_t *callbacks = &follower->callbacks;
+	store_source_t source;
+	const store_source_t *chosen = NULL;
+	uint32_t wait_ms = options->store_wait_ms;
+	uint32_t timeout_ms = STORE_TIMEOUT_MS;
 
+	if (follower->from[0] == '\0')
+		follower->from_vm = callbacks->choose_source(
+		    callbacks->ctx, follower->attempt, &source);
+	else
+		follower->from_vm = false;
+	if (follower->from_vm) {
+		chosen = &source;
+		wait_ms = options->vm_wait_ms;
+		timeout_ms = VM_TIMEOUT_MS;
+	}
 	if (follower->whole)
-		follower->call = read_store_rows(follower->store,
+		follower->call = read_store_rows(follower->store, chosen,
 		    options->table,
 		    follower->from[0] == '\0' ? NULL : follower->from,
 		    WHOLE_TIMEOUT_MS, on_reply, follower);
 	else
-		follower->call = follow_store_rows(follower->store,
-		    options->table, follower->version, options->wait_ms,
-		    options->wait_ms + options->timeout_ms, on_reply, follower);
+		follower->call = follow_store_rows(follower->store, chosen,
+		    options->table, copy_version(follower->copy), wait_ms,
+		    wait_ms + timeout_ms, on_reply, follower);
 	if (follower->call == NULL)
 		fail_read(follower, MSP_E_NO_MEMORY);
 }
@@ -169,7 +267,10 @@
 {
 	table_follower_t *follower = calloc(1, sizeof(*follower));
 
-	if (follower == NULL) {
+	if (follower != NULL)
+		follower->copy = new_table_copy(env);
+	if (follower == NULL || follower->copy == NULL) {
+		free(follower);
 		msp_fail(MSP_E_NO_MEMORY, "no memory for a follower");
 		return NULL;
 	}
@@ -190,21 +291,16 @@
 		return;
 	cancel_store_call(follower->call);
 	msp_drop_timer(follower->timer);
+	drop_table_copy(follower->copy);
 	free(follower);
 }
 
 msp_time_t
 table_age(const table_follower_t *follower)
 {
-	if (follower->answered == 0)
-		return MSP_NEVER;
-	return msp_now(&follower->env) - follower->answered;
-}
+	msp_time_t as_of = copy_as_of(follower->copy);
 
-uint64_t
-table_version(const table_follower_t *follower)
-{
-	return follower->version;
+	return as_of == 0 ? MSP_NEVER : now_of(follower) - as_of;
 }
 
 bool
@@ -212,3 +308,9 @@
 {
 	return follower->known;
 }
+
+const table_copy_t *
+followed_copy(const table_follower_t *follower)
+{
+	return follower->copy;
+}
--- a/source/spindled/table_follower.h
+++ b/source/spindled/table_follower.h
@@ -2,47 +2,68 @@
 #define SPINDLED_TABLE_FOLLOWER_H
 
 #include "../../platform/store_client.h"
+#include "table_copy.h"
 
 /*
  * Keeps up with one table of the platform's store: reads it whole, then the
- * changes since. If the store no longer has the changes, or after a reset, it
- * reads the table whole once more.
+ * changes since, from the store or from another VM's copy. If the changes are
+ * no longer held there, it reads the table whole once more. What it has read
+ * is kept in a copy of its own, for other VMs.
  */
 typedef struct table_follower table_follower_t;
 
 typedef struct table_follower_options {
 	const char *table; /* static */
-	uint32_t wait_ms; /* the store waits so long for a change; 0: not */
-	msp_time_t pace; /* between two reads */
-	uint32_t timeout_ms; /* of one read, beyond `wait_ms` */
+	uint32_t store_wait_ms; /* the store waits so long for a change */
+	msp_time_t store_pace; /* between two reads of the store */
+	uint32_t vm_wait_ms; /* another VM waits so long for one */
+	msp_time_t vm_pace;
 } table_follower_options_t;
 
 typedef struct table_follower_callbacks {
+	/*
+	 * Where to read, for the `attempt`th time (from 0) since the last
+	 * fresh answer. Fills `source` and returns true for a VM; false: the
+	 * store.
+	 */
+	bool (*choose_source)(
+	    void *ctx, unsigned int attempt, store_source_t *source);
 	/* The table is about to be given whole. */
 	void (*on_begin)(void *ctx);
 	/* A row; its value is NULL if it was removed. */
 	void (*on_row)(void *ctx, const store_row_t *row);
 	/* The table was given whole, as of `version`. */
 	void (*on_end)(void *ctx, uint64_t version);
-	/* The store does not answer, or answers once more. */
+	/* More is known than before: up to the copy's version. */
+	void (*on_news)(void *ctx);
+	/* The store does not answer this VM, or answers once more. */
 	void (*on_lost)(void *ctx, msp_status_t status);
 	void (*on_back)(void *ctx, msp_time_t lost_for);
+	/*
+	 * No source tells how the store is now; or one does again, before its
+	 * rows are given. Meanwhile the store's version went up by `versions`.
+	 */
+	void (*on_stale)(void *ctx);
+	void (*on_fresh)(void *ctx, msp_time_t stale_for, uint64_t versions);
 	void *ctx;
 } table_follower_callbacks_t;
 
+/* What is older than this does not tell how the store is now. */
+#define TABLE_FRESH (2 * MSP_SECOND)
+
 /* Returns NULL without memory. `store` is borrowed. Starts at once. */
 table_follower_t *new_table_follower(msp_loop_t *loop, const msp_env_t *env,
     store_client_t *store, const table_follower_options_t *options,
     const table_follower_callbacks_t *callbacks);
 void drop_table_follower(table_follower_t *follower);
 
-/* How long ago the last answer came; MSP_NEVER: none yet. */
+/* How long ago the store was as it is known here; MSP_NEVER: unknown. */
 msp_time_t table_age(const table_follower_t *follower);
 
-/* The store's version up to which everything has been seen; 0: none. */
-uint64_t table_version(const table_follower_t *follower);
-
 /* The table has been given whole at least once. */
 bool is_table_known(const table_follower_t *follower);
 
+/* What has been read. Borrowed. */
+const table_copy_t *followed_copy(const table_follower_t *follower);
+
 #endif
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -292,20 +292,34 @@
 }
 
 void
-msp_note_store_back(msp_target_view_t *view)
+msp_note_store_back(msp_target_view_t *view, bool was_down)
 {
 	msp_view_target_t *target;
 
 	if (view->store_lost == 0)
 		return;
 	view->store_lost = 0;
-	view->store_back = msp_now(&view->env);
+	view->store_back = was_down ? msp_now(&view->env) : 0;
 	TAILQ_FOREACH(target, &view->targets, link) {
 		if (target->status == MSP_TARGET_HELD)
-			target->held_until = view->store_back + MSP_LAPSE_HOLD;
+			target->held_until =
+			    msp_now(&view->env) + (was_down ? MSP_LAPSE_HOLD : 0);
 	}
 }
 
+size_t
+msp_count_listed_targets(const msp_target_view_t *view)
+{
+	const msp_view_target_t *target;
+	size_t count = 0;
+
+	TAILQ_FOREACH(target, &view->targets, link) {
+		if (target->status == MSP_TARGET_LISTED)
+			count++;
+	}
+	return count;
+}
+
 void
 msp_tick_target_view(msp_target_view_t *view)
 {
