--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -7,7 +7,7 @@
 #include "log.h"
 #include "members.h"
 #include "problem.h"
-#include "table_follower.h"
+#include "../platform/table_follower.h"
 
 #define SMALL_CONNECTIONS 512 /* of the directory and the others */
 #define SMALL_IDLE_MS 30000
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -5,7 +5,7 @@
 #include "edge_private.h"
 #include "log.h"
 #include "problem.h"
-#include "table_follower.h"
+#include "../platform/table_follower.h"
 
 #define RELAY_CONNECTIONS 256
 #define RELAY_IDLE_MS 60000
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -11,7 +11,7 @@
 #include "edge_private.h"
 #include "log.h"
 #include "members.h"
-#include "table_follower.h"
+#include "../platform/table_follower.h"
 
 #define OPERATOR_WAIT_MS 1600 /* below TABLE_FRESH */
 #define OPERATOR_PACE (5 * MSP_MS)
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -19,7 +19,7 @@
  * from others: a later choice must cost less than this part of the first.
  */
 #define LATER_GAIN 0.5
-#define SERVICE_SIZE MSP_ROUTE_NAME_SIZE
+#define LATER_WARM_GAIN 0.8 /* where the object is known to be warm */
 
 /* When this VM last had an object answered by a target. */
 typedef struct memory_slot {
@@ -382,6 +382,7 @@
 	bool late = false;
 	bool found = false;
 	double best = 0;
+	double gain;
 	double cost;
 	size_t i;
 
@@ -394,7 +395,8 @@
 			late = true;
 			continue;
 		}
-		if (found && cost >= best * LATER_GAIN)
+		gain = option.warmth == MSP_WARM ? LATER_WARM_GAIN : LATER_GAIN;
+		if (found && cost >= best * gain)
 			continue;
 		if (option.cold &&
 		    !may_have_cold(balancer, request, option.target))
--- /dev/null
+++ b/tests/steer/test_target_view.c
@@ -0,0 +1,300 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/steer.h"
+
+typedef struct view_test {
+	msp_virtual_env_t clock;
+	msp_target_view_t *view;
+	uint64_t version;
+} view_test_t;
+
+static const char *
+find_region(void *ctx, const char *place)
+{
+	(void)ctx;
+	return strncmp(place, "north", 5) == 0 ? "north" : NULL;
+}
+
+static int
+set_up(void **state)
+{
+	view_test_t *test = calloc(1, sizeof(*test));
+	msp_view_callbacks_t callbacks = {.find_region = find_region};
+	msp_env_t env;
+
+	assert_non_null(test);
+	test->clock.now = 1000 * MSP_SECOND;
+	env = msp_virtual_env(&test->clock);
+	test->view = msp_new_target_view(&env, &callbacks);
+	assert_non_null(test->view);
+	*state = test;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	view_test_t *test = *state;
+
+	msp_drop_target_view(test->view);
+	free(test);
+	return 0;
+}
+
+/* A heartbeat as a table row: what differs from a plain one. */
+typedef struct beat {
+	uint64_t incarnation;
+	uint64_t sequence;
+	bool draining;
+	uint32_t cold_ms;
+	const char *service;
+} beat_t;
+
+static void
+hear(view_test_t *test, const char *id, const beat_t *beat)
+{
+	msp_registration_t registration = {.port = 80,
+	    .slots = 5,
+	    .incarnation = beat->incarnation,
+	    .sequence = beat->sequence,
+	    .draining = beat->draining,
+	    .cold_ms = beat->cold_ms};
+
+	snprintf(registration.id, sizeof(registration.id), "%s", id);
+	strcpy(registration.address, "10.0.0.1");
+	strcpy(registration.place, "north-a");
+	strcpy(registration.service,
+	    beat->service == NULL ? "desk" : beat->service);
+	msp_apply_registration(test->view, id, ++test->version, &registration);
+}
+
+static bool
+is_usable(const view_test_t *test, const char *id)
+{
+	const msp_view_target_t *target =
+	    msp_find_view_target(test->view, id);
+
+	return target != NULL && msp_target_usable(target, "desk");
+}
+
+typedef struct sequence_case {
+	const char *name;
+	beat_t first;
+	bool remove; /* between the two */
+	beat_t second;
+	bool usable; /* after both */
+} sequence_case_t;
+
+static void
+the_view_does_not_go_back(void **state)
+{
+	static const sequence_case_t cases[] = {
+	    {"next heartbeat", {1, 1, 0, 0, 0}, false, {1, 2, 0, 0, 0}, true},
+	    {"drains", {1, 1, 0, 0, 0}, false, {1, 2, 1, 0, 0}, false},
+	    {"late heartbeat after draining", {1, 5, 1, 0, 0}, false,
+		{1, 4, 0, 0, 0}, false},
+	    {"ready after draining", {1, 5, 1, 0, 0}, false, {1, 6, 0, 0, 0},
+		false},
+	    {"new process after draining", {1, 5, 1, 0, 0}, false,
+		{2, 1, 0, 0, 0}, true},
+	    {"old process", {2, 1, 1, 0, 0}, false, {1, 9, 0, 0, 0}, false},
+	    {"removed", {1, 5, 0, 0, 0}, true, {1, 5, 0, 0, 0}, false},
+	    {"late heartbeat after removal", {1, 5, 0, 0, 0}, true,
+		{1, 4, 0, 0, 0}, false},
+	    {"back after removal", {1, 5, 0, 0, 0}, true, {1, 6, 0, 0, 0},
+		true},
+	    {"drained, removed, ready again", {1, 5, 1, 0, 0}, true,
+		{1, 6, 0, 0, 0}, false},
+	    {"new process after removal", {1, 5, 0, 0, 0}, true,
+		{2, 0, 0, 0, 0}, true},
+	    {"another service", {1, 5, 0, 0, 0}, false, {2, 1, 0, 0, "vault"},
+		false},
+	};
+	view_test_t *test = *state;
+	char id[16];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		snprintf(id, sizeof(id), "t%zu", i);
+		hear(test, id, &cases[i].first);
+		if (cases[i].remove)
+			msp_remove_registration(
+			    test->view, id, ++test->version);
+		hear(test, id, &cases[i].second);
+		if (is_usable(test, id) != cases[i].usable)
+			fail_msg("%s", cases[i].name);
+	}
+}
+
+static void
+an_older_row_changes_nothing(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+	const beat_t drains = {1, 3, 1, 0, 0};
+
+	hear(test, "t", &ready);
+	test->version = 0;
+	hear(test, "t", &drains);
+	assert_true(is_usable(test, "t"));
+	msp_remove_registration(test->view, "t", 1);
+	assert_true(is_usable(test, "t"));
+}
+
+static void
+a_spoiled_row_names_no_target_and_hides_none(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+	msp_registration_t elsewhere = {.id = "w", .place = "nowhere"};
+
+	hear(test, "t", &ready);
+	msp_apply_registration(test->view, "t", ++test->version, NULL);
+	msp_apply_registration(test->view, "u", ++test->version, NULL);
+	msp_apply_registration(test->view, "w", ++test->version, &elsewhere);
+	assert_true(is_usable(test, "t"));
+	assert_false(is_usable(test, "u"));
+	assert_false(is_usable(test, "w"));
+}
+
+typedef struct outage_case {
+	const char *name;
+	bool outage;
+	bool was_down; /* for targets too */
+	msp_time_t after; /* time after the entry was found missing */
+	bool usable;
+} outage_case_t;
+
+static void
+entries_that_lapsed_in_an_outage_are_held_for_a_while(void **state)
+{
+	static const outage_case_t cases[] = {
+	    {"no outage", false, false, 0, false},
+	    {"outage, at once", true, true, 0, true},
+	    {"outage, within two seconds", true, true, 1900 * MSP_MS, true},
+	    {"outage, too late", true, true, 2300 * MSP_MS, false},
+	    {"only this VM was cut off", true, false, 0, false},
+	};
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+	char id[16];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		snprintf(id, sizeof(id), "t%zu", i);
+		hear(test, id, &ready);
+		test->clock.now += 10 * MSP_SECOND;
+		if (cases[i].outage) {
+			msp_note_store_lost(test->view);
+			test->clock.now += 5 * MSP_SECOND;
+			msp_note_store_back(test->view, cases[i].was_down);
+		}
+		msp_remove_registration(test->view, id, ++test->version);
+		test->clock.now += cases[i].after;
+		msp_tick_target_view(test->view);
+		if (is_usable(test, id) != cases[i].usable)
+			fail_msg("%s", cases[i].name);
+	}
+}
+
+static void
+a_held_target_that_is_back_is_listed(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+	const beat_t next = {1, 3, 0, 0, 0};
+
+	hear(test, "t", &ready);
+	msp_note_store_lost(test->view);
+	msp_remove_registration(test->view, "t", ++test->version);
+	test->clock.now += 60 * MSP_SECOND;
+	msp_tick_target_view(test->view);
+	assert_true(is_usable(test, "t"));
+	msp_note_store_back(test->view, true);
+	hear(test, "t", &next);
+	test->clock.now += 60 * MSP_SECOND;
+	msp_tick_target_view(test->view);
+	assert_true(is_usable(test, "t"));
+}
+
+static void
+what_a_snapshot_lacks_is_removed(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+
+	hear(test, "kept", &ready);
+	hear(test, "gone", &ready);
+	msp_begin_snapshot(test->view);
+	hear(test, "kept", &ready);
+	hear(test, "new", &ready);
+	msp_end_snapshot(test->view, ++test->version);
+	assert_true(is_usable(test, "kept"));
+	assert_true(is_usable(test, "new"));
+	assert_false(is_usable(test, "gone"));
+}
+
+static void
+a_target_is_cold_for_as_long_as_it_says(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t cold = {1, 1, 0, 3000, 0};
+	const beat_t warm = {1, 2, 0, 0, 0};
+	const msp_view_target_t *target;
+
+	hear(test, "t", &cold);
+	target = msp_find_view_target(test->view, "t");
+	assert_true(msp_target_cold(target, test->clock.now));
+	assert_true(
+	    msp_target_cold(target, test->clock.now + 2900 * MSP_MS));
+	assert_false(
+	    msp_target_cold(target, test->clock.now + 3000 * MSP_MS));
+	hear(test, "t", &warm);
+	assert_false(msp_target_cold(target, test->clock.now));
+}
+
+static void
+removed_targets_are_forgotten_in_the_end(void **state)
+{
+	view_test_t *test = *state;
+	const beat_t ready = {1, 2, 0, 0, 0};
+	msp_view_target_t *target;
+
+	hear(test, "t", &ready);
+	target = msp_keep_view_target(msp_find_view_target(test->view, "t"));
+	msp_remove_registration(test->view, "t", ++test->version);
+	test->clock.now += MSP_REMOVED_RETENTION;
+	msp_tick_target_view(test->view);
+	assert_null(msp_find_view_target(test->view, "t"));
+	/* Whoever still has a request there may look at it. */
+	assert_string_equal(target->registration.id, "t");
+	msp_release_view_target(target);
+}
+
+#define VIEW_TEST(name_) \
+	cmocka_unit_test_setup_teardown(name_, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    VIEW_TEST(the_view_does_not_go_back),
+	    VIEW_TEST(an_older_row_changes_nothing),
+	    VIEW_TEST(a_spoiled_row_names_no_target_and_hides_none),
+	    VIEW_TEST(entries_that_lapsed_in_an_outage_are_held_for_a_while),
+	    VIEW_TEST(a_held_target_that_is_back_is_listed),
+	    VIEW_TEST(what_a_snapshot_lacks_is_removed),
+	    VIEW_TEST(a_target_is_cold_for_as_long_as_it_says),
+	    VIEW_TEST(removed_targets_are_forgotten_in_the_end),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
