--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -67,6 +67,24 @@
 msp_status_t msp_set_memory_vms(msp_memory_store_t *store, const msp_vm_t *vms,
     size_t count, msp_time_t lag);
 
+/* Whether a list of VMs was set. */
+bool msp_has_listed_vms(const msp_memory_store_t *store);
+
+/* Version of the last transaction. */
+uint64_t msp_memory_store_version(const msp_memory_store_t *store);
+
+/*
+ * Visits the rows whose key begins with `prefix` that changed after `version`;
+ * of those that were removed since, the value is NULL. Returns false, and
+ * visits none, if not all such changes are remembered.
+ */
+bool msp_visit_changed_rows(msp_memory_store_t *store, const char *prefix,
+    uint64_t version, void (*visit)(void *ctx, const msp_row_t *row),
+    void *ctx);
+
+/* Forgets which rows were removed up to now. */
+void msp_forget_removed_rows(msp_memory_store_t *store);
+
 /* Does what is due now. `done` callbacks may make further calls. */
 void msp_step_memory_store(msp_memory_store_t *store);
 
--- a/include/monsoonspindle/platform/store.h
+++ b/include/monsoonspindle/platform/store.h
@@ -6,9 +6,9 @@
 
 #include "monsoonspindle/base/status.h"
 
-#define MSP_ROW_KEY_MAX 512 /* bytes, without the final 0 */
-#define MSP_ROW_VALUE_MAX (256 * 1024) /* bytes */
-#define MSP_TXN_ITEMS_MAX 512 /* conditions, and writes, of a transaction */
+#define MSP_ROW_KEY_MAX 200 /* bytes, without the final 0 */
+#define MSP_ROW_VALUE_MAX (64 * 1024) /* bytes */
+#define MSP_TXN_ITEMS_MAX 50 /* conditions, and writes, of a transaction */
 
 /* One row of the platform's table. Version 0: there is no such row. */
 typedef struct msp_row {
--- a/include/monsoonspindle/platform/store_service.h
+++ b/include/monsoonspindle/platform/store_service.h
@@ -5,8 +5,8 @@
 #include "monsoonspindle/platform/memory_store.h"
 
 /*
- * Serves a memory store by the protocol of docs/PLATFORM.md: the handler of
- * the platform's stand-in. The owner steps the memory store.
+ * Serves a memory store by the protocol of the users' platform: the handler
+ * of its stand-in. The owner steps the memory store and the service.
  */
 typedef struct msp_store_service msp_store_service_t;
 
@@ -16,6 +16,9 @@
 /* Drop the HTTP server and the memory store first: no call is answered. */
 void msp_drop_store_service(msp_store_service_t *service);
 
+/* Answers readers that wait for a change, when there is one or time is up. */
+void msp_step_store_service(msp_store_service_t *service);
+
 msp_http_handler_t msp_store_service_handler(msp_store_service_t *service);
 
 #endif
--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -51,7 +51,6 @@
 	msp_target_status_t status;
 	uint64_t row_version; /* of the store's row that said so */
 	msp_time_t changed; /* when this view last changed its status */
-	msp_time_t heard; /* when its last heartbeat was read */
 	msp_time_t held_until; /* held: then it counts as removed */
 	msp_time_t cold_until; /* 0: not cold */
 	uint32_t use_count; /* requests that hold it in memory */
@@ -114,9 +113,6 @@
 void msp_note_store_lost(msp_target_view_t *view);
 void msp_note_store_back(msp_target_view_t *view, bool was_down);
 
-/* Targets that may get requests. */
-size_t msp_count_listed_targets(const msp_target_view_t *view);
-
 /* Removes held targets whose time has passed and forgets removed ones. */
 void msp_tick_target_view(msp_target_view_t *view);
 
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -87,6 +87,66 @@
 	    &store->data.vms, vms, count, msp_now(&store->env) + lag);
 }
 
+bool
+msp_has_listed_vms(const msp_memory_store_t *store)
+{
+	return !TAILQ_EMPTY(&store->data.vms.snapshots);
+}
+
+uint64_t
+msp_memory_store_version(const msp_memory_store_t *store)
+{
+	return store->data.table.last_version;
+}
+
+void
+msp_forget_removed_rows(msp_memory_store_t *store)
+{
+	store->data.table.floor = store->data.table.last_version;
+}
+
+static void
+visit_removed(const msp_table_t *table, const char *prefix, uint64_t version,
+    void (*visit)(void *ctx, const msp_row_t *row), void *ctx)
+{
+	const msp_removed_row_t *removed;
+	size_t len = strlen(prefix);
+
+	TAILQ_FOREACH(removed, &table->removed, link) {
+		msp_row_t out = {
+		    .key = removed->key, .version = removed->version};
+
+		if (removed->version > version &&
+		    strncmp(removed->key, prefix, len) == 0)
+			visit(ctx, &out);
+	}
+}
+
+bool
+msp_visit_changed_rows(msp_memory_store_t *store, const char *prefix,
+    uint64_t version, void (*visit)(void *ctx, const msp_row_t *row), void *ctx)
+{
+	msp_table_t *table = &store->data.table;
+	const msp_table_row_t *row;
+	size_t len = strlen(prefix);
+
+	if (version < table->floor)
+		return false;
+	visit_removed(table, prefix, version, visit, ctx);
+	for (row = msp_next_row(table, prefix);
+	     row != NULL && strncmp(row->key, prefix, len) == 0;
+	     row = msp_next_row(table, row->key)) {
+		msp_row_t out = {.key = row->key,
+		    .value = row->value,
+		    .value_len = row->value_len,
+		    .version = row->version};
+
+		if (row->version > version)
+			visit(ctx, &out);
+	}
+	return true;
+}
+
 static bool
 chance(msp_memory_store_t *store, unsigned int percent)
 {
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -1,31 +1,47 @@
 #include "monsoonspindle/platform/store_service.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <bsd/sys/queue.h>
 
+#include "../../platform/interface.h"
+#include "../../platform/row_service.h"
+#include "../../platform/vm_row.h"
 #include "check_call.h"
 #include "service_control.h"
-#include "store_json.h"
+#include "vm_control.h"
 
-#define OBJECTS_PATH "/v1/objects/"
 #define HTTP_OK 200
 /* Longer than any client waits: a lost answer is silence to it. */
 #define CALL_TIMEOUT_MS 120000
-
-/* One request that the memory store has not answered. */
+#define SCAN_MAX 100000 /* rows of a range that are looked at */
+#define CONTROL_PATH "/v1/control" /* of the stand-in only */
+#define VMS_PATH "/v1/vms" /* of the stand-in only */
+/*
+ * The memory store has one table. Rows of the product's own stand there under
+ * their keys, those of other tables under "TABLE|KEY".
+ */
+#define OWN_TABLE "monsoonspindle"
+#define MEMORY_KEY_SIZE (2 * STORE_KEY_MAX + 4)
+
+/* One request that has not been answered. */
 typedef struct service_call {
 	TAILQ_ENTRY(service_call) entry;
 	msp_store_service_t *service;
 	msp_exchange_t *exchange; /* NULL: the client went away */
+	row_query_t query;
+	char prefix[MEMORY_KEY_SIZE]; /* of the table's keys in memory */
+	msp_time_t end; /* of the wait for a change */
+	row_answer_t answer;
 } service_call_t;
 
 struct msp_store_service {
 	msp_memory_store_t *memory;
 	msp_store_t store;
+	msp_env_t env;
 	TAILQ_HEAD(service_calls, service_call) calls;
+	TAILQ_HEAD(, service_call) waiting; /* for a change */
 };
 
 msp_store_service_t *
@@ -37,7 +53,9 @@
 		return NULL;
 	service->memory = store;
 	service->store = msp_memory_store(store);
+	service->env = msp_system_env();
 	TAILQ_INIT(&service->calls);
+	TAILQ_INIT(&service->waiting);
 	return service;
 }
 
@@ -50,6 +68,11 @@
 		return;
 	while ((call = TAILQ_FIRST(&service->calls)) != NULL) {
 		TAILQ_REMOVE(&service->calls, call, entry);
+		msp_drop_buffer(&call->answer.text);
+		free(call);
+	}
+	while ((call = TAILQ_FIRST(&service->waiting)) != NULL) {
+		TAILQ_REMOVE(&service->waiting, call, entry);
 		free(call);
 	}
 	free(service);
@@ -60,66 +83,54 @@
 {
 	const msp_answer_t *answer = msp_status_answer(status);
 	msp_response_t response = {.status = answer->http_status};
-	struct json_object *message = json_object_new_object();
-
-	json_object_object_add(
-	    message, "kind", json_object_new_string(answer->kind));
-	json_object_object_add(
-	    message, "detail", json_object_new_string(detail));
-	msp_print_json(&response.body, message);
-	msp_add_header(&response.headers, "content-type", "application/json");
+
+	msp_print_buffer(&response.body, "%s: %s\n", answer->kind, detail);
 	msp_answer_exchange(exchange, &response);
 	msp_drop_response(&response);
 }
 
-static msp_status_t
-encode_reply(const msp_store_reply_t *reply, msp_response_t *response)
+static bool
+is_own(const char *table)
 {
-	if (reply->object != NULL)
-		return msp_append_buffer(
-		    &response->body, reply->object, reply->object_len);
-	if (reply->version != 0)
-		return msp_print_buffer(&response->body,
-		    "{\"version\":%" PRIu64 "}", reply->version);
-	if (reply->vms != NULL)
-		return msp_encode_vms(
-		    &response->body, reply->vms, reply->vm_count);
-	return msp_encode_rows(&response->body, reply->rows, reply->row_count);
+	return strcmp(table, OWN_TABLE) == 0;
 }
 
+/* The key in memory of a row, or the prefix of a table's keys for key "". */
 static void
-send_reply(msp_exchange_t *exchange, const msp_store_reply_t *reply)
+print_memory_key(char *out, const char *table, const char *key)
 {
-	msp_response_t response = {
-	    .status = msp_status_answer(reply->status)->http_status};
-
-	if (encode_reply(reply, &response) != MSP_OK) {
-		msp_drop_response(&response);
-		send_status(exchange, MSP_E_INTERNAL, msp_last_message());
-		return;
+	out[0] = '\0';
+	if (!is_own(table)) {
+		strcpy(out, table);
+		strcat(out, "|");
 	}
-	msp_add_header(&response.headers, "content-type",
-	    reply->object != NULL ? "application/octet-stream"
-				  : "application/json");
-	msp_answer_exchange(exchange, &response);
-	msp_drop_response(&response);
+	strcat(out, key);
+}
+
+/* The row's key on the wire; NULL if the row is of another table. */
+static const char *
+wire_key(const service_call_t *call, const char *key)
+{
+	size_t len = strlen(call->prefix);
+
+	if (len == 0)
+		return strchr(key, '|') == NULL ? key : NULL;
+	return strncmp(key, call->prefix, len) == 0 ? key + len : NULL;
 }
 
 static void
-on_reply(void *ctx, const msp_store_reply_t *reply)
+add_row(void *ctx, const msp_row_t *row)
 {
 	service_call_t *call = ctx;
-	msp_exchange_t *exchange = call->exchange;
-
-	TAILQ_REMOVE(&call->service->calls, call, entry);
-	free(call);
-	if (exchange == NULL)
-		return;
-	msp_set_exchange_data(exchange, NULL);
-	if (reply->status == MSP_OK || reply->status == MSP_E_CONFLICT)
-		send_reply(exchange, reply);
-	else
-		send_status(exchange, reply->status, msp_last_message());
+	const char *key = wire_key(call, row->key);
+	store_row_t out = {.key = key,
+	    .value = row->value,
+	    .len = row->value_len,
+	    .version = row->version};
+
+	if (key != NULL &&
+	    add_answer_row(&call->answer, call->query.table, &out) != MSP_OK)
+		abort();
 }
 
 static service_call_t *
@@ -131,150 +142,408 @@
 		abort();
 	call->service = service;
 	call->exchange = exchange;
-	TAILQ_INSERT_TAIL(&service->calls, call, entry);
 	msp_set_exchange_data(exchange, call);
 	return call;
 }
 
-/* Runs what a message asks for; `args` is NULL if it could not be read. */
+/* Sends what was collected, with 412 if a condition failed, and frees it. */
 static void
-run_call(msp_store_service_t *service, msp_exchange_t *exchange,
-    msp_store_call_t *args)
+send_rows(service_call_t *call, msp_status_t status)
 {
-	const msp_store_t *store = &service->store;
-	service_call_t *call;
-	msp_txn_t txn = {0};
+	msp_exchange_t *exchange = call->exchange;
+	msp_response_t response = {0};
+	row_answer_end_t end = {
+	    .version = msp_memory_store_version(call->service->memory)};
+
+	if (exchange != NULL) {
+		msp_set_exchange_data(exchange, NULL);
+		if (end_row_answer(&call->answer, &end, &response) != MSP_OK)
+			abort();
+		if (status == MSP_E_CONFLICT)
+			mark_condition_failed(&response);
+		msp_answer_exchange(exchange, &response);
+	}
+	msp_drop_response(&response);
+	msp_drop_buffer(&call->answer.text);
+	free(call);
+}
 
-	if (args == NULL) {
-		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+static void
+fail_call(service_call_t *call, msp_status_t status)
+{
+	if (call->exchange != NULL) {
+		msp_set_exchange_data(call->exchange, NULL);
+		send_status(call->exchange, status, msp_last_message());
+	}
+	msp_drop_buffer(&call->answer.text);
+	free(call);
+}
+
+static bool
+is_in_range(const row_query_t *query, const char *key)
+{
+	return (query->from[0] == '\0' || strcmp(key, query->from) >= 0) &&
+	    (query->until[0] == '\0' || strcmp(key, query->until) < 0);
+}
+
+static void
+on_range(void *ctx, const msp_store_reply_t *reply)
+{
+	service_call_t *call = ctx;
+	size_t limit = call->query.limit;
+	size_t i;
+
+	TAILQ_REMOVE(&call->service->calls, call, entry);
+	if (reply->status != MSP_OK) {
+		fail_call(call, reply->status);
 		return;
 	}
-	call = new_service_call(service, exchange);
-	switch (args->op) {
-	case MSP_STORE_TRANSACT:
-		txn = (msp_txn_t){args->conditions, args->key_count,
-		    args->writes, args->write_count};
-		store->transact(
-		    store->ctx, &txn, CALL_TIMEOUT_MS, on_reply, call);
-		break;
-	case MSP_STORE_SCAN:
-		store->scan(store->ctx, args->keys[0], args->after, args->limit,
-		    CALL_TIMEOUT_MS, on_reply, call);
-		break;
-	default:
-		store->get(store->ctx, (const char *const *)args->keys,
-		    args->key_count, CALL_TIMEOUT_MS, on_reply, call);
-		break;
+	if (limit == 0 || limit > STORE_PAGE_ROWS)
+		limit = STORE_PAGE_ROWS;
+	for (i = 0; i < reply->row_count; i++) {
+		const char *key = wire_key(call, reply->rows[i].key);
+
+		if (key == NULL || reply->rows[i].value == NULL ||
+		    !is_in_range(&call->query, key))
+			continue;
+		if (call->answer.count == limit) {
+			mark_more_rows(&call->answer);
+			break;
+		}
+		add_row(call, &reply->rows[i]);
 	}
-	msp_drop_store_call(args);
+	send_rows(call, MSP_OK);
 }
 
 static void
-serve_post(msp_store_service_t *service, msp_exchange_t *exchange,
-    const char *path, struct json_object *message)
+on_vm_rows(void *ctx, const msp_store_reply_t *reply)
 {
-	msp_buffer_t stats = {0};
-	msp_response_t response = {.status = HTTP_OK};
+	service_call_t *call = ctx;
+	msp_buffer_t text = {0};
+	size_t i;
+
+	TAILQ_REMOVE(&call->service->calls, call, entry);
+	if (reply->status != MSP_OK) {
+		fail_call(call, reply->status);
+		return;
+	}
+	for (i = 0; i < reply->vm_count; i++) {
+		const msp_vm_t *vm = &reply->vms[i];
+		vm_row_t row = {.peer_port = vm->peer_port,
+		    .caller_port = vm->caller_port,
+		    .leaving = vm->leaving != 0};
+		store_row_t out = {.key = vm->name, .version = i + 1};
+
+		strcpy(row.place, vm->place);
+		memcpy(row.address, vm->address, sizeof(row.address));
+		msp_clear_buffer(&text);
+		if (encode_vm_row(&row, &text) != MSP_OK)
+			abort();
+		out.value = msp_buffer_text(&text);
+		out.len = text.len;
+		if (add_answer_row(&call->answer, VMS_TABLE, &out) != MSP_OK)
+			abort();
+	}
+	msp_drop_buffer(&text);
+	send_rows(call, MSP_OK);
+}
 
-	if (strcmp(path, "/v1/transact") == 0) {
-		run_call(service, exchange, msp_decode_txn(message));
-	} else if (strcmp(path, "/v1/get") == 0) {
-		run_call(service, exchange, msp_decode_keys(message));
-	} else if (strcmp(path, "/v1/scan") == 0) {
-		run_call(service, exchange, msp_decode_scan(message));
-	} else if (strcmp(path, "/v1/control") == 0) {
-		if (msp_apply_control(service->memory, message, &stats) !=
-		    MSP_OK) {
-			send_status(
-			    exchange, MSP_E_BAD_REQUEST, msp_last_message());
-			return;
+/* What all keys of the range begin with. */
+static void
+print_common_prefix(const service_call_t *call, char *out)
+{
+	const row_query_t *query = &call->query;
+	size_t len = strlen(call->prefix);
+	size_t i;
+
+	strcpy(out, call->prefix);
+	for (i = 0; query->from[i] != '\0' && query->from[i] > ' ' &&
+	     query->from[i] == query->until[i];
+	     i++)
+		out[len++] = query->from[i];
+	/* "a" to "b" holds all that begins with "a". */
+	if (query->from[i] != '\0' && query->from[i + 1] == '\0' &&
+	    query->until[i] == query->from[i] + 1 &&
+	    query->until[i + 1] == '\0')
+		out[len++] = query->from[i];
+	out[len] = '\0';
+}
+
+/* A range of one key, as the client of the product reads a row. */
+static bool
+is_one_key(const row_query_t *query)
+{
+	size_t len = strlen(query->from);
+
+	return len > 0 && strncmp(query->until, query->from, len) == 0 &&
+	    strcmp(query->until + len, "!") == 0;
+}
+
+static void
+read_range(service_call_t *call)
+{
+	const msp_store_t *store = &call->service->store;
+	char key[MEMORY_KEY_SIZE];
+	const char *keys[] = {key};
+
+	TAILQ_INSERT_TAIL(&call->service->calls, call, entry);
+	if (strcmp(call->query.table, VMS_TABLE) == 0 &&
+	    msp_has_listed_vms(call->service->memory)) {
+		store->list_vms(store->ctx, CALL_TIMEOUT_MS, on_vm_rows, call);
+		return;
+	}
+	if (is_one_key(&call->query)) {
+		print_memory_key(key, call->query.table, call->query.from);
+		store->get(
+		    store->ctx, keys, 1, CALL_TIMEOUT_MS, on_range, call);
+		return;
+	}
+	print_common_prefix(call, key);
+	if (key[0] == '\0') {
+		TAILQ_REMOVE(&call->service->calls, call, entry);
+		msp_fail(MSP_E_BAD_REQUEST, "a range of this table is needed");
+		fail_call(call, MSP_E_BAD_REQUEST);
+		return;
+	}
+	store->scan(store->ctx, key, "", SCAN_MAX, CALL_TIMEOUT_MS, on_range,
+	    call);
+}
+
+/* Answers a reader of changes if there are some, or their history is gone. */
+static bool
+tell_changes(service_call_t *call, bool in_any_case)
+{
+	msp_memory_store_t *memory = call->service->memory;
+	msp_response_t response = {0};
+
+	if (!msp_visit_changed_rows(memory, call->prefix, call->query.after,
+		add_row, call)) {
+		if (call->exchange != NULL) {
+			msp_set_exchange_data(call->exchange, NULL);
+			encode_rows_gone(&response);
+			msp_answer_exchange(call->exchange, &response);
 		}
-		response.body = stats;
-		msp_answer_exchange(exchange, &response);
-		msp_drop_response(&response);
-	} else {
-		send_status(exchange, MSP_E_NOT_FOUND, path);
+		free(call);
+		return true;
+	}
+	if (call->answer.count == 0 && !in_any_case)
+		return false;
+	send_rows(call, MSP_OK);
+	return true;
+}
+
+void
+msp_step_store_service(msp_store_service_t *service)
+{
+	msp_time_t now = msp_now(&service->env);
+	service_call_t *call;
+	service_call_t *next;
+
+	TAILQ_FOREACH_SAFE(call, &service->waiting, entry, next) {
+		TAILQ_REMOVE(&service->waiting, call, entry);
+		if (!tell_changes(call, now >= call->end ||
+			    call->exchange == NULL))
+			TAILQ_INSERT_TAIL(&service->waiting, call, entry);
 	}
 }
 
 static void
-serve_put_vms(msp_store_service_t *service, msp_exchange_t *exchange,
-    struct json_object *message)
+read_changes(service_call_t *call)
 {
-	msp_captured_reply_t captured = {0};
-	uint64_t lag_ms = 0;
-	msp_status_t status = msp_decode_vms(message, &captured);
-
-	if (status == MSP_OK &&
-	    json_object_object_get_ex(message, "lag_ms", NULL))
-		status =
-		    msp_json_number(message, "lag_ms", UINT32_MAX, &lag_ms);
-	if (status == MSP_OK)
-		status = msp_set_memory_vms(service->memory, captured.vms,
-		    captured.reply.vm_count, lag_ms * MSP_MS);
-	msp_drop_captured_reply(&captured);
+	msp_store_service_t *service = call->service;
+
+	if (msp_memory_store_faults(service->memory)->down) {
+		msp_fail(MSP_E_STORE_DOWN, "the store is down");
+		fail_call(call, MSP_E_STORE_DOWN);
+		return;
+	}
+	call->end = msp_now(&service->env) + call->query.wait_ms * MSP_MS;
+	if (!tell_changes(call, call->query.wait_ms == 0))
+		TAILQ_INSERT_TAIL(&service->waiting, call, entry);
+}
+
+static void
+on_changed(void *ctx, const msp_store_reply_t *reply)
+{
+	service_call_t *call = ctx;
+	size_t i;
+
+	TAILQ_REMOVE(&call->service->calls, call, entry);
+	if (reply->status != MSP_OK && reply->status != MSP_E_CONFLICT) {
+		fail_call(call, reply->status);
+		return;
+	}
+	/* Of a row that is not there, version 0 is told. */
+	for (i = 0; i < reply->row_count; i++)
+		add_row(call, &reply->rows[i]);
+	send_rows(call, reply->status);
+}
+
+static void
+change_rows(msp_store_service_t *service, msp_exchange_t *exchange,
+    const row_change_t *change)
+{
+	const msp_store_t *store = &service->store;
+	service_call_t *call = new_service_call(service, exchange);
+	msp_condition_t conditions[STORE_ENTRIES_MAX];
+	msp_write_t writes[STORE_ENTRIES_MAX];
+	msp_txn_t txn = {conditions, change->condition_count, writes,
+	    change->write_count};
+	char keys[STORE_ENTRIES_MAX][MEMORY_KEY_SIZE];
+	size_t key = 0;
+	size_t i;
+
+	strcpy(call->query.table, change->table);
+	print_memory_key(call->prefix, change->table, "");
+	for (i = 0; i < change->condition_count; i++) {
+		print_memory_key(
+		    keys[key], change->table, change->conditions[i].key);
+		conditions[i] = (msp_condition_t){
+		    keys[key++], change->conditions[i].version};
+	}
+	for (i = 0; i < change->write_count; i++) {
+		print_memory_key(
+		    keys[key], change->table, change->writes[i].key);
+		writes[i] = (msp_write_t){keys[key++], change->writes[i].value,
+		    change->writes[i].len};
+	}
+	TAILQ_INSERT_TAIL(&service->calls, call, entry);
+	store->transact(store->ctx, &txn, CALL_TIMEOUT_MS, on_changed, call);
+}
+
+static void
+serve_change(msp_store_service_t *service, msp_exchange_t *exchange)
+{
+	row_change_t change;
+	msp_status_t status =
+	    decode_row_change(msp_exchange_request(exchange), &change);
+	size_t i;
+
+	for (i = 0; i < change.condition_count && status == MSP_OK; i++) {
+		if (strlen(change.conditions[i].key) > STORE_KEY_MAX)
+			status = msp_fail(MSP_E_BAD_REQUEST, "a long key");
+	}
+	for (i = 0; i < change.write_count && status == MSP_OK; i++) {
+		if (strlen(change.writes[i].key) > STORE_KEY_MAX)
+			status = msp_fail(MSP_E_BAD_REQUEST, "a long key");
+	}
 	if (status == MSP_OK)
-		send_status(exchange, MSP_OK, "");
+		change_rows(service, exchange, &change);
 	else
 		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+	drop_row_change(&change);
 }
 
 static void
-serve_json(msp_store_service_t *service, msp_exchange_t *exchange, bool put)
+on_object(void *ctx, const msp_store_reply_t *reply)
 {
-	const msp_request_t *request = msp_exchange_request(exchange);
-	struct json_object *message = msp_parse_json_object(
-	    msp_buffer_text(&request->body), request->body.len);
+	service_call_t *call = ctx;
+	msp_exchange_t *exchange = call->exchange;
+	msp_response_t response = {.status = HTTP_OK};
 
-	if (message == NULL) {
-		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+	TAILQ_REMOVE(&call->service->calls, call, entry);
+	if (reply->status != MSP_OK) {
+		fail_call(call, reply->status);
 		return;
 	}
-	if (put)
-		serve_put_vms(service, exchange, message);
-	else
-		serve_post(service, exchange, request->path, message);
-	json_object_put(message);
+	free(call);
+	if (exchange == NULL)
+		return;
+	msp_set_exchange_data(exchange, NULL);
+	if (reply->object != NULL &&
+	    msp_append_buffer(
+		&response.body, reply->object, reply->object_len) != MSP_OK)
+		abort();
+	msp_answer_exchange(exchange, &response);
+	msp_drop_response(&response);
 }
 
 static void
-serve_object(msp_store_service_t *service, msp_exchange_t *exchange, bool put)
+serve_object(msp_store_service_t *service, msp_exchange_t *exchange,
+    const char *name, bool write)
 {
 	const msp_request_t *request = msp_exchange_request(exchange);
 	const msp_store_t *store = &service->store;
-	const char *name = request->path + strlen(OBJECTS_PATH);
 	service_call_t *call = new_service_call(service, exchange);
 
-	if (put)
+	TAILQ_INSERT_TAIL(&service->calls, call, entry);
+	if (write)
 		store->put_object(store->ctx, name,
 		    msp_buffer_text(&request->body), request->body.len,
-		    CALL_TIMEOUT_MS, on_reply, call);
+		    CALL_TIMEOUT_MS, on_object, call);
 	else
 		store->get_object(
-		    store->ctx, name, CALL_TIMEOUT_MS, on_reply, call);
+		    store->ctx, name, CALL_TIMEOUT_MS, on_object, call);
+}
+
+/* What only the stand-in serves: faults, and the VMs that are listed. */
+static bool
+serve_control(msp_store_service_t *service, msp_exchange_t *exchange)
+{
+	const msp_request_t *request = msp_exchange_request(exchange);
+	msp_response_t response = {.status = HTTP_OK};
+	struct json_object *message;
+	msp_status_t status = MSP_E_BAD_REQUEST;
+
+	if (strcmp(request->path, CONTROL_PATH) != 0 &&
+	    strcmp(request->path, VMS_PATH) != 0)
+		return false;
+	message = msp_parse_json_object(
+	    msp_buffer_text(&request->body), request->body.len);
+	if (message != NULL && strcmp(request->path, CONTROL_PATH) == 0)
+		status = msp_apply_control(
+		    service->memory, message, &response.body);
+	else if (message != NULL)
+		status = msp_apply_vm_list(service->memory, message);
+	json_object_put(message);
+	if (status == MSP_OK)
+		msp_answer_exchange(exchange, &response);
+	else
+		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+	msp_drop_response(&response);
+	return true;
+}
+
+static void
+serve_read(msp_store_service_t *service, msp_exchange_t *exchange,
+    const row_query_t *query)
+{
+	service_call_t *call = new_service_call(service, exchange);
+
+	call->query = *query;
+	print_memory_key(call->prefix, query->table, "");
+	if (query->whole)
+		read_range(call);
+	else
+		read_changes(call);
 }
 
 static void
 on_request(void *ctx, msp_exchange_t *exchange)
 {
 	msp_store_service_t *service = ctx;
-	const msp_store_t *store = &service->store;
 	const msp_request_t *request = msp_exchange_request(exchange);
-	bool put = strcmp(request->method, "PUT") == 0;
-	bool get = strcmp(request->method, "GET") == 0;
-	bool post = strcmp(request->method, "POST") == 0;
-	bool vms = strcmp(request->path, "/v1/vms") == 0;
-
-	if ((put || get) &&
-	    strncmp(request->path, OBJECTS_PATH, strlen(OBJECTS_PATH)) == 0)
-		serve_object(service, exchange, put);
-	else if (get && vms)
-		store->list_vms(store->ctx, CALL_TIMEOUT_MS, on_reply,
-		    new_service_call(service, exchange));
-	else if (post || (put && vms))
-		serve_json(service, exchange, put);
+	row_query_t query;
+	msp_status_t status;
+	const char *name;
+	bool write;
+
+	if (serve_control(service, exchange))
+		return;
+	name = find_object_name(request, &write);
+	if (name != NULL) {
+		serve_object(service, exchange, name, write);
+		return;
+	}
+	if (strcmp(request->method, "POST") == 0) {
+		serve_change(service, exchange);
+		return;
+	}
+	status = decode_row_query(request, &query);
+	if (status == MSP_OK)
+		serve_read(service, exchange, &query);
 	else
-		send_status(exchange, MSP_E_METHOD, request->method);
+		send_status(exchange, status, msp_last_message());
 }
 
 static void
--- a/source/platform/table.c
+++ b/source/platform/table.c
@@ -23,7 +23,10 @@
 msp_init_table(msp_table_t *table)
 {
 	RB_INIT(&table->tree);
+	TAILQ_INIT(&table->removed);
 	table->last_version = 0;
+	table->removed_count = 0;
+	table->floor = 0;
 }
 
 static void
@@ -36,11 +39,45 @@
 	free(row);
 }
 
+static void
+forget_first_removed(msp_table_t *table)
+{
+	msp_removed_row_t *removed = TAILQ_FIRST(&table->removed);
+
+	TAILQ_REMOVE(&table->removed, removed, link);
+	table->removed_count--;
+	table->floor = removed->version;
+	free(removed->key);
+	free(removed);
+}
+
+/* Without memory, followers have to read the whole table. */
+static void
+remember_removed(msp_table_t *table, const char *key)
+{
+	msp_removed_row_t *removed = calloc(1, sizeof(*removed));
+
+	if (removed != NULL)
+		removed->key = strdup(key);
+	if (removed == NULL || removed->key == NULL) {
+		free(removed);
+		table->floor = table->last_version;
+		return;
+	}
+	removed->version = table->last_version;
+	TAILQ_INSERT_TAIL(&table->removed, removed, link);
+	table->removed_count++;
+	if (table->removed_count > MSP_REMOVED_ROWS_MAX)
+		forget_first_removed(table);
+}
+
 void
 msp_clear_table(msp_table_t *table)
 {
 	msp_table_row_t *row;
 
+	while (!TAILQ_EMPTY(&table->removed))
+		forget_first_removed(table);
 	while ((row = RB_ROOT(&table->tree)) != NULL) {
 		RB_REMOVE(msp_table_tree, &table->tree, row);
 		drop_row(row);
@@ -111,8 +148,10 @@
 		RB_REMOVE(msp_table_tree, &table->tree, old);
 		drop_row(old);
 	}
-	if (fresh == NULL)
+	if (fresh == NULL) {
+		remember_removed(table, write->key);
 		return;
+	}
 	fresh->version = table->last_version;
 	RB_INSERT(msp_table_tree, &table->tree, fresh);
 }
--- a/source/platform/table.h
+++ b/source/platform/table.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include <bsd/sys/queue.h>
 #include <bsd/sys/tree.h>
 
 #include "monsoonspindle/platform/store.h"
@@ -18,10 +19,24 @@
 
 RB_HEAD(msp_table_tree, msp_table_row);
 
+/* A row that was removed, for those that follow changes. */
+typedef struct msp_removed_row {
+	TAILQ_ENTRY(msp_removed_row) link;
+	char *key;
+	uint64_t version; /* of the transaction that removed it */
+} msp_removed_row_t;
+
+TAILQ_HEAD(msp_removed_rows, msp_removed_row);
+
+#define MSP_REMOVED_ROWS_MAX 10000 /* that are remembered */
+
 /* Rows sorted by key. Set up with msp_init_table(). */
 typedef struct msp_table {
 	struct msp_table_tree tree;
 	uint64_t last_version; /* of all transactions; none is reused */
+	struct msp_removed_rows removed; /* the first removed first */
+	size_t removed_count;
+	uint64_t floor; /* removals up to it may be forgotten */
 } msp_table_t;
 
 void msp_init_table(msp_table_t *table);
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -4,7 +4,9 @@
 #include <string.h>
 
 #define STORE_TIMEOUT_MS 1200 /* of one read, beyond the wait */
+#define STORE_RETRY_TIMEOUT_MS 800 /* while it doesn't answer */
 #define VM_TIMEOUT_MS 400
+#define WITNESSES_MAX 3 /* VMs that are asked about an outage */
 #define WHOLE_TIMEOUT_MS 2000 /* of one page of the whole table */
 #define QUICK_ATTEMPTS 4 /* sources tried one after the other at once */
 #define QUICK_DELAY (10 * MSP_MS)
@@ -28,6 +30,9 @@
 	unsigned int attempt;
 	msp_time_t lost_since; /* the store does not answer; 0: it does */
 	msp_time_t stale_since; /* 0: it is known how the store is */
+	msp_time_t steady_since; /* since when it has been known */
+	unsigned int witnesses; /* VMs that were asked about an outage */
+	bool asks_witness; /* the read under way */
 	msp_time_t retry_delay;
 };
 
@@ -66,6 +71,7 @@
 	    table_age(follower) <= TABLE_FRESH)
 		return;
 	follower->stale_since = now_of(follower);
+	follower->steady_since = 0;
 	follower->callbacks.on_stale(follower->callbacks.ctx);
 }
 
@@ -113,21 +119,52 @@
 	    follower->callbacks.ctx, now_of(follower) - lost_since);
 }
 
+static msp_time_t
+stale_for(const table_follower_t *follower)
+{
+	return now_of(follower) - follower->stale_since + TABLE_FRESH;
+}
+
+/* Whether a VM that knew all the while how the store is gave the answer. */
+static bool
+shows_store_up(const table_follower_t *follower, const store_reply_t *reply)
+{
+	return follower->from_vm &&
+	    reply->steady_ms * MSP_MS >= stale_for(follower);
+}
+
+/*
+ * Whether another VM is to be asked first if the store was away for all: after
+ * an answer of the store itself, or of a VM that was cut off like this one.
+ */
+static bool
+needs_witness(const table_follower_t *follower, const store_reply_t *reply)
+{
+	return follower->stale_since != 0 &&
+	    stale_for(follower) > follower->options.short_outage &&
+	    !shows_store_up(follower, reply) &&
+	    follower->witnesses < WITNESSES_MAX;
+}
+
 /* The answer tells how the store is now. */
 static void
 note_fresh(table_follower_t *follower, const store_reply_t *reply)
 {
-	uint64_t before = copy_version(follower->copy);
-	msp_time_t stale_since = follower->stale_since;
+	bool was_down;
 
 	follower->attempt = 0;
 	follower->retry_delay = 0;
-	if (stale_since == 0)
+	follower->witnesses = 0;
+	if (follower->steady_since == 0)
+		follower->steady_since = now_of(follower);
+	if (follower->stale_since == 0)
 		return;
+	was_down = stale_for(follower) > follower->options.short_outage &&
+	    !shows_store_up(follower, reply);
+	follower->steady_since = now_of(follower);
+	follower->callbacks.on_fresh(
+	    follower->callbacks.ctx, stale_for(follower), was_down);
 	follower->stale_since = 0;
-	follower->callbacks.on_fresh(follower->callbacks.ctx,
-	    now_of(follower) - stale_since + TABLE_FRESH,
-	    reply->version > before ? reply->version - before : 0);
 }
 
 static void
@@ -212,6 +249,12 @@
 		return;
 	}
 	note_store_answer(follower);
+	if (fresh && needs_witness(follower, reply)) {
+		follower->witnesses++;
+		follower->asks_witness = true;
+		read_on(follower);
+		return;
+	}
 	if (fresh)
 		note_fresh(follower, reply);
 	if (follower->whole) {
@@ -236,22 +279,33 @@
 	const store_source_t *chosen = NULL;
 	uint32_t wait_ms = options->store_wait_ms;
 	uint32_t timeout_ms = STORE_TIMEOUT_MS;
+	store_range_t range = {
+	    .from = follower->from[0] == '\0' ? NULL : follower->from};
 
-	if (follower->from[0] == '\0')
+	if (follower->from[0] != '\0')
+		follower->from_vm = false;
+	else if (follower->asks_witness)
+		follower->from_vm =
+		    callbacks->choose_vm(callbacks->ctx, &source);
+	else
 		follower->from_vm = callbacks->choose_source(
 		    callbacks->ctx, follower->attempt, &source);
-	else
-		follower->from_vm = false;
+	follower->asks_witness = false;
 	if (follower->from_vm) {
 		chosen = &source;
 		wait_ms = options->vm_wait_ms;
 		timeout_ms = VM_TIMEOUT_MS;
 	}
+	/* Who has failed, or was away, is asked how it is, not to wait. */
+	if (follower->attempt > 0 || follower->stale_since != 0) {
+		wait_ms = 0;
+		if (!follower->from_vm)
+			timeout_ms = STORE_RETRY_TIMEOUT_MS;
+	}
 	if (follower->whole)
 		follower->call = read_store_rows(follower->store, chosen,
-		    options->table,
-		    follower->from[0] == '\0' ? NULL : follower->from,
-		    WHOLE_TIMEOUT_MS, on_reply, follower);
+		    options->table, &range, WHOLE_TIMEOUT_MS, on_reply,
+		    follower);
 	else
 		follower->call = follow_store_rows(follower->store, chosen,
 		    options->table, copy_version(follower->copy), wait_ms,
@@ -303,6 +357,15 @@
 	return as_of == 0 ? MSP_NEVER : now_of(follower) - as_of;
 }
 
+msp_time_t
+table_steady(const table_follower_t *follower)
+{
+	if (follower->steady_since == 0 || follower->stale_since != 0 ||
+	    table_age(follower) > TABLE_FRESH)
+		return 0;
+	return now_of(follower) - follower->steady_since;
+}
+
 bool
 is_table_known(const table_follower_t *follower)
 {
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -18,6 +18,11 @@
 	msp_time_t store_pace; /* between two reads of the store */
 	uint32_t vm_wait_ms; /* another VM waits so long for one */
 	msp_time_t vm_pace;
+	/*
+	 * An outage of the store that is shorter changes nothing for those that
+	 * write there. After a longer one another VM is asked whether it saw it.
+	 */
+	msp_time_t short_outage;
 } table_follower_options_t;
 
 typedef struct table_follower_callbacks {
@@ -28,6 +33,8 @@
 	 */
 	bool (*choose_source)(
 	    void *ctx, unsigned int attempt, store_source_t *source);
+	/* Any other VM; false if none is known. */
+	bool (*choose_vm)(void *ctx, store_source_t *source);
 	/* The table is about to be given whole. */
 	void (*on_begin)(void *ctx);
 	/* A row; its value is NULL if it was removed. */
@@ -41,15 +48,16 @@
 	void (*on_back)(void *ctx, msp_time_t lost_for);
 	/*
 	 * No source tells how the store is now; or one does again, before its
-	 * rows are given. Meanwhile the store's version went up by `versions`.
+	 * rows are given. `was_down`: as far as is known, the store was away
+	 * for all, not only out of reach of this VM.
 	 */
 	void (*on_stale)(void *ctx);
-	void (*on_fresh)(void *ctx, msp_time_t stale_for, uint64_t versions);
+	void (*on_fresh)(void *ctx, msp_time_t stale_for, bool was_down);
 	void *ctx;
 } table_follower_callbacks_t;
 
 /* What is older than this does not tell how the store is now. */
-#define TABLE_FRESH (2 * MSP_SECOND)
+#define TABLE_FRESH (1800 * MSP_MS)
 
 /* Returns NULL without memory. `store` is borrowed. Starts at once. */
 table_follower_t *new_table_follower(msp_loop_t *loop, const msp_env_t *env,
@@ -60,6 +68,9 @@
 /* How long ago the store was as it is known here; MSP_NEVER: unknown. */
 msp_time_t table_age(const table_follower_t *follower);
 
+/* For how long it has been known here how the store is; 0: it isn't. */
+msp_time_t table_steady(const table_follower_t *follower);
+
 /* The table has been given whole at least once. */
 bool is_table_known(const table_follower_t *follower);
 
--- /dev/null
+++ b/source/platform/vm_control.h
@@ -0,0 +1,14 @@
+#ifndef MSP_PLATFORM_VM_CONTROL_H
+#define MSP_PLATFORM_VM_CONTROL_H
+
+#include "monsoonspindle/platform/memory_store.h"
+#include "store_json.h"
+
+/*
+ * Sets the list of VMs from {"vms": [...], "lag_ms": N}; `lag_ms` may be left
+ * out. MSP_E_SYNTAX if the message is not such a list.
+ */
+msp_status_t msp_apply_vm_list(
+    msp_memory_store_t *store, struct json_object *message);
+
+#endif
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -17,6 +17,8 @@
 typedef struct edge_probe edge_probe_t;
 typedef struct waiting_reader waiting_reader_t;
 
+#define EDGE_DISTRUSTED_MAX 4
+
 struct edge {
 	daemon_t *daemon;
 
@@ -46,6 +48,11 @@
 	msp_http_server_t *relay; /* other VMs read tables from this one */
 	TAILQ_HEAD(, waiting_reader) readers;
 
+	/* Members that are not asked to read the store for this VM. */
+	struct {
+		char vm[MSP_NAME_SIZE];
+		msp_time_t until;
+	} distrusted[EDGE_DISTRUSTED_MAX];
 	store_source_t *others; /* VMs of other data centres; owned */
 	size_t other_count;
 
@@ -95,6 +102,9 @@
 /* The copy of a table has grown: answers the VMs that wait for that. */
 void tell_waiting_readers(edge_t *edge, const table_follower_t *table);
 
+/* This VM no longer knows how the store is: all that wait go elsewhere. */
+void tell_all_readers(edge_t *edge, const table_follower_t *table);
+
 /* edge_listeners.c */
 msp_status_t open_edge_listeners(edge_t *edge);
 void close_edge_listeners(edge_t *edge);
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -9,6 +9,7 @@
 
 #define RELAY_CONNECTIONS 256
 #define RELAY_IDLE_MS 60000
+#define WAIT_MIN_MS 50 /* between two answers to one that waits */
 
 /* A VM that waits for a change of a table. */
 struct waiting_reader {
@@ -37,11 +38,10 @@
 }
 
 static uint32_t
-age_ms(const table_follower_t *table)
+to_ms(msp_time_t span)
 {
-	msp_time_t age = table_age(table) / MSP_MS;
-
-	return age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+	return span / MSP_MS > UINT32_MAX ? UINT32_MAX
+					  : (uint32_t)(span / MSP_MS);
 }
 
 static void
@@ -50,6 +50,9 @@
 {
 	const table_copy_t *copy = followed_copy(table);
 	answer_rows_t rows = {.table = query->table};
+	row_answer_end_t end = {.version = copy_version(copy),
+	    .age_ms = to_ms(table_age(table)),
+	    .steady_ms = to_ms(table_steady(table))};
 	msp_response_t response = {0};
 
 	if (!query->whole && !holds_changes(copy, query->after)) {
@@ -59,8 +62,7 @@
 	}
 	visit_copy(copy, query->whole, query->after, add_row, &rows);
 	if (rows.status == MSP_OK)
-		rows.status = end_row_answer(
-		    &rows.answer, copy_version(copy), age_ms(table), &response);
+		rows.status = end_row_answer(&rows.answer, &end, &response);
 	if (rows.status != MSP_OK) {
 		msp_drop_buffer(&rows.answer.text);
 		msp_drop_response(&response);
@@ -95,6 +97,18 @@
 	answer_reader(ctx);
 }
 
+/* Nobody waits here while what is known of the store gets too old. */
+static uint32_t
+bound_wait(const table_follower_t *table, uint32_t wait_ms)
+{
+	msp_time_t age = table_age(table);
+	uint32_t most = WAIT_MIN_MS;
+
+	if (age + WAIT_MIN_MS * MSP_MS < TABLE_FRESH)
+		most = to_ms(TABLE_FRESH - age);
+	return wait_ms < most ? wait_ms : most;
+}
+
 static void
 wait_for_change(edge_t *edge, msp_exchange_t *exchange,
     const table_follower_t *table, const row_query_t *query)
@@ -110,7 +124,8 @@
 	reader->table = table;
 	reader->query = *query;
 	reader->timer = msp_new_timer(edge->daemon->loop,
-	    query->wait_ms * MSP_MS, 0, on_wait_over, reader);
+	    bound_wait(table, query->wait_ms) * MSP_MS, 0, on_wait_over,
+	    reader);
 	msp_set_exchange_data(exchange, reader);
 	TAILQ_INSERT_TAIL(&edge->readers, reader, link);
 }
@@ -128,6 +143,18 @@
 	}
 }
 
+void
+tell_all_readers(edge_t *edge, const table_follower_t *table)
+{
+	waiting_reader_t *reader;
+	waiting_reader_t *next;
+
+	TAILQ_FOREACH_SAFE(reader, &edge->readers, link, next) {
+		if (reader->table == table)
+			answer_reader(reader);
+	}
+}
+
 static void
 on_request(void *ctx, msp_exchange_t *exchange)
 {
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -11,17 +11,18 @@
 #include "edge_private.h"
 #include "log.h"
 #include "members.h"
+#include "monsoonspindle/coord/rendezvous.h"
 #include "../platform/table_follower.h"
 
-#define OPERATOR_WAIT_MS 1600 /* below TABLE_FRESH */
-#define OPERATOR_PACE (5 * MSP_MS)
-#define TARGETS_PACE (900 * MSP_MS)
-#define VM_WAIT_MS 1300 /* of a read from another VM */
+#define STORE_WAIT_MS 1200 /* for a change; below TABLE_FRESH */
+#define STORE_PACE (5 * MSP_MS)
+#define VM_WAIT_MS 1200 /* of a read from another VM */
 #define VM_PACE (5 * MSP_MS)
 #define VM_TIMEOUT_MS 1500
 #define VM_RETRY (700 * MSP_MS)
 #define READER_ROLE "store-reader" /* which member reads the store */
-#define BEATS_WHILE_UP 0.5 /* share of heartbeats that shows the store up */
+#define READER_DISTRUST (8 * MSP_SECOND)
+#define LAPSE_BEATS 2 /* heartbeats that must be missed before entries lapse */
 #define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
@@ -83,6 +84,64 @@
 	return true;
 }
 
+static bool
+is_distrusted(const edge_t *edge, const char *vm)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+	size_t i;
+
+	for (i = 0; i < EDGE_DISTRUSTED_MAX; i++) {
+		if (now < edge->distrusted[i].until &&
+		    strcmp(edge->distrusted[i].vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The member that reads the store for this data centre; NULL: this VM. One
+ * that did not answer, or was out of touch itself, is passed over.
+ */
+static const msp_member_t *
+find_reader(const edge_t *edge)
+{
+	const daemon_t *daemon = edge->daemon;
+	const msp_member_t *ranked[EDGE_DISTRUSTED_MAX + 1];
+	size_t count = msp_rank_members(members_list(daemon->members),
+	    READER_ROLE, daemon->settings->place, 0, ranked,
+	    EDGE_DISTRUSTED_MAX + 1);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(ranked[i]->name, daemon->settings->vm) == 0)
+			return NULL;
+		if (!is_distrusted(edge, ranked[i]->name))
+			return ranked[i];
+	}
+	return NULL;
+}
+
+/* Takes the place of the one whose time is up first. */
+static void
+distrust_reader(edge_t *edge)
+{
+	const msp_member_t *reader = find_reader(edge);
+	size_t at = 0;
+	size_t i;
+
+	if (reader == NULL)
+		return;
+	for (i = 1; i < EDGE_DISTRUSTED_MAX; i++) {
+		if (edge->distrusted[i].until < edge->distrusted[at].until)
+			at = i;
+	}
+	log_info("event=reader vm=%s state=passed-over", reader->name);
+	strlcpy(edge->distrusted[at].vm, reader->name,
+	    sizeof(edge->distrusted[at].vm));
+	edge->distrusted[at].until =
+	    msp_now(&edge->daemon->env) + READER_DISTRUST;
+}
+
 /*
  * One VM of each data centre reads the store, and the others read from it.
  * Whoever gets no fresh answer asks the store, then others.
@@ -90,18 +149,18 @@
 static bool
 choose_source(void *ctx, unsigned int attempt, store_source_t *source)
 {
-	const edge_t *edge = ctx;
-	const msp_member_t *first;
+	edge_t *edge = ctx;
+	const msp_member_t *reader;
 
 	switch (attempt % 4) {
 	case 0:
-		first = first_member(edge->daemon->members, READER_ROLE);
-		if (first == NULL ||
-		    strcmp(first->name, edge->daemon->settings->vm) == 0)
+		reader = find_reader(edge);
+		if (reader == NULL)
 			return false;
-		set_source(source, first);
+		set_source(source, reader);
 		return true;
 	case 1:
+		distrust_reader(edge);
 		return false;
 	case 2:
 		return draw_member(edge, source) || draw_other(edge, source);
@@ -110,6 +169,14 @@
 	}
 }
 
+static bool
+choose_vm(void *ctx, store_source_t *source)
+{
+	const edge_t *edge = ctx;
+
+	return draw_other(edge, source) || draw_member(edge, source);
+}
+
 static void
 on_lost(edge_t *edge, const char *table, msp_status_t status)
 {
@@ -135,11 +202,11 @@
 }
 
 static void
-on_fresh(const char *table, msp_time_t stale_for, uint64_t versions)
+on_fresh(const char *table, msp_time_t stale_for, bool was_down)
 {
 	log_info("event=table table=%s state=fresh stale_ms=%" PRIu64
-		 " versions=%" PRIu64,
-	    table, stale_for / MSP_MS, versions);
+		 " store_was_down=%d",
+	    table, stale_for / MSP_MS, was_down);
 }
 
 /* The operator's table. */
@@ -247,13 +314,14 @@
 	edge_t *edge = ctx;
 
 	on_stale(edge, "operator");
+	tell_all_readers(edge, edge->operator_rows);
 }
 
 static void
-on_operator_fresh(void *ctx, msp_time_t stale_for, uint64_t versions)
+on_operator_fresh(void *ctx, msp_time_t stale_for, bool was_down)
 {
 	(void)ctx;
-	on_fresh("operator", stale_for, versions);
+	on_fresh("operator", stale_for, was_down);
 }
 
 static void
@@ -328,23 +396,16 @@
 
 	msp_note_store_lost(edge->view);
 	on_stale(edge, "targets");
+	tell_all_readers(edge, edge->target_rows);
 }
 
-/*
- * Heartbeats raise the store's version. If they went on, it was only out of
- * reach of here, and entries that are missing were removed.
- */
 static void
-on_targets_fresh(void *ctx, msp_time_t stale_for, uint64_t versions)
+on_targets_fresh(void *ctx, msp_time_t stale_for, bool was_down)
 {
 	edge_t *edge = ctx;
-	double beat = edge->daemon->settings->edge.heartbeat_ms * MSP_MS;
-	double expected = (double)msp_count_listed_targets(edge->view) *
-	    (double)stale_for / beat;
-	bool was_up = (double)versions > expected * BEATS_WHILE_UP;
 
-	msp_note_store_back(edge->view, !was_up);
-	on_fresh("targets", stale_for, versions);
+	msp_note_store_back(edge->view, was_down);
+	on_fresh("targets", stale_for, was_down);
 }
 
 static void
@@ -457,7 +518,8 @@
 {
 	edge_t *edge = ctx;
 	const msp_settings_t *settings = edge->daemon->settings;
-	vm_row_t vm = {.peer_port = settings->peer_port};
+	vm_row_t vm = {.peer_port = settings->peer_port,
+	    .caller_port = settings->caller_port};
 	msp_buffer_t text = {0};
 	store_write_t write = {.key = settings->vm};
 	store_transaction_t transaction = {
@@ -482,13 +544,17 @@
 {
 	daemon_t *daemon = edge->daemon;
 	store_source_t store = store_of_settings(edge);
+	msp_time_t short_outage =
+	    daemon->settings->edge.heartbeat_ms * MSP_MS * LAPSE_BEATS;
 	table_follower_options_t operator_options = {.table = OPERATOR_TABLE,
-	    .store_wait_ms = OPERATOR_WAIT_MS,
-	    .store_pace = OPERATOR_PACE,
+	    .store_wait_ms = STORE_WAIT_MS,
+	    .store_pace = STORE_PACE,
 	    .vm_wait_ms = VM_WAIT_MS,
-	    .vm_pace = VM_PACE};
+	    .vm_pace = VM_PACE,
+	    .short_outage = short_outage};
 	table_follower_callbacks_t operator_callbacks = {
 	    .choose_source = choose_source,
+	    .choose_vm = choose_vm,
 	    .on_begin = on_operator_begin,
 	    .on_row = on_operator_row,
 	    .on_end = on_operator_end,
@@ -499,11 +565,14 @@
 	    .on_fresh = on_operator_fresh,
 	    .ctx = edge};
 	table_follower_options_t target_options = {.table = TARGETS_TABLE,
-	    .store_pace = TARGETS_PACE,
+	    .store_wait_ms = STORE_WAIT_MS,
+	    .store_pace = STORE_PACE,
 	    .vm_wait_ms = VM_WAIT_MS,
-	    .vm_pace = VM_PACE};
+	    .vm_pace = VM_PACE,
+	    .short_outage = short_outage};
 	table_follower_callbacks_t target_callbacks = {
 	    .choose_source = choose_source,
+	    .choose_vm = choose_vm,
 	    .on_begin = on_targets_begin,
 	    .on_row = on_target_row,
 	    .on_end = on_targets_end,
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -202,7 +202,6 @@
 			return;
 		note_seen(view, id, target);
 		target->row_version = version;
-		target->heard = msp_now(&view->env);
 		start_incarnation(view, target, registration, region);
 		return;
 	}
@@ -210,7 +209,6 @@
 	if (registration->incarnation < known->incarnation)
 		return;
 	if (!is_same_process(known, registration)) {
-		target->heard = msp_now(&view->env);
 		start_incarnation(view, target, registration, region);
 		return;
 	}
@@ -218,7 +216,6 @@
 	    (registration->sequence == known->sequence &&
 		target->status == MSP_TARGET_REMOVED))
 		return;
-	target->heard = msp_now(&view->env);
 	hear_again(view, target, registration, region);
 }
 
@@ -307,19 +304,6 @@
 	}
 }
 
-size_t
-msp_count_listed_targets(const msp_target_view_t *view)
-{
-	const msp_view_target_t *target;
-	size_t count = 0;
-
-	TAILQ_FOREACH(target, &view->targets, link) {
-		if (target->status == MSP_TARGET_LISTED)
-			count++;
-	}
-	return count;
-}
-
 void
 msp_tick_target_view(msp_target_view_t *view)
 {
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -28,7 +28,10 @@
 static void
 on_step(void *ctx)
 {
-	msp_step_memory_store(((platform_t *)ctx)->memory);
+	platform_t *platform = ctx;
+
+	msp_step_memory_store(platform->memory);
+	msp_step_store_service(platform->service);
 }
 
 static int
--- a/tests/platform/test_store_wire.c
+++ b/tests/platform/test_store_wire.c
@@ -42,46 +42,67 @@
 	return status;
 }
 
+#define ROW(key_) \
+	"{\"table\":\"monsoonspindle\",\"part\":\"\",\"key\":\"" key_ "\""
+
 static void
 service_refuses_bad_requests(void **state)
 {
 	static const bad_request_t cases[] = {
-	    {"POST", "/v1/transact", "", 400},
-	    {"POST", "/v1/transact", "{", 400},
-	    {"POST", "/v1/transact", "[]", 400},
-	    {"POST", "/v1/transact", "{}", 400},
-	    {"POST", "/v1/transact", "{} {}", 400},
-	    {"POST", "/v1/transact", "{\"conditions\":[],\"writes\":5}", 400},
-	    {"POST", "/v1/transact",
-		"{\"conditions\":[{\"key\":\"k\",\"version\":-1}],"
-		"\"writes\":[]}",
+	    {"POST", "/api/rows-tx", "", 400},
+	    {"POST", "/api/rows-tx", "{", 400},
+	    {"POST", "/api/rows-tx", "[]", 400},
+	    {"POST", "/api/rows-tx", "{}", 400},
+	    {"POST", "/api/rows-tx", "{} {}", 400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":5,\"remove\":[]}", 400},
+	    {"POST", "/api/rows-tx", "{\"precondition\":[],\"writes\":[]}",
+		400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[" ROW("k") ",\"ver\":-1}],"
+		"\"writes\":[],\"remove\":[]}",
+		400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[" ROW("k") "}],"
+		"\"writes\":[],\"remove\":[]}",
+		400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[" ROW("k") ","
+		"\"value\":\"a\"}],\"remove\":[]}",
+		400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[" ROW("k\\u0000") ","
+		"\"value\":\"\"}],\"remove\":[]}",
 		400},
-	    {"POST", "/v1/transact",
-		"{\"conditions\":[],\"writes\":[{\"key\":\"k\","
-		"\"value\":\"a\"}]}",
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[" ROW("k")
+		"}],\"remove\":[]}",
 		400},
-	    {"POST", "/v1/transact",
-		"{\"conditions\":[],\"writes\":[{\"key\":\"k\\u0000\","
-		"\"value\":\"\"}]}",
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[],\"remove\":[5]}", 400},
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[],\"remove\":["
+		"{\"table\":\"monsoonspindle\",\"part\":\"p\","
+		"\"key\":\"k\"}]}",
 		400},
-	    {"POST", "/v1/transact",
-		"{\"conditions\":[],\"writes\":[{\"key\":\"k\"}]}", 400},
-	    {"POST", "/v1/get", "{\"keys\":\"k\"}", 400},
-	    {"POST", "/v1/get", "{\"keys\":[5]}", 400},
-	    {"POST", "/v1/get", "{\"keys\":[\"a b\"]}", 400},
-	    {"POST", "/v1/scan", "{\"prefix\":\"a\",\"after\":\"\"}", 400},
-	    {"POST", "/v1/scan",
-		"{\"prefix\":\"a\",\"after\":\"\",\"limit\":99999999}", 400},
-	    {"POST", "/v1/scan",
-		"{\"prefix\":\"a\",\"after\":\"\",\"limit\":1.5}", 400},
-	    {"POST", "/v1/get",
+	    {"POST", "/api/rows-tx",
+		"{\"precondition\":[],\"writes\":[" ROW("a b") ","
+		"\"value\":\"\"}],\"remove\":[]}",
+		400},
+	    {"POST", "/api/rows-tx",
 		"{\"a\":[[[[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]]]]}", 400},
-	    {"POST", "/v1/nothing", "{}", 404},
-	    {"DELETE", "/v1/get", "", 405},
-	    {"GET", "/v1/get", "", 405},
+	    {"GET", "/api/rows-get", "", 400},
+	    {"GET", "/api/rows-get?table=t&limit=x", "", 400},
+	    {"GET", "/api/rows-get?table=", "", 400},
+	    {"GET", "/api/rows-feed?table=t&after=-1", "", 400},
+	    {"GET", "/api/rows-feed?table=t&after=0&waitMs=soon", "", 400},
+	    {"GET", "/api/rows-feed?table=t&after=0", "", 200},
+	    {"GET", "/api/rows-get?table=t&part=", "", 200},
+	    {"GET", "/api/nothing", "", 404},
+	    {"DELETE", "/api/rows-get", "", 404},
 	    {"PUT", "/v1/vms", "{\"vms\":[{\"name\":\"x\"}]}", 400},
-	    {"PUT", "/v1/objects/", "x", 400},
-	    {"GET", "/v1/objects/a", "", 404},
+	    {"PUT", "/api/blob-put/", "x", 400},
+	    {"GET", "/api/blob-get/a", "", 404},
 	    {"POST", "/v1/control", "{\"dwon\":true}", 400},
 	    {"POST", "/v1/control", "{\"down\":1}", 400},
 	    {"POST", "/v1/control", "{\"lose_call_pct\":101}", 400},
@@ -142,28 +163,35 @@
 	    {200, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
 	    {200, "{", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
 	    {200, "{}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
-	    {200, "{\"version\":\"7\"}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
+	    {200, "{\"ver\":\"7\"}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
 		MSP_E_LOST},
-	    {200, "{\"version\":7}", MSP_OK, MSP_E_LOST, MSP_E_LOST,
+	    {200, "{\"ver\":-7}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
 		MSP_E_LOST},
-	    {200, "{\"rows\":[]}", MSP_E_LOST, MSP_E_LOST, MSP_OK, MSP_E_LOST},
-	    {200,
-		"{\"rows\":[{\"key\":\"other\",\"value\":\"\","
-		"\"version\":1}]}",
-		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
-	    {200,
-		"{\"rows\":[{\"key\":\"k\",\"value\":null,"
-		"\"version\":1}]}",
+	    {200, "{\"ver\":7}", MSP_OK, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {200, "{\"rows\":[]}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
+		MSP_E_LOST},
+	    {200, "{\"ver\":7,\"rows\":[]}", MSP_OK, MSP_OK, MSP_OK, MSP_OK},
+	    {200, "{\"ver\":7,\"rows\":[{\"key\":\"x\",\"ver\":1,"
+		  "\"value\":\"\"}]}",
+		MSP_OK, MSP_E_LOST, MSP_E_LOST, MSP_OK},
+	    {200, "{\"ver\":7,\"rows\":[{\"key\":\"k\",\"ver\":1,"
+		  "\"value\":\"*\"}]}",
 		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
-	    {200,
-		"{\"rows\":[{\"key\":\"k\",\"value\":\"*\","
-		"\"version\":1}]}",
+	    {200, "{\"ver\":7,\"rows\":[{\"key\":\"k\",\"value\":\"\"}]}",
 		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
-	    {409, "{\"rows\":[]}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
+	    {412, "{\"ver\":7,\"rows\":[]}", MSP_E_CONFLICT, MSP_OK,
+		MSP_E_LOST, MSP_E_LOST},
+	    {412, "{\"ver\":7}", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST,
 		MSP_E_LOST},
+	    {412, "{\"ver\":7,\"rows\":[{\"key\":\"x\",\"ver\":1,"
+		  "\"value\":\"\"}]}",
+		MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {302, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
 	    {404, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
 	    {500, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
 	    {502, "", MSP_E_LOST, MSP_E_LOST, MSP_E_LOST, MSP_E_LOST},
+	    {429, "", MSP_E_STORE_DOWN, MSP_E_STORE_DOWN, MSP_E_STORE_DOWN,
+		MSP_E_STORE_DOWN},
 	    {503, "", MSP_E_STORE_DOWN, MSP_E_STORE_DOWN, MSP_E_STORE_DOWN,
 		MSP_E_STORE_DOWN},
 	    {400, "", MSP_E_BAD_REQUEST, MSP_E_BAD_REQUEST, MSP_E_BAD_REQUEST,
--- a/tests/support/store_fixture.c
+++ b/tests/support/store_fixture.c
@@ -113,6 +113,8 @@
 
 	while (fixture->reply.done == 0 && msp_now(&fixture->env) < end) {
 		msp_step_memory_store(fixture->memory);
+		if (fixture->service != NULL)
+			msp_step_store_service(fixture->service);
 		if (fixture->loop != NULL)
 			msp_step_loop(fixture->loop, 1);
 	}
