--- a/include/monsoonspindle/steer/region_share.h
+++ b/include/monsoonspindle/steer/region_share.h
@@ -28,8 +28,8 @@
  * Takes in how busy the slots of this region and of the others are, as
  * requests a slot; `here` is negative if the region has no target.
  */
-void msp_update_region_share(msp_region_share_t *share, msp_time_t now,
-    double here, double elsewhere);
+void msp_update_region_share(
+    msp_region_share_t *share, msp_time_t now, double here, double elsewhere);
 
 /* Whether the next request stays in this region. */
 bool msp_keep_in_region(msp_region_share_t *share);
--- a/include/monsoonspindle/steer/split.h
+++ b/include/monsoonspindle/steer/split.h
@@ -15,6 +15,7 @@
 void msp_drop_split(msp_split_t *split);
 
 /* The service of the route's next request; borrowed from the route. */
-const char *msp_split_request(msp_split_t *split, const msp_path_route_t *route);
+const char *msp_split_request(
+    msp_split_t *split, const msp_path_route_t *route);
 
 #endif
--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -42,7 +42,8 @@
 void msp_note_target_full(msp_target_traffic_t *load, msp_time_t now);
 
 /* How a request ended that the target answered or should have answered. */
-void msp_note_target_outcome(msp_target_traffic_t *load, msp_time_t now, bool ok);
+void msp_note_target_outcome(
+    msp_target_traffic_t *load, msp_time_t now, bool ok);
 
 /* The latency of a whole answer, and what was expected of this target. */
 void msp_note_target_latency(msp_target_traffic_t *load, msp_time_t now,
@@ -62,7 +63,8 @@
 double msp_told_weight(const msp_target_traffic_t *load, msp_time_t now);
 
 /* Moving share of failures, which fades when nothing is sent. */
-double msp_target_failure_share(const msp_target_traffic_t *load, msp_time_t now);
+double msp_target_failure_share(
+    const msp_target_traffic_t *load, msp_time_t now);
 
 bool msp_target_full(const msp_target_traffic_t *load, msp_time_t now);
 
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -45,17 +45,17 @@
 		.min = 1, .max = 65535, .help = (help_)               \
 	}
 
-#define ENDPOINT(name_, member_, help_)                            \
-	{                                                          \
-		.name = (name_),                                   \
+#define ENDPOINT(name_, member_, help_)                              \
+	{                                                            \
+		.name = (name_),                                     \
 		FIELD(FIELD_ENDPOINT, msp_settings_edge_t, member_), \
-		.help = (help_)                                    \
+		.help = (help_)                                      \
 	}
 
-#define REAL(name_, member_, max_, preset_, help_)                 \
-	{                                                          \
-		.name = (name_),                                   \
-		FIELD(FIELD_REAL, msp_settings_edge_t, member_),   \
+#define REAL(name_, member_, max_, preset_, help_)                  \
+	{                                                           \
+		.name = (name_),                                    \
+		FIELD(FIELD_REAL, msp_settings_edge_t, member_),    \
 		.max = (max_), .preset = (preset_), .help = (help_) \
 	}
 
@@ -124,8 +124,8 @@
 	"factor on the rate that a cold target bears"),
     REAL("cold_slack", cold_slack, 100000, 0,
 	"requests a second that it bears above that"),
-    REAL("retry_ratio", retry_ratio, 10, 100,
-	"retries a request, over all VMs"),
+    REAL(
+	"retry_ratio", retry_ratio, 10, 100, "retries a request, over all VMs"),
     NUMBER("heartbeat_ms", msp_settings_edge_t, heartbeat_ms, 50, 600000, 1500,
 	"time between two heartbeats of a target"),
     NUMBER("drain_ms", msp_settings_edge_t, drain_ms, 100, 600000, 2500,
@@ -187,8 +187,7 @@
 	FIELD(FIELD_ADDRESS, msp_settings_t, address),
 	.help = ADDRESS_HELP,
     },
-    PORT_ALONE(
-	"caller_port", msp_settings_t, caller_port, CALLER_PORT_HELP),
+    PORT_ALONE("caller_port", msp_settings_t, caller_port, CALLER_PORT_HELP),
     PORT("peer_port", msp_settings_t, peer_port,
 	"HTTP on TCP and ONC RPC on UDP between VMs"),
     PORT_ALONE(
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -213,8 +213,7 @@
 }
 
 void
-msp_watch_reload_signal(
-    msp_loop_t *loop, void (*handler)(void *ctx), void *ctx)
+msp_watch_reload_signal(msp_loop_t *loop, void (*handler)(void *ctx), void *ctx)
 {
 	loop->on_reload = handler;
 	loop->reload_ctx = ctx;
--- a/source/net/path.c
+++ b/source/net/path.c
@@ -86,8 +86,8 @@
 	snprintf(
 	    request->method, sizeof(request->method), "%s", methods[i].name);
 	if (lws_hdr_total_length(wsi, WSI_TOKEN_HOST) > 0 &&
-	    lws_hdr_copy(wsi, request->host, sizeof(request->host),
-		WSI_TOKEN_HOST) < 0)
+	    lws_hdr_copy(
+		wsi, request->host, sizeof(request->host), WSI_TOKEN_HOST) < 0)
 		return msp_fail(MSP_E_BAD_REQUEST, "the host is too long");
 	if (lws_hdr_copy(wsi, path, sizeof(path), methods[i].token) < 0)
 		return msp_fail(
--- a/source/platform/http_store.c
+++ b/source/platform/http_store.c
@@ -144,7 +144,8 @@
 {
 	msp_time_t now = msp_now(&call->store->env);
 
-	return now >= call->end ? 1 : (uint32_t)((call->end - now) / MSP_MS) + 1;
+	return now >= call->end ? 1
+				: (uint32_t)((call->end - now) / MSP_MS) + 1;
 }
 
 /* The store call was started, or could not be. */
@@ -180,8 +181,8 @@
 		const store_row_t *row = find_row(reply, key);
 
 		if (row == NULL || row->value == NULL)
-			status = msp_capture_row(
-			    &call->captured, key, NULL, 0, 0);
+			status =
+			    msp_capture_row(&call->captured, key, NULL, 0, 0);
 		else
 			status = msp_capture_row(&call->captured, key,
 			    row->value, row->len, row->version);
@@ -218,8 +219,8 @@
 	/* Several keys are read by a condition that does not hold. */
 	if (status == MSP_E_CONFLICT)
 		status = MSP_OK;
-	if (status == MSP_OK && (reply->rows == NULL ||
-				    !answers_keys(call, reply)))
+	if (status == MSP_OK &&
+	    (reply->rows == NULL || !answers_keys(call, reply)))
 		status = MSP_E_LOST;
 	if (status == MSP_OK)
 		status = capture_keys(call, reply);
@@ -251,8 +252,8 @@
 	for (i = 0; i < call->args->key_count; i++)
 		conditions[i] = (store_condition_t){
 		    .key = call->args->keys[i], .version = NO_VERSION};
-	return change_store_rows(call->store->client, &transaction,
-	    left_ms(call), on_rows, call);
+	return change_store_rows(
+	    call->store->client, &transaction, left_ms(call), on_rows, call);
 }
 
 static void
@@ -406,9 +407,9 @@
 	size_t i;
 
 	for (i = 0; i < args->key_count; i++)
-		conditions[i] = (store_condition_t){
-		    .key = args->conditions[i].key,
-		    .version = args->conditions[i].version};
+		conditions[i] =
+		    (store_condition_t){.key = args->conditions[i].key,
+			.version = args->conditions[i].version};
 	for (i = 0; i < args->write_count; i++)
 		writes[i] = (store_write_t){.key = args->writes[i].key,
 		    .value = args->writes[i].value,
@@ -440,8 +441,7 @@
 	msp_status_t status = reply->status;
 
 	call->call = NULL;
-	if (status == MSP_E_NOT_FOUND &&
-	    call->args->op != MSP_STORE_GET_OBJECT)
+	if (status == MSP_E_NOT_FOUND && call->args->op != MSP_STORE_GET_OBJECT)
 		status = MSP_E_LOST;
 	if (status == MSP_OK && call->args->op == MSP_STORE_GET_OBJECT)
 		status = msp_capture_object(
@@ -463,8 +463,8 @@
 		refuse(call, status);
 	else
 		keep_started(call,
-		    read_store_object(store->client, name, left_ms(call),
-			on_object, call));
+		    read_store_object(
+			store->client, name, left_ms(call), on_object, call));
 }
 
 static void
@@ -541,8 +541,8 @@
 		timeout_ms, done, done_ctx);
 
 	keep_started(call,
-	    read_store_rows(store->client, NULL, VMS_TABLE, NULL,
-		left_ms(call), on_vms, call));
+	    read_store_rows(store->client, NULL, VMS_TABLE, NULL, left_ms(call),
+		on_vms, call));
 }
 
 msp_store_t
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -305,8 +305,8 @@
 		fail_call(call, MSP_E_BAD_REQUEST);
 		return;
 	}
-	store->scan(store->ctx, key, "", SCAN_MAX, CALL_TIMEOUT_MS, on_range,
-	    call);
+	store->scan(
+	    store->ctx, key, "", SCAN_MAX, CALL_TIMEOUT_MS, on_range, call);
 }
 
 /* Answers a reader of changes if there are some, or their history is gone. */
@@ -316,8 +316,8 @@
 	msp_memory_store_t *memory = call->service->memory;
 	msp_response_t response = {0};
 
-	if (!msp_visit_changed_rows(memory, call->prefix, call->query.after,
-		add_row, call)) {
+	if (!msp_visit_changed_rows(
+		memory, call->prefix, call->query.after, add_row, call)) {
 		if (call->exchange != NULL) {
 			msp_set_exchange_data(call->exchange, NULL);
 			encode_rows_gone(&response);
@@ -341,8 +341,8 @@
 
 	TAILQ_FOREACH_SAFE(call, &service->waiting, entry, next) {
 		TAILQ_REMOVE(&service->waiting, call, entry);
-		if (!tell_changes(call, now >= call->end ||
-			    call->exchange == NULL))
+		if (!tell_changes(
+			call, now >= call->end || call->exchange == NULL))
 			TAILQ_INSERT_TAIL(&service->waiting, call, entry);
 	}
 }
@@ -387,8 +387,8 @@
 	service_call_t *call = new_service_call(service, exchange);
 	msp_condition_t conditions[STORE_ENTRIES_MAX];
 	msp_write_t writes[STORE_ENTRIES_MAX];
-	msp_txn_t txn = {conditions, change->condition_count, writes,
-	    change->write_count};
+	msp_txn_t txn = {
+	    conditions, change->condition_count, writes, change->write_count};
 	char keys[STORE_ENTRIES_MAX][MEMORY_KEY_SIZE];
 	size_t key = 0;
 	size_t i;
@@ -491,8 +491,8 @@
 	message = msp_parse_json_object(
 	    msp_buffer_text(&request->body), request->body.len);
 	if (message != NULL && strcmp(request->path, CONTROL_PATH) == 0)
-		status = msp_apply_control(
-		    service->memory, message, &response.body);
+		status =
+		    msp_apply_control(service->memory, message, &response.body);
 	else if (message != NULL)
 		status = msp_apply_vm_list(service->memory, message);
 	json_object_put(message);
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -67,8 +67,7 @@
 static void
 check_stale(table_follower_t *follower)
 {
-	if (follower->stale_since != 0 ||
-	    table_age(follower) <= TABLE_FRESH)
+	if (follower->stale_since != 0 || table_age(follower) <= TABLE_FRESH)
 		return;
 	follower->stale_since = now_of(follower);
 	follower->steady_since = 0;
@@ -180,11 +179,11 @@
 }
 
 static void
-advance(table_follower_t *follower, const store_reply_t *reply,
-    uint64_t version)
+advance(
+    table_follower_t *follower, const store_reply_t *reply, uint64_t version)
 {
-	advance_copy(follower->copy, version,
-	    now_of(follower) - reply->age_ms * MSP_MS);
+	advance_copy(
+	    follower->copy, version, now_of(follower) - reply->age_ms * MSP_MS);
 	follower->callbacks.on_news(follower->callbacks.ctx);
 }
 
@@ -303,9 +302,9 @@
 			timeout_ms = STORE_RETRY_TIMEOUT_MS;
 	}
 	if (follower->whole)
-		follower->call = read_store_rows(follower->store, chosen,
-		    options->table, &range, WHOLE_TIMEOUT_MS, on_reply,
-		    follower);
+		follower->call =
+		    read_store_rows(follower->store, chosen, options->table,
+			&range, WHOLE_TIMEOUT_MS, on_reply, follower);
 	else
 		follower->call = follow_store_rows(follower->store, chosen,
 		    options->table, copy_version(follower->copy), wait_ms,
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -20,7 +20,8 @@
 	msp_time_t vm_pace;
 	/*
 	 * An outage of the store that is shorter changes nothing for those that
-	 * write there. After a longer one another VM is asked whether it saw it.
+	 * write there. After a longer one another VM is asked whether it saw
+	 * it.
 	 */
 	msp_time_t short_outage;
 } table_follower_options_t;
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -157,11 +157,10 @@
 	if (know_platform_fields() != MSP_OK ||
 	    open_decisions(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
 	    open_edge_listeners(edge) != MSP_OK ||
-	    open_edge_relay(edge) != MSP_OK ||
-	    open_edge_store(edge) != MSP_OK)
+	    open_edge_relay(edge) != MSP_OK || open_edge_store(edge) != MSP_OK)
 		goto fail;
-	edge->view_timer = msp_new_timer(
-	    daemon->loop, VIEW_TICK, VIEW_TICK, tick_view, edge);
+	edge->view_timer =
+	    msp_new_timer(daemon->loop, VIEW_TICK, VIEW_TICK, tick_view, edge);
 	if (edge->view_timer == NULL)
 		goto fail;
 	return edge;
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -28,8 +28,8 @@
 	size_t count = 0;
 	size_t i;
 
-	for (i = 0;
-	     i < msp_member_count(list) && count < DIRECTORY_ENTRIES_MAX; i++) {
+	for (i = 0; i < msp_member_count(list) && count < DIRECTORY_ENTRIES_MAX;
+	     i++) {
 		const msp_member_t *member = msp_member_at(list, i);
 		bool is_self = strcmp(member->name, self->name) == 0;
 
@@ -121,9 +121,8 @@
 	    .port = port,
 	    .limits = {.max_connections = SMALL_CONNECTIONS,
 		.idle_timeout_ms = SMALL_IDLE_MS},
-	    .handler = {.on_request = on_request,
-		.on_gone = ignore_gone,
-		.ctx = edge}};
+	    .handler = {
+		.on_request = on_request, .on_gone = ignore_gone, .ctx = edge}};
 
 	return msp_new_http_server(edge->daemon->loop, &options);
 }
@@ -148,10 +147,10 @@
 		.ctx = edge}};
 
 	edge->callers = msp_new_http_server(edge->daemon->loop, &callers);
-	edge->readiness = open_small(edge, own->readiness.address,
-	    own->readiness.port, on_readiness);
-	edge->directory = open_small(edge, own->directory.address,
-	    own->directory.port, on_directory);
+	edge->readiness = open_small(
+	    edge, own->readiness.address, own->readiness.port, on_readiness);
+	edge->directory = open_small(
+	    edge, own->directory.address, own->directory.port, on_directory);
 	if (edge->callers == NULL || edge->readiness == NULL ||
 	    edge->directory == NULL)
 		return MSP_E_IO;
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -80,8 +80,7 @@
     msp_digest_t fingerprint, msp_time_t started, const char *why);
 
 /* Gives or drops the strikes of requests that the target had. */
-void settle_strikes(
-    edge_t *edge, const msp_view_target_t *target, bool ended);
+void settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended);
 /* Call it after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -56,7 +56,8 @@
 	log_info("event=target target=%s state=trusted after_ms=%llu "
 		 "cold_ms=%u",
 	    target->registration.id,
-	    (unsigned long long)((now - target->traffic.suspect_since) / MSP_MS),
+	    (unsigned long long)((now - target->traffic.suspect_since) /
+		MSP_MS),
 	    cold_ms);
 	target->traffic.suspect_since = 0;
 	settle_strikes(edge, target, cold_ms > 0);
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -33,8 +33,7 @@
 	answer_rows_t *rows = ctx;
 
 	if (rows->status == MSP_OK)
-		rows->status =
-		    add_answer_row(&rows->answer, rows->table, row);
+		rows->status = add_answer_row(&rows->answer, rows->table, row);
 }
 
 static uint32_t
@@ -203,9 +202,8 @@
 	    .port = settings->peer_port,
 	    .limits = {.max_connections = RELAY_CONNECTIONS,
 		.idle_timeout_ms = RELAY_IDLE_MS},
-	    .handler = {.on_request = on_request,
-		.on_gone = on_gone,
-		.ctx = edge}};
+	    .handler = {
+		.on_request = on_request, .on_gone = on_gone, .ctx = edge}};
 
 	edge->relay = msp_new_http_server(edge->daemon->loop, &options);
 	return edge->relay == NULL ? MSP_E_IO : MSP_OK;
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -143,8 +143,8 @@
 	if (retry_after_ms > RETRY_AFTER_MAX_MS)
 		retry_after_ms = RETRY_AFTER_MAX_MS;
 	/* Those refused together come back one after the other. */
-	retry_after_ms += (uint32_t)msp_random_below(
-	    &edge->daemon->env, retry_after_ms + 1);
+	retry_after_ms +=
+	    (uint32_t)msp_random_below(&edge->daemon->env, retry_after_ms + 1);
 	answer_own(request, HTTP_UNAVAILABLE, retry_after_ms, outcome);
 }
 
@@ -225,9 +225,9 @@
 	msp_view_target_t *target = request->choice.target;
 	msp_time_t now = now_of(edge);
 	/* As far as its last report goes. */
-	bool had_room = msp_estimate_target_load(&target->traffic, now,
-			    target->registration.slots) <
-	    target->registration.slots;
+	bool had_room =
+	    msp_estimate_target_load(&target->traffic, now,
+		target->registration.slots) < target->registration.slots;
 
 	if (fields->names_other) {
 		msp_disown_target(edge->view, target, "another-target-there");
@@ -250,8 +250,8 @@
 	bool failed;
 	bool ok;
 
-	decode_target_fields(response, request->caller.id,
-	    target->registration.id, &fields);
+	decode_target_fields(
+	    response, request->caller.id, target->registration.id, &fields);
 	ok = fields.same_id && fields.signed_answer && !fields.not_run;
 	failed = response->status >= HTTP_SERVER_ERROR;
 	msp_end_balanced(
@@ -354,9 +354,8 @@
 	status =
 	    msp_balance(edge->balancer, &request->wanted, &request->choice);
 	if (status != MSP_OK) {
-		const char *outcome = status == MSP_E_OVERLOAD
-		    ? "overload"
-		    : "no-target";
+		const char *outcome =
+		    status == MSP_E_OVERLOAD ? "overload" : "no-target";
 
 		if (request->may_have_run)
 			give_up(request, outcome);
@@ -393,11 +392,10 @@
 static msp_digest_t
 fingerprint_of(const msp_request_t *request)
 {
-	msp_digest_t digest =
-	    msp_digest(request->path, strlen(request->path));
+	msp_digest_t digest = msp_digest(request->path, strlen(request->path));
 
-	digest = msp_chain_digest(
-	    digest, request->method, strlen(request->method));
+	digest =
+	    msp_chain_digest(digest, request->method, strlen(request->method));
 	if (request->body.len > 0)
 		digest = msp_chain_digest(
 		    digest, request->body.data, request->body.len);
@@ -416,7 +414,8 @@
 		return false;
 	}
 	request->table = msp_keep_route_table(edge->routes);
-	route = msp_match_path_route(edge->routes, message->host, message->path);
+	route =
+	    msp_match_path_route(edge->routes, message->host, message->path);
 	if (route == NULL) {
 		answer_own(request, HTTP_NOT_FOUND, 0, "no-route");
 		return false;
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -22,7 +22,8 @@
 #define VM_RETRY (700 * MSP_MS)
 #define READER_ROLE "store-reader" /* which member reads the store */
 #define READER_DISTRUST (8 * MSP_SECOND)
-#define LAPSE_BEATS 2 /* heartbeats that must be missed before entries lapse */
+#define LAPSE_BEATS 2 /* heartbeats that must be missed before entries lapse \
+		       */
 #define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
@@ -107,9 +108,9 @@
 {
 	const daemon_t *daemon = edge->daemon;
 	const msp_member_t *ranked[EDGE_DISTRUSTED_MAX + 1];
-	size_t count = msp_rank_members(members_list(daemon->members),
-	    READER_ROLE, daemon->settings->place, 0, ranked,
-	    EDGE_DISTRUSTED_MAX + 1);
+	size_t count =
+	    msp_rank_members(members_list(daemon->members), READER_ROLE,
+		daemon->settings->place, 0, ranked, EDGE_DISTRUSTED_MAX + 1);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -491,8 +492,8 @@
 {
 	edge_t *edge = ctx;
 
-	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
-	    VM_TIMEOUT_MS, on_vms, edge);
+	edge->vm_call = read_store_rows(
+	    edge->store, NULL, VMS_TABLE, NULL, VM_TIMEOUT_MS, on_vms, edge);
 	if (edge->vm_call == NULL)
 		set_vm_timer(edge, VM_RETRY, read_vms);
 }
@@ -504,8 +505,8 @@
 
 	edge->vm_call = NULL;
 	if (reply->status != MSP_OK) {
-		log_warn("event=announce error=%s",
-		    msp_status_name(reply->status));
+		log_warn(
+		    "event=announce error=%s", msp_status_name(reply->status));
 		set_vm_timer(edge, VM_RETRY, announce_vm);
 		return;
 	}
@@ -530,9 +531,8 @@
 	if (encode_vm_row(&vm, &text) == MSP_OK) {
 		write.value = text.data;
 		write.len = text.len;
-		edge->vm_call = change_store_rows(
-		    edge->store, &transaction, VM_TIMEOUT_MS, on_announced,
-		    edge);
+		edge->vm_call = change_store_rows(edge->store, &transaction,
+		    VM_TIMEOUT_MS, on_announced, edge);
 	}
 	msp_drop_buffer(&text);
 	if (edge->vm_call == NULL)
--- a/source/steer/region_share.c
+++ b/source/steer/region_share.c
@@ -21,8 +21,8 @@
 }
 
 void
-msp_update_region_share(msp_region_share_t *share, msp_time_t now, double here,
-    double elsewhere)
+msp_update_region_share(
+    msp_region_share_t *share, msp_time_t now, double here, double elsewhere)
 {
 	msp_time_t step = share->updated == 0 ? 0 : now - share->updated;
 
--- a/source/steer/target_traffic.c
+++ b/source/steer/target_traffic.c
@@ -2,7 +2,8 @@
 
 #include <math.h>
 
-#define TOLD_FADE (2 * MSP_SECOND) /* a report loses two thirds in this time */
+#define TOLD_FADE (2 * MSP_SECOND) /* a report loses two thirds in this time \
+				    */
 #define TOLD_WEIGHT 0.6 /* of a new report against those before */
 #define OUTCOME_WEIGHT 0.15 /* of one request in the share of failures */
 #define FAILURES_FADE (5 * MSP_SECOND)
@@ -55,8 +56,8 @@
 {
 	if (load->slowness == 0)
 		return 1;
-	return 1 + fade(load->slowness - 1, now - load->slowness_at,
-	    SLOWNESS_FADE);
+	return 1 +
+	    fade(load->slowness - 1, now - load->slowness_at, SLOWNESS_FADE);
 }
 
 void
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -299,8 +299,8 @@
 	view->store_back = was_down ? msp_now(&view->env) : 0;
 	TAILQ_FOREACH(target, &view->targets, link) {
 		if (target->status == MSP_TARGET_HELD)
-			target->held_until =
-			    msp_now(&view->env) + (was_down ? MSP_LAPSE_HOLD : 0);
+			target->held_until = msp_now(&view->env) +
+			    (was_down ? MSP_LAPSE_HOLD : 0);
 	}
 }
 
@@ -314,8 +314,8 @@
 	TAILQ_FOREACH_SAFE(target, &view->targets, link, next) {
 		if (target->status == MSP_TARGET_HELD &&
 		    now >= target->held_until)
-			change(
-			    view, target, MSP_TARGET_REMOVED, "not-back-in-time");
+			change(view, target, MSP_TARGET_REMOVED,
+			    "not-back-in-time");
 		if (target->status == MSP_TARGET_REMOVED &&
 		    now >= target->changed + MSP_REMOVED_RETENTION)
 			forget_target(view, target);
