--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -5,6 +5,7 @@
 
 #define STORE_TIMEOUT_MS 1200 /* of one read, beyond the wait */
 #define STORE_RETRY_TIMEOUT_MS 800 /* while it doesn't answer */
+#define STORE_BACKOFF (1 * MSP_SECOND) /* between two tries meanwhile */
 #define VM_TIMEOUT_MS 400
 #define WITNESSES_MAX 3 /* VMs that are asked about an outage */
 #define WHOLE_TIMEOUT_MS 2000 /* of one page of the whole table */
@@ -29,6 +30,7 @@
 	uint64_t whole_version; /* of the first page */
 	unsigned int attempt;
 	msp_time_t lost_since; /* the store does not answer; 0: it does */
+	msp_time_t store_asked; /* when it was last asked */
 	msp_time_t stale_since; /* 0: it is known how the store is */
 	msp_time_t steady_since; /* since when it has been known */
 	unsigned int witnesses; /* VMs that were asked about an outage */
@@ -290,6 +292,13 @@
 		follower->from_vm = callbacks->choose_source(
 		    callbacks->ctx, follower->attempt, &source);
 	follower->asks_witness = false;
+	/* While other VMs know how the store is, it is not asked too often. */
+	if (!follower->from_vm && follower->lost_since != 0 &&
+	    now_of(follower) < follower->store_asked + STORE_BACKOFF)
+		follower->from_vm =
+		    callbacks->choose_vm(callbacks->ctx, &source);
+	if (!follower->from_vm)
+		follower->store_asked = now_of(follower);
 	if (follower->from_vm) {
 		chosen = &source;
 		wait_ms = options->vm_wait_ms;
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -33,7 +33,7 @@
 #define PAUSE_MIN (200 * MSP_MS) /* between two beats */
 #define LEAVE_CHECK (50 * MSP_MS)
 #define OPEN_WHILE_LEAVING_PCT 40 /* of the grace period */
-#define LEAVE_SPARE (300 * MSP_MS) /* of the grace period, to end in */
+#define LEAVE_SPARE (700 * MSP_MS) /* of the grace period, to end in */
 
 static uint64_t
 wall_clock_us(void)
