--- a/include/monsoonspindle/net.h
+++ b/include/monsoonspindle/net.h
@@ -4,6 +4,7 @@
 #include "monsoonspindle/net/http.h"
 #include "monsoonspindle/net/http_client.h"
 #include "monsoonspindle/net/http_server.h"
+#include "monsoonspindle/net/line_writer.h"
 #include "monsoonspindle/net/loop.h"
 #include "monsoonspindle/net/query.h"
 #include "monsoonspindle/net/rpc.h"
--- a/source/base/histogram.c
+++ b/source/base/histogram.c
@@ -1,5 +1,6 @@
 #include "monsoonspindle/base/histogram.h"
 
+#include <inttypes.h>
 #include <stddef.h>
 
 #define SUB_BITS 4
@@ -35,6 +36,7 @@
 msp_record(msp_histogram_t *histogram, uint64_t value)
 {
 	histogram->count++;
+	histogram->sum += value;
 	histogram->buckets[bucket_of(value)]++;
 	if (value > histogram->max)
 		histogram->max = value;
@@ -61,6 +63,41 @@
 	return histogram->max;
 }
 
+/* Values up to `bound`, with those that share its bucket. */
+static uint64_t
+count_up_to(const msp_histogram_t *histogram, uint64_t bound)
+{
+	uint64_t count = 0;
+	size_t last = bucket_of(bound);
+	size_t i;
+
+	for (i = 0; i <= last; i++)
+		count += histogram->buckets[i];
+	return count;
+}
+
+msp_status_t
+msp_print_histogram(const msp_histogram_t *histogram, const char *name,
+    const char *labels, const uint64_t *bounds, size_t count, msp_buffer_t *out)
+{
+	const char *comma = labels[0] == '\0' ? "" : ",";
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	for (i = 0; i < count && status == MSP_OK; i++)
+		status = msp_print_buffer(out,
+		    "%s_bucket{%s%sle=\"%" PRIu64 "\"} %" PRIu64 "\n", name,
+		    labels, comma, bounds[i],
+		    count_up_to(histogram, bounds[i]));
+	if (status != MSP_OK)
+		return status;
+	return msp_print_buffer(out,
+	    "%s_bucket{%s%sle=\"+Inf\"} %" PRIu64 "\n"
+	    "%s_sum{%s} %" PRIu64 "\n%s_count{%s} %" PRIu64 "\n",
+	    name, labels, comma, histogram->count, name, labels, histogram->sum,
+	    name, labels, histogram->count);
+}
+
 void
 msp_decay_histogram(msp_histogram_t *histogram)
 {
--- a/source/coord/ledger_rows.h
+++ b/source/coord/ledger_rows.h
@@ -12,8 +12,9 @@
 #define LEDGER_KEY_SIZE 96 /* bytes of a row's key */
 #define REFUSED_ID "refused" /* value of a refused id's row */
 #define NOTE_PART_BYTES (60 * 1024) /* of a note's text in one row */
-#define NOTE_PARTS_MAX 12 /* rows of one note: a store call of 1 MB in base64 \
-			   */
+#define NOTE_PARTS_MAX                                         \
+	12 /* rows of one note: a store call of 1 MB in base64 \
+	    */
 
 /* The chain's end, as the head row has it. */
 typedef struct chain_head {
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -138,6 +138,7 @@
 	edge_t *edge = ctx;
 
 	msp_tick_target_view(edge->view);
+	log_tick();
 }
 
 edge_t *
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -87,6 +87,42 @@
 	msp_answer_exchange(exchange, &response);
 }
 
+static void
+print_durations(const edge_t *edge, msp_buffer_t *out)
+{
+	static const uint64_t bounds_ms[] = {
+	    5, 10, 25, 50, 100, 200, 300, 500, 800, 1200, 2000, 4000, 8000};
+	static const char *const labels[EDGE_DURATIONS] = {
+	    [EDGE_ANSWERED] = "outcome=\"answered\"",
+	    [EDGE_REFUSED] = "outcome=\"refused\"",
+	    [EDGE_FAILED] = "outcome=\"failed\"",
+	};
+	size_t i;
+
+	for (i = 0; i < EDGE_DURATIONS; i++)
+		msp_print_histogram(&edge->durations[i],
+		    "msp_request_duration_ms", labels[i], bounds_ms,
+		    sizeof(bounds_ms) / sizeof(*bounds_ms), out);
+}
+
+static void
+set_log_gauges(msp_counters_t *counters)
+{
+	const msp_line_stats_t *lines = log_statistics();
+
+	if (lines == NULL)
+		return;
+	*msp_counter(counters, "msp_log_lines_total") = lines->lines;
+	*msp_counter(counters, "msp_log_bytes_total") = lines->bytes;
+	*msp_counter(counters, "msp_log_lost_total") = lines->lost;
+	*msp_counter(counters, "msp_log_omitted_total{rank=\"vital\"}") =
+	    lines->omitted[MSP_LINE_VITAL];
+	*msp_counter(counters, "msp_log_omitted_total{rank=\"notable\"}") =
+	    lines->omitted[MSP_LINE_NOTABLE];
+	*msp_counter(counters, "msp_log_omitted_total{rank=\"sample\"}") =
+	    lines->omitted[MSP_LINE_SAMPLE];
+}
+
 static void
 on_metrics(void *ctx, msp_exchange_t *exchange)
 {
@@ -95,6 +131,7 @@
 	msp_response_t response = {.status = 200};
 
 	count_gossip(edge->daemon->gossip);
+	set_log_gauges(counters);
 	*msp_counter(counters, "msp_routes_version") = edge_version(edge);
 	*msp_counter(counters, "msp_requests_in_hand") = edge->request_count;
 	*msp_counter(counters, "msp_targets_age_ms") =
@@ -103,6 +140,7 @@
 	msp_add_header(&response.headers, "Content-Type",
 	    "text/plain; version=0.0.4; charset=utf-8");
 	msp_print_counters(counters, &response.body);
+	print_durations(edge, &response.body);
 	msp_answer_exchange(exchange, &response);
 }
 
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -19,6 +19,14 @@
 
 #define EDGE_DISTRUSTED_MAX 4
 
+/* How requests ended whose durations are counted. */
+typedef enum edge_durations {
+	EDGE_ANSWERED,
+	EDGE_REFUSED, /* not run */
+	EDGE_FAILED,
+	EDGE_DURATIONS
+} edge_durations_t;
+
 struct edge {
 	daemon_t *daemon;
 
@@ -56,6 +64,7 @@
 	store_source_t *others; /* VMs of other data centres; owned */
 	size_t other_count;
 
+	msp_histogram_t durations[EDGE_DURATIONS]; /* ms, from the arrival */
 	TAILQ_HEAD(, edge_request) requests;
 	size_t request_count;
 	TAILQ_HEAD(, pending_strike) strikes;
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -62,18 +62,20 @@
 
 /* One line for the end of a request, with what decided it. */
 static void
-log_end(const edge_request_t *request, int http_status, const char *outcome)
+log_end(const edge_request_t *request, msp_line_rank_t rank, int http_status,
+    const char *outcome)
 {
 	const edge_t *edge = request->edge;
 	const msp_balance_choice_t *choice = &request->choice;
 	const msp_path_route_t *route = request->wanted.route;
 	msp_time_t now = now_of(edge);
 
-	log_info("event=request id=%s status=%d outcome=%s route=%s service=%s "
-		 "routes=%" PRIu64 " routes_age_ms=%" PRIu64
-		 " targets_age_ms=%" PRIu64 " target=%s warmth=%s load=%.1f "
-		 "wait_ms=%" PRIu64 " expected_ms=%" PRIu64 " took_ms=%" PRIu64
-		 " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u",
+	log_request(rank,
+	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
+	    "routes=%" PRIu64 " routes_age_ms=%" PRIu64
+	    " targets_age_ms=%" PRIu64 " target=%s warmth=%s load=%.1f "
+	    "wait_ms=%" PRIu64 " expected_ms=%" PRIu64 " took_ms=%" PRIu64
+	    " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u",
 	    request->caller.id, http_status, outcome, route_name(request),
 	    request->wanted.service == NULL ? "-"
 					    : request->wanted.service->name,
@@ -102,18 +104,37 @@
 	free(request);
 }
 
+static void
+record_end(const edge_request_t *request, bool good, msp_time_t took)
+{
+	edge_t *edge = request->edge;
+	edge_durations_t kind = EDGE_ANSWERED;
+
+	if (!good)
+		kind = request->may_have_run ? EDGE_FAILED : EDGE_REFUSED;
+	msp_record(&edge->durations[kind], took / MSP_MS);
+}
+
 /* Hands the answer over, if the caller is still there, and frees `request`. */
 static void
 answer(edge_request_t *request, msp_response_t *response, const char *outcome)
 {
 	edge_t *edge = request->edge;
+	msp_time_t took = now_of(edge) - request->arrival;
 	bool good = response->status < HTTP_SERVER_ERROR;
+	bool late = request->wanted.route != NULL &&
+	    took > request->wanted.route->goal_ms * MSP_MS;
 
+	record_end(request, good, took);
 	msp_count(edge->daemon->counters, 1,
 	    "msp_requests_total{outcome=\"%s\",status=\"%d\"}", outcome,
 	    response->status);
-	if (!good || request->wanted.tried_count > 0 || is_sampled(request))
-		log_end(request, response->status, outcome);
+	if (!good || request->wanted.tried_count > 1)
+		log_end(request, MSP_LINE_VITAL, response->status, outcome);
+	else if (late)
+		log_end(request, MSP_LINE_NOTABLE, response->status, outcome);
+	else if (is_sampled(request))
+		log_end(request, MSP_LINE_SAMPLE, response->status, outcome);
 	if (request->exchange != NULL)
 		msp_answer_exchange(request->exchange, response);
 	msp_drop_response(response);
@@ -209,7 +230,8 @@
 		give_up(request, outcome);
 		return;
 	}
-	log_info("event=retry id=%s reason=%s target=%s sent=%u tried=%zu",
+	log_request(MSP_LINE_VITAL,
+	    "event=retry id=%s reason=%s target=%s sent=%u tried=%zu",
 	    request->caller.id, outcome,
 	    request->choice.target->registration.id, request->sent_count,
 	    request->wanted.tried_count);
@@ -277,8 +299,9 @@
 		return;
 	}
 	if (failed && request->wanted.route->idempotent && may_retry(request)) {
-		log_info("event=retry id=%s reason=target-error status=%d "
-			 "target=%s sent=%u",
+		log_request(MSP_LINE_VITAL,
+		    "event=retry id=%s reason=target-error status=%d "
+		    "target=%s sent=%u",
 		    request->caller.id, response->status,
 		    target->registration.id, request->sent_count);
 		send_request(request);
@@ -492,6 +515,7 @@
 		return;
 	request->exchange = NULL;
 	msp_count(edge->daemon->counters, 1, "msp_callers_gone_total");
+	log_end(request, MSP_LINE_NOTABLE, 0, "caller-gone");
 	/* What must not be repeated runs to its end. */
 	if (!request->wanted.route->idempotent)
 		return;
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -22,8 +22,9 @@
 #define VM_RETRY (700 * MSP_MS)
 #define READER_ROLE "store-reader" /* which member reads the store */
 #define READER_DISTRUST (8 * MSP_SECOND)
-#define LAPSE_BEATS 2 /* heartbeats that must be missed before entries lapse \
-		       */
+#define LAPSE_BEATS                                              \
+	2 /* heartbeats that must be missed before entries lapse \
+	   */
 #define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
--- a/source/spindled/log.c
+++ b/source/spindled/log.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <log4c.h>
 
@@ -13,6 +14,8 @@
 
 static log4c_category_t *category;
 static FILE *stream;
+static msp_line_writer_t *writer; /* in place of `stream` */
+static msp_line_stats_t told; /* as last written to the log */
 static char vm_name[64];
 
 /* One line: time, level, VM, message. */
@@ -39,6 +42,11 @@
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
 	(void)appender;
+	if (writer != NULL) {
+		msp_write_line(writer, event->evt_rendered_msg,
+		    strlen(event->evt_rendered_msg));
+		return 0;
+	}
 	return fputs(event->evt_rendered_msg, stream) < 0 ? -1 : 0;
 }
 
@@ -52,6 +60,18 @@
     .append = append_line,
 };
 
+static msp_status_t
+open_writer(void)
+{
+	msp_env_t env = msp_system_env();
+	msp_line_writer_options_t options = {.fd = STDOUT_FILENO};
+
+	writer = msp_new_line_writer(&env, &options);
+	if (writer == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for the log");
+	return MSP_OK;
+}
+
 msp_status_t
 log_open(const char *vm, const char *level, const char *file)
 {
@@ -64,7 +84,8 @@
 		    MSP_E_RANGE, "log.level: no level \"%s\"", level);
 	stream = stderr;
 	if (file != NULL && strcmp(file, "-") == 0) {
-		stream = stdout;
+		if (open_writer() != MSP_OK)
+			return MSP_E_NO_MEMORY;
 	} else if (file != NULL && file[0] != '\0') {
 		stream = fopen(file, "ae");
 		if (stream == NULL) {
@@ -97,19 +118,23 @@
 		return;
 	category = NULL;
 	log4c_fini();
-	if (stream != stderr && stream != stdout)
+	msp_drop_line_writer(writer);
+	writer = NULL;
+	if (stream != stderr)
 		fclose(stream);
 	stream = NULL;
 }
 
 static void
-write_line(int priority, const char *fmt, va_list args)
+write_line(int priority, msp_line_rank_t rank, const char *fmt, va_list args)
 {
 	char text[LINE_SIZE];
 
 	if (category == NULL ||
 	    !log4c_category_is_priority_enabled(category, priority))
 		return;
+	if (writer != NULL && !msp_may_write_line(writer, rank))
+		return;
 	vsnprintf(text, sizeof(text), fmt, args);
 	log4c_category_log(category, priority, "%s", text);
 }
@@ -120,7 +145,7 @@
 	va_list args;
 
 	va_start(args, fmt);
-	write_line(LOG4C_PRIORITY_ERROR, fmt, args);
+	write_line(LOG4C_PRIORITY_ERROR, MSP_LINE_VITAL, fmt, args);
 	va_end(args);
 }
 
@@ -130,7 +155,7 @@
 	va_list args;
 
 	va_start(args, fmt);
-	write_line(LOG4C_PRIORITY_WARN, fmt, args);
+	write_line(LOG4C_PRIORITY_WARN, MSP_LINE_VITAL, fmt, args);
 	va_end(args);
 }
 
@@ -140,10 +165,49 @@
 	va_list args;
 
 	va_start(args, fmt);
-	write_line(LOG4C_PRIORITY_INFO, fmt, args);
+	write_line(LOG4C_PRIORITY_INFO, MSP_LINE_VITAL, fmt, args);
 	va_end(args);
 }
 
+void
+log_request(msp_line_rank_t rank, const char *fmt, ...)
+{
+	va_list args;
+
+	va_start(args, fmt);
+	write_line(LOG4C_PRIORITY_INFO, rank, fmt, args);
+	va_end(args);
+}
+
+void
+log_tick(void)
+{
+	const msp_line_stats_t *now;
+
+	if (writer == NULL)
+		return;
+	now = msp_line_statistics(writer);
+	if (now->omitted[MSP_LINE_VITAL] != told.omitted[MSP_LINE_VITAL] ||
+	    now->omitted[MSP_LINE_NOTABLE] != told.omitted[MSP_LINE_NOTABLE] ||
+	    now->omitted[MSP_LINE_SAMPLE] != told.omitted[MSP_LINE_SAMPLE] ||
+	    now->lost != told.lost) {
+		log_warn("event=log omitted_vital=%" PRIu64
+			 " omitted_notable=%" PRIu64 " omitted_sample=%" PRIu64
+			 " lost=%" PRIu64,
+		    now->omitted[MSP_LINE_VITAL],
+		    now->omitted[MSP_LINE_NOTABLE],
+		    now->omitted[MSP_LINE_SAMPLE], now->lost);
+		told = *now;
+	}
+	msp_flush_lines(writer);
+}
+
+const msp_line_stats_t *
+log_statistics(void)
+{
+	return writer == NULL ? NULL : msp_line_statistics(writer);
+}
+
 /* Replaces what would break the line apart: the text may be a client's. */
 static const char *
 clean(const char *text, char *out, size_t size)
--- a/source/steer/target_traffic.c
+++ b/source/steer/target_traffic.c
@@ -2,8 +2,9 @@
 
 #include <math.h>
 
-#define TOLD_FADE (2 * MSP_SECOND) /* a report loses two thirds in this time \
-				    */
+#define TOLD_FADE                                                  \
+	(2 * MSP_SECOND) /* a report loses two thirds in this time \
+			  */
 #define TOLD_WEIGHT 0.6 /* of a new report against those before */
 #define OUTCOME_WEIGHT 0.15 /* of one request in the share of failures */
 #define FAILURES_FADE (5 * MSP_SECOND)
