--- a/source/spindlectl/ctl.h
+++ b/source/spindlectl/ctl.h
@@ -66,6 +66,12 @@
 bool parse_options(
     int argc, char **argv, ctl_options_t *options, ctl_exit_t *code);
 
+/*
+ * explain.c: tells from the logs of VMs what became of a request. `words` are
+ * its id and the files.
+ */
+ctl_exit_t run_explain(int count, char **words);
+
 /* request.c */
 bool open_ctl(ctl_t *ctl);
 void close_ctl(ctl_t *ctl);
--- a/source/spindlectl/main.c
+++ b/source/spindlectl/main.c
@@ -48,6 +48,9 @@
 	const command_t *command;
 	ctl_exit_t code = CTL_USAGE;
 
+	/* Reads files only and needs no VM. */
+	if (argc > 1 && strcmp(argv[1], "explain") == 0)
+		return run_explain(argc - 2, argv + 2);
 	if (!parse_options(argc, argv, &ctl.options, &code))
 		return code;
 	command = find_command(&ctl.options);
--- a/source/spindlectl/options.c
+++ b/source/spindlectl/options.c
@@ -27,6 +27,7 @@
     "  drain place|target NAME   a note that sets its state to draining\n"
     "  drain vm NAME             let a VM leave\n"
     "  metrics                   counters of the VM\n"
+    "  explain ID FILE...        what became of a request, from VMs' logs\n"
     "\n"
     "Exit codes: 0 done, 1 refused or clash, 2 bad arguments, token or note,\n"
     "3 no final answer in time, 4 accepted but not in force everywhere in "
