--- /dev/null
+++ b/tests/platform/test_manifest.c
@@ -0,0 +1,155 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../platform/manifest.h"
+#include "monsoonspindle/base.h"
+
+#define SERVICES "\"services\":[{\"name\":\"desk\"},{\"name\":\"vault\"}]"
+#define ROUTE_HEAD                                            \
+	"{\"name\":\"r\",\"host\":\"A.example\",\"prefix\":"  \
+	"\"/x/\",\"kind\":\"idempotent\",\"timeoutMs\":2000," \
+	"\"targetLatencyMs\":500"
+#define ROUTE ROUTE_HEAD ",\"service\":\"desk\"}"
+#define DOCUMENT(version_, routes_) \
+	"{\"version\":" version_ ",\"routes\":[" routes_ "]," SERVICES "}"
+
+typedef struct bad_case {
+	const char *text;
+	const char *message; /* a part of it */
+} bad_case_t;
+
+static void
+unusable_documents_are_refused(void **state)
+{
+	static const bad_case_t cases[] = {
+	    {"", "not one JSON object"},
+	    {"{\"version\":\"r1\"", "not one JSON object"},
+	    {"[]", "not one JSON object"},
+	    {"{}", "\"version\""},
+	    {DOCUMENT("7", ROUTE), "\"version\""},
+	    {DOCUMENT("\"7\"", ROUTE), "version"},
+	    {DOCUMENT("\"r\"", ROUTE), "version"},
+	    {DOCUMENT("\"r7x\"", ROUTE), "version"},
+	    {DOCUMENT("\"r-7\"", ROUTE), "version"},
+	    {"{\"version\":\"r7\"," SERVICES "}", "\"routes\""},
+	    {"{\"version\":\"r7\",\"routes\":[]}", "\"services\""},
+	    {DOCUMENT("\"r7\"", "5"), "\"name\""},
+	    {DOCUMENT("\"r7\"", ROUTE_HEAD "}"), "\"service\""},
+	    {DOCUMENT("\"r7\"", ROUTE_HEAD ",\"service\":\"none\"}"),
+		"no service \"none\""},
+	    {DOCUMENT("\"r7\"",
+		 ROUTE_HEAD ",\"backends\":[{\"service\":"
+			    "\"desk\",\"weight\":0}]}"),
+		"weight"},
+	    {DOCUMENT("\"r7\"",
+		 ROUTE_HEAD ",\"backends\":[{\"service\":"
+			    "\"desk\",\"weight\":-1}]}"),
+		"\"weight\""},
+	    {DOCUMENT("\"r7\"", ROUTE "," ROUTE), "same prefix"},
+	    {DOCUMENT("\"r7\"",
+		 ROUTE_HEAD ",\"service\":\"desk\","
+			    "\"homeRegions\":[7]}"),
+		"homes"},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		assert_null(
+		    decode_manifest(cases[i].text, strlen(cases[i].text)));
+		if (strstr(msp_last_message(), cases[i].message) == NULL)
+			fail_msg("case %zu: %s", i, msp_last_message());
+	}
+}
+
+static void
+fields_stand_for_what_they_hold(void **state)
+{
+	static const char text[] =
+	    "{\"version\":\"r12\",\"new\":{},\"routes\":[{\"name\":\"a\","
+	    "\"host\":\"A.Example\",\"prefix\":\"/x/\",\"kind\":"
+	    "\"non_idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":300,"
+	    "\"priority\":1,\"backends\":[{\"service\":\"desk\",\"weight\":90},"
+	    "{\"service\":\"vault\",\"weight\":10}],\"maxAttempts\":2,"
+	    "\"stickySessions\":true,\"homeRegions\":[\"north\"],\"more\":1},"
+	    "{\"name\":\"b\",\"host\":\"a.example\",\"prefix\":\"/y/\","
+	    "\"kind\":\"something else\",\"timeoutMs\":1,"
+	    "\"targetLatencyMs\":1,\"service\":\"vault\"}],\"services\":["
+	    "{\"name\":\"desk\",\"healthPath\":\"/health\",\"maxConns\":815,"
+	    "\"coldStartS\":3.0,\"coldPerS\":3.4},{\"name\":\"vault\"}]}";
+	msp_route_table_t *table = decode_manifest(text, strlen(text));
+	const msp_path_route_t *route;
+	const msp_service_rule_t *rule;
+
+	(void)state;
+	assert_non_null(table);
+	assert_int_equal(table->version, 12);
+	route = msp_match_path_route(table, "a.example", "/x/1");
+	assert_non_null(route);
+	assert_false(route->idempotent);
+	assert_true(route->sticky);
+	assert_int_equal(route->timeout_ms, 1500);
+	assert_int_equal(route->goal_ms, 300);
+	assert_int_equal(route->priority, 1);
+	assert_int_equal(route->max_attempts, 2);
+	assert_int_equal(route->part_count, 2);
+	assert_int_equal(route->parts[0].weight, 90);
+	assert_string_equal(route->parts[1].service, "vault");
+	assert_false(msp_route_allows_region(route, "south"));
+	route = msp_match_path_route(table, "a.example", "/y/");
+	assert_non_null(route);
+	assert_false(route->idempotent);
+	assert_int_equal(route->max_attempts, 1);
+	rule = msp_find_service_rule(table, "desk");
+	assert_non_null(rule);
+	assert_string_equal(rule->health_path, "/health");
+	assert_int_equal(rule->max_connections, 815);
+	assert_int_equal(rule->cold_ms, 3000);
+	assert_true(rule->cold_per_s > 3.39 && rule->cold_per_s < 3.41);
+	msp_drop_route_table(table);
+}
+
+/* As many routes as a change of the operator may add at once. */
+static void
+hundreds_of_routes_are_read(void **state)
+{
+	msp_buffer_t text = {0};
+	msp_route_table_t *table;
+	unsigned int i;
+
+	(void)state;
+	msp_print_buffer(
+	    &text, "{\"version\":\"r9\"," SERVICES ",\"routes\":[");
+	for (i = 0; i < 600; i++)
+		msp_print_buffer(&text,
+		    "%s{\"name\":\"r%u\",\"host\":\"h%u\",\"prefix\":\"/p%u/\","
+		    "\"kind\":\"idempotent\",\"timeoutMs\":9,"
+		    "\"targetLatencyMs\":9,\"service\":\"desk\"}",
+		    i == 0 ? "" : ",", i, i % 7, i);
+	msp_print_buffer(&text, "]}");
+	table = decode_manifest(text.data, text.len);
+	assert_non_null(table);
+	assert_int_equal(table->route_count, 600);
+	assert_string_equal(
+	    msp_match_path_route(table, "h4", "/p599/x")->name, "r599");
+	msp_drop_route_table(table);
+	msp_drop_buffer(&text);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(unusable_documents_are_refused),
+	    cmocka_unit_test(fields_stand_for_what_they_hold),
+	    cmocka_unit_test(hundreds_of_routes_are_read),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/test_request_fields.c
@@ -0,0 +1,291 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../platform/interface.h"
+#include "../../platform/request_fields.h"
+
+typedef struct caller_case {
+	const char *patience; /* NULL: none */
+	const char *cookie;
+	uint32_t patience_ms;
+	bool has_object;
+} caller_case_t;
+
+static void
+callers_say_how_long_they_wait_and_for_what(void **state)
+{
+	static const caller_case_t cases[] = {
+	    {NULL, NULL, 0, false},
+	    {"3000", "Affinity-Key=17", 3000, true},
+	    {"3000.5", "a=b; Affinity-Key=17", 3000, true},
+	    {"", "Affinity-Key=", 0, false},
+	    {"-5", "Affinity-Keys=17", 0, false},
+	    {"soon", "affinity-key=17", 0, false},
+	    {"12x", "x=Affinity-Key=17", 0, false},
+	    {"99999999999", "Affinity-Key=17;", 3600000, true},
+	};
+	caller_fields_t fields;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_request_t request = {.method = "GET", .path = "/"};
+
+		msp_add_header(&request.headers, "request-id", "abc");
+		if (cases[i].patience != NULL)
+			msp_add_header(
+			    &request.headers, "deadline-ms", cases[i].patience);
+		if (cases[i].cookie != NULL)
+			msp_add_header(
+			    &request.headers, "cookie", cases[i].cookie);
+		decode_caller_fields(&request, &fields);
+		assert_string_equal(fields.id, "abc");
+		assert_int_equal(fields.patience_ms, cases[i].patience_ms);
+		assert_int_equal(fields.has_object, cases[i].has_object);
+		msp_drop_request(&request);
+	}
+}
+
+static void
+one_object_is_told_from_another(void **state)
+{
+	static const char *const cookies[] = {
+	    "Affinity-Key=17", "x=1; Affinity-Key=17", "Affinity-Key=18"};
+	caller_fields_t fields[3];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		msp_request_t request = {.method = "GET", .path = "/"};
+
+		msp_add_header(&request.headers, "cookie", cookies[i]);
+		decode_caller_fields(&request, &fields[i]);
+		msp_drop_request(&request);
+	}
+	assert_true(fields[0].object == fields[1].object);
+	assert_true(fields[0].object != fields[2].object);
+}
+
+static void
+a_target_gets_the_time_that_is_left_and_its_name(void **state)
+{
+	msp_request_t request = {
+	    .method = "POST", .path = "/x/1?q=2", .host = "a.example"};
+	msp_request_t out;
+
+	(void)state;
+	msp_add_header(&request.headers, "Request-Id", "abc");
+	msp_add_header(&request.headers, "Deadline-Ms", "3000");
+	msp_add_header(&request.headers, "Target-Instance", "forged");
+	msp_add_header(&request.headers, "cookie", "Affinity-Key=17");
+	msp_append_buffer(&request.body, "body", 4);
+	assert_int_equal(
+	    encode_target_request(&request, "i-1", 1234, &out), MSP_OK);
+	assert_string_equal(out.method, "POST");
+	assert_string_equal(out.path, "/x/1?q=2");
+	assert_string_equal(out.host, "a.example");
+	assert_string_equal(
+	    msp_find_header(&out.headers, "Deadline-Ms"), "1234");
+	assert_string_equal(
+	    msp_find_header(&out.headers, "Target-Instance"), "i-1");
+	assert_string_equal(msp_find_header(&out.headers, "Request-Id"), "abc");
+	assert_string_equal(
+	    msp_find_header(&out.headers, "cookie"), "Affinity-Key=17");
+	assert_int_equal(out.headers.count, 4);
+	assert_int_equal(out.body.len, 4);
+	msp_drop_request(&out);
+	msp_drop_request(&request);
+}
+
+typedef struct answer_case {
+	int status;
+	const char *names[4];
+	const char *values[4];
+	bool not_run;
+	bool signed_answer;
+	bool same_id;
+	bool names_other;
+	bool has_load;
+} answer_case_t;
+
+static void
+answers_of_targets_are_told_apart(void **state)
+{
+	static const answer_case_t cases[] = {
+	    {200, {"request-id", "response-signature", "server-load"},
+		{"abc", "s", "3,0,8"}, false, true, true, false, true},
+	    {200, {"request-id", "response-signature"}, {"abd", "s"}, false,
+		true, false, false, false},
+	    {200, {"request-id"}, {"abc"}, false, false, true, false, false},
+	    {503, {"request-id", "not-executed"}, {"abc", "1"}, true, false,
+		true, false, false},
+	    {503, {"request-id"}, {"abc"}, false, false, true, false, false},
+	    {421, {"instance-id"}, {"i-2"}, true, false, false, true, false},
+	    {200, {"request-id", "instance-id"}, {"abc", "i-1"}, false, false,
+		true, false, false},
+	    {200, {"server-load"}, {"3,0"}, false, false, false, false, false},
+	    {200, {"server-load"}, {"many"}, false, false, false, false, false},
+	};
+	target_fields_t fields;
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		const answer_case_t *now = &cases[i];
+		msp_response_t response = {.status = now->status};
+
+		for (k = 0; k < 4 && now->names[k] != NULL; k++)
+			msp_add_header(
+			    &response.headers, now->names[k], now->values[k]);
+		decode_target_fields(&response, "abc", "i-1", &fields);
+		assert_int_equal(fields.not_run, now->not_run);
+		assert_int_equal(fields.signed_answer, now->signed_answer);
+		assert_int_equal(fields.same_id, now->same_id);
+		assert_int_equal(fields.names_other, now->names_other);
+		assert_int_equal(fields.has_load, now->has_load);
+		msp_drop_response(&response);
+	}
+}
+
+static void
+what_was_meant_for_the_vm_does_not_reach_the_caller(void **state)
+{
+	msp_response_t response = {.status = 200};
+
+	(void)state;
+	msp_add_header(&response.headers, "server-load", "1,2,3");
+	msp_add_header(&response.headers, "response-signature", "s");
+	msp_add_header(&response.headers, "cold-ms", "5");
+	strip_target_fields(&response);
+	assert_int_equal(response.headers.count, 1);
+	assert_non_null(
+	    msp_find_header(&response.headers, "response-signature"));
+	msp_drop_response(&response);
+}
+
+static void
+refusals_say_when_to_come_back(void **state)
+{
+	msp_response_t response = {0};
+
+	(void)state;
+	encode_own_answer(&response, 503, "abc", 250, "overload");
+	assert_int_equal(response.status, 503);
+	assert_string_equal(
+	    msp_find_header(&response.headers, "Retry-After"), "0.250");
+	assert_string_equal(
+	    msp_find_header(&response.headers, "Request-Id"), "abc");
+	assert_null(msp_find_header(&response.headers, "Response-Signature"));
+	msp_drop_response(&response);
+	response = (msp_response_t){0};
+	encode_own_answer(&response, 502, "", 0, NULL);
+	assert_int_equal(response.headers.count, 0);
+	msp_drop_response(&response);
+}
+
+typedef struct query_case {
+	const char *method;
+	const char *path;
+	msp_status_t status;
+	const char *place;
+} query_case_t;
+
+static void
+the_directory_is_asked_with_the_clients_place(void **state)
+{
+	static const query_case_t cases[] = {
+	    {"GET", "/api/resolve?name=a.example&region=north&zone=north-a",
+		MSP_OK, "north-a"},
+	    {"GET", "/api/resolve?name=a.example", MSP_OK, ""},
+	    {"GET", "/api/resolve", MSP_OK, ""},
+	    {"POST", "/api/resolve", MSP_E_NOT_FOUND, ""},
+	    {"GET", "/api/resolver", MSP_E_NOT_FOUND, ""},
+	    {"GET", "/api/resolve?zone=%", MSP_E_BAD_REQUEST, ""},
+	};
+	directory_query_t query;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_request_t request = {0};
+
+		strcpy(request.method, cases[i].method);
+		strcpy(request.path, cases[i].path);
+		assert_int_equal(
+		    decode_directory_query(&request, &query), cases[i].status);
+		if (cases[i].status == MSP_OK)
+			assert_string_equal(query.place, cases[i].place);
+	}
+}
+
+static void
+the_directory_names_entries(void **state)
+{
+	static const directory_entry_t entries[] = {
+	    {"10.1.0.35", 8144}, {"10.1.0.36", 8144}};
+	msp_response_t response = {0};
+
+	(void)state;
+	assert_int_equal(
+	    encode_directory_answer(entries, 2, 2000, &response), MSP_OK);
+	assert_string_equal(msp_buffer_text(&response.body),
+	    "{\"addresses\":[\"10.1.0.35:8144\",\"10.1.0.36:8144\"],"
+	    "\"ttlS\":2}");
+	msp_drop_response(&response);
+}
+
+typedef struct row_case {
+	const char *key;
+	operator_row_t row;
+	const char *place;
+} row_case_t;
+
+static void
+rows_of_the_operator_are_told_apart(void **state)
+{
+	static const row_case_t cases[] = {
+	    {"config", OPERATOR_ROW_MANIFEST, NULL},
+	    {"config2", OPERATOR_ROW_OTHER, NULL},
+	    {"evacuate/north-a", OPERATOR_ROW_EVACUATION, "north-a"},
+	    {"evacuate/", OPERATOR_ROW_OTHER, NULL},
+	    {"evacuate", OPERATOR_ROW_OTHER, NULL},
+	    {"", OPERATOR_ROW_OTHER, NULL},
+	};
+	const char *place;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		place = NULL;
+		assert_int_equal(
+		    classify_operator_row(cases[i].key, &place), cases[i].row);
+		if (cases[i].place != NULL)
+			assert_string_equal(place, cases[i].place);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(callers_say_how_long_they_wait_and_for_what),
+	    cmocka_unit_test(one_object_is_told_from_another),
+	    cmocka_unit_test(a_target_gets_the_time_that_is_left_and_its_name),
+	    cmocka_unit_test(answers_of_targets_are_told_apart),
+	    cmocka_unit_test(
+		what_was_meant_for_the_vm_does_not_reach_the_caller),
+	    cmocka_unit_test(refusals_say_when_to_come_back),
+	    cmocka_unit_test(the_directory_is_asked_with_the_clients_place),
+	    cmocka_unit_test(the_directory_names_entries),
+	    cmocka_unit_test(rows_of_the_operator_are_told_apart),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/test_table_follower.c
@@ -0,0 +1,457 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../platform/interface.h"
+#include "../../source/platform/table_follower.h"
+#include "monsoonspindle/platform.h"
+#include "net_fixture.h"
+
+/* A follower of the targets' table at the stand-in of the store. */
+
+#define ADDRESS "127.0.0.1"
+#define MAX_FDS 256
+#define PATIENCE (10 * MSP_SECOND)
+
+typedef struct follower_test {
+	msp_env_t env;
+	msp_loop_t *loop;
+	msp_memory_store_t *memory;
+	msp_store_service_t *service;
+	msp_http_server_t *server;
+	msp_http_client_t *client;
+	store_client_t *store;
+	table_follower_t *follower;
+	store_source_t vm; /* another VM; port 0: none is known */
+	unsigned int rows;
+	unsigned int removed;
+	unsigned int begun;
+	unsigned int lost;
+	unsigned int back;
+	unsigned int stale;
+	unsigned int fresh;
+	bool was_down;
+	char last_key[STORE_KEY_MAX + 1];
+} follower_test_t;
+
+static bool
+choose_source(void *ctx, unsigned int attempt, store_source_t *source)
+{
+	const follower_test_t *test = ctx;
+
+	if (attempt % 2 == 0 || test->vm.port == 0)
+		return false;
+	*source = test->vm;
+	return true;
+}
+
+static bool
+choose_vm(void *ctx, store_source_t *source)
+{
+	const follower_test_t *test = ctx;
+
+	*source = test->vm;
+	return test->vm.port != 0;
+}
+
+static void
+on_begin(void *ctx)
+{
+	((follower_test_t *)ctx)->begun++;
+}
+
+static void
+on_row(void *ctx, const store_row_t *row)
+{
+	follower_test_t *test = ctx;
+
+	if (row->value == NULL)
+		test->removed++;
+	else
+		test->rows++;
+	strcpy(test->last_key, row->key);
+}
+
+static void
+on_end(void *ctx, uint64_t version)
+{
+	(void)ctx;
+	(void)version;
+}
+
+static void
+on_news(void *ctx)
+{
+	(void)ctx;
+}
+
+static void
+on_lost(void *ctx, msp_status_t status)
+{
+	(void)status;
+	((follower_test_t *)ctx)->lost++;
+}
+
+static void
+on_back(void *ctx, msp_time_t lost_for)
+{
+	(void)lost_for;
+	((follower_test_t *)ctx)->back++;
+}
+
+static void
+on_stale(void *ctx)
+{
+	((follower_test_t *)ctx)->stale++;
+}
+
+static void
+on_fresh(void *ctx, msp_time_t stale_for, bool was_down)
+{
+	follower_test_t *test = ctx;
+
+	(void)stale_for;
+	test->fresh++;
+	test->was_down = was_down;
+}
+
+static void
+open_server(follower_test_t *test, uint16_t port)
+{
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .port = port,
+	    .handler = msp_store_service_handler(test->service)};
+
+	test->server = msp_new_http_server(test->loop, &options);
+	assert_non_null(test->server);
+}
+
+static void
+start_follower(follower_test_t *test)
+{
+	table_follower_options_t options = {.table = TARGETS_TABLE,
+	    .store_wait_ms = 100,
+	    .store_pace = 5 * MSP_MS,
+	    .vm_wait_ms = 100,
+	    .vm_pace = 5 * MSP_MS,
+	    .short_outage = 10 * MSP_MS};
+	table_follower_callbacks_t callbacks = {.choose_source = choose_source,
+	    .choose_vm = choose_vm,
+	    .on_begin = on_begin,
+	    .on_row = on_row,
+	    .on_end = on_end,
+	    .on_news = on_news,
+	    .on_lost = on_lost,
+	    .on_back = on_back,
+	    .on_stale = on_stale,
+	    .on_fresh = on_fresh,
+	    .ctx = test};
+
+	test->follower = new_table_follower(
+	    test->loop, &test->env, test->store, &options, &callbacks);
+	assert_non_null(test->follower);
+}
+
+static int
+set_up(void **state)
+{
+	follower_test_t *test = calloc(1, sizeof(*test));
+	store_source_t source = {.address = ADDRESS};
+
+	assert_non_null(test);
+	test->env = msp_system_env();
+	test->loop = msp_new_loop(MAX_FDS);
+	test->memory = msp_new_memory_store(&test->env);
+	assert_non_null(test->memory);
+	test->service = msp_new_store_service(test->memory);
+	test->client = msp_new_http_client(test->loop, NULL);
+	assert_non_null(test->client);
+	open_server(test, 0);
+	source.port = msp_http_server_port(test->server);
+	test->store = new_store_client(test->client, &source);
+	assert_non_null(test->store);
+	*state = test;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	follower_test_t *test = *state;
+
+	drop_table_follower(test->follower);
+	drop_store_client(test->store);
+	msp_drop_http_client(test->client);
+	msp_drop_http_server(test->server);
+	msp_drop_memory_store(test->memory);
+	msp_drop_store_service(test->service);
+	msp_drop_loop(test->loop);
+	free(test);
+	return 0;
+}
+
+static void
+step(follower_test_t *test)
+{
+	msp_step_memory_store(test->memory);
+	msp_step_store_service(test->service);
+	msp_step_loop(test->loop, 1);
+}
+
+static void
+wait_for(follower_test_t *test, const unsigned int *count, unsigned int least)
+{
+	msp_time_t end = msp_now(&test->env) + PATIENCE;
+
+	while (*count < least && msp_now(&test->env) < end)
+		step(test);
+	assert_true(*count >= least);
+}
+
+static void
+ignore_reply(void *ctx, const msp_store_reply_t *reply)
+{
+	assert_int_equal(reply->status, MSP_OK);
+	*(bool *)ctx = true;
+}
+
+/* Sets the row of a target, or removes it. */
+static void
+put_row(follower_test_t *test, const char *key, const char *value)
+{
+	msp_store_t store = msp_memory_store(test->memory);
+	char name[64];
+	msp_write_t write = {name, value, value == NULL ? 0 : strlen(value)};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
+	bool done = false;
+
+	snprintf(name, sizeof(name), TARGETS_TABLE "|%s", key);
+	store.transact(store.ctx, &txn, 1000, ignore_reply, &done);
+	while (!done)
+		msp_step_memory_store(test->memory);
+}
+
+static void
+a_table_is_read_whole_and_then_followed(void **state)
+{
+	follower_test_t *test = *state;
+
+	put_row(test, "t1", "one");
+	put_row(test, "t2", "two");
+	start_follower(test);
+	wait_for(test, &test->rows, 2);
+	assert_true(is_table_known(test->follower));
+	put_row(test, "t3", "three");
+	wait_for(test, &test->rows, 3);
+	assert_string_equal(test->last_key, "t3");
+	put_row(test, "t1", NULL);
+	wait_for(test, &test->removed, 1);
+	assert_string_equal(test->last_key, "t1");
+	assert_int_equal(test->begun, 1);
+	assert_int_equal(test->lost, 0);
+}
+
+static void
+more_rows_than_a_page_are_read(void **state)
+{
+	follower_test_t *test = *state;
+	char key[32];
+	unsigned int i;
+
+	for (i = 0; i < STORE_PAGE_ROWS + 20; i++) {
+		snprintf(key, sizeof(key), "t%04u", i);
+		put_row(test, key, "x");
+	}
+	start_follower(test);
+	/* The last row of a page comes with the next one too. */
+	wait_for(test, &test->rows, STORE_PAGE_ROWS + 21);
+	assert_int_equal(test->begun, 1);
+	assert_int_equal(test->rows, STORE_PAGE_ROWS + 21);
+}
+
+static void
+a_forgotten_history_is_read_whole(void **state)
+{
+	follower_test_t *test = *state;
+
+	put_row(test, "t1", "one");
+	put_row(test, "t2", "two");
+	start_follower(test);
+	wait_for(test, &test->rows, 2);
+	put_row(test, "t1", NULL);
+	put_row(test, "t4", "four");
+	msp_forget_removed_rows(test->memory);
+	wait_for(test, &test->begun, 2);
+	wait_for(test, &test->rows, 4);
+	assert_true(holds_changes(followed_copy(test->follower),
+	    copy_version(followed_copy(test->follower))));
+}
+
+typedef struct copied {
+	unsigned int rows;
+	unsigned int removed;
+} copied_t;
+
+static void
+count_row(void *ctx, const store_row_t *row)
+{
+	copied_t *copied = ctx;
+
+	if (row->value == NULL)
+		copied->removed++;
+	else
+		copied->rows++;
+}
+
+/* What other VMs get from the copy of this one. */
+static void
+the_copy_tells_of_what_was_removed_meanwhile(void **state)
+{
+	follower_test_t *test = *state;
+	copied_t copied = {0};
+	uint64_t before;
+
+	put_row(test, "t1", "one");
+	put_row(test, "t2", "two");
+	start_follower(test);
+	wait_for(test, &test->rows, 2);
+	before = copy_version(followed_copy(test->follower));
+	put_row(test, "t1", NULL);
+	wait_for(test, &test->removed, 1);
+	visit_copy(
+	    followed_copy(test->follower), false, before, count_row, &copied);
+	assert_int_equal(copied.rows, 0);
+	assert_int_equal(copied.removed, 1);
+	copied = (copied_t){0};
+	visit_copy(followed_copy(test->follower), true, 0, count_row, &copied);
+	assert_int_equal(copied.rows, 1);
+	assert_int_equal(copied.removed, 0);
+	assert_false(holds_changes(followed_copy(test->follower), 1));
+}
+
+/* The VM's answers come from this server, as of now. */
+typedef struct vm_stub {
+	uint32_t steady_ms;
+	uint32_t age_ms;
+	unsigned int asked;
+	msp_http_server_t *server;
+} vm_stub_t;
+
+static void
+answer_as_vm(void *ctx, msp_exchange_t *exchange)
+{
+	vm_stub_t *vm = ctx;
+	msp_response_t response = {.status = 200};
+
+	vm->asked++;
+	msp_print_buffer(&response.body,
+	    "{\"rows\":[],\"hasMore\":false,\"ver\":1000,\"ageMs\":%u,"
+	    "\"steadyMs\":%u}",
+	    vm->age_ms, vm->steady_ms);
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+ignore_gone(void *ctx, msp_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
+static void
+open_vm(follower_test_t *test, vm_stub_t *vm)
+{
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .handler = {
+		.on_request = answer_as_vm, .on_gone = ignore_gone, .ctx = vm}};
+
+	vm->server = msp_new_http_server(test->loop, &options);
+	assert_non_null(vm->server);
+	strcpy(test->vm.address, ADDRESS);
+	test->vm.port = msp_http_server_port(vm->server);
+}
+
+static void
+another_vm_stands_in_for_a_store_that_refuses(void **state)
+{
+	follower_test_t *test = *state;
+	vm_stub_t vm = {.steady_ms = 60000};
+
+	put_row(test, "t1", "one");
+	start_follower(test);
+	wait_for(test, &test->rows, 1);
+	open_vm(test, &vm);
+	msp_memory_store_faults(test->memory)->down = true;
+	wait_for(test, &test->lost, 1);
+	wait_for(test, &vm.asked, 5);
+	assert_int_equal(test->stale, 0);
+	assert_true(table_age(test->follower) < TABLE_FRESH);
+	msp_drop_http_server(vm.server);
+}
+
+typedef struct outage_case {
+	const char *name;
+	bool vm_known;
+	uint32_t vm_steady_ms;
+	bool was_down;
+} outage_case_t;
+
+/* After an outage another VM tells whether the store was away for all. */
+static void
+an_outage_for_all_is_told_from_one_for_this_vm(void **state)
+{
+	static const outage_case_t cases[] = {
+	    {"nobody to ask", false, 0, true},
+	    {"the other VM saw it too", true, 100, true},
+	    {"the other VM did not", true, 60000, false},
+	};
+	follower_test_t *test = *state;
+	size_t i;
+
+	put_row(test, "t1", "one");
+	start_follower(test);
+	wait_for(test, &test->rows, 1);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		vm_stub_t vm = {
+		    .steady_ms = cases[i].vm_steady_ms, .age_ms = 60000};
+		unsigned int fresh = test->fresh;
+
+		msp_memory_store_faults(test->memory)->down = true;
+		wait_for(test, &test->stale, (unsigned int)i + 1);
+		if (cases[i].vm_known)
+			open_vm(test, &vm);
+		vm.age_ms = 0;
+		if (cases[i].vm_known)
+			vm.age_ms = 0;
+		msp_memory_store_faults(test->memory)->down = false;
+		wait_for(test, &test->fresh, fresh + 1);
+		if (test->was_down != cases[i].was_down)
+			fail_msg("%s", cases[i].name);
+		test->vm.port = 0;
+		msp_drop_http_server(vm.server);
+	}
+}
+
+#define FOLLOWER_TEST(name_) \
+	cmocka_unit_test_setup_teardown(name_, set_up, tear_down)
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    FOLLOWER_TEST(a_table_is_read_whole_and_then_followed),
+	    FOLLOWER_TEST(more_rows_than_a_page_are_read),
+	    FOLLOWER_TEST(a_forgotten_history_is_read_whole),
+	    FOLLOWER_TEST(the_copy_tells_of_what_was_removed_meanwhile),
+	    FOLLOWER_TEST(another_vm_stands_in_for_a_store_that_refuses),
+	    FOLLOWER_TEST(an_outage_for_all_is_told_from_one_for_this_vm),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/steer/test_shares.c
@@ -0,0 +1,220 @@
+#include <math.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/steer.h"
+
+typedef struct split_case {
+	uint32_t weights[3];
+	unsigned int requests;
+} split_case_t;
+
+static void
+each_service_is_within_one_request_of_its_share(void **state)
+{
+	static const split_case_t cases[] = {{{90, 10, 0}, 100},
+	    {{1, 1, 1}, 10}, {{97, 2, 1}, 333}, {{0, 5, 0}, 20}};
+	size_t i;
+	unsigned int k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_route_table_t *table = msp_new_route_table(1);
+		msp_path_route_t *route = msp_add_route(table);
+		msp_split_t *split = msp_new_split();
+		unsigned int got[3] = {0};
+		double sum = 0;
+
+		strcpy(route->name, "r");
+		for (k = 0; k < 3; k++) {
+			msp_route_part_t *part = msp_add_route_part(route);
+
+			snprintf(part->service, sizeof(part->service), "%u", k);
+			part->weight = cases[i].weights[k];
+			sum += part->weight;
+		}
+		for (k = 0; k < cases[i].requests; k++)
+			got[msp_split_request(split, route)[0] - '0']++;
+		for (k = 0; k < 3; k++)
+			assert_true(fabs(got[k] -
+					cases[i].requests *
+					    cases[i].weights[k] / sum) <= 1);
+		msp_drop_split(split);
+		msp_drop_route_table(table);
+	}
+}
+
+typedef struct share_case {
+	const char *name;
+	double here;
+	double elsewhere;
+	double from;
+	double least; /* after five seconds */
+	double most;
+} share_case_t;
+
+static void
+a_region_keeps_what_it_has_room_for(void **state)
+{
+	static const share_case_t cases[] = {
+	    {"room here", 0.1, 0.5, 0, 0.05, 0.21},
+	    {"full here", 1.5, 0.3, 1, 0.79, 0.95},
+	    {"full everywhere", 1.5, 1.6, 1, 1, 1},
+	    {"neither", 0.6, 0.6, 0.5, 0.5, 0.5},
+	    {"no target here", -1, 0.5, 1, 0, 0},
+	};
+	size_t i;
+	unsigned int k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_region_share_t share = {.local = cases[i].from};
+		msp_time_t now = MSP_SECOND;
+
+		for (k = 0; k < 100; k++) {
+			now += 50 * MSP_MS;
+			msp_update_region_share(
+			    &share, now, cases[i].here, cases[i].elsewhere);
+		}
+		if (share.local < cases[i].least || share.local > cases[i].most)
+			fail_msg("%s: %f", cases[i].name, share.local);
+	}
+}
+
+static void
+idle_time_moves_no_share(void **state)
+{
+	msp_region_share_t share = {0};
+
+	(void)state;
+	msp_update_region_share(&share, MSP_SECOND, 0, 0);
+	msp_update_region_share(&share, MSP_MINUTE, 0, 0);
+	assert_true(share.local <= MSP_SHARE_SLEW);
+}
+
+static void
+requests_are_dealt_out_evenly(void **state)
+{
+	msp_region_share_t share = {.local = 0.3};
+	unsigned int kept = 0;
+	unsigned int i;
+
+	(void)state;
+	for (i = 1; i <= 1000; i++) {
+		kept += msp_keep_in_region(&share) ? 1 : 0;
+		assert_true(fabs(kept - 0.3 * i) <= 1.0001);
+	}
+}
+
+static void
+reports_lose_weight_with_age(void **state)
+{
+	msp_target_traffic_t traffic = {.in_flight = 1};
+	msp_load_told_t told = {.running = 5, .waiting = 2, .slots = 5};
+
+	(void)state;
+	/* Without a report, what is usual. */
+	assert_true(fabs(msp_estimate_target_load(&traffic, 1, 2) - 3) < 0.01);
+	/* One of the seven is the request that is answered, one is ours. */
+	msp_note_load_told(&traffic, MSP_SECOND, &told);
+	assert_true(
+	    fabs(msp_estimate_target_load(&traffic, MSP_SECOND, 0) - 6) < 0.01);
+	assert_true(
+	    fabs(msp_estimate_target_load(&traffic, 60 * MSP_SECOND, 0.5) -
+		1.5) < 0.01);
+}
+
+static void
+failures_and_slowness_fade(void **state)
+{
+	msp_target_traffic_t traffic = {0};
+	msp_time_t now = MSP_SECOND;
+	unsigned int i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		msp_note_target_outcome(&traffic, now, false);
+		msp_note_target_latency(
+		    &traffic, now, 1000 * MSP_MS, 100 * MSP_MS);
+	}
+	assert_true(msp_target_failure_share(&traffic, now) > 0.9);
+	assert_true(msp_target_slowness(&traffic, now) > 9);
+	now += MSP_MINUTE;
+	assert_true(msp_target_failure_share(&traffic, now) < 0.01);
+	assert_true(msp_target_slowness(&traffic, now) < 1.01);
+}
+
+static void
+a_cold_targets_rate_is_shared(void **state)
+{
+	msp_target_traffic_t traffic[3] = {{0}};
+	msp_time_t now;
+	unsigned int sent = 0;
+	unsigned int vm;
+
+	(void)state;
+	for (now = MSP_SECOND; now < 11 * MSP_SECOND; now += 10 * MSP_MS) {
+		for (vm = 0; vm < 3; vm++)
+			sent += msp_pace_cold_target(&traffic[vm], now, 6, 3);
+	}
+	assert_in_range(sent, 50, 63);
+	assert_false(msp_pace_cold_target(&traffic[0], now, 0, 3));
+	assert_false(msp_pace_cold_target(&traffic[0], now, 6, 0));
+}
+
+static void
+latencies_are_learned_by_warmth_and_way(void **state)
+{
+	msp_route_table_t *table = msp_new_route_table(1);
+	msp_path_route_t *route = msp_add_route(table);
+	msp_latency_book_t *book = msp_new_latency_book(100 * MSP_MS);
+	unsigned int i;
+
+	(void)state;
+	strcpy(route->name, "r");
+	route->goal_ms = 500;
+	assert_int_equal(
+	    msp_expect_latency(book, route, MSP_WARM, NULL), 200 * MSP_MS);
+	assert_int_equal(
+	    msp_expect_latency(book, route, MSP_WARM, "far"), 300 * MSP_MS);
+	for (i = 0; i < 100; i++) {
+		msp_learn_latency(
+		    book, route, "desk", MSP_WARM, NULL, 80 * MSP_MS);
+		msp_learn_latency(
+		    book, route, "desk", MSP_WARM, "far", 130 * MSP_MS);
+		msp_learn_latency(
+		    book, route, "desk", MSP_UNLIKELY_WARM, NULL, 300 * MSP_MS);
+	}
+	assert_in_range(msp_expect_latency(book, route, MSP_WARM, NULL),
+	    79 * MSP_MS, 81 * MSP_MS);
+	assert_in_range(msp_expect_latency(book, route, MSP_WARM, "far"),
+	    125 * MSP_MS, 135 * MSP_MS);
+	assert_in_range(
+	    msp_expect_latency(book, route, MSP_UNLIKELY_WARM, NULL),
+	    299 * MSP_MS, 301 * MSP_MS);
+	msp_drop_latency_book(book);
+	msp_drop_route_table(table);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(each_service_is_within_one_request_of_its_share),
+	    cmocka_unit_test(a_region_keeps_what_it_has_room_for),
+	    cmocka_unit_test(idle_time_moves_no_share),
+	    cmocka_unit_test(requests_are_dealt_out_evenly),
+	    cmocka_unit_test(reports_lose_weight_with_age),
+	    cmocka_unit_test(failures_and_slowness_fade),
+	    cmocka_unit_test(a_cold_targets_rate_is_shared),
+	    cmocka_unit_test(latencies_are_learned_by_warmth_and_way),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
