Test the edge as a real process; tell a timeout from a broken connection

Cause of 502 in place of 504: a call ends within its last millisecond, before the request's end. The stand-in of the store no longer loops for ever with two readers that wait.

--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -41,7 +41,7 @@
 	msp_store_t store;
 	msp_env_t env;
 	TAILQ_HEAD(service_calls, service_call) calls;
-	TAILQ_HEAD(, service_call) waiting; /* for a change */
+	struct service_calls waiting; /* for a change */
 };
 
 msp_store_service_t *
@@ -336,11 +336,12 @@
 msp_step_store_service(msp_store_service_t *service)
 {
 	msp_time_t now = msp_now(&service->env);
+	struct service_calls due = TAILQ_HEAD_INITIALIZER(due);
 	service_call_t *call;
-	service_call_t *next;
 
-	TAILQ_FOREACH_SAFE(call, &service->waiting, entry, next) {
-		TAILQ_REMOVE(&service->waiting, call, entry);
+	TAILQ_CONCAT(&due, &service->waiting, entry);
+	while ((call = TAILQ_FIRST(&due)) != NULL) {
+		TAILQ_REMOVE(&due, call, entry);
 		if (!tell_changes(
 			call, now >= call->end || call->exchange == NULL))
 			TAILQ_INSERT_TAIL(&service->waiting, call, entry);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -173,14 +173,16 @@
 static void
 give_up(edge_request_t *request, const char *outcome)
 {
+	bool late;
+
 	if (!request->may_have_run) {
 		refuse(request, RETRY_AFTER_MIN_MS, outcome);
 		return;
 	}
-	answer_own(request,
-	    now_of(request->edge) >= request->end ? HTTP_GATEWAY_TIMEOUT
-						  : HTTP_BAD_GATEWAY,
-	    0, outcome);
+	/* A call ends within its last millisecond. */
+	late = now_of(request->edge) + LEFT_MIN_MS * MSP_MS >= request->end;
+	answer_own(request, late ? HTTP_GATEWAY_TIMEOUT : HTTP_BAD_GATEWAY, 0,
+	    outcome);
 }
 
 static msp_retry_budget_t *
--- /dev/null
+++ b/tests/support/edge_world.c
@@ -0,0 +1,467 @@
+#include "edge_world.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sys/wait.h>
+
+#include <cmocka.h>
+
+#include "../../platform/request_fields.h"
+
+#define ADDRESS "127.0.0.1"
+#define MAX_FDS 512
+#define PATIENCE (20 * MSP_SECOND)
+#define BODY "the whole answer"
+
+static void
+answer_request(edge_target_t *target, msp_exchange_t *exchange)
+{
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *id = msp_find_header(&request->headers, "Request-Id");
+	msp_response_t response = {.status = 200};
+
+	if (target->manner == TARGET_SHEDS) {
+		response.status = 503;
+		msp_add_header(&response.headers, "Not-Executed", "1");
+	} else if (target->manner == TARGET_IS_ANOTHER) {
+		response.status = 421;
+		msp_add_header(&response.headers, "Instance-Id", "i-other");
+	} else if (target->manner == TARGET_FAILS) {
+		response.status = 500;
+	}
+	if (target->manner == TARGET_NAMES_OTHER_REQUEST)
+		id = "another";
+	if (id != NULL)
+		msp_add_header(&response.headers, "Request-Id", id);
+	if (target->manner != TARGET_DOES_NOT_SIGN && response.status != 503)
+		msp_add_header(
+		    &response.headers, "Response-Signature", target->id);
+	msp_add_header(&response.headers, "Server-Load", "1,0,5");
+	msp_append_buffer(&response.body, BODY, strlen(BODY));
+	msp_answer_exchange(exchange, &response);
+}
+
+/* Closes all connections of the target; it goes on at the same port. */
+static void cut_target(edge_target_t *target);
+
+static void
+on_target_request(void *ctx, msp_exchange_t *exchange)
+{
+	edge_target_t *target = ctx;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *patience =
+	    msp_find_header(&request->headers, "Deadline-Ms");
+	msp_response_t response = {.status = 200};
+
+	if (strcmp(request->path, "/health") == 0) {
+		target->probed++;
+		msp_add_header(&response.headers, "Instance-Id", target->id);
+		msp_answer_exchange(exchange, &response);
+		return;
+	}
+	target->got++;
+	snprintf(
+	    target->seen_host, sizeof(target->seen_host), "%s", request->host);
+	target->seen_patience =
+	    patience == NULL ? 0 : (uint32_t)strtoul(patience, NULL, 10);
+	switch (target->manner) {
+	case TARGET_HOLDS:
+		target->held = exchange;
+		break;
+	case TARGET_CUTS:
+	case TARGET_CUTS_SHORT:
+		target->held = exchange;
+		break;
+	default:
+		answer_request(target, exchange);
+		break;
+	}
+}
+
+static void
+on_target_gone(void *ctx, msp_exchange_t *exchange)
+{
+	edge_target_t *target = ctx;
+
+	(void)exchange;
+	target->held = NULL;
+	target->gone++;
+}
+
+static void
+open_target(edge_target_t *target, uint16_t port)
+{
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .port = port,
+	    .handler = {.on_request = on_target_request,
+		.on_gone = on_target_gone,
+		.ctx = target}};
+
+	target->server = msp_new_http_server(target->world->loop, &options);
+	assert_non_null(target->server);
+}
+
+static void
+cut_target(edge_target_t *target)
+{
+	uint16_t port = msp_http_server_port(target->server);
+
+	target->held = NULL;
+	msp_drop_http_server(target->server);
+	msp_step_loop(target->world->loop, 1);
+	open_target(target, port);
+}
+
+static void
+step_edge(edge_world_t *world)
+{
+	unsigned int i;
+
+	msp_step_memory_store(world->memory);
+	msp_step_store_service(world->service);
+	msp_step_loop(world->loop, 1);
+	for (i = 0; i < EDGE_TARGETS; i++) {
+		edge_target_t *target = &world->targets[i];
+
+		if (target->held != NULL && target->manner == TARGET_CUTS)
+			cut_target(target);
+	}
+}
+
+void
+run_edge_for(edge_world_t *world, msp_time_t span)
+{
+	msp_time_t end = msp_now(&world->env) + span;
+
+	while (msp_now(&world->env) < end)
+		step_edge(world);
+}
+
+void
+run_edge_until(
+    edge_world_t *world, const unsigned int *count, unsigned int least)
+{
+	msp_time_t end = msp_now(&world->env) + PATIENCE;
+
+	while (*count < least && msp_now(&world->env) < end)
+		step_edge(world);
+	assert_true(*count >= least);
+}
+
+static void
+keep_answer(void *ctx, msp_call_result_t *result)
+{
+	caller_answer_t *answer = ctx;
+	const msp_headers_t *headers = &result->response->headers;
+	const char *retry_after = msp_find_header(headers, "Retry-After");
+
+	answer->done++;
+	answer->status = result->status;
+	answer->http_status = result->response->status;
+	snprintf(answer->body, sizeof(answer->body), "%s",
+	    msp_buffer_text(&result->response->body));
+	answer->is_signed =
+	    msp_find_header(headers, "Response-Signature") != NULL;
+	if (retry_after != NULL)
+		snprintf(answer->retry_after, sizeof(answer->retry_after), "%s",
+		    retry_after);
+}
+
+msp_call_t *
+start_edge_request(edge_world_t *world, uint16_t port, const char *method,
+    const char *path, caller_answer_t *answer)
+{
+	static unsigned int number;
+	msp_call_options_t options = {.address = ADDRESS,
+	    .port = port,
+	    .timeout_ms = 8000,
+	    .fresh = true};
+	msp_request_t request = {.host = "a.example"};
+
+	*answer = (caller_answer_t){0};
+	snprintf(request.method, sizeof(request.method), "%s", method);
+	snprintf(request.path, sizeof(request.path), "%s", path);
+	msp_print_header(&request.headers, "Request-Id", "id-%u", ++number);
+	msp_add_header(&request.headers, "Deadline-Ms", "3000");
+	msp_add_header(&request.headers, "cookie", "Affinity-Key=7");
+	if (strcmp(method, "POST") == 0)
+		msp_append_buffer(&request.body, "order", 5);
+	return msp_start_call(
+	    world->client, &options, &request, keep_answer, answer);
+}
+
+void
+ask_edge(edge_world_t *world, const char *method, const char *path,
+    caller_answer_t *answer)
+{
+	start_edge_request(world, world->caller_port, method, path, answer);
+	run_edge_until(world, &answer->done, 1);
+}
+
+static void
+on_row_put(void *ctx, const msp_store_reply_t *reply)
+{
+	assert_int_equal(reply->status, MSP_OK);
+	*(bool *)ctx = true;
+}
+
+void
+put_edge_row(
+    edge_world_t *world, const char *table, const char *key, const char *value)
+{
+	msp_store_t store = msp_memory_store(world->memory);
+	char name[128];
+	msp_write_t write = {name, value, value == NULL ? 0 : strlen(value)};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
+	bool done = false;
+
+	snprintf(name, sizeof(name), "%s|%s", table, key);
+	store.transact(store.ctx, &txn, 1000, on_row_put, &done);
+	while (!done)
+		msp_step_memory_store(world->memory);
+}
+
+void
+put_edge_routes(edge_world_t *world, unsigned int version)
+{
+	char text[2048];
+
+	snprintf(text, sizeof(text),
+	    "{\"version\":\"r%u\",\"routes\":["
+	    "{\"name\":\"read\",\"host\":\"a.example\",\"prefix\":\"/read/\","
+	    "\"kind\":\"idempotent\",\"timeoutMs\":2000,"
+	    "\"targetLatencyMs\":500,\"priority\":2,\"service\":\"desk\","
+	    "\"maxAttempts\":2,\"stickySessions\":true},"
+	    "{\"name\":\"write\",\"host\":\"a.example\",\"prefix\":\"/write/\","
+	    "\"kind\":\"non_idempotent\",\"timeoutMs\":2000,"
+	    "\"targetLatencyMs\":500,\"priority\":1,\"service\":\"desk\","
+	    "\"maxAttempts\":2,\"stickySessions\":true}%s],"
+	    "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+	    "\"maxConns\":100,\"coldStartS\":3.0,\"coldPerS\":3.4}]}",
+	    version,
+	    version < 5
+		? ""
+		: ",{\"name\":\"more\",\"host\":\"a.example\",\"prefix\":"
+		  "\"/more/\",\"kind\":\"idempotent\",\"timeoutMs\":2000,"
+		  "\"targetLatencyMs\":500,\"service\":\"desk\"}");
+	put_edge_row(world, "op", "config", text);
+}
+
+void
+put_edge_target(edge_world_t *world, unsigned int index, bool draining)
+{
+	static unsigned int sequence;
+	const edge_target_t *target = &world->targets[index];
+	char text[512];
+
+	snprintf(text, sizeof(text),
+	    "{\"service\":\"desk\",\"address\":\"" ADDRESS ":%u\","
+	    "\"zone\":\"north-a\",\"version\":\"v1\",\"slots\":5,"
+	    "\"state\":\"%s\",\"seq\":%u,\"coldRemainingMs\":0,\"born\":1}",
+	    msp_http_server_port(target->server),
+	    draining ? "draining" : "ready", ++sequence);
+	put_edge_row(world, "servers", target->id, text);
+}
+
+/* A port that is free now, below the range of outgoing connections. */
+static uint16_t
+draw_port(void)
+{
+	static uint16_t next;
+
+	if (next == 0)
+		next = (uint16_t)(20000 + getpid() % 9000);
+	return next++;
+}
+
+static void
+write_settings(edge_world_t *world)
+{
+	FILE *file;
+
+	world->caller_port = draw_port();
+	world->readiness_port = draw_port();
+	world->directory_port = draw_port();
+	world->metrics_port = draw_port();
+	world->peer_port = draw_port();
+	snprintf(world->settings_path, sizeof(world->settings_path),
+	    "/tmp/edge-%d-%u.json", getpid(), world->caller_port);
+	snprintf(world->log_path, sizeof(world->log_path),
+	    "/tmp/edge-%d-%u.log", getpid(), world->caller_port);
+	file = fopen(world->settings_path, "w");
+	assert_non_null(file);
+	fprintf(file,
+	    "{\"vm\":\"vm-1\",\"region\":\"north\",\"place\":\"north-a\","
+	    "\"peer_port\":%u,\"edge\":{\"callers\":\"" ADDRESS ":%u\","
+	    "\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
+	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
+	    "\"places\":[{\"place\":\"north-a\",\"region\":\"north\"}],"
+	    "\"stop_grace_ms\":3000},\"log\":{\"file\":\"-\"}}\n",
+	    world->peer_port, world->caller_port, world->readiness_port,
+	    world->directory_port, msp_http_server_port(world->store),
+	    world->metrics_port);
+	fclose(file);
+}
+
+static void
+start_process(edge_world_t *world)
+{
+	const char *out = getenv("OUT");
+	char path[256];
+	int log;
+
+	snprintf(path, sizeof(path), "%s/bin/spindled",
+	    out == NULL ? "build/release" : out);
+	world->pid = fork();
+	assert_true(world->pid >= 0);
+	if (world->pid > 0)
+		return;
+	log = open(world->log_path, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	dup2(log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	execl(path, path, world->settings_path, (char *)NULL);
+	_exit(127);
+}
+
+static bool
+is_listening(edge_world_t *world, uint16_t port)
+{
+	caller_answer_t answer;
+
+	start_edge_request(world, port, "GET", "/", &answer);
+	run_edge_until(world, &answer.done, 1);
+	return answer.status == MSP_OK;
+}
+
+edge_world_t *
+new_edge_world(void)
+{
+	edge_world_t *world = calloc(1, sizeof(*world));
+	msp_http_server_options_t options = {.address = ADDRESS};
+	unsigned int i;
+
+	assert_non_null(world);
+	assert_int_equal(know_platform_fields(), MSP_OK);
+	world->env = msp_system_env();
+	world->loop = msp_new_loop(MAX_FDS);
+	world->memory = msp_new_memory_store(&world->env);
+	world->service = msp_new_store_service(world->memory);
+	world->client = msp_new_http_client(world->loop, NULL);
+	assert_non_null(world->client);
+	options.handler = msp_store_service_handler(world->service);
+	world->store = msp_new_http_server(world->loop, &options);
+	assert_non_null(world->store);
+	for (i = 0; i < EDGE_TARGETS; i++) {
+		world->targets[i].world = world;
+		snprintf(world->targets[i].id, sizeof(world->targets[i].id),
+		    "i-%u", i);
+		open_target(&world->targets[i], 0);
+	}
+	write_settings(world);
+	start_process(world);
+	while (!is_listening(world, world->caller_port))
+		assert_int_equal(waitpid(world->pid, NULL, WNOHANG), 0);
+	return world;
+}
+
+void
+serve_edge(edge_world_t *world)
+{
+	caller_answer_t answer = {0};
+	msp_time_t end = msp_now(&world->env) + PATIENCE;
+	unsigned int i;
+
+	put_edge_routes(world, 2);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		put_edge_target(world, i, false);
+	while (answer.http_status != 200 && msp_now(&world->env) < end)
+		ask_edge(world, "GET", "/read/1", &answer);
+	assert_int_equal(answer.http_status, 200);
+	/* The other rows may be on their way. */
+	run_edge_for(world, 300 * MSP_MS);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		world->targets[i].got = 0;
+}
+
+int
+wait_edge_exit(edge_world_t *world)
+{
+	msp_time_t end = msp_now(&world->env) + PATIENCE;
+	int status = 0;
+	pid_t ended = 0;
+
+	while (ended == 0 && msp_now(&world->env) < end) {
+		step_edge(world);
+		ended = waitpid(world->pid, &status, WNOHANG);
+	}
+	assert_int_equal(ended, world->pid);
+	world->pid = 0;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void
+drop_edge_world(edge_world_t *world)
+{
+	unsigned int i;
+
+	if (world->pid > 0) {
+		kill(world->pid, SIGKILL);
+		waitpid(world->pid, NULL, 0);
+	}
+	msp_drop_http_client(world->client);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		msp_drop_http_server(world->targets[i].server);
+	msp_drop_http_server(world->store);
+	msp_drop_memory_store(world->memory);
+	msp_drop_store_service(world->service);
+	msp_drop_loop(world->loop);
+	unlink(world->settings_path);
+	unlink(world->log_path);
+	free(world);
+}
+
+void
+answer_held(edge_target_t *target)
+{
+	msp_exchange_t *held = target->held;
+
+	assert_non_null(held);
+	target->held = NULL;
+	target->manner = TARGET_ANSWERS;
+	answer_request(target, held);
+}
+
+unsigned int
+count_edge_requests_got(const edge_world_t *world)
+{
+	unsigned int sum = 0;
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++)
+		sum += world->targets[i].got;
+	return sum;
+}
+
+bool
+edge_log_has(const edge_world_t *world, const char *text)
+{
+	char line[4096];
+	FILE *file = fopen(world->log_path, "r");
+	bool found = false;
+
+	assert_non_null(file);
+	while (!found && fgets(line, sizeof(line), file) != NULL)
+		found = strstr(line, text) != NULL;
+	fclose(file);
+	return found;
+}
--- /dev/null
+++ b/tests/support/edge_world.h
@@ -0,0 +1,112 @@
+#ifndef SUPPORT_EDGE_WORLD_H
+#define SUPPORT_EDGE_WORLD_H
+
+#include <sys/types.h>
+
+#include "monsoonspindle/net.h"
+#include "monsoonspindle/platform.h"
+
+/*
+ * One real spindled process that sends to targets by itself, and around it, in
+ * the test's own process, the stand-in of the store, targets and a caller.
+ */
+
+#define EDGE_TARGETS 3
+
+/* What a target does with the requests that it gets. */
+typedef enum target_manner {
+	TARGET_ANSWERS,
+	TARGET_SHEDS, /* says that it did not run it */
+	TARGET_IS_ANOTHER, /* says that another target stands here */
+	TARGET_CUTS, /* closes the connection without an answer */
+	TARGET_CUTS_SHORT, /* the body breaks off */
+	TARGET_NAMES_OTHER_REQUEST, /* its answer bears another id */
+	TARGET_DOES_NOT_SIGN,
+	TARGET_FAILS, /* its own 500 */
+	TARGET_HOLDS, /* answers when told to */
+} target_manner_t;
+
+typedef struct edge_world edge_world_t;
+
+typedef struct edge_target {
+	edge_world_t *world;
+	msp_http_server_t *server;
+	target_manner_t manner;
+	unsigned int got; /* requests, without health requests */
+	unsigned int probed;
+	unsigned int gone; /* held requests whose connection closed */
+	msp_exchange_t *held;
+	char id[16];
+	char seen_host[64]; /* of the last request */
+	uint32_t seen_patience; /* of the last request, ms */
+} edge_target_t;
+
+struct edge_world {
+	msp_env_t env;
+	msp_loop_t *loop;
+	msp_memory_store_t *memory;
+	msp_store_service_t *service;
+	msp_http_server_t *store;
+	msp_http_client_t *client;
+	edge_target_t targets[EDGE_TARGETS];
+	uint16_t caller_port;
+	uint16_t readiness_port;
+	uint16_t directory_port;
+	uint16_t metrics_port;
+	uint16_t peer_port;
+	char settings_path[128];
+	char log_path[128];
+	pid_t pid;
+};
+
+/* The answer that a caller got. */
+typedef struct caller_answer {
+	unsigned int done;
+	msp_status_t status; /* MSP_OK: the answer is whole */
+	int http_status;
+	char body[256];
+	bool is_signed;
+	char retry_after[16]; /* "": none */
+} caller_answer_t;
+
+/* Starts the world, without rows in the store; waits for the listeners. */
+edge_world_t *new_edge_world(void);
+void drop_edge_world(edge_world_t *world);
+
+/* Sets or, with `value` NULL, removes a row of the store. */
+void put_edge_row(
+    edge_world_t *world, const char *table, const char *key, const char *value);
+
+/* The routes /read/ (idempotent) and /write/ (not), as version `version`. */
+void put_edge_routes(edge_world_t *world, unsigned int version);
+void put_edge_target(edge_world_t *world, unsigned int index, bool draining);
+
+/* Routes and all targets, and waits until requests are served. */
+void serve_edge(edge_world_t *world);
+
+/* Starts a request; `answer` is filled while the world runs. */
+msp_call_t *start_edge_request(edge_world_t *world, uint16_t port,
+    const char *method, const char *path, caller_answer_t *answer);
+
+/* The same, to the callers' port, and waits for its end. */
+void ask_edge(edge_world_t *world, const char *method, const char *path,
+    caller_answer_t *answer);
+
+/* Runs everything until *count is at least `least`; fails if it never is. */
+void run_edge_until(
+    edge_world_t *world, const unsigned int *count, unsigned int least);
+void run_edge_for(edge_world_t *world, msp_time_t span);
+
+/* Answers the held request of a target. */
+void answer_held(edge_target_t *target);
+
+/* Requests that all targets got. */
+unsigned int count_edge_requests_got(const edge_world_t *world);
+
+/* Waits for the end of the process; returns its exit code. */
+int wait_edge_exit(edge_world_t *world);
+
+/* Whether the log holds the text. */
+bool edge_log_has(const edge_world_t *world, const char *text);
+
+#endif
