--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -13,6 +13,7 @@
 #define RETRY_AFTER_MAX_MS 2000
 #define NOT_READY_RETRY_MS 500
 #define LEFT_MIN_MS 5 /* with less time left a request is not sent */
+#define SILENCE_FACTOR 2 /* of the expected latency, without any answer */
 #define SAMPLE_ONE_IN 16 /* good requests that are logged */
 #define HTTP_NOT_FOUND 404
 #define HTTP_BAD_GATEWAY 502
@@ -319,6 +320,19 @@
 	answer(request, response, failed ? "target-error" : "answered");
 }
 
+/*
+ * Whether a target that did not answer had long enough to: callers with little
+ * time give up on sound ones.
+ */
+static bool
+is_silent(const edge_request_t *request, msp_time_t took)
+{
+	msp_time_t goal = request->wanted.route->goal_ms * MSP_MS;
+
+	return took >= goal &&
+	    took >= request->choice.expected * SILENCE_FACTOR;
+}
+
 /* The call ended without a whole answer. */
 static void
 handle_failure(edge_request_t *request, const msp_call_result_t *result)
@@ -342,7 +356,7 @@
 	}
 	request->may_have_run = true;
 	msp_note_target_outcome(&target->traffic, now, false);
-	if (!late || result->silent)
+	if (result->silent ? is_silent(request, now - request->sent_at) : !late)
 		suspect_target(edge, target,
 		    result->silent ? nothing : request->fingerprint,
 		    request->sent_at, result->silent ? "silent" : "cut");
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -10,6 +10,8 @@
 
 #include "edge_world.h"
 
+#define LOG_TIME (500 * MSP_MS) /* until lines are in the log's file */
+
 static int
 set_up(void **state)
 {
@@ -179,6 +181,27 @@
 	assert_int_equal(count_edge_requests_got(world), 1);
 }
 
+/* A caller with little time says nothing about the target. */
+static void
+a_short_deadline_makes_no_target_suspect(void **state)
+{
+	edge_world_t *world = *state;
+	caller_answer_t answer;
+
+	serve_edge(world);
+	set_manners(world, TARGET_HOLDS);
+	world->patience_ms = 100;
+	ask_edge(world, "GET", "/read/1", &answer);
+	assert_int_equal(answer.http_status, 504);
+	run_edge_for(world, LOG_TIME);
+	assert_false(edge_log_has(world, "state=suspect"));
+	world->patience_ms = 3000;
+	ask_edge(world, "POST", "/write/1", &answer);
+	assert_int_equal(answer.http_status, 504);
+	run_edge_for(world, LOG_TIME);
+	assert_true(edge_log_has(world, "state=suspect"));
+}
+
 static void
 a_draining_target_gets_nothing_new(void **state)
 {
@@ -375,6 +398,7 @@
 	    EDGE_TEST(it_serves_and_names_itself),
 	    EDGE_TEST(bad_answers_are_told_truly),
 	    EDGE_TEST(a_silent_target_ends_in_a_timeout_in_time),
+	    EDGE_TEST(a_short_deadline_makes_no_target_suspect),
 	    EDGE_TEST(a_draining_target_gets_nothing_new),
 	    EDGE_TEST(an_evacuated_place_gets_nothing_until_it_is_taken_back),
 	    EDGE_TEST(routes_come_into_force_and_do_not_go_back),
--- a/tests/support/edge_world.c
+++ b/tests/support/edge_world.c
@@ -12,6 +12,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include <cmocka.h>
@@ -22,6 +24,9 @@
 #define MAX_FDS 512
 #define PATIENCE (20 * MSP_SECOND)
 #define BODY "the whole answer"
+#define PORT_FIRST 20000
+#define PORT_COUNT 9000
+#define PORT_STRIDE 97 /* ports between tests of neighbouring processes */
 
 static void
 answer_request(edge_target_t *target, msp_exchange_t *exchange)
@@ -192,7 +197,8 @@
 	snprintf(request.method, sizeof(request.method), "%s", method);
 	snprintf(request.path, sizeof(request.path), "%s", path);
 	msp_print_header(&request.headers, "Request-Id", "id-%u", ++number);
-	msp_add_header(&request.headers, "Deadline-Ms", "3000");
+	msp_print_header(
+	    &request.headers, "Deadline-Ms", "%u", world->patience_ms);
 	msp_add_header(&request.headers, "cookie", "Affinity-Key=7");
 	if (strcmp(method, "POST") == 0)
 		msp_append_buffer(&request.body, "order", 5);
@@ -273,15 +279,36 @@
 	put_edge_row(world, "servers", target->id, text);
 }
 
-/* A port that is free now, below the range of outgoing connections. */
+static bool
+is_port_free(uint16_t port)
+{
+	struct sockaddr_in sa = {
+	    .sin_family = AF_INET, .sin_port = htons(port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool is_free;
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	is_free = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+	close(fd);
+	return is_free;
+}
+
+/*
+ * A port that is free now, below the range of outgoing connections. Tests that
+ * run side by side begin far apart.
+ */
 static uint16_t
 draw_port(void)
 {
-	static uint16_t next;
+	static unsigned int next;
+	uint16_t port;
 
 	if (next == 0)
-		next = (uint16_t)(20000 + getpid() % 9000);
-	return next++;
+		next = (unsigned int)getpid() * PORT_STRIDE;
+	do {
+		port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
+	} while (!is_port_free(port));
+	return port;
 }
 
 static void
@@ -353,6 +380,7 @@
 	assert_non_null(world);
 	assert_int_equal(know_platform_fields(), MSP_OK);
 	world->env = msp_system_env();
+	world->patience_ms = 3000;
 	world->loop = msp_new_loop(MAX_FDS);
 	world->memory = msp_new_memory_store(&world->env);
 	world->service = msp_new_store_service(world->memory);
@@ -426,7 +454,8 @@
 	msp_drop_store_service(world->service);
 	msp_drop_loop(world->loop);
 	unlink(world->settings_path);
-	unlink(world->log_path);
+	if (getenv("FLEET_KEEP") == NULL)
+		unlink(world->log_path);
 	free(world);
 }
 
--- a/tests/support/edge_world.h
+++ b/tests/support/edge_world.h
@@ -54,6 +54,7 @@
 	uint16_t directory_port;
 	uint16_t metrics_port;
 	uint16_t peer_port;
+	uint32_t patience_ms; /* that callers tell */
 	char settings_path[128];
 	char log_path[128];
 	pid_t pid;
