Read the store again sooner after an outage

Now a stale VM always asks the store too, stays with it for the whole table, and gives up on a try after 600 ms. A test of the follower fails without it.

--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -257,14 +257,12 @@
 	size_t i;
 
 	strcpy(out, call->prefix);
-	for (i = 0; query->from[i] != '\0' && query->from[i] > ' ' &&
-	     query->from[i] == query->until[i];
+	for (i = 0; query->from[i] > ' ' && query->from[i] == query->until[i];
 	     i++)
 		out[len++] = query->from[i];
 	/* "a" to "b" holds all that begins with "a". */
-	if (query->from[i] != '\0' && query->from[i + 1] == '\0' &&
-	    query->until[i] == query->from[i] + 1 &&
-	    query->until[i + 1] == '\0')
+	if (strlen(query->from) == i + 1 && strlen(query->until) == i + 1 &&
+	    query->until[i] == query->from[i] + 1)
 		out[len++] = query->from[i];
 	out[len] = '\0';
 }
--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -77,9 +77,11 @@
 forget_removed(table_copy_t *copy)
 {
 	copy_row_t *row;
+	copy_row_t *next;
 
-	while (copy->removed_count > REMOVED_MAX) {
-		row = TAILQ_FIRST(&copy->removed);
+	TAILQ_FOREACH_SAFE(row, &copy->removed, link, next) {
+		if (copy->removed_count <= REMOVED_MAX)
+			return;
 		if (row->version > copy->floor)
 			copy->floor = row->version;
 		TAILQ_REMOVE(&copy->removed, row, link);
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define STORE_TIMEOUT_MS 1200 /* of one read, beyond the wait */
-#define STORE_RETRY_TIMEOUT_MS 800 /* while it doesn't answer */
+#define STORE_RETRY_TIMEOUT_MS 600 /* while it doesn't answer */
 #define STORE_BACKOFF (1 * MSP_SECOND) /* between two tries meanwhile */
 #define VM_TIMEOUT_MS 400
 #define WITNESSES_MAX 3 /* VMs that are asked about an outage */
@@ -12,7 +12,7 @@
 #define QUICK_ATTEMPTS 4 /* sources tried one after the other at once */
 #define QUICK_DELAY (10 * MSP_MS)
 #define RETRY_MIN (150 * MSP_MS)
-#define RETRY_MAX (800 * MSP_MS)
+#define RETRY_MAX (300 * MSP_MS)
 
 struct table_follower {
 	msp_loop_t *loop;
@@ -35,6 +35,7 @@
 	msp_time_t steady_since; /* since when it has been known */
 	unsigned int witnesses; /* VMs that were asked about an outage */
 	bool asks_witness; /* the read under way */
+	bool stays_at_store; /* the next read: it has just answered */
 	msp_time_t retry_delay;
 };
 
@@ -240,12 +241,14 @@
 		note_store_answer(follower);
 		follower->whole = true;
 		follower->from[0] = '\0';
+		follower->stays_at_store = !follower->from_vm;
 		read_on(follower);
 		return;
 	}
-	/* A VM that knows less than this one is of no use. */
+	/* A VM that knows less than this one, or an old whole, is of no use. */
 	if (reply->status != MSP_OK ||
-	    reply->version < copy_version(follower->copy)) {
+	    reply->version < copy_version(follower->copy) ||
+	    (follower->whole && follower->known && !fresh)) {
 		fail_read(follower, reply->status);
 		return;
 	}
@@ -283,7 +286,7 @@
 	store_range_t range = {
 	    .from = follower->from[0] == '\0' ? NULL : follower->from};
 
-	if (follower->from[0] != '\0')
+	if (follower->from[0] != '\0' || follower->stays_at_store)
 		follower->from_vm = false;
 	else if (follower->asks_witness)
 		follower->from_vm =
@@ -294,9 +297,11 @@
 	follower->asks_witness = false;
 	/* While other VMs know how the store is, it is not asked too often. */
 	if (!follower->from_vm && follower->lost_since != 0 &&
+	    follower->stale_since == 0 && !follower->stays_at_store &&
 	    now_of(follower) < follower->store_asked + STORE_BACKOFF)
 		follower->from_vm =
 		    callbacks->choose_vm(callbacks->ctx, &source);
+	follower->stays_at_store = false;
 	if (!follower->from_vm)
 		follower->store_asked = now_of(follower);
 	if (follower->from_vm) {
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -213,8 +213,9 @@
 close_edge_relay(edge_t *edge)
 {
 	waiting_reader_t *reader;
+	waiting_reader_t *next;
 
 	msp_drop_http_server(edge->relay);
-	while ((reader = TAILQ_FIRST(&edge->readers)) != NULL)
+	TAILQ_FOREACH_SAFE(reader, &edge->readers, link, next)
 		free_reader(reader);
 }
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -545,8 +545,9 @@
 drop_edge_requests(edge_t *edge)
 {
 	edge_request_t *request;
+	edge_request_t *next;
 
-	while ((request = TAILQ_FIRST(&edge->requests)) != NULL) {
+	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
 		if (request->call != NULL) {
 			msp_cancel_call(request->call);
 			msp_release_view_target(request->choice.target);
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -552,7 +552,7 @@
 	    .store_pace = STORE_PACE,
 	    .vm_wait_ms = VM_WAIT_MS,
 	    .vm_pace = VM_PACE,
-	    .short_outage = short_outage};
+	    .short_outage = MSP_NEVER};
 	table_follower_callbacks_t operator_callbacks = {
 	    .choose_source = choose_source,
 	    .choose_vm = choose_vm,
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -18,6 +18,7 @@
 #define ADDRESS "127.0.0.1"
 #define MAX_FDS 256
 #define PATIENCE (10 * MSP_SECOND)
+#define NEWER_VERSION 1000U
 
 typedef struct follower_test {
 	msp_env_t env;
@@ -340,6 +341,7 @@
 	uint32_t steady_ms;
 	uint32_t age_ms;
 	unsigned int asked;
+	unsigned int version; /* 0: newer than the store's */
 	msp_http_server_t *server;
 } vm_stub_t;
 
@@ -351,9 +353,10 @@
 
 	vm->asked++;
 	msp_print_buffer(&response.body,
-	    "{\"rows\":[],\"hasMore\":false,\"ver\":1000,\"ageMs\":%u,"
+	    "{\"rows\":[],\"hasMore\":false,\"ver\":%u,\"ageMs\":%u,"
 	    "\"steadyMs\":%u}",
-	    vm->age_ms, vm->steady_ms);
+	    vm->version == 0 ? NEWER_VERSION : vm->version, vm->age_ms,
+	    vm->steady_ms);
 	msp_answer_exchange(exchange, &response);
 }
 
@@ -438,6 +441,29 @@
 	}
 }
 
+/* VMs that know no more than this one don't keep it from the store. */
+static void
+a_store_that_is_back_is_read_soon(void **state)
+{
+	follower_test_t *test = *state;
+	vm_stub_t vm = {.age_ms = 60000, .version = 1};
+
+	put_row(test, "t1", "one");
+	start_follower(test);
+	wait_for(test, &test->rows, 1);
+	open_vm(test, &vm);
+	msp_memory_store_faults(test->memory)->down = true;
+	wait_for(test, &test->stale, 1);
+	msp_memory_store_faults(test->memory)->down = false;
+	vm.asked = 0;
+	wait_for(test, &test->back, 1);
+	assert_in_range(vm.asked, 0, 2);
+	test->vm.port = 0;
+	msp_drop_http_server(vm.server);
+	/* Connections that were closed are freed by the loop. */
+	wait_for(test, &test->fresh, 1);
+}
+
 #define FOLLOWER_TEST(name_) \
 	cmocka_unit_test_setup_teardown(name_, set_up, tear_down)
 
@@ -451,6 +477,7 @@
 	    FOLLOWER_TEST(the_copy_tells_of_what_was_removed_meanwhile),
 	    FOLLOWER_TEST(another_vm_stands_in_for_a_store_that_refuses),
 	    FOLLOWER_TEST(an_outage_for_all_is_told_from_one_for_this_vm),
+	    FOLLOWER_TEST(a_store_that_is_back_is_read_soon),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/support/edge_world.c
+++ b/tests/support/edge_world.c
@@ -81,8 +81,6 @@
 	    patience == NULL ? 0 : (uint32_t)strtoul(patience, NULL, 10);
 	switch (target->manner) {
 	case TARGET_HOLDS:
-		target->held = exchange;
-		break;
 	case TARGET_CUTS:
 	case TARGET_CUTS_SHORT:
 		target->held = exchange;
--- a/tests/support/target_world.c
+++ b/tests/support/target_world.c
@@ -285,6 +285,8 @@
 	job_t *job = find_free_job(world);
 	unsigned int target;
 
+	assert_non_null(job);
+
 	*job = (job_t){.vm = vm_index,
 	    .object = (unsigned int)msp_random_below(
 		&world->env, world->shape.objects),
@@ -301,7 +303,8 @@
 		return;
 	}
 	msp_begin_balanced(vm->balancer, &job->choice);
-	target = (unsigned int)atoi(job->choice.target->registration.id + 1);
+	target = (unsigned int)strtoul(
+	    job->choice.target->registration.id + 1, NULL, 10);
 	job->used = true;
 	job->target = target;
 	job->order = ++world->order;
