Tell the version from before a read's rows in the stand-in of the store

Cause: the stand-in collected the rows of a read, then told the version of the store at the moment of its answer. A row written in between was in neither the read nor the changes after it, so a follower never learned it. process/test_edge failed so beside load: 503 for 20 s, its routes written between the daemon's read and the answer (the targets' rows came with versions 2 to 4, and version 1, the routes, never). Ruled out: a clash of ports (the daemon logged its own requests), the follower (it continued from the version it was told). The new test of the follower fails without the change. Conclusion: fault of the stand-in alone; the daemon is unchanged.

--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -34,6 +34,10 @@
 	char prefix[MEMORY_KEY_SIZE]; /* of the table's keys in memory */
 	msp_time_t end; /* of the wait for a change */
 	row_answer_t answer;
+	/* A read tells the version from before it: what changes while its rows
+	 * are collected is then told again by the changes after it. */
+	bool is_read;
+	uint64_t read_version;
 } service_call_t;
 
 struct msp_store_service {
@@ -152,8 +156,9 @@
 {
 	msp_exchange_t *exchange = call->exchange;
 	msp_response_t response = {0};
-	row_answer_end_t end = {
-	    .version = msp_memory_store_version(call->service->memory)};
+	row_answer_end_t end = {.version = call->is_read
+		? call->read_version
+		: msp_memory_store_version(call->service->memory)};
 
 	if (exchange != NULL) {
 		msp_set_exchange_data(exchange, NULL);
@@ -284,6 +289,8 @@
 	char key[MEMORY_KEY_SIZE];
 	const char *keys[] = {key};
 
+	call->is_read = true;
+	call->read_version = msp_memory_store_version(call->service->memory);
 	TAILQ_INSERT_TAIL(&call->service->calls, call, entry);
 	if (strcmp(call->query.table, VMS_TABLE) == 0 &&
 	    msp_has_listed_vms(call->service->memory)) {
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -19,6 +19,7 @@
 #define MAX_FDS 256
 #define PATIENCE (10 * MSP_SECOND)
 #define NEWER_VERSION 1000U
+#define ROWS_DURING_READ 20U
 
 typedef struct follower_test {
 	msp_env_t env;
@@ -336,6 +337,28 @@
 	assert_false(holds_changes(followed_copy(test->follower), 1));
 }
 
+/* Rows are written at each moment of the first read; none is missed. */
+static void
+rows_written_during_the_first_read_are_told(void **state)
+{
+	follower_test_t *test = *state;
+	copied_t copied = {0};
+	char key[32];
+	unsigned int i;
+
+	put_row(test, "t00", "x");
+	start_follower(test);
+	for (i = 1; i < ROWS_DURING_READ; i++) {
+		msp_step_loop(test->loop, 1);
+		snprintf(key, sizeof(key), "t%02u", i);
+		put_row(test, key, "x");
+		msp_step_store_service(test->service);
+	}
+	wait_for(test, &test->rows, ROWS_DURING_READ);
+	visit_copy(followed_copy(test->follower), true, 0, count_row, &copied);
+	assert_int_equal(copied.rows, ROWS_DURING_READ);
+}
+
 /* The VM's answers come from this server, as of now. */
 typedef struct vm_stub {
 	uint32_t steady_ms;
@@ -475,6 +498,7 @@
 	    FOLLOWER_TEST(more_rows_than_a_page_are_read),
 	    FOLLOWER_TEST(a_forgotten_history_is_read_whole),
 	    FOLLOWER_TEST(the_copy_tells_of_what_was_removed_meanwhile),
+	    FOLLOWER_TEST(rows_written_during_the_first_read_are_told),
 	    FOLLOWER_TEST(another_vm_stands_in_for_a_store_that_refuses),
 	    FOLLOWER_TEST(an_outage_for_all_is_told_from_one_for_this_vm),
 	    FOLLOWER_TEST(a_store_that_is_back_is_read_soon),
