Use one type for conditions, writes and transactions of the store

platform/store_client had twins of msp_condition_t, msp_write_t and msp_txn_t, and http_store copied each transaction from one into the other before it was encoded. The client now takes msp_txn_t with the table's name. In the stand-in of the store the version that an answer tells is an argument of send_rows; the flag that chose between two sources of it is gone. Behaviour as before: platform/test_store, test_store_wire, test_table_follower and process/test_edge pass under the sanitizers.

--- a/source/platform/http_store.c
+++ b/source/platform/http_store.c
@@ -243,17 +243,16 @@
 static store_call_t *
 read_keys(http_store_call_t *call)
 {
-	store_condition_t conditions[STORE_ENTRIES_MAX];
-	store_transaction_t transaction = {.table = ROW_TABLE,
-	    .conditions = conditions,
-	    .condition_count = call->args->key_count};
+	msp_condition_t conditions[STORE_ENTRIES_MAX];
+	msp_txn_t txn = {
+	    .conditions = conditions, .condition_count = call->args->key_count};
 	size_t i;
 
 	for (i = 0; i < call->args->key_count; i++)
-		conditions[i] = (store_condition_t){
+		conditions[i] = (msp_condition_t){
 		    .key = call->args->keys[i], .version = NO_VERSION};
 	return change_store_rows(
-	    call->store->client, &transaction, left_ms(call), on_rows, call);
+	    call->store->client, ROW_TABLE, &txn, left_ms(call), on_rows, call);
 }
 
 static void
@@ -397,24 +396,12 @@
 send_transaction(http_store_call_t *call)
 {
 	const msp_store_call_t *args = call->args;
-	store_condition_t conditions[MSP_TXN_ITEMS_MAX];
-	store_write_t writes[MSP_TXN_ITEMS_MAX];
-	store_transaction_t transaction = {.table = ROW_TABLE,
-	    .conditions = conditions,
+	msp_txn_t txn = {.conditions = args->conditions,
 	    .condition_count = args->key_count,
-	    .writes = writes,
+	    .writes = args->writes,
 	    .write_count = args->write_count};
-	size_t i;
 
-	for (i = 0; i < args->key_count; i++)
-		conditions[i] =
-		    (store_condition_t){.key = args->conditions[i].key,
-			.version = args->conditions[i].version};
-	for (i = 0; i < args->write_count; i++)
-		writes[i] = (store_write_t){.key = args->writes[i].key,
-		    .value = args->writes[i].value,
-		    .len = args->writes[i].value_len};
-	return change_store_rows(call->store->client, &transaction,
+	return change_store_rows(call->store->client, ROW_TABLE, &txn,
 	    left_ms(call), on_transacted, call);
 }
 
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -34,9 +34,10 @@
 	char prefix[MEMORY_KEY_SIZE]; /* of the table's keys in memory */
 	msp_time_t end; /* of the wait for a change */
 	row_answer_t answer;
-	/* A read tells the version from before it: what changes while its rows
-	 * are collected is then told again by the changes after it. */
-	bool is_read;
+	/*
+	 * Of the store, from before a read: what is written while its rows are
+	 * collected is told again by the changes after this version.
+	 */
 	uint64_t read_version;
 } service_call_t;
 
@@ -152,13 +153,11 @@
 
 /* Sends what was collected, with 412 if a condition failed, and frees it. */
 static void
-send_rows(service_call_t *call, msp_status_t status)
+send_rows(service_call_t *call, uint64_t version, msp_status_t status)
 {
 	msp_exchange_t *exchange = call->exchange;
 	msp_response_t response = {0};
-	row_answer_end_t end = {.version = call->is_read
-		? call->read_version
-		: msp_memory_store_version(call->service->memory)};
+	row_answer_end_t end = {.version = version};
 
 	if (exchange != NULL) {
 		msp_set_exchange_data(exchange, NULL);
@@ -217,7 +216,7 @@
 		}
 		add_row(call, &reply->rows[i]);
 	}
-	send_rows(call, MSP_OK);
+	send_rows(call, call->read_version, MSP_OK);
 }
 
 static void
@@ -250,7 +249,7 @@
 			abort();
 	}
 	msp_drop_buffer(&text);
-	send_rows(call, MSP_OK);
+	send_rows(call, call->read_version, MSP_OK);
 }
 
 /* What all keys of the range begin with. */
@@ -289,7 +288,6 @@
 	char key[MEMORY_KEY_SIZE];
 	const char *keys[] = {key};
 
-	call->is_read = true;
 	call->read_version = msp_memory_store_version(call->service->memory);
 	TAILQ_INSERT_TAIL(&call->service->calls, call, entry);
 	if (strcmp(call->query.table, VMS_TABLE) == 0 &&
@@ -333,7 +331,7 @@
 	}
 	if (call->answer.count == 0 && !in_any_case)
 		return false;
-	send_rows(call, MSP_OK);
+	send_rows(call, msp_memory_store_version(memory), MSP_OK);
 	return true;
 }
 
@@ -382,7 +380,8 @@
 	/* Of a row that is not there, version 0 is told. */
 	for (i = 0; i < reply->row_count; i++)
 		add_row(call, &reply->rows[i]);
-	send_rows(call, reply->status);
+	send_rows(call, msp_memory_store_version(call->service->memory),
+	    reply->status);
 }
 
 static void
@@ -411,7 +410,7 @@
 		print_memory_key(
 		    keys[key], change->table, change->writes[i].key);
 		writes[i] = (msp_write_t){keys[key++], change->writes[i].value,
-		    change->writes[i].len};
+		    change->writes[i].value_len};
 	}
 	TAILQ_INSERT_TAIL(&service->calls, call, entry);
 	store->transact(store->ctx, &txn, CALL_TIMEOUT_MS, on_changed, call);
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -523,16 +523,15 @@
 	vm_row_t vm = {.peer_port = settings->peer_port,
 	    .caller_port = settings->caller_port};
 	msp_buffer_t text = {0};
-	store_write_t write = {.key = settings->vm};
-	store_transaction_t transaction = {
-	    .table = VMS_TABLE, .writes = &write, .write_count = 1};
+	msp_write_t write = {.key = settings->vm};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
 
 	strlcpy(vm.place, settings->place, sizeof(vm.place));
 	strlcpy(vm.address, settings->address, sizeof(vm.address));
 	if (encode_vm_row(&vm, &text) == MSP_OK) {
 		write.value = text.data;
-		write.len = text.len;
-		edge->vm_call = change_store_rows(edge->store, &transaction,
+		write.value_len = text.len;
+		edge->vm_call = change_store_rows(edge->store, VMS_TABLE, &txn,
 		    VM_TIMEOUT_MS, on_announced, edge);
 	}
 	msp_drop_buffer(&text);
