Follow both tables of the store through one set of callbacks

The callbacks of the operator's table and of the targets' were wrappers in pairs around the same four functions, and open_edge_store held the options and callbacks twice. A table that is followed is now a type with its name and follower, which is the callbacks' context.

--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -15,8 +15,8 @@
 bool
 is_edge_ready(const edge_t *edge)
 {
-	return edge->routes != NULL && is_table_known(edge->target_rows) &&
-	    !edge->daemon->leaving;
+	return edge->routes != NULL &&
+	    is_table_known(edge->target_table.rows) && !edge->daemon->leaving;
 }
 
 /* The VMs of this data centre that serve, this one among them. */
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -27,6 +27,13 @@
 	EDGE_DURATIONS
 } edge_durations_t;
 
+/* A table of the store that is kept up with. */
+typedef struct edge_table {
+	edge_t *edge;
+	const char *name; /* in logs and counters; static */
+	table_follower_t *rows; /* NULL: not open */
+} edge_table_t;
+
 struct edge {
 	daemon_t *daemon;
 
@@ -44,8 +51,8 @@
 	msp_http_client_t *probe_client;
 	msp_http_client_t *store_http;
 	store_client_t *store;
-	table_follower_t *operator_rows;
-	table_follower_t *target_rows;
+	edge_table_t operator_table;
+	edge_table_t target_table;
 	store_call_t *vm_call; /* writes or reads the VMs' rows */
 	msp_timer_t *vm_timer;
 
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -165,9 +165,9 @@
 
 	if (status == MSP_OK) {
 		if (strcmp(query.table, OPERATOR_TABLE) == 0)
-			table = edge->operator_rows;
+			table = edge->operator_table.rows;
 		else if (strcmp(query.table, TARGETS_TABLE) == 0)
-			table = edge->target_rows;
+			table = edge->target_table.rows;
 		if (table == NULL || !is_table_known(table))
 			status = msp_fail(
 			    MSP_E_NOT_READY, "the table is not known here");
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -22,21 +22,20 @@
 #define VM_RETRY (700 * MSP_MS)
 #define READER_ROLE "store-reader" /* which member reads the store */
 #define READER_DISTRUST (8 * MSP_SECOND)
-#define LAPSE_BEATS                                              \
-	2 /* heartbeats that must be missed before entries lapse \
-	   */
+/* Heartbeats that must be missed before entries lapse. */
+#define LAPSE_BEATS 2
 #define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
 targets_age(const edge_t *edge)
 {
-	return table_age(edge->target_rows);
+	return table_age(edge->target_table.rows);
 }
 
 msp_time_t
 routes_age(const edge_t *edge)
 {
-	return table_age(edge->operator_rows);
+	return table_age(edge->operator_table.rows);
 }
 
 store_source_t
@@ -151,7 +150,8 @@
 static bool
 choose_source(void *ctx, unsigned int attempt, store_source_t *source)
 {
-	edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
 	const msp_member_t *reader;
 
 	switch (attempt % 4) {
@@ -174,41 +174,60 @@
 static bool
 choose_vm(void *ctx, store_source_t *source)
 {
-	const edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	const edge_t *edge = table->edge;
 
 	return draw_other(edge, source) || draw_member(edge, source);
 }
 
 static void
-on_lost(edge_t *edge, const char *table, msp_status_t status)
+on_news(void *ctx)
 {
-	msp_count(edge->daemon->counters, 1,
-	    "msp_store_lost_total{table=\"%s\"}", table);
-	log_warn("event=store state=lost table=%s error=%s", table,
+	const edge_table_t *table = ctx;
+
+	if (table->rows != NULL)
+		tell_waiting_readers(table->edge, table->rows);
+}
+
+static void
+on_lost(void *ctx, msp_status_t status)
+{
+	const edge_table_t *table = ctx;
+
+	msp_count(table->edge->daemon->counters, 1,
+	    "msp_store_lost_total{table=\"%s\"}", table->name);
+	log_warn("event=store state=lost table=%s error=%s", table->name,
 	    msp_status_name(status));
 }
 
 static void
-on_back(const char *table, msp_time_t lost_for)
+on_back(void *ctx, msp_time_t lost_for)
 {
-	log_info("event=store state=back table=%s lost_ms=%" PRIu64, table,
-	    lost_for / MSP_MS);
+	const edge_table_t *table = ctx;
+
+	log_info("event=store state=back table=%s lost_ms=%" PRIu64,
+	    table->name, lost_for / MSP_MS);
 }
 
 static void
-on_stale(edge_t *edge, const char *table)
+on_stale(void *ctx)
 {
-	msp_count(edge->daemon->counters, 1,
-	    "msp_table_stale_total{table=\"%s\"}", table);
-	log_warn("event=table table=%s state=stale", table);
+	const edge_table_t *table = ctx;
+
+	msp_count(table->edge->daemon->counters, 1,
+	    "msp_table_stale_total{table=\"%s\"}", table->name);
+	log_warn("event=table table=%s state=stale", table->name);
+	tell_all_readers(table->edge, table->rows);
 }
 
 static void
-on_fresh(const char *table, msp_time_t stale_for, bool was_down)
+on_fresh(void *ctx, msp_time_t stale_for, bool was_down)
 {
+	const edge_table_t *table = ctx;
+
 	log_info("event=table table=%s state=fresh stale_ms=%" PRIu64
 		 " store_was_down=%d",
-	    table, stale_for / MSP_MS, was_down);
+	    table->name, stale_for / MSP_MS, was_down);
 }
 
 /* The operator's table. */
@@ -262,7 +281,8 @@
 static void
 on_operator_row(void *ctx, const store_row_t *row)
 {
-	edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
 	const char *place = NULL;
 
 	switch (classify_operator_row(row->key, &place)) {
@@ -282,7 +302,8 @@
 static void
 on_operator_begin(void *ctx)
 {
-	edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
 	msp_map_t *fresh = msp_new_map();
 
 	if (fresh == NULL)
@@ -294,57 +315,21 @@
 static void
 on_operator_end(void *ctx, uint64_t version)
 {
-	const edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	const edge_t *edge = table->edge;
 
 	log_info("event=table table=operator state=whole version=%" PRIu64
 		 " evacuated=%zu",
 	    version, msp_map_count(edge->evacuations));
 }
 
-static void
-on_operator_news(void *ctx)
-{
-	edge_t *edge = ctx;
-
-	if (edge->operator_rows != NULL)
-		tell_waiting_readers(edge, edge->operator_rows);
-}
-
-static void
-on_operator_stale(void *ctx)
-{
-	edge_t *edge = ctx;
-
-	on_stale(edge, "operator");
-	tell_all_readers(edge, edge->operator_rows);
-}
-
-static void
-on_operator_fresh(void *ctx, msp_time_t stale_for, bool was_down)
-{
-	(void)ctx;
-	on_fresh("operator", stale_for, was_down);
-}
-
-static void
-on_operator_lost(void *ctx, msp_status_t status)
-{
-	on_lost(ctx, "operator", status);
-}
-
-static void
-on_operator_back(void *ctx, msp_time_t lost_for)
-{
-	(void)ctx;
-	on_back("operator", lost_for);
-}
-
 /* The table of targets. */
 
 static void
 on_target_row(void *ctx, const store_row_t *row)
 {
-	edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
 	msp_registration_t registration;
 
 	if (row->value == NULL) {
@@ -367,7 +352,8 @@
 static void
 on_targets_begin(void *ctx)
 {
-	const edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	const edge_t *edge = table->edge;
 
 	msp_begin_snapshot(edge->view);
 }
@@ -375,52 +361,30 @@
 static void
 on_targets_end(void *ctx, uint64_t version)
 {
-	const edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
+	const edge_t *edge = table->edge;
 
 	msp_end_snapshot(edge->view, version);
 	log_info(
 	    "event=table table=targets state=whole version=%" PRIu64, version);
 }
 
-static void
-on_targets_news(void *ctx)
-{
-	edge_t *edge = ctx;
-
-	if (edge->target_rows != NULL)
-		tell_waiting_readers(edge, edge->target_rows);
-}
-
 static void
 on_targets_stale(void *ctx)
 {
-	edge_t *edge = ctx;
+	const edge_table_t *table = ctx;
 
-	msp_note_store_lost(edge->view);
-	on_stale(edge, "targets");
-	tell_all_readers(edge, edge->target_rows);
+	msp_note_store_lost(table->edge->view);
+	on_stale(ctx);
 }
 
 static void
 on_targets_fresh(void *ctx, msp_time_t stale_for, bool was_down)
 {
-	edge_t *edge = ctx;
-
-	msp_note_store_back(edge->view, was_down);
-	on_fresh("targets", stale_for, was_down);
-}
-
-static void
-on_targets_lost(void *ctx, msp_status_t status)
-{
-	on_lost(ctx, "targets", status);
-}
+	const edge_table_t *table = ctx;
 
-static void
-on_targets_back(void *ctx, msp_time_t lost_for)
-{
-	(void)ctx;
-	on_back("targets", lost_for);
+	msp_note_store_back(table->edge->view, was_down);
+	on_fresh(ctx, stale_for, was_down);
 }
 
 /* The rows of this system's own VMs. */
@@ -539,61 +503,69 @@
 		set_vm_timer(edge, VM_RETRY, announce_vm);
 }
 
-msp_status_t
-open_edge_store(edge_t *edge)
+static msp_status_t
+follow_table(edge_table_t *table, const table_follower_options_t *options,
+    table_follower_callbacks_t *callbacks)
 {
-	daemon_t *daemon = edge->daemon;
-	store_source_t store = store_of_settings(edge);
-	msp_time_t short_outage =
-	    daemon->settings->edge.heartbeat_ms * MSP_MS * LAPSE_BEATS;
-	table_follower_options_t operator_options = {.table = OPERATOR_TABLE,
+	const edge_t *edge = table->edge;
+
+	callbacks->ctx = table;
+	table->rows = new_table_follower(edge->daemon->loop, &edge->daemon->env,
+	    edge->store, options, callbacks);
+	return table->rows == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
+static msp_status_t
+follow_tables(edge_t *edge)
+{
+	msp_time_t heartbeat =
+	    edge->daemon->settings->edge.heartbeat_ms * MSP_MS;
+	table_follower_options_t options = {.table = OPERATOR_TABLE,
 	    .store_wait_ms = STORE_WAIT_MS,
 	    .store_pace = STORE_PACE,
 	    .vm_wait_ms = VM_WAIT_MS,
 	    .vm_pace = VM_PACE,
 	    .short_outage = MSP_NEVER};
-	table_follower_callbacks_t operator_callbacks = {
-	    .choose_source = choose_source,
+	table_follower_callbacks_t callbacks = {.choose_source = choose_source,
 	    .choose_vm = choose_vm,
 	    .on_begin = on_operator_begin,
 	    .on_row = on_operator_row,
 	    .on_end = on_operator_end,
-	    .on_news = on_operator_news,
-	    .on_lost = on_operator_lost,
-	    .on_back = on_operator_back,
-	    .on_stale = on_operator_stale,
-	    .on_fresh = on_operator_fresh,
-	    .ctx = edge};
-	table_follower_options_t target_options = {.table = TARGETS_TABLE,
-	    .store_wait_ms = STORE_WAIT_MS,
-	    .store_pace = STORE_PACE,
-	    .vm_wait_ms = VM_WAIT_MS,
-	    .vm_pace = VM_PACE,
-	    .short_outage = short_outage};
-	table_follower_callbacks_t target_callbacks = {
-	    .choose_source = choose_source,
-	    .choose_vm = choose_vm,
-	    .on_begin = on_targets_begin,
-	    .on_row = on_target_row,
-	    .on_end = on_targets_end,
-	    .on_news = on_targets_news,
-	    .on_lost = on_targets_lost,
-	    .on_back = on_targets_back,
-	    .on_stale = on_targets_stale,
-	    .on_fresh = on_targets_fresh,
-	    .ctx = edge};
+	    .on_news = on_news,
+	    .on_lost = on_lost,
+	    .on_back = on_back,
+	    .on_stale = on_stale,
+	    .on_fresh = on_fresh};
+	msp_status_t status;
+
+	edge->operator_table = (edge_table_t){.edge = edge, .name = "operator"};
+	status = follow_table(&edge->operator_table, &options, &callbacks);
+	if (status != MSP_OK)
+		return status;
+	options.table = TARGETS_TABLE;
+	options.short_outage = heartbeat * LAPSE_BEATS;
+	callbacks.on_begin = on_targets_begin;
+	callbacks.on_row = on_target_row;
+	callbacks.on_end = on_targets_end;
+	callbacks.on_stale = on_targets_stale;
+	callbacks.on_fresh = on_targets_fresh;
+	edge->target_table = (edge_table_t){.edge = edge, .name = "targets"};
+	return follow_table(&edge->target_table, &options, &callbacks);
+}
+
+msp_status_t
+open_edge_store(edge_t *edge)
+{
+	store_source_t store = store_of_settings(edge);
+	msp_status_t status;
 
 	edge->store = new_store_client(edge->store_http, &store);
 	if (edge->store == NULL)
 		return MSP_E_NO_MEMORY;
-	edge->operator_rows = new_table_follower(daemon->loop, &daemon->env,
-	    edge->store, &operator_options, &operator_callbacks);
-	edge->target_rows = new_table_follower(daemon->loop, &daemon->env,
-	    edge->store, &target_options, &target_callbacks);
-	if (edge->operator_rows == NULL || edge->target_rows == NULL)
-		return MSP_E_NO_MEMORY;
-	announce_vm(edge);
-	return MSP_OK;
+	status = follow_tables(edge);
+	if (status == MSP_OK)
+		announce_vm(edge);
+	return status;
 }
 
 void
@@ -601,7 +573,7 @@
 {
 	msp_drop_timer(edge->vm_timer);
 	cancel_store_call(edge->vm_call);
-	drop_table_follower(edge->operator_rows);
-	drop_table_follower(edge->target_rows);
+	drop_table_follower(edge->operator_table.rows);
+	drop_table_follower(edge->target_table.rows);
 	drop_store_client(edge->store);
 }
