--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -104,16 +104,24 @@
 	return daemon->store_timer == NULL ? MSP_E_NO_MEMORY : MSP_OK;
 }
 
-/* The parts of a VM that sends to targets by itself. */
 static msp_status_t
-open_edge_parts(daemon_t *daemon)
+open_membership(daemon_t *daemon)
 {
 	daemon->gossip = new_gossip(daemon);
 	if (daemon->gossip == NULL)
 		return MSP_E_IO;
 	daemon->members = new_members(daemon);
-	if (daemon->members == NULL)
-		return MSP_E_NO_MEMORY;
+	return daemon->members == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
+/* The parts of a VM that sends to targets by itself. */
+static msp_status_t
+open_edge_parts(daemon_t *daemon)
+{
+	msp_status_t status = open_membership(daemon);
+
+	if (status != MSP_OK)
+		return status;
 	daemon->edge = new_edge(daemon);
 	return daemon->edge == NULL ? MSP_E_IO : MSP_OK;
 }
@@ -122,16 +130,15 @@
 static msp_status_t
 open_parts(daemon_t *daemon)
 {
+	msp_status_t status;
+
 	daemon->entries = new_entries(daemon);
 	daemon->releases = new_releases(daemon);
 	if (daemon->entries == NULL || daemon->releases == NULL)
 		return MSP_E_NO_MEMORY;
-	daemon->gossip = new_gossip(daemon);
-	if (daemon->gossip == NULL)
-		return MSP_E_IO;
-	daemon->members = new_members(daemon);
-	if (daemon->members == NULL)
-		return MSP_E_NO_MEMORY;
+	status = open_membership(daemon);
+	if (status != MSP_OK)
+		return status;
 	daemon->places = new_places(daemon);
 	daemon->shifts = new_shifts(daemon);
 	daemon->blocks = new_blocks(daemon);
