Read JSON members in one place

It now uses json_reader; its parser stays strict (read_strict_json_text: nothing behind the object, its own nesting bound). Three setters of the control are two, and labels are read with read_json_string.

--- a/source/platform/service_control.c
+++ b/source/platform/service_control.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "../../platform/json_reader.h"
+
 #define PERCENT_MAX 100
 
 static msp_status_t
@@ -14,15 +16,14 @@
 }
 
 static msp_status_t
-set_percent(
-    struct json_object *message, const char *name, unsigned int *percent)
+set_number(struct json_object *message, const char *name, uint32_t max,
+    unsigned int *out)
 {
 	uint64_t number;
-	msp_status_t status =
-	    msp_json_number(message, name, PERCENT_MAX, &number);
+	msp_status_t status = read_json_whole(message, name, max, &number);
 
 	if (status == MSP_OK)
-		*percent = (unsigned int)number;
+		*out = (unsigned int)number;
 	return status;
 }
 
@@ -31,25 +32,13 @@
 {
 	uint64_t number;
 	msp_status_t status =
-	    msp_json_number(message, name, UINT32_MAX, &number);
+	    read_json_whole(message, name, UINT32_MAX, &number);
 
 	if (status == MSP_OK)
 		*span = number * MSP_MS;
 	return status;
 }
 
-static msp_status_t
-set_rate(struct json_object *message, const char *name, unsigned int *rate)
-{
-	uint64_t number;
-	msp_status_t status =
-	    msp_json_number(message, name, UINT32_MAX, &number);
-
-	if (status == MSP_OK)
-		*rate = (unsigned int)number;
-	return status;
-}
-
 static msp_status_t
 set_fault(msp_store_faults_t *faults, struct json_object *message,
     const char *name, struct json_object *value)
@@ -61,15 +50,19 @@
 	if (strcmp(name, "jitter_ms") == 0)
 		return set_span(message, name, &faults->jitter);
 	if (strcmp(name, "lose_call_pct") == 0)
-		return set_percent(message, name, &faults->lose_call_pct);
+		return set_number(
+		    message, name, PERCENT_MAX, &faults->lose_call_pct);
 	if (strcmp(name, "lose_answer_pct") == 0)
-		return set_percent(message, name, &faults->lose_answer_pct);
+		return set_number(
+		    message, name, PERCENT_MAX, &faults->lose_answer_pct);
 	if (strcmp(name, "late_effect_pct") == 0)
-		return set_percent(message, name, &faults->late_effect_pct);
+		return set_number(
+		    message, name, PERCENT_MAX, &faults->late_effect_pct);
 	if (strcmp(name, "late_effect_ms") == 0)
 		return set_span(message, name, &faults->late_effect);
 	if (strcmp(name, "writes_per_second") == 0)
-		return set_rate(message, name, &faults->writes_per_second);
+		return set_number(
+		    message, name, UINT32_MAX, &faults->writes_per_second);
 	if (strcmp(name, "count_rows") == 0)
 		return set_flag(value, &faults->count_rows);
 	return msp_fail(MSP_E_SYNTAX, "no fault \"%s\"", name);
@@ -79,6 +72,8 @@
 print_stats(const msp_store_stats_t *stats, msp_buffer_t *out)
 {
 	struct json_object *message = json_object_new_object();
+	msp_status_t status;
+	const char *text;
 
 	json_object_object_add(message, "transactions",
 	    json_object_new_uint64(stats->transactions));
@@ -90,7 +85,11 @@
 	    message, "reads", json_object_new_uint64(stats->reads));
 	json_object_object_add(message, "objects_written",
 	    json_object_new_uint64(stats->objects_written));
-	return msp_print_json(out, message);
+	text = json_object_to_json_string_ext(message, JSON_C_TO_STRING_PLAIN);
+	status = text == NULL ? msp_fail(MSP_E_NO_MEMORY, "no memory for JSON")
+			      : msp_append_buffer(out, text, strlen(text));
+	json_object_put(message);
+	return status;
 }
 
 msp_status_t
--- a/source/platform/service_control.h
+++ b/source/platform/service_control.h
@@ -1,8 +1,10 @@
 #ifndef MSP_PLATFORM_SERVICE_CONTROL_H
 #define MSP_PLATFORM_SERVICE_CONTROL_H
 
+#include <json-c/json.h>
+
+#include "monsoonspindle/base/buffer.h"
 #include "monsoonspindle/platform/memory_store.h"
-#include "store_json.h"
 
 /*
  * Sets the faults that `message` names and leaves the others; prints the
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -6,6 +6,7 @@
 #include <bsd/sys/queue.h>
 
 #include "../../platform/interface.h"
+#include "../../platform/json_reader.h"
 #include "../../platform/row_service.h"
 #include "../../platform/vm_row.h"
 #include "check_call.h"
@@ -493,7 +494,7 @@
 	if (strcmp(request->path, CONTROL_PATH) != 0 &&
 	    strcmp(request->path, VMS_PATH) != 0)
 		return false;
-	message = msp_parse_json_object(
+	message = read_strict_json_text(
 	    msp_buffer_text(&request->body), request->body.len);
 	if (message != NULL && strcmp(request->path, CONTROL_PATH) == 0)
 		status =
--- a/source/platform/vm_control.c
+++ b/source/platform/vm_control.c
@@ -1,30 +1,17 @@
 #include "vm_control.h"
 
 #include <stdlib.h>
-#include <string.h>
 
-#define VMS_MAX 10000
+#include "../../platform/json_reader.h"
 
-static msp_status_t
-decode_label(struct json_object *object, const char *name, char out[64])
-{
-	const char *text;
-	msp_status_t status = msp_json_text(object, name, &text);
-
-	if (status != MSP_OK)
-		return status;
-	if (strlen(text) >= 64)
-		return msp_fail(MSP_E_SYNTAX, "\"%s\" is too long", name);
-	memcpy(out, text, strlen(text) + 1);
-	return MSP_OK;
-}
+#define VMS_MAX 10000
 
 static msp_status_t
 decode_port(struct json_object *object, const char *name, uint16_t *port)
 {
 	uint64_t number;
 	msp_status_t status =
-	    msp_json_number(object, name, UINT16_MAX, &number);
+	    read_json_whole(object, name, UINT16_MAX, &number);
 
 	if (status == MSP_OK)
 		*port = (uint16_t)number;
@@ -35,12 +22,15 @@
 decode_vm(struct json_object *object, msp_vm_t *vm)
 {
 	struct json_object *leaving;
-	msp_status_t status = decode_label(object, "name", vm->name);
+	msp_status_t status =
+	    read_json_string(object, "name", vm->name, sizeof(vm->name));
 
 	if (status == MSP_OK)
-		status = decode_label(object, "place", vm->place);
+		status = read_json_string(
+		    object, "place", vm->place, sizeof(vm->place));
 	if (status == MSP_OK)
-		status = decode_label(object, "address", vm->address);
+		status = read_json_string(
+		    object, "address", vm->address, sizeof(vm->address));
 	if (status == MSP_OK)
 		status = decode_port(object, "caller_port", &vm->caller_port);
 	if (status == MSP_OK)
@@ -59,7 +49,7 @@
 {
 	struct json_object *array;
 	uint64_t lag_ms = 0;
-	msp_status_t status = msp_json_array(message, "vms", &array);
+	msp_status_t status = read_json_list(message, "vms", &array);
 	msp_vm_t *vms;
 	size_t count;
 	size_t i;
@@ -67,7 +57,7 @@
 	if (status == MSP_OK &&
 	    json_object_object_get_ex(message, "lag_ms", NULL))
 		status =
-		    msp_json_number(message, "lag_ms", UINT32_MAX, &lag_ms);
+		    read_json_whole(message, "lag_ms", UINT32_MAX, &lag_ms);
 	if (status != MSP_OK)
 		return status;
 	count = json_object_array_length(array);
--- a/source/platform/vm_control.h
+++ b/source/platform/vm_control.h
@@ -1,8 +1,9 @@
 #ifndef MSP_PLATFORM_VM_CONTROL_H
 #define MSP_PLATFORM_VM_CONTROL_H
 
+#include <json-c/json.h>
+
 #include "monsoonspindle/platform/memory_store.h"
-#include "store_json.h"
 
 /*
  * Sets the list of VMs from {"vms": [...], "lag_ms": N}; `lag_ms` may be left
