Draw ports for processes under test in one place, none twice

tests/support/edge_world drew ports by itself beside fleet_free_port, and asked only whether they were free for TCP: a daemon whose peer port was in use for UDP did not start. fleet_free_port drew at random without memory, so two processes of one fleet, or of two fleets, could get the same port before either had bound it.

--- a/bench/fleet.c
+++ b/bench/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet_private.h"
+#include "free_port.h"
 
 #include <dirent.h>
 #include <signal.h>
@@ -52,9 +53,9 @@
 		    kind, number);
 	if (place != NULL)
 		snprintf(process->place, sizeof(process->place), "%s", place);
-	process->port = fleet_free_port();
-	process->peer_port = fleet_free_port();
-	process->operator_port = fleet_free_port();
+	process->port = draw_free_port();
+	process->peer_port = draw_free_port();
+	process->operator_port = draw_free_port();
 }
 
 static void
--- a/bench/fleet_private.h
+++ b/bench/fleet_private.h
@@ -3,9 +3,6 @@
 
 #include "fleet.h"
 
-/* A port that is free for TCP and UDP on loopback now; 0 if there is none. */
-uint16_t fleet_free_port(void);
-
 /* Starts a program of $OUT/bin; its output goes to a file in `dir`. */
 int fleet_spawn(
     const fleet_t *fleet, fleet_process_t *process, const char *const *argv);
--- a/bench/fleet_process.c
+++ b/bench/fleet_process.c
@@ -8,64 +8,10 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <bsd/stdlib.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 
-#define PORT_FIRST 10240
-#define PORT_LAST 32768
-
 extern char **environ;
 
-static int
-bind_port(int type, uint16_t *port)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons(*port),
-	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
-	socklen_t len = sizeof(address);
-	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-
-	if (fd < 0)
-		return -1;
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&address, &len) != 0) {
-		close(fd);
-		return -1;
-	}
-	*port = ntohs(address.sin_port);
-	return fd;
-}
-
-/*
- * Draws below the range that the system takes for outgoing connections, which
- * could take the port before its process binds it.
- */
-uint16_t
-fleet_free_port(void)
-{
-	uint16_t port;
-	int tries;
-	int tcp;
-	int udp;
-
-	for (tries = 0; tries < 1000; tries++) {
-		port = (uint16_t)(PORT_FIRST +
-		    arc4random_uniform(PORT_LAST - PORT_FIRST));
-		tcp = bind_port(SOCK_STREAM, &port);
-		if (tcp < 0)
-			continue;
-		udp = bind_port(SOCK_DGRAM, &port);
-		close(tcp);
-		if (udp < 0)
-			continue;
-		close(udp);
-		return port;
-	}
-	return 0;
-}
-
 int
 fleet_spawn(
     const fleet_t *fleet, fleet_process_t *process, const char *const *argv)
--- a/tests/support/edge_world.c
+++ b/tests/support/edge_world.c
@@ -12,21 +12,17 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include <cmocka.h>
 
 #include "../../platform/request_fields.h"
+#include "free_port.h"
 
 #define ADDRESS "127.0.0.1"
 #define MAX_FDS 512
 #define PATIENCE (20 * MSP_SECOND)
 #define BODY "the whole answer"
-#define PORT_FIRST 20000
-#define PORT_COUNT 9000
-#define PORT_STRIDE 97 /* ports between tests of neighbouring processes */
 
 static void
 answer_request(edge_target_t *target, msp_exchange_t *exchange)
@@ -277,48 +273,16 @@
 	put_edge_row(world, "servers", target->id, text);
 }
 
-static bool
-is_port_free(uint16_t port)
-{
-	struct sockaddr_in sa = {
-	    .sin_family = AF_INET, .sin_port = htons(port)};
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	bool is_free;
-
-	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	is_free = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
-	close(fd);
-	return is_free;
-}
-
-/*
- * A port that is free now, below the range of outgoing connections. Tests that
- * run side by side begin far apart.
- */
-static uint16_t
-draw_port(void)
-{
-	static unsigned int next;
-	uint16_t port;
-
-	if (next == 0)
-		next = (unsigned int)getpid() * PORT_STRIDE;
-	do {
-		port = (uint16_t)(PORT_FIRST + next++ % PORT_COUNT);
-	} while (!is_port_free(port));
-	return port;
-}
-
 static void
 write_settings(edge_world_t *world)
 {
 	FILE *file;
 
-	world->caller_port = draw_port();
-	world->readiness_port = draw_port();
-	world->directory_port = draw_port();
-	world->metrics_port = draw_port();
-	world->peer_port = draw_port();
+	world->caller_port = draw_free_port();
+	world->readiness_port = draw_free_port();
+	world->directory_port = draw_free_port();
+	world->metrics_port = draw_free_port();
+	world->peer_port = draw_free_port();
 	snprintf(world->settings_path, sizeof(world->settings_path),
 	    "/tmp/edge-%d-%u.json", getpid(), world->caller_port);
 	snprintf(world->log_path, sizeof(world->log_path),
