Free connections without a socket when a loop is dropped

Cause: a call on a kept connection takes over its socket; the library closes the connection that has none left in its next turn. A loop dropped before that turn leaked it (840 bytes each), since the library's destruction walks sockets. Seen once: platform/test_table_follower, ended with 1 for a leak, one of two whole runs side by side. Ruled out: a leak in a running daemon (the next turn frees it; a run alone never reports it).

--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -127,6 +127,16 @@
 	return loop;
 }
 
+/*
+ * A call on a kept connection takes over its socket. The library frees the
+ * connection without a socket in its next turn; its destruction misses it.
+ */
+static void
+free_detached_connections(msp_loop_t *loop)
+{
+	lws_service(loop->lws, -1);
+}
+
 void
 msp_drop_loop(msp_loop_t *loop)
 {
@@ -136,6 +146,7 @@
 	msp_drop_timer_queue(loop->timers);
 	msp_drop_hangups(loop->hangups);
 	lws_sul_cancel(&loop->wake);
+	free_detached_connections(loop);
 	lws_context_destroy(loop->lws);
 	free(loop);
 }
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -215,6 +215,21 @@
 		raw_close(&raws[i]);
 }
 
+/*
+ * Dropped in the same turn of the loop in which a call took a kept connection.
+ * What is not freed then is reported by the leak checker when the test ends.
+ */
+static void
+a_client_dropped_at_once_frees_all(void **state)
+{
+	client_test_t *test = *state;
+	raw_socket_t raw = {0};
+
+	answer_one(test, &raw, true);
+	start_to(test, "POST", "/b", &test->outcome);
+	raw_close(&raw);
+}
+
 int
 main(void)
 {
@@ -229,6 +244,7 @@
 	    CASE(forgotten_connections_are_closed),
 	    CASE(a_fresh_call_trusts_no_old_connection),
 	    CASE(calls_wait_for_a_lane),
+	    CASE(a_client_dropped_at_once_frees_all),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
