--- a/bench/fleet_http.c
+++ b/bench/fleet_http.c
@@ -321,6 +321,17 @@
 	return runs;
 }
 
+/* Why a stand-in did not take a control document. */
+static void
+report_control(const fleet_process_t *process, const fleet_reply_t *reply)
+{
+	fprintf(stderr,
+	    "control of %s on port %u: %s, maybe_sent=%d, http %d %s\n",
+	    process->name, process->port, msp_status_name(reply->status),
+	    reply->maybe_sent, reply->http_status,
+	    msp_buffer_text(&reply->response.body));
+}
+
 bool
 fleet_control_targets(fleet_t *fleet, const char *control)
 {
@@ -333,7 +344,10 @@
 			continue;
 		fleet_request(fleet, fleet->targets[i].port, "POST", "/control",
 		    NULL, control, &reply);
-		done = done && reply.http_status == 200;
+		if (reply.http_status != 200) {
+			report_control(&fleet->targets[i], &reply);
+			done = false;
+		}
 		msp_drop_response(&reply.response);
 	}
 	return done;
