Tell all VMs of requests that end targets; split the files of the edge's store

Seen in the new test before the change: a VM that had heard nothing sent it on. Change: steer/strike_news, without I/O, keeps strikes to tell and those heard; VMs post them to each other. Ruled out: telling of quarantines only, as dispatchers do, since each VM may see one strike alone; a row of the store for each, since the store may be down when targets end.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -10,6 +10,7 @@
 #include "monsoonspindle/steer/region_share.h"
 #include "monsoonspindle/steer/spill.h"
 #include "monsoonspindle/steer/split.h"
+#include "monsoonspindle/steer/strike_news.h"
 #include "monsoonspindle/steer/target_traffic.h"
 #include "monsoonspindle/steer/target_view.h"
 #include "monsoonspindle/steer/client_block.h"
--- a/include/monsoonspindle/steer/quarantine.h
+++ b/include/monsoonspindle/steer/quarantine.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONSPINDLE_STEER_QUARANTINE_H
 #define MONSOONSPINDLE_STEER_QUARANTINE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "monsoonspindle/base/env.h"
@@ -37,9 +38,9 @@
  * Gives a strike for an attempt that ran from `started` until its target died
  * at `ended`. One that started before the last strike gives none: it belongs
  * to the same event, as when a whole place is lost. The all-zero fingerprint is
- * never struck.
+ * never struck. Returns whether the strike counted.
  */
-void msp_strike(msp_quarantine_list_t *list, msp_digest_t fingerprint,
+bool msp_strike(msp_quarantine_list_t *list, msp_digest_t fingerprint,
     msp_time_t started, msp_time_t ended);
 
 /* Forgets all strikes of a request that got its whole answer. */
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -94,12 +94,10 @@
 	edge->evacuations = msp_new_map();
 	edge->budgets = msp_new_map();
 	edge->split = msp_new_split();
-	edge->quarantine = msp_new_quarantine_list(&daemon->env);
 	edge->view = msp_new_target_view(&daemon->env, &view_callbacks);
 	edge->book = msp_new_latency_book(options.far_prior);
 	if (edge->evacuations == NULL || edge->budgets == NULL ||
-	    edge->split == NULL || edge->quarantine == NULL ||
-	    edge->view == NULL || edge->book == NULL)
+	    edge->split == NULL || edge->view == NULL || edge->book == NULL)
 		return msp_fail(MSP_E_NO_MEMORY, "no memory for the edge");
 	edge->balancer = msp_new_balancer(
 	    &daemon->env, &options, &callbacks, edge->view, edge->book);
@@ -152,10 +150,9 @@
 	}
 	edge->daemon = daemon;
 	TAILQ_INIT(&edge->requests);
-	TAILQ_INIT(&edge->strikes);
 	TAILQ_INIT(&edge->readers);
 	LIST_INIT(&edge->probes);
-	if (know_platform_fields() != MSP_OK ||
+	if (know_platform_fields() != MSP_OK || open_strikes(edge) != MSP_OK ||
 	    open_decisions(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
 	    open_edge_listeners(edge) != MSP_OK ||
 	    open_edge_relay(edge) != MSP_OK || open_edge_store(edge) != MSP_OK)
@@ -196,16 +193,15 @@
 	msp_drop_http_client(edge->target_client);
 	msp_drop_http_client(edge->probe_client);
 	drop_probes(edge);
+	close_strikes(edge);
 	msp_drop_http_client(edge->store_http);
 	msp_drop_balancer(edge->balancer);
 	msp_drop_latency_book(edge->book);
 	msp_drop_target_view(edge->view);
-	msp_drop_quarantine_list(edge->quarantine);
 	msp_drop_split(edge->split);
 	msp_drop_map(edge->evacuations);
 	drop_budgets(edge->budgets);
 	msp_drop_route_table(edge->routes);
-	free(edge->others);
 	free(edge);
 }
 
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -10,6 +10,7 @@
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/split.h"
+#include "monsoonspindle/steer/strike_news.h"
 
 typedef struct table_follower table_follower_t;
 typedef struct edge_request edge_request_t;
@@ -27,6 +28,12 @@
 	EDGE_DURATIONS
 } edge_durations_t;
 
+/* A VM of another data centre, as it announced itself. */
+typedef struct edge_other {
+	char place[MSP_NAME_SIZE];
+	store_source_t source;
+} edge_other_t;
+
 /* A table of the store that is kept up with. */
 typedef struct edge_table {
 	edge_t *edge;
@@ -68,13 +75,15 @@
 		char vm[MSP_NAME_SIZE];
 		msp_time_t until;
 	} distrusted[EDGE_DISTRUSTED_MAX];
-	store_source_t *others; /* VMs of other data centres; owned */
+	edge_other_t *others; /* VMs of other data centres; owned */
 	size_t other_count;
 
 	msp_histogram_t durations[EDGE_DURATIONS]; /* ms, from the arrival */
 	TAILQ_HEAD(, edge_request) requests;
 	size_t request_count;
 	TAILQ_HEAD(, pending_strike) strikes;
+	msp_strike_news_t *strike_news;
+	msp_timer_t *strike_timer; /* runs while there is news to tell */
 	LIST_HEAD(, edge_probe) probes;
 	msp_timer_t *probe_timer; /* runs while targets are suspect */
 	msp_timer_t *view_timer;
@@ -95,11 +104,40 @@
 void suspect_target(edge_t *edge, msp_view_target_t *target,
     msp_digest_t fingerprint, msp_time_t started, const char *why);
 
-/* Gives or drops the strikes of requests that the target had. */
-void settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended);
 /* Call it after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
+/* edge_strikes.c: requests that may have ended targets */
+#define STRIKES_PATH "/v1/strikes" /* where VMs tell each other of strikes */
+
+msp_status_t open_strikes(edge_t *edge);
+void close_strikes(edge_t *edge);
+
+/* `target` may have ended for a request that it had since `started`. */
+void add_strike(edge_t *edge, msp_view_target_t *target,
+    msp_digest_t fingerprint, msp_time_t started);
+
+/*
+ * Gives or drops the strikes of requests that the target had. Those given are
+ * told to all VMs.
+ */
+void settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended);
+
+/* Takes in what another VM tells. */
+void serve_strikes(edge_t *edge, msp_exchange_t *exchange);
+
+/* edge_vms.c: this VM's row in the store, and those of others */
+void open_edge_vms(edge_t *edge);
+void close_edge_vms(edge_t *edge);
+
+/* A VM of another data centre; false if none is known. */
+bool draw_other_vm(const edge_t *edge, store_source_t *source);
+
+/* edge_reader.c: where tables are read. `ctx` is the edge_table_t. */
+bool choose_store_source(
+    void *ctx, unsigned int attempt, store_source_t *source);
+bool choose_vm_source(void *ctx, store_source_t *source);
+
 /* edge_store.c */
 msp_status_t open_edge_store(edge_t *edge);
 void close_edge_store(edge_t *edge);
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -8,15 +8,6 @@
 #define PROBE_GAP (1 * MSP_SECOND) /* between two of one target */
 #define PROBE_TIMEOUT_MS 1000
 
-/* A request that a target had when its connection broke. */
-struct pending_strike {
-	TAILQ_ENTRY(pending_strike) link;
-	msp_view_target_t *target;
-	msp_digest_t fingerprint;
-	msp_time_t started;
-	msp_time_t ended;
-};
-
 /* One health request. */
 struct edge_probe {
 	LIST_ENTRY(edge_probe) link;
@@ -25,27 +16,6 @@
 	uint64_t incarnation;
 };
 
-void
-settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended)
-{
-	pending_strike_t *strike;
-	pending_strike_t *next;
-
-	TAILQ_FOREACH_SAFE(strike, &edge->strikes, link, next) {
-		if (strike->target != target)
-			continue;
-		if (ended) {
-			msp_strike(edge->quarantine, strike->fingerprint,
-			    strike->started, strike->ended);
-			msp_count(
-			    edge->daemon->counters, 1, "msp_strikes_total");
-		}
-		TAILQ_REMOVE(&edge->strikes, strike, link);
-		msp_release_view_target(strike->target);
-		free(strike);
-	}
-}
-
 static void
 clear_suspicion(edge_t *edge, msp_view_target_t *target, uint32_t cold_ms)
 {
@@ -158,21 +128,6 @@
 	edge->probe_timer = NULL;
 }
 
-static void
-add_strike(edge_t *edge, msp_view_target_t *target, msp_digest_t fingerprint,
-    msp_time_t started)
-{
-	pending_strike_t *strike = calloc(1, sizeof(*strike));
-
-	if (strike == NULL)
-		return;
-	strike->target = msp_keep_view_target(target);
-	strike->fingerprint = fingerprint;
-	strike->started = started;
-	strike->ended = msp_now(&edge->daemon->env);
-	TAILQ_INSERT_TAIL(&edge->strikes, strike, link);
-}
-
 void
 suspect_target(edge_t *edge, msp_view_target_t *target,
     msp_digest_t fingerprint, msp_time_t started, const char *why)
@@ -199,7 +154,6 @@
 void
 drop_probes(edge_t *edge)
 {
-	pending_strike_t *strike;
 	edge_probe_t *probe;
 
 	msp_drop_timer(edge->probe_timer);
@@ -209,9 +163,4 @@
 		msp_release_view_target(probe->target);
 		free(probe);
 	}
-	while ((strike = TAILQ_FIRST(&edge->strikes)) != NULL) {
-		TAILQ_REMOVE(&edge->strikes, strike, link);
-		msp_release_view_target(strike->target);
-		free(strike);
-	}
 }
--- /dev/null
+++ b/source/spindled/edge_reader.c
@@ -0,0 +1,132 @@
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "edge_private.h"
+#include "log.h"
+#include "members.h"
+#include "monsoonspindle/coord/rendezvous.h"
+
+#define READER_ROLE "store-reader" /* which member reads the store */
+#define READER_DISTRUST (8 * MSP_SECOND)
+
+static void
+set_source(store_source_t *source, const msp_member_t *member)
+{
+	strlcpy(source->address, member->address, sizeof(source->address));
+	source->port = member->peer_port;
+}
+
+/* A member of this data centre other than this VM; false if there is none. */
+static bool
+draw_member(const edge_t *edge, store_source_t *source)
+{
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	const msp_membership_t *list = members_list(edge->daemon->members);
+	size_t count = msp_live_members(list, live, MSP_MEMBERS_MAX);
+	const msp_member_t *self = msp_membership_self(list);
+	size_t at;
+
+	if (count < 2)
+		return false;
+	at = msp_random_below(&edge->daemon->env, count);
+	if (strcmp(live[at]->name, self->name) == 0)
+		at = (at + 1) % count;
+	set_source(source, live[at]);
+	return true;
+}
+
+static bool
+is_distrusted(const edge_t *edge, const char *vm)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+	size_t i;
+
+	for (i = 0; i < EDGE_DISTRUSTED_MAX; i++) {
+		if (now < edge->distrusted[i].until &&
+		    strcmp(edge->distrusted[i].vm, vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The member that reads the store for this data centre; NULL: this VM. One
+ * that did not answer, or was out of touch itself, is passed over.
+ */
+static const msp_member_t *
+find_reader(const edge_t *edge)
+{
+	const daemon_t *daemon = edge->daemon;
+	const msp_member_t *ranked[EDGE_DISTRUSTED_MAX + 1];
+	size_t count =
+	    msp_rank_members(members_list(daemon->members), READER_ROLE,
+		daemon->settings->place, 0, ranked, EDGE_DISTRUSTED_MAX + 1);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(ranked[i]->name, daemon->settings->vm) == 0)
+			return NULL;
+		if (!is_distrusted(edge, ranked[i]->name))
+			return ranked[i];
+	}
+	return NULL;
+}
+
+/* Takes the place of the one whose time is up first. */
+static void
+distrust_reader(edge_t *edge)
+{
+	const msp_member_t *reader = find_reader(edge);
+	size_t at = 0;
+	size_t i;
+
+	if (reader == NULL)
+		return;
+	for (i = 1; i < EDGE_DISTRUSTED_MAX; i++) {
+		if (edge->distrusted[i].until < edge->distrusted[at].until)
+			at = i;
+	}
+	log_info("event=reader vm=%s state=passed-over", reader->name);
+	strlcpy(edge->distrusted[at].vm, reader->name,
+	    sizeof(edge->distrusted[at].vm));
+	edge->distrusted[at].until =
+	    msp_now(&edge->daemon->env) + READER_DISTRUST;
+}
+
+/*
+ * One VM of each data centre reads the store, and the others read from it.
+ * Whoever gets no fresh answer asks the store, then others.
+ */
+bool
+choose_store_source(void *ctx, unsigned int attempt, store_source_t *source)
+{
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
+	const msp_member_t *reader;
+
+	switch (attempt % 4) {
+	case 0:
+		reader = find_reader(edge);
+		if (reader == NULL)
+			return false;
+		set_source(source, reader);
+		return true;
+	case 1:
+		distrust_reader(edge);
+		return false;
+	case 2:
+		return draw_member(edge, source) || draw_other_vm(edge, source);
+	default:
+		return draw_other_vm(edge, source);
+	}
+}
+
+bool
+choose_vm_source(void *ctx, store_source_t *source)
+{
+	const edge_table_t *table = ctx;
+	const edge_t *edge = table->edge;
+
+	return draw_other_vm(edge, source) || draw_member(edge, source);
+}
--- a/source/spindled/edge_relay.c
+++ b/source/spindled/edge_relay.c
@@ -159,10 +159,16 @@
 {
 	edge_t *edge = ctx;
 	const table_follower_t *table = NULL;
+	const msp_request_t *request = msp_exchange_request(exchange);
 	row_query_t query;
-	msp_status_t status =
-	    decode_row_query(msp_exchange_request(exchange), &query);
+	msp_status_t status;
 
+	if (strncmp(request->path, STRIKES_PATH, sizeof(STRIKES_PATH) - 1) ==
+	    0) {
+		serve_strikes(edge, exchange);
+		return;
+	}
+	status = decode_row_query(request, &query);
 	if (status == MSP_OK) {
 		if (strcmp(query.table, OPERATOR_TABLE) == 0)
 			table = edge->operator_table.rows;
@@ -201,6 +207,7 @@
 	msp_http_server_options_t options = {.address = settings->address,
 	    .port = settings->peer_port,
 	    .limits = {.max_connections = RELAY_CONNECTIONS,
+		.max_body = MSP_STRIKE_TEXT_MAX,
 		.idle_timeout_ms = RELAY_IDLE_MS},
 	    .handler = {
 		.on_request = on_request, .on_gone = on_gone, .ctx = edge}};
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -1,30 +1,21 @@
 #include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <bsd/string.h>
 
 #include "../../platform/manifest.h"
 #include "../../platform/registration.h"
-#include "../../platform/vm_row.h"
 #include "edge_private.h"
 #include "log.h"
 #include "members.h"
-#include "monsoonspindle/coord/rendezvous.h"
 #include "../platform/table_follower.h"
 
 #define STORE_WAIT_MS 1200 /* for a change; below TABLE_FRESH */
 #define STORE_PACE (5 * MSP_MS)
 #define VM_WAIT_MS 1200 /* of a read from another VM */
 #define VM_PACE (5 * MSP_MS)
-#define VM_TIMEOUT_MS 1500
-#define VM_RETRY (700 * MSP_MS)
-#define READER_ROLE "store-reader" /* which member reads the store */
-#define READER_DISTRUST (8 * MSP_SECOND)
 /* Heartbeats that must be missed before entries lapse. */
 #define LAPSE_BEATS 2
-#define VM_REREAD (30 * MSP_SECOND)
 
 msp_time_t
 targets_age(const edge_t *edge)
@@ -48,138 +39,6 @@
 	return source;
 }
 
-static void
-set_source(store_source_t *source, const msp_member_t *member)
-{
-	strlcpy(source->address, member->address, sizeof(source->address));
-	source->port = member->peer_port;
-}
-
-/* A member of this data centre other than this VM; false if there is none. */
-static bool
-draw_member(const edge_t *edge, store_source_t *source)
-{
-	const msp_member_t *live[MSP_MEMBERS_MAX];
-	const msp_membership_t *list = members_list(edge->daemon->members);
-	size_t count = msp_live_members(list, live, MSP_MEMBERS_MAX);
-	const msp_member_t *self = msp_membership_self(list);
-	size_t at;
-
-	if (count < 2)
-		return false;
-	at = msp_random_below(&edge->daemon->env, count);
-	if (strcmp(live[at]->name, self->name) == 0)
-		at = (at + 1) % count;
-	set_source(source, live[at]);
-	return true;
-}
-
-/* A VM of another data centre. */
-static bool
-draw_other(const edge_t *edge, store_source_t *source)
-{
-	if (edge->other_count == 0)
-		return false;
-	*source = edge->others[msp_random_below(
-	    &edge->daemon->env, edge->other_count)];
-	return true;
-}
-
-static bool
-is_distrusted(const edge_t *edge, const char *vm)
-{
-	msp_time_t now = msp_now(&edge->daemon->env);
-	size_t i;
-
-	for (i = 0; i < EDGE_DISTRUSTED_MAX; i++) {
-		if (now < edge->distrusted[i].until &&
-		    strcmp(edge->distrusted[i].vm, vm) == 0)
-			return true;
-	}
-	return false;
-}
-
-/*
- * The member that reads the store for this data centre; NULL: this VM. One
- * that did not answer, or was out of touch itself, is passed over.
- */
-static const msp_member_t *
-find_reader(const edge_t *edge)
-{
-	const daemon_t *daemon = edge->daemon;
-	const msp_member_t *ranked[EDGE_DISTRUSTED_MAX + 1];
-	size_t count =
-	    msp_rank_members(members_list(daemon->members), READER_ROLE,
-		daemon->settings->place, 0, ranked, EDGE_DISTRUSTED_MAX + 1);
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		if (strcmp(ranked[i]->name, daemon->settings->vm) == 0)
-			return NULL;
-		if (!is_distrusted(edge, ranked[i]->name))
-			return ranked[i];
-	}
-	return NULL;
-}
-
-/* Takes the place of the one whose time is up first. */
-static void
-distrust_reader(edge_t *edge)
-{
-	const msp_member_t *reader = find_reader(edge);
-	size_t at = 0;
-	size_t i;
-
-	if (reader == NULL)
-		return;
-	for (i = 1; i < EDGE_DISTRUSTED_MAX; i++) {
-		if (edge->distrusted[i].until < edge->distrusted[at].until)
-			at = i;
-	}
-	log_info("event=reader vm=%s state=passed-over", reader->name);
-	strlcpy(edge->distrusted[at].vm, reader->name,
-	    sizeof(edge->distrusted[at].vm));
-	edge->distrusted[at].until =
-	    msp_now(&edge->daemon->env) + READER_DISTRUST;
-}
-
-/*
- * One VM of each data centre reads the store, and the others read from it.
- * Whoever gets no fresh answer asks the store, then others.
- */
-static bool
-choose_source(void *ctx, unsigned int attempt, store_source_t *source)
-{
-	const edge_table_t *table = ctx;
-	edge_t *edge = table->edge;
-	const msp_member_t *reader;
-
-	switch (attempt % 4) {
-	case 0:
-		reader = find_reader(edge);
-		if (reader == NULL)
-			return false;
-		set_source(source, reader);
-		return true;
-	case 1:
-		distrust_reader(edge);
-		return false;
-	case 2:
-		return draw_member(edge, source) || draw_other(edge, source);
-	default:
-		return draw_other(edge, source);
-	}
-}
-
-static bool
-choose_vm(void *ctx, store_source_t *source)
-{
-	const edge_table_t *table = ctx;
-	const edge_t *edge = table->edge;
-
-	return draw_other(edge, source) || draw_member(edge, source);
-}
-
 static void
 on_news(void *ctx)
 {
@@ -387,122 +246,6 @@
 	on_fresh(ctx, stale_for, was_down);
 }
 
-/* The rows of this system's own VMs. */
-
-static void read_vms(void *ctx);
-static void announce_vm(void *ctx);
-
-static void
-set_vm_timer(edge_t *edge, msp_time_t delay, void (*fire)(void *ctx))
-{
-	msp_drop_timer(edge->vm_timer);
-	edge->vm_timer =
-	    msp_new_timer(edge->daemon->loop, delay, 0, fire, edge);
-}
-
-static void
-on_vms(void *ctx, const store_reply_t *reply)
-{
-	edge_t *edge = ctx;
-	const msp_settings_t *settings = edge->daemon->settings;
-	msp_seed_t *seeds;
-	store_source_t *others;
-	vm_row_t vm;
-	size_t count = 0;
-	size_t other_count = 0;
-	size_t i;
-
-	edge->vm_call = NULL;
-	if (reply->status != MSP_OK) {
-		set_vm_timer(edge, VM_RETRY, read_vms);
-		return;
-	}
-	seeds = calloc(reply->row_count + 1, sizeof(*seeds));
-	others = calloc(reply->row_count + 1, sizeof(*others));
-	if (seeds == NULL || others == NULL) {
-		free(seeds);
-		free(others);
-		set_vm_timer(edge, VM_RETRY, read_vms);
-		return;
-	}
-	for (i = 0; i < reply->row_count; i++) {
-		const store_row_t *row = &reply->rows[i];
-
-		if (row->value == NULL ||
-		    decode_vm_row(row->value, row->len, &vm) != MSP_OK)
-			continue;
-		if (strcmp(vm.place, settings->place) != 0) {
-			strlcpy(others[other_count].address, vm.address,
-			    sizeof(others[other_count].address));
-			others[other_count++].port = vm.peer_port;
-			continue;
-		}
-		strlcpy(seeds[count].address, vm.address,
-		    sizeof(seeds[count].address));
-		seeds[count++].peer_port = vm.peer_port;
-	}
-	log_info("event=vms rows=%zu here=%zu", reply->row_count, count);
-	if (count > MSP_SEEDS_MAX)
-		count = MSP_SEEDS_MAX;
-	msp_suggest_seeds(members_list(edge->daemon->members), seeds, count);
-	free(seeds);
-	free(edge->others);
-	edge->others = others;
-	edge->other_count = other_count;
-	set_vm_timer(edge, VM_REREAD, read_vms);
-}
-
-static void
-read_vms(void *ctx)
-{
-	edge_t *edge = ctx;
-
-	edge->vm_call = read_store_rows(
-	    edge->store, NULL, VMS_TABLE, NULL, VM_TIMEOUT_MS, on_vms, edge);
-	if (edge->vm_call == NULL)
-		set_vm_timer(edge, VM_RETRY, read_vms);
-}
-
-static void
-on_announced(void *ctx, const store_reply_t *reply)
-{
-	edge_t *edge = ctx;
-
-	edge->vm_call = NULL;
-	if (reply->status != MSP_OK) {
-		log_warn(
-		    "event=announce error=%s", msp_status_name(reply->status));
-		set_vm_timer(edge, VM_RETRY, announce_vm);
-		return;
-	}
-	/* Of two VMs, the one that reads last sees the other. */
-	read_vms(edge);
-}
-
-static void
-announce_vm(void *ctx)
-{
-	edge_t *edge = ctx;
-	const msp_settings_t *settings = edge->daemon->settings;
-	vm_row_t vm = {.peer_port = settings->peer_port,
-	    .caller_port = settings->caller_port};
-	msp_buffer_t text = {0};
-	msp_write_t write = {.key = settings->vm};
-	msp_txn_t txn = {.writes = &write, .write_count = 1};
-
-	strlcpy(vm.place, settings->place, sizeof(vm.place));
-	strlcpy(vm.address, settings->address, sizeof(vm.address));
-	if (encode_vm_row(&vm, &text) == MSP_OK) {
-		write.value = text.data;
-		write.value_len = text.len;
-		edge->vm_call = change_store_rows(edge->store, VMS_TABLE, &txn,
-		    VM_TIMEOUT_MS, on_announced, edge);
-	}
-	msp_drop_buffer(&text);
-	if (edge->vm_call == NULL)
-		set_vm_timer(edge, VM_RETRY, announce_vm);
-}
-
 static msp_status_t
 follow_table(edge_table_t *table, const table_follower_options_t *options,
     table_follower_callbacks_t *callbacks)
@@ -526,8 +269,9 @@
 	    .vm_wait_ms = VM_WAIT_MS,
 	    .vm_pace = VM_PACE,
 	    .short_outage = MSP_NEVER};
-	table_follower_callbacks_t callbacks = {.choose_source = choose_source,
-	    .choose_vm = choose_vm,
+	table_follower_callbacks_t callbacks = {
+	    .choose_source = choose_store_source,
+	    .choose_vm = choose_vm_source,
 	    .on_begin = on_operator_begin,
 	    .on_row = on_operator_row,
 	    .on_end = on_operator_end,
@@ -564,15 +308,14 @@
 		return MSP_E_NO_MEMORY;
 	status = follow_tables(edge);
 	if (status == MSP_OK)
-		announce_vm(edge);
+		open_edge_vms(edge);
 	return status;
 }
 
 void
 close_edge_store(edge_t *edge)
 {
-	msp_drop_timer(edge->vm_timer);
-	cancel_store_call(edge->vm_call);
+	close_edge_vms(edge);
 	drop_table_follower(edge->operator_table.rows);
 	drop_table_follower(edge->target_table.rows);
 	drop_store_client(edge->store);
--- /dev/null
+++ b/source/spindled/edge_strikes.c
@@ -0,0 +1,218 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "log.h"
+#include "members.h"
+#include "problem.h"
+
+#define TELL_PERIOD (500 * MSP_MS)
+#define TELL_TIMEOUT_MS 1000
+#define TOLD_OF_PLACE 2 /* VMs of each other data centre that are told */
+#define PASS_ON "?pass-on=1"
+
+/* A request that a target had when its connection broke. */
+struct pending_strike {
+	TAILQ_ENTRY(pending_strike) link;
+	msp_view_target_t *target;
+	msp_digest_t fingerprint;
+	msp_time_t started;
+	msp_time_t ended;
+};
+
+static void
+on_told(void *ctx, msp_call_result_t *result)
+{
+	edge_t *edge = ctx;
+
+	if (result->status != MSP_OK || result->response->status >= 300)
+		msp_count(
+		    edge->daemon->counters, 1, "msp_strikes_not_told_total");
+}
+
+static void
+tell_vm(edge_t *edge, const char *address, uint16_t port, const char *text,
+    bool pass_on)
+{
+	msp_call_options_t options = {
+	    .address = address, .port = port, .timeout_ms = TELL_TIMEOUT_MS};
+	msp_request_t request = {.method = "POST"};
+
+	snprintf(request.path, sizeof(request.path), "%s%s", STRIKES_PATH,
+	    pass_on ? PASS_ON : "");
+	if (msp_append_buffer(&request.body, text, strlen(text)) != MSP_OK ||
+	    msp_start_call(
+		edge->store_http, &options, &request, on_told, edge) == NULL)
+		msp_count(
+		    edge->daemon->counters, 1, "msp_strikes_not_told_total");
+	msp_drop_request(&request);
+}
+
+static void
+tell_members(edge_t *edge, const char *text)
+{
+	const msp_membership_t *list = members_list(edge->daemon->members);
+	size_t i;
+
+	for (i = 0; i < msp_member_count(list); i++) {
+		const msp_member_t *member = msp_member_at(list, i);
+
+		if (member != msp_membership_self(list) &&
+		    member->state != MSP_MEMBER_DEAD)
+			tell_vm(edge, member->address, member->peer_port, text,
+			    false);
+	}
+}
+
+/* How many VMs before `at` are of the same data centre. */
+static size_t
+count_before(const edge_t *edge, size_t at)
+{
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < at; i++) {
+		if (strcmp(edge->others[i].place, edge->others[at].place) == 0)
+			count++;
+	}
+	return count;
+}
+
+/* A row may be of a VM that is gone, so more than one of each is told. */
+static void
+tell_places(edge_t *edge, const char *text)
+{
+	size_t i;
+
+	for (i = 0; i < edge->other_count; i++) {
+		const store_source_t *to = &edge->others[i].source;
+
+		if (count_before(edge, i) < TOLD_OF_PLACE)
+			tell_vm(edge, to->address, to->port, text, true);
+	}
+}
+
+static void
+tell_strikes(void *ctx)
+{
+	edge_t *edge = ctx;
+	msp_buffer_t text = {.limit = MSP_STRIKE_TEXT_MAX};
+	size_t count = msp_take_strike_news(edge->strike_news, &text);
+
+	msp_drop_timer(edge->strike_timer);
+	edge->strike_timer = NULL;
+	if (count > 0) {
+		log_info("event=strikes-told count=%zu places_vms=%zu", count,
+		    edge->other_count);
+		tell_members(edge, msp_buffer_text(&text));
+		tell_places(edge, msp_buffer_text(&text));
+	}
+	msp_drop_buffer(&text);
+}
+
+void
+serve_strikes(edge_t *edge, msp_exchange_t *exchange)
+{
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *text = msp_buffer_text(&request->body);
+	msp_response_t response = {.status = 204};
+	size_t fresh;
+	msp_status_t status = msp_hear_strikes(edge->strike_news, text, &fresh);
+
+	if (status != MSP_OK) {
+		answer_error(exchange, status);
+		return;
+	}
+	msp_count(edge->daemon->counters, fresh, "msp_strikes_heard_total");
+	if (fresh > 0) {
+		log_info("event=strikes-heard count=%zu", fresh);
+		if (strstr(request->path, PASS_ON) != NULL)
+			tell_members(edge, text);
+	}
+	msp_answer_exchange(exchange, &response);
+}
+
+static void
+give_strike(edge_t *edge, const pending_strike_t *strike)
+{
+	char name[MSP_DIGEST_TEXT_SIZE];
+
+	msp_strike_here(edge->strike_news, strike->fingerprint, strike->started,
+	    strike->ended);
+	msp_count(edge->daemon->counters, 1, "msp_strikes_total");
+	msp_print_digest(strike->fingerprint, name);
+	log_info("event=strike fingerprint=%s target=%s quarantined=%d", name,
+	    strike->target->registration.id,
+	    msp_check_suspicion(edge->quarantine, strike->fingerprint, NULL) ==
+		MSP_SUSPICION_QUARANTINED);
+	if (edge->strike_timer == NULL)
+		edge->strike_timer = msp_new_timer(
+		    edge->daemon->loop, TELL_PERIOD, 0, tell_strikes, edge);
+}
+
+static void
+free_strike(edge_t *edge, pending_strike_t *strike)
+{
+	TAILQ_REMOVE(&edge->strikes, strike, link);
+	msp_release_view_target(strike->target);
+	free(strike);
+}
+
+void
+add_strike(edge_t *edge, msp_view_target_t *target, msp_digest_t fingerprint,
+    msp_time_t started)
+{
+	pending_strike_t *strike = calloc(1, sizeof(*strike));
+
+	if (strike == NULL) {
+		log_warn("event=strike-lost reason=no-memory");
+		return;
+	}
+	strike->target = msp_keep_view_target(target);
+	strike->fingerprint = fingerprint;
+	strike->started = started;
+	strike->ended = msp_now(&edge->daemon->env);
+	TAILQ_INSERT_TAIL(&edge->strikes, strike, link);
+}
+
+void
+settle_strikes(edge_t *edge, const msp_view_target_t *target, bool ended)
+{
+	pending_strike_t *strike;
+	pending_strike_t *next;
+
+	TAILQ_FOREACH_SAFE(strike, &edge->strikes, link, next) {
+		if (strike->target != target)
+			continue;
+		if (ended)
+			give_strike(edge, strike);
+		free_strike(edge, strike);
+	}
+}
+
+msp_status_t
+open_strikes(edge_t *edge)
+{
+	const msp_env_t *env = &edge->daemon->env;
+
+	TAILQ_INIT(&edge->strikes);
+	edge->quarantine = msp_new_quarantine_list(env);
+	if (edge->quarantine == NULL)
+		return MSP_E_NO_MEMORY;
+	edge->strike_news = msp_new_strike_news(env, edge->quarantine);
+	return edge->strike_news == NULL ? MSP_E_NO_MEMORY : MSP_OK;
+}
+
+void
+close_strikes(edge_t *edge)
+{
+	pending_strike_t *strike;
+	pending_strike_t *next;
+
+	msp_drop_timer(edge->strike_timer);
+	TAILQ_FOREACH_SAFE(strike, &edge->strikes, link, next)
+		free_strike(edge, strike);
+	msp_drop_strike_news(edge->strike_news);
+	msp_drop_quarantine_list(edge->quarantine);
+}
--- /dev/null
+++ b/source/spindled/edge_vms.c
@@ -0,0 +1,179 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "../../platform/vm_row.h"
+#include "edge_private.h"
+#include "log.h"
+#include "members.h"
+
+#define VM_TIMEOUT_MS 1500
+#define VM_RETRY (700 * MSP_MS)
+#define VM_REREAD (30 * MSP_SECOND)
+
+/* The rows of this system's own VMs. */
+
+bool
+draw_other_vm(const edge_t *edge, store_source_t *source)
+{
+	if (edge->other_count == 0)
+		return false;
+	*source = edge->others[msp_random_below(
+				   &edge->daemon->env, edge->other_count)]
+		      .source;
+	return true;
+}
+
+static void read_vms(void *ctx);
+static void announce_vm(void *ctx);
+
+static void
+set_vm_timer(edge_t *edge, msp_time_t delay, void (*fire)(void *ctx))
+{
+	msp_drop_timer(edge->vm_timer);
+	edge->vm_timer =
+	    msp_new_timer(edge->daemon->loop, delay, 0, fire, edge);
+}
+
+/* What the rows say: VMs of this data centre and of others. */
+typedef struct vm_lists {
+	msp_seed_t *here; /* borrowed by membership while it is told */
+	size_t here_count;
+	edge_other_t *others;
+	size_t other_count;
+} vm_lists_t;
+
+static void
+add_vm(vm_lists_t *lists, const char *place, const vm_row_t *vm)
+{
+	edge_other_t *other;
+	msp_seed_t *seed;
+
+	if (strcmp(vm->place, place) == 0) {
+		seed = &lists->here[lists->here_count++];
+		strlcpy(seed->address, vm->address, sizeof(seed->address));
+		seed->peer_port = vm->peer_port;
+		return;
+	}
+	other = &lists->others[lists->other_count++];
+	strlcpy(other->place, vm->place, sizeof(other->place));
+	strlcpy(
+	    other->source.address, vm->address, sizeof(other->source.address));
+	other->source.port = vm->peer_port;
+}
+
+static msp_status_t
+list_vms(const store_reply_t *reply, const char *place, vm_lists_t *lists)
+{
+	vm_row_t vm;
+	size_t i;
+
+	lists->here = calloc(reply->row_count + 1, sizeof(*lists->here));
+	lists->others = calloc(reply->row_count + 1, sizeof(*lists->others));
+	if (lists->here == NULL || lists->others == NULL) {
+		free(lists->here);
+		free(lists->others);
+		return MSP_E_NO_MEMORY;
+	}
+	for (i = 0; i < reply->row_count; i++) {
+		const store_row_t *row = &reply->rows[i];
+
+		if (row->value != NULL &&
+		    decode_vm_row(row->value, row->len, &vm) == MSP_OK)
+			add_vm(lists, place, &vm);
+	}
+	return MSP_OK;
+}
+
+static void
+on_vms(void *ctx, const store_reply_t *reply)
+{
+	edge_t *edge = ctx;
+	vm_lists_t lists = {0};
+	msp_status_t status = reply->status;
+
+	edge->vm_call = NULL;
+	if (status == MSP_OK)
+		status = list_vms(reply, edge->daemon->settings->place, &lists);
+	if (status != MSP_OK) {
+		log_warn("event=vms error=%s", msp_status_name(status));
+		set_vm_timer(edge, VM_RETRY, read_vms);
+		return;
+	}
+	log_info(
+	    "event=vms rows=%zu here=%zu", reply->row_count, lists.here_count);
+	msp_suggest_seeds(members_list(edge->daemon->members), lists.here,
+	    lists.here_count < MSP_SEEDS_MAX ? lists.here_count
+					     : MSP_SEEDS_MAX);
+	free(lists.here);
+	free(edge->others);
+	edge->others = lists.others;
+	edge->other_count = lists.other_count;
+	set_vm_timer(edge, VM_REREAD, read_vms);
+}
+
+static void
+read_vms(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	edge->vm_call = read_store_rows(
+	    edge->store, NULL, VMS_TABLE, NULL, VM_TIMEOUT_MS, on_vms, edge);
+	if (edge->vm_call == NULL)
+		set_vm_timer(edge, VM_RETRY, read_vms);
+}
+
+static void
+on_announced(void *ctx, const store_reply_t *reply)
+{
+	edge_t *edge = ctx;
+
+	edge->vm_call = NULL;
+	if (reply->status != MSP_OK) {
+		log_warn(
+		    "event=announce error=%s", msp_status_name(reply->status));
+		set_vm_timer(edge, VM_RETRY, announce_vm);
+		return;
+	}
+	/* Of two VMs, the one that reads last sees the other. */
+	read_vms(edge);
+}
+
+static void
+announce_vm(void *ctx)
+{
+	edge_t *edge = ctx;
+	const msp_settings_t *settings = edge->daemon->settings;
+	vm_row_t vm = {.peer_port = settings->peer_port,
+	    .caller_port = settings->caller_port};
+	msp_buffer_t text = {0};
+	msp_write_t write = {.key = settings->vm};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
+
+	strlcpy(vm.place, settings->place, sizeof(vm.place));
+	strlcpy(vm.address, settings->address, sizeof(vm.address));
+	if (encode_vm_row(&vm, &text) == MSP_OK) {
+		write.value = text.data;
+		write.value_len = text.len;
+		edge->vm_call = change_store_rows(edge->store, VMS_TABLE, &txn,
+		    VM_TIMEOUT_MS, on_announced, edge);
+	}
+	msp_drop_buffer(&text);
+	if (edge->vm_call == NULL)
+		set_vm_timer(edge, VM_RETRY, announce_vm);
+}
+
+void
+open_edge_vms(edge_t *edge)
+{
+	announce_vm(edge);
+}
+
+void
+close_edge_vms(edge_t *edge)
+{
+	msp_drop_timer(edge->vm_timer);
+	cancel_store_call(edge->vm_call);
+	free(edge->others);
+}
--- a/source/steer/quarantine.c
+++ b/source/steer/quarantine.c
@@ -1,6 +1,5 @@
 #include "monsoonspindle/steer/quarantine.h"
 
-#include <stdbool.h>
 #include <stdint.h>
 #include <stdlib.h>
 
@@ -80,7 +79,7 @@
 	return oldest;
 }
 
-void
+bool
 msp_strike(msp_quarantine_list_t *list, msp_digest_t fingerprint,
     msp_time_t started, msp_time_t ended)
 {
@@ -88,16 +87,17 @@
 	entry_t *entry;
 
 	if (is_blank(fingerprint))
-		return;
+		return false;
 	entry = keep_entry(list, fingerprint);
 	if (entry->strikes > 0 && started < entry->struck)
-		return;
+		return false;
 	entry->strikes++;
 	entry->struck = ended;
 	entry->imported = false;
 	entry->until = now +
 	    (entry->strikes < QUARANTINE_STRIKES ? MSP_SUSPECT_TIME
 						 : MSP_QUARANTINE_TIME);
+	return true;
 }
 
 void
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -308,6 +308,22 @@
 	assert_true(edge_log_has(world, "event=store state=back"));
 }
 
+/* The target that runs it ends; the targets come back as other processes. */
+static void
+ask_deadly(edge_world_t *world)
+{
+	caller_answer_t answer;
+	unsigned int k;
+
+	set_manners(world, TARGET_CUTS);
+	ask_edge(world, "POST", "/write/deadly", &answer);
+	set_manners(world, TARGET_ANSWERS);
+	for (k = 0; k < EDGE_TARGETS; k++)
+		put_edge_row(world, "servers", world->targets[k].id, NULL);
+	run_edge_for(world, 300 * MSP_MS);
+	serve_edge(world);
+}
+
 /* A request that ends each target that runs it is stopped. */
 static void
 a_request_that_ends_targets_is_stopped(void **state)
@@ -317,19 +333,8 @@
 	unsigned int i;
 
 	serve_edge(world);
-	for (i = 0; i < 4; i++) {
-		unsigned int k;
-
-		set_manners(world, TARGET_CUTS);
-		ask_edge(world, "POST", "/write/deadly", &answer);
-		set_manners(world, TARGET_ANSWERS);
-		/* The targets come back as other processes. */
-		for (k = 0; k < EDGE_TARGETS; k++)
-			put_edge_row(
-			    world, "servers", world->targets[k].id, NULL);
-		run_edge_for(world, 300 * MSP_MS);
-		serve_edge(world);
-	}
+	for (i = 0; i < 4; i++)
+		ask_deadly(world);
 	ask_edge(world, "POST", "/write/deadly", &answer);
 	assert_int_equal(answer.http_status, 503);
 	assert_true(edge_log_has(world, "outcome=quarantined"));
@@ -337,6 +342,34 @@
 	assert_int_equal(answer.http_status, 200);
 }
 
+/* It ended one target at each of two VMs: a third does not send it at all. */
+static void
+it_is_stopped_at_vms_that_were_told(void **state)
+{
+	edge_world_t *third = *state;
+	edge_world_t *world;
+	caller_answer_t answer;
+	unsigned int i;
+
+	assert_int_equal(tell_edge_of_strikes(third, "malformed\n"), 400);
+	for (i = 0; i < 2; i++) {
+		world = new_edge_world_beside_another();
+		serve_edge(world);
+		ask_deadly(world);
+		run_edge_until(world, &world->told, 1);
+		assert_int_equal(tell_edge_of_strikes(
+				     third, msp_buffer_text(&world->told_text)),
+		    204);
+		drop_edge_world(world);
+	}
+	serve_edge(third);
+	ask_edge(third, "POST", "/write/deadly", &answer);
+	assert_int_equal(answer.http_status, 503);
+	assert_int_equal(count_edge_requests_got(third), 0);
+	ask_edge(third, "POST", "/write/harmless", &answer);
+	assert_int_equal(answer.http_status, 200);
+}
+
 static void
 a_stop_answers_what_it_has(void **state)
 {
@@ -405,6 +438,7 @@
 	    EDGE_TEST(a_caller_who_leaves_frees_the_target),
 	    EDGE_TEST(an_outage_of_the_store_hurts_no_request),
 	    EDGE_TEST(a_request_that_ends_targets_is_stopped),
+	    EDGE_TEST(it_is_stopped_at_vms_that_were_told),
 	    EDGE_TEST(a_stop_answers_what_it_has),
 	    EDGE_TEST(settings_are_read_anew),
 	};
--- a/tests/support/edge_world.c
+++ b/tests/support/edge_world.c
@@ -332,8 +332,8 @@
 	return answer.status == MSP_OK;
 }
 
-edge_world_t *
-new_edge_world(void)
+static edge_world_t *
+prepare_world(void)
 {
 	edge_world_t *world = calloc(1, sizeof(*world));
 	msp_http_server_options_t options = {.address = ADDRESS};
@@ -358,12 +358,76 @@
 		open_target(&world->targets[i], 0);
 	}
 	write_settings(world);
+	return world;
+}
+
+static void
+start_world(edge_world_t *world)
+{
 	start_process(world);
 	while (!is_listening(world, world->caller_port))
 		assert_int_equal(waitpid(world->pid, NULL, WNOHANG), 0);
+}
+
+edge_world_t *
+new_edge_world(void)
+{
+	edge_world_t *world = prepare_world();
+
+	start_world(world);
+	return world;
+}
+
+static void
+on_other_request(void *ctx, msp_exchange_t *exchange)
+{
+	edge_world_t *world = ctx;
+	const msp_request_t *request = msp_exchange_request(exchange);
+	msp_response_t response = {.status = 204};
+
+	if (strcmp(request->path, "/v1/strikes?pass-on=1") == 0) {
+		world->told++;
+		msp_clear_buffer(&world->told_text);
+		msp_append_buffer(
+		    &world->told_text, request->body.data, request->body.len);
+	}
+	msp_answer_exchange(exchange, &response);
+}
+
+edge_world_t *
+new_edge_world_beside_another(void)
+{
+	edge_world_t *world = prepare_world();
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .handler = {.on_request = on_other_request, .ctx = world}};
+	char row[256];
+
+	world->elsewhere = msp_new_http_server(world->loop, &options);
+	assert_non_null(world->elsewhere);
+	snprintf(row, sizeof(row),
+	    "{\"place\":\"south-a\",\"address\":\"" ADDRESS "\","
+	    "\"peer_port\":%u,\"caller_port\":1,\"leaving\":false}",
+	    msp_http_server_port(world->elsewhere));
+	put_edge_row(world, "vms", "vm-9", row);
+	start_world(world);
 	return world;
 }
 
+int
+tell_edge_of_strikes(edge_world_t *world, const char *text)
+{
+	msp_call_options_t options = {
+	    .address = ADDRESS, .port = world->peer_port, .timeout_ms = 2000};
+	msp_request_t request = {.method = "POST", .path = "/v1/strikes"};
+	caller_answer_t answer = {0};
+
+	msp_append_buffer(&request.body, text, strlen(text));
+	assert_non_null(msp_start_call(
+	    world->client, &options, &request, keep_answer, &answer));
+	run_edge_until(world, &answer.done, 1);
+	return answer.http_status;
+}
+
 void
 serve_edge(edge_world_t *world)
 {
@@ -411,6 +475,8 @@
 	msp_drop_http_client(world->client);
 	for (i = 0; i < EDGE_TARGETS; i++)
 		msp_drop_http_server(world->targets[i].server);
+	msp_drop_http_server(world->elsewhere);
+	msp_drop_buffer(&world->told_text);
 	msp_drop_http_server(world->store);
 	msp_drop_memory_store(world->memory);
 	msp_drop_store_service(world->service);
--- a/tests/support/edge_world.h
+++ b/tests/support/edge_world.h
@@ -49,6 +49,9 @@
 	msp_http_server_t *store;
 	msp_http_client_t *client;
 	edge_target_t targets[EDGE_TARGETS];
+	msp_http_server_t *elsewhere; /* a VM of another data centre */
+	unsigned int told; /* messages about strikes that it got */
+	msp_buffer_t told_text; /* of the last one */
 	uint16_t caller_port;
 	uint16_t readiness_port;
 	uint16_t directory_port;
@@ -72,6 +75,9 @@
 
 /* Starts the world, without rows in the store; waits for the listeners. */
 edge_world_t *new_edge_world(void);
+
+/* The same beside a VM of another data centre, which hears of strikes. */
+edge_world_t *new_edge_world_beside_another(void);
 void drop_edge_world(edge_world_t *world);
 
 /* Sets or, with `value` NULL, removes a row of the store. */
@@ -93,6 +99,9 @@
 void ask_edge(edge_world_t *world, const char *method, const char *path,
     caller_answer_t *answer);
 
+/* Tells the daemon what another VM told of strikes; returns the HTTP status. */
+int tell_edge_of_strikes(edge_world_t *world, const char *text);
+
 /* Runs everything until *count is at least `least`; fails if it never is. */
 void run_edge_until(
     edge_world_t *world, const unsigned int *count, unsigned int least);
