Turn a target's refusal that does not say "not run" into 502

Cause: a target's 503 or 429 without the field that says that it did not run the request went to the caller as it came. Callers take 408, 421, 429 and 503 for "has not run and will not", and this one may have run. Red before: process/test_edge bad_answers_are_told_truly, three new rows (503, no Retry-After, for a read; the writes behind it); green after, 14 passed. platform/test_request_fields has rows for the statuses.

--- a/source/spindled/edge_try.c
+++ b/source/spindled/edge_try.c
@@ -114,7 +114,8 @@
 
 	decode_target_fields(
 	    response, request->caller.id, target->registration.id, &fields);
-	ok = fields.same_id && fields.signed_answer && !fields.not_run;
+	ok = fields.same_id && fields.signed_answer && !fields.not_run &&
+	    !fields.untold_refusal;
 	failed = response->status >= HTTP_SERVER_ERROR;
 	msp_end_balanced(
 	    edge->balancer, &request->wanted, &request->choice, took, ok);
@@ -149,7 +150,7 @@
 	}
 	if (ok)
 		msp_clear_strikes(edge->quarantine, request->fingerprint);
-	if (!fields.same_id) {
+	if (!fields.same_id || fields.untold_refusal) {
 		give_up_request(request, "target-error");
 		return;
 	}
--- a/tests/platform/test_request_fields.c
+++ b/tests/platform/test_request_fields.c
@@ -112,6 +112,7 @@
 	bool same_id;
 	bool names_other;
 	bool has_load;
+	bool untold_refusal;
 } answer_case_t;
 
 static void
@@ -119,18 +120,31 @@
 {
 	static const answer_case_t cases[] = {
 	    {200, {"request-id", "response-signature", "server-load"},
-		{"abc", "s", "3,0,8"}, false, true, true, false, true},
+		{"abc", "s", "3,0,8"}, false, true, true, false, true, false},
 	    {200, {"request-id", "response-signature"}, {"abd", "s"}, false,
-		true, false, false, false},
-	    {200, {"request-id"}, {"abc"}, false, false, true, false, false},
+		true, false, false, false, false},
+	    {200, {"request-id"}, {"abc"}, false, false, true, false, false,
+		false},
 	    {503, {"request-id", "not-executed"}, {"abc", "1"}, true, false,
-		true, false, false},
-	    {503, {"request-id"}, {"abc"}, false, false, true, false, false},
-	    {421, {"instance-id"}, {"i-2"}, true, false, false, true, false},
+		true, false, false, false},
+	    {503, {"request-id"}, {"abc"}, false, false, true, false, false,
+		true},
+	    {429, {"request-id"}, {"abc"}, false, false, true, false, false,
+		true},
+	    {408, {"request-id"}, {"abc"}, false, false, true, false, false,
+		true},
+	    {429, {"request-id", "not-executed"}, {"abc", "1"}, true, false,
+		true, false, false, false},
+	    {500, {"request-id"}, {"abc"}, false, false, true, false, false,
+		false},
+	    {421, {"instance-id"}, {"i-2"}, true, false, false, true, false,
+		false},
 	    {200, {"request-id", "instance-id"}, {"abc", "i-1"}, false, false,
-		true, false, false},
-	    {200, {"server-load"}, {"3,0"}, false, false, false, false, false},
-	    {200, {"server-load"}, {"many"}, false, false, false, false, false},
+		true, false, false, false},
+	    {200, {"server-load"}, {"3,0"}, false, false, false, false, false,
+		false},
+	    {200, {"server-load"}, {"many"}, false, false, false, false, false,
+		false},
 	};
 	target_fields_t fields;
 	size_t i;
@@ -150,6 +164,7 @@
 		assert_int_equal(fields.same_id, now->same_id);
 		assert_int_equal(fields.names_other, now->names_other);
 		assert_int_equal(fields.has_load, now->has_load);
+		assert_int_equal(fields.untold_refusal, now->untold_refusal);
 		msp_drop_response(&response);
 	}
 }
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -132,6 +132,12 @@
 	    {"fails, read", TARGET_FAILS, "GET", "/read/5", 500, 2, 2, false},
 	    {"fails, write", TARGET_FAILS, "POST", "/write/5", 500, 1, 1,
 		false},
+	    {"503 that may have run, read", TARGET_BUSY_UNTOLD, "GET",
+		"/read/7", 502, 2, 2, false},
+	    {"503 that may have run, write", TARGET_BUSY_UNTOLD, "POST",
+		"/write/7", 502, 1, 1, false},
+	    {"429 that may have run, write", TARGET_LIMITS_UNTOLD, "POST",
+		"/write/8", 502, 1, 1, false},
 	    {"another target, write", TARGET_IS_ANOTHER, "POST", "/write/6",
 		503, 2, 2, true},
 	};
--- a/tests/support/edge_world.c
+++ b/tests/support/edge_world.c
@@ -39,12 +39,17 @@
 		msp_add_header(&response.headers, "Instance-Id", "i-other");
 	} else if (target->manner == TARGET_FAILS) {
 		response.status = 500;
+	} else if (target->manner == TARGET_BUSY_UNTOLD) {
+		response.status = 503;
+	} else if (target->manner == TARGET_LIMITS_UNTOLD) {
+		response.status = 429;
 	}
 	if (target->manner == TARGET_NAMES_OTHER_REQUEST)
 		id = "another";
 	if (id != NULL)
 		msp_add_header(&response.headers, "Request-Id", id);
-	if (target->manner != TARGET_DOES_NOT_SIGN && response.status != 503)
+	if (target->manner != TARGET_DOES_NOT_SIGN &&
+	    target->manner != TARGET_SHEDS)
 		msp_add_header(
 		    &response.headers, "Response-Signature", target->id);
 	msp_add_header(&response.headers, "Server-Load", "1,0,5");
--- a/tests/support/edge_world.h
+++ b/tests/support/edge_world.h
@@ -23,6 +23,9 @@
 	TARGET_NAMES_OTHER_REQUEST, /* its answer bears another id */
 	TARGET_DOES_NOT_SIGN,
 	TARGET_FAILS, /* its own 500 */
+	TARGET_BUSY_UNTOLD, /* 503, signed, without saying that it did not run
+			     */
+	TARGET_LIMITS_UNTOLD, /* the same with 429 */
 	TARGET_HOLDS, /* answers when told to */
 } target_manner_t;
 
