Look for a caller's end in one place of the network package

msp_is_socket_at_end serves the client's lanes and the server, and needs no extension of poll(2), whose feature macro the linter refuses.

--- a/source/net/lane.c
+++ b/source/net/lane.c
@@ -9,17 +9,6 @@
 #define FRESH_WITHIN MSP_SECOND /* bytes so recent prove a connection alive */
 #define READ_SIZE (64 * 1024) /* bytes; all that may come with a head */
 
-/* Whether the socket holds nothing but the end of the connection. */
-static bool
-is_at_end(struct lws *wsi)
-{
-	char byte;
-	ssize_t len =
-	    recv(lws_get_socket_fd(wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-	return len == 0 || (len < 0 && errno != EAGAIN);
-}
-
 static int
 read_body(msp_lane_t *lane, struct lws *wsi)
 {
@@ -30,7 +19,8 @@
 	int result;
 
 	lane->reading = true;
-	lane->at_end = lane->call->chunked && is_at_end(wsi);
+	lane->at_end =
+	    lane->call->chunked && msp_is_socket_at_end(lws_get_socket_fd(wsi));
 	result = lws_http_client_read(wsi, &at, &len);
 	lane->reading = false;
 	return result < 0 ? -1 : 0;
--- a/source/net/request.c
+++ b/source/net/request.c
@@ -1,25 +1,12 @@
-#define _GNU_SOURCE /* POLLRDHUP */
-
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-#include <poll.h>
-
 #include "connection.h"
 #include "hangup.h"
 #include "fields.h"
 #include "path.h"
-
-/* The peer has closed its side: the end came with the request or after it. */
-static bool
-is_peer_gone(const msp_connection_t *connection)
-{
-	struct pollfd poll_fd = {.fd = connection->fd, .events = POLLRDHUP};
-
-	return poll(&poll_fd, 1, 0) == 1 &&
-	    (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
+#include "socket.h"
 
 /* -1 closes the connection: nobody waits for the answer. */
 static int
@@ -27,7 +14,7 @@
 {
 	msp_http_server_t *server = connection->server;
 
-	if (is_peer_gone(connection))
+	if (msp_is_socket_at_end(connection->fd))
 		return -1;
 	server->busy++;
 	connection->state = MSP_CONNECTION_WAITING;
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -107,3 +107,12 @@
 	*received = info.tcpi_bytes_received;
 	*sent = info.tcpi_bytes_sent;
 }
+
+bool
+msp_is_socket_at_end(int fd)
+{
+	char byte;
+	ssize_t len = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return len == 0 || (len < 0 && errno != EAGAIN);
+}
--- a/source/net/socket.h
+++ b/source/net/socket.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONSPINDLE_NET_SOCKET_H
 #define MONSOONSPINDLE_NET_SOCKET_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "monsoonspindle/base/status.h"
@@ -23,4 +24,7 @@
 /* Bytes received and sent over a TCP socket since it was opened. */
 void msp_tcp_progress(int fd, uint64_t *received, uint64_t *sent);
 
+/* Whether a connection holds nothing but its end: the peer has closed it. */
+bool msp_is_socket_at_end(int fd);
+
 #endif
