--- a/source/coord/ledger.c
+++ b/source/coord/ledger.c
@@ -11,31 +11,6 @@
 #define KEPT_NOTES 4096
 #define KEPT_BYTES (16 << 20)
 
-msp_time_t
-ledger_now(const msp_ledger_t *ledger)
-{
-	return msp_now(&ledger->options.env);
-}
-
-void
-count_ledger(msp_ledger_t *ledger, const char *event)
-{
-	if (ledger->options.counters != NULL)
-		msp_count(
-		    ledger->options.counters, 1, "msp_release_%s_total", event);
-}
-
-void
-keep_out(msp_ledger_t *ledger, const char *reason, uint64_t version)
-{
-	if (ledger->options.counters != NULL)
-		msp_count(ledger->options.counters, 1,
-		    "msp_release_kept_out_total{reason=\"%s\"}", reason);
-	if (ledger->options.on_kept_out != NULL)
-		ledger->options.on_kept_out(
-		    ledger->options.ctx, reason, version);
-}
-
 static void
 set_defaults(msp_ledger_options_t *options)
 {
@@ -105,26 +80,6 @@
 	ledger->turn = turn;
 }
 
-void
-msp_ledger_heard(
-    msp_ledger_t *ledger, uint64_t version, const msp_digest_t *digest)
-{
-	chain_head_t head = {.version = version};
-
-	if (!ledger->ready)
-		return;
-	if (version > ledger->release->version) {
-		if (version > ledger->heard)
-			ledger->heard = version;
-		start_pull(ledger, true);
-		return;
-	}
-	if (digest == NULL || version < ledger->release->version)
-		return;
-	head.digest = *digest;
-	check_head(ledger, &head);
-}
-
 static void
 on_polled(void *ctx, const msp_store_reply_t *reply)
 {
--- a/source/coord/ledger_pull.c
+++ b/source/coord/ledger_pull.c
@@ -126,3 +126,23 @@
 	if (ledger->pull.step == PULL_PEER)
 		end_pull(ledger, false);
 }
+
+void
+msp_ledger_heard(
+    msp_ledger_t *ledger, uint64_t version, const msp_digest_t *digest)
+{
+	chain_head_t head = {.version = version};
+
+	if (!ledger->ready)
+		return;
+	if (version > ledger->release->version) {
+		if (version > ledger->heard)
+			ledger->heard = version;
+		start_pull(ledger, true);
+		return;
+	}
+	if (digest == NULL || version < ledger->release->version)
+		return;
+	head.digest = *digest;
+	check_head(ledger, &head);
+}
--- a/source/coord/ledger_state.h
+++ b/source/coord/ledger_state.h
@@ -79,7 +79,7 @@
 	size_t submission_count;
 };
 
-/* ledger.c */
+/* ledger_report.c */
 msp_time_t ledger_now(const msp_ledger_t *ledger);
 void keep_out(msp_ledger_t *ledger, const char *reason, uint64_t version);
 void count_ledger(msp_ledger_t *ledger, const char *event);
--- a/source/coord/member_probe.c
+++ b/source/coord/member_probe.c
@@ -8,7 +8,6 @@
 #define FIRST_INDIRECT 3U /* try that asks others, too */
 #define CHECKS_EACH_PERIOD 4 /* pings to one suspect, by all members */
 #define LAST_CHECKS 2 /* pings by each member before it takes one for dead */
-#define REFUSED_PERIODS 2 /* until a member with a closed port is dead */
 
 static bool
 is_helper(const msp_peer_t *peer, const void *ctx)
@@ -161,16 +160,6 @@
 		msp_introduce_to(m, peer);
 }
 
-void
-msp_membership_refused(msp_membership_t *membership, const char *name)
-{
-	msp_peer_t *peer = msp_find_peer(&membership->peers, name);
-
-	if (peer != NULL)
-		msp_suspect_peer(membership, peer,
-		    REFUSED_PERIODS * membership->options.period);
-}
-
 msp_status_t
 msp_serve_ping_req(msp_membership_t *m, const msp_gossip_ping_req_t *request)
 {
--- a/source/coord/member_record.c
+++ b/source/coord/member_record.c
@@ -6,6 +6,7 @@
 #include "names.h"
 
 /* Sends of one update, and of one load, by the logarithm of the members. */
+#define REFUSED_PERIODS 2 /* until a member with a closed port is dead */
 #define SENDS_FACTOR 3U
 #define LOAD_SENDS_FACTOR 2U
 #define INCARNATION_SLACK (24 * 60 * MSP_MINUTE) /* clocks may differ by */
@@ -288,3 +289,13 @@
 	msp_set_peer_state(m, peer, (msp_member_state_t)record->state);
 	return true;
 }
+
+void
+msp_membership_refused(msp_membership_t *membership, const char *name)
+{
+	msp_peer_t *peer = msp_find_peer(&membership->peers, name);
+
+	if (peer != NULL)
+		msp_suspect_peer(membership, peer,
+		    REFUSED_PERIODS * membership->options.period);
+}
--- a/source/coord/relay.c
+++ b/source/coord/relay.c
@@ -10,7 +10,6 @@
 #include "summary_code.h"
 
 #define AUTHOR_KEY "summary"
-#define SEQUENCE_SLACK_MS ((uint64_t)24 * 3600 * 1000)
 
 static void
 take_defaults(msp_relay_options_t *options)
@@ -60,98 +59,6 @@
 	free(relay);
 }
 
-static size_t
-position(const msp_relay_t *relay, const char *place)
-{
-	size_t low = 0;
-	size_t high = relay->summary_count;
-
-	while (low < high) {
-		size_t middle = (low + high) / 2;
-
-		if (strcmp(relay->summaries[middle]->place, place) < 0)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
-}
-
-const msp_summary_t *
-msp_find_summary(const msp_relay_t *relay, const char *place)
-{
-	size_t at = position(relay, place);
-
-	if (at == relay->summary_count ||
-	    strcmp(relay->summaries[at]->place, place) != 0)
-		return NULL;
-	return relay->summaries[at];
-}
-
-/* The clock of sequences: that of incarnations, in milliseconds. */
-static uint64_t
-sequence_now(const msp_relay_t *relay)
-{
-	return (msp_membership_self(relay->membership)->incarnation +
-		   (msp_now(&relay->env) - relay->start)) /
-	    MSP_MS;
-}
-
-static bool
-is_newer(const msp_summary_t *a, const msp_summary_t *b)
-{
-	return a->sequence != b->sequence ? a->sequence > b->sequence
-					  : a->incarnation > b->incarnation;
-}
-
-/* Takes the summary in if it is newer; NULL if it is not. */
-msp_summary_t *
-msp_keep_summary(msp_relay_t *relay, const msp_summary_t *summary)
-{
-	size_t at = position(relay, summary->place);
-	msp_summary_t *kept;
-
-	if (summary->sequence > sequence_now(relay) + SEQUENCE_SLACK_MS)
-		return NULL;
-	if (at < relay->summary_count &&
-	    strcmp(relay->summaries[at]->place, summary->place) == 0) {
-		kept = relay->summaries[at];
-		if (!is_newer(summary, kept))
-			return NULL;
-		*kept = *summary;
-		return kept;
-	}
-	if (relay->summary_count == MSP_PLACES_MAX)
-		return NULL;
-	kept = malloc(sizeof(*kept));
-	if (kept == NULL)
-		return NULL;
-	*kept = *summary;
-	memmove(&relay->summaries[at + 1], &relay->summaries[at],
-	    (relay->summary_count - at) * sizeof(msp_summary_t *));
-	relay->summaries[at] = kept;
-	relay->summary_count++;
-	return kept;
-}
-
-static void
-forget_old(msp_relay_t *relay)
-{
-	msp_time_t now = msp_now(&relay->env);
-	size_t kept = 0;
-	size_t i;
-
-	for (i = 0; i < relay->summary_count; i++) {
-		msp_summary_t *summary = relay->summaries[i];
-
-		if (msp_summary_age(summary, now) > relay->options.forget_after)
-			free(summary);
-		else
-			relay->summaries[kept++] = summary;
-	}
-	relay->summary_count = kept;
-}
-
 bool
 msp_relay_is_author(const msp_relay_t *relay)
 {
@@ -202,7 +109,7 @@
 	memcpy(summary.place, self->place, sizeof(summary.place));
 	memcpy(summary.region, self->region, sizeof(summary.region));
 	summary.incarnation = self->incarnation;
-	summary.sequence = sequence_now(relay);
+	summary.sequence = msp_summary_sequence(relay);
 	if (last != NULL && last->sequence >= summary.sequence)
 		summary.sequence = last->sequence + 1;
 	summary.received = msp_now(&relay->env);
@@ -235,7 +142,7 @@
 	relay->next_period += relay->options.period;
 	if (relay->next_period <= now)
 		relay->next_period = now + relay->options.period;
-	forget_old(relay);
+	msp_forget_old_summaries(relay);
 	if (msp_relay_is_author(relay))
 		write_summary(relay);
 	msp_exchange_inside(relay);
@@ -264,27 +171,3 @@
 {
 	relay->own = *own;
 }
-
-size_t
-msp_summary_count(const msp_relay_t *relay)
-{
-	return relay->summary_count;
-}
-
-const msp_summary_t *
-msp_summary_at(const msp_relay_t *relay, size_t index)
-{
-	return relay->summaries[index];
-}
-
-/* With more places each summary has its turn less often. */
-bool
-msp_summary_is_stale(const msp_relay_t *relay, const msp_summary_t *summary)
-{
-	msp_time_t bound = relay->options.stale_after;
-	const char *region = msp_membership_self(relay->membership)->region;
-
-	if (strcmp(summary->region, region) != 0)
-		bound += relay->summary_count * relay->options.period;
-	return msp_summary_age(summary, msp_now(&relay->env)) > bound;
-}
