--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -10,6 +10,7 @@
 #define LINE_SIZE 4096
 #define VALUE_SIZE 256
 #define STAMP_SIZE 32
+#define UNKNOWN_AGE "-1" /* in place of an age */
 #define AGE_LIMIT_MS 2000 /* older knowledge may have decided wrongly */
 
 /* One line of a log, as spindled writes it, whatever stands before it. */
@@ -287,9 +288,13 @@
 static void
 print_age(const char *text, const char *key, const char *what)
 {
+	char value[VALUE_SIZE];
 	uint64_t age = find_number(text, key);
 
-	if (age > AGE_LIMIT_MS)
+	find_value(text, key, value);
+	if (strcmp(value, UNKNOWN_AGE) == 0)
+		printf("Unknown: the VM had not read the %s yet.\n", what);
+	else if (age > AGE_LIMIT_MS)
 		printf("Stale: what the VM knew of %s was %" PRIu64
 		       " ms old.\n",
 		    what, age);
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -30,6 +30,13 @@
 	return msp_hash_text(request->caller.id, 0) % SAMPLE_ONE_IN == 0;
 }
 
+/* An age in ms, for a log line; -1: nothing is known at all. */
+static int64_t
+to_log_ms(msp_time_t age)
+{
+	return age == MSP_NEVER ? -1 : (int64_t)(age / MSP_MS);
+}
+
 void
 log_request_end(const edge_request_t *request, msp_line_rank_t rank,
     int http_status, const char *outcome)
@@ -41,15 +48,15 @@
 
 	log_request(rank,
 	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
-	    "routes=%" PRIu64 " routes_age_ms=%" PRIu64
-	    " targets_age_ms=%" PRIu64 " target=%s warmth=%s load=%.1f "
+	    "routes=%" PRIu64 " routes_age_ms=%" PRId64
+	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
 	    "wait_ms=%" PRIu64 " expected_ms=%" PRIu64 " took_ms=%" PRIu64
 	    " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u",
 	    request->caller.id, http_status, outcome, route_name(request),
 	    request->wanted.service == NULL ? "-"
 					    : request->wanted.service->name,
 	    request->table == NULL ? 0 : request->table->version,
-	    routes_age(edge) / MSP_MS, targets_age(edge) / MSP_MS,
+	    to_log_ms(routes_age(edge)), to_log_ms(targets_age(edge)),
 	    choice->target == NULL ? "-" : choice->target->registration.id,
 	    msp_warmth_name(choice->warmth), choice->load,
 	    choice->wait / MSP_MS, choice->expected / MSP_MS,
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -70,6 +70,8 @@
 	assert_int_equal(answer.http_status, 503);
 	assert_string_not_equal(answer.retry_after, "");
 	assert_int_equal(ask_readiness(world), 503);
+	run_edge_for(world, LOG_TIME);
+	assert_true(edge_log_has(world, "routes_age_ms=-1"));
 }
 
 static void
--- a/tests/spindlectl/test_ctl.c
+++ b/tests/spindlectl/test_ctl.c
@@ -58,7 +58,32 @@
 #define NOTE_R "{\"id\":\"n\",\"add\":{\"regions\":[{\"name\":\"r\"}]}}"
 #define NOTE_NEW "{\"add\":{\"regions\":[{\"name\":\"r\"}]}}"
 
+/* The line of a VM for the end of request 7a, and what explain reads of it. */
+#define END_LINE(what_)                                                 \
+	"2026-03-05T13:15:06.060Z INFO vm=a event=request id=7a " what_ \
+	" took_ms=0 left_ms=100 sent=0 tried=0 goal_ms=0\n"
+
 static const ctl_case_t cases[] = {
+    {"explain: nothing known yet", {"explain", "7a", "NOTE", NULL},
+	END_LINE("status=503 outcome=no-routes routes=0 routes_age_ms=-1 "
+		 "targets_age_ms=-1"),
+	{{0}}, 0, "Unknown: the VM had not read the routes yet."},
+    {"explain: stale targets", {"explain", "7a", "NOTE", NULL},
+	END_LINE("status=503 outcome=overload routes=6 routes_age_ms=20 "
+		 "targets_age_ms=9000"),
+	{{0}}, 0, "Stale: what the VM knew of targets was 9000 ms old."},
+    {"explain: refused on arrival", {"explain", "7a", "NOTE", NULL},
+	END_LINE("status=503 outcome=overload routes=6 routes_age_ms=20 "
+		 "targets_age_ms=30"),
+	{{0}}, 0, "refused on arrival; it did not run"},
+    {"explain: the caller left", {"explain", "7a", "NOTE", NULL},
+	END_LINE("status=0 outcome=caller-gone routes=6 routes_age_ms=20 "
+		 "targets_age_ms=30"),
+	{{0}}, 0, "the caller went away before the answer"},
+    {"explain: no such request", {"explain", "7b", "NOTE", NULL},
+	END_LINE("status=200 outcome=answered"), {{0}}, 1, "7b"},
+    {"explain: no such file", {"explain", "7a", "/nonexistent", NULL}, NULL,
+	{{0}}, 2, "/nonexistent"},
     {"no command", {NULL}, NULL, {{0}}, 2, "no command"},
     {"unknown command", {"aply", NULL}, NULL, {{0}}, 2, "no command \"aply\""},
     {"too few arguments", {"apply", NULL}, NULL, {{0}}, 2, "apply takes 1"},
@@ -267,11 +292,15 @@
 
 	snprintf(address, sizeof(address), "127.0.0.1:%u",
 	    msp_http_server_port(vm->server));
+	/* It reads files only, and comes first. */
+	if (test->args[0] != NULL && strcmp(test->args[0], "explain") == 0)
+		count = 1;
 	write_note(note, test->note);
 	write_note(output, NULL);
 	for (i = 0; test->args[i] != NULL; i++)
 		argv[count++] =
 		    strcmp(test->args[i], "NOTE") == 0 ? note : test->args[i];
+	argv[count] = NULL;
 	pid = start_ctl(argv, output);
 	while (waitpid(pid, &status, WNOHANG) == 0)
 		msp_step_loop(vm->loop, 10);
