--- a/tests/steer/test_balancer.c
+++ b/tests/steer/test_balancer.c
@@ -115,25 +115,44 @@
 
 /* maxShift of our users' deployments is 0.15 of a region's requests in 2 s. */
 static void
-shares_of_regions_move_slowly(void **state)
+check_shifts(const world_shape_t *shape, double rate, const char *name)
 {
-	const world_load_t load = {0, 40 * MSP_SECOND, 60, -1};
+	const world_load_t load = {0, 40 * MSP_SECOND, rate, -1};
 	uint64_t seed;
 
-	(void)state;
 	for (seed = 1; seed <= 5; seed++) {
-		target_world_t *world = new_target_world(&uneven, seed);
+		target_world_t *world = new_target_world(shape, seed);
 		world_result_t result;
 
 		play_world(world, &load, 1, 40 * MSP_SECOND);
 		result = take_world_result(world);
 		drop_target_world(world);
-		print_message("seed %d: worst shift %.3f\n", (int)seed,
-		    result.worst_shift);
+		print_message("%s, seed %d: worst shift %.3f, in time %.3f\n",
+		    name, (int)seed, result.worst_shift,
+		    share(result.in_time, result.asked));
 		assert_true(result.worst_shift <= 0.15);
 	}
 }
 
+static void
+shares_of_regions_move_slowly(void **state)
+{
+	(void)state;
+	check_shifts(&uneven, 60, "with objects");
+}
+
+/* One region has too few targets, and no object ties a request to one. */
+static void
+shares_move_slowly_without_objects(void **state)
+{
+	world_shape_t shape = uneven;
+
+	(void)state;
+	shape.without_objects = true;
+	check_shifts(&shape, 20, "without objects, calm");
+	check_shifts(&shape, 60, "without objects, busy");
+}
+
 /* Bound of the rules: coldPerS x 1.5 + 5 in any second. */
 static void
 a_cold_target_is_not_swamped(void **state)
@@ -199,6 +218,7 @@
 	    cmocka_unit_test(
 		an_overload_is_refused_and_what_is_taken_is_answered),
 	    cmocka_unit_test(shares_of_regions_move_slowly),
+	    cmocka_unit_test(shares_move_slowly_without_objects),
 	    cmocka_unit_test(a_cold_target_is_not_swamped),
 	    cmocka_unit_test(a_slow_target_gets_less),
 	    cmocka_unit_test(an_evacuated_region_gets_nothing),
--- a/tests/support/target_world.c
+++ b/tests/support/target_world.c
@@ -293,7 +293,7 @@
 	    (msp_balance_request_t){.route = &world->table->routes[0],
 		.service = &world->table->services[0],
 		.object = msp_hash(&job->object, sizeof(job->object), 1),
-		.has_object = true,
+		.has_object = !world->shape.without_objects,
 		.left = world->shape.timeout_ms * MSP_MS};
 	world->result.asked++;
 	if (msp_balance(vm->balancer, &job->request, &job->choice) != MSP_OK) {
--- a/tests/support/target_world.h
+++ b/tests/support/target_world.h
@@ -27,6 +27,7 @@
 	msp_time_t trip; /* to another region and back */
 	uint32_t goal_ms;
 	uint32_t timeout_ms;
+	bool without_objects; /* requests name none */
 } world_shape_t;
 
 /* Requests a second over a span, from one region or (-1) from each. */
