Tell of each HTTP call which connection it used

A result now names the TCP connection that the request was written to and how many responses that connection had delivered before (0: the first). Callers, targets and the choice of connections are as before.

The number is the kernel's cookie of the socket, read before the first byte of each request is written, because the pool does not know what libwebsockets does: it opens another connection for some methods although one is open and idle. Where the kernel gives no cookie a count of our own is used, as far as the pool knows.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -56,6 +56,17 @@
 	msp_status_t status;
 	bool maybe_sent; /* part of the request may have been sent */
 	bool no_first_byte; /* timed out before the response began */
+	/*
+	 * The TCP connection that the request was written to, by a number that
+	 * no other connection of the process has; 0 if nothing was written.
+	 */
+	uint64_t connection;
+	/*
+	 * Complete responses that this connection had delivered before the
+	 * request; 0 for its first request. Counts anew if the calls between
+	 * them went to another connection.
+	 */
+	uint32_t responses_before;
 	msp_response_t *response;
 } msp_call_result_t;
 
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -62,6 +62,7 @@
 	/* libwebsockets may send the head at any time from here on. */
 	call->maybe_sent = true;
 	call->state = MSP_CALL_SENT;
+	msp_identify_client_connection(call->connection);
 	if (!call->connection->socket_options_set)
 		msp_set_tcp_options(lws_get_socket_fd(wsi));
 	call->connection->socket_options_set = true;
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -29,6 +29,8 @@
 	struct lws *wsi; /* the open connection, or NULL */
 	msp_call_t *call; /* the call that uses it, or NULL */
 	msp_time_t last_active; /* end of the last response */
+	uint64_t number; /* of the TCP connection; 0: none was opened */
+	uint32_t delivered; /* complete responses that it has delivered */
 	bool idle; /* in origin->idle */
 	bool socket_options_set;
 	bool connecting; /* inside lws_client_connect_via_info() */
@@ -84,6 +86,8 @@
 	bool chunked; /* the response is chunked */
 	size_t body_sent; /* bytes of the request's body */
 	msp_status_t status;
+	uint64_t connection_number; /* for the result, as the next member */
+	uint32_t responses_before;
 };
 
 struct msp_http_client {
@@ -121,6 +125,12 @@
 void msp_open_client_connection(
     msp_client_connection_t *connection, msp_call_t *call);
 
+/*
+ * Notes the number of the TCP connection that libwebsockets has chosen. To be
+ * called before the first byte of a request is written.
+ */
+void msp_identify_client_connection(msp_client_connection_t *connection);
+
 /* Closes the open connection, if any; not to be called by its own events. */
 void msp_close_client_connection(msp_client_connection_t *connection);
 
--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -213,6 +213,23 @@
 	msp_schedule_waiting_calls(origin);
 }
 
+void
+msp_identify_client_connection(msp_client_connection_t *connection)
+{
+	static uint64_t last_number; /* in the process */
+	/* The pool can't tell whether libwebsockets has reused a connection. */
+	uint64_t number =
+	    msp_get_socket_cookie(lws_get_socket_fd(connection->wsi));
+
+	if (number == 0)
+		number = connection->number != 0 ? connection->number
+						 : ++last_number;
+	if (number == connection->number)
+		return;
+	connection->number = number;
+	connection->delivered = 0;
+}
+
 void
 msp_close_client_connection(msp_client_connection_t *connection)
 {
@@ -254,6 +271,8 @@
 	connection->socket_options_set = connection->wsi != NULL;
 	if (connection->wsi != NULL)
 		lws_set_opaque_user_data(connection->wsi, NULL);
+	else
+		connection->number = 0;
 	connection->wsi = NULL;
 	connection->connecting = true;
 	wsi = lws_client_connect_via_info(&info);
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -114,6 +114,8 @@
 		    .status = call->status,
 		    .maybe_sent = call->maybe_sent,
 		    .no_first_byte = call->no_first_byte,
+		    .connection = call->connection_number,
+		    .responses_before = call->responses_before,
 		    .response = &call->response,
 		};
 		call->client = NULL;
@@ -143,6 +145,19 @@
 	schedule_delivery(origin->client);
 }
 
+/* Notes for the result which connection the call has used. */
+static void
+record_connection(
+    msp_call_t *call, msp_client_connection_t *connection, msp_status_t status)
+{
+	if (call->maybe_sent) {
+		call->connection_number = connection->number;
+		call->responses_before = connection->delivered;
+	}
+	if (status == MSP_OK)
+		connection->delivered++;
+}
+
 void
 msp_end_call(msp_call_t *call, msp_status_t status)
 {
@@ -154,8 +169,10 @@
 	call->status = status;
 	msp_clear_deadline(&call->deadline);
 	call->connection = NULL;
-	if (connection != NULL)
+	if (connection != NULL) {
+		record_connection(call, connection, status);
 		connection->call = NULL;
+	}
 	/* After an error it is released when the connection is closed. */
 	if (connection != NULL && status == MSP_OK)
 		msp_release_client_connection(connection);
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -108,6 +108,17 @@
 	*sent = info.tcpi_bytes_sent;
 }
 
+uint64_t
+msp_get_socket_cookie(int fd)
+{
+	uint64_t cookie = 0;
+	socklen_t len = sizeof(cookie);
+
+	if (getsockopt(fd, SOL_SOCKET, SO_COOKIE, &cookie, &len) != 0)
+		return 0;
+	return cookie;
+}
+
 bool
 msp_is_socket_at_eof(int fd)
 {
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -27,6 +28,7 @@
 	wait_outcome(test, "closed port");
 	assert_int_equal(test->outcome.status, MSP_E_PEER_DOWN);
 	assert_false(test->outcome.maybe_sent);
+	assert_int_equal(test->outcome.connection, 0);
 }
 
 /* With a full backlog, the kernel doesn't complete new connections. */
@@ -49,6 +51,7 @@
 	wait_outcome(test, "no connection");
 	assert_int_equal(test->outcome.status, MSP_E_PEER_DOWN);
 	assert_false(test->outcome.maybe_sent);
+	assert_int_equal(test->outcome.connection, 0);
 	for (i = 0; i < 8; i++) {
 		poll_fd =
 		    (struct pollfd){.fd = fillers[i].fd, .events = POLLOUT};
@@ -63,11 +66,18 @@
 {
 	client_test_t *test = *state;
 	raw_socket_t raw = {0};
+	uint64_t number;
 	int i;
 
 	complete_one_call(test, &raw, true);
-	for (i = 0; i < 5; i++)
+	assert_int_equal(test->outcome.responses_before, 0);
+	number = test->outcome.connection;
+	assert_int_not_equal(number, 0);
+	for (i = 0; i < 5; i++) {
 		complete_one_call(test, &raw, false);
+		assert_int_equal(test->outcome.connection, number);
+		assert_int_equal(test->outcome.responses_before, i + 1);
+	}
 	assert_false(has_pending_connection(test));
 	raw_close(&raw);
 }
@@ -143,6 +153,89 @@
 	raw_close(&next);
 }
 
+/* A call after one whose connection ended, or that ends without a response. */
+typedef struct connection_case {
+	const char *name;
+	const char *response; /* to the second call; NULL: closes */
+	msp_status_t status; /* of the second call */
+	uint32_t responses_before; /* of the second call */
+	bool resets; /* the first connection, after its first response */
+	bool third_connects; /* the third call opens a connection */
+} connection_case_t;
+
+/*
+ * Guards against results that name another connection than the one that
+ * carried the response, or another number of responses.
+ */
+static void
+results_name_the_connection(void **state)
+{
+	static const connection_case_t cases[] = {
+	    {"kept", OK_LINE "Content-Length: 2\r\n\r\nok", MSP_OK, 1, false,
+		false},
+	    {"error status", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+		MSP_OK, 1, false, false},
+	    {"chunked",
+		OK_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+			"0\r\n\r\n",
+		MSP_OK, 1, false, false},
+	    {"without a body", "HTTP/1.1 204 No Content\r\n\r\n", MSP_OK, 1,
+		false, true},
+	    {"announces its close",
+		OK_LINE "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+		MSP_OK, 1, false, true},
+	    {"closed without a response", NULL, MSP_E_TRUNCATED_RESPONSE, 1,
+		false, true},
+	    {"reset while idle", OK_LINE "Content-Length: 2\r\n\r\nok", MSP_OK,
+		0, true, false},
+	};
+	client_test_t *test = *state;
+	uint64_t first;
+	uint64_t second;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		const connection_case_t *c = &cases[i];
+		raw_socket_t raw = {0};
+
+		complete_one_call(test, &raw, true);
+		assert_int_equal(test->outcome.responses_before, 0);
+		first = test->outcome.connection;
+		if (c->resets)
+			raw_reset(&raw);
+		start_test_call(test, "POST", "/b", &test->outcome);
+		if (c->resets)
+			raw = raw_accept(&test->listener);
+		raw_clear_input(&raw);
+		if (!raw_expect(&raw, "\r\n\r\n"))
+			fail_msg("%s: second call not sent", c->name);
+		if (c->response == NULL)
+			raw_close(&raw);
+		else
+			raw_send_text(&raw, c->response);
+		wait_outcome(test, c->name);
+		second = test->outcome.connection;
+		if (test->outcome.status != c->status ||
+		    test->outcome.responses_before != c->responses_before ||
+		    (second == first) == c->resets)
+			fail_msg("%s: %s, connection %" PRIu64 " after %" PRIu64
+				 ", %u responses before",
+			    c->name, msp_status_name(test->outcome.status),
+			    second, first, test->outcome.responses_before);
+		if (c->third_connects)
+			raw_close(&raw);
+		complete_one_call(test, &raw, c->third_connects);
+		if ((test->outcome.connection == second) == c->third_connects ||
+		    (test->outcome.responses_before == 0) != c->third_connects)
+			fail_msg("%s: third call on connection %" PRIu64
+				 " after %" PRIu64 ", %u responses before",
+			    c->name, test->outcome.connection, second,
+			    test->outcome.responses_before);
+		raw_close(&raw);
+		msp_step_loop(test->loop, 20);
+	}
+}
+
 static void
 make_connections_old(client_test_t *test)
 {
@@ -249,6 +342,7 @@
 	    CASE(closed_port_is_reported_as_peer_down),
 	    CASE(connect_timeout_is_reported_as_peer_down),
 	    CASE(connection_is_reused),
+	    CASE(results_name_the_connection),
 	    CASE(closed_connection_is_not_used),
 	    CASE(request_is_never_sent_twice),
 	    CASE(idle_connections_are_closed_on_request),
--- a/tests/support/net_fixture.c
+++ b/tests/support/net_fixture.c
@@ -48,6 +48,8 @@
 	outcome->status = result->status;
 	outcome->maybe_sent = result->maybe_sent;
 	outcome->no_first_byte = result->no_first_byte;
+	outcome->connection = result->connection;
+	outcome->responses_before = result->responses_before;
 	outcome->http_status = result->response->status;
 	outcome->response = *result->response;
 	*result->response = (msp_response_t){0};
--- a/tests/support/net_fixture.h
+++ b/tests/support/net_fixture.h
@@ -19,6 +19,8 @@
 	msp_status_t status;
 	bool maybe_sent;
 	bool no_first_byte;
+	uint64_t connection;
+	uint32_t responses_before;
 	int http_status;
 	msp_response_t response;
 } test_outcome_t;
