Log and count what each attempt of the edge came to

Each attempt whose end is not plainly the request's own success now has a line:

event=attempt id=ID target=T attempt=N concluded=not-executed|executed|unknown status=S response_id=own|other|missing response_of=ID not_executed=0|1 signed=0|1 wrong_target=0|1 conn=C nth=N took_ms=MS

or, without a complete response, error=NAME maybe_sent=0|1 no_first_byte=0|1 in place of what the response says. Lines from which "not executed" is concluded, and those of responses with another id or none, have the first rank; the others the second. msp_target_responses_total counts responses by whose id they bear and whether they say "not executed"; msp_edge_attempts_total counts attempts by result. No decision has changed; old lines are as they were.

Test: each_attempt_without_its_own_success_is_logged (12 cases) in tests/process/test_edge.c; all 15 tests of that file passed (asan).

--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -111,8 +111,9 @@
 }
 
 static void
-handle_response(edge_request_t *request, msp_response_t *response)
+handle_response(edge_request_t *request, const msp_call_result_t *result)
 {
+	msp_response_t *response = result->response;
 	edge_t *edge = request->edge;
 	msp_view_target_t *target = request->choice.target;
 	msp_time_t now = get_now(edge);
@@ -131,13 +132,19 @@
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
 	if (fields.not_run && fields.id_matches) {
+		report_attempt_response(
+		    request, result, &fields, ATTEMPT_NOT_EXECUTED);
 		handle_not_run(request, &fields, response->status);
 		return;
 	}
 	if (fields.not_run && response->status >= HTTP_BAD_REQUEST) {
+		report_attempt_response(
+		    request, result, &fields, ATTEMPT_NOT_EXECUTED);
 		handle_not_run(request, &fields, response->status);
 		return;
 	}
+	report_attempt_response(
+	    request, result, &fields, ok ? ATTEMPT_EXECUTED : ATTEMPT_UNKNOWN);
 	request->may_have_run = true;
 	msp_record_target_outcome(&target->traffic, now, ok && !failed);
 	if (!ok && !failed) {
@@ -194,6 +201,8 @@
 
 	msp_end_balanced_request(edge->balancer, &request->criteria,
 	    &request->choice, now - request->sent_at, false);
+	report_attempt_failure(request, result,
+	    result->maybe_sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_EXECUTED);
 	if (!result->maybe_sent) {
 		/* No byte of the request reached the target. */
 		request->sent_count--;
@@ -224,7 +233,7 @@
 
 	request->call = NULL;
 	if (result->status == MSP_OK)
-		handle_response(request, result->response);
+		handle_response(request, result);
 	else
 		handle_call_failure(request, result);
 }
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -114,6 +114,7 @@
 	/* A request that must not be repeated is left to complete. */
 	if (!request->criteria.route->idempotent)
 		return;
+	report_cancelled_attempt(request);
 	msp_cancel_call(request->call);
 	msp_end_balanced_request(edge->balancer, &request->criteria,
 	    &request->choice, msp_now(&edge->daemon->env) - request->sent_at,
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -59,6 +59,30 @@
  */
 void fail_request(edge_request_t *request, const char *outcome);
 
+/*
+ * edge_attempt_log.c: what came back from one attempt, in the log and in the
+ * counters. To be called before the request's current target changes.
+ */
+
+/* What the edge concludes from the end of an attempt. */
+typedef enum attempt_conclusion {
+	ATTEMPT_NOT_EXECUTED, /* the target has not executed it and will not */
+	ATTEMPT_EXECUTED, /* the response is the target's own to the request */
+	ATTEMPT_UNKNOWN, /* the target may have executed the request */
+} attempt_conclusion_t;
+
+/* Counts a response; logs it unless it is the request's own success. */
+void report_attempt_response(const edge_request_t *request,
+    const msp_call_result_t *result, const target_fields_t *fields,
+    attempt_conclusion_t conclusion);
+
+/* Counts and logs a call that ended without a complete response. */
+void report_attempt_failure(const edge_request_t *request,
+    const msp_call_result_t *result, attempt_conclusion_t conclusion);
+
+/* Counts an attempt that is cancelled since the caller has disconnected. */
+void report_cancelled_attempt(const edge_request_t *request);
+
 /* edge_attempt.c: sends a request to targets */
 
 /* Counts a request to the service, which raises its retry budget. */
--- a/source/spindled/log.c
+++ b/source/spindled/log.c
@@ -215,8 +215,8 @@
  * Replaces blanks, quotes, control and non-ASCII characters, which would break
  * the key=value format: the text may come from a client.
  */
-static const char *
-sanitize(const char *text, char *out, size_t size)
+const char *
+clean_log_value(const char *text, char *out, size_t size)
 {
 	size_t i;
 
@@ -240,8 +240,9 @@
 	(void)ctx;
 	log_info("decision=%s request=%s service=%s place=%s chosen_vm=%s "
 		 "target=%s reason=%s wait_us=%" PRIu64,
-	    decision->action, sanitize(decision->request_id, id, sizeof(id)),
-	    sanitize(decision->service, service, sizeof(service)),
+	    decision->action,
+	    clean_log_value(decision->request_id, id, sizeof(id)),
+	    clean_log_value(decision->service, service, sizeof(service)),
 	    decision->place == NULL ? "-" : decision->place,
 	    decision->vm == NULL ? "-" : decision->vm,
 	    decision->target == NULL ? "-" : decision->target,
--- a/source/spindled/log.h
+++ b/source/spindled/log.h
@@ -1,6 +1,8 @@
 #ifndef SPINDLED_LOG_H
 #define SPINDLED_LOG_H
 
+#include <stddef.h>
+
 #include "monsoonspindle/base/decision.h"
 #include "monsoonspindle/base/status.h"
 #include "monsoonspindle/net/line_writer.h"
@@ -18,6 +20,12 @@
 void log_warn(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 void log_info(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
+/*
+ * Copies `text` to `out` of `size` bytes, for use as a value in a line; blanks,
+ * quotes and the like are replaced. Returns `out`, or "-" if `text` is NULL.
+ */
+const char *clean_log_value(const char *text, char *out, size_t size);
+
 /* Logs a request. Lines of lower rank are dropped first. */
 void log_request(msp_line_rank_t rank, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -113,6 +113,7 @@
 	bool wrong_target;
 	bool has_load;
 	bool unconfirmed_refusal;
+	const char *other_id; /* NULL: none */
 } response_case_t;
 
 static void
@@ -120,31 +121,34 @@
 {
 	static const response_case_t cases[] = {
 	    {200, {"request-id", "response-signature", "server-load"},
-		{"abc", "s", "3,0,8"}, false, true, true, false, true, false},
+		{"abc", "s", "3,0,8"}, false, true, true, false, true, false,
+		NULL},
 	    {200, {"request-id", "response-signature"}, {"abd", "s"}, false,
-		true, false, false, false, false},
+		true, false, false, false, false, "abd"},
+	    {503, {"request-id", "not-executed"}, {"ab", "1"}, true, false,
+		false, false, false, false, "ab"},
 	    {200, {"request-id"}, {"abc"}, false, false, true, false, false,
-		false},
+		false, NULL},
 	    {503, {"request-id", "not-executed"}, {"abc", "1"}, true, false,
-		true, false, false, false},
+		true, false, false, false, NULL},
 	    {503, {"request-id"}, {"abc"}, false, false, true, false, false,
-		true},
+		true, NULL},
 	    {429, {"request-id"}, {"abc"}, false, false, true, false, false,
-		true},
+		true, NULL},
 	    {408, {"request-id"}, {"abc"}, false, false, true, false, false,
-		true},
+		true, NULL},
 	    {429, {"request-id", "not-executed"}, {"abc", "1"}, true, false,
-		true, false, false, false},
+		true, false, false, false, NULL},
 	    {500, {"request-id"}, {"abc"}, false, false, true, false, false,
-		false},
+		false, NULL},
 	    {421, {"instance-id"}, {"i-2"}, true, false, false, true, false,
-		false},
+		false, NULL},
 	    {200, {"request-id", "instance-id"}, {"abc", "i-1"}, false, false,
-		true, false, false, false},
+		true, false, false, false, NULL},
 	    {200, {"server-load"}, {"3,0"}, false, false, false, false, false,
-		false},
+		false, NULL},
 	    {200, {"server-load"}, {"many"}, false, false, false, false, false,
-		false},
+		false, NULL},
 	};
 	target_fields_t fields;
 	size_t i;
@@ -166,6 +170,8 @@
 		assert_int_equal(fields.has_load, c->has_load);
 		assert_int_equal(
 		    fields.unconfirmed_refusal, c->unconfirmed_refusal);
+		assert_string_equal(
+		    fields.other_id, c->other_id == NULL ? "" : c->other_id);
 		msp_drop_response(&response);
 	}
 }
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <setjmp.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -183,6 +184,113 @@
 	}
 }
 
+/* A request while all targets have the same behaviour, and its attempt line. */
+typedef struct attempt_case {
+	const char *name;
+	target_behaviour_t behaviour;
+	bool stopped; /* the targets accept no connection */
+	uint32_t deadline_ms;
+	const char *fields; /* part of the line; NULL: there is no line */
+	bool connected; /* the line names a connection */
+	const char *counter; /* grows by 1 or more */
+} attempt_case_t;
+
+#define RESPONSES(labels_) "msp_target_responses_total{" labels_ "}"
+#define ATTEMPTS(labels_) "msp_edge_attempts_total{" labels_ "}"
+
+static void
+check_attempt(edge_fixture_t *fixture, const attempt_case_t *c, unsigned int i)
+{
+	caller_response_t response;
+	uint64_t before;
+	uint64_t after;
+	char path[32];
+
+	set_up_routes_and_targets(fixture);
+	before = read_edge_counter(fixture, c->counter);
+	set_behaviours(fixture, c->behaviour);
+	if (c->stopped)
+		stop_targets(fixture);
+	fixture->deadline_ms = c->deadline_ms;
+	snprintf(path, sizeof(path), "/write/attempt-%u", i);
+	send_edge_request(fixture, "POST", path, &response);
+	fixture->deadline_ms = 3000;
+	run_edge_for(fixture, LOG_DELAY);
+	set_behaviours(fixture, TARGET_ANSWERS);
+	restart_targets(fixture);
+	after = read_edge_counter(fixture, c->counter);
+	if (after <= before)
+		fail_msg("%s: %s stays %" PRIu64, c->name, c->counter, after);
+	if (edge_log_has_event(fixture, "attempt", response.id,
+		c->fields == NULL ? "" : c->fields) != (c->fields != NULL))
+		fail_msg("%s: no line with %s, or one too many", c->name,
+		    c->fields == NULL ? "-" : c->fields);
+	if (c->fields != NULL &&
+	    edge_log_has_event(fixture, "attempt", response.id, " conn=0 ") ==
+		c->connected)
+		fail_msg("%s: wrong number of a connection", c->name);
+}
+
+/*
+ * Guards against a log from which nobody can tell which response made the edge
+ * conclude that a request was not executed.
+ */
+static void
+each_attempt_without_its_own_success_is_logged(void **state)
+{
+	static const attempt_case_t cases[] = {
+	    {"success", TARGET_ANSWERS, false, 3000, NULL, true,
+		RESPONSES("id=\"own\",not_executed=\"0\"")},
+	    {"shed", TARGET_SHEDS, false, 3000,
+		" concluded=not-executed status=503 response_id=own "
+		"response_of=- not_executed=1 signed=0 wrong_target=0 ",
+		true, ATTEMPTS("result=\"not-executed\",maybe_sent=\"1\"")},
+	    {"another request's refusal", TARGET_SHEDS_ANOTHER, false, 3000,
+		" status=503 response_id=other response_of=another "
+		"not_executed=1 signed=0 ",
+		true, RESPONSES("id=\"other\",not_executed=\"1\"")},
+	    {"refusal without id", TARGET_SHEDS_WITHOUT_ID, false, 3000,
+		" status=503 response_id=missing response_of=- "
+		"not_executed=1 signed=0 ",
+		true, RESPONSES("id=\"missing\",not_executed=\"1\"")},
+	    {"another request's success", TARGET_SENDS_WRONG_ID, false, 3000,
+		" concluded=unknown status=200 response_id=other "
+		"response_of=another not_executed=0 signed=1 ",
+		true, ATTEMPTS("result=\"unknown\",maybe_sent=\"1\"")},
+	    {"not signed", TARGET_OMITS_SIGNATURE, false, 3000,
+		" concluded=unknown status=200 response_id=own response_of=- "
+		"not_executed=0 signed=0 ",
+		true, RESPONSES("id=\"own\",not_executed=\"0\"")},
+	    {"error of the target", TARGET_FAILS, false, 3000,
+		" concluded=executed status=500 response_id=own ", true,
+		ATTEMPTS("result=\"executed\",maybe_sent=\"1\"")},
+	    {"503 that may have run", TARGET_SENDS_BARE_503, false, 3000,
+		" concluded=unknown status=503 response_id=own response_of=- "
+		"not_executed=0 signed=1 ",
+		true, RESPONSES("id=\"own\",not_executed=\"0\"")},
+	    {"another target", TARGET_IS_REPLACED, false, 3000,
+		" concluded=not-executed status=421 response_id=own "
+		"response_of=- not_executed=1 signed=1 wrong_target=1 ",
+		true, RESPONSES("id=\"own\",not_executed=\"1\"")},
+	    {"cut", TARGET_CLOSES_CONNECTION, false, 3000,
+		" concluded=unknown error=cut-answer maybe_sent=1 "
+		"no_first_byte=0 ",
+		true, ATTEMPTS("result=\"cut-answer\",maybe_sent=\"1\"")},
+	    {"no answer in time", TARGET_DELAYS, false, 100,
+		" concluded=unknown error=deadline maybe_sent=1 "
+		"no_first_byte=1 ",
+		true, ATTEMPTS("result=\"deadline\",maybe_sent=\"1\"")},
+	    {"no connection", TARGET_ANSWERS, true, 3000,
+		" concluded=not-executed error=peer-down maybe_sent=0 "
+		"no_first_byte=0 ",
+		false, ATTEMPTS("result=\"peer-down\",maybe_sent=\"0\"")},
+	};
+	unsigned int i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		check_attempt(*state, &cases[i], i);
+}
+
 static void
 silent_target_causes_504_at_the_route_timeout(void **state)
 {
@@ -463,6 +571,7 @@
 	    EDGE_TEST(answers_503_before_routes_are_known),
 	    EDGE_TEST(serves_requests_and_lists_itself_in_the_directory),
 	    EDGE_TEST(maps_target_failures_to_http_statuses),
+	    EDGE_TEST(each_attempt_without_its_own_success_is_logged),
 	    EDGE_TEST(silent_target_causes_504_at_the_route_timeout),
 	    EDGE_TEST(short_deadline_does_not_make_a_target_suspect),
 	    EDGE_TEST(draining_target_gets_no_new_requests),
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -24,6 +24,13 @@
 #define WAIT_LIMIT (20 * MSP_SECOND)
 #define BODY "the whole answer"
 
+static bool
+sheds(target_behaviour_t behaviour)
+{
+	return behaviour == TARGET_SHEDS || behaviour == TARGET_SHEDS_ANOTHER ||
+	    behaviour == TARGET_SHEDS_WITHOUT_ID;
+}
+
 static void
 send_target_response(edge_target_t *target, msp_exchange_t *exchange)
 {
@@ -31,7 +38,7 @@
 	const char *id = msp_find_header(&request->headers, "Request-Id");
 	msp_response_t response = {.status = 200};
 
-	if (target->behaviour == TARGET_SHEDS) {
+	if (sheds(target->behaviour)) {
 		response.status = 503;
 		msp_add_header(&response.headers, "Not-Executed", "1");
 	} else if (target->behaviour == TARGET_IS_REPLACED) {
@@ -44,12 +51,15 @@
 	} else if (target->behaviour == TARGET_SENDS_BARE_429) {
 		response.status = 429;
 	}
-	if (target->behaviour == TARGET_SENDS_WRONG_ID)
+	if (target->behaviour == TARGET_SENDS_WRONG_ID ||
+	    target->behaviour == TARGET_SHEDS_ANOTHER)
 		id = "another";
+	if (target->behaviour == TARGET_SHEDS_WITHOUT_ID)
+		id = NULL;
 	if (id != NULL)
 		msp_add_header(&response.headers, "Request-Id", id);
 	if (target->behaviour != TARGET_OMITS_SIGNATURE &&
-	    target->behaviour != TARGET_SHEDS)
+	    !sheds(target->behaviour))
 		msp_add_header(
 		    &response.headers, "Response-Signature", target->id);
 	msp_add_header(&response.headers, "Server-Load", "1,0,5");
@@ -133,6 +143,15 @@
 	open_target(target, target->port);
 }
 
+void
+stop_targets(edge_fixture_t *fixture)
+{
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++)
+		stop_target(&fixture->targets[i]);
+}
+
 void
 restart_targets(edge_fixture_t *fixture)
 {
@@ -219,7 +238,8 @@
 	*response = (caller_response_t){0};
 	snprintf(request.method, sizeof(request.method), "%s", method);
 	snprintf(request.path, sizeof(request.path), "%s", path);
-	msp_print_header(&request.headers, "Request-Id", "id-%u", ++number);
+	snprintf(response->id, sizeof(response->id), "id-%u", ++number);
+	msp_add_header(&request.headers, "Request-Id", response->id);
 	msp_print_header(
 	    &request.headers, "Deadline-Ms", "%u", fixture->deadline_ms);
 	msp_add_header(&request.headers, "cookie", "Affinity-Key=7");
@@ -553,6 +573,40 @@
 	return found;
 }
 
+bool
+edge_log_has_event(const edge_fixture_t *fixture, const char *event,
+    const char *id, const char *text)
+{
+	char line[4096];
+	char start[128];
+	FILE *file = fopen(fixture->log_path, "r");
+	bool found = false;
+
+	assert_non_null(file);
+	snprintf(start, sizeof(start), " event=%s id=%s ", event, id);
+	while (!found && fgets(line, sizeof(line), file) != NULL)
+		found =
+		    strstr(line, start) != NULL && strstr(line, text) != NULL;
+	fclose(file);
+	return found;
+}
+
+uint64_t
+read_edge_counter(edge_fixture_t *fixture, const char *name)
+{
+	caller_response_t response;
+	const char *at;
+
+	start_edge_request(
+	    fixture, fixture->metrics_port, "GET", "/metrics", &response);
+	run_edge_until(fixture, &response.done, 1);
+	assert_int_equal(response.http_status, 200);
+	at = strstr(response.body, name);
+	if (at == NULL || at[strlen(name)] != ' ')
+		return 0;
+	return strtoull(at + strlen(name), NULL, 10);
+}
+
 void
 run_edge_until_logged(
     edge_fixture_t *fixture, const char *text, msp_time_t timeout)
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -18,6 +18,8 @@
 typedef enum target_behaviour {
 	TARGET_ANSWERS,
 	TARGET_SHEDS, /* 503 that says that it did not execute the request */
+	TARGET_SHEDS_ANOTHER, /* the same with another Request-Id */
+	TARGET_SHEDS_WITHOUT_ID, /* the same without a Request-Id */
 	TARGET_IS_REPLACED, /* 421 of another target with the same address */
 	TARGET_CLOSES_CONNECTION, /* closes the connection without a response */
 	TARGET_EXITS, /* as TARGET_CLOSES_CONNECTION, then refuses connections:
@@ -74,7 +76,8 @@
 	unsigned int done; /* 1 once the call has ended */
 	msp_status_t status; /* MSP_OK if the response is complete */
 	int http_status;
-	char body[256];
+	char body[16384];
+	char id[16]; /* the request's Request-Id */
 	bool is_signed;
 	char retry_after[16]; /* "": none */
 } caller_response_t;
@@ -121,6 +124,9 @@
     edge_fixture_t *fixture, const unsigned int *count, unsigned int minimum);
 void run_edge_for(edge_fixture_t *fixture, msp_time_t duration);
 
+/* Closes the targets' connections and listeners. */
+void stop_targets(edge_fixture_t *fixture);
+
 /* Restarts the targets that do not run, on the same ports. */
 void restart_targets(edge_fixture_t *fixture);
 
@@ -143,4 +149,11 @@
 /* Whether a line of the log contains the text. */
 bool edge_log_has(const edge_fixture_t *fixture, const char *text);
 
+/* Whether a line of the log of this event and request id contains the text. */
+bool edge_log_has_event(const edge_fixture_t *fixture, const char *event,
+    const char *id, const char *text);
+
+/* Reads the counter from /metrics; 0 if it is not there. */
+uint64_t read_edge_counter(edge_fixture_t *fixture, const char *name);
+
 #endif
