--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -104,6 +104,86 @@
 	}
 }
 
+/* What end_call_with_extra() waits for. */
+typedef struct reuse_wait {
+	client_test_t *test;
+	raw_socket_t *used; /* the connection that got the extra bytes */
+} reuse_wait_t;
+
+/* Whether the waiting call has used the connection, or opens another one. */
+static bool
+has_request_or_connection(void *ctx)
+{
+	reuse_wait_t *wait = ctx;
+
+	raw_read(wait->used);
+	return wait->used->input.len > 0 || has_pending_connection(wait->test);
+}
+
+/*
+ * Ends the first of several calls with a response that is followed by `extra`
+ * in the same write, while one more call waits for a connection.
+ */
+static void
+end_call_with_extra(client_test_t *test, const char *extra)
+{
+	test_outcome_t first[CLIENT_CONNECTIONS_MAX] = {{0}};
+	raw_socket_t raw[CLIENT_CONNECTIONS_MAX];
+	reuse_wait_t wait = {.test = test, .used = &raw[0]};
+	raw_socket_t next;
+	char text[256];
+	int k;
+
+	for (k = 0; k < CLIENT_CONNECTIONS_MAX; k++) {
+		start_test_call(test, "GET", "/a", &first[k]);
+		raw[k] = raw_accept(&test->listener);
+		assert_true(raw_expect(&raw[k], "\r\n\r\n"));
+		raw_clear_input(&raw[k]);
+	}
+	start_test_call(test, "POST", "/b", &test->outcome);
+	snprintf(text, sizeof(text), "%s%s", complete_response, extra);
+	raw_send_text(&raw[0], text);
+	assert_true(run_until(test->loop, has_request_or_connection, &wait));
+	if (raw[0].input.len > 0)
+		fail_msg("the connection was used after \"%s\"", extra);
+	next = raw_accept(&test->listener);
+	assert_true(raw_expect(&next, "\r\n\r\nbody"));
+	raw_send_text(&next, complete_response);
+	wait_outcome(test, extra);
+	assert_int_equal(test->outcome.status, MSP_OK);
+	assert_string_equal(
+	    msp_buffer_text(&test->outcome.response.body), "ok");
+	assert_int_equal(first[0].status, MSP_OK);
+	raw_send_text(&raw[1], complete_response);
+	assert_true(run_until_count(test->loop, &first[1].done_count, 1));
+	for (k = 0; k < CLIENT_CONNECTIONS_MAX; k++) {
+		raw_close(&raw[k]);
+		drop_outcome(&first[k]);
+	}
+	raw_close(&next);
+	msp_step_loop(test->loop, 20);
+}
+
+/*
+ * Guards against bytes that the library has read together with a response, and
+ * which the socket no longer shows, being used for a call that waits for the
+ * connection.
+ */
+static void
+buffered_bytes_are_not_used_as_response(void **state)
+{
+	static const char *const extras[] = {
+	    OK_LINE "Content-Length: 5\r\n\r\nwrong",
+	    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+	    "HTTP/1.1 503 Busy\r\nContent-Len",
+	    "x",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(extras) / sizeof(*extras); i++)
+		end_call_with_extra(*state, extras[i]);
+}
+
 static void
 invalid_request_is_not_sent(void **state)
 {
@@ -193,6 +273,7 @@
 	const struct CMUnitTest tests[] = {
 	    CASE(cancelled_call_has_no_callback),
 	    CASE(late_bytes_are_not_used_as_response),
+	    CASE(buffered_bytes_are_not_used_as_response),
 	    CASE(invalid_request_is_not_sent),
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
