Test what callers are told beside what targets run

Callers of a real spindled process send in ten ways that its HTTP server has to deal with, and targets count by Request-Id what they run and compare each body with its path.

Two faults of the callers' side show at once. A request with a body that arrives before the response to the previous one stops the daemon: it stays at 100% of a core inside lws_service() and answers nobody any more (20 callers: 141 requests begun, 4 answered, and 0 instead of 200 for the next one). If its body follows later, the handler gets a body that begins with the request's own head.

--- /dev/null
+++ b/tests/process/test_edge_refusals.c
@@ -0,0 +1,183 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <time.h>
+
+#include <cmocka.h>
+
+#include "edge_callers.h"
+
+/*
+ * A caller that gets 408, 421, 429 or 503 concludes that its request has not
+ * run and will not run. Here callers misbehave in the ways that the daemon's
+ * HTTP server has to deal with, while targets count what they run.
+ */
+
+#define SHORT_TIMEOUTS \
+	",\"limits\":{\"head_timeout_ms\":300,\"body_timeout_ms\":300}"
+#define RUN_TIME (4 * MSP_SECOND)
+#define ALL_MANNERS ((1U << CALLER_MANNER_COUNT) - 1)
+
+/* Everything that a test needs besides the fixture. */
+typedef struct refusal_test {
+	busy_targets_t targets;
+	edge_callers_t callers;
+} refusal_test_t;
+
+static refusal_test_t *
+begin_test(edge_fixture_t *fixture, refusal_test_t *test)
+{
+	set_up_routes_and_targets(fixture);
+	test->targets.fixture = fixture;
+	test->targets.ledger = new_run_ledger();
+	attach_busy_targets(&test->targets);
+	test->callers.targets = &test->targets;
+	open_edge_callers(&test->callers);
+	return test;
+}
+
+static void
+end_test(refusal_test_t *test, const char *name)
+{
+	caller_response_t response;
+
+	finish_edge_callers(&test->callers);
+	print_edge_callers(&test->callers, name);
+	check_run_ledger(test->targets.ledger, name);
+	assert_int_equal(test->targets.changed_count, 0);
+	close_edge_callers(&test->callers);
+	detach_busy_targets(&test->targets);
+	drop_run_ledger(test->targets.ledger);
+	send_edge_request(test->targets.fixture, "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 200);
+}
+
+/* A mixture of callers and targets. */
+typedef struct mixture {
+	const char *name;
+	uint32_t manners;
+	unsigned int callers;
+	unsigned int queue_max;
+	uint32_t deadline_min_ms;
+	uint32_t deadline_max_ms;
+	uint32_t patience_ms;
+	msp_time_t service_max;
+	bool daemon_pauses;
+	bool test_pauses;
+} mixture_t;
+
+static void
+run_with_pauses(
+    edge_fixture_t *fixture, const mixture_t *mixture, edge_callers_t *callers)
+{
+	msp_time_t end = msp_now(&fixture->env) + RUN_TIME;
+	struct timespec time = {0};
+
+	while (msp_now(&fixture->env) < end) {
+		run_edge_callers(
+		    callers, msp_next_random(&callers->rng) % (120 * MSP_MS));
+		if (mixture->daemon_pauses) {
+			kill(fixture->pid, SIGSTOP);
+			run_edge_callers(callers,
+			    msp_next_random(&callers->rng) % (150 * MSP_MS));
+			kill(fixture->pid, SIGCONT);
+		}
+		time.tv_nsec =
+		    (long)(msp_next_random(&callers->rng) % 150) * 1000000;
+		if (mixture->test_pauses)
+			nanosleep(&time, NULL);
+	}
+}
+
+static void
+play_mixture(edge_fixture_t *fixture, const mixture_t *mixture, uint64_t seed)
+{
+	refusal_test_t test = {.targets = {.slots = 5,
+				   .queue_max = mixture->queue_max,
+				   .service_min = 2 * MSP_MS,
+				   .service_max = mixture->service_max},
+	    .callers = {.rng = {seed},
+		.count = mixture->callers,
+		.manners = mixture->manners,
+		.deadline_min_ms = mixture->deadline_min_ms,
+		.deadline_max_ms = mixture->deadline_max_ms,
+		.patience_ms = mixture->patience_ms,
+		.stall = 300 * MSP_MS,
+		.pause_max = 30 * MSP_MS}};
+
+	begin_test(fixture, &test);
+	run_with_pauses(fixture, mixture, &test.callers);
+	end_test(&test, mixture->name);
+}
+
+/*
+ * Guards against a request that runs although its caller was refused, whatever
+ * the way and the time in which callers send.
+ */
+static void
+refused_requests_do_not_run(void **state)
+{
+	static const mixture_t mixtures[] = {
+	    {"all manners", ALL_MANNERS, 60, 4, 1000, 2000, 100, 30 * MSP_MS,
+		false, false},
+	    {"more callers than room", ALL_MANNERS, 150, 2, 300, 2000, 100,
+		60 * MSP_MS, false, false},
+	    {"deadlines near the service time", ALL_MANNERS, 60, 8, 2, 120, 0,
+		80 * MSP_MS, false, false},
+	    {"the same, daemon held up", ALL_MANNERS, 60, 8, 2, 300, 0,
+		80 * MSP_MS, true, false},
+	    {"the same, targets and callers held up", ALL_MANNERS, 60, 8, 2,
+		300, 0, 80 * MSP_MS, false, true},
+	    {"the same, all held up", ALL_MANNERS, 60, 8, 2, 300, 0,
+		80 * MSP_MS, true, true},
+	};
+	edge_fixture_t *fixture = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(mixtures) / sizeof(*mixtures); i++)
+		play_mixture(fixture, &mixtures[i], i + 1);
+}
+
+/*
+ * Guards against a daemon that hangs, or changes a body, after a caller has
+ * sent a request with a body before it has the response to the last one.
+ */
+static void
+requests_sent_early_do_no_harm(void **state)
+{
+	static const mixture_t mixture = {"sent early",
+	    1U << CALLER_PIPELINES | 1U << CALLER_SENDS_EARLY, 20, 4, 1000,
+	    2000, 100, 30 * MSP_MS, false, false};
+
+	play_mixture(*state, &mixture, 1);
+}
+
+static int
+set_up(void **state)
+{
+	*state = new_edge_fixture_with_settings(SHORT_TIMEOUTS);
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	drop_edge_fixture(*state);
+	return 0;
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		requests_sent_early_do_no_harm, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		refused_requests_do_not_run, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests_name("edge refusals", tests, NULL, NULL);
+}
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -76,6 +76,11 @@
 		return;
 	}
 	target->request_count++;
+	if (target->fixture->handle_request != NULL) {
+		target->fixture->handle_request(
+		    target->fixture->handler_ctx, target, exchange);
+		return;
+	}
 	snprintf(
 	    target->seen_host, sizeof(target->seen_host), "%s", request->host);
 	target->seen_time_left_ms =
@@ -98,9 +103,11 @@
 {
 	edge_target_t *target = ctx;
 
-	(void)exchange;
 	target->pending = NULL;
 	target->closed_count++;
+	if (target->fixture->handle_disconnect != NULL)
+		target->fixture->handle_disconnect(
+		    target->fixture->handler_ctx, exchange);
 }
 
 static void
@@ -166,6 +173,12 @@
 	}
 }
 
+void
+step_edge_fixture(edge_fixture_t *fixture)
+{
+	step_fixture(fixture);
+}
+
 void
 run_edge_for(edge_fixture_t *fixture, msp_time_t duration)
 {
@@ -302,21 +315,11 @@
 	put_edge_row(fixture, "servers", target->id, text);
 }
 
-static void
-write_settings(edge_fixture_t *fixture)
+void
+rewrite_edge_settings(const edge_fixture_t *fixture)
 {
-	FILE *file;
+	FILE *file = fopen(fixture->settings_path, "w");
 
-	fixture->caller_port = pick_free_port();
-	fixture->readiness_port = pick_free_port();
-	fixture->directory_port = pick_free_port();
-	fixture->metrics_port = pick_free_port();
-	fixture->peer_port = pick_free_port();
-	snprintf(fixture->settings_path, sizeof(fixture->settings_path),
-	    "/tmp/edge-%d-%u.json", getpid(), fixture->caller_port);
-	snprintf(fixture->log_path, sizeof(fixture->log_path),
-	    "/tmp/edge-%d-%u.log", getpid(), fixture->caller_port);
-	file = fopen(fixture->settings_path, "w");
 	assert_non_null(file);
 	fprintf(file,
 	    "{\"vm\":\"vm-1\",\"region\":\"north\",\"place\":\"north-a\","
@@ -324,13 +327,29 @@
 	    "\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
 	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
 	    "\"places\":[{\"place\":\"north-a\",\"region\":\"north\"}],"
-	    "\"stop_grace_ms\":3000},\"log\":{\"file\":\"-\"}}\n",
+	    "\"stop_grace_ms\":3000},\"log\":{\"file\":\"-\"}%s}\n",
 	    fixture->peer_port, fixture->caller_port, fixture->readiness_port,
 	    fixture->directory_port,
-	    msp_http_server_port(fixture->store_server), fixture->metrics_port);
+	    msp_http_server_port(fixture->store_server), fixture->metrics_port,
+	    fixture->settings_members == NULL ? "" : fixture->settings_members);
 	fclose(file);
 }
 
+static void
+write_settings(edge_fixture_t *fixture)
+{
+	fixture->caller_port = pick_free_port();
+	fixture->readiness_port = pick_free_port();
+	fixture->directory_port = pick_free_port();
+	fixture->metrics_port = pick_free_port();
+	fixture->peer_port = pick_free_port();
+	snprintf(fixture->settings_path, sizeof(fixture->settings_path),
+	    "/tmp/edge-%d-%u.json", getpid(), fixture->caller_port);
+	snprintf(fixture->log_path, sizeof(fixture->log_path),
+	    "/tmp/edge-%d-%u.log", getpid(), fixture->caller_port);
+	rewrite_edge_settings(fixture);
+}
+
 static void
 start_process(edge_fixture_t *fixture)
 {
@@ -362,7 +381,7 @@
 }
 
 static edge_fixture_t *
-prepare_fixture(void)
+prepare_fixture(const char *settings_members)
 {
 	edge_fixture_t *fixture = calloc(1, sizeof(*fixture));
 	msp_http_server_options_t options = {.address = ADDRESS};
@@ -372,6 +391,7 @@
 	assert_int_equal(register_platform_headers(), MSP_OK);
 	fixture->env = msp_system_env();
 	fixture->deadline_ms = 3000;
+	fixture->settings_members = settings_members;
 	fixture->loop = msp_new_loop(MAX_FDS);
 	fixture->memory_store = msp_new_memory_store(&fixture->env);
 	fixture->store_service = msp_new_store_service(fixture->memory_store);
@@ -399,14 +419,20 @@
 }
 
 edge_fixture_t *
-new_edge_fixture(void)
+new_edge_fixture_with_settings(const char *members)
 {
-	edge_fixture_t *fixture = prepare_fixture();
+	edge_fixture_t *fixture = prepare_fixture(members);
 
 	start_fixture(fixture);
 	return fixture;
 }
 
+edge_fixture_t *
+new_edge_fixture(void)
+{
+	return new_edge_fixture_with_settings(NULL);
+}
+
 static void
 handle_remote_vm_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -426,7 +452,7 @@
 edge_fixture_t *
 new_edge_fixture_with_remote_vm(void)
 {
-	edge_fixture_t *fixture = prepare_fixture();
+	edge_fixture_t *fixture = prepare_fixture(NULL);
 	msp_http_server_options_t options = {.address = ADDRESS,
 	    .handler = {
 		.on_request = handle_remote_vm_request, .ctx = fixture}};
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -64,6 +64,15 @@
 	uint16_t metrics_port;
 	uint16_t peer_port;
 	uint32_t deadline_ms; /* the callers' Deadline-Ms */
+	/*
+	 * If set, handles the targets' requests other than health checks in
+	 * place of the targets' behaviours.
+	 */
+	void (*handle_request)(
+	    void *ctx, edge_target_t *target, msp_exchange_t *exchange);
+	void (*handle_disconnect)(void *ctx, msp_exchange_t *exchange);
+	void *handler_ctx;
+	const char *settings_members; /* added to the settings file; or NULL */
 	char settings_path[128];
 	char log_path[128];
 	pid_t pid;
@@ -82,6 +91,12 @@
 /* Starts everything with an empty store, and waits for the listeners. */
 edge_fixture_t *new_edge_fixture(void);
 
+/*
+ * The same with further members of the settings file, as text that begins with
+ * a comma.
+ */
+edge_fixture_t *new_edge_fixture_with_settings(const char *members);
+
 /* The same with a VM of another data centre, which receives strikes. */
 edge_fixture_t *new_edge_fixture_with_remote_vm(void);
 void drop_edge_fixture(edge_fixture_t *fixture);
@@ -121,6 +136,12 @@
     edge_fixture_t *fixture, const unsigned int *count, unsigned int minimum);
 void run_edge_for(edge_fixture_t *fixture, msp_time_t duration);
 
+/* Runs the event loop for one turn of at most 1 ms. */
+void step_edge_fixture(edge_fixture_t *fixture);
+
+/* Writes the settings file again, with the same contents. */
+void rewrite_edge_settings(const edge_fixture_t *fixture);
+
 /* Restarts the targets that do not run, on the same ports. */
 void restart_targets(edge_fixture_t *fixture);
 
