Leave a request with a body unread that came before the last response

Callers saw: after one caller had sent a request with a body before it had the response to its previous one, the whole VM answered nobody any more.

Cause: libwebsockets keeps what it reads beyond a request. When it has parsed a head from there and a body is due, it reads the body from the beginning of what it has kept, which is the head itself. If more was kept than the body is long, it loops for ever over the rest (stack: lws_service_do_ripe_rxflow() -> LWS_CALLBACK_HTTP_BODY_COMPLETION, no system call). Otherwise the handler gets a body that begins with the head, and the end of the real body is read as the next request.

The server now compares the bytes that libwebsockets has read from the socket at the end of a response and when it reports the next head. If there are none in between, the head was kept; if a body is due, the connection is closed with the request unread, which lets the caller send it again. Requests without a body are served early as before.

--- a/source/net/request.c
+++ b/source/net/request.c
@@ -8,6 +8,9 @@
 #include "request_line.h"
 #include "socket.h"
 
+/* The end of a stream counts as one byte read. */
+#define END_OF_STREAM_BYTES 1
+
 /*
  * Passes a complete request to the handler. Returns -1, which closes the
  * connection, if the client has already closed it.
@@ -66,6 +69,21 @@
 	    wsi, buffer + LWS_PRE, sizeof(text) - 1, LWS_WRITE_HTTP_HEADERS);
 }
 
+/* Whether libwebsockets will read a body, of the given or of any length. */
+static bool
+expects_body(struct lws *wsi)
+{
+	long long length;
+
+	if (lws_hdr_total_length(wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0 ||
+	    !msp_parse_content_length(wsi, &length))
+		return true;
+	if (length >= 0)
+		return length > 0;
+	return lws_hdr_total_length(wsi, WSI_TOKEN_GET_URI) <= 0 &&
+	    lws_hdr_total_length(wsi, WSI_TOKEN_HEAD_URI) <= 0;
+}
+
 /* Copies the head and checks it against the limits. */
 static msp_status_t
 read_head(msp_connection_t *connection, long long *length)
@@ -101,6 +119,21 @@
 	return MSP_OK;
 }
 
+/*
+ * Whether the head was received before the end of the previous response.
+ * libwebsockets then still holds the bytes that follow the previous request,
+ * and would read the body from the beginning of the head.
+ */
+static bool
+was_head_received_early(const msp_connection_t *connection)
+{
+	if (!connection->served)
+		return false;
+	return msp_count_socket_bytes_read(connection->fd) -
+	    connection->read_before <=
+	    END_OF_STREAM_BYTES;
+}
+
 int
 msp_receive_head(msp_connection_t *connection)
 {
@@ -109,6 +142,9 @@
 
 	if (connection->state != MSP_CONNECTION_IDLE)
 		return -1;
+	if (expects_body(connection->wsi) &&
+	    was_head_received_early(connection))
+		return -1;
 	connection->exchange = calloc(1, sizeof(*connection->exchange));
 	if (connection->exchange == NULL)
 		return -1;
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <linux/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
@@ -108,6 +109,25 @@
 	*sent = info.tcpi_bytes_sent;
 }
 
+uint64_t
+msp_count_socket_bytes_read(int fd)
+{
+	uint64_t before;
+	uint64_t received;
+	uint64_t sent;
+	int unread = 0;
+
+	msp_get_tcp_byte_counts(fd, &received, &sent);
+	do {
+		/* Counts again if data arrived between the two. */
+		before = received;
+		if (ioctl(fd, FIONREAD, &unread) != 0)
+			return received;
+		msp_get_tcp_byte_counts(fd, &received, &sent);
+	} while (received != before);
+	return received - (uint64_t)unread;
+}
+
 bool
 msp_is_socket_at_eof(int fd)
 {
--- a/source/net/socket.h
+++ b/source/net/socket.h
@@ -24,6 +24,12 @@
 /* Counts the bytes received and sent on a TCP socket since it was opened. */
 void msp_get_tcp_byte_counts(int fd, uint64_t *received, uint64_t *sent);
 
+/*
+ * Counts the received bytes that were read from a TCP socket. The end of the
+ * stream counts as one byte once it has arrived.
+ */
+uint64_t msp_count_socket_bytes_read(int fd);
+
 /* Whether there is nothing left to read and the peer has closed its side. */
 bool msp_is_socket_at_eof(int fd);
 
--- a/tests/net/test_http_early.c
+++ b/tests/net/test_http_early.c
@@ -60,6 +60,86 @@
 	assert_serving(test, "after an early request");
 }
 
+#define POST(path) \
+	"POST " path " HTTP/1.1\r\n" HOST "Content-Length: 3\r\n\r\nabc"
+#define GET(path) "GET " path " HTTP/1.1\r\n" HOST "\r\n"
+
+/* Requests of which the later ones come before the first response. */
+typedef struct early_case {
+	const char *name;
+	const char *parts[2]; /* sent one after the other */
+	unsigned int handled;
+	bool closes;
+	const char *last_response;
+} early_case_t;
+
+/*
+ * Guards against a loop that never ends in libwebsockets, after a request with
+ * a body that came before the previous response. Such a request is left unread.
+ */
+static void
+requests_with_a_body_are_not_read_early(void **state)
+{
+	static const early_case_t cases[] = {
+	    {"GET, GET", {GET("/hold") GET("/b")}, 2, false, "<GET /b 0>"},
+	    {"POST, GET", {POST("/hold") GET("/b")}, 2, false, "<GET /b 0>"},
+	    {"GET, POST", {GET("/hold") POST("/b")}, 1, true, "<held>"},
+	    {"POST, POST", {POST("/hold") POST("/b")}, 1, true, "<held>"},
+	    {"POST, POST at once", {POST("/a") POST("/b")}, 1, true,
+		"<POST /a 3>"},
+	    {"POST, GET at once", {POST("/a") GET("/b")}, 2, false,
+		"<GET /b 0>"},
+	    {"GET, then GET", {GET("/hold"), GET("/b")}, 2, false,
+		"<GET /b 0>"},
+	    {"POST, then GET", {POST("/hold"), GET("/b")}, 2, false,
+		"<GET /b 0>"},
+	    {"POST, then POST", {POST("/hold"), POST("/b")}, 1, true, "<held>"},
+	    {"GET, GET, POST", {GET("/hold") GET("/b") POST("/c")}, 2, true,
+		"<GET /b 0>"},
+	    {"part of the body, then the rest and POST",
+		{"POST /hold HTTP/1.1\r\n" HOST "Content-Length: 3\r\n\r\nab",
+		    "c" POST("/b")},
+		1, true, "<held>"},
+	    {"POST, PUT without length",
+		{POST("/hold") "PUT /b HTTP/1.1\r\n" HOST "\r\n"}, 1, true,
+		"<held>"},
+	    {"POST, chunks",
+		{POST("/hold") "POST /b HTTP/1.1\r\n" HOST
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "1\r\na\r\n0\r\n\r\n"},
+		1, true, "<held>"},
+	    {"POST, half a head, then the rest",
+		{POST("/hold") "GET /b HTTP/1.1\r\nHo", "st: a\r\n\r\n"}, 2,
+		false, "<GET /b 0>"},
+	};
+	server_test_t *test = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		raw_socket_t raw = raw_connect(test->loop, test->port);
+		unsigned int before = test->request_count;
+
+		raw_send_text(&raw, cases[i].parts[0]);
+		run_turns(test);
+		if (cases[i].parts[1] != NULL)
+			raw_send_text(&raw, cases[i].parts[1]);
+		run_turns(test);
+		if (test->pending_exchange != NULL)
+			answer_held_request(test);
+		if (!raw_expect(&raw, cases[i].last_response))
+			fail_msg("%s: %s", cases[i].name,
+			    msp_buffer_text(&raw.input));
+		run_turns(test);
+		raw_read(&raw);
+		if (test->request_count - before != cases[i].handled ||
+		    raw.closed != cases[i].closes)
+			fail_msg("%s: %u handled, closed %d", cases[i].name,
+			    test->request_count - before, raw.closed);
+		raw_close(&raw);
+	}
+	assert_serving(test, "after early requests");
+}
+
 int
 main(void)
 {
@@ -67,6 +147,9 @@
 	    cmocka_unit_test_setup_teardown(
 		early_head_is_not_taken_for_the_body, set_up_server,
 		tear_down_server),
+	    cmocka_unit_test_setup_teardown(
+		requests_with_a_body_are_not_read_early, set_up_server,
+		tear_down_server),
 	};
 
 	return cmocka_run_group_tests_name("early requests", tests, NULL, NULL);
