--- a/tests/process/test_edge_refusals.c
+++ b/tests/process/test_edge_refusals.c
@@ -27,7 +27,7 @@
 	edge_callers_t callers;
 } refusal_test_t;
 
-static refusal_test_t *
+static void
 begin_test(edge_fixture_t *fixture, refusal_test_t *test)
 {
 	set_up_routes_and_targets(fixture);
@@ -36,7 +36,6 @@
 	attach_busy_targets(&test->targets);
 	test->callers.targets = &test->targets;
 	open_edge_callers(&test->callers);
-	return test;
 }
 
 static void
@@ -155,6 +154,30 @@
 	play_mixture(*state, &mixture, 1);
 }
 
+/*
+ * Guards against 502 for a request with Expect, whose target then sends an
+ * interim response although the edge has answered the field already.
+ */
+static void
+requests_with_expect_are_served(void **state)
+{
+	refusal_test_t test = {
+	    .targets = {.slots = 5, .queue_max = 4, .service_max = 10 * MSP_MS},
+	    .callers = {.rng = {1},
+		.count = 5,
+		.manners = 1U << CALLER_EXPECTS_CONTINUE,
+		.deadline_min_ms = 1000,
+		.deadline_max_ms = 2000,
+		.patience_ms = 100,
+		.pause_max = 10 * MSP_MS}};
+
+	begin_test(*state, &test);
+	run_edge_callers(&test.callers, MSP_SECOND);
+	end_test(&test, "expect");
+	assert_int_equal(
+	    test.callers.statuses[200], test.callers.request_count);
+}
+
 static int
 set_up(void **state)
 {
@@ -170,14 +193,18 @@
 }
 
 int
-main(void)
+main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test_setup_teardown(
 		requests_sent_early_do_no_harm, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		refused_requests_do_not_run, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		requests_with_expect_are_served, set_up, tear_down),
 	};
 
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
 	return cmocka_run_group_tests_name("edge refusals", tests, NULL, NULL);
 }
