Keep Expect between the caller and the edge

Callers saw 502 for each request with Expect: 100-continue, although a target had run it, and each such request made its target suspect.

Cause: the edge's server answers the field itself and reads the whole body, and the field was passed on all the same. A target then sends an interim response, which ends the call as a truncated response.

The field is now one of those that concern only one connection.

--- a/source/net/fields.c
+++ b/source/net/fields.c
@@ -56,6 +56,7 @@
 static const char *const connection_fields[] = {
     "connection",
     "content-length",
+    "expect",
     "host",
     "http2-settings",
     "keep-alive",
