Log each 4xx and count each promised refusal by its source

A 4xx was logged for one request in 16, and what the HTTP server refuses by itself was neither logged nor counted.

- Each 4xx to a caller is logged (the four statuses with the first rank, others with the second; the bound of the log stays). event=request ends with from=edge or from=target.
- msp_edge_refusals_total{source,status} counts the four statuses by edge, target or http-server; also the answer for want of memory, which is now logged.
- msp_http_handler_t has an optional on_refusal, which the server calls before it refuses a request or a connection by itself.
The daemon logs event=server-refusal with reason, client, whether a head was read, and the id and received bytes if so, and counts msp_server_refusals_total{reason}.
Lines without an id have the second rank, so that a flood of connections doesn't displace those of requests.
Connections far over the limit that are closed without a response, and pages of the HTTP library itself, are still not seen.

Callers get what they got before.

Tests (asan): own_refusals_are_reported_once (9 cases) in tests/net/test_http_server.c; each_4xx_and_refusal_is_logged_with_its_source and refusals_of_the_http_server_are_logged_and_counted in tests/process/test_edge.c.

The handlers in test_ctl.c are designated initialisers now, since msp_http_handler_t has one more member.

--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -20,6 +20,17 @@
 	uint32_t idle_timeout_ms; /* from a response to the next head; 60 s */
 } msp_http_limits_t;
 
+/* What the server refuses by itself; valid only during the callback. */
+typedef struct msp_http_refusal {
+	msp_status_t status; /* the reason, which determines the response */
+	const char *client_address; /* IP address as text */
+	/*
+	 * The request, which is incomplete or not valid: what was read of its
+	 * head and body. NULL if no head was read.
+	 */
+	const msp_request_t *request;
+} msp_http_refusal_t;
+
 typedef struct msp_http_handler {
 	/*
 	 * Called when a request is complete and its client still connected. The
@@ -33,6 +44,11 @@
 	 * freed on return and must not be answered.
 	 */
 	void (*on_disconnect)(void *ctx, msp_exchange_t *exchange);
+	/*
+	 * Called when the server refuses a request or a connection by itself,
+	 * before it responds. Must not drop the server. May be NULL.
+	 */
+	void (*on_refusal)(void *ctx, const msp_http_refusal_t *refusal);
 	void *ctx;
 } msp_http_handler_t;
 
--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -138,6 +138,22 @@
 	}
 }
 
+/* `request` is NULL if no head was read. */
+static void
+report_refusal(const msp_connection_t *connection, msp_status_t status,
+    const msp_request_t *request)
+{
+	const msp_http_handler_t *handler = &connection->server->handler;
+	msp_http_refusal_t refusal = {
+	    .status = status,
+	    .client_address = connection->client_address,
+	    .request = request,
+	};
+
+	if (handler->on_refusal != NULL)
+		handler->on_refusal(handler->ctx, &refusal);
+}
+
 void
 msp_refuse_connection(msp_connection_t *connection, msp_status_t status)
 {
@@ -145,6 +161,7 @@
 	size_t len = msp_print_problem(status, text);
 	int fd = connection->fd;
 
+	report_refusal(connection, status, NULL);
 	if (send(fd, text, len, MSG_DONTWAIT | MSG_NOSIGNAL) > 0)
 		shutdown(fd, SHUT_WR);
 	connection->state = MSP_CONNECTION_CLOSING;
@@ -191,6 +208,7 @@
 void
 msp_refuse_request(msp_connection_t *connection, msp_status_t status)
 {
+	report_refusal(connection, status, &connection->exchange->request);
 	if (connection->state == MSP_CONNECTION_BODY)
 		connection->server->open_exchanges++;
 	connection->close_after_response = true;
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -5,6 +5,7 @@
 
 #define RETRY_AFTER_MIN_MS 100
 #define SAMPLE_ONE_IN 16 /* of this many successful requests, one is logged */
+#define HTTP_BAD_REQUEST 400
 #define HTTP_SERVER_ERROR 500
 #define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
@@ -23,6 +24,13 @@
 					       : request->criteria.route->name;
 }
 
+/* Who decided on the response to the caller. */
+static const char *
+get_source(const edge_request_t *request)
+{
+	return request->from_target ? "target" : "edge";
+}
+
 /* Whether a successful request is logged. */
 static bool
 is_sampled(const edge_request_t *request)
@@ -51,7 +59,7 @@
 	    "routes=%" PRIu64 " routes_age_ms=%" PRId64
 	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
 	    "wait_ms=%" PRIu64 " expected_ms=%" PRIu64 " took_ms=%" PRIu64
-	    " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u",
+	    " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u from=%s",
 	    request->caller.id, http_status, outcome, get_route_name(request),
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
@@ -64,7 +72,7 @@
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
 	    request->sent_count, request->criteria.tried_count,
-	    route == NULL ? 0 : route->goal_ms);
+	    route == NULL ? 0 : route->goal_ms, get_source(request));
 }
 
 void
@@ -93,6 +101,30 @@
 	msp_record_value(&edge->durations[outcome], duration / MSP_MS);
 }
 
+void
+count_refusal(edge_t *edge, const char *source, int http_status)
+{
+	if (is_refusal_status(http_status))
+		msp_add_to_counter(edge->daemon->counters, 1,
+		    "msp_edge_refusals_total{source=\"%s\",status=\"%d\"}",
+		    source, http_status);
+}
+
+/* Logs the end of a request if its response or its duration is notable. */
+static void
+log_answer(const edge_request_t *request, int http_status, const char *outcome,
+    bool late)
+{
+	if (http_status >= HTTP_SERVER_ERROR ||
+	    is_refusal_status(http_status) || request->criteria.tried_count > 1)
+		log_request_end(request, MSP_LINE_VITAL, http_status, outcome);
+	else if (http_status >= HTTP_BAD_REQUEST || late)
+		log_request_end(
+		    request, MSP_LINE_NOTABLE, http_status, outcome);
+	else if (is_sampled(request))
+		log_request_end(request, MSP_LINE_SAMPLE, http_status, outcome);
+}
+
 void
 answer_request(
     edge_request_t *request, msp_response_t *response, const char *outcome)
@@ -107,17 +139,11 @@
 	msp_add_to_counter(edge->daemon->counters, 1,
 	    "msp_requests_total{outcome=\"%s\",status=\"%d\"}", outcome,
 	    response->status);
-	if (!succeeded || request->criteria.tried_count > 1)
-		log_request_end(
-		    request, MSP_LINE_VITAL, response->status, outcome);
-	else if (late)
-		log_request_end(
-		    request, MSP_LINE_NOTABLE, response->status, outcome);
-	else if (is_sampled(request))
-		log_request_end(
-		    request, MSP_LINE_SAMPLE, response->status, outcome);
-	if (request->exchange != NULL)
+	log_answer(request, response->status, outcome, late);
+	if (request->exchange != NULL) {
+		count_refusal(edge, get_source(request), response->status);
 		msp_send_exchange_response(request->exchange, response);
+	}
 	msp_drop_response(response);
 	free_edge_request(request);
 }
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -171,6 +171,7 @@
 		fail_request(request, "target-error");
 		return;
 	}
+	request->from_target = true;
 	strip_target_fields(response);
 	answer_request(request, response, failed ? "target-error" : "answered");
 }
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -148,6 +148,34 @@
 	msp_send_exchange_response(exchange, &response);
 }
 
+/* The HTTP server has refused a caller's request or connection by itself. */
+static void
+handle_server_refusal(void *ctx, const msp_http_refusal_t *refusal)
+{
+	edge_t *edge = ctx;
+	const char *reason = msp_status_name(refusal->status);
+	int http_status = msp_get_status_info(refusal->status)->http_status;
+	caller_fields_t caller = {0};
+	char id[REQUEST_ID_SIZE];
+
+	if (refusal->request != NULL)
+		decode_caller_fields(refusal->request, &caller);
+	/* Lines without an id must not displace those of requests. */
+	log_request(caller.id[0] != '\0' && is_refusal_status(http_status)
+		? MSP_LINE_VITAL
+		: MSP_LINE_NOTABLE,
+	    "event=server-refusal id=%s status=%d reason=%s client=%s "
+	    "request_read=%d body_bytes=%zu",
+	    clean_log_value(
+		caller.id[0] == '\0' ? NULL : caller.id, id, sizeof(id)),
+	    http_status, reason, refusal->client_address,
+	    refusal->request != NULL,
+	    refusal->request == NULL ? 0 : refusal->request->body.len);
+	count_refusal(edge, "http-server", http_status);
+	msp_add_to_counter(edge->daemon->counters, 1,
+	    "msp_server_refusals_total{reason=\"%s\"}", reason);
+}
+
 static void
 ignore_disconnect(void *ctx, msp_exchange_t *exchange)
 {
@@ -188,6 +216,7 @@
 		},
 	    .handler = {.on_request = handle_edge_request,
 		.on_disconnect = handle_edge_caller_disconnect,
+		.on_refusal = handle_server_refusal,
 		.ctx = edge}};
 
 	edge->caller_listener =
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -94,6 +94,14 @@
 	msp_timer_t *view_timer;
 };
 
+/* edge_answer.c */
+
+/*
+ * Counts a response to a caller if its status promises that the request was not
+ * executed. `source` is who decided: "edge", "target" or "http-server".
+ */
+void count_refusal(edge_t *edge, const char *source, int http_status);
+
 /* edge_request.c */
 void handle_edge_request(void *ctx, msp_exchange_t *exchange);
 void handle_edge_caller_disconnect(void *ctx, msp_exchange_t *exchange);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -60,18 +60,32 @@
 	request->deadline = request->arrival + limit * MSP_MS;
 }
 
+static void
+refuse_without_memory(edge_t *edge, msp_exchange_t *exchange)
+{
+	caller_fields_t caller;
+	char id[REQUEST_ID_SIZE];
+	msp_response_t response = {0};
+
+	decode_caller_fields(msp_exchange_request(exchange), &caller);
+	log_request(MSP_LINE_VITAL,
+	    "event=request id=%s status=%d outcome=no-memory from=edge",
+	    clean_log_value(caller.id, id, sizeof(id)), HTTP_UNAVAILABLE);
+	count_refusal(edge, "edge", HTTP_UNAVAILABLE);
+	encode_local_reply(
+	    &response, HTTP_UNAVAILABLE, "", NOT_READY_RETRY_MS, "no-memory");
+	msp_send_exchange_response(exchange, &response);
+}
+
 void
 handle_edge_request(void *ctx, msp_exchange_t *exchange)
 {
 	edge_t *edge = ctx;
 	edge_request_t *request = calloc(1, sizeof(*request));
 	const msp_request_t *message = msp_exchange_request(exchange);
-	msp_response_t response = {0};
 
 	if (request == NULL) {
-		encode_local_reply(&response, HTTP_UNAVAILABLE, "",
-		    NOT_READY_RETRY_MS, "no-memory");
-		msp_send_exchange_response(exchange, &response);
+		refuse_without_memory(edge, exchange);
 		return;
 	}
 	request->edge = edge;
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -26,6 +26,7 @@
 	msp_call_t *call;
 	msp_time_t sent_at;
 	bool may_have_run;
+	bool from_target; /* the response to the caller is a target's */
 };
 
 /*
--- a/tests/net/test_http_server.c
+++ b/tests/net/test_http_server.c
@@ -225,6 +225,9 @@
 		raw_close(&raw);
 	}
 	assert_int_equal(test->request_count, MAX_CONNECTIONS);
+	assert_int_equal(test->refusal_count, 3);
+	assert_int_equal(test->refusal_status, MSP_E_OVERLOAD);
+	assert_string_equal(test->refused_path, "");
 	raw_clear_input(&raws[0]);
 	raw_send_text(&raws[0], "GET /c HTTP/1.1\r\n" HOST "\r\n");
 	assert_true(raw_expect(&raws[0], "<GET /c 0>"));
@@ -234,6 +237,67 @@
 	assert_serving(test, "after too many connections");
 }
 
+typedef struct refusal_case {
+	const char *name;
+	const char *input;
+	msp_status_t status; /* MSP_OK: not refused */
+	const char *path; /* of the reported request; "": none */
+	size_t body_len; /* of the reported request */
+} refusal_case_t;
+
+/*
+ * Guards against refusals by the server itself that its owner can neither log
+ * nor count.
+ */
+static void
+own_refusals_are_reported_once(void **state)
+{
+	static const refusal_case_t cases[] = {
+	    {"served", "GET /a HTTP/1.1\r\n" HOST "\r\n", MSP_OK, "", 0},
+	    {"nothing sent", "", MSP_OK, "", 0},
+	    {"unknown method", "BREW /a HTTP/1.1\r\n\r\n", MSP_E_METHOD, "", 0},
+	    {"garbage", "\x01\x02\r\n\r\n", MSP_E_BAD_REQUEST, "", 0},
+	    {"half a head", "GET /a HTTP/1.1\r\nHo", MSP_E_REQUEST_TIMEOUT, "",
+		0},
+	    {"half a body",
+		"POST /a HTTP/1.1\r\n" HOST "Content-Length: 5\r\n\r\nab",
+		MSP_E_REQUEST_TIMEOUT, "/a", 2},
+	    {"body too large",
+		"POST /a HTTP/1.1\r\n" HOST "Content-Length: 1001\r\n\r\nab",
+		MSP_E_TOO_LARGE, "/a", 0},
+	    {"invalid length",
+		"POST /a HTTP/1.1\r\n" HOST "Content-Length: -1\r\n\r\nab",
+		MSP_E_BAD_REQUEST, "/a", 0},
+	    {"invalid chunk",
+		"POST /a HTTP/1.1\r\n" HOST
+		"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		MSP_E_BAD_REQUEST, "/a", 0},
+	};
+	server_test_t *test = *state;
+	raw_socket_t raw;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		const refusal_case_t *c = &cases[i];
+
+		test->refusal_count = 0;
+		raw = raw_connect(test->loop, test->port);
+		raw_send_text(&raw, c->input);
+		assert_true(raw_expect_close(&raw));
+		if (test->refusal_count != (c->status == MSP_OK ? 0 : 1))
+			fail_msg("%s: reported %u times", c->name,
+			    test->refusal_count);
+		if (c->status != MSP_OK &&
+		    (test->refusal_status != c->status ||
+			strcmp(test->refused_path, c->path) != 0 ||
+			test->refused_body_len != c->body_len))
+			fail_msg("%s: %s, path \"%s\", %zu bytes", c->name,
+			    msp_status_name(test->refusal_status),
+			    test->refused_path, test->refused_body_len);
+		raw_close(&raw);
+	}
+}
+
 /* libwebsockets responds with its own HTML page: see http_server.h. */
 static void
 malformed_later_request_is_not_handled(void **state)
@@ -335,6 +399,7 @@
 	    CASE(slow_reader_is_disconnected),
 	    CASE(large_response_is_sent_completely),
 	    CASE(connections_over_limit_are_refused),
+	    CASE(own_refusals_are_reported_once),
 	    CASE(malformed_later_request_is_not_handled),
 	    CASE(closed_listener_finishes_requests_in_progress),
 	    CASE(dropped_server_reports_pending_requests),
--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "edge_fixture.h"
+#include "raw_socket.h"
 
 #define LOG_DELAY (500 * MSP_MS) /* until lines are in the log file */
 #define LOG_DELAY_MAX (2 * MSP_SECOND) /* upper bound for this delay */
@@ -17,6 +18,8 @@
 #define DRAIN_TIME_MAX (2500 * MSP_MS)
 #define ROUTES_TIME_MAX (2500 * MSP_MS)
 #define EVACUATION_TIME_MAX (5 * MSP_SECOND)
+/* The bound on the time until a head is complete is 10 s by default. */
+#define HEAD_TIMEOUT_MAX (12 * MSP_SECOND)
 #define RELOAD_TIME_MAX (3 * MSP_SECOND)
 #define STORE_BACK_TIME_MAX (2500 * MSP_MS)
 
@@ -291,6 +294,109 @@
 		check_attempt(*state, &cases[i], i);
 }
 
+/* An answer that is logged for each request, and not for a sample of them. */
+typedef struct logged_answer_case {
+	const char *name;
+	target_behaviour_t behaviour;
+	const char *path;
+	const char *status;
+	const char *source;
+	const char *counter; /* counts each; NULL: none does */
+} logged_answer_case_t;
+
+#define ANSWERS 20 /* requests for each case */
+
+/*
+ * Guards against answers that callers take for a promise, or for an error of
+ * theirs, and that are in no line and no counter.
+ */
+static void
+each_4xx_and_refusal_is_logged_with_its_source(void **state)
+{
+	static const logged_answer_case_t cases[] = {
+	    {"no route", TARGET_ANSWERS, "/unknown/1", " status=404 ",
+		" from=edge\n", NULL},
+	    {"404 of a target", TARGET_SENDS_404, "/write/1", " status=404 ",
+		" from=target\n", NULL},
+	    {"500 of a target", TARGET_FAILS, "/write/1", " status=500 ",
+		" from=target\n", NULL},
+	    {"shed", TARGET_SHEDS, "/write/1", " status=503 ", " from=edge\n",
+		"msp_edge_refusals_total{source=\"edge\",status=\"503\"}"},
+	};
+	edge_fixture_t *fixture = *state;
+	caller_response_t responses[ANSWERS];
+	uint64_t before = 0;
+	unsigned int k;
+	size_t i;
+
+	set_up_routes_and_targets(fixture);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		if (cases[i].counter != NULL)
+			before = read_edge_counter(fixture, cases[i].counter);
+		set_behaviours(fixture, cases[i].behaviour);
+		for (k = 0; k < ANSWERS; k++)
+			send_edge_request(
+			    fixture, "POST", cases[i].path, &responses[k]);
+		if (cases[i].counter != NULL)
+			assert_int_equal(
+			    read_edge_counter(fixture, cases[i].counter),
+			    before + ANSWERS);
+		run_edge_for(fixture, LOG_DELAY);
+		for (k = 0; k < ANSWERS; k++) {
+			if (!edge_log_has_event(fixture, "request",
+				responses[k].id, cases[i].status) ||
+			    !edge_log_has_event(fixture, "request",
+				responses[k].id, cases[i].source))
+				fail_msg("%s: no line of request %s",
+				    cases[i].name, responses[k].id);
+		}
+	}
+}
+
+/* Bytes from a client that the HTTP server itself refuses. */
+typedef struct refused_input_case {
+	const char *input;
+	const char *line; /* in the log; of the address of this host */
+	const char *counter;
+} refused_input_case_t;
+
+/* Guards against refusals of the HTTP server that nobody can see. */
+static void
+refusals_of_the_http_server_are_logged_and_counted(void **state)
+{
+	static const refused_input_case_t cases[] = {
+	    {"GET /read/1 HTTP/1.1\r\nHo",
+		"event=server-refusal id=- status=408 reason=request-timeout "
+		"client=127.0.0.1 request_read=0 body_bytes=0",
+		"msp_edge_refusals_total{source=\"http-server\","
+		"status=\"408\"}"},
+	    {"BREW /read/1 HTTP/1.1\r\n\r\n",
+		"event=server-refusal id=- status=405 "
+		"reason=method-not-allowed "
+		"client=127.0.0.1 request_read=0 body_bytes=0",
+		"msp_server_refusals_total{reason=\"method-not-allowed\"}"},
+	    {"POST /write/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: x 1\r\n"
+	     "Content-Length: 999999999\r\n\r\nabc",
+		"event=server-refusal id=x_1 status=413 reason=too-large "
+		"client=127.0.0.1 request_read=1 body_bytes=0",
+		"msp_server_refusals_total{reason=\"too-large\"}"},
+	};
+	raw_socket_t raws[sizeof(cases) / sizeof(*cases)];
+	edge_fixture_t *fixture = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		raws[i] = raw_connect(fixture->loop, fixture->caller_port);
+		assert_true(raw_send_text(&raws[i], cases[i].input));
+	}
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		run_edge_until_logged(fixture, cases[i].line, HEAD_TIMEOUT_MAX);
+		assert_int_equal(
+		    read_edge_counter(fixture, cases[i].counter), 1);
+		raw_close(&raws[i]);
+	}
+}
+
 static void
 silent_target_causes_504_at_the_route_timeout(void **state)
 {
@@ -572,6 +678,8 @@
 	    EDGE_TEST(serves_requests_and_lists_itself_in_the_directory),
 	    EDGE_TEST(maps_target_failures_to_http_statuses),
 	    EDGE_TEST(each_attempt_without_its_own_success_is_logged),
+	    EDGE_TEST(each_4xx_and_refusal_is_logged_with_its_source),
+	    EDGE_TEST(refusals_of_the_http_server_are_logged_and_counted),
 	    EDGE_TEST(silent_target_causes_504_at_the_route_timeout),
 	    EDGE_TEST(short_deadline_does_not_make_a_target_suspect),
 	    EDGE_TEST(draining_target_gets_no_new_requests),
--- a/tests/spindlectl/test_ctl.c
+++ b/tests/spindlectl/test_ctl.c
@@ -333,7 +333,9 @@
 {
 	fake_vm_t vm = {.loop = msp_new_loop(64)};
 	const msp_http_server_options_t options = {.address = "127.0.0.1",
-	    .handler = {handle_request, handle_disconnect, &vm}};
+	    .handler = {.on_request = handle_request,
+		.on_disconnect = handle_disconnect,
+		.ctx = &vm}};
 	char text[OUTPUT_SIZE];
 	size_t i;
 	int code;
@@ -367,7 +369,9 @@
 	    {"--timeout", "1", "status", NULL}, NULL, {{0}}, 3, "no response"};
 	fake_vm_t vm = {.loop = msp_new_loop(64)};
 	const msp_http_server_options_t options = {.address = "127.0.0.1",
-	    .handler = {handle_request, handle_disconnect, &vm}};
+	    .handler = {.on_request = handle_request,
+		.on_disconnect = handle_disconnect,
+		.ctx = &vm}};
 	char text[OUTPUT_SIZE];
 
 	(void)state;
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -46,6 +46,8 @@
 		msp_add_header(&response.headers, "Instance-Id", "i-other");
 	} else if (target->behaviour == TARGET_FAILS) {
 		response.status = 500;
+	} else if (target->behaviour == TARGET_SENDS_404) {
+		response.status = 404;
 	} else if (target->behaviour == TARGET_SENDS_BARE_503) {
 		response.status = 503;
 	} else if (target->behaviour == TARGET_SENDS_BARE_429) {
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -28,6 +28,7 @@
 	TARGET_SENDS_WRONG_ID, /* the response has another Request-Id */
 	TARGET_OMITS_SIGNATURE,
 	TARGET_FAILS, /* 500 */
+	TARGET_SENDS_404,
 	TARGET_SENDS_BARE_503, /* signed, without Not-Executed */
 	TARGET_SENDS_BARE_429, /* the same with 429 */
 	TARGET_DELAYS, /* responds on answer_pending_request() */
--- a/tests/support/server_fixture.c
+++ b/tests/support/server_fixture.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -56,6 +57,23 @@
 	test->disconnect_count++;
 }
 
+static void
+handle_refusal(void *ctx, const msp_http_refusal_t *refusal)
+{
+	server_test_t *test = ctx;
+
+	assert_string_equal(refusal->client_address, TEST_ADDRESS);
+	test->refusal_count++;
+	test->refusal_status = refusal->status;
+	test->refused_path[0] = '\0';
+	test->refused_body_len = 0;
+	if (refusal->request == NULL)
+		return;
+	snprintf(test->refused_path, sizeof(test->refused_path), "%s",
+	    refusal->request->path);
+	test->refused_body_len = refusal->request->body.len;
+}
+
 int
 set_up_server(void **state)
 {
@@ -76,6 +94,7 @@
 		{
 		    .on_request = handle_request,
 		    .on_disconnect = handle_disconnect,
+		    .on_refusal = handle_refusal,
 		    .ctx = &test,
 		},
 	};
--- a/tests/support/server_fixture.h
+++ b/tests/support/server_fixture.h
@@ -19,6 +19,10 @@
 	unsigned int disconnect_count;
 	/* Last unanswered request for a path that starts with /hold. */
 	msp_exchange_t *pending_exchange;
+	unsigned int refusal_count; /* calls of on_refusal */
+	msp_status_t refusal_status; /* of the last one, as the next members */
+	char refused_path[64]; /* "": no head was read */
+	size_t refused_body_len;
 } server_test_t;
 
 #define HOST "Host: a\r\n"
