Explain from a request's id whose response decided it

spindlectl explain prints the event=attempt and event=server-refusal lines of a request, also lines of other requests that were given a response with its id, and a sentence on each: what the attempt was taken for, because of whose response or which error, on which connection and as which response on it. A request that only the HTTP server refused has an end now (exit 0, before: 1).

--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -176,12 +176,19 @@
 	return true;
 }
 
+/*
+ * Whether the line is of the request, or of another request that was given a
+ * response with the id of this one.
+ */
 static bool
 has_request_id(void *ctx, const char *text)
 {
 	char id[VALUE_SIZE];
 
 	get_field(text, "id", id);
+	if (strcmp(id, ctx) == 0)
+		return true;
+	get_field(text, "response_of", id);
 	return strcmp(id, ctx) == 0;
 }
 
@@ -309,6 +316,81 @@
 		    what, age);
 }
 
+/* Prints what an attempt came to, and whose response said so. */
+static void
+print_attempt(const char *text)
+{
+	char target[VALUE_SIZE];
+	char concluded[VALUE_SIZE];
+	char owner[VALUE_SIZE];
+	char value[VALUE_SIZE];
+
+	get_field(text, "target", target);
+	get_field(text, "concluded", concluded);
+	get_field(text, "response_id", owner);
+	printf("Attempt %" PRIu64 ", at %s: taken as %s because of ",
+	    get_number_field(text, "attempt"), target, concluded);
+	if (owner[0] == '\0') {
+		get_field(text, "error", value);
+		printf("the error %s", value);
+	} else if (strcmp(owner, "other") == 0) {
+		get_field(text, "response_of", value);
+		printf("a response %" PRIu64 " to another request, %s",
+		    get_number_field(text, "status"), value);
+	} else {
+		printf("%s response %" PRIu64,
+		    strcmp(owner, "own") == 0 ? "its own" : "an unidentified",
+		    get_number_field(text, "status"));
+	}
+	printf("; connection %" PRIu64 " had delivered %" PRIu64
+	       " responses before.\n",
+	    get_number_field(text, "conn"), get_number_field(text, "nth"));
+}
+
+/* Prints which other request was given the response to this one. */
+static void
+print_lost_response(const char *id, const char *text)
+{
+	char other[VALUE_SIZE];
+	char target[VALUE_SIZE];
+
+	get_field(text, "id", other);
+	get_field(text, "target", target);
+	printf("A response to request %s was given to request %s, at %s on "
+	       "connection %" PRIu64 ": %s may have executed it.\n",
+	    id, other, target, get_number_field(text, "conn"), target);
+}
+
+static void
+print_attempts(const char *id, const struct log_lines *lines)
+{
+	const log_line_t *line;
+	char value[VALUE_SIZE];
+
+	TAILQ_FOREACH(line, lines, link) {
+		get_field(line->text, "event", value);
+		if (strcmp(value, "attempt") != 0)
+			continue;
+		get_field(line->text, "id", value);
+		if (strcmp(value, id) == 0)
+			print_attempt(line->text);
+		else
+			print_lost_response(id, line->text);
+	}
+}
+
+/* Prints that the HTTP server of a VM refused the request by itself. */
+static void
+print_server_refusal(const char *id, const log_line_t *line)
+{
+	char reason[VALUE_SIZE];
+
+	get_field(line->text, "reason", reason);
+	printf("\nRequest %s was refused with %" PRIu64
+	       " by the HTTP server of %s (%s); it was sent to no target.\n",
+	    id, get_number_field(line->text, "status"), line->vm, reason);
+}
+
 static void
 print_summary(const char *id, const log_line_t *end_line)
 {
@@ -334,6 +416,7 @@
 	struct log_lines lines = TAILQ_HEAD_INITIALIZER(lines);
 	const log_line_t *line;
 	const log_line_t *end_line = NULL;
+	const log_line_t *refusal = NULL;
 	ctl_exit_t code = CTL_OK;
 	char event[VALUE_SIZE];
 	int i;
@@ -351,11 +434,17 @@
 		get_field(line->text, "event", event);
 		if (strcmp(event, "request") == 0)
 			end_line = line;
+		if (strcmp(event, "server-refusal") == 0)
+			refusal = line;
 	}
+	if (refusal != NULL)
+		print_server_refusal(args[0], refusal);
 	if (end_line != NULL) {
 		print_known_state(count - 1, args + 1, end_line);
 		print_summary(args[0], end_line);
-	} else if (code == CTL_OK) {
+	}
+	print_attempts(args[0], &lines);
+	if (end_line == NULL && refusal == NULL && code == CTL_OK) {
 		print_ctl_error("no log line has the end of request %s; only a "
 				"sample of successful requests is logged",
 		    args[0]);
--- a/tests/spindlectl/test_ctl.c
+++ b/tests/spindlectl/test_ctl.c
@@ -64,7 +64,61 @@
 	"2026-03-05T13:15:06.060Z INFO vm=a event=request id=7a " fields_ \
 	" took_ms=0 left_ms=100 sent=0 tried=0 goal_ms=0\n"
 
+/* The line of an attempt of request `id_`. */
+#define ATTEMPT_LINE(id_, fields_)                                 \
+	"2026-03-05T13:15:06.059Z INFO vm=a event=attempt id=" id_ \
+	" target=i-1 attempt=1 " fields_ " conn=12 nth=3 took_ms=1\n"
+
+#define REFUSED_LINE                                                         \
+	END_LINE("status=503 outcome=target-full routes=6 routes_age_ms=20 " \
+		 "targets_age_ms=30")
+
 static const ctl_case_t cases[] = {
+    {"explain: refusal of another request", {"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("7a",
+	    "concluded=not-executed status=503 response_id=other "
+	    "response_of=6f not_executed=1 signed=0 wrong_target=0")
+	    REFUSED_LINE,
+	{{0}}, 0,
+	"Attempt 1, at i-1: taken as not-executed because of a response 503 to "
+	"another request, 6f; connection 12 had delivered 3 responses before."},
+    {"explain: line of the attempt", {"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("7a",
+	    "concluded=unknown status=503 response_id=missing response_of=- "
+	    "not_executed=0 signed=0 wrong_target=0") REFUSED_LINE,
+	{{0}}, 0,
+	"vm=a event=attempt id=7a target=i-1 attempt=1 concluded=unknown "},
+    {"explain: unidentified refusal", {"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("7a",
+	    "concluded=not-executed status=503 response_id=missing "
+	    "response_of=- not_executed=1 signed=0 wrong_target=0")
+	    REFUSED_LINE,
+	{{0}}, 0, "because of an unidentified response 503; connection 12 "},
+    {"explain: own refusal", {"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("7a",
+	    "concluded=not-executed status=503 response_id=own response_of=- "
+	    "not_executed=1 signed=0 wrong_target=0") REFUSED_LINE,
+	{{0}}, 0, "because of its own response 503; connection 12 "},
+    {"explain: failed call", {"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("7a",
+	    "concluded=unknown error=cut-answer maybe_sent=1 no_first_byte=0")
+	    REFUSED_LINE,
+	{{0}}, 0, "taken as unknown because of the error cut-answer; "},
+    {"explain: response given to another request",
+	{"explain", "7a", "NOTE", NULL},
+	ATTEMPT_LINE("8b",
+	    "concluded=unknown status=200 response_id=other response_of=7a "
+	    "not_executed=0 signed=1 wrong_target=0") REFUSED_LINE,
+	{{0}}, 0,
+	"A response to request 7a was given to request 8b, at i-1 on "
+	"connection 12: i-1 may have executed it."},
+    {"explain: refused by the HTTP server", {"explain", "7a", "NOTE", NULL},
+	"2026-03-05T13:15:06.060Z INFO vm=a event=server-refusal id=7a "
+	"status=408 reason=request-timeout client=127.0.0.1 request_read=1 "
+	"body_bytes=3\n",
+	{{0}}, 0,
+	"Request 7a was refused with 408 by the HTTP server of a "
+	"(request-timeout); it was sent to no target."},
     {"explain: no routes read yet", {"explain", "7a", "NOTE", NULL},
 	END_LINE("status=503 outcome=no-routes routes=0 routes_age_ms=-1 "
 		 "targets_age_ms=-1"),
