Take a head for early only where received bytes are counted

A count of 0 at the end of an exchange now means 'not known', and the request is read. net/test_http_early (2 passed) and process/test_edge_refusals (3 passed) hold as before.

--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -49,8 +49,8 @@
 	bool head_started; /* unused */
 	/* Bytes received by the end of the last exchange. */
 	uint64_t received_before;
-	uint64_t read_before; /* the same of bytes that libwebsockets read */
-	bool served; /* an exchange has ended */
+	/* The same of bytes that libwebsockets has read; 0: not known. */
+	uint64_t read_before;
 	char *head; /* the response's head and the first bytes of its body */
 	size_t head_len; /* bytes of these */
 	size_t body_sent; /* bytes of the body given to libwebsockets */
--- a/source/net/request.c
+++ b/source/net/request.c
@@ -127,7 +127,8 @@
 static bool
 was_head_received_early(const msp_connection_t *connection)
 {
-	if (!connection->served)
+	/* 0: the first request, or the system does not count the bytes. */
+	if (connection->read_before == 0)
 		return false;
 	return msp_count_socket_bytes_read(connection->fd) -
 	    connection->read_before <=
--- a/source/net/response.c
+++ b/source/net/response.c
@@ -108,7 +108,6 @@
 	msp_get_tcp_byte_counts(
 	    connection->fd, &connection->received_before, &sent);
 	connection->read_before = msp_count_socket_bytes_read(connection->fd);
-	connection->served = true;
 	msp_set_connection_timeout(connection, server->limits.idle_timeout_ms);
 	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
 }
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -132,8 +132,8 @@
 	do {
 		/* Counts again if data arrived between the two. */
 		before = received;
-		if (ioctl(fd, FIONREAD, &unread) != 0)
-			return received;
+		if (received == 0 || ioctl(fd, FIONREAD, &unread) != 0)
+			return 0;
 		msp_get_tcp_byte_counts(fd, &received, &sent);
 	} while (received != before);
 	return received - (uint64_t)unread;
--- a/source/net/socket.h
+++ b/source/net/socket.h
@@ -32,7 +32,8 @@
 
 /*
  * Counts the received bytes that were read from a TCP socket. The end of the
- * stream counts as one byte once it has arrived.
+ * stream counts as one byte once it has arrived. Returns 0 if the system does
+ * not count received bytes.
  */
 uint64_t msp_count_socket_bytes_read(int fd);
 
