Believe "not executed" only from a response that is certainly the request's

Callers of requests that must not be repeated got 503, or had their request sent to a second target, although a target had executed it. Cause: a response of status 400 or more that says "not executed" was believed whatever its id, also if it bore another request's or none. An additional response to an earlier request on the connection arrives where the next response is due, and was taken for it.

Now a response counts as the request's own if it has its id, or has no id and is the first on a connection that carried no earlier request; the HTTP client reports the latter. Any other response means that the request may have run.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -56,6 +56,7 @@
 	msp_status_t status;
 	bool maybe_sent; /* part of the request may have been sent */
 	bool no_first_byte; /* timed out before the response began */
+	bool first_on_connection; /* the connection carried no earlier call */
 	msp_response_t *response;
 } msp_call_result_t;
 
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -79,6 +79,7 @@
 	bool fresh_connection;
 	bool maybe_sent;
 	bool no_first_byte;
+	bool first_on_connection;
 	bool bodiless; /* response to HEAD, or status 204 or 304 */
 	long long content_length; /* of the response; -1: not given */
 	bool chunked; /* the response is chunked */
--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -251,6 +251,7 @@
 
 	connection->call = call;
 	call->connection = connection;
+	call->first_on_connection = connection->wsi == NULL;
 	connection->socket_options_set = connection->wsi != NULL;
 	if (connection->wsi != NULL)
 		lws_set_opaque_user_data(connection->wsi, NULL);
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -114,6 +114,7 @@
 		    .status = call->status,
 		    .maybe_sent = call->maybe_sent,
 		    .no_first_byte = call->no_first_byte,
+		    .first_on_connection = call->first_on_connection,
 		    .response = &call->response,
 		};
 		call->client = NULL;
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -8,7 +8,6 @@
 #define RETRY_BURST 3 /* retries that this VM may send at once */
 /* A target that sends nothing for this many expected latencies is silent. */
 #define SILENT_LATENCY_FACTOR 2
-#define HTTP_BAD_REQUEST 400
 #define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
@@ -111,8 +110,20 @@
 }
 
 static void
-handle_response(edge_request_t *request, msp_response_t *response)
+decode_response(const edge_request_t *request, const msp_call_result_t *result,
+    target_fields_t *fields)
 {
+	sent_request_t sent = {.caller_id = request->caller.id,
+	    .target_id = request->choice.target->registration.id,
+	    .first_on_connection = result->first_on_connection};
+
+	decode_target_fields(result->response, &sent, fields);
+}
+
+static void
+handle_response(edge_request_t *request, const msp_call_result_t *result)
+{
+	msp_response_t *response = result->response;
 	edge_t *edge = request->edge;
 	msp_view_target_t *target = request->choice.target;
 	msp_time_t now = get_now(edge);
@@ -121,8 +132,7 @@
 	bool failed;
 	bool ok;
 
-	decode_target_fields(
-	    response, request->caller.id, target->registration.id, &fields);
+	decode_response(request, result, &fields);
 	ok = fields.id_matches && fields.has_signature && !fields.not_run &&
 	    !fields.unconfirmed_refusal;
 	failed = response->status >= HTTP_SERVER_ERROR;
@@ -130,11 +140,8 @@
 	    edge->balancer, &request->criteria, &request->choice, duration, ok);
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
-	if (fields.not_run && fields.id_matches) {
-		handle_not_run(request, &fields, response->status);
-		return;
-	}
-	if (fields.not_run && response->status >= HTTP_BAD_REQUEST) {
+	/* Another request's "not executed" says nothing about this one. */
+	if (fields.not_run && fields.is_own) {
 		handle_not_run(request, &fields, response->status);
 		return;
 	}
@@ -224,7 +231,7 @@
 
 	request->call = NULL;
 	if (result->status == MSP_OK)
-		handle_response(request, result->response);
+		handle_response(request, result);
 	else
 		handle_call_failure(request, result);
 }
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -146,6 +146,7 @@
 	    {200, {"server-load"}, {"many"}, false, false, false, false, false,
 		false},
 	};
+	const sent_request_t request = {.caller_id = "abc", .target_id = "i-1"};
 	target_fields_t fields;
 	size_t i;
 	size_t k;
@@ -158,7 +159,7 @@
 		for (k = 0; k < 4 && c->names[k] != NULL; k++)
 			msp_add_header(
 			    &response.headers, c->names[k], c->values[k]);
-		decode_target_fields(&response, "abc", "i-1", &fields);
+		decode_target_fields(&response, &request, &fields);
 		assert_int_equal(fields.not_run, c->not_run);
 		assert_int_equal(fields.has_signature, c->has_signature);
 		assert_int_equal(fields.id_matches, c->id_matches);
@@ -170,6 +171,42 @@
 	}
 }
 
+/* Guards against a response of another request that is taken for this one's. */
+static void
+response_without_id_is_own_only_on_a_new_connection(void **state)
+{
+	static const struct {
+		const char *id; /* NULL: none */
+		bool first_on_connection;
+		bool is_own;
+	} cases[] = {
+	    {"abc", true, true},
+	    {"abc", false, true},
+	    {"abd", true, false},
+	    {"abd", false, false},
+	    {"", true, false},
+	    {NULL, true, true},
+	    {NULL, false, false},
+	};
+	target_fields_t fields;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		sent_request_t request = {.caller_id = "abc",
+		    .target_id = "i-1",
+		    .first_on_connection = cases[i].first_on_connection};
+		msp_response_t response = {.status = 503};
+
+		if (cases[i].id != NULL)
+			msp_add_header(
+			    &response.headers, "request-id", cases[i].id);
+		decode_target_fields(&response, &request, &fields);
+		assert_int_equal(fields.is_own, cases[i].is_own);
+		msp_drop_response(&response);
+	}
+}
+
 static void
 strips_fields_meant_for_the_vm(void **state)
 {
@@ -295,6 +332,8 @@
 	    cmocka_unit_test(hashes_affinity_keys),
 	    cmocka_unit_test(target_request_has_time_left_and_target_id),
 	    cmocka_unit_test(classifies_target_responses),
+	    cmocka_unit_test(
+		response_without_id_is_own_only_on_a_new_connection),
 	    cmocka_unit_test(strips_fields_meant_for_the_vm),
 	    cmocka_unit_test(local_replies_have_retry_after),
 	    cmocka_unit_test(decodes_directory_queries),
--- a/tests/process/test_target_responses.c
+++ b/tests/process/test_target_responses.c
@@ -569,6 +569,46 @@
 		fail_msg("%u cases", failed);
 }
 
+/*
+ * Guards against "not executed" without id being believed where it may belong
+ * to an earlier request.
+ */
+static void
+shed_without_id_is_believed_on_a_new_connection_only(void **state)
+{
+	static const struct {
+		bool idempotent;
+		bool new_connection;
+		int http_status;
+	} cases[] = {
+	    {false, true, 503},
+	    {false, false, 502},
+	    {true, true, 503},
+	    {true, false, 502},
+	};
+	response_test_t *test;
+	test_request_t *request;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		test = new_response_test(1);
+		if (cases[i].new_connection) {
+			close_target_connections(test->targets);
+			run_edge_for(test->edge, ARRIVAL_DELAY);
+		}
+		test->targets->shed_one_in = 1;
+		test->targets->sheds_without_id = true;
+		request = start_test_request(test, cases[i].idempotent);
+		run_edge_until(test->edge, &request->done, 1);
+		if (request->http_status != cases[i].http_status)
+			fail_msg("case %zu: %d", i, request->http_status);
+		assert_int_equal(
+		    count_executions(test->targets, request->id), 0);
+		drop_response_test(test);
+	}
+}
+
 int
 main(void)
 {
@@ -577,6 +617,8 @@
 	    cmocka_unit_test(extra_response_in_the_buffer_is_not_believed),
 	    cmocka_unit_test(extra_response_before_the_request_is_not_believed),
 	    cmocka_unit_test(extra_response_after_the_request_is_not_believed),
+	    cmocka_unit_test(
+		shed_without_id_is_believed_on_a_new_connection_only),
 	    cmocka_unit_test(one_extra_response_spoils_one_request_at_most),
 	};
 
--- a/tests/support/raw_target.c
+++ b/tests/support/raw_target.c
@@ -250,20 +250,27 @@
 }
 
 void
-drop_raw_targets(raw_targets_t *targets)
+close_target_connections(raw_targets_t *targets)
 {
 	raw_target_connection_t *connection;
-	size_t cursor = 0;
-	void *count;
-	unsigned int i;
 
-	msp_drop_timer(targets->timer);
 	while ((connection = TAILQ_FIRST(&targets->connections)) != NULL) {
 		TAILQ_REMOVE(&targets->connections, connection, link);
 		close(connection->fd);
 		msp_drop_buffer(&connection->input);
 		free(connection);
 	}
+}
+
+void
+drop_raw_targets(raw_targets_t *targets)
+{
+	size_t cursor = 0;
+	void *count;
+	unsigned int i;
+
+	msp_drop_timer(targets->timer);
+	close_target_connections(targets);
 	for (i = 0; i < RAW_TARGETS; i++)
 		close(targets->listeners[i]);
 	while (msp_map_next(targets->executions, &cursor, NULL, &count))
--- a/tests/support/raw_target.h
+++ b/tests/support/raw_target.h
@@ -89,6 +89,9 @@
 /* Sends the extra response on the connection of the last response. */
 void send_extra_response(raw_targets_t *targets);
 
+/* Closes all connections; the targets go on listening. */
+void close_target_connections(raw_targets_t *targets);
+
 /* Connection that got the extra response; NULL before that. */
 const raw_target_connection_t *find_extra_connection(
     const raw_targets_t *targets);
