Close a connection after a response that is not the request's own

After one extra response on a kept connection, the requests that followed on it got 502 or another target's attempt, one after the other, as long as each was sent before the late response of the one before had arrived. Cause: after any complete response the HTTP client put the connection back into its pool, also if the response was another request's. The request's own response was still to come and was taken for that of the next request, and so on.

Now a callback in the call's options judges the complete response before the connection can be used again, and on false the client closes it. The edge judges by the request's id as before. So an event that confuses one connection ends with that connection.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -19,15 +19,6 @@
 	uint32_t idle_timeout_ms; /* until an idle connection is closed; 20 s */
 } msp_http_client_options_t;
 
-typedef struct msp_call_options {
-	const char *address; /* IP address */
-	uint16_t port;
-	uint32_t timeout_ms; /* until the response is complete */
-	uint32_t first_byte_timeout_ms; /* 0: same as timeout_ms */
-	/* Use a new connection, or one that was active in the last second. */
-	bool fresh_connection;
-} msp_call_options_t;
-
 /*
  * Result of a call. The values of `status`:
  *
@@ -62,6 +53,24 @@
 
 typedef void msp_call_done_t(void *ctx, msp_call_result_t *result);
 
+/*
+ * Judges whether a complete response belongs to the call's request. Called with
+ * the context of `done`, before `done` and before another call can use the
+ * connection. If it returns false, the connection is closed. It must neither
+ * change the response nor start or cancel calls.
+ */
+typedef bool msp_call_judge_t(void *ctx, const msp_call_result_t *result);
+
+typedef struct msp_call_options {
+	const char *address; /* IP address */
+	uint16_t port;
+	uint32_t timeout_ms; /* until the response is complete */
+	uint32_t first_byte_timeout_ms; /* 0: same as timeout_ms */
+	/* Use a new connection, or one that was active in the last second. */
+	bool fresh_connection;
+	msp_call_judge_t *judge; /* NULL: each response belongs to its call */
+} msp_call_options_t;
+
 /* Returns NULL on failure, with the reason in msp_last_message(). */
 msp_http_client_t *msp_new_http_client(
     msp_loop_t *loop, const msp_http_client_options_t *options);
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -189,10 +189,26 @@
 	    (size_t)call->content_length == call->response.body.len;
 }
 
-void
+static bool
+is_own_response(msp_call_t *call)
+{
+	msp_call_result_t result = msp_get_call_result(call);
+
+	return call->judge == NULL || call->judge(call->ctx, &result);
+}
+
+int
 msp_end_response(msp_call_t *call)
 {
-	call->connection->last_active = msp_loop_now();
-	msp_end_call(
-	    call, is_complete(call) ? MSP_OK : MSP_E_TRUNCATED_RESPONSE);
+	msp_client_connection_t *connection = call->connection;
+	bool complete = is_complete(call);
+	/* After a response of another request, this call's own may follow. */
+	bool keep = complete && is_own_response(call);
+
+	connection->last_active = msp_loop_now();
+	msp_end_call(call, complete ? MSP_OK : MSP_E_TRUNCATED_RESPONSE);
+	/* A connection that is closed is released by that event. */
+	if (keep)
+		msp_release_client_connection(connection);
+	return keep ? 0 : -1;
 }
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -72,6 +72,7 @@
 	msp_request_t request;
 	msp_response_t response;
 	msp_call_done_t *done;
+	msp_call_judge_t *judge; /* or NULL */
 	void *ctx;
 	msp_deadline_t deadline; /* of the current state */
 	msp_time_t response_deadline; /* of the complete response */
@@ -101,9 +102,14 @@
 	msp_http_client_t **delivering;
 };
 
-/* Ends a call: detaches its connection and schedules the call of `done`. */
+/*
+ * Ends a call: detaches its connection and schedules the call of `done`. The
+ * connection is neither closed nor released.
+ */
 void msp_end_call(msp_call_t *call, msp_status_t status);
 
+msp_call_result_t msp_get_call_result(msp_call_t *call);
+
 /* Schedules the start of the calls that wait for a connection of `origin`. */
 void msp_schedule_waiting_calls(msp_origin_t *origin);
 
@@ -133,6 +139,6 @@
 int msp_write_request_body(msp_call_t *call);
 int msp_read_response_head(msp_call_t *call);
 int msp_read_response_body(msp_call_t *call, const char *data, size_t len);
-void msp_end_response(msp_call_t *call);
+int msp_end_response(msp_call_t *call);
 
 #endif
--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -65,8 +65,7 @@
 		call->connection->at_eof = false;
 		return msp_read_response_body(call, in, len);
 	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-		msp_end_response(call);
-		return 0;
+		return msp_end_response(call);
 	default:
 		return 0;
 	}
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -93,6 +93,18 @@
 	}
 }
 
+msp_call_result_t
+msp_get_call_result(msp_call_t *call)
+{
+	return (msp_call_result_t){
+	    .status = call->status,
+	    .maybe_sent = call->maybe_sent,
+	    .no_first_byte = call->no_first_byte,
+	    .first_on_connection = call->first_on_connection,
+	    .response = &call->response,
+	};
+}
+
 static void
 handle_delivery_timer(lws_sorted_usec_list_t *sul)
 {
@@ -110,13 +122,7 @@
 	/* `done` may start or cancel calls and may drop the client. */
 	while ((call = TAILQ_FIRST(&client->ended)) != NULL) {
 		TAILQ_REMOVE(&client->ended, call, link);
-		result = (msp_call_result_t){
-		    .status = call->status,
-		    .maybe_sent = call->maybe_sent,
-		    .no_first_byte = call->no_first_byte,
-		    .first_on_connection = call->first_on_connection,
-		    .response = &call->response,
-		};
+		result = msp_get_call_result(call);
 		call->client = NULL;
 		client->delivering = &client;
 		call->done(call->ctx, &result);
@@ -157,9 +163,6 @@
 	call->connection = NULL;
 	if (connection != NULL)
 		connection->call = NULL;
-	/* After an error it is released when the connection is closed. */
-	if (connection != NULL && status == MSP_OK)
-		msp_release_client_connection(connection);
 	TAILQ_INSERT_TAIL(&call->client->ended, call, link);
 	schedule_delivery(call->client);
 }
@@ -224,6 +227,7 @@
 	call->request = *request;
 	*request = (msp_request_t){0};
 	call->done = done;
+	call->judge = options->judge;
 	call->ctx = ctx;
 	call->first_byte_timeout_ms = options->first_byte_timeout_ms;
 	call->fresh_connection = options->fresh_connection;
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -236,6 +236,16 @@
 		handle_call_failure(request, result);
 }
 
+/* Whether the target's response belongs to the request. */
+static bool
+judge_response(void *ctx, const msp_call_result_t *result)
+{
+	target_fields_t fields;
+
+	decode_response(ctx, result, &fields);
+	return fields.is_own;
+}
+
 void
 send_request(edge_request_t *request)
 {
@@ -267,6 +277,7 @@
 	registration = &request->choice.target->registration;
 	options.address = registration->address;
 	options.port = registration->port;
+	options.judge = judge_response;
 	options.timeout_ms = (uint32_t)(request->criteria.time_left / MSP_MS);
 	status = encode_target_request(msp_exchange_request(request->exchange),
 	    registration->id, options.timeout_ms, &out);
--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -184,6 +184,69 @@
 		end_call_with_extra(*state, extras[i]);
 }
 
+static bool
+judge_by_status(void *ctx, const msp_call_result_t *result)
+{
+	(void)ctx;
+	return result->status == MSP_OK && result->response->status == 200;
+}
+
+/*
+ * Guards against a connection that stays one response behind: it must not be
+ * used again after a response that is another request's.
+ */
+static void
+connection_is_closed_after_a_foreign_response(void **state)
+{
+	static const struct {
+		const char *response;
+		bool closed;
+	} cases[] = {
+	    {OK_LINE "Content-Length: 2\r\n\r\nok", false},
+	    {OK_LINE "Content-Length: 0\r\n\r\n", false},
+	    {OK_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		     "0\r\n\r\n",
+		false},
+	    {"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno", true},
+	    {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true},
+	    {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "2\r\nno\r\n0\r\n\r\n",
+		true},
+	    {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "0\r\n\r\n",
+		true},
+	};
+	client_test_t *test = *state;
+	raw_socket_t raw;
+	size_t i;
+
+	test->options.judge = judge_by_status;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		start_test_call(test, "POST", "/a", &test->outcome);
+		raw = raw_accept(&test->listener);
+		assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+		raw_send_text(&raw, cases[i].response);
+		wait_outcome(test, cases[i].response);
+		assert_int_equal(test->outcome.status, MSP_OK);
+		raw_clear_input(&raw);
+		start_test_call(test, "POST", "/b", &test->outcome);
+		if (cases[i].closed) {
+			assert_true(raw_expect_close(&raw));
+			assert_int_equal(raw.input.len, 0);
+			raw_close(&raw);
+			raw = raw_accept(&test->listener);
+		}
+		if (!raw_expect(&raw, "\r\n\r\nbody"))
+			fail_msg("%s: the next call was not sent",
+			    cases[i].response);
+		raw_send_text(&raw, complete_response);
+		wait_outcome(test, cases[i].response);
+		assert_int_equal(test->outcome.status, MSP_OK);
+		raw_close(&raw);
+		msp_step_loop(test->loop, 20);
+	}
+}
+
 static void
 invalid_request_is_not_sent(void **state)
 {
@@ -274,6 +337,7 @@
 	    CASE(cancelled_call_has_no_callback),
 	    CASE(late_bytes_are_not_used_as_response),
 	    CASE(buffered_bytes_are_not_used_as_response),
+	    CASE(connection_is_closed_after_a_foreign_response),
 	    CASE(invalid_request_is_not_sent),
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
