Close a connection on which bytes are left over after a response

A target may send bytes after a complete response. If the library had read them together with the response, the connection went on being used: has_no_input() peeks at the socket, which no longer shows them. The library drops its buffer when the connection is used again, so whole extra responses did no harm in the tests, but the rest of one that was not complete would have arrived as the beginning of the next response.

Cause: the number of bytes that a read did not use was not looked at; the library tells it in the length argument of lws_http_client_read(). Now the connection is closed if the call has ended and the read has more.

--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -24,6 +24,9 @@
 	    msp_is_socket_at_eof(lws_get_socket_fd(wsi));
 	result = lws_http_client_read(wsi, &at, &len);
 	connection->reading = false;
+	/* `len` is now what was read and not used: bytes after the response. */
+	if (connection->call == NULL && len > 0)
+		return -1;
 	return result < 0 ? -1 : 0;
 }
 
--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -121,11 +121,12 @@
 }
 
 /*
- * Ends the first of several calls with a response that is followed by `extra`
+ * Ends the first of several calls with `response`, followed by `extra`
  * in the same write, while one more call waits for a connection.
  */
 static void
-end_call_with_extra(client_test_t *test, const char *extra)
+end_call_with_extra(
+    client_test_t *test, const char *response, const char *extra)
 {
 	test_outcome_t first[CLIENT_CONNECTIONS_MAX] = {{0}};
 	raw_socket_t raw[CLIENT_CONNECTIONS_MAX];
@@ -141,11 +142,12 @@
 		raw_clear_input(&raw[k]);
 	}
 	start_test_call(test, "POST", "/b", &test->outcome);
-	snprintf(text, sizeof(text), "%s%s", complete_response, extra);
+	snprintf(text, sizeof(text), "%s%s", response, extra);
 	raw_send_text(&raw[0], text);
 	assert_true(run_until(test->loop, has_request_or_connection, &wait));
 	if (raw[0].input.len > 0)
-		fail_msg("the connection was used after \"%s\"", extra);
+		fail_msg(
+		    "the connection was used after \"%s%s\"", response, extra);
 	next = raw_accept(&test->listener);
 	assert_true(raw_expect(&next, "\r\n\r\nbody"));
 	raw_send_text(&next, complete_response);
@@ -178,10 +180,20 @@
 	    "HTTP/1.1 503 Busy\r\nContent-Len",
 	    "x",
 	};
+	static const char *const responses[] = {
+	    complete_response,
+	    OK_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		    "0\r\n\r\n",
+	    OK_LINE "Content-Length: 0\r\n\r\n",
+	    OK_LINE "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	};
 	size_t i;
+	size_t k;
 
-	for (i = 0; i < sizeof(extras) / sizeof(*extras); i++)
-		end_call_with_extra(*state, extras[i]);
+	for (i = 0; i < sizeof(responses) / sizeof(*responses); i++) {
+		for (k = 0; k < sizeof(extras) / sizeof(*extras); k++)
+			end_call_with_extra(*state, responses[i], extras[k]);
+	}
 }
 
 static bool
