--- a/source/net/client.h
+++ b/source/net/client.h
@@ -74,6 +74,7 @@
 	msp_request_t request;
 	msp_response_t response;
 	msp_call_done_t *done;
+	msp_call_judge_t *judge; /* or NULL */
 	void *ctx;
 	msp_deadline_t deadline; /* of the current state */
 	msp_time_t response_deadline; /* of the complete response */
@@ -81,6 +82,7 @@
 	bool fresh_connection;
 	bool maybe_sent;
 	bool no_first_byte;
+	bool first_on_connection;
 	bool bodiless; /* response to HEAD, or status 204 or 304 */
 	long long content_length; /* of the response; -1: not given */
 	bool chunked; /* the response is chunked */
@@ -104,9 +106,14 @@
 	msp_http_client_t **delivering;
 };
 
-/* Ends a call: detaches its connection and schedules the call of `done`. */
+/*
+ * Ends a call: detaches its connection and schedules the call of `done`. The
+ * connection is neither closed nor released.
+ */
 void msp_end_call(msp_call_t *call, msp_status_t status);
 
+msp_call_result_t msp_get_call_result(msp_call_t *call);
+
 /* Schedules the start of the calls that wait for a connection of `origin`. */
 void msp_schedule_waiting_calls(msp_origin_t *origin);
 
@@ -142,6 +149,6 @@
 int msp_write_request_body(msp_call_t *call);
 int msp_read_response_head(msp_call_t *call);
 int msp_read_response_body(msp_call_t *call, const char *data, size_t len);
-void msp_end_response(msp_call_t *call);
+int msp_end_response(msp_call_t *call);
 
 #endif
--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -24,6 +24,9 @@
 	    msp_is_socket_at_eof(lws_get_socket_fd(wsi));
 	result = lws_http_client_read(wsi, &at, &len);
 	connection->reading = false;
+	/* `len` is now what was read and not used: bytes after the response. */
+	if (connection->call == NULL && len > 0)
+		return -1;
 	return result < 0 ? -1 : 0;
 }
 
@@ -65,8 +68,7 @@
 		call->connection->at_eof = false;
 		return msp_read_response_body(call, in, len);
 	case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-		msp_end_response(call);
-		return 0;
+		return msp_end_response(call);
 	default:
 		return 0;
 	}
@@ -268,6 +270,7 @@
 
 	connection->call = call;
 	call->connection = connection;
+	call->first_on_connection = connection->wsi == NULL;
 	connection->socket_options_set = connection->wsi != NULL;
 	if (connection->wsi != NULL)
 		lws_set_opaque_user_data(connection->wsi, NULL);
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -8,7 +8,6 @@
 #define RETRY_BURST 3 /* retries that this VM may send at once */
 /* A target that sends nothing for this many expected latencies is silent. */
 #define SILENT_LATENCY_FACTOR 2
-#define HTTP_BAD_REQUEST 400
 #define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
@@ -110,6 +109,17 @@
 	    request, fields->wrong_target ? "misdirected" : "target-full");
 }
 
+static void
+decode_response(const edge_request_t *request, const msp_call_result_t *result,
+    target_fields_t *fields)
+{
+	sent_request_t sent = {.caller_id = request->caller.id,
+	    .target_id = request->choice.target->registration.id,
+	    .first_on_connection = result->first_on_connection};
+
+	decode_target_fields(result->response, &sent, fields);
+}
+
 static void
 handle_response(edge_request_t *request, const msp_call_result_t *result)
 {
@@ -122,8 +132,7 @@
 	bool failed;
 	bool ok;
 
-	decode_target_fields(
-	    response, request->caller.id, target->registration.id, &fields);
+	decode_response(request, result, &fields);
 	ok = fields.id_matches && fields.has_signature && !fields.not_run &&
 	    !fields.unconfirmed_refusal;
 	failed = response->status >= HTTP_SERVER_ERROR;
@@ -131,13 +140,8 @@
 	    edge->balancer, &request->criteria, &request->choice, duration, ok);
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
-	if (fields.not_run && fields.id_matches) {
-		report_attempt_response(
-		    request, result, &fields, ATTEMPT_NOT_EXECUTED);
-		handle_not_run(request, &fields, response->status);
-		return;
-	}
-	if (fields.not_run && response->status >= HTTP_BAD_REQUEST) {
+	/* Another request's "not executed" says nothing about this one. */
+	if (fields.not_run && fields.is_own) {
 		report_attempt_response(
 		    request, result, &fields, ATTEMPT_NOT_EXECUTED);
 		handle_not_run(request, &fields, response->status);
@@ -239,6 +243,16 @@
 		handle_call_failure(request, result);
 }
 
+/* Whether the target's response belongs to the request. */
+static bool
+judge_response(void *ctx, const msp_call_result_t *result)
+{
+	target_fields_t fields;
+
+	decode_response(ctx, result, &fields);
+	return fields.is_own;
+}
+
 void
 send_request(edge_request_t *request)
 {
@@ -270,6 +284,7 @@
 	registration = &request->choice.target->registration;
 	options.address = registration->address;
 	options.port = registration->port;
+	options.judge = judge_response;
 	options.timeout_ms = (uint32_t)(request->criteria.time_left / MSP_MS);
 	status = encode_target_request(msp_exchange_request(request->exchange),
 	    registration->id, options.timeout_ms, &out);
--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -121,11 +121,12 @@
 }
 
 /*
- * Ends the first of several calls with a response that is followed by `extra`
+ * Ends the first of several calls with `response`, followed by `extra`
  * in the same write, while one more call waits for a connection.
  */
 static void
-end_call_with_extra(client_test_t *test, const char *extra)
+end_call_with_extra(
+    client_test_t *test, const char *response, const char *extra)
 {
 	test_outcome_t first[CLIENT_CONNECTIONS_MAX] = {{0}};
 	raw_socket_t raw[CLIENT_CONNECTIONS_MAX];
@@ -141,11 +142,12 @@
 		raw_clear_input(&raw[k]);
 	}
 	start_test_call(test, "POST", "/b", &test->outcome);
-	snprintf(text, sizeof(text), "%s%s", complete_response, extra);
+	snprintf(text, sizeof(text), "%s%s", response, extra);
 	raw_send_text(&raw[0], text);
 	assert_true(run_until(test->loop, has_request_or_connection, &wait));
 	if (raw[0].input.len > 0)
-		fail_msg("the connection was used after \"%s\"", extra);
+		fail_msg(
+		    "the connection was used after \"%s%s\"", response, extra);
 	next = raw_accept(&test->listener);
 	assert_true(raw_expect(&next, "\r\n\r\nbody"));
 	raw_send_text(&next, complete_response);
@@ -178,10 +180,83 @@
 	    "HTTP/1.1 503 Busy\r\nContent-Len",
 	    "x",
 	};
+	static const char *const responses[] = {
+	    complete_response,
+	    OK_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		    "0\r\n\r\n",
+	    OK_LINE "Content-Length: 0\r\n\r\n",
+	    OK_LINE "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	};
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(responses) / sizeof(*responses); i++) {
+		for (k = 0; k < sizeof(extras) / sizeof(*extras); k++)
+			end_call_with_extra(*state, responses[i], extras[k]);
+	}
+}
+
+static bool
+judge_by_status(void *ctx, const msp_call_result_t *result)
+{
+	(void)ctx;
+	return result->status == MSP_OK && result->response->status == 200;
+}
+
+/*
+ * Guards against a connection that stays one response behind: it must not be
+ * used again after a response that is another request's.
+ */
+static void
+connection_is_closed_after_a_foreign_response(void **state)
+{
+	static const struct {
+		const char *response;
+		bool closed;
+	} cases[] = {
+	    {OK_LINE "Content-Length: 2\r\n\r\nok", false},
+	    {OK_LINE "Content-Length: 0\r\n\r\n", false},
+	    {OK_LINE "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+		     "0\r\n\r\n",
+		false},
+	    {"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno", true},
+	    {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true},
+	    {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "2\r\nno\r\n0\r\n\r\n",
+		true},
+	    {"HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\n\r\n"
+	     "0\r\n\r\n",
+		true},
+	};
+	client_test_t *test = *state;
+	raw_socket_t raw;
 	size_t i;
 
-	for (i = 0; i < sizeof(extras) / sizeof(*extras); i++)
-		end_call_with_extra(*state, extras[i]);
+	test->options.judge = judge_by_status;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		start_test_call(test, "POST", "/a", &test->outcome);
+		raw = raw_accept(&test->listener);
+		assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+		raw_send_text(&raw, cases[i].response);
+		wait_outcome(test, cases[i].response);
+		assert_int_equal(test->outcome.status, MSP_OK);
+		raw_clear_input(&raw);
+		start_test_call(test, "POST", "/b", &test->outcome);
+		if (cases[i].closed) {
+			assert_true(raw_expect_close(&raw));
+			assert_int_equal(raw.input.len, 0);
+			raw_close(&raw);
+			raw = raw_accept(&test->listener);
+		}
+		if (!raw_expect(&raw, "\r\n\r\nbody"))
+			fail_msg("%s: the next call was not sent",
+			    cases[i].response);
+		raw_send_text(&raw, complete_response);
+		wait_outcome(test, cases[i].response);
+		assert_int_equal(test->outcome.status, MSP_OK);
+		raw_close(&raw);
+		msp_step_loop(test->loop, 20);
+	}
 }
 
 static void
@@ -274,6 +349,7 @@
 	    CASE(cancelled_call_has_no_callback),
 	    CASE(late_bytes_are_not_used_as_response),
 	    CASE(buffered_bytes_are_not_used_as_response),
+	    CASE(connection_is_closed_after_a_foreign_response),
 	    CASE(invalid_request_is_not_sent),
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
