--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -43,6 +43,11 @@
 		response.status = 503;
 	} else if (target->behaviour == TARGET_SENDS_BARE_429) {
 		response.status = 429;
+	} else if (target->behaviour == TARGET_CONTRADICTS_ITSELF) {
+		msp_add_header(&response.headers, "Not-Executed", "1");
+	} else if (target->behaviour == TARGET_DENIES_NOT_EXECUTED) {
+		response.status = 503;
+		msp_add_header(&response.headers, "Not-Executed", "0");
 	}
 	if (target->behaviour == TARGET_SENDS_WRONG_ID)
 		id = "another";
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -28,6 +28,9 @@
 	TARGET_FAILS, /* 500 */
 	TARGET_SENDS_BARE_503, /* signed, without Not-Executed */
 	TARGET_SENDS_BARE_429, /* the same with 429 */
+	/* 200 with signature and body that also says "not executed". */
+	TARGET_CONTRADICTS_ITSELF,
+	TARGET_DENIES_NOT_EXECUTED, /* 503 with Not-Executed: 0 */
 	TARGET_DELAYS, /* responds on answer_pending_request() */
 } target_behaviour_t;
 
