Close an idle connection that the HTTP library would pass over

What callers saw: after a HEAD, DELETE, PATCH or OPTIONS to a target, a later request could get the late response of an earlier one as its own ("ok" with the body "wrong"), or be cut.

Cause: libwebsockets opens a new connection for these methods, although the pool handed it an open one. That one stayed open with no entry in the pool, so that nobody checked it for late input or its end, counted it or closed it. With the next GET, POST or PUT of the same entry the library took it up again, while the pool believed that it opened a new connection. Now the pool closes it first.

--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <sys/socket.h>
 
@@ -225,6 +226,18 @@
 	lws_set_timeout(wsi, 1, LWS_TO_KILL_SYNC);
 }
 
+/*
+ * Whether libwebsockets sends a request with this method on an open connection.
+ * For others it opens a new one, leaves the open one as it is, and may use that
+ * for a later request.
+ */
+static bool
+reuses_connection(const char *method)
+{
+	return strcmp(method, "GET") == 0 || strcmp(method, "POST") == 0 ||
+	    strcmp(method, "PUT") == 0;
+}
+
 void
 msp_open_client_connection(
     msp_client_connection_t *connection, msp_call_t *call)
@@ -251,6 +264,8 @@
 
 	connection->call = call;
 	call->connection = connection;
+	if (!reuses_connection(call->request.method))
+		msp_close_client_connection(connection);
 	connection->socket_options_set = connection->wsi != NULL;
 	if (connection->wsi != NULL)
 		lws_set_opaque_user_data(connection->wsi, NULL);
