--- a/tests/process/test_edge_refusals.c
+++ b/tests/process/test_edge_refusals.c
@@ -18,6 +18,7 @@
 
 #define SHORT_TIMEOUTS \
 	",\"limits\":{\"head_timeout_ms\":300,\"body_timeout_ms\":300}"
+#define LIMITED_CALLERS 1400 /* for a daemon that takes 1200 */
 #define RUN_TIME (4 * MSP_SECOND)
 #define ALL_MANNERS ((1U << CALLER_MANNER_COUNT) - 1)
 
@@ -154,6 +155,101 @@
 	play_mixture(*state, &mixture, 1);
 }
 
+/*
+ * Guards against a request that runs although its connection was one too many.
+ */
+static void
+refused_requests_do_not_run_over_the_limit(void **state)
+{
+	static const mixture_t mixture = {"over the limit of connections",
+	    ALL_MANNERS, LIMITED_CALLERS, 4, 1000, 2000, 1000, 30 * MSP_MS,
+	    false, false};
+	edge_fixture_t *fixture = new_edge_fixture_with_settings(
+	    ",\"limits\":{\"max_connections\":1200,"
+	    "\"head_timeout_ms\":300,\"body_timeout_ms\":300}");
+
+	(void)state;
+	play_mixture(fixture, &mixture, 1);
+	drop_edge_fixture(fixture);
+}
+
+/* What happens to the daemon while callers are busy. */
+typedef struct signal_case {
+	const char *name;
+	unsigned int count; /* of callers */
+	unsigned int reloads; /* SIGHUP, and writes of the settings file */
+	unsigned int stops; /* SIGTERM */
+	msp_time_t between; /* two signals */
+} signal_case_t;
+
+static void
+play_signals(const signal_case_t *item, uint64_t seed)
+{
+	edge_fixture_t *fixture =
+	    new_edge_fixture_with_settings(SHORT_TIMEOUTS);
+	refusal_test_t test = {.targets = {.slots = 5,
+				   .queue_max = 4,
+				   .service_min = 2 * MSP_MS,
+				   .service_max = 100 * MSP_MS},
+	    .callers = {.rng = {seed},
+		.count = item->count,
+		.manners = ALL_MANNERS,
+		.deadline_min_ms = 200,
+		.deadline_max_ms = 2000,
+		.patience_ms = 100,
+		.stall = 300 * MSP_MS,
+		.pause_max = 30 * MSP_MS}};
+	unsigned int i;
+
+	begin_test(fixture, &test);
+	run_edge_callers(&test.callers, 500 * MSP_MS);
+	for (i = 0; i < item->reloads; i++) {
+		if (i % 2 == 0)
+			rewrite_edge_settings(fixture);
+		kill(fixture->pid, SIGHUP);
+		run_edge_callers(&test.callers, item->between);
+	}
+	for (i = 0; i < item->stops; i++) {
+		kill(fixture->pid, SIGTERM);
+		run_edge_callers(&test.callers, item->between);
+	}
+	if (item->stops > 0)
+		run_edge_callers(&test.callers, 3 * MSP_SECOND);
+	finish_edge_callers(&test.callers);
+	print_edge_callers(&test.callers, item->name);
+	check_run_ledger(test.targets.ledger, item->name);
+	assert_int_equal(test.targets.changed_count, 0);
+	if (item->stops > 0)
+		assert_int_equal(wait_edge_exit(fixture), 0);
+	close_edge_callers(&test.callers);
+	detach_busy_targets(&test.targets);
+	drop_run_ledger(test.targets.ledger);
+	drop_edge_fixture(fixture);
+}
+
+/*
+ * Guards against a request that runs although its caller was refused because
+ * the daemon stops or reads its settings again.
+ */
+static void
+refused_requests_do_not_run_around_signals(void **state)
+{
+	static const signal_case_t cases[] = {
+	    {"reloads", 200, 20, 0, 50 * MSP_MS},
+	    {"stop", 200, 0, 1, 50 * MSP_MS},
+	    {"two stops at once", 200, 0, 2, 0},
+	    {"two stops", 200, 0, 2, 700 * MSP_MS},
+	    {"stops all the time", 200, 0, 40, 50 * MSP_MS},
+	    {"reloads, then stops", 200, 4, 2, 1200 * MSP_MS},
+	    {"stop, few callers", 20, 0, 1, 50 * MSP_MS},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		play_signals(&cases[i], i + 1);
+}
+
 /*
  * Guards against 502 for a request with Expect, whose target then sends an
  * interim response although the edge has answered the field already.
@@ -200,6 +296,8 @@
 		requests_sent_early_do_no_harm, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		refused_requests_do_not_run, set_up, tear_down),
+	    cmocka_unit_test(refused_requests_do_not_run_over_the_limit),
+	    cmocka_unit_test(refused_requests_do_not_run_around_signals),
 	    cmocka_unit_test_setup_teardown(
 		requests_with_expect_are_served, set_up, tear_down),
 	};
--- a/tests/support/edge_callers.c
+++ b/tests/support/edge_callers.c
@@ -70,6 +70,8 @@
 	callers->cut_count += caller->id_count;
 	caller->id_count = 0;
 	caller->sent = 0;
+	caller->next_request =
+	    get_now(callers) + pick_below(callers, callers->pause_max + 1);
 	msp_clear_buffer(&caller->output);
 	msp_clear_buffer(&caller->input);
 }
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -20,7 +20,7 @@
 #include "free_port.h"
 
 #define ADDRESS "127.0.0.1"
-#define MAX_FDS 512
+#define MAX_FDS 4096
 #define WAIT_LIMIT (20 * MSP_SECOND)
 #define BODY "the whole answer"
 
