Take only the value 1 for the claim that a request was not executed

Callers would have got 502 for each request whose target sends the field with another value beside an executed request's own response: a signed 200 or 500 with 'Not-Executed: 0' counted as a contradiction, although it claims nothing. Now such a response is delivered as any other; a 503, 429 or 408 with it stays a refusal that states nothing, so 502.

--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -144,6 +144,13 @@
 	    /* "Not executed" that contradicts the rest of the response. */
 	    {200, {"request-id", "response-signature", "not-executed"},
 		{"abc", "s", "1"}, false, true, true, false, false, true, NULL},
+	    /* Any other value than 1 claims nothing. */
+	    {200, {"request-id", "response-signature", "not-executed"},
+		{"abc", "s", "0"}, false, true, true, false, false, false,
+		NULL},
+	    {500, {"request-id", "response-signature", "not-executed"},
+		{"abc", "s", "0"}, false, true, true, false, false, false,
+		NULL},
 	    {302, {"request-id", "not-executed"}, {"abc", "1"}, false, false,
 		true, false, false, true, NULL},
 	    {500, {"request-id", "not-executed"}, {"abc", "1"}, false, false,
