Test quarantine of a request while another of its kind runs

Strikes of two other VMs arrive while a request with the same path and body runs: the next one is refused and reaches no target, the running one gets its target's 200.

--- a/tests/process/test_edge_refusals.c
+++ b/tests/process/test_edge_refusals.c
@@ -274,6 +274,72 @@
 	    test.callers.statuses[200], test.callers.request_count);
 }
 
+static void
+set_behaviours(edge_fixture_t *fixture, target_behaviour_t behaviour)
+{
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = behaviour;
+}
+
+/* Appends the strikes of a VM whose target the request has crashed. */
+static void
+collect_strikes(msp_buffer_t *text)
+{
+	edge_fixture_t *fixture = new_edge_fixture_with_remote_vm();
+	caller_response_t response;
+	unsigned int i;
+
+	set_up_routes_and_targets(fixture);
+	set_behaviours(fixture, TARGET_EXITS);
+	send_edge_request(fixture, "POST", "/write/deadly", &response);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		put_edge_row(fixture, "servers", fixture->targets[i].id, NULL);
+	run_edge_until(fixture, &fixture->strike_message_count, 1);
+	msp_append_data(
+	    text, fixture->strike_text.data, fixture->strike_text.len);
+	drop_edge_fixture(fixture);
+}
+
+/*
+ * Guards against a refusal for a request that runs while another with the same
+ * path and body is put in quarantine.
+ */
+static void
+quarantine_refuses_only_what_has_not_run(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	msp_buffer_t strikes[2] = {{0}, {0}};
+	caller_response_t running;
+	caller_response_t refused;
+	unsigned int i;
+
+	for (i = 0; i < 2; i++)
+		collect_strikes(&strikes[i]);
+	set_up_routes_and_targets(fixture);
+	set_behaviours(fixture, TARGET_DELAYS);
+	start_edge_request(
+	    fixture, fixture->caller_port, "POST", "/write/deadly", &running);
+	while (count_target_requests(fixture) == 0)
+		step_edge_fixture(fixture);
+	for (i = 0; i < 2; i++)
+		assert_int_equal(
+		    post_strikes(fixture, msp_buffer_text(&strikes[i])), 204);
+	send_edge_request(fixture, "POST", "/write/deadly", &refused);
+	assert_int_equal(refused.http_status, 503);
+	assert_int_equal(count_target_requests(fixture), 1);
+	for (i = 0; i < EDGE_TARGETS; i++) {
+		if (fixture->targets[i].pending != NULL)
+			answer_pending_request(&fixture->targets[i]);
+	}
+	run_edge_until(fixture, &running.done, 1);
+	assert_int_equal(running.http_status, 200);
+	assert_int_equal(count_target_requests(fixture), 1);
+	for (i = 0; i < 2; i++)
+		msp_drop_buffer(&strikes[i]);
+}
+
 static int
 set_up(void **state)
 {
@@ -298,6 +364,8 @@
 		refused_requests_do_not_run, set_up, tear_down),
 	    cmocka_unit_test(refused_requests_do_not_run_over_the_limit),
 	    cmocka_unit_test(refused_requests_do_not_run_around_signals),
+	    cmocka_unit_test_setup_teardown(
+		quarantine_refuses_only_what_has_not_run, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		requests_with_expect_are_served, set_up, tear_down),
 	};
