--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -49,8 +49,10 @@
  * connection; the handler doesn't see them. libwebsockets itself handles two
  * cases differently: it closes the connection without a response if the head is
  * over 65,000 bytes, and answers garbage in place of the second or a later
- * request of a connection with an HTML page of status 403. Returns NULL on
- * failure, with the reason in msp_last_message().
+ * request of a connection with an HTML page of status 403. A request with a
+ * body that arrives before the end of the response to the previous one isn't
+ * read: the connection closes after that response. Returns NULL on failure,
+ * with the reason in msp_last_message().
  */
 msp_http_server_t *msp_new_http_server(
     msp_loop_t *loop, const msp_http_server_options_t *options);
