Soak real processes of the edge proxy with raw targets and clients

Tests of the edge used the project's own HTTP client and server on both sides, few requests, and no faults from outside.

--- /dev/null
+++ b/tests/process/test_soak.c
@@ -0,0 +1,84 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "soak.h"
+
+/*
+ * Short soaks of real processes; see tests/support/soak.h. A seed that has
+ * ever failed stays in the table.
+ */
+
+#define SECONDS 5
+#define VMS 3
+#define TARGETS 6
+#define PATH_SIZE 256
+
+typedef struct soak_case {
+	const char *name;
+	const char *profile;
+	uint64_t seed;
+} soak_case_t;
+
+static const soak_case_t cases[] = {
+    {"calm_targets_break_no_rule", "calm", 1},
+    /*
+     * An extra "not executed" response of an earlier request on a kept
+     * connection was taken for the response of the next one.
+     */
+    {"extra_responses_break_no_rule", "extra", 1},
+    {"closing_targets_break_no_rule", "close", 1},
+    {"full_targets_break_no_rule", "full", 1},
+    {"signals_break_no_rule", "signals", 1},
+    {"failing_targets_and_store_break_no_rule", "cut", 1},
+    {"all_faults_together_break_no_rule", "all", 1},
+};
+
+#define CASE_COUNT (sizeof(cases) / sizeof(*cases))
+
+static void
+plays_without_violation(void **state)
+{
+	const soak_case_t *soak_case = *state;
+	const char *out = getenv("OUT");
+	char spindled[PATH_SIZE];
+	soak_options_t options = {.seed = soak_case->seed,
+	    .seconds = SECONDS,
+	    .vms = VMS,
+	    .targets = TARGETS,
+	    .profile = soak_case->profile,
+	    .spindled = spindled,
+	    .keep_logs = getenv("FLEET_KEEP") != NULL};
+	soak_result_t result;
+
+	snprintf(spindled, sizeof(spindled), "%s/bin/spindled",
+	    out == NULL ? "build/release" : out);
+	assert_int_equal(run_soak(&options, &result), 0);
+	assert_true(result.served > 0);
+	if (count_soak_violations(&result) > 0)
+		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
+			 "%u, unasked %u, misrouted %u, crashed %u of %u "
+			 "requests; %s",
+		    (unsigned long long)soak_case->seed, result.refused_but_run,
+		    result.run_twice, result.mixed, result.unasked,
+		    result.misrouted, result.crashed, result.requests,
+		    result.folder);
+}
+
+int
+main(void)
+{
+	struct CMUnitTest tests[CASE_COUNT] = {{0}};
+	size_t i;
+
+	for (i = 0; i < CASE_COUNT; i++)
+		tests[i] = (struct CMUnitTest){.name = cases[i].name,
+		    .test_func = plays_without_violation,
+		    .initial_state = (void *)&cases[i]};
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/support/soak.h
@@ -0,0 +1,63 @@
+#ifndef SUPPORT_SOAK_H
+#define SUPPORT_SOAK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * A seeded soak of the edge proxy. Real spindled processes steer requests of
+ * clients to targets while faults occur. Clients and targets are plain sockets
+ * of the calling process; the platform's store is a child process. Whether a
+ * rule was broken is judged by what clients and targets saw.
+ *
+ * The seed determines the traffic and the faults, but not the order in which
+ * the processes are scheduled.
+ */
+
+typedef struct soak_options {
+	uint64_t seed;
+	unsigned int seconds; /* duration of the traffic */
+	unsigned int vms;
+	unsigned int targets;
+	double rate; /* requests per second; 0: that of the profile */
+	const char *profile; /* name; see soak_profile_name() */
+	const char *spindled; /* path of the program */
+	bool keep_logs; /* also if no rule was broken */
+} soak_options_t;
+
+/* What clients and targets saw. */
+typedef struct soak_result {
+	unsigned int requests;
+	unsigned int unsafe; /* of them, those that must not run twice */
+	unsigned int served; /* 2xx */
+	unsigned int refused; /* 408, 421, 429 or 503 */
+	unsigned int failed; /* any other status */
+	unsigned int cut; /* the connection ended without an answer */
+	unsigned int left; /* the client gave up */
+	unsigned int runs; /* by targets */
+	unsigned int shed; /* by targets, with "not executed" */
+	unsigned int extra; /* extra responses that targets sent */
+	unsigned int faults; /* injected into processes, store and links */
+	/* Violations. */
+	unsigned int refused_but_run;
+	unsigned int run_twice;
+	unsigned int mixed; /* an answer of another request, or damaged */
+	unsigned int unasked; /* run with an id or content nobody sent */
+	unsigned int misrouted; /* run by a target of another service */
+	unsigned int crashed; /* processes that ended by themselves */
+	char folder[64]; /* of settings, logs and violations; "": removed */
+} soak_result_t;
+
+/* Returns the name of the profile, or NULL after the last. */
+const char *soak_profile_name(unsigned int index);
+
+/*
+ * Returns 0 if the soak ran, or -1 with a message on standard error. Lists the
+ * first violations on standard error.
+ */
+int run_soak(const soak_options_t *options, soak_result_t *result);
+
+/* Number of violations of any rule. */
+unsigned int count_soak_violations(const soak_result_t *result);
+
+#endif
--- /dev/null
+++ b/tests/support/soak_client.c
@@ -0,0 +1,339 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "monsoonspindle/base/hash.h"
+#include "soak_private.h"
+
+#define RETRIES_MAX 3 /* of a request that was refused */
+#define CONNECT_TIME_MAX MSP_SECOND
+#define ANSWER_SLACK (500 * MSP_MS) /* after the deadline */
+#define IDLE_TIME_MAX (12 * MSP_SECOND)
+#define PIECE_PAUSE_MAX (30 * MSP_MS)
+#define PIECES_MAX 4
+#define LEAVE_MIN (5 * MSP_MS)
+#define LEAVE_MAX (400 * MSP_MS)
+#define OBJECTS 80
+#define HTTP_OK 200
+
+/* A connection to a VM, with or without a request. */
+struct soak_client {
+	soak_t *soak;
+	soak_vm_t *vm;
+	TAILQ_ENTRY(soak_client) link; /* of soak->clients or vm->idle */
+	soak_stream_t stream;
+	soak_request_t *request; /* NULL while idle */
+	unsigned int retries_left;
+	bool is_probe;
+	msp_buffer_t rest; /* of the request, sent later */
+	soak_timer_t piece;
+	soak_timer_t end; /* gives up */
+	msp_time_t idle_since;
+};
+
+static void start_request(
+    soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe);
+
+static void
+free_client(soak_client_t *client)
+{
+	soak_t *soak = client->soak;
+
+	if (client->request != NULL)
+		TAILQ_REMOVE(&soak->clients, client, link);
+	else
+		TAILQ_REMOVE(&client->vm->idle, client, link);
+	clear_soak_timer(soak->loop, &client->piece);
+	clear_soak_timer(soak->loop, &client->end);
+	close_soak_stream(&client->stream);
+	msp_drop_buffer(&client->rest);
+	free(client);
+}
+
+static void
+send_piece(void *ctx)
+{
+	soak_client_t *client = ctx;
+	soak_loop_t *loop = client->soak->loop;
+	size_t len = 1 + soak_random(loop, client->rest.len);
+
+	if (soak_random(loop, PIECES_MAX) == 0)
+		len = client->rest.len;
+	send_soak_data(&client->stream, client->rest.data, len);
+	client->rest.len -= len;
+	memmove(client->rest.data, client->rest.data + len, client->rest.len);
+	if (client->rest.len > 0)
+		set_soak_timer(loop, &client->piece,
+		    soak_now() + soak_between(loop, 0, PIECE_PAUSE_MAX));
+}
+
+static void
+give_up(void *ctx)
+{
+	soak_client_t *client = ctx;
+
+	record_soak_end(client->request, SOAK_LEFT);
+	free_client(client);
+}
+
+/* Makes the connection available for the next request, or closes it. */
+static void
+end_request(soak_client_t *client, bool reusable)
+{
+	soak_t *soak = client->soak;
+
+	clear_soak_timer(soak->loop, &client->end);
+	if (!reusable || client->rest.len > 0) {
+		free_client(client);
+		return;
+	}
+	TAILQ_REMOVE(&soak->clients, client, link);
+	client->request = NULL;
+	client->idle_since = soak_now();
+	TAILQ_INSERT_HEAD(&client->vm->idle, client, link);
+}
+
+static soak_vm_t *
+pick_vm(soak_t *soak)
+{
+	return &soak->vms[soak_random(soak->loop, soak->options->vms)];
+}
+
+static void
+handle_answer(soak_client_t *client, const soak_message_t *message)
+{
+	soak_t *soak = client->soak;
+	soak_request_t *request = client->request;
+	unsigned int retries_left = client->retries_left;
+	char text[64] = "";
+	bool closes =
+	    get_soak_field(message, "Connection", text, sizeof(text)) &&
+	    strcasecmp(text, "close") == 0;
+
+	record_soak_answer(&soak->ledger, request, message);
+	if (request == NULL) {
+		free_client(client);
+		return;
+	}
+	if (message->status == HTTP_OK)
+		client->vm->served++;
+	end_request(client, !closes);
+	if (is_soak_promise(message->status) && retries_left > 0 &&
+	    !soak->finishing &&
+	    soak_chance(soak->loop, soak->profile->retrying))
+		start_request(
+		    pick_vm(soak), request->safe, retries_left - 1, false);
+}
+
+static void
+handle_input(void *ctx, bool closed)
+{
+	soak_client_t *client = ctx;
+	soak_message_t message;
+
+	switch (take_soak_message(&client->stream.in, true, &message)) {
+	case SOAK_COMPLETE:
+		handle_answer(client, &message);
+		drop_soak_message(&message);
+		return;
+	case SOAK_MALFORMED:
+		client->soak->result->mixed++;
+		report_soak(&client->soak->ledger, "MIXED",
+		    "id=%s vm=%u: no response: \"%.40s\"",
+		    client->request == NULL ? "-" : client->request->id,
+		    client->vm->index, client->stream.in.data);
+		closed = true;
+		break;
+	default:
+		break;
+	}
+	if (!closed)
+		return;
+	if (client->request != NULL)
+		record_soak_end(client->request, SOAK_CUT);
+	free_client(client);
+}
+
+/* Returns an open idle connection, or NULL. */
+static soak_client_t *
+take_idle_client(soak_vm_t *vm)
+{
+	soak_client_t *client;
+	soak_client_t *next;
+
+	TAILQ_FOREACH_SAFE(client, &vm->idle, link, next) {
+		if (client->idle_since + IDLE_TIME_MAX > soak_now() &&
+		    client->stream.in.len == 0) {
+			TAILQ_REMOVE(&vm->idle, client, link);
+			return client;
+		}
+		free_client(client);
+	}
+	return NULL;
+}
+
+static soak_client_t *
+new_client(soak_vm_t *vm)
+{
+	int fd = connect_soak_socket(vm->front);
+	soak_client_t *client;
+
+	if (fd < 0)
+		return NULL;
+	client = calloc(1, sizeof(*client));
+	if (client == NULL)
+		abort();
+	client->soak = vm->soak;
+	client->vm = vm;
+	client->stream.on_input = handle_input;
+	client->stream.ctx = client;
+	client->piece = (soak_timer_t){.fire = send_piece, .ctx = client};
+	client->end = (soak_timer_t){.fire = give_up, .ctx = client};
+	open_soak_stream(vm->soak->loop, &client->stream, fd);
+	return client;
+}
+
+static void
+append_body(soak_loop_t *loop, const msp_buffer_t *body, msp_buffer_t *out)
+{
+	size_t at = 0;
+	size_t len;
+
+	for (; at < body->len; at += len) {
+		len = 1 + soak_random(loop, body->len - at);
+		msp_append_printf(out, "%zx\r\n", len);
+		msp_append_data(out, body->data + at, len);
+		msp_append_printf(out, "\r\n");
+	}
+	msp_append_printf(out, "0\r\n\r\n");
+}
+
+static void
+write_request(soak_t *soak, soak_request_t *request, uint32_t deadline_ms,
+    msp_buffer_t *out)
+{
+	msp_buffer_t body = {0};
+	size_t size = 0;
+
+	snprintf(request->method, sizeof(request->method), "%s",
+	    request->safe ? "GET" : "POST");
+	snprintf(request->path, sizeof(request->path), "/%c%c/%x",
+	    request->safe ? 'r' : 'w',
+	    'a' + (int)soak_random(soak->loop, SOAK_SERVICES),
+	    (unsigned int)soak_random(soak->loop, OBJECTS));
+	if (!request->safe)
+		size = soak_random(soak->loop, 4) == 0
+		    ? soak_random(soak->loop, 40000)
+		    : 1 + soak_random(soak->loop, 900);
+	while (body.len < size)
+		msp_append_printf(&body, "%s+%zu ", request->id, body.len);
+	request->body_hash = msp_hash(body.data, body.len, 0);
+	msp_append_printf(out,
+	    "%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
+	    "Cookie: Affinity-Key=%u\r\nDeadline-Ms: %u\r\n",
+	    request->method, request->path, request->id,
+	    (unsigned int)soak_random(soak->loop, OBJECTS), deadline_ms);
+	if (body.len > 0 && soak_chance(soak->loop, soak->profile->chunked)) {
+		msp_append_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
+		append_body(soak->loop, &body, out);
+	} else if (!request->safe) {
+		msp_append_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
+		msp_append_data(out, body.data, body.len);
+	} else {
+		msp_append_printf(out, "\r\n");
+	}
+	msp_drop_buffer(&body);
+}
+
+static void
+start_request(
+    soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe)
+{
+	soak_t *soak = vm->soak;
+	const soak_profile_t *profile = soak->profile;
+	soak_client_t *client = soak_chance(soak->loop, profile->fresh)
+	    ? NULL
+	    : take_idle_client(vm);
+	uint32_t deadline_ms = (uint32_t)soak_between(
+	    soak->loop, profile->deadline_ms / 10, profile->deadline_ms);
+	msp_time_t end = soak_now() + deadline_ms * MSP_MS + ANSWER_SLACK;
+	msp_buffer_t out = {0};
+
+	if (client == NULL)
+		client = new_client(vm);
+	if (client == NULL)
+		return;
+	client->request = new_soak_request(&soak->ledger,
+	    msp_next_random(
+		&(msp_rng_t){.state = soak_random(soak->loop, UINT64_MAX)}));
+	client->request->safe = safe;
+	client->request->vm = vm->index;
+	client->retries_left = retries_left;
+	client->is_probe = is_probe;
+	TAILQ_INSERT_TAIL(&soak->clients, client, link);
+	write_request(soak, client->request, deadline_ms, &out);
+	if (soak_chance(soak->loop, profile->leaving))
+		end =
+		    soak_now() + soak_between(soak->loop, LEAVE_MIN, LEAVE_MAX);
+	set_soak_timer(soak->loop, &client->end, end);
+	msp_clear_buffer(&client->rest);
+	if (soak_chance(soak->loop, profile->split)) {
+		msp_append_data(&client->rest, out.data, out.len);
+		send_piece(client);
+	} else {
+		send_soak_data(&client->stream, out.data, out.len);
+	}
+	msp_drop_buffer(&out);
+}
+
+void
+probe_soak_vm(soak_vm_t *vm)
+{
+	start_request(vm, true, 0, true);
+}
+
+static void
+handle_arrival(void *ctx)
+{
+	soak_t *soak = ctx;
+	msp_time_t due = soak->arrival.due;
+
+	if (soak->finishing)
+		return;
+	start_request(pick_vm(soak),
+	    soak_chance(soak->loop, soak->profile->safe), RETRIES_MAX, false);
+	set_soak_timer(soak->loop, &soak->arrival,
+	    due + soak_interval(soak->loop, soak->rate));
+}
+
+void
+open_soak_clients(soak_t *soak)
+{
+	unsigned int i;
+
+	TAILQ_INIT(&soak->clients);
+	for (i = 0; i < soak->options->vms; i++)
+		TAILQ_INIT(&soak->vms[i].idle);
+}
+
+void
+start_soak_traffic(soak_t *soak)
+{
+	soak->arrival = (soak_timer_t){.fire = handle_arrival, .ctx = soak};
+	set_soak_timer(soak->loop, &soak->arrival, soak_now());
+}
+
+void
+stop_soak_clients(soak_t *soak)
+{
+	soak_client_t *client;
+	soak_client_t *next;
+	unsigned int i;
+
+	clear_soak_timer(soak->loop, &soak->arrival);
+	TAILQ_FOREACH_SAFE(client, &soak->clients, link, next)
+		give_up(client);
+	for (i = 0; i < soak->options->vms; i++) {
+		TAILQ_FOREACH_SAFE(client, &soak->vms[i].idle, link, next)
+			free_client(client);
+	}
+}
--- /dev/null
+++ b/tests/support/soak_ledger.h
@@ -0,0 +1,69 @@
+#ifndef SUPPORT_SOAK_LEDGER_H
+#define SUPPORT_SOAK_LEDGER_H
+
+#include <stdio.h>
+
+#include "monsoonspindle/base/env.h"
+#include "monsoonspindle/base/map.h"
+#include "soak.h"
+#include "soak_message.h"
+
+#define SOAK_ID_SIZE 17
+#define SOAK_NO_ANSWER 0
+#define SOAK_CUT (-1) /* the connection ended without an answer */
+#define SOAK_LEFT (-2) /* the client left */
+
+/* A request of a client, and all that happened to it. */
+typedef struct soak_request {
+	char id[SOAK_ID_SIZE];
+	char method[8];
+	char path[48]; /* its third character names the service */
+	uint64_t body_hash;
+	unsigned int vm;
+	bool safe; /* may run more than once */
+	int answer; /* status, or SOAK_CUT, SOAK_LEFT, SOAK_NO_ANSWER */
+	unsigned int runs;
+	msp_time_t sent_at;
+	msp_time_t answered_at;
+	msp_time_t ran_at; /* first */
+	char ran_by[64]; /* target, and the number of requests and extra
+			    responses on that connection before */
+	char answered_with[32]; /* first bytes of the body */
+} soak_request_t;
+
+typedef struct soak_ledger {
+	msp_map_t *requests; /* soak_request_t by id */
+	soak_result_t *result;
+	msp_time_t started;
+	FILE *report; /* of violations */
+} soak_ledger_t;
+
+int open_soak_ledger(soak_ledger_t *ledger, soak_result_t *result);
+void close_soak_ledger(soak_ledger_t *ledger);
+
+/* Adds a request; the id is drawn from `number`. */
+soak_request_t *new_soak_request(soak_ledger_t *ledger, uint64_t number);
+
+/* Returns the request that a target begins to run, or NULL. */
+soak_request_t *record_soak_run(soak_ledger_t *ledger,
+    const soak_message_t *message, const char *service, const char *ran_by);
+
+/* Checks and records a client's answer; NULL: a connection without request. */
+void record_soak_answer(soak_ledger_t *ledger, soak_request_t *request,
+    const soak_message_t *message);
+void record_soak_end(soak_request_t *request, int answer);
+
+/* Fills in the counts after the last answer. */
+void judge_soak(soak_ledger_t *ledger);
+
+/* The value of a target's signature for a response. */
+uint64_t sign_soak_response(
+    const char *id, int status, const msp_buffer_t *body);
+
+/* Writes one line about a violation. */
+void report_soak(soak_ledger_t *ledger, const char *rule, const char *format,
+    ...) __attribute__((format(printf, 3, 4)));
+
+bool is_soak_promise(int status);
+
+#endif
--- /dev/null
+++ b/tests/support/soak_private.h
@@ -0,0 +1,167 @@
+#ifndef SUPPORT_SOAK_PRIVATE_H
+#define SUPPORT_SOAK_PRIVATE_H
+
+#include <sys/types.h>
+
+#include <bsd/sys/queue.h>
+
+#include "soak.h"
+#include "soak_ledger.h"
+#include "soak_loop.h"
+
+#define SOAK_ZONES 3
+#define SOAK_SERVICES 2
+#define SOAK_VMS_MAX 16
+#define SOAK_TARGETS_MAX 64
+
+/* Faults that a profile may inject, as bits. */
+typedef enum soak_fault {
+	SOAK_TERM = 1 << 0, /* SIGTERM, then a restart */
+	SOAK_KILL = 1 << 1, /* SIGKILL, then a restart */
+	SOAK_FREEZE = 1 << 2, /* SIGSTOP and SIGCONT */
+	SOAK_RELOAD = 1 << 3, /* SIGHUP with changed settings */
+	SOAK_CRASH = 1 << 4, /* of a target */
+	SOAK_DRAIN = 1 << 5, /* of a target, then a restart */
+	SOAK_SLOW = 1 << 6, /* a target is slow for a time */
+	SOAK_STORE_DOWN = 1 << 7,
+	SOAK_STORE_SLOW = 1 << 8,
+	SOAK_CUT_TARGET = 1 << 9, /* all connections of a target are reset */
+	SOAK_SILENT = 1 << 10, /* a link between VMs and a target is silent */
+	SOAK_BURST = 1 << 11, /* of requests */
+	SOAK_FAULT_COUNT = 12,
+} soak_fault_t;
+
+/* How often targets and clients do what is unusual: probabilities. */
+typedef struct soak_profile {
+	const char *name;
+	double rate; /* requests per second */
+	double safe; /* share of requests that may run twice */
+	uint32_t work_ms; /* of a request at a target, on average */
+	uint32_t slots; /* of each target */
+	uint32_t queue; /* of each target */
+	uint32_t keep_ms; /* idle timeout of targets; 0: a mix */
+	uint32_t max_connections; /* of each target */
+	uint32_t deadline_ms; /* longest of clients; the shortest is a tenth */
+	double extra; /* a copy of the response follows it */
+	double extra_refusal; /* a "not executed" follows the response */
+	double late; /* of these: follow after some ms */
+	double truncated; /* response without its end */
+	double garbage; /* bytes that are no response */
+	double lost; /* the connection is closed without a response */
+	double failed; /* 500 */
+	double closing; /* Connection: close */
+	double bare; /* refusals without Request-Id */
+	double split; /* responses and requests in pieces */
+	double chunked; /* request bodies */
+	double leaving; /* clients that leave early */
+	double retrying; /* clients that retry at once after a promise */
+	double fresh; /* requests on a new connection */
+	double faults; /* per second */
+	unsigned int fault_kinds; /* soak_fault_t */
+} soak_profile_t;
+
+typedef struct soak soak_t;
+typedef struct soak_conn soak_conn_t;
+typedef struct soak_client soak_client_t;
+
+LIST_HEAD(soak_conn_list, soak_conn);
+TAILQ_HEAD(soak_conn_queue, soak_conn);
+TAILQ_HEAD(soak_client_queue, soak_client);
+
+typedef struct soak_target {
+	soak_t *soak;
+	char id[24];
+	unsigned int index;
+	unsigned int starts;
+	char service[4];
+	char zone[4];
+	uint16_t port;
+	uint64_t born; /* Unix milliseconds */
+	uint64_t seq;
+	uint32_t keep_ms;
+	double speed; /* factor on its work */
+	bool reports_load;
+	bool up;
+	bool draining;
+	bool silent; /* neither reads nor answers */
+	soak_stream_t listener;
+	struct soak_conn_list conns;
+	unsigned int conn_count;
+	struct soak_conn_queue waiting;
+	unsigned int waiting_count;
+	unsigned int running;
+	soak_timer_t heartbeat;
+	soak_timer_t change; /* end of slowness, of draining or of a crash */
+} soak_target_t;
+
+/* A process of the daemon. */
+typedef struct soak_vm {
+	soak_t *soak;
+	unsigned int index;
+	pid_t pid; /* 0 while it does not run */
+	bool expected_end; /* a signal that ends it was sent */
+	bool frozen;
+	unsigned int served; /* responses with status 200 */
+	uint16_t front;
+	uint16_t ready;
+	uint16_t directory;
+	uint16_t metrics;
+	uint16_t peer;
+	char settings[128];
+	char log[128];
+	struct soak_client_queue idle; /* open connections without a request */
+	soak_timer_t change; /* next step of the current fault */
+} soak_vm_t;
+
+struct soak {
+	const soak_options_t *options;
+	const soak_profile_t *profile;
+	soak_result_t *result;
+	soak_loop_t *loop;
+	soak_ledger_t ledger;
+	double rate;
+	bool finishing; /* no more requests and faults */
+	soak_target_t targets[SOAK_TARGETS_MAX];
+	soak_vm_t vms[SOAK_VMS_MAX];
+	struct soak_client_queue clients; /* with a request */
+	soak_timer_t arrival;
+	soak_timer_t fault;
+	soak_timer_t burst_end;
+	soak_timer_t store_end;
+	soak_timer_t reap;
+	pid_t store_pid;
+	int store_pipe; /* commands to the store */
+	uint16_t store_port;
+};
+
+const soak_profile_t *find_soak_profile(const char *name);
+
+/* The platform's store, a child process. */
+int start_soak_store(soak_t *soak);
+void stop_soak_store(soak_t *soak);
+void put_soak_row(soak_t *soak, const char *key, const char *value);
+void command_soak_store(soak_t *soak, const char *command, unsigned int value);
+void put_soak_routes(soak_t *soak);
+
+int start_soak_targets(soak_t *soak);
+void stop_soak_targets(soak_t *soak);
+void crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back);
+void drain_soak_target(soak_target_t *target);
+void slow_soak_target(soak_target_t *target, msp_time_t duration);
+void silence_soak_target(soak_target_t *target, msp_time_t duration);
+void cut_soak_target(soak_target_t *target);
+
+void open_soak_clients(soak_t *soak);
+void start_soak_traffic(soak_t *soak);
+/* Sends a request that may run twice to one VM. */
+void probe_soak_vm(soak_vm_t *vm);
+void stop_soak_clients(soak_t *soak);
+
+int start_soak_vms(soak_t *soak);
+void stop_soak_vms(soak_t *soak);
+void signal_soak_vm(soak_vm_t *vm, int signal);
+void reload_soak_vm(soak_vm_t *vm);
+
+void start_soak_faults(soak_t *soak);
+
+#endif
--- /dev/null
+++ b/tests/support/soak_profiles.c
@@ -0,0 +1,89 @@
+#include <string.h>
+
+#include "soak_private.h"
+
+#define SIGNALS (SOAK_TERM | SOAK_KILL | SOAK_FREEZE | SOAK_RELOAD)
+#define TARGETS (SOAK_CRASH | SOAK_DRAIN | SOAK_SLOW | SOAK_CUT_TARGET)
+#define LINKS SOAK_SILENT
+#define STORE (SOAK_STORE_DOWN | SOAK_STORE_SLOW)
+
+/* What all profiles have in common. */
+#define COMMON                                                     \
+	.safe = 0.5, .work_ms = 60, .slots = 8, .queue = 4,        \
+	.max_connections = 200, .deadline_ms = 2500, .split = 0.2, \
+	.chunked = 0.3, .retrying = 0.5, .fresh = 0.1
+
+static const soak_profile_t profiles[] = {
+    {.name = "calm", COMMON, .rate = 300, .failed = 0.005, .closing = 0.01},
+    {.name = "extra",
+	COMMON,
+	.rate = 300,
+	.extra = 0.05,
+	.extra_refusal = 0.05,
+	.late = 0.7,
+	.failed = 0.005,
+	.closing = 0.01},
+    {.name = "close",
+	COMMON,
+	.rate = 300,
+	.keep_ms = 1000,
+	.closing = 0.1,
+	.lost = 0.01,
+	.truncated = 0.01,
+	.garbage = 0.005,
+	.leaving = 0.05},
+    {.name = "full",
+	COMMON,
+	.rate = 1500,
+	.closing = 0.01,
+	.bare = 0.3,
+	.failed = 0.005,
+	.faults = 0.5,
+	.fault_kinds = SOAK_BURST | SOAK_SLOW},
+    {.name = "signals",
+	COMMON,
+	.rate = 400,
+	.closing = 0.01,
+	.leaving = 0.02,
+	.faults = 2,
+	.fault_kinds = SIGNALS},
+    {.name = "cut",
+	COMMON,
+	.rate = 400,
+	.closing = 0.01,
+	.lost = 0.005,
+	.faults = 2,
+	.fault_kinds = TARGETS | LINKS | STORE},
+    {.name = "all",
+	COMMON,
+	.rate = 500,
+	.closing = 0.02,
+	.lost = 0.005,
+	.truncated = 0.005,
+	.garbage = 0.002,
+	.failed = 0.005,
+	.bare = 0.1,
+	.leaving = 0.05,
+	.faults = 3,
+	.fault_kinds = SIGNALS | TARGETS | LINKS | STORE | SOAK_BURST},
+};
+
+#define PROFILE_COUNT (sizeof(profiles) / sizeof(*profiles))
+
+const char *
+soak_profile_name(unsigned int index)
+{
+	return index < PROFILE_COUNT ? profiles[index].name : NULL;
+}
+
+const soak_profile_t *
+find_soak_profile(const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; i < PROFILE_COUNT; i++) {
+		if (strcmp(profiles[i].name, name) == 0)
+			return &profiles[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/tests/support/soak_target.c
@@ -0,0 +1,605 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "free_port.h"
+#include "soak_private.h"
+
+#define HEARTBEAT (1500 * MSP_MS)
+#define ROW_LIFE (3 * HEARTBEAT)
+#define DRAIN_TIME (3500 * MSP_MS)
+#define LATE_MAX (400 * MSP_MS) /* of an extra response */
+#define PIECE_PAUSE_MAX (4 * MSP_MS)
+#define SLOW_FACTOR 8
+#define HEALTH_WORK MSP_MS
+#define HTTP_OK 200
+#define HTTP_MISDIRECTED 421
+#define HTTP_SERVER_ERROR 500
+#define HTTP_UNAVAILABLE 503
+#define HTTP_GATEWAY_TIMEOUT 504
+
+/* A connection from a VM; it carries one request at a time. */
+struct soak_conn {
+	soak_target_t *target;
+	LIST_ENTRY(soak_conn) link;
+	TAILQ_ENTRY(soak_conn) wait_link;
+	soak_stream_t stream;
+	soak_message_t message; /* the current request */
+	char request_id[64];
+	bool busy; /* has a request */
+	bool waiting; /* for a slot */
+	bool running;
+	bool is_probe;
+	bool ending; /* sends nothing more */
+	int status; /* of the response once the work is done */
+	unsigned int number; /* of the current request, from 1 */
+	unsigned int extra_count;
+	msp_time_t deadline;
+	soak_timer_t work; /* end of the work, or of the time in the queue */
+	soak_timer_t idle;
+	soak_timer_t late; /* sends `late_data` */
+	msp_buffer_t late_data;
+};
+
+static void handle_input(void *ctx, bool closed);
+static void start_waiting(soak_target_t *target);
+
+static void
+leave_slot(soak_conn_t *conn)
+{
+	soak_target_t *target = conn->target;
+
+	clear_soak_timer(target->soak->loop, &conn->work);
+	if (conn->waiting) {
+		TAILQ_REMOVE(&target->waiting, conn, wait_link);
+		target->waiting_count--;
+	}
+	if (conn->running)
+		target->running--;
+	conn->waiting = conn->running = false;
+}
+
+static void
+free_conn(soak_conn_t *conn, bool reset)
+{
+	soak_target_t *target = conn->target;
+
+	leave_slot(conn);
+	clear_soak_timer(target->soak->loop, &conn->idle);
+	clear_soak_timer(target->soak->loop, &conn->late);
+	LIST_REMOVE(conn, link);
+	target->conn_count--;
+	if (reset)
+		reset_soak_stream(&conn->stream);
+	else
+		close_soak_stream(&conn->stream);
+	drop_soak_message(&conn->message);
+	msp_drop_buffer(&conn->late_data);
+	free(conn);
+}
+
+static void
+append_response(
+    const soak_conn_t *conn, int status, bool refuses, msp_buffer_t *out)
+{
+	const soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	msp_buffer_t body = {0};
+	bool bare = refuses && soak_chance(soak->loop, soak->profile->bare);
+	size_t size = 0;
+
+	if (!refuses && !conn->is_probe)
+		size = soak_random(soak->loop, 4) == 0
+		    ? soak_random(soak->loop, 20000)
+		    : soak_random(soak->loop, 400);
+	msp_append_printf(&body, "%s by %s ", conn->request_id, target->id);
+	while (body.len < size)
+		msp_append_printf(&body, "%zx.", body.len);
+	msp_append_printf(out, "HTTP/1.1 %d Status\r\n", status);
+	if (!bare && conn->request_id[0] != '\0')
+		msp_append_printf(out, "Request-Id: %s\r\n", conn->request_id);
+	if (refuses)
+		msp_append_printf(out, "Not-Executed: 1\r\n");
+	else if (!conn->is_probe)
+		msp_append_printf(out, "Response-Signature: %016" PRIx64 "\r\n",
+		    sign_soak_response(conn->request_id, status, &body));
+	if (conn->is_probe)
+		msp_append_printf(out, "Instance-Id: %s\r\n", target->id);
+	if (target->reports_load)
+		msp_append_printf(out, "Server-Load: %u,%u,%u\r\n",
+		    target->running, target->waiting_count,
+		    soak->profile->slots);
+	if (conn->ending)
+		msp_append_printf(out, "Connection: close\r\n");
+	else if (target->keep_ms >= 1000)
+		msp_append_printf(
+		    out, "Keep-Alive: timeout=%u\r\n", target->keep_ms / 1000);
+	msp_append_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
+	msp_append_data(out, body.data, body.len);
+	msp_drop_buffer(&body);
+}
+
+static void
+send_late_data(void *ctx)
+{
+	soak_conn_t *conn = ctx;
+
+	send_soak_data(
+	    &conn->stream, conn->late_data.data, conn->late_data.len);
+	msp_clear_buffer(&conn->late_data);
+	if (conn->ending)
+		finish_soak_stream(&conn->stream);
+}
+
+/* Sends a copy of the response, or a refusal, after the response. */
+static void
+send_extra(soak_conn_t *conn, const msp_buffer_t *response)
+{
+	soak_t *soak = conn->target->soak;
+	const soak_profile_t *profile = soak->profile;
+	bool copies = soak_chance(soak->loop, profile->extra);
+	msp_buffer_t extra = {0};
+
+	if (!copies && !soak_chance(soak->loop, profile->extra_refusal))
+		return;
+	soak->result->extra++;
+	conn->extra_count++;
+	if (copies)
+		msp_append_data(&extra, response->data, response->len);
+	else
+		append_response(conn, HTTP_UNAVAILABLE, true, &extra);
+	if (conn->late.slot != 0 || conn->late_data.len > 0 ||
+	    !soak_chance(soak->loop, profile->late)) {
+		send_soak_data(&conn->stream, extra.data, extra.len);
+	} else {
+		msp_append_data(&conn->late_data, extra.data, extra.len);
+		set_soak_timer(soak->loop, &conn->late,
+		    soak_now() + soak_between(soak->loop, 0, LATE_MAX));
+	}
+	msp_drop_buffer(&extra);
+}
+
+static void
+wait_for_request(soak_conn_t *conn)
+{
+	soak_target_t *target = conn->target;
+
+	conn->busy = false;
+	drop_soak_message(&conn->message);
+	set_soak_timer(target->soak->loop, &conn->idle,
+	    soak_now() + target->keep_ms * MSP_MS);
+	if (conn->stream.in.len > 0)
+		handle_input(conn, false);
+}
+
+/* Sends the response; the connection may be gone afterwards. */
+static void
+respond(soak_conn_t *conn, int status, bool refuses)
+{
+	soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	const soak_profile_t *profile = soak->profile;
+	msp_buffer_t out = {0};
+	size_t len;
+
+	leave_slot(conn);
+	if (soak_chance(soak->loop, profile->lost)) {
+		free_conn(conn, soak_chance(soak->loop, 0.5));
+		goto next;
+	}
+	conn->ending =
+	    target->draining || soak_chance(soak->loop, profile->closing);
+	if (soak_chance(soak->loop, profile->garbage)) {
+		send_soak_data(&conn->stream, "\x01\x02garbage\r\n\r\n", 13);
+		conn->ending = true;
+		finish_soak_stream(&conn->stream);
+		goto next;
+	}
+	append_response(conn, status, refuses, &out);
+	len = out.len;
+	if (soak_chance(soak->loop, profile->truncated)) {
+		len = 1 + soak_random(soak->loop, out.len - 1);
+		conn->ending = true;
+	} else if (!refuses && !conn->late_data.len &&
+	    soak_chance(soak->loop, profile->split)) {
+		len = 1 + soak_random(soak->loop, out.len - 1);
+		msp_append_data(
+		    &conn->late_data, out.data + len, out.len - len);
+		set_soak_timer(soak->loop, &conn->late,
+		    soak_now() + soak_between(soak->loop, 0, PIECE_PAUSE_MAX));
+	}
+	send_soak_data(&conn->stream, out.data, len);
+	if (len == out.len && !conn->is_probe)
+		send_extra(conn, &out);
+	if (conn->ending && conn->late.slot == 0)
+		finish_soak_stream(&conn->stream);
+	if (!conn->ending)
+		wait_for_request(conn);
+next:
+	msp_drop_buffer(&out);
+	start_waiting(target);
+}
+
+static void
+handle_work_end(void *ctx)
+{
+	soak_conn_t *conn = ctx;
+	soak_target_t *target = conn->target;
+
+	if (target->silent) {
+		set_soak_timer(
+		    target->soak->loop, &conn->work, target->change.due + 1);
+		return;
+	}
+	if (!conn->waiting) {
+		respond(conn, conn->status, false);
+		return;
+	}
+	target->soak->result->shed++;
+	respond(conn, HTTP_UNAVAILABLE, true);
+}
+
+static void
+start_work(soak_conn_t *conn)
+{
+	soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	msp_time_t work =
+	    (msp_time_t)((double)soak_between(soak->loop,
+			     soak->profile->work_ms * MSP_MS / 3,
+			     soak->profile->work_ms * MSP_MS * 5 / 3) *
+		target->speed);
+	msp_time_t now = soak_now();
+	char ran_by[64];
+
+	conn->running = true;
+	target->running++;
+	conn->status = HTTP_OK;
+	if (conn->is_probe) {
+		if (target->draining)
+			conn->status = HTTP_UNAVAILABLE;
+		set_soak_timer(soak->loop, &conn->work, now + HEALTH_WORK);
+		return;
+	}
+	snprintf(ran_by, sizeof(ran_by), "%s request=%u extra=%u", target->id,
+	    conn->number, conn->extra_count);
+	record_soak_run(&soak->ledger, &conn->message, target->service, ran_by);
+	if (soak_chance(soak->loop, soak->profile->failed))
+		conn->status = HTTP_SERVER_ERROR;
+	if (now + work > conn->deadline) {
+		conn->status = HTTP_GATEWAY_TIMEOUT;
+		work = conn->deadline > now ? conn->deadline - now : 0;
+	}
+	set_soak_timer(soak->loop, &conn->work, now + work);
+}
+
+static void
+start_waiting(soak_target_t *target)
+{
+	soak_conn_t *conn;
+
+	while (target->running < target->soak->profile->slots &&
+	    (conn = TAILQ_FIRST(&target->waiting)) != NULL) {
+		leave_slot(conn);
+		start_work(conn);
+	}
+}
+
+static void
+take_request(soak_conn_t *conn)
+{
+	soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	char text[64];
+
+	conn->busy = true;
+	clear_soak_timer(soak->loop, &conn->idle);
+	conn->is_probe = strcmp(conn->message.path, "/health") == 0;
+	if (!conn->is_probe)
+		conn->number++;
+	conn->request_id[0] = '\0';
+	get_soak_field(&conn->message, "Request-Id", conn->request_id,
+	    sizeof(conn->request_id));
+	conn->deadline = MSP_NEVER;
+	if (get_soak_field(&conn->message, "Deadline-Ms", text, sizeof(text)))
+		conn->deadline = soak_now() + strtoul(text, NULL, 10) * MSP_MS;
+	if (get_soak_field(
+		&conn->message, "Target-Instance", text, sizeof(text)) &&
+	    strcmp(text, target->id) != 0) {
+		respond(conn, HTTP_MISDIRECTED, true);
+		return;
+	}
+	if (target->running < soak->profile->slots) {
+		start_work(conn);
+		return;
+	}
+	if (target->waiting_count >= soak->profile->queue) {
+		soak->result->shed++;
+		respond(conn, HTTP_UNAVAILABLE, true);
+		return;
+	}
+	conn->waiting = true;
+	TAILQ_INSERT_TAIL(&target->waiting, conn, wait_link);
+	target->waiting_count++;
+	if (conn->deadline != MSP_NEVER)
+		set_soak_timer(soak->loop, &conn->work, conn->deadline);
+}
+
+static void
+handle_input(void *ctx, bool closed)
+{
+	soak_conn_t *conn = ctx;
+	soak_target_t *target = conn->target;
+
+	if (target->silent && !closed)
+		return;
+	if (closed) {
+		free_conn(conn, false);
+		start_waiting(target);
+		return;
+	}
+	if (conn->busy || conn->ending)
+		return;
+	switch (take_soak_message(&conn->stream.in, false, &conn->message)) {
+	case SOAK_COMPLETE:
+		take_request(conn);
+		return;
+	case SOAK_MALFORMED:
+		target->soak->result->unasked++;
+		report_soak(&target->soak->ledger, "UNASKED",
+		    "malformed request to %s", target->id);
+		free_conn(conn, true);
+		return;
+	default:
+		return;
+	}
+}
+
+static void
+handle_idle(void *ctx)
+{
+	soak_conn_t *conn = ctx;
+
+	if (!conn->busy)
+		free_conn(conn, false);
+}
+
+static void
+handle_accept(void *ctx, int fd)
+{
+	soak_target_t *target = ctx;
+	soak_t *soak = target->soak;
+	soak_conn_t *conn = calloc(1, sizeof(*conn));
+
+	if (conn == NULL)
+		abort();
+	conn->target = target;
+	conn->stream.on_input = handle_input;
+	conn->stream.ctx = conn;
+	conn->work = (soak_timer_t){.fire = handle_work_end, .ctx = conn};
+	conn->idle = (soak_timer_t){.fire = handle_idle, .ctx = conn};
+	conn->late = (soak_timer_t){.fire = send_late_data, .ctx = conn};
+	LIST_INSERT_HEAD(&target->conns, conn, link);
+	target->conn_count++;
+	open_soak_stream(soak->loop, &conn->stream, fd);
+	if (target->conn_count > soak->profile->max_connections) {
+		free_conn(conn, true);
+		return;
+	}
+	set_soak_timer(
+	    soak->loop, &conn->idle, soak_now() + target->keep_ms * MSP_MS);
+}
+
+static void
+put_row(soak_target_t *target)
+{
+	char key[64];
+	char value[512];
+
+	snprintf(key, sizeof(key), "servers|%s", target->id);
+	snprintf(value, sizeof(value),
+	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%u,"
+	    "\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":%" PRIu64 ","
+	    "\"born\":%" PRIu64 "}",
+	    target->service, target->port, target->zone,
+	    target->soak->profile->slots,
+	    target->draining ? "draining" : "ready", ++target->seq,
+	    target->born);
+	put_soak_row(target->soak, key, value);
+}
+
+static void
+remove_row(soak_target_t *target)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers|%s", target->id);
+	put_soak_row(target->soak, key, NULL);
+}
+
+static void
+handle_heartbeat(void *ctx)
+{
+	soak_target_t *target = ctx;
+
+	if (target->up)
+		put_row(target);
+	set_soak_timer(
+	    target->soak->loop, &target->heartbeat, soak_now() + HEARTBEAT);
+}
+
+static void
+start_target(soak_target_t *target)
+{
+	struct timespec now;
+	int fd = listen_soak_socket(target->port);
+
+	if (fd < 0)
+		return;
+	clock_gettime(CLOCK_REALTIME, &now);
+	target->born =
+	    (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+	target->seq = 0;
+	target->up = true;
+	target->draining = false;
+	target->listener.on_accept = handle_accept;
+	target->listener.ctx = target;
+	open_soak_stream(target->soak->loop, &target->listener, fd);
+	put_row(target);
+}
+
+static void
+stop_target(soak_target_t *target)
+{
+	target->up = false;
+	close_soak_stream(&target->listener);
+	cut_soak_target(target);
+}
+
+static void
+name_target(soak_target_t *target)
+{
+	snprintf(target->id, sizeof(target->id), "i-%02u-%u", target->index,
+	    target->starts++);
+}
+
+/* Ends slowness or silence, or starts the target again. */
+static void
+handle_change(void *ctx)
+{
+	soak_target_t *target = ctx;
+	soak_conn_t *conn;
+	soak_conn_t *next;
+
+	target->speed = 1;
+	if (target->silent) {
+		target->silent = false;
+		LIST_FOREACH_SAFE(conn, &target->conns, link, next)
+			handle_input(conn, false);
+		return;
+	}
+	if (target->draining) {
+		stop_target(target);
+		remove_row(target);
+		name_target(target);
+	}
+	if (!target->up)
+		start_target(target);
+}
+
+static bool
+is_changing(const soak_target_t *target)
+{
+	return target->change.slot != 0;
+}
+
+static void
+change_later(soak_target_t *target, msp_time_t delay)
+{
+	set_soak_timer(target->soak->loop, &target->change, soak_now() + delay);
+}
+
+void
+crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back)
+{
+	if (is_changing(target))
+		return;
+	stop_target(target);
+	if (!same_id) {
+		remove_row(target);
+		name_target(target);
+	}
+	change_later(target, back);
+}
+
+void
+drain_soak_target(soak_target_t *target)
+{
+	if (is_changing(target))
+		return;
+	target->draining = true;
+	put_row(target);
+	change_later(target, DRAIN_TIME);
+}
+
+void
+slow_soak_target(soak_target_t *target, msp_time_t duration)
+{
+	if (is_changing(target))
+		return;
+	target->speed = SLOW_FACTOR;
+	change_later(target, duration);
+}
+
+void
+silence_soak_target(soak_target_t *target, msp_time_t duration)
+{
+	if (is_changing(target))
+		return;
+	target->silent = true;
+	change_later(target, duration);
+}
+
+void
+cut_soak_target(soak_target_t *target)
+{
+	soak_conn_t *conn;
+	soak_conn_t *next;
+
+	LIST_FOREACH_SAFE(conn, &target->conns, link, next)
+		free_conn(conn, true);
+}
+
+int
+start_soak_targets(soak_t *soak)
+{
+	static const uint32_t keep_mix[] = {700, 1000, 2000, 5000, 9000};
+	soak_target_t *target;
+	unsigned int i;
+
+	for (i = 0; i < soak->options->targets; i++) {
+		target = &soak->targets[i];
+		target->soak = soak;
+		target->index = i;
+		target->speed = 1;
+		target->listener.fd = -1;
+		target->port = pick_free_port();
+		target->reports_load = i % 3 != 0;
+		target->keep_ms = soak->profile->keep_ms != 0
+		    ? soak->profile->keep_ms
+		    : keep_mix[i % (sizeof(keep_mix) / sizeof(*keep_mix))];
+		snprintf(target->service, sizeof(target->service), "%c",
+		    'a' + (int)(i % SOAK_SERVICES));
+		snprintf(target->zone, sizeof(target->zone), "z%u",
+		    i / SOAK_SERVICES % SOAK_ZONES);
+		name_target(target);
+		LIST_INIT(&target->conns);
+		TAILQ_INIT(&target->waiting);
+		target->heartbeat =
+		    (soak_timer_t){.fire = handle_heartbeat, .ctx = target};
+		target->change =
+		    (soak_timer_t){.fire = handle_change, .ctx = target};
+		start_target(target);
+		if (!target->up)
+			return -1;
+		set_soak_timer(soak->loop, &target->heartbeat,
+		    soak_now() + soak_between(soak->loop, 0, HEARTBEAT));
+	}
+	return 0;
+}
+
+void
+stop_soak_targets(soak_t *soak)
+{
+	unsigned int i;
+
+	for (i = 0; i < soak->options->targets; i++) {
+		if (soak->targets[i].soak == NULL)
+			continue;
+		clear_soak_timer(soak->loop, &soak->targets[i].heartbeat);
+		clear_soak_timer(soak->loop, &soak->targets[i].change);
+		stop_target(&soak->targets[i]);
+	}
+}
--- /dev/null
+++ b/tests/support/soak_vm.c
@@ -0,0 +1,192 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include "free_port.h"
+#include "soak_private.h"
+
+#define ADDRESS "127.0.0.1"
+#define REAP_INTERVAL (20 * MSP_MS)
+#define RESTART_DELAY (300 * MSP_MS)
+#define GRACE_MS 4000
+
+static void
+append_places(msp_buffer_t *text)
+{
+	unsigned int i;
+
+	for (i = 0; i < SOAK_ZONES; i++)
+		msp_append_printf(text,
+		    "%s{\"place\":\"z%u\",\"region\":\"reg%u\"}",
+		    i == 0 ? "" : ",", i, i);
+}
+
+/* `directory_ttl_ms` is what differs between reloads. */
+static int
+write_settings(soak_vm_t *vm, unsigned int directory_ttl_ms)
+{
+	unsigned int zone = vm->index % SOAK_ZONES;
+	msp_buffer_t text = {0};
+	char path[sizeof(vm->settings) + 8];
+	FILE *file;
+	int result = -1;
+
+	msp_append_printf(&text,
+	    "{\"vm\":\"vm%u\",\"region\":\"reg%u\",\"place\":\"z%u\","
+	    "\"peer_port\":%u,\"gossip_period_ms\":500,"
+	    "\"suspicion_ms\":2000,\"edge\":{\"callers\":\"" ADDRESS
+	    ":%u\",\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
+	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
+	    "\"places\":[",
+	    vm->index, zone, zone, vm->peer, vm->front, vm->ready,
+	    vm->directory, vm->soak->store_port, vm->metrics);
+	append_places(&text);
+	msp_append_printf(&text,
+	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
+	    "\"heartbeat_ms\":1500,\"drain_ms\":2500,\"stop_grace_ms\":%u,"
+	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":1200},"
+	    "\"log\":{\"file\":\"-\"}}\n",
+	    GRACE_MS, directory_ttl_ms);
+	snprintf(path, sizeof(path), "%s.new", vm->settings);
+	file = fopen(path, "w");
+	if (file != NULL) {
+		fputs(msp_buffer_text(&text), file);
+		if (fclose(file) == 0 && rename(path, vm->settings) == 0)
+			result = 0;
+	}
+	msp_drop_buffer(&text);
+	return result;
+}
+
+static int
+start_process(soak_vm_t *vm)
+{
+	const char *path = vm->soak->options->spindled;
+	pid_t parent = getpid();
+	int log;
+
+	vm->expected_end = false;
+	vm->frozen = false;
+	vm->pid = fork();
+	if (vm->pid != 0)
+		return vm->pid < 0 ? -1 : 0;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(1);
+	log = open(vm->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	dup2(log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	execl(path, path, vm->settings, (char *)NULL);
+	_exit(127);
+}
+
+/* Restarts a process that has ended, or wakes one that is frozen. */
+static void
+handle_change(void *ctx)
+{
+	soak_vm_t *vm = ctx;
+
+	if (vm->pid <= 0) {
+		start_process(vm);
+	} else if (vm->frozen) {
+		kill(vm->pid, SIGCONT);
+		vm->frozen = false;
+	}
+}
+
+static void
+handle_reap(void *ctx)
+{
+	soak_t *soak = ctx;
+	soak_vm_t *vm;
+	int status;
+	unsigned int i;
+
+	for (i = 0; i < soak->options->vms; i++) {
+		vm = &soak->vms[i];
+		if (vm->pid <= 0 ||
+		    waitpid(vm->pid, &status, WNOHANG) != vm->pid)
+			continue;
+		if (!vm->expected_end) {
+			soak->result->crashed++;
+			report_soak(&soak->ledger, "CRASH", "vm=%u status=%d",
+			    i, status);
+		}
+		vm->pid = 0;
+		set_soak_timer(
+		    soak->loop, &vm->change, soak_now() + RESTART_DELAY);
+	}
+	set_soak_timer(soak->loop, &soak->reap, soak_now() + REAP_INTERVAL);
+}
+
+void
+signal_soak_vm(soak_vm_t *vm, int signal)
+{
+	if (vm->pid <= 0)
+		return;
+	if (signal == SIGTERM || signal == SIGKILL)
+		vm->expected_end = true;
+	if (signal == SIGSTOP)
+		vm->frozen = true;
+	kill(vm->pid, signal);
+}
+
+void
+reload_soak_vm(soak_vm_t *vm)
+{
+	write_settings(
+	    vm, 1000 + (unsigned int)soak_random(vm->soak->loop, 2000));
+	signal_soak_vm(vm, SIGHUP);
+}
+
+int
+start_soak_vms(soak_t *soak)
+{
+	soak_vm_t *vm;
+	unsigned int i;
+
+	for (i = 0; i < soak->options->vms; i++) {
+		vm = &soak->vms[i];
+		vm->soak = soak;
+		vm->index = i;
+		vm->front = pick_free_port();
+		vm->ready = pick_free_port();
+		vm->directory = pick_free_port();
+		vm->metrics = pick_free_port();
+		vm->peer = pick_free_port();
+		vm->change = (soak_timer_t){.fire = handle_change, .ctx = vm};
+		snprintf(vm->settings, sizeof(vm->settings), "%s/vm%u.json",
+		    soak->result->folder, i);
+		snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log",
+		    soak->result->folder, i);
+		if (write_settings(vm, 2000) != 0 || start_process(vm) != 0)
+			return -1;
+	}
+	soak->reap = (soak_timer_t){.fire = handle_reap, .ctx = soak};
+	set_soak_timer(soak->loop, &soak->reap, soak_now());
+	return 0;
+}
+
+void
+stop_soak_vms(soak_t *soak)
+{
+	soak_vm_t *vm;
+	unsigned int i;
+
+	clear_soak_timer(soak->loop, &soak->reap);
+	for (i = 0; i < soak->options->vms; i++) {
+		vm = &soak->vms[i];
+		clear_soak_timer(soak->loop, &vm->change);
+		if (vm->pid <= 0)
+			continue;
+		kill(vm->pid, SIGKILL);
+		waitpid(vm->pid, NULL, 0);
+		vm->pid = 0;
+	}
+}
