Soak with early answers, small windows, starved processes and slow clients

Adds profiles for what the first seven did not play: answers before a long body was read, bodies of 400 kB through small windows, chunked and unsized answers, processes that run for 15% of the time, targets that accept no connections, clients that pause within a request, more requests in flight than connections, and requests that crash targets.

--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -8,7 +8,8 @@
 #define CONNECT_TIME_MAX MSP_SECOND
 #define ANSWER_SLACK (500 * MSP_MS) /* after the deadline */
 #define IDLE_TIME_MAX (12 * MSP_SECOND)
-#define PIECE_PAUSE_MAX (30 * MSP_MS)
+#define PIECE_PAUSE_MS 30 /* longest, by default */
+#define BIG_BODY 400000 /* bytes */
 #define PIECES_MAX 4
 #define LEAVE_MIN (5 * MSP_MS)
 #define LEAVE_MAX (400 * MSP_MS)
@@ -54,6 +55,7 @@
 {
 	soak_client_t *client = ctx;
 	soak_loop_t *loop = client->soak->loop;
+	uint32_t pause_ms = client->soak->profile->pause_ms;
 	size_t len = 1 + soak_random(loop, client->rest.len);
 
 	if (soak_random(loop, PIECES_MAX) == 0)
@@ -63,7 +65,10 @@
 	memmove(client->rest.data, client->rest.data + len, client->rest.len);
 	if (client->rest.len > 0)
 		set_soak_timer(loop, &client->piece,
-		    soak_now() + soak_between(loop, 0, PIECE_PAUSE_MAX));
+		    soak_now() +
+			soak_between(loop, 0,
+			    (pause_ms == 0 ? PIECE_PAUSE_MS : pause_ms) *
+				MSP_MS));
 }
 
 static void
@@ -174,7 +179,8 @@
 static soak_client_t *
 new_client(soak_vm_t *vm)
 {
-	int fd = connect_soak_socket(vm->front);
+	int fd =
+	    connect_soak_socket(vm->front, vm->soak->profile->small_windows);
 	soak_client_t *client;
 
 	if (fd < 0)
@@ -220,10 +226,17 @@
 	    request->safe ? 'r' : 'w',
 	    'a' + (int)soak_random(soak->loop, SOAK_SERVICES),
 	    (unsigned int)soak_random(soak->loop, OBJECTS));
-	if (!request->safe)
+	if (soak_chance(soak->loop, soak->profile->deadly))
+		snprintf(request->path + 4, sizeof(request->path) - 4, "%s",
+		    SOAK_DEADLY_PATH);
+	if (!request->safe && soak_chance(soak->loop, soak->profile->big))
+		size = soak_random(soak->loop, BIG_BODY);
+	else if (!request->safe)
 		size = soak_random(soak->loop, 4) == 0
 		    ? soak_random(soak->loop, 40000)
 		    : 1 + soak_random(soak->loop, 900);
+	if (strstr(request->path, SOAK_DEADLY_PATH) != NULL)
+		size = 0; /* the same each time */
 	while (body.len < size)
 		msp_append_printf(&body, "%s+%zu ", request->id, body.len);
 	request->body_hash = msp_hash(body.data, body.len, 0);
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -66,6 +66,9 @@
 	case SOAK_SLOW:
 		slow_soak_target(target, duration);
 		break;
+	case SOAK_DEAF:
+		deafen_soak_target(target, duration);
+		break;
 	case SOAK_SILENT:
 		silence_soak_target(target, duration);
 		break;
--- a/tests/support/soak_ledger.c
+++ b/tests/support/soak_ledger.c
@@ -85,39 +85,49 @@
 }
 
 soak_request_t *
-record_soak_run(soak_ledger_t *ledger, const soak_message_t *message,
-    const char *service, const char *ran_by)
+check_soak_request(soak_ledger_t *ledger, const soak_message_t *message,
+    bool has_body, const char *ran_by)
 {
 	char id[64] = "";
 	soak_request_t *request;
 	uint64_t hash = msp_hash(message->body.data, message->body.len, 0);
 
-	ledger->result->runs++;
 	get_soak_field(message, "Request-Id", id, sizeof(id));
 	request = msp_map_get(ledger->requests, id);
-	if (request == NULL || strcmp(request->method, message->method) != 0 ||
-	    strcmp(request->path, message->path) != 0 ||
-	    request->body_hash != hash) {
-		ledger->result->unasked++;
-		report_soak(ledger, "UNASKED", "id=%s %s %s body=%zu by=%s", id,
-		    message->method, message->path, message->body.len, ran_by);
+	if (request != NULL && strcmp(request->method, message->method) == 0 &&
+	    strcmp(request->path, message->path) == 0 &&
+	    (!has_body || request->body_hash == hash))
 		return request;
-	}
+	ledger->result->unasked++;
+	report_soak(ledger, "UNASKED", "id=%s %s %s body=%zu by=%s", id,
+	    message->method, message->path, message->body.len, ran_by);
+	return NULL;
+}
+
+void
+record_soak_run(soak_ledger_t *ledger, const soak_message_t *message,
+    bool has_body, const char *service, const char *ran_by)
+{
+	soak_request_t *request =
+	    check_soak_request(ledger, message, has_body, ran_by);
+
+	ledger->result->runs++;
+	if (request == NULL)
+		return;
 	if (request->path[SERVICE_AT] != service[0]) {
 		ledger->result->misrouted++;
-		report_soak(ledger, "ROUTE", "id=%s %s by=%s", id,
+		report_soak(ledger, "ROUTE", "id=%s %s by=%s", request->id,
 		    request->path, ran_by);
 	}
 	if (request->runs++ == 0) {
 		request->ran_at = soak_now();
 		snprintf(
 		    request->ran_by, sizeof(request->ran_by), "%s", ran_by);
-		return request;
-	}
-	if (!request->safe)
+	} else if (!request->safe) {
 		report_soak(ledger, "TWICE", "id=%s %s run=%u by=%s first=%s",
-		    id, request->path, request->runs, ran_by, request->ran_by);
-	return request;
+		    request->id, request->path, request->runs, ran_by,
+		    request->ran_by);
+	}
 }
 
 uint64_t
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -9,6 +9,7 @@
 #include "soak_message.h"
 
 #define SOAK_ID_SIZE 17
+#define SOAK_DEADLY_PATH "deadly"
 #define SOAK_NO_ANSWER 0
 #define SOAK_CUT (-1) /* the connection ended without an answer */
 #define SOAK_LEFT (-2) /* the client left */
@@ -44,9 +45,16 @@
 /* Adds a request; the id is drawn from `number`. */
 soak_request_t *new_soak_request(soak_ledger_t *ledger, uint64_t number);
 
-/* Returns the request that a target begins to run, or NULL. */
-soak_request_t *record_soak_run(soak_ledger_t *ledger,
-    const soak_message_t *message, const char *service, const char *ran_by);
+/*
+ * Checks that a client sent this request. `has_body` is false if its body is
+ * still being received.
+ */
+soak_request_t *check_soak_request(soak_ledger_t *ledger,
+    const soak_message_t *message, bool has_body, const char *ran_by);
+
+/* Records that a target begins to run a request. */
+void record_soak_run(soak_ledger_t *ledger, const soak_message_t *message,
+    bool has_body, const char *service, const char *ran_by);
 
 /* Checks and records a client's answer; NULL: a connection without request. */
 void record_soak_answer(soak_ledger_t *ledger, soak_request_t *request,
--- a/tests/support/soak_loop.c
+++ b/tests/support/soak_loop.c
@@ -15,6 +15,7 @@
 #define HEAP_MAX 65536
 #define READ_SIZE 65536
 #define BACKLOG 1024
+#define SMALL_WINDOW 4096 /* bytes */
 #define EVENTS_PER_STEP 256
 #define RANDOM_SCALE 9007199254740992.0 /* 2^53 */
 
@@ -310,9 +311,24 @@
 		shutdown(stream->fd, SHUT_WR);
 }
 
+void
+pause_soak_listener(soak_stream_t *stream)
+{
+	listen(stream->fd, 1);
+	epoll_ctl(stream->loop->epoll_fd, EPOLL_CTL_DEL, stream->fd, NULL);
+}
+
+void
+resume_soak_listener(soak_stream_t *stream)
+{
+	listen(stream->fd, BACKLOG);
+	watch_stream(stream, EPOLL_CTL_ADD);
+}
+
 static int
-open_socket(uint16_t port, struct sockaddr_in *address)
+open_socket(uint16_t port, bool small_window, struct sockaddr_in *address)
 {
+	int size = SMALL_WINDOW;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	int on = 1;
 
@@ -323,14 +339,16 @@
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (small_window)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	return fd;
 }
 
 int
-connect_soak_socket(uint16_t port)
+connect_soak_socket(uint16_t port, bool small_window)
 {
 	struct sockaddr_in address;
-	int fd = open_socket(port, &address);
+	int fd = open_socket(port, small_window, &address);
 
 	if (fd < 0)
 		return -1;
@@ -342,10 +360,10 @@
 }
 
 int
-listen_soak_socket(uint16_t port)
+listen_soak_socket(uint16_t port, bool small_window)
 {
 	struct sockaddr_in address;
-	int fd = open_socket(port, &address);
+	int fd = open_socket(port, small_window, &address);
 
 	if (fd < 0)
 		return -1;
--- a/tests/support/soak_loop.h
+++ b/tests/support/soak_loop.h
@@ -64,8 +64,12 @@
 void reset_soak_stream(soak_stream_t *stream);
 void finish_soak_stream(soak_stream_t *stream); /* once all is written */
 
+/* A listener that is paused accepts nothing; its queue becomes short. */
+void pause_soak_listener(soak_stream_t *stream);
+void resume_soak_listener(soak_stream_t *stream);
+
 /* Return a socket on loopback, or -1. */
-int connect_soak_socket(uint16_t port);
-int listen_soak_socket(uint16_t port);
+int connect_soak_socket(uint16_t port, bool small_window);
+int listen_soak_socket(uint16_t port, bool small_window);
 
 #endif
--- a/tests/support/soak_message.c
+++ b/tests/support/soak_message.c
@@ -107,6 +107,22 @@
 	return SOAK_COMPLETE;
 }
 
+bool
+peek_soak_request(const msp_buffer_t *in, soak_message_t *message)
+{
+	const char *end =
+	    in->len == 0 ? NULL : find_end(in->data, in->len, HEAD_END);
+
+	*message = (soak_message_t){0};
+	if (end == NULL)
+		return false;
+	message->head = strndup(in->data, (size_t)(end - in->data));
+	if (parse_start(message, false))
+		return true;
+	drop_soak_message(message);
+	return false;
+}
+
 soak_parse_t
 take_soak_message(msp_buffer_t *in, bool is_response, soak_message_t *message)
 {
--- a/tests/support/soak_message.h
+++ b/tests/support/soak_message.h
@@ -27,6 +27,9 @@
  */
 soak_parse_t take_soak_message(
     msp_buffer_t *in, bool is_response, soak_message_t *message);
+
+/* Reads only the head, and removes nothing; returns whether it is complete. */
+bool peek_soak_request(const msp_buffer_t *in, soak_message_t *message);
 void drop_soak_message(soak_message_t *message);
 
 /* Copies a field's value; returns whether the message has the field. */
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -28,7 +28,8 @@
 	SOAK_CUT_TARGET = 1 << 9, /* all connections of a target are reset */
 	SOAK_SILENT = 1 << 10, /* a link between VMs and a target is silent */
 	SOAK_BURST = 1 << 11, /* of requests */
-	SOAK_FAULT_COUNT = 12,
+	SOAK_DEAF = 1 << 12, /* a target accepts no connections */
+	SOAK_FAULT_COUNT = 13,
 } soak_fault_t;
 
 /* How often targets and clients do what is unusual: probabilities. */
@@ -56,6 +57,16 @@
 	double leaving; /* clients that leave early */
 	double retrying; /* clients that retry at once after a promise */
 	double fresh; /* requests on a new connection */
+	double big; /* request and response bodies of up to 400 kB */
+	double early; /* responses before the whole request is read */
+	double deadly; /* requests that crash the target that runs them */
+	double chunked_responses;
+	double unsized; /* responses that end with the connection */
+	bool small_windows; /* of targets and clients */
+	double share; /* of the time in which a VM runs; 0: all */
+	uint32_t pause_ms; /* longest pause of clients within a request */
+	uint32_t vm_timeout_ms; /* of a VM for a request; 0: default */
+	uint32_t vm_connections; /* from clients to a VM; 0: 1200 */
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
 } soak_profile_t;
@@ -84,6 +95,7 @@
 	bool up;
 	bool draining;
 	bool silent; /* neither reads nor answers */
+	bool deaf; /* accepts no connections */
 	soak_stream_t listener;
 	struct soak_conn_list conns;
 	unsigned int conn_count;
@@ -111,6 +123,8 @@
 	char log[128];
 	struct soak_client_queue idle; /* open connections without a request */
 	soak_timer_t change; /* next step of the current fault */
+	soak_timer_t share; /* stops or continues it */
+	bool stopped_for_share;
 } soak_vm_t;
 
 struct soak {
@@ -149,6 +163,7 @@
 void drain_soak_target(soak_target_t *target);
 void slow_soak_target(soak_target_t *target, msp_time_t duration);
 void silence_soak_target(soak_target_t *target, msp_time_t duration);
+void deafen_soak_target(soak_target_t *target, msp_time_t duration);
 void cut_soak_target(soak_target_t *target);
 
 void open_soak_clients(soak_t *soak);
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -13,6 +13,8 @@
 #define PIECE_PAUSE_MAX (4 * MSP_MS)
 #define SLOW_FACTOR 8
 #define HEALTH_WORK MSP_MS
+#define DEADLY_TIME MSP_SECOND /* until a crashed target is back */
+#define BIG_BODY 400000 /* bytes */
 #define HTTP_OK 200
 #define HTTP_MISDIRECTED 421
 #define HTTP_SERVER_ERROR 500
@@ -32,6 +34,9 @@
 	bool running;
 	bool is_probe;
 	bool ending; /* sends nothing more */
+	bool is_early; /* the request's body was not received at its start */
+	bool skips; /* the rest of an answered request comes */
+	bool passed; /* was not answered early */
 	int status; /* of the response once the work is done */
 	unsigned int number; /* of the current request, from 1 */
 	unsigned int extra_count;
@@ -79,6 +84,31 @@
 	free(conn);
 }
 
+static void
+append_framed_body(
+    const soak_conn_t *conn, const msp_buffer_t *body, msp_buffer_t *out)
+{
+	soak_loop_t *loop = conn->target->soak->loop;
+	const soak_profile_t *profile = conn->target->soak->profile;
+	size_t half = body->len / 2;
+
+	if (soak_chance(loop, profile->chunked_responses)) {
+		msp_append_printf(
+		    out, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n", half);
+		msp_append_data(out, body->data, half);
+		msp_append_printf(out, "\r\n%zx\r\n", body->len - half);
+		msp_append_data(out, body->data + half, body->len - half);
+		msp_append_printf(out, "\r\n0\r\n\r\n");
+		return;
+	}
+	if (conn->ending && soak_chance(loop, profile->unsized))
+		msp_append_printf(out, "\r\n");
+	else
+		msp_append_printf(
+		    out, "Content-Length: %zu\r\n\r\n", body->len);
+	msp_append_data(out, body->data, body->len);
+}
+
 static void
 append_response(
     const soak_conn_t *conn, int status, bool refuses, msp_buffer_t *out)
@@ -89,7 +119,10 @@
 	bool bare = refuses && soak_chance(soak->loop, soak->profile->bare);
 	size_t size = 0;
 
-	if (!refuses && !conn->is_probe)
+	if (!refuses && !conn->is_probe &&
+	    soak_chance(soak->loop, soak->profile->big))
+		size = soak_random(soak->loop, BIG_BODY);
+	else if (!refuses && !conn->is_probe)
 		size = soak_random(soak->loop, 4) == 0
 		    ? soak_random(soak->loop, 20000)
 		    : soak_random(soak->loop, 400);
@@ -115,8 +148,7 @@
 	else if (target->keep_ms >= 1000)
 		msp_append_printf(
 		    out, "Keep-Alive: timeout=%u\r\n", target->keep_ms / 1000);
-	msp_append_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
-	msp_append_data(out, body.data, body.len);
+	append_framed_body(conn, &body, out);
 	msp_drop_buffer(&body);
 }
 
@@ -264,7 +296,12 @@
 	}
 	snprintf(ran_by, sizeof(ran_by), "%s request=%u extra=%u", target->id,
 	    conn->number, conn->extra_count);
-	record_soak_run(&soak->ledger, &conn->message, target->service, ran_by);
+	record_soak_run(&soak->ledger, &conn->message, !conn->is_early,
+	    target->service, ran_by);
+	if (strstr(conn->message.path, SOAK_DEADLY_PATH) != NULL) {
+		crash_soak_target(target, false, DEADLY_TIME);
+		return;
+	}
 	if (soak_chance(soak->loop, soak->profile->failed))
 		conn->status = HTTP_SERVER_ERROR;
 	if (now + work > conn->deadline) {
@@ -326,6 +363,44 @@
 		set_soak_timer(soak->loop, &conn->work, conn->deadline);
 }
 
+/* Takes the rest of a request that was answered early. */
+static void
+skip_request(soak_conn_t *conn)
+{
+	conn->skips = false;
+	check_soak_request(&conn->target->soak->ledger, &conn->message, true,
+	    conn->target->id);
+	wait_for_request(conn);
+}
+
+/* Starts some requests before their body was received. */
+static void
+take_early_request(soak_conn_t *conn)
+{
+	soak_t *soak = conn->target->soak;
+
+	if (conn->skips || conn->passed ||
+	    !peek_soak_request(&conn->stream.in, &conn->message))
+		return;
+	if (!soak_chance(soak->loop, soak->profile->early)) {
+		conn->passed = true;
+		drop_soak_message(&conn->message);
+		return;
+	}
+	conn->is_early = true;
+	conn->skips = true;
+	if (soak_random(soak->loop, 2) == 0) {
+		take_request(conn);
+		return;
+	}
+	conn->busy = true;
+	conn->request_id[0] = '\0';
+	get_soak_field(&conn->message, "Request-Id", conn->request_id,
+	    sizeof(conn->request_id));
+	soak->result->shed++;
+	respond(conn, HTTP_UNAVAILABLE, true);
+}
+
 static void
 handle_input(void *ctx, bool closed)
 {
@@ -343,7 +418,15 @@
 		return;
 	switch (take_soak_message(&conn->stream.in, false, &conn->message)) {
 	case SOAK_COMPLETE:
-		take_request(conn);
+		conn->is_early = false;
+		conn->passed = false;
+		if (conn->skips)
+			skip_request(conn);
+		else
+			take_request(conn);
+		return;
+	case SOAK_INCOMPLETE:
+		take_early_request(conn);
 		return;
 	case SOAK_MALFORMED:
 		target->soak->result->unasked++;
@@ -434,7 +517,8 @@
 start_target(soak_target_t *target)
 {
 	struct timespec now;
-	int fd = listen_soak_socket(target->port);
+	int fd = listen_soak_socket(
+	    target->port, target->soak->profile->small_windows);
 
 	if (fd < 0)
 		return;
@@ -453,7 +537,7 @@
 static void
 stop_target(soak_target_t *target)
 {
-	target->up = false;
+	target->up = target->silent = target->deaf = false;
 	close_soak_stream(&target->listener);
 	cut_soak_target(target);
 }
@@ -474,6 +558,10 @@
 	soak_conn_t *next;
 
 	target->speed = 1;
+	if (target->deaf) {
+		target->deaf = false;
+		resume_soak_listener(&target->listener);
+	}
 	if (target->silent) {
 		target->silent = false;
 		LIST_FOREACH_SAFE(conn, &target->conns, link, next)
@@ -504,7 +592,7 @@
 void
 crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back)
 {
-	if (is_changing(target))
+	if (is_changing(target) && !target->up)
 		return;
 	stop_target(target);
 	if (!same_id) {
@@ -552,6 +640,16 @@
 		free_conn(conn, true);
 }
 
+void
+deafen_soak_target(soak_target_t *target, msp_time_t duration)
+{
+	if (is_changing(target))
+		return;
+	target->deaf = true;
+	pause_soak_listener(&target->listener);
+	change_later(target, duration);
+}
+
 int
 start_soak_targets(soak_t *soak)
 {
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -15,6 +15,9 @@
 #define REAP_INTERVAL (20 * MSP_MS)
 #define RESTART_DELAY (300 * MSP_MS)
 #define GRACE_MS 4000
+#define VM_CONNECTIONS 1200
+#define VM_TIMEOUT_MS 10000
+#define SHARE_PERIOD (100 * MSP_MS)
 
 static void
 append_places(msp_buffer_t *text)
@@ -31,7 +34,11 @@
 static int
 write_settings(soak_vm_t *vm, unsigned int directory_ttl_ms)
 {
+	const soak_profile_t *profile = vm->soak->profile;
 	unsigned int zone = vm->index % SOAK_ZONES;
+	unsigned int timeout_ms = profile->vm_timeout_ms != 0
+	    ? profile->vm_timeout_ms
+	    : VM_TIMEOUT_MS;
 	msp_buffer_t text = {0};
 	char path[sizeof(vm->settings) + 8];
 	FILE *file;
@@ -50,9 +57,13 @@
 	msp_append_printf(&text,
 	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
 	    "\"heartbeat_ms\":1500,\"drain_ms\":2500,\"stop_grace_ms\":%u,"
-	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":1200},"
+	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":%u,"
+	    "\"head_timeout_ms\":%u,\"body_timeout_ms\":%u},"
 	    "\"log\":{\"file\":\"-\"}}\n",
-	    GRACE_MS, directory_ttl_ms);
+	    GRACE_MS, directory_ttl_ms,
+	    profile->vm_connections != 0 ? profile->vm_connections
+					 : VM_CONNECTIONS,
+	    timeout_ms, timeout_ms);
 	snprintf(path, sizeof(path), "%s.new", vm->settings);
 	file = fopen(path, "w");
 	if (file != NULL) {
@@ -100,6 +111,22 @@
 	}
 }
 
+/* Lets the process run for its share of each period. */
+static void
+handle_share(void *ctx)
+{
+	soak_vm_t *vm = ctx;
+	msp_time_t running =
+	    (msp_time_t)(vm->soak->profile->share * SHARE_PERIOD);
+
+	vm->stopped_for_share = !vm->stopped_for_share;
+	if (vm->pid > 0 && !vm->frozen)
+		kill(vm->pid, vm->stopped_for_share ? SIGSTOP : SIGCONT);
+	set_soak_timer(vm->soak->loop, &vm->share,
+	    soak_now() +
+		(vm->stopped_for_share ? SHARE_PERIOD - running : running));
+}
+
 static void
 handle_reap(void *ctx)
 {
@@ -165,8 +192,13 @@
 		    soak->result->folder, i);
 		snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log",
 		    soak->result->folder, i);
+		vm->share = (soak_timer_t){.fire = handle_share, .ctx = vm};
 		if (write_settings(vm, 2000) != 0 || start_process(vm) != 0)
 			return -1;
+		if (soak->profile->share > 0)
+			set_soak_timer(soak->loop, &vm->share,
+			    soak_now() +
+				soak_between(soak->loop, 0, SHARE_PERIOD));
 	}
 	soak->reap = (soak_timer_t){.fire = handle_reap, .ctx = soak};
 	set_soak_timer(soak->loop, &soak->reap, soak_now());
@@ -183,6 +215,7 @@
 	for (i = 0; i < soak->options->vms; i++) {
 		vm = &soak->vms[i];
 		clear_soak_timer(soak->loop, &vm->change);
+		clear_soak_timer(soak->loop, &vm->share);
 		if (vm->pid <= 0)
 			continue;
 		kill(vm->pid, SIGKILL);
