--- a/tests/support/soak_ledger.c
+++ b/tests/support/soak_ledger.c
@@ -190,6 +190,20 @@
 	    msp_buffer_text(&message->body));
 }
 
+static void
+note_unanswered(soak_ledger_t *ledger, const soak_request_t *request)
+{
+	ledger->result->unanswered++;
+	fprintf(ledger->report,
+	    "not answered: id=%s %s %s vm=%u sent=%.3f ran=%.3f by=%s\n",
+	    request->id, request->method, request->path, request->vm,
+	    (double)(request->sent_at - ledger->started) / MSP_SECOND,
+	    request->runs == 0
+		? 0
+		: (double)(request->ran_at - ledger->started) / MSP_SECOND,
+	    request->ran_by);
+}
+
 static void
 judge_request(soak_ledger_t *ledger, const soak_request_t *request)
 {
@@ -204,6 +218,8 @@
 		result->refused++;
 	else if (request->answer == SOAK_CUT)
 		result->cut++;
+	else if (request->answer == SOAK_UNANSWERED)
+		note_unanswered(ledger, request);
 	else if (request->answer <= 0)
 		result->left++;
 	else
