Soak delayed links, mute targets and a silent store

Adds links that deliver bytes and closes later than they were sent, targets that run requests and answer seconds later, a store whose connections stay silent, and extra responses that come when the next request arrives.

--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -46,6 +46,7 @@
     {"slow_clients_break_no_rule", "slow-clients", 1, false},
     {"more_requests_than_connections_break_no_rule", "many", 1, false},
     {"requests_that_crash_targets_break_no_rule", "deadly", 1, false},
+    {"delayed_links_break_no_rule", "far", 1, false},
     /* The chunked body of a DELETE was never read, nor was it answered. */
     {"chunked_deletes_are_answered", "chunked-deletes", 1, true},
     /* Escaped characters of a query were forwarded decoded. */
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -175,6 +175,7 @@
 		return -1;
 	}
 	soak->loop = new_soak_loop(options->seed);
+	LIST_INIT(&soak->pairs);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
 	    open_soak_ledger(&soak->ledger, result) == 0 &&
@@ -183,6 +184,7 @@
 	stop_soak_vms(soak);
 	stop_soak_clients(soak);
 	stop_soak_targets(soak);
+	close_soak_links(soak);
 	stop_soak_store(soak);
 	close_soak_ledger(&soak->ledger);
 	drop_soak_loop(soak->loop);
--- a/tests/support/soak_profiles.c
+++ b/tests/support/soak_profiles.c
@@ -4,8 +4,8 @@
 
 #define SIGNALS (SOAK_TERM | SOAK_KILL | SOAK_FREEZE | SOAK_RELOAD)
 #define TARGETS (SOAK_CRASH | SOAK_DRAIN | SOAK_SLOW | SOAK_CUT_TARGET)
-#define LINKS SOAK_SILENT
-#define STORE (SOAK_STORE_DOWN | SOAK_STORE_SLOW)
+#define LINKS (SOAK_SILENT | SOAK_MUTE)
+#define STORE (SOAK_STORE_DOWN | SOAK_STORE_SLOW | SOAK_STORE_SILENT)
 
 /* What all profiles have in common. */
 #define COMMON                                                                \
@@ -94,6 +94,34 @@
 	.leaving = 0.02,
 	.faults = 0.5,
 	.fault_kinds = SOAK_BURST | SOAK_SLOW},
+    {.name = "far",
+	COMMON,
+	WORK,
+	.rate = 300,
+	.link_delay_ms = 40,
+	.keep_ms = 1000,
+	.extra = 0.01,
+	.late = 0.5,
+	.closing = 0.05,
+	.lost = 0.005,
+	.leaving = 0.02,
+	.faults = 1,
+	.fault_kinds = SOAK_SLOW | SOAK_CUT_TARGET | SOAK_MUTE | SOAK_BURST},
+    {.name = "day",
+	COMMON,
+	.rate = 500,
+	.work_ms = 100,
+	.slots = 9,
+	.share = 0.15,
+	.extra = 0.005,
+	.late = 0.7,
+	.truncated = 0.002,
+	.lost = 0.002,
+	.failed = 0.005,
+	.closing = 0.02,
+	.leaving = 0.01,
+	.faults = 1,
+	.fault_kinds = TARGETS | SIGNALS | STORE},
     {.name = "deaf",
 	COMMON,
 	WORK,
--- a/tests/support/soak_store.c
+++ b/tests/support/soak_store.c
@@ -146,6 +146,12 @@
 	soak->store_pid = 0;
 }
 
+void
+freeze_soak_store(soak_t *soak, bool frozen)
+{
+	kill(soak->store_pid, frozen ? SIGSTOP : SIGCONT);
+}
+
 static void
 send_command(soak_t *soak, const char *line, int len)
 {
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -15,6 +15,7 @@
 #define REAP_INTERVAL (20 * MSP_MS)
 #define RESTART_DELAY (300 * MSP_MS)
 #define GRACE_MS 4000
+#define START_TIME_MAX (2 * MSP_SECOND)
 #define VM_CONNECTIONS 1200
 #define VM_TIMEOUT_MS 10000
 #define SHARE_PERIOD (100 * MSP_MS)
@@ -84,6 +85,7 @@
 
 	vm->expected_end = false;
 	vm->frozen = false;
+	vm->started = soak_now();
 	vm->pid = fork();
 	if (vm->pid != 0)
 		return vm->pid < 0 ? -1 : 0;
@@ -167,6 +169,9 @@
 void
 reload_soak_vm(soak_vm_t *vm)
 {
+	/* Before a process handles SIGHUP, it would end it. */
+	if (vm->started + START_TIME_MAX > soak_now())
+		return;
 	write_settings(
 	    vm, 1000 + (unsigned int)soak_random(vm->soak->loop, 2000));
 	signal_soak_vm(vm, SIGHUP);
