--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -47,6 +47,7 @@
     {"more_requests_than_connections_break_no_rule", "many", 1, false},
     {"requests_that_crash_targets_break_no_rule", "deadly", 1, false},
     {"delayed_links_break_no_rule", "far", 1, false},
+    {"short_deadlines_break_no_rule", "short-deadlines-starved", 1, false},
     /* The chunked body of a DELETE was never read, nor was it answered. */
     {"chunked_deletes_are_answered", "chunked-deletes", 1, true},
     /* Escaped characters of a query were forwarded decoded. */
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -14,6 +14,7 @@
 #define LEAVE_MIN (5 * MSP_MS)
 #define LEAVE_MAX (400 * MSP_MS)
 #define OBJECTS 80
+#define SHORT_DEADLINE_MS 100
 #define HTTP_OK 200
 
 /* A connection to a VM, with or without a request. */
@@ -303,6 +304,17 @@
 	msp_drop_buffer(&body);
 }
 
+static uint32_t
+draw_deadline_ms(soak_t *soak)
+{
+	const soak_profile_t *profile = soak->profile;
+
+	if (soak_chance(soak->loop, profile->short_deadlines))
+		return 1 + (uint32_t)soak_random(soak->loop, SHORT_DEADLINE_MS);
+	return (uint32_t)soak_between(
+	    soak->loop, profile->deadline_ms / 10, profile->deadline_ms);
+}
+
 static void
 start_request(
     soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe)
@@ -312,8 +324,7 @@
 	soak_client_t *client = soak_chance(soak->loop, profile->fresh)
 	    ? NULL
 	    : take_idle_client(vm);
-	uint32_t deadline_ms = (uint32_t)soak_between(
-	    soak->loop, profile->deadline_ms / 10, profile->deadline_ms);
+	uint32_t deadline_ms = draw_deadline_ms(soak);
 	msp_time_t end = soak_now() + deadline_ms * MSP_MS + ANSWER_SLACK;
 	msp_buffer_t out = {0};
 
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -45,6 +45,7 @@
 	uint32_t keep_ms; /* idle timeout of targets; 0: a mix */
 	uint32_t max_connections; /* of each target */
 	uint32_t deadline_ms; /* longest of clients; the shortest is a tenth */
+	double short_deadlines; /* of at most 100 ms */
 	double extra; /* a copy of the response follows it */
 	double extra_refusal; /* a "not executed" follows the response */
 	double late; /* of these: follow after some ms */
