Send a commit to a target of a service on a new connection

Callers saw a request that must not be repeated refused as not executed although a target ran it, and it ran again when they resent it with the same key. Cause: a 503 with Retry-After was taken for that of the request that waits on the connection. Responses of such targets bear no id, so on a kept connection a late one to an earlier request can't be told apart; the same holds for a late 200, which was recorded as the outcome of a commit that had not begun.

A call can now ask for a connection that has carried nothing before (unused_connection), and commits to targets do: whatever arrives on it is the commit's own. A shed of a commit is believed as before. Reads go on to share connections.

What it costs: one TCP connection for each commit, and the client closes the least recently used one for it if its pool has no free entry.

Tests: process/test_target_sheds, before: late shed believed for 7 of 10 commits, 7 ran twice, 1 answered before it ran, in each of two runs; now 0, 0 and 0. New case in net/test_http_client, call_with_unused_connection_reuses_none (11 of 11 pass). Also run (asan): net/ test_http_calls 7 of 7, process/test_spillover 1 of 1, test_crash 1 of 1, test_target_responses 6 of 6.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -79,6 +79,8 @@
 	uint32_t first_byte_timeout_ms; /* 0: same as timeout_ms */
 	/* Use a new connection, or one that was active in the last second. */
 	bool fresh_connection;
+	/* Use a new connection: no response on it is an earlier request's. */
+	bool unused_connection;
 	msp_call_judge_t *judge; /* NULL: each response belongs to its call */
 } msp_call_options_t;
 
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -80,6 +80,7 @@
 	msp_time_t response_deadline; /* of the complete response */
 	uint32_t first_byte_timeout_ms;
 	bool fresh_connection;
+	bool unused_connection;
 	bool maybe_sent;
 	bool no_first_byte;
 	bool first_on_connection;
@@ -123,11 +124,11 @@
 void msp_drop_origin(msp_origin_t *origin);
 
 /*
- * Takes an entry from the server's pool; NULL if all are in use. It may have no
- * open connection.
+ * Takes an entry for `call` from the server's pool; NULL if all are in use. It
+ * may have no open connection.
  */
 msp_client_connection_t *msp_acquire_client_connection(
-    msp_origin_t *origin, bool fresh_connection);
+    msp_origin_t *origin, const msp_call_t *call);
 /* Starts `call`, on the entry's open connection or on a new one. */
 void msp_open_client_connection(
     msp_client_connection_t *connection, msp_call_t *call);
--- a/source/net/client_connection.c
+++ b/source/net/client_connection.c
@@ -176,13 +176,22 @@
 	    errno == EAGAIN;
 }
 
+/* Whether the call may use an entry's open connection, if it has one. */
+static bool
+may_use_connection(
+    const msp_client_connection_t *connection, const msp_call_t *call)
+{
+	if (call->unused_connection)
+		return connection->wsi == NULL;
+	return !call->fresh_connection || is_recently_active(connection);
+}
+
 msp_client_connection_t *
-msp_acquire_client_connection(msp_origin_t *origin, bool fresh_connection)
+msp_acquire_client_connection(msp_origin_t *origin, const msp_call_t *call)
 {
 	msp_client_connection_t *connection = TAILQ_FIRST(&origin->idle);
 
-	if (fresh_connection && connection != NULL &&
-	    !is_recently_active(connection)) {
+	if (connection != NULL && !may_use_connection(connection, call)) {
 		/* The last is not open, or else the least recently used. */
 		connection =
 		    TAILQ_LAST(&origin->idle, msp_client_connection_queue);
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -84,8 +84,7 @@
 	msp_client_connection_t *connection;
 
 	while ((call = TAILQ_FIRST(&origin->waiting)) != NULL) {
-		connection = msp_acquire_client_connection(
-		    origin, call->fresh_connection);
+		connection = msp_acquire_client_connection(origin, call);
 		if (connection == NULL)
 			return;
 		TAILQ_REMOVE(&origin->waiting, call, link);
@@ -248,6 +247,7 @@
 	call->ctx = ctx;
 	call->first_byte_timeout_ms = options->first_byte_timeout_ms;
 	call->fresh_connection = options->fresh_connection;
+	call->unused_connection = options->unused_connection;
 	msp_init_deadline(&call->deadline, client->loop, handle_timeout);
 	call->response_deadline = msp_loop_now() + options->timeout_ms * MSP_MS;
 	call->state = MSP_CALL_CONNECTING;
@@ -257,7 +257,7 @@
 		return call;
 	}
 	connection = TAILQ_EMPTY(&origin->waiting)
-	    ? msp_acquire_client_connection(origin, call->fresh_connection)
+	    ? msp_acquire_client_connection(origin, call)
 	    : NULL;
 	if (connection != NULL) {
 		connect_call(call, connection);
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -290,7 +290,9 @@
 	msp_call_options_t options = {.address = address->address,
 	    .port = address->port,
 	    .timeout_ms = get_time_left_ms(dispatched->request, now),
-	    .fresh_connection = fresh_connection};
+	    .fresh_connection = fresh_connection,
+	    /* A target's responses don't tell which request they are of. */
+	    .unused_connection = !dispatched->request->is_idempotent};
 	msp_request_t request;
 
 	if (copy_proxy_request(dispatched->request, &request) != MSP_OK)
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -269,6 +269,35 @@
 	raw_close(&raw);
 }
 
+/*
+ * Guards against a response to an earlier request being taken for that of a
+ * call whose response does not tell: the call gets a connection of its own.
+ */
+static void
+call_with_unused_connection_reuses_none(void **state)
+{
+	client_test_t *test = *state;
+	raw_socket_t raw = {0};
+	raw_socket_t next = {0};
+	int i;
+
+	complete_one_call(test, &raw, true);
+	for (i = 0; i < 3; i++) {
+		/* The kept connection was active in the last second. */
+		test->options.unused_connection = true;
+		complete_one_call(test, &next, true);
+		assert_int_equal(test->outcome.responses_before, 0);
+		assert_true(raw_expect_close(&raw));
+		raw_close(&raw);
+		raw = next;
+		/* Other calls may use it afterwards. */
+		test->options.unused_connection = false;
+		complete_one_call(test, &raw, false);
+		assert_int_equal(test->outcome.responses_before, 1);
+	}
+	raw_close(&raw);
+}
+
 static void
 calls_wait_for_free_connection(void **state)
 {
@@ -347,6 +376,7 @@
 	    CASE(request_is_never_sent_twice),
 	    CASE(idle_connections_are_closed_on_request),
 	    CASE(fresh_call_avoids_old_connections),
+	    CASE(call_with_unused_connection_reuses_none),
 	    CASE(calls_wait_for_free_connection),
 	    CASE(client_dropped_after_start_frees_everything),
 	};
