Add a failing test of a late refusal of another VM

A raw server in the place of the VM that dispatches a service sends a late "not executed" to an earlier request on each kept connection.

--- a/tests/process/test_target_sheds.c
+++ b/tests/process/test_target_sheds.c
@@ -29,6 +29,11 @@
 #define RESPONSE_SIZE 256
 
 #define SHED "503 Busy\r\nRetry-After: 0"
+/* Responses of a VM to which a request was forwarded. */
+#define VM_ANSWER "200 OK\r\nmsp-vm: v\r\nmsp-target: t"
+#define VM_SHED                                              \
+	"503 Busy\r\nmsp-vm: v\r\nmsp-refusal: overload\r\n" \
+	"msp-run: no\r\nmsp-started: 0\r\nmsp-retry-after-ms: 0"
 
 typedef struct connection {
 	TAILQ_ENTRY(connection) link;
@@ -49,6 +54,7 @@
 	bool armed; /* the late response is still to be sent */
 	unsigned int late_count; /* late responses that were sent */
 	bool sheds; /* the next commit */
+	bool is_vm; /* else a target */
 } raw_server_t;
 
 static const fleet_place_t places[] = {{"a", "north", 1, 1}, {0}};
@@ -84,7 +90,7 @@
 		if (!server->armed || connection->answered == 0 ||
 		    connection->closed)
 			continue;
-		answer(connection, SHED, "");
+		answer(connection, server->is_vm ? VM_SHED : SHED, "");
 		server->late_count++;
 	}
 	server->armed = false;
@@ -148,7 +154,8 @@
 	connection->closed = connection->closed || len == 0;
 	if (connection->running && msp_now(&server->env) >= connection->due) {
 		connection->running = false;
-		answer(connection, "200 OK", connection->result);
+		answer(connection, server->is_vm ? VM_ANSWER : "200 OK",
+		    connection->result);
 	}
 	end = strstr(msp_buffer_text(input), "\r\n\r\n");
 	if (connection->running || end == NULL)
@@ -179,17 +186,18 @@
 		step_connection(server, connection);
 }
 
-/* Takes the place of the fleet's target. */
+/* Takes the place of a process of the fleet at `port`. */
 static void
-open_server(raw_server_t *server, fleet_t *fleet)
+open_server(raw_server_t *server, fleet_t *fleet, fleet_process_t *process,
+    uint16_t port)
 {
 	struct sockaddr_in to = {.sin_family = AF_INET,
-	    .sin_port = htons(fleet->targets[0].port),
+	    .sin_port = htons(port),
 	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
 	int one = 1;
 
-	signal_fleet_process(&fleet->targets[0], SIGKILL);
-	wait_fleet_process_exit(fleet, &fleet->targets[0]);
+	signal_fleet_process(process, SIGKILL);
+	wait_fleet_process_exit(fleet, process);
 	*server = (raw_server_t){.env = msp_system_env()};
 	TAILQ_INIT(&server->connections);
 	server->listener =
@@ -215,13 +223,20 @@
 	close(server->listener);
 }
 
+/* The port of the VM that gets all requests: the last one. */
+static uint16_t
+get_entry_port(const fleet_t *fleet)
+{
+	return fleet->vms[fleet->vm_count - 1].port;
+}
+
 static bool
 can_read(void *ctx)
 {
 	fleet_t *fleet = ctx;
 	fleet_reply_t reply;
 
-	send_fleet_request(fleet, fleet->vms[0].port, "GET",
+	send_fleet_request(fleet, get_entry_port(fleet), "GET",
 	    "/v1/services/desk/x", NULL, NULL, &reply);
 	msp_drop_response(&reply.response);
 	return reply.http_status == 200;
@@ -248,9 +263,9 @@
 	int i;
 
 	for (i = 0; i < READS; i++)
-		assert_non_null(start_fleet_request(fleet, fleet->vms[0].port,
-		    "GET", "/v1/services/desk/x", NULL, NULL,
-		    FLEET_WAIT_TIMEOUT_MS, count_read, &done));
+		assert_non_null(start_fleet_request(fleet,
+		    get_entry_port(fleet), "GET", "/v1/services/desk/x", NULL,
+		    NULL, FLEET_WAIT_TIMEOUT_MS, count_read, &done));
 	assert_true(wait_fleet_until(fleet, are_reads_done, &done));
 }
 
@@ -261,7 +276,7 @@
 	fleet_reply_t reply;
 
 	snprintf(headers, sizeof(headers), "Idempotency-Key: %s", key);
-	send_fleet_request(fleet, fleet->vms[0].port, "POST",
+	send_fleet_request(fleet, get_entry_port(fleet), "POST",
 	    "/v1/services/desk/orders", headers, "x", &reply);
 	msp_drop_response(&reply.response);
 	return reply.http_status;
@@ -283,7 +298,7 @@
 	char key[16];
 	int i;
 
-	open_server(&server, fleet);
+	open_server(&server, fleet, &fleet->targets[0], fleet->targets[0].port);
 	timer = msp_new_timer(fleet->loop, STEP, STEP, step_server, &server);
 	assert_non_null(timer);
 	for (i = 0; i < 10; i++) {
@@ -318,12 +333,60 @@
 	assert_int_equal(early, 0);
 }
 
+static const fleet_place_t two_vms[] = {{"a", "north", 2, 1}, {0}};
+
+static int
+start_two_vms(void **state)
+{
+	fleet_options_t options = {
+	    .places = two_vms, .service = "desk", .slots = 4};
+
+	return start_fleet_group(state, &options);
+}
+
+/*
+ * Guards against "not executed" of another VM being believed for a request that
+ * it is not about. A dispatcher's responses here bear no id, as those of older
+ * versions.
+ */
+static void
+late_refusal_of_a_vm_is_not_taken_for_that_of_a_commit(void **state)
+{
+	fleet_t *fleet = *state;
+	raw_server_t server;
+	msp_timer_t *timer;
+	int http_status;
+
+	assert_true(wait_fleet_until(fleet, can_read, fleet));
+	assert_int_equal(find_fleet_dispatcher(fleet, 2), 0);
+	open_server(&server, fleet, &fleet->vms[0], fleet->vms[0].peer_port);
+	server.is_vm = true;
+	timer = msp_new_timer(fleet->loop, STEP, STEP, step_server, &server);
+	assert_non_null(timer);
+	send_reads(fleet);
+	server.armed = true;
+	http_status = send_commit(fleet, "late");
+	print_message("%u late refusals, %u runs, status %d\n",
+	    server.late_count, server.runs, http_status);
+	msp_drop_timer(timer);
+	close_server(&server);
+	assert_true(server.late_count > 0);
+	assert_int_equal(server.runs, 1);
+	/* Whether it ran is not known. */
+	assert_int_equal(http_status, 502);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(late_shed_is_not_taken_for_that_of_a_commit),
 	};
+	const struct CMUnitTest vm_tests[] = {
+	    cmocka_unit_test(
+		late_refusal_of_a_vm_is_not_taken_for_that_of_a_commit),
+	};
 
-	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group);
+	return cmocka_run_group_tests(tests, start_fleet, stop_fleet_group) +
+	    cmocka_run_group_tests(vm_tests, start_two_vms, stop_fleet_group);
 }
