Believe "not executed" of another VM only for its own request

A commit was refused with 503 as not executed although the VM to which it was forwarded ran it. Cause: any complete response on the connection was taken for that of the forwarded request, with its "msp-run: no"; a VM's response bore nothing of the request.

A VM now returns the id of the forwarded request (msp-id), from /v1/work and /v1/tries, and the sender judges by it, before the connection can be used again: with another id, the connection is closed and the response counts as lost, which is in doubt for a commit. Responses of older versions have no id. They count as before, except that "not executed" and "released" of a request that must not be repeated are believed only from the first response on a connection. So, while VMs of both versions run, some true refusals of older VMs are reported as in doubt.

--- a/source/spindled/caller_request.c
+++ b/source/spindled/caller_request.c
@@ -66,7 +66,8 @@
 	msp_response_t response = {0};
 
 	memcpy(result->vm, request->daemon->settings->vm, sizeof(result->vm));
-	if (encode_proxy_result(result, &response) == MSP_OK) {
+	if (encode_proxy_result(result, request->proxy.id, &response) ==
+	    MSP_OK) {
 		msp_send_exchange_response(request->exchange, &response);
 		return;
 	}
--- a/source/spindled/forward_to_issuer.c
+++ b/source/spindled/forward_to_issuer.c
@@ -82,11 +82,22 @@
 	refuse_caller_request(caller, &result.refusal);
 }
 
+static bool
+judge_response(void *ctx, const msp_call_result_t *result)
+{
+	const forward_t *forward = ctx;
+
+	return is_proxy_result_of(&forward->caller->proxy, result);
+}
+
 static void
 handle_forward_response(void *ctx, msp_call_result_t *call_result)
 {
 	forward_t *forward = ctx;
 
+	if (call_result->status == MSP_OK &&
+	    !judge_response(forward, call_result))
+		call_result->status = MSP_E_TRUNCATED_RESPONSE;
 	if (call_result->status == MSP_OK &&
 	    record_release(forward, &call_result->response->headers))
 		send_forward(forward);
@@ -134,7 +145,8 @@
 	    .port = forward->port,
 	    .timeout_ms = get_time_left_ms(proxy, msp_now(&daemon->env)) +
 		RESPONSE_MARGIN_MS,
-	    .fresh_connection = true};
+	    .fresh_connection = true,
+	    .judge = judge_response};
 	msp_call_result_t failed = {.status = MSP_E_NO_MEMORY};
 	msp_request_t request;
 
--- a/source/spindled/peer_listener.c
+++ b/source/spindled/peer_listener.c
@@ -34,7 +34,7 @@
 	if (result->vm[0] == '\0')
 		memcpy(
 		    result->vm, peer->daemon->settings->vm, sizeof(result->vm));
-	status = encode_proxy_result(result, &response);
+	status = encode_proxy_result(result, request->id, &response);
 	if (status == MSP_OK) {
 		msp_send_exchange_response(peer->exchange, &response);
 	} else {
--- a/source/spindled/proxy_codec.c
+++ b/source/spindled/proxy_codec.c
@@ -225,7 +225,7 @@
 }
 
 msp_status_t
-encode_proxy_result(proxy_result_t *result, msp_response_t *out)
+encode_proxy_result(proxy_result_t *result, const char *id, msp_response_t *out)
 {
 	const msp_refusal_t *refusal = &result->refusal;
 	msp_headers_t *headers = &out->headers;
@@ -233,10 +233,12 @@
 	if (result->answered) {
 		*out = result->response;
 		memset(&result->response, 0, sizeof(result->response));
+		msp_add_header(headers, "msp-id", id);
 		msp_add_header(headers, "msp-target", result->target);
 		return msp_add_header(headers, "msp-vm", result->vm);
 	}
 	memset(out, 0, sizeof(*out));
+	msp_add_header(headers, "msp-id", id);
 	out->status = msp_get_status_info(refusal->status)->http_status;
 	msp_add_header(headers, "msp-vm", result->vm);
 	msp_add_header(
@@ -252,6 +254,29 @@
 	    &out->body, refusal->reason, strlen(refusal->reason));
 }
 
+/* Whether a VM's response says that its request has not run. */
+static bool
+says_not_run(const msp_headers_t *headers)
+{
+	const char *run = msp_find_header(headers, "msp-run");
+
+	return msp_find_header(headers, "msp-released") != NULL ||
+	    (run != NULL && strcmp(run, "no") == 0);
+}
+
+bool
+is_proxy_result_of(
+    const proxy_request_t *request, const msp_call_result_t *result)
+{
+	const msp_headers_t *headers = &result->response->headers;
+	const char *id = msp_find_header(headers, "msp-id");
+
+	if (id != NULL)
+		return strcmp(id, request->id) == 0;
+	return request->is_idempotent || result->first_on_connection ||
+	    !says_not_run(headers);
+}
+
 /* Removes internal and hop-by-hop headers, which a caller must not get. */
 static void
 drop_internal_headers(msp_headers_t *headers)
--- a/source/spindled/proxy_codec.h
+++ b/source/spindled/proxy_codec.h
@@ -2,6 +2,7 @@
 #define SPINDLED_PROXY_CODEC_H
 
 #include "monsoonspindle/net/http.h"
+#include "monsoonspindle/net/http_client.h"
 #include "proxy_request.h"
 
 /*
@@ -28,8 +29,21 @@
 msp_status_t decode_proxy_request(const msp_request_t *http, const char *path,
     msp_time_t now, proxy_request_t *request);
 
-/* Moves the result's response, or encodes its refusal, to `out`. */
-msp_status_t encode_proxy_result(proxy_result_t *result, msp_response_t *out);
+/*
+ * Moves the result's response, or encodes its refusal, to `out`, with the id of
+ * the request.
+ */
+msp_status_t encode_proxy_result(
+    proxy_result_t *result, const char *id, msp_response_t *out);
+
+/*
+ * Whether the complete response of a VM is that to `request`: it has the
+ * request's id. Older versions send none. Without an id, "not executed" counts
+ * only for a request that may be repeated, or if the response is the first on
+ * its connection.
+ */
+bool is_proxy_result_of(
+    const proxy_request_t *request, const msp_call_result_t *result);
 
 /*
  * Moves a response from a VM to `result`. Returns MSP_E_TRUNCATED_RESPONSE if
--- a/source/spindled/remote.c
+++ b/source/spindled/remote.c
@@ -35,6 +35,14 @@
 	    "the dispatcher's response was lost");
 }
 
+static bool
+judge_response(void *ctx, const msp_call_result_t *result)
+{
+	const remote_call_t *remote = ctx;
+
+	return is_proxy_result_of(remote->request, result);
+}
+
 static void
 handle_call_done(void *ctx, msp_call_result_t *call_result)
 {
@@ -44,6 +52,7 @@
 
 	free(remote);
 	if (call_result->status == MSP_OK &&
+	    is_proxy_result_of(request, call_result) &&
 	    decode_proxy_result(call_result->response, &result) == MSP_OK) {
 		finish_proxy_request(request, &result);
 		return;
@@ -70,7 +79,8 @@
 	msp_call_options_t options = {.address = address,
 	    .port = peer_port,
 	    .timeout_ms = get_time_left_ms(request, now) + REPLY_MARGIN_MS,
-	    .fresh_connection = !request->is_idempotent};
+	    .fresh_connection = !request->is_idempotent,
+	    .judge = judge_response};
 	msp_request_t http;
 	remote_call_t *remote = calloc(1, sizeof(*remote));
 
