Add a failing test of a target that sends fields of VMs

A target's 200 with msp-refusal and "msp-run: no" reaches a caller whose request went through two VMs as 503, a refusal as not executed, though the target ran it. With msp-id and another id it is 502 in doubt.

--- a/tests/process/test_target_sheds.c
+++ b/tests/process/test_target_sheds.c
@@ -56,6 +56,7 @@
 	unsigned int late_count; /* late responses that were sent */
 	bool sheds; /* the next commit */
 	bool is_vm; /* else a target */
+	const char *head; /* of responses to commits; NULL: as usual */
 } raw_server_t;
 
 static const fleet_place_t places[] = {{"a", "north", 1, 1}, {0}};
@@ -141,6 +142,14 @@
 	return 0;
 }
 
+static const char *
+get_head(const raw_server_t *server)
+{
+	if (server->head != NULL)
+		return server->head;
+	return server->is_vm ? VM_ANSWER : "200 OK";
+}
+
 static void
 step_connection(raw_server_t *server, connection_t *connection)
 {
@@ -155,8 +164,7 @@
 	connection->closed = connection->closed || len == 0;
 	if (connection->running && msp_now(&server->env) >= connection->due) {
 		connection->running = false;
-		answer(connection, server->is_vm ? VM_ANSWER : "200 OK",
-		    connection->result);
+		answer(connection, get_head(server), connection->result);
 	}
 	end = strstr(msp_buffer_text(input), "\r\n\r\n");
 	if (connection->running || end == NULL)
@@ -398,6 +406,49 @@
 	assert_int_equal(http_status, 502);
 }
 
+/*
+ * Guards against fields that VMs send each other being believed from a target:
+ * its complete response was taken for a VM's "not executed".
+ */
+static void
+fields_between_vms_are_not_believed_from_a_target(void **state)
+{
+	static const char *const heads[] = {
+	    "200 OK\r\nmsp-refusal: overload\r\nmsp-run: no\r\n"
+	    "msp-started: 0\r\nmsp-retry-after-ms: 0",
+	    "200 OK\r\nmsp-id: other",
+	    "200 OK\r\nmsp-vm: \r\nmsp-released: 0",
+	};
+	fleet_t *fleet = *state;
+	raw_server_t server;
+	msp_timer_t *timer;
+	unsigned int wrong = 0;
+	char key[16];
+	int http_status;
+	size_t i;
+
+	assert_true(wait_fleet_until(fleet, can_read, fleet));
+	assert_int_equal(find_fleet_dispatcher(fleet, 2), 0);
+	open_server(&server, fleet, &fleet->targets[0], fleet->targets[0].port);
+	timer = msp_new_timer(fleet->loop, STEP, STEP, step_server, &server);
+	assert_non_null(timer);
+	for (i = 0; i < sizeof(heads) / sizeof(*heads); i++) {
+		server.head = NULL;
+		assert_true(wait_fleet_until(fleet, can_read, fleet));
+		server.runs = 0;
+		server.head = heads[i];
+		snprintf(key, sizeof(key), "fields-%zu", i);
+		http_status = send_commit(fleet, key);
+		print_message("case %zu: %u runs, status %d\n", i, server.runs,
+		    http_status);
+		wrong += server.runs == 1 && http_status == 200 ? 0 : 1;
+	}
+	msp_drop_timer(timer);
+	close_server(&server);
+	assert_int_equal(spawn_fleet_target(fleet, 0), 0);
+	assert_int_equal(wrong, 0);
+}
+
 int
 main(void)
 {
@@ -405,6 +456,7 @@
 	    cmocka_unit_test(late_shed_is_not_taken_for_that_of_a_commit),
 	};
 	const struct CMUnitTest vm_tests[] = {
+	    cmocka_unit_test(fields_between_vms_are_not_believed_from_a_target),
 	    cmocka_unit_test(
 		late_refusal_of_a_vm_is_not_taken_for_that_of_a_commit),
 	};
