Leave out blanks after the value of a header field

Cause: libwebsockets keeps blanks at the end of a value, and values are compared as they are. Blanks there don't belong to the value (RFC 9110, 5.5). They are now left out where fields are copied, so the same holds for requests.

Test net/test_http_calls, blanks_after_a_value_are_left_out: failed before with case 3: "abc ", passes now.

--- a/source/net/fields.c
+++ b/source/net/fields.c
@@ -123,10 +123,21 @@
 	return true;
 }
 
-/* Adds a field. `name` ends with ":"; a negative value_len means too long. */
+/* Returns the length without the blanks at the end, which are left out. */
+static int
+trim_value(char *value, int len)
+{
+	while (len > 0 && (value[len - 1] == ' ' || value[len - 1] == '\t'))
+		value[--len] = '\0';
+	return len;
+}
+
+/*
+ * Adds a field. `name` ends with ":"; a negative value_len means too long.
+ * Blanks after a value don't belong to it; libwebsockets keeps them.
+ */
 static msp_status_t
-add_field(
-    msp_headers_t *headers, const char *name, const char *value, int value_len)
+add_field(msp_headers_t *headers, const char *name, char *value, int value_len)
 {
 	char bare[NAME_SIZE];
 	size_t len = strlen(name) - 1;
@@ -138,6 +149,7 @@
 	bare[len] = '\0';
 	if (msp_is_connection_field(bare))
 		return MSP_OK;
+	value_len = trim_value(value, value_len);
 	if (strlen(value) != (size_t)value_len ||
 	    !msp_is_valid_field(bare, value))
 		return msp_fail(MSP_E_BAD_REQUEST,
--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -340,6 +340,53 @@
 	raw_close(&raw);
 }
 
+/* Completes a call with a response that has these fields of its own. */
+static void
+complete_call_with_fields(client_test_t *test, const char *fields)
+{
+	char text[256];
+	raw_socket_t raw;
+
+	snprintf(
+	    text, sizeof(text), OK_LINE "%sContent-Length: 0\r\n\r\n", fields);
+	start_test_call(test, "POST", "/a", &test->outcome);
+	raw = raw_accept(&test->listener);
+	assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+	raw_send_text(&raw, text);
+	wait_outcome(test, fields);
+	assert_int_equal(test->outcome.status, MSP_OK);
+	raw_close(&raw);
+	msp_step_loop(test->loop, 20);
+}
+
+/*
+ * Guards against a request's own response that is taken for another's, since
+ * its id is followed by a blank, which doesn't belong to the value.
+ */
+static void
+blanks_after_a_value_are_left_out(void **state)
+{
+	static const char *const cases[] = {
+	    "X-Correlation-Id: abc\r\n",
+	    "X-Correlation-Id:abc\r\n",
+	    "X-Correlation-Id:  abc\r\n",
+	    "X-Correlation-Id: abc \r\n",
+	    "X-Correlation-Id: abc \t \r\n",
+	};
+	client_test_t *test = *state;
+	const char *value;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		complete_call_with_fields(test, cases[i]);
+		value = msp_find_header(
+		    &test->outcome.response.headers, "x-correlation-id");
+		if (value == NULL || strcmp(value, "abc") != 0)
+			fail_msg("case %zu: \"%s\"", i,
+			    value == NULL ? "none" : value);
+	}
+}
+
 int
 main(void)
 {
@@ -353,6 +400,7 @@
 	    CASE(invalid_request_is_not_sent),
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
+	    CASE(blanks_after_a_value_are_left_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
