--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #include <cmocka.h>
 #include <netinet/in.h>
@@ -387,6 +388,29 @@
 	}
 }
 
+/*
+ * Guards against a response with the ids of two requests that is taken for the
+ * first one's: a field that is not in the library's list is copied once.
+ */
+static void
+each_of_repeated_fields_is_copied(void **state)
+{
+	client_test_t *test = *state;
+	const msp_headers_t *headers;
+	size_t found = 0;
+	size_t i;
+
+	complete_call_with_fields(
+	    test, "X-Correlation-Id: abc\r\nX-Correlation-Id: abd\r\n");
+	headers = &test->outcome.response.headers;
+	for (i = 0; i < headers->count; i++) {
+		if (strcasecmp(headers->fields[i].name, "x-correlation-id") ==
+		    0)
+			found++;
+	}
+	assert_int_equal(found, 2);
+}
+
 int
 main(void)
 {
@@ -401,6 +425,7 @@
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
 	    CASE(blanks_after_a_value_are_left_out),
+	    CASE(each_of_repeated_fields_is_copied),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
