--- a/tests/net/test_http_calls.c
+++ b/tests/net/test_http_calls.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #include <cmocka.h>
 #include <netinet/in.h>
@@ -340,6 +341,76 @@
 	raw_close(&raw);
 }
 
+/* Completes a call with a response that has these fields of its own. */
+static void
+complete_call_with_fields(client_test_t *test, const char *fields)
+{
+	char text[256];
+	raw_socket_t raw;
+
+	snprintf(
+	    text, sizeof(text), OK_LINE "%sContent-Length: 0\r\n\r\n", fields);
+	start_test_call(test, "POST", "/a", &test->outcome);
+	raw = raw_accept(&test->listener);
+	assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+	raw_send_text(&raw, text);
+	wait_outcome(test, fields);
+	assert_int_equal(test->outcome.status, MSP_OK);
+	raw_close(&raw);
+	msp_step_loop(test->loop, 20);
+}
+
+/*
+ * Guards against a request's own response that is taken for another's, since
+ * its id is followed by a blank, which doesn't belong to the value.
+ */
+static void
+blanks_after_a_value_are_left_out(void **state)
+{
+	static const char *const cases[] = {
+	    "X-Correlation-Id: abc\r\n",
+	    "X-Correlation-Id:abc\r\n",
+	    "X-Correlation-Id:  abc\r\n",
+	    "X-Correlation-Id: abc \r\n",
+	    "X-Correlation-Id: abc \t \r\n",
+	};
+	client_test_t *test = *state;
+	const char *value;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		complete_call_with_fields(test, cases[i]);
+		value = msp_find_header(
+		    &test->outcome.response.headers, "x-correlation-id");
+		if (value == NULL || strcmp(value, "abc") != 0)
+			fail_msg("case %zu: \"%s\"", i,
+			    value == NULL ? "none" : value);
+	}
+}
+
+/*
+ * Guards against a response with the ids of two requests that is taken for the
+ * first one's: a field that is not in the library's list is copied once.
+ */
+static void
+each_of_repeated_fields_is_copied(void **state)
+{
+	client_test_t *test = *state;
+	const msp_headers_t *headers;
+	size_t found = 0;
+	size_t i;
+
+	complete_call_with_fields(
+	    test, "X-Correlation-Id: abc\r\nX-Correlation-Id: abd\r\n");
+	headers = &test->outcome.response.headers;
+	for (i = 0; i < headers->count; i++) {
+		if (strcasecmp(headers->fields[i].name, "x-correlation-id") ==
+		    0)
+			found++;
+	}
+	assert_int_equal(found, 2);
+}
+
 int
 main(void)
 {
@@ -353,6 +424,8 @@
 	    CASE(invalid_request_is_not_sent),
 	    CASE(client_may_be_dropped_in_callback),
 	    CASE(dead_peer_detection_is_enabled),
+	    CASE(blanks_after_a_value_are_left_out),
+	    CASE(each_of_repeated_fields_is_copied),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
