Drop fields between VMs from responses of targets

A caller whose commit went through two VMs got 503, a refusal as not executed, although the target had run it and answered 200, if the target's response had fields such as msp-refusal and "msp-run: no". Cause: a target's response is sent on to the other VM with all of its fields, and that VM reads those names as what the dispatching VM says of the request.

The fields are now removed from a target's response as soon as it is complete.

--- a/source/spindled/proxy_codec.c
+++ b/source/spindled/proxy_codec.c
@@ -17,21 +17,27 @@
     "trailer", "transfer-encoding", "upgrade", "host", "content-length",
     "expect", "date"};
 
-static int
+static bool
+is_internal(const char *name)
+{
+	return strncasecmp(name, INTERNAL_HEADER_PREFIX,
+		   sizeof(INTERNAL_HEADER_PREFIX) - 1) == 0;
+}
+
+static bool
 is_hop_by_hop_or_internal(const char *name)
 {
 	size_t i;
 
-	if (strncasecmp(name, INTERNAL_HEADER_PREFIX,
-		sizeof(INTERNAL_HEADER_PREFIX) - 1) == 0)
-		return 1;
+	if (is_internal(name))
+		return true;
 	for (i = 0;
 	     i < sizeof(hop_by_hop_headers) / sizeof(hop_by_hop_headers[0]);
 	     i++) {
 		if (strcasecmp(name, hop_by_hop_headers[i]) == 0)
-			return 1;
+			return true;
 	}
-	return 0;
+	return false;
 }
 
 static const char *const internal_headers[] = {"msp-id", "msp-service",
@@ -277,15 +283,14 @@
 	    !says_not_run(headers);
 }
 
-/* Removes internal and hop-by-hop headers, which a caller must not get. */
 static void
-drop_internal_headers(msp_headers_t *headers)
+drop_headers(msp_headers_t *headers, bool (*matches)(const char *name))
 {
 	msp_headers_t kept = {0};
 	size_t i;
 
 	for (i = 0; i < headers->count; i++) {
-		if (is_hop_by_hop_or_internal(headers->fields[i].name)) {
+		if (matches(headers->fields[i].name)) {
 			free(headers->fields[i].name);
 			free(headers->fields[i].value);
 		} else {
@@ -295,6 +300,12 @@
 	*headers = kept;
 }
 
+void
+drop_internal_headers(msp_headers_t *headers)
+{
+	drop_headers(headers, is_internal);
+}
+
 msp_status_t
 decode_proxy_result(msp_response_t *response, proxy_result_t *result)
 {
@@ -316,7 +327,9 @@
 		result->answered = true;
 		result->response = *response;
 		memset(response, 0, sizeof(*response));
-		drop_internal_headers(&result->response.headers);
+		/* A caller must not get these. */
+		drop_headers(
+		    &result->response.headers, is_hop_by_hop_or_internal);
 		return MSP_OK;
 	}
 	if (run == NULL || started == NULL)
--- a/source/spindled/proxy_codec.h
+++ b/source/spindled/proxy_codec.h
@@ -29,6 +29,9 @@
 msp_status_t decode_proxy_request(const msp_request_t *http, const char *path,
     msp_time_t now, proxy_request_t *request);
 
+/* Removes the internal headers, which only a VM may set. */
+void drop_internal_headers(msp_headers_t *headers);
+
 /*
  * Moves the result's response, or encodes its refusal, to `out`, with the id of
  * the request.
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "proxy_codec.h"
+
 #define HTTP_SERVICE_UNAVAILABLE 503
 #define RETRY_AFTER_MAX_S 60
 #define PROBE_TIMEOUT_MS 300
@@ -207,6 +209,7 @@
 	} else {
 		result.answered = true;
 		result.response = *call_result->response;
+		drop_internal_headers(&result.response.headers);
 		memset(
 		    call_result->response, 0, sizeof(*call_result->response));
 	}
