--- a/source/spindled/edge_attempt_log.c
+++ b/source/spindled/edge_attempt_log.c
@@ -42,9 +42,9 @@
 {
 	char id[REQUEST_ID_SIZE];
 	char other_id[REQUEST_ID_SIZE];
-	msp_line_rank_t rank = !fields->id_matches || fields->not_run
-	    ? MSP_LINE_VITAL
-	    : MSP_LINE_NOTABLE;
+	/* Ordinary refusals must leave room for the ends of requests. */
+	msp_line_rank_t rank =
+	    fields->other_id[0] != '\0' ? MSP_LINE_VITAL : MSP_LINE_NOTABLE;
 
 	log_request(rank,
 	    "event=attempt id=%s target=%s attempt=%zu concluded=%s status=%d "
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -65,7 +65,9 @@
 		id = NULL;
 	if (id != NULL)
 		msp_add_header(&response.headers, "Request-Id", id);
+	/* A target signs only the responses to requests that it executes. */
 	if (target->behaviour != TARGET_OMITS_SIGNATURE &&
+	    target->behaviour != TARGET_IS_REPLACED &&
 	    !sheds(target->behaviour))
 		msp_add_header(
 		    &response.headers, "Response-Signature", target->id);
