--- a/tests/process/test_edge.c
+++ b/tests/process/test_edge.c
@@ -446,7 +446,9 @@
 	run_edge_for(fixture, LOG_DELAY);
 	attempts = count_log_lines(fixture, "event=attempt");
 	requests = count_log_lines(fixture, "event=request");
-	if (requests < STORM_REQUESTS_LOGGED_MIN)
+	print_message(
+	    "%u lines of requests, %u of attempts\n", requests, attempts);
+	if (requests < STORM_REQUESTS_LOGGED_MIN || requests <= attempts)
 		fail_msg(
 		    "%u lines of requests, %u of attempts", requests, attempts);
 }
