--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -14,6 +14,5 @@
 #include "monsoonspindle/coord/relay.h"
 #include "monsoonspindle/coord/rendezvous.h"
 #include "monsoonspindle/coord/summary.h"
-#include "monsoonspindle/coord/retry_budget.h"
 
 #endif
--- a/source/net/connection.h
+++ b/source/net/connection.h
@@ -46,7 +46,6 @@
 	msp_chunk_decoder_t chunk_decoder;
 	bool chunked; /* the request's body is chunked */
 	bool close_after_response;
-	bool head_started; /* unused */
 	/* Bytes received by the end of the last exchange. */
 	uint64_t received_before;
 	/* The same of bytes that libwebsockets has read; 0: not known. */
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -108,7 +108,6 @@
 	case TARGET_DELAYS:
 	case TARGET_CLOSES_CONNECTION:
 	case TARGET_EXITS:
-	case TARGET_TRUNCATES_BODY:
 		target->pending = exchange;
 		break;
 	default:
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -24,7 +24,6 @@
 	TARGET_CLOSES_CONNECTION, /* closes the connection without a response */
 	TARGET_EXITS, /* as TARGET_CLOSES_CONNECTION, then refuses connections:
 			 a crash */
-	TARGET_TRUNCATES_BODY, /* unused; the same as TARGET_DELAYS */
 	TARGET_SENDS_WRONG_ID, /* the response has another Request-Id */
 	TARGET_OMITS_SIGNATURE,
 	TARGET_FAILS, /* 500 */
--- a/tests/support/raw_socket.h
+++ b/tests/support/raw_socket.h
@@ -12,7 +12,6 @@
 	int fd;
 	msp_buffer_t input; /* received data */
 	bool closed; /* by the peer, or not connected */
-	size_t wanted; /* unused */
 	const char *expected_text; /* that raw_expect() waits for */
 } raw_socket_t;
 
