Post the second strike of a test after the first has ended

Cause: the test posted two strikes at once, and a strike counts only if its attempt started after the last strike (quarantine.h); which of the two ages was greater was left to chance. It now posts the first and waits for as long as the second attempt had started before its message. The checks are the same.

--- a/tests/process/test_edge_refusals.c
+++ b/tests/process/test_edge_refusals.c
@@ -302,6 +302,17 @@
 	drop_edge_fixture(fixture);
 }
 
+/* How long before the message the attempt of its first strike started. */
+static msp_time_t
+get_started_ago(const msp_buffer_t *strikes)
+{
+	unsigned long long us = 0;
+
+	assert_int_equal(
+	    sscanf(msp_buffer_text(strikes), "%*s %*s %llu", &us), 1);
+	return (msp_time_t)us;
+}
+
 /*
  * Guards against a refusal for a request that runs while another with the same
  * path and body is put in quarantine.
@@ -318,14 +329,17 @@
 	for (i = 0; i < 2; i++)
 		collect_strikes(&strikes[i]);
 	set_up_routes_and_targets(fixture);
+	assert_int_equal(
+	    post_strikes(fixture, msp_buffer_text(&strikes[0])), 204);
+	/* A strike counts only if its attempt started after the last strike. */
+	run_edge_for(fixture, get_started_ago(&strikes[1]));
 	set_behaviours(fixture, TARGET_DELAYS);
 	start_edge_request(
 	    fixture, fixture->caller_port, "POST", "/write/deadly", &running);
 	while (count_target_requests(fixture) == 0)
 		step_edge_fixture(fixture);
-	for (i = 0; i < 2; i++)
-		assert_int_equal(
-		    post_strikes(fixture, msp_buffer_text(&strikes[i])), 204);
+	assert_int_equal(
+	    post_strikes(fixture, msp_buffer_text(&strikes[1])), 204);
 	send_edge_request(fixture, "POST", "/write/deadly", &refused);
 	assert_int_equal(refused.http_status, 503);
 	assert_int_equal(count_target_requests(fixture), 1);
