Log and count the limits that targets name, without acting on them

The record can't tell whether a limit was not heard, heard by some VMs, or held by each VM for itself. Server-Limit is now registered with the HTTP library and decoded; a line event=target-limit and a counter tell when a VM hears of a limit, of another rate and of its end, and msp_target_sends_total{kind,limited} counts what is sent to such targets by kind. No request is routed otherwise.

A response lifts or raises a limit only if its request was sent after the limit was heard, since responses overtake each other.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -11,6 +11,7 @@
 #include "monsoonspindle/steer/spill.h"
 #include "monsoonspindle/steer/traffic_split.h"
 #include "monsoonspindle/steer/strike_sync.h"
+#include "monsoonspindle/steer/target_limit.h"
 #include "monsoonspindle/steer/target_traffic.h"
 #include "monsoonspindle/steer/target_view.h"
 #include "monsoonspindle/steer/client_block.h"
--- /dev/null
+++ b/include/monsoonspindle/steer/target_limit.h
@@ -0,0 +1,49 @@
+#ifndef MONSOONSPINDLE_STEER_TARGET_LIMIT_H
+#define MONSOONSPINDLE_STEER_TARGET_LIMIT_H
+
+#include <stdbool.h>
+
+#include "monsoonspindle/base/env.h"
+
+/*
+ * The rate limit that a target names in its responses: requests per second from
+ * all VMs together, for as long as its responses name it.
+ */
+
+/* What one response says. The times are of this VM's clock. */
+typedef struct msp_limit_statement {
+	bool named; /* the response names a limit */
+	double per_second; /* if `named` */
+	msp_time_t sent_at; /* when the request was sent */
+	msp_time_t heard_at; /* when the response was received */
+} msp_limit_statement_t;
+
+/* What a statement changed. */
+typedef enum msp_limit_change {
+	MSP_LIMIT_UNCHANGED,
+	MSP_LIMIT_NAMED, /* there was none before */
+	MSP_LIMIT_CHANGED, /* another rate */
+	MSP_LIMIT_ENDED,
+} msp_limit_change_t;
+
+/* "unchanged", "named", "changed" or "ended". */
+const char *msp_limit_change_name(msp_limit_change_t change);
+
+/* What is known of one process of a target. Zero-initialise. */
+typedef struct msp_target_limit {
+	msp_limit_statement_t last; /* the newest statement; heard_at 0: none */
+} msp_target_limit_t;
+
+/*
+ * Applies a statement. Responses overtake each other: only a request that was
+ * sent after the last statement was heard proves that the target has lifted or
+ * raised its limit since. Of two statements whose order is not known the lower
+ * limit stands.
+ */
+msp_limit_change_t msp_apply_limit_statement(
+    msp_target_limit_t *limit, const msp_limit_statement_t *statement);
+
+/* Whether the target has named a limit and has not lifted it. */
+bool msp_limit_in_force(const msp_target_limit_t *limit);
+
+#endif
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -140,6 +140,10 @@
 	    edge->balancer, &request->criteria, &request->choice, duration, ok);
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
+	if (fields.is_own && !fields.wrong_target &&
+	    target->registration.incarnation == request->sent_incarnation)
+		observe_target_limit(edge, target, request->sent_at,
+		    fields.limit_field, fields.limit_per_second);
 	/* Another request's "not executed" says nothing about this one. */
 	if (fields.not_run && fields.is_own) {
 		report_attempt_response(
@@ -298,8 +302,11 @@
 		return;
 	}
 	msp_begin_balanced_request(edge->balancer, &request->choice);
+	count_sent_request(edge, request->choice.target,
+	    request->criteria.tried_count == 0 ? "request" : "retry");
 	request->tried[request->criteria.tried_count++] =
 	    msp_keep_view_target(request->choice.target);
 	request->sent_count++;
 	request->sent_at = now;
+	request->sent_incarnation = registration->incarnation;
 }
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -121,6 +121,20 @@
 /* To be called after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
+/* edge_limits.c: rates that targets name in their responses */
+
+/*
+ * Applies what a response says of its target's limit. The response must
+ * certainly be that of a request that was sent to this process of the target at
+ * `sent_at`.
+ */
+void observe_target_limit(edge_t *edge, msp_view_target_t *target,
+    msp_time_t sent_at, limit_field_t field, double per_second);
+
+/* Counts a request that is sent; `kind` is "request", "retry" or "probe". */
+void count_sent_request(
+    edge_t *edge, const msp_view_target_t *target, const char *kind);
+
 /* edge_strikes.c: requests that may have crashed targets */
 #define STRIKES_PATH "/v1/strikes" /* to which VMs send strikes */
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -14,6 +14,7 @@
 	edge_t *edge;
 	msp_view_target_t *target; /* a reference */
 	uint64_t incarnation; /* of the target when the probe was sent */
+	msp_time_t sent_at;
 };
 
 static void
@@ -42,6 +43,7 @@
 	health_fields_t health = {0};
 	bool same_incarnation =
 	    probe->incarnation == target->registration.incarnation;
+	msp_time_t sent_at = probe->sent_at;
 
 	LIST_REMOVE(probe, link);
 	free(probe);
@@ -49,6 +51,11 @@
 	if (result->status == MSP_OK)
 		decode_health_fields(
 		    result->response, target->registration.id, &health);
+	/* Whether health checks name limits too is not specified. */
+	if (result->status == MSP_OK && same_incarnation &&
+	    health.same_target && health.limit_field != LIMIT_FIELD_MISSING)
+		observe_target_limit(edge, target, sent_at, health.limit_field,
+		    health.limit_per_second);
 	if (!same_incarnation || target->traffic.suspect_since == 0) {
 		msp_release_view_target(target);
 		return;
@@ -89,6 +96,7 @@
 	probe->edge = edge;
 	probe->target = target;
 	probe->incarnation = registration->incarnation;
+	probe->sent_at = msp_now(&edge->daemon->env);
 	if (msp_start_call(edge->probe_client, &options, &request,
 		handle_probe_done, probe) == NULL) {
 		free(probe);
@@ -97,7 +105,8 @@
 	LIST_INSERT_HEAD(&edge->probes, probe, link);
 	msp_keep_view_target(target);
 	target->traffic.probing = true;
-	target->traffic.probed_at = msp_now(&edge->daemon->env);
+	target->traffic.probed_at = probe->sent_at;
+	count_sent_request(edge, target, "probe");
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_probes_total");
 }
 
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -25,6 +25,7 @@
 	msp_balance_choice_t choice; /* of the current attempt */
 	msp_call_t *call;
 	msp_time_t sent_at;
+	uint64_t sent_incarnation; /* of the target when it was sent */
 	bool may_have_run;
 	bool from_target; /* the response to the caller is a target's */
 };
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -254,6 +254,65 @@
 	}
 }
 
+/*
+ * What cannot be read must neither name a limit nor lift one. Guards against
+ * values that a number parser accepts, such as "inf", "0x10" and "1e9".
+ */
+static void
+reads_only_decimal_limits(void **state)
+{
+	static const struct {
+		const char *values[2]; /* NULL: missing */
+		limit_field_t field;
+		double per_second;
+	} cases[] = {
+	    {{NULL, NULL}, LIMIT_FIELD_MISSING, 0},
+	    {{"13", NULL}, LIMIT_FIELD_VALID, 13},
+	    {{"12.5", NULL}, LIMIT_FIELD_VALID, 12.5},
+	    {{"0.25", NULL}, LIMIT_FIELD_VALID, 0.25},
+	    {{"0", NULL}, LIMIT_FIELD_VALID, 0},
+	    {{"7.", NULL}, LIMIT_FIELD_VALID, 7},
+	    {{"5000", NULL}, LIMIT_FIELD_VALID, 5000},
+	    {{"13", "13"}, LIMIT_FIELD_VALID, 13},
+	    {{"13", "14"}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"-3", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"+3", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{".5", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"1.2.3", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"1e9", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"0x10", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"inf", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"nan", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"13/s", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"13, 14", NULL}, LIMIT_FIELD_MALFORMED, 0},
+	    {{"111111111111111111111111111111111", NULL}, LIMIT_FIELD_MALFORMED,
+		0},
+	};
+	const sent_request_t request = {.caller_id = "abc", .target_id = "i-1"};
+	target_fields_t fields;
+	health_fields_t health;
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_response_t response = {.status = 200};
+
+		for (k = 0; k < 2 && cases[i].values[k] != NULL; k++)
+			msp_add_header(&response.headers, "server-limit",
+			    cases[i].values[k]);
+		decode_target_fields(&response, &request, &fields);
+		decode_health_fields(&response, "i-1", &health);
+		assert_int_equal(fields.limit_field, cases[i].field);
+		assert_int_equal(health.limit_field, cases[i].field);
+		if (cases[i].field == LIMIT_FIELD_VALID)
+			assert_float_equal(
+			    fields.limit_per_second, cases[i].per_second, 1e-9);
+		msp_drop_response(&response);
+	}
+}
+
 static void
 strips_fields_meant_for_the_vm(void **state)
 {
@@ -381,6 +440,7 @@
 	    cmocka_unit_test(classifies_target_responses),
 	    cmocka_unit_test(
 		response_without_id_is_own_only_on_a_new_connection),
+	    cmocka_unit_test(reads_only_decimal_limits),
 	    cmocka_unit_test(strips_fields_meant_for_the_vm),
 	    cmocka_unit_test(local_replies_have_retry_after),
 	    cmocka_unit_test(decodes_directory_queries),
