Soak targets that name limits; they get many times as much

Targets on raw sockets name a rate, lift it and name another; a judge with the rule's arithmetic counts what arrives from the VMs that were told.

--- a/measure/soak.c
+++ b/measure/soak.c
@@ -21,15 +21,17 @@
 	printf("profile=%s seed=%llu seconds=%u vms=%u targets=%u requests=%u "
 	       "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
 	       "unanswered=%u "
-	       "runs=%u shed=%u extra=%u faults=%u REFUSED=%u TWICE=%u "
-	       "MIXED=%u UNASKED=%u ROUTE=%u crashed=%u folder=%s\n",
+	       "runs=%u shed=%u extra=%u limits=%u worst_limit=%.2f faults=%u "
+	       "REFUSED=%u TWICE=%u "
+	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u crashed=%u folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
 	    options->seconds, options->vms, options->targets, result->requests,
 	    result->unsafe, result->served, result->refused, result->failed,
 	    result->cut, result->left, result->unanswered, result->runs,
-	    result->shed, result->extra, result->faults,
-	    result->refused_but_run, result->run_twice, result->mixed,
-	    result->unasked, result->misrouted, result->crashed,
+	    result->shed, result->extra, result->limits,
+	    result->worst_limit_ratio, result->faults, result->refused_but_run,
+	    result->run_twice, result->mixed, result->unasked,
+	    result->misrouted, result->over_limit, result->crashed,
 	    result->folder[0] == '\0' ? "-" : result->folder);
 }
 
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -16,6 +16,7 @@
  */
 
 #define SECONDS 3
+#define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define VMS 3
 #define TARGETS 6
 #define PATH_SIZE 256
@@ -26,33 +27,44 @@
 	const char *profile;
 	uint64_t seed;
 	bool must_answer; /* nearly all requests, by their deadline */
+	unsigned int seconds;
 } soak_case_t;
 
 static const soak_case_t cases[] = {
-    {"calm_targets_break_no_rule", "calm", 1, true},
+    {"calm_targets_break_no_rule", "calm", 1, true, SECONDS},
     /*
      * An extra "not executed" response of an earlier request on a kept
      * connection was taken for the response of the next one.
      */
-    {"extra_responses_break_no_rule", "extra", 1, true},
-    {"extra_responses_of_full_targets_break_no_rule", "extra-full", 1, false},
-    {"closing_targets_break_no_rule", "close", 1, true},
-    {"full_targets_break_no_rule", "full", 1, false},
-    {"signals_break_no_rule", "signals", 1, false},
-    {"failing_targets_and_store_break_no_rule", "cut", 1, false},
-    {"early_answers_and_small_windows_break_no_rule", "windows", 1, false},
-    {"processes_with_little_time_break_no_rule", "starved", 1, false},
-    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false},
-    {"slow_clients_break_no_rule", "slow-clients", 1, false},
-    {"more_requests_than_connections_break_no_rule", "many", 1, false},
-    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false},
-    {"delayed_links_break_no_rule", "far", 1, false},
-    {"short_deadlines_break_no_rule", "short-deadlines-starved", 1, false},
+    {"extra_responses_break_no_rule", "extra", 1, true, SECONDS},
+    {"extra_responses_of_full_targets_break_no_rule", "extra-full", 1, false,
+	SECONDS},
+    {"closing_targets_break_no_rule", "close", 1, true, SECONDS},
+    {"full_targets_break_no_rule", "full", 1, false, SECONDS},
+    {"signals_break_no_rule", "signals", 1, false, SECONDS},
+    {"failing_targets_and_store_break_no_rule", "cut", 1, false, SECONDS},
+    {"early_answers_and_small_windows_break_no_rule", "windows", 1, false,
+	SECONDS},
+    {"processes_with_little_time_break_no_rule", "starved", 1, false, SECONDS},
+    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false, SECONDS},
+    {"slow_clients_break_no_rule", "slow-clients", 1, false, SECONDS},
+    {"more_requests_than_connections_break_no_rule", "many", 1, false, SECONDS},
+    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false, SECONDS},
+    {"delayed_links_break_no_rule", "far", 1, false, SECONDS},
+    {"short_deadlines_break_no_rule", "short-deadlines-starved", 1, false,
+	SECONDS},
     /* The chunked body of a DELETE was never read, nor was it answered. */
-    {"chunked_deletes_are_answered", "chunked-deletes", 1, true},
+    {"chunked_deletes_are_answered", "chunked-deletes", 1, true, SECONDS},
     /* Escaped characters of a query were forwarded decoded. */
-    {"escaped_queries_are_not_changed", "escapes", 1, true},
-    {"all_faults_together_break_no_rule", "all", 1, false},
+    {"escaped_queries_are_not_changed", "escapes", 1, true, SECONDS},
+    /*
+     * The rate that a target names for all VMs together was not read, so that
+     * it got several times as much.
+     */
+    {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS},
+    {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
+	LIMIT_SECONDS},
+    {"all_faults_together_break_no_rule", "all", 1, false, SECONDS},
 };
 
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
@@ -64,7 +76,7 @@
 	const char *out = getenv("OUT");
 	char spindled[PATH_SIZE];
 	soak_options_t options = {.seed = soak_case->seed,
-	    .seconds = SECONDS,
+	    .seconds = soak_case->seconds,
 	    .vms = VMS,
 	    .targets = TARGETS,
 	    .profile = soak_case->profile,
@@ -83,12 +95,12 @@
 		    result.requests, result.folder);
 	if (count_soak_violations(&result) > 0)
 		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
-			 "%u, unasked %u, misrouted %u, crashed %u of %u "
-			 "requests; %s",
+			 "%u, unasked %u, misrouted %u, over a limit %u, "
+			 "crashed %u of %u requests; %s",
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
-		    result.misrouted, result.crashed, result.requests,
-		    result.folder);
+		    result.misrouted, result.over_limit, result.crashed,
+		    result.requests, result.folder);
 }
 
 int
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -155,7 +155,8 @@
 count_soak_violations(const soak_result_t *result)
 {
 	return result->refused_but_run + result->run_twice + result->mixed +
-	    result->unasked + result->misrouted + result->crashed;
+	    result->unasked + result->misrouted + result->over_limit +
+	    result->crashed;
 }
 
 int
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -38,6 +38,8 @@
 	unsigned int runs; /* by targets */
 	unsigned int shed; /* by targets, with "not executed" */
 	unsigned int extra; /* extra responses that targets sent */
+	unsigned int limits; /* named by targets, one after the other */
+	double worst_limit_ratio; /* of requests to those allowed in 4 s */
 	unsigned int faults; /* injected into processes, store and links */
 	/* Violations. */
 	unsigned int refused_but_run;
@@ -45,6 +47,7 @@
 	unsigned int mixed; /* an answer of another request, or damaged */
 	unsigned int unasked; /* run with an id or content nobody sent */
 	unsigned int misrouted; /* run by a target of another service */
+	unsigned int over_limit; /* requests above a limit that was named */
 	unsigned int crashed; /* processes that ended by themselves */
 	char folder[64]; /* of settings, logs and violations; "": removed */
 } soak_result_t;
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -7,11 +7,12 @@
 
 #include "soak.h"
 #include "soak_ledger.h"
+#include "soak_limit.h"
 #include "soak_loop.h"
 
 #define SOAK_ZONES 3
 #define SOAK_SERVICES 2
-#define SOAK_VMS_MAX 16
+#define SOAK_VMS_MAX 128
 #define SOAK_TARGETS_MAX 64
 
 /* Faults that a profile may inject, as bits. */
@@ -73,6 +74,9 @@
 	uint32_t pause_ms; /* longest pause of clients within a request */
 	uint32_t vm_timeout_ms; /* of a VM for a request; 0: default */
 	uint32_t vm_connections; /* from clients to a VM; 0: 1200 */
+	double limits; /* share of targets that name limits at times */
+	double limit_min; /* requests per second */
+	double limit_max;
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
 } soak_profile_t;
@@ -114,6 +118,8 @@
 	unsigned int running;
 	soak_timer_t heartbeat;
 	soak_timer_t change; /* end of slowness, of draining or of a crash */
+	soak_timer_t limit_change; /* names or lifts a limit */
+	limit_judge_t limit;
 } soak_target_t;
 
 /* A process of the daemon. */
@@ -180,6 +186,9 @@
 void mute_soak_target(soak_target_t *target, msp_time_t duration);
 void cut_soak_target(soak_target_t *target);
 
+/* A VM that was restarted or frozen has not been told of any limit. */
+void excuse_soak_vm(const soak_vm_t *vm);
+
 void open_soak_clients(soak_t *soak);
 void start_soak_traffic(soak_t *soak);
 /* Sends a request that may run twice to one VM. */
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -15,6 +15,9 @@
 #define HEALTH_WORK MSP_MS
 #define DEADLY_TIME MSP_SECOND /* until a crashed target is back */
 #define BIG_BODY 400000 /* bytes */
+#define LIMIT_TIME_MIN (5 * MSP_SECOND) /* for which a limit is named */
+#define LIMIT_TIME_MAX (9 * MSP_SECOND)
+#define LIMIT_PAUSE_MAX (2 * MSP_SECOND) /* before the next one */
 #define HTTP_OK 200
 #define HTTP_MISDIRECTED 421
 #define HTTP_SERVER_ERROR 500
@@ -33,6 +36,7 @@
 	bool waiting; /* for a slot */
 	bool running;
 	bool is_probe;
+	unsigned int vm; /* that sent the request; LIMIT_VMS_MAX: unknown */
 	bool ending; /* sends nothing more */
 	bool is_early; /* the request's body was not received at its start */
 	bool skips; /* the rest of an answered request comes */
@@ -145,6 +149,9 @@
 		msp_append_printf(out, "Server-Load: %u,%u,%u\r\n",
 		    target->running, target->waiting_count,
 		    soak->profile->slots);
+	if (target->limit.named)
+		msp_append_printf(
+		    out, "Server-Limit: %.1f\r\n", target->limit.per_second);
 	if (conn->ending)
 		msp_append_printf(out, "Connection: close\r\n");
 	else if (target->keep_ms >= 1000)
@@ -233,6 +240,7 @@
 		goto next;
 	}
 	append_response(conn, status, refuses, &out);
+	tell_judged_limit(&target->limit, soak_now(), conn->vm);
 	len = out.len;
 	if (soak_chance(soak->loop, profile->truncated)) {
 		len = 1 + soak_random(soak->loop, out.len - 1);
@@ -327,6 +335,29 @@
 	}
 }
 
+/* Finds the VM that sent the request, and counts it against the limit. */
+static void
+judge_arrival(soak_conn_t *conn)
+{
+	soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	const soak_request_t *request =
+	    msp_map_get(soak->ledger.requests, conn->request_id);
+	unsigned int count;
+
+	conn->vm = request == NULL ? LIMIT_VMS_MAX : request->vm;
+	count = judge_limit_arrival(&target->limit, soak_now(), conn->vm);
+	if (target->limit.worst_ratio > soak->result->worst_limit_ratio)
+		soak->result->worst_limit_ratio = target->limit.worst_ratio;
+	if (count == 0)
+		return;
+	soak->result->over_limit++;
+	report_soak(&soak->ledger, "LIMIT",
+	    "target=%s limit=%.1f got=%u allowed=%.0f", target->id,
+	    target->limit.per_second, count,
+	    allowed_in_limit_window(&target->limit));
+}
+
 static void
 take_request(soak_conn_t *conn)
 {
@@ -353,6 +384,7 @@
 		respond(conn, HTTP_MISDIRECTED, true);
 		return;
 	}
+	judge_arrival(conn);
 	if (target->running < soak->profile->slots) {
 		start_work(conn);
 		return;
@@ -534,6 +566,8 @@
 	target->seq = 0;
 	target->up = true;
 	target->draining = false;
+	/* A new process has named no limit. */
+	lift_judged_limit(&target->limit);
 	target->listener.on_accept = handle_accept;
 	target->listener.ctx = target;
 	open_soak_stream(target->soak->loop, &target->listener, fd);
@@ -584,6 +618,51 @@
 		start_target(target);
 }
 
+void
+excuse_soak_vm(const soak_vm_t *vm)
+{
+	unsigned int i;
+
+	for (i = 0; i < vm->soak->options->targets; i++)
+		excuse_limit_vm(&vm->soak->targets[i].limit, vm->index);
+}
+
+/* Lifts the limit that is named, or names the next one. */
+static void
+handle_limit_change(void *ctx)
+{
+	soak_target_t *target = ctx;
+	soak_t *soak = target->soak;
+	const soak_profile_t *profile = soak->profile;
+	msp_time_t now = soak_now();
+	double span = profile->limit_max - profile->limit_min;
+
+	if (target->limit.named) {
+		lift_judged_limit(&target->limit);
+		set_soak_timer(soak->loop, &target->limit_change,
+		    now + soak_between(soak->loop, 0, LIMIT_PAUSE_MAX));
+		return;
+	}
+	soak->result->limits++;
+	name_judged_limit(&target->limit, now,
+	    profile->limit_min +
+		span * (double)soak_random(soak->loop, 1000) / 1000);
+	set_soak_timer(soak->loop, &target->limit_change,
+	    now + soak_between(soak->loop, LIMIT_TIME_MIN, LIMIT_TIME_MAX));
+}
+
+static void
+start_limits(soak_target_t *target)
+{
+	soak_t *soak = target->soak;
+
+	target->limit_change =
+	    (soak_timer_t){.fire = handle_limit_change, .ctx = target};
+	if (soak_chance(soak->loop, soak->profile->limits))
+		set_soak_timer(soak->loop, &target->limit_change,
+		    soak_now() + soak_between(soak->loop, 0, LIMIT_PAUSE_MAX));
+}
+
 static bool
 is_changing(const soak_target_t *target)
 {
@@ -702,6 +781,7 @@
 			return -1;
 		set_soak_timer(soak->loop, &target->heartbeat,
 		    soak_now() + soak_between(soak->loop, 0, HEARTBEAT));
+		start_limits(target);
 	}
 	return 0;
 }
@@ -716,6 +796,8 @@
 			continue;
 		clear_soak_timer(soak->loop, &soak->targets[i].heartbeat);
 		clear_soak_timer(soak->loop, &soak->targets[i].change);
+		clear_soak_timer(soak->loop, &soak->targets[i].limit_change);
 		stop_target(&soak->targets[i]);
+		drop_limit_judge(&soak->targets[i].limit);
 	}
 }
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -86,6 +86,7 @@
 	vm->expected_end = false;
 	vm->frozen = false;
 	vm->started = soak_now();
+	excuse_soak_vm(vm);
 	vm->pid = fork();
 	if (vm->pid != 0)
 		return vm->pid < 0 ? -1 : 0;
@@ -110,6 +111,7 @@
 	} else if (vm->frozen) {
 		kill(vm->pid, SIGCONT);
 		vm->frozen = false;
+		excuse_soak_vm(vm);
 	}
 }
 
