Divide the limit that a target names among all VMs

Callers saw requests fail at a target in need that got several times the rate it had named; the target saw the same rate before and after.

Cause: nothing acted on the limit.

Now each VM has a share that it computes by itself: the data centres of the settings divide the limit evenly, the live VMs of each divide its part. A VM may save up one request at least, so that a small limit goes to few VMs: as many as 1 s of it and 2 requests allow, those of the target's data centre first. So in any 4 s at most 5 x limit + 2 requests are sent, where 6 x limit + 5 are allowed; the rest is for views that differ for a moment. Requests, retries and health checks count against the share. What doesn't fit goes to other targets; without any it is refused at once with the time until this VM's share allows the next.

The settings are the same everywhere.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -7,6 +7,7 @@
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/latency_model.h"
+#include "monsoonspindle/steer/rate_share.h"
 #include "monsoonspindle/steer/region_share.h"
 #include "monsoonspindle/steer/spill.h"
 #include "monsoonspindle/steer/traffic_split.h"
--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -31,6 +31,9 @@
 	bool (*is_evacuated)(void *ctx, const char *place);
 	/* Returns how many VMs of this data centre may send to cold targets. */
 	uint32_t (*count_cold_senders)(void *ctx);
+	/* Ranks this VM among those that share a limit of this target. */
+	void (*rank_sender)(void *ctx, const msp_view_target_t *target,
+	    msp_sender_rank_t *rank);
 	void *ctx;
 } msp_balancer_callbacks_t;
 
@@ -52,6 +55,11 @@
 	/* Up to the complete response, including `wait`. */
 	msp_time_t expected_latency;
 	double load; /* estimated number of requests on the target */
+	/* Targets that were left out since this VM's part of their limit is
+	   used up. */
+	size_t limited_count;
+	/* Without a target: `wait` is until such a target may be used. */
+	bool is_limited;
 } msp_balance_choice_t;
 
 /* Returns NULL if out of memory. `view` and `model` are borrowed. */
@@ -64,14 +72,22 @@
 /*
  * Fills `choice`. Returns MSP_E_NO_TARGET if no target is eligible, and
  * MSP_E_OVERLOAD if none is expected to respond in the time left; `choice` then
- * holds the highest-ranked target.
+ * holds the highest-ranked target. MSP_E_OVERLOAD without a target: all that
+ * are eligible have named limits, and this VM's parts are used up.
  */
 msp_status_t msp_balance(msp_balancer_t *balancer,
     const msp_balance_request_t *request, msp_balance_choice_t *choice);
 
 /*
- * Counts the request as in flight on the chosen target. A choice that is not
- * used needs no call.
+ * Whether this VM may send a request of any kind to the target now, by the
+ * limit that the target has named.
+ */
+bool msp_target_limit_allows(
+    msp_balancer_t *balancer, msp_view_target_t *target);
+
+/*
+ * Counts the request as in flight on the chosen target, and against its limit.
+ * A choice that is not used needs no call.
  */
 void msp_begin_balanced_request(
     msp_balancer_t *balancer, const msp_balance_choice_t *choice);
--- a/include/monsoonspindle/steer/target_limit.h
+++ b/include/monsoonspindle/steer/target_limit.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 
 #include "monsoonspindle/base/env.h"
+#include "monsoonspindle/steer/rate_share.h"
 
 /*
  * The rate limit that a target names in its responses: requests per second from
@@ -32,6 +33,8 @@
 /* What is known of one process of a target. Zero-initialise. */
 typedef struct msp_target_limit {
 	msp_limit_statement_t last; /* the newest statement; heard_at 0: none */
+	msp_rate_share_t share; /* this VM's part, while it is in force */
+	msp_time_t share_set_at;
 } msp_target_limit_t;
 
 /*
@@ -46,4 +49,20 @@
 /* Whether the target has named a limit and has not lifted it. */
 bool msp_limit_in_force(const msp_target_limit_t *limit);
 
+/*
+ * Returns the limit as a rate that VMs may share; only while it is in force. It
+ * is never 0: the end of a limit is heard with a response only.
+ */
+msp_shared_rate_t msp_limit_rate(const msp_target_limit_t *limit);
+
+/* Whether this VM's part is to be computed anew. */
+bool msp_limit_share_is_old(const msp_target_limit_t *limit, msp_time_t now);
+
+/* Counts a request that is sent to the target. */
+void msp_use_target_limit(msp_target_limit_t *limit);
+
+/* Computes this VM's part. */
+void msp_set_limit_share(
+    msp_target_limit_t *limit, msp_time_t now, const msp_sender_rank_t *rank);
+
 #endif
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -95,6 +95,7 @@
 	    .cold_rate_factor = COLD_RATE_FACTOR};
 	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
 	    .count_cold_senders = count_cold_senders,
+	    .rank_sender = rank_limit_sender,
 	    .ctx = edge};
 
 	edge->evacuations = msp_new_map();
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -58,8 +58,9 @@
 	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
 	    "routes=%" PRIu64 " routes_age_ms=%" PRId64
 	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
-	    "wait_ms=%" PRIu64 " expected_ms=%" PRIu64 " took_ms=%" PRIu64
-	    " left_ms=%" PRId64 " sent=%u tried=%zu goal_ms=%u from=%s",
+	    "wait_ms=%" PRIu64 " limited=%zu expected_ms=%" PRIu64
+	    " took_ms=%" PRIu64 " left_ms=%" PRId64
+	    " sent=%u tried=%zu goal_ms=%u from=%s",
 	    request->caller.id, http_status, outcome, get_route_name(request),
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
@@ -68,7 +69,8 @@
 	    age_to_log_ms(get_targets_age(edge)),
 	    choice->target == NULL ? "-" : choice->target->registration.id,
 	    msp_warmth_name(choice->warmth), choice->load,
-	    choice->wait / MSP_MS, choice->expected_latency / MSP_MS,
+	    choice->wait / MSP_MS, choice->limited_count,
+	    choice->expected_latency / MSP_MS,
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
 	    request->sent_count, request->criteria.tried_count,
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -68,6 +68,26 @@
 	return budget != NULL && msp_spend_retry(budget);
 }
 
+/* Ends a request for which the balancer has found no target. */
+static void
+end_without_target(edge_request_t *request, msp_status_t status)
+{
+	const msp_balance_choice_t *choice = &request->choice;
+	const char *outcome = "no-target";
+	uint32_t retry_after_ms = NOT_READY_RETRY_MS;
+
+	if (status == MSP_E_OVERLOAD) {
+		outcome = choice->is_limited ? "target-limit" : "overload";
+		retry_after_ms = choice->wait / MSP_MS > RETRY_AFTER_MAX_MS
+		    ? RETRY_AFTER_MAX_MS
+		    : (uint32_t)(choice->wait / MSP_MS);
+	}
+	if (request->may_have_run)
+		fail_request(request, outcome);
+	else
+		refuse_request(request, retry_after_ms, outcome);
+}
+
 static void
 retry_or_fail(edge_request_t *request, const char *outcome)
 {
@@ -272,17 +292,7 @@
 	status =
 	    msp_balance(edge->balancer, &request->criteria, &request->choice);
 	if (status != MSP_OK) {
-		const char *outcome =
-		    status == MSP_E_OVERLOAD ? "overload" : "no-target";
-
-		if (request->may_have_run)
-			fail_request(request, outcome);
-		else
-			refuse_request(request,
-			    status == MSP_E_OVERLOAD
-				? (uint32_t)(request->choice.wait / MSP_MS)
-				: NOT_READY_RETRY_MS,
-			    outcome);
+		end_without_target(request, status);
 		return;
 	}
 	registration = &request->choice.target->registration;
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -81,6 +81,9 @@
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
 	edge_remote_vm_t *remote_vms; /* of other data centres; owned */
 	size_t remote_vm_count;
+	size_t local_vm_count; /* of this data centre, by the table of VMs */
+	msp_time_t
+	    vms_read_at; /* when the table of VMs was first read; 0: not */
 
 	/* Time in ms from a request's arrival to its response. */
 	msp_histogram_t durations[EDGE_OUTCOME_COUNT];
@@ -131,6 +134,14 @@
 void observe_target_limit(edge_t *edge, msp_view_target_t *target,
     msp_time_t sent_at, limit_field_t field, double per_second);
 
+/*
+ * Ranks this VM among those that share the target's limit: those of the
+ * target's own data centre come first, then those of its region. Callback of
+ * the balancer; `ctx` is the edge_t.
+ */
+void rank_limit_sender(
+    void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank);
+
 /* Counts a request that is sent; `kind` is "request", "retry" or "probe". */
 void count_sent_request(
     edge_t *edge, const msp_view_target_t *target, const char *kind);
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -87,7 +87,8 @@
 	    : msp_find_service_config(edge->routes, registration->service);
 	edge_probe_t *probe;
 
-	if (config == NULL || config->health_path[0] != '/')
+	if (config == NULL || config->health_path[0] != '/' ||
+	    !msp_target_limit_allows(edge->balancer, target))
 		return;
 	probe = calloc(1, sizeof(*probe));
 	if (probe == NULL)
@@ -106,6 +107,7 @@
 	msp_keep_view_target(target);
 	target->traffic.probing = true;
 	target->traffic.probed_at = probe->sent_at;
+	msp_use_target_limit(&target->limit);
 	count_sent_request(edge, target, "probe");
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_probes_total");
 }
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -65,6 +65,8 @@
 	msp_view_target_t *list[CANDIDATES_MAX];
 	uint64_t scores[CANDIDATES_MAX];
 	size_t count;
+	size_t limited_count; /* eligible targets that are at their limits */
+	msp_time_t limit_wait; /* until one of these may be used */
 } ranking_t;
 
 msp_balancer_t *
@@ -153,6 +155,23 @@
 	return strcmp(target->region, balancer->options.region) == 0;
 }
 
+bool
+msp_target_limit_allows(msp_balancer_t *balancer, msp_view_target_t *target)
+{
+	msp_time_t now = msp_now(&balancer->env);
+	msp_target_limit_t *limit = &target->limit;
+	msp_sender_rank_t rank = {0};
+
+	if (!msp_limit_in_force(limit))
+		return true;
+	if (msp_limit_share_is_old(limit, now)) {
+		balancer->callbacks.rank_sender(
+		    balancer->callbacks.ctx, target, &rank);
+		msp_set_limit_share(limit, now, &rank);
+	}
+	return msp_rate_share_allows(&limit->share, now);
+}
+
 /* Expected load of other VMs on a target without a recent report. */
 static double
 usual_load(const region_load_t *load, const msp_view_target_t *target)
@@ -179,7 +198,7 @@
     region_loads_t *loads)
 {
 	msp_time_t now = msp_now(&balancer->env);
-	const msp_view_target_t *target;
+	msp_view_target_t *target;
 	double weight;
 	region_load_t *load;
 
@@ -200,7 +219,10 @@
 		load =
 		    is_local(balancer, target) ? &loads->local : &loads->remote;
 		load->slots += target->registration.slots;
-		load->requests += estimate_load(balancer, loads, target);
+		/* A target at its limit has no room, whatever its load. */
+		load->requests += msp_target_limit_allows(balancer, target)
+		    ? estimate_load(balancer, loads, target)
+		    : target->registration.slots;
 	}
 }
 
@@ -265,6 +287,19 @@
 	ranking->list[at] = target;
 }
 
+/* Leaves out a target at its limit. */
+static void
+leave_out(const msp_balancer_t *balancer, ranking_t *ranking,
+    msp_view_target_t *target)
+{
+	msp_time_t wait =
+	    msp_rate_share_wait(&target->limit.share, msp_now(&balancer->env));
+
+	ranking->limited_count++;
+	if (wait < ranking->limit_wait)
+		ranking->limit_wait = wait;
+}
+
 /*
  * Ranks the eligible targets for the object, by rendezvous hashing; without an
  * object, by lowest utilisation, with those of this region first.
@@ -276,12 +311,16 @@
 	msp_view_target_t *target;
 	double utilisation;
 
-	ranking->count = 0;
+	*ranking = (ranking_t){.limit_wait = MSP_NEVER};
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
 		if (!is_candidate(balancer, request, target) ||
 		    was_tried(request, target) ||
 		    (local_only && !is_local(balancer, target)))
 			continue;
+		if (!msp_target_limit_allows(balancer, target)) {
+			leave_out(balancer, ranking, target);
+			continue;
+		}
 		if (request->has_object) {
 			insert_ranked(ranking, target,
 			    score_target(target, request->object_hash));
@@ -397,7 +436,7 @@
     const region_loads_t *loads, const ranking_t *ranking,
     msp_balance_choice_t *choice)
 {
-	msp_balance_choice_t option;
+	msp_balance_choice_t option = {0};
 	bool late = false;
 	bool found = false;
 	double best = 0;
@@ -425,12 +464,19 @@
 		best = cost;
 		*choice = option;
 	}
+	choice->limited_count = ranking->limited_count;
 	if (found)
 		return MSP_OK;
 	if (late)
 		return msp_fail(
 		    MSP_E_OVERLOAD, "no target is expected to respond in time");
 	choice->target = NULL;
+	if (ranking->limited_count > 0) {
+		choice->is_limited = true;
+		choice->wait = ranking->limit_wait;
+		return msp_fail(MSP_E_OVERLOAD,
+		    "all eligible targets are at the limits they named");
+	}
 	return msp_fail(
 	    MSP_E_NO_TARGET, "no target is eligible for the request");
 }
@@ -458,8 +504,11 @@
 msp_begin_balanced_request(
     msp_balancer_t *balancer, const msp_balance_choice_t *choice)
 {
+	msp_view_target_t *target = msp_keep_view_target(choice->target);
+
 	(void)balancer;
-	msp_keep_view_target(choice->target)->traffic.in_flight++;
+	target->traffic.in_flight++;
+	msp_use_target_limit(&target->limit);
 }
 
 void
--- /dev/null
+++ b/source/steer/rate_share.c
@@ -0,0 +1,79 @@
+#include "monsoonspindle/steer/rate_share.h"
+
+#include <math.h>
+
+static size_t
+at_least_one(double number)
+{
+	return number < 1 ? 1 : (size_t)number;
+}
+
+static size_t
+min_size(size_t a, size_t b)
+{
+	return a < b ? a : b;
+}
+
+static void
+refill(msp_rate_share_t *share, msp_time_t now)
+{
+	double seconds =
+	    (double)(now - share->refilled_at) / (double)MSP_SECOND;
+
+	share->tokens =
+	    fmin(share->burst, share->tokens + share->per_second * seconds);
+	share->refilled_at = now;
+}
+
+void
+msp_set_rate_share(msp_rate_share_t *share, msp_time_t now,
+    const msp_shared_rate_t *rate, const msp_sender_rank_t *rank)
+{
+	size_t places = min_size(rank->place_count, at_least_one(rate->burst));
+	size_t vms = min_size(
+	    rank->vm_count, at_least_one(rate->burst / (double)places));
+	double senders = (double)places * (double)vms;
+	double turn;
+
+	if (share->is_set)
+		refill(share, now);
+	if (rank->place >= places || rank->vm >= vms) {
+		*share = (msp_rate_share_t){.is_set = true, .refilled_at = now};
+		return;
+	}
+	share->per_second = rate->per_second / senders;
+	share->burst = fmax(1, rate->burst / senders);
+	if (!share->is_set) {
+		/* Sender number n of all sends its first request n-th. */
+		turn = (double)(rank->vm * places + rank->place) + 1;
+		share->tokens = 1 - turn / senders;
+		share->refilled_at = now;
+		share->is_set = true;
+	}
+	share->tokens = fmin(share->tokens, share->burst);
+}
+
+bool
+msp_rate_share_allows(msp_rate_share_t *share, msp_time_t now)
+{
+	refill(share, now);
+	return share->tokens >= 1;
+}
+
+void
+msp_use_rate_share(msp_rate_share_t *share)
+{
+	share->tokens -= 1;
+}
+
+msp_time_t
+msp_rate_share_wait(msp_rate_share_t *share, msp_time_t now)
+{
+	if (msp_rate_share_allows(share, now))
+		return 0;
+	if (share->per_second <= 0)
+		return MSP_NEVER;
+	return (msp_time_t)((1 - share->tokens) / share->per_second *
+		   (double)MSP_SECOND) +
+	    1;
+}
--- a/source/steer/target_limit.c
+++ b/source/steer/target_limit.c
@@ -1,5 +1,17 @@
 #include "monsoonspindle/steer/target_limit.h"
 
+#include <math.h>
+
+/* Requests per second to a target that names a lower limit. */
+#define LIMIT_RATE_MIN 0.1
+/*
+ * Requests that all VMs together may have saved up, besides those of one
+ * second.
+ */
+#define LIMIT_BURST_SLACK 2
+/* How long a VM's part is used before its rank is looked up again. */
+#define SHARE_LIFETIME (500 * MSP_MS)
+
 static const char *const change_names[] = {
     [MSP_LIMIT_UNCHANGED] = "unchanged",
     [MSP_LIMIT_NAMED] = "named",
@@ -52,7 +64,43 @@
 	if (is_earlier || (!is_later && !is_stricter(statement, &before)))
 		return MSP_LIMIT_UNCHANGED;
 	limit->last = *statement;
+	limit->share_set_at = 0;
+	if (!before.named)
+		limit->share = (msp_rate_share_t){0};
 	if (limit->last.heard_at < before.heard_at)
 		limit->last.heard_at = before.heard_at;
 	return compare_statements(&before, &limit->last);
 }
+
+msp_shared_rate_t
+msp_limit_rate(const msp_target_limit_t *limit)
+{
+	double per_second = fmax(limit->last.per_second, LIMIT_RATE_MIN);
+
+	return (msp_shared_rate_t){
+	    .per_second = per_second, .burst = per_second + LIMIT_BURST_SLACK};
+}
+
+bool
+msp_limit_share_is_old(const msp_target_limit_t *limit, msp_time_t now)
+{
+	return limit->share_set_at == 0 ||
+	    now >= limit->share_set_at + SHARE_LIFETIME;
+}
+
+void
+msp_use_target_limit(msp_target_limit_t *limit)
+{
+	if (limit->last.named)
+		msp_use_rate_share(&limit->share);
+}
+
+void
+msp_set_limit_share(
+    msp_target_limit_t *limit, msp_time_t now, const msp_sender_rank_t *rank)
+{
+	msp_shared_rate_t rate = msp_limit_rate(limit);
+
+	msp_set_rate_share(&limit->share, now, &rate, rank);
+	limit->share_set_at = now;
+}
--- a/tests/support/target_sim.c
+++ b/tests/support/target_sim.c
@@ -103,6 +103,21 @@
 	return vm->sim->config.vms;
 }
 
+static void
+rank_sender(void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank)
+{
+	const sim_vm_t *vm = ctx;
+	const target_sim_t *sim = vm->sim;
+
+	(void)target;
+	*rank = (msp_sender_rank_t){
+	    .place_count = sim->config.regions,
+	    .place = vm->region,
+	    .vm_count = sim->config.vms,
+	    .vm = (size_t)(vm - sim->vms) % sim->config.vms,
+	};
+}
+
 static void
 make_table(target_sim_t *sim)
 {
@@ -163,6 +178,7 @@
 	    .cold_rate_factor = 0.9};
 	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
 	    .count_cold_senders = count_cold_senders,
+	    .rank_sender = rank_sender,
 	    .ctx = vm};
 
 	vm->sim = sim;
