Tell other VMs of limits that targets name and lift

A VM that has no part of a small limit gets no response of that target, so it could not hear that the limit has ended; one that has not sent to the target yet heard only after it had. VMs now tell each other, over the same way as strikes (edge_broadcast.c, moved out of edge_strikes.c). A random delay lets the first report stand for all; an end is told three times, since a VM that heard the limit just before rejects what may be older. If nobody hears of a limit for one to two minutes, a VM without a part sends one request.

Messages to other data centres go to VMs drawn anew each time: the first two of the table were always chosen, also when they were gone for good.

--- a/include/monsoonspindle/steer/target_limit.h
+++ b/include/monsoonspindle/steer/target_limit.h
@@ -35,6 +35,13 @@
 	msp_limit_statement_t last; /* the newest statement; heard_at 0: none */
 	msp_rate_share_t share; /* this VM's part, while it is in force */
 	msp_time_t share_set_at;
+	/* See limit_sync.h. */
+	msp_time_t report_due; /* when other VMs are told of it; 0: not due */
+	msp_time_t told_at; /* when a VM last told the others; 0: never */
+	unsigned int end_reports; /* reports of its end that are still due */
+	/* See msp_offer_limit_trial(). */
+	msp_time_t trial_due;
+	msp_time_t trial_heard_at; /* of the statement that it was set for */
 } msp_target_limit_t;
 
 /*
@@ -58,6 +65,12 @@
 /* Whether this VM's part is to be computed anew. */
 bool msp_limit_share_is_old(const msp_target_limit_t *limit, msp_time_t now);
 
+/*
+ * Offers a VM without a part one request, at a random time after nothing has
+ * been heard of the limit for long, neither by this VM nor by others.
+ */
+void msp_offer_limit_trial(msp_target_limit_t *limit, const msp_env_t *env);
+
 /* Counts a request that is sent to the target. */
 void msp_use_target_limit(msp_target_limit_t *limit);
 
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -165,6 +165,7 @@
 	TAILQ_INIT(&edge->requests);
 	TAILQ_INIT(&edge->long_polls);
 	LIST_INIT(&edge->probes);
+	open_limits(edge);
 	if (register_platform_headers() != MSP_OK ||
 	    open_strikes(edge) != MSP_OK || open_balancer(edge) != MSP_OK ||
 	    open_clients(edge) != MSP_OK ||
@@ -209,6 +210,7 @@
 	msp_drop_http_client(edge->probe_client);
 	drop_probes(edge);
 	close_strikes(edge);
+	close_limits(edge);
 	msp_drop_http_client(edge->store_http);
 	msp_drop_balancer(edge->balancer);
 	msp_drop_latency_model(edge->latency_model);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -3,6 +3,7 @@
 
 #include "../../platform/row_service.h"
 #include "edge_private.h"
+#include "monsoonspindle/steer/limit_sync.h"
 #include "log.h"
 #include "problem.h"
 #include "../platform/table_follower.h"
@@ -169,6 +170,10 @@
 		serve_strikes(edge, exchange);
 		return;
 	}
+	if (strncmp(request->path, LIMITS_PATH, sizeof(LIMITS_PATH) - 1) == 0) {
+		serve_limits(edge, exchange);
+		return;
+	}
 	status = decode_row_query(request, &query);
 	if (status == MSP_OK) {
 		if (strcmp(query.table, OPERATOR_TABLE) == 0)
@@ -209,7 +214,7 @@
 	msp_http_server_options_t options = {.address = settings->address,
 	    .port = settings->peer_port,
 	    .limits = {.max_connections = PEER_CONNECTIONS,
-		.max_body = MSP_STRIKE_MESSAGE_MAX,
+		.max_body = MSP_LIMIT_MESSAGE_MAX,
 		.idle_timeout_ms = PEER_IDLE_MS},
 	    .handler = {.on_request = handle_peer_request,
 		.on_disconnect = handle_peer_disconnect,
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -6,6 +6,7 @@
 #include "../../platform/store_client.h"
 #include "daemon.h"
 #include "edge.h"
+#include "edge_broadcast.h"
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/quarantine.h"
@@ -91,7 +92,10 @@
 	size_t request_count;
 	TAILQ_HEAD(, pending_strike) strikes;
 	msp_strike_sync_t *strike_sync;
+	edge_broadcast_t strike_messages;
 	msp_timer_t *strike_timer; /* set while strikes wait to be sent */
+	edge_broadcast_t limit_messages;
+	msp_timer_t *limit_timer; /* set while reports on limits are due */
 	LIST_HEAD(, edge_probe) probes;
 	msp_timer_t *probe_timer; /* set while any target is suspect */
 	msp_timer_t *view_timer;
@@ -125,6 +129,13 @@
 void drop_probes(edge_t *edge);
 
 /* edge_limits.c: rates that targets name in their responses */
+#define LIMITS_PATH "/v1/limits" /* to which VMs send limits */
+
+void open_limits(edge_t *edge);
+void close_limits(edge_t *edge);
+
+/* Receives limits from another VM. */
+void serve_limits(edge_t *edge, msp_exchange_t *exchange);
 
 /*
  * Applies what a response says of its target's limit. The response must
--- a/source/spindled/edge_strikes.c
+++ b/source/spindled/edge_strikes.c
@@ -1,16 +1,11 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "edge_private.h"
 #include "log.h"
-#include "members.h"
 #include "problem.h"
 
 #define SEND_DELAY (500 * MSP_MS) /* collects strikes into one message */
-#define SEND_TIMEOUT_MS 1000
-#define REMOTE_RECEIVERS 2 /* per data centre other than this one */
-#define PASS_ON_QUERY "?pass-on=1"
 
 /*
  * A request that a target was executing when its connection broke. Whether the
@@ -24,82 +19,6 @@
 	msp_time_t ended; /* when the connection broke */
 };
 
-static void
-handle_send_done(void *ctx, msp_call_result_t *result)
-{
-	edge_t *edge = ctx;
-
-	if (result->status != MSP_OK || result->response->status >= 300)
-		msp_add_to_counter(
-		    edge->daemon->counters, 1, "msp_strikes_not_told_total");
-}
-
-static void
-send_to_vm(edge_t *edge, const char *address, uint16_t port, const char *text,
-    bool pass_on)
-{
-	msp_call_options_t options = {
-	    .address = address, .port = port, .timeout_ms = SEND_TIMEOUT_MS};
-	msp_request_t request = {.method = "POST"};
-
-	snprintf(request.path, sizeof(request.path), "%s%s", STRIKES_PATH,
-	    pass_on ? PASS_ON_QUERY : "");
-	if (msp_append_data(&request.body, text, strlen(text)) != MSP_OK ||
-	    msp_start_call(edge->store_http, &options, &request,
-		handle_send_done, edge) == NULL)
-		msp_add_to_counter(
-		    edge->daemon->counters, 1, "msp_strikes_not_told_total");
-	msp_drop_request(&request);
-}
-
-static void
-send_to_members(edge_t *edge, const char *text)
-{
-	const msp_membership_t *list = get_membership(edge->daemon->members);
-	size_t i;
-
-	for (i = 0; i < msp_member_count(list); i++) {
-		const msp_member_t *member = msp_member_at(list, i);
-
-		if (member != msp_membership_self(list) &&
-		    member->state != MSP_MEMBER_DEAD)
-			send_to_vm(edge, member->address, member->peer_port,
-			    text, false);
-	}
-}
-
-/* Number of VMs listed before `at` that are in the same data centre. */
-static size_t
-count_earlier_in_place(const edge_t *edge, size_t at)
-{
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < at; i++) {
-		if (strcmp(edge->remote_vms[i].place,
-			edge->remote_vms[at].place) == 0)
-			count++;
-	}
-	return count;
-}
-
-/*
- * Sends strikes to more than one VM of each other data centre, because a listed
- * VM may no longer run. The receivers pass them on within their data centre.
- */
-static void
-send_to_other_places(edge_t *edge, const char *text)
-{
-	size_t i;
-
-	for (i = 0; i < edge->remote_vm_count; i++) {
-		const store_source_t *to = &edge->remote_vms[i].source;
-
-		if (count_earlier_in_place(edge, i) < REMOTE_RECEIVERS)
-			send_to_vm(edge, to->address, to->port, text, true);
-	}
-}
-
 static void
 send_strikes(void *ctx)
 {
@@ -112,8 +31,8 @@
 	if (count > 0) {
 		log_info("event=strikes-told count=%zu places_vms=%zu", count,
 		    edge->remote_vm_count);
-		send_to_members(edge, msp_buffer_text(&text));
-		send_to_other_places(edge, msp_buffer_text(&text));
+		broadcast_to_vms(
+		    &edge->strike_messages, msp_buffer_text(&text));
 	}
 	msp_drop_buffer(&text);
 }
@@ -136,8 +55,8 @@
 	    edge->daemon->counters, new_count, "msp_strikes_heard_total");
 	if (new_count > 0) {
 		log_info("event=strikes-heard count=%zu", new_count);
-		if (strstr(request->path, PASS_ON_QUERY) != NULL)
-			send_to_members(edge, text);
+		if (is_to_pass_on(request))
+			pass_on_to_members(&edge->strike_messages, text);
 	}
 	msp_send_exchange_response(exchange, &response);
 }
@@ -207,6 +126,9 @@
 	const msp_env_t *env = &edge->daemon->env;
 
 	TAILQ_INIT(&edge->strikes);
+	edge->strike_messages = (edge_broadcast_t){.edge = edge,
+	    .path = STRIKES_PATH,
+	    .lost_counter = "msp_strikes_not_told_total"};
 	edge->quarantine = msp_new_quarantine_list(env);
 	if (edge->quarantine == NULL)
 		return MSP_E_NO_MEMORY;
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -168,6 +168,8 @@
 		balancer->callbacks.rank_sender(
 		    balancer->callbacks.ctx, target, &rank);
 		msp_set_limit_share(limit, now, &rank);
+		if (limit->share.per_second == 0)
+			msp_offer_limit_trial(limit, &balancer->env);
 	}
 	return msp_rate_share_allows(&limit->share, now);
 }
--- a/source/steer/target_limit.c
+++ b/source/steer/target_limit.c
@@ -9,6 +9,8 @@
  * second.
  */
 #define LIMIT_BURST_SLACK 2
+/* Least time without news of a limit after which VMs without a part try it. */
+#define TRIAL_DELAY MSP_MINUTE
 /* How long a VM's part is used before its rank is looked up again. */
 #define SHARE_LIFETIME (500 * MSP_MS)
 
@@ -88,11 +90,28 @@
 	    now >= limit->share_set_at + SHARE_LIFETIME;
 }
 
+void
+msp_offer_limit_trial(msp_target_limit_t *limit, const msp_env_t *env)
+{
+	msp_time_t now = msp_now(env);
+
+	if (limit->trial_heard_at != limit->last.heard_at) {
+		limit->trial_heard_at = limit->last.heard_at;
+		limit->trial_due = limit->last.heard_at + TRIAL_DELAY +
+		    msp_random_below(env, TRIAL_DELAY);
+	}
+	if (now >= limit->trial_due)
+		limit->share.tokens = limit->share.burst = 1;
+}
+
 void
 msp_use_target_limit(msp_target_limit_t *limit)
 {
-	if (limit->last.named)
-		msp_use_rate_share(&limit->share);
+	if (!limit->last.named)
+		return;
+	msp_use_rate_share(&limit->share);
+	if (limit->share.per_second == 0)
+		limit->trial_due += TRIAL_DELAY;
 }
 
 void
