Divide a cold target's rate as a limit is divided

The same cause elsewhere: a cold target's rate is meant for all VMs of its data centre together, and each VM sent its first request at once.

Such a rate is now divided by the same module as a limit. As many VMs have a part as the slack allows for saved requests; with 4 VMs nothing changes. A request that another target got in the end no longer uses up the allowance. The test of the removed function is a row of the new one, with the same bound on the rate and one on each second.

--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -24,14 +24,17 @@
 	msp_time_t default_remote_delay;
 	/* Fraction of a cold target's request rate that is used, 0 to 1. */
 	double cold_rate_factor;
+	/* Requests beyond that rate that all VMs may have saved up. */
+	double cold_burst;
 } msp_balancer_options_t;
 
 typedef struct msp_balancer_callbacks {
 	/* Whether the data centre is evacuated: its targets get no requests. */
 	bool (*is_evacuated)(void *ctx, const char *place);
-	/* Returns how many VMs of this data centre may send to cold targets. */
-	uint32_t (*count_cold_senders)(void *ctx);
-	/* Ranks this VM among those that share a limit of this target. */
+	/*
+	 * Ranks this VM among those that share a rate of this target. Of a cold
+	 * target's rate only the VMs of its data centre have parts.
+	 */
 	void (*rank_sender)(void *ctx, const msp_view_target_t *target,
 	    msp_sender_rank_t *rank);
 	void *ctx;
--- a/include/monsoonspindle/steer/rate_share.h
+++ b/include/monsoonspindle/steer/rate_share.h
@@ -26,6 +26,8 @@
 	double per_second;
 	/* Requests beyond the rate that all VMs together may have saved up. */
 	double burst;
+	/* The first requests are sent at once instead of spread over time. */
+	bool starts_at_once;
 } msp_shared_rate_t;
 
 /* Zero-initialise. */
@@ -35,14 +37,21 @@
 	double burst;
 	double tokens; /* requests that may be sent now */
 	msp_time_t refilled_at;
+	msp_time_t set_at;
 } msp_rate_share_t;
 
+/*
+ * Whether the part is to be set anew: it was never set, or the ranks of VMs may
+ * have changed since.
+ */
+bool msp_rate_share_is_old(const msp_rate_share_t *share, msp_time_t now);
+
 /*
  * Sets the part of this VM. A VM may save up one request at least, so that only
  * as many VMs as `burst` allows get a part: those of the first data centres,
  * and of each the first VMs. The parts of all VMs add up to at most the rate
- * and the burst. The first requests of all VMs are spread evenly over time; a
- * VM that gets a part later starts without any.
+ * and the burst. A VM that gets a part only later starts without a saved
+ * request.
  */
 void msp_set_rate_share(msp_rate_share_t *share, msp_time_t now,
     const msp_shared_rate_t *rate, const msp_sender_rank_t *rank);
--- a/include/monsoonspindle/steer/target_limit.h
+++ b/include/monsoonspindle/steer/target_limit.h
@@ -34,7 +34,7 @@
 typedef struct msp_target_limit {
 	msp_limit_statement_t last; /* the newest statement; heard_at 0: none */
 	msp_rate_share_t share; /* this VM's part, while it is in force */
-	msp_time_t share_set_at;
+	bool share_is_old; /* the limit has changed since it was set */
 	/* See limit_sync.h. */
 	msp_time_t report_due; /* when other VMs are told of it; 0: not due */
 	msp_time_t told_at; /* when a VM last told the others; 0: never */
--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "monsoonspindle/base/env.h"
+#include "monsoonspindle/steer/rate_share.h"
 
 /*
  * What one VM knows of a target's load and health, from its own requests there,
@@ -23,7 +24,7 @@
 	msp_time_t suspect_since; /* 0: not suspect */
 	msp_time_t probed_at; /* last health request; 0: none */
 	bool probing; /* a health request is in flight */
-	msp_time_t last_cold_send; /* see msp_admit_cold_request() */
+	msp_rate_share_t cold_share; /* this VM's part of a cold one's rate */
 } msp_target_traffic_t;
 
 /*
@@ -72,12 +73,4 @@
 
 bool msp_target_is_full(const msp_target_traffic_t *traffic, msp_time_t now);
 
-/*
- * Rate limit of a cold target: returns whether this VM may send it a request
- * now, if each of `senders` VMs uses an equal part of `per_second`. An admitted
- * request is counted.
- */
-bool msp_admit_cold_request(msp_target_traffic_t *traffic, msp_time_t now,
-    double per_second, uint32_t senders);
-
 #endif
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -5,7 +5,6 @@
 
 #include "edge_private.h"
 #include "log.h"
-#include "members.h"
 
 #define TARGET_CONNECTIONS_MAX 24 /* to each target */
 #define PROBE_CONNECTIONS_MAX 1 /* to each target */
@@ -16,6 +15,7 @@
 #define PROBE_RESPONSE_MAX 4096 /* bytes */
 #define VIEW_TICK (250 * MSP_MS)
 #define COLD_RATE_FACTOR 0.9 /* share of a cold target's rate that is used */
+#define COLD_SLACK_FACTOR 0.8 /* share of the slack of that rate */
 
 static const char *
 find_region(void *ctx, const char *place)
@@ -60,26 +60,6 @@
 	return msp_map_get(edge->evacuations, place) != NULL;
 }
 
-/*
- * Returns the number of VMs that share the rate of this data centre's cold
- * targets. The number is too low in a VM that has just started and does not
- * know the other members yet.
- */
-static uint32_t
-count_cold_senders(void *ctx)
-{
-	const edge_t *edge = ctx;
-	const msp_membership_t *list = get_membership(edge->daemon->members);
-	uint32_t count = 0;
-	size_t i;
-
-	for (i = 0; i < msp_member_count(list); i++) {
-		if (msp_member_at(list, i)->state != MSP_MEMBER_DEAD)
-			count++;
-	}
-	return count;
-}
-
 static msp_status_t
 open_balancer(edge_t *edge)
 {
@@ -92,9 +72,9 @@
 	msp_balancer_options_t options = {.region = settings->region,
 	    .place = settings->place,
 	    .default_remote_delay = settings->edge.far_prior_ms * MSP_MS,
-	    .cold_rate_factor = COLD_RATE_FACTOR};
+	    .cold_rate_factor = COLD_RATE_FACTOR,
+	    .cold_burst = settings->edge.cold_slack * COLD_SLACK_FACTOR};
 	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
-	    .count_cold_senders = count_cold_senders,
 	    .rank_sender = rank_limit_sender,
 	    .ctx = edge};
 
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -421,12 +421,27 @@
 admit_cold(msp_balancer_t *balancer, const msp_balance_request_t *request,
     msp_view_target_t *target)
 {
-	if (strcmp(target->registration.place, balancer->options.place) != 0)
-		return false;
-	return msp_admit_cold_request(&target->traffic, msp_now(&balancer->env),
-	    request->service->cold_requests_per_s *
+	msp_rate_share_t *share = &target->traffic.cold_share;
+	msp_time_t now = msp_now(&balancer->env);
+	msp_shared_rate_t rate = {
+	    .per_second = request->service->cold_requests_per_s *
 		balancer->options.cold_rate_factor,
-	    balancer->callbacks.count_cold_senders(balancer->callbacks.ctx));
+	    .burst = balancer->options.cold_burst,
+	    .starts_at_once = true,
+	};
+	msp_sender_rank_t rank = {0};
+
+	if (rate.per_second <= 0 ||
+	    strcmp(target->registration.place, balancer->options.place) != 0)
+		return false;
+	if (msp_rate_share_is_old(share, now)) {
+		balancer->callbacks.rank_sender(
+		    balancer->callbacks.ctx, target, &rank);
+		rank.place_count = 1;
+		rank.place = 0;
+		msp_set_rate_share(share, now, &rate, &rank);
+	}
+	return msp_rate_share_allows(share, now);
 }
 
 /*
@@ -511,6 +526,8 @@
 	(void)balancer;
 	target->traffic.in_flight++;
 	msp_use_target_limit(&target->limit);
+	if (choice->cold)
+		msp_use_rate_share(&target->traffic.cold_share);
 }
 
 void
--- a/source/steer/rate_share.c
+++ b/source/steer/rate_share.c
@@ -2,6 +2,15 @@
 
 #include <math.h>
 
+/* How long a part is used before the VM's rank is looked up again. */
+#define SHARE_LIFETIME (500 * MSP_MS)
+
+bool
+msp_rate_share_is_old(const msp_rate_share_t *share, msp_time_t now)
+{
+	return !share->is_set || now >= share->set_at + SHARE_LIFETIME;
+}
+
 static size_t
 at_least_one(double number)
 {
@@ -37,16 +46,18 @@
 
 	if (share->is_set)
 		refill(share, now);
-	if (rank->place >= places || rank->vm >= vms) {
-		*share = (msp_rate_share_t){.is_set = true, .refilled_at = now};
+	if (rate->per_second <= 0 || rank->place >= places || rank->vm >= vms) {
+		*share = (msp_rate_share_t){
+		    .is_set = true, .refilled_at = now, .set_at = now};
 		return;
 	}
+	share->set_at = now;
 	share->per_second = rate->per_second / senders;
 	share->burst = fmax(1, rate->burst / senders);
 	if (!share->is_set) {
 		/* Sender number n of all sends its first request n-th. */
 		turn = (double)(rank->vm * places + rank->place) + 1;
-		share->tokens = 1 - turn / senders;
+		share->tokens = rate->starts_at_once ? 1 : 1 - turn / senders;
 		share->refilled_at = now;
 		share->is_set = true;
 	}
--- a/source/steer/target_limit.c
+++ b/source/steer/target_limit.c
@@ -11,8 +11,6 @@
 #define LIMIT_BURST_SLACK 2
 /* Least time without news of a limit after which VMs without a part try it. */
 #define TRIAL_DELAY MSP_MINUTE
-/* How long a VM's part is used before its rank is looked up again. */
-#define SHARE_LIFETIME (500 * MSP_MS)
 
 static const char *const change_names[] = {
     [MSP_LIMIT_UNCHANGED] = "unchanged",
@@ -66,7 +64,7 @@
 	if (is_earlier || (!is_later && !is_stricter(statement, &before)))
 		return MSP_LIMIT_UNCHANGED;
 	limit->last = *statement;
-	limit->share_set_at = 0;
+	limit->share_is_old = true;
 	if (!before.named)
 		limit->share = (msp_rate_share_t){0};
 	if (limit->last.heard_at < before.heard_at)
@@ -86,8 +84,7 @@
 bool
 msp_limit_share_is_old(const msp_target_limit_t *limit, msp_time_t now)
 {
-	return limit->share_set_at == 0 ||
-	    now >= limit->share_set_at + SHARE_LIFETIME;
+	return limit->share_is_old || msp_rate_share_is_old(&limit->share, now);
 }
 
 void
@@ -121,5 +118,5 @@
 	msp_shared_rate_t rate = msp_limit_rate(limit);
 
 	msp_set_rate_share(&limit->share, now, &rate, rank);
-	limit->share_set_at = now;
+	limit->share_is_old = false;
 }
--- a/source/steer/target_traffic.c
+++ b/source/steer/target_traffic.c
@@ -118,19 +118,3 @@
 {
 	return now < traffic->full_until;
 }
-
-bool
-msp_admit_cold_request(msp_target_traffic_t *traffic, msp_time_t now,
-    double per_second, uint32_t senders)
-{
-	double gap;
-
-	if (per_second <= 0 || senders == 0)
-		return false;
-	gap = (double)senders / per_second * (double)MSP_SECOND;
-	if (traffic->last_cold_send != 0 &&
-	    (double)(now - traffic->last_cold_send) < gap)
-		return false;
-	traffic->last_cold_send = now;
-	return true;
-}
--- a/tests/steer/test_rate_share.c
+++ b/tests/steer/test_rate_share.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -212,6 +213,76 @@
 	    msp_rate_share_allows(&share, START + MSP_MINUTE + MSP_SECOND));
 }
 
+/* Sends all that VMs of one data centre may send to a cold target. */
+static unsigned int
+send_to_cold_target(size_t vms, double per_second, double slack,
+    msp_time_t from, msp_time_t until)
+{
+	static msp_rate_share_t shares[VMS_MAX];
+	const msp_shared_rate_t rate = {.per_second = per_second * 0.9,
+	    .burst = slack * 0.8,
+	    .starts_at_once = true};
+	unsigned int sent = 0;
+	msp_time_t now;
+	size_t vm;
+
+	memset(shares, 0, sizeof(shares));
+	for (now = START; now < START + until; now += STEP) {
+		for (vm = 0; vm < vms; vm++) {
+			msp_sender_rank_t rank = {
+			    .place_count = 1, .vm_count = vms, .vm = vm};
+
+			if (msp_rate_share_is_old(&shares[vm], now))
+				msp_set_rate_share(
+				    &shares[vm], now, &rate, &rank);
+			while (now >= START + from &&
+			    msp_rate_share_allows(&shares[vm], now)) {
+				msp_use_rate_share(&shares[vm]);
+				sent++;
+			}
+		}
+	}
+	return sent;
+}
+
+/*
+ * Guards against VMs that each send their first request to a cold target at
+ * once: the target is meant to get cold_over times its rate and cold_slack
+ * requests in a second from all VMs of its data centre together.
+ */
+static void
+many_vms_do_not_overrun_a_cold_target(void **state)
+{
+	static const struct {
+		size_t vms;
+		double per_second;
+		double slack;
+	} cases[] = {{1, 5, 5}, {3, 6, 5}, {4, 5, 5}, {17, 4, 8}, {50, 4, 8},
+	    {50, 1, 8}, {300, 2, 1}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		double rate = cases[i].per_second;
+		double allowed = rate * 1.5 + cases[i].slack;
+		unsigned int at_once = send_to_cold_target(
+		    cases[i].vms, rate, cases[i].slack, 0, MSP_SECOND);
+		unsigned int saved = send_to_cold_target(cases[i].vms, rate,
+		    cases[i].slack, 9 * MSP_SECOND, 10 * MSP_SECOND);
+		unsigned int later = send_to_cold_target(
+		    cases[i].vms, rate, cases[i].slack, 0, 10 * MSP_SECOND);
+
+		print_message("%zu VMs, %.0f per second: %u and %u of %.0f, "
+			      "%u in 10 s\n",
+		    cases[i].vms, rate, at_once, saved, allowed, later);
+		assert_true(at_once <= allowed);
+		assert_true(saved <= allowed);
+		assert_true(later >= 8 * rate - 1);
+		assert_true(later <= 10 * rate + cases[i].slack);
+	}
+	assert_int_equal(send_to_cold_target(3, 0, 5, 0, MSP_SECOND), 0);
+}
+
 int
 main(void)
 {
@@ -220,6 +291,7 @@
 	    cmocka_unit_test(vms_with_enough_requests_use_the_whole_limit),
 	    cmocka_unit_test(vms_that_know_few_others_at_first_keep_to_a_limit),
 	    cmocka_unit_test(late_part_starts_empty),
+	    cmocka_unit_test(many_vms_do_not_overrun_a_cold_target),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/steer/test_shares.c
+++ b/tests/steer/test_shares.c
@@ -152,24 +152,6 @@
 	assert_true(msp_target_latency_ratio(&traffic, now) < 1.01);
 }
 
-static void
-a_cold_targets_rate_is_shared(void **state)
-{
-	msp_target_traffic_t traffic[3] = {{0}};
-	msp_time_t now;
-	unsigned int sent = 0;
-	unsigned int vm;
-
-	(void)state;
-	for (now = MSP_SECOND; now < 11 * MSP_SECOND; now += 10 * MSP_MS) {
-		for (vm = 0; vm < 3; vm++)
-			sent += msp_admit_cold_request(&traffic[vm], now, 6, 3);
-	}
-	assert_in_range(sent, 50, 63);
-	assert_false(msp_admit_cold_request(&traffic[0], now, 0, 3));
-	assert_false(msp_admit_cold_request(&traffic[0], now, 6, 0));
-}
-
 static void
 latencies_are_modelled_by_warmth_and_region(void **state)
 {
@@ -214,7 +196,6 @@
 	    cmocka_unit_test(requests_are_assigned_evenly),
 	    cmocka_unit_test(reports_lose_weight_with_age),
 	    cmocka_unit_test(failure_rate_and_latency_ratio_decay),
-	    cmocka_unit_test(a_cold_targets_rate_is_shared),
 	    cmocka_unit_test(latencies_are_modelled_by_warmth_and_region),
 	};
 
--- a/tests/support/target_sim.c
+++ b/tests/support/target_sim.c
@@ -95,14 +95,6 @@
 	return vm->sim->evacuated[place[1] - '0'];
 }
 
-static uint32_t
-count_cold_senders(void *ctx)
-{
-	const sim_vm_t *vm = ctx;
-
-	return vm->sim->config.vms;
-}
-
 static void
 rank_sender(void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank)
 {
@@ -175,9 +167,9 @@
 	msp_balancer_options_t options = {.region = region_names[region],
 	    .place = region_names[region],
 	    .default_remote_delay = 100 * MSP_MS,
-	    .cold_rate_factor = 0.9};
+	    .cold_rate_factor = 0.9,
+	    .cold_burst = 4};
 	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
-	    .count_cold_senders = count_cold_senders,
 	    .rank_sender = rank_sender,
 	    .ctx = vm};
 
