--- a/bench/free_port.c
+++ b/bench/free_port.c
@@ -12,9 +12,11 @@
 #define RANGE_SIZE 256 /* its first port stays bound and marks it as used */
 #define RANGE_COUNT 88
 #define RANGE_ATTEMPTS_MAX 1000
+#define RANGES_PER_PROCESS_MAX 8
 
-/* The range of this process. `first` is 0 before it has one. */
+/* The newest range of this process. `first` is 0 before it has one. */
 static struct {
+	unsigned int claimed; /* number of ranges */
 	uint16_t first;
 	unsigned int picked; /* number of ports tried */
 } range;
@@ -61,6 +63,7 @@
 		    arc4random_uniform(RANGE_COUNT) * RANGE_SIZE);
 		if (bind_port(SOCK_STREAM, first) < 0)
 			continue;
+		range.claimed++;
 		range.first = first;
 		range.picked = 0;
 		return true;
@@ -83,12 +86,23 @@
 	return 0;
 }
 
+/* A used up range is begun anew only if the process can't get another one. */
+static bool
+needs_range(void)
+{
+	return range.first == 0 ||
+	    (range.picked >= RANGE_SIZE - 1 &&
+		range.claimed < RANGES_PER_PROCESS_MAX);
+}
+
 uint16_t
 pick_free_port(void)
 {
-	uint16_t port = range.first == 0 ? 0 : pick_from_range();
+	uint16_t port = needs_range() ? 0 : pick_from_range();
 
 	if (port != 0)
 		return port;
-	return claim_range() ? pick_from_range() : 0;
+	if (!claim_range() && range.first == 0)
+		return 0;
+	return pick_from_range();
 }
--- a/measure/soak.c
+++ b/measure/soak.c
@@ -21,7 +21,8 @@
 	printf("profile=%s seed=%llu seconds=%u vms=%u targets=%u requests=%u "
 	       "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
 	       "unanswered=%u "
-	       "runs=%u shed=%u extra=%u limits=%u worst_limit=%.2f faults=%u "
+	       "runs=%u shed=%u extra=%u limits=%u worst_limit=%.2f lag_ms=%u "
+	       "faults=%u "
 	       "REFUSED=%u TWICE=%u "
 	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u crashed=%u folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
@@ -29,10 +30,10 @@
 	    result->unsafe, result->served, result->refused, result->failed,
 	    result->cut, result->left, result->unanswered, result->runs,
 	    result->shed, result->extra, result->limits,
-	    result->worst_limit_ratio, result->faults, result->refused_but_run,
-	    result->run_twice, result->mixed, result->unasked,
-	    result->misrouted, result->over_limit, result->crashed,
-	    result->folder[0] == '\0' ? "-" : result->folder);
+	    result->worst_limit_ratio, result->lag_ms, result->faults,
+	    result->refused_but_run, result->run_twice, result->mixed,
+	    result->unasked, result->misrouted, result->over_limit,
+	    result->crashed, result->folder[0] == '\0' ? "-" : result->folder);
 }
 
 int
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -75,7 +75,7 @@
 	    .cold_rate_factor = COLD_RATE_FACTOR,
 	    .cold_burst = settings->edge.cold_slack * COLD_SLACK_FACTOR};
 	msp_balancer_callbacks_t callbacks = {.is_evacuated = is_evacuated,
-	    .rank_sender = rank_limit_sender,
+	    .rank_sender = rank_sender,
 	    .ctx = edge};
 
 	edge->evacuations = msp_new_map();
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -82,7 +82,6 @@
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
 	edge_remote_vm_t *remote_vms; /* of other data centres; owned */
 	size_t remote_vm_count;
-	size_t local_vm_count; /* of this data centre, by the table of VMs */
 	msp_time_t
 	    vms_read_at; /* when the table of VMs was first read; 0: not */
 
@@ -145,18 +144,21 @@
 void observe_target_limit(edge_t *edge, msp_view_target_t *target,
     msp_time_t sent_at, limit_field_t field, double per_second);
 
-/*
- * Ranks this VM among those that share the target's limit: those of the
- * target's own data centre come first, then those of its region. Callback of
- * the balancer; `ctx` is the edge_t.
- */
-void rank_limit_sender(
-    void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank);
-
 /* Counts a request that is sent; `kind` is "request", "retry" or "probe". */
 void count_sent_request(
     edge_t *edge, const msp_view_target_t *target, const char *kind);
 
+/* edge_sender_rank.c */
+
+/*
+ * Ranks this VM among those that share a rate of the target: those of the
+ * target's own data centre come first, then those of its region. A VM that
+ * does not know the others of its data centre yet has no part. Callback of the
+ * balancer; `ctx` is the edge_t.
+ */
+void rank_sender(
+    void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank);
+
 /* edge_strikes.c: requests that may have crashed targets */
 #define STRIKES_PATH "/v1/strikes" /* to which VMs send strikes */
 
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -109,7 +109,6 @@
 	free(edge->remote_vms);
 	edge->remote_vms = lists.others;
 	edge->remote_vm_count = lists.other_count;
-	edge->local_vm_count = lists.here_count;
 	if (edge->vms_read_at == 0)
 		edge->vms_read_at = msp_now(&edge->daemon->env);
 	set_vm_timer(edge, VM_REFRESH, read_vms);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -40,6 +40,7 @@
 	unsigned int extra; /* extra responses that targets sent */
 	unsigned int limits; /* named by targets, one after the other */
 	double worst_limit_ratio; /* of requests to those allowed in 4 s */
+	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
 	/* Violations. */
 	unsigned int refused_but_run;
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -367,9 +367,12 @@
 {
 	soak_t *soak = ctx;
 	msp_time_t due = soak->arrival.due;
+	msp_time_t now = soak_now();
 
 	if (soak->finishing)
 		return;
+	if (now > due + soak->result->lag_ms * MSP_MS)
+		soak->result->lag_ms = (unsigned int)((now - due) / MSP_MS);
 	start_request(pick_vm(soak),
 	    soak_chance(soak->loop, soak->profile->safe), RETRIES_MAX, false);
 	set_soak_timer(soak->loop, &soak->arrival,
--- a/tests/support/soak_limit.c
+++ b/tests/support/soak_limit.c
@@ -63,7 +63,7 @@
 	arrivals = calloc(size, sizeof(*arrivals));
 	if (arrivals == NULL)
 		return false;
-	for (i = 0; i < judge->count; i++)
+	for (i = 0; judge->size > 0 && i < judge->count; i++)
 		arrivals[i] = judge->arrivals[(judge->first + i) % judge->size];
 	free(judge->arrivals);
 	judge->arrivals = arrivals;
