--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -38,6 +38,9 @@
     {"overload",
 	"no target was expected to respond in the time left, so it was refused "
 	"on arrival; it did not run"},
+    {"target-limit",
+	"all targets that could take it had named limits, and this VM's parts "
+	"of them were used up, so it was refused on arrival; it did not run"},
     {"no-target",
 	"no target could take it (all are draining, suspect, cold or "
 	"evacuated), so it was refused; it did not run"},
--- a/source/spindled/edge_limits.c
+++ b/source/spindled/edge_limits.c
@@ -87,6 +87,24 @@
 	msp_send_exchange_response(exchange, &response);
 }
 
+void
+update_limit_gauges(const edge_t *edge)
+{
+	msp_counters_t *counters = edge->daemon->counters;
+	const msp_view_target_t *target;
+	uint64_t limited = 0;
+	uint64_t with_part = 0;
+
+	TAILQ_FOREACH(target, msp_view_targets(edge->view), link) {
+		if (!msp_limit_in_force(&target->limit))
+			continue;
+		limited++;
+		with_part += target->limit.share.per_second > 0 ? 1 : 0;
+	}
+	*msp_get_counter(counters, "msp_targets_limited") = limited;
+	*msp_get_counter(counters, "msp_targets_limited_with_part") = with_part;
+}
+
 void
 open_limits(edge_t *edge)
 {
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -133,6 +133,9 @@
 void open_limits(edge_t *edge);
 void close_limits(edge_t *edge);
 
+/* Sets the metrics of limits that are in force. */
+void update_limit_gauges(const edge_t *edge);
+
 /* Receives limits from another VM. */
 void serve_limits(edge_t *edge, msp_exchange_t *exchange);
 
