--- a/source/steer/target_limit.c
+++ b/source/steer/target_limit.c
@@ -4,6 +4,7 @@
 
 /* Requests per second to a target that names a lower limit. */
 #define LIMIT_RATE_MIN 0.1
+#define LIMIT_RATE_MAX 1e9
 /*
  * Requests that all VMs together may have saved up, besides those of one
  * second.
@@ -75,7 +76,8 @@
 msp_shared_rate_t
 msp_limit_rate(const msp_target_limit_t *limit)
 {
-	double per_second = fmax(limit->last.per_second, LIMIT_RATE_MIN);
+	double per_second =
+	    fmin(fmax(limit->last.per_second, LIMIT_RATE_MIN), LIMIT_RATE_MAX);
 
 	return (msp_shared_rate_t){
 	    .per_second = per_second, .burst = per_second + LIMIT_BURST_SLACK};
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -273,6 +273,8 @@
 	    {{"0", NULL}, LIMIT_FIELD_VALID, 0},
 	    {{"7.", NULL}, LIMIT_FIELD_VALID, 7},
 	    {{"5000", NULL}, LIMIT_FIELD_VALID, 5000},
+	    {{"99999999999999999999999999999999", NULL}, LIMIT_FIELD_VALID,
+		1e9},
 	    {{"13", "13"}, LIMIT_FIELD_VALID, 13},
 	    {{"13", "14"}, LIMIT_FIELD_MALFORMED, 0},
 	    {{"", NULL}, LIMIT_FIELD_MALFORMED, 0},
--- a/tests/steer/test_rate_share.c
+++ b/tests/steer/test_rate_share.c
@@ -283,6 +283,24 @@
 	assert_int_equal(send_to_cold_target(3, 0, 5, 0, MSP_SECOND), 0);
 }
 
+/* The parts of rates that no VM reaches must still be numbers. */
+static void
+huge_limits_are_divided(void **state)
+{
+	static const double limits[] = {1e9, 1e31, 1e308};
+	const msp_sender_rank_t rank = {.place_count = 6, .vm_count = 50};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(limits) / sizeof(*limits); i++) {
+		msp_target_limit_t limit = {
+		    .last = {.named = true, .per_second = limits[i]}};
+
+		msp_set_limit_share(&limit, START, &rank);
+		assert_float_equal(limit.share.per_second, 1e9 / 300, 1e-3);
+	}
+}
+
 int
 main(void)
 {
@@ -292,6 +310,7 @@
 	    cmocka_unit_test(vms_that_know_few_others_at_first_keep_to_a_limit),
 	    cmocka_unit_test(late_part_starts_empty),
 	    cmocka_unit_test(many_vms_do_not_overrun_a_cold_target),
+	    cmocka_unit_test(huge_limits_are_divided),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
