--- a/measure/soak.c
+++ b/measure/soak.c
@@ -21,7 +21,8 @@
 	printf("profile=%s seed=%llu seconds=%u vms=%u targets=%u requests=%u "
 	       "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
 	       "unanswered=%u "
-	       "runs=%u shed=%u extra=%u limits=%u worst_limit=%.2f lag_ms=%u "
+	       "runs=%u shed=%u extra=%u limits=%u limit_use=%.2f "
+	       "worst_limit=%.2f lag_ms=%u "
 	       "faults=%u "
 	       "REFUSED=%u TWICE=%u "
 	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u crashed=%u folder=%s\n",
@@ -30,6 +31,9 @@
 	    result->unsafe, result->served, result->refused, result->failed,
 	    result->cut, result->left, result->unanswered, result->runs,
 	    result->shed, result->extra, result->limits,
+	    result->limit_capacity > 0
+		? result->limit_used / result->limit_capacity
+		: 0,
 	    result->worst_limit_ratio, result->lag_ms, result->faults,
 	    result->refused_but_run, result->run_twice, result->mixed,
 	    result->unasked, result->misrouted, result->over_limit,
--- a/tests/net/test_http_endless.c
+++ b/tests/net/test_http_endless.c
@@ -141,7 +141,7 @@
 			return total;
 		if (sent > 0) {
 			total += (size_t)sent;
-			at = (at + (size_t)sent) % len;
+			at = at + (size_t)sent == len ? 0 : at + (size_t)sent;
 		}
 		msp_step_loop(raw->loop, TURN_MS);
 		raw_read(raw);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -39,6 +39,8 @@
 	unsigned int shed; /* by targets, with "not executed" */
 	unsigned int extra; /* extra responses that targets sent */
 	unsigned int limits; /* named by targets, one after the other */
+	double limit_capacity; /* requests that limits allowed while named */
+	unsigned int limit_used; /* requests that came meanwhile */
 	double worst_limit_ratio; /* of requests to those allowed in 4 s */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
--- a/tests/support/soak_limit.c
+++ b/tests/support/soak_limit.c
@@ -11,8 +11,10 @@
 void
 name_judged_limit(limit_judge_t *judge, msp_time_t now, double per_second)
 {
-	if (!judge->named)
+	if (!judge->named) {
 		judge->named_at = now;
+		judge->arrived = 0;
+	}
 	judge->named = true;
 	judge->per_second = per_second;
 }
@@ -77,6 +79,7 @@
 {
 	double ratio;
 
+	judge->arrived++;
 	if (!judge->named || vm >= LIMIT_VMS_MAX || judge->told_at[vm] == 0 ||
 	    now < judge->told_at[vm] + TOLD_TIME || !grow(judge))
 		return 0;
--- a/tests/support/soak_limit.h
+++ b/tests/support/soak_limit.h
@@ -20,6 +20,7 @@
 	bool named;
 	double per_second;
 	msp_time_t named_at;
+	unsigned int arrived; /* since it was named */
 	msp_time_t told_at[LIMIT_VMS_MAX]; /* 0: that VM was not told */
 	msp_time_t *arrivals; /* counted ones of the last window; owned */
 	size_t first;
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -638,6 +638,9 @@
 	double span = profile->limit_max - profile->limit_min;
 
 	if (target->limit.named) {
+		soak->result->limit_used += target->limit.arrived;
+		soak->result->limit_capacity += target->limit.per_second *
+		    (double)(now - target->limit.named_at) / MSP_SECOND;
 		lift_judged_limit(&target->limit);
 		set_soak_timer(soak->loop, &target->limit_change,
 		    now + soak_between(soak->loop, 0, LIMIT_PAUSE_MAX));
