--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -4,6 +4,7 @@
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/dispatcher.h"
 #include "monsoonspindle/steer/job.h"
+#include "monsoonspindle/steer/limit_priority.h"
 #include "monsoonspindle/steer/limit_sync.h"
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -5,6 +5,7 @@
 
 #include "monsoonspindle/base/hash.h"
 #include "monsoonspindle/base/map.h"
+#include "monsoonspindle/steer/limit_priority.h"
 #include "monsoonspindle/steer/region_share.h"
 
 /* Size of the hash table of recent responses, by object and target. */
@@ -36,13 +37,19 @@
 	msp_time_t at;
 } recent_response_t;
 
+/* What the balancer remembers of a service. */
+typedef struct service_state {
+	msp_region_share_t share;
+	msp_limit_priority_t limit_priority;
+} service_state_t;
+
 struct msp_balancer {
 	msp_env_t env;
 	msp_balancer_options_t options;
 	msp_balancer_callbacks_t callbacks;
 	msp_target_view_t *view;
 	msp_latency_model_t *model;
-	msp_map_t *shares; /* msp_region_share_t by service */
+	msp_map_t *services; /* service_state_t by name */
 	recent_response_t recent_responses[RECENT_RESPONSES];
 };
 
@@ -60,6 +67,12 @@
 	region_load_t remote;
 } region_loads_t;
 
+/* Which of the eligible targets are ranked. */
+typedef struct ranking_scope {
+	bool local_only;
+	bool without_limited; /* none that has named a limit */
+} ranking_scope_t;
+
 /* The targets with the highest scores for one request, best first. */
 typedef struct ranking {
 	msp_view_target_t *list[CANDIDATES_MAX];
@@ -83,8 +96,8 @@
 	balancer->callbacks = *callbacks;
 	balancer->view = view;
 	balancer->model = model;
-	balancer->shares = msp_new_map();
-	if (balancer->shares != NULL)
+	balancer->services = msp_new_map();
+	if (balancer->services != NULL)
 		return balancer;
 	free(balancer);
 	return NULL;
@@ -94,13 +107,13 @@
 msp_drop_balancer(msp_balancer_t *balancer)
 {
 	size_t cursor = 0;
-	void *share;
+	void *service;
 
 	if (balancer == NULL)
 		return;
-	while (msp_map_next(balancer->shares, &cursor, NULL, &share))
-		free(share);
-	msp_drop_map(balancer->shares);
+	while (msp_map_next(balancer->services, &cursor, NULL, &service))
+		free(service);
+	msp_drop_map(balancer->services);
 	free(balancer);
 }
 
@@ -234,35 +247,33 @@
 	return load->slots > 0 ? load->requests / load->slots : -1;
 }
 
-static msp_region_share_t *
-find_share(msp_balancer_t *balancer, const char *service)
+/* Returns NULL if out of memory. */
+static service_state_t *
+find_service_state(msp_balancer_t *balancer, const char *service)
 {
-	msp_region_share_t *share = msp_map_get(balancer->shares, service);
+	service_state_t *state = msp_map_get(balancer->services, service);
 
-	if (share != NULL)
-		return share;
-	share = calloc(1, sizeof(*share));
-	if (share == NULL)
+	if (state != NULL)
+		return state;
+	state = calloc(1, sizeof(*state));
+	if (state == NULL)
 		return NULL;
-	if (msp_map_put(balancer->shares, service, share) == MSP_OK)
-		return share;
-	free(share);
+	if (msp_map_put(balancer->services, service, state) == MSP_OK)
+		return state;
+	free(state);
 	return NULL;
 }
 
 /* Whether the request is assigned to this VM's region. */
 static bool
-stays_in_region(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    const region_loads_t *loads)
+stays_in_region(const msp_balancer_t *balancer,
+    const msp_balance_request_t *request, const region_loads_t *loads,
+    msp_region_share_t *share)
 {
-	msp_region_share_t *share;
 
 	/* A retry may go anywhere; home regions already restrict the route. */
 	if (request->tried_count > 0 || request->route->home_region_count > 0)
 		return false;
-	share = find_share(balancer, request->service->name);
-	if (share == NULL)
-		return false;
 	msp_update_region_share(share, msp_now(&balancer->env),
 	    compute_utilisation(&loads->local),
 	    compute_utilisation(&loads->remote));
@@ -308,7 +319,8 @@
  */
 static void
 rank_targets(msp_balancer_t *balancer, const msp_balance_request_t *request,
-    const region_loads_t *loads, bool local_only, ranking_t *ranking)
+    const region_loads_t *loads, const ranking_scope_t *scope,
+    ranking_t *ranking)
 {
 	msp_view_target_t *target;
 	double utilisation;
@@ -317,9 +329,11 @@
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
 		if (!is_candidate(balancer, request, target) ||
 		    was_tried(request, target) ||
-		    (local_only && !is_local(balancer, target)))
+		    (scope->local_only && !is_local(balancer, target)))
 			continue;
-		if (!msp_target_limit_allows(balancer, target)) {
+		if (!msp_target_limit_allows(balancer, target) ||
+		    (scope->without_limited &&
+			msp_limit_in_force(&target->limit))) {
 			leave_out(balancer, ranking, target);
 			continue;
 		}
@@ -498,23 +512,63 @@
 	    MSP_E_NO_TARGET, "no target is eligible for the request");
 }
 
+/* Chooses among the targets of the scope. */
+static msp_status_t
+choose_in_scope(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const region_loads_t *loads, const ranking_scope_t *scope,
+    msp_balance_choice_t *choice)
+{
+	ranking_t ranking;
+
+	*choice = (msp_balance_choice_t){0};
+	rank_targets(balancer, request, loads, scope, &ranking);
+	return choose_ranked(balancer, request, loads, &ranking, choice);
+}
+
+/* A request that yields is not to come back before those that it yields to. */
+static void
+end_limited(service_state_t *service, msp_time_t now, uint32_t priority,
+    bool yields, msp_balance_choice_t *choice)
+{
+	if (yields && choice->wait < MSP_LIMIT_YIELD_TIME)
+		choice->wait = MSP_LIMIT_YIELD_TIME;
+	if (!yields)
+		msp_record_limit_refusal(
+		    &service->limit_priority, now, priority);
+}
+
 msp_status_t
 msp_balance(msp_balancer_t *balancer, const msp_balance_request_t *request,
     msp_balance_choice_t *choice)
 {
-	ranking_t ranking;
+	service_state_t *service =
+	    find_service_state(balancer, request->service->name);
+	uint32_t priority = request->route->priority;
+	msp_time_t now = msp_now(&balancer->env);
+	ranking_scope_t scope = {0};
 	region_loads_t loads;
+	msp_status_t status;
 
 	*choice = (msp_balance_choice_t){0};
+	if (service == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for a service");
 	measure_loads(balancer, request, &loads);
-	if (stays_in_region(balancer, request, &loads)) {
-		rank_targets(balancer, request, &loads, true, &ranking);
-		if (choose_ranked(
-			balancer, request, &loads, &ranking, choice) == MSP_OK)
-			return MSP_OK;
+	scope.without_limited =
+	    msp_yields_limits(&service->limit_priority, now, priority);
+	scope.local_only =
+	    stays_in_region(balancer, request, &loads, &service->share);
+	status = choose_in_scope(balancer, request, &loads, &scope, choice);
+	if (status != MSP_OK && scope.local_only) {
+		scope.local_only = false;
+		status =
+		    choose_in_scope(balancer, request, &loads, &scope, choice);
 	}
-	rank_targets(balancer, request, &loads, false, &ranking);
-	return choose_ranked(balancer, request, &loads, &ranking, choice);
+	if (status == MSP_OK && msp_limit_in_force(&choice->target->limit))
+		msp_record_limit_use(&service->limit_priority, now, priority);
+	else if (choice->is_limited)
+		end_limited(
+		    service, now, priority, scope.without_limited, choice);
+	return status;
 }
 
 void
