--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -285,7 +285,7 @@
 	char warmth[VALUE_SIZE];
 	uint64_t took = get_number_field(text, "took_ms");
 	uint64_t goal = get_number_field(text, "goal_ms");
-	uint64_t wait = get_number_field(text, "wait_ms");
+	int64_t wait = (int64_t)get_number_field(text, "wait_ms");
 
 	if (goal == 0 || took <= goal)
 		return;
@@ -294,7 +294,7 @@
 	    took, goal);
 	get_field(text, "warmth", warmth);
 	if (wait > 0)
-		printf("; a wait of about %" PRIu64 " ms for a slot was "
+		printf("; a wait of about %" PRId64 " ms for a slot was "
 		       "expected",
 		    wait);
 	if (strcmp(warmth, "warm") != 0)
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -38,11 +38,11 @@
 	return msp_hash_text(request->caller.id, 0) % SAMPLE_ONE_IN == 0;
 }
 
-/* A table's age in ms; -1 if there is no copy of the table. */
+/* An age or a wait in ms; -1 for MSP_NEVER. */
 static int64_t
-age_to_log_ms(msp_time_t age)
+time_to_log_ms(msp_time_t time)
 {
-	return age == MSP_NEVER ? -1 : (int64_t)(age / MSP_MS);
+	return time == MSP_NEVER ? -1 : (int64_t)(time / MSP_MS);
 }
 
 void
@@ -58,18 +58,18 @@
 	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
 	    "routes=%" PRIu64 " routes_age_ms=%" PRId64
 	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
-	    "wait_ms=%" PRIu64 " limited=%zu expected_ms=%" PRIu64
+	    "wait_ms=%" PRId64 " limited=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
 	    " sent=%u tried=%zu goal_ms=%u from=%s",
 	    request->caller.id, http_status, outcome, get_route_name(request),
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
 	    request->routes == NULL ? 0 : request->routes->version,
-	    age_to_log_ms(get_routes_age(edge)),
-	    age_to_log_ms(get_targets_age(edge)),
+	    time_to_log_ms(get_routes_age(edge)),
+	    time_to_log_ms(get_targets_age(edge)),
 	    choice->target == NULL ? "-" : choice->target->registration.id,
 	    msp_warmth_name(choice->warmth), choice->load,
-	    choice->wait / MSP_MS, choice->limited_count,
+	    time_to_log_ms(choice->wait), choice->limited_count,
 	    choice->expected_latency / MSP_MS,
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
--- a/source/steer/rate_share.c
+++ b/source/steer/rate_share.c
@@ -34,30 +34,47 @@
 	share->refilled_at = now;
 }
 
+/* The VMs that have a part of a rate. */
+typedef struct senders {
+	size_t places; /* data centres */
+	size_t vms; /* of each of them */
+} senders_t;
+
+static senders_t
+count_senders(const msp_shared_rate_t *rate, const msp_sender_rank_t *rank)
+{
+	size_t burst = at_least_one(rate->burst);
+	senders_t senders = {.places = min_size(rank->place_count, burst)};
+
+	if (senders.places > 0)
+		senders.vms = min_size(rank->vm_count,
+		    at_least_one(rate->burst / (double)senders.places));
+	return senders;
+}
+
 void
 msp_set_rate_share(msp_rate_share_t *share, msp_time_t now,
     const msp_shared_rate_t *rate, const msp_sender_rank_t *rank)
 {
-	size_t places = min_size(rank->place_count, at_least_one(rate->burst));
-	size_t vms = min_size(
-	    rank->vm_count, at_least_one(rate->burst / (double)places));
-	double senders = (double)places * (double)vms;
+	senders_t senders = count_senders(rate, rank);
+	double count = (double)senders.places * (double)senders.vms;
 	double turn;
 
 	if (share->is_set)
 		refill(share, now);
-	if (rate->per_second <= 0 || rank->place >= places || rank->vm >= vms) {
+	if (rate->per_second <= 0 || rank->place >= senders.places ||
+	    rank->vm >= senders.vms) {
 		*share = (msp_rate_share_t){
 		    .is_set = true, .refilled_at = now, .set_at = now};
 		return;
 	}
 	share->set_at = now;
-	share->per_second = rate->per_second / senders;
-	share->burst = fmax(1, rate->burst / senders);
+	share->per_second = rate->per_second / count;
+	share->burst = fmax(1, rate->burst / count);
 	if (!share->is_set) {
 		/* Sender number n of all sends its first request n-th. */
-		turn = (double)(rank->vm * places + rank->place) + 1;
-		share->tokens = rate->starts_at_once ? 1 : 1 - turn / senders;
+		turn = (double)(rank->vm * senders.places + rank->place) + 1;
+		share->tokens = rate->starts_at_once ? 1 : 1 - turn / count;
 		share->refilled_at = now;
 		share->is_set = true;
 	}
--- a/source/steer/target_limit.c
+++ b/source/steer/target_limit.c
@@ -61,16 +61,19 @@
 	msp_limit_statement_t before = limit->last;
 	bool is_later = statement->sent_at >= before.heard_at;
 	bool is_earlier = statement->heard_at < before.sent_at;
+	msp_limit_change_t change;
 
 	if (is_earlier || (!is_later && !is_stricter(statement, &before)))
 		return MSP_LIMIT_UNCHANGED;
 	limit->last = *statement;
-	limit->share_is_old = true;
-	if (!before.named)
-		limit->share = (msp_rate_share_t){0};
 	if (limit->last.heard_at < before.heard_at)
 		limit->last.heard_at = before.heard_at;
-	return compare_statements(&before, &limit->last);
+	change = compare_statements(&before, statement);
+	if (change == MSP_LIMIT_NAMED)
+		limit->share = (msp_rate_share_t){0};
+	if (change != MSP_LIMIT_UNCHANGED)
+		limit->share_is_old = true;
+	return change;
 }
 
 msp_shared_rate_t
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -64,6 +64,9 @@
     {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS},
     {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
 	LIMIT_SECONDS},
+    /* VMs that restart and freeze must not take others' parts of a limit. */
+    {"limits_hold_while_vms_restart", "limits-signals", 1, false,
+	LIMIT_SECONDS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS},
 };
 
