--- a/tests/net/test_http_endless.c
+++ b/tests/net/test_http_endless.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <malloc.h>
 #include <sys/socket.h>
@@ -99,25 +100,28 @@
 fill_block(char *block, const char *text)
 {
 	size_t len = strlen(text);
-	size_t at = 0;
+	size_t total = BLOCK_SIZE - BLOCK_SIZE % len;
+	size_t at;
 
-	for (; at + len <= BLOCK_SIZE; at += len)
-		memcpy(block + at, text, len);
-	return at;
+	for (at = 0; at < total; at++)
+		block[at] = text[at % len];
+	return total;
 }
 
-/* Of the address sanitizer, which replaces the allocator; else NULL. */
-extern size_t __sanitizer_get_current_allocated_bytes(void)
-    __attribute__((weak));
-
-/* Bytes that the process has allocated. */
+/*
+ * Bytes that the process has allocated. The address sanitizer replaces the
+ * allocator and has a count of its own.
+ */
 static size_t
 allocated(void)
 {
+	size_t (*count)(void);
 	struct mallinfo2 info;
 
-	if (__sanitizer_get_current_allocated_bytes != NULL)
-		return __sanitizer_get_current_allocated_bytes();
+	*(void **)&count =
+	    dlsym(RTLD_DEFAULT, "__sanitizer_get_current_allocated_bytes");
+	if (count != NULL)
+		return count();
 	info = mallinfo2();
 	return info.uordblks + info.hblkhd;
 }
