--- a/source/steer/limit_sync.c
+++ b/source/steer/limit_sync.c
@@ -21,7 +21,8 @@
 /* Longest time from writing a message until it is read. */
 #define TRANSIT_TIME_MAX MSP_SECOND
 #define LIMIT_TEXT_SIZE 32
-#define MICROSECONDS_MAX MSP_MINUTE /* of the ages in a message */
+/* Older statements are taken for the oldest. */
+#define STATEMENT_AGE_MAX MSP_MINUTE
 
 typedef struct limit_line {
 	char id[MSP_TARGET_ID_SIZE];
@@ -65,7 +66,7 @@
 	char text[LIMIT_TEXT_SIZE] = "-";
 
 	if (last->named)
-		snprintf(text, sizeof(text), "%.6f", last->per_second);
+		snprintf(text, sizeof(text), "%.17g", last->per_second);
 	return msp_append_printf(out,
 		   "%s %" PRIu64 " %s %" PRIu64 " %" PRIu64 "\n",
 		   registration->id, registration->incarnation, text,
@@ -141,7 +142,7 @@
 	    .heard_at = heard_ago < now ? now - heard_ago : 0,
 	};
 	/* The message was written up to TRANSIT_TIME_MAX ago. */
-	if (sent_ago < MICROSECONDS_MAX && sent_ago + TRANSIT_TIME_MAX < now)
+	if (sent_ago < STATEMENT_AGE_MAX && sent_ago + TRANSIT_TIME_MAX < now)
 		out->statement.sent_at = now - sent_ago - TRANSIT_TIME_MAX;
 	if (out->statement.named) {
 		out->statement.per_second = strtod(limit, &end);
--- a/tests/steer/test_limit_sync.c
+++ b/tests/steer/test_limit_sync.c
@@ -383,6 +383,40 @@
 	assert_int_equal(sent, 1);
 }
 
+/* A rounded limit would count as another one, to be told again and again. */
+static void
+limits_are_told_exactly(void **state)
+{
+	static const double limits[] = {
+	    0, 0.00001, 0.1, 12.3456789, 1.0 / 3, 5000, 1e9};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(limits) / sizeof(*limits); i++) {
+		const msp_limit_statement_t statement = {.named = true,
+		    .per_second = limits[i],
+		    .sent_at = START - MSP_SECOND,
+		    .heard_at = START};
+		msp_virtual_env_t clock = {.now = START};
+		msp_env_t env = msp_virtual_env(&clock);
+		msp_target_view_t *from = new_view(&env);
+		msp_target_view_t *to = new_view(&env);
+		msp_buffer_t text = {0};
+
+		msp_plan_limit_report(&env, get_limit(from),
+		    msp_apply_limit_statement(get_limit(from), &statement));
+		clock.now += MSP_SECOND;
+		assert_int_equal(msp_encode_due_limits(&env, from, &text), 1);
+		assert_int_equal(msp_receive_limits(&env, to,
+				     msp_buffer_text(&text), &no_callbacks),
+		    MSP_OK);
+		assert_true(get_limit(to)->last.per_second == limits[i]);
+		msp_drop_buffer(&text);
+		msp_drop_target_view(from);
+		msp_drop_target_view(to);
+	}
+}
+
 int
 main(void)
 {
@@ -391,6 +425,7 @@
 	    cmocka_unit_test(malformed_messages_are_rejected),
 	    cmocka_unit_test(reports_are_weighed_against_own_responses),
 	    cmocka_unit_test(silence_is_ended_by_one_request),
+	    cmocka_unit_test(limits_are_told_exactly),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
