--- a/tests/steer/test_rate_share.c
+++ b/tests/steer/test_rate_share.c
@@ -213,6 +213,40 @@
 	    msp_rate_share_allows(&share, START + MSP_MINUTE + MSP_SECOND));
 }
 
+/* The bounds that the cold targets' former function was held to. */
+static void
+a_cold_targets_rate_is_shared(void **state)
+{
+	const msp_shared_rate_t rate = {
+	    .per_second = 6, .burst = 4, .starts_at_once = true};
+	const msp_shared_rate_t no_rate = {.burst = 4, .starts_at_once = true};
+	msp_sender_rank_t rank = {.place_count = 1, .vm_count = 3};
+	msp_rate_share_t shares[3] = {{0}};
+	msp_rate_share_t share = {0};
+	unsigned int sent = 0;
+	msp_time_t now;
+
+	(void)state;
+	for (now = START; now < START + 10 * MSP_SECOND; now += STEP) {
+		for (rank.vm = 0; rank.vm < 3; rank.vm++) {
+			msp_rate_share_t *of_vm = &shares[rank.vm];
+
+			msp_set_rate_share(of_vm, now, &rate, &rank);
+			if (!msp_rate_share_allows(of_vm, now))
+				continue;
+			msp_use_rate_share(of_vm);
+			sent++;
+		}
+	}
+	assert_in_range(sent, 50, 63);
+	rank = (msp_sender_rank_t){.place_count = 1, .vm_count = 3};
+	msp_set_rate_share(&share, now, &no_rate, &rank);
+	assert_false(msp_rate_share_allows(&share, now));
+	rank.vm_count = 0;
+	msp_set_rate_share(&share, now, &rate, &rank);
+	assert_false(msp_rate_share_allows(&share, now));
+}
+
 /* Sends all that VMs of one data centre may send to a cold target. */
 static unsigned int
 send_to_cold_target(size_t vms, double per_second, double slack,
@@ -309,6 +343,7 @@
 	    cmocka_unit_test(vms_with_enough_requests_use_the_whole_limit),
 	    cmocka_unit_test(vms_that_know_few_others_at_first_keep_to_a_limit),
 	    cmocka_unit_test(late_part_starts_empty),
+	    cmocka_unit_test(a_cold_targets_rate_is_shared),
 	    cmocka_unit_test(many_vms_do_not_overrun_a_cold_target),
 	    cmocka_unit_test(huge_limits_are_divided),
 	};
