--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -26,6 +26,8 @@
 	bool reads_snapshot; /* else reads changes */
 	bool is_loaded; /* a snapshot has been read */
 	bool reads_vm; /* the pending read goes to a VM */
+	store_source_t vm; /* to which it goes then */
+	msp_time_t read_started;
 	char page_start[STORE_KEY_MAX + 1]; /* key; "": first page */
 	uint64_t snapshot_version; /* of the first page */
 	unsigned int attempt; /* since the last fresh response */
@@ -101,12 +103,20 @@
 }
 
 static void
-handle_read_failure(table_follower_t *follower, msp_status_t status)
+handle_read_failure(table_follower_t *follower, const store_reply_t *reply)
 {
+	table_read_failure_t failure = {
+	    .vm = follower->reads_vm ? &follower->vm : NULL,
+	    .reply = reply,
+	    .took = get_now(follower) - follower->read_started,
+	    .attempt = follower->attempt,
+	};
+
+	follower->callbacks.on_read_failed(follower->callbacks.ctx, &failure);
 	if (!follower->reads_vm && follower->store_lost_since == 0) {
 		follower->store_lost_since = get_now(follower);
 		follower->callbacks.on_store_lost(
-		    follower->callbacks.ctx, status);
+		    follower->callbacks.ctx, reply->status);
 	}
 	schedule_retry(follower);
 }
@@ -254,7 +264,7 @@
 	if (reply->status != MSP_OK ||
 	    reply->version < get_copy_version(follower->copy) ||
 	    (follower->reads_snapshot && follower->is_loaded && !fresh)) {
-		handle_read_failure(follower, reply->status);
+		handle_read_failure(follower, reply);
 		return;
 	}
 	report_store_recovered(follower);
@@ -285,7 +295,6 @@
 {
 	const table_follower_options_t *options = &follower->options;
 	const table_follower_callbacks_t *callbacks = &follower->callbacks;
-	store_source_t source;
 	const store_source_t *chosen = NULL;
 	uint32_t wait_ms = options->store_wait_ms;
 	uint32_t timeout_ms = STORE_TIMEOUT_MS;
@@ -297,22 +306,23 @@
 		follower->reads_vm = false;
 	else if (follower->checks_outage)
 		follower->reads_vm =
-		    callbacks->choose_vm(callbacks->ctx, &source);
+		    callbacks->choose_vm(callbacks->ctx, &follower->vm);
 	else
 		follower->reads_vm = callbacks->choose_source(
-		    callbacks->ctx, follower->attempt, &source);
+		    callbacks->ctx, follower->attempt, &follower->vm);
 	follower->checks_outage = false;
 	/* Backs off from a failing store while VMs keep the copy fresh. */
 	if (!follower->reads_vm && follower->store_lost_since != 0 &&
 	    follower->stale_since == 0 && !follower->must_read_store &&
 	    get_now(follower) < follower->store_read_at + STORE_BACKOFF)
 		follower->reads_vm =
-		    callbacks->choose_vm(callbacks->ctx, &source);
+		    callbacks->choose_vm(callbacks->ctx, &follower->vm);
 	follower->must_read_store = false;
+	follower->read_started = get_now(follower);
 	if (!follower->reads_vm)
 		follower->store_read_at = get_now(follower);
 	if (follower->reads_vm) {
-		chosen = &source;
+		chosen = &follower->vm;
 		wait_ms = options->vm_wait_ms;
 		timeout_ms = VM_TIMEOUT_MS;
 	}
@@ -331,7 +341,9 @@
 		    options->table, get_copy_version(follower->copy), wait_ms,
 		    wait_ms + timeout_ms, handle_reply, follower);
 	if (follower->call == NULL)
-		handle_read_failure(follower, MSP_E_NO_MEMORY);
+		handle_read_failure(follower,
+		    &(store_reply_t){.status = MSP_E_NO_MEMORY,
+			.call_status = MSP_E_NO_MEMORY});
 }
 
 table_follower_t *
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -1,9 +1,12 @@
 #include <inttypes.h>
 #include <stdlib.h>
 
+#include <bsd/string.h>
+
 #include "edge_request.h"
 
 #define RETRY_AFTER_MIN_MS 100
+#define HOMES_SIZE 128 /* bytes of a route's home regions in a log line */
 #define SAMPLE_ONE_IN 16 /* of this many successful requests, one is logged */
 #define HTTP_BAD_REQUEST 400
 #define HTTP_SERVER_ERROR 500
@@ -45,6 +48,24 @@
 	return time == MSP_NEVER ? -1 : (int64_t)(time / MSP_MS);
 }
 
+/* The home regions of a route, separated by commas; "-" if it has none. */
+static const char *
+print_homes(const msp_path_route_t *route, char *text, size_t size)
+{
+	size_t i;
+
+	strlcpy(text, "-", size);
+	if (route == NULL || route->home_region_count == 0)
+		return text;
+	*text = '\0';
+	for (i = 0; i < route->home_region_count; i++) {
+		if (i > 0)
+			strlcat(text, ",", size);
+		strlcat(text, route->home_regions[i].name, size);
+	}
+	return text;
+}
+
 void
 log_request_end(const edge_request_t *request, msp_line_rank_t rank,
     int http_status, const char *outcome)
@@ -53,11 +74,13 @@
 	const msp_balance_choice_t *choice = &request->choice;
 	const msp_path_route_t *route = request->criteria.route;
 	msp_time_t now = get_now(edge);
+	char homes[HOMES_SIZE];
 
 	log_request(rank,
 	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
-	    "routes=%" PRIu64 " routes_age_ms=%" PRId64
-	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
+	    "routes=%" PRIu64 " newest_routes=%" PRIu64
+	    " routes_age_ms=%" PRId64 " homes=%s targets_age_ms=%" PRId64
+	    " target=%s region=%s warmth=%s load=%.1f "
 	    "wait_ms=%" PRId64 " limited=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
 	    " sent=%u tried=%zu goal_ms=%u from=%s",
@@ -65,9 +88,12 @@
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
 	    request->routes == NULL ? 0 : request->routes->version,
+	    get_newest_routes_version(edge),
 	    time_to_log_ms(get_routes_age(edge)),
+	    print_homes(route, homes, sizeof(homes)),
 	    time_to_log_ms(get_targets_age(edge)),
 	    choice->target == NULL ? "-" : choice->target->registration.id,
+	    choice->target == NULL ? "-" : choice->target->region,
 	    msp_warmth_name(choice->warmth), choice->load,
 	    time_to_log_ms(choice->wait), choice->limited_count,
 	    choice->expected_latency / MSP_MS,
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -100,6 +100,14 @@
 	msp_timer_t *view_timer;
 };
 
+/* edge_routes.c: which routes are in force */
+
+/*
+ * The newest version of the routes that is known to be in force on any VM of
+ * this data centre; 0 if none is.
+ */
+uint64_t get_newest_routes_version(const edge_t *edge);
+
 /* edge_answer.c */
 
 /*
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -49,6 +49,28 @@
 		answer_long_polls(table->edge, table->follower);
 }
 
+/*
+ * Logs each read that ended within the response, and the first failed one since
+ * the copy was fresh.
+ */
+static void
+handle_read_failed(void *ctx, const table_read_failure_t *failure)
+{
+	const edge_table_t *table = ctx;
+	const store_reply_t *reply = failure->reply;
+
+	msp_add_to_counter(table->edge->daemon->counters, 1,
+	    "msp_table_reads_failed_total{table=\"%s\",source=\"%s\"}",
+	    table->name, failure->vm == NULL ? "store" : "vm");
+	if (reply->received == 0 && failure->attempt > 0)
+		return;
+	log_warn("event=table-read table=%s state=failed source=%s error=%s "
+		 "call=%s received=%zu took_ms=%" PRIu64 " attempt=%u",
+	    table->name, failure->vm == NULL ? "store" : failure->vm->address,
+	    msp_status_name(reply->status), msp_status_name(reply->call_status),
+	    reply->received, failure->took / MSP_MS, failure->attempt);
+}
+
 static void
 handle_store_lost(void *ctx, msp_status_t status)
 {
@@ -278,6 +300,7 @@
 	    .on_row = handle_operator_row,
 	    .on_snapshot_end = handle_operator_snapshot_end,
 	    .on_update = handle_new_rows,
+	    .on_read_failed = handle_read_failed,
 	    .on_store_lost = handle_store_lost,
 	    .on_store_recovered = handle_store_recovered,
 	    .on_stale = handle_table_stale,
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -93,6 +93,13 @@
 	(void)ctx;
 }
 
+static void
+handle_read_failed(void *ctx, const table_read_failure_t *failure)
+{
+	(void)ctx;
+	(void)failure;
+}
+
 static void
 handle_store_lost(void *ctx, msp_status_t status)
 {
@@ -149,6 +156,7 @@
 	    .on_row = handle_row,
 	    .on_snapshot_end = handle_snapshot_end,
 	    .on_update = handle_update,
+	    .on_read_failed = handle_read_failed,
 	    .on_store_lost = handle_store_lost,
 	    .on_store_recovered = handle_store_recovered,
 	    .on_stale = handle_stale,
