--- a/tests/platform/test_manifest.c
+++ b/tests/platform/test_manifest.c
@@ -56,6 +56,15 @@
 		 ROUTE_HEAD ",\"service\":\"desk\","
 			    "\"homeRegions\":[7]}"),
 		"homeRegions: not a region name"},
+	    /* It was read as no list, which allows any region. */
+	    {DOCUMENT("\"r7\"",
+		 ROUTE_HEAD ",\"service\":\"desk\","
+			    "\"homeRegions\":\"north\"}"),
+		"homeRegions: not a list"},
+	    {DOCUMENT("\"r7\"",
+		 ROUTE_HEAD ",\"service\":\"desk\","
+			    "\"homeRegions\":{\"0\":\"north\"}}"),
+		"homeRegions: not a list"},
 	};
 	size_t i;
 
