Bind a retry by the home regions of the newest routes

Cause: the route of its arrival is kept for the whole request. Before a retry the request's route is looked up in the routes in force, and its home regions bind. process/test_edge_homes failed before (home moves: 2 attempts, the second outside the new home).

--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -42,6 +42,8 @@
 
 typedef struct msp_balance_request {
 	const msp_path_route_t *route;
+	/* Whose home regions bind; NULL: `route`. */
+	const msp_path_route_t *home_route;
 	const msp_service_config_t *service;
 	uint64_t object_hash; /* of the requested object */
 	bool has_object; /* `object_hash` is set */
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -114,6 +114,7 @@
 	for (i = 0; i < request->criteria.tried_count; i++)
 		msp_release_view_target(request->tried[i]);
 	msp_drop_route_table(request->routes);
+	msp_drop_route_table(request->home_routes);
 	free(request);
 }
 
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -289,6 +289,8 @@
 
 	request->criteria.time_left =
 	    request->deadline > now ? request->deadline - now : 0;
+	if (request->criteria.tried_count > 0)
+		update_home_route(request);
 	status =
 	    msp_balance(edge->balancer, &request->criteria, &request->choice);
 	if (status != MSP_OK) {
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -16,6 +16,8 @@
 	msp_exchange_t *exchange; /* NULL once the caller has disconnected */
 	caller_fields_t caller;
 	msp_route_table_t *routes; /* in force at its arrival; a reference */
+	/* Of criteria.home_route, a reference; or NULL. */
+	msp_route_table_t *home_routes;
 	msp_digest_t fingerprint;
 	msp_time_t arrival;
 	msp_time_t deadline; /* for the final response */
@@ -30,6 +32,12 @@
 	bool from_target; /* the response to the caller is a target's */
 };
 
+/*
+ * edge_routes.c: before a retry, takes the home regions from the routes that
+ * are in force now. A route that is no longer there keeps its own.
+ */
+void update_home_route(edge_request_t *request);
+
 /*
  * edge_answer.c: how a request ends. All functions but log_request_end() free
  * the request.
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -1,4 +1,4 @@
-#include "edge_private.h"
+#include "edge_request.h"
 #include "members.h"
 
 uint64_t
@@ -17,3 +17,22 @@
 	}
 	return newest;
 }
+
+void
+update_home_route(edge_request_t *request)
+{
+	const edge_t *edge = request->edge;
+	const msp_request_t *message = msp_exchange_request(request->exchange);
+	const msp_path_route_t *route;
+
+	if (edge->routes == request->routes ||
+	    edge->routes == request->home_routes)
+		return;
+	route =
+	    msp_match_path_route(edge->routes, message->host, message->path);
+	if (route == NULL)
+		return;
+	msp_drop_route_table(request->home_routes);
+	request->home_routes = msp_keep_route_table(edge->routes);
+	request->criteria.home_route = route;
+}
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -150,6 +150,14 @@
 	return false;
 }
 
+/* The route whose home regions bind the request. */
+static const msp_path_route_t *
+get_home_route(const msp_balance_request_t *request)
+{
+	return request->home_route == NULL ? request->route
+					   : request->home_route;
+}
+
 /* Whether the target is eligible for the request. */
 static bool
 is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
@@ -157,7 +165,7 @@
 {
 	return msp_target_is_usable(target, request->service->name) &&
 	    target->traffic.suspect_since == 0 &&
-	    msp_route_allows_region(request->route, target->region) &&
+	    msp_route_allows_region(get_home_route(request), target->region) &&
 	    !balancer->callbacks.is_evacuated(
 		balancer->callbacks.ctx, target->registration.place);
 }
@@ -272,7 +280,8 @@
 {
 
 	/* A retry may go anywhere; home regions already restrict the route. */
-	if (request->tried_count > 0 || request->route->home_region_count > 0)
+	if (request->tried_count > 0 ||
+	    get_home_route(request)->home_region_count > 0)
 		return false;
 	msp_update_region_share(share, msp_now(&balancer->env),
 	    compute_utilisation(&loads->local),
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -571,15 +571,28 @@
 	free(fixture);
 }
 
-void
-answer_pending_request(edge_target_t *target)
+static void
+end_pending_request(edge_target_t *target, target_behaviour_t behaviour)
 {
 	msp_exchange_t *exchange = target->pending;
 
 	assert_non_null(exchange);
 	target->pending = NULL;
-	target->behaviour = TARGET_ANSWERS;
+	target->behaviour = behaviour;
 	send_target_response(target, exchange);
+	target->behaviour = TARGET_ANSWERS;
+}
+
+void
+answer_pending_request(edge_target_t *target)
+{
+	end_pending_request(target, TARGET_ANSWERS);
+}
+
+void
+fail_pending_request(edge_target_t *target)
+{
+	end_pending_request(target, TARGET_FAILS);
 }
 
 unsigned int
