--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -14,5 +14,6 @@
 #include "monsoonspindle/coord/relay.h"
 #include "monsoonspindle/coord/rendezvous.h"
 #include "monsoonspindle/coord/summary.h"
+#include "monsoonspindle/coord/version_lag.h"
 
 #endif
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -129,6 +129,7 @@
 	edge_t *edge = ctx;
 
 	msp_tick_target_view(edge->view);
+	update_routes_lag(edge);
 	flush_log();
 }
 
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -8,6 +8,7 @@
 #include "edge.h"
 #include "edge_broadcast.h"
 #include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/traffic_split.h"
@@ -47,6 +48,7 @@
 
 	msp_route_table_t *routes; /* in force; NULL until one is received */
 	msp_time_t routes_since;
+	msp_version_lag_t routes_lag; /* behind other VMs' routes */
 	msp_target_view_t *view;
 	msp_latency_model_t *latency_model;
 	msp_balancer_t *balancer;
@@ -108,6 +110,15 @@
  */
 uint64_t get_newest_routes_version(const edge_t *edge);
 
+/* To be called periodically. */
+void update_routes_lag(edge_t *edge);
+
+/*
+ * Whether other VMs have had newer routes for some time, so that the home
+ * regions of the own ones may have changed.
+ */
+bool has_outdated_routes(const edge_t *edge);
+
 /* edge_answer.c */
 
 /*
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -1,6 +1,11 @@
+#include <inttypes.h>
+
 #include "edge_request.h"
 #include "members.h"
 
+/* Within this time other VMs' newer routes normally arrive here too. */
+#define OUTDATED_TOLERANCE MSP_SECOND
+
 uint64_t
 get_newest_routes_version(const edge_t *edge)
 {
@@ -36,3 +41,24 @@
 	request->home_routes = msp_keep_route_table(edge->routes);
 	request->criteria.home_route = route;
 }
+
+bool
+has_outdated_routes(const edge_t *edge)
+{
+	return msp_version_is_outdated(
+	    &edge->routes_lag, msp_now(&edge->daemon->env), OUTDATED_TOLERANCE);
+}
+
+void
+update_routes_lag(edge_t *edge)
+{
+	bool was_outdated = has_outdated_routes(edge);
+
+	msp_update_version_lag(&edge->routes_lag, msp_now(&edge->daemon->env),
+	    get_routes_version(edge), get_newest_routes_version(edge));
+	if (has_outdated_routes(edge) == was_outdated)
+		return;
+	log_info("event=routes state=%s version=%" PRIu64 " newest=%" PRIu64,
+	    was_outdated ? "up-to-date" : "outdated", edge->routes_lag.own,
+	    edge->routes_lag.newest);
+}
--- /dev/null
+++ b/tests/coord/test_version_lag.c
@@ -0,0 +1,81 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+#include "monsoonspindle/coord.h"
+
+#define TOLERANCE (1000 * MSP_MS)
+#define UPDATES_MAX 5
+
+typedef struct lag_update {
+	uint64_t at_ms;
+	uint64_t own;
+	uint64_t newest;
+	bool outdated; /* expected after the update */
+} lag_update_t;
+
+typedef struct lag_case {
+	const char *name;
+	lag_update_t updates[UPDATES_MAX]; /* up to one at 0 */
+} lag_case_t;
+
+static const lag_case_t cases[] = {
+    {"up to date", {{100, 7, 7, false}, {5000, 7, 7, false}}},
+    {"ahead of all others", {{100, 8, 7, false}, {5000, 8, 7, false}}},
+    {"none yet", {{100, 0, 0, false}, {5000, 0, 0, false}}},
+    {"older within the tolerance", {{100, 7, 9, false}, {1099, 7, 9, false}}},
+    {"older for longer", {{100, 7, 9, false}, {1100, 7, 9, true}}},
+    {"older than ever newer ones",
+	{{100, 7, 9, false}, {600, 7, 11, false}, {1100, 7, 12, true}}},
+    {"catches up in steps",
+	{{100, 7, 9, false}, {1000, 8, 9, false}, {1900, 8, 9, false},
+	    {2000, 8, 9, true}}},
+    {"up to date again",
+	{{100, 7, 9, false}, {1200, 7, 9, true}, {1300, 9, 9, false},
+	    {1400, 9, 10, false}, {2300, 9, 10, false}}},
+    {"the newer one has gone",
+	{{100, 7, 9, false}, {1200, 7, 9, true}, {1300, 7, 7, false}}},
+};
+
+/*
+ * A VM that knew of newer routes went on to use the home regions of its old
+ * ones.
+ */
+static void
+older_version_is_outdated_after_the_tolerance(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_version_lag_t lag = {0};
+		size_t step;
+
+		for (step = 0;
+		     step < UPDATES_MAX && cases[i].updates[step].at_ms != 0;
+		     step++) {
+			const lag_update_t *update = &cases[i].updates[step];
+			msp_time_t now = update->at_ms * MSP_MS;
+
+			msp_update_version_lag(
+			    &lag, now, update->own, update->newest);
+			if (msp_version_is_outdated(&lag, now, TOLERANCE) !=
+			    update->outdated)
+				fail_msg("%s: update %zu", cases[i].name, step);
+		}
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(older_version_is_outdated_after_the_tolerance),
+	};
+
+	return cmocka_run_group_tests_name("version lag", tests, NULL, NULL);
+}
