--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -46,6 +46,9 @@
 	"evacuated), so it was refused; it did not run"},
     {"no-routes",
 	"the VM had no routes yet, so it was refused; it did not run"},
+    {"routes-outdated",
+	"another VM had newer routes, so that the home regions of the route "
+	"may have changed; it did not run"},
     {"no-route", "no route in force at the VM matches its host and path"},
     {"quarantined",
 	"requests like it made several targets fail, so it was refused; it did "
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -67,8 +67,9 @@
 	log_warn("event=table-read table=%s state=failed source=%s error=%s "
 		 "call=%s received=%zu took_ms=%" PRIu64 " attempt=%u",
 	    table->name, failure->vm == NULL ? "store" : failure->vm->address,
-	    msp_status_name(reply->status), msp_status_name(reply->call_status),
-	    reply->received, failure->took / MSP_MS, failure->attempt);
+	    reply->status == MSP_OK ? "older" : msp_status_name(reply->status),
+	    msp_status_name(reply->call_status), reply->received,
+	    failure->took / MSP_MS, failure->attempt);
 }
 
 static void
