Let tests write a large row into the memory store

msp_store_t takes values of up to 64 KiB, which suits the product's own rows. The soak therefore needs a way to write such a row in the place of the platform, without that limit and without the faults that are meant for the VMs' calls.

--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -71,6 +71,13 @@
 /* Returns whether a list of VMs was set. */
 bool msp_has_listed_vms(const msp_memory_store_t *store);
 
+/*
+ * Writes a row at once, or removes it if `value` is NULL, like the platform's
+ * operator: without the limits of msp_store_t, and in spite of the faults.
+ */
+msp_status_t msp_put_memory_store_row(msp_memory_store_t *store,
+    const char *key, const void *value, size_t value_len);
+
 /* Returns the version of the last transaction. */
 uint64_t msp_memory_store_version(const msp_memory_store_t *store);
 
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -93,6 +93,17 @@
 	return !TAILQ_EMPTY(&store->data.vms.snapshots);
 }
 
+msp_status_t
+msp_put_memory_store_row(msp_memory_store_t *store, const char *key,
+    const void *value, size_t value_len)
+{
+	msp_write_t write = {
+	    .key = key, .value = value, .value_len = value_len};
+	msp_txn_t txn = {.writes = &write, .write_count = 1};
+
+	return msp_apply_txn(&store->data.table, &txn);
+}
+
 uint64_t
 msp_memory_store_version(const msp_memory_store_t *store)
 {
