Show HOME broken: large routes over slow links (failing, listed)

Callers saw requests run outside the home regions of their route. The soak could not show it: its routes had no homes, never changed, and VMs reached the store over links without a bandwidth.

Now, in the profiles "homes" and "homes-big": - 16 routes have homes: two services, safe and unsafe, the same prefixes on two hosts, one prefix within the other. Their homes come, move, cross and go from one version to the next. A version counts as acknowledged when the store has written it, which waits for the store to be up. Now and then all connections over one VM's link are reset. The store lists VMs with the ports of these links. VMs of one data centre find each other by gossip and announce one port for UDP and TCP, so reads between them can't be put on a link; with one VM for each data centre, as in the test, there are none.

A VM in this state logs "state=lost table=operator" and "state=stale", and no newer routes until the end.

--- a/measure/soak.c
+++ b/measure/soak.c
@@ -22,10 +22,11 @@
 	       "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
 	       "unanswered=%u "
 	       "runs=%u shed=%u extra=%u limits=%u limit_use=%.2f "
-	       "worst_limit=%.2f lag_ms=%u "
+	       "worst_limit=%.2f versions=%u bytes=%u homes=%u lag_ms=%u "
 	       "faults=%u "
 	       "REFUSED=%u TWICE=%u "
-	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u crashed=%u folder=%s\n",
+	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u HOME=%u crashed=%u "
+	       "folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
 	    options->seconds, options->vms, options->targets, result->requests,
 	    result->unsafe, result->served, result->refused, result->failed,
@@ -34,10 +35,12 @@
 	    result->limit_capacity > 0
 		? result->limit_used / result->limit_capacity
 		: 0,
-	    result->worst_limit_ratio, result->lag_ms, result->faults,
-	    result->refused_but_run, result->run_twice, result->mixed,
-	    result->unasked, result->misrouted, result->over_limit,
-	    result->crashed, result->folder[0] == '\0' ? "-" : result->folder);
+	    result->worst_limit_ratio, result->route_versions,
+	    result->route_bytes, result->judged_homes, result->lag_ms,
+	    result->faults, result->refused_but_run, result->run_twice,
+	    result->mixed, result->unasked, result->misrouted,
+	    result->over_limit, result->outside_home, result->crashed,
+	    result->folder[0] == '\0' ? "-" : result->folder);
 }
 
 int
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -17,6 +17,7 @@
 
 #define SECONDS 3
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
+#define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
 #define VMS 3
 #define TARGETS 6
 #define PATH_SIZE 256
@@ -67,6 +68,15 @@
     /* VMs that restart and freeze must not take others' parts of a limit. */
     {"limits_hold_while_vms_restart", "limits-signals", 1, false,
 	LIMIT_SECONDS},
+    /* VMs that restart or lose the store must not go back to older homes. */
+    {"homes_hold_while_vms_restart_and_the_store_fails", "homes", 1, false,
+	HOMES_SECONDS},
+    /*
+     * VMs with slow links gave up each read of large routes after a fixed time,
+     * and served by older homes.
+     */
+    {"homes_hold_while_large_routes_come_over_slow_links", "homes-big", 6,
+	false, HOMES_SECONDS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS},
 };
 
@@ -97,13 +107,14 @@
 		    (unsigned long long)soak_case->seed, result.unanswered,
 		    result.requests, result.folder);
 	if (count_soak_violations(&result) > 0)
-		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
-			 "%u, unasked %u, misrouted %u, over a limit %u, "
-			 "crashed %u of %u requests; %s",
+		fail_msg(
+		    "seed %llu: refused but run %u, run twice %u, mixed "
+		    "%u, unasked %u, misrouted %u, over a limit %u, "
+		    "outside their homes %u, crashed %u of %u requests; %s",
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
-		    result.misrouted, result.over_limit, result.crashed,
-		    result.requests, result.folder);
+		    result.misrouted, result.over_limit, result.outside_home,
+		    result.crashed, result.requests, result.folder);
 }
 
 int
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -100,6 +100,8 @@
 		return -1;
 	start_soak_traffic(soak);
 	start_soak_faults(soak);
+	start_soak_route_changes(soak);
+	start_soak_link_cuts(soak);
 	run_for(soak, soak->options->seconds * MSP_SECOND);
 	finish_traffic(soak);
 	stop_soak_clients(soak);
@@ -156,7 +158,7 @@
 {
 	return result->refused_but_run + result->run_twice + result->mixed +
 	    result->unasked + result->misrouted + result->over_limit +
-	    result->crashed;
+	    result->outside_home + result->crashed;
 }
 
 int
@@ -177,6 +179,8 @@
 	}
 	soak->loop = new_soak_loop(options->seed);
 	LIST_INIT(&soak->pairs);
+	soak->store.fd = -1;
+	open_home_judge(&soak->homes);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
 	    open_soak_ledger(&soak->ledger, result) == 0 &&
@@ -188,6 +192,7 @@
 	close_soak_links(soak);
 	stop_soak_store(soak);
 	close_soak_ledger(&soak->ledger);
+	drop_home_judge(&soak->homes);
 	drop_soak_loop(soak->loop);
 	if (count_soak_violations(result) > 0)
 		print_report(result);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -42,6 +42,9 @@
 	double limit_capacity; /* requests that limits allowed while named */
 	unsigned int limit_used; /* requests that came meanwhile */
 	double worst_limit_ratio; /* of requests to those allowed in 4 s */
+	unsigned int route_versions;
+	unsigned int route_bytes; /* of the last version */
+	unsigned int judged_homes; /* requests on routes with homes */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
 	/* Violations. */
@@ -51,6 +54,7 @@
 	unsigned int unasked; /* run with an id or content nobody sent */
 	unsigned int misrouted; /* run by a target of another service */
 	unsigned int over_limit; /* requests above a limit that was named */
+	unsigned int outside_home; /* reached a target outside their homes */
 	unsigned int crashed; /* processes that ended by themselves */
 	char folder[64]; /* of settings, logs and violations; "": removed */
 } soak_result_t;
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -226,12 +226,15 @@
 	bool is_get = request->safe && soak_random(soak->loop, 5) != 0;
 	size_t len;
 
+	strcpy(request->host, "a.example");
 	snprintf(request->method, sizeof(request->method), "%s",
 	    is_get ? "GET" : methods[soak_random(soak->loop, count)]);
 	snprintf(request->path, sizeof(request->path), "/%c%c/%x",
 	    request->safe ? 'r' : 'w',
 	    'a' + (int)soak_random(soak->loop, SOAK_SERVICES),
 	    (unsigned int)soak_random(soak->loop, OBJECTS));
+	if (soak->profile->homes > 0)
+		draw_home_request(soak, request);
 	len = strlen(request->path);
 	if (soak_random(soak->loop, 4) == 0)
 		snprintf(request->path + len, sizeof(request->path) - len,
@@ -285,9 +288,9 @@
 	draw_body(soak, request, &body);
 	request->body_hash = msp_hash(body.data, body.len, 0);
 	msp_append_printf(out,
-	    "%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
+	    "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
 	    "Cookie: Affinity-Key=%u\r\nDeadline-Ms: %u\r\n",
-	    request->method, request->path, request->id,
+	    request->method, request->path, request->host, request->id,
 	    (unsigned int)soak_random(soak->loop, OBJECTS), deadline_ms);
 	for (; field_count > 0; field_count--)
 		msp_append_printf(out, "X-Field-%u: %s\r\n",
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -19,6 +19,7 @@
 typedef struct soak_request {
 	char id[SOAK_ID_SIZE];
 	char method[8];
+	char host[16];
 	char path[128]; /* its third character names the service */
 	uint64_t body_hash;
 	unsigned int vm;
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -6,12 +6,14 @@
 #include <bsd/sys/queue.h>
 
 #include "soak.h"
+#include "soak_home.h"
 #include "soak_ledger.h"
 #include "soak_limit.h"
 #include "soak_loop.h"
 
 #define SOAK_ZONES 3
 #define SOAK_SERVICES 2
+#define SOAK_HOME_ROUTES 16
 #define SOAK_VMS_MAX 128
 #define SOAK_TARGETS_MAX 64
 
@@ -77,11 +79,19 @@
 	double limits; /* share of targets that name limits at times */
 	double limit_min; /* requests per second */
 	double limit_max;
+	double homes; /* share of requests on routes with homes */
+	double home_changes; /* versions of the routes, per second */
+	uint32_t routes_size; /* to which they grow, in bytes */
+	uint32_t vm_bandwidth; /* bytes per second of a VM's link to the store
+				  and other VMs, each way; 0: no limit */
+	double link_cuts; /* resets of all connections over a VM's link, per
+			     second */
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
 } soak_profile_t;
 
 typedef struct soak soak_t;
+typedef struct soak_relay soak_relay_t;
 typedef struct soak_conn soak_conn_t;
 typedef struct soak_client soak_client_t;
 
@@ -89,6 +99,29 @@
 TAILQ_HEAD(soak_conn_queue, soak_conn);
 TAILQ_HEAD(soak_client_queue, soak_client);
 LIST_HEAD(soak_pair_list, link_pair);
+TAILQ_HEAD(soak_relay_queue, soak_relay);
+
+/* A route whose homes change. */
+typedef struct soak_home_route {
+	bool is_absent;
+	unsigned int homes; /* a bit for each region; 0: all */
+} soak_home_route_t;
+
+/* The routes of the newest version. */
+typedef struct soak_routes {
+	unsigned int version;
+	unsigned int acknowledged; /* newest version */
+	soak_home_route_t homes[SOAK_HOME_ROUTES];
+	msp_rng_t rng; /* of the changes */
+	unsigned int spare_count; /* routes without requests */
+	soak_timer_t change;
+} soak_routes_t;
+
+/* One direction of a VM's link. */
+typedef struct soak_flow {
+	double credit; /* bytes that may be sent now */
+	msp_time_t updated;
+} soak_flow_t;
 
 typedef struct soak_target {
 	soak_t *soak;
@@ -136,6 +169,13 @@
 	uint16_t directory;
 	uint16_t metrics;
 	uint16_t peer;
+	uint16_t peer_link_port; /* where other VMs connect to */
+	uint16_t store_port; /* where it connects to */
+	soak_stream_t peer_link; /* listeners of its link */
+	soak_stream_t store_link;
+	struct soak_relay_queue relays; /* connections over its link */
+	soak_flow_t flows[2]; /* to it, and from it */
+	soak_timer_t flow; /* sends what has credit */
 	char settings[128];
 	char log[128];
 	struct soak_client_queue idle; /* open connections without a request */
@@ -159,10 +199,14 @@
 	soak_timer_t arrival;
 	soak_timer_t fault;
 	soak_timer_t burst_end;
+	soak_timer_t link_cut;
+	msp_rng_t cut_rng; /* of cuts of links */
 	soak_timer_t store_end;
 	soak_timer_t reap;
+	soak_routes_t routes;
+	home_judge_t homes;
 	pid_t store_pid;
-	int store_pipe; /* commands to the store */
+	soak_stream_t store; /* commands to the store, and acknowledgements */
 	uint16_t store_port;
 };
 
@@ -174,7 +218,19 @@
 void freeze_soak_store(soak_t *soak, bool frozen);
 void put_soak_row(soak_t *soak, const char *key, const char *value);
 void command_soak_store(soak_t *soak, const char *command, unsigned int value);
+void write_soak_routes(
+    soak_t *soak, unsigned int version, const msp_buffer_t *text);
+/* Sets the ports by which VMs of other zones find it. */
+void list_soak_vm(const soak_vm_t *vm);
+
+/* The routes, and the rule HOME. */
 void put_soak_routes(soak_t *soak);
+void acknowledge_soak_routes(soak_t *soak, unsigned int version);
+void start_soak_route_changes(soak_t *soak);
+/* Draws the host and the path of a request on a route with homes. */
+void draw_home_request(soak_t *soak, soak_request_t *request);
+void judge_soak_home(
+    const soak_target_t *target, const soak_request_t *request);
 
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
@@ -199,6 +255,14 @@
 int open_soak_link(soak_target_t *target);
 void close_soak_links(soak_t *soak);
 
+/*
+ * Opens a VM's link to the store and to other VMs, if the profile has a
+ * bandwidth. Connections of VMs of its own zone don't use it.
+ */
+int open_soak_vm_link(soak_vm_t *vm);
+void close_soak_vm_link(soak_vm_t *vm);
+void start_soak_link_cuts(soak_t *soak);
+
 int start_soak_vms(soak_t *soak);
 void stop_soak_vms(soak_t *soak);
 void signal_soak_vm(soak_vm_t *vm, int signal);
--- a/tests/support/soak_store.c
+++ b/tests/support/soak_store.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include "free_port.h"
@@ -14,47 +15,80 @@
 #include "soak_private.h"
 
 #define ADDRESS "127.0.0.1"
+#define ROUTES_KEY "op|config"
 #define MAX_FDS 2048
-#define COMMAND_MAX 8192 /* bytes of a command */
-#define WRITE_TIMEOUT_MS 1000
+#define READ_SIZE 8192
+#define LINE_SIZE 8192 /* of a command, but for routes */
+#define DECIMAL 10
 
-/* The child process: a store that also takes commands from a pipe. */
+/* The child process: a store that also takes commands from a socket. */
 typedef struct store {
 	msp_loop_t *loop;
 	msp_memory_store_t *memory;
 	msp_store_service_t *service;
-	int pipe;
+	int commands;
 	msp_buffer_t input;
+	char *routes; /* not written yet, or NULL; owned */
+	unsigned long routes_version;
+	msp_vm_t vms[SOAK_VMS_MAX];
+	size_t vm_count;
 } store_t;
 
-static void
-ignore_reply(void *ctx, const msp_store_reply_t *reply)
-{
-	(void)ctx;
-	(void)reply;
-}
-
 /* "put KEY VALUE" writes a row, or removes it without a value. */
 static void
 put_row(store_t *store, char *text)
 {
-	msp_store_t interface = msp_memory_store(store->memory);
-	msp_store_faults_t *faults = msp_memory_store_faults(store->memory);
-	msp_store_faults_t before = *faults;
 	char *value = strchr(text, ' ');
-	msp_write_t write = {.key = text};
-	msp_txn_t txn = {.writes = &write, .write_count = 1};
 
-	if (value != NULL) {
+	if (value != NULL)
 		*value++ = '\0';
-		write.value = value;
-		write.value_len = strlen(value);
-	}
 	/* The faults are for the VMs only. */
-	*faults = (msp_store_faults_t){0};
-	interface.transact(
-	    interface.ctx, &txn, WRITE_TIMEOUT_MS, ignore_reply, NULL);
-	*faults = before;
+	msp_put_memory_store_row(
+	    store->memory, text, value, value == NULL ? 0 : strlen(value));
+}
+
+/* "routes VERSION VALUE" writes them once the store is up, and tells so. */
+static void
+take_routes(store_t *store, char *text)
+{
+	char *value;
+
+	store->routes_version = strtoul(text, &value, DECIMAL);
+	free(store->routes);
+	store->routes = strdup(value + 1);
+}
+
+static void
+write_routes(store_t *store)
+{
+	char line[32];
+	int len;
+
+	if (store->routes == NULL ||
+	    msp_memory_store_faults(store->memory)->down)
+		return;
+	msp_put_memory_store_row(
+	    store->memory, ROUTES_KEY, store->routes, strlen(store->routes));
+	free(store->routes);
+	store->routes = NULL;
+	len = snprintf(line, sizeof(line), "%lu\n", store->routes_version);
+	if (write(store->commands, line, (size_t)len) != len)
+		_exit(1);
+}
+
+/* "vm NAME PLACE CALLER_PORT PEER_PORT" adds a VM to the store's list. */
+static void
+list_vm(store_t *store, const char *text)
+{
+	msp_vm_t *vm = &store->vms[store->vm_count];
+
+	*vm = (msp_vm_t){.address = ADDRESS};
+	if (store->vm_count == SOAK_VMS_MAX ||
+	    sscanf(text, "%63s %63s %hu %hu", vm->name, vm->place,
+		&vm->caller_port, &vm->peer_port) != 4)
+		_exit(1);
+	store->vm_count++;
+	msp_set_memory_store_vms(store->memory, store->vms, store->vm_count, 0);
 }
 
 static void
@@ -64,21 +98,25 @@
 
 	if (strncmp(line, "put ", 4) == 0)
 		put_row(store, line + 4);
+	else if (strncmp(line, "routes ", 7) == 0)
+		take_routes(store, line + 7);
+	else if (strncmp(line, "vm ", 3) == 0)
+		list_vm(store, line + 3);
 	else if (strncmp(line, "down ", 5) == 0)
 		faults->down = line[5] != '0';
 	else if (strncmp(line, "latency ", 8) == 0)
-		faults->latency = strtoul(line + 8, NULL, 10) * MSP_MS;
+		faults->latency = strtoul(line + 8, NULL, DECIMAL) * MSP_MS;
 }
 
 static void
 handle_step(void *ctx)
 {
 	store_t *store = ctx;
-	char data[COMMAND_MAX];
+	char data[READ_SIZE];
 	ssize_t len;
 	char *end;
 
-	while ((len = read(store->pipe, data, sizeof(data))) > 0)
+	while ((len = read(store->commands, data, sizeof(data))) > 0)
 		msp_append_data(&store->input, data, (size_t)len);
 	while (store->input.len > 0 &&
 	    (end = strchr(store->input.data, '\n')) != NULL) {
@@ -89,6 +127,7 @@
 		store->input.len -= used;
 		memmove(store->input.data, end + 1, store->input.len + 1);
 	}
+	write_routes(store);
 	msp_step_memory_store(store->memory);
 	msp_step_store_service(store->service);
 	if (len == 0)
@@ -96,14 +135,15 @@
 }
 
 static void
-serve_store(int pipe_fd, uint16_t port)
+serve_store(int commands, uint16_t port)
 {
-	store_t store = {.pipe = pipe_fd};
+	static store_t store;
 	msp_env_t env = msp_system_env();
 	msp_http_server_options_t options = {.address = ADDRESS, .port = port};
 
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	fcntl(pipe_fd, F_SETFL, O_NONBLOCK);
+	fcntl(commands, F_SETFL, O_NONBLOCK);
+	store.commands = commands;
 	store.loop = msp_new_loop(MAX_FDS);
 	store.memory = msp_new_memory_store(&env);
 	store.service = msp_new_store_service(store.memory);
@@ -116,22 +156,45 @@
 	_exit(0);
 }
 
+/* Each line of the store's is the version of the routes that it has written. */
+static void
+handle_store_output(void *ctx, bool closed)
+{
+	soak_t *soak = ctx;
+	msp_buffer_t *in = &soak->store.in;
+	char *end;
+
+	while (in->len > 0 && (end = strchr(in->data, '\n')) != NULL) {
+		size_t used = (size_t)(end + 1 - in->data);
+
+		acknowledge_soak_routes(
+		    soak, (unsigned int)strtoul(in->data, NULL, DECIMAL));
+		in->len -= used;
+		memmove(in->data, end + 1, in->len + 1);
+	}
+	if (!closed)
+		return;
+	fprintf(stderr, "soak: the store has ended\n");
+	close_soak_stream(&soak->store);
+}
+
 int
 start_soak_store(soak_t *soak)
 {
 	int ends[2];
 
 	soak->store_port = pick_free_port();
-	if (pipe(ends) != 0)
+	if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) != 0)
 		return -1;
-	fcntl(ends[1], F_SETFD, FD_CLOEXEC);
 	soak->store_pid = fork();
 	if (soak->store_pid == 0) {
 		close(ends[1]);
 		serve_store(ends[0], soak->store_port);
 	}
 	close(ends[0]);
-	soak->store_pipe = ends[1];
+	soak->store.on_input = handle_store_output;
+	soak->store.ctx = soak;
+	open_soak_stream(soak->loop, &soak->store, ends[1]);
 	return soak->store_pid < 0 ? -1 : 0;
 }
 
@@ -140,7 +203,7 @@
 {
 	if (soak->store_pid <= 0)
 		return;
-	close(soak->store_pipe);
+	close_soak_stream(&soak->store);
 	kill(soak->store_pid, SIGKILL);
 	waitpid(soak->store_pid, NULL, 0);
 	soak->store_pid = 0;
@@ -155,14 +218,13 @@
 static void
 send_command(soak_t *soak, const char *line, int len)
 {
-	if (write(soak->store_pipe, line, (size_t)len) != len)
-		fprintf(stderr, "soak: the store takes no commands\n");
+	send_soak_data(&soak->store, line, (size_t)len);
 }
 
 void
 put_soak_row(soak_t *soak, const char *key, const char *value)
 {
-	char line[COMMAND_MAX];
+	char line[LINE_SIZE];
 
 	send_command(soak, line,
 	    snprintf(line, sizeof(line),
@@ -178,42 +240,23 @@
 	    snprintf(line, sizeof(line), "%s %u\n", command, value));
 }
 
-static void
-append_route(
-    msp_buffer_t *text, const char *name, const char *kind, const char *service)
+void
+write_soak_routes(soak_t *soak, unsigned int version, const msp_buffer_t *text)
 {
-	msp_append_printf(text,
-	    "{\"name\":\"%s\",\"host\":\"a.example\",\"prefix\":\"/%s/\","
-	    "\"kind\":\"%s\",\"timeoutMs\":2500,\"targetLatencyMs\":500,"
-	    "\"priority\":1,\"service\":\"%s\",\"maxAttempts\":2,"
-	    "\"stickySessions\":true,\"homeRegions\":[]},",
-	    name, name, kind, service);
+	char line[64];
+
+	send_command(
+	    soak, line, snprintf(line, sizeof(line), "routes %u ", version));
+	send_soak_data(&soak->store, text->data, text->len);
+	send_command(soak, "\n", 1);
 }
 
 void
-put_soak_routes(soak_t *soak)
-{
-	msp_buffer_t text = {0};
-	unsigned int i;
-
-	msp_append_printf(&text, "{\"version\":\"r7\",\"routes\":[");
-	append_route(&text, "ra", "idempotent", "a");
-	append_route(&text, "rb", "idempotent", "b");
-	append_route(&text, "wa", "non_idempotent", "a");
-	append_route(&text, "wb", "non_idempotent", "b");
-	text.len--; /* the last comma */
-	msp_append_printf(&text, "],\"services\":[");
-	for (i = 0; i < SOAK_SERVICES; i++)
-		msp_append_printf(&text,
-		    "%s{\"name\":\"%c\",\"healthPath\":\"/health\","
-		    "\"maxConns\":%u,\"protocol\":\"h1\",\"tls\":false,"
-		    "\"coldStartS\":3.0,\"coldPerS\":3.4}",
-		    i == 0 ? "" : ",", 'a' + (int)i,
-		    soak->profile->max_connections);
-	msp_append_printf(&text,
-	    "],\"limits\":{\"maxHeaderBytes\":16384,"
-	    "\"maxBodyBytes\":67108864,\"headerTimeoutMs\":3000,"
-	    "\"idleTimeoutMs\":15000}}");
-	put_soak_row(soak, "op|config", msp_buffer_text(&text));
-	msp_drop_buffer(&text);
+list_soak_vm(const soak_vm_t *vm)
+{
+	char line[128];
+
+	send_command(vm->soak, line,
+	    snprintf(line, sizeof(line), "vm vm%u z%u %u %u\n", vm->index,
+		vm->index % SOAK_ZONES, vm->front, vm->peer_link_port));
 }
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -335,7 +335,7 @@
 	}
 }
 
-/* Finds the VM that sent the request, and counts it against the limit. */
+/* Finds the VM that sent the request, and judges its homes and the limit. */
 static void
 judge_arrival(soak_conn_t *conn)
 {
@@ -346,6 +346,8 @@
 	unsigned int count;
 
 	conn->vm = request == NULL ? LIMIT_VMS_MAX : request->vm;
+	if (request != NULL)
+		judge_soak_home(target, request);
 	count = judge_limit_arrival(&target->limit, soak_now(), conn->vm);
 	if (target->limit.worst_ratio > soak->result->worst_limit_ratio)
 		soak->result->worst_limit_ratio = target->limit.worst_ratio;
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -53,7 +53,7 @@
 	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
 	    "\"places\":[",
 	    vm->index, zone, zone, vm->peer, vm->front, vm->ready,
-	    vm->directory, vm->soak->store_port, vm->metrics);
+	    vm->directory, vm->store_port, vm->metrics);
 	append_places(&text);
 	msp_append_printf(&text,
 	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
@@ -200,7 +200,8 @@
 		snprintf(vm->log, sizeof(vm->log), "%s/vm%u.log",
 		    soak->result->folder, i);
 		vm->share = (soak_timer_t){.fire = handle_share, .ctx = vm};
-		if (write_settings(vm, 2000) != 0 || start_process(vm) != 0)
+		if (open_soak_vm_link(vm) != 0 ||
+		    write_settings(vm, 2000) != 0 || start_process(vm) != 0)
 			return -1;
 		if (soak->profile->share > 0)
 			set_soak_timer(soak->loop, &vm->share,
@@ -223,6 +224,7 @@
 		vm = &soak->vms[i];
 		clear_soak_timer(soak->loop, &vm->change);
 		clear_soak_timer(soak->loop, &vm->share);
+		close_soak_vm_link(vm);
 		if (vm->pid <= 0)
 			continue;
 		kill(vm->pid, SIGKILL);
