--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -350,13 +350,14 @@
 
 	assert_non_null(file);
 	fprintf(file,
-	    "{\"vm\":\"vm-1\",\"region\":\"north\",\"place\":\"north-a\","
+	    "{\"vm\":\"%s\",\"region\":\"north\",\"place\":\"north-a\","
 	    "\"peer_port\":%u,\"edge\":{\"callers\":\"" ADDRESS ":%u\","
 	    "\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
 	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
 	    "\"places\":[{\"place\":\"north-a\",\"region\":\"north\"}],"
 	    "\"stop_grace_ms\":3000},\"log\":{\"file\":\"-\"}%s}\n",
-	    fixture->peer_port, fixture->caller_port, fixture->readiness_port,
+	    fixture->vm == NULL ? "vm-1" : fixture->vm, fixture->peer_port,
+	    fixture->caller_port, fixture->readiness_port,
 	    fixture->directory_port,
 	    msp_http_server_port(fixture->store_server), fixture->metrics_port,
 	    fixture->settings_members == NULL ? "" : fixture->settings_members);
@@ -409,7 +410,7 @@
 }
 
 static edge_fixture_t *
-prepare_fixture(const char *settings_members)
+prepare_fixture(const char *vm, const char *settings_members)
 {
 	edge_fixture_t *fixture = calloc(1, sizeof(*fixture));
 	msp_http_server_options_t options = {.address = ADDRESS};
@@ -419,6 +420,7 @@
 	assert_int_equal(register_platform_headers(), MSP_OK);
 	fixture->env = msp_system_env();
 	fixture->deadline_ms = 3000;
+	fixture->vm = vm;
 	fixture->settings_members = settings_members;
 	fixture->loop = msp_new_loop(MAX_FDS);
 	fixture->memory_store = msp_new_memory_store(&fixture->env);
@@ -449,12 +451,28 @@
 edge_fixture_t *
 new_edge_fixture_with_settings(const char *members)
 {
-	edge_fixture_t *fixture = prepare_fixture(members);
+	edge_fixture_t *fixture = prepare_fixture(NULL, members);
 
 	start_fixture(fixture);
 	return fixture;
 }
 
+edge_fixture_t *
+new_edge_neighbour(const edge_fixture_t *neighbour, const char *manifest)
+{
+	edge_fixture_t *fixture = prepare_fixture("vm-2", NULL);
+	char row[256];
+
+	snprintf(row, sizeof(row),
+	    "{\"place\":\"north-a\",\"address\":\"" ADDRESS "\","
+	    "\"peer_port\":%u,\"caller_port\":1,\"leaving\":false}",
+	    neighbour->peer_port);
+	put_edge_row(fixture, "vms", "vm-1", row);
+	put_edge_row(fixture, "op", "config", manifest);
+	start_fixture(fixture);
+	return fixture;
+}
+
 edge_fixture_t *
 new_edge_fixture(void)
 {
@@ -480,7 +498,7 @@
 edge_fixture_t *
 new_edge_fixture_with_remote_vm(void)
 {
-	edge_fixture_t *fixture = prepare_fixture(NULL);
+	edge_fixture_t *fixture = prepare_fixture(NULL, NULL);
 	msp_http_server_options_t options = {.address = ADDRESS,
 	    .handler = {
 		.on_request = handle_remote_vm_request, .ctx = fixture}};
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -77,6 +77,7 @@
 	    void *ctx, edge_target_t *target, msp_exchange_t *exchange);
 	void (*handle_disconnect)(void *ctx, msp_exchange_t *exchange);
 	void *handler_ctx;
+	const char *vm; /* its name; NULL: "vm-1" */
 	const char *settings_members; /* added to the settings file; or NULL */
 	char settings_path[128];
 	char log_path[128];
@@ -103,6 +104,13 @@
  */
 edge_fixture_t *new_edge_fixture_with_settings(const char *members);
 
+/*
+ * Starts vm-2 with a store of its own that has `manifest`. It knows the VM of
+ * `neighbour`, which is in the same data centre.
+ */
+edge_fixture_t *new_edge_neighbour(
+    const edge_fixture_t *neighbour, const char *manifest);
+
 /* The same with a VM of another data centre, which receives strikes. */
 edge_fixture_t *new_edge_fixture_with_remote_vm(void);
 void drop_edge_fixture(edge_fixture_t *fixture);
