Test a VM that advances but stays behind the newest routes; red

msp_update_version_lag() restarts the time with each change of the own version, so a VM that advances more often than once in the tolerance is never outdated, however long it has known of a version that it lacks. Fails on at the last update: version 11 known for 1.8 s, own version 10, tolerance 1 s.

--- a/tests/coord/test_version_lag.c
+++ b/tests/coord/test_version_lag.c
@@ -39,6 +39,10 @@
 	    {1400, 9, 10, false}, {2300, 9, 10, false}}},
     {"the newer one has gone",
 	{{100, 7, 9, false}, {1200, 7, 9, true}, {1300, 7, 7, false}}},
+    /* Each step restarted the time, although 11 is known since 1,000 ms. */
+    {"advances, but never catches up",
+	{{100, 7, 9, false}, {1000, 8, 11, false}, {1900, 9, 13, false},
+	    {2800, 10, 15, true}}},
 };
 
 /*
