--- a/tests/platform/test_large_rows.c
+++ b/tests/platform/test_large_rows.c
@@ -34,6 +34,8 @@
 	/* The store's responses with the row that stop in the middle. */
 	unsigned int stopped_responses;
 	bool needs_cut_report; /* on_read_failed for a part of a response */
+	bool
+	    store_first; /* this VM reads the store, and a VM after a failure */
 } large_row_case_t;
 
 static const large_row_case_t cases[] = {
@@ -62,6 +64,12 @@
 	.store_rate = FAST,
 	.stopped_responses = 1,
 	.needs_cut_report = true},
+    /* A read of the store that takes minutes kept this VM from asking a VM. */
+    {.name = "large_row_is_read_from_vm_if_store_is_slow",
+	.as_change = true,
+	.store_rate = 20e3,
+	.vm_rate = FAST,
+	.store_first = true},
 };
 
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
@@ -85,7 +93,8 @@
 {
 	const large_row_test_t *test = ctx;
 
-	if (!test->reads_from_vm || attempt % 2 != 0)
+	if (!test->reads_from_vm ||
+	    (attempt % 2 == 0) == test->item->store_first)
 		return false;
 	strcpy(source->address, TEST_ADDRESS);
 	source->port = test->vm_server.port;
@@ -95,7 +104,9 @@
 static bool
 choose_vm(void *ctx, store_source_t *source)
 {
-	return choose_source(ctx, 0, source);
+	const large_row_test_t *test = ctx;
+
+	return choose_source(ctx, test->item->store_first ? 1 : 0, source);
 }
 
 static void
