Cut off a table's read by its rate, from the store as from a VM

The VM had read 1,235,084 of about 1,244,000 bytes from another VM when its 1 s was over, and began again, between two resets of its link.

A response that could not be complete in time at its rate so far ends after half a second, and one that will be may go on: 2 s from a VM, 4 s from the store, both doubled with each response cut off. The copy becomes stale by a timer of its own, and only rows that are still fresh at the end of their response end that.

The row large_row_is_read_from_slow_vm_without_store plays 350 kB/s instead of 600: at 600 nothing is cut off any more, so that the row would not test it.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -82,7 +82,8 @@
 	 * If not 0, timeout_ms ends when the response begins. From then on the
 	 * response may take this long, and each pause between two reads of it
 	 * stall_timeout_ms (0: any). For responses of any size over links of
-	 * any speed.
+	 * any speed. A response with a length ends early if it could not be
+	 * complete in time at its rate so far.
 	 */
 	uint32_t transfer_timeout_ms;
 	uint32_t stall_timeout_ms;
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -9,6 +9,8 @@
 #define BODY_WRITE_MAX (64 * 1024) /* bytes written per turn of the loop */
 /* Bytes of the head that libwebsockets writes besides the path. */
 #define HEAD_OVERHEAD_MAX 512
+/* Time after which the rate of a response tells how long the rest will take. */
+#define RATE_KNOWN_AFTER (500 * MSP_MS)
 
 static void
 set_call_deadline(msp_call_t *call, msp_time_t due)
@@ -173,6 +175,20 @@
 	return 0;
 }
 
+/* Whether the response will exceed its transfer time at its present rate. */
+static bool
+is_too_slow(const msp_call_t *call)
+{
+	msp_time_t elapsed = msp_loop_now() - call->response_began;
+	double received = (double)call->response.body.len;
+
+	if (call->transfer_timeout_ms == 0 || call->content_length <= 0 ||
+	    elapsed < RATE_KNOWN_AFTER)
+		return false;
+	return (double)elapsed * (double)call->content_length >
+	    received * call->transfer_timeout_ms * MSP_MS;
+}
+
 int
 msp_read_response_body(msp_call_t *call, const char *data, size_t len)
 {
@@ -180,6 +196,8 @@
 
 	restart_stall_timeout(call);
 	status = msp_append_data(&call->response.body, data, len);
+	if (status == MSP_OK && is_too_slow(call))
+		status = MSP_E_DEADLINE;
 	if (status == MSP_OK)
 		return 0;
 	msp_end_call(call,
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -11,12 +11,13 @@
 #define OUTAGE_CHECKS_MAX 3 /* VMs that are read after an outage */
 #define SNAPSHOT_TIMEOUT_MS 2000 /* of one page */
 /*
- * Time from the start of a VM's response to its end. A VM shares its link with
- * all that read from it, so that the store may be faster. The time is doubled
- * with each response that is cut off, in case the store can't be reached.
+ * Time from the start of a response to its end. A VM shares its link with all
+ * that read from it, so that the store may be faster. The times are doubled
+ * with each response that is cut off, in case there is no faster source.
  */
-#define VM_TRANSFER_MS 1000
-#define SLOW_READS_MAX 4 /* doublings of that time */
+#define VM_TRANSFER_MS 2000
+#define STORE_TRANSFER_MS 4000
+#define CUT_READS_MAX 3 /* doublings of these times */
 #define QUICK_ATTEMPTS 4 /* attempts before a longer delay */
 #define QUICK_DELAY (10 * MSP_MS) /* between these attempts */
 #define RETRY_DELAY_MIN (150 * MSP_MS)
@@ -31,6 +32,7 @@
 	table_copy_t *copy;
 	store_call_t *call; /* the pending read, or NULL */
 	msp_timer_t *timer; /* starts the next read */
+	msp_timer_t *stale_timer; /* fires when the copy becomes stale */
 	bool reads_snapshot; /* else reads changes */
 	bool is_loaded; /* a snapshot has been read */
 	bool reads_vm; /* the pending read goes to a VM */
@@ -46,7 +48,8 @@
 	unsigned int outage_checks; /* VMs read since the outage ended */
 	bool checks_outage; /* the next read goes to a VM */
 	bool must_read_store; /* the next read goes to the store */
-	unsigned int slow_reads; /* cut off since the last fresh response */
+	/* Responses cut off by their time since the last fresh one. */
+	unsigned int cut_reads;
 	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
 };
 
@@ -89,6 +92,31 @@
 	follower->callbacks.on_stale(follower->callbacks.ctx);
 }
 
+static void
+handle_stale_timer(void *ctx)
+{
+	table_follower_t *follower = ctx;
+
+	msp_drop_timer(follower->stale_timer);
+	follower->stale_timer = NULL;
+	check_stale(follower);
+}
+
+/* A read may take longer than the copy stays fresh. */
+static void
+schedule_stale_check(table_follower_t *follower)
+{
+	msp_time_t age = get_table_age(follower);
+
+	msp_drop_timer(follower->stale_timer);
+	follower->stale_timer = NULL;
+	if (follower->stale_since != 0 || age > TABLE_FRESH_MAX_AGE)
+		return;
+	follower->stale_timer =
+	    msp_new_timer(follower->loop, TABLE_FRESH_MAX_AGE - age + MSP_MS, 0,
+		handle_stale_timer, follower);
+}
+
 /* Tries the next source soon, with a longer delay after several attempts. */
 static void
 schedule_retry(table_follower_t *follower)
@@ -111,15 +139,11 @@
 	schedule_read(follower, delay);
 }
 
-/*
- * Whether the read went to a VM that answers, but too slowly for the size of
- * the response.
- */
+/* Whether the source answers, but too slowly for the size of the response. */
 static bool
-was_slow_vm(const table_follower_t *follower, const store_reply_t *reply)
+was_cut_off(const store_reply_t *reply)
 {
-	return follower->reads_vm && reply->call_status == MSP_E_DEADLINE &&
-	    reply->received > 0;
+	return reply->call_status == MSP_E_DEADLINE && reply->received > 0;
 }
 
 static void
@@ -133,12 +157,12 @@
 	};
 
 	follower->callbacks.on_read_failed(follower->callbacks.ctx, &failure);
-	if (was_slow_vm(follower, reply)) {
+	if (was_cut_off(reply) && follower->cut_reads < CUT_READS_MAX)
+		follower->cut_reads++;
+	if (was_cut_off(reply) && follower->reads_vm) {
 		check_stale(follower);
 		follower->page_start[0] = '\0';
 		follower->must_read_store = true;
-		if (follower->slow_reads < SLOW_READS_MAX)
-			follower->slow_reads++;
 		schedule_read(follower, QUICK_DELAY);
 		return;
 	}
@@ -198,7 +222,7 @@
 	bool was_down;
 
 	follower->attempt = 0;
-	follower->slow_reads = 0;
+	follower->cut_reads = 0;
 	follower->retry_delay = 0;
 	follower->outage_checks = 0;
 	if (follower->fresh_since == 0)
@@ -276,6 +300,14 @@
 	schedule_read(follower, follower->options.store_interval);
 }
 
+/* Whether the rows are still fresh at the end of the response. */
+static bool
+is_current(const store_reply_t *reply)
+{
+	return ((msp_time_t)reply->age_ms + reply->transfer_ms) * MSP_MS <=
+	    TABLE_FRESH_MAX_AGE;
+}
+
 static void
 handle_reply(void *ctx, const store_reply_t *reply)
 {
@@ -306,7 +338,7 @@
 		start_read(follower);
 		return;
 	}
-	if (fresh)
+	if (is_current(reply))
 		mark_fresh(follower, reply);
 	if (follower->reads_snapshot) {
 		apply_page(follower, reply);
@@ -351,16 +383,17 @@
 get_timeouts(const table_follower_t *follower, bool is_retry)
 {
 	store_timeouts_t timeouts = {
-	    .begin_ms = STORE_TIMEOUT_MS, .transfer_ms = STORE_TRANSFER_MAX_MS};
+	    .begin_ms = STORE_TIMEOUT_MS, .transfer_ms = STORE_TRANSFER_MS};
 
 	if (follower->reads_vm) {
 		timeouts.begin_ms = VM_TIMEOUT_MS;
-		timeouts.transfer_ms = VM_TRANSFER_MS << follower->slow_reads;
+		timeouts.transfer_ms = VM_TRANSFER_MS;
 	} else if (is_retry) {
 		timeouts.begin_ms = STORE_RETRY_TIMEOUT_MS;
 	}
 	if (follower->reads_snapshot)
 		timeouts.begin_ms = SNAPSHOT_TIMEOUT_MS;
+	timeouts.transfer_ms <<= follower->cut_reads;
 	return timeouts;
 }
 
@@ -379,6 +412,7 @@
 	uint32_t wait_ms = 0;
 
 	choose_source(follower);
+	schedule_stale_check(follower);
 	follower->read_started = get_now(follower);
 	if (!follower->reads_vm)
 		follower->store_read_at = get_now(follower);
@@ -433,6 +467,7 @@
 		return;
 	cancel_store_call(follower->call);
 	msp_drop_timer(follower->timer);
+	msp_drop_timer(follower->stale_timer);
 	drop_table_copy(follower->copy);
 	free(follower);
 }
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -8,7 +8,8 @@
 #include "log.h"
 #include "members.h"
 
-#define VM_TIMEOUT_MS 1500
+#define VM_TIMEOUT_MS 1500 /* until the response begins */
+#define VM_TRANSFER_MS 15000 /* from then to its end, over a slow link */
 #define VM_RETRY (700 * MSP_MS)
 #define VM_REFRESH (30 * MSP_SECOND)
 
@@ -120,8 +121,8 @@
 	edge_t *edge = ctx;
 
 	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
-	    &(store_timeouts_t){.begin_ms = VM_TIMEOUT_MS,
-		.transfer_ms = STORE_TRANSFER_MAX_MS},
+	    &(store_timeouts_t){
+		.begin_ms = VM_TIMEOUT_MS, .transfer_ms = VM_TRANSFER_MS},
 	    handle_vms_read, edge);
 	if (edge->vm_call == NULL)
 		set_vm_timer(edge, VM_RETRY, read_vms);
