--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -291,6 +291,14 @@
 	    request->deadline > now ? request->deadline - now : 0;
 	if (request->criteria.tried_count > 0)
 		update_home_route(request);
+	if (!may_use_homes(request)) {
+		if (request->may_have_run)
+			fail_request(request, "routes-outdated");
+		else
+			refuse_request(request, NOT_READY_RETRY_MS,
+			    "routes-outdated");
+		return;
+	}
 	status =
 	    msp_balance(edge->balancer, &request->criteria, &request->choice);
 	if (status != MSP_OK) {
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -49,6 +49,7 @@
 	msp_route_table_t *routes; /* in force; NULL until one is received */
 	msp_time_t routes_since;
 	msp_version_lag_t routes_lag; /* behind other VMs' routes */
+	bool routes_outdated; /* as last logged */
 	msp_target_view_t *view;
 	msp_latency_model_t *latency_model;
 	msp_balancer_t *balancer;
@@ -113,12 +114,6 @@
 /* To be called periodically. */
 void update_routes_lag(edge_t *edge);
 
-/*
- * Whether other VMs have had newer routes for some time, so that the home
- * regions of the own ones may have changed.
- */
-bool has_outdated_routes(const edge_t *edge);
-
 /* edge_answer.c */
 
 /*
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -99,11 +99,6 @@
 	if (!find_service(request, message))
 		return;
 	set_deadline(request);
-	if (request->criteria.route->home_region_count > 0 &&
-	    has_outdated_routes(edge)) {
-		refuse_request(request, NOT_READY_RETRY_MS, "routes-outdated");
-		return;
-	}
 	request->fingerprint = compute_fingerprint(message);
 	request->criteria.tried = request->tried;
 	request->criteria.has_object =
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -38,6 +38,12 @@
  */
 void update_home_route(edge_request_t *request);
 
+/*
+ * Whether the home regions of the request's route, if it has any, are known. If
+ * other VMs have had newer routes for some time, they may have changed.
+ */
+bool may_use_homes(const edge_request_t *request);
+
 /*
  * edge_answer.c: how a request ends. All functions but log_request_end() free
  * the request.
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -42,7 +42,11 @@
 	request->criteria.home_route = route;
 }
 
-bool
+/*
+ * Whether other VMs have had newer routes for some time, so that the home
+ * regions of the own ones may have changed.
+ */
+static bool
 has_outdated_routes(const edge_t *edge)
 {
 	return msp_version_is_outdated(
@@ -52,13 +56,26 @@
 void
 update_routes_lag(edge_t *edge)
 {
-	bool was_outdated = has_outdated_routes(edge);
+	bool outdated;
 
 	msp_update_version_lag(&edge->routes_lag, msp_now(&edge->daemon->env),
 	    get_routes_version(edge), get_newest_routes_version(edge));
-	if (has_outdated_routes(edge) == was_outdated)
+	outdated = has_outdated_routes(edge);
+	if (outdated == edge->routes_outdated)
 		return;
+	edge->routes_outdated = outdated;
 	log_info("event=routes state=%s version=%" PRIu64 " newest=%" PRIu64,
-	    was_outdated ? "up-to-date" : "outdated", edge->routes_lag.own,
+	    outdated ? "outdated" : "up-to-date", get_routes_version(edge),
 	    edge->routes_lag.newest);
 }
+
+bool
+may_use_homes(const edge_request_t *request)
+{
+	const msp_path_route_t *route = request->criteria.home_route == NULL
+	    ? request->criteria.route
+	    : request->criteria.home_route;
+
+	return route->home_region_count == 0 ||
+	    !has_outdated_routes(request->edge);
+}
