Cut VMs from all targets in the soak

The soak could silence or reset a target for all VMs, but not one VM for all targets. Every VM reads the same addresses of targets from the store, and nothing in a request or in a connection on loopback names its VM: the daemon doesn't bind its outgoing connections, and VMs copy the store's rows from one another, so a store that answers each VM differently would not hold. So rows name 127.0.0.2, and a small library that is preloaded into the daemon diverts connections to it to the VM's own loopback address, where the soak listens for each target. This works with any build of the daemon. The profiles with a delay (far, short-deadlines-starved) go the same way.

Links are cut in four ways: connects time out and open connections go silent; connects are refused and open ones are reset; new ones time out or are refused while open ones live on.

A connection that is refused counts as a try that failed.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,8 @@
 MEASURES = $(patsubst measure/%.c,%,$(wildcard measure/*.c))
 EXAMPLES = $(patsubst examples/%.c,%,$(wildcard examples/*.c))
 TESTS = $(patsubst tests/%.c,%,$(wildcard tests/*/test_*.c))
+# Libraries that the soak preloads into the daemon.
+PRELOADS = $(patsubst tests/preload/%.c,%,$(wildcard tests/preload/*.c))
 GENERATED = $(wildcard source/*/*_xdr.c include/monsoonspindle/*/*_xdr.h)
 HANDWRITTEN = $(filter-out $(GENERATED),$(wildcard source/*/*.[ch] \
     platform/*.[ch] \
@@ -50,7 +52,8 @@
 NETLIB = $(OUT)/libmonsoonspindle-net.a
 SUPPORT = $(OUT)/libsupport.a
 BINARIES = $(OUT)/bin/spindled $(OUT)/bin/spindlectl
-TOOLS = $(STANDINS:%=$(OUT)/bin/%) $(MEASURES:%=$(OUT)/measure/%)
+TOOLS = $(STANDINS:%=$(OUT)/bin/%) $(MEASURES:%=$(OUT)/measure/%) \
+    $(PRELOADS:%=$(OUT)/preload/%.so)
 TEST_BINARIES = $(TESTS:%=$(OUT)/tests/%)
 
 .PHONY: all help setup check demo lint format measure measure-capacity loc \
@@ -119,6 +122,10 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
 
+$(OUT)/preload/%.so: tests/preload/%.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 $(WARN) -O2 -g -fPIC -shared -o $@ $<
+
 $(OUT)/tests/%: $(OUT)/obj/tests/%.o $(SUPPORT) $(NETLIB) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ -lcmocka $(LIBS)
--- a/measure/soak.c
+++ b/measure/soak.c
@@ -23,9 +23,10 @@
 	       "unanswered=%u "
 	       "runs=%u shed=%u extra=%u limits=%u limit_use=%.2f "
 	       "worst_limit=%.2f lag_ms=%u "
-	       "faults=%u "
+	       "faults=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	       "REFUSED=%u TWICE=%u "
-	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u crashed=%u folder=%s\n",
+	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u RECOVER=%u crashed=%u "
+	       "folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
 	    options->seconds, options->vms, options->targets, result->requests,
 	    result->unsafe, result->served, result->refused, result->failed,
@@ -35,8 +36,10 @@
 		? result->limit_used / result->limit_capacity
 		: 0,
 	    result->worst_limit_ratio, result->lag_ms, result->faults,
-	    result->refused_but_run, result->run_twice, result->mixed,
-	    result->unasked, result->misrouted, result->over_limit,
+	    result->cuts, result->cut_served, result->cut_tries,
+	    result->whole_served, result->whole_tries, result->refused_but_run,
+	    result->run_twice, result->mixed, result->unasked,
+	    result->misrouted, result->over_limit, result->not_recovered,
 	    result->crashed, result->folder[0] == '\0' ? "-" : result->folder);
 }
 
@@ -61,12 +64,15 @@
 	    spindled, keep, end};
 	const char *out = getenv("OUT");
 	char path[PATH_SIZE];
+	char preload[PATH_SIZE];
 	soak_options_t options;
 	soak_result_t result;
 	int code = 2;
 
 	snprintf(path, sizeof(path), "%s/bin/spindled",
 	    out == NULL ? "build/release" : out);
+	snprintf(preload, sizeof(preload), "%s/preload/own_links.so",
+	    out == NULL ? "build/release" : out);
 	position->ival[0] = 1;
 	seconds->ival[0] = DEFAULT_SECONDS;
 	vms->ival[0] = DEFAULT_VMS;
@@ -87,6 +93,7 @@
 	    .rate = rate->dval[0],
 	    .profile = profile->sval[0],
 	    .spindled = spindled->sval[0],
+	    .preload = preload,
 	    .keep_logs = keep->count > 0,
 	};
 	if (run_soak(&options, &result) != 0)
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -100,9 +100,11 @@
 		return -1;
 	start_soak_traffic(soak);
 	start_soak_faults(soak);
+	start_soak_cuts(soak);
 	run_for(soak, soak->options->seconds * MSP_SECOND);
 	finish_traffic(soak);
 	stop_soak_clients(soak);
+	judge_soak_cuts(soak);
 	judge_soak(&soak->ledger);
 	return 0;
 }
@@ -156,7 +158,7 @@
 {
 	return result->refused_but_run + result->run_twice + result->mixed +
 	    result->unasked + result->misrouted + result->over_limit +
-	    result->crashed;
+	    result->not_recovered + result->crashed;
 }
 
 int
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -22,6 +22,7 @@
 	double rate; /* requests per second; 0: that of the profile */
 	const char *profile; /* name; see soak_profile_name() */
 	const char *spindled; /* path of the program */
+	const char *preload; /* library for VMs with links of their own */
 	bool keep_logs; /* also if no rule was broken */
 } soak_options_t;
 
@@ -44,6 +45,11 @@
 	double worst_limit_ratio; /* of requests to those allowed in 4 s */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
+	unsigned int cuts; /* times at which VMs lost all targets */
+	unsigned int cut_tries; /* first tries at such VMs meanwhile */
+	unsigned int cut_served;
+	unsigned int whole_tries; /* first tries at the other VMs meanwhile */
+	unsigned int whole_served;
 	/* Violations. */
 	unsigned int refused_but_run;
 	unsigned int run_twice;
@@ -51,6 +57,8 @@
 	unsigned int unasked; /* run with an id or content nobody sent */
 	unsigned int misrouted; /* run by a target of another service */
 	unsigned int over_limit; /* requests above a limit that was named */
+	unsigned int
+	    not_recovered; /* cuts in which cut VMs served too little */
 	unsigned int crashed; /* processes that ended by themselves */
 	char folder[64]; /* of settings, logs and violations; "": removed */
 } soak_result_t;
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -16,6 +16,7 @@
 #define OBJECTS 80
 #define SHORT_DEADLINE_MS 100
 #define HTTP_OK 200
+#define CUT_FAILURES_REPORTED 5
 
 /* A connection to a VM, with or without a request. */
 struct soak_client {
@@ -26,6 +27,7 @@
 	soak_request_t *request; /* NULL while idle */
 	unsigned int retries_left;
 	bool is_probe;
+	recover_try_t attempt; /* if it is a first try */
 	bool leaves; /* before its deadline */
 	msp_buffer_t rest; /* of the request, sent later */
 	soak_timer_t piece;
@@ -73,11 +75,32 @@
 				MSP_MS));
 }
 
+/* `answer` is a status or SOAK_CUT or the like. */
+static void
+end_try(soak_client_t *client, int answer)
+{
+	soak_t *soak = client->soak;
+	bool served = answer == HTTP_OK;
+
+	end_recover_try(&soak->recover, &client->attempt, served);
+	if (client->attempt.group == RECOVER_CUT && !served &&
+	    soak->cut_failures++ < CUT_FAILURES_REPORTED)
+		report_soak(&soak->ledger, "failed at a cut VM:",
+		    "id=%s vm=%u answer=%d after %llu ms", client->request->id,
+		    client->vm->index, answer,
+		    (unsigned long long)((soak_now() -
+					     client->request->sent_at) /
+			MSP_MS));
+	client->attempt = (recover_try_t){0};
+}
+
 static void
 give_up(void *ctx)
 {
 	soak_client_t *client = ctx;
 
+	if (!client->leaves)
+		end_try(client, SOAK_UNANSWERED);
 	record_soak_end(
 	    client->request, client->leaves ? SOAK_LEFT : SOAK_UNANSWERED);
 	free_client(client);
@@ -122,6 +145,7 @@
 		free_client(client);
 		return;
 	}
+	end_try(client, message->status);
 	if (message->status == HTTP_OK)
 		client->vm->served++;
 	end_request(client, !closes);
@@ -156,8 +180,10 @@
 	}
 	if (!closed)
 		return;
-	if (client->request != NULL)
+	if (client->request != NULL) {
+		end_try(client, SOAK_CUT);
 		record_soak_end(client->request, SOAK_CUT);
+	}
 	free_client(client);
 }
 
@@ -328,10 +354,18 @@
 	msp_time_t end = soak_now() + deadline_ms * MSP_MS + ANSWER_SLACK;
 	msp_buffer_t out = {0};
 
+	recover_try_t attempt = {0};
+
+	if (retries_left == RETRIES_MAX)
+		attempt =
+		    begin_recover_try(&soak->recover, soak_now(), vm->index);
 	if (client == NULL)
 		client = new_client(vm);
-	if (client == NULL)
+	if (client == NULL) {
+		end_recover_try(&soak->recover, &attempt, false);
 		return;
+	}
+	client->attempt = attempt;
 	client->request = new_soak_request(&soak->ledger,
 	    msp_next_random(
 		&(msp_rng_t){.state = soak_random(soak->loop, UINT64_MAX)}));
--- a/tests/support/soak_loop.c
+++ b/tests/support/soak_loop.c
@@ -326,15 +326,12 @@
 }
 
 static int
-open_socket(uint16_t port, bool small_window, struct sockaddr_in *address)
+open_socket(bool small_window)
 {
 	int size = SMALL_WINDOW;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	int on = 1;
 
-	*address = (struct sockaddr_in){.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -344,15 +341,23 @@
 	return fd;
 }
 
+static struct sockaddr_in
+make_address(uint32_t address, uint16_t port)
+{
+	return (struct sockaddr_in){.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {.s_addr = htonl(address)}};
+}
+
 int
-connect_soak_socket(uint16_t port, bool small_window)
+connect_soak_address(uint32_t address, uint16_t port, bool small_window)
 {
-	struct sockaddr_in address;
-	int fd = open_socket(port, small_window, &address);
+	struct sockaddr_in to = make_address(address, port);
+	int fd = open_socket(small_window);
 
 	if (fd < 0)
 		return -1;
-	if (connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0 ||
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) == 0 ||
 	    errno == EINPROGRESS)
 		return fd;
 	close(fd);
@@ -360,16 +365,28 @@
 }
 
 int
-listen_soak_socket(uint16_t port, bool small_window)
+listen_soak_address(uint32_t address, uint16_t port, bool small_window)
 {
-	struct sockaddr_in address;
-	int fd = open_socket(port, small_window, &address);
+	struct sockaddr_in at = make_address(address, port);
+	int fd = open_socket(small_window);
 
 	if (fd < 0)
 		return -1;
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+	if (bind(fd, (struct sockaddr *)&at, sizeof(at)) == 0 &&
 	    listen(fd, BACKLOG) == 0)
 		return fd;
 	close(fd);
 	return -1;
 }
+
+int
+connect_soak_socket(uint16_t port, bool small_window)
+{
+	return connect_soak_address(INADDR_LOOPBACK, port, small_window);
+}
+
+int
+listen_soak_socket(uint16_t port, bool small_window)
+{
+	return listen_soak_address(INADDR_LOOPBACK, port, small_window);
+}
--- a/tests/support/soak_loop.h
+++ b/tests/support/soak_loop.h
@@ -72,4 +72,8 @@
 int connect_soak_socket(uint16_t port, bool small_window);
 int listen_soak_socket(uint16_t port, bool small_window);
 
+/* The same for any IPv4 address, in host byte order. */
+int connect_soak_address(uint32_t address, uint16_t port, bool small_window);
+int listen_soak_address(uint32_t address, uint16_t port, bool small_window);
+
 #endif
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -9,6 +9,7 @@
 #include "soak_ledger.h"
 #include "soak_limit.h"
 #include "soak_loop.h"
+#include "soak_recover.h"
 
 #define SOAK_ZONES 3
 #define SOAK_SERVICES 2
@@ -35,6 +36,19 @@
 	SOAK_FAULT_COUNT = 15,
 } soak_fault_t;
 
+/* What happens to the links between a VM and all targets. */
+typedef enum soak_cut {
+	SOAK_WHOLE = 0,
+	SOAK_CUT_HANG = 1 << 0, /* connects time out, open ones are silent */
+	SOAK_CUT_RESET = 1 << 1, /* connects are refused, open ones reset */
+	SOAK_CUT_NEW_HANG = 1 << 2, /* connects time out, open ones live on */
+	SOAK_CUT_NEW_RESET = 1 << 3, /* connects refused, open ones live on */
+	SOAK_CUT_COUNT = 4,
+} soak_cut_t;
+
+/* The address of all targets, if each VM has links of its own to them. */
+#define SOAK_LINKS_ALIAS "127.0.0.2"
+
 /* How often targets and clients do what is unusual: probabilities. */
 typedef struct soak_profile {
 	const char *name;
@@ -79,6 +93,7 @@
 	double limit_max;
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
+	unsigned int cut_ways; /* soak_cut_t */
 } soak_profile_t;
 
 typedef struct soak soak_t;
@@ -109,7 +124,6 @@
 	bool deaf; /* accepts no connections */
 	bool mute; /* does not answer what it has run */
 	uint16_t link_port; /* where VMs connect to */
-	soak_stream_t link; /* listener of a link with a delay */
 	soak_stream_t listener;
 	struct soak_conn_list conns;
 	unsigned int conn_count;
@@ -142,6 +156,8 @@
 	soak_timer_t change; /* next step of the current fault */
 	soak_timer_t share; /* stops or continues it */
 	bool stopped_for_share;
+	soak_cut_t cut; /* of its links to targets */
+	msp_time_t silent_until; /* of its open connections to targets */
 } soak_vm_t;
 
 struct soak {
@@ -155,7 +171,11 @@
 	soak_target_t targets[SOAK_TARGETS_MAX];
 	soak_vm_t vms[SOAK_VMS_MAX];
 	struct soak_client_queue clients; /* with a request */
+	struct soak_link *links; /* of each VM to each target, or NULL */
 	struct soak_pair_list pairs; /* connections over links */
+	recover_judge_t recover;
+	soak_timer_t cut_change; /* begin or end of a cut */
+	unsigned int cut_failures; /* first tries that failed at cut VMs */
 	soak_timer_t arrival;
 	soak_timer_t fault;
 	soak_timer_t burst_end;
@@ -195,9 +215,19 @@
 void probe_soak_vm(soak_vm_t *vm);
 void stop_soak_clients(soak_t *soak);
 
-/* Opens the link of a target, if the profile has a delay. */
-int open_soak_link(soak_target_t *target);
+/* Opens the links of all VMs to a target, if the profile needs some. */
+int open_soak_links(soak_target_t *target);
 void close_soak_links(soak_t *soak);
+bool has_soak_links(const soak_t *soak);
+/* Writes the address at which the daemon of a VM finds its links. */
+void print_soak_link_address(const soak_vm_t *vm, char *text, size_t size);
+/* Cuts a VM from all targets until then, or gives it back its links. */
+void cut_soak_links(soak_vm_t *vm, soak_cut_t way, msp_time_t until);
+void join_soak_links(soak_vm_t *vm);
+
+/* Cuts some VMs from all targets for a time, again and again. */
+void start_soak_cuts(soak_t *soak);
+void judge_soak_cuts(soak_t *soak);
 
 int start_soak_vms(soak_t *soak);
 void stop_soak_vms(soak_t *soak);
--- a/tests/support/soak_profiles.c
+++ b/tests/support/soak_profiles.c
@@ -15,6 +15,11 @@
 
 #define WORK .work_ms = 60, .slots = 8
 
+/* Targets have room for everything, so that only cuts make requests fail. */
+#define CUT_OFF                                                   \
+	.rate = 200, .work_ms = 40, .slots = 16, .closing = 0.02, \
+	.leaving = 0.01, .big = 0.02
+
 static const soak_profile_t profiles[] = {
     {.name = "calm",
 	COMMON,
@@ -191,6 +196,12 @@
 	.limit_max = 12,
 	.faults = 1,
 	.fault_kinds = SIGNALS | TARGETS | LINKS | STORE},
+    {.name = "cut-off-hang", COMMON, CUT_OFF, .cut_ways = SOAK_CUT_HANG},
+    {.name = "cut-off-reset", COMMON, CUT_OFF, .cut_ways = SOAK_CUT_RESET},
+    {.name = "cut-off-new",
+	COMMON,
+	CUT_OFF,
+	.cut_ways = SOAK_CUT_NEW_HANG | SOAK_CUT_NEW_RESET},
     {.name = "all",
 	COMMON,
 	WORK,
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -520,12 +520,13 @@
 
 	snprintf(key, sizeof(key), "servers|%s", target->id);
 	snprintf(value, sizeof(value),
-	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+	    "{\"service\":\"%s\",\"address\":\"%s:%u\","
 	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%u,"
 	    "\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":%" PRIu64 ","
 	    "\"born\":%" PRIu64 "}",
-	    target->service, target->link_port, target->zone,
-	    target->soak->profile->slots,
+	    target->service,
+	    has_soak_links(target->soak) ? SOAK_LINKS_ALIAS : "127.0.0.1",
+	    target->link_port, target->zone, target->soak->profile->slots,
 	    target->draining ? "draining" : "ready", ++target->seq,
 	    target->born);
 	put_soak_row(target->soak, key, value);
@@ -777,7 +778,7 @@
 		    (soak_timer_t){.fire = handle_heartbeat, .ctx = target};
 		target->change =
 		    (soak_timer_t){.fire = handle_change, .ctx = target};
-		if (open_soak_link(target) != 0)
+		if (open_soak_links(target) != 0)
 			return -1;
 		start_target(target);
 		if (!target->up)
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -76,6 +76,24 @@
 	return result;
 }
 
+/* In the child process: gives the daemon links of its own to targets. */
+static void
+preload_links(const soak_vm_t *vm)
+{
+	const char *asan = getenv("ASAN_OPTIONS");
+	char address[16];
+	char options[256];
+
+	print_soak_link_address(vm, address, sizeof(address));
+	setenv("SOAK_LINKS_ALIAS", SOAK_LINKS_ALIAS, 1);
+	setenv("SOAK_LINKS_ADDRESS", address, 1);
+	setenv("LD_PRELOAD", vm->soak->options->preload, 1);
+	/* The sanitizer's library need not be the first. */
+	snprintf(options, sizeof(options), "%s%sverify_asan_link_order=0",
+	    asan == NULL ? "" : asan, asan == NULL ? "" : ":");
+	setenv("ASAN_OPTIONS", options, 1);
+}
+
 static int
 start_process(soak_vm_t *vm)
 {
@@ -87,6 +105,7 @@
 	vm->frozen = false;
 	vm->started = soak_now();
 	excuse_soak_vm(vm);
+	run_recover_vm(&vm->soak->recover, vm->started, vm->index);
 	vm->pid = fork();
 	if (vm->pid != 0)
 		return vm->pid < 0 ? -1 : 0;
@@ -96,6 +115,8 @@
 	log = open(vm->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	dup2(log, STDOUT_FILENO);
 	dup2(log, STDERR_FILENO);
+	if (has_soak_links(vm->soak))
+		preload_links(vm);
 	execl(path, path, vm->settings, (char *)NULL);
 	_exit(127);
 }
@@ -112,6 +133,9 @@
 		kill(vm->pid, SIGCONT);
 		vm->frozen = false;
 		excuse_soak_vm(vm);
+		if (!vm->expected_end)
+			run_recover_vm(
+			    &vm->soak->recover, soak_now(), vm->index);
 	}
 }
 
@@ -165,6 +189,8 @@
 		vm->expected_end = true;
 	if (signal == SIGSTOP)
 		vm->frozen = true;
+	if (vm->expected_end || vm->frozen)
+		stop_recover_vm(&vm->soak->recover, vm->index);
 	kill(vm->pid, signal);
 }
 
