Add soaks of VMs that are cut from all targets, failing

What callers saw: a VM that had lost its links to all targets answered 503 at once to everything, while the VMs beside it served nearly all. Of the targets it held all for suspect, so the balancer had no candidate and the request was refused; nothing was passed on to a VM that reaches targets.

Four rows play this with connections that hang, that are reset, and that live on while new ones hang or are refused. The rows also check that enough tries were judged, so that a run that judges nothing does not pass.

--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -16,6 +16,10 @@
  */
 
 #define SECONDS 3
+#define CUT_SECONDS 11 /* a cut is judged from 4 s after its beginning */
+#define CUT_VMS 12
+#define CUT_TARGETS 12
+#define CUT_TRIES_MIN 50 /* fewer judge nothing */
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define VMS 3
 #define TARGETS 6
@@ -28,46 +32,70 @@
 	uint64_t seed;
 	bool must_answer; /* nearly all requests, by their deadline */
 	unsigned int seconds;
+	unsigned int vms;
+	unsigned int targets;
 } soak_case_t;
 
 static const soak_case_t cases[] = {
-    {"calm_targets_break_no_rule", "calm", 1, true, SECONDS},
+    {"calm_targets_break_no_rule", "calm", 1, true, SECONDS, VMS, TARGETS},
     /*
      * An extra "not executed" response of an earlier request on a kept
      * connection was taken for the response of the next one.
      */
-    {"extra_responses_break_no_rule", "extra", 1, true, SECONDS},
+    {"extra_responses_break_no_rule", "extra", 1, true, SECONDS, VMS, TARGETS},
     {"extra_responses_of_full_targets_break_no_rule", "extra-full", 1, false,
-	SECONDS},
-    {"closing_targets_break_no_rule", "close", 1, true, SECONDS},
-    {"full_targets_break_no_rule", "full", 1, false, SECONDS},
-    {"signals_break_no_rule", "signals", 1, false, SECONDS},
-    {"failing_targets_and_store_break_no_rule", "cut", 1, false, SECONDS},
+	SECONDS, VMS, TARGETS},
+    {"closing_targets_break_no_rule", "close", 1, true, SECONDS, VMS, TARGETS},
+    {"full_targets_break_no_rule", "full", 1, false, SECONDS, VMS, TARGETS},
+    {"signals_break_no_rule", "signals", 1, false, SECONDS, VMS, TARGETS},
+    {"failing_targets_and_store_break_no_rule", "cut", 1, false, SECONDS, VMS,
+	TARGETS},
     {"early_answers_and_small_windows_break_no_rule", "windows", 1, false,
-	SECONDS},
-    {"processes_with_little_time_break_no_rule", "starved", 1, false, SECONDS},
-    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false, SECONDS},
-    {"slow_clients_break_no_rule", "slow-clients", 1, false, SECONDS},
-    {"more_requests_than_connections_break_no_rule", "many", 1, false, SECONDS},
-    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false, SECONDS},
-    {"delayed_links_break_no_rule", "far", 1, false, SECONDS},
+	SECONDS, VMS, TARGETS},
+    {"processes_with_little_time_break_no_rule", "starved", 1, false, SECONDS,
+	VMS, TARGETS},
+    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false, SECONDS,
+	VMS, TARGETS},
+    {"slow_clients_break_no_rule", "slow-clients", 1, false, SECONDS, VMS,
+	TARGETS},
+    {"more_requests_than_connections_break_no_rule", "many", 1, false, SECONDS,
+	VMS, TARGETS},
+    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false, SECONDS,
+	VMS, TARGETS},
+    {"delayed_links_break_no_rule", "far", 1, false, SECONDS, VMS, TARGETS},
     {"short_deadlines_break_no_rule", "short-deadlines-starved", 1, false,
-	SECONDS},
+	SECONDS, VMS, TARGETS},
     /* The chunked body of a DELETE was never read, nor was it answered. */
-    {"chunked_deletes_are_answered", "chunked-deletes", 1, true, SECONDS},
+    {"chunked_deletes_are_answered", "chunked-deletes", 1, true, SECONDS, VMS,
+	TARGETS},
     /* Escaped characters of a query were forwarded decoded. */
-    {"escaped_queries_are_not_changed", "escapes", 1, true, SECONDS},
+    {"escaped_queries_are_not_changed", "escapes", 1, true, SECONDS, VMS,
+	TARGETS},
     /*
      * The rate that a target names for all VMs together was not read, so that
      * it got several times as much.
      */
-    {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS},
+    {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS,
+	VMS, TARGETS},
     {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
-	LIMIT_SECONDS},
+	LIMIT_SECONDS, VMS, TARGETS},
     /* VMs that restart and freeze must not take others' parts of a limit. */
-    {"limits_hold_while_vms_restart", "limits-signals", 1, false,
-	LIMIT_SECONDS},
-    {"all_faults_together_break_no_rule", "all", 1, false, SECONDS},
+    {"limits_hold_while_vms_restart", "limits-signals", 1, false, LIMIT_SECONDS,
+	VMS, TARGETS},
+    /*
+     * A VM that was cut from all targets refused every request at once, though
+     * the other VMs could have served it.
+     */
+    {"vms_cut_from_targets_serve_while_connections_hang", "cut-off-hang", 1,
+	false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    {"vms_cut_from_targets_serve_while_connections_are_reset", "cut-off-reset",
+	2, false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    {"vms_cut_from_targets_serve_while_new_connections_hang", "cut-off-new", 2,
+	false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    {"vms_cut_from_targets_serve_while_new_connections_are_refused",
+	"cut-off-new", 3, false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
+	TARGETS},
 };
 
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
@@ -78,19 +106,25 @@
 	const soak_case_t *soak_case = *state;
 	const char *out = getenv("OUT");
 	char spindled[PATH_SIZE];
+	char preload[PATH_SIZE];
 	soak_options_t options = {.seed = soak_case->seed,
 	    .seconds = soak_case->seconds,
-	    .vms = VMS,
-	    .targets = TARGETS,
+	    .vms = soak_case->vms,
+	    .targets = soak_case->targets,
 	    .profile = soak_case->profile,
 	    .spindled = spindled,
+	    .preload = preload,
 	    .keep_logs = getenv("FLEET_KEEP") != NULL};
 	soak_result_t result;
 
 	snprintf(spindled, sizeof(spindled), "%s/bin/spindled",
 	    out == NULL ? "build/release" : out);
+	snprintf(preload, sizeof(preload), "%s/preload/own_links.so",
+	    out == NULL ? "build/release" : out);
 	assert_int_equal(run_soak(&options, &result), 0);
 	assert_true(result.served > 0);
+	if (result.cuts > 0)
+		assert_true(result.cut_tries >= CUT_TRIES_MIN);
 	if (soak_case->must_answer &&
 	    result.unanswered * UNANSWERED_MAX > result.requests)
 		fail_msg("seed %llu: %u of %u requests not answered; %s",
@@ -98,12 +132,15 @@
 		    result.requests, result.folder);
 	if (count_soak_violations(&result) > 0)
 		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
-			 "%u, unasked %u, misrouted %u, over a limit %u, "
-			 "crashed %u of %u requests; %s",
+			 "%u, unasked %u, misrouted %u, over a limit %u, not "
+			 "recovered %u (cut VMs served %u of %u, the others %u "
+			 "of %u), crashed %u of %u requests; %s",
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
-		    result.misrouted, result.over_limit, result.crashed,
-		    result.requests, result.folder);
+		    result.misrouted, result.over_limit, result.not_recovered,
+		    result.cut_served, result.cut_tries, result.whole_served,
+		    result.whole_tries, result.crashed, result.requests,
+		    result.folder);
 }
 
 int
