Name the sending VM by its link; more profiles of cuts

A target took the VM that a client had sent a request to for the one that sent it on. Once VMs pass requests on to each other that is wrong, and the judge of limits would count arrivals at VMs that never were told. With links, the VM is now that of the link. A response that waits in a silent link tells its VM no limit yet. Without links nothing changes.

New profiles: cuts beside signals to VMs; beside broken, late and crashing targets, a failing store and short deadlines; beside full targets; beside limits; and cuts of all VMs at once, which the judge has nothing to compare with, but in which every request must still end.

--- a/tests/support/soak_cut.c
+++ b/tests/support/soak_cut.c
@@ -3,7 +3,7 @@
 /*
  * Cuts of VMs from all targets, while clients, the store and the other VMs
  * still reach them: in turn a few VMs, most VMs of a data centre and all of
- * one. The seed says which of these is first.
+ * one, of which the seed says the first; or all VMs, if the profile says so.
  */
 
 #define FIRST_CUT MSP_SECOND /* after the start of the traffic */
@@ -55,6 +55,15 @@
 	}
 }
 
+static void
+cut_all(soak_t *soak, soak_cut_t way, msp_time_t until, msp_buffer_t *list)
+{
+	unsigned int i;
+
+	for (i = 0; i < soak->options->vms; i++)
+		cut_vm(&soak->vms[i], way, until, list);
+}
+
 static void
 cut_zone(soak_t *soak, cut_extent_t extent, soak_cut_t way, msp_time_t until,
     msp_buffer_t *list)
@@ -80,7 +89,9 @@
 	msp_buffer_t list = {0};
 
 	soak->result->cuts++;
-	if (extent == CUT_FEW)
+	if (soak->profile->cuts_all)
+		cut_all(soak, way, until, &list);
+	else if (extent == CUT_FEW)
 		cut_few(soak, way, until, &list);
 	else
 		cut_zone(soak, extent, way, until, &list);
--- a/tests/support/soak_link.c
+++ b/tests/support/soak_link.c
@@ -50,6 +50,7 @@
 struct link_pair {
 	soak_t *soak;
 	soak_vm_t *vm;
+	uint16_t port; /* from which the target is reached */
 	LIST_ENTRY(link_pair) link;
 	link_end_t ends[2];
 };
@@ -199,6 +200,7 @@
 		abort();
 	pair->soak = soak;
 	pair->vm = link->vm;
+	pair->port = soak_own_port(to);
 	LIST_INSERT_HEAD(&soak->pairs, pair, link);
 	open_end(pair, 0, fd);
 	open_end(pair, 1, to);
@@ -257,6 +259,19 @@
 	snprintf(text, size, "127.0.0.%u", address & 0xff);
 }
 
+soak_vm_t *
+find_soak_link_vm(const soak_t *soak, int fd)
+{
+	uint16_t port = soak_peer_port(fd);
+	link_pair_t *pair;
+
+	LIST_FOREACH(pair, &soak->pairs, link) {
+		if (pair->port == port)
+			return pair->vm;
+	}
+	return NULL;
+}
+
 static soak_link_t *
 find_link(const soak_vm_t *vm, unsigned int target)
 {
--- a/tests/support/soak_loop.c
+++ b/tests/support/soak_loop.c
@@ -390,3 +390,25 @@
 {
 	return listen_soak_address(INADDR_LOOPBACK, port, small_window);
 }
+
+uint16_t
+soak_own_port(int fd)
+{
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+
+	if (getsockname(fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
+uint16_t
+soak_peer_port(int fd)
+{
+	struct sockaddr_in address;
+	socklen_t len = sizeof(address);
+
+	if (getpeername(fd, (struct sockaddr *)&address, &len) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
--- a/tests/support/soak_loop.h
+++ b/tests/support/soak_loop.h
@@ -76,4 +76,8 @@
 int connect_soak_address(uint32_t address, uint16_t port, bool small_window);
 int listen_soak_address(uint32_t address, uint16_t port, bool small_window);
 
+/* Return the port of a connected socket's own end or of its peer's, or 0. */
+uint16_t soak_own_port(int fd);
+uint16_t soak_peer_port(int fd);
+
 #endif
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -94,6 +94,7 @@
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
 	unsigned int cut_ways; /* soak_cut_t */
+	bool cuts_all; /* VMs at the same time */
 } soak_profile_t;
 
 typedef struct soak soak_t;
@@ -221,6 +222,8 @@
 bool has_soak_links(const soak_t *soak);
 /* Writes the address at which the daemon of a VM finds its links. */
 void print_soak_link_address(const soak_vm_t *vm, char *text, size_t size);
+/* The VM whose link ends in this connection of a target, or NULL. */
+soak_vm_t *find_soak_link_vm(const soak_t *soak, int fd);
 /* Cuts a VM from all targets until then, or gives it back its links. */
 void cut_soak_links(soak_vm_t *vm, soak_cut_t way, msp_time_t until);
 void join_soak_links(soak_vm_t *vm);
--- a/tests/support/soak_profiles.c
+++ b/tests/support/soak_profiles.c
@@ -7,6 +7,10 @@
 #define LINKS (SOAK_SILENT | SOAK_MUTE)
 #define STORE (SOAK_STORE_DOWN | SOAK_STORE_SLOW | SOAK_STORE_SILENT)
 
+#define ALL_CUTS                                              \
+	(SOAK_CUT_HANG | SOAK_CUT_RESET | SOAK_CUT_NEW_HANG | \
+	    SOAK_CUT_NEW_RESET)
+
 /* What all profiles have in common. */
 #define COMMON                                                                \
 	.safe = 0.5, .queue = 4, .max_connections = 200, .deadline_ms = 2500, \
@@ -202,6 +206,53 @@
 	COMMON,
 	CUT_OFF,
 	.cut_ways = SOAK_CUT_NEW_HANG | SOAK_CUT_NEW_RESET},
+    /* No VM can serve, and none may pass requests on in a circle. */
+    {.name = "cut-off-all",
+	COMMON,
+	CUT_OFF,
+	.cut_ways = ALL_CUTS,
+	.cuts_all = true},
+    {.name = "cut-off-signals",
+	COMMON,
+	CUT_OFF,
+	.cut_ways = ALL_CUTS,
+	.faults = 1,
+	.fault_kinds = SIGNALS},
+    /* Requests that are cut, refused or given up on their way. */
+    {.name = "cut-off-mixed",
+	COMMON,
+	CUT_OFF,
+	.short_deadlines = 0.2,
+	.extra = 0.02,
+	.extra_refusal = 0.02,
+	.late = 0.7,
+	.lost = 0.005,
+	.truncated = 0.005,
+	.failed = 0.005,
+	.bare = 0.1,
+	.early = 0.05,
+	.deadly = 0.002,
+	.cut_ways = ALL_CUTS,
+	.faults = 0.5,
+	.fault_kinds = SIGNALS | TARGETS | STORE},
+    {.name = "cut-off-full",
+	COMMON,
+	.rate = 500,
+	.work_ms = 120,
+	.slots = 4,
+	.closing = 0.02,
+	.bare = 0.3,
+	.leaving = 0.02,
+	.cut_ways = ALL_CUTS},
+    {.name = "cut-off-limits",
+	COMMON,
+	WORK,
+	.rate = 400,
+	.closing = 0.02,
+	.limits = 0.5,
+	.limit_min = 0.5,
+	.limit_max = 12,
+	.cut_ways = ALL_CUTS},
     {.name = "all",
 	COMMON,
 	WORK,
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -36,6 +36,7 @@
 	bool waiting; /* for a slot */
 	bool running;
 	bool is_probe;
+	const soak_vm_t *link_vm; /* whose link this is, or NULL */
 	unsigned int vm; /* that sent the request; LIMIT_VMS_MAX: unknown */
 	bool ending; /* sends nothing more */
 	bool is_early; /* the request's body was not received at its start */
@@ -216,6 +217,15 @@
 		handle_input(conn, false);
 }
 
+/* A response that waits in a silent link tells its VM nothing yet. */
+static void
+tell_limit(const soak_conn_t *conn)
+{
+	if (conn->link_vm != NULL && conn->link_vm->silent_until > soak_now())
+		return;
+	tell_judged_limit(&conn->target->limit, soak_now(), conn->vm);
+}
+
 /* Sends the response; the connection may be gone afterwards. */
 static void
 respond(soak_conn_t *conn, int status, bool refuses)
@@ -240,7 +250,7 @@
 		goto next;
 	}
 	append_response(conn, status, refuses, &out);
-	tell_judged_limit(&target->limit, soak_now(), conn->vm);
+	tell_limit(conn);
 	len = out.len;
 	if (soak_chance(soak->loop, profile->truncated)) {
 		len = 1 + soak_random(soak->loop, out.len - 1);
@@ -335,17 +345,32 @@
 	}
 }
 
+/*
+ * Without links the VM that sent a request is taken to be the one that the
+ * client sent it to.
+ */
+static unsigned int
+find_sender(const soak_conn_t *conn)
+{
+	soak_t *soak = conn->target->soak;
+	const soak_request_t *request =
+	    msp_map_get(soak->ledger.requests, conn->request_id);
+
+	if (has_soak_links(soak))
+		return conn->link_vm == NULL ? LIMIT_VMS_MAX
+					     : conn->link_vm->index;
+	return request == NULL ? LIMIT_VMS_MAX : request->vm;
+}
+
 /* Finds the VM that sent the request, and counts it against the limit. */
 static void
 judge_arrival(soak_conn_t *conn)
 {
 	soak_target_t *target = conn->target;
 	soak_t *soak = target->soak;
-	const soak_request_t *request =
-	    msp_map_get(soak->ledger.requests, conn->request_id);
 	unsigned int count;
 
-	conn->vm = request == NULL ? LIMIT_VMS_MAX : request->vm;
+	conn->vm = find_sender(conn);
 	count = judge_limit_arrival(&target->limit, soak_now(), conn->vm);
 	if (target->limit.worst_ratio > soak->result->worst_limit_ratio)
 		soak->result->worst_limit_ratio = target->limit.worst_ratio;
@@ -504,6 +529,7 @@
 	LIST_INSERT_HEAD(&target->conns, conn, link);
 	target->conn_count++;
 	open_soak_stream(soak->loop, &conn->stream, fd);
+	conn->link_vm = find_soak_link_vm(soak, fd);
 	if (target->conn_count > soak->profile->max_connections) {
 		free_conn(conn, true);
 		return;
