Add soaks of cuts beside restarts, failing, and of all VMs

The row with all VMs cut passes: it keeps a forward of requests between VMs from running in circles.

--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -94,6 +94,12 @@
 	false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
     {"vms_cut_from_targets_serve_while_new_connections_are_refused",
 	"cut-off-new", 3, false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    /* The same while VMs stop and restart, of both kinds. */
+    {"vms_cut_from_targets_serve_while_vms_restart", "cut-off-signals", 2,
+	false, CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    /* VMs that are all cut must not pass requests on in a circle. */
+    {"requests_are_answered_while_all_vms_are_cut", "cut-off-all", 1, true,
+	CUT_SECONDS, CUT_VMS, CUT_TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
