--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -295,8 +295,8 @@
 		if (request->may_have_run)
 			fail_request(request, "routes-outdated");
 		else
-			refuse_request(request, NOT_READY_RETRY_MS,
-			    "routes-outdated");
+			refuse_request(
+			    request, NOT_READY_RETRY_MS, "routes-outdated");
 		return;
 	}
 	status =
