--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -3,6 +3,7 @@
 
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/dispatcher.h"
+#include "monsoonspindle/steer/forward_choice.h"
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/limit_priority.h"
 #include "monsoonspindle/steer/limit_sync.h"
@@ -10,6 +11,7 @@
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/latency_model.h"
 #include "monsoonspindle/steer/rate_share.h"
+#include "monsoonspindle/steer/reach.h"
 #include "monsoonspindle/steer/region_share.h"
 #include "monsoonspindle/steer/spill.h"
 #include "monsoonspindle/steer/traffic_split.h"
--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -63,6 +63,11 @@
 	size_t limited_count;
 	/* Without a target: `wait` is until such a target may be used. */
 	bool is_limited;
+	/*
+	 * MSP_E_NO_TARGET: there are targets that may have the request, and all
+	 * of them are suspect.
+	 */
+	bool all_suspect;
 } msp_balance_choice_t;
 
 /* Returns NULL if out of memory. `view` and `model` are borrowed. */
--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -24,6 +24,8 @@
 	msp_time_t suspect_since; /* 0: not suspect */
 	msp_time_t probed_at; /* last health request; 0: none */
 	bool probing; /* a health request is in flight */
+	msp_time_t connected_at; /* last answer to one of these; 0: none */
+	uint64_t connect_failed; /* mark of msp_record_connect_failure() */
 	msp_rate_share_t cold_share; /* this VM's part of a cold one's rate */
 } msp_target_traffic_t;
 
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -150,18 +150,43 @@
 	return false;
 }
 
-/* Whether the target is eligible for the request. */
+/* Whether the target may have the request if it can be reached. */
 static bool
-is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
+may_serve(msp_balancer_t *balancer, const msp_balance_request_t *request,
     const msp_view_target_t *target)
 {
 	return msp_target_is_usable(target, request->service->name) &&
-	    target->traffic.suspect_since == 0 &&
 	    msp_route_allows_region(request->route, target->region) &&
 	    !balancer->callbacks.is_evacuated(
 		balancer->callbacks.ctx, target->registration.place);
 }
 
+/* Whether the target is eligible for the request. */
+static bool
+is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const msp_view_target_t *target)
+{
+	return target->traffic.suspect_since == 0 &&
+	    may_serve(balancer, request, target);
+}
+
+/* Whether targets may serve the request and all of these are suspect. */
+static bool
+are_all_suspect(msp_balancer_t *balancer, const msp_balance_request_t *request)
+{
+	const msp_view_target_t *target;
+	bool found = false;
+
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!may_serve(balancer, request, target))
+			continue;
+		if (target->traffic.suspect_since == 0)
+			return false;
+		found = true;
+	}
+	return found;
+}
+
 static bool
 is_local(const msp_balancer_t *balancer, const msp_view_target_t *target)
 {
@@ -563,6 +588,8 @@
 		status =
 		    choose_in_scope(balancer, request, &loads, &scope, choice);
 	}
+	if (status == MSP_E_NO_TARGET)
+		choice->all_suspect = are_all_suspect(balancer, request);
 	if (status == MSP_OK && msp_limit_in_force(&choice->target->limit))
 		msp_record_limit_use(&service->limit_priority, now, priority);
 	else if (choice->is_limited)
