Forward requests that none of this VM's targets can take

Cause: send_request() had no way on when the balancer found no target.

Why this works: such a request goes to the peer listener of another VM with fields of our own (one hop, attempts and time left, an id of the hop). The second VM handles it as its own and says whether the answer is a target's and, if not, whether the request ran; that is believed only with the hop's id. After three connects in a row have failed without any answer in between, requests are forwarded without trying targets first.

--- a/include/monsoonspindle/net/http.h
+++ b/include/monsoonspindle/net/http.h
@@ -75,6 +75,9 @@
 	msp_buffer_t body;
 } msp_response_t;
 
+/* Copies all of a request; `to` need not be initialised. */
+msp_status_t msp_copy_request(const msp_request_t *from, msp_request_t *to);
+
 void msp_drop_request(msp_request_t *request);
 void msp_drop_response(msp_response_t *response);
 
--- a/source/net/http.c
+++ b/source/net/http.c
@@ -68,6 +68,28 @@
 	headers->count = 0;
 }
 
+msp_status_t
+msp_copy_request(const msp_request_t *from, msp_request_t *to)
+{
+	msp_status_t status = MSP_OK;
+	size_t i;
+
+	*to = (msp_request_t){0};
+	memcpy(to->method, from->method, sizeof(to->method));
+	memcpy(to->path, from->path, sizeof(to->path));
+	memcpy(to->host, from->host, sizeof(to->host));
+	for (i = 0; i < from->headers.count && status == MSP_OK; i++)
+		status =
+		    msp_add_header(&to->headers, from->headers.fields[i].name,
+			from->headers.fields[i].value);
+	if (status == MSP_OK && from->body.len > 0)
+		status =
+		    msp_append_data(&to->body, from->body.data, from->body.len);
+	if (status != MSP_OK)
+		msp_drop_request(to);
+	return status;
+}
+
 void
 msp_drop_request(msp_request_t *request)
 {
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -10,6 +10,9 @@
 #define PROBE_CONNECTIONS_MAX 1 /* to each target */
 #define STORE_CONNECTIONS_MAX 4
 #define TARGET_CONNECT_MS 500
+#define FORWARD_CONNECTIONS_MAX 64 /* to each other VM */
+#define FORWARD_CONNECT_MS 300
+#define FORWARD_IDLE_MS 8000 /* shorter than the peer listeners' own */
 #define TARGET_IDLE_MS 8000 /* shorter than the targets' own idle timeout */
 #define STORE_RESPONSE_MAX (4 << 20) /* bytes */
 #define PROBE_RESPONSE_MAX 4096 /* bytes */
@@ -20,15 +23,7 @@
 static const char *
 find_region(void *ctx, const char *place)
 {
-	const edge_t *edge = ctx;
-	const msp_settings_edge_t *settings = &edge->daemon->settings->edge;
-	size_t i;
-
-	for (i = 0; i < settings->place_count; i++) {
-		if (strcmp(settings->places[i].place, place) == 0)
-			return settings->places[i].region;
-	}
-	return NULL;
+	return find_place_region(ctx, place);
 }
 
 static void
@@ -110,15 +105,21 @@
 	    .max_response_body = PROBE_RESPONSE_MAX,
 	    .connect_timeout_ms = TARGET_CONNECT_MS,
 	    .idle_timeout_ms = MSP_MS};
+	msp_http_client_options_t forwards = {
+	    .max_connections_per_server = FORWARD_CONNECTIONS_MAX,
+	    .max_response_body = targets.max_response_body,
+	    .connect_timeout_ms = FORWARD_CONNECT_MS,
+	    .idle_timeout_ms = FORWARD_IDLE_MS};
 	msp_http_client_options_t store = {
 	    .max_connections_per_server = STORE_CONNECTIONS_MAX,
 	    .max_response_body = STORE_RESPONSE_MAX};
 
 	edge->target_client = msp_new_http_client(daemon->loop, &targets);
 	edge->probe_client = msp_new_http_client(daemon->loop, &probes);
+	edge->forward_client = msp_new_http_client(daemon->loop, &forwards);
 	edge->store_http = msp_new_http_client(daemon->loop, &store);
 	if (edge->target_client == NULL || edge->probe_client == NULL ||
-	    edge->store_http == NULL)
+	    edge->forward_client == NULL || edge->store_http == NULL)
 		return MSP_E_NO_MEMORY;
 	return MSP_OK;
 }
@@ -147,8 +148,8 @@
 	LIST_INIT(&edge->probes);
 	open_limits(edge);
 	if (register_platform_headers() != MSP_OK ||
-	    open_strikes(edge) != MSP_OK || open_balancer(edge) != MSP_OK ||
-	    open_clients(edge) != MSP_OK ||
+	    open_strikes(edge) != MSP_OK || open_reaches(edge) != MSP_OK ||
+	    open_balancer(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
 	    open_edge_listeners(edge) != MSP_OK ||
 	    open_edge_peer_listener(edge) != MSP_OK ||
 	    open_edge_store(edge) != MSP_OK)
@@ -188,6 +189,7 @@
 	close_edge_store(edge);
 	msp_drop_http_client(edge->target_client);
 	msp_drop_http_client(edge->probe_client);
+	msp_drop_http_client(edge->forward_client);
 	drop_probes(edge);
 	close_strikes(edge);
 	close_limits(edge);
@@ -198,6 +200,7 @@
 	msp_drop_traffic_split(edge->split);
 	msp_drop_map(edge->evacuations);
 	drop_retry_budgets(edge->retry_budgets);
+	close_reaches(edge);
 	msp_drop_route_table(edge->routes);
 	free(edge);
 }
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -45,6 +45,15 @@
 	return time == MSP_NEVER ? -1 : (int64_t)(time / MSP_MS);
 }
 
+/* The id of the last hop, which both VMs log. */
+static const char *
+get_forward_id(const edge_request_t *request)
+{
+	if (request->is_forwarded)
+		return request->terms.id;
+	return request->forward.hop_count > 0 ? request->forward.id : "-";
+}
+
 void
 log_request_end(const edge_request_t *request, msp_line_rank_t rank,
     int http_status, const char *outcome)
@@ -60,7 +69,8 @@
 	    " targets_age_ms=%" PRId64 " target=%s warmth=%s load=%.1f "
 	    "wait_ms=%" PRId64 " limited=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
-	    " sent=%u tried=%zu goal_ms=%u from=%s",
+	    " sent=%u tried=%zu goal_ms=%u hops=%zu forwarded_by=%s forward=%s "
+	    "from=%s",
 	    request->caller.id, http_status, outcome, get_route_name(request),
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
@@ -74,7 +84,9 @@
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
 	    request->sent_count, request->criteria.tried_count,
-	    route == NULL ? 0 : route->goal_ms, get_source(request));
+	    route == NULL ? 0 : route->goal_ms, request->forward.hop_count,
+	    request->is_forwarded ? request->terms.vm : "-",
+	    get_forward_id(request), get_source(request));
 }
 
 void
@@ -144,6 +156,8 @@
 	log_answer(request, response->status, outcome, late);
 	if (request->exchange != NULL) {
 		count_refusal(edge, get_source(request), response->status);
+		if (request->is_forwarded)
+			encode_forward_answer(request, response, outcome);
 		msp_send_exchange_response(request->exchange, response);
 	}
 	msp_drop_response(response);
@@ -171,6 +185,7 @@
 		retry_after_ms = RETRY_AFTER_MIN_MS;
 	if (retry_after_ms > RETRY_AFTER_MAX_MS)
 		retry_after_ms = RETRY_AFTER_MAX_MS;
+	request->retry_after_ms = retry_after_ms;
 	/* Jitter, so that callers refused together don't return together. */
 	retry_after_ms +=
 	    (uint32_t)msp_random_below(&edge->daemon->env, retry_after_ms + 1);
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 
 #include "edge_request.h"
+#include "proxy_codec.h"
 
 #define RETRY_PERCENT 100.0 /* converts the settings' ratio to percent */
 /* The settings' ratio is for all VMs together; each uses this share of it. */
@@ -45,11 +46,7 @@
 		msp_refill_retry_budget(budget);
 }
 
-/*
- * Whether the request may be sent to one more target. Spends the retry budget
- * if that is a retry.
- */
-static bool
+bool
 may_retry(edge_request_t *request)
 {
 	edge_t *edge = request->edge;
@@ -62,14 +59,13 @@
 	/* No attempt has reached a target: this does not count as a retry. */
 	if (request->sent_count == 0)
 		return true;
-	if (request->sent_count >= request->criteria.route->max_attempts)
+	if (request->sent_count >= request->max_attempts)
 		return false;
 	budget = open_retry_budget(edge, request->criteria.service->name);
 	return budget != NULL && msp_spend_retry(budget);
 }
 
-/* Ends a request for which the balancer has found no target. */
-static void
+void
 end_without_target(edge_request_t *request, msp_status_t status)
 {
 	const msp_balance_choice_t *choice = &request->choice;
@@ -152,6 +148,7 @@
 	bool failed;
 	bool ok;
 
+	record_target_contact(edge, target);
 	decode_response(request, result, &fields);
 	ok = fields.id_matches && fields.has_signature && !fields.not_run &&
 	    !fields.unconfirmed_refusal;
@@ -235,9 +232,12 @@
 	if (!result->maybe_sent) {
 		/* No byte of the request reached the target. */
 		request->sent_count--;
-		if (result->status == MSP_E_PEER_DOWN)
+		if (result->status == MSP_E_PEER_DOWN) {
+			request->forward.failed_connects++;
+			record_no_connection(edge, target);
 			suspect_target(
 			    edge, target, no_fingerprint, now, "no-connection");
+		}
 		retry_or_fail(request, "no-connection");
 		return;
 	}
@@ -277,6 +277,20 @@
 	return fields.is_own;
 }
 
+/*
+ * Ends a request that is not to wait for further failed connects: another VM
+ * has found no target either, or is the one that has forwarded it. Otherwise
+ * returns false.
+ */
+static bool
+end_at_lost_targets(edge_request_t *request)
+{
+	if (!request->is_forwarded && !request->forward.refused)
+		return false;
+	end_without_target(request, MSP_E_NO_TARGET);
+	return true;
+}
+
 void
 send_request(edge_request_t *request)
 {
@@ -287,12 +301,18 @@
 	msp_status_t status;
 	const msp_registration_t *registration;
 
+	if (has_lost_targets(request) &&
+	    (forward_request(request, "lost-targets") ||
+		end_at_lost_targets(request)))
+		return;
 	request->criteria.time_left =
 	    request->deadline > now ? request->deadline - now : 0;
 	status =
 	    msp_balance(edge->balancer, &request->criteria, &request->choice);
 	if (status != MSP_OK) {
-		end_without_target(request, status);
+		if (!request->choice.all_suspect ||
+		    !forward_request(request, "all-suspect"))
+			end_without_target(request, status);
 		return;
 	}
 	registration = &request->choice.target->registration;
@@ -303,6 +323,7 @@
 	status = encode_target_request(msp_exchange_request(request->exchange),
 	    registration->id, options.timeout_ms, &out);
 	if (status == MSP_OK) {
+		drop_internal_headers(&out.headers);
 		request->call = msp_start_call(edge->target_client, &options,
 		    &out, handle_call_done, request);
 		msp_drop_request(&out);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -3,12 +3,15 @@
 
 #include "../../platform/row_service.h"
 #include "edge_private.h"
+#include "forward_codec.h"
 #include "monsoonspindle/steer/limit_sync.h"
 #include "log.h"
 #include "problem.h"
 #include "../platform/table_follower.h"
 
-#define PEER_CONNECTIONS 256
+#define PEER_CONNECTIONS 1024
+/* Bytes of the fields that are added to a caller's when it is forwarded. */
+#define FORWARD_HEADERS_MAX 1024
 #define PEER_IDLE_MS 60000
 #define WAIT_MIN_MS 50 /* shortest long poll, to limit the rate of reads */
 
@@ -165,6 +168,10 @@
 	row_query_t query;
 	msp_status_t status;
 
+	if (is_forwarded_request(request)) {
+		serve_edge_forward(edge, exchange);
+		return;
+	}
 	if (strncmp(request->path, STRIKES_PATH, sizeof(STRIKES_PATH) - 1) ==
 	    0) {
 		serve_strikes(edge, exchange);
@@ -202,11 +209,23 @@
 {
 	long_poll_t *poll = msp_exchange_data(exchange);
 
-	(void)ctx;
+	if (is_forwarded_request(msp_exchange_request(exchange))) {
+		handle_edge_caller_disconnect(ctx, exchange);
+		return;
+	}
 	if (poll != NULL)
 		free_long_poll(poll);
 }
 
+/* Messages of other VMs are of any kind, and callers' requests among them. */
+static size_t
+get_body_limit(const msp_settings_limits_t *limits)
+{
+	return limits->max_body_bytes > MSP_LIMIT_MESSAGE_MAX
+	    ? limits->max_body_bytes
+	    : MSP_LIMIT_MESSAGE_MAX;
+}
+
 msp_status_t
 open_edge_peer_listener(edge_t *edge)
 {
@@ -214,7 +233,10 @@
 	msp_http_server_options_t options = {.address = settings->address,
 	    .port = settings->peer_port,
 	    .limits = {.max_connections = PEER_CONNECTIONS,
-		.max_body = MSP_LIMIT_MESSAGE_MAX,
+		.max_body = get_body_limit(&settings->limits),
+		.max_headers =
+		    settings->limits.max_header_bytes + FORWARD_HEADERS_MAX,
+		.body_timeout_ms = settings->limits.body_timeout_ms,
 		.idle_timeout_ms = PEER_IDLE_MS},
 	    .handler = {.on_request = handle_peer_request,
 		.on_disconnect = handle_peer_disconnect,
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -9,7 +9,9 @@
 #include "edge_broadcast.h"
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/steer/balancer.h"
+#include "monsoonspindle/steer/forward_choice.h"
 #include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/reach.h"
 #include "monsoonspindle/steer/traffic_split.h"
 #include "monsoonspindle/steer/strike_sync.h"
 
@@ -54,9 +56,12 @@
 	msp_quarantine_list_t *quarantine;
 	msp_map_t *evacuations; /* keys: places that must get no requests */
 	msp_map_t *retry_budgets; /* msp_retry_budget_t by service */
+	msp_map_t *reaches; /* msp_reach_t by service */
+	msp_forward_choice_t *forward_choice;
 
 	msp_http_client_t *target_client;
 	msp_http_client_t *probe_client;
+	msp_http_client_t *forward_client; /* to other VMs' peer listeners */
 	msp_http_client_t *store_http;
 	store_client_t *store;
 	edge_table_t operator_table;
@@ -127,6 +132,35 @@
 /* To be called after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
+/* edge_reach.c: whether this VM reaches the targets of a service */
+msp_status_t open_reaches(edge_t *edge);
+void close_reaches(edge_t *edge);
+
+/* A connect to the target has failed. */
+void record_no_connection(edge_t *edge, msp_view_target_t *target);
+
+/* The target has sent a response. */
+void record_target_contact(edge_t *edge, const msp_view_target_t *target);
+
+bool has_lost_service(const edge_t *edge, const char *service);
+
+/* Services whose targets this VM has lost. */
+size_t count_lost_services(const edge_t *edge);
+
+/* edge_forward_vms.c: VMs to which requests may be forwarded */
+
+/* Returns the region of a data centre, or NULL if it is unknown. */
+const char *find_place_region(const edge_t *edge, const char *place);
+
+/* Fills `pick`; returns false if there is no VM to ask. */
+bool pick_forward_vm(const edge_t *edge, const msp_forward_query_t *query,
+    msp_forward_pick_t *pick);
+
+/* edge_forward_serve.c */
+
+/* Serves a request that another VM has forwarded. */
+void serve_edge_forward(edge_t *edge, msp_exchange_t *exchange);
+
 /* edge_limits.c: rates that targets name in their responses */
 #define LIMITS_PATH "/v1/limits" /* to which VMs send limits */
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -48,6 +48,10 @@
 	LIST_REMOVE(probe, link);
 	free(probe);
 	target->traffic.probing = false;
+	if (result->status == MSP_OK)
+		record_target_contact(edge, target);
+	else if (result->status == MSP_E_PEER_DOWN && !result->maybe_sent)
+		record_no_connection(edge, target);
 	if (result->status == MSP_OK)
 		decode_health_fields(
 		    result->response, target->registration.id, &health);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -57,9 +57,26 @@
 		limit = DEFAULT_TIMEOUT_MS;
 	if (caller_limit != 0 && caller_limit < limit)
 		limit = caller_limit;
+	if (request->is_forwarded && request->terms.time_left_ms < limit)
+		limit = request->terms.time_left_ms;
 	request->deadline = request->arrival + limit * MSP_MS;
 }
 
+/*
+ * Of a forwarded request the first VM has counted the attempts and has refilled
+ * the retry budget.
+ */
+static void
+set_attempts(edge_request_t *request)
+{
+	request->max_attempts = request->criteria.route->max_attempts;
+	if (!request->is_forwarded)
+		refill_service_retry_budget(
+		    request->edge, request->criteria.service->name);
+	else if (request->terms.attempts_left < request->max_attempts)
+		request->max_attempts = request->terms.attempts_left;
+}
+
 static void
 refuse_without_memory(edge_t *edge, msp_exchange_t *exchange)
 {
@@ -80,7 +97,13 @@
 void
 handle_edge_request(void *ctx, msp_exchange_t *exchange)
 {
-	edge_t *edge = ctx;
+	begin_edge_request(ctx, exchange, NULL);
+}
+
+void
+begin_edge_request(
+    edge_t *edge, msp_exchange_t *exchange, const forward_terms_t *terms)
+{
 	edge_request_t *request = calloc(1, sizeof(*request));
 	const msp_request_t *message = msp_exchange_request(exchange);
 
@@ -96,6 +119,14 @@
 	TAILQ_INSERT_TAIL(&edge->requests, request, link);
 	edge->request_count++;
 	decode_caller_fields(message, &request->caller);
+	if (terms != NULL) {
+		request->is_forwarded = true;
+		request->terms = *terms;
+	}
+	if (request->is_forwarded && edge->daemon->leaving) {
+		refuse_request(request, NOT_READY_RETRY_MS, "leaving");
+		return;
+	}
 	if (!find_service(request, message))
 		return;
 	set_deadline(request);
@@ -110,7 +141,7 @@
 		refuse_request(request, RETRY_AFTER_MAX_MS, "quarantined");
 		return;
 	}
-	refill_service_retry_budget(edge, request->criteria.service->name);
+	set_attempts(request);
 	send_request(request);
 }
 
@@ -128,6 +159,12 @@
 	/* A request that must not be repeated is left to complete. */
 	if (!request->criteria.route->idempotent)
 		return;
+	if (request->forward.in_flight) {
+		report_cancelled_hop(request);
+		msp_cancel_call(request->call);
+		free_edge_request(request);
+		return;
+	}
 	report_cancelled_attempt(request);
 	msp_cancel_call(request->call);
 	msp_end_balanced_request(edge->balancer, &request->criteria,
@@ -145,7 +182,8 @@
 	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
 		if (request->call != NULL) {
 			msp_cancel_call(request->call);
-			msp_release_view_target(request->choice.target);
+			if (!request->forward.in_flight)
+				msp_release_view_target(request->choice.target);
 		}
 		free_edge_request(request);
 	}
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -2,6 +2,7 @@
 #define SPINDLED_EDGE_REQUEST_H
 
 #include "edge_private.h"
+#include "forward_codec.h"
 #include "log.h"
 
 #define TRIED_MAX 8 /* targets to which one request is sent at most */
@@ -9,6 +10,30 @@
 #define NOT_READY_RETRY_MS 500
 #define TIME_LEFT_MIN_MS 5 /* a request with less time left is not sent */
 
+#define FORWARD_VMS_MAX 4 /* VMs to which one request is forwarded at most */
+
+/* A VM to which the request was forwarded. */
+typedef struct edge_hop {
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t port;
+	char place[MSP_NAME_SIZE];
+} edge_hop_t;
+
+/*
+ * A request that none of this VM's targets can take is forwarded to other VMs,
+ * one after the other.
+ */
+typedef struct edge_forward {
+	edge_hop_t hops[FORWARD_VMS_MAX]; /* the last may be in flight */
+	size_t hop_count;
+	bool in_flight;
+	bool refused; /* by a VM that was reached, and not executed there */
+	char id[PROXY_ID_SIZE]; /* of the last hop */
+	uint32_t attempts; /* that the last VM may use */
+	const char *reason; /* of the last hop; static */
+	uint32_t failed_connects; /* to targets, with nothing sent */
+} edge_forward_t;
+
 /* One caller's request. */
 struct edge_request {
 	TAILQ_ENTRY(edge_request) link;
@@ -22,14 +47,29 @@
 	msp_balance_request_t criteria;
 	msp_view_target_t *tried[TRIED_MAX];
 	uint32_t sent_count; /* attempts that may have reached a target */
+	uint32_t max_attempts; /* of these */
 	msp_balance_choice_t choice; /* of the current attempt */
 	msp_call_t *call;
 	msp_time_t sent_at;
 	uint64_t sent_incarnation; /* of the target when it was sent */
 	bool may_have_run;
 	bool from_target; /* the response to the caller is a target's */
+	edge_forward_t forward;
+	/* Set if another VM has forwarded the request here. */
+	bool is_forwarded;
+	forward_terms_t terms;
+	uint32_t retry_after_ms; /* of a refusal, without jitter */
 };
 
+/* edge_request.c */
+
+/*
+ * Begins a request that was received from a caller, or, with `terms`, from
+ * another VM.
+ */
+void begin_edge_request(
+    edge_t *edge, msp_exchange_t *exchange, const forward_terms_t *terms);
+
 /*
  * edge_answer.c: how a request ends. All functions but log_request_end() free
  * the request.
@@ -85,8 +125,40 @@
 /* Counts an attempt that is cancelled since the caller has disconnected. */
 void report_cancelled_attempt(const edge_request_t *request);
 
+/* edge_forward.c: requests that this VM forwards to another */
+
+/*
+ * Whether connects to targets are not tried, or no longer, since several have
+ * failed.
+ */
+bool has_lost_targets(const edge_request_t *request);
+
+/*
+ * Forwards the request to a VM that it was not forwarded to yet. Returns false,
+ * and changes nothing, if it may not be forwarded or no such VM is known.
+ */
+bool forward_request(edge_request_t *request, const char *reason);
+
+/* Counts and logs a hop that is cancelled since the caller is gone. */
+void report_cancelled_hop(const edge_request_t *request);
+
+/* edge_forward_serve.c: requests that another VM has forwarded to this one */
+
+/* Turns this VM's response into that to the VM that forwarded the request. */
+void encode_forward_answer(const edge_request_t *request,
+    msp_response_t *response, const char *outcome);
+
 /* edge_attempt.c: sends a request to targets */
 
+/*
+ * Whether the request may be sent to one more target, here or by another VM.
+ * Spends the retry budget if that is a retry.
+ */
+bool may_retry(edge_request_t *request);
+
+/* Ends a request for which no target was found, for the given reason. */
+void end_without_target(edge_request_t *request, msp_status_t status);
+
 /* Counts a request to the service, which raises its retry budget. */
 void refill_service_retry_budget(edge_t *edge, const char *service);
 
--- a/source/spindled/proxy_codec.c
+++ b/source/spindled/proxy_codec.c
@@ -117,8 +117,8 @@
 	return status;
 }
 
-static msp_status_t
-decode_text(
+msp_status_t
+decode_internal_text(
     const msp_headers_t *headers, const char *name, char *out, size_t size)
 {
 	const char *value = msp_find_header(headers, name);
@@ -132,8 +132,8 @@
 	return MSP_OK;
 }
 
-static msp_status_t
-decode_number(
+msp_status_t
+decode_internal_number(
     const msp_headers_t *headers, const char *name, uint64_t max, uint64_t *out)
 {
 	const char *value = msp_find_header(headers, name);
@@ -161,17 +161,17 @@
 	uint64_t hops = 0;
 	uint64_t time_left_ms = 0;
 
-	if (decode_number(headers, "msp-idempotent", 1, &idempotent) !=
-		MSP_OK ||
-	    decode_number(headers, "msp-waited-us", UINT32_MAX * 1000ULL,
-		&waited_us) != MSP_OK ||
-	    decode_number(headers, "msp-nonce-age-us", UINT32_MAX * 1000ULL,
-		&nonce_age_us) != MSP_OK ||
-	    decode_number(headers, "msp-retries", RETRIES_MAX, &retries) !=
+	if (decode_internal_number(headers, "msp-idempotent", 1, &idempotent) !=
 		MSP_OK ||
-	    decode_number(headers, "msp-hops", PROXY_HOPS_MAX, &hops) !=
-		MSP_OK ||
-	    decode_number(headers, "msp-time-left-ms", DEADLINE_MAX_MS,
+	    decode_internal_number(headers, "msp-waited-us",
+		UINT32_MAX * 1000ULL, &waited_us) != MSP_OK ||
+	    decode_internal_number(headers, "msp-nonce-age-us",
+		UINT32_MAX * 1000ULL, &nonce_age_us) != MSP_OK ||
+	    decode_internal_number(
+		headers, "msp-retries", RETRIES_MAX, &retries) != MSP_OK ||
+	    decode_internal_number(
+		headers, "msp-hops", PROXY_HOPS_MAX, &hops) != MSP_OK ||
+	    decode_internal_number(headers, "msp-time-left-ms", DEADLINE_MAX_MS,
 		&time_left_ms) != MSP_OK)
 		return MSP_E_BAD_REQUEST;
 	request->is_idempotent = idempotent == 1;
@@ -193,20 +193,22 @@
 	char fingerprint[MSP_DIGEST_TEXT_SIZE];
 	msp_status_t status;
 
-	if (decode_text(headers, "msp-id", request->id, sizeof(request->id)) !=
-		MSP_OK ||
-	    decode_text(headers, "msp-service", request->service,
+	if (decode_internal_text(headers, "msp-id", request->id,
+		sizeof(request->id)) != MSP_OK ||
+	    decode_internal_text(headers, "msp-service", request->service,
 		sizeof(request->service)) != MSP_OK ||
-	    decode_text(headers, "msp-place", request->place,
+	    decode_internal_text(headers, "msp-place", request->place,
 		sizeof(request->place)) != MSP_OK ||
-	    decode_text(headers, "msp-client-region", request->client_region,
+	    decode_internal_text(headers, "msp-client-region",
+		request->client_region,
 		sizeof(request->client_region)) != MSP_OK ||
-	    decode_text(headers, "msp-key", request->key,
+	    decode_internal_text(headers, "msp-key", request->key,
 		sizeof(request->key)) != MSP_OK ||
-	    decode_text(headers, "msp-nonce", request->nonce,
+	    decode_internal_text(headers, "msp-nonce", request->nonce,
 		sizeof(request->nonce)) != MSP_OK ||
-	    decode_text(headers, "msp-class", class, sizeof(class)) != MSP_OK ||
-	    decode_text(headers, "msp-fingerprint", fingerprint,
+	    decode_internal_text(headers, "msp-class", class, sizeof(class)) !=
+		MSP_OK ||
+	    decode_internal_text(headers, "msp-fingerprint", fingerprint,
 		sizeof(fingerprint)) != MSP_OK)
 		return MSP_E_BAD_REQUEST;
 	if (msp_parse_request_class(class, &request->class) != MSP_OK)
@@ -316,12 +318,12 @@
 	uint64_t retry_after = 0;
 
 	memset(result, 0, sizeof(*result));
-	if (decode_text(headers, "msp-vm", result->vm, sizeof(result->vm)) !=
-		MSP_OK ||
+	if (decode_internal_text(
+		headers, "msp-vm", result->vm, sizeof(result->vm)) != MSP_OK ||
 	    result->vm[0] == '\0')
 		return msp_fail(MSP_E_TRUNCATED_RESPONSE, "msp-vm: missing");
 	if (status_name == NULL) {
-		if (decode_text(headers, "msp-target", result->target,
+		if (decode_internal_text(headers, "msp-target", result->target,
 			sizeof(result->target)) != MSP_OK)
 			return MSP_E_TRUNCATED_RESPONSE;
 		result->answered = true;
@@ -334,7 +336,7 @@
 	}
 	if (run == NULL || started == NULL)
 		return msp_fail(MSP_E_TRUNCATED_RESPONSE, "msp-run: missing");
-	if (decode_number(headers, "msp-retry-after-ms", UINT32_MAX,
+	if (decode_internal_number(headers, "msp-retry-after-ms", UINT32_MAX,
 		&retry_after) != MSP_OK)
 		return MSP_E_TRUNCATED_RESPONSE;
 	result->refusal.status = msp_find_status(status_name);
--- a/source/spindled/proxy_codec.h
+++ b/source/spindled/proxy_codec.h
@@ -18,6 +18,15 @@
  */
 msp_status_t register_internal_headers(void);
 
+/*
+ * Decode one internal header; MSP_E_BAD_REQUEST if it is longer than `size`
+ * allows, or not a number of at most `max`. A missing text is "".
+ */
+msp_status_t decode_internal_text(
+    const msp_headers_t *headers, const char *name, char *out, size_t size);
+msp_status_t decode_internal_number(const msp_headers_t *headers,
+    const char *name, uint64_t max, uint64_t *out);
+
 /* Encodes `request` as an HTTP request to another VM, with `path` prefixed. */
 msp_status_t encode_proxy_request(const proxy_request_t *request,
     const char *path, msp_time_t now, msp_request_t *out);
--- a/source/spindled/proxy_request.c
+++ b/source/spindled/proxy_request.c
@@ -6,22 +6,10 @@
 msp_status_t
 copy_proxy_request(const proxy_request_t *request, msp_request_t *out)
 {
-	const msp_request_t *from = &request->request;
-	msp_status_t status = MSP_OK;
-	size_t i;
+	msp_status_t status = msp_copy_request(&request->request, out);
 
-	memset(out, 0, sizeof(*out));
-	memcpy(out->method, from->method, sizeof(out->method));
-	memcpy(out->path, from->path, sizeof(out->path));
-	for (i = 0; i < from->headers.count && status == MSP_OK; i++)
-		status =
-		    msp_add_header(&out->headers, from->headers.fields[i].name,
-			from->headers.fields[i].value);
-	if (status == MSP_OK && from->body.len > 0)
-		status = msp_append_data(
-		    &out->body, from->body.data, from->body.len);
-	if (status != MSP_OK)
-		msp_drop_request(out);
+	/* It is sent under the address of its receiver. */
+	out->host[0] = '\0';
 	return status;
 }
 
