Test forwarding with real processes

Pairs of real processes with a store and targets each, where one has lost its targets: GET and POST are served through the other, one hop when both are cut, homes bind, chunked 300 KiB bodies and escaped paths pass unchanged, fields of our own from callers are ignored and reach neither targets nor callers, a caller that leaves is seen by the second VM's target, a stopping VM finishes what it began and refuses the rest, targets that are back are used again. A VM played by the test shows that only an answer with the id of the hop counts as "not executed", that a lost answer of a POST gives 502, that no route there is no 404 here, and which attempts and time are passed on.

--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -132,7 +132,8 @@
 
 	if (decode_proxy_result(response, &result) != MSP_OK) {
 		report_hop(request, "lost", response->status);
-		handle_lost_hop(request, request->forward.attempts, "forward");
+		handle_lost_hop(
+		    request, request->forward.attempts, "forward-lost");
 		return;
 	}
 	if (result.answered) {
@@ -155,7 +156,7 @@
 	if (result.refusal.run == MSP_RUN_NOT_EXECUTED)
 		handle_refused_hop(request, &result.refusal, attempts);
 	else
-		handle_lost_hop(request, attempts, "forward");
+		handle_lost_hop(request, attempts, "forward-lost");
 }
 
 /* Handles a call that ended without a complete response to it. */
@@ -169,7 +170,8 @@
 		msp_pass_over_forward_vm(request->edge->forward_choice, &vm,
 		    request->criteria.service->name, MSP_FORWARD_UNREACHABLE);
 	if (result->maybe_sent)
-		handle_lost_hop(request, request->forward.attempts, "forward");
+		handle_lost_hop(
+		    request, request->forward.attempts, "forward-lost");
 	else if (request->exchange == NULL ||
 	    get_now(request) + TIME_LEFT_MIN_MS * MSP_MS >= request->deadline)
 		fail_request(request, "no-connection");
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -200,10 +200,18 @@
 	}
 }
 
+static void
+step_both(edge_fixture_t *fixture)
+{
+	step_fixture(fixture);
+	if (fixture->neighbour != NULL)
+		step_fixture(fixture->neighbour);
+}
+
 void
 step_edge_fixture(edge_fixture_t *fixture)
 {
-	step_fixture(fixture);
+	step_both(fixture);
 }
 
 void
@@ -212,7 +220,7 @@
 	msp_time_t end = msp_now(&fixture->env) + duration;
 
 	while (msp_now(&fixture->env) < end)
-		step_fixture(fixture);
+		step_both(fixture);
 }
 
 void
@@ -222,7 +230,7 @@
 	msp_time_t end = msp_now(&fixture->env) + WAIT_LIMIT;
 
 	while (*count < minimum && msp_now(&fixture->env) < end)
-		step_fixture(fixture);
+		step_both(fixture);
 	assert_true(*count >= minimum);
 }
 
@@ -304,6 +312,13 @@
 
 void
 put_edge_routes(edge_fixture_t *fixture, unsigned int version)
+{
+	put_edge_routes_with(fixture, version, "");
+}
+
+void
+put_edge_routes_with(
+    edge_fixture_t *fixture, unsigned int version, const char *members)
 {
 	char text[2048];
 
@@ -312,14 +327,14 @@
 	    "{\"name\":\"read\",\"host\":\"a.example\",\"prefix\":\"/read/\","
 	    "\"kind\":\"idempotent\",\"timeoutMs\":2000,"
 	    "\"targetLatencyMs\":500,\"priority\":2,\"service\":\"desk\","
-	    "\"maxAttempts\":2,\"stickySessions\":true},"
+	    "\"maxAttempts\":2,\"stickySessions\":true%s},"
 	    "{\"name\":\"write\",\"host\":\"a.example\",\"prefix\":\"/write/\","
 	    "\"kind\":\"non_idempotent\",\"timeoutMs\":2000,"
 	    "\"targetLatencyMs\":500,\"priority\":1,\"service\":\"desk\","
-	    "\"maxAttempts\":2,\"stickySessions\":true}%s],"
+	    "\"maxAttempts\":2,\"stickySessions\":true%s}%s],"
 	    "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
 	    "\"maxConns\":100,\"coldStartS\":3.0,\"coldPerS\":3.4}]}",
-	    version,
+	    version, members, members,
 	    version < 5
 		? ""
 		: ",{\"name\":\"more\",\"host\":\"a.example\",\"prefix\":"
@@ -354,11 +369,13 @@
 	    "\"peer_port\":%u,\"edge\":{\"callers\":\"" ADDRESS ":%u\","
 	    "\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
 	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
-	    "\"places\":[{\"place\":\"north-a\",\"region\":\"north\"}],"
+	    "\"places\":[{\"place\":\"north-a\",\"region\":\"north\"}%s],"
 	    "\"stop_grace_ms\":3000},\"log\":{\"file\":\"-\"}%s}\n",
 	    fixture->peer_port, fixture->caller_port, fixture->readiness_port,
 	    fixture->directory_port,
 	    msp_http_server_port(fixture->store_server), fixture->metrics_port,
+	    fixture->has_south ? ",{\"place\":\"south-a\",\"region\":\"south\"}"
+			       : "",
 	    fixture->settings_members == NULL ? "" : fixture->settings_members);
 	fclose(file);
 }
@@ -409,7 +426,7 @@
 }
 
 static edge_fixture_t *
-prepare_fixture(const char *settings_members)
+prepare_fixture(const char *settings_members, bool has_south)
 {
 	edge_fixture_t *fixture = calloc(1, sizeof(*fixture));
 	msp_http_server_options_t options = {.address = ADDRESS};
@@ -420,6 +437,7 @@
 	fixture->env = msp_system_env();
 	fixture->deadline_ms = 3000;
 	fixture->settings_members = settings_members;
+	fixture->has_south = has_south;
 	fixture->loop = msp_new_loop(MAX_FDS);
 	fixture->memory_store = msp_new_memory_store(&fixture->env);
 	fixture->store_service = msp_new_store_service(fixture->memory_store);
@@ -449,7 +467,7 @@
 edge_fixture_t *
 new_edge_fixture_with_settings(const char *members)
 {
-	edge_fixture_t *fixture = prepare_fixture(members);
+	edge_fixture_t *fixture = prepare_fixture(members, false);
 
 	start_fixture(fixture);
 	return fixture;
@@ -461,6 +479,13 @@
 	return new_edge_fixture_with_settings(NULL);
 }
 
+static void
+ignore_disconnect(void *ctx, msp_exchange_t *exchange)
+{
+	(void)ctx;
+	(void)exchange;
+}
+
 static void
 handle_remote_vm_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -468,6 +493,11 @@
 	const msp_request_t *request = msp_exchange_request(exchange);
 	msp_response_t response = {.status = 204};
 
+	if (fixture->handle_vm_request != NULL &&
+	    strncmp(request->path, "/v1/", 4) != 0) {
+		fixture->handle_vm_request(fixture->handler_ctx, exchange);
+		return;
+	}
 	if (strcmp(request->path, "/v1/strikes?pass-on=1") == 0) {
 		fixture->strike_message_count++;
 		msp_clear_buffer(&fixture->strike_text);
@@ -477,26 +507,77 @@
 	msp_send_exchange_response(exchange, &response);
 }
 
-edge_fixture_t *
-new_edge_fixture_with_remote_vm(void)
+/* Writes the row of a VM in the data centre "south-a". */
+static void
+put_vm_row(edge_fixture_t *fixture, uint16_t peer_port)
 {
-	edge_fixture_t *fixture = prepare_fixture(NULL);
-	msp_http_server_options_t options = {.address = ADDRESS,
-	    .handler = {
-		.on_request = handle_remote_vm_request, .ctx = fixture}};
 	char row[256];
 
-	fixture->remote_vm = msp_new_http_server(fixture->loop, &options);
-	assert_non_null(fixture->remote_vm);
 	snprintf(row, sizeof(row),
 	    "{\"place\":\"south-a\",\"address\":\"" ADDRESS "\","
 	    "\"peer_port\":%u,\"caller_port\":1,\"leaving\":false}",
-	    msp_http_server_port(fixture->remote_vm));
+	    peer_port);
 	put_edge_row(fixture, "vms", "vm-9", row);
+}
+
+static edge_fixture_t *
+new_fixture_with_vm(bool has_south,
+    void (*handle_request)(void *ctx, msp_exchange_t *exchange), void *ctx)
+{
+	edge_fixture_t *fixture = prepare_fixture(NULL, has_south);
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .handler = {.on_request = handle_remote_vm_request,
+		.on_disconnect = ignore_disconnect,
+		.ctx = fixture}};
+
+	fixture->handle_vm_request = handle_request;
+	fixture->handler_ctx = ctx;
+	fixture->remote_vm = msp_new_http_server(fixture->loop, &options);
+	assert_non_null(fixture->remote_vm);
+	put_vm_row(fixture, msp_http_server_port(fixture->remote_vm));
 	start_fixture(fixture);
 	return fixture;
 }
 
+edge_fixture_t *
+new_edge_fixture_with_remote_vm(void)
+{
+	return new_fixture_with_vm(false, NULL, NULL);
+}
+
+edge_fixture_t *
+new_edge_fixture_with_handler(
+    void (*handle_request)(void *ctx, msp_exchange_t *exchange), void *ctx)
+{
+	return new_fixture_with_vm(true, handle_request, ctx);
+}
+
+void
+new_edge_pair(edge_fixture_t *pair[2])
+{
+	unsigned int i;
+
+	for (i = 0; i < 2; i++)
+		pair[i] = prepare_fixture(NULL, true);
+	for (i = 0; i < 2; i++) {
+		pair[i]->neighbour = pair[1 - i];
+		put_vm_row(pair[i], pair[1 - i]->peer_port);
+	}
+	for (i = 0; i < 2; i++)
+		start_fixture(pair[i]);
+}
+
+void
+drop_edge_pair(edge_fixture_t *pair[2])
+{
+	unsigned int i;
+
+	for (i = 0; i < 2; i++) {
+		pair[i]->neighbour = NULL;
+		drop_edge_fixture(pair[i]);
+	}
+}
+
 int
 post_strikes(edge_fixture_t *fixture, const char *text)
 {
@@ -539,7 +620,7 @@
 	pid_t ended = 0;
 
 	while (ended == 0 && msp_now(&fixture->env) < end) {
-		step_fixture(fixture);
+		step_both(fixture);
 		ended = waitpid(fixture->pid, &status, WNOHANG);
 	}
 	assert_int_equal(ended, fixture->pid);
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -61,6 +61,9 @@
 	msp_http_client_t *client;
 	edge_target_t targets[EDGE_TARGETS];
 	msp_http_server_t *remote_vm; /* a VM of another data centre */
+	/* If set, handles the requests of that VM other than strikes. */
+	void (*handle_vm_request)(void *ctx, msp_exchange_t *exchange);
+	edge_fixture_t *neighbour; /* runs whenever this one does; or NULL */
 	unsigned int strike_message_count; /* received by `remote_vm` */
 	msp_buffer_t strike_text; /* of the last message */
 	uint16_t caller_port;
@@ -78,6 +81,7 @@
 	void (*handle_disconnect)(void *ctx, msp_exchange_t *exchange);
 	void *handler_ctx;
 	const char *settings_members; /* added to the settings file; or NULL */
+	bool has_south; /* the settings name the data centre "south-a" too */
 	char settings_path[128];
 	char log_path[128];
 	pid_t pid;
@@ -105,6 +109,21 @@
 
 /* The same with a VM of another data centre, which receives strikes. */
 edge_fixture_t *new_edge_fixture_with_remote_vm(void);
+
+/*
+ * The same, where that VM also handles forwarded requests, by `handle_request`
+ * with `ctx`, and its data centre "south-a" is in region "south".
+ */
+edge_fixture_t *new_edge_fixture_with_handler(
+    void (*handle_request)(void *ctx, msp_exchange_t *exchange), void *ctx);
+
+/*
+ * Two fixtures with a store, targets and a process each. Each process knows the
+ * other as a VM of the data centre "south-a" in region "south", and takes
+ * itself to be in "north-a" in region "north". Both run together.
+ */
+void new_edge_pair(edge_fixture_t *pair[2]);
+void drop_edge_pair(edge_fixture_t *pair[2]);
 void drop_edge_fixture(edge_fixture_t *fixture);
 
 /* Writes a row of the store, or removes it if `value` is NULL. */
@@ -116,6 +135,11 @@
  * idempotent) and, from version 5 on, /more/.
  */
 void put_edge_routes(edge_fixture_t *fixture, unsigned int version);
+
+/* Writes the same with members added to each route, as text with a comma. */
+void put_edge_routes_with(
+    edge_fixture_t *fixture, unsigned int version, const char *members);
+
 void put_edge_target(
     edge_fixture_t *fixture, unsigned int index, bool draining);
 
