Don't count strikes when a VM has lost all its targets

What callers would have seen: harmless requests refused everywhere as quarantined. A check of a suspect target that can't connect was taken as proof that the target had ended, so that a VM whose open connections were reset by a cut gave each request in flight a strike and told it to all VMs.

Why it works: a failed connect counts only if another target of the region has answered a check on a new connection since, and the suspect one was checked once more after that. If there is no such answer, one other target is checked; while the service's targets are lost, none is. A row that goes while they are lost is no proof either.

--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -34,8 +34,10 @@
 	const msp_registration_t *registration = &target->registration;
 	const char *state = msp_target_status_name(target->status);
 
+	/* A VM that has lost all targets can't tell why one broke off. */
 	if (target->status != MSP_TARGET_DRAINING)
-		resolve_pending_strikes(edge, target, true);
+		resolve_pending_strikes(edge, target,
+		    !has_lost_service(edge, registration->service));
 
 	msp_add_to_counter(edge->daemon->counters, 1,
 	    "msp_target_changes_total{state=\"%s\"}", state);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -213,6 +213,8 @@
 void resolve_pending_strikes(
     edge_t *edge, const msp_view_target_t *target, bool exited);
 
+bool has_pending_strikes(const edge_t *edge, const msp_view_target_t *target);
+
 /* Receives strikes from another VM. */
 void serve_strikes(edge_t *edge, msp_exchange_t *exchange);
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -34,46 +34,171 @@
 	resolve_pending_strikes(edge, target, cold_ms > 0);
 }
 
+static bool
+is_in_use(const msp_view_target_t *target)
+{
+	return target->status == MSP_TARGET_LISTED ||
+	    target->status == MSP_TARGET_HELD;
+}
+
+static void start_probe(edge_t *edge, msp_view_target_t *target);
+
+static bool
+is_in_same_region(const msp_view_target_t *a, const msp_view_target_t *b)
+{
+	return a->region != NULL && b->region != NULL &&
+	    strcmp(a->region, b->region) == 0;
+}
+
+/*
+ * Whether another target of the region has answered a check since `since`, so
+ * that a connect that fails after that is the target's own fault.
+ */
+static bool
+has_control(const edge_t *edge, const msp_view_target_t *target,
+    msp_time_t since, msp_time_t until)
+{
+	const msp_view_target_t *other;
+
+	TAILQ_FOREACH(other, msp_view_targets(edge->view), link) {
+		if (other != target && is_in_same_region(other, target) &&
+		    other->traffic.connected_at >= since &&
+		    other->traffic.connected_at <= until)
+			return true;
+	}
+	return false;
+}
+
+static bool
+has_control_probe(const edge_t *edge)
+{
+	const edge_probe_t *probe;
+
+	LIST_FOREACH(probe, &edge->probes, link) {
+		if (probe->target->traffic.suspect_since == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Checks a target of the region that is not suspect. */
+static void
+start_control_probe(edge_t *edge, const msp_view_target_t *target)
+{
+	msp_view_target_t *other;
+
+	if (has_control_probe(edge) ||
+	    has_lost_service(edge, target->registration.service))
+		return;
+	TAILQ_FOREACH(other, msp_view_targets(edge->view), link) {
+		if (!is_in_same_region(other, target) || !is_in_use(other) ||
+		    other->traffic.suspect_since != 0 || other->traffic.probing)
+			continue;
+		start_probe(edge, other);
+		if (other->traffic.probing)
+			return;
+	}
+}
+
+/*
+ * A connect to a suspect target has failed, in a check sent at `sent_at`. Its
+ * process has ended, unless this VM has lost the other targets as well.
+ */
+static void
+judge_failed_connect(
+    edge_t *edge, msp_view_target_t *target, msp_time_t sent_at)
+{
+	if (!has_pending_strikes(edge, target))
+		return;
+	if (has_control(edge, target, target->traffic.suspect_since, sent_at))
+		resolve_pending_strikes(edge, target, true);
+	else
+		start_control_probe(edge, target);
+}
+
+/* Checks at once the suspect targets for which `control` is the evidence. */
+static void
+check_suspects(edge_t *edge, const msp_view_target_t *control)
+{
+	msp_view_target_t *target;
+
+	TAILQ_FOREACH(target, msp_view_targets(edge->view), link) {
+		if (target != control && target->traffic.suspect_since != 0 &&
+		    !target->traffic.probing && is_in_use(target) &&
+		    is_in_same_region(target, control) &&
+		    has_pending_strikes(edge, target))
+			start_probe(edge, target);
+	}
+}
+
+/* What a check of a suspect target has shown. */
+typedef struct probe_end {
+	msp_status_t status;
+	msp_time_t sent_at;
+	health_fields_t health;
+} probe_end_t;
+
+static void
+judge_suspect(edge_t *edge, msp_view_target_t *target, const probe_end_t *end)
+{
+	const health_fields_t *health = &end->health;
+
+	if (end->status == MSP_OK && !health->same_target) {
+		msp_mark_target_removed(
+		    edge->view, target, "another-target-there");
+		resolve_pending_strikes(edge, target, true);
+		target->traffic.suspect_since = 0;
+	} else if (health->healthy || health->busy) {
+		clear_suspicion(edge, target, health->cold_ms);
+	} else if (end->status == MSP_E_PEER_DOWN) {
+		judge_failed_connect(edge, target, end->sent_at);
+	}
+}
+
+/* What the check says of this VM's own connections. */
+static void
+record_probe_result(
+    edge_t *edge, msp_view_target_t *target, const msp_call_result_t *result)
+{
+	if (result->status == MSP_OK) {
+		record_target_contact(edge, target);
+		target->traffic.connected_at = msp_now(&edge->daemon->env);
+		check_suspects(edge, target);
+		return;
+	}
+	if (result->status != MSP_E_PEER_DOWN)
+		return;
+	record_no_connection(edge, target);
+	if (target->traffic.suspect_since == 0)
+		suspect_target(edge, target, (msp_digest_t){0},
+		    msp_now(&edge->daemon->env), "no-connection");
+}
+
 static void
 handle_probe_done(void *ctx, msp_call_result_t *result)
 {
 	edge_probe_t *probe = ctx;
 	edge_t *edge = probe->edge;
 	msp_view_target_t *target = probe->target;
-	health_fields_t health = {0};
 	bool same_incarnation =
 	    probe->incarnation == target->registration.incarnation;
-	msp_time_t sent_at = probe->sent_at;
+	probe_end_t end = {.status = result->status, .sent_at = probe->sent_at};
 
 	LIST_REMOVE(probe, link);
 	free(probe);
 	target->traffic.probing = false;
-	if (result->status == MSP_OK)
-		record_target_contact(edge, target);
-	else if (result->status == MSP_E_PEER_DOWN && !result->maybe_sent)
-		record_no_connection(edge, target);
 	if (result->status == MSP_OK)
 		decode_health_fields(
-		    result->response, target->registration.id, &health);
+		    result->response, target->registration.id, &end.health);
 	/* Whether health checks name limits too is not specified. */
 	if (result->status == MSP_OK && same_incarnation &&
-	    health.same_target && health.limit_field != LIMIT_FIELD_MISSING)
-		observe_target_limit(edge, target, sent_at, health.limit_field,
-		    health.limit_per_second);
-	if (!same_incarnation || target->traffic.suspect_since == 0) {
-		msp_release_view_target(target);
-		return;
-	}
-	if (result->status == MSP_OK && !health.same_target) {
-		msp_mark_target_removed(
-		    edge->view, target, "another-target-there");
-		resolve_pending_strikes(edge, target, true);
-		target->traffic.suspect_since = 0;
-	} else if (health.healthy || health.busy) {
-		clear_suspicion(edge, target, health.cold_ms);
-	} else if (result->status == MSP_E_PEER_DOWN) {
-		resolve_pending_strikes(edge, target, true);
-	}
+	    end.health.same_target &&
+	    end.health.limit_field != LIMIT_FIELD_MISSING)
+		observe_target_limit(edge, target, end.sent_at,
+		    end.health.limit_field, end.health.limit_per_second);
+	record_probe_result(edge, target, result);
+	if (same_incarnation && target->traffic.suspect_since != 0)
+		judge_suspect(edge, target, &end);
 	msp_release_view_target(target);
 }
 
@@ -91,6 +216,8 @@
 	    : msp_find_service_config(edge->routes, registration->service);
 	edge_probe_t *probe;
 
+	/* A check of a target that is not suspect shows that connects work. */
+	options.unused_connection = target->traffic.suspect_since == 0;
 	if (config == NULL || config->health_path[0] != '/' ||
 	    !msp_target_limit_allows(edge->balancer, target))
 		return;
@@ -116,13 +243,6 @@
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_probes_total");
 }
 
-static bool
-is_in_use(const msp_view_target_t *target)
-{
-	return target->status == MSP_TARGET_LISTED ||
-	    target->status == MSP_TARGET_HELD;
-}
-
 static void
 handle_probe_timer(void *ctx)
 {
--- a/source/spindled/edge_strikes.c
+++ b/source/spindled/edge_strikes.c
@@ -104,6 +104,18 @@
 	TAILQ_INSERT_TAIL(&edge->strikes, strike, link);
 }
 
+bool
+has_pending_strikes(const edge_t *edge, const msp_view_target_t *target)
+{
+	const pending_strike_t *strike;
+
+	TAILQ_FOREACH(strike, &edge->strikes, link) {
+		if (strike->target == target)
+			return true;
+	}
+	return false;
+}
+
 void
 resolve_pending_strikes(
     edge_t *edge, const msp_view_target_t *target, bool exited)
--- a/tests/process/test_edge_forward.c
+++ b/tests/process/test_edge_forward.c
@@ -404,6 +404,58 @@
 	assert_int_equal(count_target_requests(second), 1);
 }
 
+/*
+ * Guards against strikes for harmless requests whose connections broke when a
+ * VM lost all its targets, which would be told to all VMs (BUDGET).
+ */
+static void
+requests_cut_with_all_targets_get_no_strikes(void **state)
+{
+	pair_fixture_t *fixture = *state;
+	edge_fixture_t *first = fixture->pair[0];
+	caller_response_t responses[REQUESTS];
+	caller_response_t response;
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++)
+		first->targets[i].behaviour = TARGET_DELAYS;
+	for (i = 0; i < REQUESTS; i++)
+		start_edge_request(first, first->caller_port, "POST",
+		    "/write/harmless", &responses[i]);
+	while (count_target_requests(first) < REQUESTS)
+		step_edge_fixture(first);
+	cut(first);
+	for (i = 0; i < REQUESTS; i++) {
+		run_edge_until(first, &responses[i].done, 1);
+		assert_int_equal(responses[i].http_status, 502);
+	}
+	/* Several checks of each target fail. */
+	run_edge_for(first, 3 * MSP_SECOND);
+	assert_int_equal(read_edge_counter(first, "msp_strikes_total"), 0);
+	send_edge_request(first, "POST", "/write/harmless", &response);
+	assert_served(&response);
+}
+
+/* Guards against a crash that goes unnoticed while other targets answer. */
+static void
+request_that_ends_one_target_gets_a_strike(void **state)
+{
+	pair_fixture_t *fixture = *state;
+	edge_fixture_t *first = fixture->pair[0];
+	msp_time_t end = msp_now(&first->env) + 10 * MSP_SECOND;
+	caller_response_t response;
+	uint64_t strikes = 0;
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++)
+		first->targets[i].behaviour = TARGET_EXITS;
+	send_edge_request(first, "POST", "/write/deadly", &response);
+	assert_int_equal(response.http_status, 502);
+	while (strikes == 0 && msp_now(&first->env) < end)
+		strikes = read_edge_counter(first, "msp_strikes_total");
+	assert_int_equal(strikes, 1);
+}
+
 /* How a second VM that the test plays answers. */
 typedef enum vm_answer {
 	VM_CLOSES, /* the connection, without an answer */
@@ -582,6 +634,8 @@
 	    PAIR_TEST(target_of_the_second_vm_sees_that_the_caller_left),
 	    PAIR_TEST(
 		stopping_vm_finishes_forwarded_requests_and_takes_no_more),
+	    PAIR_TEST(requests_cut_with_all_targets_get_no_strikes),
+	    PAIR_TEST(request_that_ends_one_target_gets_a_strike),
 	    cmocka_unit_test(only_the_answer_to_this_hop_says_that_nothing_ran),
 	};
 
