Notice connections to targets that have died silently

What callers saw: requests on kept connections of a cut VM hang until their deadlines; as no connect is tried, nothing tells the VM that it is cut, and new requests follow on the next kept connection.

Why this works: four times a second the VM looks for requests that have waited for 1 s and for their expected latency, to two targets or more, while their service has sent nothing for 1 s. Each such target is checked on a new connection, at most once a second. If that can't be opened the target is suspect, and after three of them requests are forwarded. Nothing in flight is ended: a target's silence is no proof, and its answer ends the state.

Also: gauges msp_services_lost and msp_forwards_in_flight; a stopping VM waits until answers to forwarded requests are written; the tests' condition for a routes version no longer matches row_version.

--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -132,6 +132,7 @@
 	edge_t *edge = ctx;
 
 	msp_tick_target_view(edge->view);
+	check_silent_targets(edge);
 	flush_log();
 }
 
@@ -217,7 +218,8 @@
 count_edge_requests(const edge_t *edge)
 {
 	return edge->request_count +
-	    msp_count_open_exchanges(edge->caller_listener);
+	    msp_count_open_exchanges(edge->caller_listener) +
+	    count_open_peer_answers(edge);
 }
 
 void
--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -19,6 +19,19 @@
 	return msp_now(&request->edge->daemon->env);
 }
 
+size_t
+count_forwards(const edge_t *edge)
+{
+	const edge_request_t *request;
+	size_t count = 0;
+
+	TAILQ_FOREACH(request, &edge->requests, link) {
+		if (request->forward.in_flight)
+			count++;
+	}
+	return count;
+}
+
 bool
 has_lost_targets(const edge_request_t *request)
 {
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -141,6 +141,10 @@
 	    get_targets_age(edge) / MSP_MS;
 	*msp_get_counter(counters, "msp_routes_age_ms") =
 	    get_routes_age(edge) / MSP_MS;
+	*msp_get_counter(counters, "msp_services_lost") =
+	    count_lost_services(edge);
+	*msp_get_counter(counters, "msp_forwards_in_flight") =
+	    count_forwards(edge);
 	update_limit_gauges(edge);
 	msp_add_header(&response.headers, "Content-Type",
 	    "text/plain; version=0.0.4; charset=utf-8");
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -217,6 +217,17 @@
 		free_long_poll(poll);
 }
 
+size_t
+count_open_peer_answers(const edge_t *edge)
+{
+	size_t count = msp_count_open_exchanges(edge->peer_listener);
+	const long_poll_t *poll;
+
+	TAILQ_FOREACH(poll, &edge->long_polls, link)
+		count--;
+	return count;
+}
+
 /* Messages of other VMs are of any kind, and callers' requests among them. */
 static size_t
 get_body_limit(const msp_settings_limits_t *limits)
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -129,7 +129,22 @@
 void suspect_target(edge_t *edge, msp_view_target_t *target,
     msp_digest_t fingerprint, msp_time_t started, const char *reason);
 
-/* To be called after the probes' client was dropped. */
+/*
+ * Checks a target that is not suspect on a new connection, at most once a
+ * second. It becomes suspect if it can't be connected to.
+ */
+void check_target(edge_t *edge, msp_view_target_t *target);
+
+/* edge_silence.c */
+
+/*
+ * Checks the targets that owe this VM responses while their service has sent
+ * nothing at all for a while, since its connections may be dead. To be called
+ * several times a second.
+ */
+void check_silent_targets(edge_t *edge);
+
+/* edge_probe.c: to be called after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
 /* edge_reach.c: whether this VM reaches the targets of a service */
@@ -144,6 +159,9 @@
 
 bool has_lost_service(const edge_t *edge, const char *service);
 
+/* When a target of the service last sent a response; 0: never. */
+msp_time_t get_contact_time(const edge_t *edge, const char *service);
+
 /* Services whose targets this VM has lost. */
 size_t count_lost_services(const edge_t *edge);
 
@@ -156,6 +174,11 @@
 bool pick_forward_vm(const edge_t *edge, const msp_forward_query_t *query,
     msp_forward_pick_t *pick);
 
+/* edge_forward.c */
+
+/* Requests that wait for another VM's answer. */
+size_t count_forwards(const edge_t *edge);
+
 /* edge_forward_serve.c */
 
 /* Serves a request that another VM has forwarded. */
@@ -244,6 +267,9 @@
 msp_time_t get_routes_age(const edge_t *edge);
 
 /* edge_peer_listener.c */
+
+/* Other VMs' requests that are not answered completely, without long polls. */
+size_t count_open_peer_answers(const edge_t *edge);
 msp_status_t open_edge_peer_listener(edge_t *edge);
 void close_edge_peer_listener(edge_t *edge);
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -265,6 +265,17 @@
 	edge->probe_timer = NULL;
 }
 
+void
+check_target(edge_t *edge, msp_view_target_t *target)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+
+	if (is_in_use(target) && target->traffic.suspect_since == 0 &&
+	    !target->traffic.probing &&
+	    now >= target->traffic.probed_at + PROBE_INTERVAL)
+		start_probe(edge, target);
+}
+
 void
 suspect_target(edge_t *edge, msp_view_target_t *target,
     msp_digest_t fingerprint, msp_time_t started, const char *reason)
--- a/source/spindled/edge_reach.c
+++ b/source/spindled/edge_reach.c
@@ -84,6 +84,14 @@
 	    msp_reach_is_lost(reach, msp_now(&edge->daemon->env));
 }
 
+msp_time_t
+get_contact_time(const edge_t *edge, const char *service)
+{
+	const msp_reach_t *reach = msp_map_get(edge->reaches, service);
+
+	return reach == NULL ? 0 : reach->contact_at;
+}
+
 size_t
 count_lost_services(const edge_t *edge)
 {
--- a/tests/process/test_edge_forward.c
+++ b/tests/process/test_edge_forward.c
@@ -166,13 +166,14 @@
 	pair_fixture_t *fixture = *state;
 	edge_fixture_t *first = fixture->pair[0];
 	caller_response_t response;
-	char line[32];
+	char line[48];
 	unsigned int i;
 
 	cut(first);
 	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
 		put_edge_routes_with(first, 10 + i, cases[i].members);
-		snprintf(line, sizeof(line), "version=%u", 10 + i);
+		snprintf(
+		    line, sizeof(line), "state=in-force version=%u ", 10 + i);
 		run_edge_until_logged(first, line, LOG_DELAY_MAX);
 		send_edge_request(first, "POST", "/write/1", &response);
 		assert_int_equal(
@@ -419,9 +420,11 @@
 
 	for (i = 0; i < EDGE_TARGETS; i++)
 		first->targets[i].behaviour = TARGET_DELAYS;
-	for (i = 0; i < REQUESTS; i++)
+	for (i = 0; i < REQUESTS; i++) {
+		first->object = i;
 		start_edge_request(first, first->caller_port, "POST",
 		    "/write/harmless", &responses[i]);
+	}
 	while (count_target_requests(first) < REQUESTS)
 		step_edge_fixture(first);
 	cut(first);
@@ -456,6 +459,56 @@
 	assert_int_equal(strikes, 1);
 }
 
+#define SILENT_REQUESTS 12
+
+/*
+ * Guards against requests that are sent on connections that died silently,
+ * each until its deadline, since no connect fails (RECOVER).
+ */
+static void
+silent_connections_are_noticed_without_a_new_request(void **state)
+{
+	pair_fixture_t *fixture = *state;
+	edge_fixture_t *first = fixture->pair[0];
+	caller_response_t responses[SILENT_REQUESTS];
+	caller_response_t response;
+	unsigned int answered = 0;
+	unsigned int i;
+
+	put_edge_routes_with(first, 3, ",\"timeoutMs\":8000");
+	run_edge_until_logged(
+	    first, "state=in-force version=3 ", LOG_DELAY_MAX);
+	first->deadline_ms = 7000;
+	for (i = 0; i < EDGE_TARGETS; i++)
+		first->targets[i].behaviour = TARGET_DELAYS;
+	for (i = 0; i < SILENT_REQUESTS; i++) {
+		first->object = i;
+		start_edge_request(first, first->caller_port, "POST",
+		    "/write/1", &responses[i]);
+	}
+	while (count_target_requests(first) < SILENT_REQUESTS)
+		step_edge_fixture(first);
+	/* Open connections live on, new ones are refused. */
+	for (i = 0; i < EDGE_TARGETS; i++)
+		msp_close_http_listener(first->targets[i].server);
+	run_edge_until_logged(
+	    first, "event=reach service=desk state=lost", 4 * MSP_SECOND);
+	send_edge_request(first, "GET", "/read/1", &response);
+	assert_served(&response);
+	assert_int_equal(count_target_requests(fixture->pair[1]), 1);
+	/* What was in flight goes on, and its response ends the state. */
+	for (i = 0; i < EDGE_TARGETS; i++)
+		if (first->targets[i].pending != NULL)
+			answer_pending_request(&first->targets[i]);
+	run_edge_until_logged(
+	    first, "event=reach service=desk state=regained", LOG_DELAY_MAX);
+	run_edge_for(first, EMPTY_SPAN);
+	for (i = 0; i < SILENT_REQUESTS; i++)
+		answered +=
+		    responses[i].done == 1 && responses[i].http_status == 200;
+	assert_in_range(answered, 2, EDGE_TARGETS);
+}
+
 /* How a second VM that the test plays answers. */
 typedef enum vm_answer {
 	VM_CLOSES, /* the connection, without an answer */
@@ -636,6 +689,7 @@
 		stopping_vm_finishes_forwarded_requests_and_takes_no_more),
 	    PAIR_TEST(requests_cut_with_all_targets_get_no_strikes),
 	    PAIR_TEST(request_that_ends_one_target_gets_a_strike),
+	    PAIR_TEST(silent_connections_are_noticed_without_a_new_request),
 	    cmocka_unit_test(only_the_answer_to_this_hop_says_that_nothing_ran),
 	};
 
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -271,7 +271,8 @@
 	msp_add_header(&request.headers, "Request-Id", response->id);
 	msp_print_header(
 	    &request.headers, "Deadline-Ms", "%u", fixture->deadline_ms);
-	msp_add_header(&request.headers, "cookie", "Affinity-Key=7");
+	msp_print_header(
+	    &request.headers, "cookie", "Affinity-Key=%u", fixture->object);
 	if (strcmp(method, "POST") == 0)
 		msp_append_data(&request.body, "order", 5);
 	return msp_start_call(
@@ -436,6 +437,7 @@
 	assert_int_equal(register_platform_headers(), MSP_OK);
 	fixture->env = msp_system_env();
 	fixture->deadline_ms = 3000;
+	fixture->object = 7;
 	fixture->settings_members = settings_members;
 	fixture->has_south = has_south;
 	fixture->loop = msp_new_loop(MAX_FDS);
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -72,6 +72,7 @@
 	uint16_t metrics_port;
 	uint16_t peer_port;
 	uint32_t deadline_ms; /* the callers' Deadline-Ms */
+	unsigned int object; /* the callers' affinity key */
 	/*
 	 * If set, handles the targets' requests other than health checks in
 	 * place of the targets' behaviours.
