--- a/tests/process/test_edge_forward.c
+++ b/tests/process/test_edge_forward.c
@@ -349,6 +349,14 @@
 	msp_time_t end = msp_now(&first->env) + 10 * MSP_SECOND;
 	unsigned int i;
 
+	/* Without the caller's leaving nothing ends the request in time. */
+	for (i = 0; i < 2; i++) {
+		put_edge_routes_with(
+		    fixture->pair[i], 3, ",\"timeoutMs\":60000");
+		run_edge_until_logged(fixture->pair[i],
+		    "state=in-force version=3 ", LOG_DELAY_MAX);
+	}
+	first->deadline_ms = 60000;
 	for (i = 0; i < EDGE_TARGETS; i++)
 		second->targets[i].behaviour = TARGET_DELAYS;
 	cut(first);
