--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -52,6 +52,9 @@
 	size_t tried_count;
 } msp_balance_request_t;
 
+/* The route whose home regions bind the request. */
+const msp_path_route_t *msp_home_route(const msp_balance_request_t *request);
+
 typedef struct msp_balance_choice {
 	msp_view_target_t *target; /* borrowed */
 	msp_warmth_t warmth;
@@ -65,6 +68,11 @@
 	size_t limited_count;
 	/* Without a target: `wait` is until such a target may be used. */
 	bool is_limited;
+	/*
+	 * MSP_E_NO_TARGET: there are targets that may have the request, and all
+	 * of them are suspect.
+	 */
+	bool all_suspect;
 } msp_balance_choice_t;
 
 /* Returns NULL if out of memory. `view` and `model` are borrowed. */
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -10,7 +10,9 @@
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
+#include "monsoonspindle/steer/forward_choice.h"
 #include "monsoonspindle/steer/quarantine.h"
+#include "monsoonspindle/steer/reach.h"
 #include "monsoonspindle/steer/traffic_split.h"
 #include "monsoonspindle/steer/strike_sync.h"
 
@@ -57,9 +59,12 @@
 	msp_quarantine_list_t *quarantine;
 	msp_map_t *evacuations; /* keys: places that must get no requests */
 	msp_map_t *retry_budgets; /* msp_retry_budget_t by service */
+	msp_map_t *reaches; /* msp_reach_t by service */
+	msp_forward_choice_t *forward_choice;
 
 	msp_http_client_t *target_client;
 	msp_http_client_t *probe_client;
+	msp_http_client_t *forward_client; /* to other VMs' peer listeners */
 	msp_http_client_t *store_http;
 	store_client_t *store;
 	edge_table_t operator_table;
@@ -138,9 +143,61 @@
 void suspect_target(edge_t *edge, msp_view_target_t *target,
     msp_digest_t fingerprint, msp_time_t started, const char *reason);
 
-/* To be called after the probes' client was dropped. */
+/*
+ * Checks a target that is not suspect on a new connection, at most once a
+ * second. It becomes suspect if it can't be connected to.
+ */
+void check_target(edge_t *edge, msp_view_target_t *target);
+
+/* edge_silence.c */
+
+/*
+ * Checks the targets that owe this VM responses while their service has sent
+ * nothing at all for a while, since its connections may be dead. To be called
+ * several times a second.
+ */
+void check_silent_targets(edge_t *edge);
+
+/* edge_probe.c: to be called after the probes' client was dropped. */
 void drop_probes(edge_t *edge);
 
+/* edge_reach.c: whether this VM reaches the targets of a service */
+msp_status_t open_reaches(edge_t *edge);
+void close_reaches(edge_t *edge);
+
+/* A connect to the target has failed. */
+void record_no_connection(edge_t *edge, msp_view_target_t *target);
+
+/* The target has sent a response. */
+void record_target_contact(edge_t *edge, const msp_view_target_t *target);
+
+bool has_lost_service(const edge_t *edge, const char *service);
+
+/* When a target of the service last sent a response; 0: never. */
+msp_time_t get_contact_time(const edge_t *edge, const char *service);
+
+/* Services whose targets this VM has lost. */
+size_t count_lost_services(const edge_t *edge);
+
+/* edge_forward_vms.c: VMs to which requests may be forwarded */
+
+/* Returns the region of a data centre, or NULL if it is unknown. */
+const char *find_place_region(const edge_t *edge, const char *place);
+
+/* Fills `pick`; returns false if there is no VM to ask. */
+bool pick_forward_vm(const edge_t *edge, const msp_forward_query_t *query,
+    msp_forward_pick_t *pick);
+
+/* edge_forward.c */
+
+/* Requests that wait for another VM's answer. */
+size_t count_forwards(const edge_t *edge);
+
+/* edge_forward_serve.c */
+
+/* Serves a request that another VM has forwarded. */
+void serve_edge_forward(edge_t *edge, msp_exchange_t *exchange);
+
 /* edge_limits.c: rates that targets name in their responses */
 #define LIMITS_PATH "/v1/limits" /* to which VMs send limits */
 
@@ -193,6 +250,8 @@
 void resolve_pending_strikes(
     edge_t *edge, const msp_view_target_t *target, bool exited);
 
+bool has_pending_strikes(const edge_t *edge, const msp_view_target_t *target);
+
 /* Receives strikes from another VM. */
 void serve_strikes(edge_t *edge, msp_exchange_t *exchange);
 
@@ -222,6 +281,9 @@
 msp_time_t get_routes_age(const edge_t *edge);
 
 /* edge_peer_listener.c */
+
+/* Other VMs' requests that are not answered completely, without long polls. */
+size_t count_open_peer_answers(const edge_t *edge);
 msp_status_t open_edge_peer_listener(edge_t *edge);
 void close_edge_peer_listener(edge_t *edge);
 
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -72,10 +72,6 @@
 bool
 may_use_homes(const edge_request_t *request)
 {
-	const msp_path_route_t *route = request->criteria.home_route == NULL
-	    ? request->criteria.route
-	    : request->criteria.home_route;
-
-	return route->home_region_count == 0 ||
+	return msp_home_route(&request->criteria)->home_region_count == 0 ||
 	    !has_outdated_routes(request->edge);
 }
