Read the table of VMs again soon after the start, and when it is needed

It reads the table of VMs once after it has written its own row, and then every 30 s; of VMs that start together the first ones read nearly nothing.

The table is read a second time after 3 s, and when a request finds no VM to be forwarded to, at most once a second. Price: one call more for each start of a VM.

--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -316,8 +316,12 @@
 	forward_terms_t terms = {.attempts_left = get_attempts(request)};
 
 	if (request->is_forwarded || request->exchange == NULL ||
-	    forward->hop_count == FORWARD_VMS_MAX || !find_vm(request, &pick))
+	    forward->hop_count == FORWARD_VMS_MAX)
 		return false;
+	if (!find_vm(request, &pick)) {
+		refresh_edge_vms(request->edge);
+		return false;
+	}
 	terms.time_left_ms = get_forward_time_ms(request, &pick.vm);
 	if (terms.time_left_ms == 0)
 		return false;
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -90,8 +90,8 @@
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
 	edge_remote_vm_t *remote_vms; /* of other data centres; owned */
 	size_t remote_vm_count;
-	msp_time_t
-	    vms_read_at; /* when the table of VMs was first read; 0: not */
+	msp_time_t vms_read_at; /* first read of the table of VMs; 0: none */
+	msp_time_t vms_refreshed_at; /* start of the last read */
 
 	/* Time in ms from a request's arrival to its response. */
 	msp_histogram_t durations[EDGE_OUTCOME_COUNT];
@@ -259,6 +259,9 @@
 void open_edge_vms(edge_t *edge);
 void close_edge_vms(edge_t *edge);
 
+/* Reads the table of VMs again, unless it was just read. */
+void refresh_edge_vms(edge_t *edge);
+
 /* Picks a random VM of another data centre; false if none is known. */
 bool pick_remote_vm(const edge_t *edge, store_source_t *source);
 
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -12,6 +12,9 @@
 #define VM_TRANSFER_MS 15000 /* from then to its end, over a slow link */
 #define VM_RETRY (700 * MSP_MS)
 #define VM_REFRESH (30 * MSP_SECOND)
+/* VMs that start with this one may announce themselves after its first read. */
+#define VM_FIRST_REFRESH (3 * MSP_SECOND)
+#define VM_URGENT_REFRESH (1 * MSP_SECOND) /* at most so often on demand */
 
 bool
 pick_remote_vm(const edge_t *edge, store_source_t *source)
@@ -110,9 +113,10 @@
 	free(edge->remote_vms);
 	edge->remote_vms = lists.others;
 	edge->remote_vm_count = lists.other_count;
+	set_vm_timer(edge,
+	    edge->vms_read_at == 0 ? VM_FIRST_REFRESH : VM_REFRESH, read_vms);
 	if (edge->vms_read_at == 0)
 		edge->vms_read_at = msp_now(&edge->daemon->env);
-	set_vm_timer(edge, VM_REFRESH, read_vms);
 }
 
 static void
@@ -120,6 +124,7 @@
 {
 	edge_t *edge = ctx;
 
+	edge->vms_refreshed_at = msp_now(&edge->daemon->env);
 	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
 	    &(store_timeouts_t){
 		.begin_ms = VM_TIMEOUT_MS, .transfer_ms = VM_TRANSFER_MS},
@@ -171,6 +176,15 @@
 		set_vm_timer(edge, VM_RETRY, write_vm_row);
 }
 
+void
+refresh_edge_vms(edge_t *edge)
+{
+	if (edge->vm_call == NULL && edge->vms_read_at != 0 &&
+	    msp_now(&edge->daemon->env) >=
+		edge->vms_refreshed_at + VM_URGENT_REFRESH)
+		read_vms(edge);
+}
+
 void
 open_edge_vms(edge_t *edge)
 {
