Test a refusal that belongs to an earlier attempt of the same request

"Not executed" is believed if the response bears the request's id. The id tells requests apart, but not two attempts of one request. A request whose target was replaced gets 421 from the successor at the same address, and may then be sent to that successor, whose entry the VM knows by now, on the connection that has just been released. An extra response there, a late copy of the 421, bears the request's own id and comes before the second attempt's response.

The test plays this with a raw target: the VM learns of the successor while the first attempt is open; the copy is sent when the second attempt was read. In the soak a target that crashes takes its entry back, so that a VM seldom knows two targets at one address.

The raw target can answer 421 for another target's requests, and hold its responses.

--- a/tests/process/test_target_responses.c
+++ b/tests/process/test_target_responses.c
@@ -110,6 +110,7 @@
     [EXTRA_WITH_RESPONSE] = "with the response",
     [EXTRA_BEFORE_REQUEST] = "before the request",
     [EXTRA_AFTER_REQUEST] = "after the request",
+    [EXTRA_AFTER_SAME_ID] = "after the next attempt",
 };
 
 static void
@@ -225,21 +226,28 @@
 }
 
 static void
-put_targets(response_test_t *test, unsigned int count)
+put_target(response_test_t *test, const char *id, uint16_t port)
 {
 	char text[512];
+
+	snprintf(text, sizeof(text),
+	    "{\"service\":\"desk\",\"address\":\"127.0.0.1:%u\","
+	    "\"zone\":\"north-a\",\"version\":\"v1\",\"slots\":100,"
+	    "\"state\":\"ready\",\"seq\":1,\"coldRemainingMs\":0,"
+	    "\"born\":1}",
+	    port);
+	put_edge_row(test->edge, "servers", id, text);
+}
+
+static void
+put_targets(response_test_t *test, unsigned int count)
+{
 	char id[16];
 	unsigned int i;
 
 	for (i = 0; i < count; i++) {
 		snprintf(id, sizeof(id), "i-raw-%u", i);
-		snprintf(text, sizeof(text),
-		    "{\"service\":\"desk\",\"address\":\"127.0.0.1:%u\","
-		    "\"zone\":\"north-a\",\"version\":\"v1\",\"slots\":100,"
-		    "\"state\":\"ready\",\"seq\":1,\"coldRemainingMs\":0,"
-		    "\"born\":1}",
-		    test->targets->ports[i]);
-		put_edge_row(test->edge, "servers", id, text);
+		put_target(test, id, test->targets->ports[i]);
 	}
 }
 
@@ -609,10 +617,74 @@
 	}
 }
 
+#define SUCCESSOR "i-raw-new"
+
+/*
+ * A request is refused with 421 by the successor of its target, and is sent to
+ * that successor at the same address, which executes it and sends the extra
+ * response first.
+ */
+static void
+play_successor_case(const extra_response_t *extra)
+{
+	response_test_t *test = new_response_test(1);
+	test_request_t *request;
+	tally_t tally;
+
+	test->targets->instance = SUCCESSOR;
+	test->targets->holds = true;
+	arm_extra_response(test->targets, EXTRA_AFTER_SAME_ID, extra, "POST");
+	request = start_test_request(test, false);
+	run_edge_until(
+	    test->edge, &test->targets->request_count, WARM_UP_REQUESTS + 1);
+	put_target(test, SUCCESSOR, test->targets->ports[0]);
+	run_edge_until_logged(
+	    test->edge, "event=target target=" SUCCESSOR, 5 * MSP_SECOND);
+	test->targets->holds = false;
+	run_edge_until(test->edge, &request->done, 1);
+	tally = judge_requests(test);
+	print_message("%s: %d, executed %u\n", extra->name,
+	    request->http_status, count_executions(test->targets, request->id));
+	assert_int_equal(test->targets->request_count, WARM_UP_REQUESTS + 2);
+	assert_int_equal(count_executions(test->targets, request->id), 1);
+	assert_int_equal(tally.refused, 0);
+	assert_int_equal(tally.mixed, 0);
+	assert_int_equal(request->http_status, 200);
+	drop_response_test(test);
+}
+
+/*
+ * Guards against "not executed" that belongs to an earlier attempt of the same
+ * request at the same address, and so bears the request's own id.
+ */
+static void
+refusal_of_an_earlier_attempt_is_not_believed(void **state)
+{
+	static const extra_response_t refusals[] = {
+	    {.name = "421 not executed",
+		.status_line = "421 Misdirected",
+		.id = EXTRA_ID_PREVIOUS,
+		.not_executed = true},
+	    {.name = "421",
+		.status_line = "421 Misdirected",
+		.id = EXTRA_ID_PREVIOUS},
+	    {.name = "503 not executed",
+		.status_line = "503 Busy",
+		.id = EXTRA_ID_PREVIOUS,
+		.not_executed = true},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(refusals) / sizeof(*refusals); i++)
+		play_successor_case(&refusals[i]);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(refusal_of_an_earlier_attempt_is_not_believed),
 	    cmocka_unit_test(extra_response_with_the_response_is_not_believed),
 	    cmocka_unit_test(extra_response_in_the_buffer_is_not_believed),
 	    cmocka_unit_test(extra_response_before_the_request_is_not_believed),
--- a/tests/support/raw_target.c
+++ b/tests/support/raw_target.c
@@ -97,10 +97,12 @@
 {
 	bool anonymous =
 	    connection->sheds && connection->targets->sheds_without_id;
+	const char *shed_line =
+	    connection->misdirected ? "421 Misdirected" : "503 Busy";
 	msp_buffer_t out = {0};
 
 	connection->busy = false;
-	append_response(&out, connection->sheds ? "503 Busy" : "200 OK",
+	append_response(&out, connection->sheds ? shed_line : "200 OK",
 	    anonymous ? "" : connection->id,
 	    connection->sheds ? "" : connection->id, connection->sheds,
 	    !connection->sheds);
@@ -129,6 +131,28 @@
 	(*count)++;
 }
 
+static bool
+is_misdirected(const raw_targets_t *targets, const char *head)
+{
+	char instance[RAW_ID_SIZE];
+
+	return targets->instance != NULL &&
+	    find_field(head, "Target-Instance:", instance, sizeof(instance)) &&
+	    strcmp(instance, targets->instance) != 0;
+}
+
+/* Whether the request that was just read is to meet the extra response. */
+static bool
+meets_extra(const raw_target_connection_t *connection, const char *head)
+{
+	const char *method = connection->targets->extra_method;
+
+	if (is_extra_due(connection, EXTRA_AFTER_SAME_ID))
+		return strcmp(connection->id, connection->previous_id) == 0;
+	return is_extra_due(connection, EXTRA_AFTER_REQUEST) &&
+	    strncmp(head, method, strlen(method)) == 0;
+}
+
 static void
 begin_request(raw_target_connection_t *connection, const char *head)
 {
@@ -139,8 +163,10 @@
 	targets->request_count++;
 	connection->busy = true;
 	connection->due = msp_now(&targets->env) + targets->work;
-	connection->sheds = targets->shed_one_in > 0 &&
-	    targets->request_count % targets->shed_one_in == 0;
+	connection->misdirected = is_misdirected(targets, head);
+	connection->sheds = connection->misdirected ||
+	    (targets->shed_one_in > 0 &&
+		targets->request_count % targets->shed_one_in == 0);
 	if (!find_field(
 		head, "Request-Id:", connection->id, sizeof(connection->id)))
 		connection->id[0] = '\0';
@@ -148,9 +174,7 @@
 		count_execution(targets, connection->id);
 	if (connection->had_extra)
 		connection->reused = true;
-	if (!is_extra_due(connection, EXTRA_AFTER_REQUEST) ||
-	    strncmp(head, targets->extra_method,
-		strlen(targets->extra_method)) != 0)
+	if (!meets_extra(connection, head))
 		return;
 	append_extra(connection, &extra);
 	write_connection(connection, msp_buffer_text(&extra));
@@ -223,7 +247,8 @@
 			continue;
 		read_connection(connection);
 		parse_input(connection);
-		if (connection->busy && now >= connection->due)
+		if (connection->busy && !targets->holds &&
+		    now >= connection->due)
 			send_response(connection);
 	}
 }
--- a/tests/support/raw_target.h
+++ b/tests/support/raw_target.h
@@ -19,6 +19,8 @@
 	EXTRA_WITH_RESPONSE, /* in the same write as a complete response */
 	EXTRA_BEFORE_REQUEST, /* on send_extra_response() */
 	EXTRA_AFTER_REQUEST, /* when the next request was read */
+	/* When the next request was read and has the id of the previous one. */
+	EXTRA_AFTER_SAME_ID,
 } extra_time_t;
 
 /* Whose Request-Id the extra response bears. */
@@ -48,6 +50,7 @@
 	char previous_id[RAW_ID_SIZE]; /* of the previous one */
 	bool busy;
 	bool sheds; /* the current request is not executed */
+	bool misdirected; /* because it is for another target */
 	msp_time_t due; /* of the response */
 	unsigned int request_count;
 	bool had_extra;
@@ -68,6 +71,9 @@
 	unsigned int
 	    shed_one_in; /* of so many requests, one is shed; 0: none */
 	bool sheds_without_id;
+	/* If set, requests for another target get 421 and are not executed. */
+	const char *instance;
+	bool holds; /* sends no responses for now */
 	unsigned int request_count;
 	bool armed; /* the extra response is still to be sent */
 	const char *extra_method; /* of the request that is to meet it */
