Use no connection of an earlier attempt of the same request

Cause: a response is taken for an attempt's own if it bears the request's id. Two attempts of one request bear the same id, and the second may go to the address of the first: the target there was replaced, answered 421, and its successor's entry is known. The pool hands out the connection that was released last, so the second attempt followed the first on it, and a late copy of the 421 was believed for the second: 503 for what ran (REFUSED).

An attempt to an address to which the request has been sent before now takes a connection that has carried nothing. The hash of address and port is kept when an attempt is sent, since an entry can change in place meanwhile; two addresses with one hash cost a connection and nothing else. To judge by the connection's number instead was ruled out: it would turn the successor's true response into 502.

The price is a new connection where a request comes back to an address; it was not measured.

Whether this was the users' one case is not shown: they kept no logs.

--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -277,15 +277,66 @@
 	return fields.is_own;
 }
 
+static uint64_t
+hash_address(const msp_registration_t *registration)
+{
+	return msp_hash_text(registration->address, registration->port);
+}
+
+/* Whether an earlier attempt of the request went to the address. */
+static bool
+was_address_tried(
+    const edge_request_t *request, const msp_registration_t *registration)
+{
+	uint64_t hash = hash_address(registration);
+	size_t i;
+
+	for (i = 0; i < request->criteria.tried_count; i++) {
+		if (request->tried_addresses[i] == hash)
+			return true;
+	}
+	return false;
+}
+
+static void
+fill_call_options(const edge_request_t *request, msp_call_options_t *options)
+{
+	const msp_registration_t *registration =
+	    &request->choice.target->registration;
+
+	*options = (msp_call_options_t){
+	    .address = registration->address,
+	    .port = registration->port,
+	    .timeout_ms = (uint32_t)(request->criteria.time_left / MSP_MS),
+	    .judge = judge_response,
+	    /*
+	     * The request's id does not tell a late response to an earlier
+	     * attempt from one to this attempt.
+	     */
+	    .unused_connection = was_address_tried(request, registration),
+	};
+}
+
+/* Notes the target to which the request has been sent. */
+static void
+record_tried_target(edge_request_t *request)
+{
+	msp_view_target_t *target = request->choice.target;
+	size_t index = request->criteria.tried_count++;
+
+	request->tried[index] = msp_keep_view_target(target);
+	request->tried_addresses[index] = hash_address(&target->registration);
+	request->sent_incarnation = target->registration.incarnation;
+}
+
 void
 send_request(edge_request_t *request)
 {
 	edge_t *edge = request->edge;
 	msp_time_t now = get_now(edge);
 	msp_request_t out = {0};
-	msp_call_options_t options = {0};
+	msp_call_options_t options;
 	msp_status_t status;
-	const msp_registration_t *registration;
 
 	request->criteria.time_left =
 	    request->deadline > now ? request->deadline - now : 0;
@@ -295,13 +346,9 @@
 		end_without_target(request, status);
 		return;
 	}
-	registration = &request->choice.target->registration;
-	options.address = registration->address;
-	options.port = registration->port;
-	options.judge = judge_response;
-	options.timeout_ms = (uint32_t)(request->criteria.time_left / MSP_MS);
+	fill_call_options(request, &options);
 	status = encode_target_request(msp_exchange_request(request->exchange),
-	    registration->id, options.timeout_ms, &out);
+	    request->choice.target->registration.id, options.timeout_ms, &out);
 	if (status == MSP_OK) {
 		request->call = msp_start_call(edge->target_client, &options,
 		    &out, handle_call_done, request);
@@ -314,9 +361,7 @@
 	msp_begin_balanced_request(edge->balancer, &request->choice);
 	count_sent_request(edge, request->choice.target,
 	    request->criteria.tried_count == 0 ? "request" : "retry");
-	request->tried[request->criteria.tried_count++] =
-	    msp_keep_view_target(request->choice.target);
+	record_tried_target(request);
 	request->sent_count++;
 	request->sent_at = now;
-	request->sent_incarnation = registration->incarnation;
 }
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -21,6 +21,7 @@
 	msp_time_t deadline; /* for the final response */
 	msp_balance_request_t criteria;
 	msp_view_target_t *tried[TRIED_MAX];
+	uint64_t tried_addresses[TRIED_MAX]; /* their hashes when tried */
 	uint32_t sent_count; /* attempts that may have reached a target */
 	msp_balance_choice_t choice; /* of the current attempt */
 	msp_call_t *call;
