--- a/tests/net/test_connection_reuse.c
+++ b/tests/net/test_connection_reuse.c
@@ -126,6 +126,73 @@
 	}
 }
 
+/* Two responses that take turns on one connection; they differ in fields. */
+static const char *const turns[] = {
+    "HTTP/1.1 503 Busy\r\nX-Correlation-Id: first\r\nSunset: 1\r\n"
+    "Retry-After: 2\r\nContent-Length: 0\r\n\r\n",
+    OK_LINE "X-Correlation-Id: second\r\nContent-Length: 0\r\n\r\n",
+};
+
+/* Sends a response in two parts; the client reads the first by itself. */
+static void
+respond_in_two_parts(
+    client_test_t *test, raw_socket_t *raw, const char *text, size_t first_len)
+{
+	char part[256];
+
+	snprintf(part, sizeof(part), "%.*s", (int)first_len, text);
+	deliver_text(raw, part);
+	msp_step_loop(test->loop, 1);
+	msp_step_loop(test->loop, 1);
+	assert_int_equal(test->outcome.done_count, 0);
+	raw_send_text(raw, text + first_len);
+	wait_outcome(test, text);
+	assert_int_equal(test->outcome.status, MSP_OK);
+}
+
+static void
+assert_fields_of_turn(const msp_response_t *response, size_t turn, size_t at)
+{
+	const msp_headers_t *headers = &response->headers;
+	const char *id = msp_find_header(headers, "x-correlation-id");
+	bool is_first = turn == 0;
+
+	if (response->status != (is_first ? 503 : 200) || id == NULL ||
+	    strcmp(id, is_first ? "first" : "second") != 0 ||
+	    (msp_find_header(headers, "sunset") != NULL) != is_first ||
+	    (msp_find_header(headers, "retry-after") != NULL) != is_first)
+		fail_msg("response %zu, split at %zu: %d, id \"%s\"", turn, at,
+		    response->status, id == NULL ? "none" : id);
+}
+
+/*
+ * Guards against "not executed" that a connection's earlier response stated,
+ * and against fields that are lost or mixed where a head arrives in two parts.
+ */
+static void
+each_response_has_its_own_fields_only(void **state)
+{
+	client_test_t *test = *state;
+	raw_socket_t raw = {0};
+	size_t turn;
+	size_t at;
+
+	complete_one_call(test, &raw, true);
+	for (at = 1; at < strlen(turns[0]); at++) {
+		for (turn = 0; turn < 2; turn++) {
+			if (at >= strlen(turns[turn]))
+				continue;
+			raw_clear_input(&raw);
+			start_test_call(test, "POST", "/b", &test->outcome);
+			assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+			respond_in_two_parts(test, &raw, turns[turn], at);
+			assert_fields_of_turn(
+			    &test->outcome.response, turn, at);
+		}
+	}
+	raw_close(&raw);
+}
+
 int
 main(void)
 {
@@ -133,6 +200,7 @@
 	cmocka_unit_test_setup_teardown(name, set_up_client, tear_down_client)
 	const struct CMUnitTest tests[] = {
 	    CASE(connection_passed_over_is_not_used_later),
+	    CASE(each_response_has_its_own_fields_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
