Soak refusals, and successors at the addresses of known targets

In the soak a target that crashed took its entry back at once, so VMs hardly ever knew a target and its successor at one address; the platform's entries outlive a crash. Profiles can now say how often the entry stays and a successor takes the address.

--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -17,6 +17,7 @@
 
 #define SECONDS 3
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
+#define REPLACED_SECONDS 8
 #define VMS 3
 #define TARGETS 6
 #define PATH_SIZE 256
@@ -64,6 +65,16 @@
     {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS},
     {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
 	LIMIT_SECONDS},
+    /*
+     * A late copy of a successor's 421 to the first attempt of a request was
+     * taken for the response to its second attempt.
+     */
+    {"successors_at_known_addresses_break_no_rule", "replaced", 5, true,
+	REPLACED_SECONDS},
+    {"targets_that_refuse_most_requests_break_no_rule", "refusals", 1, false,
+	SECONDS},
+    {"refusals_by_processes_with_little_time_break_no_rule", "refusals-starved",
+	1, false, SECONDS},
     /* VMs that restart and freeze must not take others' parts of a limit. */
     {"limits_hold_while_vms_restart", "limits-signals", 1, false,
 	LIMIT_SECONDS},
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -8,6 +8,7 @@
 #define BURST_FACTOR 4
 #define STORE_LATENCY_MAX_MS 800
 #define SHORT (200 * MSP_MS)
+#define REPLACED_MAX SHORT /* until a target's successor runs */
 
 static soak_vm_t *
 pick_running_vm(soak_t *soak)
@@ -48,6 +49,20 @@
 	}
 }
 
+static void
+crash_target(soak_t *soak, soak_target_t *target, msp_time_t duration)
+{
+	double replaced = soak->profile->replaced;
+
+	/* Without draws that would change the seeds of other profiles. */
+	if (replaced > 0 && soak_chance(soak->loop, replaced))
+		replace_soak_target(
+		    target, soak_between(soak->loop, 0, REPLACED_MAX));
+	else
+		crash_soak_target(
+		    target, soak_chance(soak->loop, 0.5), duration);
+}
+
 static void
 fault_target(soak_t *soak, soak_fault_t kind)
 {
@@ -57,8 +72,7 @@
 
 	switch (kind) {
 	case SOAK_CRASH:
-		crash_soak_target(
-		    target, soak_chance(soak->loop, 0.5), duration);
+		crash_target(soak, target, duration);
 		break;
 	case SOAK_DRAIN:
 		drain_soak_target(target);
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -32,7 +32,10 @@
 	SOAK_DEAF = 1 << 12, /* a target accepts no connections */
 	SOAK_MUTE = 1 << 13, /* a target reads and runs, but answers later */
 	SOAK_STORE_SILENT = 1 << 14,
-	SOAK_FAULT_COUNT = 15,
+	/* A target crashes; its successor has its address, and its entry stays.
+	 */
+	SOAK_REPLACE = 1 << 15,
+	SOAK_FAULT_COUNT = 16,
 } soak_fault_t;
 
 /* How often targets and clients do what is unusual: probabilities. */
@@ -79,6 +82,8 @@
 	double limit_max;
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
+	/* Of SOAK_CRASH: a successor has the address, and the entry stays. */
+	double replaced;
 } soak_profile_t;
 
 typedef struct soak soak_t;
@@ -93,6 +98,7 @@
 typedef struct soak_target {
 	soak_t *soak;
 	char id[24];
+	char former_id[24]; /* whose entry is still there; "": none */
 	unsigned int index;
 	unsigned int starts;
 	char service[4];
@@ -118,6 +124,7 @@
 	unsigned int running;
 	soak_timer_t heartbeat;
 	soak_timer_t change; /* end of slowness, of draining or of a crash */
+	soak_timer_t former_end; /* removes the entry of `former_id` */
 	soak_timer_t limit_change; /* names or lifts a limit */
 	limit_judge_t limit;
 } soak_target_t;
@@ -179,6 +186,7 @@
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
 void crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back);
+void replace_soak_target(soak_target_t *target, msp_time_t back);
 void drain_soak_target(soak_target_t *target);
 void slow_soak_target(soak_target_t *target, msp_time_t duration);
 void silence_soak_target(soak_target_t *target, msp_time_t duration);
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -532,14 +532,24 @@
 }
 
 static void
-remove_row(soak_target_t *target)
+remove_row(const soak_target_t *target, const char *id)
 {
 	char key[64];
 
-	snprintf(key, sizeof(key), "servers|%s", target->id);
+	snprintf(key, sizeof(key), "servers|%s", id);
 	put_soak_row(target->soak, key, NULL);
 }
 
+/* Removes the entry of a target that was replaced. */
+static void
+handle_former_end(void *ctx)
+{
+	soak_target_t *target = ctx;
+
+	remove_row(target, target->former_id);
+	target->former_id[0] = '\0';
+}
+
 static void
 handle_heartbeat(void *ctx)
 {
@@ -611,7 +621,7 @@
 	}
 	if (target->draining) {
 		stop_target(target);
-		remove_row(target);
+		remove_row(target, target->id);
 		name_target(target);
 	}
 	if (!target->up)
@@ -685,12 +695,26 @@
 		return;
 	stop_target(target);
 	if (!same_id) {
-		remove_row(target);
+		remove_row(target, target->id);
 		name_target(target);
 	}
 	change_later(target, back);
 }
 
+void
+replace_soak_target(soak_target_t *target, msp_time_t back)
+{
+	if (is_changing(target) || target->former_id[0] != '\0')
+		return;
+	stop_target(target);
+	snprintf(
+	    target->former_id, sizeof(target->former_id), "%s", target->id);
+	set_soak_timer(
+	    target->soak->loop, &target->former_end, soak_now() + ROW_LIFE);
+	name_target(target);
+	change_later(target, back);
+}
+
 void
 drain_soak_target(soak_target_t *target)
 {
@@ -777,6 +801,8 @@
 		    (soak_timer_t){.fire = handle_heartbeat, .ctx = target};
 		target->change =
 		    (soak_timer_t){.fire = handle_change, .ctx = target};
+		target->former_end =
+		    (soak_timer_t){.fire = handle_former_end, .ctx = target};
 		if (open_soak_link(target) != 0)
 			return -1;
 		start_target(target);
@@ -799,6 +825,7 @@
 			continue;
 		clear_soak_timer(soak->loop, &soak->targets[i].heartbeat);
 		clear_soak_timer(soak->loop, &soak->targets[i].change);
+		clear_soak_timer(soak->loop, &soak->targets[i].former_end);
 		clear_soak_timer(soak->loop, &soak->targets[i].limit_change);
 		stop_target(&soak->targets[i]);
 		drop_limit_judge(&soak->targets[i].limit);
