Let the soak's targets send nothing after a part of a response

The protocol has extra bytes only after a complete response; a target that cuts one off now drops what waits. Only the new profiles "refusals" and "replaced-all" have cut-off and extra responses together.

--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -173,6 +173,14 @@
 		finish_soak_stream(&conn->stream);
 }
 
+/* Extra bytes after a part of a response would be taken for its rest. */
+static void
+drop_late_data(soak_conn_t *conn)
+{
+	clear_soak_timer(conn->target->soak->loop, &conn->late);
+	msp_clear_buffer(&conn->late_data);
+}
+
 /* Sends a copy of the response, or a refusal, after the response. */
 static void
 send_extra(soak_conn_t *conn, const msp_buffer_t *response)
@@ -245,6 +253,7 @@
 	if (soak_chance(soak->loop, profile->truncated)) {
 		len = 1 + soak_random(soak->loop, out.len - 1);
 		conn->ending = true;
+		drop_late_data(conn);
 	} else if (!refuses && !conn->late_data.len &&
 	    soak_chance(soak->loop, profile->split)) {
 		len = 1 + soak_random(soak->loop, out.len - 1);
