--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -22,6 +22,7 @@
 #define CUT_TRIES_MIN 50 /* fewer judge nothing */
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
+#define REPLACED_SECONDS 8
 #define VMS 3
 #define TARGETS 6
 #define PATH_SIZE 256
@@ -80,6 +81,16 @@
 	VMS, TARGETS},
     {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
 	LIMIT_SECONDS, VMS, TARGETS},
+    /*
+     * A late copy of a successor's 421 to the first attempt of a request was
+     * taken for the response to its second attempt.
+     */
+    {"successors_at_known_addresses_break_no_rule", "replaced", 5, true,
+	REPLACED_SECONDS, VMS, TARGETS},
+    {"targets_that_refuse_most_requests_break_no_rule", "refusals", 1, false,
+	SECONDS, VMS, TARGETS},
+    {"refusals_by_processes_with_little_time_break_no_rule", "refusals-starved",
+	1, false, SECONDS, VMS, TARGETS},
     /* VMs that restart and freeze must not take others' parts of a limit. */
     {"limits_hold_while_vms_restart", "limits-signals", 1, false, LIMIT_SECONDS,
 	VMS, TARGETS},
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -35,7 +35,10 @@
 	SOAK_DEAF = 1 << 12, /* a target accepts no connections */
 	SOAK_MUTE = 1 << 13, /* a target reads and runs, but answers later */
 	SOAK_STORE_SILENT = 1 << 14,
-	SOAK_FAULT_COUNT = 15,
+	/* A target crashes; its successor has its address, and its entry stays.
+	 */
+	SOAK_REPLACE = 1 << 15,
+	SOAK_FAULT_COUNT = 16,
 } soak_fault_t;
 
 /* What happens to the links between a VM and all targets. */
@@ -104,6 +107,8 @@
 	unsigned int fault_kinds; /* soak_fault_t */
 	unsigned int cut_ways; /* soak_cut_t */
 	bool cuts_all; /* VMs at the same time */
+	/* Of SOAK_CRASH: a successor has the address, and the entry stays. */
+	double replaced;
 } soak_profile_t;
 
 typedef struct soak soak_t;
@@ -142,6 +147,7 @@
 typedef struct soak_target {
 	soak_t *soak;
 	char id[24];
+	char former_id[24]; /* whose entry is still there; "": none */
 	unsigned int index;
 	unsigned int starts;
 	char service[4];
@@ -166,6 +172,7 @@
 	unsigned int running;
 	soak_timer_t heartbeat;
 	soak_timer_t change; /* end of slowness, of draining or of a crash */
+	soak_timer_t former_end; /* removes the entry of `former_id` */
 	soak_timer_t limit_change; /* names or lifts a limit */
 	limit_judge_t limit;
 } soak_target_t;
@@ -256,6 +263,7 @@
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
 void crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back);
+void replace_soak_target(soak_target_t *target, msp_time_t back);
 void drain_soak_target(soak_target_t *target);
 void slow_soak_target(soak_target_t *target, msp_time_t duration);
 void silence_soak_target(soak_target_t *target, msp_time_t duration);
