Split the balancer by loads, order and cost of targets

The functions are moved as they were, with the names of the package where another file calls them; nothing else changes.

--- /dev/null
+++ b/source/steer/balancer_rank.c
@@ -0,0 +1,139 @@
+#include <string.h>
+
+#include "balancer_private.h"
+
+static bool
+was_tried(const msp_balance_request_t *request, const msp_view_target_t *target)
+{
+	size_t i;
+
+	for (i = 0; i < request->tried_count; i++) {
+		if (request->tried[i] == target)
+			return true;
+	}
+	return false;
+}
+
+const msp_path_route_t *
+msp_home_route(const msp_balance_request_t *request)
+{
+	return request->home_route == NULL ? request->route
+					   : request->home_route;
+}
+
+/* Whether the target may have the request if it can be reached. */
+static bool
+may_serve(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const msp_view_target_t *target)
+{
+	return msp_target_is_usable(target, request->service->name) &&
+	    msp_route_allows_region(msp_home_route(request), target->region) &&
+	    !balancer->callbacks.is_evacuated(
+		balancer->callbacks.ctx, target->registration.place);
+}
+
+/* Whether the target is eligible for the request. */
+bool
+msp_is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const msp_view_target_t *target)
+{
+	return target->traffic.suspect_since == 0 &&
+	    may_serve(balancer, request, target);
+}
+
+/* Whether targets may serve the request and all of these are suspect. */
+bool
+msp_are_all_suspect(
+    msp_balancer_t *balancer, const msp_balance_request_t *request)
+{
+	const msp_view_target_t *target;
+	bool found = false;
+
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!may_serve(balancer, request, target))
+			continue;
+		if (target->traffic.suspect_since == 0)
+			return false;
+		found = true;
+	}
+	return found;
+}
+
+bool
+msp_is_local_target(
+    const msp_balancer_t *balancer, const msp_view_target_t *target)
+{
+	return strcmp(target->region, balancer->options.region) == 0;
+}
+
+/* Inserts a target by its score, if it is among the best. */
+static void
+insert_ranked(msp_ranking_t *ranking, msp_view_target_t *target, uint64_t score)
+{
+	size_t at = ranking->count;
+
+	if (at == CANDIDATES_MAX && score <= ranking->scores[at - 1])
+		return;
+	if (at == CANDIDATES_MAX)
+		at--;
+	else
+		ranking->count++;
+	for (; at > 0 && ranking->scores[at - 1] < score; at--) {
+		ranking->scores[at] = ranking->scores[at - 1];
+		ranking->list[at] = ranking->list[at - 1];
+	}
+	ranking->scores[at] = score;
+	ranking->list[at] = target;
+}
+
+/* Leaves out a target at its limit. */
+static void
+leave_out(const msp_balancer_t *balancer, msp_ranking_t *ranking,
+    msp_view_target_t *target)
+{
+	msp_time_t wait =
+	    msp_rate_share_wait(&target->limit.share, msp_now(&balancer->env));
+
+	ranking->limited_count++;
+	if (wait < ranking->limit_wait)
+		ranking->limit_wait = wait;
+}
+
+/*
+ * Ranks the eligible targets for the object, by rendezvous hashing; without an
+ * object, by lowest utilisation, with those of this region first.
+ */
+void
+msp_rank_targets(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const msp_region_loads_t *loads, const msp_ranking_scope_t *scope,
+    msp_ranking_t *ranking)
+{
+	msp_view_target_t *target;
+	double utilisation;
+
+	*ranking = (msp_ranking_t){.limit_wait = MSP_NEVER};
+	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
+		if (!msp_is_candidate(balancer, request, target) ||
+		    was_tried(request, target) ||
+		    (scope->local_only &&
+			!msp_is_local_target(balancer, target)))
+			continue;
+		if (!msp_target_limit_allows(balancer, target) ||
+		    (scope->without_limited &&
+			msp_limit_in_force(&target->limit))) {
+			leave_out(balancer, ranking, target);
+			continue;
+		}
+		if (request->has_object) {
+			insert_ranked(ranking, target,
+			    msp_score_target(target, request->object_hash));
+			continue;
+		}
+		utilisation = msp_estimate_load(balancer, loads, target) /
+		    target->registration.slots;
+		if (!msp_is_local_target(balancer, target))
+			utilisation += 1;
+		insert_ranked(
+		    ranking, target, (uint64_t)(1e12 / (1 + utilisation)));
+	}
+}
