--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -1,4 +1,4 @@
-#include "table_follower.h"
+#include "table_follower_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +8,6 @@
 #define STORE_RETRY_TIMEOUT_MS 600 /* after a failed read */
 #define STORE_BACKOFF (1 * MSP_SECOND) /* between attempts while it fails */
 #define VM_TIMEOUT_MS 400 /* beyond the long poll */
-#define OUTAGE_CHECKS_MAX 3 /* VMs that are read after an outage */
 #define SNAPSHOT_TIMEOUT_MS 2000 /* of one page */
 /*
  * Time from the start of a response to its end. A VM shares its link with all
@@ -23,36 +22,6 @@
 #define RETRY_DELAY_MIN (150 * MSP_MS)
 #define RETRY_DELAY_MAX (300 * MSP_MS)
 
-struct table_follower {
-	msp_loop_t *loop;
-	msp_env_t env;
-	store_client_t *store;
-	table_follower_options_t options;
-	table_follower_callbacks_t callbacks;
-	table_copy_t *copy;
-	store_call_t *call; /* the pending read, or NULL */
-	msp_timer_t *timer; /* starts the next read */
-	msp_timer_t *stale_timer; /* fires when the copy becomes stale */
-	bool reads_snapshot; /* else reads changes */
-	bool is_loaded; /* a snapshot has been read */
-	bool reads_vm; /* the pending read goes to a VM */
-	store_source_t vm; /* to which it goes then */
-	msp_time_t read_started;
-	char page_start[STORE_KEY_MAX + 1]; /* key; "": first page */
-	uint64_t snapshot_version; /* of the first page */
-	unsigned int attempt; /* since the last fresh response */
-	msp_time_t store_lost_since; /* 0: the store answers this VM */
-	msp_time_t store_read_at; /* start of the last read of the store */
-	msp_time_t stale_since; /* 0: the copy is fresh */
-	msp_time_t fresh_since; /* 0: the copy is stale */
-	unsigned int outage_checks; /* VMs read since the outage ended */
-	bool checks_outage; /* the next read goes to a VM */
-	bool must_read_store; /* the next read goes to the store */
-	/* Responses cut off by their time since the last fresh one. */
-	unsigned int cut_reads;
-	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
-};
-
 static void start_read(table_follower_t *follower);
 
 static msp_time_t
@@ -81,49 +50,13 @@
 		abort();
 }
 
-static void
-check_stale(table_follower_t *follower)
-{
-	if (follower->stale_since != 0 ||
-	    get_table_age(follower) <= TABLE_FRESH_MAX_AGE)
-		return;
-	follower->stale_since = get_now(follower);
-	follower->fresh_since = 0;
-	follower->callbacks.on_stale(follower->callbacks.ctx);
-}
-
-static void
-handle_stale_timer(void *ctx)
-{
-	table_follower_t *follower = ctx;
-
-	msp_drop_timer(follower->stale_timer);
-	follower->stale_timer = NULL;
-	check_stale(follower);
-}
-
-/* A read may take longer than the copy stays fresh. */
-static void
-schedule_stale_check(table_follower_t *follower)
-{
-	msp_time_t age = get_table_age(follower);
-
-	msp_drop_timer(follower->stale_timer);
-	follower->stale_timer = NULL;
-	if (follower->stale_since != 0 || age > TABLE_FRESH_MAX_AGE)
-		return;
-	follower->stale_timer =
-	    msp_new_timer(follower->loop, TABLE_FRESH_MAX_AGE - age + MSP_MS, 0,
-		handle_stale_timer, follower);
-}
-
 /* Tries the next source soon, with a longer delay after several attempts. */
 static void
 schedule_retry(table_follower_t *follower)
 {
 	msp_time_t delay = QUICK_DELAY;
 
-	check_stale(follower);
+	check_table_stale(follower);
 	/* The next page can't be read from another source. */
 	follower->page_start[0] = '\0';
 	follower->attempt++;
@@ -160,7 +93,7 @@
 	if (was_cut_off(reply) && follower->cut_reads < CUT_READS_MAX)
 		follower->cut_reads++;
 	if (was_cut_off(reply) && follower->reads_vm) {
-		check_stale(follower);
+		check_table_stale(follower);
 		follower->page_start[0] = '\0';
 		follower->must_read_store = true;
 		schedule_read(follower, QUICK_DELAY);
@@ -186,58 +119,6 @@
 	    follower->callbacks.ctx, get_now(follower) - lost_since);
 }
 
-/* A copy becomes stale TABLE_FRESH_MAX_AGE after its last fresh response. */
-static msp_time_t
-get_stale_time(const table_follower_t *follower)
-{
-	return get_now(follower) - follower->stale_since + TABLE_FRESH_MAX_AGE;
-}
-
-/* Returns whether `reply` is from a VM whose copy was fresh all the time. */
-static bool
-shows_store_was_up(const table_follower_t *follower, const store_reply_t *reply)
-{
-	return follower->reads_vm &&
-	    reply->fresh_for_ms * MSP_MS >= get_stale_time(follower);
-}
-
-/*
- * Returns whether to read from another VM first, to find out whether the store
- * was down for all VMs: `reply` is from the store itself, or from a VM that had
- * lost it like this one.
- */
-static bool
-needs_outage_check(const table_follower_t *follower, const store_reply_t *reply)
-{
-	return follower->stale_since != 0 &&
-	    get_stale_time(follower) > follower->options.outage_threshold &&
-	    !shows_store_was_up(follower, reply) &&
-	    follower->outage_checks < OUTAGE_CHECKS_MAX;
-}
-
-/* Records a fresh response, and reports it if the copy was stale. */
-static void
-mark_fresh(table_follower_t *follower, const store_reply_t *reply)
-{
-	bool was_down;
-
-	follower->attempt = 0;
-	follower->cut_reads = 0;
-	follower->retry_delay = 0;
-	follower->outage_checks = 0;
-	if (follower->fresh_since == 0)
-		follower->fresh_since = get_now(follower);
-	if (follower->stale_since == 0)
-		return;
-	was_down =
-	    get_stale_time(follower) > follower->options.outage_threshold &&
-	    !shows_store_was_up(follower, reply);
-	follower->fresh_since = get_now(follower);
-	follower->callbacks.on_fresh(
-	    follower->callbacks.ctx, get_stale_time(follower), was_down);
-	follower->stale_since = 0;
-}
-
 static void
 apply_rows(table_follower_t *follower, const store_reply_t *reply)
 {
@@ -300,14 +181,6 @@
 	schedule_read(follower, follower->options.store_interval);
 }
 
-/* Whether the rows are still fresh at the end of the response. */
-static bool
-is_current(const store_reply_t *reply)
-{
-	return ((msp_time_t)reply->age_ms + reply->transfer_ms) * MSP_MS <=
-	    TABLE_FRESH_MAX_AGE;
-}
-
 static void
 handle_reply(void *ctx, const store_reply_t *reply)
 {
@@ -316,6 +189,8 @@
 	bool fresh = reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
 
 	follower->call = NULL;
+	msp_drop_timer(follower->stale_timer);
+	follower->stale_timer = NULL;
 	if (reply->status == MSP_E_KEY_EXPIRED && !follower->reads_snapshot) {
 		report_store_recovered(follower);
 		follower->reads_snapshot = true;
@@ -339,7 +214,7 @@
 		return;
 	}
 	if (is_current(reply))
-		mark_fresh(follower, reply);
+		mark_table_fresh(follower, reply);
 	if (follower->reads_snapshot) {
 		apply_page(follower, reply);
 		return;
@@ -412,24 +287,23 @@
 	uint32_t wait_ms = 0;
 
 	choose_source(follower);
-	schedule_stale_check(follower);
 	follower->read_started = get_now(follower);
 	if (!follower->reads_vm)
 		follower->store_read_at = get_now(follower);
 	source = follower->reads_vm ? &follower->vm : NULL;
 	timeouts = get_timeouts(follower, is_retry);
-	if (follower->reads_snapshot) {
+	if (!is_retry && !follower->reads_snapshot)
+		wait_ms = follower->reads_vm ? options->vm_wait_ms
+					     : options->store_wait_ms;
+	timeouts.begin_ms += wait_ms;
+	schedule_stale_check(follower, timeouts.begin_ms * MSP_MS);
+	if (follower->reads_snapshot)
 		follower->call = read_store_rows(follower->store, source,
 		    options->table, &range, &timeouts, handle_reply, follower);
-	} else {
-		if (!is_retry)
-			wait_ms = follower->reads_vm ? options->vm_wait_ms
-						     : options->store_wait_ms;
-		timeouts.begin_ms += wait_ms;
+	else
 		follower->call = read_store_changes(follower->store, source,
 		    options->table, get_copy_version(follower->copy), wait_ms,
 		    &timeouts, handle_reply, follower);
-	}
 	if (follower->call == NULL)
 		handle_read_failure(follower,
 		    &(store_reply_t){.status = MSP_E_NO_MEMORY,
@@ -480,15 +354,6 @@
 	return as_of == 0 ? MSP_NEVER : get_now(follower) - as_of;
 }
 
-msp_time_t
-get_table_fresh_time(const table_follower_t *follower)
-{
-	if (follower->fresh_since == 0 || follower->stale_since != 0 ||
-	    get_table_age(follower) > TABLE_FRESH_MAX_AGE)
-		return 0;
-	return get_now(follower) - follower->fresh_since;
-}
-
 bool
 is_table_loaded(const table_follower_t *follower)
 {
--- /dev/null
+++ b/source/platform/table_follower_private.h
@@ -0,0 +1,61 @@
+#ifndef TABLE_FOLLOWER_PRIVATE_H
+#define TABLE_FOLLOWER_PRIVATE_H
+
+#include "table_follower.h"
+
+struct table_follower {
+	msp_loop_t *loop;
+	msp_env_t env;
+	store_client_t *store;
+	table_follower_options_t options;
+	table_follower_callbacks_t callbacks;
+	table_copy_t *copy;
+	store_call_t *call; /* the pending read, or NULL */
+	msp_timer_t *timer; /* starts the next read */
+	msp_timer_t *stale_timer; /* for schedule_stale_check() */
+	bool reads_snapshot; /* else reads changes */
+	bool is_loaded; /* a snapshot has been read */
+	bool reads_vm; /* the pending read goes to a VM */
+	store_source_t vm; /* to which it goes then */
+	msp_time_t read_started;
+	char page_start[STORE_KEY_MAX + 1]; /* key; "": first page */
+	uint64_t snapshot_version; /* of the first page */
+	unsigned int attempt; /* since the last fresh response */
+	msp_time_t store_lost_since; /* 0: the store answers this VM */
+	msp_time_t store_read_at; /* start of the last read of the store */
+	msp_time_t stale_since; /* 0: the copy is fresh */
+	msp_time_t fresh_since; /* 0: the copy is stale */
+	unsigned int outage_checks; /* VMs read since the outage ended */
+	bool checks_outage; /* the next read goes to a VM */
+	bool must_read_store; /* the next read goes to the store */
+	/* Responses cut off by their time since the last fresh one. */
+	unsigned int cut_reads;
+	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
+};
+
+/* table_freshness.c: how old the copy is, and outages of the store */
+
+/* Reports the copy as stale, if it has become too old. */
+void check_table_stale(table_follower_t *follower);
+
+/*
+ * Checks the copy after `delay`, by when the response of the pending read must
+ * have begun; its transfer may take longer than the copy stays fresh.
+ */
+void schedule_stale_check(table_follower_t *follower, msp_time_t delay);
+
+/*
+ * Returns whether to read from another VM first, to find out whether the store
+ * was down for all VMs: `reply` is from the store itself, or from a VM that had
+ * lost it like this one.
+ */
+bool needs_outage_check(
+    const table_follower_t *follower, const store_reply_t *reply);
+
+/* Records a fresh response, and reports it if the copy was stale. */
+void mark_table_fresh(table_follower_t *follower, const store_reply_t *reply);
+
+/* Whether the rows are still fresh at the end of the response. */
+bool is_current(const store_reply_t *reply);
+
+#endif
