Grow a route table by powers of two

Each element of the table was appended by a realloc of the whole array, 4,500 routes of 0.7 KiB each, which copies it every time where the allocator can't move pages.

--- a/source/config/route_table.c
+++ b/source/config/route_table.c
@@ -4,21 +4,30 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Appends a zeroed element to an array; NULL if memory is exhausted. */
+/*
+ * Appends a zeroed element to an array; NULL if memory is exhausted. The array
+ * has room for the next power of two of its count.
+ */
 static void *
 append_element(void **array, size_t *count, size_t size)
 {
-	char *resized = realloc(*array, (*count + 1) * size);
-
-	if (resized == NULL) {
-		msp_fail(MSP_E_NO_MEMORY, "no memory for a route table");
-		return NULL;
+	bool is_full = (*count & (*count - 1)) == 0;
+	size_t capacity = *count == 0 ? 1 : *count * 2;
+	char *element;
+
+	if (is_full) {
+		element = realloc(*array, capacity * size);
+		if (element == NULL) {
+			msp_fail(
+			    MSP_E_NO_MEMORY, "no memory for a route table");
+			return NULL;
+		}
+		*array = element;
 	}
-	*array = resized;
-	resized += *count * size;
-	memset(resized, 0, size);
+	element = (char *)*array + *count * size;
+	memset(element, 0, size);
 	(*count)++;
-	return resized;
+	return element;
 }
 
 msp_route_table_t *
