End a wrong loss of targets, and forward with the first VM's routes in mind

While a service seems lost, a target that is not suspect is checked too; its answer ends the state. - The second VM decided by its own routes whether a request may be repeated. Both VMs' routes must allow it now. - The second VM's routes could be older than the first one's, and its home regions with them. The version goes with the hop; with an older one a request with homes is refused, and homes are looked up again before each hop. - A target's own msp- fields could be taken for the second VM's word on whether the request was executed; they are dropped. - A VM that answers without the hop's id is passed over like one that can't be reached. An urgent read of the table of VMs replaces the planned one.

--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -174,14 +174,13 @@
 	msp_record_target_outcome(&target->traffic, now, ok && !failed);
 	if (!ok && !failed) {
 		/* Not a valid response to this request. */
-		if (request->criteria.route->idempotent)
+		if (request->is_idempotent)
 			retry_or_fail(request, "wrong-answer");
 		else
 			fail_request(request, "wrong-answer");
 		return;
 	}
-	if (failed && request->criteria.route->idempotent &&
-	    may_retry(request)) {
+	if (failed && request->is_idempotent && may_retry(request)) {
 		log_request(MSP_LINE_VITAL,
 		    "event=retry id=%s reason=target-error status=%d "
 		    "target=%s sent=%u",
@@ -249,7 +248,7 @@
 		    result->no_first_byte ? no_fingerprint
 					  : request->fingerprint,
 		    request->sent_at, result->no_first_byte ? "silent" : "cut");
-	if (request->criteria.route->idempotent && !late)
+	if (request->is_idempotent && !late)
 		retry_or_fail(request, "cut");
 	else
 		fail_request(request, late ? "timeout" : "cut");
@@ -354,8 +353,7 @@
 
 	request->criteria.time_left =
 	    request->deadline > now ? request->deadline - now : 0;
-	if (request->criteria.tried_count > 0)
-		update_home_route(request);
+	update_home_route(request);
 	if (!may_use_homes(request)) {
 		if (request->may_have_run)
 			fail_request(request, "routes-outdated");
--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -129,7 +129,7 @@
 {
 	request->may_have_run = true;
 	request->sent_count += attempts > 0 ? attempts : 1;
-	if (request->criteria.route->idempotent && may_retry(request))
+	if (request->is_idempotent && may_retry(request))
 		send_request(request);
 	else
 		fail_request(request, outcome);
@@ -179,7 +179,7 @@
 	msp_forward_vm_t vm = get_last_vm(request);
 
 	report_hop(request, result->maybe_sent ? "lost" : "unreachable", 0);
-	if (result->status != MSP_E_DEADLINE && result->status != MSP_OK)
+	if (result->status != MSP_E_DEADLINE)
 		msp_pass_over_forward_vm(request->edge->forward_choice, &vm,
 		    request->criteria.service->name, MSP_FORWARD_UNREACHABLE);
 	if (result->maybe_sent)
@@ -226,7 +226,7 @@
 
 	if (request->sent_count < request->max_attempts)
 		left = request->max_attempts - request->sent_count;
-	if (left > 1 && request->criteria.route->idempotent)
+	if (left > 1 && request->is_idempotent)
 		left--;
 	return left;
 }
@@ -256,7 +256,7 @@
 	    .port = hop->port,
 	    .timeout_ms =
 		(uint32_t)((request->deadline - get_now(request)) / MSP_MS),
-	    .fresh_connection = !request->criteria.route->idempotent,
+	    .fresh_connection = !request->is_idempotent,
 	    .judge = judge_response};
 	msp_request_t out;
 
@@ -313,11 +313,16 @@
 {
 	edge_forward_t *forward = &request->forward;
 	msp_forward_pick_t pick;
-	forward_terms_t terms = {.attempts_left = get_attempts(request)};
+	forward_terms_t terms = {.is_idempotent = request->is_idempotent,
+	    .routes_version = get_routes_version(request->edge),
+	    .attempts_left = get_attempts(request)};
 
 	if (request->is_forwarded || request->exchange == NULL ||
 	    forward->hop_count == FORWARD_VMS_MAX)
 		return false;
+	update_home_route(request);
+	if (!may_use_homes(request))
+		return false;
 	if (!find_vm(request, &pick)) {
 		refresh_edge_vms(request->edge);
 		return false;
--- a/source/spindled/edge_forward_serve.c
+++ b/source/spindled/edge_forward_serve.c
@@ -68,6 +68,8 @@
 		    (int)sizeof(result.target) - 1,
 		    request->choice.target->registration.id);
 		result.response = *response;
+		/* Only this VM says whether the request was executed. */
+		drop_internal_headers(&result.response.headers);
 	} else {
 		describe_refusal(
 		    request, response->status, outcome, &result.refusal);
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -100,6 +100,23 @@
 	}
 }
 
+/*
+ * Checks a target that is not suspect of a service that seems to be lost: it
+ * may be that only some targets have ended.
+ */
+static void
+check_lost_services(edge_t *edge)
+{
+	msp_view_target_t *target;
+
+	TAILQ_FOREACH(target, msp_view_targets(edge->view), link) {
+		if (has_control_probe(edge))
+			return;
+		if (has_lost_service(edge, target->registration.service))
+			check_target(edge, target);
+	}
+}
+
 /*
  * A connect to a suspect target has failed, in a check sent at `sent_at`. Its
  * process has ended, unless this VM has lost the other targets as well.
@@ -259,8 +276,10 @@
 		    now >= target->traffic.probed_at + PROBE_INTERVAL)
 			start_probe(edge, target);
 	}
-	if (any_suspect)
+	if (any_suspect) {
+		check_lost_services(edge);
 		return;
+	}
 	msp_drop_timer(edge->probe_timer);
 	edge->probe_timer = NULL;
 }
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -129,6 +129,8 @@
 	}
 	if (!find_service(request, message))
 		return;
+	request->is_idempotent = request->criteria.route->idempotent &&
+	    (!request->is_forwarded || request->terms.is_idempotent);
 	set_deadline(request);
 	request->fingerprint = compute_fingerprint(message);
 	request->criteria.tried = request->tried;
@@ -157,7 +159,7 @@
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_callers_gone_total");
 	log_request_end(request, MSP_LINE_NOTABLE, 0, "caller-gone");
 	/* A request that must not be repeated is left to complete. */
-	if (!request->criteria.route->idempotent)
+	if (!request->is_idempotent)
 		return;
 	if (request->forward.in_flight) {
 		report_cancelled_hop(request);
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -55,6 +55,7 @@
 	msp_call_t *call;
 	msp_time_t sent_at;
 	uint64_t sent_incarnation; /* of the target when it was sent */
+	bool is_idempotent; /* by the routes of all VMs that have handled it */
 	bool may_have_run;
 	bool from_target; /* the response to the caller is a target's */
 	edge_forward_t forward;
@@ -74,7 +75,7 @@
     edge_t *edge, msp_exchange_t *exchange, const forward_terms_t *terms);
 
 /*
- * edge_routes.c: before a retry, takes the home regions from the routes that
+ * edge_routes.c: before an attempt, takes the home regions from the routes that
  * are in force now. A route that is no longer there keeps its own.
  */
 void update_home_route(edge_request_t *request);
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -72,6 +72,12 @@
 bool
 may_use_homes(const edge_request_t *request)
 {
-	return msp_home_route(&request->criteria)->home_region_count == 0 ||
-	    !has_outdated_routes(request->edge);
+	const edge_t *edge = request->edge;
+
+	if (msp_home_route(&request->criteria)->home_region_count == 0)
+		return true;
+	if (request->is_forwarded &&
+	    request->terms.routes_version > get_routes_version(edge))
+		return false;
+	return !has_outdated_routes(edge);
 }
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -182,7 +182,7 @@
 	if (edge->vm_call == NULL && edge->vms_read_at != 0 &&
 	    msp_now(&edge->daemon->env) >=
 		edge->vms_refreshed_at + VM_URGENT_REFRESH)
-		read_vms(edge);
+		set_vm_timer(edge, MSP_MS, read_vms);
 }
 
 void
--- a/source/spindled/forward_codec.c
+++ b/source/spindled/forward_codec.c
@@ -1,5 +1,6 @@
 #include "forward_codec.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "proxy_codec.h"
@@ -7,6 +8,8 @@
 #define HEADER_HOPS "msp-hops" /* hops left; marks forwarded requests */
 #define HEADER_ID "msp-id"
 #define HEADER_VM "msp-vm"
+#define HEADER_IDEMPOTENT "msp-idempotent"
+#define HEADER_ROUTES_VERSION "msp-release-seen"
 #define HEADER_ATTEMPTS_LEFT "msp-retries"
 #define HEADER_ATTEMPTS_USED "msp-attempt"
 #define HEADER_TIME_LEFT "msp-time-left-ms"
@@ -33,6 +36,12 @@
 		status = msp_add_header(&out->headers, HEADER_ID, terms->id);
 	if (status == MSP_OK)
 		status = msp_add_header(&out->headers, HEADER_VM, terms->vm);
+	if (status == MSP_OK)
+		status = msp_print_header(&out->headers, HEADER_IDEMPOTENT,
+		    "%d", terms->is_idempotent);
+	if (status == MSP_OK)
+		status = msp_print_header(&out->headers, HEADER_ROUTES_VERSION,
+		    "%" PRIu64, terms->routes_version);
 	if (status == MSP_OK)
 		status = msp_print_header(&out->headers, HEADER_ATTEMPTS_LEFT,
 		    "%u", terms->attempts_left);
@@ -48,6 +57,7 @@
 decode_forward_terms(const msp_request_t *request, forward_terms_t *out)
 {
 	const msp_headers_t *headers = &request->headers;
+	uint64_t is_idempotent = 0;
 	uint64_t attempts = 0;
 	uint64_t time_left_ms = 0;
 
@@ -56,6 +66,10 @@
 		headers, HEADER_ID, out->id, sizeof(out->id)) != MSP_OK ||
 	    decode_internal_text(
 		headers, HEADER_VM, out->vm, sizeof(out->vm)) != MSP_OK ||
+	    decode_internal_number(
+		headers, HEADER_IDEMPOTENT, 1, &is_idempotent) != MSP_OK ||
+	    decode_internal_number(headers, HEADER_ROUTES_VERSION, UINT64_MAX,
+		&out->routes_version) != MSP_OK ||
 	    decode_internal_number(headers, HEADER_ATTEMPTS_LEFT, ATTEMPTS_MAX,
 		&attempts) != MSP_OK ||
 	    decode_internal_number(headers, HEADER_TIME_LEFT, TIME_LEFT_MAX_MS,
@@ -63,6 +77,7 @@
 		return MSP_E_BAD_REQUEST;
 	if (out->id[0] == '\0')
 		return msp_fail(MSP_E_BAD_REQUEST, HEADER_ID ": missing");
+	out->is_idempotent = is_idempotent != 0;
 	out->attempts_left = (uint32_t)attempts;
 	out->time_left_ms = (uint32_t)time_left_ms;
 	return MSP_OK;
--- a/source/spindled/forward_codec.h
+++ b/source/spindled/forward_codec.h
@@ -12,6 +12,8 @@
 typedef struct forward_terms {
 	char id[PROXY_ID_SIZE]; /* of this hop; the answer has it too */
 	char vm[PROXY_NAME_SIZE]; /* that forwards the request */
+	bool is_idempotent; /* by the routes of the first VM */
+	uint64_t routes_version; /* of these routes */
 	uint32_t attempts_left; /* targets that may get the request */
 	uint32_t time_left_ms; /* for the answer of the second VM */
 } forward_terms_t;
