--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -19,6 +19,8 @@
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
 #define VMS 3
+#define FAN_OUT_SECONDS 15
+#define FAN_OUT_VMS 15 /* five in each data centre */
 #define TARGETS 6
 #define PATH_SIZE 256
 #define UNANSWERED_MAX 50 /* at most one in this many */
@@ -29,55 +31,67 @@
 	uint64_t seed;
 	bool must_answer; /* nearly all requests, by their deadline */
 	unsigned int seconds;
+	unsigned int vms;
 } soak_case_t;
 
 static const soak_case_t cases[] = {
-    {"calm_targets_break_no_rule", "calm", 1, true, SECONDS},
+    {"calm_targets_break_no_rule", "calm", 1, true, SECONDS, VMS},
     /*
      * An extra "not executed" response of an earlier request on a kept
      * connection was taken for the response of the next one.
      */
-    {"extra_responses_break_no_rule", "extra", 1, true, SECONDS},
+    {"extra_responses_break_no_rule", "extra", 1, true, SECONDS, VMS},
     {"extra_responses_of_full_targets_break_no_rule", "extra-full", 1, false,
-	SECONDS},
-    {"closing_targets_break_no_rule", "close", 1, true, SECONDS},
-    {"full_targets_break_no_rule", "full", 1, false, SECONDS},
-    {"signals_break_no_rule", "signals", 1, false, SECONDS},
-    {"failing_targets_and_store_break_no_rule", "cut", 1, false, SECONDS},
+	SECONDS, VMS},
+    {"closing_targets_break_no_rule", "close", 1, true, SECONDS, VMS},
+    {"full_targets_break_no_rule", "full", 1, false, SECONDS, VMS},
+    {"signals_break_no_rule", "signals", 1, false, SECONDS, VMS},
+    {"failing_targets_and_store_break_no_rule", "cut", 1, false, SECONDS, VMS},
     {"early_answers_and_small_windows_break_no_rule", "windows", 1, false,
-	SECONDS},
-    {"processes_with_little_time_break_no_rule", "starved", 1, false, SECONDS},
-    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false, SECONDS},
-    {"slow_clients_break_no_rule", "slow-clients", 1, false, SECONDS},
-    {"more_requests_than_connections_break_no_rule", "many", 1, false, SECONDS},
-    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false, SECONDS},
-    {"delayed_links_break_no_rule", "far", 1, false, SECONDS},
+	SECONDS, VMS},
+    {"processes_with_little_time_break_no_rule", "starved", 1, false, SECONDS,
+	VMS},
+    {"targets_that_accept_nothing_break_no_rule", "deaf", 1, false, SECONDS,
+	VMS},
+    {"slow_clients_break_no_rule", "slow-clients", 1, false, SECONDS, VMS},
+    {"more_requests_than_connections_break_no_rule", "many", 1, false, SECONDS,
+	VMS},
+    {"requests_that_crash_targets_break_no_rule", "deadly", 1, false, SECONDS,
+	VMS},
+    {"delayed_links_break_no_rule", "far", 1, false, SECONDS, VMS},
     {"short_deadlines_break_no_rule", "short-deadlines-starved", 1, false,
-	SECONDS},
+	SECONDS, VMS},
     /* The chunked body of a DELETE was never read, nor was it answered. */
-    {"chunked_deletes_are_answered", "chunked-deletes", 1, true, SECONDS},
+    {"chunked_deletes_are_answered", "chunked-deletes", 1, true, SECONDS, VMS},
     /* Escaped characters of a query were forwarded decoded. */
-    {"escaped_queries_are_not_changed", "escapes", 1, true, SECONDS},
+    {"escaped_queries_are_not_changed", "escapes", 1, true, SECONDS, VMS},
     /*
      * The rate that a target names for all VMs together was not read, so that
      * it got several times as much.
      */
-    {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS},
+    {"limits_of_targets_hold_over_all_vms", "limits", 1, false, LIMIT_SECONDS,
+	VMS},
     {"limits_of_all_targets_hold_over_all_vms", "limits-all", 1, false,
-	LIMIT_SECONDS},
+	LIMIT_SECONDS, VMS},
     /* VMs that restart and freeze must not take others' parts of a limit. */
-    {"limits_hold_while_vms_restart", "limits-signals", 1, false,
-	LIMIT_SECONDS},
+    {"limits_hold_while_vms_restart", "limits-signals", 1, false, LIMIT_SECONDS,
+	VMS},
     /* VMs that restart or lose the store must not go back to older homes. */
     {"homes_hold_while_vms_restart_and_the_store_fails", "homes", 1, false,
-	HOMES_SECONDS},
+	HOMES_SECONDS, VMS},
     /*
      * VMs with slow links gave up each read of large routes after a fixed time,
      * and served by older homes.
      */
     {"homes_hold_while_large_routes_come_over_slow_links", "homes-big", 6,
-	false, HOMES_SECONDS},
-    {"all_faults_together_break_no_rule", "all", 1, false, SECONDS},
+	false, HOMES_SECONDS, VMS},
+    /*
+     * One VM of a data centre sent large routes to all others over its slow
+     * link, so that they served by older homes.
+     */
+    {"homes_hold_while_vms_read_large_routes_from_one", "homes-big", 6, false,
+	FAN_OUT_SECONDS, FAN_OUT_VMS},
+    {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS},
 };
 
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
@@ -90,7 +104,7 @@
 	char spindled[PATH_SIZE];
 	soak_options_t options = {.seed = soak_case->seed,
 	    .seconds = soak_case->seconds,
-	    .vms = VMS,
+	    .vms = soak_case->vms,
 	    .targets = TARGETS,
 	    .profile = soak_case->profile,
 	    .spindled = spindled,
--- a/tests/support/soak_loop.c
+++ b/tests/support/soak_loop.c
@@ -188,6 +188,10 @@
 static void
 handle_event(soak_stream_t *stream, uint32_t events)
 {
+	if (stream->on_datagram != NULL) {
+		stream->on_datagram(stream->ctx);
+		return;
+	}
 	if (stream->on_accept != NULL) {
 		accept_connections(stream);
 		return;
@@ -325,6 +329,28 @@
 	watch_stream(stream, EPOLL_CTL_ADD);
 }
 
+static void
+set_loopback(struct sockaddr_in *address, uint16_t port)
+{
+	*address = (struct sockaddr_in){.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+}
+
+int
+open_soak_datagram_socket(uint16_t port)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct sockaddr_in address;
+
+	set_loopback(&address, port);
+	if (fd < 0 ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 static int
 open_socket(uint16_t port, bool small_window, struct sockaddr_in *address)
 {
@@ -332,9 +358,7 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	int on = 1;
 
-	*address = (struct sockaddr_in){.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr = {.s_addr = htonl(INADDR_LOOPBACK)}};
+	set_loopback(address, port);
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/tests/support/soak_loop.h
+++ b/tests/support/soak_loop.h
@@ -33,6 +33,7 @@
 	void (*on_input)(void *ctx, bool closed);
 	void *ctx;
 	void (*on_accept)(void *ctx, int fd); /* of listeners */
+	void (*on_datagram)(void *ctx); /* of datagram sockets: reads them */
 	msp_buffer_t in;
 	msp_buffer_t out; /* not written yet */
 	int fd; /* -1 while closed */
@@ -71,5 +72,6 @@
 /* Return a socket on loopback, or -1. */
 int connect_soak_socket(uint16_t port, bool small_window);
 int listen_soak_socket(uint16_t port, bool small_window);
+int open_soak_datagram_socket(uint16_t port);
 
 #endif
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -173,6 +173,7 @@
 	uint16_t store_port; /* where it connects to */
 	soak_stream_t peer_link; /* listeners of its link */
 	soak_stream_t store_link;
+	soak_stream_t gossip_link; /* datagrams; without a bandwidth */
 	struct soak_relay_queue relays; /* connections over its link */
 	soak_flow_t flows[2]; /* to it, and from it */
 	soak_timer_t flow; /* sends what has credit */
@@ -220,7 +221,7 @@
 void command_soak_store(soak_t *soak, const char *command, unsigned int value);
 void write_soak_routes(
     soak_t *soak, unsigned int version, const msp_buffer_t *text);
-/* Sets the ports by which VMs of other zones find it. */
+/* Sets the ports by which VMs find it first. */
 void list_soak_vm(const soak_vm_t *vm);
 
 /* The routes, and the rule HOME. */
@@ -257,9 +258,10 @@
 
 /*
  * Opens a VM's link to the store and to other VMs, if the profile has a
- * bandwidth. Connections of VMs of its own zone don't use it.
+ * bandwidth.
  */
 int open_soak_vm_link(soak_vm_t *vm);
+int open_soak_gossip_link(soak_vm_t *vm);
 void close_soak_vm_link(soak_vm_t *vm);
 void start_soak_link_cuts(soak_t *soak);
 
--- a/tests/support/soak_vm_link.c
+++ b/tests/support/soak_vm_link.c
@@ -268,7 +268,7 @@
 {
 	TAILQ_INIT(&vm->relays);
 	vm->flow = (soak_timer_t){.fire = handle_flow, .ctx = vm};
-	vm->store_link.fd = vm->peer_link.fd = -1;
+	vm->store_link.fd = vm->peer_link.fd = vm->gossip_link.fd = -1;
 	vm->store_port = vm->soak->store_port;
 	vm->peer_link_port = vm->peer;
 	if (vm->soak->profile->vm_bandwidth == 0)
@@ -276,7 +276,8 @@
 	if (open_listener(vm, &vm->store_link, &vm->store_port,
 		handle_store_accept) != 0 ||
 	    open_listener(vm, &vm->peer_link, &vm->peer_link_port,
-		handle_peer_accept) != 0)
+		handle_peer_accept) != 0 ||
+	    open_soak_gossip_link(vm) != 0)
 		return -1;
 	list_soak_vm(vm);
 	return 0;
@@ -290,5 +291,6 @@
 	clear_soak_timer(vm->soak->loop, &vm->flow);
 	close_soak_stream(&vm->store_link);
 	close_soak_stream(&vm->peer_link);
+	close_soak_stream(&vm->gossip_link);
 	reset_relays(vm);
 }
