--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -24,6 +24,8 @@
 #define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
 #define REPLACED_SECONDS 8
 #define VMS 3
+#define FAN_OUT_SECONDS 15
+#define FAN_OUT_VMS 15 /* five in each data centre */
 #define TARGETS 6
 #define PATH_SIZE 256
 #define UNANSWERED_MAX 50 /* at most one in this many */
@@ -103,6 +105,12 @@
      */
     {"homes_hold_while_large_routes_come_over_slow_links", "homes-big", 6,
 	false, HOMES_SECONDS, VMS, TARGETS},
+    /*
+     * One VM of a data centre sent large routes to all others over its slow
+     * link, so that they served by older homes.
+     */
+    {"homes_hold_while_vms_read_large_routes_from_one", "homes-big", 6, false,
+	FAN_OUT_SECONDS, FAN_OUT_VMS, TARGETS},
     /*
      * A VM that was cut from all targets refused every request at once, though
      * the other VMs could have served it.
--- a/tests/support/soak_loop.c
+++ b/tests/support/soak_loop.c
@@ -188,6 +188,10 @@
 static void
 handle_event(soak_stream_t *stream, uint32_t events)
 {
+	if (stream->on_datagram != NULL) {
+		stream->on_datagram(stream->ctx);
+		return;
+	}
 	if (stream->on_accept != NULL) {
 		accept_connections(stream);
 		return;
@@ -325,6 +329,27 @@
 	watch_stream(stream, EPOLL_CTL_ADD);
 }
 
+static struct sockaddr_in
+make_address(uint32_t address, uint16_t port)
+{
+	return (struct sockaddr_in){.sin_family = AF_INET,
+	    .sin_port = htons(port),
+	    .sin_addr = {.s_addr = htonl(address)}};
+}
+
+int
+open_soak_datagram_socket(uint16_t port)
+{
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	struct sockaddr_in address = make_address(INADDR_LOOPBACK, port);
+
+	if (fd < 0 ||
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
 static int
 open_socket(bool small_window)
 {
@@ -341,14 +366,6 @@
 	return fd;
 }
 
-static struct sockaddr_in
-make_address(uint32_t address, uint16_t port)
-{
-	return (struct sockaddr_in){.sin_family = AF_INET,
-	    .sin_port = htons(port),
-	    .sin_addr = {.s_addr = htonl(address)}};
-}
-
 int
 connect_soak_address(uint32_t address, uint16_t port, bool small_window)
 {
