--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -1,7 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "monsoonspindle/base/hash.h"
 #include "soak_private.h"
 
 #define RETRIES_MAX 3 /* of a request that was refused */
@@ -9,12 +8,9 @@
 #define ANSWER_SLACK (500 * MSP_MS) /* after the deadline */
 #define IDLE_TIME_MAX (12 * MSP_SECOND)
 #define PIECE_PAUSE_MS 30 /* longest, by default */
-#define BIG_BODY 400000 /* bytes */
 #define PIECES_MAX 4
 #define LEAVE_MIN (5 * MSP_MS)
 #define LEAVE_MAX (400 * MSP_MS)
-#define OBJECTS 80
-#define SHORT_DEADLINE_MS 100
 #define HTTP_OK 200
 #define CUT_FAILURES_REPORTED 5
 
@@ -227,120 +223,6 @@
 	return client;
 }
 
-static void
-append_body(soak_loop_t *loop, const msp_buffer_t *body, msp_buffer_t *out)
-{
-	size_t at = 0;
-	size_t len;
-
-	for (; at < body->len; at += len) {
-		len = 1 + soak_random(loop, body->len - at);
-		msp_append_printf(out, "%zx\r\n", len);
-		msp_append_data(out, body->data + at, len);
-		msp_append_printf(out, "\r\n");
-	}
-	msp_append_printf(out, "0\r\n\r\n");
-}
-
-/* Kinds of requests; a route's kind does not depend on the method. */
-static void
-draw_start(soak_t *soak, soak_request_t *request)
-{
-	static const char *const methods[] = {
-	    "POST", "POST", "POST", "PUT", "PATCH", "DELETE", "GET"};
-	static const size_t count = sizeof(methods) / sizeof(*methods);
-	bool is_get = request->safe && soak_random(soak->loop, 5) != 0;
-	size_t len;
-
-	snprintf(request->method, sizeof(request->method), "%s",
-	    is_get ? "GET" : methods[soak_random(soak->loop, count)]);
-	snprintf(request->path, sizeof(request->path), "/%c%c/%x",
-	    request->safe ? 'r' : 'w',
-	    'a' + (int)soak_random(soak->loop, SOAK_SERVICES),
-	    (unsigned int)soak_random(soak->loop, OBJECTS));
-	len = strlen(request->path);
-	if (soak_random(soak->loop, 4) == 0)
-		snprintf(request->path + len, sizeof(request->path) - len,
-		    "/%s?of=%s&to=%s", request->id, request->id,
-		    soak_chance(soak->loop, soak->profile->escapes) ? "%2f+%20"
-								    : "2");
-	if (soak_chance(soak->loop, soak->profile->deadly))
-		snprintf(request->path + len, sizeof(request->path) - len,
-		    "/%s", SOAK_DEADLY_PATH);
-}
-
-static void
-draw_body(soak_t *soak, const soak_request_t *request, msp_buffer_t *body)
-{
-	size_t size;
-
-	/* Deadly requests are the same each time. */
-	if (strcmp(request->method, "GET") == 0 ||
-	    strstr(request->path, SOAK_DEADLY_PATH) != NULL ||
-	    soak_random(soak->loop, 10) == 0)
-		return;
-	if (soak_chance(soak->loop, soak->profile->big))
-		size = soak_random(soak->loop, BIG_BODY);
-	else if (soak_random(soak->loop, 4) == 0)
-		size = soak_random(soak->loop, 40000);
-	else
-		size = 1 + soak_random(soak->loop, 900);
-	while (body->len < size)
-		msp_append_printf(body, "%s+%zu ", request->id, body->len);
-}
-
-static bool
-is_chunked(soak_t *soak, const soak_request_t *request, size_t body_len)
-{
-	const soak_profile_t *profile = soak->profile;
-	double share = strcmp(request->method, "DELETE") == 0
-	    ? profile->chunked_deletes
-	    : profile->chunked;
-
-	return body_len > 0 && soak_chance(soak->loop, share);
-}
-
-static void
-write_request(soak_t *soak, soak_request_t *request, uint32_t deadline_ms,
-    msp_buffer_t *out)
-{
-	msp_buffer_t body = {0};
-	uint64_t field_count = soak_random(soak->loop, 5);
-
-	draw_start(soak, request);
-	draw_body(soak, request, &body);
-	request->body_hash = msp_hash(body.data, body.len, 0);
-	msp_append_printf(out,
-	    "%s %s HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %s\r\n"
-	    "Cookie: Affinity-Key=%u\r\nDeadline-Ms: %u\r\n",
-	    request->method, request->path, request->id,
-	    (unsigned int)soak_random(soak->loop, OBJECTS), deadline_ms);
-	for (; field_count > 0; field_count--)
-		msp_append_printf(out, "X-Field-%u: %s\r\n",
-		    (unsigned int)field_count, request->id);
-	if (is_chunked(soak, request, body.len)) {
-		msp_append_printf(out, "Transfer-Encoding: chunked\r\n\r\n");
-		append_body(soak->loop, &body, out);
-	} else if (strcmp(request->method, "GET") == 0) {
-		msp_append_printf(out, "\r\n");
-	} else {
-		msp_append_printf(out, "Content-Length: %zu\r\n\r\n", body.len);
-		msp_append_data(out, body.data, body.len);
-	}
-	msp_drop_buffer(&body);
-}
-
-static uint32_t
-draw_deadline_ms(soak_t *soak)
-{
-	const soak_profile_t *profile = soak->profile;
-
-	if (soak_chance(soak->loop, profile->short_deadlines))
-		return 1 + (uint32_t)soak_random(soak->loop, SHORT_DEADLINE_MS);
-	return (uint32_t)soak_between(
-	    soak->loop, profile->deadline_ms / 10, profile->deadline_ms);
-}
-
 static void
 start_request(
     soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe)
@@ -350,7 +232,7 @@
 	soak_client_t *client = soak_chance(soak->loop, profile->fresh)
 	    ? NULL
 	    : take_idle_client(vm);
-	uint32_t deadline_ms = draw_deadline_ms(soak);
+	uint32_t deadline_ms = draw_soak_deadline_ms(soak);
 	msp_time_t end = soak_now() + deadline_ms * MSP_MS + ANSWER_SLACK;
 	msp_buffer_t out = {0};
 
@@ -374,7 +256,7 @@
 	client->retries_left = retries_left;
 	client->is_probe = is_probe;
 	TAILQ_INSERT_TAIL(&soak->clients, client, link);
-	write_request(soak, client->request, deadline_ms, &out);
+	write_soak_request(soak, client->request, deadline_ms, &out);
 	client->leaves = soak_chance(soak->loop, profile->leaving);
 	if (client->leaves)
 		end =
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -210,6 +210,11 @@
 /* A VM that was restarted or frozen has not been told of any limit. */
 void excuse_soak_vm(const soak_vm_t *vm);
 
+/* Draws the rest of a request whose id, kind and VM are set, and writes it. */
+void write_soak_request(soak_t *soak, soak_request_t *request,
+    uint32_t deadline_ms, msp_buffer_t *out);
+uint32_t draw_soak_deadline_ms(soak_t *soak);
+
 void open_soak_clients(soak_t *soak);
 void start_soak_traffic(soak_t *soak);
 /* Sends a request that may run twice to one VM. */
