Split the soak's links and sockets into files of their own

The pairs of connections over a link are now soak_pair.c, the sockets soak_socket.c; nothing else changes.

--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -227,6 +227,10 @@
 bool has_soak_links(const soak_t *soak);
 /* Writes the address at which the daemon of a VM finds its links. */
 void print_soak_link_address(const soak_vm_t *vm, char *text, size_t size);
+/* Joins the connection of a VM to that of a target; owns both. */
+void open_soak_pair(soak_vm_t *vm, int fd, int to);
+void reset_soak_pairs(soak_vm_t *vm);
+void close_soak_pairs(soak_t *soak);
 /* The VM whose link ends in this connection of a target, or NULL. */
 soak_vm_t *find_soak_link_vm(const soak_t *soak, int fd);
 /* Cuts a VM from all targets until then, or gives it back its links. */
