--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -176,6 +176,7 @@
 	struct soak_pair_list pairs; /* connections over links */
 	recover_judge_t recover;
 	soak_timer_t cut_change; /* begin or end of a cut */
+	msp_rng_t cut_rng; /* of its own, so that a seed names the cuts */
 	unsigned int cut_failures; /* first tries that failed at cut VMs */
 	soak_timer_t arrival;
 	soak_timer_t fault;
