--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -119,6 +119,30 @@
 	free(value);
 }
 
+static void
+operator_writes_rows_of_any_size(store_fixture_t *store)
+{
+	size_t len = 16 * MSP_ROW_VALUE_MAX;
+	char *value = malloc(len);
+	uint64_t before = msp_memory_store_version(store->memory);
+
+	assert_non_null(value);
+	memset(value, 'v', len);
+	store->faults->down = true;
+	assert_int_equal(
+	    msp_put_memory_store_row(store->memory, "k", value, len), MSP_OK);
+	store->faults->down = false;
+	assert_true(msp_memory_store_version(store->memory) > before);
+	assert_int_equal(get_row(store, "k"), MSP_OK);
+	assert_int_equal(store->reply.values[0].len, len);
+	assert_memory_equal(store->reply.values[0].data, value, len);
+	assert_int_equal(
+	    msp_put_memory_store_row(store->memory, "k", NULL, 0), MSP_OK);
+	assert_int_equal(get_row(store, "k"), MSP_OK);
+	assert_null(store->reply.values[0].data);
+	free(value);
+}
+
 static void
 limits_are_enforced(store_fixture_t *store)
 {
@@ -263,6 +287,7 @@
 	    {"transactions are atomic", transactions_are_atomic},
 	    {"scans are sorted by key", scans_are_sorted_by_key},
 	    {"values hold any bytes", values_hold_any_bytes},
+	    {"operator writes any size", operator_writes_rows_of_any_size},
 	    {"limits are enforced", limits_are_enforced},
 	    {"objects stored unchanged", objects_are_stored_unchanged},
 	    {"VM list lags", vm_list_lags},
