--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -230,7 +230,7 @@
 	soak_timer_t fault;
 	soak_timer_t burst_end;
 	soak_timer_t link_cut;
-	msp_rng_t cut_rng; /* of cuts of links */
+	msp_rng_t link_cut_rng; /* of cuts of links */
 	soak_timer_t store_end;
 	soak_timer_t reap;
 	soak_routes_t routes;
--- a/tests/support/soak_vm_link.c
+++ b/tests/support/soak_vm_link.c
@@ -236,7 +236,8 @@
 	msp_time_t period = (msp_time_t)(MSP_SECOND / soak->profile->link_cuts);
 
 	set_soak_timer(soak->loop, &soak->link_cut,
-	    soak_now() + period / 2 + msp_next_random(&soak->cut_rng) % period);
+	    soak_now() + period / 2 +
+		msp_next_random(&soak->link_cut_rng) % period);
 }
 
 /* Resets all connections over one link. */
@@ -248,8 +249,8 @@
 	if (soak->finishing)
 		return;
 	soak->result->faults++;
-	reset_relays(
-	    &soak->vms[msp_next_random(&soak->cut_rng) % soak->options->vms]);
+	reset_relays(&soak->vms[msp_next_random(&soak->link_cut_rng) %
+	    soak->options->vms]);
 	set_cut_timer(soak);
 }
 
@@ -257,7 +258,7 @@
 start_soak_link_cuts(soak_t *soak)
 {
 	/* Cuts don't depend on how much traffic there was. */
-	soak->cut_rng.state = soak->options->seed;
+	soak->link_cut_rng.state = soak->options->seed;
 	soak->link_cut = (soak_timer_t){.fire = handle_cut, .ctx = soak};
 	if (soak->profile->link_cuts > 0)
 		set_cut_timer(soak);
