Read requests in pipelines, with a parser from a library

Its own log lines show it: after the first response it keeps the bytes that follow as "pipeline", parses them from a wrong place ("Unknown method - dropping", "forbidding on uri sanitation") and closes the connection. Besides, it begins a request only when the response before it was sent, so callers waited.

A page of ours: none has that status.

All listeners read requests with libhttp-parser on sockets in an epoll set, of which libwebsockets watches one descriptor (docs/DESIGN.md has what was weighed). Requests of a connection run beside each other if their route may be repeated, otherwise alone; responses leave in order; a connection that ends answers what has begun and drops the rest unrun; 16 requests and 1 MiB a connection. Log lines have the place in the pipeline and the time spent there. The decoder of chunks and the checks that worked round the library are gone, and three copies of the removal of header fields are one.

--- a/include/monsoonspindle/net/http.h
+++ b/include/monsoonspindle/net/http.h
@@ -41,11 +41,15 @@
  * list keeps ownership.
  */
 const char *msp_find_header(const msp_headers_t *headers, const char *name);
+
+/* Removes the fields whose name `matches`. */
+void msp_remove_headers(msp_headers_t *headers,
+    bool (*matches)(void *ctx, const char *name), void *ctx);
 void msp_drop_headers(msp_headers_t *headers);
 
 /*
- * Registers a header name, for the whole process, so that it is read from
- * received messages. libwebsockets can't enumerate the fields that it has no
+ * Registers a header name, for the whole process, so that the HTTP client reads
+ * it from responses. libwebsockets can't enumerate the fields that it has no
  * token for, but only look them up by name, so unregistered fields are not
  * seen. The names of common extensions are registered from the start, such as
  * Idempotency-Key, X-Request-ID, Request-Timeout and traceparent. Fails with
--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -6,7 +6,19 @@
 
 typedef struct msp_http_server msp_http_server_t;
 
-/* A completely received request, until its response has been sent. */
+/*
+ * A completely received request, until its response has been sent.
+ *
+ * A client may send further requests before it has received the responses
+ * (pipelining). They are read at once and passed to the handler in their order;
+ * the responses are sent in this order, too, whenever they are ready. A request
+ * that may not overlap with others is passed to the handler only when all
+ * responses before it have been sent, and what follows it only after its own.
+ *
+ * A connection that is to close sends the responses to the requests that the
+ * handler has received, the last one with "connection: close". Later requests
+ * are dropped; they have not run, and the client may send them again.
+ */
 typedef struct msp_exchange msp_exchange_t;
 
 /* Limits of a server. 0 selects the default that is given with the limit. */
@@ -14,10 +26,19 @@
 	size_t max_body; /* bytes of a request body; 1 MiB */
 	size_t max_headers; /* bytes of the path and the headers; 16 KiB */
 	unsigned int max_connections; /* 4096 */
-	uint32_t head_timeout_ms; /* from accept to the first head; 10 s */
+	/* From accept to the first head, or from a later head's first byte. */
+	uint32_t head_timeout_ms; /* 10 s */
 	uint32_t body_timeout_ms; /* for the complete body; 30 s */
 	uint32_t send_timeout_ms; /* without progress while sending; 30 s */
-	uint32_t idle_timeout_ms; /* from a response to the next head; 60 s */
+	uint32_t
+	    idle_timeout_ms; /* from a response to the next request; 60 s */
+	/*
+	 * Of one connection, requests and the bytes of their bodies and
+	 * responses that are read before the first response has been sent. At
+	 * the limit the server stops reading.
+	 */
+	size_t max_pipeline; /* requests; 16 */
+	size_t max_pipeline_bytes; /* 1 MiB; one request may exceed it */
 } msp_http_limits_t;
 
 /* What the server refuses by itself; valid only during the callback. */
@@ -44,6 +65,17 @@
 	 * freed on return and must not be answered.
 	 */
 	void (*on_disconnect)(void *ctx, msp_exchange_t *exchange);
+	/*
+	 * Whether a request may run beside other such requests of its
+	 * connection, before or after them, and more than once. NULL: GET, HEAD
+	 * and OPTIONS may. Must not answer or drop anything.
+	 */
+	bool (*may_overlap)(void *ctx, const msp_request_t *request);
+	/*
+	 * Called when the first bytes of a response are about to be sent. Must
+	 * not answer or drop anything. May be NULL.
+	 */
+	void (*on_response)(void *ctx, const msp_exchange_t *exchange);
 	/*
 	 * Called when the server refuses a request or a connection by itself,
 	 * before it responds. Must not drop the server. May be NULL.
@@ -61,14 +93,9 @@
 
 /*
  * Starts listening. The server itself refuses invalid requests and those that
- * exceed a limit, with a problem document (RFC 9457), and closes the
- * connection; the handler doesn't see them. libwebsockets itself handles two
- * cases differently: it closes the connection without a response if the head is
- * over 65,000 bytes, and answers garbage in place of the second or a later
- * request of a connection with an HTML page of status 403. A request with a
- * body that arrives before the end of the response to the previous one isn't
- * read: the connection closes after that response. Returns NULL on failure,
- * with the reason in msp_last_message().
+ * exceed a limit, with a problem document (RFC 9457) after the responses to the
+ * requests before them, and closes the connection; the handler doesn't see
+ * them. Returns NULL on failure, with the reason in msp_last_message().
  */
 msp_http_server_t *msp_new_http_server(
     msp_loop_t *loop, const msp_http_server_options_t *options);
@@ -101,6 +128,15 @@
 /* Time on the loop's clock at which the request was complete. */
 msp_time_t msp_exchange_arrival(const msp_exchange_t *exchange);
 
+/* Unanswered requests of the connection that were before it when it arrived. */
+size_t msp_exchange_position(const msp_exchange_t *exchange);
+
+/* Time from its arrival until it was passed to the handler. */
+msp_time_t msp_exchange_hold_time(const msp_exchange_t *exchange);
+
+/* Time on the loop's clock of msp_send_exchange_response(). */
+msp_time_t msp_exchange_response_time(const msp_exchange_t *exchange);
+
 /* Pointer for the handler's own use, NULL at first. */
 void msp_set_exchange_data(msp_exchange_t *exchange, void *data);
 void *msp_exchange_data(const msp_exchange_t *exchange);
--- a/source/net/http.c
+++ b/source/net/http.c
@@ -56,6 +56,26 @@
 	return NULL;
 }
 
+void
+msp_remove_headers(msp_headers_t *headers,
+    bool (*matches)(void *ctx, const char *name), void *ctx)
+{
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < headers->count; i++) {
+		msp_header_t *field = &headers->fields[i];
+
+		if (matches(ctx, field->name)) {
+			free(field->name);
+			free(field->value);
+		} else {
+			headers->fields[kept++] = *field;
+		}
+	}
+	headers->count = kept;
+}
+
 void
 msp_drop_headers(msp_headers_t *headers)
 {
--- a/source/net/http_server.c
+++ b/source/net/http_server.c
@@ -55,6 +55,8 @@
 	DEFAULT_LIMIT(body_timeout_ms, 30 * 1000);
 	DEFAULT_LIMIT(send_timeout_ms, 30 * 1000);
 	DEFAULT_LIMIT(idle_timeout_ms, 60 * 1000);
+	DEFAULT_LIMIT(max_pipeline, 16);
+	DEFAULT_LIMIT(max_pipeline_bytes, 1024 * 1024);
 }
 
 msp_http_server_t *
@@ -126,9 +128,9 @@
 	server->closing = true;
 	for (; connection != NULL; connection = next) {
 		next = LIST_NEXT(connection, link);
-		if (connection->state == MSP_CONNECTION_IDLE ||
-		    connection->state == MSP_CONNECTION_ACCEPTED)
-			msp_close_connection(connection);
+		/* Takes a request that has arrived already. */
+		connection->readable = true;
+		msp_process_connection(connection);
 	}
 }
 
@@ -174,10 +176,36 @@
 	return exchange->data;
 }
 
+size_t
+msp_exchange_position(const msp_exchange_t *exchange)
+{
+	return exchange->position;
+}
+
+msp_time_t
+msp_exchange_hold_time(const msp_exchange_t *exchange)
+{
+	return exchange->started - exchange->arrival;
+}
+
+msp_time_t
+msp_exchange_response_time(const msp_exchange_t *exchange)
+{
+	return exchange->answered;
+}
+
 void
 msp_send_exchange_response(msp_exchange_t *exchange, msp_response_t *response)
 {
+	msp_connection_t *connection = exchange->connection;
+
 	exchange->response = *response;
 	*response = (msp_response_t){0};
-	msp_begin_response(exchange);
+	exchange->answered = msp_loop_now();
+	exchange->state = MSP_EXCHANGE_ANSWERED;
+	connection->kept_bytes += exchange->response.body.len;
+	if (connection->processing)
+		return;
+	msp_write_responses(connection);
+	msp_continue_connection(connection);
 }
--- a/source/net/loop.c
+++ b/source/net/loop.c
@@ -12,12 +12,11 @@
 
 #include <libwebsockets.h>
 
-#include "connection.h"
 #include "socket_monitor.h"
 #include "timer_queue.h"
 #include "watch.h"
 
-#define HEADER_BYTES_MAX 65000 /* of a request's head, in libwebsockets */
+#define HEADER_BYTES_MAX 65000 /* of a response's head, in libwebsockets */
 /* Bytes; holds the head of a request of the HTTP client. */
 #define SERVICE_BUFFER_SIZE 65536
 /* Free bytes at the top of the heap from which it is shrunk. */
@@ -28,7 +27,7 @@
 
 struct msp_loop {
 	struct lws_context *lws;
-	struct lws_vhost *vhost; /* of watches and server connections */
+	struct lws_vhost *vhost; /* of watches */
 	msp_socket_monitor_t *socket_monitor;
 	msp_timer_queue_t *timers;
 	lws_sorted_usec_list_t wake_timer;
@@ -42,7 +41,6 @@
 };
 
 static const struct lws_protocols protocols[] = {
-    {.name = "http", .callback = msp_handle_http_event},
     {.name = MSP_WATCH_PROTOCOL, .callback = msp_handle_watch_event},
     {.name = NULL},
 };
--- a/source/net/response.c
+++ b/source/net/response.c
@@ -1,16 +1,13 @@
-#include <stdlib.h>
+#include <errno.h>
 #include <string.h>
 
+#include <sys/socket.h>
+#include <sys/uio.h>
+
 #include "connection.h"
 #include "fields.h"
+#include "reason.h"
 #include "socket_monitor.h"
-#include "socket.h"
-
-#define FIRST_WRITE_MAX (16 * 1024) /* bytes of the body sent with the head */
-#define WRITE_MAX (64 * 1024) /* bytes written per turn of the loop */
-#define FIELD_OVERHEAD 8 /* bytes of a field besides its name and value */
-/* Bytes of the status line and the fields that the server adds. */
-#define HEAD_OVERHEAD 512
 
 static bool
 has_body(const msp_exchange_t *exchange)
@@ -21,154 +18,157 @@
 	    strcmp(exchange->request.method, "HEAD") != 0;
 }
 
-static bool
-write_head(msp_connection_t *connection, unsigned char **at, unsigned char *end)
+static size_t
+get_body_len(const msp_exchange_t *exchange)
 {
-	msp_exchange_t *exchange = connection->exchange;
-	msp_response_t *response = &exchange->response;
-	struct lws *wsi = connection->wsi;
-
-	if (lws_add_http_header_status(wsi,
-		(unsigned int)response->status | LWSAHH_FLAG_NO_SERVER_NAME, at,
-		end) != 0 ||
-	    !msp_write_fields(wsi, &response->headers, at, end))
-		return false;
-	if (response->status != 204 && response->status != 304 &&
-	    lws_add_http_header_content_length(
-		wsi, response->body.len, at, end) != 0)
-		return false;
-	if (connection->close_after_response &&
-	    lws_add_http_header_by_name(wsi,
-		(const unsigned char *)"connection:",
-		(const unsigned char *)"close", 5, at, end) != 0)
-		return false;
-	return lws_finalize_http_header(wsi, at, end) == 0;
+	return has_body(exchange) ? exchange->response.body.len : 0;
 }
 
-/* Puts the head and the first bytes of the body into one buffer. */
-static bool
-build_head(msp_connection_t *connection)
+static msp_status_t
+print_head(const msp_exchange_t *exchange, bool closes, msp_buffer_t *out)
 {
-	msp_response_t *response = &connection->exchange->response;
-	size_t size = HEAD_OVERHEAD;
-	size_t body = 0;
-	unsigned char *start;
-	unsigned char *at;
+	const msp_response_t *response = &exchange->response;
+	msp_status_t status;
 	size_t i;
 
-	for (i = 0; i < response->headers.count; i++)
-		size += strlen(response->headers.fields[i].name) +
-		    strlen(response->headers.fields[i].value) + FIELD_OVERHEAD;
-	if (has_body(connection->exchange))
-		body = response->body.len < FIRST_WRITE_MAX ? response->body.len
-							    : FIRST_WRITE_MAX;
-	connection->head = malloc(LWS_PRE + size + body);
-	if (connection->head == NULL)
-		return false;
-	start = (unsigned char *)connection->head + LWS_PRE;
-	at = start;
-	if (!write_head(connection, &at, start + size))
-		return false;
-	if (body > 0)
-		memcpy(at, response->body.data, body);
-	connection->head_len = (size_t)(at - start) + body;
-	connection->body_sent = body;
-	return true;
+	status = msp_append_printf(out, "HTTP/1.1 %d %s\r\n", response->status,
+	    msp_get_reason_phrase(response->status));
+	for (i = 0; i < response->headers.count && status == MSP_OK; i++) {
+		const msp_header_t *field = &response->headers.fields[i];
+
+		if (!msp_is_connection_field(field->name) &&
+		    msp_is_valid_field(field->name, field->value))
+			status = msp_append_printf(
+			    out, "%s: %s\r\n", field->name, field->value);
+	}
+	if (status == MSP_OK && response->status != 204 &&
+	    response->status != 304)
+		status = msp_append_printf(
+		    out, "content-length: %zu\r\n", response->body.len);
+	if (status == MSP_OK && closes)
+		status = msp_append_printf(out, "connection: close\r\n");
+	if (status == MSP_OK)
+		status = msp_append_data(out, "\r\n", 2);
+	return status;
 }
 
-void
-msp_begin_response(msp_exchange_t *exchange)
+/* Of an ending connection, the last response that it will send closes it. */
+static bool
+is_last_response(const msp_exchange_t *exchange)
+{
+	return msp_is_connection_ending(exchange->connection) &&
+	    TAILQ_NEXT(exchange, link) == NULL;
+}
+
+static void
+begin_response(msp_exchange_t *exchange)
 {
 	msp_connection_t *connection = exchange->connection;
-	msp_http_server_t *server = connection->server;
+	const msp_http_server_t *server = connection->server;
+	const msp_http_handler_t *handler = &server->handler;
+	bool closes;
 
 	if (server->no_keep_alive || server->closing)
-		connection->close_after_response = true;
-	connection->state = MSP_CONNECTION_SENDING;
-	connection->head_sent = false;
-	lws_rx_flow_control(connection->wsi, 1);
-	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
-	lws_callback_on_writable(connection->wsi);
+		msp_drop_held_requests(connection);
+	closes = is_last_response(exchange);
+	if (closes)
+		connection->input_ended = true;
+	connection->sending = true;
+	connection->head_sent = 0;
+	connection->body_sent = 0;
+	msp_clear_buffer(&connection->head);
+	if (print_head(exchange, closes, &connection->head) != MSP_OK) {
+		connection->failed = true;
+		return;
+	}
+	connection->send_due =
+	    msp_loop_now() + server->limits.send_timeout_ms * MSP_MS;
+	if (handler->on_response != NULL)
+		handler->on_response(handler->ctx, exchange);
 }
 
-/* Closes the connection or makes it ready for the next request. */
-static int
-end_response(msp_connection_t *connection)
+/* Returns false if the socket takes no more bytes now, or on an error. */
+static bool
+write_part(msp_exchange_t *exchange)
 {
-	msp_http_server_t *server = connection->server;
-	uint64_t sent;
-
-	msp_drop_exchange(connection);
-	if (connection->close_after_response || server->closing) {
-		connection->state = MSP_CONNECTION_CLOSING;
-		msp_set_connection_timeout(connection, MSP_LINGER_MS);
-		return -1;
+	msp_connection_t *connection = exchange->connection;
+	size_t head_left = connection->head.len - connection->head_sent;
+	size_t body_left = get_body_len(exchange) - connection->body_sent;
+	struct iovec parts[] = {
+	    {
+		.iov_base = connection->head.data + connection->head_sent,
+		.iov_len = head_left,
+	    },
+	    {
+		.iov_base = body_left == 0
+		    ? NULL
+		    : exchange->response.body.data + connection->body_sent,
+		.iov_len = body_left,
+	    },
+	};
+	struct msghdr message = {.msg_iov = parts, .msg_iovlen = 2};
+	ssize_t sent =
+	    sendmsg(connection->fd, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+	size_t head_part;
+
+	if (sent < 0) {
+		if (errno != EAGAIN)
+			connection->failed = true;
+		return false;
 	}
-	connection->state = MSP_CONNECTION_IDLE;
-	msp_get_tcp_byte_counts(
-	    connection->fd, &connection->received_before, &sent);
-	connection->read_before = msp_count_socket_bytes_read(connection->fd);
-	msp_set_connection_timeout(connection, server->limits.idle_timeout_ms);
-	return lws_http_transaction_completed(connection->wsi) != 0 ? -1 : 0;
+	connection->send_due = msp_loop_now() +
+	    connection->server->limits.send_timeout_ms * MSP_MS;
+	head_part = (size_t)sent < head_left ? (size_t)sent : head_left;
+	connection->head_sent += head_part;
+	connection->body_sent += (size_t)sent - head_part;
+	return true;
+}
+
+static bool
+is_sent(const msp_exchange_t *exchange)
+{
+	const msp_connection_t *connection = exchange->connection;
+
+	return connection->head_sent == connection->head.len &&
+	    connection->body_sent == get_body_len(exchange);
 }
 
-/* Waits until the socket is writable; received data stays unread until then. */
 static void
-wait_writable(msp_connection_t *connection)
+end_response(msp_exchange_t *exchange)
 {
-	lws_callback_on_writable(connection->wsi);
-	if (!lws_send_pipe_choked(connection->wsi))
-		return;
-	lws_rx_flow_control(connection->wsi, 0);
-	msp_monitor_socket(msp_loop_socket_monitor(connection->server->loop),
-	    connection->fd, MSP_MONITOR_CLOSE_OR_WRITABLE, connection);
+	msp_connection_t *connection = exchange->connection;
+
+	connection->sending = false;
+	connection->send_due = MSP_NEVER;
+	msp_drop_buffer(&connection->head);
+	msp_drop_exchange(exchange);
 }
 
-int
-msp_send_response(msp_connection_t *connection)
+bool
+msp_write_responses(msp_connection_t *connection)
 {
-	msp_http_server_t *server = connection->server;
-	msp_buffer_t *body;
-	size_t len;
-	int written;
-
-	if (connection->state == MSP_CONNECTION_WAITING) {
-		/* Otherwise unread data would keep the loop busy. */
-		lws_rx_flow_control(connection->wsi, 0);
-		return 0;
-	}
-	if (connection->state != MSP_CONNECTION_SENDING)
-		return connection->state == MSP_CONNECTION_CLOSING ? -1 : 0;
-	if (lws_partial_buffered(connection->wsi)) {
-		wait_writable(connection);
-		return 0;
-	}
-	body = &connection->exchange->response.body;
-	if (!connection->head_sent) {
-		if (!build_head(connection))
-			return -1;
-		connection->head_sent = true;
-		written = lws_write(connection->wsi,
-		    (unsigned char *)connection->head + LWS_PRE,
-		    connection->head_len, LWS_WRITE_HTTP_HEADERS);
-	} else if (has_body(connection->exchange) &&
-	    connection->body_sent < body->len) {
-		len = body->len - connection->body_sent;
-		len = len < WRITE_MAX ? len : WRITE_MAX;
-		written = lws_write(connection->wsi,
-		    (unsigned char *)body->data + connection->body_sent, len,
-		    LWS_WRITE_HTTP);
-		connection->body_sent += len;
-	} else {
-		return end_response(connection);
+	msp_exchange_t *exchange;
+	bool completed = false;
+
+	while ((exchange = TAILQ_FIRST(&connection->pipeline)) != NULL &&
+	    exchange->state == MSP_EXCHANGE_ANSWERED && !connection->failed) {
+		if (!connection->sending)
+			begin_response(exchange);
+		while (!connection->failed && !is_sent(exchange)) {
+			if (write_part(exchange))
+				continue;
+			if (!connection->failed)
+				msp_monitor_socket(
+				    msp_loop_socket_monitor(
+					connection->server->loop),
+				    connection->fd, MSP_MONITOR_READ_WRITE,
+				    connection);
+			return completed;
+		}
+		if (connection->failed)
+			return completed;
+		end_response(exchange);
+		completed = true;
 	}
-	if (written < 0)
-		return -1;
-	msp_set_connection_timeout(connection, server->limits.send_timeout_ms);
-	if (!lws_partial_buffered(connection->wsi) &&
-	    (!has_body(connection->exchange) ||
-		connection->body_sent == body->len))
-		return end_response(connection);
-	wait_writable(connection);
-	return 0;
+	return completed;
 }
--- a/source/net/socket.c
+++ b/source/net/socket.c
@@ -6,8 +6,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <linux/tcp.h>
-#include <sys/ioctl.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
@@ -97,18 +96,6 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
 
-void
-msp_get_tcp_byte_counts(int fd, uint64_t *received, uint64_t *sent)
-{
-	struct tcp_info info;
-	socklen_t len = sizeof(info);
-
-	memset(&info, 0, sizeof(info));
-	getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len);
-	*received = info.tcpi_bytes_received;
-	*sent = info.tcpi_bytes_sent;
-}
-
 uint64_t
 msp_get_socket_cookie(int fd)
 {
@@ -120,25 +107,6 @@
 	return cookie;
 }
 
-uint64_t
-msp_count_socket_bytes_read(int fd)
-{
-	uint64_t before;
-	uint64_t received;
-	uint64_t sent;
-	int unread = 0;
-
-	msp_get_tcp_byte_counts(fd, &received, &sent);
-	do {
-		/* Counts again if data arrived between the two. */
-		before = received;
-		if (received == 0 || ioctl(fd, FIONREAD, &unread) != 0)
-			return 0;
-		msp_get_tcp_byte_counts(fd, &received, &sent);
-	} while (received != before);
-	return received - (uint64_t)unread;
-}
-
 bool
 msp_is_socket_at_eof(int fd)
 {
--- a/source/net/socket.h
+++ b/source/net/socket.h
@@ -21,22 +21,12 @@
  */
 void msp_set_tcp_options(int fd);
 
-/* Counts the bytes received and sent on a TCP socket since it was opened. */
-void msp_get_tcp_byte_counts(int fd, uint64_t *received, uint64_t *sent);
-
 /*
  * Returns a number that no other socket of the machine has had since it was
  * started; 0 if the kernel gives none.
  */
 uint64_t msp_get_socket_cookie(int fd);
 
-/*
- * Counts the received bytes that were read from a TCP socket. The end of the
- * stream counts as one byte once it has arrived. Returns 0 if the system does
- * not count received bytes.
- */
-uint64_t msp_count_socket_bytes_read(int fd);
-
 /* Whether there is nothing left to read and the peer has closed its side. */
 bool msp_is_socket_at_eof(int fd);
 
--- a/source/net/socket_monitor.c
+++ b/source/net/socket_monitor.c
@@ -71,13 +71,11 @@
     msp_monitor_mode_t mode, msp_connection_t *connection)
 {
 	struct epoll_event event = {
-	    .events = EPOLLRDHUP | EPOLLET,
+	    .events = EPOLLIN | EPOLLRDHUP | EPOLLET,
 	    .data.ptr = connection,
 	};
 
-	if (mode == MSP_MONITOR_CLOSE_OR_READABLE)
-		event.events |= EPOLLIN;
-	if (mode == MSP_MONITOR_CLOSE_OR_WRITABLE)
+	if (mode == MSP_MONITOR_READ_WRITE)
 		event.events |= EPOLLOUT;
 	if (epoll_ctl(monitor->epoll_fd, EPOLL_CTL_MOD, fd, &event) != 0)
 		epoll_ctl(monitor->epoll_fd, EPOLL_CTL_ADD, fd, &event);
--- a/source/net/watch.h
+++ b/source/net/watch.h
@@ -10,11 +10,7 @@
 /* Calls a function from the loop whenever a descriptor is readable. */
 typedef struct msp_watch msp_watch_t;
 
-/*
- * The vhost of all watched descriptors and all server connections. There is
- * only one, because libwebsockets would select among several by the Host
- * header.
- */
+/* The vhost of all watched descriptors. */
 struct lws_vhost *msp_loop_vhost(msp_loop_t *loop);
 
 /* Callback of the libwebsockets protocol for all watches. */
--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -397,6 +397,31 @@
 	    id, get_number_field(line->text, "status"), line->vm, reason);
 }
 
+/* Prints that the request was pipelined behind others, if it was. */
+static void
+print_pipeline(const char *text)
+{
+	uint64_t position = get_number_field(text, "pipeline_position");
+	uint64_t held = get_number_field(text, "held_ms");
+
+	if (position == 0)
+		return;
+	printf("It was sent behind %" PRIu64
+	       " unanswered requests of its connection and waited %" PRIu64
+	       " ms for them before it began.\n",
+	    position, held);
+}
+
+/* Prints that the response had to wait for earlier ones. */
+static void
+print_delayed_response(const log_line_t *line)
+{
+	printf("\nIts response was ready %" PRIu64
+	       " ms before those to earlier requests of its connection at %s "
+	       "were sent.\n",
+	    get_number_field(line->text, "wait_ms"), line->vm);
+}
+
 static void
 print_summary(const char *id, const log_line_t *end_line)
 {
@@ -411,6 +436,7 @@
 	       " targets may have received it.\n",
 	    get_number_field(end_line->text, "routes"),
 	    get_number_field(end_line->text, "sent"));
+	print_pipeline(end_line->text);
 	print_slowness(end_line->text);
 	print_data_age(end_line->text, "routes_age_ms", "routes");
 	print_data_age(end_line->text, "targets_age_ms", "targets");
@@ -423,6 +449,7 @@
 	const log_line_t *line;
 	const log_line_t *end_line = NULL;
 	const log_line_t *refusal = NULL;
+	const log_line_t *delay = NULL;
 	ctl_exit_t code = CTL_OK;
 	char event[VALUE_SIZE];
 	int i;
@@ -442,6 +469,8 @@
 			end_line = line;
 		if (strcmp(event, "server-refusal") == 0)
 			refusal = line;
+		if (strcmp(event, "delayed-response") == 0)
+			delay = line;
 	}
 	if (refusal != NULL)
 		print_server_refusal(args[0], refusal);
@@ -449,8 +478,11 @@
 		print_known_state(count - 1, args + 1, end_line);
 		print_summary(args[0], end_line);
 	}
+	if (delay != NULL)
+		print_delayed_response(delay);
 	print_attempts(args[0], &lines);
-	if (end_line == NULL && refusal == NULL && code == CTL_OK) {
+	if (end_line == NULL && refusal == NULL && delay == NULL &&
+	    code == CTL_OK) {
 		print_ctl_error("no log line has the end of request %s; only a "
 				"sample of successful requests is logged",
 		    args[0]);
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -93,7 +93,7 @@
 	    "wait_ms=%" PRId64 " limited=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
 	    " sent=%u tried=%zu goal_ms=%u hops=%zu forwarded_by=%s forward=%s "
-	    "from=%s",
+	    "pipeline_position=%zu held_ms=%" PRIu64 " from=%s",
 	    request->caller.id, http_status, outcome, get_route_name(request),
 	    request->criteria.service == NULL ? "-"
 					      : request->criteria.service->name,
@@ -112,7 +112,8 @@
 	    request->sent_count, request->criteria.tried_count,
 	    route == NULL ? 0 : route->goal_ms, request->forward.hop_count,
 	    request->is_forwarded ? request->terms.vm : "-",
-	    get_forward_id(request), get_source(request));
+	    get_forward_id(request), request->pipeline_position,
+	    request->hold_time / MSP_MS, get_source(request));
 }
 
 void
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <string.h>
 
 #include <bsd/string.h>
@@ -11,6 +12,8 @@
 
 #define AUXILIARY_CONNECTIONS 512 /* each; all but the callers' listener */
 #define AUXILIARY_IDLE_MS 30000
+/* Responses that wait less for earlier ones are not logged. */
+#define RESPONSE_DELAY_MIN_MS 10
 
 bool
 is_edge_ready(const edge_t *edge)
@@ -181,6 +184,32 @@
 	    "msp_server_refusals_total{reason=\"%s\"}", reason);
 }
 
+/*
+ * Logs a response that was ready before those to earlier requests of its
+ * connection, and so had to wait.
+ */
+static void
+log_delayed_response(void *ctx, const msp_exchange_t *exchange)
+{
+	edge_t *edge = ctx;
+	msp_time_t wait =
+	    msp_now(&edge->daemon->env) - msp_exchange_response_time(exchange);
+	caller_fields_t caller;
+	char id[REQUEST_ID_SIZE];
+
+	if (msp_exchange_position(exchange) == 0 ||
+	    wait < RESPONSE_DELAY_MIN_MS * MSP_MS)
+		return;
+	msp_add_to_counter(
+	    edge->daemon->counters, 1, "msp_delayed_responses_total");
+	decode_caller_fields(msp_exchange_request(exchange), &caller);
+	log_request(MSP_LINE_NOTABLE,
+	    "event=delayed-response id=%s pipeline_position=%zu "
+	    "wait_ms=%" PRIu64,
+	    clean_log_value(caller.id, id, sizeof(id)),
+	    msp_exchange_position(exchange), wait / MSP_MS);
+}
+
 static void
 ignore_disconnect(void *ctx, msp_exchange_t *exchange)
 {
@@ -221,6 +250,8 @@
 		},
 	    .handler = {.on_request = handle_edge_request,
 		.on_disconnect = handle_edge_caller_disconnect,
+		.may_overlap = may_edge_request_overlap,
+		.on_response = log_delayed_response,
 		.on_refusal = handle_server_refusal,
 		.ctx = edge}};
 
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -128,6 +128,12 @@
 void count_refusal(edge_t *edge, const char *source, int http_status);
 
 /* edge_request.c */
+
+/*
+ * Whether a caller's request may run beside others of its connection: only one
+ * that may be repeated. Callback of the HTTP server; `ctx` is the edge_t.
+ */
+bool may_edge_request_overlap(void *ctx, const msp_request_t *message);
 void handle_edge_request(void *ctx, msp_exchange_t *exchange);
 void handle_edge_caller_disconnect(void *ctx, msp_exchange_t *exchange);
 void drop_edge_requests(edge_t *edge);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -94,6 +94,20 @@
 	msp_send_exchange_response(exchange, &response);
 }
 
+bool
+may_edge_request_overlap(void *ctx, const msp_request_t *message)
+{
+	const edge_t *edge = ctx;
+	const msp_path_route_t *route;
+
+	/* Without a route it is refused and runs nowhere. */
+	if (edge->routes == NULL)
+		return true;
+	route =
+	    msp_match_path_route(edge->routes, message->host, message->path);
+	return route == NULL || route->idempotent;
+}
+
 void
 handle_edge_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -115,6 +129,12 @@
 	request->exchange = exchange;
 	request->arrival = msp_exchange_arrival(exchange);
 	request->deadline = request->arrival;
+	request->pipeline_position = msp_exchange_position(exchange);
+	request->hold_time = msp_exchange_hold_time(exchange);
+	if (request->pipeline_position > 0)
+		msp_add_to_counter(edge->daemon->counters, 1,
+		    "msp_pipelined_requests_total{held=\"%s\"}",
+		    request->hold_time > 0 ? "yes" : "no");
 	msp_set_exchange_data(exchange, request);
 	TAILQ_INSERT_TAIL(&edge->requests, request, link);
 	edge->request_count++;
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -46,6 +46,9 @@
 	msp_digest_t fingerprint;
 	msp_time_t arrival;
 	msp_time_t deadline; /* for the final response */
+	/* Unanswered requests before it on its connection when it arrived. */
+	size_t pipeline_position;
+	msp_time_t hold_time; /* that it waited for them before it began */
 	msp_balance_request_t criteria;
 	msp_view_target_t *tried[TRIED_MAX];
 	uint64_t tried_addresses[TRIED_MAX]; /* their hashes when tried */
--- a/source/spindled/proxy_codec.c
+++ b/source/spindled/proxy_codec.c
@@ -18,18 +18,19 @@
     "expect", "date"};
 
 static bool
-is_internal(const char *name)
+is_internal(void *ctx, const char *name)
 {
+	(void)ctx;
 	return strncasecmp(name, INTERNAL_HEADER_PREFIX,
 		   sizeof(INTERNAL_HEADER_PREFIX) - 1) == 0;
 }
 
 static bool
-is_hop_by_hop_or_internal(const char *name)
+is_hop_by_hop_or_internal(void *ctx, const char *name)
 {
 	size_t i;
 
-	if (is_internal(name))
+	if (is_internal(ctx, name))
 		return true;
 	for (i = 0;
 	     i < sizeof(hop_by_hop_headers) / sizeof(hop_by_hop_headers[0]);
@@ -69,7 +70,7 @@
 	size_t i;
 
 	for (i = 0; i < from->count && status == MSP_OK; i++) {
-		if (is_hop_by_hop_or_internal(from->fields[i].name))
+		if (is_hop_by_hop_or_internal(NULL, from->fields[i].name))
 			continue;
 		status = msp_add_header(
 		    to, from->fields[i].name, from->fields[i].value);
@@ -285,27 +286,10 @@
 	    !says_not_run(headers);
 }
 
-static void
-drop_headers(msp_headers_t *headers, bool (*matches)(const char *name))
-{
-	msp_headers_t kept = {0};
-	size_t i;
-
-	for (i = 0; i < headers->count; i++) {
-		if (matches(headers->fields[i].name)) {
-			free(headers->fields[i].name);
-			free(headers->fields[i].value);
-		} else {
-			kept.fields[kept.count++] = headers->fields[i];
-		}
-	}
-	*headers = kept;
-}
-
 void
 drop_internal_headers(msp_headers_t *headers)
 {
-	drop_headers(headers, is_internal);
+	msp_remove_headers(headers, is_internal, NULL);
 }
 
 msp_status_t
@@ -330,8 +314,8 @@
 		result->response = *response;
 		memset(response, 0, sizeof(*response));
 		/* A caller must not get these. */
-		drop_headers(
-		    &result->response.headers, is_hop_by_hop_or_internal);
+		msp_remove_headers(
+		    &result->response.headers, is_hop_by_hop_or_internal, NULL);
 		return MSP_OK;
 	}
 	if (run == NULL || started == NULL)
--- a/standins/shared/raw_response.c
+++ b/standins/shared/raw_response.c
@@ -32,7 +32,7 @@
 static int
 get_exchange_fd(const msp_exchange_t *exchange)
 {
-	return lws_get_socket_fd(exchange->connection->wsi);
+	return exchange->connection->fd;
 }
 
 void
--- a/tests/spindlectl/test_ctl.c
+++ b/tests/spindlectl/test_ctl.c
@@ -119,6 +119,19 @@
 	{{0}}, 0,
 	"Request 7a was refused with 408 by the HTTP server of a "
 	"(request-timeout); it was sent to no target."},
+    {"explain: behind others of its connection",
+	{"explain", "7a", "NOTE", NULL},
+	END_LINE("status=503 outcome=overload routes=6 routes_age_ms=20 "
+		 "targets_age_ms=30 pipeline_position=2 held_ms=40"),
+	{{0}}, 0,
+	"It was sent behind 2 unanswered requests of its connection and waited "
+	"40 ms for them before it began."},
+    {"explain: response behind others", {"explain", "7a", "NOTE", NULL},
+	"2026-03-05T13:15:06.060Z INFO vm=a event=delayed-response id=7a "
+	"pipeline_position=2 wait_ms=90\n",
+	{{0}}, 0,
+	"Its response was ready 90 ms before those to earlier requests of its "
+	"connection at a were sent."},
     {"explain: no routes read yet", {"explain", "7a", "NOTE", NULL},
 	END_LINE("status=503 outcome=no-routes routes=0 routes_age_ms=-1 "
 		 "targets_age_ms=-1"),
