Send pipelines in the soak, and judge what is lost or runs unread

A response of another request was MIXED before, so order is judged already; new: UNREAD, a request behind a response that closed the connection has run; LOST, in a profile with planned work only, a request has run and its connection ended without a response. Rows that must answer nearly all requests count connections that were cut, too (stricter).

--- a/measure/soak.c
+++ b/measure/soak.c
@@ -20,19 +20,21 @@
 {
 	printf("profile=%s seed=%llu seconds=%u vms=%u targets=%u requests=%u "
 	       "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
-	       "unanswered=%u "
+	       "unanswered=%u pipelined=%u unread=%u "
 	       "runs=%u shed=%u extra=%u limits=%u limit_use=%.2f "
 	       "worst_limit=%.2f versions=%u bytes=%u homes=%u lag_ms=%u "
 	       "faults=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	       "REFUSED=%u TWICE=%u "
-	       "MIXED=%u UNASKED=%u ROUTE=%u LIMIT=%u HOME=%u RECOVER=%u "
+	       "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u LIMIT=%u "
+	       "HOME=%u RECOVER=%u "
 	       "crashed=%u "
 	       "folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
 	    options->seconds, options->vms, options->targets, result->requests,
 	    result->unsafe, result->served, result->refused, result->failed,
-	    result->cut, result->left, result->unanswered, result->runs,
-	    result->shed, result->extra, result->limits,
+	    result->cut, result->left, result->unanswered, result->pipelined,
+	    result->unread, result->runs, result->shed, result->extra,
+	    result->limits,
 	    result->limit_capacity > 0
 		? result->limit_used / result->limit_capacity
 		: 0,
@@ -41,9 +43,9 @@
 	    result->faults, result->cuts, result->cut_served, result->cut_tries,
 	    result->whole_served, result->whole_tries, result->refused_but_run,
 	    result->run_twice, result->mixed, result->unasked,
-	    result->misrouted, result->over_limit, result->outside_home,
-	    result->not_recovered, result->crashed,
-	    result->folder[0] == '\0' ? "-" : result->folder);
+	    result->misrouted, result->unread_but_run, result->lost,
+	    result->over_limit, result->outside_home, result->not_recovered,
+	    result->crashed, result->folder[0] == '\0' ? "-" : result->folder);
 }
 
 int
--- a/tests/net/test_request_parser.c
+++ b/tests/net/test_request_parser.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <bsd/string.h>
 #include <cmocka.h>
 
 #include "../../source/net/request_parser.h"
@@ -78,13 +79,10 @@
 	size_t count = 1 + random_below(rng, REQUESTS_MAX);
 	size_t kinds = sizeof(messages) / sizeof(*messages);
 	size_t len = 0;
-	const char *message;
 
-	for (; count > 0; count--) {
-		message = messages[random_below(rng, kinds)];
-		memcpy(stream + len, message, strlen(message));
-		len += strlen(message);
-	}
+	for (; count > 0; count--)
+		len += strlcpy(stream + len, messages[random_below(rng, kinds)],
+		    STREAM_MAX - len);
 	return change_stream(rng, stream, len);
 }
 
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -129,6 +129,11 @@
     /* VMs that are all cut must not pass requests on in a circle. */
     {"requests_are_answered_while_all_vms_are_cut", "cut-off-all", 1, true,
 	CUT_SECONDS, CUT_VMS, CUT_TARGETS},
+    /* Requests behind an unanswered one were answered with 403. */
+    {"pipelines_break_no_rule", "pipelines", 1, true, SECONDS, VMS, TARGETS},
+    /* What the VM drops as it stops must not run, and the rest is answered. */
+    {"stops_lose_nothing_of_pipelines", "pipelines-stops", 1, false,
+	LIMIT_SECONDS, VMS, TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
@@ -161,19 +166,22 @@
 	if (result.cuts > 0)
 		assert_true(result.cut_tries >= CUT_TRIES_MIN);
 	if (soak_case->must_answer &&
-	    result.unanswered * UNANSWERED_MAX > result.requests)
-		fail_msg("seed %llu: %u of %u requests not answered; %s",
+	    (result.unanswered + result.cut) * UNANSWERED_MAX > result.requests)
+		fail_msg("seed %llu: %u of %u requests not answered, %u cut; "
+			 "%s",
 		    (unsigned long long)soak_case->seed, result.unanswered,
-		    result.requests, result.folder);
+		    result.requests, result.cut, result.folder);
 	if (count_soak_violations(&result) > 0)
 		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
-			 "%u, unasked %u, misrouted %u, over a limit %u, "
+			 "%u, unasked %u, misrouted %u, run though unread %u, "
+			 "lost %u, over a limit %u, "
 			 "outside their homes %u, not recovered %u (cut VMs "
 			 "served %u of %u, the others %u of %u), crashed %u of "
 			 "%u requests; %s",
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
-		    result.misrouted, result.over_limit, result.outside_home,
+		    result.misrouted, result.unread_but_run, result.lost,
+		    result.over_limit, result.outside_home,
 		    result.not_recovered, result.cut_served, result.cut_tries,
 		    result.whole_served, result.whole_tries, result.crashed,
 		    result.requests, result.folder);
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -159,8 +159,9 @@
 count_soak_violations(const soak_result_t *result)
 {
 	return result->refused_but_run + result->run_twice + result->mixed +
-	    result->unasked + result->misrouted + result->over_limit +
-	    result->outside_home + result->not_recovered + result->crashed;
+	    result->unasked + result->misrouted + result->unread_but_run +
+	    result->lost + result->over_limit + result->outside_home +
+	    result->not_recovered + result->crashed;
 }
 
 int
@@ -182,6 +183,7 @@
 	soak->loop = new_soak_loop(options->seed);
 	LIST_INIT(&soak->pairs);
 	soak->store.fd = -1;
+	soak->ledger.loses_nothing = soak->profile->loses_nothing;
 	open_home_judge(&soak->homes);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -35,6 +35,8 @@
 	unsigned int failed; /* any other status */
 	unsigned int cut; /* the connection ended without an answer */
 	unsigned int left; /* the client left early */
+	unsigned int pipelined; /* sent behind an unanswered request */
+	unsigned int unread; /* behind a response that closed the connection */
 	unsigned int unanswered; /* until the client gave up */
 	unsigned int runs; /* by targets */
 	unsigned int shed; /* by targets, with "not executed" */
@@ -59,6 +61,8 @@
 	unsigned int mixed; /* an answer of another request, or damaged */
 	unsigned int unasked; /* run with an id or content nobody sent */
 	unsigned int misrouted; /* run by a target of another service */
+	unsigned int unread_but_run;
+	unsigned int lost; /* run, and cut though only planned work was done */
 	unsigned int over_limit; /* requests above a limit that was named */
 	unsigned int outside_home; /* reached a target outside their homes */
 	unsigned int
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -13,6 +13,8 @@
 #define LEAVE_MAX (400 * MSP_MS)
 #define HTTP_OK 200
 #define CUT_FAILURES_REPORTED 5
+#define BEHIND_MAX 6 /* requests behind another on a connection */
+#define BEHIND_UNSAFE 0.2 /* of these, those that may run once only */
 
 /* A connection to a VM, with or without a request. */
 struct soak_client {
@@ -21,6 +23,9 @@
 	TAILQ_ENTRY(soak_client) link; /* of soak->clients or vm->idle */
 	soak_stream_t stream;
 	soak_request_t *request; /* NULL while idle */
+	/* Sent before the request was answered, in their order. */
+	soak_request_t *behind[BEHIND_MAX];
+	size_t behind_count;
 	unsigned int retries_left;
 	bool is_probe;
 	recover_try_t attempt; /* if it is a first try */
@@ -90,6 +95,18 @@
 	client->attempt = (recover_try_t){0};
 }
 
+/* Records the end of all requests of the connection, which is closed. */
+static void
+end_requests(soak_client_t *client, int answer, int behind_answer)
+{
+	size_t i;
+
+	record_soak_end(client->request, answer);
+	for (i = 0; i < client->behind_count; i++)
+		record_soak_end(client->behind[i], behind_answer);
+	client->behind_count = 0;
+}
+
 static void
 give_up(void *ctx)
 {
@@ -97,26 +114,39 @@
 
 	if (!client->leaves)
 		end_try(client, SOAK_UNANSWERED);
-	record_soak_end(
-	    client->request, client->leaves ? SOAK_LEFT : SOAK_UNANSWERED);
+	end_requests(client, client->leaves ? SOAK_LEFT : SOAK_UNANSWERED,
+	    client->leaves ? SOAK_LEFT : SOAK_UNANSWERED);
 	free_client(client);
 }
 
-/* Makes the connection available for the next request, or closes it. */
-static void
+/*
+ * Makes the connection available for the next request, or closes it. Returns
+ * false if it is closed.
+ */
+static bool
 end_request(soak_client_t *client, bool reusable)
 {
 	soak_t *soak = client->soak;
 
+	if (!reusable)
+		end_requests(client, SOAK_CUT, SOAK_UNREAD);
+	if (client->behind_count > 0) {
+		client->request = client->behind[0];
+		client->behind_count--;
+		memmove(&client->behind[0], &client->behind[1],
+		    client->behind_count * sizeof(soak_request_t *));
+		return true;
+	}
 	clear_soak_timer(soak->loop, &client->end);
 	if (!reusable || client->rest.len > 0) {
 		free_client(client);
-		return;
+		return false;
 	}
 	TAILQ_REMOVE(&soak->clients, client, link);
 	client->request = NULL;
 	client->idle_since = soak_now();
 	TAILQ_INSERT_HEAD(&client->vm->idle, client, link);
+	return true;
 }
 
 static soak_vm_t *
@@ -125,7 +155,8 @@
 	return &soak->vms[soak_random(soak->loop, soak->options->vms)];
 }
 
-static void
+/* Returns false if the connection is closed. */
+static bool
 handle_answer(soak_client_t *client, const soak_message_t *message)
 {
 	soak_t *soak = client->soak;
@@ -135,21 +166,23 @@
 	bool closes =
 	    get_soak_field(message, "Connection", text, sizeof(text)) &&
 	    strcasecmp(text, "close") == 0;
+	bool open;
 
 	record_soak_answer(&soak->ledger, request, message);
 	if (request == NULL) {
 		free_client(client);
-		return;
+		return false;
 	}
 	end_try(client, message->status);
 	if (message->status == HTTP_OK)
 		client->vm->served++;
-	end_request(client, !closes);
+	open = end_request(client, !closes);
 	if (is_soak_promise(message->status) && retries_left > 0 &&
 	    !soak->finishing &&
 	    soak_chance(soak->loop, soak->profile->retrying))
 		start_request(
 		    pick_vm(soak), request->safe, retries_left - 1, false);
+	return open;
 }
 
 static void
@@ -157,11 +190,15 @@
 {
 	soak_client_t *client = ctx;
 	soak_message_t message;
+	bool open;
 
 	switch (take_soak_message(&client->stream.in, true, &message)) {
 	case SOAK_COMPLETE:
-		handle_answer(client, &message);
+		open = handle_answer(client, &message);
 		drop_soak_message(&message);
+		/* Responses to the requests behind, or the end. */
+		if (open && (client->stream.in.len > 0 || closed))
+			handle_input(client, closed);
 		return;
 	case SOAK_MALFORMED:
 		client->soak->result->mixed++;
@@ -178,7 +215,7 @@
 		return;
 	if (client->request != NULL) {
 		end_try(client, SOAK_CUT);
-		record_soak_end(client->request, SOAK_CUT);
+		end_requests(client, SOAK_CUT, SOAK_CUT);
 	}
 	free_client(client);
 }
@@ -223,6 +260,33 @@
 	return client;
 }
 
+/* Sends further requests on the connection of one that was sent just now. */
+static void
+send_requests_behind(soak_client_t *client, uint32_t deadline_ms)
+{
+	soak_t *soak = client->soak;
+	size_t count = 1 + soak_random(soak->loop, BEHIND_MAX);
+	soak_request_t *request;
+	msp_buffer_t out = {0};
+
+	for (; client->behind_count < count; client->behind_count++) {
+		request = new_soak_request(
+		    &soak->ledger, soak_random(soak->loop, UINT64_MAX));
+		request->safe = !soak_chance(soak->loop, BEHIND_UNSAFE);
+		request->vm = client->vm->index;
+		write_soak_request(soak, request, deadline_ms, &out);
+		client->behind[client->behind_count] = request;
+		soak->result->pipelined++;
+	}
+	send_soak_data(&client->stream, out.data, out.len);
+	msp_drop_buffer(&out);
+	/* Each may wait for the one before it. */
+	if (!client->leaves)
+		set_soak_timer(soak->loop, &client->end,
+		    soak_now() + (count + 1) * deadline_ms * MSP_MS +
+			ANSWER_SLACK);
+}
+
 static void
 start_request(
     soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe)
@@ -268,6 +332,8 @@
 		send_piece(client);
 	} else {
 		send_soak_data(&client->stream, out.data, out.len);
+		if (!is_probe && soak_chance(soak->loop, profile->pipelined))
+			send_requests_behind(client, deadline_ms);
 	}
 	msp_drop_buffer(&out);
 }
--- a/tests/support/soak_ledger.c
+++ b/tests/support/soak_ledger.c
@@ -204,6 +204,32 @@
 	    request->ran_by);
 }
 
+static void
+report_run(
+    soak_ledger_t *ledger, const char *rule, const soak_request_t *request)
+{
+	report_soak(ledger, rule, "id=%s %s %s vm=%u sent=%.3f ran=%.3f by=%s",
+	    request->id, request->method, request->path, request->vm,
+	    (double)(request->sent_at - ledger->started) / MSP_SECOND,
+	    (double)(request->ran_at - ledger->started) / MSP_SECOND,
+	    request->ran_by);
+}
+
+/* Judges a request on a connection that ended before its response. */
+static void
+judge_cut_request(soak_ledger_t *ledger, const soak_request_t *request)
+{
+	if (request->runs == 0)
+		return;
+	if (request->answer == SOAK_UNREAD) {
+		ledger->result->unread_but_run++;
+		report_run(ledger, "UNREAD", request);
+	} else if (request->answer == SOAK_CUT && ledger->loses_nothing) {
+		ledger->result->lost++;
+		report_run(ledger, "LOST", request);
+	}
+}
+
 static void
 judge_request(soak_ledger_t *ledger, const soak_request_t *request)
 {
@@ -218,12 +244,15 @@
 		result->refused++;
 	else if (request->answer == SOAK_CUT)
 		result->cut++;
+	else if (request->answer == SOAK_UNREAD)
+		result->unread++;
 	else if (request->answer == SOAK_UNANSWERED)
 		note_unanswered(ledger, request);
 	else if (request->answer <= 0)
 		result->left++;
 	else
 		result->failed++;
+	judge_cut_request(ledger, request);
 	if (request->safe || request->runs == 0)
 		return;
 	if (request->runs > 1)
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -13,6 +13,8 @@
 #define SOAK_NO_ANSWER 0
 #define SOAK_CUT (-1) /* the connection ended without an answer */
 #define SOAK_LEFT (-2) /* the client left early */
+/* Sent behind a request whose response closed the connection. */
+#define SOAK_UNREAD (-4)
 #define SOAK_UNANSWERED (-3) /* no answer by the deadline and some slack */
 
 /* A request of a client, and all that happened to it. */
@@ -24,7 +26,7 @@
 	uint64_t body_hash;
 	unsigned int vm;
 	bool safe; /* may run more than once */
-	int answer; /* status, or SOAK_CUT, SOAK_LEFT, SOAK_NO_ANSWER */
+	int answer; /* status, SOAK_NO_ANSWER, SOAK_CUT or the like */
 	unsigned int runs;
 	msp_time_t sent_at;
 	msp_time_t answered_at;
@@ -38,6 +40,7 @@
 	msp_map_t *requests; /* soak_request_t by id */
 	soak_result_t *result;
 	msp_time_t started;
+	bool loses_nothing; /* see soak_profile_t */
 	FILE *report; /* of violations */
 } soak_ledger_t;
 
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -81,6 +81,7 @@
 	double leaving; /* clients that leave early */
 	double retrying; /* clients that retry at once after a promise */
 	double fresh; /* requests on a new connection */
+	double pipelined; /* requests that others follow at once */
 	double big; /* request and response bodies of up to 400 kB */
 	double early; /* responses before the whole request is read */
 	double deadly; /* requests that crash the target that runs them */
@@ -105,6 +106,8 @@
 			     second */
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
+	/* A request that ran is answered: nothing but planned work ends it. */
+	bool loses_nothing;
 	unsigned int cut_ways; /* soak_cut_t */
 	bool cuts_all; /* VMs at the same time */
 	/* Of SOAK_CRASH: a successor has the address, and the entry stays. */
