Let a connection be idle after responses from outside its events

A connection whose pipeline was full, with bytes that made no request behind it, had no time limit left if all of its responses were sent in one turn of the loop: it stayed open for ever. Test in net/test_http_pipeline (connection_is_idle_after_all_responses): red with the condition taken back on a scratch copy, green now. Besides: work that is due goes before a read timeout, so that received bytes are parsed first; unread data is discarded before each close, so that the last response is not lost to a reset.

--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -68,6 +68,26 @@
 	}
 }
 
+/*
+ * Reads and discards what the client has sent: closing a socket with unread
+ * data would reset the connection. Returns false at the end of the stream, and
+ * if the client sends too much.
+ */
+static bool
+discard_input(msp_connection_t *connection)
+{
+	char data[DISCARD_SIZE];
+	ssize_t len;
+
+	while (connection->discarded < LINGER_BYTES_MAX) {
+		len = recv(connection->fd, data, sizeof(data), MSG_DONTWAIT);
+		if (len <= 0)
+			return len < 0;
+		connection->discarded += (size_t)len;
+	}
+	return false;
+}
+
 void
 msp_close_connection(msp_connection_t *connection)
 {
@@ -85,6 +105,7 @@
 		if (!TAILQ_EMPTY(&connection->pipeline))
 			msp_drop_exchange(TAILQ_FIRST(&connection->pipeline));
 	}
+	discard_input(connection);
 	msp_drop_request_parser(connection->parser);
 	msp_drop_buffer(&connection->input);
 	msp_drop_buffer(&connection->head);
@@ -99,26 +120,6 @@
 	    connection->server->closing;
 }
 
-/*
- * Reads and discards what the client has sent: closing a socket with unread
- * data would reset the connection. Returns false at the end of the stream, and
- * if the client sends too much.
- */
-static bool
-discard_input(msp_connection_t *connection)
-{
-	char data[DISCARD_SIZE];
-	ssize_t len;
-
-	while (connection->discarded < LINGER_BYTES_MAX) {
-		len = recv(connection->fd, data, sizeof(data), MSG_DONTWAIT);
-		if (len <= 0)
-			return len < 0;
-		connection->discarded += (size_t)len;
-	}
-	return false;
-}
-
 /*
  * After the last response: lets the client read it before the close. Returns
  * false if the connection can be closed at once.
@@ -153,7 +154,8 @@
 		connection->read_due = get_due_time(limits->body_timeout_ms);
 	else if (phase == MSP_PARSE_HEAD && is_new && !is_first)
 		connection->read_due = get_due_time(limits->head_timeout_ms);
-	else if (phase == MSP_PARSE_NOTHING && was_busy)
+	else if (phase == MSP_PARSE_NOTHING &&
+	    (was_busy || connection->read_due == MSP_NEVER))
 		connection->read_due = get_due_time(limits->idle_timeout_ms);
 }
 
@@ -277,10 +279,10 @@
 
 	if (connection->send_due <= now)
 		msp_close_connection(connection);
-	else if (connection->read_due <= now)
-		handle_read_timeout(connection);
 	else if (connection->work_due <= now)
 		msp_process_connection(connection);
+	else if (connection->read_due <= now)
+		handle_read_timeout(connection);
 	else
 		update_deadline(connection);
 }
--- a/tests/net/test_http_pipeline.c
+++ b/tests/net/test_http_pipeline.c
@@ -112,7 +112,7 @@
 		    .max_body = MAX_BODY,
 		    .max_pipeline = PIPELINE_MAX,
 		    .max_pipeline_bytes = PIPELINE_BYTES_MAX,
-		    .idle_timeout_ms = 5000,
+		    .idle_timeout_ms = 1000,
 		},
 	    .handler =
 		{
@@ -271,6 +271,29 @@
 	msp_drop_buffer(&bodies);
 }
 
+/*
+ * Guards against a connection that stays open for ever: its pipeline is full,
+ * an empty line arrives, and all responses are sent at once.
+ */
+static void
+connection_is_idle_after_all_responses(void **state)
+{
+	pipeline_test_t *test = *state;
+	raw_socket_t raw = raw_connect(test->loop, test->port);
+
+	raw_send_text(
+	    &raw, GET("/hold1") GET("/hold2") GET("/hold3") GET("/hold4"));
+	run_turns(test);
+	assert_int_equal(test->pending_count, PIPELINE_MAX);
+	raw_send_text(&raw, "\r\n");
+	run_turns(test);
+	while (test->pending_count > 0)
+		answer_pending(test, 0);
+	assert_true(raw_expect(&raw, "<GET /hold4 0>"));
+	assert_true(raw_expect_close(&raw));
+	raw_close(&raw);
+}
+
 /* Guards against memory that one client fills with requests in a pipeline. */
 static void
 bytes_of_a_pipeline_are_bounded(void **state)
@@ -601,6 +624,7 @@
 #define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 	    CASE(responses_keep_the_order_of_requests),
+	    CASE(connection_is_idle_after_all_responses),
 	    CASE(bytes_of_a_pipeline_are_bounded),
 	    CASE(closing_client_gets_what_has_begun),
 	    CASE(responses_come_without_keep_alive),
