Begin only what can be finished while a VM stops

A VM knows of a target's load from responses to itself only.

A stopping VM begins a request only where it need not wait, and if it is expected to take half of the time left at most; it refuses others at once, as not run. Requests that are broken off at the exit are logged as such, no longer as callers that are gone.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -7,6 +7,7 @@
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/limit_priority.h"
 #include "monsoonspindle/steer/limit_sync.h"
+#include "monsoonspindle/steer/planned_stop.h"
 #include "monsoonspindle/steer/policy.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/latency_model.h"
--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -50,6 +50,9 @@
 	"another VM had newer routes, so that the home regions of the route "
 	"may have changed; it did not run"},
     {"no-route", "no route in force at the VM matches its host and path"},
+    {"leaving",
+	"the VM was stopping and might not have finished it in time, so it was "
+	"refused; it did not run"},
     {"quarantined",
 	"requests like it made several targets fail, so it was refused; it did "
 	"not run"},
@@ -62,6 +65,8 @@
     {"no-connection",
 	"no connection to a target could be opened; it did not run"},
     {"misdirected", "another target was at the address; it did not run there"},
+    {"stopped",
+	"the VM stopped before a target had responded; it may have run"},
     {"caller-gone", "the caller disconnected before the response"},
 };
 
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -326,6 +326,18 @@
 	    msp_count_open_exchanges(daemon->peer_server) == 0;
 }
 
+msp_time_t
+get_time_until_stop(const daemon_t *daemon)
+{
+	msp_time_t end = daemon->leaving_since +
+	    daemon->settings->edge.stop_grace_ms * MSP_MS - STOP_RESERVE;
+	msp_time_t now = msp_now(&daemon->env);
+
+	if (!daemon->leaving)
+		return MSP_NEVER;
+	return now < end ? end - now : 0;
+}
+
 /*
  * Accepts new requests while clients may still have a directory entry with this
  * VM, then answers those in flight within the rest of the grace period.
@@ -335,14 +347,14 @@
 {
 	const msp_settings_edge_t *edge = &daemon->settings->edge;
 	msp_time_t elapsed = msp_now(&daemon->env) - daemon->leaving_since;
-	msp_time_t grace = edge->stop_grace_ms * MSP_MS;
-	msp_time_t accept_time = grace * ACCEPT_WHILE_LEAVING_PCT / 100;
+	msp_time_t accept_time =
+	    edge->stop_grace_ms * MSP_MS * ACCEPT_WHILE_LEAVING_PCT / 100;
 
 	if (elapsed < accept_time)
 		return;
 	close_edge_listener(daemon->edge);
 	if (count_edge_requests(daemon->edge) == 0 ||
-	    elapsed + STOP_RESERVE >= grace)
+	    get_time_until_stop(daemon) == 0)
 		msp_stop_loop(daemon->loop);
 }
 
--- a/source/spindled/daemon.h
+++ b/source/spindled/daemon.h
@@ -96,6 +96,12 @@
 /* Whether the VM has loaded a release. */
 bool is_daemon_ready(const daemon_t *daemon);
 
+/*
+ * Time until a VM in edge mode that is leaving breaks off what is in progress;
+ * MSP_NEVER if it is not leaving.
+ */
+msp_time_t get_time_until_stop(const daemon_t *daemon);
+
 /*
  * Returns the earliest time at which a request that was read at `read_at` may
  * have arrived. One that is read just after a pause of the process may have
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -187,9 +187,9 @@
 	if (edge == NULL)
 		return;
 	msp_drop_timer(edge->view_timer);
+	drop_edge_requests(edge);
 	close_edge_listeners(edge);
 	close_edge_peer_listener(edge);
-	drop_edge_requests(edge);
 	close_edge_store(edge);
 	msp_drop_http_client(edge->target_client);
 	msp_drop_http_client(edge->probe_client);
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -9,6 +9,7 @@
 #define RETRY_BURST 3 /* retries that this VM may send at once */
 /* A target that sends nothing for this many expected latencies is silent. */
 #define SILENT_LATENCY_FACTOR 2
+#define RETRY_AT_ONCE_MS 0 /* at another VM */
 #define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
@@ -84,6 +85,16 @@
 		refuse_request(request, retry_after_ms, outcome);
 }
 
+/* Ends a request that this VM, which stops, can't finish in time. */
+static void
+end_before_stop(edge_request_t *request)
+{
+	if (request->may_have_run)
+		fail_request(request, "leaving");
+	else
+		refuse_request(request, RETRY_AT_ONCE_MS, "leaving");
+}
+
 static void
 retry_or_fail(edge_request_t *request, const char *outcome)
 {
@@ -312,7 +323,8 @@
 }
 
 static void
-fill_call_options(const edge_request_t *request, msp_call_options_t *options)
+fill_call_options(const edge_request_t *request, msp_time_t time_left,
+    msp_call_options_t *options)
 {
 	const msp_registration_t *registration =
 	    &request->choice.target->registration;
@@ -320,7 +332,7 @@
 	*options = (msp_call_options_t){
 	    .address = registration->address,
 	    .port = registration->port,
-	    .timeout_ms = (uint32_t)(request->criteria.time_left / MSP_MS),
+	    .timeout_ms = (uint32_t)(time_left / MSP_MS),
 	    .judge = judge_response,
 	    /*
 	     * The request's id does not tell a late response to an earlier
@@ -342,17 +354,50 @@
 	request->sent_incarnation = target->registration.incarnation;
 }
 
+/*
+ * Chooses a target that is expected to respond in time: before the deadline,
+ * and well before this VM stops.
+ */
+static msp_status_t
+choose_target(edge_request_t *request, msp_time_t time_left)
+{
+	edge_t *edge = request->edge;
+	msp_balance_request_t *criteria = &request->criteria;
+
+	criteria->time_left = time_left;
+	criteria->is_stopping = edge->daemon->leaving;
+	criteria->max_latency =
+	    msp_max_latency_before_stop(get_time_until_stop(edge->daemon));
+	return msp_balance(edge->balancer, criteria, &request->choice);
+}
+
+/* Handles a request for which choose_target() has found none. */
+static void
+handle_no_target(
+    edge_request_t *request, msp_time_t time_left, msp_status_t status)
+{
+	const msp_balance_choice_t *choice = &request->choice;
+
+	if (choice->all_suspect && forward_request(request, "all-suspect"))
+		return;
+	if (status == MSP_E_OVERLOAD && choice->target != NULL &&
+	    choice->expected_latency <= time_left)
+		end_before_stop(request);
+	else
+		end_without_target(request, status);
+}
+
 void
 send_request(edge_request_t *request)
 {
 	edge_t *edge = request->edge;
 	msp_time_t now = get_now(edge);
+	msp_time_t time_left =
+	    request->deadline > now ? request->deadline - now : 0;
 	msp_request_t out = {0};
 	msp_call_options_t options;
 	msp_status_t status;
 
-	request->criteria.time_left =
-	    request->deadline > now ? request->deadline - now : 0;
 	update_home_route(request);
 	if (!may_use_homes(request)) {
 		if (request->may_have_run)
@@ -366,15 +411,12 @@
 	    (forward_request(request, "lost-targets") ||
 		end_at_lost_targets(request)))
 		return;
-	status =
-	    msp_balance(edge->balancer, &request->criteria, &request->choice);
+	status = choose_target(request, time_left);
 	if (status != MSP_OK) {
-		if (!request->choice.all_suspect ||
-		    !forward_request(request, "all-suspect"))
-			end_without_target(request, status);
+		handle_no_target(request, time_left, status);
 		return;
 	}
-	fill_call_options(request, &options);
+	fill_call_options(request, time_left, &options);
 	status = encode_target_request(msp_exchange_request(request->exchange),
 	    request->choice.target->registration.id, options.timeout_ms, &out);
 	if (status == MSP_OK) {
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -11,6 +11,7 @@
 #include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/forward_choice.h"
+#include "monsoonspindle/steer/planned_stop.h"
 #include "monsoonspindle/steer/quarantine.h"
 #include "monsoonspindle/steer/reach.h"
 #include "monsoonspindle/steer/traffic_split.h"
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -202,6 +202,10 @@
 	edge_request_t *next;
 
 	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
+		if (request->exchange != NULL) {
+			log_request_end(request, MSP_LINE_VITAL, 0, "stopped");
+			msp_set_exchange_data(request->exchange, NULL);
+		}
 		if (request->call != NULL) {
 			msp_cancel_call(request->call);
 			if (!request->forward.in_flight)
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -101,13 +101,18 @@
 }
 
 /*
- * Whether the response would come too late. A request that does not have to
- * wait is always tried, because its expected latency may be unmeasured.
+ * Whether the response would come too late. Unless this VM stops, a request
+ * that does not have to wait is always tried, because its expected latency may
+ * be unmeasured.
  */
 static bool
 is_too_late(
     const msp_balance_request_t *request, const msp_balance_choice_t *choice)
 {
+	if (request->is_stopping &&
+	    (choice->wait > 0 ||
+		choice->expected_latency > request->max_latency))
+		return true;
 	return choice->wait > 0 &&
 	    choice->expected_latency > request->time_left;
 }
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -16,6 +16,8 @@
  */
 
 #define SECONDS 3
+#define STOP_SECONDS 14
+#define STOP_TARGETS 8
 #define CUT_SECONDS 11 /* a cut is judged from 4 s after its beginning */
 #define CUT_VMS 12
 #define CUT_TARGETS 12
@@ -134,6 +136,9 @@
     /* What the VM drops as it stops must not run, and the rest is answered. */
     {"stops_lose_nothing_of_pipelines", "pipelines-stops", 1, false,
 	LIMIT_SECONDS, VMS, TARGETS},
+    /* A stopping VM took requests that waited longer than it had left. */
+    {"stopping_vms_take_only_what_they_can_finish", "stops-long-work", 1, false,
+	STOP_SECONDS, VMS, STOP_TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
--- a/tests/steer/test_balancer_limits.c
+++ b/tests/steer/test_balancer_limits.c
@@ -13,6 +13,7 @@
 
 #define START (100 * MSP_SECOND)
 #define SERVICE "desk"
+#define REQUESTS_IN_USE 30 /* more than two targets have slots */
 #define ROUTES 2 /* their priorities are 0 and 1 */
 
 typedef struct fixture {
@@ -244,10 +245,60 @@
 	tear_down(&fixture);
 }
 
+/*
+ * Two targets that fill up: a VM that stops begins no request that would have
+ * to wait, and none that takes longer than it has left. Another VM still does.
+ */
+static void
+stopping_vm_begins_nothing_that_waits(void **state)
+{
+	msp_view_target_t *in_use[REQUESTS_IN_USE];
+	msp_balance_choice_t choice;
+	fixture_t fixture;
+	bool waited = false;
+	size_t i;
+
+	(void)state;
+	set_up(&fixture, 2);
+	for (i = 0; i < REQUESTS_IN_USE; i++) {
+		msp_balance_request_t request = {
+		    .route = find_route(&fixture, 0),
+		    .service = &fixture.table->services[0],
+		    .object_hash = i,
+		    .has_object = true,
+		    .time_left = 60 * MSP_SECOND,
+		    .is_stopping = true,
+		    .max_latency = 60 * MSP_SECOND,
+		};
+		msp_status_t status =
+		    msp_balance(fixture.balancer, &request, &choice);
+
+		if (status == MSP_OK)
+			assert_int_equal(choice.wait, 0);
+		else
+			assert_int_equal(status, MSP_E_OVERLOAD);
+		request.max_latency = 0;
+		assert_int_equal(
+		    msp_balance(fixture.balancer, &request, &choice),
+		    MSP_E_OVERLOAD);
+		request.is_stopping = false;
+		assert_int_equal(
+		    msp_balance(fixture.balancer, &request, &choice), MSP_OK);
+		waited = waited || choice.wait > 0;
+		msp_begin_balanced_request(fixture.balancer, &choice);
+		in_use[i] = choice.target;
+	}
+	assert_true(waited);
+	for (i = 0; i < REQUESTS_IN_USE; i++)
+		msp_release_view_target(in_use[i]);
+	tear_down(&fixture);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(stopping_vm_begins_nothing_that_waits),
 	    cmocka_unit_test(other_targets_take_what_does_not_fit),
 	    cmocka_unit_test(
 		requests_beyond_all_limits_are_refused_with_a_time),
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -183,7 +183,7 @@
 	soak->loop = new_soak_loop(options->seed);
 	LIST_INIT(&soak->pairs);
 	soak->store.fd = -1;
-	soak->ledger.loses_nothing = soak->profile->loses_nothing;
+	soak->ledger.owed = soak->profile->owed;
 	open_home_judge(&soak->homes);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -274,6 +274,7 @@
 		    &soak->ledger, soak_random(soak->loop, UINT64_MAX));
 		request->safe = !soak_chance(soak->loop, BEHIND_UNSAFE);
 		request->vm = client->vm->index;
+		request->to_stopping_vm = client->vm->expected_end;
 		write_soak_request(soak, request, deadline_ms, &out);
 		client->behind[client->behind_count] = request;
 		soak->result->pipelined++;
@@ -317,6 +318,7 @@
 		&(msp_rng_t){.state = soak_random(soak->loop, UINT64_MAX)}));
 	client->request->safe = safe;
 	client->request->vm = vm->index;
+	client->request->to_stopping_vm = vm->expected_end;
 	client->retries_left = retries_left;
 	client->is_probe = is_probe;
 	TAILQ_INSERT_TAIL(&soak->clients, client, link);
--- a/tests/support/soak_ledger.c
+++ b/tests/support/soak_ledger.c
@@ -224,7 +224,9 @@
 	if (request->answer == SOAK_UNREAD) {
 		ledger->result->unread_but_run++;
 		report_run(ledger, "UNREAD", request);
-	} else if (request->answer == SOAK_CUT && ledger->loses_nothing) {
+	} else if (request->answer == SOAK_CUT &&
+	    (ledger->owed == SOAK_OWES_ALL ||
+		(ledger->owed == SOAK_OWES_LATE && request->to_stopping_vm))) {
 		ledger->result->lost++;
 		report_run(ledger, "LOST", request);
 	}
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -17,6 +17,13 @@
 #define SOAK_UNREAD (-4)
 #define SOAK_UNANSWERED (-3) /* no answer by the deadline and some slack */
 
+/* Of the requests that have run, those that must be answered. */
+typedef enum soak_owed {
+	SOAK_OWES_NOTHING, /* unplanned faults may cut any */
+	SOAK_OWES_LATE, /* those sent after the VM was told to stop */
+	SOAK_OWES_ALL,
+} soak_owed_t;
+
 /* A request of a client, and all that happened to it. */
 typedef struct soak_request {
 	char id[SOAK_ID_SIZE];
@@ -26,6 +33,7 @@
 	uint64_t body_hash;
 	unsigned int vm;
 	bool safe; /* may run more than once */
+	bool to_stopping_vm; /* sent after the VM was told to stop */
 	int answer; /* status, SOAK_NO_ANSWER, SOAK_CUT or the like */
 	unsigned int runs;
 	msp_time_t sent_at;
@@ -40,7 +48,7 @@
 	msp_map_t *requests; /* soak_request_t by id */
 	soak_result_t *result;
 	msp_time_t started;
-	bool loses_nothing; /* see soak_profile_t */
+	soak_owed_t owed;
 	FILE *report; /* of violations */
 } soak_ledger_t;
 
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -106,8 +106,7 @@
 			     second */
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
-	/* A request that ran is answered: nothing but planned work ends it. */
-	bool loses_nothing;
+	soak_owed_t owed;
 	unsigned int cut_ways; /* soak_cut_t */
 	bool cuts_all; /* VMs at the same time */
 	/* Of SOAK_CRASH: a successor has the address, and the entry stays. */
