--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -229,7 +229,7 @@
 	.name = "pass_headers",
 	FIELD(FIELD_STRING, msp_settings_t, pass_headers),
 	.max = MSP_PASS_HEADERS_SIZE - 1,
-	.help = "further header names to forward, comma-separated",
+	.help = "further header names of responses to forward, comma-separated",
     },
     {
 	.name = "limits",
