Log large reads of tables, and count what is read, thrown away and served

The logs told only of reads that failed. To tell the hypotheses of CONFIG and DRAIN apart we need who a VM read a large row from, how long it took, how many bytes were thrown away and how many a VM sent to others.

--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -79,17 +79,23 @@
 	return reply->call_status == MSP_E_DEADLINE && reply->received > 0;
 }
 
-static void
-handle_read_failure(table_follower_t *follower, const store_reply_t *reply)
+static table_read_end_t
+get_read_end(const table_follower_t *follower, const store_reply_t *reply)
 {
-	table_read_failure_t failure = {
+	return (table_read_end_t){
 	    .vm = follower->reads_vm ? &follower->vm : NULL,
 	    .reply = reply,
 	    .took = get_now(follower) - follower->read_started,
 	    .attempt = follower->attempt,
 	};
+}
+
+static void
+handle_read_failure(table_follower_t *follower, const store_reply_t *reply)
+{
+	table_read_end_t end = get_read_end(follower, reply);
 
-	follower->callbacks.on_read_failed(follower->callbacks.ctx, &failure);
+	follower->callbacks.on_read_failed(follower->callbacks.ctx, &end);
 	if (was_cut_off(reply) && follower->cut_reads < CUT_READS_MAX)
 		follower->cut_reads++;
 	if (was_cut_off(reply) && follower->reads_vm) {
@@ -187,6 +193,7 @@
 	table_follower_t *follower = ctx;
 	const table_follower_options_t *options = &follower->options;
 	bool fresh = reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
+	table_read_end_t end;
 
 	follower->call = NULL;
 	msp_drop_timer(follower->stale_timer);
@@ -206,6 +213,8 @@
 		handle_read_failure(follower, reply);
 		return;
 	}
+	end = get_read_end(follower, reply);
+	follower->callbacks.on_read_done(follower->callbacks.ctx, &end);
 	report_store_recovered(follower);
 	if (fresh && needs_outage_check(follower, reply)) {
 		follower->outage_checks++;
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -26,13 +26,13 @@
 	msp_time_t outage_threshold;
 } table_follower_options_t;
 
-/* A read that brought no usable response. */
-typedef struct table_read_failure {
+/* The end of a read. */
+typedef struct table_read_end {
 	const store_source_t *vm; /* that was read; NULL: the store */
 	const store_reply_t *reply;
 	msp_time_t took;
 	unsigned int attempt; /* as for choose_source */
-} table_read_failure_t;
+} table_read_end_t;
 
 typedef struct table_follower_callbacks {
 	/*
@@ -52,7 +52,9 @@
 	void (*on_snapshot_end)(void *ctx, uint64_t version);
 	/* The version or the time of the copy may have advanced. */
 	void (*on_update)(void *ctx);
-	void (*on_read_failed)(void *ctx, const table_read_failure_t *failure);
+	/* A read brought a usable response, or none. */
+	void (*on_read_done)(void *ctx, const table_read_end_t *end);
+	void (*on_read_failed)(void *ctx, const table_read_end_t *end);
 	/* This VM can't read from the store any more, or can again. */
 	void (*on_store_lost)(void *ctx, msp_status_t status);
 	void (*on_store_recovered)(void *ctx, msp_time_t lost_for);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -48,9 +48,17 @@
 					  : (uint32_t)(span / MSP_MS);
 }
 
+static const char *
+get_table_name(const edge_t *edge, const table_follower_t *table)
+{
+	return table == edge->operator_table.follower
+	    ? edge->operator_table.name
+	    : edge->target_table.name;
+}
+
 static void
-answer_query(msp_exchange_t *exchange, const table_follower_t *table,
-    const row_query_t *query)
+answer_query(edge_t *edge, msp_exchange_t *exchange,
+    const table_follower_t *table, const row_query_t *query)
 {
 	const table_copy_t *copy = get_table_copy(table);
 	rows_response_t rows = {.table = query->table};
@@ -73,6 +81,9 @@
 		answer_error(exchange, rows.status);
 		return;
 	}
+	msp_add_to_counter(edge->daemon->counters, response.body.len,
+	    "msp_table_served_bytes_total{table=\"%s\"}",
+	    get_table_name(edge, table));
 	msp_send_exchange_response(exchange, &response);
 }
 
@@ -87,12 +98,13 @@
 static void
 answer_long_poll(long_poll_t *poll)
 {
+	edge_t *edge = poll->edge;
 	msp_exchange_t *exchange = poll->exchange;
 	const table_follower_t *table = poll->table;
 	row_query_t query = poll->query;
 
 	free_long_poll(poll);
-	answer_query(exchange, table, &query);
+	answer_query(edge, exchange, table, &query);
 }
 
 static void
@@ -120,7 +132,7 @@
 	long_poll_t *poll = calloc(1, sizeof(*poll));
 
 	if (poll == NULL) {
-		answer_query(exchange, table, query);
+		answer_query(edge, exchange, table, query);
 		return;
 	}
 	poll->edge = edge;
@@ -199,7 +211,7 @@
 	    edge->daemon->counters, 1, "msp_relayed_reads_total");
 	if (query.is_range || query.wait_ms == 0 ||
 	    get_copy_version(get_table_copy(table)) > query.after)
-		answer_query(exchange, table, &query);
+		answer_query(edge, exchange, table, &query);
 	else
 		start_long_poll(edge, exchange, table, &query);
 }
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -17,6 +17,7 @@
 #define VM_INTERVAL (5 * MSP_MS)
 /* A target's row lapses after this many missed heartbeats. */
 #define LAPSE_HEARTBEATS 2
+#define LARGE_READ_BYTES (16 * 1024) /* reads of so much are logged */
 
 msp_time_t
 get_targets_age(const edge_t *edge)
@@ -49,27 +50,55 @@
 		answer_long_polls(table->edge, table->follower);
 }
 
+static void
+count_read_bytes(
+    const edge_table_t *table, const table_read_end_t *end, const char *use)
+{
+	msp_add_to_counter(table->edge->daemon->counters, end->reply->received,
+	    "msp_table_read_bytes_total{table=\"%s\",source=\"%s\","
+	    "use=\"%s\"}",
+	    table->name, end->vm == NULL ? "store" : "vm", use);
+}
+
+/* Logs large reads, which take time on a slow link. */
+static void
+handle_read_done(void *ctx, const table_read_end_t *end)
+{
+	const edge_table_t *table = ctx;
+	const store_reply_t *reply = end->reply;
+
+	count_read_bytes(table, end, "kept");
+	if (reply->received < LARGE_READ_BYTES)
+		return;
+	log_info("event=table-read table=%s state=done source=%s rows=%zu "
+		 "received=%zu took_ms=%" PRIu64 " transfer_ms=%u attempt=%u",
+	    table->name, end->vm == NULL ? "store" : end->vm->address,
+	    reply->row_count, reply->received, end->took / MSP_MS,
+	    reply->transfer_ms, end->attempt);
+}
+
 /*
  * Logs each read that ended within the response, and the first failed one since
  * the copy was fresh.
  */
 static void
-handle_read_failed(void *ctx, const table_read_failure_t *failure)
+handle_read_failed(void *ctx, const table_read_end_t *end)
 {
 	const edge_table_t *table = ctx;
-	const store_reply_t *reply = failure->reply;
+	const store_reply_t *reply = end->reply;
 
 	msp_add_to_counter(table->edge->daemon->counters, 1,
 	    "msp_table_reads_failed_total{table=\"%s\",source=\"%s\"}",
-	    table->name, failure->vm == NULL ? "store" : "vm");
-	if (reply->received == 0 && failure->attempt > 0)
+	    table->name, end->vm == NULL ? "store" : "vm");
+	count_read_bytes(table, end, "discarded");
+	if (reply->received == 0 && end->attempt > 0)
 		return;
 	log_warn("event=table-read table=%s state=failed source=%s error=%s "
 		 "call=%s received=%zu took_ms=%" PRIu64 " attempt=%u",
-	    table->name, failure->vm == NULL ? "store" : failure->vm->address,
+	    table->name, end->vm == NULL ? "store" : end->vm->address,
 	    reply->status == MSP_OK ? "older" : msp_status_name(reply->status),
 	    msp_status_name(reply->call_status), reply->received,
-	    failure->took / MSP_MS, failure->attempt);
+	    end->took / MSP_MS, end->attempt);
 }
 
 static void
@@ -301,6 +330,7 @@
 	    .on_row = handle_operator_row,
 	    .on_snapshot_end = handle_operator_snapshot_end,
 	    .on_update = handle_new_rows,
+	    .on_read_done = handle_read_done,
 	    .on_read_failed = handle_read_failed,
 	    .on_store_lost = handle_store_lost,
 	    .on_store_recovered = handle_store_recovered,
--- a/tests/platform/test_large_rows.c
+++ b/tests/platform/test_large_rows.c
@@ -118,14 +118,21 @@
 }
 
 static void
-handle_read_failed(void *ctx, const table_read_failure_t *failure)
+handle_read_failed(void *ctx, const table_read_end_t *end)
 {
 	large_row_test_t *test = ctx;
 
-	if (failure->reply->received > 0)
+	if (end->reply->received > 0)
 		test->cut_reads++;
 }
 
+static void
+ignore_read_done(void *ctx, const table_read_end_t *end)
+{
+	(void)ctx;
+	(void)end;
+}
+
 static void
 ignore_event(void *ctx)
 {
@@ -201,6 +208,7 @@
 	    .on_row = handle_row,
 	    .on_snapshot_end = ignore_snapshot_end,
 	    .on_update = ignore_event,
+	    .on_read_done = ignore_read_done,
 	    .on_read_failed = handle_read_failed,
 	    .on_store_lost = ignore_store_lost,
 	    .on_store_recovered = ignore_store_recovered,
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -94,10 +94,10 @@
 }
 
 static void
-handle_read_failed(void *ctx, const table_read_failure_t *failure)
+handle_read_end(void *ctx, const table_read_end_t *end)
 {
 	(void)ctx;
-	(void)failure;
+	(void)end;
 }
 
 static void
@@ -156,7 +156,8 @@
 	    .on_row = handle_row,
 	    .on_snapshot_end = handle_snapshot_end,
 	    .on_update = handle_update,
-	    .on_read_failed = handle_read_failed,
+	    .on_read_done = handle_read_end,
+	    .on_read_failed = handle_read_end,
 	    .on_store_lost = handle_store_lost,
 	    .on_store_recovered = handle_store_recovered,
 	    .on_stale = handle_stale,
