--- a/measure/soak.c
+++ b/measure/soak.c
@@ -26,7 +26,7 @@
 	       "faults=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	       "REFUSED=%u TWICE=%u "
 	       "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u LIMIT=%u "
-	       "HOME=%u RECOVER=%u "
+	       "HOME=%u CONFIG=%u/%u DRAIN=%u/%u worst_drain_ms=%u RECOVER=%u "
 	       "crashed=%u "
 	       "folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
@@ -44,8 +44,10 @@
 	    result->whole_served, result->whole_tries, result->refused_but_run,
 	    result->run_twice, result->mixed, result->unasked,
 	    result->misrouted, result->unread_but_run, result->lost,
-	    result->over_limit, result->outside_home, result->not_recovered,
-	    result->crashed, result->folder[0] == '\0' ? "-" : result->folder);
+	    result->over_limit, result->outside_home, result->by_older_routes,
+	    result->judged_markers, result->to_leaving, result->judged_drains,
+	    result->worst_drain_ms, result->not_recovered, result->crashed,
+	    result->folder[0] == '\0' ? "-" : result->folder);
 }
 
 int
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -113,6 +113,15 @@
      */
     {"homes_hold_while_vms_read_large_routes_from_one", "homes-big", 6, false,
 	FAN_OUT_SECONDS, FAN_OUT_VMS, TARGETS},
+    /*
+     * Large routes that changed again and again were in force late, since one
+     * VM, often with a slow link, sent them whole to all of its data centre.
+     */
+    {"large_routes_are_in_force_in_time_over_slow_links", "slow-links", 1,
+	false, FAN_OUT_SECONDS, FAN_OUT_VMS, TARGETS},
+    /* Entries of leaving targets waited behind large routes on slow links. */
+    {"large_routes_delay_no_drain_over_slow_links", "slow-links-drains", 1,
+	false, FAN_OUT_SECONDS, FAN_OUT_VMS, TARGETS},
     /*
      * A VM that was cut from all targets refused every request at once, though
      * the other VMs could have served it.
@@ -180,13 +189,15 @@
 		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
 			 "%u, unasked %u, misrouted %u, run though unread %u, "
 			 "lost %u, over a limit %u, "
-			 "outside their homes %u, not recovered %u (cut VMs "
+			 "outside their homes %u, by older routes %u, to "
+			 "leaving targets %u, not recovered %u (cut VMs "
 			 "served %u of %u, the others %u of %u), crashed %u of "
 			 "%u requests; %s",
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
 		    result.misrouted, result.unread_but_run, result.lost,
 		    result.over_limit, result.outside_home,
+		    result.by_older_routes, result.to_leaving,
 		    result.not_recovered, result.cut_served, result.cut_tries,
 		    result.whole_served, result.whole_tries, result.crashed,
 		    result.requests, result.folder);
--- a/tests/process/test_soak_home.c
+++ b/tests/process/test_soak_route_judge.c
@@ -6,9 +6,9 @@
 
 #include <cmocka.h>
 
-#include "soak_home.h"
+#include "soak_route_judge.h"
 
-/* The judge of the soak's rule HOME, on histories made by hand. */
+/* The judge of the soak's rules HOME and CONFIG, on histories made by hand. */
 
 #define DEADLINE_MS 4000
 #define EVENTS_MAX 12
@@ -182,7 +182,7 @@
 };
 
 static bool
-is_outside(home_judge_t *judge, const event_t *event)
+is_outside(route_judge_t *judge, const event_t *event)
 {
 	home_arrival_t arrival = {.host = event->host,
 	    .path = event->path,
@@ -190,25 +190,25 @@
 	    .sent_at = (event->at_ms - event->took_ms) * MSP_MS,
 	    .arrived_at = event->at_ms * MSP_MS,
 	    .vm_started = event->started_ms * MSP_MS};
-	home_finding_t finding;
+	route_finding_t finding;
 
 	return judge_home_arrival(judge, &arrival, &finding);
 }
 
 static void
-play_event(home_judge_t *judge, const event_t *event, size_t index)
+play_event(route_judge_t *judge, const event_t *event, size_t index)
 {
 	msp_time_t now = event->at_ms * MSP_MS;
 
 	switch (event->kind) {
 	case SEND:
-		send_home_version(judge, now, event->number);
+		send_judged_version(judge, now, event->number);
 		break;
 	case ROUTE:
-		add_home_route(judge, event->host, event->path, event->homes);
+		add_judged_route(judge, event->host, event->path, event->homes);
 		break;
 	case ACK:
-		acknowledge_home_version(judge, now, event->number);
+		acknowledge_judged_version(judge, now, event->number);
 		break;
 	default:
 		if (is_outside(judge, event) != (event->kind == OUTSIDE))
@@ -226,37 +226,37 @@
 	(void)state;
 	for (i = 0; i < sizeof(histories) / sizeof(*histories); i++) {
 		const history_t *history = &histories[i];
-		home_judge_t judge = {
+		route_judge_t judge = {
 		    .options = {.deadline = DEADLINE_MS * MSP_MS,
 			.start_time = history->start_time_ms * MSP_MS}};
 
 		print_message("%s\n", history->name);
-		open_home_judge(&judge);
+		open_route_judge(&judge);
 		for (j = 0; j < EVENTS_MAX && history->events[j].kind != END;
 		     j++)
 			play_event(&judge, &history->events[j], j);
-		drop_home_judge(&judge);
+		drop_route_judge(&judge);
 	}
 }
 
 static void
 tells_which_version_was_obeyed(void **state)
 {
-	home_judge_t judge = {.options.deadline = DEADLINE_MS * MSP_MS};
+	route_judge_t judge = {.options.deadline = DEADLINE_MS * MSP_MS};
 	home_arrival_t arrival = {.host = "a",
 	    .path = "/x/1",
 	    .region = 0,
 	    .sent_at = 6 * MSP_SECOND,
 	    .arrived_at = 6 * MSP_SECOND};
-	home_finding_t finding;
+	route_finding_t finding;
 
 	(void)state;
-	open_home_judge(&judge);
-	send_home_version(&judge, 0, 3);
-	add_home_route(&judge, "a", "/x/", R0);
-	send_home_version(&judge, MSP_SECOND, 5);
-	add_home_route(&judge, "a", "/x/", R1 | R2);
-	acknowledge_home_version(&judge, MSP_SECOND, 5);
+	open_route_judge(&judge);
+	send_judged_version(&judge, 0, 3);
+	add_judged_route(&judge, "a", "/x/", R0);
+	send_judged_version(&judge, MSP_SECOND, 5);
+	add_judged_route(&judge, "a", "/x/", R1 | R2);
+	acknowledge_judged_version(&judge, MSP_SECOND, 5);
 	assert_true(judge_home_arrival(&judge, &arrival, &finding));
 	assert_int_equal(finding.version, 5);
 	assert_int_equal(finding.homes, R1 | R2);
@@ -268,7 +268,80 @@
 	assert_false(judge_home_arrival(&judge, &arrival, &finding));
 	assert_int_equal(judge.judged, 2);
 	assert_int_equal(judge.broken, 1);
-	drop_home_judge(&judge);
+	drop_route_judge(&judge);
+}
+
+typedef struct answer_case {
+	const char *name;
+	const char *path;
+	bool found;
+	uint32_t sent_ms;
+	uint32_t answered_ms;
+	uint32_t started_ms; /* the VM's last start */
+	bool breaks;
+} answer_case_t;
+
+/*
+ * Version 1 has /x/ only. Version 2 adds /y/, sent at 1 s and acknowledged at
+ * 2 s. Version 3 removes /x/, sent at 8 s and acknowledged at 9 s.
+ */
+static const answer_case_t answers[] = {
+    {"a route of all versions yet", "/x/1", true, 500, 600, 0, false},
+    {"a route that was not added yet", "/y/1", true, 500, 600, 0, true},
+    {"no route yet", "/y/1", false, 500, 600, 0, false},
+    {"added while the request is answered", "/y/1", true, 900, 1100, 0, false},
+    {"not found at the end of the time", "/y/1", false, 6000, 6100, 0, false},
+    {"not found after it", "/y/1", false, 6001, 6100, 0, true},
+    {"not found by a VM that has just started", "/y/1", false, 6001, 6100, 5002,
+	false},
+    {"not found a second after the start", "/y/1", false, 6003, 6100, 5002,
+	true},
+    {"found after it", "/y/1", true, 6001, 6100, 0, false},
+    {"removed, but not acknowledged for long", "/x/1", true, 13000, 13100, 0,
+	false},
+    {"removed", "/x/1", true, 13001, 13100, 0, true},
+    {"removed at once", "/x/1", false, 8001, 8100, 0, false},
+    {"not removed yet", "/x/1", false, 7000, 7100, 0, true},
+};
+
+static void
+judges_answers(void **state)
+{
+	route_judge_t judge = {.options.deadline = DEADLINE_MS * MSP_MS};
+	route_finding_t finding;
+	size_t i;
+
+	(void)state;
+	open_route_judge(&judge);
+	send_judged_version(&judge, 0, 1);
+	add_judged_route(&judge, "a", "/x/", ANYWHERE);
+	acknowledge_judged_version(&judge, 0, 1);
+	send_judged_version(&judge, MSP_SECOND, 2);
+	add_judged_route(&judge, "a", "/x/", ANYWHERE);
+	add_judged_route(&judge, "a", "/y/", ANYWHERE);
+	acknowledge_judged_version(&judge, 2 * MSP_SECOND, 2);
+	send_judged_version(&judge, 8 * MSP_SECOND, 3);
+	add_judged_route(&judge, "a", "/y/", ANYWHERE);
+	acknowledge_judged_version(&judge, 9 * MSP_SECOND, 3);
+	for (i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		route_answer_t answer = {.host = "a",
+		    .path = answers[i].path,
+		    .found = answers[i].found,
+		    .sent_at = answers[i].sent_ms * MSP_MS,
+		    .answered_at = answers[i].answered_ms * MSP_MS,
+		    .vm_started = answers[i].started_ms * MSP_MS};
+
+		print_message("%s\n", answers[i].name);
+		judge.options.start_time =
+		    answers[i].started_ms == 0 ? 0 : MSP_SECOND;
+		assert_int_equal(judge_route_answer(&judge, &answer, &finding),
+		    answers[i].breaks);
+	}
+	assert_int_equal(get_due_version(&judge, 4 * MSP_SECOND), 0);
+	assert_int_equal(get_due_version(&judge, 5 * MSP_SECOND), 1);
+	assert_int_equal(get_due_version(&judge, 13 * MSP_SECOND), 2);
+	assert_int_equal(get_due_version(&judge, 13001 * MSP_MS), 3);
+	drop_route_judge(&judge);
 }
 
 int
@@ -277,6 +350,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(judges_homes),
 	    cmocka_unit_test(tells_which_version_was_obeyed),
+	    cmocka_unit_test(judges_answers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -101,6 +101,7 @@
 	start_soak_traffic(soak);
 	start_soak_faults(soak);
 	start_soak_route_changes(soak);
+	start_soak_markers(soak);
 	start_soak_link_cuts(soak);
 	start_soak_cuts(soak);
 	run_for(soak, soak->options->seconds * MSP_SECOND);
@@ -161,6 +162,7 @@
 	return result->refused_but_run + result->run_twice + result->mixed +
 	    result->unasked + result->misrouted + result->unread_but_run +
 	    result->lost + result->over_limit + result->outside_home +
+	    result->by_older_routes + result->to_leaving +
 	    result->not_recovered + result->crashed;
 }
 
@@ -184,7 +186,7 @@
 	LIST_INIT(&soak->pairs);
 	soak->store.fd = -1;
 	soak->ledger.owed = soak->profile->owed;
-	open_home_judge(&soak->homes);
+	open_route_judge(&soak->homes);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
 	    open_soak_ledger(&soak->ledger, result) == 0 &&
@@ -196,7 +198,7 @@
 	close_soak_links(soak);
 	stop_soak_store(soak);
 	close_soak_ledger(&soak->ledger);
-	drop_home_judge(&soak->homes);
+	drop_route_judge(&soak->homes);
 	drop_soak_loop(soak->loop);
 	if (count_soak_violations(result) > 0)
 		print_report(result);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -48,6 +48,9 @@
 	unsigned int route_versions;
 	unsigned int route_bytes; /* of the last version */
 	unsigned int judged_homes; /* requests on routes with homes */
+	unsigned int judged_markers; /* requests on marker routes */
+	unsigned int judged_drains; /* requests to targets that leave */
+	unsigned int worst_drain_ms; /* since the target said that it leaves */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
 	unsigned int cuts; /* times at which VMs lost all targets */
@@ -65,6 +68,8 @@
 	unsigned int lost; /* run, and cut though only planned work was done */
 	unsigned int over_limit; /* requests above a limit that was named */
 	unsigned int outside_home; /* reached a target outside their homes */
+	unsigned int by_older_routes; /* answered by routes not in force */
+	unsigned int to_leaving; /* reached a target that left long ago */
 	unsigned int
 	    not_recovered; /* cuts in which cut VMs served too little */
 	unsigned int crashed; /* processes that ended by themselves */
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -27,7 +27,6 @@
 	soak_request_t *behind[BEHIND_MAX];
 	size_t behind_count;
 	unsigned int retries_left;
-	bool is_probe;
 	recover_try_t attempt; /* if it is a first try */
 	bool leaves; /* before its deadline */
 	msp_buffer_t rest; /* of the request, sent later */
@@ -36,8 +35,15 @@
 	msp_time_t idle_since;
 };
 
-static void start_request(
-    soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe);
+/* Why a request is sent. */
+typedef enum request_purpose {
+	PURPOSE_TRAFFIC,
+	PURPOSE_PROBE, /* of a VM that has not served any */
+	PURPOSE_MARKER,
+} request_purpose_t;
+
+static void start_request(soak_vm_t *vm, bool safe, unsigned int retries_left,
+    request_purpose_t purpose);
 
 static void
 free_client(soak_client_t *client)
@@ -174,14 +180,16 @@
 		return false;
 	}
 	end_try(client, message->status);
+	if (request->is_marker)
+		judge_soak_marker(client->vm, request);
 	if (message->status == HTTP_OK)
 		client->vm->served++;
 	open = end_request(client, !closes);
 	if (is_soak_promise(message->status) && retries_left > 0 &&
 	    !soak->finishing &&
 	    soak_chance(soak->loop, soak->profile->retrying))
-		start_request(
-		    pick_vm(soak), request->safe, retries_left - 1, false);
+		start_request(pick_vm(soak), request->safe, retries_left - 1,
+		    PURPOSE_TRAFFIC);
 	return open;
 }
 
@@ -289,8 +297,8 @@
 }
 
 static void
-start_request(
-    soak_vm_t *vm, bool safe, unsigned int retries_left, bool is_probe)
+start_request(soak_vm_t *vm, bool safe, unsigned int retries_left,
+    request_purpose_t purpose)
 {
 	soak_t *soak = vm->soak;
 	const soak_profile_t *profile = soak->profile;
@@ -320,7 +328,7 @@
 	client->request->vm = vm->index;
 	client->request->to_stopping_vm = vm->expected_end;
 	client->retries_left = retries_left;
-	client->is_probe = is_probe;
+	client->request->is_marker = purpose == PURPOSE_MARKER;
 	TAILQ_INSERT_TAIL(&soak->clients, client, link);
 	write_soak_request(soak, client->request, deadline_ms, &out);
 	client->leaves = soak_chance(soak->loop, profile->leaving);
@@ -334,7 +342,8 @@
 		send_piece(client);
 	} else {
 		send_soak_data(&client->stream, out.data, out.len);
-		if (!is_probe && soak_chance(soak->loop, profile->pipelined))
+		if (purpose == PURPOSE_TRAFFIC &&
+		    soak_chance(soak->loop, profile->pipelined))
 			send_requests_behind(client, deadline_ms);
 	}
 	msp_drop_buffer(&out);
@@ -343,7 +352,13 @@
 void
 probe_soak_vm(soak_vm_t *vm)
 {
-	start_request(vm, true, 0, true);
+	start_request(vm, true, 0, PURPOSE_PROBE);
+}
+
+void
+ask_soak_marker(soak_vm_t *vm)
+{
+	start_request(vm, true, 0, PURPOSE_MARKER);
 }
 
 static void
@@ -358,7 +373,8 @@
 	if (now > due + soak->result->lag_ms * MSP_MS)
 		soak->result->lag_ms = (unsigned int)((now - due) / MSP_MS);
 	start_request(pick_vm(soak),
-	    soak_chance(soak->loop, soak->profile->safe), RETRIES_MAX, false);
+	    soak_chance(soak->loop, soak->profile->safe), RETRIES_MAX,
+	    PURPOSE_TRAFFIC);
 	set_soak_timer(soak->loop, &soak->arrival,
 	    due + soak_interval(soak->loop, soak->rate));
 }
--- /dev/null
+++ b/tests/support/soak_drain.h
@@ -0,0 +1,40 @@
+#ifndef SUPPORT_SOAK_DRAIN_H
+#define SUPPORT_SOAK_DRAIN_H
+
+#include <stdbool.h>
+
+#include "monsoonspindle/base/env.h"
+
+/*
+ * Judges whether a target that has said that it leaves still gets requests
+ * (DRAIN): none may arrive later than `deadline` after the store has
+ * acknowledged it, sent by a VM that has run for `contact_time`.
+ */
+
+typedef struct drain_options {
+	msp_time_t deadline;
+	msp_time_t contact_time;
+} drain_options_t;
+
+/* Of one target. Zero-initialise it and set `options`. */
+typedef struct drain_judge {
+	drain_options_t options;
+	bool leaves;
+	msp_time_t acknowledged_at; /* that it leaves */
+	unsigned int judged; /* arrivals while it leaves */
+} drain_judge_t;
+
+/* The store has acknowledged that the target leaves. */
+void begin_judged_drain(drain_judge_t *judge, msp_time_t now);
+
+/* The target has ended; its successor does not leave. */
+void end_judged_drain(drain_judge_t *judge);
+
+/*
+ * Returns true if the arrival of a request breaks the rule. `vm_since` is when
+ * the VM that sent it was last started or continued.
+ */
+bool judge_drain_arrival(
+    drain_judge_t *judge, msp_time_t now, msp_time_t vm_since);
+
+#endif
--- a/tests/support/soak_draw.c
+++ b/tests/support/soak_draw.c
@@ -35,6 +35,8 @@
 	bool is_get = request->safe && soak_random(soak->loop, 5) != 0;
 	size_t len;
 
+	if (request->is_marker && draw_marker_request(soak, request))
+		return;
 	strcpy(request->host, "a.example");
 	snprintf(request->method, sizeof(request->method), "%s",
 	    is_get ? "GET" : methods[soak_random(soak->loop, count)]);
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -33,6 +33,7 @@
 	uint64_t body_hash;
 	unsigned int vm;
 	bool safe; /* may run more than once */
+	bool is_marker; /* asks for a marker route */
 	bool to_stopping_vm; /* sent after the VM was told to stop */
 	int answer; /* status, SOAK_NO_ANSWER, SOAK_CUT or the like */
 	unsigned int runs;
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -6,11 +6,12 @@
 #include <bsd/sys/queue.h>
 
 #include "soak.h"
-#include "soak_home.h"
+#include "soak_drain.h"
 #include "soak_ledger.h"
 #include "soak_limit.h"
 #include "soak_loop.h"
 #include "soak_recover.h"
+#include "soak_route_judge.h"
 
 #define SOAK_ZONES 3
 #define SOAK_SERVICES 2
@@ -102,6 +103,11 @@
 	uint32_t routes_size; /* to which they grow, in bytes */
 	uint32_t vm_bandwidth; /* bytes per second of a VM's link to the store
 				  and other VMs, each way; 0: no limit */
+	unsigned int fast_vms; /* of each data centre */
+	uint32_t fast_bandwidth; /* of their links */
+	uint32_t far_rate; /* bytes per second of a connection to the store
+			      from other regions; 0: no limit */
+	bool markers; /* routes that tell which version a VM has */
 	double link_cuts; /* resets of all connections over a VM's link, per
 			     second */
 	double faults; /* per second */
@@ -123,6 +129,7 @@
 TAILQ_HEAD(soak_client_queue, soak_client);
 LIST_HEAD(soak_pair_list, link_pair);
 TAILQ_HEAD(soak_relay_queue, soak_relay);
+TAILQ_HEAD(link_segment_queue, link_segment);
 
 /* A route whose homes change. */
 typedef struct soak_home_route {
@@ -140,10 +147,11 @@
 	soak_timer_t change;
 } soak_routes_t;
 
-/* One direction of a VM's link. */
+/* One direction of a VM's link, or of a connection. */
 typedef struct soak_flow {
 	double credit; /* bytes that may be sent now */
 	msp_time_t updated;
+	struct link_segment_queue segments; /* of a link: sent in order */
 } soak_flow_t;
 
 typedef struct soak_target {
@@ -177,6 +185,7 @@
 	soak_timer_t former_end; /* removes the entry of `former_id` */
 	soak_timer_t limit_change; /* names or lifts a limit */
 	limit_judge_t limit;
+	drain_judge_t drain;
 } soak_target_t;
 
 /* A process of the daemon. */
@@ -187,6 +196,7 @@
 	msp_time_t started;
 	bool expected_end; /* a signal that ends it was sent */
 	bool frozen;
+	msp_time_t running_since; /* its last start or continuation */
 	unsigned int served; /* responses with status 200 */
 	uint16_t front;
 	uint16_t ready;
@@ -201,6 +211,7 @@
 	struct soak_relay_queue relays; /* connections over its link */
 	soak_flow_t flows[2]; /* to it, and from it */
 	soak_timer_t flow; /* sends what has credit */
+	soak_timer_t marker; /* asks for the next marker */
 	char settings[128];
 	char log[128];
 	struct soak_client_queue idle; /* open connections without a request */
@@ -236,7 +247,7 @@
 	soak_timer_t store_end;
 	soak_timer_t reap;
 	soak_routes_t routes;
-	home_judge_t homes;
+	route_judge_t homes;
 	pid_t store_pid;
 	soak_stream_t store; /* commands to the store, and acknowledgements */
 	uint16_t store_port;
@@ -263,6 +274,11 @@
 void draw_home_request(soak_t *soak, soak_request_t *request);
 void judge_soak_home(
     const soak_target_t *target, const soak_request_t *request);
+/* Draws a request on a marker route; false if none tells anything yet. */
+bool draw_marker_request(soak_t *soak, soak_request_t *request);
+void judge_soak_marker(const soak_vm_t *vm, const soak_request_t *request);
+/* Asks each VM for marker routes, again and again. */
+void start_soak_markers(soak_t *soak);
 
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
@@ -287,6 +303,8 @@
 void start_soak_traffic(soak_t *soak);
 /* Sends a request that may run twice to one VM. */
 void probe_soak_vm(soak_vm_t *vm);
+/* Asks a VM for a marker route. */
+void ask_soak_marker(soak_vm_t *vm);
 void stop_soak_clients(soak_t *soak);
 
 /* Opens the links of all VMs to a target, if the profile needs some. */
--- a/tests/support/soak_routes.c
+++ b/tests/support/soak_routes.c
@@ -14,6 +14,12 @@
 #define GROWTH_STEPS 4 /* versions until the routes have their full size */
 #define SPARE_ROUTE_SIZE 222 /* bytes, on average */
 #define OBJECTS 80
+#define HTTP_OK 200
+#define HTTP_NOT_FOUND 404
+#define MARKER_HOST "m.example"
+#define MARKER_VERSIONS 12 /* in which a marker is a route */
+#define MARKER_INTERVAL (250 * MSP_MS) /* between two requests to a VM */
+#define START_TIME (4 * MSP_SECOND) /* for which a VM's answers don't count */
 
 /* What the index of a route with homes says about it, as bits. */
 #define OF_SERVICE_B 1U
@@ -72,7 +78,7 @@
     const char *host, const char *prefix, unsigned int homes)
 {
 	append_route(text, name, host, prefix, homes);
-	add_home_route(&soak->homes, host, prefix, homes);
+	add_judged_route(&soak->homes, host, prefix, homes);
 }
 
 static void
@@ -108,6 +114,24 @@
 	}
 }
 
+/* Each version adds a route, and removes that of an older one. */
+static void
+append_markers(soak_t *soak, msp_buffer_t *text)
+{
+	char name[32];
+	char prefix[32];
+	unsigned int version;
+
+	for (version = FIRST_VERSION; version <= soak->routes.version;
+	     version++) {
+		if (version + MARKER_VERSIONS <= soak->routes.version)
+			continue;
+		snprintf(name, sizeof(name), "marker-%u", version);
+		snprintf(prefix, sizeof(prefix), "/ra/%u/", version);
+		append_judged_route(soak, text, name, MARKER_HOST, prefix, 0);
+	}
+}
+
 /* Routes that no client uses. */
 static void
 append_spare_routes(const soak_t *soak, msp_buffer_t *text)
@@ -145,7 +169,7 @@
 	soak_routes_t *routes = &soak->routes;
 	msp_buffer_t text = {0};
 
-	send_home_version(&soak->homes, soak_now(), ++routes->version);
+	send_judged_version(&soak->homes, soak_now(), ++routes->version);
 	msp_append_printf(
 	    &text, "{\"version\":\"r%u\",\"routes\":[", routes->version);
 	append_plain_routes(soak, &text, hosts[0]);
@@ -154,6 +178,9 @@
 		append_home_routes(soak, &text);
 		append_spare_routes(soak, &text);
 	}
+	if (soak->profile->markers) {
+		append_markers(soak, &text);
+	}
 	text.len--; /* the last comma */
 	msp_append_printf(&text, "],\"services\":[");
 	append_services(soak, &text);
@@ -250,6 +277,8 @@
 	unsigned int i;
 
 	soak->homes.options.deadline = CONFIG_DEADLINE;
+	if (soak->profile->markers)
+		soak->homes.options.start_time = START_TIME;
 	soak->routes.rng.state = soak->options->seed;
 	soak->routes.version = FIRST_VERSION - 1;
 	if (soak->profile->homes > 0) {
@@ -263,7 +292,7 @@
 acknowledge_soak_routes(soak_t *soak, unsigned int version)
 {
 	soak->routes.acknowledged = version;
-	acknowledge_home_version(&soak->homes, soak_now(), version);
+	acknowledge_judged_version(&soak->homes, soak_now(), version);
 }
 
 void
@@ -304,7 +333,7 @@
 	    .vm = request->vm,
 	    .vm_started = vm->started};
 	msp_time_t started = soak->ledger.started;
-	home_finding_t finding;
+	route_finding_t finding;
 
 	if (judge_home_arrival(&soak->homes, &arrival, &finding))
 		report_soak(&soak->ledger, "HOME",
@@ -324,3 +353,75 @@
 	soak->result->judged_homes = soak->homes.judged;
 	soak->result->outside_home = soak->homes.broken;
 }
+
+/* The newest version that must be in force, or the one that it removes. */
+bool
+draw_marker_request(soak_t *soak, soak_request_t *request)
+{
+	unsigned int version = get_due_version(&soak->homes, soak_now());
+
+	if (version < FIRST_VERSION)
+		return false;
+	if (version >= FIRST_VERSION + MARKER_VERSIONS &&
+	    soak_random(soak->loop, 4) == 0)
+		version -= MARKER_VERSIONS;
+	strcpy(request->method, "GET");
+	strcpy(request->host, MARKER_HOST);
+	snprintf(request->path, sizeof(request->path), "/ra/%u/%x", version,
+	    (unsigned int)soak_random(soak->loop, OBJECTS));
+	return true;
+}
+
+void
+judge_soak_marker(const soak_vm_t *vm, const soak_request_t *request)
+{
+	soak_t *soak = vm->soak;
+	route_answer_t answer = {.host = request->host,
+	    .path = request->path,
+	    .found = request->answer == HTTP_OK,
+	    .sent_at = request->sent_at,
+	    .answered_at = soak_now(),
+	    .vm_started = vm->running_since};
+	route_finding_t finding;
+
+	/* Other refusals and failures tell nothing of the route. */
+	if (strcmp(request->host, MARKER_HOST) != 0 ||
+	    (!answer.found && request->answer != HTTP_NOT_FOUND))
+		return;
+	if (judge_route_answer(&soak->homes, &answer, &finding))
+		report_soak(&soak->ledger, "CONFIG",
+		    "id=%s %s vm=%u answer=%d version=%u obeyed=%u sent=%.3f",
+		    request->id, request->path, vm->index, request->answer,
+		    finding.version, finding.obeyed,
+		    (double)(request->sent_at - soak->ledger.started) /
+			MSP_SECOND);
+	soak->result->judged_markers = soak->homes.judged_answers;
+	soak->result->by_older_routes = soak->homes.broken_answers;
+}
+
+static void
+handle_marker(void *ctx)
+{
+	soak_vm_t *vm = ctx;
+	soak_t *soak = vm->soak;
+
+	if (soak->finishing)
+		return;
+	if (vm->pid > 0 && get_due_version(&soak->homes, soak_now()) != 0)
+		ask_soak_marker(vm);
+	set_soak_timer(soak->loop, &vm->marker, soak_now() + MARKER_INTERVAL);
+}
+
+void
+start_soak_markers(soak_t *soak)
+{
+	soak_vm_t *vm;
+	unsigned int i;
+
+	for (i = 0; soak->profile->markers && i < soak->options->vms; i++) {
+		vm = &soak->vms[i];
+		vm->marker = (soak_timer_t){.fire = handle_marker, .ctx = vm};
+		set_soak_timer(soak->loop, &vm->marker,
+		    soak_now() + soak_between(soak->loop, 0, MARKER_INTERVAL));
+	}
+}
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -9,6 +9,8 @@
 #define HEARTBEAT (1500 * MSP_MS)
 #define ROW_LIFE (3 * HEARTBEAT)
 #define DRAIN_TIME (3500 * MSP_MS)
+#define DRAIN_DEADLINE (2500 * MSP_MS) /* drain_ms of the VMs' settings */
+#define CONTACT_TIME (4 * MSP_SECOND) /* for which a VM must have run */
 #define LATE_MAX (400 * MSP_MS) /* of an extra response */
 #define PIECE_PAUSE_MAX (4 * MSP_MS)
 #define SLOW_FACTOR 8
@@ -371,7 +373,30 @@
 	return request == NULL ? LIMIT_VMS_MAX : request->vm;
 }
 
-/* Finds the VM that sent the request, and judges its homes and the limit. */
+static void
+judge_drain(const soak_conn_t *conn, const soak_request_t *request)
+{
+	soak_target_t *target = conn->target;
+	soak_t *soak = target->soak;
+	const soak_vm_t *vm = &soak->vms[conn->vm];
+	unsigned int leaves_ms =
+	    (unsigned int)((soak_now() - target->drain.acknowledged_at) /
+		MSP_MS);
+
+	if (!target->drain.leaves)
+		return;
+	soak->result->judged_drains++;
+	if (leaves_ms > soak->result->worst_drain_ms)
+		soak->result->worst_drain_ms = leaves_ms;
+	if (!judge_drain_arrival(&target->drain, soak_now(), vm->running_since))
+		return;
+	soak->result->to_leaving++;
+	report_soak(&soak->ledger, "DRAIN",
+	    "id=%s vm=%u target=%s leaves_ms=%u", request->id, conn->vm,
+	    target->id, leaves_ms);
+}
+
+/* Finds the VM that sent the request, and judges it. */
 static void
 judge_arrival(soak_conn_t *conn)
 {
@@ -384,6 +409,8 @@
 	conn->vm = find_sender(conn);
 	if (request != NULL)
 		judge_soak_home(target, request);
+	if (request != NULL && conn->vm < soak->options->vms)
+		judge_drain(conn, request);
 	count = judge_limit_arrival(&target->limit, soak_now(), conn->vm);
 	if (target->limit.worst_ratio > soak->result->worst_limit_ratio)
 		soak->result->worst_limit_ratio = target->limit.worst_ratio;
@@ -628,6 +655,7 @@
 stop_target(soak_target_t *target)
 {
 	target->up = target->mute = target->silent = target->deaf = false;
+	end_judged_drain(&target->drain);
 	close_soak_stream(&target->listener);
 	cut_soak_target(target);
 }
@@ -762,6 +790,7 @@
 		return;
 	target->draining = true;
 	put_row(target);
+	begin_judged_drain(&target->drain, soak_now());
 	change_later(target, DRAIN_TIME);
 }
 
@@ -825,6 +854,8 @@
 		target->index = i;
 		target->speed = 1;
 		target->listener.fd = -1;
+		target->drain.options.deadline = DRAIN_DEADLINE;
+		target->drain.options.contact_time = CONTACT_TIME;
 		target->port = pick_free_port();
 		target->reports_load = i % 3 != 0;
 		target->keep_ms = soak->profile->keep_ms != 0
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -103,7 +103,7 @@
 
 	vm->expected_end = false;
 	vm->frozen = false;
-	vm->started = soak_now();
+	vm->started = vm->running_since = soak_now();
 	excuse_soak_vm(vm);
 	run_recover_vm(&vm->soak->recover, vm->started, vm->index);
 	vm->pid = fork();
@@ -132,6 +132,7 @@
 	} else if (vm->frozen) {
 		kill(vm->pid, SIGCONT);
 		vm->frozen = false;
+		vm->running_since = soak_now();
 		excuse_soak_vm(vm);
 		if (!vm->expected_end)
 			run_recover_vm(
@@ -250,6 +251,7 @@
 		vm = &soak->vms[i];
 		clear_soak_timer(soak->loop, &vm->change);
 		clear_soak_timer(soak->loop, &vm->share);
+		clear_soak_timer(soak->loop, &vm->marker);
 		close_soak_vm_link(vm);
 		if (vm->pid <= 0)
 			continue;
--- a/tests/support/soak_vm_link.c
+++ b/tests/support/soak_vm_link.c
@@ -8,7 +8,8 @@
  * those of other VMs to its peer port share, in each direction.
  */
 
-#define SEGMENT 1460 /* bytes that a connection sends before the next may */
+#define SEGMENT 4096 /* bytes that are sent at a time */
+#define WINDOW (128 * 1024) /* bytes of a connection in a link's queue */
 #define STEP (2 * MSP_MS)
 #define CREDIT_TIME_MAX (50 * MSP_MS) /* for which a busy link saves credit */
 
@@ -21,6 +22,7 @@
 	soak_stream_t stream;
 	msp_buffer_t queue; /* what came from this end */
 	size_t sent; /* of the queue */
+	size_t under_way; /* bytes after `sent` that are in the link's queue */
 	unsigned int direction; /* of what comes from this end */
 	bool has_ended;
 } relay_end_t;
@@ -30,14 +32,38 @@
 	soak_vm_t *vm;
 	TAILQ_ENTRY(soak_relay) link;
 	relay_end_t ends[2];
+	uint32_t rate; /* bytes per second of each direction; 0: no limit */
+	soak_flow_t flows[2]; /* of that rate, by the end that sends */
 };
 
+/* Bytes of a connection in the queue of a link. */
+struct link_segment {
+	TAILQ_ENTRY(link_segment) link;
+	relay_end_t *from;
+	size_t len;
+};
+
+static void
+drop_segments(soak_flow_t *flow, const soak_relay_t *relay)
+{
+	struct link_segment *segment;
+	struct link_segment *next;
+
+	TAILQ_FOREACH_SAFE(segment, &flow->segments, link, next) {
+		if (segment->from->relay != relay)
+			continue;
+		TAILQ_REMOVE(&flow->segments, segment, link);
+		free(segment);
+	}
+}
+
 static void
 free_relay(soak_relay_t *relay)
 {
 	unsigned int i;
 
 	for (i = 0; i < 2; i++) {
+		drop_segments(&relay->vm->flows[i], relay);
 		close_soak_stream(&relay->ends[i].stream);
 		msp_drop_buffer(&relay->ends[i].queue);
 	}
@@ -45,10 +71,19 @@
 	free(relay);
 }
 
+static uint32_t
+get_bandwidth(const soak_vm_t *vm)
+{
+	const soak_profile_t *profile = vm->soak->profile;
+
+	return vm->index / SOAK_ZONES < profile->fast_vms
+	    ? profile->fast_bandwidth
+	    : profile->vm_bandwidth;
+}
+
 static void
-add_credit(const soak_vm_t *vm, soak_flow_t *flow)
+add_credit(soak_flow_t *flow, double per_second)
 {
-	double per_second = vm->soak->profile->vm_bandwidth;
 	double max = per_second * (double)CREDIT_TIME_MAX / MSP_SECOND;
 	msp_time_t now = soak_now();
 
@@ -64,44 +99,95 @@
 	return end->queue.len - end->sent;
 }
 
-/* Sends a segment at most; returns the number of bytes. */
+/* Returns how much may enter the queue of the link now. */
 static size_t
-send_segment(relay_end_t *from, relay_end_t *to, soak_flow_t *flow)
+get_next_len(const relay_end_t *end)
 {
-	size_t len = get_pending(from);
+	const soak_relay_t *relay = end->relay;
+	const soak_flow_t *own = &relay->flows[end - relay->ends];
+	size_t len = get_pending(end) - end->under_way;
 
 	if (len > SEGMENT)
 		len = SEGMENT;
-	if (len == 0 || flow->credit < (double)len)
+	if (end->under_way + len > WINDOW ||
+	    (relay->rate != 0 && own->credit < (double)len))
 		return 0;
-	send_soak_data(&to->stream, from->queue.data + from->sent, len);
-	flow->credit -= (double)len;
-	from->sent += len;
+	return len;
+}
+
+/* Moves what came from an end to the queue of the link. */
+static void
+queue_segments(relay_end_t *end)
+{
+	soak_relay_t *relay = end->relay;
+	struct link_segment *segment;
+	size_t len;
+
+	while ((len = get_next_len(end)) > 0) {
+		segment = calloc(1, sizeof(*segment));
+		if (segment == NULL)
+			abort();
+		segment->from = end;
+		segment->len = len;
+		end->under_way += len;
+		relay->flows[end - relay->ends].credit -= (double)len;
+		TAILQ_INSERT_TAIL(
+		    &relay->vm->flows[end->direction].segments, segment, link);
+	}
+}
+
+static void
+send_segment(const struct link_segment *segment)
+{
+	relay_end_t *from = segment->from;
+	soak_relay_t *relay = from->relay;
+	relay_end_t *to = &relay->ends[from == relay->ends ? 1 : 0];
+
+	send_soak_data(
+	    &to->stream, from->queue.data + from->sent, segment->len);
+	from->sent += segment->len;
+	from->under_way -= segment->len;
 	if (from->sent == from->queue.len) {
 		msp_clear_buffer(&from->queue);
 		from->sent = 0;
 	}
-	return len;
+	queue_segments(from);
 }
 
-/* One segment in each direction; the relay may be gone afterwards. */
-static size_t
-step_relay(soak_relay_t *relay)
+/* Sends in the order of the queue, as far as there is credit. */
+static void
+send_segments(soak_flow_t *flow)
+{
+	struct link_segment *segment;
+	struct link_segment *next;
+
+	TAILQ_FOREACH_SAFE(segment, &flow->segments, link, next) {
+		if (flow->credit < (double)segment->len)
+			return;
+		TAILQ_REMOVE(&flow->segments, segment, link);
+		flow->credit -= (double)segment->len;
+		send_segment(segment);
+		free(segment);
+	}
+}
+
+/* Ends connections of which nothing is left to send. */
+static void
+free_ended_relays(soak_vm_t *vm)
 {
-	relay_end_t *ends = relay->ends;
-	size_t sent = 0;
+	soak_relay_t *relay;
+	soak_relay_t *next;
 	unsigned int i;
 
-	for (i = 0; i < 2; i++)
-		sent += send_segment(&ends[i], &ends[1 - i],
-		    &relay->vm->flows[ends[i].direction]);
-	for (i = 0; i < 2; i++) {
-		if (ends[i].has_ended && get_pending(&ends[i]) == 0) {
-			free_relay(relay);
-			break;
+	TAILQ_FOREACH_SAFE(relay, &vm->relays, link, next) {
+		for (i = 0; i < 2; i++) {
+			if (relay->ends[i].has_ended &&
+			    get_pending(&relay->ends[i]) == 0) {
+				free_relay(relay);
+				break;
+			}
 		}
 	}
-	return sent;
 }
 
 static bool
@@ -117,28 +203,24 @@
 	return false;
 }
 
-/* Sends by turns, as far as there is credit. */
 static void
 handle_flow(void *ctx)
 {
 	soak_vm_t *vm = ctx;
 	soak_relay_t *relay;
-	soak_relay_t *next;
-	size_t sent;
-
-	add_credit(vm, &vm->flows[TO_VM]);
-	add_credit(vm, &vm->flows[FROM_VM]);
-	do {
-		sent = 0;
-		TAILQ_FOREACH_SAFE(relay, &vm->relays, link, next)
-			sent += step_relay(relay);
-	} while (sent > 0);
-	/* Another one begins the next time. */
-	relay = TAILQ_FIRST(&vm->relays);
-	if (relay != NULL) {
-		TAILQ_REMOVE(&vm->relays, relay, link);
-		TAILQ_INSERT_TAIL(&vm->relays, relay, link);
+	unsigned int i;
+
+	TAILQ_FOREACH(relay, &vm->relays, link) {
+		for (i = 0; i < 2; i++) {
+			add_credit(&relay->flows[i], relay->rate);
+			queue_segments(&relay->ends[i]);
+		}
+	}
+	for (i = 0; i < 2; i++) {
+		add_credit(&vm->flows[i], get_bandwidth(vm));
+		send_segments(&vm->flows[i]);
 	}
+	free_ended_relays(vm);
 	if (has_pending(vm))
 		set_soak_timer(vm->soak->loop, &vm->flow, soak_now() + STEP);
 }
@@ -160,7 +242,8 @@
 }
 
 static void
-open_relay(soak_vm_t *vm, int fd, uint16_t port, unsigned int direction)
+open_relay(
+    soak_vm_t *vm, int fd, uint16_t port, unsigned int direction, uint32_t rate)
 {
 	int fds[2] = {fd, connect_soak_socket(port, false)};
 	soak_relay_t *relay = calloc(1, sizeof(*relay));
@@ -169,6 +252,7 @@
 	if (relay == NULL)
 		abort();
 	relay->vm = vm;
+	relay->rate = rate;
 	TAILQ_INSERT_TAIL(&vm->relays, relay, link);
 	for (i = 0; i < 2; i++) {
 		relay->ends[i] = (relay_end_t){.relay = relay,
@@ -190,7 +274,9 @@
 {
 	soak_vm_t *vm = ctx;
 
-	open_relay(vm, fd, vm->soak->store_port, FROM_VM);
+	/* The store is in the first region. */
+	open_relay(vm, fd, vm->soak->store_port, FROM_VM,
+	    vm->index % SOAK_ZONES == 0 ? 0 : vm->soak->profile->far_rate);
 }
 
 static void
@@ -198,7 +284,7 @@
 {
 	soak_vm_t *vm = ctx;
 
-	open_relay(vm, fd, vm->peer, TO_VM);
+	open_relay(vm, fd, vm->peer, TO_VM, 0);
 }
 
 static int
@@ -268,6 +354,8 @@
 open_soak_vm_link(soak_vm_t *vm)
 {
 	TAILQ_INIT(&vm->relays);
+	TAILQ_INIT(&vm->flows[TO_VM].segments);
+	TAILQ_INIT(&vm->flows[FROM_VM].segments);
 	vm->flow = (soak_timer_t){.fire = handle_flow, .ctx = vm};
 	vm->store_link.fd = vm->peer_link.fd = vm->gossip_link.fd = -1;
 	vm->store_port = vm->soak->store_port;
