--- a/tests/support/soak_vm_link.c
+++ b/tests/support/soak_vm_link.c
@@ -171,36 +171,40 @@
 	}
 }
 
-/* Ends connections of which nothing is left to send. */
-static void
-free_ended_relays(soak_vm_t *vm)
+static bool
+has_pending(const soak_relay_t *relay)
 {
-	soak_relay_t *relay;
-	soak_relay_t *next;
-	unsigned int i;
+	return get_pending(&relay->ends[0]) > 0 ||
+	    get_pending(&relay->ends[1]) > 0;
+}
 
-	TAILQ_FOREACH_SAFE(relay, &vm->relays, link, next) {
-		for (i = 0; i < 2; i++) {
-			if (relay->ends[i].has_ended &&
-			    get_pending(&relay->ends[i]) == 0) {
-				free_relay(relay);
-				break;
-			}
-		}
-	}
+static bool
+has_ended(const soak_relay_t *relay)
+{
+	const relay_end_t *ends = relay->ends;
+
+	return (ends[0].has_ended && get_pending(&ends[0]) == 0) ||
+	    (ends[1].has_ended && get_pending(&ends[1]) == 0);
 }
 
+/*
+ * Ends connections of which nothing is left to send. Returns whether others
+ * have something left.
+ */
 static bool
-has_pending(const soak_vm_t *vm)
+free_ended_relays(soak_vm_t *vm)
 {
-	const soak_relay_t *relay;
+	bool pending = false;
+	soak_relay_t *relay;
+	soak_relay_t *next;
 
-	TAILQ_FOREACH(relay, &vm->relays, link) {
-		if (get_pending(&relay->ends[0]) > 0 ||
-		    get_pending(&relay->ends[1]) > 0)
-			return true;
+	TAILQ_FOREACH_SAFE(relay, &vm->relays, link, next) {
+		if (has_ended(relay))
+			free_relay(relay);
+		else
+			pending |= has_pending(relay);
 	}
-	return false;
+	return pending;
 }
 
 static void
@@ -220,8 +224,7 @@
 		add_credit(&vm->flows[i], get_bandwidth(vm));
 		send_segments(&vm->flows[i]);
 	}
-	free_ended_relays(vm);
-	if (has_pending(vm))
+	if (free_ended_relays(vm))
 		set_soak_timer(vm->soak->loop, &vm->flow, soak_now() + STEP);
 }
 
