Keep a reader that is only behind this VM

Callers were answered by older routes for seconds.

A fresh answer with an older version now means that the source is behind: it is asked again after 50 ms, until this VM's own copy becomes stale.

platform/test_table_follower waits_for_vm_that_is_behind: 4 failed reads before, 0 now.

--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -19,6 +19,7 @@
 #define CUT_READS_MAX 3 /* doublings of these times */
 #define QUICK_ATTEMPTS 4 /* attempts before a longer delay */
 #define QUICK_DELAY (10 * MSP_MS) /* between these attempts */
+#define BEHIND_DELAY (50 * MSP_MS) /* after an older response of a VM */
 #define RETRY_DELAY_MIN (150 * MSP_MS)
 #define RETRY_DELAY_MAX (300 * MSP_MS)
 
@@ -187,6 +188,18 @@
 	schedule_read(follower, follower->options.store_interval);
 }
 
+/*
+ * Whether the response is of a VM that works, but has not received yet what
+ * this VM has from another source.
+ */
+static bool
+is_behind(const table_follower_t *follower, const store_reply_t *reply)
+{
+	return follower->reads_vm && !follower->reads_snapshot &&
+	    reply->status == MSP_OK && is_current(reply) &&
+	    reply->version < get_copy_version(follower->copy);
+}
+
 static void
 handle_reply(void *ctx, const store_reply_t *reply)
 {
@@ -206,6 +219,13 @@
 		start_read(follower);
 		return;
 	}
+	if (is_behind(follower, reply)) {
+		check_table_stale(follower);
+		if (follower->stale_since == 0) {
+			schedule_read(follower, BEHIND_DELAY);
+			return;
+		}
+	}
 	/* Rejects older data than the copy's, and a stale later snapshot. */
 	if (reply->status != MSP_OK ||
 	    reply->version < get_copy_version(follower->copy) ||
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -31,11 +31,13 @@
 	store_client_t *store;
 	table_follower_t *follower;
 	store_source_t vm; /* another VM; port 0: none is known */
+	bool prefers_vm; /* reads from it unless the last attempt failed */
 	unsigned int rows;
 	unsigned int removed;
 	unsigned int snapshots;
 	unsigned int store_lost;
 	unsigned int store_recovered;
+	unsigned int failed_reads;
 	unsigned int stale;
 	unsigned int fresh;
 	bool was_down;
@@ -47,7 +49,7 @@
 {
 	const follower_test_t *test = ctx;
 
-	if (attempt % 2 == 0 || test->vm.port == 0)
+	if ((attempt % 2 == 0) != test->prefers_vm || test->vm.port == 0)
 		return false;
 	*source = test->vm;
 	return true;
@@ -94,12 +96,19 @@
 }
 
 static void
-handle_read_end(void *ctx, const table_read_end_t *end)
+handle_read_done(void *ctx, const table_read_end_t *end)
 {
 	(void)ctx;
 	(void)end;
 }
 
+static void
+handle_read_failed(void *ctx, const table_read_end_t *end)
+{
+	(void)end;
+	((follower_test_t *)ctx)->failed_reads++;
+}
+
 static void
 handle_store_lost(void *ctx, msp_status_t status)
 {
@@ -156,8 +165,8 @@
 	    .on_row = handle_row,
 	    .on_snapshot_end = handle_snapshot_end,
 	    .on_update = handle_update,
-	    .on_read_done = handle_read_end,
-	    .on_read_failed = handle_read_end,
+	    .on_read_done = handle_read_done,
+	    .on_read_failed = handle_read_failed,
 	    .on_store_lost = handle_store_lost,
 	    .on_store_recovered = handle_store_recovered,
 	    .on_stale = handle_stale,
@@ -434,6 +443,32 @@
 	msp_drop_http_server(vm.server);
 }
 
+/*
+ * A VM that got a row before its reader did took the reader for broken, and
+ * read the store and other VMs instead.
+ */
+static void
+waits_for_vm_that_is_behind(void **state)
+{
+	follower_test_t *test = *state;
+	vm_stub_t vm = {.fresh_for_ms = 60000, .version = 1};
+
+	put_row(test, "t1", "one");
+	put_row(test, "t2", "two");
+	start_follower(test);
+	await_count(test, &test->rows, 2);
+	open_vm(test, &vm);
+	test->prefers_vm = true;
+	await_count(test, &vm.request_count, 5);
+	assert_int_equal(test->failed_reads, 0);
+	/* Without newer data the copy becomes too old, and is read elsewhere.
+	 */
+	await_count(test, &test->stale, 1);
+	await_count(test, &test->failed_reads, 1);
+	await_count(test, &test->fresh, 1);
+	msp_drop_http_server(vm.server);
+}
+
 typedef struct outage_case {
 	const char *name;
 	bool vm_known;
@@ -516,6 +551,7 @@
 	    FOLLOWER_TEST(copy_includes_removed_rows),
 	    FOLLOWER_TEST(misses_no_row_written_during_first_read),
 	    FOLLOWER_TEST(reads_from_vm_while_store_refuses),
+	    FOLLOWER_TEST(waits_for_vm_that_is_behind),
 	    FOLLOWER_TEST(distinguishes_outage_from_lost_connection),
 	    FOLLOWER_TEST(reads_recovered_store_soon),
 	};
