Announce what a VM speaks, rank readers by their links once all VMs can

The fastest links come first now, and the second VM reads the targets' table, if its link is as fast, so that small urgent rows don't share a link with large ones.

--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -70,6 +70,7 @@
 	uint32_t stop_grace_ms; /* time from SIGTERM to the exit */
 	uint32_t directory_ttl_ms; /* how long clients may cache a response */
 	uint32_t far_prior_ms; /* extra latency of a region until measured */
+	double link_mbps; /* of the VM's network link; 0: not known */
 } msp_settings_edge_t;
 
 /* A VM to join the membership through, besides the platform's list. */
--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -78,6 +78,13 @@
 msp_status_t msp_put_memory_store_row(msp_memory_store_t *store,
     const char *key, const void *value, size_t value_len);
 
+/*
+ * Returns the value of a row, null-terminated, in spite of the faults; NULL if
+ * there is none. Borrowed until the row changes.
+ */
+const char *msp_peek_memory_store_row(
+    msp_memory_store_t *store, const char *key, size_t *len);
+
 /* Returns the version of the last transaction. */
 uint64_t msp_memory_store_version(const msp_memory_store_t *store);
 
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -140,6 +140,8 @@
 	60000, 2000, "how long clients may cache a directory response"),
     NUMBER("far_prior_ms", msp_settings_edge_t, far_prior_ms, 0, 10000, 100,
 	"round trip to another region until it is measured"),
+    DOUBLE("link_mbps", link_mbps, 1000000, 0,
+	"speed of this VM's network link, Mbit/s; 0: not known"),
     {0},
 };
 
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -87,6 +87,18 @@
 	    &store->data.vms, vms, count, msp_now(&store->env) + lag);
 }
 
+const char *
+msp_peek_memory_store_row(
+    msp_memory_store_t *store, const char *key, size_t *len)
+{
+	const msp_table_row_t *row = msp_find_row(&store->data.table, key);
+
+	if (row == NULL)
+		return NULL;
+	*len = row->value_len;
+	return row->value;
+}
+
 bool
 msp_has_listed_vms(const msp_memory_store_t *store)
 {
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -228,6 +228,27 @@
 	send_rows(call, call->read_version, MSP_OK);
 }
 
+/* Fills in what a VM has announced of itself, and how the list has it. */
+static void
+fill_vm_row(const service_call_t *call, const msp_vm_t *vm, vm_row_t *row)
+{
+	char key[MEMORY_KEY_SIZE];
+	size_t len = 0;
+	const char *text;
+
+	print_memory_key(key, VMS_TABLE, vm->name);
+	text = msp_peek_memory_store_row(call->service->memory, key, &len);
+	*row = (vm_row_t){0};
+	if (text == NULL || decode_vm_row(text, len, row) != MSP_OK)
+		row->speaks = (msp_protocol_range_t){
+		    MSP_PROTOCOL_FIRST, MSP_PROTOCOL_FIRST};
+	row->peer_port = vm->peer_port;
+	row->caller_port = vm->caller_port;
+	row->leaving = vm->leaving != 0;
+	strcpy(row->place, vm->place);
+	memcpy(row->address, vm->address, sizeof(row->address));
+}
+
 static void
 handle_vm_list(void *ctx, const msp_store_reply_t *reply)
 {
@@ -242,13 +263,10 @@
 	}
 	for (i = 0; i < reply->vm_count; i++) {
 		const msp_vm_t *vm = &reply->vms[i];
-		vm_row_t row = {.peer_port = vm->peer_port,
-		    .caller_port = vm->caller_port,
-		    .leaving = vm->leaving != 0};
 		store_row_t out = {.key = vm->name, .version = i + 1};
+		vm_row_t row;
 
-		strcpy(row.place, vm->place);
-		memcpy(row.address, vm->address, sizeof(row.address));
+		fill_vm_row(call, vm, &row);
 		msp_clear_buffer(&text);
 		if (encode_vm_row(&row, &text) != MSP_OK)
 			abort();
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -194,6 +194,8 @@
 		return;
 	}
 	status = decode_row_query(request, &query);
+	if (status == MSP_E_NOT_FOUND)
+		count_unknown_message(edge);
 	if (status == MSP_OK) {
 		if (strcmp(query.table, OPERATOR_TABLE) == 0)
 			table = edge->operator_table.follower;
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -7,6 +7,8 @@
 #include "daemon.h"
 #include "edge.h"
 #include "edge_broadcast.h"
+#include "monsoonspindle/coord/feature_gate.h"
+#include "monsoonspindle/coord/reader_rank.h"
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
@@ -39,10 +41,17 @@
 	store_source_t source;
 } edge_remote_vm_t;
 
+/* What a VM of this data centre has announced. */
+typedef struct edge_vm_profile {
+	msp_protocol_range_t speaks;
+	uint32_t link_mbps; /* of its network link; 0: not known */
+} edge_vm_profile_t;
+
 /* A table of the platform's store that this VM follows. */
 typedef struct edge_table {
 	edge_t *edge;
 	const char *name; /* for logs and counters; static */
+	msp_reader_table_t kind;
 	table_follower_t *follower; /* NULL if not open */
 } edge_table_t;
 
@@ -89,6 +98,11 @@
 		char vm[MSP_NAME_SIZE];
 		msp_time_t until;
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
+	msp_map_t *vm_profiles; /* edge_vm_profile_t by name; NULL: not read */
+	msp_feature_gate_t link_speed_gate; /* ranks readers by their links */
+	uint64_t unknown_messages; /* of other VMs, to the peer listener */
+	uint64_t unknown_logged; /* by the last log line */
+	msp_time_t unknown_logged_at;
 	edge_remote_vm_t *remote_vms; /* of other data centres; owned */
 	size_t remote_vm_count;
 	msp_time_t vms_read_at; /* first read of the table of VMs; 0: none */
@@ -272,6 +286,20 @@
 /* Picks a random VM of another data centre; false if none is known. */
 bool pick_remote_vm(const edge_t *edge, store_source_t *source);
 
+/* edge_protocol.c: what the builds of this data centre's VMs can do */
+
+/* Returns NULL if the VM's row has not been read. */
+const edge_vm_profile_t *find_vm_profile(const edge_t *edge, const char *vm);
+
+/* Decides which features are used. To be called periodically. */
+void update_protocol_features(edge_t *edge);
+
+/* A message of another VM has a path that this build doesn't know. */
+void count_unknown_message(edge_t *edge);
+
+/* Logs how many messages were not understood, if there were more. */
+void report_unknown_messages(edge_t *edge);
+
 /*
  * edge_source.c: where a table is read from. Callbacks of the table follower;
  * `ctx` is the edge_table_t.
--- a/source/spindled/edge_source.c
+++ b/source/spindled/edge_source.c
@@ -50,35 +50,70 @@
 	return false;
 }
 
-/*
- * Returns the member that reads the store for this data centre, or NULL if it
- * is this VM. Members that recently failed to answer, or whose own copy was
- * stale, are excluded.
- */
-static const msp_member_t *
-find_reader(const edge_t *edge)
+static uint32_t
+get_link_mbps(const edge_t *edge, const char *vm)
 {
-	const daemon_t *daemon = edge->daemon;
-	const msp_member_t *ranked[EDGE_EXCLUDED_READERS_MAX + 1];
-	size_t count = msp_rank_members(get_membership(daemon->members),
-	    READER_ROLE, daemon->settings->place, 0, ranked,
-	    EDGE_EXCLUDED_READERS_MAX + 1);
+	const edge_vm_profile_t *profile = NULL;
+
+	if (edge->link_speed_gate.is_open)
+		profile = find_vm_profile(edge, vm);
+	return profile == NULL ? 0 : profile->link_mbps;
+}
+
+/* Lists the members that may read the store for this data centre. */
+static size_t
+list_readers(const edge_t *edge, msp_reader_t *readers)
+{
+	const msp_membership_t *list = get_membership(edge->daemon->members);
+	const char *self = edge->daemon->settings->vm;
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	size_t live_count = msp_list_live_members(list, live, MSP_MEMBERS_MAX);
+	size_t count = 0;
 	size_t i;
 
-	for (i = 0; i < count; i++) {
-		if (strcmp(ranked[i]->name, daemon->settings->vm) == 0)
-			return NULL;
-		if (!is_excluded(edge, ranked[i]->name))
-			return ranked[i];
+	for (i = 0; i < live_count; i++) {
+		const char *name = live[i]->name;
+
+		if (live[i]->state == MSP_MEMBER_LEAVING ||
+		    (strcmp(name, self) != 0 && is_excluded(edge, name)))
+			continue;
+		readers[count++] = (msp_reader_t){.name = name,
+		    .link_mbps = get_link_mbps(edge, name),
+		    .is_suspect = live[i]->state == MSP_MEMBER_SUSPECT};
 	}
-	return NULL;
+	return count;
+}
+
+/*
+ * Returns the member that reads a table for this data centre, or NULL if it is
+ * this VM. Members that recently failed to answer, or whose own copy was stale,
+ * are excluded.
+ */
+static const msp_member_t *
+find_reader(const edge_table_t *table)
+{
+	const edge_t *edge = table->edge;
+	const msp_settings_t *settings = edge->daemon->settings;
+	msp_reader_t readers[MSP_MEMBERS_MAX];
+	size_t count = list_readers(edge, readers);
+	const char *reader;
+
+	if (count == 0)
+		return NULL;
+	msp_rank_readers(
+	    readers, count, msp_shard_key(READER_ROLE, settings->place, 0));
+	reader = readers[msp_choose_reader(readers, count, table->kind)].name;
+	return strcmp(reader, settings->vm) == 0
+	    ? NULL
+	    : msp_find_member(get_membership(edge->daemon->members), reader);
 }
 
 /* Excludes the current reader; overwrites the entry that expires first. */
 static void
-exclude_reader(edge_t *edge)
+exclude_reader(const edge_table_t *table)
 {
-	const msp_member_t *reader = find_reader(edge);
+	edge_t *edge = table->edge;
+	const msp_member_t *reader = find_reader(table);
 	size_t at = 0;
 	size_t i;
 
@@ -97,9 +132,9 @@
 }
 
 /*
- * One VM of each data centre, the reader, reads from the store, and the others
- * read from it. A VM that gets no fresh response from the reader tries the
- * store, then a member, then a VM of another data centre.
+ * One VM of each data centre, the table's reader, reads it from the store, and
+ * the others read from it. A VM that gets no fresh response from the reader
+ * tries the store, then a member, then a VM of another data centre.
  */
 bool
 choose_store_source(void *ctx, unsigned int attempt, store_source_t *source)
@@ -110,13 +145,13 @@
 
 	switch (attempt % 4) {
 	case 0:
-		reader = find_reader(edge);
+		reader = find_reader(table);
 		if (reader == NULL)
 			return false;
 		set_source(source, reader);
 		return true;
 	case 1:
-		exclude_reader(edge);
+		exclude_reader(table);
 		return false;
 	case 2:
 		return pick_member(edge, source) ||
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -338,7 +338,8 @@
 	    .on_fresh = handle_table_fresh};
 	msp_status_t status;
 
-	edge->operator_table = (edge_table_t){.edge = edge, .name = "operator"};
+	edge->operator_table = (edge_table_t){
+	    .edge = edge, .name = "operator", .kind = MSP_READER_LARGE_ROWS};
 	status = follow_table(&edge->operator_table, &options, &callbacks);
 	if (status != MSP_OK)
 		return status;
@@ -349,7 +350,8 @@
 	callbacks.on_snapshot_end = handle_targets_snapshot_end;
 	callbacks.on_stale = handle_targets_stale;
 	callbacks.on_fresh = handle_targets_fresh;
-	edge->target_table = (edge_table_t){.edge = edge, .name = "targets"};
+	edge->target_table = (edge_table_t){
+	    .edge = edge, .name = "targets", .kind = MSP_READER_URGENT_ROWS};
 	return follow_table(&edge->target_table, &options, &callbacks);
 }
 
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -38,21 +38,37 @@
 	    msp_new_timer(edge->daemon->loop, delay, 0, fire, edge);
 }
 
-/* The VMs in the store's table. The arrays are owned. */
+/* The VMs in the store's table. The arrays and the map are owned. */
 typedef struct vm_lists {
 	msp_seed_t *here; /* of this data centre */
 	size_t here_count;
 	edge_remote_vm_t *others; /* of other data centres */
 	size_t other_count;
+	msp_map_t *profiles; /* edge_vm_profile_t by name */
 } vm_lists_t;
 
 static void
-add_vm(vm_lists_t *lists, const char *place, const vm_row_t *vm)
+add_profile(vm_lists_t *lists, const char *name, const vm_row_t *vm)
+{
+	edge_vm_profile_t *profile = calloc(1, sizeof(*profile));
+
+	if (profile == NULL)
+		return;
+	profile->speaks = vm->speaks;
+	profile->link_mbps = vm->link_mbps;
+	if (msp_map_put(lists->profiles, name, profile) != MSP_OK)
+		free(profile);
+}
+
+static void
+add_vm(
+    vm_lists_t *lists, const char *place, const char *name, const vm_row_t *vm)
 {
 	edge_remote_vm_t *other;
 	msp_seed_t *seed;
 
 	if (strcmp(vm->place, place) == 0) {
+		add_profile(lists, name, vm);
 		seed = &lists->here[lists->here_count++];
 		strlcpy(seed->address, vm->address, sizeof(seed->address));
 		seed->peer_port = vm->peer_port;
@@ -73,9 +89,12 @@
 
 	lists->here = calloc(reply->row_count + 1, sizeof(*lists->here));
 	lists->others = calloc(reply->row_count + 1, sizeof(*lists->others));
-	if (lists->here == NULL || lists->others == NULL) {
+	lists->profiles = msp_new_map();
+	if (lists->here == NULL || lists->others == NULL ||
+	    lists->profiles == NULL) {
 		free(lists->here);
 		free(lists->others);
+		msp_drop_map(lists->profiles);
 		return MSP_E_NO_MEMORY;
 	}
 	for (i = 0; i < reply->row_count; i++) {
@@ -83,11 +102,24 @@
 
 		if (row->value != NULL &&
 		    decode_vm_row(row->value, row->value_len, &vm) == MSP_OK)
-			add_vm(lists, place, &vm);
+			add_vm(lists, place, row->key, &vm);
 	}
 	return MSP_OK;
 }
 
+static void
+drop_profiles(msp_map_t *profiles)
+{
+	size_t cursor = 0;
+	void *profile;
+
+	if (profiles == NULL)
+		return;
+	while (msp_map_next(profiles, &cursor, NULL, &profile))
+		free(profile);
+	msp_drop_map(profiles);
+}
+
 static void
 handle_vms_read(void *ctx, const store_reply_t *reply)
 {
@@ -113,6 +145,8 @@
 	free(edge->remote_vms);
 	edge->remote_vms = lists.others;
 	edge->remote_vm_count = lists.other_count;
+	drop_profiles(edge->vm_profiles);
+	edge->vm_profiles = lists.profiles;
 	set_vm_timer(edge,
 	    edge->vms_read_at == 0 ? VM_FIRST_REFRESH : VM_REFRESH, read_vms);
 	if (edge->vms_read_at == 0)
@@ -158,7 +192,9 @@
 	edge_t *edge = ctx;
 	const msp_settings_t *settings = edge->daemon->settings;
 	vm_row_t vm = {.peer_port = settings->peer_port,
-	    .caller_port = settings->caller_port};
+	    .caller_port = settings->caller_port,
+	    .speaks = {MSP_PROTOCOL_OLDEST, MSP_PROTOCOL_NEWEST},
+	    .link_mbps = (uint32_t)settings->edge.link_mbps};
 	msp_buffer_t text = {0};
 	msp_write_t write = {.key = settings->vm};
 	msp_txn_t txn = {.writes = &write, .write_count = 1};
@@ -197,4 +233,5 @@
 	msp_drop_timer(edge->vm_timer);
 	cancel_store_call(edge->vm_call);
 	free(edge->remote_vms);
+	drop_profiles(edge->vm_profiles);
 }
--- a/source/spindled/gossip.c
+++ b/source/spindled/gossip.c
@@ -204,6 +204,12 @@
 	free(gossip);
 }
 
+uint64_t
+count_refused_gossip(const gossip_t *gossip)
+{
+	return gossip == NULL ? 0 : msp_rpc_statistics(gossip->rpc)->refused;
+}
+
 void
 update_gossip_metrics(const gossip_t *gossip)
 {
--- a/source/spindled/gossip.h
+++ b/source/spindled/gossip.h
@@ -27,6 +27,9 @@
     uint32_t procedure, const void *message, uint32_t token, msp_time_t timeout,
     gossip_done_t *done, void *ctx);
 
+/* Messages that were not understood; 0 if `gossip` is NULL. */
+uint64_t count_refused_gossip(const gossip_t *gossip);
+
 /* Copies the statistics of the endpoint to the metrics. */
 void update_gossip_metrics(const gossip_t *gossip);
 
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -332,6 +332,8 @@
  * bandwidth.
  */
 int open_soak_vm_link(soak_vm_t *vm);
+/* Bytes per second of the link, each way. */
+uint32_t get_soak_bandwidth(const soak_vm_t *vm);
 int open_soak_gossip_link(soak_vm_t *vm);
 void close_soak_vm_link(soak_vm_t *vm);
 void start_soak_link_cuts(soak_t *soak);
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -18,6 +18,7 @@
 #define START_TIME_MAX (2 * MSP_SECOND)
 #define VM_CONNECTIONS 1200
 #define VM_TIMEOUT_MS 10000
+#define BITS_PER_BYTE 8
 #define SHARE_PERIOD (100 * MSP_MS)
 
 static void
@@ -31,6 +32,17 @@
 		    i == 0 ? "" : ",", i, i);
 }
 
+/* Older builds don't know this key. */
+static void
+append_link_speed(const soak_vm_t *vm, msp_buffer_t *text)
+{
+	const soak_profile_t *profile = vm->soak->profile;
+
+	if (profile->fast_vms > 0)
+		msp_append_printf(text, "\"link_mbps\":%.1f,",
+		    get_soak_bandwidth(vm) * BITS_PER_BYTE / 1e6);
+}
+
 /* `directory_ttl_ms` is what differs between reloads. */
 static int
 write_settings(soak_vm_t *vm, unsigned int directory_ttl_ms)
@@ -50,10 +62,11 @@
 	    "\"peer_port\":%u,\"gossip_period_ms\":500,"
 	    "\"suspicion_ms\":2000,\"edge\":{\"callers\":\"" ADDRESS
 	    ":%u\",\"readiness\":\"" ADDRESS ":%u\",\"directory\":\"" ADDRESS
-	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,"
-	    "\"places\":[",
+	    ":%u\",\"store\":\"" ADDRESS ":%u\",\"metrics_port\":%u,",
 	    vm->index, zone, zone, vm->peer, vm->front, vm->ready,
 	    vm->directory, vm->store_port, vm->metrics);
+	append_link_speed(vm, &text);
+	msp_append_printf(&text, "\"places\":[");
 	append_places(&text);
 	msp_append_printf(&text,
 	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
--- a/tests/support/soak_vm_link.c
+++ b/tests/support/soak_vm_link.c
@@ -71,8 +71,8 @@
 	free(relay);
 }
 
-static uint32_t
-get_bandwidth(const soak_vm_t *vm)
+uint32_t
+get_soak_bandwidth(const soak_vm_t *vm)
 {
 	const soak_profile_t *profile = vm->soak->profile;
 
@@ -221,7 +221,7 @@
 		}
 	}
 	for (i = 0; i < 2; i++) {
-		add_credit(&vm->flows[i], get_bandwidth(vm));
+		add_credit(&vm->flows[i], get_soak_bandwidth(vm));
 		send_segments(&vm->flows[i]);
 	}
 	if (free_ended_relays(vm))
