Send large rows from VM to VM as compressed differences

Callers were answered by routes 5 s old (CONFIG): each version of the routes, a megabyte at 4,200 routes, went whole from one VM to all others of its data centre, 9 to 18 of them, over one link, and again with the next version.

A VM that reads from another now says that it takes patches. A VM keeps up to three former values of a large row for 10 s, and encodes a patch once for all that ask. The checksum of the frame says whether a patch fits; if not, the row is read whole. An older build sends values, as it does not know the question.

libzstd is new among the packages.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 LIB_PACKAGES = base config coord steer
 NET_PACKAGES = net platform
-DEPS = libwebsockets libtirpc argtable2 json-c libxxhash
+DEPS = libwebsockets libtirpc argtable2 json-c libxxhash libzstd
 
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
     -Wmissing-prototypes -Wpointer-arith -Wwrite-strings -Wformat=2 \
--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -6,6 +6,8 @@
 #include <bsd/sys/queue.h>
 
 #include "monsoonspindle/base/map.h"
+#include "row_history.h"
+#include "row_patch.h"
 
 #define REMOVED_ROWS_MAX 512 /* removed rows that are kept */
 
@@ -15,6 +17,7 @@
 	char *value; /* owned; NULL: removed */
 	size_t len;
 	uint64_t version;
+	row_history_t history;
 	bool in_snapshot; /* inserted since begin_copy_snapshot() */
 } copy_row_t;
 
@@ -49,6 +52,7 @@
 static void
 free_row(copy_row_t *row)
 {
+	clear_row_history(&row->history);
 	free(row->value);
 	free(row);
 }
@@ -128,6 +132,7 @@
 	if (row == NULL)
 		return NULL;
 	strcpy(row->key, key);
+	open_row_history(&row->history);
 	if (msp_map_put(copy->by_key, key, row) != MSP_OK) {
 		free(row);
 		return NULL;
@@ -151,7 +156,8 @@
 		new_value[len] = '\0';
 	}
 	unlink_row(copy, row);
-	free(row->value);
+	replace_row_value(&row->history, row->value, row->len, row->version,
+	    msp_now(&copy->env));
 	row->value = new_value;
 	row->len = len;
 	row->version = version;
@@ -194,6 +200,17 @@
 		copy->history_start = version;
 }
 
+static void
+expire_history(table_copy_t *copy)
+{
+	copy_row_t *row;
+
+	TAILQ_FOREACH(row, &copy->rows, link) {
+		if (has_row_history(&row->history))
+			expire_row_history(&row->history, msp_now(&copy->env));
+	}
+}
+
 void
 advance_copy(table_copy_t *copy, uint64_t version, msp_time_t as_of)
 {
@@ -201,6 +218,7 @@
 		copy->version = version;
 	if (as_of > copy->as_of)
 		copy->as_of = as_of;
+	expire_history(copy);
 }
 
 uint64_t
@@ -209,6 +227,14 @@
 	return copy->version;
 }
 
+uint64_t
+get_copy_row_version(const table_copy_t *copy, const char *key)
+{
+	const copy_row_t *row = msp_map_get(copy->by_key, key);
+
+	return row == NULL ? 0 : row->version;
+}
+
 msp_time_t
 get_copy_time(const table_copy_t *copy)
 {
@@ -250,3 +276,38 @@
 			visit_row(row, visit, ctx);
 	}
 }
+
+bool
+get_copy_patch(table_copy_t *copy, uint64_t after, store_row_t *row)
+{
+	copy_row_t *entry = msp_map_get(copy->by_key, row->key);
+	const cached_patch_t *patch;
+
+	if (entry == NULL || entry->value == NULL ||
+	    entry->len < ROW_LARGE_BYTES)
+		return false;
+	patch = get_row_patch(&entry->history, after, entry->value, entry->len);
+	if (patch == NULL)
+		return false;
+	row->patch = patch->data.data;
+	row->patch_len = patch->data.len;
+	row->base_version = patch->base_version;
+	row->value = NULL;
+	return true;
+}
+
+msp_status_t
+apply_copy_patch(
+    const table_copy_t *copy, const store_row_t *row, msp_buffer_t *value)
+{
+	const copy_row_t *entry = msp_map_get(copy->by_key, row->key);
+
+	if (row->base_version == 0)
+		return apply_row_patch(NULL, 0, row->patch, row->patch_len,
+		    STORE_VALUE_MAX, value);
+	if (entry == NULL || entry->value == NULL ||
+	    entry->version != row->base_version)
+		return msp_fail(MSP_E_SYNTAX, "a patch is of another base");
+	return apply_row_patch(entry->value, entry->len, row->patch,
+	    row->patch_len, STORE_VALUE_MAX, value);
+}
--- a/source/platform/table_copy.h
+++ b/source/platform/table_copy.h
@@ -31,6 +31,9 @@
 /* Returns the version that the copy is complete up to; 0: none yet. */
 uint64_t get_copy_version(const table_copy_t *copy);
 
+/* Returns the version of a row, removed ones included; 0: not known. */
+uint64_t get_copy_row_version(const table_copy_t *copy, const char *key);
+
 /* Returns the time as of which the copy is complete; 0: never. */
 msp_time_t get_copy_time(const table_copy_t *copy);
 
@@ -44,4 +47,19 @@
 void visit_copy_rows(const table_copy_t *copy, bool all, uint64_t version,
     void (*visit)(void *ctx, const store_row_t *row), void *ctx);
 
+/*
+ * Replaces the value of a row that is visited by a patch, if it is large: for a
+ * VM that has the table as of version `after`, or nothing if that is 0. Returns
+ * false if there is no smaller patch. The patch is borrowed until the copy
+ * changes.
+ */
+bool get_copy_patch(table_copy_t *copy, uint64_t after, store_row_t *row);
+
+/*
+ * Appends the value that the patch of a row makes of this copy's. Returns
+ * MSP_E_SYNTAX if it is of another base.
+ */
+msp_status_t apply_copy_patch(
+    const table_copy_t *copy, const store_row_t *row, msp_buffer_t *value);
+
 #endif
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -127,15 +127,66 @@
 }
 
 static void
+apply_row(table_follower_t *follower, const store_row_t *row)
+{
+	put_copy_row(follower->copy, row);
+	follower->callbacks.on_row(follower->callbacks.ctx, row);
+}
+
+static msp_status_t
+apply_patched_row(table_follower_t *follower, const store_row_t *patched)
+{
+	store_row_t row = *patched;
+	msp_buffer_t value = {0};
+	msp_status_t status = apply_copy_patch(follower->copy, patched, &value);
+
+	if (status == MSP_OK) {
+		row.patch = NULL;
+		row.value = msp_buffer_text(&value);
+		row.value_len = value.len;
+		apply_row(follower, &row);
+	}
+	msp_drop_buffer(&value);
+	return status;
+}
+
+/* Whether another source has brought the row, or a newer one. */
+static bool
+is_known_row(const table_follower_t *follower, const store_row_t *row)
+{
+	return row->version <= get_copy_row_version(follower->copy, row->key);
+}
+
+/*
+ * Applies rows up to one whose patch does not fit. The copy's version must not
+ * be advanced then, and the rest is read again.
+ */
+static msp_status_t
 apply_rows(table_follower_t *follower, const store_reply_t *reply)
 {
+	msp_status_t status = MSP_OK;
 	size_t i;
 
-	for (i = 0; i < reply->row_count; i++) {
-		put_copy_row(follower->copy, &reply->rows[i]);
-		follower->callbacks.on_row(
-		    follower->callbacks.ctx, &reply->rows[i]);
+	for (i = 0; i < reply->row_count && status == MSP_OK; i++) {
+		const store_row_t *row = &reply->rows[i];
+
+		if (row->patch != NULL && is_known_row(follower, row))
+			put_copy_row(follower->copy, row);
+		else if (row->patch != NULL)
+			status = apply_patched_row(follower, row);
+		else
+			apply_row(follower, row);
 	}
+	return status;
+}
+
+static void
+handle_unfit_patch(table_follower_t *follower, const store_reply_t *reply)
+{
+	store_reply_t unfit = *reply;
+
+	unfit.status = MSP_E_SYNTAX;
+	handle_read_failure(follower, &unfit);
 }
 
 static void
@@ -167,17 +218,19 @@
 	return true;
 }
 
-static void
+static msp_status_t
 apply_page(table_follower_t *follower, const store_reply_t *reply)
 {
+	msp_status_t status;
+
 	if (follower->page_start[0] == '\0') {
 		follower->snapshot_version = reply->version;
 		begin_copy_snapshot(follower->copy);
 		follower->callbacks.on_snapshot_begin(follower->callbacks.ctx);
 	}
-	apply_rows(follower, reply);
-	if (read_next_page(follower, reply))
-		return;
+	status = apply_rows(follower, reply);
+	if (status != MSP_OK || read_next_page(follower, reply))
+		return status;
 	follower->page_start[0] = '\0';
 	follower->reads_snapshot = false;
 	follower->is_loaded = true;
@@ -186,6 +239,7 @@
 	follower->callbacks.on_snapshot_end(
 	    follower->callbacks.ctx, follower->snapshot_version);
 	schedule_read(follower, follower->options.store_interval);
+	return MSP_OK;
 }
 
 /*
@@ -200,13 +254,59 @@
 	    reply->version < get_copy_version(follower->copy);
 }
 
+static bool
+is_fresh(const store_reply_t *reply)
+{
+	return reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
+}
+
+/* Applies all changes of the response, and schedules the next read. */
+static msp_status_t
+apply_changes(table_follower_t *follower, const store_reply_t *reply)
+{
+	const table_follower_options_t *options = &follower->options;
+	msp_status_t status = apply_rows(follower, reply);
+
+	if (status != MSP_OK)
+		return status;
+	advance_version(follower, reply, reply->version);
+	if (!is_fresh(reply))
+		schedule_retry(follower);
+	else
+		schedule_read(follower,
+		    follower->reads_vm ? options->vm_interval
+				       : options->store_interval);
+	return MSP_OK;
+}
+
+/* Applies a response that is neither older than the copy nor unusable. */
+static void
+use_reply(table_follower_t *follower, const store_reply_t *reply)
+{
+	table_read_end_t end = get_read_end(follower, reply);
+	msp_status_t status;
+
+	follower->callbacks.on_read_done(follower->callbacks.ctx, &end);
+	report_store_recovered(follower);
+	if (is_fresh(reply) && needs_outage_check(follower, reply)) {
+		follower->outage_checks++;
+		follower->checks_outage = true;
+		start_read(follower);
+		return;
+	}
+	if (is_current(reply))
+		mark_table_fresh(follower, reply);
+	status = follower->reads_snapshot ? apply_page(follower, reply)
+					  : apply_changes(follower, reply);
+	follower->refuses_patches = status != MSP_OK;
+	if (status != MSP_OK)
+		handle_unfit_patch(follower, reply);
+}
+
 static void
 handle_reply(void *ctx, const store_reply_t *reply)
 {
 	table_follower_t *follower = ctx;
-	const table_follower_options_t *options = &follower->options;
-	bool fresh = reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
-	table_read_end_t end;
 
 	follower->call = NULL;
 	msp_drop_timer(follower->stale_timer);
@@ -229,33 +329,12 @@
 	/* Rejects older data than the copy's, and a stale later snapshot. */
 	if (reply->status != MSP_OK ||
 	    reply->version < get_copy_version(follower->copy) ||
-	    (follower->reads_snapshot && follower->is_loaded && !fresh)) {
+	    (follower->reads_snapshot && follower->is_loaded &&
+		!is_fresh(reply))) {
 		handle_read_failure(follower, reply);
 		return;
 	}
-	end = get_read_end(follower, reply);
-	follower->callbacks.on_read_done(follower->callbacks.ctx, &end);
-	report_store_recovered(follower);
-	if (fresh && needs_outage_check(follower, reply)) {
-		follower->outage_checks++;
-		follower->checks_outage = true;
-		start_read(follower);
-		return;
-	}
-	if (is_current(reply))
-		mark_table_fresh(follower, reply);
-	if (follower->reads_snapshot) {
-		apply_page(follower, reply);
-		return;
-	}
-	apply_rows(follower, reply);
-	advance_version(follower, reply, reply->version);
-	if (!fresh)
-		schedule_retry(follower);
-	else
-		schedule_read(follower,
-		    follower->reads_vm ? options->vm_interval
-				       : options->store_interval);
+	use_reply(follower, reply);
 }
 
 /* Chooses where the next read goes. */
@@ -319,6 +398,7 @@
 	follower->read_started = get_now(follower);
 	if (!follower->reads_vm)
 		follower->store_read_at = get_now(follower);
+	follower->vm.accepts_patches = !follower->refuses_patches;
 	source = follower->reads_vm ? &follower->vm : NULL;
 	timeouts = get_timeouts(follower, is_retry);
 	if (!is_retry && !follower->reads_snapshot)
@@ -389,7 +469,7 @@
 	return follower->is_loaded;
 }
 
-const table_copy_t *
+table_copy_t *
 get_table_copy(const table_follower_t *follower)
 {
 	return follower->copy;
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -92,6 +92,6 @@
 bool is_table_loaded(const table_follower_t *follower);
 
 /* Returns the copy of the table. Borrowed. */
-const table_copy_t *get_table_copy(const table_follower_t *follower);
+table_copy_t *get_table_copy(const table_follower_t *follower);
 
 #endif
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -28,6 +28,7 @@
 	unsigned int outage_checks; /* VMs read since the outage ended */
 	bool checks_outage; /* the next read goes to a VM */
 	bool must_read_store; /* the next read goes to the store */
+	bool refuses_patches; /* the last one did not fit its base */
 	/* Responses cut off by their time since the last fresh one. */
 	unsigned int cut_reads;
 	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -28,7 +28,8 @@
 /* A response under construction. */
 typedef struct rows_response {
 	row_response_t body;
-	const char *table;
+	const row_query_t *query;
+	table_copy_t *copy;
 	msp_status_t status;
 } rows_response_t;
 
@@ -36,9 +37,15 @@
 add_row(void *ctx, const store_row_t *row)
 {
 	rows_response_t *rows = ctx;
+	const row_query_t *query = rows->query;
+	store_row_t out = *row;
 
+	if (query->accepts_patches)
+		get_copy_patch(
+		    rows->copy, query->is_range ? 0 : query->after, &out);
 	if (rows->status == MSP_OK)
-		rows->status = add_response_row(&rows->body, rows->table, row);
+		rows->status =
+		    add_response_row(&rows->body, query->table, &out);
 }
 
 static uint32_t
@@ -60,8 +67,8 @@
 answer_query(edge_t *edge, msp_exchange_t *exchange,
     const table_follower_t *table, const row_query_t *query)
 {
-	const table_copy_t *copy = get_table_copy(table);
-	rows_response_t rows = {.table = query->table};
+	table_copy_t *copy = get_table_copy(table);
+	rows_response_t rows = {.query = query, .copy = copy};
 	table_state_t end = {.version = get_copy_version(copy),
 	    .age_ms = to_ms(get_table_age(table)),
 	    .fresh_for_ms = to_ms(get_table_fresh_time(table))};
