Read from a second VM beside a slow read of a table

Callers were answered by routes 5 s old (CONFIG). The last of the causes: the VM that reads the store for a data centre far from it gets about 300 kB/s, 3 s and more for a megabyte, and a read that could not end in time was given up and begun anew. Time grew with the size of the routes, and the next version had to wait.

While a response takes longer than 250 ms, or has been cut off, or gossip says that other VMs have had newer routes for 300 ms, a second VM is asked for the changes: one of this data centre that has newer routes, else the one of another data centre that helped last, else others. What comes first is applied and ends the other. A VM excludes readers for each table apart, and a fresh response ends its retries, also if its transfer took long.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -118,6 +118,9 @@
 /* Whether part of the request may have been sent by now. */
 bool msp_call_maybe_sent(const msp_call_t *call);
 
+/* Returns the time since the response began; 0: it has not. */
+msp_time_t msp_call_transfer_time(const msp_call_t *call);
+
 /*
  * Closes the idle connections to one server, for a caller that suspects that
  * they no longer carry data.
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -102,9 +102,7 @@
 	    .first_on_connection = call->first_on_connection,
 	    .connection = call->connection_number,
 	    .responses_before = call->responses_before,
-	    .transfer_time = call->response_began == 0
-		? 0
-		: msp_loop_now() - call->response_began,
+	    .transfer_time = msp_call_transfer_time(call),
 	    .response = &call->response,
 	};
 }
@@ -299,6 +297,14 @@
 	return call->maybe_sent;
 }
 
+msp_time_t
+msp_call_transfer_time(const msp_call_t *call)
+{
+	return call->response_began == 0
+	    ? 0
+	    : msp_loop_now() - call->response_began;
+}
+
 void
 msp_close_idle_connections(
     msp_http_client_t *client, const char *address, uint16_t port)
--- a/source/platform/http_store.c
+++ b/source/platform/http_store.c
@@ -239,7 +239,7 @@
 
 	snprintf(until, sizeof(until), "%s%s", range.from, KEY_SUFFIX_MIN);
 	return read_store_rows(call->store->client, NULL, ROW_TABLE, &range,
-	    &(store_timeouts_t){.begin_ms = get_time_left_ms(call)},
+	    &(store_call_options_t){.begin_ms = get_time_left_ms(call)},
 	    handle_rows, call);
 }
 
@@ -307,7 +307,7 @@
 	if (range.limit > STORE_PAGE_ROWS_MAX)
 		range.limit = STORE_PAGE_ROWS_MAX;
 	return read_store_rows(call->store->client, NULL, ROW_TABLE, &range,
-	    &(store_timeouts_t){.begin_ms = get_time_left_ms(call)},
+	    &(store_call_options_t){.begin_ms = get_time_left_ms(call)},
 	    handle_page, call);
 }
 
@@ -535,7 +535,7 @@
 
 	set_started_call(call,
 	    read_store_rows(store->client, NULL, VMS_TABLE, NULL,
-		&(store_timeouts_t){.begin_ms = get_time_left_ms(call)},
+		&(store_call_options_t){.begin_ms = get_time_left_ms(call)},
 		handle_vms, call));
 }
 
--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -277,8 +277,22 @@
 	}
 }
 
+void
+list_patch_bases(const table_copy_t *copy, store_patch_bases_t *bases)
+{
+	const copy_row_t *row;
+
+	*bases = (store_patch_bases_t){0};
+	TAILQ_FOREACH(row, &copy->rows, link) {
+		if (row->len >= ROW_LARGE_BYTES &&
+		    bases->count < STORE_PATCH_BASES_MAX)
+			bases->versions[bases->count++] = row->version;
+	}
+}
+
 bool
-get_copy_patch(table_copy_t *copy, uint64_t after, store_row_t *row)
+get_copy_patch(
+    table_copy_t *copy, const store_patch_bases_t *bases, store_row_t *row)
 {
 	copy_row_t *entry = msp_map_get(copy->by_key, row->key);
 	const cached_patch_t *patch;
@@ -286,7 +300,7 @@
 	if (entry == NULL || entry->value == NULL ||
 	    entry->len < ROW_LARGE_BYTES)
 		return false;
-	patch = get_row_patch(&entry->history, after, entry->value, entry->len);
+	patch = get_row_patch(&entry->history, bases, entry->value, entry->len);
 	if (patch == NULL)
 		return false;
 	row->patch = patch->data.data;
--- a/source/platform/table_copy.h
+++ b/source/platform/table_copy.h
@@ -47,13 +47,16 @@
 void visit_copy_rows(const table_copy_t *copy, bool all, uint64_t version,
     void (*visit)(void *ctx, const store_row_t *row), void *ctx);
 
+/* Lists the large rows, as a reader that accepts patches of them. */
+void list_patch_bases(const table_copy_t *copy, store_patch_bases_t *bases);
+
 /*
- * Replaces the value of a row that is visited by a patch, if it is large: for a
- * VM that has the table as of version `after`, or nothing if that is 0. Returns
- * false if there is no smaller patch. The patch is borrowed until the copy
- * changes.
+ * Replaces the value of a row that is visited by a patch, if it is large, for a
+ * reader that has the bases. Returns false if there is no smaller patch. The
+ * patch is borrowed until the copy changes.
  */
-bool get_copy_patch(table_copy_t *copy, uint64_t after, store_row_t *row);
+bool get_copy_patch(
+    table_copy_t *copy, const store_patch_bases_t *bases, store_row_t *row);
 
 /*
  * Appends the value that the patch of a row makes of this copy's. Returns
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -99,6 +99,8 @@
 	follower->callbacks.on_read_failed(follower->callbacks.ctx, &end);
 	if (was_cut_off(reply) && follower->cut_reads < CUT_READS_MAX)
 		follower->cut_reads++;
+	if (was_cut_off(reply))
+		check_slow_read(follower, true);
 	if (was_cut_off(reply) && follower->reads_vm) {
 		check_table_stale(follower);
 		follower->page_start[0] = '\0';
@@ -260,25 +262,47 @@
 	return reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
 }
 
-/* Applies all changes of the response, and schedules the next read. */
+msp_status_t
+apply_table_changes(table_follower_t *follower, const store_reply_t *reply)
+{
+	msp_status_t status = apply_rows(follower, reply);
+
+	if (status == MSP_OK)
+		advance_version(follower, reply, reply->version);
+	return status;
+}
+
+/* Applies the changes that a read has brought, and schedules the next one. */
 static msp_status_t
-apply_changes(table_follower_t *follower, const store_reply_t *reply)
+handle_changes(table_follower_t *follower, const store_reply_t *reply)
 {
 	const table_follower_options_t *options = &follower->options;
-	msp_status_t status = apply_rows(follower, reply);
+	msp_status_t status = apply_table_changes(follower, reply);
 
 	if (status != MSP_OK)
 		return status;
-	advance_version(follower, reply, reply->version);
-	if (!is_fresh(reply))
+	cancel_second_read(follower);
+	if (!is_fresh(reply)) {
 		schedule_retry(follower);
-	else
-		schedule_read(follower,
-		    follower->reads_vm ? options->vm_interval
-				       : options->store_interval);
+		return MSP_OK;
+	}
+	follower->attempt = 0;
+	schedule_read(follower,
+	    follower->reads_vm ? options->vm_interval
+			       : options->store_interval);
 	return MSP_OK;
 }
 
+void
+restart_table_read(table_follower_t *follower)
+{
+	cancel_store_call(follower->call);
+	follower->call = NULL;
+	msp_drop_timer(follower->stale_timer);
+	follower->stale_timer = NULL;
+	schedule_read(follower, follower->options.vm_interval);
+}
+
 /* Applies a response that is neither older than the copy nor unusable. */
 static void
 use_reply(table_follower_t *follower, const store_reply_t *reply)
@@ -297,7 +321,7 @@
 	if (is_current(reply))
 		mark_table_fresh(follower, reply);
 	status = follower->reads_snapshot ? apply_page(follower, reply)
-					  : apply_changes(follower, reply);
+					  : handle_changes(follower, reply);
 	follower->refuses_patches = status != MSP_OK;
 	if (status != MSP_OK)
 		handle_unfit_patch(follower, reply);
@@ -362,22 +386,31 @@
 }
 
 /* Returns the timeouts of the next read, if it is no long poll. */
-static store_timeouts_t
+static store_call_options_t
 get_timeouts(const table_follower_t *follower, bool is_retry)
 {
-	store_timeouts_t timeouts = {
+	store_call_options_t call_options = {
 	    .begin_ms = STORE_TIMEOUT_MS, .transfer_ms = STORE_TRANSFER_MS};
 
 	if (follower->reads_vm) {
-		timeouts.begin_ms = VM_TIMEOUT_MS;
-		timeouts.transfer_ms = VM_TRANSFER_MS;
+		call_options.begin_ms = VM_TIMEOUT_MS;
+		call_options.transfer_ms = VM_TRANSFER_MS;
 	} else if (is_retry) {
-		timeouts.begin_ms = STORE_RETRY_TIMEOUT_MS;
+		call_options.begin_ms = STORE_RETRY_TIMEOUT_MS;
 	}
 	if (follower->reads_snapshot)
-		timeouts.begin_ms = SNAPSHOT_TIMEOUT_MS;
-	timeouts.transfer_ms <<= follower->cut_reads;
-	return timeouts;
+		call_options.begin_ms = SNAPSHOT_TIMEOUT_MS;
+	call_options.transfer_ms <<= follower->cut_reads;
+	return call_options;
+}
+
+const store_patch_bases_t *
+get_patch_bases(const table_follower_t *follower, store_patch_bases_t *bases)
+{
+	if (follower->refuses_patches)
+		return NULL;
+	list_patch_bases(follower->copy, bases);
+	return bases;
 }
 
 static void
@@ -391,28 +424,31 @@
 	/* No long poll after a failure or while the copy is old. */
 	bool is_retry = follower->attempt > 0 || follower->stale_since != 0 ||
 	    get_table_age(follower) > TABLE_FRESH_MAX_AGE;
-	store_timeouts_t timeouts;
+	store_call_options_t call_options;
+	store_patch_bases_t bases;
 	uint32_t wait_ms = 0;
 
 	choose_source(follower);
 	follower->read_started = get_now(follower);
 	if (!follower->reads_vm)
 		follower->store_read_at = get_now(follower);
-	follower->vm.accepts_patches = !follower->refuses_patches;
 	source = follower->reads_vm ? &follower->vm : NULL;
-	timeouts = get_timeouts(follower, is_retry);
+	call_options = get_timeouts(follower, is_retry);
+	if (follower->reads_vm)
+		call_options.bases = get_patch_bases(follower, &bases);
 	if (!is_retry && !follower->reads_snapshot)
 		wait_ms = follower->reads_vm ? options->vm_wait_ms
 					     : options->store_wait_ms;
-	timeouts.begin_ms += wait_ms;
-	schedule_stale_check(follower, timeouts.begin_ms * MSP_MS);
+	call_options.begin_ms += wait_ms;
+	schedule_stale_check(follower, call_options.begin_ms * MSP_MS);
 	if (follower->reads_snapshot)
-		follower->call = read_store_rows(follower->store, source,
-		    options->table, &range, &timeouts, handle_reply, follower);
+		follower->call =
+		    read_store_rows(follower->store, source, options->table,
+			&range, &call_options, handle_reply, follower);
 	else
 		follower->call = read_store_changes(follower->store, source,
 		    options->table, get_copy_version(follower->copy), wait_ms,
-		    &timeouts, handle_reply, follower);
+		    &call_options, handle_reply, follower);
 	if (follower->call == NULL)
 		handle_read_failure(follower,
 		    &(store_reply_t){.status = MSP_E_NO_MEMORY,
@@ -449,6 +485,7 @@
 	if (follower == NULL)
 		return;
 	cancel_store_call(follower->call);
+	cancel_second_read(follower);
 	msp_drop_timer(follower->timer);
 	msp_drop_timer(follower->stale_timer);
 	drop_table_copy(follower->copy);
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -44,6 +44,15 @@
 	    void *ctx, unsigned int attempt, store_source_t *source);
 	/* Fills `source` with any other VM; returns false if none is known. */
 	bool (*choose_vm)(void *ctx, store_source_t *source);
+	/*
+	 * Chooses a VM that may have changes that are not here yet, to be read
+	 * beside a slow read. `attempt` counts those since the copy last
+	 * changed, from 0. Returns false if there is none to ask.
+	 */
+	bool (*choose_second_vm)(
+	    void *ctx, unsigned int attempt, store_source_t *source);
+	/* A VM had changes that the slow read has not brought yet. */
+	void (*on_second_read)(void *ctx, const table_read_end_t *end);
 	/* on_row is called for all rows of the table next. */
 	void (*on_snapshot_begin)(void *ctx);
 	/* A row was read; its value is NULL if it was removed. */
@@ -79,6 +88,14 @@
     const table_follower_callbacks_t *callbacks);
 void drop_table_follower(table_follower_t *follower);
 
+/*
+ * Reads changes from another VM too, if the current read is slow: its response
+ * has begun long ago, or `is_behind` says that other VMs have newer rows. The
+ * read that brings the changes first ends the other. To be called several times
+ * a second.
+ */
+void check_slow_read(table_follower_t *follower, bool is_behind);
+
 /*
  * Returns the time since the store was in the state of the copy; MSP_NEVER
  * before the first snapshot.
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -12,6 +12,11 @@
 	table_copy_t *copy;
 	store_call_t *call; /* the pending read, or NULL */
 	msp_timer_t *timer; /* starts the next read */
+	store_call_t *second_call; /* beside a slow read, or NULL */
+	store_source_t second_vm; /* to which it goes */
+	msp_time_t second_started;
+	unsigned int second_attempt; /* since the copy last changed */
+	unsigned int second_chain; /* reads since check_slow_read() */
 	msp_timer_t *stale_timer; /* for schedule_stale_check() */
 	bool reads_snapshot; /* else reads changes */
 	bool is_loaded; /* a snapshot has been read */
@@ -34,6 +39,25 @@
 	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
 };
 
+/* table_follower.c */
+
+/*
+ * Applies all changes of a response. Returns MSP_E_SYNTAX if a patch does not
+ * fit; the copy's version is unchanged then.
+ */
+msp_status_t apply_table_changes(
+    table_follower_t *follower, const store_reply_t *reply);
+
+/* Fills in what a read from a VM accepts; NULL: no patches. */
+const store_patch_bases_t *get_patch_bases(
+    const table_follower_t *follower, store_patch_bases_t *bases);
+
+/* Cancels the pending read, and starts the next one soon. */
+void restart_table_read(table_follower_t *follower);
+
+/* table_second_read.c */
+void cancel_second_read(table_follower_t *follower);
+
 /* table_freshness.c: how old the copy is, and outages of the store */
 
 /* Reports the copy as stale, if it has become too old. */
--- /dev/null
+++ b/source/platform/table_second_read.c
@@ -0,0 +1,88 @@
+#include "table_follower_private.h"
+
+/* A response that takes longer is slow. */
+#define SLOW_TRANSFER (250 * MSP_MS)
+#define SECOND_TIMEOUT_MS 700 /* until the response begins */
+#define SECOND_TRANSFER_MS 4000
+#define SECOND_CHAIN_MAX 4 /* VMs that are asked one after the other */
+
+static void start_second_read(table_follower_t *follower);
+
+void
+cancel_second_read(table_follower_t *follower)
+{
+	cancel_store_call(follower->second_call);
+	follower->second_call = NULL;
+	follower->second_attempt = 0;
+}
+
+/* Applies a response with newer rows. */
+static msp_status_t
+use_second_reply(table_follower_t *follower, const store_reply_t *reply)
+{
+	table_read_end_t end = {.vm = &follower->second_vm,
+	    .reply = reply,
+	    .took = msp_now(&follower->env) - follower->second_started,
+	    .attempt = follower->second_attempt};
+	msp_status_t status = apply_table_changes(follower, reply);
+
+	if (status != MSP_OK)
+		return status;
+	follower->reads_vm = true;
+	follower->vm = follower->second_vm;
+	if (is_current(reply) && !needs_outage_check(follower, reply))
+		mark_table_fresh(follower, reply);
+	follower->attempt = 0;
+	follower->callbacks.on_second_read(follower->callbacks.ctx, &end);
+	follower->second_attempt = 0;
+	/* The slow read would bring the same rows again. */
+	restart_table_read(follower);
+	return MSP_OK;
+}
+
+static void
+handle_second_reply(void *ctx, const store_reply_t *reply)
+{
+	table_follower_t *follower = ctx;
+
+	follower->second_call = NULL;
+	if (reply->status == MSP_OK && !follower->reads_snapshot &&
+	    reply->version > get_copy_version(follower->copy) &&
+	    use_second_reply(follower, reply) == MSP_OK)
+		return;
+	follower->second_attempt++;
+	if (++follower->second_chain < SECOND_CHAIN_MAX)
+		start_second_read(follower);
+}
+
+static void
+start_second_read(table_follower_t *follower)
+{
+	const table_follower_callbacks_t *callbacks = &follower->callbacks;
+	store_patch_bases_t bases;
+	store_call_options_t call_options = {.begin_ms = SECOND_TIMEOUT_MS,
+	    .transfer_ms = SECOND_TRANSFER_MS,
+	    .bases = get_patch_bases(follower, &bases)};
+
+	if (!callbacks->choose_second_vm(
+		callbacks->ctx, follower->second_attempt, &follower->second_vm))
+		return;
+	follower->second_started = msp_now(&follower->env);
+	follower->second_call =
+	    read_store_changes(follower->store, &follower->second_vm,
+		follower->options.table, get_copy_version(follower->copy), 0,
+		&call_options, handle_second_reply, follower);
+}
+
+void
+check_slow_read(table_follower_t *follower, bool is_behind)
+{
+	bool is_slow = follower->call != NULL &&
+	    get_store_transfer_time(follower->call) > SLOW_TRANSFER;
+
+	if (!follower->is_loaded || follower->reads_snapshot ||
+	    follower->second_call != NULL || (!is_slow && !is_behind))
+		return;
+	follower->second_chain = 0;
+	start_second_read(follower);
+}
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -133,6 +133,7 @@
 
 	msp_tick_target_view(edge->view);
 	update_routes_lag(edge);
+	check_table_reads(edge);
 	update_protocol_features(edge);
 	report_unknown_messages(edge);
 	check_silent_targets(edge);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -41,8 +41,7 @@
 	store_row_t out = *row;
 
 	if (query->accepts_patches)
-		get_copy_patch(
-		    rows->copy, query->is_range ? 0 : query->after, &out);
+		get_copy_patch(rows->copy, &query->bases, &out);
 	if (rows->status == MSP_OK)
 		rows->status =
 		    add_response_row(&rows->body, query->table, &out);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -52,6 +52,11 @@
 	edge_t *edge;
 	const char *name; /* for logs and counters; static */
 	msp_reader_table_t kind;
+	/* Members that are skipped when the reader is chosen, until then. */
+	struct {
+		char vm[MSP_NAME_SIZE];
+		msp_time_t until;
+	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
 	table_follower_t *follower; /* NULL if not open */
 } edge_table_t;
 
@@ -90,14 +95,6 @@
 	msp_http_server_t *peer_listener;
 	TAILQ_HEAD(, long_poll) long_polls;
 
-	/*
-	 * Members of this data centre that are skipped when its reader of the
-	 * store is chosen, until the given time.
-	 */
-	struct {
-		char vm[MSP_NAME_SIZE];
-		msp_time_t until;
-	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
 	msp_map_t *vm_profiles; /* edge_vm_profile_t by name; NULL: not read */
 	msp_feature_gate_t link_speed_gate; /* ranks readers by their links */
 	uint64_t unknown_messages; /* of other VMs, to the peer listener */
@@ -105,6 +102,10 @@
 	msp_time_t unknown_logged_at;
 	edge_remote_vm_t *remote_vms; /* of other data centres; owned */
 	size_t remote_vm_count;
+	/* Of another data centre; its changes came before the store's. */
+	store_source_t helpful_vm; /* port 0: none */
+	char asked_place[MSP_NAME_SIZE]; /* of the last such VM */
+	bool asked_member; /* the last second read goes to a member */
 	msp_time_t vms_read_at; /* first read of the table of VMs; 0: none */
 	msp_time_t vms_refreshed_at; /* start of the last read */
 
@@ -134,6 +135,12 @@
 /* To be called periodically. */
 void update_routes_lag(edge_t *edge);
 
+/*
+ * Whether other VMs of this data centre have had newer routes for longer than
+ * it normally takes until they arrive here.
+ */
+bool are_routes_late(const edge_t *edge);
+
 /* edge_answer.c */
 
 /*
@@ -307,8 +314,13 @@
 bool choose_store_source(
     void *ctx, unsigned int attempt, store_source_t *source);
 bool choose_vm_source(void *ctx, store_source_t *source);
+bool choose_second_vm(void *ctx, unsigned int attempt, store_source_t *source);
 
 /* edge_store.c */
+
+/* Reads slow tables from a second VM. To be called several times a second. */
+void check_table_reads(edge_t *edge);
+
 msp_status_t open_edge_store(edge_t *edge);
 void close_edge_store(edge_t *edge);
 
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -5,6 +5,7 @@
 
 /* Within this time other VMs' newer routes normally arrive here too. */
 #define OUTDATED_TOLERANCE MSP_SECOND
+#define LATE_TOLERANCE (300 * MSP_MS) /* after it they are asked for */
 
 uint64_t
 get_newest_routes_version(const edge_t *edge)
@@ -53,6 +54,13 @@
 	    &edge->routes_lag, msp_now(&edge->daemon->env), OUTDATED_TOLERANCE);
 }
 
+bool
+are_routes_late(const edge_t *edge)
+{
+	return msp_version_is_outdated(
+	    &edge->routes_lag, msp_now(&edge->daemon->env), LATE_TOLERANCE);
+}
+
 void
 update_routes_lag(edge_t *edge)
 {
--- a/source/spindled/edge_source.c
+++ b/source/spindled/edge_source.c
@@ -37,14 +37,14 @@
 }
 
 static bool
-is_excluded(const edge_t *edge, const char *vm)
+is_excluded(const edge_table_t *table, const char *vm)
 {
-	msp_time_t now = msp_now(&edge->daemon->env);
+	msp_time_t now = msp_now(&table->edge->daemon->env);
 	size_t i;
 
 	for (i = 0; i < EDGE_EXCLUDED_READERS_MAX; i++) {
-		if (now < edge->excluded_readers[i].until &&
-		    strcmp(edge->excluded_readers[i].vm, vm) == 0)
+		if (now < table->excluded_readers[i].until &&
+		    strcmp(table->excluded_readers[i].vm, vm) == 0)
 			return true;
 	}
 	return false;
@@ -60,10 +60,11 @@
 	return profile == NULL ? 0 : profile->link_mbps;
 }
 
-/* Lists the members that may read the store for this data centre. */
+/* Lists the members that may read the table for this data centre. */
 static size_t
-list_readers(const edge_t *edge, msp_reader_t *readers)
+list_readers(const edge_table_t *table, msp_reader_t *readers)
 {
+	const edge_t *edge = table->edge;
 	const msp_membership_t *list = get_membership(edge->daemon->members);
 	const char *self = edge->daemon->settings->vm;
 	const msp_member_t *live[MSP_MEMBERS_MAX];
@@ -75,7 +76,7 @@
 		const char *name = live[i]->name;
 
 		if (live[i]->state == MSP_MEMBER_LEAVING ||
-		    (strcmp(name, self) != 0 && is_excluded(edge, name)))
+		    (strcmp(name, self) != 0 && is_excluded(table, name)))
 			continue;
 		readers[count++] = (msp_reader_t){.name = name,
 		    .link_mbps = get_link_mbps(edge, name),
@@ -95,7 +96,7 @@
 	const edge_t *edge = table->edge;
 	const msp_settings_t *settings = edge->daemon->settings;
 	msp_reader_t readers[MSP_MEMBERS_MAX];
-	size_t count = list_readers(edge, readers);
+	size_t count = list_readers(table, readers);
 	const char *reader;
 
 	if (count == 0)
@@ -110,9 +111,8 @@
 
 /* Excludes the current reader; overwrites the entry that expires first. */
 static void
-exclude_reader(const edge_table_t *table)
+exclude_reader(edge_table_t *table)
 {
-	edge_t *edge = table->edge;
 	const msp_member_t *reader = find_reader(table);
 	size_t at = 0;
 	size_t i;
@@ -120,15 +120,16 @@
 	if (reader == NULL)
 		return;
 	for (i = 1; i < EDGE_EXCLUDED_READERS_MAX; i++) {
-		if (edge->excluded_readers[i].until <
-		    edge->excluded_readers[at].until)
+		if (table->excluded_readers[i].until <
+		    table->excluded_readers[at].until)
 			at = i;
 	}
-	log_info("event=reader vm=%s state=passed-over", reader->name);
-	strlcpy(edge->excluded_readers[at].vm, reader->name,
-	    sizeof(edge->excluded_readers[at].vm));
-	edge->excluded_readers[at].until =
-	    msp_now(&edge->daemon->env) + READER_EXCLUSION;
+	log_info("event=reader table=%s vm=%s state=passed-over", table->name,
+	    reader->name);
+	strlcpy(table->excluded_readers[at].vm, reader->name,
+	    sizeof(table->excluded_readers[at].vm));
+	table->excluded_readers[at].until =
+	    msp_now(&table->edge->daemon->env) + READER_EXCLUSION;
 }
 
 /*
@@ -139,7 +140,7 @@
 bool
 choose_store_source(void *ctx, unsigned int attempt, store_source_t *source)
 {
-	const edge_table_t *table = ctx;
+	edge_table_t *table = ctx;
 	edge_t *edge = table->edge;
 	const msp_member_t *reader;
 
@@ -169,3 +170,85 @@
 
 	return pick_remote_vm(edge, source) || pick_member(edge, source);
 }
+
+/* Whether the VM is known by gossip to have newer routes than this one. */
+static bool
+is_ahead(const edge_t *edge, const msp_member_t *member)
+{
+	return member->state == MSP_MEMBER_ALIVE &&
+	    member->release > get_routes_version(edge);
+}
+
+/*
+ * Picks a VM of this data centre that has newer routes. The one with the
+ * fastest link is asked first, others at random.
+ */
+static bool
+pick_member_ahead(
+    const edge_t *edge, unsigned int attempt, store_source_t *source)
+{
+	const msp_membership_t *list = get_membership(edge->daemon->members);
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	size_t live_count = msp_list_live_members(list, live, MSP_MEMBERS_MAX);
+	const msp_member_t *ahead[MSP_MEMBERS_MAX];
+	size_t count = 0;
+	size_t best = 0;
+	size_t i;
+
+	for (i = 0; i < live_count; i++) {
+		if (!is_ahead(edge, live[i]))
+			continue;
+		ahead[count] = live[i];
+		if (get_link_mbps(edge, live[i]->name) >
+		    get_link_mbps(edge, ahead[best]->name))
+			best = count;
+		count++;
+	}
+	if (count == 0)
+		return false;
+	if (attempt > 0)
+		best = msp_random_below(&edge->daemon->env, count);
+	set_source(source, ahead[best]);
+	return true;
+}
+
+/*
+ * Picks a VM of another data centre: the one that helped last, then others. Two
+ * in a row are not of one data centre, which may be as far behind as this one.
+ */
+static bool
+pick_helpful_vm(edge_t *edge, unsigned int attempt, store_source_t *source)
+{
+	const edge_remote_vm_t *vms = edge->remote_vms;
+	size_t count = edge->remote_vm_count;
+	size_t start;
+	size_t i;
+
+	if (attempt == 0 && edge->helpful_vm.port != 0) {
+		*source = edge->helpful_vm;
+		return true;
+	}
+	if (count == 0)
+		return false;
+	start = msp_random_below(&edge->daemon->env, count);
+	for (i = 0; i + 1 < count; i++) {
+		if (strcmp(vms[(start + i) % count].place, edge->asked_place) !=
+		    0)
+			break;
+	}
+	strlcpy(edge->asked_place, vms[(start + i) % count].place,
+	    sizeof(edge->asked_place));
+	*source = vms[(start + i) % count].source;
+	return true;
+}
+
+bool
+choose_second_vm(void *ctx, unsigned int attempt, store_source_t *source)
+{
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
+
+	edge->asked_member = table == &edge->operator_table &&
+	    pick_member_ahead(edge, attempt, source);
+	return edge->asked_member || pick_helpful_vm(edge, attempt, source);
+}
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -101,6 +101,23 @@
 	    end->took / MSP_MS, end->attempt);
 }
 
+static void
+handle_second_read(void *ctx, const table_read_end_t *end)
+{
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
+
+	count_read_bytes(table, end, "kept");
+	msp_add_to_counter(edge->daemon->counters, 1,
+	    "msp_table_second_reads_total{table=\"%s\"}", table->name);
+	log_info("event=table-read table=%s state=second source=%s rows=%zu "
+		 "received=%zu took_ms=%" PRIu64 " attempt=%u",
+	    table->name, end->vm->address, end->reply->row_count,
+	    end->reply->received, end->took / MSP_MS, end->attempt);
+	if (!edge->asked_member)
+		edge->helpful_vm = *end->vm;
+}
+
 static void
 handle_store_lost(void *ctx, msp_status_t status)
 {
@@ -326,6 +343,8 @@
 	table_follower_callbacks_t callbacks = {
 	    .choose_source = choose_store_source,
 	    .choose_vm = choose_vm_source,
+	    .choose_second_vm = choose_second_vm,
+	    .on_second_read = handle_second_read,
 	    .on_snapshot_begin = handle_operator_snapshot_begin,
 	    .on_row = handle_operator_row,
 	    .on_snapshot_end = handle_operator_snapshot_end,
@@ -370,6 +389,13 @@
 	return status;
 }
 
+void
+check_table_reads(edge_t *edge)
+{
+	check_slow_read(edge->operator_table.follower, are_routes_late(edge));
+	check_slow_read(edge->target_table.follower, false);
+}
+
 void
 close_edge_store(edge_t *edge)
 {
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -160,7 +160,7 @@
 
 	edge->vms_refreshed_at = msp_now(&edge->daemon->env);
 	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
-	    &(store_timeouts_t){
+	    &(store_call_options_t){
 		.begin_ms = VM_TIMEOUT_MS, .transfer_ms = VM_TRANSFER_MS},
 	    handle_vms_read, edge);
 	if (edge->vm_call == NULL)
--- a/tests/process/test_edge_protocol.c
+++ b/tests/process/test_edge_protocol.c
@@ -37,6 +37,13 @@
 	"/api/rows-feed?table=op&after=0&waitMs=0&shape=new", 200, false},
     {"a read of all rows with another parameter", "GET",
 	"/api/rows-get?table=op&part=&shape=new", 200, false},
+    {"patches of versions that are not here", "GET",
+	"/api/rows-get?table=op&part=&patches=7,18446744073709551615", 200,
+	false},
+    {"patches of what is no version", "GET",
+	"/api/rows-get?table=op&part=&patches=7,x", 400, false},
+    {"patches of more versions than allowed", "GET",
+	"/api/rows-get?table=op&part=&patches=1,2,3,4,5,6,7,8,9", 400, false},
     {"a read of another table", "GET", "/api/rows-get?table=other&part=", 503,
 	false},
 };
