--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -57,6 +57,7 @@
 		char vm[MSP_NAME_SIZE];
 		msp_time_t until;
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
+	msp_time_t reader_until; /* this VM goes on to read the store */
 	table_follower_t *follower; /* NULL if not open */
 } edge_table_t;
 
--- a/source/spindled/edge_source.c
+++ b/source/spindled/edge_source.c
@@ -9,6 +9,12 @@
 
 #define READER_ROLE "store-reader" /* the key that ranks the members */
 #define READER_EXCLUSION (8 * MSP_SECOND)
+/*
+ * How long a VM goes on to read the store when another one becomes the reader.
+ * The VMs learn of it at different times, and two that take each other for the
+ * reader would both be cut off from the store.
+ */
+#define READER_HANDOVER (5 * MSP_SECOND)
 
 static void
 set_source(store_source_t *source, const msp_member_t *member)
@@ -109,6 +115,23 @@
 	    : msp_find_member(get_membership(edge->daemon->members), reader);
 }
 
+/* Fills `source` with the reader; returns false if this VM reads the store. */
+static bool
+choose_reader(edge_table_t *table, store_source_t *source)
+{
+	const edge_t *edge = table->edge;
+	const msp_member_t *reader = find_reader(table);
+	msp_time_t now = msp_now(&edge->daemon->env);
+
+	if (reader == NULL &&
+	    msp_member_count(get_membership(edge->daemon->members)) > 1)
+		table->reader_until = now + READER_HANDOVER;
+	if (reader == NULL || now < table->reader_until)
+		return false;
+	set_source(source, reader);
+	return true;
+}
+
 /* Excludes the current reader; overwrites the entry that expires first. */
 static void
 exclude_reader(edge_table_t *table)
@@ -142,15 +165,10 @@
 {
 	edge_table_t *table = ctx;
 	edge_t *edge = table->edge;
-	const msp_member_t *reader;
 
 	switch (attempt % 4) {
 	case 0:
-		reader = find_reader(table);
-		if (reader == NULL)
-			return false;
-		set_source(source, reader);
-		return true;
+		return choose_reader(table, source);
 	case 1:
 		exclude_reader(table);
 		return false;
