--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONSPINDLE_COORD_H
 #define MONSOONSPINDLE_COORD_H
 
+#include "monsoonspindle/coord/bulk_pacer.h"
 #include "monsoonspindle/coord/credits.h"
 #include "monsoonspindle/coord/ledger.h"
 #include "monsoonspindle/coord/retry_budget.h"
--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -247,6 +247,19 @@
 	return copy->version != 0 && version >= copy->history_start;
 }
 
+bool
+has_large_rows(const table_copy_t *copy, bool all, uint64_t version)
+{
+	const copy_row_t *row;
+
+	TAILQ_FOREACH(row, &copy->rows, link) {
+		if (row->len >= ROW_LARGE_BYTES &&
+		    (all || row->version > version))
+			return true;
+	}
+	return false;
+}
+
 static void
 visit_row(const copy_row_t *row,
     void (*visit)(void *ctx, const store_row_t *row), void *ctx)
--- a/source/platform/table_copy.h
+++ b/source/platform/table_copy.h
@@ -40,6 +40,12 @@
 /* Returns whether the copy has all changes after `version`. */
 bool has_changes_since(const table_copy_t *copy, uint64_t version);
 
+/*
+ * Returns whether large rows are among those that visit_copy_rows() visits with
+ * the same arguments.
+ */
+bool has_large_rows(const table_copy_t *copy, bool all, uint64_t version);
+
 /*
  * Visits the rows that changed after `version`, including removed ones, or with
  * `all`, all rows except removed ones.
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -14,8 +14,15 @@
 #define FORWARD_HEADERS_MAX 1024
 #define PEER_IDLE_MS 60000
 #define WAIT_MIN_MS 50 /* shortest long poll, to limit the rate of reads */
-
-/* Another VM's read that is answered when the table changes. */
+/* How long a response with large rows may wait for others, at least. */
+#define BULK_WAIT_MS 300
+#define BITS_PER_BYTE 8
+#define BITS_PER_MBIT 1e6
+
+/*
+ * Another VM's read that is answered when the table changes, or when responses
+ * with large rows before it have been sent.
+ */
 struct long_poll {
 	TAILQ_ENTRY(long_poll) link;
 	edge_t *edge;
@@ -54,6 +61,12 @@
 					  : (uint32_t)(span / MSP_MS);
 }
 
+static bool
+is_bulk_query(const table_copy_t *copy, const row_query_t *query)
+{
+	return has_large_rows(copy, query->is_range, query->after);
+}
+
 static const char *
 get_table_name(const edge_t *edge, const table_follower_t *table)
 {
@@ -87,6 +100,9 @@
 		answer_error(exchange, rows.status);
 		return;
 	}
+	if (is_bulk_query(copy, query))
+		msp_record_bulk_sent(&edge->bulk_pacer,
+		    msp_now(&edge->daemon->env), response.body.len);
 	msp_add_to_counter(edge->daemon->counters, response.body.len,
 	    "msp_table_served_bytes_total{table=\"%s\"}",
 	    get_table_name(edge, table));
@@ -132,8 +148,8 @@
 }
 
 static void
-start_long_poll(edge_t *edge, msp_exchange_t *exchange,
-    const table_follower_t *table, const row_query_t *query)
+start_long_poll(edge_t *edge, msp_exchange_t *exchange, table_follower_t *table,
+    const row_query_t *query, uint32_t wait_ms)
 {
 	long_poll_t *poll = calloc(1, sizeof(*poll));
 
@@ -145,22 +161,65 @@
 	poll->exchange = exchange;
 	poll->table = table;
 	poll->query = *query;
-	poll->timer = msp_new_timer(edge->daemon->loop,
-	    limit_wait(table, query->wait_ms) * MSP_MS, 0,
+	poll->timer = msp_new_timer(edge->daemon->loop, wait_ms * MSP_MS, 0,
 	    handle_long_poll_timeout, poll);
 	msp_set_exchange_data(exchange, poll);
 	TAILQ_INSERT_TAIL(&edge->long_polls, poll, link);
 }
 
+/* Whether there is something to answer other than that nothing has changed. */
+static bool
+has_answer(const table_follower_t *table, const row_query_t *query)
+{
+	return query->is_range ||
+	    get_copy_version(get_table_copy(table)) > query->after;
+}
+
+/* Whether the response has large rows, and others are still being sent. */
+static bool
+must_wait(
+    const edge_t *edge, const table_follower_t *table, const row_query_t *query)
+{
+	return !msp_bulk_may_be_sent(
+		   &edge->bulk_pacer, msp_now(&edge->daemon->env)) &&
+	    is_bulk_query(get_table_copy(table), query);
+}
+
+static void
+handle_bulk_timer(void *ctx)
+{
+	edge_t *edge = ctx;
+
+	msp_drop_timer(edge->bulk_timer);
+	edge->bulk_timer = NULL;
+	answer_ready_polls(edge);
+}
+
+/* Answers the next poll once the link is free. */
+static void
+schedule_bulk(edge_t *edge)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+	msp_time_t free_at = edge->bulk_pacer.free_at;
+
+	if (edge->bulk_timer == NULL)
+		edge->bulk_timer = msp_new_timer(edge->daemon->loop,
+		    free_at > now ? free_at - now : 0, 0, handle_bulk_timer,
+		    edge);
+}
+
 void
-answer_long_polls(edge_t *edge, const table_follower_t *table)
+answer_ready_polls(edge_t *edge)
 {
-	uint64_t version = get_copy_version(get_table_copy(table));
 	long_poll_t *poll;
 	long_poll_t *next;
 
 	TAILQ_FOREACH_SAFE(poll, &edge->long_polls, link, next) {
-		if (poll->table == table && version > poll->query.after)
+		if (!has_answer(poll->table, &poll->query))
+			continue;
+		if (must_wait(edge, poll->table, &poll->query))
+			schedule_bulk(edge);
+		else
 			answer_long_poll(poll);
 	}
 }
@@ -177,11 +236,29 @@
 	}
 }
 
+static void
+serve_query(edge_t *edge, msp_exchange_t *exchange, table_follower_t *table,
+    const row_query_t *query)
+{
+	uint32_t wait_ms = limit_wait(table, query->wait_ms);
+
+	if (has_answer(table, query) && must_wait(edge, table, query)) {
+		if (wait_ms < BULK_WAIT_MS)
+			wait_ms = BULK_WAIT_MS;
+		start_long_poll(edge, exchange, table, query, wait_ms);
+		schedule_bulk(edge);
+	} else if (has_answer(table, query) || query->wait_ms == 0) {
+		answer_query(edge, exchange, table, query);
+	} else {
+		start_long_poll(edge, exchange, table, query, wait_ms);
+	}
+}
+
 static void
 handle_peer_request(void *ctx, msp_exchange_t *exchange)
 {
 	edge_t *edge = ctx;
-	const table_follower_t *table = NULL;
+	table_follower_t *table = NULL;
 	const msp_request_t *request = msp_exchange_request(exchange);
 	row_query_t query;
 	msp_status_t status;
@@ -217,11 +294,7 @@
 	}
 	msp_add_to_counter(
 	    edge->daemon->counters, 1, "msp_relayed_reads_total");
-	if (query.is_range || query.wait_ms == 0 ||
-	    get_copy_version(get_table_copy(table)) > query.after)
-		answer_query(edge, exchange, table, &query);
-	else
-		start_long_poll(edge, exchange, table, &query);
+	serve_query(edge, exchange, table, &query);
 }
 
 static void
@@ -273,6 +346,8 @@
 		.on_disconnect = handle_peer_disconnect,
 		.ctx = edge}};
 
+	edge->bulk_pacer.bytes_per_second =
+	    settings->edge.link_mbps * BITS_PER_MBIT / BITS_PER_BYTE;
 	edge->peer_listener = msp_new_http_server(edge->daemon->loop, &options);
 	return edge->peer_listener == NULL ? MSP_E_IO : MSP_OK;
 }
@@ -283,6 +358,7 @@
 	long_poll_t *poll;
 	long_poll_t *next;
 
+	msp_drop_timer(edge->bulk_timer);
 	msp_drop_http_server(edge->peer_listener);
 	TAILQ_FOREACH_SAFE(poll, &edge->long_polls, link, next)
 		free_long_poll(poll);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -7,6 +7,7 @@
 #include "daemon.h"
 #include "edge.h"
 #include "edge_broadcast.h"
+#include "monsoonspindle/coord/bulk_pacer.h"
 #include "monsoonspindle/coord/feature_gate.h"
 #include "monsoonspindle/coord/reader_rank.h"
 #include "monsoonspindle/coord/retry_budget.h"
@@ -57,7 +58,8 @@
 		char vm[MSP_NAME_SIZE];
 		msp_time_t until;
 	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
-	msp_time_t reader_until; /* this VM goes on to read the store */
+	msp_time_t reader_since; /* this VM is the reader; 0: it is not */
+	msp_time_t reader_until; /* it goes on to read the store */
 	table_follower_t *follower; /* NULL if not open */
 } edge_table_t;
 
@@ -95,6 +97,8 @@
 	/* Serves reads of tables and messages about strikes to other VMs. */
 	msp_http_server_t *peer_listener;
 	TAILQ_HEAD(, long_poll) long_polls;
+	msp_bulk_pacer_t bulk_pacer; /* of responses with large rows */
+	msp_timer_t *bulk_timer; /* set while such responses wait */
 
 	msp_map_t *vm_profiles; /* edge_vm_profile_t by name; NULL: not read */
 	msp_feature_gate_t link_speed_gate; /* ranks readers by their links */
@@ -338,8 +342,11 @@
 msp_status_t open_edge_peer_listener(edge_t *edge);
 void close_edge_peer_listener(edge_t *edge);
 
-/* Answers the long polls whose table has newer rows than they have. */
-void answer_long_polls(edge_t *edge, const table_follower_t *table);
+/*
+ * Answers the reads of other VMs whose table has newer rows than they have.
+ * Those with large rows are answered one after the other.
+ */
+void answer_ready_polls(edge_t *edge);
 
 /*
  * Answers all long polls on a table whose copy has become stale, so that the
--- a/source/spindled/edge_source.c
+++ b/source/spindled/edge_source.c
@@ -115,18 +115,33 @@
 	    : msp_find_member(get_membership(edge->daemon->members), reader);
 }
 
+/* Records whether this VM is the reader, and how long it has to go on. */
+static void
+update_reader_role(edge_table_t *table, bool is_reader)
+{
+	msp_time_t now = msp_now(&table->edge->daemon->env);
+
+	if (is_reader) {
+		if (table->reader_since == 0)
+			table->reader_since = now;
+		return;
+	}
+	/* Others read from a VM that has been the reader for some time. */
+	if (table->reader_since != 0 &&
+	    now >= table->reader_since + READER_HANDOVER)
+		table->reader_until = now + READER_HANDOVER;
+	table->reader_since = 0;
+}
+
 /* Fills `source` with the reader; returns false if this VM reads the store. */
 static bool
 choose_reader(edge_table_t *table, store_source_t *source)
 {
-	const edge_t *edge = table->edge;
 	const msp_member_t *reader = find_reader(table);
-	msp_time_t now = msp_now(&edge->daemon->env);
 
-	if (reader == NULL &&
-	    msp_member_count(get_membership(edge->daemon->members)) > 1)
-		table->reader_until = now + READER_HANDOVER;
-	if (reader == NULL || now < table->reader_until)
+	update_reader_role(table, reader == NULL);
+	if (reader == NULL ||
+	    msp_now(&table->edge->daemon->env) < table->reader_until)
 		return false;
 	set_source(source, reader);
 	return true;
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -47,7 +47,7 @@
 	const edge_table_t *table = ctx;
 
 	if (table->follower != NULL)
-		answer_long_polls(table->edge, table->follower);
+		answer_ready_polls(table->edge);
 }
 
 static void
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -38,7 +38,7 @@
 {
 	const soak_profile_t *profile = vm->soak->profile;
 
-	if (profile->fast_vms > 0)
+	if (profile->markers)
 		msp_append_printf(text, "\"link_mbps\":%.1f,",
 		    get_soak_bandwidth(vm) * BITS_PER_BYTE / 1e6);
 }
