Follow a table past a row that can't be read

But a row of a response without a key or a valid version, or whose value is no base64 text, failed the whole read, each time anew, so that the table was never followed again (platform/test_table_follower odd_rows_do_not_stop_the_table, red before).

--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -389,8 +389,9 @@
 static store_call_options_t
 get_timeouts(const table_follower_t *follower, bool is_retry)
 {
-	store_call_options_t call_options = {
-	    .begin_ms = STORE_TIMEOUT_MS, .transfer_ms = STORE_TRANSFER_MS};
+	store_call_options_t call_options = {.begin_ms = STORE_TIMEOUT_MS,
+	    .transfer_ms = STORE_TRANSFER_MS,
+	    .accepts_odd_rows = true};
 
 	if (follower->reads_vm) {
 		call_options.begin_ms = VM_TIMEOUT_MS;
--- a/source/platform/table_second_read.c
+++ b/source/platform/table_second_read.c
@@ -62,7 +62,8 @@
 	store_patch_bases_t bases;
 	store_call_options_t call_options = {.begin_ms = SECOND_TIMEOUT_MS,
 	    .transfer_ms = SECOND_TRANSFER_MS,
-	    .bases = get_patch_bases(follower, &bases)};
+	    .bases = get_patch_bases(follower, &bases),
+	    .accepts_odd_rows = true};
 
 	if (!callbacks->choose_second_vm(
 		callbacks->ctx, follower->second_attempt, &follower->second_vm))
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -60,6 +60,18 @@
 	    table->name, end->vm == NULL ? "store" : "vm", use);
 }
 
+static void
+report_odd_rows(const edge_table_t *table, const store_reply_t *reply)
+{
+	if (reply->odd_rows == 0)
+		return;
+	msp_add_to_counter(table->edge->daemon->counters, reply->odd_rows,
+	    "msp_table_odd_rows_total{table=\"%s\"}", table->name);
+	log_warn("event=table-read table=%s state=odd-rows count=%zu "
+		 "version=%" PRIu64,
+	    table->name, reply->odd_rows, reply->version);
+}
+
 /* Logs large reads, which take time on a slow link. */
 static void
 handle_read_done(void *ctx, const table_read_end_t *end)
@@ -68,6 +80,7 @@
 	const store_reply_t *reply = end->reply;
 
 	count_read_bytes(table, end, "kept");
+	report_odd_rows(table, reply);
 	if (reply->received < LARGE_READ_BYTES)
 		return;
 	log_info("event=table-read table=%s state=done source=%s rows=%zu "
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -160,8 +160,9 @@
 
 	edge->vms_refreshed_at = msp_now(&edge->daemon->env);
 	edge->vm_call = read_store_rows(edge->store, NULL, VMS_TABLE, NULL,
-	    &(store_call_options_t){
-		.begin_ms = VM_TIMEOUT_MS, .transfer_ms = VM_TRANSFER_MS},
+	    &(store_call_options_t){.begin_ms = VM_TIMEOUT_MS,
+		.transfer_ms = VM_TRANSFER_MS,
+		.accepts_odd_rows = true},
 	    handle_vms_read, edge);
 	if (edge->vm_call == NULL)
 		set_vm_timer(edge, VM_RETRY, read_vms);
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -469,6 +469,84 @@
 	msp_drop_http_server(vm.server);
 }
 
+/* Rows of a response that can't be read, between two that can. */
+static const char *const odd_rows[] = {
+    "{\"key\":\"t9\",\"value\":\"eA==\"}",
+    "{\"key\":\"t9\",\"ver\":-1,\"value\":\"eA==\"}",
+    "{\"key\":\"t9\",\"ver\":1e999,\"value\":\"eA==\"}",
+    "{\"key\":\"t9\",\"ver\":\"7\",\"value\":\"eA==\"}",
+    "{\"key\":7,\"ver\":7,\"value\":\"eA==\"}",
+    "{\"ver\":7,\"value\":\"eA==\"}",
+    "null",
+    "7",
+    "[]",
+};
+
+/* Those whose key can be read, but not their value. */
+static const char *const odd_values[] = {
+    "{\"key\":\"t9\",\"ver\":7,\"value\":\"?\"}",
+    "{\"key\":\"t9\",\"ver\":7,\"value\":7}",
+    "{\"key\":\"t9\",\"ver\":7,\"value\":{\"a\":[[[]]]}}",
+    "{\"key\":\"t9\",\"ver\":7}",
+};
+
+typedef struct odd_store {
+	const char *row;
+} odd_store_t;
+
+static void
+handle_odd_request(void *ctx, msp_exchange_t *exchange)
+{
+	const odd_store_t *store = ctx;
+	msp_response_t response = {.status = 200};
+
+	msp_append_printf(&response.body,
+	    "{\"rows\":[{\"table\":\"x\",\"key\":\"t1\",\"ver\":5,"
+	    "\"value\":\"eA==\"},%s,{\"table\":\"x\",\"key\":\"t2\","
+	    "\"ver\":6,\"value\":\"eA==\"}],\"hasMore\":false,\"ver\":9}",
+	    store->row);
+	msp_send_exchange_response(exchange, &response);
+}
+
+static void
+follow_odd_rows(follower_test_t *test, const char *row, unsigned int usable)
+{
+	odd_store_t odd = {.row = row};
+	msp_http_server_options_t options = {.address = ADDRESS,
+	    .handler = {.on_request = handle_odd_request,
+		.on_disconnect = ignore_disconnect,
+		.ctx = &odd}};
+	msp_http_server_t *server = msp_new_http_server(test->loop, &options);
+	store_source_t source = {.address = ADDRESS};
+
+	assert_non_null(server);
+	print_message("%s\n", row);
+	source.port = msp_http_server_port(server);
+	set_store_client_address(test->store, &source);
+	test->rows = test->failed_reads = 0;
+	start_follower(test);
+	await_count(test, &test->rows, usable);
+	assert_true(is_table_loaded(test->follower));
+	assert_int_equal(test->rows, usable);
+	assert_int_equal(test->failed_reads, 0);
+	drop_table_follower(test->follower);
+	test->follower = NULL;
+	msp_drop_http_server(server);
+}
+
+/* One row that could not be read stopped a VM from following the table. */
+static void
+odd_rows_do_not_stop_the_table(void **state)
+{
+	follower_test_t *test = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(odd_rows) / sizeof(*odd_rows); i++)
+		follow_odd_rows(test, odd_rows[i], 2);
+	for (i = 0; i < sizeof(odd_values) / sizeof(*odd_values); i++)
+		follow_odd_rows(test, odd_values[i], 3);
+}
+
 typedef struct outage_case {
 	const char *name;
 	bool vm_known;
@@ -552,6 +630,7 @@
 	    FOLLOWER_TEST(misses_no_row_written_during_first_read),
 	    FOLLOWER_TEST(reads_from_vm_while_store_refuses),
 	    FOLLOWER_TEST(waits_for_vm_that_is_behind),
+	    FOLLOWER_TEST(odd_rows_do_not_stop_the_table),
 	    FOLLOWER_TEST(distinguishes_outage_from_lost_connection),
 	    FOLLOWER_TEST(reads_recovered_store_soon),
 	};
