--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -128,60 +128,6 @@
 	    follower->callbacks.ctx, get_now(follower) - lost_since);
 }
 
-static void
-apply_row(table_follower_t *follower, const store_row_t *row)
-{
-	put_copy_row(follower->copy, row);
-	follower->callbacks.on_row(follower->callbacks.ctx, row);
-}
-
-static msp_status_t
-apply_patched_row(table_follower_t *follower, const store_row_t *patched)
-{
-	store_row_t row = *patched;
-	msp_buffer_t value = {0};
-	msp_status_t status = apply_copy_patch(follower->copy, patched, &value);
-
-	if (status == MSP_OK) {
-		row.patch = NULL;
-		row.value = msp_buffer_text(&value);
-		row.value_len = value.len;
-		apply_row(follower, &row);
-	}
-	msp_drop_buffer(&value);
-	return status;
-}
-
-/* Whether another source has brought the row, or a newer one. */
-static bool
-is_known_row(const table_follower_t *follower, const store_row_t *row)
-{
-	return row->version <= get_copy_row_version(follower->copy, row->key);
-}
-
-/*
- * Applies rows up to one whose patch does not fit. The copy's version must not
- * be advanced then, and the rest is read again.
- */
-static msp_status_t
-apply_rows(table_follower_t *follower, const store_reply_t *reply)
-{
-	msp_status_t status = MSP_OK;
-	size_t i;
-
-	for (i = 0; i < reply->row_count && status == MSP_OK; i++) {
-		const store_row_t *row = &reply->rows[i];
-
-		if (row->patch != NULL && is_known_row(follower, row))
-			put_copy_row(follower->copy, row);
-		else if (row->patch != NULL)
-			status = apply_patched_row(follower, row);
-		else
-			apply_row(follower, row);
-	}
-	return status;
-}
-
 static void
 handle_unfit_patch(table_follower_t *follower, const store_reply_t *reply)
 {
@@ -191,17 +137,6 @@
 	handle_read_failure(follower, &unfit);
 }
 
-static void
-advance_version(
-    table_follower_t *follower, const store_reply_t *reply, uint64_t version)
-{
-	/* The rows are as of the start of the response. */
-	advance_copy(follower->copy, version,
-	    get_now(follower) -
-		((msp_time_t)reply->age_ms + reply->transfer_ms) * MSP_MS);
-	follower->callbacks.on_update(follower->callbacks.ctx);
-}
-
 /* Reads the next page and returns true, if there is one. */
 static bool
 read_next_page(table_follower_t *follower, const store_reply_t *reply)
@@ -230,14 +165,14 @@
 		begin_copy_snapshot(follower->copy);
 		follower->callbacks.on_snapshot_begin(follower->callbacks.ctx);
 	}
-	status = apply_rows(follower, reply);
+	status = apply_table_rows(follower, reply);
 	if (status != MSP_OK || read_next_page(follower, reply))
 		return status;
 	follower->page_start[0] = '\0';
 	follower->reads_snapshot = false;
 	follower->is_loaded = true;
 	end_copy_snapshot(follower->copy, follower->snapshot_version);
-	advance_version(follower, reply, follower->snapshot_version);
+	advance_table_version(follower, reply, follower->snapshot_version);
 	follower->callbacks.on_snapshot_end(
 	    follower->callbacks.ctx, follower->snapshot_version);
 	schedule_read(follower, follower->options.store_interval);
@@ -262,16 +197,6 @@
 	return reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
 }
 
-msp_status_t
-apply_table_changes(table_follower_t *follower, const store_reply_t *reply)
-{
-	msp_status_t status = apply_rows(follower, reply);
-
-	if (status == MSP_OK)
-		advance_version(follower, reply, reply->version);
-	return status;
-}
-
 /* Applies the changes that a read has brought, and schedules the next one. */
 static msp_status_t
 handle_changes(table_follower_t *follower, const store_reply_t *reply)
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -39,15 +39,26 @@
 	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
 };
 
-/* table_follower.c */
+/* table_apply.c: what a response says of the table */
 
 /*
- * Applies all changes of a response. Returns MSP_E_SYNTAX if a patch does not
- * fit; the copy's version is unchanged then.
+ * Applies the rows of a response. Returns MSP_E_SYNTAX at one whose patch does
+ * not fit; the copy's version must not be advanced then, and the rest is to be
+ * read again.
  */
+msp_status_t apply_table_rows(
+    table_follower_t *follower, const store_reply_t *reply);
+
+/* Records that the copy is complete up to `version`, by this response. */
+void advance_table_version(
+    table_follower_t *follower, const store_reply_t *reply, uint64_t version);
+
+/* Does both for a response with changes. */
 msp_status_t apply_table_changes(
     table_follower_t *follower, const store_reply_t *reply);
 
+/* table_follower.c */
+
 /* Fills in what a read from a VM accepts; NULL: no patches. */
 const store_patch_bases_t *get_patch_bases(
     const table_follower_t *follower, store_patch_bases_t *bases);
