Pace whole tables too, and pause second reads that bring nothing

After the store has lost its history all VMs of a data centre read the targets' table whole from one of them: 100 kB each at 330 targets, in one go, though no row is large; a response is paced by its size now. And a VM that is told by gossip of routes that it can't use (a newer build's) asked four others each 250 ms, for ever; the pauses grow to 4 s.

--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -247,17 +247,17 @@
 	return copy->version != 0 && version >= copy->history_start;
 }
 
-bool
-has_large_rows(const table_copy_t *copy, bool all, uint64_t version)
+size_t
+get_copy_bytes(const table_copy_t *copy, bool all, uint64_t version)
 {
 	const copy_row_t *row;
+	size_t bytes = 0;
 
 	TAILQ_FOREACH(row, &copy->rows, link) {
-		if (row->len >= ROW_LARGE_BYTES &&
-		    (all || row->version > version))
-			return true;
+		if (all || row->version > version)
+			bytes += row->len;
 	}
-	return false;
+	return bytes;
 }
 
 static void
--- a/source/platform/table_copy.h
+++ b/source/platform/table_copy.h
@@ -41,10 +41,10 @@
 bool has_changes_since(const table_copy_t *copy, uint64_t version);
 
 /*
- * Returns whether large rows are among those that visit_copy_rows() visits with
- * the same arguments.
+ * Returns the bytes of the values that visit_copy_rows() visits with the same
+ * arguments.
  */
-bool has_large_rows(const table_copy_t *copy, bool all, uint64_t version);
+size_t get_copy_bytes(const table_copy_t *copy, bool all, uint64_t version);
 
 /*
  * Visits the rows that changed after `version`, including removed ones, or with
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -17,6 +17,8 @@
 	msp_time_t second_started;
 	unsigned int second_attempt; /* since the copy last changed */
 	unsigned int second_chain; /* reads since check_slow_read() */
+	msp_time_t second_pause; /* the last pause; 0: none yet */
+	msp_time_t second_paused_until;
 	msp_timer_t *stale_timer; /* for schedule_stale_check() */
 	bool reads_snapshot; /* else reads changes */
 	bool is_loaded; /* a snapshot has been read */
--- a/source/platform/table_second_read.c
+++ b/source/platform/table_second_read.c
@@ -5,15 +5,41 @@
 #define SECOND_TIMEOUT_MS 700 /* until the response begins */
 #define SECOND_TRANSFER_MS 4000
 #define SECOND_CHAIN_MAX 4 /* VMs that are asked one after the other */
+/* Pauses after chains that brought nothing; each is twice as long. */
+#define SECOND_PAUSE_MIN (250 * MSP_MS)
+#define SECOND_PAUSE_MAX (4 * MSP_SECOND)
 
 static void start_second_read(table_follower_t *follower);
 
+/* The copy has changed: the next slow read begins anew. */
+static void
+end_second_reads(table_follower_t *follower)
+{
+	follower->second_attempt = 0;
+	follower->second_pause = 0;
+	follower->second_paused_until = 0;
+}
+
+/* None of the VMs that were asked had newer rows. */
+static void
+pause_second_reads(table_follower_t *follower)
+{
+	msp_time_t pause = follower->second_pause * 2;
+
+	if (pause < SECOND_PAUSE_MIN)
+		pause = SECOND_PAUSE_MIN;
+	if (pause > SECOND_PAUSE_MAX)
+		pause = SECOND_PAUSE_MAX;
+	follower->second_pause = pause;
+	follower->second_paused_until = msp_now(&follower->env) + pause;
+}
+
 void
 cancel_second_read(table_follower_t *follower)
 {
 	cancel_store_call(follower->second_call);
 	follower->second_call = NULL;
-	follower->second_attempt = 0;
+	end_second_reads(follower);
 }
 
 /* Applies a response with newer rows. */
@@ -34,7 +60,7 @@
 		mark_table_fresh(follower, reply);
 	follower->attempt = 0;
 	follower->callbacks.on_second_read(follower->callbacks.ctx, &end);
-	follower->second_attempt = 0;
+	end_second_reads(follower);
 	/* The slow read would bring the same rows again. */
 	restart_table_read(follower);
 	return MSP_OK;
@@ -53,6 +79,8 @@
 	follower->second_attempt++;
 	if (++follower->second_chain < SECOND_CHAIN_MAX)
 		start_second_read(follower);
+	else
+		pause_second_reads(follower);
 }
 
 static void
@@ -82,7 +110,8 @@
 	    get_store_transfer_time(follower->call) > SLOW_TRANSFER;
 
 	if (!follower->is_loaded || follower->reads_snapshot ||
-	    follower->second_call != NULL || (!is_slow && !is_behind))
+	    follower->second_call != NULL || (!is_slow && !is_behind) ||
+	    msp_now(&follower->env) < follower->second_paused_until)
 		return;
 	follower->second_chain = 0;
 	start_second_read(follower);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -14,14 +14,15 @@
 #define FORWARD_HEADERS_MAX 1024
 #define PEER_IDLE_MS 60000
 #define WAIT_MIN_MS 50 /* shortest long poll, to limit the rate of reads */
-/* How long a response with large rows may wait for others, at least. */
+#define BULK_BYTES 8192 /* values of a response that is paced */
+/* How long such a response may wait for others, at least. */
 #define BULK_WAIT_MS 300
 #define BITS_PER_BYTE 8
 #define BITS_PER_MBIT 1e6
 
 /*
- * Another VM's read that is answered when the table changes, or when responses
- * with large rows before it have been sent.
+ * Another VM's read that is answered when the table changes, or when large
+ * responses before it have been sent.
  */
 struct long_poll {
 	TAILQ_ENTRY(long_poll) link;
@@ -64,7 +65,8 @@
 static bool
 is_bulk_query(const table_copy_t *copy, const row_query_t *query)
 {
-	return has_large_rows(copy, query->is_range, query->after);
+	return get_copy_bytes(copy, query->is_range, query->after) >=
+	    BULK_BYTES;
 }
 
 static const char *
@@ -175,7 +177,7 @@
 	    get_copy_version(get_table_copy(table)) > query->after;
 }
 
-/* Whether the response has large rows, and others are still being sent. */
+/* Whether the response is large, and others are still being sent. */
 static bool
 must_wait(
     const edge_t *edge, const table_follower_t *table, const row_query_t *query)
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -97,7 +97,7 @@
 	/* Serves reads of tables and messages about strikes to other VMs. */
 	msp_http_server_t *peer_listener;
 	TAILQ_HEAD(, long_poll) long_polls;
-	msp_bulk_pacer_t bulk_pacer; /* of responses with large rows */
+	msp_bulk_pacer_t bulk_pacer; /* of large responses */
 	msp_timer_t *bulk_timer; /* set while such responses wait */
 
 	msp_map_t *vm_profiles; /* edge_vm_profile_t by name; NULL: not read */
