--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -128,6 +128,7 @@
 	    follower->callbacks.ctx, get_now(follower) - lost_since);
 }
 
+/* Patches don't fit if a base is missing; the next read asks for values. */
 static void
 handle_unfit_patch(table_follower_t *follower, const store_reply_t *reply)
 {
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -12,7 +12,7 @@
 	table_copy_t *copy;
 	store_call_t *call; /* the pending read, or NULL */
 	msp_timer_t *timer; /* starts the next read */
-	store_call_t *second_call; /* beside a slow read, or NULL */
+	store_call_t *second_call; /* the second read, or NULL */
 	store_source_t second_vm; /* to which it goes */
 	msp_time_t second_started;
 	unsigned int second_attempt; /* since the copy last changed */
