--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -192,8 +192,12 @@
 	    reply->version < get_copy_version(follower->copy);
 }
 
+/*
+ * Whether the rows were fresh when the response began. After a slow transfer
+ * they may not be current any more.
+ */
 static bool
-is_fresh(const store_reply_t *reply)
+was_sent_fresh(const store_reply_t *reply)
 {
 	return reply->age_ms * MSP_MS <= TABLE_FRESH_MAX_AGE;
 }
@@ -209,7 +213,7 @@
 		return status;
 	if (reply->row_count > 0)
 		cancel_second_read(follower);
-	if (!is_fresh(reply)) {
+	if (!was_sent_fresh(reply)) {
 		schedule_retry(follower);
 		return MSP_OK;
 	}
@@ -239,7 +243,7 @@
 
 	follower->callbacks.on_read_done(follower->callbacks.ctx, &end);
 	report_store_recovered(follower);
-	if (is_fresh(reply) && needs_outage_check(follower, reply)) {
+	if (was_sent_fresh(reply) && needs_outage_check(follower, reply)) {
 		follower->outage_checks++;
 		follower->checks_outage = true;
 		start_read(follower);
@@ -281,7 +285,7 @@
 	if (reply->status != MSP_OK ||
 	    reply->version < get_copy_version(follower->copy) ||
 	    (follower->reads_snapshot && follower->is_loaded &&
-		!is_fresh(reply))) {
+		!was_sent_fresh(reply))) {
 		handle_read_failure(follower, reply);
 		return;
 	}
