--- a/review/standins/driver.c
+++ b/review/standins/driver.c
@@ -1108,7 +1108,7 @@
 #define CALM_PER_S 35
 #define BURST_PERCENT 170 /* of the calm rate */
 #define CALM_MS 5000
-#define BURST_MS 5000
+#define BURST_MS 3000
 #define UPLOADS_MAX 600
 
 /* Kilobytes of memory that a process uses; 0 if it has ended. */
