review: case 2, orders taken late in a stop are cut off

From the entry on stopping VMs in KNOWN-RED.txt: 3 s after its SIGTERM a VM takes orders for targets whose queues another VM has filled, and drops them without an answer (LOST). The driver starts two VMs for it. It takes the place of the case on a target that drains, which has the cause of cases 1 and 4; the driver still plays that as 'drain'. The others are numbered anew, the gravest first.

--- a/review/5/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# A target drains and ends while orders wait for a connection to it.
+# Some clients leave while their orders wait for a connection to a target.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/driver ] && [ -x target/bin/spindled ] || exit 2
-exec timeout -k 1 115 target/review/driver drain "review/5/record.txt"
+exec timeout -k 1 115 target/review/driver leave "review/4/record.txt"
--- a/review/standins/driver.c
+++ b/review/standins/driver.c
@@ -1,6 +1,6 @@
 /*
  * Plays one case of the review: starts the project's platform stand-in and one
- * spindled, stands in for targets, clients and the operator, and judges what
+ * spindled or two, stands in for targets, clients and the operator, and judges what
  * they have seen.
  *
  * usage: driver CASE RECORD
@@ -40,6 +40,7 @@
 #define HEARTBEAT_MS 1500
 #define DRAIN_MS 2500
 #define GRACE_S 6
+#define VMS_MAX 2
 #define MEMORY_MB 182
 #define LOSS_SLACK_MS 200
 #define GONE_AFTER_MS 500
@@ -85,11 +86,16 @@
 static bool with_trouble;
 static attempt_t attempts[REQUESTS_MAX];
 static size_t attempt_count;
+static pthread_mutex_t attempts_lock = PTHREAD_MUTEX_INITIALIZER;
 static target_t targets[TARGETS_MAX];
 static size_t target_count;
 static int work_ms; /* mean work of an order */
-static uint16_t store_port, caller_port, ready_port;
-static pid_t platform_pid, vm_pid;
+static uint16_t store_port;
+static uint16_t caller_ports[VMS_MAX];
+static uint16_t ready_ports[VMS_MAX];
+static pid_t platform_pid;
+static pid_t vm_pids[VMS_MAX];
+static int grace_s = GRACE_S;
 static char folder[] = "/tmp/review-XXXXXX";
 static volatile bool stopping;
 static bool record_is_complete;
@@ -134,10 +140,14 @@
 static void
 end_processes(void)
 {
+	size_t i;
+
 	stopping = true;
-	if (vm_pid > 0 && waitpid(vm_pid, NULL, WNOHANG) == 0) {
-		kill(vm_pid, SIGKILL);
-		waitpid(vm_pid, NULL, 0);
+	for (i = 0; i < VMS_MAX; i++) {
+		if (vm_pids[i] > 0 && waitpid(vm_pids[i], NULL, WNOHANG) == 0) {
+			kill(vm_pids[i], SIGKILL);
+			waitpid(vm_pids[i], NULL, 0);
+		}
 	}
 	if (platform_pid > 0 && waitpid(platform_pid, NULL, WNOHANG) == 0) {
 		kill(platform_pid, SIGKILL);
@@ -728,22 +738,22 @@
 
 /* The settings are those that deploy/settings.json.template gives. */
 static void
-start_vm(void)
+start_vm(size_t number)
 {
 	char settings[64];
 	char output[64];
 	char *argv[] = {"target/bin/spindled", settings, NULL};
 	FILE *file;
 
-	snprintf(settings, sizeof(settings), "%s/node.toml", folder);
-	snprintf(output, sizeof(output), "%s/spindled.log", folder);
-	caller_port = find_free_port();
-	ready_port = find_free_port();
+	snprintf(settings, sizeof(settings), "%s/node-%zu.toml", folder, number);
+	snprintf(output, sizeof(output), "%s/spindled-%zu.log", folder, number);
+	caller_ports[number] = find_free_port();
+	ready_ports[number] = find_free_port();
 	file = fopen(settings, "w");
 	if (file == NULL)
 		give_up("no settings file");
 	fprintf(file,
-	    "{\"vm\":\"edge-a1-1\",\"region\":\"ra\",\"place\":\"a1\","
+	    "{\"vm\":\"edge-a1-%zu\",\"region\":\"ra\",\"place\":\"a1\","
 	    "\"peer_port\":%u,\"gossip_period_ms\":500,\"suspicion_ms\":2000,"
 	    "\"edge\":{\"callers\":\"" LOOPBACK ":%u\",\"readiness\":\"" LOOPBACK
 	    ":%u\",\"directory\":\"" LOOPBACK ":%u\",\"store\":\"" LOOPBACK
@@ -752,19 +762,20 @@
 	    "\"cold_slack\":5,\"retry_ratio\":0.2,\"heartbeat_ms\":%d,"
 	    "\"drain_ms\":%d,\"stop_grace_ms\":%d000},"
 	    "\"limits\":{\"max_connections\":1200},\"log\":{\"file\":\"-\"}}\n",
-	    find_free_port(), caller_port, ready_port, find_free_port(),
-	    store_port, find_free_port(), HEARTBEAT_MS, DRAIN_MS, GRACE_S);
+	    number + 1, find_free_port(), caller_ports[number],
+	    ready_ports[number], find_free_port(), store_port,
+	    find_free_port(), HEARTBEAT_MS, DRAIN_MS, grace_s);
 	fclose(file);
-	vm_pid = start_process(output, argv);
+	vm_pids[number] = start_process(output, argv);
 }
 
 static bool
-is_vm_ready(void)
+is_vm_ready(size_t number)
 {
 	static reader_t reader;
 	static const char request[] =
 	    "GET /api/readiness HTTP/1.1\r\nHost: vm\r\n\r\n";
-	int fd = connect_to(ready_port);
+	int fd = connect_to(ready_ports[number]);
 	bool ready;
 
 	if (fd < 0)
@@ -779,26 +790,29 @@
 }
 
 static void
-open_deployment(size_t count, int timeout_ms)
+open_deployment(size_t vms, size_t count, int timeout_ms)
 {
-	int64_t end;
+	int64_t end = now_ms() + READY_TIMEOUT_MS;
+	size_t i;
 
 	if (mkdtemp(folder) == NULL)
 		give_up("no temporary folder");
 	start_platform();
 	write_manifest(timeout_ms);
 	open_targets(count);
-	start_vm();
-	end = now_ms() + READY_TIMEOUT_MS;
-	while (!is_vm_ready()) {
-		if (now_ms() > end)
-			give_up("the VM is not ready");
-		sleep_ms(TICK_MS);
+	for (i = 0; i < vms; i++)
+		start_vm(i);
+	for (i = 0; i < vms; i++) {
+		while (!is_vm_ready(i)) {
+			if (now_ms() > end)
+				give_up("a VM is not ready");
+			sleep_ms(TICK_MS);
+		}
 	}
-	sleep_ms(1000); /* both targets are known */
-	record("ready: one VM, %zu targets with %d slots and %d places in the "
+	sleep_ms(1000); /* all targets are known */
+	record("ready: %zu VMs, %zu targets with %d slots and %d places in the "
 	       "queue, %d ms of work",
-	    count, TARGET_SLOTS, TARGET_QUEUE, work_ms);
+	    vms, count, TARGET_SLOTS, TARGET_QUEUE, work_ms);
 }
 
 /* Clients. */
@@ -808,6 +822,7 @@
 	int budget_ms;
 	size_t body_len;
 	int64_t leave_at; /* 0: stays */
+	size_t vm; /* to which it connects */
 	attempt_t *first; /* a read on the connection before, or NULL */
 	pthread_t thread;
 } client_t;
@@ -815,13 +830,18 @@
 static attempt_t *
 new_attempt(bool is_order)
 {
-	attempt_t *attempt = &attempts[attempt_count];
+	attempt_t *attempt;
 
+	pthread_mutex_lock(&attempts_lock);
+	if (attempt_count == REQUESTS_MAX)
+		give_up("too many requests");
+	attempt = &attempts[attempt_count];
 	snprintf(attempt->id, sizeof(attempt->id), "%08x%08zx",
 	    (unsigned int)getpid(), attempt_count + 1);
 	attempt->is_order = is_order;
 	attempt->target = -1;
 	attempt_count++;
+	pthread_mutex_unlock(&attempts_lock);
 	return attempt;
 }
 
@@ -874,7 +894,7 @@
 	reader_t *reader = calloc(1, sizeof(*reader));
 	struct pollfd poll_fd = {.events = POLLIN};
 
-	reader->fd = connect_to(caller_port);
+	reader->fd = connect_to(caller_ports[client->vm]);
 	poll_fd.fd = reader->fd;
 	if (reader->fd >= 0 &&
 	    send_attempt(reader->fd, client->attempt, client->budget_ms,
@@ -930,7 +950,7 @@
 
 /* Calm traffic before the case, from which the VM learns how long work takes. */
 static void
-warm_up(int budget_ms)
+warm_up(size_t vm, int budget_ms)
 {
 	client_t clients[CALM_CLIENTS];
 	size_t round;
@@ -940,6 +960,8 @@
 		memset(clients, 0, sizeof(clients));
 		for (i = 0; i < CALM_CLIENTS; i++)
 			start_client(&clients[i], budget_ms, 1000);
+		for (i = 0; i < CALM_CLIENTS; i++)
+			clients[i].vm = vm;
 		run_clients(clients, CALM_CLIENTS);
 		join_clients(clients, CALM_CLIENTS);
 		for (i = 0; i < CALM_CLIENTS; i++) {
@@ -964,7 +986,8 @@
 
 /* Starts clients at a constant rate until the given time. */
 static void
-run_load(int64_t until, int budget_ms, int leave_percent, int leave_ms)
+run_load(size_t vm, int64_t until, int budget_ms, int leave_percent,
+    int leave_ms)
 {
 	int64_t rate = (int64_t)LOAD_TARGETS * TARGET_SLOTS * LOAD_PERCENT *
 	    1000 / work_ms; /* in hundredths of an order per second */
@@ -976,6 +999,7 @@
 		client_t *client = &load_clients[load_count++];
 
 		start_client(client, budget_ms, 1000);
+		client->vm = vm;
 		if (count * leave_percent % 100 < leave_percent)
 			client->leave_at = now_ms() + leave_ms;
 		run_clients(client, 1);
@@ -992,13 +1016,13 @@
 	size_t i;
 
 	work_ms = LONG_WORK_MS;
-	open_deployment(LOAD_TARGETS, LONG_BUDGET_MS);
-	warm_up(LONG_BUDGET_MS);
+	open_deployment(1, LOAD_TARGETS, LONG_BUDGET_MS);
+	warm_up(0, LONG_BUDGET_MS);
 	record("load: %d %% of what the slots can take", LOAD_PERCENT);
-	run_load(now_ms() + LONG_LOAD_MS, LONG_BUDGET_MS, 0, 0);
+	run_load(0, now_ms() + LONG_LOAD_MS, LONG_BUDGET_MS, 0, 0);
 	if (with_trouble) {
 		record("SIGTERM to the VM");
-		kill(vm_pid, SIGTERM);
+		kill(vm_pids[0], SIGTERM);
 	}
 	join_clients(load_clients, load_count);
 	for (i = 0; i < load_count; i++) {
@@ -1041,13 +1065,13 @@
 	size_t i;
 
 	work_ms = ORDER_WORK_MS;
-	open_deployment(LOAD_TARGETS, ORDER_BUDGET_MS);
-	warm_up(ORDER_BUDGET_MS);
+	open_deployment(1, LOAD_TARGETS, ORDER_BUDGET_MS);
+	warm_up(0, ORDER_BUDGET_MS);
 	record("load: %d %% of what the slots can take", LOAD_PERCENT);
-	run_load(now_ms() + ORDER_LOAD_MS, ORDER_BUDGET_MS, 0, 0);
+	run_load(0, now_ms() + ORDER_LOAD_MS, ORDER_BUDGET_MS, 0, 0);
 	record("from now on %d %% of the clients leave after %d ms",
 	    with_trouble ? LEAVE_PERCENT : 0, LEAVE_MS);
-	run_load(now_ms() + LEAVE_FOR_MS, ORDER_BUDGET_MS,
+	run_load(0, now_ms() + LEAVE_FOR_MS, ORDER_BUDGET_MS,
 	    with_trouble ? LEAVE_PERCENT : 0, LEAVE_MS);
 	join_clients(load_clients, load_count);
 	sleep_ms(ORDER_BUDGET_MS);
@@ -1103,10 +1127,10 @@
 	size_t i;
 
 	work_ms = LONG_WORK_MS;
-	open_deployment(LOAD_TARGETS, LONG_BUDGET_MS);
-	warm_up(LONG_BUDGET_MS);
+	open_deployment(1, LOAD_TARGETS, LONG_BUDGET_MS);
+	warm_up(0, LONG_BUDGET_MS);
 	record("load: %d %% of what the slots can take", LOAD_PERCENT);
-	run_load(now_ms() + LONG_LOAD_MS, LONG_BUDGET_MS, 0, 0);
+	run_load(0, now_ms() + LONG_LOAD_MS, LONG_BUDGET_MS, 0, 0);
 	if (with_trouble)
 		drain_target(target);
 	join_clients(load_clients, load_count);
@@ -1129,6 +1153,74 @@
 	return broken;
 }
 
+#define LATE_GRACE_S 10
+#define LATE_WORK_MS 2400
+#define LATE_BUDGET_MS 12000
+#define LATE_LOAD_MS 30000
+#define LATE_FROM_MS 3050 /* after the SIGTERM */
+#define LATE_ORDERS 9
+#define LATE_GAP_MS 100
+
+static void *
+run_other_vm(void *ctx)
+{
+	(void)ctx;
+	run_load(1, now_ms() + LATE_LOAD_MS + 8000, LATE_BUDGET_MS, 0, 0);
+	return NULL;
+}
+
+/* Orders that come to a VM later than 3 s after its SIGTERM. */
+static unsigned int
+play_late(void)
+{
+	client_t clients[LATE_ORDERS] = {0};
+	unsigned int broken = 0;
+	unsigned int served = 0;
+	pthread_t thread;
+	int64_t stop;
+	size_t i;
+
+	work_ms = LATE_WORK_MS;
+	grace_s = LATE_GRACE_S;
+	open_deployment(2, LOAD_TARGETS, LATE_BUDGET_MS);
+	warm_up(0, LATE_BUDGET_MS);
+	warm_up(1, LATE_BUDGET_MS);
+	record("load by the other VM: %d %% of what the slots can take",
+	    LOAD_PERCENT);
+	if (pthread_create(&thread, NULL, run_other_vm, NULL) != 0)
+		give_up("no thread");
+	sleep_ms(LATE_LOAD_MS);
+	stop = now_ms();
+	if (with_trouble) {
+		record("SIGTERM to VM 0");
+		kill(vm_pids[0], SIGTERM);
+	}
+	sleep_ms(LATE_FROM_MS);
+	for (i = 0; i < LATE_ORDERS; i++) {
+		start_client(&clients[i], LATE_BUDGET_MS, 1000);
+		run_clients(&clients[i], 1);
+		sleep_ms(LATE_GAP_MS);
+	}
+	join_clients(clients, LATE_ORDERS);
+	for (i = 0; i < LATE_ORDERS; i++) {
+		const attempt_t *attempt = clients[i].attempt;
+
+		served += attempt->status == 200;
+		if (attempt->arrived == 0 || attempt->status != 0)
+			continue;
+		broken++;
+		record("LOST     %s: sent %" PRId64
+		       " ms after the SIGTERM, passed on, closed after %" PRId64
+		       " ms without an answer",
+		    attempt->id, attempt->sent - stop, attempt->ended - stop);
+	}
+	record("%d orders: %u served, %u passed on and closed without an answer",
+	    LATE_ORDERS, served, broken);
+	pthread_join(thread, NULL);
+	join_clients(load_clients, load_count);
+	return broken;
+}
+
 #define UPLOAD_TARGETS 8
 #define CALM_PER_S 35
 #define BURST_PERCENT 170 /* of the calm rate */
@@ -1165,7 +1257,7 @@
 
 	(void)ctx;
 	while (!stopping) {
-		long kb = get_memory_kb(vm_pid);
+		long kb = get_memory_kb(vm_pids[0]);
 
 		if (kb / 10240 > most / 10240)
 			record("memory   %ld MB", kb / 1024);
@@ -1174,7 +1266,7 @@
 		if (kb > MEMORY_MB * 1024L) {
 			record("the platform kills the VM: %ld MB of %d MB",
 			    kb / 1024, MEMORY_MB);
-			kill(vm_pid, SIGKILL);
+			kill(vm_pids[0], SIGKILL);
 			return NULL;
 		}
 		sleep_ms(TICK_MS);
@@ -1189,7 +1281,7 @@
 	client_t *client = ctx;
 	reader_t *reader = calloc(1, sizeof(*reader));
 
-	reader->fd = connect_to(caller_port);
+	reader->fd = connect_to(caller_ports[client->vm]);
 	if (reader->fd >= 0 &&
 	    send_attempt(reader->fd, client->first, client->budget_ms, 0) &&
 	    read_answer(reader, client->first) &&
@@ -1238,7 +1330,7 @@
 	size_t i;
 
 	work_ms = ORDER_WORK_MS;
-	open_deployment(UPLOAD_TARGETS, ORDER_BUDGET_MS);
+	open_deployment(1, UPLOAD_TARGETS, ORDER_BUDGET_MS);
 	start_thread(run_memory_limit, NULL);
 	record("calm: %d orders a second of %d bytes", CALM_PER_S, BODY_MAX);
 	count = start_uploads(
@@ -1263,7 +1355,7 @@
 	record("%zu orders: %u served, %u passed on and closed without an "
 	       "answer, VM %s",
 	    count, served, broken,
-	    get_memory_kb(vm_pid) == 0 ? "killed" : "alive");
+	    get_memory_kb(vm_pids[0]) == 0 ? "killed" : "alive");
 	return broken > FEW ? broken : 0;
 }
 
@@ -1275,6 +1367,7 @@
     {"leave", play_leave},
     {"drain", play_drain},
     {"uploads", play_uploads},
+    {"late", play_late},
 };
 
 int
