--- a/review/standins/driver.c
+++ b/review/standins/driver.c
@@ -101,6 +101,7 @@
 static char folder[] = "/tmp/review-XXXXXX";
 static volatile bool stopping;
 static bool record_is_complete;
+static sigset_t stop_signals;
 
 static int64_t
 now_ms(void)
@@ -956,6 +957,7 @@
 	if (pid > 0)
 		return pid;
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	pthread_sigmask(SIG_UNBLOCK, &stop_signals, NULL);
 	fd = open(output, O_WRONLY | O_CREAT | O_TRUNC, 0644);
 	dup2(fd, 1);
 	dup2(fd, 2);
@@ -1767,6 +1769,29 @@
     {"drill", play_drill},
 };
 
+/* Ends the case and its processes if the driver is told to stop. */
+static void *
+wait_for_stop(void *ctx)
+{
+	int number;
+
+	(void)ctx;
+	if (sigwait(&stop_signals, &number) == 0)
+		give_up("stopped by a signal");
+	return NULL;
+}
+
+static void
+watch_stop_signals(void)
+{
+	sigemptyset(&stop_signals);
+	sigaddset(&stop_signals, SIGHUP);
+	sigaddset(&stop_signals, SIGINT);
+	sigaddset(&stop_signals, SIGTERM);
+	pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
+	start_thread(wait_for_stop, NULL);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1780,6 +1805,7 @@
 	if (record_file == NULL)
 		return 2;
 	signal(SIGPIPE, SIG_IGN);
+	watch_stop_signals();
 	start_ms = now_ms() - 1;
 	with_trouble = trouble == NULL || strcmp(trouble, "0") != 0;
 	record("case %s, disruption %s", argv[1], with_trouble ? "on" : "off");
