edge: no request waits where no decision reaches it

Cause: beyond 24 connections to a target, calls waited in the HTTP client's own queue until their deadline. Neither a stop, a drain, the end of the caller nor the target's load looked at that queue. Forwarded requests waited likewise.

Change: the balancer leaves out targets with enough requests of this VM in flight, takes another or refuses at once; the HTTP client of targets and of other VMs ends a call that finds no connection; a request of which nothing was sent ends with its caller.

Why it works: no decision has to be revised, since nothing waits after it.

The soak gets judges of requests dropped unread, of gone callers, of retry budgets and of Deadline-Ms.

--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -17,6 +17,12 @@
 	size_t max_response_body; /* bytes; 8 MiB */
 	uint32_t connect_timeout_ms; /* 1 s */
 	uint32_t idle_timeout_ms; /* until an idle connection is closed; 20 s */
+	/*
+	 * A call that finds all connections to its server busy ends with
+	 * MSP_E_OVERLOAD instead of waiting for one. For callers whose choice
+	 * of the server would be out of date by the end of the wait.
+	 */
+	bool refuses_when_busy;
 } msp_http_client_options_t;
 
 /*
@@ -42,6 +48,9 @@
  *	request. Nothing was sent.
  * MSP_E_HEADERS_TOO_LARGE
  *	Path and headers are over 48,000 bytes. Nothing was sent.
+ * MSP_E_OVERLOAD
+ *	All connections to the server are busy, and the client's calls do not
+ *	wait. Nothing was sent.
  */
 typedef struct msp_call_result {
 	msp_status_t status;
@@ -104,9 +113,9 @@
 /*
  * Starts a request. Takes over what `request` owns and zeroes it. Calls `done`
  * exactly once, from the loop, never before this function returns. While all
- * connections to the server are busy, the call waits for one, and the wait
- * counts towards its timeout. A request is never sent twice. Returns NULL if
- * memory runs out, and never calls `done` then.
+ * connections to the server are busy, the call waits for one, unless the client
+ * refuses then, and the wait counts towards its timeout. A request is never
+ * sent twice. Returns NULL if memory runs out, and never calls `done` then.
  */
 msp_call_t *msp_start_call(msp_http_client_t *client,
     const msp_call_options_t *options, msp_request_t *request,
--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -17,6 +17,14 @@
  */
 typedef struct msp_balancer msp_balancer_t;
 
+/*
+ * Requests that a VM has in flight at a target at most. Beyond that the target
+ * is left out, since a further request would only wait here, where neither its
+ * target nor its VM can tell for how long.
+ */
+#define MSP_IN_FLIGHT_MAX 128
+uint32_t msp_max_in_flight(const msp_view_target_t *target);
+
 typedef struct msp_balancer_options {
 	const char *region; /* of this VM; borrowed */
 	const char *place; /* data centre of this VM; borrowed */
@@ -73,6 +81,8 @@
 	/* Targets that were left out since this VM's part of their limit is
 	   used up. */
 	size_t limited_count;
+	/* Targets that were left out with msp_max_in_flight() requests. */
+	size_t busy_count;
 	/* Without a target: `wait` is until such a target may be used. */
 	bool is_limited;
 	/*
@@ -91,9 +101,10 @@
 
 /*
  * Fills `choice`. Returns MSP_E_NO_TARGET if no target is eligible, and
- * MSP_E_OVERLOAD if none is expected to respond in the time left; `choice` then
- * holds the highest-ranked target. MSP_E_OVERLOAD without a target: all that
- * are eligible have named limits, and this VM's parts are used up.
+ * MSP_E_OVERLOAD if none is expected to respond in the time left, or if this VM
+ * has as many requests in flight at each as it may; `choice` then holds the
+ * highest-ranked target. MSP_E_OVERLOAD without a target: all that are eligible
+ * have named limits, and this VM's parts are used up.
  */
 msp_status_t msp_balance(msp_balancer_t *balancer,
     const msp_balance_request_t *request, msp_balance_choice_t *choice);
--- a/measure/soak.c
+++ b/measure/soak.c
@@ -25,7 +25,8 @@
 	       "worst_limit=%.2f versions=%u bytes=%u homes=%u lag_ms=%u "
 	       "faults=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	       "REFUSED=%u TWICE=%u "
-	       "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u LIMIT=%u "
+	       "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u DROPPED=%u "
+	       "BUDGET=%u/%u worst_budget=%.2f TIME=%u GONE=%u LIMIT=%u "
 	       "HOME=%u CONFIG=%u/%u DRAIN=%u/%u worst_drain_ms=%u RECOVER=%u "
 	       "crashed=%u "
 	       "folder=%s\n",
@@ -44,6 +45,8 @@
 	    result->whole_served, result->whole_tries, result->refused_but_run,
 	    result->run_twice, result->mixed, result->unasked,
 	    result->misrouted, result->unread_but_run, result->lost,
+	    result->dropped, result->over_budget, result->repeats,
+	    result->worst_budget, result->beyond_time, result->to_gone,
 	    result->over_limit, result->outside_home, result->by_older_routes,
 	    result->judged_markers, result->to_leaving, result->judged_drains,
 	    result->worst_drain_ms, result->not_recovered, result->crashed,
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -266,6 +266,10 @@
 		connect_call(call, connection);
 		return call;
 	}
+	if (client->options.refuses_when_busy) {
+		msp_end_call(call, MSP_E_OVERLOAD);
+		return call;
+	}
 	call->state = MSP_CALL_WAITING;
 	TAILQ_INSERT_TAIL(&origin->waiting, call, link);
 	msp_set_deadline(&call->deadline, call->response_deadline);
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -6,7 +6,6 @@
 #include "edge_private.h"
 #include "log.h"
 
-#define TARGET_CONNECTIONS_MAX 24 /* to each target */
 #define PROBE_CONNECTIONS_MAX 1 /* to each target */
 #define STORE_CONNECTIONS_MAX 4
 #define TARGET_CONNECT_MS 500
@@ -98,7 +97,8 @@
 {
 	daemon_t *daemon = edge->daemon;
 	msp_http_client_options_t targets = {
-	    .max_connections_per_server = TARGET_CONNECTIONS_MAX,
+	    .max_connections_per_server = MSP_IN_FLIGHT_MAX,
+	    .refuses_when_busy = true,
 	    .max_response_body = daemon->settings->limits.max_answer_bytes,
 	    .connect_timeout_ms = TARGET_CONNECT_MS,
 	    .idle_timeout_ms = TARGET_IDLE_MS};
@@ -109,6 +109,7 @@
 	    .idle_timeout_ms = MSP_MS};
 	msp_http_client_options_t forwards = {
 	    .max_connections_per_server = FORWARD_CONNECTIONS_MAX,
+	    .refuses_when_busy = true,
 	    .max_response_body = targets.max_response_body,
 	    .connect_timeout_ms = FORWARD_CONNECT_MS,
 	    .idle_timeout_ms = FORWARD_IDLE_MS};
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -90,7 +90,7 @@
 	    "routes=%" PRIu64 " newest_routes=%" PRIu64
 	    " routes_age_ms=%" PRId64 " homes=%s targets_age_ms=%" PRId64
 	    " target=%s region=%s warmth=%s load=%.1f "
-	    "wait_ms=%" PRId64 " limited=%zu expected_ms=%" PRIu64
+	    "wait_ms=%" PRId64 " limited=%zu busy=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
 	    " sent=%u tried=%zu goal_ms=%u hops=%zu forwarded_by=%s forward=%s "
 	    "pipeline_position=%zu held_ms=%" PRIu64 " from=%s",
@@ -106,7 +106,7 @@
 	    choice->target == NULL ? "-" : choice->target->region,
 	    msp_warmth_name(choice->warmth), choice->load,
 	    time_to_log_ms(choice->wait), choice->limited_count,
-	    choice->expected_latency / MSP_MS,
+	    choice->busy_count, choice->expected_latency / MSP_MS,
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
 	    request->sent_count, request->criteria.tried_count,
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -248,7 +248,9 @@
 			suspect_target(
 			    edge, target, no_fingerprint, now, "no-connection");
 		}
-		retry_or_fail(request, "no-connection");
+		retry_or_fail(request,
+		    result->status == MSP_E_OVERLOAD ? "busy"
+						     : "no-connection");
 		return;
 	}
 	request->may_have_run = true;
@@ -380,8 +382,8 @@
 
 	if (choice->all_suspect && forward_request(request, "all-suspect"))
 		return;
-	if (status == MSP_E_OVERLOAD && choice->target != NULL &&
-	    choice->expected_latency <= time_left)
+	if (request->edge->daemon->leaving && status == MSP_E_OVERLOAD &&
+	    choice->target != NULL && choice->expected_latency <= time_left)
 		end_before_stop(request);
 	else
 		end_without_target(request, status);
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -179,7 +179,7 @@
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_callers_gone_total");
 	log_request_end(request, MSP_LINE_NOTABLE, 0, "caller-gone");
 	/* A request that must not be repeated is left to complete. */
-	if (!request->is_idempotent)
+	if (!request->is_idempotent && msp_call_maybe_sent(request->call))
 		return;
 	if (request->forward.in_flight) {
 		report_cancelled_hop(request);
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -183,8 +183,15 @@
 		*choice = option;
 	}
 	choice->limited_count = ranking->limited_count;
+	choice->busy_count = ranking->busy_count;
 	if (found)
 		return MSP_OK;
+	if (!late && ranking->least_busy != NULL) {
+		msp_estimate_cost(
+		    balancer, request, loads, ranking->least_busy, 0, choice);
+		return msp_fail(MSP_E_OVERLOAD,
+		    "this VM has enough requests in flight at each target");
+	}
 	if (late)
 		return msp_fail(
 		    MSP_E_OVERLOAD, "no target is expected to respond in time");
--- a/source/steer/balancer_private.h
+++ b/source/steer/balancer_private.h
@@ -60,6 +60,8 @@
 	msp_view_target_t *list[CANDIDATES_MAX];
 	uint64_t scores[CANDIDATES_MAX];
 	size_t count;
+	size_t busy_count; /* with as many requests of this VM as allowed */
+	msp_view_target_t *least_busy; /* of these; NULL: none */
 	size_t limited_count; /* eligible targets that are at their limits */
 	msp_time_t limit_wait; /* until one of these may be used */
 } msp_ranking_t;
--- a/source/steer/balancer_rank.c
+++ b/source/steer/balancer_rank.c
@@ -2,6 +2,13 @@
 
 #include "balancer_private.h"
 
+/*
+ * Requests of one VM for each slot: those that run, and as many that wait in
+ * the target's queue. A target with few slots may have more of them.
+ */
+#define IN_FLIGHT_PER_SLOT 2
+#define IN_FLIGHT_MIN 24
+
 static bool
 was_tried(const msp_balance_request_t *request, const msp_view_target_t *target)
 {
@@ -86,6 +93,34 @@
 	ranking->list[at] = target;
 }
 
+uint32_t
+msp_max_in_flight(const msp_view_target_t *target)
+{
+	uint32_t slots = target->registration.slots;
+
+	if (slots > MSP_IN_FLIGHT_MAX / IN_FLIGHT_PER_SLOT)
+		return MSP_IN_FLIGHT_MAX;
+	return slots * IN_FLIGHT_PER_SLOT > IN_FLIGHT_MIN
+	    ? slots * IN_FLIGHT_PER_SLOT
+	    : IN_FLIGHT_MIN;
+}
+
+/* Leaves out a target at which this VM has enough requests in flight. */
+static bool
+leave_out_busy(msp_ranking_t *ranking, msp_view_target_t *target)
+{
+	const msp_view_target_t *least = ranking->least_busy;
+
+	if (target->traffic.in_flight < msp_max_in_flight(target))
+		return false;
+	ranking->busy_count++;
+	if (least == NULL ||
+	    (uint64_t)target->traffic.in_flight * least->registration.slots <
+		(uint64_t)least->traffic.in_flight * target->registration.slots)
+		ranking->least_busy = target;
+	return true;
+}
+
 /* Leaves out a target at its limit. */
 static void
 leave_out(const msp_balancer_t *balancer, msp_ranking_t *ranking,
@@ -124,6 +159,8 @@
 			leave_out(balancer, ranking, target);
 			continue;
 		}
+		if (leave_out_busy(ranking, target))
+			continue;
 		if (request->has_object) {
 			insert_ranked(ranking, target,
 			    msp_score_target(target, request->object_hash));
--- a/tests/net/test_http_client.c
+++ b/tests/net/test_http_client.c
@@ -138,6 +138,38 @@
 	}
 }
 
+/* Guards against calls that wait where their caller can't decide again. */
+static void
+busy_client_refuses_if_it_is_told_to(void **state)
+{
+	client_test_t *test = *state;
+	const msp_http_client_options_t options = {
+	    .max_connections_per_server = 1, .refuses_when_busy = true};
+	msp_http_client_t *client = msp_new_http_client(test->loop, &options);
+	test_outcome_t outcomes[2] = {{0}};
+	raw_socket_t raw;
+	size_t i;
+
+	for (i = 0; i < 2; i++) {
+		msp_request_t request = new_request("POST", "/a", "body");
+
+		assert_non_null(msp_start_call(client, &test->options, &request,
+		    store_outcome, &outcomes[i]));
+	}
+	assert_true(run_until_count(test->loop, &outcomes[1].done_count, 1));
+	assert_int_equal(outcomes[1].status, MSP_E_OVERLOAD);
+	assert_false(outcomes[1].maybe_sent);
+	raw = raw_accept(&test->listener);
+	assert_true(raw_expect(&raw, "\r\n\r\nbody"));
+	raw_send_text(&raw, complete_response);
+	assert_true(run_until_count(test->loop, &outcomes[0].done_count, 1));
+	assert_int_equal(outcomes[0].status, MSP_OK);
+	for (i = 0; i < 2; i++)
+		drop_outcome(&outcomes[i]);
+	raw_close(&raw);
+	msp_drop_http_client(client);
+}
+
 static void
 idle_connections_are_closed_on_request(void **state)
 {
@@ -378,6 +410,7 @@
 	    CASE(fresh_call_avoids_old_connections),
 	    CASE(call_with_unused_connection_reuses_none),
 	    CASE(calls_wait_for_free_connection),
+	    CASE(busy_client_refuses_if_it_is_told_to),
 	    CASE(client_dropped_after_start_frees_everything),
 	};
 
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -20,6 +20,8 @@
 #define SECONDS 3
 #define STOP_SECONDS 14
 #define STOP_TARGETS 8
+#define OVERLOAD_SECONDS 20
+#define OVERLOAD_TARGETS 4
 #define CUT_SECONDS 11 /* a cut is judged from 4 s after its beginning */
 #define CUT_VMS 12
 #define CUT_TARGETS 12
@@ -151,6 +153,12 @@
     /* A stopping VM took requests that waited longer than it had left. */
     {"stopping_vms_take_only_what_they_can_finish", "stops-long-work", 1, false,
 	STOP_SECONDS, VMS, STOP_TARGETS},
+    /*
+     * Requests waited inside the VM for a connection to a target: a stop
+     * dropped them, a drain and the end of their clients did not stop them.
+     */
+    {"nothing_waits_out_of_reach_of_stops_and_drains", "overload-stops", 1,
+	false, OVERLOAD_SECONDS, 1, OVERLOAD_TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
@@ -211,7 +219,9 @@
 	if (count_soak_violations(&result) > 0)
 		fail_msg("seed %llu: refused but run %u, run twice %u, mixed "
 			 "%u, unasked %u, misrouted %u, run though unread %u, "
-			 "lost %u, over a limit %u, "
+			 "lost %u, dropped %u, over a budget %u, beyond the "
+			 "client's time %u, of gone clients %u, over a limit "
+			 "%u, "
 			 "outside their homes %u, by older routes %u, to "
 			 "leaving targets %u, not recovered %u (cut VMs "
 			 "served %u of %u, the others %u of %u), crashed %u of "
@@ -219,7 +229,8 @@
 		    (unsigned long long)soak_case->seed, result.refused_but_run,
 		    result.run_twice, result.mixed, result.unasked,
 		    result.misrouted, result.unread_but_run, result.lost,
-		    result.over_limit, result.outside_home,
+		    result.dropped, result.over_budget, result.beyond_time,
+		    result.to_gone, result.over_limit, result.outside_home,
 		    result.by_older_routes, result.to_leaving,
 		    result.not_recovered, result.cut_served, result.cut_tries,
 		    result.whole_served, result.whole_tries, result.crashed,
--- a/tests/steer/test_balancer_limits.c
+++ b/tests/steer/test_balancer_limits.c
@@ -14,6 +14,7 @@
 #define START (100 * MSP_SECOND)
 #define SERVICE "desk"
 #define REQUESTS_IN_USE 30 /* more than two targets have slots */
+#define SENT_MAX 300 /* more than two targets take */
 #define ROUTES 2 /* their priorities are 0 and 1 */
 
 typedef struct fixture {
@@ -294,10 +295,64 @@
 	tear_down(&fixture);
 }
 
+typedef struct in_flight_case {
+	uint32_t slots;
+	uint32_t max; /* requests in flight at one target */
+} in_flight_case_t;
+
+/*
+ * Guards against requests that wait in this VM for a connection to a target,
+ * though another target has room or the caller could have been told at once.
+ */
+static void
+targets_with_enough_requests_are_left_out(void **state)
+{
+	static const in_flight_case_t cases[] = {{1, 24}, {9, 24}, {12, 24},
+	    {13, 26}, {40, 80}, {64, 128}, {65, 128}, {1000, 128}};
+	msp_balance_choice_t choice;
+	fixture_t fixture;
+	msp_view_target_t *in_use[SENT_MAX];
+	msp_view_target_t *target;
+	uint32_t sent;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		set_up(&fixture, 2);
+		TAILQ_FOREACH(target, msp_view_targets(fixture.view), link)
+			target->registration.slots = cases[i].slots;
+		for (sent = 0; sent < SENT_MAX; sent++) {
+			msp_balance_request_t request = {
+			    .route = find_route(&fixture, 0),
+			    .service = &fixture.table->services[0],
+			    .object_hash = sent,
+			    .has_object = true,
+			    .time_left = 3600 * MSP_SECOND,
+			};
+
+			if (msp_balance(fixture.balancer, &request, &choice) !=
+			    MSP_OK)
+				break;
+			msp_begin_balanced_request(fixture.balancer, &choice);
+			in_use[sent] = choice.target;
+		}
+		assert_int_equal(sent, 2 * cases[i].max);
+		assert_int_equal(choice.busy_count, 2);
+		assert_non_null(choice.target);
+		TAILQ_FOREACH(target, msp_view_targets(fixture.view), link)
+			assert_int_equal(
+			    target->traffic.in_flight, cases[i].max);
+		while (sent > 0)
+			msp_release_view_target(in_use[--sent]);
+		tear_down(&fixture);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(targets_with_enough_requests_are_left_out),
 	    cmocka_unit_test(stopping_vm_begins_nothing_that_waits),
 	    cmocka_unit_test(other_targets_take_what_does_not_fit),
 	    cmocka_unit_test(
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -14,6 +14,10 @@
 #define FINISH_TIME_MAX (5 * MSP_SECOND) /* until the last answer */
 #define SETTLE_TIME MSP_SECOND /* for requests that run after their answer */
 #define REPORT_LINES 10
+#define RETRY_SLACK 120 /* arrivals beyond the retry budget */
+/* So many breaches of some rules are allowed. */
+#define FEW 3
+#define BEYOND_TIME_MAX 20
 
 static void
 run_for(soak_t *soak, msp_time_t duration)
@@ -156,16 +160,36 @@
 		folder[0] = '\0';
 }
 
+static unsigned int
+count_beyond(unsigned int count, unsigned int allowed)
+{
+	return count > allowed ? count - allowed : 0;
+}
+
 unsigned int
 count_soak_violations(const soak_result_t *result)
 {
 	return result->refused_but_run + result->run_twice + result->mixed +
 	    result->unasked + result->misrouted + result->unread_but_run +
-	    result->lost + result->over_limit + result->outside_home +
+	    result->lost + result->dropped + result->over_budget +
+	    count_beyond(result->to_gone, FEW) +
+	    count_beyond(result->beyond_time, BEYOND_TIME_MAX) +
+	    result->over_limit + result->outside_home +
 	    result->by_older_routes + result->to_leaving +
 	    result->not_recovered + result->crashed;
 }
 
+static void
+open_budgets(soak_t *soak)
+{
+	size_t i;
+
+	for (i = 0; i < SOAK_SERVICES; i++)
+		soak->budgets[i].options = (budget_options_t){
+		    .ratio = SOAK_RETRY_RATIO, .slack = RETRY_SLACK};
+	soak->ledger.budgets = soak->budgets;
+}
+
 int
 run_soak(const soak_options_t *options, soak_result_t *result)
 {
@@ -186,6 +210,7 @@
 	LIST_INIT(&soak->pairs);
 	soak->store.fd = -1;
 	soak->ledger.owed = soak->profile->owed;
+	open_budgets(soak);
 	open_route_judge(&soak->homes);
 	open_soak_clients(soak);
 	if (soak->loop != NULL &&
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -51,6 +51,8 @@
 	unsigned int judged_markers; /* requests on marker routes */
 	unsigned int judged_drains; /* requests to targets that leave */
 	unsigned int worst_drain_ms; /* since the target said that it leaves */
+	unsigned int repeats; /* arrivals beyond the first of a request */
+	double worst_budget; /* largest used part of a retry budget */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
 	unsigned int cuts; /* times at which VMs lost all targets */
@@ -66,6 +68,11 @@
 	unsigned int misrouted; /* run by a target of another service */
 	unsigned int unread_but_run;
 	unsigned int lost; /* run, and cut though only planned work was done */
+	unsigned int dropped; /* read and not run, and cut all the same */
+	unsigned int over_budget; /* arrivals beyond a retry budget */
+	/* Arrivals with more time than the client gave; some are allowed. */
+	unsigned int beyond_time;
+	unsigned int to_gone; /* arrived long after their client had left */
 	unsigned int over_limit; /* requests above a limit that was named */
 	unsigned int outside_home; /* reached a target outside their homes */
 	unsigned int by_older_routes; /* answered by routes not in force */
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -74,6 +74,8 @@
 	send_soak_data(&client->stream, client->rest.data, len);
 	client->rest.len -= len;
 	memmove(client->rest.data, client->rest.data + len, client->rest.len);
+	if (client->rest.len == 0 && client->request != NULL)
+		client->request->whole_at = soak_now();
 	if (client->rest.len > 0)
 		set_soak_timer(loop, &client->piece,
 		    soak_now() +
@@ -284,6 +286,7 @@
 		request->vm = client->vm->index;
 		request->to_stopping_vm = client->vm->expected_end;
 		write_soak_request(soak, request, deadline_ms, &out);
+		request->whole_at = soak_now();
 		client->behind[client->behind_count] = request;
 		soak->result->pipelined++;
 	}
@@ -342,6 +345,7 @@
 		send_piece(client);
 	} else {
 		send_soak_data(&client->stream, out.data, out.len);
+		client->request->whole_at = soak_now();
 		if (purpose == PURPOSE_TRAFFIC &&
 		    soak_chance(soak->loop, profile->pipelined))
 			send_requests_behind(client, deadline_ms);
--- a/tests/support/soak_draw.c
+++ b/tests/support/soak_draw.c
@@ -96,6 +96,8 @@
 	uint64_t field_count = soak_random(soak->loop, 5);
 
 	draw_start(soak, request);
+	request->time = deadline_ms * MSP_MS;
+	count_soak_request(&soak->ledger, request);
 	draw_body(soak, request, &body);
 	request->body_hash = msp_hash(body.data, body.len, 0);
 	msp_append_printf(out,
--- a/tests/support/soak_ledger.c
+++ b/tests/support/soak_ledger.c
@@ -16,6 +16,8 @@
 #define HTTP_UNAVAILABLE 503
 #define SERVICE_AT 2 /* in a path */
 #define BASE_HEX 16
+/* A request that crosses the end of its connection is not lost. */
+#define LOSS_SLACK (200 * MSP_MS)
 
 bool
 is_soak_promise(int status)
@@ -71,6 +73,15 @@
 	return request;
 }
 
+void
+count_soak_request(soak_ledger_t *ledger, const soak_request_t *request)
+{
+	/* Services are named by letters, from 'a' on. */
+	size_t service = (size_t)(request->path[SERVICE_AT] - 'a');
+
+	count_budget_request(&ledger->budgets[service], soak_now());
+}
+
 void
 report_soak(soak_ledger_t *ledger, const char *rule, const char *format, ...)
 {
@@ -219,14 +230,21 @@
 static void
 judge_cut_request(soak_ledger_t *ledger, const soak_request_t *request)
 {
+	bool is_owed = ledger->owed == SOAK_OWES_ALL ||
+	    (ledger->owed == SOAK_OWES_LATE && request->to_stopping_vm);
+
+	if (request->arrivals == 0 && request->answer == SOAK_CUT &&
+	    ledger->owed != SOAK_OWES_NOTHING && request->whole_at != 0 &&
+	    request->answered_at > request->whole_at + LOSS_SLACK) {
+		ledger->result->dropped++;
+		report_run(ledger, "DROPPED", request);
+	}
 	if (request->runs == 0)
 		return;
 	if (request->answer == SOAK_UNREAD) {
 		ledger->result->unread_but_run++;
 		report_run(ledger, "UNREAD", request);
-	} else if (request->answer == SOAK_CUT &&
-	    (ledger->owed == SOAK_OWES_ALL ||
-		(ledger->owed == SOAK_OWES_LATE && request->to_stopping_vm))) {
+	} else if (request->answer == SOAK_CUT && is_owed) {
 		ledger->result->lost++;
 		report_run(ledger, "LOST", request);
 	}
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -6,6 +6,7 @@
 #include "monsoonspindle/base/env.h"
 #include "monsoonspindle/base/map.h"
 #include "soak.h"
+#include "soak_budget.h"
 #include "soak_message.h"
 
 #define SOAK_ID_SIZE 17
@@ -38,6 +39,11 @@
 	int answer; /* status, SOAK_NO_ANSWER, SOAK_CUT or the like */
 	unsigned int runs;
 	msp_time_t sent_at;
+	msp_time_t whole_at; /* its last byte was sent; 0: not yet */
+	msp_time_t time; /* that its client gives it */
+	unsigned int arrivals; /* at targets */
+	msp_time_t arrived_at; /* first */
+	msp_time_t time_ends; /* by what the first target was told */
 	msp_time_t answered_at;
 	msp_time_t ran_at; /* first */
 	char ran_by[64]; /* target, and the number of requests and extra
@@ -50,6 +56,7 @@
 	soak_result_t *result;
 	msp_time_t started;
 	soak_owed_t owed;
+	budget_judge_t *budgets; /* of the services */
 	FILE *report; /* of violations */
 } soak_ledger_t;
 
@@ -59,6 +66,9 @@
 /* Adds a request; the id is drawn from `number`. */
 soak_request_t *new_soak_request(soak_ledger_t *ledger, uint64_t number);
 
+/* Counts a request, whose path is set, for the retry budget of its service. */
+void count_soak_request(soak_ledger_t *ledger, const soak_request_t *request);
+
 /*
  * Checks that a client sent this request. `has_body` is false if its body is
  * still being received.
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -6,6 +6,7 @@
 #include <bsd/sys/queue.h>
 
 #include "soak.h"
+#include "soak_budget.h"
 #include "soak_drain.h"
 #include "soak_ledger.h"
 #include "soak_limit.h"
@@ -16,6 +17,7 @@
 #define SOAK_ZONES 3
 #define SOAK_SERVICES 2
 #define SOAK_HOME_ROUTES 16
+#define SOAK_RETRY_RATIO 0.2 /* of the VMs' settings */
 #define SOAK_VMS_MAX 128
 #define SOAK_TARGETS_MAX 64
 
@@ -66,6 +68,7 @@
 	uint32_t keep_ms; /* idle timeout of targets; 0: a mix */
 	uint32_t max_connections; /* of each target */
 	uint32_t deadline_ms; /* longest of clients; the shortest is a tenth */
+	uint32_t route_timeout_ms; /* of all routes; 0: default */
 	double short_deadlines; /* of at most 100 ms */
 	double extra; /* a copy of the response follows it */
 	double extra_refusal; /* a "not executed" follows the response */
@@ -236,6 +239,7 @@
 	struct soak_link *links; /* of each VM to each target, or NULL */
 	struct soak_pair_list pairs; /* connections over links */
 	recover_judge_t recover;
+	budget_judge_t budgets[SOAK_SERVICES];
 	soak_timer_t cut_change; /* begin or end of a cut */
 	msp_rng_t cut_rng; /* of its own, so that a seed names the cuts */
 	unsigned int cut_failures; /* first tries that failed at cut VMs */
@@ -280,6 +284,12 @@
 /* Asks each VM for marker routes, again and again. */
 void start_soak_markers(soak_t *soak);
 
+/* What an arrival at a target says of the rules. */
+void open_soak_arrival_judges(soak_target_t *target);
+/* `time_left` is what the target was told; MSP_NEVER: nothing. */
+void judge_soak_arrival(soak_target_t *target, unsigned int sender,
+    const char *request_id, msp_time_t time_left);
+
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
 void crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back);
--- a/tests/support/soak_routes.c
+++ b/tests/support/soak_routes.c
@@ -8,6 +8,7 @@
  * change from one version to the next, and the number of routes may grow.
  */
 
+#define ROUTE_TIMEOUT_MS 2500
 #define FIRST_VERSION 7
 #define CONFIG_DEADLINE (4 * MSP_SECOND) /* until a version is in force */
 #define CHANGED_ROUTES_MAX 5 /* by one version */
@@ -58,16 +59,20 @@
 }
 
 static void
-append_route(msp_buffer_t *text, const char *name, const char *host,
-    const char *prefix, unsigned int homes)
+append_route(const soak_t *soak, msp_buffer_t *text, const char *name,
+    const char *host, const char *prefix, unsigned int homes)
 {
 	msp_append_printf(text,
 	    "{\"name\":\"%s\",\"host\":\"%s\",\"prefix\":\"%s\","
-	    "\"kind\":\"%s\",\"timeoutMs\":2500,\"targetLatencyMs\":500,"
+	    "\"kind\":\"%s\",\"timeoutMs\":%u,\"targetLatencyMs\":500,"
 	    "\"priority\":1,\"service\":\"%c\",\"maxAttempts\":2,"
 	    "\"stickySessions\":true,\"homeRegions\":[",
 	    name, host, prefix,
-	    prefix[1] == 'r' ? "idempotent" : "non_idempotent", prefix[2]);
+	    prefix[1] == 'r' ? "idempotent" : "non_idempotent",
+	    soak->profile->route_timeout_ms != 0
+		? soak->profile->route_timeout_ms
+		: ROUTE_TIMEOUT_MS,
+	    prefix[2]);
 	append_regions(text, homes);
 	msp_append_printf(text, "]},");
 }
@@ -77,7 +82,7 @@
 append_judged_route(soak_t *soak, msp_buffer_t *text, const char *name,
     const char *host, const char *prefix, unsigned int homes)
 {
-	append_route(text, name, host, prefix, homes);
+	append_route(soak, text, name, host, prefix, homes);
 	add_judged_route(&soak->homes, host, prefix, homes);
 }
 
@@ -145,7 +150,7 @@
 		snprintf(name, sizeof(name), "spare-%u", i);
 		snprintf(host, sizeof(host), "s%u.example", i);
 		snprintf(prefix, sizeof(prefix), "/rb/%u/", i);
-		append_route(text, name, host, prefix, 0);
+		append_route(soak, text, name, host, prefix, 0);
 	}
 }
 
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -9,8 +9,6 @@
 #define HEARTBEAT (1500 * MSP_MS)
 #define ROW_LIFE (3 * HEARTBEAT)
 #define DRAIN_TIME (3500 * MSP_MS)
-#define DRAIN_DEADLINE (2500 * MSP_MS) /* drain_ms of the VMs' settings */
-#define CONTACT_TIME (4 * MSP_SECOND) /* for which a VM must have run */
 #define LATE_MAX (400 * MSP_MS) /* of an extra response */
 #define PIECE_PAUSE_MAX (4 * MSP_MS)
 #define SLOW_FACTOR 8
@@ -20,6 +18,7 @@
 #define LIMIT_TIME_MIN (5 * MSP_SECOND) /* for which a limit is named */
 #define LIMIT_TIME_MAX (9 * MSP_SECOND)
 #define LIMIT_PAUSE_MAX (2 * MSP_SECOND) /* before the next one */
+#define DECIMAL 10
 #define HTTP_OK 200
 #define HTTP_MISDIRECTED 421
 #define HTTP_SERVER_ERROR 500
@@ -373,61 +372,12 @@
 	return request == NULL ? LIMIT_VMS_MAX : request->vm;
 }
 
-static void
-judge_drain(const soak_conn_t *conn, const soak_request_t *request)
-{
-	soak_target_t *target = conn->target;
-	soak_t *soak = target->soak;
-	const soak_vm_t *vm = &soak->vms[conn->vm];
-	unsigned int leaves_ms =
-	    (unsigned int)((soak_now() - target->drain.acknowledged_at) /
-		MSP_MS);
-
-	if (!target->drain.leaves)
-		return;
-	soak->result->judged_drains++;
-	if (leaves_ms > soak->result->worst_drain_ms)
-		soak->result->worst_drain_ms = leaves_ms;
-	if (!judge_drain_arrival(&target->drain, soak_now(), vm->running_since))
-		return;
-	soak->result->to_leaving++;
-	report_soak(&soak->ledger, "DRAIN",
-	    "id=%s vm=%u target=%s leaves_ms=%u", request->id, conn->vm,
-	    target->id, leaves_ms);
-}
-
-/* Finds the VM that sent the request, and judges it. */
-static void
-judge_arrival(soak_conn_t *conn)
-{
-	soak_target_t *target = conn->target;
-	soak_t *soak = target->soak;
-	const soak_request_t *request =
-	    msp_map_get(soak->ledger.requests, conn->request_id);
-	unsigned int count;
-
-	conn->vm = find_sender(conn);
-	if (request != NULL)
-		judge_soak_home(target, request);
-	if (request != NULL && conn->vm < soak->options->vms)
-		judge_drain(conn, request);
-	count = judge_limit_arrival(&target->limit, soak_now(), conn->vm);
-	if (target->limit.worst_ratio > soak->result->worst_limit_ratio)
-		soak->result->worst_limit_ratio = target->limit.worst_ratio;
-	if (count == 0)
-		return;
-	soak->result->over_limit++;
-	report_soak(&soak->ledger, "LIMIT",
-	    "target=%s limit=%.1f got=%u allowed=%.0f", target->id,
-	    target->limit.per_second, count,
-	    allowed_in_limit_window(&target->limit));
-}
-
 static void
 take_request(soak_conn_t *conn)
 {
 	soak_target_t *target = conn->target;
 	soak_t *soak = target->soak;
+	msp_time_t time_left = MSP_NEVER;
 	char text[64];
 
 	conn->busy = true;
@@ -441,15 +391,18 @@
 	get_soak_field(&conn->message, "Request-Id", conn->request_id,
 	    sizeof(conn->request_id));
 	conn->deadline = MSP_NEVER;
-	if (get_soak_field(&conn->message, "Deadline-Ms", text, sizeof(text)))
-		conn->deadline = soak_now() + strtoul(text, NULL, 10) * MSP_MS;
+	if (get_soak_field(&conn->message, "Deadline-Ms", text, sizeof(text))) {
+		time_left = strtoul(text, NULL, DECIMAL) * MSP_MS;
+		conn->deadline = soak_now() + time_left;
+	}
 	if (get_soak_field(
 		&conn->message, "Target-Instance", text, sizeof(text)) &&
 	    strcmp(text, target->id) != 0) {
 		respond(conn, HTTP_MISDIRECTED, true);
 		return;
 	}
-	judge_arrival(conn);
+	conn->vm = find_sender(conn);
+	judge_soak_arrival(target, conn->vm, conn->request_id, time_left);
 	if (target->running < soak->profile->slots) {
 		start_work(conn);
 		return;
@@ -854,8 +807,7 @@
 		target->index = i;
 		target->speed = 1;
 		target->listener.fd = -1;
-		target->drain.options.deadline = DRAIN_DEADLINE;
-		target->drain.options.contact_time = CONTACT_TIME;
+		open_soak_arrival_judges(target);
 		target->port = pick_free_port();
 		target->reports_load = i % 3 != 0;
 		target->keep_ms = soak->profile->keep_ms != 0
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -69,12 +69,12 @@
 	msp_append_printf(&text, "\"places\":[");
 	append_places(&text);
 	msp_append_printf(&text,
-	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
+	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":%.2f,"
 	    "\"heartbeat_ms\":1500,\"drain_ms\":2500,\"stop_grace_ms\":%u,"
 	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":%u,"
 	    "\"head_timeout_ms\":%u,\"body_timeout_ms\":%u},"
 	    "\"log\":{\"file\":\"-\"}}\n",
-	    GRACE_MS, directory_ttl_ms,
+	    SOAK_RETRY_RATIO, GRACE_MS, directory_ttl_ms,
 	    profile->vm_connections != 0 ? profile->vm_connections
 					 : VM_CONNECTIONS,
 	    timeout_ms, timeout_ms);
