edge: what is sent in a planned stop gets no time beyond the stop

Cause: a stopping VM took what it expected to be answered in half of its time, but gave targets the caller's whole deadline; and it took a target of which it had heard nothing for long for an idle one.

Why it works: a target refuses what is still queued at its deadline and says so, and the answer reaches the caller before the VM ends.

--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -57,12 +57,12 @@
 	bool has_object; /* `object_hash` is set */
 	msp_time_t time_left; /* until the caller's deadline */
 	/*
-	 * This VM is about to stop. The request must not wait at a target,
-	 * since only the target's last report tells for how long, and a
-	 * response must be expected within `max_latency`.
+	 * This VM is about to stop, in `stops_in`. The request must not wait at
+	 * a target, since only the target's last report tells for how long, and
+	 * a response must be expected well before that.
 	 */
 	bool is_stopping;
-	msp_time_t max_latency;
+	msp_time_t stops_in;
 	msp_view_target_t *const *tried; /* targets not to choose again */
 	size_t tried_count;
 } msp_balance_request_t;
--- a/source/spindled/daemon.c
+++ b/source/spindled/daemon.c
@@ -12,6 +12,7 @@
 #include "gossip.h"
 #include "log.h"
 #include "members.h"
+#include "monsoonspindle/steer/planned_stop.h"
 #include "operator_listener.h"
 #include "peer_listener.h"
 #include "places.h"
@@ -35,7 +36,8 @@
 #define LEAVE_CHECK_INTERVAL (50 * MSP_MS)
 /* How edge mode divides the grace period of a stop. */
 #define ACCEPT_WHILE_LEAVING_PCT 40 /* accepts new requests */
-#define STOP_RESERVE (700 * MSP_MS) /* left for the shutdown itself */
+/* For answers that are written at the end of the stop. */
+#define STOP_FLUSH_TIME (100 * MSP_MS)
 
 static uint64_t
 get_wall_clock_us(void)
@@ -329,8 +331,9 @@
 msp_time_t
 get_time_until_stop(const daemon_t *daemon)
 {
-	msp_time_t end = daemon->leaving_since +
-	    daemon->settings->edge.stop_grace_ms * MSP_MS - STOP_RESERVE;
+	msp_time_t grace = daemon->settings->edge.stop_grace_ms * MSP_MS;
+	msp_time_t end =
+	    daemon->leaving_since + grace - msp_stop_reserve(grace);
 	msp_time_t now = msp_now(&daemon->env);
 
 	if (!daemon->leaving)
@@ -353,6 +356,8 @@
 	if (elapsed < accept_time)
 		return;
 	close_edge_listener(daemon->edge);
+	if (get_time_until_stop(daemon) <= STOP_FLUSH_TIME)
+		refuse_unsent_requests(daemon->edge);
 	if (count_edge_requests(daemon->edge) == 0 ||
 	    get_time_until_stop(daemon) == 0)
 		msp_stop_loop(daemon->loop);
--- a/source/spindled/edge.h
+++ b/source/spindled/edge.h
@@ -34,6 +34,12 @@
 /* Closes the callers' listener. */
 void close_edge_listener(edge_t *edge);
 
+/*
+ * Refuses the requests of which nothing has been sent to a target or to another
+ * VM. To be called at the end of a stop, while answers can still be written.
+ */
+void refuse_unsent_requests(edge_t *edge);
+
 /* Applies the daemon's reloaded settings. */
 void reload_edge(edge_t *edge);
 
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -19,6 +19,25 @@
 	return msp_now(&edge->daemon->env);
 }
 
+/* Time until the caller's deadline. */
+static msp_time_t
+get_caller_time(const edge_request_t *request)
+{
+	msp_time_t now = get_now(request->edge);
+
+	return request->deadline > now ? request->deadline - now : 0;
+}
+
+msp_time_t
+get_attempt_time(const edge_request_t *request)
+{
+	msp_time_t left = get_caller_time(request);
+	msp_time_t before_stop = msp_target_time_before_stop(
+	    get_time_until_stop(request->edge->daemon));
+
+	return left < before_stop ? left : before_stop;
+}
+
 static msp_retry_budget_t *
 open_retry_budget(edge_t *edge, const char *service)
 {
@@ -85,8 +104,7 @@
 		refuse_request(request, retry_after_ms, outcome);
 }
 
-/* Ends a request that this VM, which stops, can't finish in time. */
-static void
+void
 end_before_stop(edge_request_t *request)
 {
 	if (request->may_have_run)
@@ -325,8 +343,7 @@
 }
 
 static void
-fill_call_options(const edge_request_t *request, msp_time_t time_left,
-    msp_call_options_t *options)
+fill_call_options(const edge_request_t *request, msp_call_options_t *options)
 {
 	const msp_registration_t *registration =
 	    &request->choice.target->registration;
@@ -334,7 +351,7 @@
 	*options = (msp_call_options_t){
 	    .address = registration->address,
 	    .port = registration->port,
-	    .timeout_ms = (uint32_t)(time_left / MSP_MS),
+	    .timeout_ms = (uint32_t)(get_caller_time(request) / MSP_MS),
 	    .judge = judge_response,
 	    /*
 	     * The request's id does not tell a late response to an earlier
@@ -368,8 +385,7 @@
 
 	criteria->time_left = time_left;
 	criteria->is_stopping = edge->daemon->leaving;
-	criteria->max_latency =
-	    msp_max_latency_before_stop(get_time_until_stop(edge->daemon));
+	criteria->stops_in = get_time_until_stop(edge->daemon);
 	return msp_balance(edge->balancer, criteria, &request->choice);
 }
 
@@ -394,8 +410,7 @@
 {
 	edge_t *edge = request->edge;
 	msp_time_t now = get_now(edge);
-	msp_time_t time_left =
-	    request->deadline > now ? request->deadline - now : 0;
+	msp_time_t time_left = get_attempt_time(request);
 	msp_request_t out = {0};
 	msp_call_options_t options;
 	msp_status_t status;
@@ -409,6 +424,10 @@
 			    request, NOT_READY_RETRY_MS, "routes-outdated");
 		return;
 	}
+	if (edge->daemon->leaving && time_left < TIME_LEFT_MIN_MS * MSP_MS) {
+		end_before_stop(request);
+		return;
+	}
 	if (has_lost_targets(request) &&
 	    (forward_request(request, "lost-targets") ||
 		end_at_lost_targets(request)))
@@ -418,9 +437,10 @@
 		handle_no_target(request, time_left, status);
 		return;
 	}
-	fill_call_options(request, time_left, &options);
+	fill_call_options(request, &options);
 	status = encode_target_request(msp_exchange_request(request->exchange),
-	    request->choice.target->registration.id, options.timeout_ms, &out);
+	    request->choice.target->registration.id,
+	    (uint32_t)(time_left / MSP_MS), &out);
 	if (status == MSP_OK) {
 		drop_internal_headers(&out.headers);
 		request->call = msp_start_call(edge->target_client, &options,
--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -236,9 +236,7 @@
 get_forward_time_ms(const edge_request_t *request, const msp_forward_vm_t *vm)
 {
 	const msp_settings_t *settings = request->edge->daemon->settings;
-	msp_time_t now = get_now(request);
-	msp_time_t left =
-	    request->deadline > now ? (request->deadline - now) / MSP_MS : 0;
+	msp_time_t left = get_attempt_time(request) / MSP_MS;
 	msp_time_t margin = RETURN_TIME_MS;
 
 	if (vm->region == NULL || strcmp(vm->region, settings->region) != 0)
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -167,6 +167,25 @@
 	send_request(request);
 }
 
+/* Ends the attempt that is in flight, at a target or at another VM. */
+static void
+cancel_attempt(edge_request_t *request)
+{
+	edge_t *edge = request->edge;
+
+	if (request->forward.in_flight)
+		report_cancelled_hop(request);
+	else
+		report_cancelled_attempt(request);
+	msp_cancel_call(request->call);
+	request->call = NULL;
+	if (request->forward.in_flight)
+		return;
+	msp_end_balanced_request(edge->balancer, &request->criteria,
+	    &request->choice, msp_now(&edge->daemon->env) - request->sent_at,
+	    false);
+}
+
 void
 handle_edge_caller_disconnect(void *ctx, msp_exchange_t *exchange)
 {
@@ -181,20 +200,25 @@
 	/* A request that must not be repeated is left to complete. */
 	if (!request->is_idempotent && msp_call_maybe_sent(request->call))
 		return;
-	if (request->forward.in_flight) {
-		report_cancelled_hop(request);
-		msp_cancel_call(request->call);
-		free_edge_request(request);
-		return;
-	}
-	report_cancelled_attempt(request);
-	msp_cancel_call(request->call);
-	msp_end_balanced_request(edge->balancer, &request->criteria,
-	    &request->choice, msp_now(&edge->daemon->env) - request->sent_at,
-	    false);
+	cancel_attempt(request);
 	free_edge_request(request);
 }
 
+void
+refuse_unsent_requests(edge_t *edge)
+{
+	edge_request_t *request;
+	edge_request_t *next;
+
+	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
+		if (request->exchange == NULL ||
+		    msp_call_maybe_sent(request->call))
+			continue;
+		cancel_attempt(request);
+		end_before_stop(request);
+	}
+}
+
 void
 drop_edge_requests(edge_t *edge)
 {
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -175,9 +175,18 @@
  */
 bool may_retry(edge_request_t *request);
 
+/*
+ * Time that a target or another VM may have for one more attempt: until the
+ * caller's deadline, and before this VM stops.
+ */
+msp_time_t get_attempt_time(const edge_request_t *request);
+
 /* Ends a request for which no target was found, for the given reason. */
 void end_without_target(edge_request_t *request, msp_status_t status);
 
+/* Ends a request that this VM, which stops, can't finish in time. */
+void end_before_stop(edge_request_t *request);
+
 /* Counts a request to the service, which raises its retry budget. */
 void refill_service_retry_budget(edge_t *edge, const char *service);
 
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "balancer_private.h"
+#include "monsoonspindle/steer/planned_stop.h"
 
 /*
  * A target without the object in memory needs several times as long and so
@@ -106,12 +107,16 @@
  * be unmeasured.
  */
 static bool
-is_too_late(
+is_too_late(const msp_balancer_t *balancer,
     const msp_balance_request_t *request, const msp_balance_choice_t *choice)
 {
+	double load_weight = msp_server_load_weight(
+	    &choice->target->traffic, msp_now(&balancer->env));
+
 	if (request->is_stopping &&
 	    (choice->wait > 0 ||
-		choice->expected_latency > request->max_latency))
+		choice->expected_latency > msp_max_latency_before_stop(
+					       request->stops_in, load_weight)))
 		return true;
 	return choice->wait > 0 &&
 	    choice->expected_latency > request->time_left;
@@ -165,7 +170,7 @@
 	for (i = 0; i < ranking->count; i++) {
 		cost = msp_estimate_cost(
 		    balancer, request, loads, ranking->list[i], i, &option);
-		if (is_too_late(request, &option)) {
+		if (is_too_late(balancer, request, &option)) {
 			if (!late && !found)
 				*choice = option;
 			late = true;
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -21,6 +21,7 @@
 #define STOP_SECONDS 14
 #define STOP_TARGETS 8
 #define OVERLOAD_SECONDS 20
+#define GRACE_SECONDS 26
 #define OVERLOAD_TARGETS 4
 #define CUT_SECONDS 11 /* a cut is judged from 4 s after its beginning */
 #define CUT_VMS 12
@@ -153,6 +154,12 @@
     /* A stopping VM took requests that waited longer than it had left. */
     {"stopping_vms_take_only_what_they_can_finish", "stops-long-work", 1, false,
 	STOP_SECONDS, VMS, STOP_TARGETS},
+    /*
+     * A VM that had sent little took its targets' full queues for empty ones
+     * while it stopped.
+     */
+    {"stopping_vms_give_targets_no_time_beyond_their_own", "stops-long-grace",
+	2, false, GRACE_SECONDS, VMS, STOP_TARGETS},
     /*
      * Requests waited inside the VM for a connection to a target: a stop
      * dropped them, a drain and the end of their clients did not stop them.
--- a/tests/steer/test_balancer_limits.c
+++ b/tests/steer/test_balancer_limits.c
@@ -269,7 +269,7 @@
 		    .has_object = true,
 		    .time_left = 60 * MSP_SECOND,
 		    .is_stopping = true,
-		    .max_latency = 60 * MSP_SECOND,
+		    .stops_in = 3600 * MSP_SECOND,
 		};
 		msp_status_t status =
 		    msp_balance(fixture.balancer, &request, &choice);
@@ -278,7 +278,7 @@
 			assert_int_equal(choice.wait, 0);
 		else
 			assert_int_equal(status, MSP_E_OVERLOAD);
-		request.max_latency = 0;
+		request.stops_in = 0;
 		assert_int_equal(
 		    msp_balance(fixture.balancer, &request, &choice),
 		    MSP_E_OVERLOAD);
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -160,7 +160,13 @@
 static soak_vm_t *
 pick_vm(soak_t *soak)
 {
-	return &soak->vms[soak_random(soak->loop, soak->options->vms)];
+	unsigned int count = soak->options->vms;
+
+	if (soak->profile->quiet > 0 && count > 1)
+		return soak_chance(soak->loop, soak->profile->quiet)
+		    ? &soak->vms[0]
+		    : &soak->vms[1 + soak_random(soak->loop, count - 1)];
+	return &soak->vms[soak_random(soak->loop, count)];
 }
 
 /* Returns false if the connection is closed. */
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -13,7 +13,8 @@
 static soak_vm_t *
 pick_running_vm(soak_t *soak)
 {
-	soak_vm_t *vm = &soak->vms[soak_random(soak->loop, soak->options->vms)];
+	unsigned int count = soak->profile->quiet > 0 ? 1 : soak->options->vms;
+	soak_vm_t *vm = &soak->vms[soak_random(soak->loop, count)];
 
 	return vm->pid > 0 && vm->change.slot == 0 ? vm : NULL;
 }
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -61,6 +61,8 @@
 typedef struct soak_profile {
 	const char *name;
 	double rate; /* requests per second */
+	/* Share of the first VM; it is the one that faults meet; 0: as others. */
+	double quiet;
 	double safe; /* share of requests that may run twice */
 	uint32_t work_ms; /* of a request at a target, on average */
 	uint32_t slots; /* of each target */
@@ -95,6 +97,7 @@
 	bool small_windows; /* of targets and clients */
 	uint32_t link_delay_ms; /* between VMs and targets */
 	double share; /* of the time in which a VM runs; 0: all */
+	uint32_t grace_ms; /* between SIGTERM and SIGKILL; 0: default */
 	uint32_t pause_ms; /* longest pause of clients within a request */
 	uint32_t vm_timeout_ms; /* of a VM for a request; 0: default */
 	uint32_t vm_connections; /* from clients to a VM; 0: 1200 */
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -74,7 +74,9 @@
 	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":%u,"
 	    "\"head_timeout_ms\":%u,\"body_timeout_ms\":%u},"
 	    "\"log\":{\"file\":\"-\"}}\n",
-	    SOAK_RETRY_RATIO, GRACE_MS, directory_ttl_ms,
+	    SOAK_RETRY_RATIO,
+	    profile->grace_ms != 0 ? profile->grace_ms : GRACE_MS,
+	    directory_ttl_ms,
 	    profile->vm_connections != 0 ? profile->vm_connections
 					 : VM_CONNECTIONS,
 	    timeout_ms, timeout_ms);
