--- a/include/monsoonspindle/platform/memory_store.h
+++ b/include/monsoonspindle/platform/memory_store.h
@@ -85,6 +85,21 @@
 const char *msp_peek_memory_store_row(
     msp_memory_store_t *store, const char *key, size_t *len);
 
+/*
+ * Keeps what is needed to go back by up to `span`, and names eras from now on.
+ */
+void msp_keep_memory_store_copies(msp_memory_store_t *store, msp_time_t span);
+
+/*
+ * Brings the rows back as they were `age` ago, and begins the next era.
+ * Versions given out since will be given out again.
+ */
+msp_status_t msp_restore_memory_store(
+    msp_memory_store_t *store, msp_time_t age);
+
+/* Returns the number of the era; 0: the store names none. */
+uint64_t msp_memory_store_era(const msp_memory_store_t *store);
+
 /* Returns the version of the last transaction. */
 uint64_t msp_memory_store_version(const msp_memory_store_t *store);
 
--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -3,6 +3,7 @@
 
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/dispatcher.h"
+#include "monsoonspindle/steer/evacuations.h"
 #include "monsoonspindle/steer/forward_choice.h"
 #include "monsoonspindle/steer/job.h"
 #include "monsoonspindle/steer/limit_priority.h"
--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -74,9 +74,9 @@
 /*
  * The targets of all services, from the heartbeats in the platform's store. The
  * view never returns to an older state: rows are applied in the order of their
- * versions, an incarnation that was replaced is not listed again, a draining
- * one stays draining, and a removed one is listed again only after a later
- * heartbeat.
+ * versions within an era of the store, an incarnation that was replaced is not
+ * listed again, a draining one stays draining, and a removed one is listed
+ * again only after a later heartbeat.
  */
 typedef struct msp_target_view msp_target_view_t;
 
@@ -112,6 +112,15 @@
 void msp_begin_snapshot(msp_target_view_t *view);
 void msp_end_snapshot(msp_target_view_t *view, uint64_t version);
 
+/*
+ * The rows that follow are of another era of the store, which has come back
+ * from an older copy: their versions are in no order with those before. What
+ * the targets say of themselves still is: an older heartbeat changes nothing. A
+ * target without a row in the snapshot that is applied next may have been
+ * forgotten, and is held until it writes its row again.
+ */
+void msp_begin_store_era(msp_target_view_t *view);
+
 /*
  * Record that the store can no longer be reached, and that it can again.
  * `was_down`: it was down for targets too, so their entries may have expired.
--- a/source/platform/memory_store.c
+++ b/source/platform/memory_store.c
@@ -113,7 +113,34 @@
 	    .key = key, .value = value, .value_len = value_len};
 	msp_txn_t txn = {.writes = &write, .write_count = 1};
 
-	return msp_apply_txn(&store->data.table, &txn);
+	return msp_transact_store_data(
+	    &store->data, &txn, msp_now(&store->env));
+}
+
+void
+msp_keep_memory_store_copies(msp_memory_store_t *store, msp_time_t span)
+{
+	store->data.undo.span = span;
+	if (store->data.era == 0)
+		store->data.era = 1;
+}
+
+msp_status_t
+msp_restore_memory_store(msp_memory_store_t *store, msp_time_t age)
+{
+	msp_time_t now = msp_now(&store->env);
+	msp_status_t status = msp_undo_since(
+	    &store->data.undo, &store->data.table, now > age ? now - age : 0);
+
+	if (status == MSP_OK)
+		store->data.era++;
+	return status;
+}
+
+uint64_t
+msp_memory_store_era(const msp_memory_store_t *store)
+{
+	return store->data.era;
 }
 
 uint64_t
@@ -153,7 +180,8 @@
 	const msp_table_row_t *row;
 	size_t len = strlen(prefix);
 
-	if (version < table->history_start)
+	/* A version that was not given out is one of another era. */
+	if (version < table->history_start || version > table->last_version)
 		return false;
 	visit_removed(table, prefix, version, visit, ctx);
 	for (row = msp_next_row(table, prefix);
--- a/source/platform/store_data.c
+++ b/source/platform/store_data.c
@@ -6,6 +6,7 @@
 msp_init_store_data(msp_store_data_t *data)
 {
 	msp_init_table(&data->table);
+	msp_open_undo(&data->undo);
 	msp_init_table(&data->objects);
 	msp_init_vm_list(&data->vms);
 }
@@ -14,6 +15,7 @@
 msp_clear_store_data(msp_store_data_t *data)
 {
 	msp_clear_table(&data->table);
+	msp_drop_undo(&data->undo);
 	msp_clear_table(&data->objects);
 	msp_clear_vm_list(&data->vms);
 }
@@ -68,8 +70,19 @@
 	return status;
 }
 
+msp_status_t
+msp_transact_store_data(
+    msp_store_data_t *data, const msp_txn_t *txn, msp_time_t now)
+{
+	msp_status_t status = MSP_OK;
+
+	if (msp_conditions_hold(&data->table, txn))
+		status = msp_record_undo(&data->undo, &data->table, txn, now);
+	return status == MSP_OK ? msp_apply_txn(&data->table, txn) : status;
+}
+
 static msp_status_t
-run_transaction(msp_store_data_t *data, msp_store_call_t *call)
+run_transaction(msp_store_data_t *data, msp_store_call_t *call, msp_time_t now)
 {
 	msp_txn_t txn = {
 	    .conditions = call->conditions,
@@ -77,7 +90,7 @@
 	    .writes = call->writes,
 	    .write_count = call->write_count,
 	};
-	msp_status_t status = msp_apply_txn(&data->table, &txn);
+	msp_status_t status = msp_transact_store_data(data, &txn, now);
 	msp_status_t read;
 
 	if (status == MSP_OK)
@@ -129,7 +142,7 @@
 	case MSP_STORE_SCAN:
 		return scan_rows(data, call);
 	case MSP_STORE_TRANSACT:
-		return run_transaction(data, call);
+		return run_transaction(data, call, now);
 	case MSP_STORE_GET_OBJECT:
 		return read_object(data, call);
 	case MSP_STORE_PUT_OBJECT:
--- a/source/platform/store_service.c
+++ b/source/platform/store_service.c
@@ -43,6 +43,7 @@
 	 * read are returned again as changes after this version.
 	 */
 	uint64_t read_version;
+	uint64_t era; /* in which the call came */
 } service_call_t;
 
 struct msp_store_service {
@@ -87,15 +88,31 @@
 	free(service);
 }
 
+/* Sends a response of the given era, and drops it. */
 static void
-send_status(msp_exchange_t *exchange, msp_status_t status, const char *detail)
+send_response(msp_exchange_t *exchange, msp_response_t *response, uint64_t era)
+{
+	if (add_response_era(response, era) != MSP_OK)
+		abort();
+	msp_send_exchange_response(exchange, response);
+	msp_drop_response(response);
+}
+
+static uint64_t
+get_era(const msp_store_service_t *service)
+{
+	return msp_memory_store_era(service->memory);
+}
+
+static void
+send_status(const msp_store_service_t *service, msp_exchange_t *exchange,
+    msp_status_t status, const char *detail)
 {
 	const msp_status_info_t *info = msp_get_status_info(status);
 	msp_response_t response = {.status = info->http_status};
 
 	msp_append_printf(&response.body, "%s: %s\n", info->kind, detail);
-	msp_send_exchange_response(exchange, &response);
-	msp_drop_response(&response);
+	send_response(exchange, &response, get_era(service));
 }
 
 static bool
@@ -155,6 +172,7 @@
 		abort();
 	call->service = service;
 	call->exchange = exchange;
+	call->era = get_era(service);
 	msp_set_exchange_data(exchange, call);
 	return call;
 }
@@ -165,7 +183,7 @@
 {
 	msp_exchange_t *exchange = call->exchange;
 	msp_response_t response = {0};
-	table_state_t state = {.version = version};
+	table_state_t state = {.version = version, .era = call->era};
 
 	if (exchange != NULL) {
 		msp_set_exchange_data(exchange, NULL);
@@ -186,7 +204,8 @@
 {
 	if (call->exchange != NULL) {
 		msp_set_exchange_data(call->exchange, NULL);
-		send_status(call->exchange, status, msp_last_message());
+		send_status(
+		    call->service, call->exchange, status, msp_last_message());
 	}
 	msp_drop_buffer(&call->response.text);
 	free(call);
@@ -357,7 +376,7 @@
 		if (call->exchange != NULL) {
 			msp_set_exchange_data(call->exchange, NULL);
 			mark_history_gone(&response);
-			msp_send_exchange_response(call->exchange, &response);
+			send_response(call->exchange, &response, call->era);
 		}
 		free(call);
 		return true;
@@ -378,6 +397,11 @@
 	TAILQ_CONCAT(&due, &service->waiting, entry);
 	while ((call = TAILQ_FIRST(&due)) != NULL) {
 		TAILQ_REMOVE(&due, call, entry);
+		if (call->era != get_era(service)) {
+			msp_fail(MSP_E_STORE_DOWN, "the store was away");
+			fail_call(call, MSP_E_STORE_DOWN);
+			continue;
+		}
 		if (!send_changes(call,
 			now >= call->wait_deadline || call->exchange == NULL))
 			TAILQ_INSERT_TAIL(&service->waiting, call, entry);
@@ -472,7 +496,8 @@
 	if (status == MSP_OK)
 		start_transaction(service, exchange, &txn);
 	else
-		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+		send_status(
+		    service, exchange, MSP_E_BAD_REQUEST, msp_last_message());
 	drop_row_txn(&txn);
 }
 
@@ -482,12 +507,14 @@
 	service_call_t *call = ctx;
 	msp_exchange_t *exchange = call->exchange;
 	msp_response_t response = {.status = HTTP_OK};
+	uint64_t era;
 
 	TAILQ_REMOVE(&call->service->calls, call, entry);
 	if (reply->status != MSP_OK) {
 		fail_call(call, reply->status);
 		return;
 	}
+	era = call->era;
 	free(call);
 	if (exchange == NULL)
 		return;
@@ -496,8 +523,7 @@
 	    msp_append_data(&response.body, reply->object, reply->object_len) !=
 		MSP_OK)
 		abort();
-	msp_send_exchange_response(exchange, &response);
-	msp_drop_response(&response);
+	send_response(exchange, &response, era);
 }
 
 static void
@@ -541,7 +567,8 @@
 	if (status == MSP_OK)
 		msp_send_exchange_response(exchange, &response);
 	else
-		send_status(exchange, MSP_E_BAD_REQUEST, msp_last_message());
+		send_status(
+		    service, exchange, MSP_E_BAD_REQUEST, msp_last_message());
 	msp_drop_response(&response);
 	return true;
 }
@@ -585,7 +612,7 @@
 	if (status == MSP_OK)
 		serve_read(service, exchange, &query);
 	else
-		send_status(exchange, status, msp_last_message());
+		send_status(service, exchange, status, msp_last_message());
 }
 
 static void
--- a/source/platform/table.c
+++ b/source/platform/table.c
@@ -1,6 +1,5 @@
 #include "table.h"
 
-#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -106,8 +105,8 @@
 	return row;
 }
 
-static bool
-conditions_hold(msp_table_t *table, const msp_txn_t *txn)
+bool
+msp_conditions_hold(msp_table_t *table, const msp_txn_t *txn)
 {
 	size_t i;
 
@@ -141,6 +140,48 @@
 	return row;
 }
 
+msp_status_t
+msp_restore_row(msp_table_t *table, const char *key, const char *value,
+    size_t value_len, uint64_t version)
+{
+	const msp_write_t write = {
+	    .key = key, .value = value, .value_len = value_len};
+	msp_table_row_t *old = msp_find_row(table, key);
+	msp_table_row_t *row = NULL;
+
+	if (value != NULL) {
+		row = new_row(&write);
+		if (row == NULL)
+			return msp_fail(MSP_E_NO_MEMORY, "no memory for a row");
+		row->version = version;
+	}
+	if (old != NULL) {
+		RB_REMOVE(msp_table_tree, &table->tree, old);
+		drop_row(old);
+	}
+	if (row != NULL)
+		RB_INSERT(msp_table_tree, &table->tree, row);
+	return MSP_OK;
+}
+
+void
+msp_forget_removals_after(msp_table_t *table, uint64_t version)
+{
+	msp_removed_row_t *removed;
+
+	while (!TAILQ_EMPTY(&table->removed)) {
+		removed = TAILQ_LAST(&table->removed, msp_removed_rows);
+		if (removed->version <= version)
+			break;
+		TAILQ_REMOVE(&table->removed, removed, link);
+		table->removed_count--;
+		free(removed->key);
+		free(removed);
+	}
+	if (table->history_start > version)
+		table->history_start = version;
+}
+
 static void
 apply_write(msp_table_t *table, const msp_write_t *write, msp_table_row_t *row)
 {
@@ -167,7 +208,7 @@
 
 	if (count > MSP_TXN_ITEMS_MAX)
 		return msp_fail(MSP_E_TOO_LARGE, "too many writes");
-	if (!conditions_hold(table, txn))
+	if (!msp_conditions_hold(table, txn))
 		return MSP_E_CONFLICT;
 	for (i = 0; i < count; i++) {
 		if (txn->writes[i].value == NULL)
--- a/source/platform/table.h
+++ b/source/platform/table.h
@@ -1,6 +1,7 @@
 #ifndef MSP_PLATFORM_TABLE_H
 #define MSP_PLATFORM_TABLE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <bsd/sys/queue.h>
@@ -55,4 +56,17 @@
  */
 msp_status_t msp_apply_txn(msp_table_t *table, const msp_txn_t *txn);
 
+/* Whether the conditions of a transaction hold now. */
+bool msp_conditions_hold(msp_table_t *table, const msp_txn_t *txn);
+
+/*
+ * Sets a row as it was, without a transaction; a `value` of NULL removes it
+ * without a trace in the history.
+ */
+msp_status_t msp_restore_row(msp_table_t *table, const char *key,
+    const char *value, size_t value_len, uint64_t version);
+
+/* Forgets the removals of transactions after `version`. */
+void msp_forget_removals_after(msp_table_t *table, uint64_t version);
+
 #endif
--- a/source/platform/table_copy.c
+++ b/source/platform/table_copy.c
@@ -27,6 +27,7 @@
 	TAILQ_HEAD(, copy_row) removed; /* oldest first */
 	size_t removed_count;
 	msp_map_t *by_key; /* rows and removed rows */
+	uint64_t era; /* of all versions; 0: not known */
 	uint64_t version;
 	uint64_t history_start; /* changes up to it may be missing */
 	msp_time_t as_of;
@@ -176,6 +177,47 @@
 		set_row(copy, entry, row->value, row->value_len, row->version);
 }
 
+static void
+drop_removed_rows(table_copy_t *copy)
+{
+	copy_row_t *row;
+
+	while ((row = TAILQ_FIRST(&copy->removed)) != NULL) {
+		TAILQ_REMOVE(&copy->removed, row, link);
+		msp_map_remove(copy->by_key, row->key);
+		free_row(row);
+	}
+	copy->removed_count = 0;
+}
+
+void
+begin_copy_era(table_copy_t *copy, uint64_t era)
+{
+	copy_row_t *row;
+
+	drop_removed_rows(copy);
+	TAILQ_FOREACH(row, &copy->rows, link) {
+		clear_row_history(&row->history);
+		row->version = 0;
+	}
+	copy->version = 0;
+	copy->history_start = 0;
+	copy->era = era;
+}
+
+void
+name_copy_era(table_copy_t *copy, uint64_t era)
+{
+	if (copy->era == 0)
+		copy->era = era;
+}
+
+uint64_t
+get_copy_era(const table_copy_t *copy)
+{
+	return copy->era;
+}
+
 void
 begin_copy_snapshot(table_copy_t *copy)
 {
@@ -297,7 +339,7 @@
 
 	*bases = (store_patch_bases_t){0};
 	TAILQ_FOREACH(row, &copy->rows, link) {
-		if (row->len >= ROW_LARGE_BYTES &&
+		if (row->len >= ROW_LARGE_BYTES && row->version != 0 &&
 		    bases->count < STORE_PATCH_BASES_MAX)
 			bases->versions[bases->count++] = row->version;
 	}
--- a/source/platform/table_copy.h
+++ b/source/platform/table_copy.h
@@ -17,6 +17,19 @@
 /* Inserts a row, unless the copy has a newer version of it. */
 void put_copy_row(table_copy_t *copy, const store_row_t *row);
 
+/*
+ * The rows that follow are of another era of the store. Rows stay until the
+ * snapshot that must be inserted next has ended, but their versions mean
+ * nothing any more: the version of the copy is 0 until then.
+ */
+void begin_copy_era(table_copy_t *copy, uint64_t era);
+
+/* Names the era that the copy is of, if that was not known. */
+void name_copy_era(table_copy_t *copy, uint64_t era);
+
+/* Returns the era of the copy's versions; 0: not known. */
+uint64_t get_copy_era(const table_copy_t *copy);
+
 /*
  * Call these before and after the insertion of all rows of the table as of
  * `version`. Rows that were not inserted and are older than `version` become
--- a/source/platform/table_follower.c
+++ b/source/platform/table_follower.c
@@ -162,6 +162,7 @@
 	msp_status_t status;
 
 	if (follower->page_start[0] == '\0') {
+		begin_era_of_copy(follower);
 		follower->snapshot_version = reply->version;
 		begin_copy_snapshot(follower->copy);
 		follower->callbacks.on_snapshot_begin(follower->callbacks.ctx);
@@ -234,6 +235,46 @@
 	schedule_read(follower, follower->options.vm_interval);
 }
 
+/*
+ * Handles a response of another era than the known one. Returns false if it is
+ * of the same, or the beginning of a snapshot of a newer one, which can be
+ * used.
+ */
+static bool
+handle_other_era(table_follower_t *follower, const store_reply_t *reply)
+{
+	bool is_snapshot;
+
+	switch (judge_reply_era(follower, reply, follower->reads_vm)) {
+	case ERA_NEWER:
+		report_store_recovered(follower);
+		is_snapshot = follower->reads_snapshot &&
+		    follower->page_start[0] == '\0' && reply->status == MSP_OK;
+		learn_newer_era(follower, reply->era, follower->reads_vm);
+		if (is_snapshot)
+			return false;
+		schedule_read(follower, QUICK_DELAY);
+		return true;
+	case ERA_OLDER:
+		check_table_stale(follower);
+		if (follower->stale_since != 0)
+			handle_read_failure(follower, reply);
+		else
+			schedule_read(follower, BEHIND_DELAY);
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* Whether the rows are older than the copy's, which versions tell. */
+static bool
+is_older(const table_follower_t *follower, const store_reply_t *reply)
+{
+	return !is_copy_of_older_era(follower) &&
+	    reply->version < get_copy_version(follower->copy);
+}
+
 /* Applies a response that is neither older than the copy nor unusable. */
 static void
 use_reply(table_follower_t *follower, const store_reply_t *reply)
@@ -266,6 +307,8 @@
 	follower->call = NULL;
 	msp_drop_timer(follower->stale_timer);
 	follower->stale_timer = NULL;
+	if (handle_other_era(follower, reply))
+		return;
 	if (reply->status == MSP_E_KEY_EXPIRED && !follower->reads_snapshot) {
 		report_store_recovered(follower);
 		follower->reads_snapshot = true;
@@ -282,8 +325,7 @@
 		}
 	}
 	/* Rejects older data than the copy's, and a stale later snapshot. */
-	if (reply->status != MSP_OK ||
-	    reply->version < get_copy_version(follower->copy) ||
+	if (reply->status != MSP_OK || is_older(follower, reply) ||
 	    (follower->reads_snapshot && follower->is_loaded &&
 		!was_sent_fresh(reply))) {
 		handle_read_failure(follower, reply);
@@ -341,7 +383,9 @@
 {
 	if (follower->refuses_patches)
 		return NULL;
-	list_patch_bases(follower->copy, bases);
+	*bases = (store_patch_bases_t){0};
+	if (!is_copy_of_older_era(follower))
+		list_patch_bases(follower->copy, bases);
 	return bases;
 }
 
@@ -368,6 +412,7 @@
 	call_options = get_timeouts(follower, is_retry);
 	if (follower->reads_vm)
 		call_options.bases = get_patch_bases(follower, &bases);
+	call_options.era = follower->era;
 	if (!is_retry && !follower->reads_snapshot)
 		wait_ms = follower->reads_vm ? options->vm_wait_ms
 					     : options->store_wait_ms;
@@ -438,6 +483,12 @@
 	return follower->is_loaded;
 }
 
+bool
+is_copy_whole(const table_follower_t *follower)
+{
+	return get_copy_version(follower->copy) != 0;
+}
+
 table_copy_t *
 get_table_copy(const table_follower_t *follower)
 {
--- a/source/platform/table_follower.h
+++ b/source/platform/table_follower.h
@@ -53,6 +53,18 @@
 	    void *ctx, unsigned int attempt, store_source_t *source);
 	/* A VM had changes that the slow read has not brought yet. */
 	void (*on_second_read)(void *ctx, const table_read_end_t *end);
+	/*
+	 * A source names a newer era of the store: it has come back from an
+	 * older copy of its data. `before` is the era of the copy, 0 if it was
+	 * not known; `from_vm`: another VM was asked.
+	 */
+	void (*on_newer_era)(
+	    void *ctx, uint64_t era, uint64_t before, bool from_vm);
+	/*
+	 * The snapshot that begins next is the first of this era: its rows are
+	 * in no order with those before, and some of these may be missing.
+	 */
+	void (*on_era_begin)(void *ctx, uint64_t era);
 	/* on_row is called for all rows of the table next. */
 	void (*on_snapshot_begin)(void *ctx);
 	/* A row was read; its value is NULL if it was removed. */
@@ -105,6 +117,9 @@
 /* Returns for how long the copy has been fresh; 0: it is stale. */
 msp_time_t get_table_fresh_time(const table_follower_t *follower);
 
+/* Whether the copy has all rows as of its version. */
+bool is_copy_whole(const table_follower_t *follower);
+
 /* Returns whether a snapshot has been read. */
 bool is_table_loaded(const table_follower_t *follower);
 
--- a/source/platform/table_follower_private.h
+++ b/source/platform/table_follower_private.h
@@ -20,6 +20,8 @@
 	msp_time_t second_pause; /* the last pause; 0: none yet */
 	msp_time_t second_paused_until;
 	msp_timer_t *stale_timer; /* for schedule_stale_check() */
+	uint64_t era; /* newest that a source has named; 0: none has */
+	unsigned int era_changes; /* newer ones after the first */
 	bool reads_snapshot; /* else reads changes */
 	bool is_loaded; /* a snapshot has been read */
 	bool reads_vm; /* the pending read goes to a VM */
@@ -41,6 +43,27 @@
 	msp_time_t retry_delay; /* minimum; the maximum is twice as long */
 };
 
+/* table_era.c: eras of the store */
+
+/* The era of a reply, next to the newest one that is known. */
+typedef enum era_order {
+	ERA_SAME, /* or not named, and taken to be the same */
+	ERA_NEWER,
+	ERA_OLDER, /* or not known: the reply says nothing of the present */
+} era_order_t;
+
+era_order_t judge_reply_era(
+    table_follower_t *follower, const store_reply_t *reply, bool from_vm);
+
+/* The store has begun an era; the next read is of a snapshot. */
+void learn_newer_era(table_follower_t *follower, uint64_t era, bool from_vm);
+
+/* Whether the copy's versions can't be compared with those of replies. */
+bool is_copy_of_older_era(const table_follower_t *follower);
+
+/* To be called before the first rows of a snapshot are applied. */
+void begin_era_of_copy(table_follower_t *follower);
+
 /* table_apply.c: what a response says of the table */
 
 /*
--- a/source/platform/table_second_read.c
+++ b/source/platform/table_second_read.c
@@ -72,6 +72,12 @@
 	table_follower_t *follower = ctx;
 
 	follower->second_call = NULL;
+	/* The next read of the follower itself learns of a newer era. */
+	if (judge_reply_era(follower, reply, true) != ERA_SAME ||
+	    is_copy_of_older_era(follower)) {
+		pause_second_reads(follower);
+		return;
+	}
 	/* The version grows without rows, by changes of other tables. */
 	if (reply->status == MSP_OK && reply->row_count > 0 &&
 	    !follower->reads_snapshot &&
@@ -93,6 +99,7 @@
 	store_call_options_t call_options = {.begin_ms = SECOND_TIMEOUT_MS,
 	    .transfer_ms = SECOND_TRANSFER_MS,
 	    .bases = get_patch_bases(follower, &bases),
+	    .era = follower->era,
 	    .accepts_odd_rows = true};
 
 	if (!callbacks->choose_second_vm(
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -53,7 +53,7 @@
 {
 	const edge_t *edge = ctx;
 
-	return msp_map_get(edge->evacuations, place) != NULL;
+	return msp_is_evacuated(edge->evacuations, place);
 }
 
 static msp_status_t
@@ -74,7 +74,7 @@
 	    .rank_sender = rank_sender,
 	    .ctx = edge};
 
-	edge->evacuations = msp_new_map();
+	edge->evacuations = msp_new_evacuations(&daemon->env);
 	edge->retry_budgets = msp_new_map();
 	edge->split = msp_new_traffic_split();
 	edge->view = msp_new_target_view(&daemon->env, &view_callbacks);
@@ -206,7 +206,7 @@
 	msp_drop_latency_model(edge->latency_model);
 	msp_drop_target_view(edge->view);
 	msp_drop_traffic_split(edge->split);
-	msp_drop_map(edge->evacuations);
+	msp_drop_evacuations(edge->evacuations);
 	drop_retry_budgets(edge->retry_budgets);
 	close_reaches(edge);
 	msp_drop_route_table(edge->routes);
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -17,6 +17,8 @@
 #define BULK_BYTES 8192 /* values of a response that is paced */
 /* How long such a response may wait for others, at least. */
 #define BULK_WAIT_MS 300
+/* How long a read waits, at least, while the table is being read anew. */
+#define WHOLE_WAIT_MS 300
 #define BITS_PER_BYTE 8
 #define BITS_PER_MBIT 1e6
 
@@ -38,6 +40,7 @@
 	row_response_t body;
 	const row_query_t *query;
 	table_copy_t *copy;
+	store_patch_bases_t bases; /* those of the reader that mean something */
 	msp_status_t status;
 } rows_response_t;
 
@@ -49,7 +52,7 @@
 	store_row_t out = *row;
 
 	if (query->accepts_patches)
-		get_copy_patch(rows->copy, &query->bases, &out);
+		get_copy_patch(rows->copy, &rows->bases, &out);
 	if (rows->status == MSP_OK)
 		rows->status =
 		    add_response_row(&rows->body, query->table, &out);
@@ -77,20 +80,69 @@
 	    : edge->target_table.name;
 }
 
+/* Whether the reader's versions are of another era than this VM's. */
+static bool
+is_of_other_era(const table_copy_t *copy, const row_query_t *query)
+{
+	uint64_t era = get_copy_era(copy);
+
+	return query->era != 0 && era != 0 && query->era != era;
+}
+
+/* Whether this VM has not heard of the reader's era yet. */
+static bool
+is_of_newer_era(const table_copy_t *copy, const row_query_t *query)
+{
+	return is_of_other_era(copy, query) && query->era > get_copy_era(copy);
+}
+
+/* Versions of another era name other values. */
+static store_patch_bases_t
+get_reader_bases(const table_copy_t *copy, const row_query_t *query)
+{
+	static const store_patch_bases_t none;
+
+	return is_of_other_era(copy, query) ? none : query->bases;
+}
+
+/* Answers that the changes after the reader's version can't be had here. */
+static void
+answer_history_gone(msp_exchange_t *exchange, const table_copy_t *copy)
+{
+	msp_response_t response = {0};
+
+	mark_history_gone(&response);
+	if (add_response_era(&response, get_copy_era(copy)) == MSP_OK)
+		msp_send_exchange_response(exchange, &response);
+	else
+		answer_error(exchange, MSP_E_NO_MEMORY);
+	msp_drop_response(&response);
+}
+
 static void
 answer_query(edge_t *edge, msp_exchange_t *exchange,
     const table_follower_t *table, const row_query_t *query)
 {
 	table_copy_t *copy = get_table_copy(table);
-	rows_response_t rows = {.query = query, .copy = copy};
+	rows_response_t rows = {.query = query,
+	    .copy = copy,
+	    .bases = get_reader_bases(copy, query)};
 	table_state_t end = {.version = get_copy_version(copy),
+	    .era = get_copy_era(copy),
 	    .age_ms = to_ms(get_table_age(table)),
 	    .fresh_for_ms = to_ms(get_table_fresh_time(table))};
 	msp_response_t response = {0};
 
-	if (!query->is_range && !has_changes_since(copy, query->after)) {
-		mark_history_gone(&response);
-		msp_send_exchange_response(exchange, &response);
+	if (!is_copy_whole(table)) {
+		msp_fail(MSP_E_NOT_READY, "the table is being read anew");
+		answer_error(exchange, MSP_E_NOT_READY);
+		return;
+	}
+	if (is_of_newer_era(copy, query) ||
+	    (!query->is_range &&
+		(is_of_other_era(copy, query) ||
+		    !has_changes_since(copy, query->after)))) {
+		answer_history_gone(exchange, copy);
 		return;
 	}
 	visit_copy_rows(copy, query->is_range, query->after, add_row, &rows);
@@ -173,8 +225,12 @@
 static bool
 has_answer(const table_follower_t *table, const row_query_t *query)
 {
-	return query->is_range ||
-	    get_copy_version(get_table_copy(table)) > query->after;
+	const table_copy_t *copy = get_table_copy(table);
+
+	if (!is_copy_whole(table))
+		return false;
+	return query->is_range || is_of_other_era(copy, query) ||
+	    get_copy_version(copy) > query->after;
 }
 
 /* Whether the response is large, and others are still being sent. */
@@ -244,6 +300,10 @@
 {
 	uint32_t wait_ms = limit_wait(table, query->wait_ms);
 
+	if (!is_copy_whole(table) && wait_ms < WHOLE_WAIT_MS) {
+		start_long_poll(edge, exchange, table, query, WHOLE_WAIT_MS);
+		return;
+	}
 	if (has_answer(table, query) && must_wait(edge, table, query)) {
 		if (wait_ms < BULK_WAIT_MS)
 			wait_ms = BULK_WAIT_MS;
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -13,6 +13,7 @@
 #include "monsoonspindle/coord/retry_budget.h"
 #include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
+#include "monsoonspindle/steer/evacuations.h"
 #include "monsoonspindle/steer/forward_choice.h"
 #include "monsoonspindle/steer/planned_stop.h"
 #include "monsoonspindle/steer/quarantine.h"
@@ -76,7 +77,7 @@
 	msp_balancer_t *balancer;
 	msp_traffic_split_t *split;
 	msp_quarantine_list_t *quarantine;
-	msp_map_t *evacuations; /* keys: places that must get no requests */
+	msp_evacuations_t *evacuations;
 	msp_map_t *retry_budgets; /* msp_retry_budget_t by service */
 	msp_map_t *reaches; /* msp_reach_t by service */
 	msp_forward_choice_t *forward_choice;
@@ -113,6 +114,8 @@
 	char asked_place[MSP_NAME_SIZE]; /* of the last such VM */
 	msp_time_t vms_read_at; /* first read of the table of VMs; 0: none */
 	msp_time_t vms_refreshed_at; /* start of the last read */
+	bool must_announce; /* this VM's row is to be written again */
+	bool others_announce; /* their rows may come after the next read */
 
 	/* Time in ms from a request's arrival to its response. */
 	msp_histogram_t durations[EDGE_OUTCOME_COUNT];
@@ -295,6 +298,9 @@
 /* Reads the table of VMs again, unless it was just read. */
 void refresh_edge_vms(edge_t *edge);
 
+/* Writes this VM's row again soon, since the store may have forgotten it. */
+void announce_vm_again(edge_t *edge);
+
 /* Picks a random VM of another data centre; false if none is known. */
 bool pick_remote_vm(const edge_t *edge, store_source_t *source);
 
--- a/source/spindled/edge_store.c
+++ b/source/spindled/edge_store.c
@@ -151,6 +151,18 @@
 	    table->name, lost_for / MSP_MS);
 }
 
+static void
+handle_newer_era(void *ctx, uint64_t era, uint64_t before, bool from_vm)
+{
+	const edge_table_t *table = ctx;
+
+	msp_add_to_counter(table->edge->daemon->counters, 1,
+	    "msp_store_eras_total{table=\"%s\"}", table->name);
+	log_warn("event=store state=newer-era table=%s era=%" PRIu64
+		 " before=%" PRIu64 " source=%s",
+	    table->name, era, before, from_vm ? "vm" : "store");
+}
+
 static void
 handle_table_stale(void *ctx)
 {
@@ -205,21 +217,6 @@
 	    get_membership(edge->daemon->members), routes->version);
 }
 
-static void
-set_evacuation(edge_t *edge, const char *place, bool active)
-{
-	bool was_active = msp_map_get(edge->evacuations, place) != NULL;
-
-	if (was_active == active)
-		return;
-	if (active)
-		msp_map_put(edge->evacuations, place, edge);
-	else
-		msp_map_remove(edge->evacuations, place);
-	log_info("event=evacuation place=%s state=%s", place,
-	    active ? "begun" : "ended");
-}
-
 static void
 handle_operator_row(void *ctx, const store_row_t *row)
 {
@@ -233,25 +230,38 @@
 			apply_manifest(edge, row);
 		break;
 	case OPERATOR_ROW_EVACUATION:
-		set_evacuation(edge, place, row->value != NULL);
+		if (msp_set_evacuation(
+			edge->evacuations, place, row->value != NULL))
+			log_info("event=evacuation place=%s state=%s", place,
+			    row->value != NULL ? "begun" : "ended");
 		break;
 	case OPERATOR_ROW_OTHER:
 		break;
 	}
 }
 
+/*
+ * The store may have forgotten evacuations. They stay until the operator has
+ * had time to write them again, and the row of this VM is written again, too.
+ */
+static void
+handle_operator_era(void *ctx, uint64_t era)
+{
+	const edge_table_t *table = ctx;
+	edge_t *edge = table->edge;
+
+	(void)era;
+	msp_hold_evacuations(edge->evacuations);
+	announce_vm_again(edge);
+}
+
 /* Evacuations still in force follow as rows; the others have ended. */
 static void
 handle_operator_snapshot_begin(void *ctx)
 {
 	const edge_table_t *table = ctx;
-	edge_t *edge = table->edge;
-	msp_map_t *fresh = msp_new_map();
 
-	if (fresh == NULL)
-		return;
-	msp_drop_map(edge->evacuations);
-	edge->evacuations = fresh;
+	msp_list_evacuations_anew(table->edge->evacuations);
 }
 
 static void
@@ -262,7 +272,7 @@
 
 	log_info("event=table table=operator state=whole version=%" PRIu64
 		 " evacuated=%zu",
-	    version, msp_map_count(edge->evacuations));
+	    version, msp_count_evacuations(edge->evacuations));
 }
 
 /* The table of targets: a row for each, written with its heartbeats. */
@@ -292,6 +302,15 @@
 	msp_apply_registration(edge->view, row->key, row->version, NULL);
 }
 
+static void
+handle_targets_era(void *ctx, uint64_t era)
+{
+	const edge_table_t *table = ctx;
+
+	(void)era;
+	msp_begin_store_era(table->edge->view);
+}
+
 static void
 handle_targets_snapshot_begin(void *ctx)
 {
@@ -358,6 +377,8 @@
 	    .choose_vm = choose_vm_source,
 	    .choose_second_vm = choose_second_vm,
 	    .on_second_read = handle_second_read,
+	    .on_newer_era = handle_newer_era,
+	    .on_era_begin = handle_operator_era,
 	    .on_snapshot_begin = handle_operator_snapshot_begin,
 	    .on_row = handle_operator_row,
 	    .on_snapshot_end = handle_operator_snapshot_end,
@@ -377,6 +398,7 @@
 		return status;
 	options.table = TARGETS_TABLE;
 	options.outage_threshold = heartbeat * LAPSE_HEARTBEATS;
+	callbacks.on_era_begin = handle_targets_era;
 	callbacks.on_snapshot_begin = handle_targets_snapshot_begin;
 	callbacks.on_row = handle_target_row;
 	callbacks.on_snapshot_end = handle_targets_snapshot_end;
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -15,6 +15,8 @@
 /* VMs that start with this one may announce themselves after its first read. */
 #define VM_FIRST_REFRESH (3 * MSP_SECOND)
 #define VM_URGENT_REFRESH (1 * MSP_SECOND) /* at most so often on demand */
+/* All VMs write their rows again within this time, for the store's limit. */
+#define VM_SPREAD (2 * MSP_SECOND)
 
 bool
 pick_remote_vm(const edge_t *edge, store_source_t *source)
@@ -120,6 +122,50 @@
 	msp_drop_map(profiles);
 }
 
+/* Whether the table lacks this VM's row; unknown if there are more pages. */
+static bool
+lacks_own_row(const edge_t *edge, const store_reply_t *reply)
+{
+	size_t i;
+
+	for (i = 0; i < reply->row_count; i++) {
+		if (strcmp(reply->rows[i].key, edge->daemon->settings->vm) == 0)
+			return false;
+	}
+	return !reply->has_more;
+}
+
+/* Writes this VM's row within VM_SPREAD. */
+static void
+schedule_announcement(edge_t *edge)
+{
+	set_vm_timer(edge, msp_random_below(&edge->daemon->env, VM_SPREAD),
+	    write_vm_row);
+}
+
+/* Schedules the next call after a read. */
+static void
+schedule_next_call(edge_t *edge, const store_reply_t *reply)
+{
+	if (edge->must_announce)
+		schedule_announcement(edge);
+	else if (edge->others_announce)
+		set_vm_timer(edge, VM_FIRST_REFRESH, read_vms);
+	else
+		set_vm_timer(edge, VM_REFRESH,
+		    lacks_own_row(edge, reply) ? write_vm_row : read_vms);
+	edge->others_announce = false;
+}
+
+void
+announce_vm_again(edge_t *edge)
+{
+	edge->must_announce = true;
+	edge->others_announce = true;
+	if (edge->vm_call == NULL)
+		schedule_announcement(edge);
+}
+
 static void
 handle_vms_read(void *ctx, const store_reply_t *reply)
 {
@@ -147,8 +193,7 @@
 	edge->remote_vm_count = lists.other_count;
 	drop_profiles(edge->vm_profiles);
 	edge->vm_profiles = lists.profiles;
-	set_vm_timer(edge,
-	    edge->vms_read_at == 0 ? VM_FIRST_REFRESH : VM_REFRESH, read_vms);
+	schedule_next_call(edge, reply);
 	if (edge->vms_read_at == 0)
 		edge->vms_read_at = msp_now(&edge->daemon->env);
 }
@@ -180,6 +225,7 @@
 		set_vm_timer(edge, VM_RETRY, write_vm_row);
 		return;
 	}
+	edge->must_announce = false;
 	/*
 	 * Reads only after writing: of two VMs that start together, at least
 	 * the one that reads last then sees the other.
@@ -225,6 +271,7 @@
 void
 open_edge_vms(edge_t *edge)
 {
+	edge->others_announce = true;
 	write_vm_row(edge);
 }
 
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -12,6 +12,7 @@
 	msp_map_t *by_id;
 	msp_time_t store_lost; /* when it was lost; 0: it is available */
 	msp_time_t store_recovered; /* end of the last outage; 0: none */
+	msp_time_t era_began; /* of the store, as known here; 0: the first */
 	bool in_snapshot;
 	uint32_t snapshot;
 	msp_map_t *seen; /* targets in the current snapshot, by id */
@@ -222,13 +223,22 @@
 	apply_heartbeat(view, target, registration, region);
 }
 
-/* Whether entries may have expired while their targets are still running. */
+/* The last time at which the store was back after it may have lost entries. */
+static msp_time_t
+get_recovery_time(const msp_target_view_t *view)
+{
+	return view->era_began > view->store_recovered ? view->era_began
+						       : view->store_recovered;
+}
+
+/* Whether entries may be missing while their targets are still running. */
 static bool
 is_recovering(const msp_target_view_t *view, msp_time_t now)
 {
+	msp_time_t recovered = get_recovery_time(view);
+
 	return view->store_lost != 0 ||
-	    (view->store_recovered != 0 &&
-		now < view->store_recovered + MSP_LAPSED_HOLD_TIME);
+	    (recovered != 0 && now < recovered + MSP_LAPSED_HOLD_TIME);
 }
 
 static void
@@ -245,7 +255,7 @@
 	if (target->status == MSP_TARGET_LISTED && is_recovering(view, now)) {
 		target->held_until = view->store_lost != 0
 		    ? MSP_NEVER
-		    : view->store_recovered + MSP_LAPSED_HOLD_TIME;
+		    : get_recovery_time(view) + MSP_LAPSED_HOLD_TIME;
 		set_status(view, target, MSP_TARGET_HELD, "entry-lapsed");
 		return;
 	}
@@ -286,6 +296,16 @@
 	view->seen = NULL;
 }
 
+void
+msp_begin_store_era(msp_target_view_t *view)
+{
+	msp_view_target_t *target;
+
+	view->era_began = msp_now(&view->env);
+	TAILQ_FOREACH(target, &view->targets, link)
+		target->row_version = 0;
+}
+
 void
 msp_record_store_lost(msp_target_view_t *view)
 {
@@ -296,16 +316,18 @@
 void
 msp_record_store_recovered(msp_target_view_t *view, bool was_down)
 {
+	msp_time_t now = msp_now(&view->env);
 	msp_view_target_t *target;
 
 	if (view->store_lost == 0)
 		return;
 	view->store_lost = 0;
-	view->store_recovered = was_down ? msp_now(&view->env) : 0;
+	view->store_recovered = was_down ? now : 0;
 	TAILQ_FOREACH(target, &view->targets, link) {
 		if (target->status == MSP_TARGET_HELD)
-			target->held_until = msp_now(&view->env) +
-			    (was_down ? MSP_LAPSED_HOLD_TIME : 0);
+			target->held_until = is_recovering(view, now)
+			    ? get_recovery_time(view) + MSP_LAPSED_HOLD_TIME
+			    : now;
 	}
 }
 
--- a/tests/platform/test_table_copy.c
+++ b/tests/platform/test_table_copy.c
@@ -67,7 +67,7 @@
 }
 
 static void
-put_routes(table_copy_t *copy, unsigned int version, unsigned int routes)
+put_row(table_copy_t *copy, unsigned int version, unsigned int routes)
 {
 	msp_buffer_t text = {0};
 	store_row_t row = {.key = KEY, .version = version};
@@ -76,10 +76,16 @@
 	row.value = text.data;
 	row.value_len = text.len;
 	put_copy_row(copy, &row);
-	advance_copy(copy, version, virtual_clock.now);
 	msp_drop_buffer(&text);
 }
 
+static void
+put_routes(table_copy_t *copy, unsigned int version, unsigned int routes)
+{
+	put_row(copy, version, routes);
+	advance_copy(copy, version, virtual_clock.now);
+}
+
 typedef struct ask {
 	table_copy_t *from;
 	table_copy_t *to;
@@ -179,6 +185,39 @@
 	drop_table_copy(to);
 }
 
+/*
+ * Versions are given out again after the store came back from an older copy:
+ * a reader's version of another era names another value.
+ */
+static void
+patch_is_of_no_value_of_another_era(void **state)
+{
+	table_copy_t *from = new_copy();
+	store_patch_bases_t bases;
+	store_row_t row = {.key = KEY};
+
+	(void)state;
+	put_routes(from, 7, ROUTES);
+	put_routes(from, 8, ROUTES + 1);
+	begin_copy_era(from, 2);
+	assert_int_equal(get_copy_version(from), 0);
+	assert_false(has_changes_since(from, 8));
+	list_patch_bases(from, &bases);
+	assert_int_equal(bases.count, 0);
+	begin_copy_snapshot(from);
+	put_row(from, 5, ROUTES);
+	end_copy_snapshot(from, 6);
+	advance_copy(from, 6, virtual_clock.now);
+	put_routes(from, 8, ROUTES + 2);
+	/* What the old versions 7 and 8 named is not known here any more. */
+	bases = (store_patch_bases_t){.versions = {7}, .count = 1};
+	if (get_copy_patch(from, &bases, &row))
+		assert_int_equal(row.base_version, 0);
+	assert_int_equal(get_copy_era(from), 2);
+	assert_false(has_changes_since(from, 4));
+	drop_table_copy(from);
+}
+
 static void
 small_rows_are_sent_as_they_are(void **state)
 {
@@ -202,6 +241,7 @@
 	    cmocka_unit_test(copy_sends_patches),
 	    cmocka_unit_test(patch_of_another_version_is_rejected),
 	    cmocka_unit_test(small_rows_are_sent_as_they_are),
+	    cmocka_unit_test(patch_is_of_no_value_of_another_era),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/platform/test_table_follower.c
+++ b/tests/platform/test_table_follower.c
@@ -8,6 +8,7 @@
 
 #include <cmocka.h>
 
+#include "../../platform/header_fields.h"
 #include "../../platform/platform_api.h"
 #include "../../source/platform/table_follower.h"
 #include "monsoonspindle/platform.h"
@@ -35,6 +36,8 @@
 	unsigned int rows;
 	unsigned int removed;
 	unsigned int snapshots;
+	unsigned int eras; /* begun after the first */
+	uint64_t era; /* the last of them */
 	unsigned int store_lost;
 	unsigned int store_recovered;
 	unsigned int failed_reads;
@@ -89,6 +92,23 @@
 	(void)version;
 }
 
+static void
+handle_newer_era(void *ctx, uint64_t era, uint64_t before, bool from_vm)
+{
+	(void)before;
+	(void)from_vm;
+	((follower_test_t *)ctx)->era = era;
+}
+
+static void
+handle_era_begin(void *ctx, uint64_t era)
+{
+	follower_test_t *test = ctx;
+
+	assert_int_equal(era, test->era);
+	test->eras++;
+}
+
 static void
 handle_update(void *ctx)
 {
@@ -161,6 +181,8 @@
 	    .outage_threshold = 10 * MSP_MS};
 	table_follower_callbacks_t callbacks = {.choose_source = choose_source,
 	    .choose_vm = choose_vm,
+	    .on_newer_era = handle_newer_era,
+	    .on_era_begin = handle_era_begin,
 	    .on_snapshot_begin = handle_snapshot_begin,
 	    .on_row = handle_row,
 	    .on_snapshot_end = handle_snapshot_end,
@@ -185,6 +207,7 @@
 	store_source_t source = {.address = ADDRESS};
 
 	assert_non_null(test);
+	assert_int_equal(register_platform_headers(), MSP_OK);
 	test->env = msp_system_env();
 	test->loop = msp_new_loop(MAX_FDS);
 	test->memory = msp_new_memory_store(&test->env);
@@ -386,6 +409,7 @@
 	uint32_t age_ms;
 	unsigned int request_count;
 	unsigned int version; /* 0: newer than the store's */
+	unsigned int era; /* 0: names none */
 	msp_http_server_t *server;
 } vm_stub_t;
 
@@ -401,6 +425,8 @@
 	    "\"steadyMs\":%u}",
 	    vm->version == 0 ? NEWER_VERSION : vm->version, vm->age_ms,
 	    vm->fresh_for_ms);
+	if (vm->era != 0)
+		msp_print_header(&response.headers, "Store-Era", "%u", vm->era);
 	msp_send_exchange_response(exchange, &response);
 }
 
@@ -616,6 +642,219 @@
 	await_count(test, &test->fresh, 1);
 }
 
+/* A row that is looked for. */
+typedef struct row_check {
+	const char *key;
+	const char *value;
+	bool found;
+} row_check_t;
+
+static void
+check_row(void *ctx, const store_row_t *row)
+{
+	row_check_t *check = ctx;
+
+	if (strcmp(row->key, check->key) == 0)
+		check->found =
+		    row->value != NULL && strcmp(row->value, check->value) == 0;
+}
+
+/* The store goes back to its state at that time. */
+static void
+restore_store(follower_test_t *test, msp_time_t at)
+{
+	assert_int_equal(
+	    msp_restore_memory_store(test->memory, msp_now(&test->env) - at),
+	    MSP_OK);
+}
+
+/* A time that lies between two writes. */
+static msp_time_t
+mark_time(follower_test_t *test)
+{
+	msp_time_t at;
+
+	step(test);
+	at = msp_now(&test->env);
+	step(test);
+	return at;
+}
+
+static bool
+has_row(follower_test_t *test, const char *key, const char *value)
+{
+	row_check_t check = {.key = key, .value = value};
+
+	visit_copy_rows(
+	    get_table_copy(test->follower), true, 0, check_row, &check);
+	return check.found;
+}
+
+static void
+await_row(follower_test_t *test, const char *key, const char *value)
+{
+	msp_time_t end = msp_now(&test->env) + RUN_TIMEOUT;
+
+	while (!has_row(test, key, value) && msp_now(&test->env) < end)
+		step(test);
+	assert_true(has_row(test, key, value));
+}
+
+typedef struct restore_case {
+	const char *name;
+	unsigned int lost; /* writes that the older copy does not have */
+	unsigned int again; /* writes after it, before the follower reads */
+	unsigned int restores; /* one right after the other */
+	bool is_down; /* for a moment before */
+} restore_case_t;
+
+/*
+ * Guards against a follower that compares versions of two eras: after the store
+ * came back from an older copy it applied no change until its versions had
+ * passed the old ones (a draining target got requests for seconds).
+ */
+static void
+follows_a_store_that_comes_back_older(void **state)
+{
+	static const restore_case_t cases[] = {
+	    {"many writes lost", 50, 0, 1, false},
+	    {"many writes lost in an outage", 50, 0, 1, true},
+	    {"one write lost", 1, 0, 1, false},
+	    {"none lost", 0, 0, 1, false},
+	    /* The follower's version is given out again, for other rows. */
+	    {"versions passed at once", 5, 9, 1, false},
+	    {"twice", 20, 3, 2, false},
+	    {"three times in an outage", 20, 30, 3, true},
+	};
+	follower_test_t *test;
+	char key[32];
+	unsigned int k;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		const restore_case_t *c = &cases[i];
+		msp_time_t copied_at;
+
+		test = *state;
+		msp_keep_memory_store_copies(test->memory, 60 * MSP_SECOND);
+		put_row(test, "kept", "old");
+		put_row(test, "removed", "there");
+		start_follower(test);
+		await_count(test, &test->rows, 2);
+		copied_at = mark_time(test);
+		for (k = 0; k < c->lost; k++) {
+			snprintf(key, sizeof(key), "lost%u", k);
+			put_row(test, key, "new");
+		}
+		await_count(test, &test->rows, 2 + c->lost);
+		put_row(test, "removed", NULL);
+		await_count(test, &test->removed, 1);
+		msp_memory_store_faults(test->memory)->down = c->is_down;
+		for (k = 0; k < c->restores; k++)
+			restore_store(test, copied_at);
+		msp_memory_store_faults(test->memory)->down = false;
+		for (k = 0; k < c->again; k++) {
+			snprintf(key, sizeof(key), "again%u", k);
+			put_row(test, key, "new");
+		}
+		put_row(test, "kept", "newest");
+		await_count(test, &test->eras, 1);
+		await_row(test, "kept", "newest");
+		assert_int_equal(test->era, 1 + c->restores);
+		assert_true(has_row(test, "removed", "there"));
+		for (k = 0; k < c->again; k++) {
+			snprintf(key, sizeof(key), "again%u", k);
+			assert_true(has_row(test, key, "new"));
+		}
+		assert_false(has_row(test, "lost0", "new"));
+		/* Changes are followed as before. */
+		put_row(test, "kept", "changed");
+		await_row(test, "kept", "changed");
+		assert_int_equal(test->eras, 1);
+		assert_int_equal(
+		    test->failed_reads, c->is_down ? test->failed_reads : 0);
+		tear_down(state);
+		set_up(state);
+	}
+}
+
+typedef struct vm_era_case {
+	const char *name;
+	unsigned int era; /* that the VM names; 0: none */
+	unsigned int version;
+	bool is_used; /* its version becomes the copy's */
+} vm_era_case_t;
+
+/*
+ * A VM that has not heard of the store's era, or is of a build that names none,
+ * must not take the copy back.
+ */
+static void
+rows_of_an_older_era_are_not_used(void **state)
+{
+	static const vm_era_case_t cases[] = {
+	    {"an older era", 1, 100000, false},
+	    {"no era", 0, 100000, false},
+	    {"the same era", 2, 100000, true},
+	};
+	follower_test_t *test;
+	msp_time_t at;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		vm_stub_t vm = {.fresh_for_ms = 60000,
+		    .version = cases[i].version,
+		    .era = cases[i].era};
+
+		test = *state;
+		msp_keep_memory_store_copies(test->memory, 60 * MSP_SECOND);
+		put_row(test, "t1", "one");
+		start_follower(test);
+		await_count(test, &test->rows, 1);
+		at = mark_time(test);
+		put_row(test, "t2", "two");
+		await_count(test, &test->rows, 2);
+		restore_store(test, at);
+		await_count(test, &test->eras, 1);
+		open_vm(test, &vm);
+		test->prefers_vm = true;
+		await_count(test, &vm.request_count, 3);
+		if ((get_copy_version(get_table_copy(test->follower)) ==
+			cases[i].version) != cases[i].is_used)
+			fail_msg("%s", cases[i].name);
+		assert_int_equal(test->eras, 1);
+		msp_drop_http_server(vm.server);
+		test->vm.port = 0;
+		tear_down(state);
+		set_up(state);
+	}
+}
+
+/* An era that was only heard of: the VM that names it has its rows, too. */
+static void
+newer_era_of_a_vm_is_followed(void **state)
+{
+	follower_test_t *test = *state;
+	vm_stub_t vm = {.fresh_for_ms = 60000, .version = 1, .era = 7};
+
+	msp_keep_memory_store_copies(test->memory, 60 * MSP_SECOND);
+	put_row(test, "t1", "one");
+	put_row(test, "t2", "two");
+	start_follower(test);
+	await_count(test, &test->rows, 2);
+	msp_memory_store_faults(test->memory)->down = true;
+	open_vm(test, &vm);
+	await_count(test, &test->eras, 1);
+	assert_int_equal(test->era, 7);
+	assert_int_equal(get_copy_version(get_table_copy(test->follower)), 1);
+	/* The store is behind that VM, and its rows are of before. */
+	msp_memory_store_faults(test->memory)->down = false;
+	await_count(test, &vm.request_count, 5);
+	assert_int_equal(test->eras, 1);
+	assert_false(has_row(test, "t1", "one"));
+	msp_drop_http_server(vm.server);
+}
+
 #define FOLLOWER_TEST(name_) \
 	cmocka_unit_test_setup_teardown(name_, set_up, tear_down)
 
@@ -633,6 +872,9 @@
 	    FOLLOWER_TEST(odd_rows_do_not_stop_the_table),
 	    FOLLOWER_TEST(distinguishes_outage_from_lost_connection),
 	    FOLLOWER_TEST(reads_recovered_store_soon),
+	    FOLLOWER_TEST(follows_a_store_that_comes_back_older),
+	    FOLLOWER_TEST(rows_of_an_older_era_are_not_used),
+	    FOLLOWER_TEST(newer_era_of_a_vm_is_followed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/process/test_edge_protocol.c
+++ b/tests/process/test_edge_protocol.c
@@ -44,6 +44,10 @@
 	"/api/rows-get?table=op&part=&patches=7,x", 400, false},
     {"patches of more versions than allowed", "GET",
 	"/api/rows-get?table=op&part=&patches=1,2,3,4,5,6,7,8,9", 400, false},
+    {"an era, where none is known", "GET",
+	"/api/rows-feed?table=op&after=0&waitMs=0&era=7", 200, false},
+    {"an era that is no number", "GET",
+	"/api/rows-feed?table=op&after=0&waitMs=0&era=x", 400, false},
     {"a read of another table", "GET", "/api/rows-get?table=other&part=", 503,
 	false},
 };
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -22,6 +22,9 @@
 #define STOP_TARGETS 8
 #define OVERLOAD_SECONDS 20
 #define GRACE_SECONDS 26
+#define RESTORES_SECONDS 30
+#define RESTORES_VMS 6
+#define RESTORES_TARGETS 8
 #define OVERLOAD_TARGETS 4
 #define CUT_SECONDS 11 /* a cut is judged from 4 s after its beginning */
 #define CUT_VMS 12
@@ -166,6 +169,14 @@
      */
     {"nothing_waits_out_of_reach_of_stops_and_drains", "overload-stops", 1,
 	false, OVERLOAD_SECONDS, 1, OVERLOAD_TARGETS},
+    /*
+     * The store came back from an older copy: no change was applied until its
+     * versions had passed the old ones, in routes and in targets that leave.
+     */
+    {"a_store_that_comes_back_older_holds_back_no_change", "restores", 1, false,
+	RESTORES_SECONDS, RESTORES_VMS, RESTORES_TARGETS},
+    {"the_same_while_vms_restart_and_freeze", "restores-signals", 2, false,
+	RESTORES_SECONDS, RESTORES_VMS, RESTORES_TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
--- a/tests/steer/test_target_view.c
+++ b/tests/steer/test_target_view.c
@@ -205,6 +205,103 @@
 	}
 }
 
+typedef struct era_case {
+	const char *name;
+	heartbeat_t known; /* before the store came back from an older copy */
+	bool was_removed; /* before */
+	bool has_row; /* the copy has a row of the target */
+	heartbeat_t row;
+	bool usable; /* at once */
+	bool usable_later; /* if it never writes again */
+} era_case_t;
+
+/*
+ * Guards against a target that drains, or is gone, and gets requests again
+ * since an older copy of the store says that it is ready; and against one that
+ * is forgotten though it only joined after the copy was made.
+ */
+static void
+an_older_copy_of_the_store_changes_no_target(void **state)
+{
+	static const era_case_t cases[] = {
+	    {"same heartbeat", {1, 5, 0, 0, 0}, false, true, {1, 5, 0, 0, 0},
+		true, true},
+	    {"older heartbeat", {1, 5, 0, 0, 0}, false, true, {1, 2, 0, 0, 0},
+		true, true},
+	    {"its draining is lost", {1, 5, 1, 0, 0}, false, true,
+		{1, 4, 0, 0, 0}, false, false},
+	    {"it drains in the new era", {1, 5, 0, 0, 0}, false, true,
+		{1, 6, 1, 0, 0}, false, false},
+	    {"its removal is lost", {1, 5, 0, 0, 0}, true, true,
+		{1, 5, 0, 0, 0}, false, false},
+	    {"the removal of a draining one is lost", {1, 5, 1, 0, 0}, true,
+		true, {1, 3, 0, 0, 0}, false, false},
+	    {"the process before", {2, 1, 0, 0, 0}, false, true,
+		{1, 9, 1, 0, 0}, true, true},
+	    {"joined after the copy", {1, 5, 0, 0, 0}, false, false,
+		{0, 0, 0, 0, 0}, true, false},
+	    {"drains, joined after the copy", {1, 5, 1, 0, 0}, false, false,
+		{0, 0, 0, 0, 0}, false, false},
+	};
+	view_test_t *test = *state;
+	char id[16];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		const era_case_t *c = &cases[i];
+
+		snprintf(id, sizeof(id), "t%zu", i);
+		test->version = 1000;
+		apply_heartbeat(test, id, &c->known);
+		if (c->was_removed)
+			msp_remove_registration(
+			    test->view, id, ++test->version);
+		test->clock.now += 10 * MSP_SECOND;
+		/* Versions begin far below those before. */
+		test->version = 3;
+		msp_begin_store_era(test->view);
+		msp_begin_snapshot(test->view);
+		if (c->has_row)
+			apply_heartbeat(test, id, &c->row);
+		msp_end_snapshot(test->view, test->version + 1);
+		if (is_usable(test, id) != c->usable)
+			fail_msg("%s: at once", c->name);
+		test->clock.now += MSP_LAPSED_HOLD_TIME;
+		msp_tick_target_view(test->view);
+		if (is_usable(test, id) != c->usable_later)
+			fail_msg("%s: later", c->name);
+	}
+}
+
+/* What the view learns in one era must not hold back what the next one says. */
+static void
+changes_are_applied_in_each_era(void **state)
+{
+	view_test_t *test = *state;
+	const heartbeat_t ready = {1, 5, 0, 0, 0};
+	const heartbeat_t back = {1, 6, 0, 0, 0};
+	const heartbeat_t drains = {1, 7, 1, 0, 0};
+	unsigned int era;
+
+	for (era = 0; era < 3; era++) {
+		test->version = 1000 - era * 100;
+		msp_begin_store_era(test->view);
+		apply_heartbeat(test, "t", &ready);
+		assert_true(is_usable(test, "t"));
+	}
+	/* It joined after the copy, and writes again in time. */
+	test->version = 10;
+	msp_begin_store_era(test->view);
+	msp_begin_snapshot(test->view);
+	msp_end_snapshot(test->view, ++test->version);
+	apply_heartbeat(test, "t", &back);
+	test->clock.now += 10 * MSP_SECOND;
+	msp_tick_target_view(test->view);
+	assert_true(is_usable(test, "t"));
+	apply_heartbeat(test, "t", &drains);
+	assert_false(is_usable(test, "t"));
+}
+
 static void
 a_held_target_is_listed_after_a_heartbeat(void **state)
 {
@@ -291,6 +388,8 @@
 	    VIEW_TEST(an_invalid_row_neither_adds_nor_changes_a_target),
 	    VIEW_TEST(entries_that_expired_in_an_outage_are_held),
 	    VIEW_TEST(a_held_target_is_listed_after_a_heartbeat),
+	    VIEW_TEST(an_older_copy_of_the_store_changes_no_target),
+	    VIEW_TEST(changes_are_applied_in_each_era),
 	    VIEW_TEST(targets_missing_in_a_snapshot_are_removed),
 	    VIEW_TEST(a_target_is_cold_for_the_reported_time),
 	    VIEW_TEST(removed_targets_are_dropped_after_the_retention),
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -108,6 +108,7 @@
 	start_soak_markers(soak);
 	start_soak_link_cuts(soak);
 	start_soak_cuts(soak);
+	start_soak_restores(soak);
 	run_for(soak, soak->options->seconds * MSP_SECOND);
 	finish_traffic(soak);
 	stop_soak_clients(soak);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -55,6 +55,7 @@
 	double worst_budget; /* largest used part of a retry budget */
 	unsigned int lag_ms; /* longest delay of the soak's own requests */
 	unsigned int faults; /* injected into processes, store and links */
+	unsigned int restores; /* of the store, from older copies */
 	unsigned int cuts; /* times at which VMs lost all targets */
 	unsigned int cut_tries; /* first tries at such VMs meanwhile */
 	unsigned int cut_served;
