edge: the retries of all VMs keep to one budget

Callers and targets saw: repeats piled up beyond what is allowed (the users' record: BUDGET 342 and 175).

Cause: each VM had a burst of three retries of its own for each service, full at its start. Bursts add up with the VMs, come anew with restarts, and are spent at the same moment.

Change: coord/retry_window limits a VM's retries in a window to its requests' part of the ratio and its part of the slack, which the users' settings name and which all VMs share; no slack in the window after a start.

Why it works: the parts add up to the whole, whoever retries when.

--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -64,7 +64,11 @@
 	/* A cold target gets cold_over * its rate + cold_slack requests/s. */
 	double cold_over;
 	double cold_slack;
-	double retry_ratio; /* retries per request, over all VMs */
+	/* In a window, all VMs' retries of a service are at most this share of
+	   its requests, and the slack. */
+	double retry_ratio;
+	uint32_t retry_slack;
+	uint32_t retry_window_ms;
 	uint32_t heartbeat_ms; /* heartbeat interval of targets */
 	uint32_t drain_ms; /* until a draining target gets no new requests */
 	uint32_t stop_grace_ms; /* time from SIGTERM to the exit */
--- a/include/monsoonspindle/coord.h
+++ b/include/monsoonspindle/coord.h
@@ -5,6 +5,7 @@
 #include "monsoonspindle/coord/credits.h"
 #include "monsoonspindle/coord/ledger.h"
 #include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/coord/retry_window.h"
 #include "monsoonspindle/coord/in_doubt_claims.h"
 #include "monsoonspindle/coord/claims.h"
 #include "monsoonspindle/coord/issued_keys.h"
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -75,12 +75,12 @@
 	    .ctx = edge};
 
 	edge->evacuations = msp_new_evacuations(&daemon->env);
-	edge->retry_budgets = msp_new_map();
+	edge->retry_windows = msp_new_map();
 	edge->split = msp_new_traffic_split();
 	edge->view = msp_new_target_view(&daemon->env, &view_callbacks);
 	edge->latency_model =
 	    msp_new_latency_model(options.default_remote_delay);
-	if (edge->evacuations == NULL || edge->retry_budgets == NULL ||
+	if (edge->evacuations == NULL || edge->retry_windows == NULL ||
 	    edge->split == NULL || edge->view == NULL ||
 	    edge->latency_model == NULL)
 		return msp_fail(
@@ -151,6 +151,7 @@
 		return NULL;
 	}
 	edge->daemon = daemon;
+	edge->opened_at = msp_now(&daemon->env);
 	TAILQ_INIT(&edge->requests);
 	TAILQ_INIT(&edge->long_polls);
 	LIST_INIT(&edge->probes);
@@ -173,16 +174,16 @@
 }
 
 static void
-drop_retry_budgets(msp_map_t *budgets)
+drop_retry_windows(msp_map_t *windows)
 {
 	size_t cursor = 0;
-	void *budget;
+	void *window;
 
-	if (budgets == NULL)
+	if (windows == NULL)
 		return;
-	while (msp_map_next(budgets, &cursor, NULL, &budget))
-		free(budget);
-	msp_drop_map(budgets);
+	while (msp_map_next(windows, &cursor, NULL, &window))
+		free(window);
+	msp_drop_map(windows);
 }
 
 void
@@ -207,7 +208,7 @@
 	msp_drop_target_view(edge->view);
 	msp_drop_traffic_split(edge->split);
 	msp_drop_evacuations(edge->evacuations);
-	drop_retry_budgets(edge->retry_budgets);
+	drop_retry_windows(edge->retry_windows);
 	close_reaches(edge);
 	msp_drop_route_table(edge->routes);
 	free(edge);
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -3,10 +3,9 @@
 #include "edge_request.h"
 #include "proxy_codec.h"
 
-#define RETRY_PERCENT 100.0 /* converts the settings' ratio to percent */
-/* The settings' ratio is for all VMs together; each uses this share of it. */
-#define RETRY_SHARE 0.7
-#define RETRY_BURST 3 /* retries that this VM may send at once */
+/* Of the ratio and of the slack that all VMs have together these are used. */
+#define RATIO_PART 0.7
+#define SLACK_PART 0.7
 /* A target that sends nothing for this many expected latencies is silent. */
 #define SILENT_LATENCY_FACTOR 2
 #define RETRY_AT_ONCE_MS 0 /* at another VM */
@@ -38,39 +37,70 @@
 	return left < before_stop ? left : before_stop;
 }
 
-static msp_retry_budget_t *
-open_retry_budget(edge_t *edge, const char *service)
+/* Returns NULL if out of memory. */
+static msp_retry_window_t *
+open_retry_window(edge_t *edge, const char *service)
 {
-	msp_retry_budget_t *budget = msp_map_get(edge->retry_budgets, service);
-	double ratio = edge->daemon->settings->edge.retry_ratio;
+	msp_retry_window_t *window = msp_map_get(edge->retry_windows, service);
 
-	if (budget != NULL)
-		return budget;
-	budget = calloc(1, sizeof(*budget));
-	if (budget == NULL)
+	if (window != NULL)
+		return window;
+	window = calloc(1, sizeof(*window));
+	if (window == NULL)
 		return NULL;
-	msp_init_retry_budget(budget,
-	    (uint32_t)(ratio * RETRY_SHARE * RETRY_PERCENT), RETRY_BURST);
-	if (msp_map_put(edge->retry_budgets, service, budget) == MSP_OK)
-		return budget;
-	free(budget);
+	window->span = edge->daemon->settings->edge.retry_window_ms * MSP_MS;
+	if (msp_map_put(edge->retry_windows, service, window) == MSP_OK)
+		return window;
+	free(window);
 	return NULL;
 }
 
 void
-refill_service_retry_budget(edge_t *edge, const char *service)
+count_service_request(edge_t *edge, const char *service)
 {
-	msp_retry_budget_t *budget = open_retry_budget(edge, service);
+	msp_retry_window_t *window = open_retry_window(edge, service);
 
-	if (budget != NULL)
-		msp_refill_retry_budget(budget);
+	if (window != NULL)
+		msp_count_request(window, get_now(edge));
+}
+
+/*
+ * This VM's part of the slack. It has none before it knows the other VMs, and
+ * none in its first window: the process before it may have used the part.
+ */
+static double
+get_retry_slack(const edge_t *edge, const msp_retry_window_t *window)
+{
+	size_t vms = count_known_vms(edge);
+
+	if (vms == 0 || get_now(edge) < edge->opened_at + window->span)
+		return 0;
+	return edge->daemon->settings->edge.retry_slack * SLACK_PART /
+	    (double)vms;
+}
+
+static bool
+take_retry(edge_t *edge, const char *service)
+{
+	const msp_settings_t *settings = edge->daemon->settings;
+	msp_retry_window_t *window = open_retry_window(edge, service);
+	msp_time_t now = get_now(edge);
+	msp_retry_share_t share;
+
+	if (window == NULL)
+		return false;
+	share = (msp_retry_share_t){
+	    .ratio = settings->edge.retry_ratio * RATIO_PART,
+	    .slack = get_retry_slack(edge, window),
+	    .draw = msp_hash_text(settings->vm, msp_hash_text(service, 0)),
+	};
+	return msp_take_retry(window, now, &share);
 }
 
 bool
 may_retry(edge_request_t *request)
 {
 	edge_t *edge = request->edge;
-	msp_retry_budget_t *budget;
 
 	if (request->exchange == NULL ||
 	    get_now(edge) + TIME_LEFT_MIN_MS * MSP_MS >= request->deadline ||
@@ -81,8 +111,7 @@
 		return true;
 	if (request->sent_count >= request->max_attempts)
 		return false;
-	budget = open_retry_budget(edge, request->criteria.service->name);
-	return budget != NULL && msp_spend_retry(budget);
+	return take_retry(edge, request->criteria.service->name);
 }
 
 void
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -10,7 +10,7 @@
 #include "monsoonspindle/coord/bulk_pacer.h"
 #include "monsoonspindle/coord/feature_gate.h"
 #include "monsoonspindle/coord/reader_rank.h"
-#include "monsoonspindle/coord/retry_budget.h"
+#include "monsoonspindle/coord/retry_window.h"
 #include "monsoonspindle/coord/version_lag.h"
 #include "monsoonspindle/steer/balancer.h"
 #include "monsoonspindle/steer/evacuations.h"
@@ -78,7 +78,8 @@
 	msp_traffic_split_t *split;
 	msp_quarantine_list_t *quarantine;
 	msp_evacuations_t *evacuations;
-	msp_map_t *retry_budgets; /* msp_retry_budget_t by service */
+	msp_map_t *retry_windows; /* msp_retry_window_t by service */
+	msp_time_t opened_at;
 	msp_map_t *reaches; /* msp_reach_t by service */
 	msp_forward_choice_t *forward_choice;
 
@@ -298,6 +299,9 @@
 /* Reads the table of VMs again, unless it was just read. */
 void refresh_edge_vms(edge_t *edge);
 
+/* All VMs with rows in the table, this one among them; 0: not read yet. */
+size_t count_known_vms(const edge_t *edge);
+
 /* Writes this VM's row again soon, since the store may have forgotten it. */
 void announce_vm_again(edge_t *edge);
 
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -63,15 +63,15 @@
 }
 
 /*
- * Of a forwarded request the first VM has counted the attempts and has refilled
- * the retry budget.
+ * Of a forwarded request the first VM has counted the attempts, and the request
+ * itself.
  */
 static void
 set_attempts(edge_request_t *request)
 {
 	request->max_attempts = request->criteria.route->max_attempts;
 	if (!request->is_forwarded)
-		refill_service_retry_budget(
+		count_service_request(
 		    request->edge, request->criteria.service->name);
 	else if (request->terms.attempts_left < request->max_attempts)
 		request->max_attempts = request->terms.attempts_left;
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -187,8 +187,8 @@
 /* Ends a request that this VM, which stops, can't finish in time. */
 void end_before_stop(edge_request_t *request);
 
-/* Counts a request to the service, which raises its retry budget. */
-void refill_service_retry_budget(edge_t *edge, const char *service);
+/* Counts a request to the service, by which retries are limited. */
+void count_service_request(edge_t *edge, const char *service);
 
 /*
  * Sends the request to the best target that it has not been sent to yet. Each
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -29,6 +29,14 @@
 	return true;
 }
 
+size_t
+count_known_vms(const edge_t *edge)
+{
+	return edge->vm_profiles == NULL
+	    ? 0
+	    : msp_map_count(edge->vm_profiles) + edge->remote_vm_count;
+}
+
 static void read_vms(void *ctx);
 static void write_vm_row(void *ctx);
 
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -22,6 +22,9 @@
 #define STOP_TARGETS 8
 #define OVERLOAD_SECONDS 20
 #define GRACE_SECONDS 26
+#define RETRIES_SECONDS 16 /* longer than a window */
+#define RETRIES_VMS 20
+#define RETRIES_TARGETS 8
 #define RESTORES_SECONDS 30
 #define RESTORES_VMS 6
 #define RESTORES_TARGETS 8
@@ -177,6 +180,9 @@
 	RESTORES_SECONDS, RESTORES_VMS, RESTORES_TARGETS},
     {"the_same_while_vms_restart_and_freeze", "restores-signals", 2, false,
 	RESTORES_SECONDS, RESTORES_VMS, RESTORES_TARGETS},
+    /* Each VM had a burst of retries of its own, and anew after a restart. */
+    {"retries_of_all_vms_keep_to_one_budget", "retry-bursts", 1, false,
+	RETRIES_SECONDS, RETRIES_VMS, RETRIES_TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -654,10 +654,12 @@
 	target->mute = false;
 	if (target->deaf) {
 		target->deaf = false;
+		target->reads_since = soak_now();
 		resume_soak_listener(&target->listener);
 	}
 	if (target->silent) {
 		target->silent = false;
+		target->reads_since = soak_now();
 		LIST_FOREACH_SAFE(conn, &target->conns, link, next)
 			handle_input(conn, false);
 		return;
