edge: all bodies in flight together are bounded

Cause: each body had a bound, all of them together had none; a request's body was held twice until its response came.

A request that doesn't fit is refused before it is read; of responses the largest incomplete one gives way. A call drops its copy of a body once it is sent.

Why it works: the sum has a bound, and what makes it grow gives way first.

--- a/include/monsoonspindle/base.h
+++ b/include/monsoonspindle/base.h
@@ -9,6 +9,7 @@
 #include "monsoonspindle/base/hash.h"
 #include "monsoonspindle/base/histogram.h"
 #include "monsoonspindle/base/map.h"
+#include "monsoonspindle/base/memory_budget.h"
 #include "monsoonspindle/base/refusal.h"
 #include "monsoonspindle/base/status.h"
 #include "monsoonspindle/base/version.h"
--- a/include/monsoonspindle/base/buffer.h
+++ b/include/monsoonspindle/base/buffer.h
@@ -3,6 +3,7 @@
 
 #include <stddef.h>
 
+#include "monsoonspindle/base/memory_budget.h"
 #include "monsoonspindle/base/status.h"
 
 /*
@@ -15,11 +16,13 @@
 	size_t len; /* bytes in use */
 	size_t capacity; /* bytes allocated */
 	size_t limit; /* maximum of `len`; 0: unlimited */
+	/* That its memory is taken from; set it while empty. NULL: none. */
+	msp_memory_budget_t *budget; /* borrowed */
 } msp_buffer_t;
 
 /*
  * Append bytes or formatted text. On MSP_E_TOO_LARGE (past the limit) and
- * MSP_E_NO_MEMORY nothing is appended.
+ * MSP_E_NO_MEMORY (the budget's or the machine's) nothing is appended.
  */
 msp_status_t msp_append_data(
     msp_buffer_t *buffer, const void *data, size_t len);
--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -25,6 +25,8 @@
 typedef struct msp_settings_limits {
 	uint32_t max_body_bytes;
 	uint32_t max_answer_bytes;
+	/* Of the process; a part of it is for requests and responses. */
+	uint32_t memory_mb;
 	uint32_t max_header_bytes;
 	uint32_t max_connections;
 	uint32_t head_timeout_ms;
--- a/include/monsoonspindle/net/http_client.h
+++ b/include/monsoonspindle/net/http_client.h
@@ -23,6 +23,12 @@
 	 * of the server would be out of date by the end of the wait.
 	 */
 	bool refuses_when_busy;
+	/*
+	 * The memory of the bodies of all responses is taken from this one. If
+	 * one finds no more, the largest that is being received gives way: its
+	 * call ends with MSP_E_RESPONSE_TOO_LARGE. NULL: no bound.
+	 */
+	msp_memory_budget_t *body_budget; /* borrowed */
 } msp_http_client_options_t;
 
 /*
@@ -42,7 +48,8 @@
  * MSP_E_DEADLINE
  *	The response was not complete within one of the timeouts.
  * MSP_E_RESPONSE_TOO_LARGE
- *	The body exceeds max_response_body; the rest was not read.
+ *	The body exceeds max_response_body, or has given way to others since
+ *	body_budget is used up; the rest was not read.
  * MSP_E_BAD_REQUEST
  *	The method, path or a header has bytes that are not allowed in a
  *	request. Nothing was sent.
--- a/include/monsoonspindle/net/http_server.h
+++ b/include/monsoonspindle/net/http_server.h
@@ -39,6 +39,11 @@
 	 */
 	size_t max_pipeline; /* requests; 16 */
 	size_t max_pipeline_bytes; /* 1 MiB; one request may exceed it */
+	/*
+	 * The memory of the bodies of all requests is taken from this one. A
+	 * request whose body does not fit is refused with 503. NULL: no bound.
+	 */
+	msp_memory_budget_t *body_budget; /* borrowed */
 } msp_http_limits_t;
 
 /* What the server refuses by itself; valid only during the callback. */
--- a/measure/soak.c
+++ b/measure/soak.c
@@ -22,7 +22,8 @@
 	    "profile=%s seed=%llu seconds=%u vms=%u targets=%u requests=%u "
 	    "unsafe=%u served=%u refused=%u failed=%u cut=%u left=%u "
 	    "unanswered=%u pipelined=%u unread=%u "
-	    "runs=%u shed=%u extra=%u limits=%u limit_use=%.2f "
+	    "runs=%u shed=%u endless=%u worst_memory_mb=%u extra=%u limits=%u "
+	    "limit_use=%.2f "
 	    "worst_limit=%.2f versions=%u bytes=%u homes=%u lag_ms=%u "
 	    "faults=%u restores=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	    "REFUSED=%u TWICE=%u "
@@ -35,8 +36,8 @@
 	    options->seconds, options->vms, options->targets, result->requests,
 	    result->unsafe, result->served, result->refused, result->failed,
 	    result->cut, result->left, result->unanswered, result->pipelined,
-	    result->unread, result->runs, result->shed, result->extra,
-	    result->limits,
+	    result->unread, result->runs, result->shed, result->endless,
+	    result->worst_memory_mb, result->extra, result->limits,
 	    result->limit_capacity > 0
 		? result->limit_used / result->limit_capacity
 		: 0,
--- a/source/base/buffer.c
+++ b/source/base/buffer.c
@@ -23,10 +23,16 @@
 		capacity = INITIAL_CAPACITY;
 	while (capacity < need)
 		capacity *= 2;
+	more = capacity - buffer->capacity;
+	if (buffer->budget != NULL && !msp_take_memory(buffer->budget, more))
+		return msp_fail(
+		    MSP_E_NO_MEMORY, "no memory left for %zu bytes", need);
 	data = realloc(buffer->data, capacity);
-	if (data == NULL)
+	if (data == NULL) {
+		msp_return_memory(buffer->budget, more);
 		return msp_fail(
 		    MSP_E_NO_MEMORY, "no memory for %zu bytes", need);
+	}
 	buffer->data = data;
 	buffer->capacity = capacity;
 	return MSP_OK;
@@ -80,6 +86,7 @@
 msp_drop_buffer(msp_buffer_t *buffer)
 {
 	free(buffer->data);
+	msp_return_memory(buffer->budget, buffer->capacity);
 	buffer->data = NULL;
 	buffer->len = 0;
 	buffer->capacity = 0;
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -160,6 +160,8 @@
 	64 << 20, 1 << 20, "bytes of a request body"),
     NUMBER("max_answer_bytes", msp_settings_limits_t, max_answer_bytes, 1024,
 	256 << 20, 8 << 20, "bytes of a target's response"),
+    NUMBER("memory_mb", msp_settings_limits_t, memory_mb, 32, 1 << 20, 160,
+	"memory of the process, MiB; a part is for bodies in flight"),
     NUMBER("max_header_bytes", msp_settings_limits_t, max_header_bytes, 1024,
 	65536, 16384, "bytes of request line and headers"),
     NUMBER("max_connections", msp_settings_limits_t, max_connections, 16, 65536,
--- a/source/net/call.c
+++ b/source/net/call.c
@@ -103,6 +103,7 @@
 	struct lws *wsi = call->connection->wsi;
 	msp_buffer_t *body = &call->request.body;
 	size_t len = body->len - call->body_sent;
+	bool is_last;
 	unsigned char buffer[LWS_PRE + BODY_WRITE_MAX];
 
 	if (len == 0)
@@ -111,13 +112,18 @@
 		len = BODY_WRITE_MAX;
 	memcpy(buffer + LWS_PRE, body->data + call->body_sent, len);
 	call->body_sent += len;
-	if (call->body_sent == body->len)
+	is_last = call->body_sent == body->len;
+	if (is_last)
 		lws_client_http_body_pending(wsi, 0);
 	else
 		lws_callback_on_writable(wsi);
+	if (is_last) {
+		/* It is not sent again, and the response may take long. */
+		msp_drop_buffer(body);
+		call->body_sent = 0;
+	}
 	return lws_write(wsi, buffer + LWS_PRE, len,
-		   call->body_sent == body->len ? LWS_WRITE_HTTP_FINAL
-						: LWS_WRITE_HTTP) < 0
+		   is_last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0
 	    ? -1
 	    : 0;
 }
@@ -168,6 +174,7 @@
 		return -1;
 	}
 	response->body.limit = call->client->options.max_response_body;
+	response->body.budget = call->client->options.body_budget;
 	if (call->content_length > (long long)response->body.limit) {
 		msp_end_call(call, MSP_E_RESPONSE_TOO_LARGE);
 		return -1;
@@ -189,13 +196,64 @@
 	    received * call->transfer_timeout_ms * MSP_MS;
 }
 
+/*
+ * The call whose response holds most memory and is still being received, other
+ * than `call`, if it is larger than that; or NULL.
+ */
+static msp_call_t *
+find_larger_response(msp_call_t *call)
+{
+	msp_map_t *origins = call->client->origins;
+	msp_call_t *largest = call;
+	size_t cursor = 0;
+	void *value;
+
+	while (msp_map_next(origins, &cursor, NULL, &value)) {
+		const msp_origin_t *origin = value;
+		msp_client_connection_t *connection;
+
+		LIST_FOREACH(connection, &origin->connections, all_link) {
+			msp_call_t *other = connection->call;
+
+			if (other != NULL &&
+			    other->state == MSP_CALL_RECEIVING &&
+			    other->response.body.capacity >
+				largest->response.body.capacity)
+				largest = other;
+		}
+	}
+	return largest == call ? NULL : largest;
+}
+
+/* Appends data, for which larger responses give way if memory is short. */
+static msp_status_t
+append_to_response(msp_call_t *call, const char *data, size_t len)
+{
+	msp_status_t status;
+	msp_call_t *larger;
+
+	for (;;) {
+		status = msp_append_data(&call->response.body, data, len);
+		if (status != MSP_E_NO_MEMORY)
+			return status;
+		larger = find_larger_response(call);
+		if (larger == NULL)
+			return MSP_E_TOO_LARGE;
+		msp_give_way(larger);
+	}
+}
+
 int
 msp_read_response_body(msp_call_t *call, const char *data, size_t len)
 {
 	msp_status_t status;
 
+	if (call->gives_way) {
+		msp_end_call(call, MSP_E_RESPONSE_TOO_LARGE);
+		return -1;
+	}
 	restart_stall_timeout(call);
-	status = msp_append_data(&call->response.body, data, len);
+	status = append_to_response(call, data, len);
 	if (status == MSP_OK && is_too_slow(call))
 		status = MSP_E_DEADLINE;
 	if (status == MSP_OK)
@@ -209,7 +267,7 @@
 static bool
 is_complete(const msp_call_t *call)
 {
-	if (call->state != MSP_CALL_RECEIVING)
+	if (call->state != MSP_CALL_RECEIVING || call->gives_way)
 		return false;
 	/*
 	 * libwebsockets also reports a chunked response as complete if the
--- a/source/net/client.h
+++ b/source/net/client.h
@@ -84,6 +84,7 @@
 	msp_time_t response_began; /* 0: it has not */
 	bool fresh_connection;
 	bool unused_connection;
+	bool gives_way; /* its memory was taken; it ends soon */
 	bool maybe_sent;
 	bool no_first_byte;
 	bool first_on_connection;
@@ -116,6 +117,13 @@
  */
 void msp_end_call(msp_call_t *call, msp_status_t status);
 
+/*
+ * Takes the memory of the response, and ends the call with
+ * MSP_E_RESPONSE_TOO_LARGE in the loop's next turn. May be called by events of
+ * other calls.
+ */
+void msp_give_way(msp_call_t *call);
+
 msp_call_result_t msp_get_call_result(msp_call_t *call);
 
 /* Schedules the start of the calls that wait for a connection of `origin`. */
--- a/source/net/connection.c
+++ b/source/net/connection.c
@@ -40,8 +40,9 @@
 	msp_connection_t *connection = calloc(1, sizeof(*connection));
 
 	if (connection != NULL)
-		connection->parser = msp_new_request_parser(
-		    server->limits.max_headers, server->limits.max_body);
+		connection->parser =
+		    msp_new_request_parser(server->limits.max_headers,
+			server->limits.max_body, server->limits.body_budget);
 	if (connection == NULL || connection->parser == NULL) {
 		free(connection);
 		close(fd);
--- a/source/net/http_client.c
+++ b/source/net/http_client.c
@@ -192,13 +192,25 @@
 	bool connecting = call->state == MSP_CALL_CONNECTING;
 
 	call->no_first_byte = call->state == MSP_CALL_SENT;
-	msp_end_call(call, connecting ? MSP_E_PEER_DOWN : MSP_E_DEADLINE);
+	if (call->gives_way)
+		msp_end_call(call, MSP_E_RESPONSE_TOO_LARGE);
+	else
+		msp_end_call(
+		    call, connecting ? MSP_E_PEER_DOWN : MSP_E_DEADLINE);
 	if (connection == NULL)
 		return;
 	msp_close_client_connection(connection);
 	msp_release_client_connection(connection);
 }
 
+void
+msp_give_way(msp_call_t *call)
+{
+	call->gives_way = true;
+	msp_drop_buffer(&call->response.body);
+	msp_set_deadline(&call->deadline, msp_loop_now());
+}
+
 static msp_status_t
 check_request(const msp_request_t *request)
 {
--- a/source/net/request_parser.c
+++ b/source/net/request_parser.c
@@ -20,6 +20,7 @@
 	msp_status_t status; /* first error */
 	size_t max_headers; /* bytes of the path and the header fields */
 	size_t max_body; /* bytes */
+	msp_memory_budget_t *budget; /* of bodies; or NULL */
 	msp_request_t *request; /* the current one; NULL between requests */
 	size_t path_len;
 	size_t header_bytes; /* of the path and the fields so far */
@@ -263,7 +264,11 @@
 		return stop_parsing(parser, MSP_E_BAD_REQUEST);
 	if (parser->has_length && http->content_length > parser->max_body)
 		return stop_parsing(parser, MSP_E_TOO_LARGE);
+	if (parser->has_length &&
+	    !msp_has_memory(parser->budget, http->content_length))
+		return stop_parsing(parser, MSP_E_NO_MEMORY);
 	request->body.limit = parser->max_body;
+	request->body.budget = parser->budget;
 	/* No other protocol is supported: Upgrade is ignored. */
 	http->upgrade = 0;
 	return 0;
@@ -333,7 +338,8 @@
 }
 
 msp_request_parser_t *
-msp_new_request_parser(size_t max_headers, size_t max_body)
+msp_new_request_parser(
+    size_t max_headers, size_t max_body, msp_memory_budget_t *budget)
 {
 	msp_request_parser_t *parser = calloc(1, sizeof(*parser));
 
@@ -341,6 +347,7 @@
 		return NULL;
 	parser->max_headers = max_headers;
 	parser->max_body = max_body;
+	parser->budget = budget;
 	http_parser_init(&parser->http, HTTP_REQUEST);
 	parser->http.data = parser;
 	return parser;
--- a/source/net/request_parser.h
+++ b/source/net/request_parser.h
@@ -16,10 +16,11 @@
 
 /*
  * Requests are limited to `max_headers` bytes of path and header fields, and
- * `max_body` bytes of body. Returns NULL if memory runs out.
+ * `max_body` bytes of body, whose memory is taken from `budget` (borrowed; may
+ * be NULL). Returns NULL if memory runs out.
  */
 msp_request_parser_t *msp_new_request_parser(
-    size_t max_headers, size_t max_body);
+    size_t max_headers, size_t max_body, msp_memory_budget_t *budget);
 void msp_drop_request_parser(msp_request_parser_t *parser);
 
 /*
@@ -36,6 +37,7 @@
  * MSP_E_TOO_LARGE
  *	The body exceeds max_body.
  * MSP_E_NO_MEMORY
+ *	Also if the body is announced to be larger than what is left.
  */
 msp_status_t msp_parse_request(
     msp_request_parser_t *parser, const char *data, size_t len, size_t *used);
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -15,6 +15,10 @@
 #define TARGET_IDLE_MS 8000 /* shorter than the targets' own idle timeout */
 #define STORE_RESPONSE_MAX (4 << 20) /* bytes */
 #define PROBE_RESPONSE_MAX 4096 /* bytes */
+/* Of the process's memory; responses can use what requests leave. */
+#define BODY_MEMORY_PCT 65 /* for bodies of requests and responses */
+#define REQUEST_MEMORY_PCT 50 /* for those of requests */
+#define BYTES_PER_MB ((size_t)1 << 20)
 #define VIEW_TICK (250 * MSP_MS)
 #define COLD_RATE_FACTOR 0.9 /* share of a cold target's rate that is used */
 #define COLD_SLACK_FACTOR 0.8 /* share of the slack of that rate */
@@ -92,6 +96,21 @@
 	    : MSP_OK;
 }
 
+/*
+ * What is left of the process's memory is for all that isn't bodies: tables,
+ * connections, and what the allocator can't use again.
+ */
+static void
+open_memory_budgets(edge_t *edge)
+{
+	size_t memory =
+	    (size_t)edge->daemon->settings->limits.memory_mb * BYTES_PER_MB;
+
+	edge->body_memory.limit = memory / 100 * BODY_MEMORY_PCT;
+	edge->request_memory.limit = memory / 100 * REQUEST_MEMORY_PCT;
+	edge->request_memory.whole = &edge->body_memory;
+}
+
 static msp_status_t
 open_clients(edge_t *edge)
 {
@@ -101,7 +120,8 @@
 	    .refuses_when_busy = true,
 	    .max_response_body = daemon->settings->limits.max_answer_bytes,
 	    .connect_timeout_ms = TARGET_CONNECT_MS,
-	    .idle_timeout_ms = TARGET_IDLE_MS};
+	    .idle_timeout_ms = TARGET_IDLE_MS,
+	    .body_budget = &edge->body_memory};
 	msp_http_client_options_t probes = {
 	    .max_connections_per_server = PROBE_CONNECTIONS_MAX,
 	    .max_response_body = PROBE_RESPONSE_MAX,
@@ -112,6 +132,7 @@
 	    .refuses_when_busy = true,
 	    .max_response_body = targets.max_response_body,
 	    .connect_timeout_ms = FORWARD_CONNECT_MS,
+	    .body_budget = &edge->body_memory,
 	    .idle_timeout_ms = FORWARD_IDLE_MS};
 	msp_http_client_options_t store = {
 	    .max_connections_per_server = STORE_CONNECTIONS_MAX,
@@ -156,6 +177,7 @@
 	TAILQ_INIT(&edge->long_polls);
 	LIST_INIT(&edge->probes);
 	open_limits(edge);
+	open_memory_budgets(edge);
 	if (register_platform_headers() != MSP_OK ||
 	    open_strikes(edge) != MSP_OK || open_reaches(edge) != MSP_OK ||
 	    open_balancer(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -140,6 +140,15 @@
 	    get_routes_version(edge);
 	*msp_get_counter(counters, "msp_requests_in_hand") =
 	    edge->request_count;
+	*msp_get_counter(counters, "msp_request_body_bytes") =
+	    edge->request_memory.used;
+	*msp_get_counter(counters, "msp_body_bytes") = edge->body_memory.used;
+	*msp_get_counter(counters, "msp_body_bytes_most") =
+	    edge->body_memory.most_used;
+	*msp_get_counter(counters, "msp_body_bytes_limit") =
+	    edge->body_memory.limit;
+	*msp_get_counter(counters, "msp_body_memory_refused_total") =
+	    edge->request_memory.refused + edge->body_memory.refused;
 	*msp_get_counter(counters, "msp_targets_age_ms") =
 	    get_targets_age(edge) / MSP_MS;
 	*msp_get_counter(counters, "msp_routes_age_ms") =
@@ -247,6 +256,7 @@
 		    .max_connections = settings->limits.max_connections,
 		    .head_timeout_ms = settings->limits.head_timeout_ms,
 		    .body_timeout_ms = settings->limits.body_timeout_ms,
+		    .body_budget = &edge->request_memory,
 		},
 	    .handler = {.on_request = handle_edge_request,
 		.on_disconnect = handle_edge_caller_disconnect,
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -403,6 +403,7 @@
 		.max_headers =
 		    settings->limits.max_header_bytes + FORWARD_HEADERS_MAX,
 		.body_timeout_ms = settings->limits.body_timeout_ms,
+		.body_budget = &edge->request_memory,
 		.idle_timeout_ms = PEER_IDLE_MS},
 	    .handler = {.on_request = handle_peer_request,
 		.on_disconnect = handle_peer_disconnect,
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -83,6 +83,10 @@
 	msp_map_t *reaches; /* msp_reach_t by service */
 	msp_forward_choice_t *forward_choice;
 
+	/* Memory of the bodies in flight: of requests, and of all together. */
+	msp_memory_budget_t request_memory;
+	msp_memory_budget_t body_memory;
+
 	msp_http_client_t *target_client;
 	msp_http_client_t *probe_client;
 	msp_http_client_t *forward_client; /* to other VMs' peer listeners */
--- a/tests/net/test_request_parser.c
+++ b/tests/net/test_request_parser.c
@@ -109,7 +109,7 @@
     msp_buffer_t *out)
 {
 	msp_request_parser_t *parser =
-	    msp_new_request_parser(MAX_HEADERS, MAX_BODY);
+	    msp_new_request_parser(MAX_HEADERS, MAX_BODY, NULL);
 	msp_status_t status = MSP_OK;
 	msp_request_t request;
 	bool keep_alive;
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -183,6 +183,9 @@
     /* Each VM had a burst of retries of its own, and anew after a restart. */
     {"retries_of_all_vms_keep_to_one_budget", "retry-bursts", 1, false,
 	RETRIES_SECONDS, RETRIES_VMS, RETRIES_TARGETS},
+    /* Responses without end, each within its bound, took all memory. */
+    {"endless_responses_do_not_take_all_memory", "endless", 1, false,
+	LIMIT_SECONDS, 2, TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
@@ -190,18 +193,22 @@
 #define CASE_COUNT (sizeof(cases) / sizeof(*cases))
 
 /*
- * Profiles whose rules are times within which the daemon has much to decode.
- * They are judged on the optimised build, if there is one.
+ * Profiles whose rules are times within which the daemon has much to decode, or
+ * the memory that it uses. They are judged on the optimised build, if there is
+ * one.
  */
-static const char *const timed_profiles[] = {"slow-links", "slow-links-drains"};
+static const char *const optimised_profiles[] = {
+    "slow-links", "slow-links-drains", "endless"};
 
 static bool
-is_timed(const soak_case_t *soak_case)
+is_optimised(const soak_case_t *soak_case)
 {
 	size_t i;
 
-	for (i = 0; i < sizeof(timed_profiles) / sizeof(*timed_profiles); i++) {
-		if (strcmp(soak_case->profile, timed_profiles[i]) == 0)
+	for (i = 0;
+	     i < sizeof(optimised_profiles) / sizeof(*optimised_profiles);
+	     i++) {
+		if (strcmp(soak_case->profile, optimised_profiles[i]) == 0)
 			return true;
 	}
 	return false;
@@ -228,7 +235,7 @@
 	    out == NULL ? "build/release" : out);
 	snprintf(preload, sizeof(preload), "%s/preload/own_links.so",
 	    out == NULL ? "build/release" : out);
-	if (is_timed(soak_case) && access(OPTIMISED_SPINDLED, X_OK) == 0)
+	if (is_optimised(soak_case) && access(OPTIMISED_SPINDLED, X_OK) == 0)
 		options.spindled = OPTIMISED_SPINDLED;
 	assert_int_equal(run_soak(&options, &result), 0);
 	assert_true(result.served > 0);
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -40,6 +40,8 @@
 	unsigned int unanswered; /* until the client gave up */
 	unsigned int runs; /* by targets */
 	unsigned int shed; /* by targets, with "not executed" */
+	unsigned int endless; /* responses without end that targets began */
+	unsigned int worst_memory_mb; /* of a VM, where that is limited */
 	unsigned int extra; /* extra responses that targets sent */
 	unsigned int limits; /* named by targets, one after the other */
 	double limit_capacity; /* requests that limits allowed while named */
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -83,6 +83,8 @@
 	double lost; /* the connection is closed without a response */
 	double failed; /* 500 */
 	double closing; /* Connection: close */
+	double endless; /* responses that go on until the VM closes */
+	uint32_t memory_mb; /* of a VM, which is killed beyond it; 0: any */
 	double bare; /* refusals without Request-Id */
 	double split; /* responses and requests in pieces */
 	double chunked; /* request bodies, except of DELETE */
@@ -264,6 +266,7 @@
 	budget_judge_t budgets[SOAK_SERVICES];
 	bool knows_retry_slack; /* the build of the daemon */
 	bool knows_link_speed;
+	bool knows_memory;
 	soak_timer_t cut_change; /* begin or end of a cut */
 	msp_rng_t cut_rng; /* of its own, so that a seed names the cuts */
 	unsigned int cut_failures; /* first tries that failed at cut VMs */
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -15,6 +15,10 @@
 #define HEALTH_WORK MSP_MS
 #define DEADLY_TIME MSP_SECOND /* until a crashed target is back */
 #define BIG_BODY 400000 /* bytes */
+/* A response without end: bytes of a chunk, and the time between two. */
+#define ENDLESS_CHUNK 16384
+#define ENDLESS_PAUSE (5 * MSP_MS)
+#define ENDLESS_BACKLOG (4 * ENDLESS_CHUNK) /* bytes not taken by the VM */
 #define LIMIT_TIME_MIN (5 * MSP_SECOND) /* for which a limit is named */
 #define LIMIT_TIME_MAX (9 * MSP_SECOND)
 #define LIMIT_PAUSE_MAX (2 * MSP_SECOND) /* before the next one */
@@ -235,6 +239,39 @@
 	tell_judged_limit(&conn->target->limit, soak_now(), conn->vm);
 }
 
+/* Sends a chunk of a response that has no end, and another one soon. */
+static void
+send_endless_chunk(void *ctx)
+{
+	soak_conn_t *conn = ctx;
+	char head[16];
+	char data[ENDLESS_CHUNK];
+	int len = snprintf(head, sizeof(head), "%x\r\n", ENDLESS_CHUNK);
+
+	memset(data, 'x', sizeof(data));
+	if (conn->stream.out.len < ENDLESS_BACKLOG) {
+		send_soak_data(&conn->stream, head, (size_t)len);
+		send_soak_data(&conn->stream, data, sizeof(data));
+		send_soak_data(&conn->stream, "\r\n", 2);
+	}
+	set_soak_timer(
+	    conn->target->soak->loop, &conn->late, soak_now() + ENDLESS_PAUSE);
+}
+
+/* Begins a response that goes on until the VM closes the connection. */
+static void
+respond_without_end(soak_conn_t *conn)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+				   "chunked\r\n\r\n";
+
+	conn->target->soak->result->endless++;
+	conn->ending = true;
+	conn->late.fire = send_endless_chunk;
+	send_soak_data(&conn->stream, head, sizeof(head) - 1);
+	send_endless_chunk(conn);
+}
+
 /* Sends the response; the connection may be gone afterwards. */
 static void
 respond(soak_conn_t *conn, int status, bool refuses)
@@ -258,6 +295,11 @@
 		finish_soak_stream(&conn->stream);
 		goto next;
 	}
+	if (!refuses && !conn->is_probe && profile->endless > 0 &&
+	    soak_chance(soak->loop, profile->endless)) {
+		respond_without_end(conn);
+		goto next;
+	}
 	append_response(conn, status, refuses, &out);
 	tell_limit(conn);
 	len = out.len;
--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -90,12 +90,17 @@
 	msp_append_printf(&text,
 	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":%.2f,"
 	    "\"heartbeat_ms\":1500,\"drain_ms\":2500,\"stop_grace_ms\":%u,"
-	    "\"directory_ttl_ms\":%u},\"limits\":{\"max_connections\":%u,"
-	    "\"head_timeout_ms\":%u,\"body_timeout_ms\":%u},"
-	    "\"log\":{\"file\":\"-\"}}\n",
+	    "\"directory_ttl_ms\":%u},\"limits\":{",
 	    SOAK_RETRY_RATIO,
 	    profile->grace_ms != 0 ? profile->grace_ms : GRACE_MS,
-	    directory_ttl_ms,
+	    directory_ttl_ms);
+	if (vm->soak->knows_memory)
+		msp_append_printf(
+		    &text, "\"memory_mb\":%u,", profile->memory_mb);
+	msp_append_printf(&text,
+	    "\"max_connections\":%u,"
+	    "\"head_timeout_ms\":%u,\"body_timeout_ms\":%u},"
+	    "\"log\":{\"file\":\"-\"}}\n",
 	    profile->vm_connections != 0 ? profile->vm_connections
 					 : VM_CONNECTIONS,
 	    timeout_ms, timeout_ms);
@@ -190,6 +195,43 @@
 		(vm->stopped_for_share ? SHARE_PERIOD - running : running));
 }
 
+/* Memory that the process uses, in MiB; 0 if it has ended. */
+static unsigned int
+get_memory_mb(const soak_vm_t *vm)
+{
+	unsigned long pages = 0;
+	char path[64];
+	FILE *file;
+
+	snprintf(path, sizeof(path), "/proc/%d/statm", (int)vm->pid);
+	file = fopen(path, "r");
+	if (file == NULL)
+		return 0;
+	if (fscanf(file, "%*u %lu", &pages) != 1)
+		pages = 0;
+	fclose(file);
+	return (
+	    unsigned int)(pages * (unsigned long)sysconf(_SC_PAGESIZE) >> 20);
+}
+
+/* As the platform does: a process beyond its memory is killed. */
+static void
+check_memory(soak_vm_t *vm)
+{
+	soak_t *soak = vm->soak;
+	unsigned int mb;
+
+	if (soak->profile->memory_mb == 0 || vm->pid <= 0)
+		return;
+	mb = get_memory_mb(vm);
+	if (mb > soak->result->worst_memory_mb)
+		soak->result->worst_memory_mb = mb;
+	if (mb <= soak->profile->memory_mb)
+		return;
+	report_soak(&soak->ledger, "MEMORY", "vm=%u mb=%u", vm->index, mb);
+	kill(vm->pid, SIGKILL);
+}
+
 static void
 handle_reap(void *ctx)
 {
@@ -200,6 +242,7 @@
 
 	for (i = 0; i < soak->options->vms; i++) {
 		vm = &soak->vms[i];
+		check_memory(vm);
 		if (vm->pid <= 0 ||
 		    waitpid(vm->pid, &status, WNOHANG) != vm->pid)
 			continue;
@@ -247,6 +290,8 @@
 	unsigned int i;
 
 	soak->knows_retry_slack = knows_setting(soak, "retry_slack");
+	soak->knows_memory =
+	    soak->profile->memory_mb != 0 && knows_setting(soak, "memory_mb");
 	soak->knows_link_speed =
 	    soak->profile->markers && knows_setting(soak, "link_mbps");
 	for (i = 0; i < soak->options->vms; i++) {
