--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -3,9 +3,6 @@
 #include "edge_request.h"
 #include "proxy_codec.h"
 
-/* Of the ratio and of the slack that all VMs have together these are used. */
-#define RATIO_PART 0.7
-#define SLACK_PART 0.7
 /* A target that sends nothing for this many expected latencies is silent. */
 #define SILENT_LATENCY_FACTOR 2
 #define RETRY_AT_ONCE_MS 0 /* at another VM */
@@ -37,83 +34,6 @@
 	return left < before_stop ? left : before_stop;
 }
 
-/* Returns NULL if out of memory. */
-static msp_retry_window_t *
-open_retry_window(edge_t *edge, const char *service)
-{
-	msp_retry_window_t *window = msp_map_get(edge->retry_windows, service);
-
-	if (window != NULL)
-		return window;
-	window = calloc(1, sizeof(*window));
-	if (window == NULL)
-		return NULL;
-	window->span = edge->daemon->settings->edge.retry_window_ms * MSP_MS;
-	if (msp_map_put(edge->retry_windows, service, window) == MSP_OK)
-		return window;
-	free(window);
-	return NULL;
-}
-
-void
-count_service_request(edge_t *edge, const char *service)
-{
-	msp_retry_window_t *window = open_retry_window(edge, service);
-
-	if (window != NULL)
-		msp_count_request(window, get_now(edge));
-}
-
-/*
- * This VM's part of the slack. It has none before it knows the other VMs, and
- * none in its first window: the process before it may have used the part.
- */
-static double
-get_retry_slack(const edge_t *edge, const msp_retry_window_t *window)
-{
-	size_t vms = count_known_vms(edge);
-
-	if (vms == 0 || get_now(edge) < edge->opened_at + window->span)
-		return 0;
-	return edge->daemon->settings->edge.retry_slack * SLACK_PART /
-	    (double)vms;
-}
-
-static bool
-take_retry(edge_t *edge, const char *service)
-{
-	const msp_settings_t *settings = edge->daemon->settings;
-	msp_retry_window_t *window = open_retry_window(edge, service);
-	msp_time_t now = get_now(edge);
-	msp_retry_share_t share;
-
-	if (window == NULL)
-		return false;
-	share = (msp_retry_share_t){
-	    .ratio = settings->edge.retry_ratio * RATIO_PART,
-	    .slack = get_retry_slack(edge, window),
-	    .draw = msp_hash_text(settings->vm, msp_hash_text(service, 0)),
-	};
-	return msp_take_retry(window, now, &share);
-}
-
-bool
-may_retry(edge_request_t *request)
-{
-	edge_t *edge = request->edge;
-
-	if (request->exchange == NULL ||
-	    get_now(edge) + TIME_LEFT_MIN_MS * MSP_MS >= request->deadline ||
-	    request->criteria.tried_count >= TRIED_MAX)
-		return false;
-	/* No attempt has reached a target: this does not count as a retry. */
-	if (request->sent_count == 0)
-		return true;
-	if (request->sent_count >= request->max_attempts)
-		return false;
-	return take_retry(edge, request->criteria.service->name);
-}
-
 void
 end_without_target(edge_request_t *request, msp_status_t status)
 {
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -167,14 +167,19 @@
 void encode_forward_answer(const edge_request_t *request,
     msp_response_t *response, const char *outcome);
 
-/* edge_attempt.c: sends a request to targets */
+/* edge_retry.c: whether it is sent once more */
 
 /*
  * Whether the request may be sent to one more target, here or by another VM.
- * Spends the retry budget if that is a retry.
+ * Counts it against this VM's share of the retry budget if that is a retry.
  */
 bool may_retry(edge_request_t *request);
 
+/* Counts a request to the service, by which retries are limited. */
+void count_service_request(edge_t *edge, const char *service);
+
+/* edge_attempt.c: sends a request to targets */
+
 /*
  * Time that a target or another VM may have for one more attempt: until the
  * caller's deadline, and before this VM stops.
@@ -187,9 +192,6 @@
 /* Ends a request that this VM, which stops, can't finish in time. */
 void end_before_stop(edge_request_t *request);
 
-/* Counts a request to the service, by which retries are limited. */
-void count_service_request(edge_t *edge, const char *service);
-
 /*
  * Sends the request to the best target that it has not been sent to yet. Each
  * request ends by one of the functions of edge_answer.c, now or later.
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -322,6 +322,12 @@
 void judge_soak_arrival(soak_target_t *target, unsigned int sender,
     const char *request_id, msp_time_t time_left);
 
+/* The entry of a target in the store. */
+void put_soak_target_row(soak_target_t *target);
+void remove_soak_target_row(soak_target_t *target, const char *id);
+/* Writes what a target last wrote, and removes what it had removed. */
+void write_soak_target_again(soak_target_t *target);
+
 int start_soak_targets(soak_t *soak);
 void stop_soak_targets(soak_t *soak);
 void crash_soak_target(soak_target_t *target, bool same_id, msp_time_t back);
@@ -393,7 +399,5 @@
 bool is_soak_store_impaired(const soak_t *soak);
 /* At the end of that: what targets have said since counts from now on. */
 void renew_soak_drains(soak_t *soak);
-/* Writes what a target last wrote, and removes what it had removed. */
-void write_soak_target_again(soak_target_t *target);
 
 #endif
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -573,64 +573,13 @@
 	    soak->loop, &conn->idle, soak_now() + target->keep_ms * MSP_MS);
 }
 
-static void
-put_row(soak_target_t *target)
-{
-	char key[64];
-	char value[512];
-
-	snprintf(key, sizeof(key), "servers|%s", target->id);
-	snprintf(value, sizeof(value),
-	    "{\"service\":\"%s\",\"address\":\"%s:%u\","
-	    "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%u,"
-	    "\"state\":\"%s\",\"coldRemainingMs\":0,\"seq\":%" PRIu64 ","
-	    "\"born\":%" PRIu64 "}",
-	    target->service,
-	    has_soak_links(target->soak) ? SOAK_LINKS_ALIAS : "127.0.0.1",
-	    target->link_port, target->zone, target->soak->profile->slots,
-	    target->draining ? "draining" : "ready", ++target->seq,
-	    target->born);
-	put_soak_row(target->soak, key, value);
-}
-
-static void
-remove_row(soak_target_t *target, const char *id)
-{
-	char key[64];
-	char *kept =
-	    target->removed_ids[target->removed_count++ % SOAK_REMOVED_IDS];
-
-	snprintf(kept, sizeof(target->removed_ids[0]), "%s", id);
-
-	snprintf(key, sizeof(key), "servers|%s", id);
-	put_soak_row(target->soak, key, NULL);
-}
-
-void
-write_soak_target_again(soak_target_t *target)
-{
-	size_t i;
-
-	for (i = 0; i < SOAK_REMOVED_IDS; i++) {
-		char key[64];
-
-		if (target->removed_ids[i][0] == '\0')
-			continue;
-		snprintf(
-		    key, sizeof(key), "servers|%s", target->removed_ids[i]);
-		put_soak_row(target->soak, key, NULL);
-	}
-	if (target->up)
-		put_row(target);
-}
-
 /* Removes the entry of a target that was replaced. */
 static void
 handle_former_end(void *ctx)
 {
 	soak_target_t *target = ctx;
 
-	remove_row(target, target->former_id);
+	remove_soak_target_row(target, target->former_id);
 	target->former_id[0] = '\0';
 }
 
@@ -640,7 +589,7 @@
 	soak_target_t *target = ctx;
 
 	if (target->up)
-		put_row(target);
+		put_soak_target_row(target);
 	set_soak_timer(
 	    target->soak->loop, &target->heartbeat, soak_now() + HEARTBEAT);
 }
@@ -665,7 +614,7 @@
 	target->listener.on_accept = handle_accept;
 	target->listener.ctx = target;
 	open_soak_stream(target->soak->loop, &target->listener, fd);
-	put_row(target);
+	put_soak_target_row(target);
 }
 
 static void
@@ -708,7 +657,7 @@
 	}
 	if (target->draining) {
 		stop_target(target);
-		remove_row(target, target->id);
+		remove_soak_target_row(target, target->id);
 		name_target(target);
 	}
 	if (!target->up)
@@ -782,7 +731,7 @@
 		return;
 	stop_target(target);
 	if (!same_id) {
-		remove_row(target, target->id);
+		remove_soak_target_row(target, target->id);
 		name_target(target);
 	}
 	change_later(target, back);
@@ -808,7 +757,7 @@
 	if (is_changing(target))
 		return;
 	target->draining = true;
-	put_row(target);
+	put_soak_target_row(target);
 	begin_judged_drain(&target->drain, soak_now());
 	change_later(target,
 	    target->soak->profile->drain_ms == 0
