--- a/tests/net/test_http_memory.c
+++ b/tests/net/test_http_memory.c
@@ -44,14 +44,17 @@
 static void
 send_chunk(memory_test_t *test, size_t index, size_t len)
 {
-	char *text = malloc(len + 32);
-	int head = snprintf(text, 32, "%zx\r\n", len);
+	char head[32];
+	char *data = malloc(len);
 	int i;
 
-	memset(text + head, 'x', len);
-	memcpy(text + head + len, "\r\n", 2);
-	raw_send(&test->raw[index], text, (size_t)head + len + 2);
-	free(text);
+	assert_non_null(data);
+	memset(data, 'x', len);
+	snprintf(head, sizeof(head), "%zx\r\n", len);
+	raw_send_text(&test->raw[index], head);
+	raw_send(&test->raw[index], data, len);
+	raw_send_text(&test->raw[index], "\r\n");
+	free(data);
 	for (i = 0; i < 20; i++)
 		msp_step_loop(test->client->loop, 1);
 }
