base: a map adds zeroed values and drops them, in one place

Eleven places freed all values of a map in a loop, and nine looked a key up and added a zeroed value if it was absent; two of each came with retry windows and evacuations. latency_model had both as functions of its own. They are msp_drop_map_and_values() and msp_map_get_or_add() now.

Behaviour stays: a retry window's span is still set once, when it is added.

--- a/source/base/counters.c
+++ b/source/base/counters.c
@@ -38,32 +38,19 @@
 void
 msp_drop_counters(msp_counters_t *counters)
 {
-	size_t cursor = 0;
-	void *value;
-
 	if (counters == NULL)
 		return;
-	while (msp_map_next(counters->values, &cursor, NULL, &value))
-		free(value);
-	msp_drop_map(counters->values);
+	msp_drop_map_and_values(counters->values);
 	free(counters);
 }
 
 uint64_t *
 msp_get_counter(msp_counters_t *counters, const char *name)
 {
-	uint64_t *value = msp_map_get(counters->values, name);
+	uint64_t *value =
+	    msp_map_get_or_add(counters->values, name, sizeof(*value));
 
-	if (value != NULL)
-		return value;
-	value = calloc(1, sizeof(*value));
-	if (value == NULL)
-		return &counters->fallback;
-	if (msp_map_put(counters->values, name, value) != MSP_OK) {
-		free(value);
-		return &counters->fallback;
-	}
-	return value;
+	return value != NULL ? value : &counters->fallback;
 }
 
 void
--- a/source/base/map.c
+++ b/source/base/map.c
@@ -54,6 +54,18 @@
 	free(map);
 }
 
+void
+msp_drop_map_and_values(msp_map_t *map)
+{
+	size_t i;
+
+	if (map == NULL)
+		return;
+	for (i = 0; i < map->capacity; i++)
+		free(map->slots[i].value);
+	msp_drop_map(map);
+}
+
 static map_slot_t *
 find_slot(const msp_map_t *map, const char *key, uint64_t hash)
 {
@@ -134,6 +146,20 @@
 	return MSP_OK;
 }
 
+void *
+msp_map_get_or_add(msp_map_t *map, const char *key, size_t size)
+{
+	void *value = msp_map_get(map, key);
+
+	if (value != NULL)
+		return value;
+	value = calloc(1, size);
+	if (value == NULL || msp_map_put(map, key, value) == MSP_OK)
+		return value;
+	free(value);
+	return NULL;
+}
+
 void *
 msp_map_remove(msp_map_t *map, const char *key)
 {
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -195,19 +195,6 @@
 	return NULL;
 }
 
-static void
-drop_retry_windows(msp_map_t *windows)
-{
-	size_t cursor = 0;
-	void *window;
-
-	if (windows == NULL)
-		return;
-	while (msp_map_next(windows, &cursor, NULL, &window))
-		free(window);
-	msp_drop_map(windows);
-}
-
 void
 drop_edge(edge_t *edge)
 {
@@ -230,7 +217,7 @@
 	msp_drop_target_view(edge->view);
 	msp_drop_traffic_split(edge->split);
 	msp_drop_evacuations(edge->evacuations);
-	drop_retry_windows(edge->retry_windows);
+	msp_drop_map_and_values(edge->retry_windows);
 	close_reaches(edge);
 	msp_drop_route_table(edge->routes);
 	free(edge);
--- a/source/spindled/edge_reach.c
+++ b/source/spindled/edge_reach.c
@@ -1,5 +1,3 @@
-#include <stdlib.h>
-
 #include "edge_private.h"
 #include "log.h"
 
@@ -7,17 +5,7 @@
 static msp_reach_t *
 open_reach(edge_t *edge, const char *service)
 {
-	msp_reach_t *reach = msp_map_get(edge->reaches, service);
-
-	if (reach != NULL)
-		return reach;
-	reach = calloc(1, sizeof(*reach));
-	if (reach == NULL)
-		return NULL;
-	if (msp_map_put(edge->reaches, service, reach) == MSP_OK)
-		return reach;
-	free(reach);
-	return NULL;
+	return msp_map_get_or_add(edge->reaches, service, sizeof(msp_reach_t));
 }
 
 msp_status_t
@@ -33,15 +21,8 @@
 void
 close_reaches(edge_t *edge)
 {
-	size_t cursor = 0;
-	void *reach;
-
 	msp_drop_forward_choice(edge->forward_choice);
-	if (edge->reaches == NULL)
-		return;
-	while (msp_map_next(edge->reaches, &cursor, NULL, &reach))
-		free(reach);
-	msp_drop_map(edge->reaches);
+	msp_drop_map_and_values(edge->reaches);
 }
 
 void
--- a/source/spindled/edge_retry.c
+++ b/source/spindled/edge_retry.c
@@ -1,5 +1,3 @@
-#include <stdlib.h>
-
 #include "edge_request.h"
 #include "monsoonspindle/base/hash.h"
 
@@ -13,18 +11,13 @@
 static msp_retry_window_t *
 open_retry_window(edge_t *edge, const char *service)
 {
-	msp_retry_window_t *window = msp_map_get(edge->retry_windows, service);
+	msp_retry_window_t *window =
+	    msp_map_get_or_add(edge->retry_windows, service, sizeof(*window));
 
-	if (window != NULL)
-		return window;
-	window = calloc(1, sizeof(*window));
-	if (window == NULL)
-		return NULL;
-	window->span = edge->daemon->settings->edge.retry_window_ms * MSP_MS;
-	if (msp_map_put(edge->retry_windows, service, window) == MSP_OK)
-		return window;
-	free(window);
-	return NULL;
+	if (window != NULL && window->span == 0)
+		window->span =
+		    edge->daemon->settings->edge.retry_window_ms * MSP_MS;
+	return window;
 }
 
 void
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -117,19 +117,6 @@
 	return MSP_OK;
 }
 
-static void
-drop_profiles(msp_map_t *profiles)
-{
-	size_t cursor = 0;
-	void *profile;
-
-	if (profiles == NULL)
-		return;
-	while (msp_map_next(profiles, &cursor, NULL, &profile))
-		free(profile);
-	msp_drop_map(profiles);
-}
-
 /* Whether the table lacks this VM's row; unknown if there are more pages. */
 static bool
 lacks_own_row(const edge_t *edge, const store_reply_t *reply)
@@ -199,7 +186,7 @@
 	free(edge->remote_vms);
 	edge->remote_vms = lists.others;
 	edge->remote_vm_count = lists.other_count;
-	drop_profiles(edge->vm_profiles);
+	msp_drop_map_and_values(edge->vm_profiles);
 	edge->vm_profiles = lists.profiles;
 	schedule_next_call(edge, reply);
 	if (edge->vms_read_at == 0)
@@ -289,5 +276,5 @@
 	msp_drop_timer(edge->vm_timer);
 	cancel_store_call(edge->vm_call);
 	free(edge->remote_vms);
-	drop_profiles(edge->vm_profiles);
+	msp_drop_map_and_values(edge->vm_profiles);
 }
--- a/source/spindled/service_dispatcher.c
+++ b/source/spindled/service_dispatcher.c
@@ -102,19 +102,13 @@
 void
 drop_service_dispatcher(service_dispatcher_t *service)
 {
-	size_t cursor = 0;
-	void *address;
-
 	if (service == NULL)
 		return;
 	stop_load_polls(service);
 	drop_delayed_responses(service);
 	msp_drop_dispatcher(service->dispatcher);
 	msp_drop_credit_granter(service->granter);
-	while (service->addresses != NULL &&
-	    msp_map_next(service->addresses, &cursor, NULL, &address))
-		free(address);
-	msp_drop_map(service->addresses);
+	msp_drop_map_and_values(service->addresses);
 	free(service);
 }
 
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -37,14 +37,9 @@
 void
 msp_drop_balancer(msp_balancer_t *balancer)
 {
-	size_t cursor = 0;
-	void *service;
-
 	if (balancer == NULL)
 		return;
-	while (msp_map_next(balancer->services, &cursor, NULL, &service))
-		free(service);
-	msp_drop_map(balancer->services);
+	msp_drop_map_and_values(balancer->services);
 	free(balancer);
 }
 
@@ -71,17 +66,8 @@
 static msp_service_state_t *
 find_service_state(msp_balancer_t *balancer, const char *service)
 {
-	msp_service_state_t *state = msp_map_get(balancer->services, service);
-
-	if (state != NULL)
-		return state;
-	state = calloc(1, sizeof(*state));
-	if (state == NULL)
-		return NULL;
-	if (msp_map_put(balancer->services, service, state) == MSP_OK)
-		return state;
-	free(state);
-	return NULL;
+	return msp_map_get_or_add(
+	    balancer->services, service, sizeof(msp_service_state_t));
 }
 
 /* Whether the request is assigned to this VM's region. */
--- a/source/steer/evacuations.c
+++ b/source/steer/evacuations.c
@@ -32,14 +32,9 @@
 void
 msp_drop_evacuations(msp_evacuations_t *evacuations)
 {
-	size_t cursor = 0;
-	void *entry;
-
 	if (evacuations == NULL)
 		return;
-	while (msp_map_next(evacuations->by_place, &cursor, NULL, &entry))
-		free(entry);
-	msp_drop_map(evacuations->by_place);
+	msp_drop_map_and_values(evacuations->by_place);
 	free(evacuations);
 }
 
@@ -50,32 +45,16 @@
 	    (entry->listed || msp_now(&evacuations->env) < entry->held_until);
 }
 
-/* Returns NULL if out of memory. */
-static evacuation_t *
-find_or_add(msp_evacuations_t *evacuations, const char *place)
-{
-	evacuation_t *entry = msp_map_get(evacuations->by_place, place);
-
-	if (entry != NULL)
-		return entry;
-	entry = calloc(1, sizeof(*entry));
-	if (entry == NULL)
-		return NULL;
-	if (msp_map_put(evacuations->by_place, place, entry) == MSP_OK)
-		return entry;
-	free(entry);
-	return NULL;
-}
-
 bool
 msp_set_evacuation(
     msp_evacuations_t *evacuations, const char *place, bool active)
 {
-	evacuation_t *entry = msp_map_get(evacuations->by_place, place);
+	msp_map_t *by_place = evacuations->by_place;
+	evacuation_t *entry = active
+	    ? msp_map_get_or_add(by_place, place, sizeof(*entry))
+	    : msp_map_get(by_place, place);
 	bool was_active = is_in_force(evacuations, entry);
 
-	if (entry == NULL && active)
-		entry = find_or_add(evacuations, place);
 	if (entry == NULL)
 		return false;
 	entry->listed = active;
--- a/source/steer/latency_model.c
+++ b/source/steer/latency_model.c
@@ -65,47 +65,17 @@
 	return NULL;
 }
 
-static void
-drop_map_values(msp_map_t *map)
-{
-	size_t cursor = 0;
-	void *value;
-
-	if (map == NULL)
-		return;
-	while (msp_map_next(map, &cursor, NULL, &value))
-		free(value);
-	msp_drop_map(map);
-}
-
 void
 msp_drop_latency_model(msp_latency_model_t *model)
 {
 	if (model == NULL)
 		return;
-	drop_map_values(model->routes);
-	drop_map_values(model->delays);
-	drop_map_values(model->services);
+	msp_drop_map_and_values(model->routes);
+	msp_drop_map_and_values(model->delays);
+	msp_drop_map_and_values(model->services);
 	free(model);
 }
 
-/* Finds the value of `key` or adds a zeroed one; NULL if out of memory. */
-static void *
-find_or_add(msp_map_t *map, const char *key, size_t size)
-{
-	void *value = msp_map_get(map, key);
-
-	if (value != NULL)
-		return value;
-	value = calloc(1, size);
-	if (value == NULL)
-		return NULL;
-	if (msp_map_put(map, key, value) == MSP_OK)
-		return value;
-	free(value);
-	return NULL;
-}
-
 static void
 add_sample(mean_t *mean, double value, double weight)
 {
@@ -169,7 +139,7 @@
 	if (latency == NULL ||
 	    latency->service_time[warmth].count < FEW_SAMPLES)
 		return;
-	delay = find_or_add(model->delays, region, sizeof(*delay));
+	delay = msp_map_get_or_add(model->delays, region, sizeof(*delay));
 	if (delay == NULL)
 		return;
 	extra = (double)took - latency->service_time[warmth].value;
@@ -195,12 +165,13 @@
 		record_delay(model, route, warmth, region, took);
 	delay = get_remote_delay(model, region);
 	service_time = took > delay ? took - delay : 0;
-	latency = find_or_add(model->routes, route->name, sizeof(*latency));
+	latency =
+	    msp_map_get_or_add(model->routes, route->name, sizeof(*latency));
 	/* Samples of other regions include an estimated delay. */
 	if (latency != NULL && region == NULL)
 		add_sample(&latency->service_time[warmth], (double)service_time,
 		    SAMPLE_WEIGHT);
-	mean = find_or_add(model->services, service, sizeof(*mean));
+	mean = msp_map_get_or_add(model->services, service, sizeof(*mean));
 	if (mean != NULL)
 		add_sample(mean, (double)service_time, SAMPLE_WEIGHT);
 }
--- a/source/steer/traffic_split.c
+++ b/source/steer/traffic_split.c
@@ -33,31 +33,17 @@
 void
 msp_drop_traffic_split(msp_traffic_split_t *split)
 {
-	size_t cursor = 0;
-	void *credits;
-
 	if (split == NULL)
 		return;
-	while (msp_map_next(split->routes, &cursor, NULL, &credits))
-		free(credits);
-	msp_drop_map(split->routes);
+	msp_drop_map_and_values(split->routes);
 	free(split);
 }
 
 static route_credits_t *
 find_credits(msp_traffic_split_t *split, const char *route)
 {
-	route_credits_t *credits = msp_map_get(split->routes, route);
-
-	if (credits != NULL)
-		return credits;
-	credits = calloc(1, sizeof(*credits));
-	if (credits == NULL)
-		return NULL;
-	if (msp_map_put(split->routes, route, credits) == MSP_OK)
-		return credits;
-	free(credits);
-	return NULL;
+	return msp_map_get_or_add(
+	    split->routes, route, sizeof(route_credits_t));
 }
 
 /* Resets the credits if the weights have changed. */
--- a/tests/base/test_base.c
+++ b/tests/base/test_base.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -52,6 +53,28 @@
 	msp_drop_map(map);
 }
 
+static void
+map_adds_zeroed_values(void **state)
+{
+	msp_map_t *map = msp_new_map();
+	int *value = msp_map_get_or_add(map, "a", sizeof(*value));
+
+	(void)state;
+	assert_non_null(value);
+	assert_int_equal(*value, 0);
+	*value = 7;
+	assert_ptr_equal(msp_map_get_or_add(map, "a", sizeof(*value)), value);
+	assert_int_equal(*value, 7);
+	free(msp_map_remove(map, "a"));
+	value = msp_map_get_or_add(map, "a", sizeof(*value));
+	assert_int_equal(*value, 0);
+	assert_non_null(msp_map_get_or_add(map, "b", sizeof(*value)));
+	assert_int_equal(msp_map_count(map), 2);
+	/* Leaks are found by the sanitizer. */
+	msp_drop_map_and_values(map);
+	msp_drop_map_and_values(NULL);
+}
+
 /* Tombstones of removed entries must not fill up the table. */
 static void
 map_discards_tombstones(void **state)
@@ -132,6 +155,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(every_status_has_a_response),
 	    cmocka_unit_test(map_returns_what_was_put),
+	    cmocka_unit_test(map_adds_zeroed_values),
 	    cmocka_unit_test(map_discards_tombstones),
 	    cmocka_unit_test(buffer_enforces_its_limit),
 	    cmocka_unit_test(quantiles_are_accurate),
--- a/tests/support/raw_target.c
+++ b/tests/support/raw_target.c
@@ -120,14 +120,10 @@
 static void
 count_execution(raw_targets_t *targets, const char *id)
 {
-	unsigned int *count = msp_map_get(targets->executions, id);
+	unsigned int *count =
+	    msp_map_get_or_add(targets->executions, id, sizeof(*count));
 
-	if (count == NULL) {
-		count = calloc(1, sizeof(*count));
-		assert_non_null(count);
-		assert_int_equal(
-		    msp_map_put(targets->executions, id, count), MSP_OK);
-	}
+	assert_non_null(count);
 	(*count)++;
 }
 
@@ -290,17 +286,13 @@
 void
 drop_raw_targets(raw_targets_t *targets)
 {
-	size_t cursor = 0;
-	void *count;
 	unsigned int i;
 
 	msp_drop_timer(targets->timer);
 	close_target_connections(targets);
 	for (i = 0; i < RAW_TARGETS; i++)
 		close(targets->listeners[i]);
-	while (msp_map_next(targets->executions, &cursor, NULL, &count))
-		free(count);
-	msp_drop_map(targets->executions);
+	msp_drop_map_and_values(targets->executions);
 	free(targets);
 }
 
--- a/tests/support/run_ledger.c
+++ b/tests/support/run_ledger.c
@@ -37,25 +37,17 @@
 void
 drop_run_ledger(run_ledger_t *ledger)
 {
-	size_t cursor = 0;
-	void *record;
-
-	while (msp_map_next(ledger->records, &cursor, NULL, &record))
-		free(record);
-	msp_drop_map(ledger->records);
+	msp_drop_map_and_values(ledger->records);
 	free(ledger);
 }
 
 static run_record_t *
 open_record(run_ledger_t *ledger, const char *id)
 {
-	run_record_t *record = msp_map_get(ledger->records, id);
+	run_record_t *record =
+	    msp_map_get_or_add(ledger->records, id, sizeof(*record));
 
-	if (record != NULL)
-		return record;
-	record = calloc(1, sizeof(*record));
 	assert_non_null(record);
-	assert_int_equal(msp_map_put(ledger->records, id, record), MSP_OK);
 	return record;
 }
 
