--- a/tests/process/test_soak_drain.c
+++ b/tests/process/test_soak_drain.c
@@ -17,6 +17,8 @@
 	END, /* of the history */
 	LEAVES, /* the store acknowledges that the target leaves */
 	ENDS, /* the target ends */
+	IMPAIRED, /* the store */
+	WORKS, /* the store again */
 	KEEPS, /* an arrival that keeps the rule */
 	BREAKS, /* an arrival that breaks it */
 } event_kind_t;
@@ -45,6 +47,22 @@
     {"a successor that leaves",
 	{{LEAVES, 10000, 0}, {ENDS, 11000, 0}, {LEAVES, 12000, 0},
 	    {KEEPS, 14500, 0}, {BREAKS, 14501, 0}}},
+    {"told while the store is impaired",
+	{{IMPAIRED, 10000, 0}, {LEAVES, 10500, 0}, {KEEPS, 13900, 0},
+	    {WORKS, 14000, 0}, {KEEPS, 16500, 0}, {BREAKS, 16501, 0}}},
+    {"the store is impaired before the end of the time",
+	{{LEAVES, 10000, 0}, {IMPAIRED, 12499, 0}, {KEEPS, 13900, 0},
+	    {WORKS, 14000, 0}, {KEEPS, 16500, 0}, {BREAKS, 16501, 0}}},
+    /* Guards against an excuse for what all VMs have known for long. */
+    {"the store is impaired after the end of the time",
+	{{LEAVES, 10000, 0}, {IMPAIRED, 12500, 0}, {BREAKS, 12501, 0},
+	    {WORKS, 14000, 0}, {BREAKS, 14001, 0}}},
+    {"the store is impaired twice",
+	{{LEAVES, 10000, 0}, {IMPAIRED, 11000, 0}, {IMPAIRED, 12600, 0},
+	    {WORKS, 13000, 0}, {KEEPS, 15500, 0}, {BREAKS, 15501, 0}}},
+    {"the store works again before the target leaves",
+	{{IMPAIRED, 9000, 0}, {WORKS, 9500, 0}, {LEAVES, 10000, 0},
+	    {KEEPS, 12500, 0}, {BREAKS, 12501, 0}}},
 };
 
 static void
@@ -59,6 +77,12 @@
 	case ENDS:
 		end_judged_drain(judge);
 		break;
+	case IMPAIRED:
+		impair_judged_store(judge, now);
+		break;
+	case WORKS:
+		recover_judged_store(judge, now);
+		break;
 	default:
 		assert_int_equal(judge_drain_arrival(
 				     judge, now, event->vm_since_ms * MSP_MS),
--- a/tests/support/soak_arrival.c
+++ b/tests/support/soak_arrival.c
@@ -31,8 +31,7 @@
 	soak->result->judged_drains++;
 	if (leaves_ms > soak->result->worst_drain_ms)
 		soak->result->worst_drain_ms = leaves_ms;
-	if (is_soak_store_impaired(soak) ||
-	    !judge_drain_arrival(&target->drain, soak_now(), vm->running_since))
+	if (!judge_drain_arrival(&target->drain, soak_now(), vm->running_since))
 		return;
 	soak->result->to_leaving++;
 	report_soak(&soak->ledger, "DRAIN",
--- a/tests/support/soak_faults.c
+++ b/tests/support/soak_faults.c
@@ -106,7 +106,7 @@
 	if (soak->restore_step != SOAK_STORE_AWAY)
 		command_soak_store(soak, "down", 0);
 	command_soak_store(soak, "latency", 0);
-	renew_soak_drains(soak);
+	update_soak_store_state(soak);
 }
 
 static void
@@ -132,6 +132,7 @@
 			soak->loop, STORE_LATENCY_MAX_MS));
 	set_soak_timer(soak->loop, &soak->store_end,
 	    soak_now() + draw_duration(soak, DOWN_MAX));
+	update_soak_store_state(soak);
 }
 
 static void
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -395,9 +395,7 @@
 
 /* Lets the store come back from older copies, again and again. */
 void start_soak_restores(soak_t *soak);
-/* Whether it is away, slow or lacks rows: its acknowledgements don't count. */
-bool is_soak_store_impaired(const soak_t *soak);
-/* At the end of that: what targets have said since counts from now on. */
-void renew_soak_drains(soak_t *soak);
+/* Tells the judges whether the store works, after a change of that. */
+void update_soak_store_state(soak_t *soak);
 
 #endif
--- a/tests/support/soak_restore.c
+++ b/tests/support/soak_restore.c
@@ -39,12 +39,37 @@
 	set_soak_timer(soak->loop, &soak->restore, soak_now() + pause);
 }
 
+/* Whether it is away, slow or lacks rows. */
+static bool
+is_store_impaired(const soak_t *soak)
+{
+	return soak->restore_step != SOAK_STORE_WORKS ||
+	    soak->store_end.slot != 0;
+}
+
+void
+update_soak_store_state(soak_t *soak)
+{
+	bool impaired = is_store_impaired(soak);
+	unsigned int i;
+
+	for (i = 0; i < soak->options->targets; i++) {
+		if (impaired)
+			impair_judged_store(
+			    &soak->targets[i].drain, soak_now());
+		else
+			recover_judged_store(
+			    &soak->targets[i].drain, soak_now());
+	}
+}
+
 static void
 take_store_away(soak_t *soak)
 {
 	soak->result->restores++;
 	command_soak_store(soak, "down", 1);
 	soak->restore_step = SOAK_STORE_AWAY;
+	update_soak_store_state(soak);
 	set_soak_timer(soak->loop, &soak->restore,
 	    soak_now() + draw(soak, AWAY_MIN, AWAY_MAX));
 }
@@ -86,7 +111,7 @@
 	case SOAK_STORE_LACKS_ROWS:
 		write_rows_again(soak);
 		schedule_restore(soak);
-		renew_soak_drains(soak);
+		update_soak_store_state(soak);
 		return;
 	}
 }
@@ -100,21 +125,3 @@
 		set_soak_timer(
 		    soak->loop, &soak->restore, soak_now() + draw_pause(soak));
 }
-
-bool
-is_soak_store_impaired(const soak_t *soak)
-{
-	return soak->restore_step != SOAK_STORE_WORKS ||
-	    soak->store_end.slot != 0;
-}
-
-void
-renew_soak_drains(soak_t *soak)
-{
-	unsigned int i;
-
-	for (i = 0; i < soak->options->targets; i++) {
-		if (soak->targets[i].drain.leaves)
-			begin_judged_drain(&soak->targets[i].drain, soak_now());
-	}
-}
