--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <sys/prctl.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include "free_port.h"
@@ -195,6 +196,19 @@
 		(vm->stopped_for_share ? SHARE_PERIOD - running : running));
 }
 
+/* Whether the child executes the daemon yet, instead of the soak itself. */
+static bool
+runs_daemon(const soak_vm_t *vm)
+{
+	char path[64];
+	struct stat own;
+	struct stat child;
+
+	snprintf(path, sizeof(path), "/proc/%d/exe", (int)vm->pid);
+	return stat("/proc/self/exe", &own) == 0 && stat(path, &child) == 0 &&
+	    (own.st_ino != child.st_ino || own.st_dev != child.st_dev);
+}
+
 /* Memory that the process uses, in MiB; 0 if it has ended. */
 static unsigned int
 get_memory_mb(const soak_vm_t *vm)
@@ -221,9 +235,7 @@
 	soak_t *soak = vm->soak;
 	unsigned int mb;
 
-	/* Until it is executed, a child has the memory of the soak itself. */
-	if (soak->profile->memory_mb == 0 || vm->pid <= 0 ||
-	    soak_now() < vm->started + START_TIME_MAX)
+	if (soak->profile->memory_mb == 0 || vm->pid <= 0 || !runs_daemon(vm))
 		return;
 	mb = get_memory_mb(vm);
 	if (mb > soak->result->worst_memory_mb)
