--- a/tests/support/soak_target_row.c
+++ b/tests/support/soak_target_row.c
@@ -25,17 +25,23 @@
 	put_soak_row(target->soak, key, value);
 }
 
+static void
+remove_row(const soak_target_t *target, const char *id)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers|%s", id);
+	put_soak_row(target->soak, key, NULL);
+}
+
 void
 remove_soak_target_row(soak_target_t *target, const char *id)
 {
-	char key[64];
 	char *kept =
 	    target->removed_ids[target->removed_count++ % SOAK_REMOVED_IDS];
 
 	snprintf(kept, sizeof(target->removed_ids[0]), "%s", id);
-
-	snprintf(key, sizeof(key), "servers|%s", id);
-	put_soak_row(target->soak, key, NULL);
+	remove_row(target, id);
 }
 
 void
@@ -44,13 +50,8 @@
 	size_t i;
 
 	for (i = 0; i < SOAK_REMOVED_IDS; i++) {
-		char key[64];
-
-		if (target->removed_ids[i][0] == '\0')
-			continue;
-		snprintf(
-		    key, sizeof(key), "servers|%s", target->removed_ids[i]);
-		put_soak_row(target->soak, key, NULL);
+		if (target->removed_ids[i][0] != '\0')
+			remove_row(target, target->removed_ids[i]);
 	}
 	if (target->up)
 		put_soak_target_row(target);
