--- a/include/monsoonspindle/config/route_table.h
+++ b/include/monsoonspindle/config/route_table.h
@@ -6,6 +6,8 @@
 #include <stdint.h>
 
 #include "monsoonspindle/base/status.h"
+#include "monsoonspindle/config/homes.h"
+#include "monsoonspindle/config/organisation.h"
 
 #define MSP_ROUTE_NAME_SIZE 128 /* bytes of a name, with the final 0 */
 #define MSP_ROUTE_TEXT_SIZE 256 /* bytes of a host or path prefix */
@@ -16,10 +18,6 @@
 	uint32_t weight; /* share: weight / sum of the route's weights */
 } msp_weighted_service_t;
 
-typedef struct msp_region_name {
-	char name[MSP_ROUTE_NAME_SIZE];
-} msp_region_name_t;
-
 /* How requests for one host and path prefix are routed. */
 typedef struct msp_path_route {
 	char name[MSP_ROUTE_NAME_SIZE];
@@ -33,8 +31,8 @@
 	uint32_t max_attempts; /* targets that a request may be sent to */
 	msp_weighted_service_t *services; /* owned; at least one */
 	size_t service_count;
-	msp_region_name_t *home_regions; /* owned; none: any region */
-	size_t home_region_count;
+	msp_region_list_t homes; /* owned */
+	bool is_public; /* requests need no key */
 } msp_path_route_t;
 
 /* Settings that all targets of a service have in common. */
@@ -57,6 +55,8 @@
 	size_t route_count;
 	msp_service_config_t *services; /* sorted by name */
 	size_t service_count;
+	/* Owned. NULL: requests need no key and belong to no organisation. */
+	msp_organisations_t *organisations;
 } msp_route_table_t;
 
 /* Returns NULL if memory is exhausted. */
@@ -70,12 +70,12 @@
 msp_path_route_t *msp_add_path_route(msp_route_table_t *table);
 msp_service_config_t *msp_add_service_config(msp_route_table_t *table);
 msp_weighted_service_t *msp_add_weighted_service(msp_path_route_t *route);
-msp_region_name_t *msp_add_home_region(msp_path_route_t *route);
 
 /*
- * Checks and sorts a filled table. MSP_E_INVALID_NOTE if a route has no service
- * or an unknown one, all its weights are 0, its prefix doesn't begin and end
- * with a slash, or two routes have the same host and prefix.
+ * Checks and sorts a filled table, and finishes its organisations.
+ * MSP_E_INVALID_NOTE if a route has no service or an unknown one, all its
+ * weights are 0, its prefix doesn't begin and end with a slash, two routes have
+ * the same host and prefix, or msp_finish_organisations() returns it.
  */
 msp_status_t msp_finish_route_table(msp_route_table_t *table);
 
@@ -90,7 +90,4 @@
 const msp_service_config_t *msp_find_service_config(
     const msp_route_table_t *table, const char *name);
 
-/* Whether targets in `region` may serve the route. */
-bool msp_route_allows_region(const msp_path_route_t *route, const char *region);
-
 #endif
--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -69,6 +69,8 @@
 	/* In a window, all VMs' retries of a service are at most this share of
 	   its requests, and the slack. */
 	double retry_ratio;
+	/* Requests by which all VMs may exceed an organisation's limit. */
+	uint32_t rate_slack;
 	uint32_t retry_slack;
 	uint32_t retry_window_ms;
 	uint32_t heartbeat_ms; /* heartbeat interval of targets */
--- a/include/monsoonspindle/coord/membership.h
+++ b/include/monsoonspindle/coord/membership.h
@@ -146,6 +146,9 @@
  */
 bool msp_membership_is_superseded(const msp_membership_t *membership);
 
+/* When a call or an answer of another member last arrived; 0: never. */
+msp_time_t msp_membership_heard_at(const msp_membership_t *membership);
+
 /* Returns this VM's own record; borrowed. */
 const msp_member_t *msp_membership_self(const msp_membership_t *membership);
 
--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -50,8 +50,8 @@
 
 typedef struct msp_balance_request {
 	const msp_path_route_t *route;
-	/* Whose home regions bind; NULL: `route`. */
-	const msp_path_route_t *home_route;
+	const msp_organisation_t *organisation; /* of the caller; or NULL */
+	msp_homes_t homes; /* that bind the request */
 	const msp_service_config_t *service;
 	uint64_t object_hash; /* of the requested object */
 	bool has_object; /* `object_hash` is set */
@@ -67,8 +67,11 @@
 	size_t tried_count;
 } msp_balance_request_t;
 
-/* The route whose home regions bind the request. */
-const msp_path_route_t *msp_home_route(const msp_balance_request_t *request);
+/*
+ * The priority of the request's organisation, if it has one, else that of its
+ * route. 0: the most urgent.
+ */
+uint32_t msp_request_priority(const msp_balance_request_t *request);
 
 typedef struct msp_balance_choice {
 	msp_view_target_t *target; /* borrowed */
--- a/include/monsoonspindle/steer/forward_choice.h
+++ b/include/monsoonspindle/steer/forward_choice.h
@@ -30,7 +30,7 @@
 	const char *place; /* of this VM */
 	const char *region; /* of this VM */
 	const char *service;
-	const msp_path_route_t *route; /* its home regions bind */
+	msp_homes_t homes; /* that bind the request */
 	const msp_forward_vm_t *tried; /* VMs not to choose again */
 	size_t tried_count;
 } msp_forward_query_t;
--- a/include/monsoonspindle/steer/target_traffic.h
+++ b/include/monsoonspindle/steer/target_traffic.h
@@ -37,6 +37,11 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	/*
+	 * How long work takes on its machine at this moment, in percent of the
+	 * usual; 0: not told.
+	 */
+	uint32_t work_pct;
 } msp_server_load_t;
 
 void msp_record_server_load(msp_target_traffic_t *traffic, msp_time_t now,
--- a/source/config/route_table.c
+++ b/source/config/route_table.c
@@ -4,31 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * Appends a zeroed element to an array; NULL if memory is exhausted. The array
- * has room for the next power of two of its count.
- */
-static void *
-append_element(void **array, size_t *count, size_t size)
-{
-	bool is_full = (*count & (*count - 1)) == 0;
-	size_t capacity = *count == 0 ? 1 : *count * 2;
-	char *element;
-
-	if (is_full) {
-		element = realloc(*array, capacity * size);
-		if (element == NULL) {
-			msp_fail(
-			    MSP_E_NO_MEMORY, "no memory for a route table");
-			return NULL;
-		}
-		*array = element;
-	}
-	element = (char *)*array + *count * size;
-	memset(element, 0, size);
-	(*count)++;
-	return element;
-}
+#include "growing_array.h"
 
 msp_route_table_t *
 msp_new_route_table(uint64_t version)
@@ -58,10 +34,11 @@
 		return;
 	for (i = 0; i < table->route_count; i++) {
 		free(table->routes[i].services);
-		free(table->routes[i].home_regions);
+		msp_clear_regions(&table->routes[i].homes);
 	}
 	free(table->routes);
 	free(table->services);
+	msp_drop_organisations(table->organisations);
 	free(table);
 }
 
@@ -86,13 +63,6 @@
 	    sizeof(*route->services));
 }
 
-msp_region_name_t *
-msp_add_home_region(msp_path_route_t *route)
-{
-	return append_element((void **)&route->home_regions,
-	    &route->home_region_count, sizeof(*route->home_regions));
-}
-
 static int
 compare_routes(const void *a, const void *b)
 {
@@ -156,6 +126,8 @@
 	msp_status_t status = MSP_OK;
 	size_t i;
 
+	if (table->organisations != NULL)
+		status = msp_finish_organisations(table->organisations);
 	sort_array(table->services, table->service_count,
 	    sizeof(*table->services), compare_services);
 	sort_array(table->routes, table->route_count, sizeof(*table->routes),
@@ -212,15 +184,3 @@
 	}
 	return NULL;
 }
-
-bool
-msp_route_allows_region(const msp_path_route_t *route, const char *region)
-{
-	size_t i;
-
-	for (i = 0; i < route->home_region_count; i++) {
-		if (strcmp(route->home_regions[i].name, region) == 0)
-			return true;
-	}
-	return route->home_region_count == 0;
-}
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -130,6 +130,8 @@
 	"requests per second added to that rate"),
     DOUBLE("retry_ratio", retry_ratio, 10, 100,
 	"retries per request, over all VMs"),
+    NUMBER("rate_slack", msp_settings_edge_t, rate_slack, 0, 1000000, 0,
+	"requests by which all VMs may exceed an organisation's limit"),
     NUMBER("retry_slack", msp_settings_edge_t, retry_slack, 0, 1000000, 0,
 	"retries beyond that in a window, of all VMs together"),
     NUMBER("retry_window_ms", msp_settings_edge_t, retry_window_ms, 1000,
--- a/source/coord/member_pause.c
+++ b/source/coord/member_pause.c
@@ -86,6 +86,7 @@
 {
 	msp_peer_t *peer = msp_find_peer(&m->peers, name);
 
+	m->heard_at = msp_now(&m->env);
 	if (peer == NULL || call->pause_count != m->pause_count)
 		return;
 	peer->answered_pause_count = m->pause_count;
--- a/source/coord/membership.c
+++ b/source/coord/membership.c
@@ -169,6 +169,7 @@
     const void *argument, void *result)
 {
 	msp_detect_pause(membership);
+	membership->heard_at = msp_now(&membership->env);
 	switch (procedure) {
 	case MSP_GOSSIP_PING:
 		return serve_ping(membership, argument, result);
@@ -275,6 +276,12 @@
 	return membership->superseded;
 }
 
+msp_time_t
+msp_membership_heard_at(const msp_membership_t *membership)
+{
+	return membership->heard_at;
+}
+
 const msp_member_t *
 msp_membership_self(const msp_membership_t *membership)
 {
--- a/source/coord/membership_private.h
+++ b/source/coord/membership_private.h
@@ -68,6 +68,7 @@
 	uint32_t pause_count; /* pauses of the process detected so far */
 	bool paused;
 	bool superseded;
+	msp_time_t heard_at; /* last call or answer of a peer */
 	bool verifying; /* a VERIFY call is pending */
 	msp_probe_t probe;
 	uint32_t last_token;
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -159,6 +159,7 @@
 	update_protocol_features(edge);
 	report_unknown_messages(edge);
 	check_silent_targets(edge);
+	tick_rates(edge);
 	flush_log();
 }
 
@@ -179,8 +180,9 @@
 	open_limits(edge);
 	open_memory_budgets(edge);
 	if (register_platform_headers() != MSP_OK ||
-	    open_strikes(edge) != MSP_OK || open_reaches(edge) != MSP_OK ||
-	    open_balancer(edge) != MSP_OK || open_clients(edge) != MSP_OK ||
+	    open_strikes(edge) != MSP_OK || open_rates(edge) != MSP_OK ||
+	    open_reaches(edge) != MSP_OK || open_balancer(edge) != MSP_OK ||
+	    open_clients(edge) != MSP_OK ||
 	    open_edge_listeners(edge) != MSP_OK ||
 	    open_edge_peer_listener(edge) != MSP_OK ||
 	    open_edge_store(edge) != MSP_OK)
@@ -205,6 +207,7 @@
 	close_edge_listeners(edge);
 	close_edge_peer_listener(edge);
 	close_edge_store(edge);
+	close_rates(edge);
 	msp_drop_http_client(edge->target_client);
 	msp_drop_http_client(edge->probe_client);
 	msp_drop_http_client(edge->forward_client);
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -6,7 +6,7 @@
 #include "edge_request.h"
 
 #define RETRY_AFTER_MIN_MS 100
-#define HOMES_SIZE 128 /* bytes of a route's home regions in a log line */
+#define HOMES_SIZE 128 /* bytes of home regions in a log line */
 #define SAMPLE_ONE_IN 16 /* of this many successful requests, one is logged */
 #define HTTP_BAD_REQUEST 400
 #define HTTP_SERVER_ERROR 500
@@ -48,24 +48,32 @@
 	return time == MSP_NEVER ? -1 : (int64_t)(time / MSP_MS);
 }
 
-/* The home regions of a route, separated by commas; "-" if it has none. */
+/* Home regions, separated by commas; "-" if there are none. */
 static const char *
-print_homes(const msp_path_route_t *route, char *text, size_t size)
+print_homes(const msp_region_list_t *homes, char *text, size_t size)
 {
 	size_t i;
 
 	strlcpy(text, "-", size);
-	if (route == NULL || route->home_region_count == 0)
+	if (homes == NULL || homes->count == 0)
 		return text;
 	*text = '\0';
-	for (i = 0; i < route->home_region_count; i++) {
+	for (i = 0; i < homes->count; i++) {
 		if (i > 0)
 			strlcat(text, ",", size);
-		strlcat(text, route->home_regions[i].name, size);
+		strlcat(text, homes->names[i].name, size);
 	}
 	return text;
 }
 
+static const char *
+print_organisation(const edge_request_t *request, char *text, size_t size)
+{
+	const char *name = get_organisation_name(request);
+
+	return name == NULL ? "-" : clean_log_value(name, text, size);
+}
+
 /* The id of the last hop, which both VMs log. */
 static const char *
 get_forward_id(const edge_request_t *request)
@@ -84,11 +92,14 @@
 	const msp_path_route_t *route = request->criteria.route;
 	msp_time_t now = get_now(edge);
 	char homes[HOMES_SIZE];
+	char organisation_homes[HOMES_SIZE];
+	char organisation[MSP_ORGANISATION_NAME_SIZE];
 
 	log_request(rank,
 	    "event=request id=%s status=%d outcome=%s route=%s service=%s "
 	    "routes=%" PRIu64 " newest_routes=%" PRIu64
-	    " routes_age_ms=%" PRId64 " homes=%s targets_age_ms=%" PRId64
+	    " routes_age_ms=%" PRId64 " homes=%s organisation=%s "
+	    "organisation_homes=%s targets_age_ms=%" PRId64
 	    " target=%s region=%s warmth=%s load=%.1f "
 	    "wait_ms=%" PRId64 " limited=%zu busy=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
@@ -100,7 +111,10 @@
 	    request->routes == NULL ? 0 : request->routes->version,
 	    get_newest_routes_version(edge),
 	    time_to_log_ms(get_routes_age(edge)),
-	    print_homes(route, homes, sizeof(homes)),
+	    print_homes(request->criteria.homes.route, homes, sizeof(homes)),
+	    print_organisation(request, organisation, sizeof(organisation)),
+	    print_homes(request->criteria.homes.organisation,
+		organisation_homes, sizeof(organisation_homes)),
 	    time_to_log_ms(get_targets_age(edge)),
 	    choice->target == NULL ? "-" : choice->target->registration.id,
 	    choice->target == NULL ? "-" : choice->target->region,
@@ -122,12 +136,14 @@
 	edge_t *edge = request->edge;
 	size_t i;
 
+	end_rate_use(request);
 	TAILQ_REMOVE(&edge->requests, request, link);
 	edge->request_count--;
 	for (i = 0; i < request->criteria.tried_count; i++)
 		msp_release_view_target(request->tried[i]);
 	msp_drop_route_table(request->routes);
 	msp_drop_route_table(request->home_routes);
+	msp_drop_route_table(request->organisation_routes);
 	free(request);
 }
 
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -362,10 +362,15 @@
 	msp_time_t time_left = get_attempt_time(request);
 	msp_request_t out = {0};
 	msp_call_options_t options;
+	target_terms_t terms;
 	msp_status_t status;
 
-	update_home_route(request);
-	if (!may_use_homes(request)) {
+	update_request_terms(request);
+	if (request->is_revoked) {
+		end_revoked_request(request);
+		return;
+	}
+	if (!are_terms_known(request)) {
 		if (request->may_have_run)
 			fail_request(request, "routes-outdated");
 		else
@@ -387,9 +392,13 @@
 		return;
 	}
 	fill_call_options(request, &options);
-	status = encode_target_request(msp_exchange_request(request->exchange),
-	    request->choice.target->registration.id,
-	    (uint32_t)(time_left / MSP_MS), &out);
+	terms = (target_terms_t){
+	    .target_id = request->choice.target->registration.id,
+	    .time_left_ms = (uint32_t)(time_left / MSP_MS),
+	    .has_organisations = has_organisations(request),
+	    .organisation = get_organisation_name(request)};
+	status = encode_target_request(
+	    msp_exchange_request(request->exchange), &terms, &out);
 	if (status == MSP_OK) {
 		drop_internal_headers(&out.headers);
 		request->call = msp_start_call(edge->target_client, &options,
--- a/source/spindled/edge_broadcast.c
+++ b/source/spindled/edge_broadcast.c
@@ -86,7 +86,7 @@
  * Sends to more than one VM of each other data centre, and to other ones each
  * time, because a listed VM may no longer run.
  */
-static void
+void
 send_to_other_places(const edge_broadcast_t *kind, const char *text)
 {
 	const edge_t *edge = kind->edge;
@@ -103,6 +103,13 @@
 	}
 }
 
+void
+send_to_member(
+    const edge_broadcast_t *kind, const msp_member_t *member, const char *text)
+{
+	send_to_vm(kind, member->address, member->peer_port, text, false);
+}
+
 void
 broadcast_to_vms(const edge_broadcast_t *kind, const char *text)
 {
--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -261,6 +261,8 @@
 	if (encode_forwarded_request(
 		msp_exchange_request(request->exchange), terms, &out) != MSP_OK)
 		return false;
+	if (has_organisations(request))
+		strip_organisation_fields(&out.headers);
 	request->call = msp_start_call(request->edge->forward_client, &options,
 	    &out, handle_hop_done, request);
 	msp_drop_request(&out);
@@ -296,7 +298,7 @@
 	msp_forward_query_t query = {.place = edge->daemon->settings->place,
 	    .region = edge->daemon->settings->region,
 	    .service = request->criteria.service->name,
-	    .route = msp_home_route(&request->criteria),
+	    .homes = request->criteria.homes,
 	    .tried = tried,
 	    .tried_count = forward->hop_count};
 	size_t i;
@@ -318,9 +320,13 @@
 	if (request->is_forwarded || request->exchange == NULL ||
 	    forward->hop_count == FORWARD_VMS_MAX)
 		return false;
-	update_home_route(request);
-	if (!may_use_homes(request))
+	update_request_terms(request);
+	if (request->is_revoked || !are_terms_known(request))
 		return false;
+	if (request->criteria.organisation != NULL)
+		strlcpy(terms.organisation,
+		    request->criteria.organisation->name,
+		    sizeof(terms.organisation));
 	if (!find_vm(request, &pick)) {
 		refresh_edge_vms(request->edge);
 		return false;
--- a/source/spindled/edge_forward_serve.c
+++ b/source/spindled/edge_forward_serve.c
@@ -14,6 +14,7 @@
 } refusals[] = {
     {"leaving", MSP_E_LEAVING},
     {"no-routes", MSP_E_NOT_READY},
+    {"unknown-organisation", MSP_E_NOT_READY},
     {"no-route", MSP_E_UNKNOWN_ROUTE},
     {"quarantined", MSP_E_QUARANTINED},
     {"overload", MSP_E_OVERLOAD},
--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -338,6 +338,16 @@
 		serve_limits(edge, exchange);
 		return;
 	}
+	if (strncmp(request->path, RATE_ASK_PATH, sizeof(RATE_ASK_PATH) - 1) ==
+	    0) {
+		serve_rate_asks(edge, exchange);
+		return;
+	}
+	if (strncmp(request->path, RATE_DEMAND_PATH,
+		sizeof(RATE_DEMAND_PATH) - 1) == 0) {
+		serve_rate_demand(edge, exchange);
+		return;
+	}
 	status = decode_row_query(request, &query);
 	if (status == MSP_E_NOT_FOUND)
 		count_unknown_message(edge);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -7,6 +7,7 @@
 #include "daemon.h"
 #include "edge.h"
 #include "edge_broadcast.h"
+#include "edge_vm_rank.h"
 #include "monsoonspindle/coord/bulk_pacer.h"
 #include "monsoonspindle/coord/feature_gate.h"
 #include "monsoonspindle/coord/reader_rank.h"
@@ -26,8 +27,7 @@
 typedef struct pending_strike pending_strike_t;
 typedef struct edge_probe edge_probe_t;
 typedef struct long_poll long_poll_t;
-
-#define EDGE_EXCLUDED_READERS_MAX 4
+typedef struct edge_rates edge_rates_t;
 
 /* How a request ended; there is one duration histogram for each. */
 typedef enum edge_outcome {
@@ -54,11 +54,7 @@
 	edge_t *edge;
 	const char *name; /* for logs and counters; static */
 	msp_reader_table_t kind;
-	/* Members that are skipped when the reader is chosen, until then. */
-	struct {
-		char vm[MSP_NAME_SIZE];
-		msp_time_t until;
-	} excluded_readers[EDGE_EXCLUDED_READERS_MAX];
+	edge_exclusions_t excluded; /* as readers */
 	msp_time_t reader_since; /* this VM is the reader; 0: it is not */
 	msp_time_t reader_until; /* it goes on to read the store */
 	bool asked_member; /* the last second read goes to a member */
@@ -132,6 +128,8 @@
 	msp_timer_t *strike_timer; /* set while strikes wait to be sent */
 	edge_broadcast_t limit_messages;
 	msp_timer_t *limit_timer; /* set while reports on limits are due */
+	edge_rates_t *rates; /* limits of organisations */
+	edge_broadcast_t rate_messages; /* demand of this data centre */
 	LIST_HEAD(, edge_probe) probes;
 	msp_timer_t *probe_timer; /* set while any target is suspect */
 	msp_timer_t *view_timer;
@@ -274,6 +272,27 @@
 void rank_sender(
     void *ctx, const msp_view_target_t *target, msp_sender_rank_t *rank);
 
+/* The same among the VMs that share the limit of an organisation. */
+void rank_rate_sender(
+    const edge_t *edge, const char *organisation, msp_sender_rank_t *rank);
+
+/* edge_rates.c: rate limits of organisations */
+#define RATE_ASK_PATH "/v1/rates/ask"
+#define RATE_DEMAND_PATH "/v1/rates/demand"
+
+msp_status_t open_rates(edge_t *edge);
+void close_rates(edge_t *edge);
+
+/* Tells other data centres this one's demand. To be called every VIEW_TICK. */
+void tick_rates(edge_t *edge);
+
+/* Serve another VM's question for requests, and another data centre's demand.
+ */
+void serve_rate_asks(edge_t *edge, msp_exchange_t *exchange);
+void serve_rate_demand(edge_t *edge, msp_exchange_t *exchange);
+
+void update_rate_gauges(const edge_t *edge);
+
 /* edge_strikes.c: requests that may have crashed targets */
 #define STRIKES_PATH "/v1/strikes" /* to which VMs send strikes */
 
--- /dev/null
+++ b/source/spindled/edge_rates.c
@@ -0,0 +1,656 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <bsd/string.h>
+
+#include "edge_request.h"
+#include "members.h"
+#include "monsoonspindle/coord/rate_codec.h"
+#include "monsoonspindle/coord/rate_leases.h"
+#include "problem.h"
+
+/*
+ * The rate limits of organisations. The VM that ranks first in this data centre
+ * owns them (rate_owner.h); the others ask it for the requests that they get.
+ * One question is under way at a time, for all requests that wait.
+ */
+
+#define OWNER_ROLE "rate-owner" /* the key that ranks the members */
+/* Small VMs under load take their time to read an answer. */
+#define ASK_TIMEOUT_MS 400
+#define OWNERS_MAX 3 /* VMs that may be the owner */
+#define QUESTIONS_MAX 3 /* for one request */
+#define OWNER_EXCLUSION (2 * MSP_SECOND)
+#define DEMAND_INTERVAL (500 * MSP_MS)
+/*
+ * Without an owner a VM uses this much of its even part of a limit, since the
+ * owner goes on to admit requests up to the whole part of the data centre.
+ */
+#define ALONE_PART 0.25
+/* A VM that hears of no other member for so many gossip periods is cut off. */
+#define CONTACT_PERIODS 2.5
+/* Another VM has asked within this time: it too takes this one for the owner.
+ */
+#define ASKED_TIME MSP_SECOND
+#define REFUSAL_MIN_MS 50
+#define REFUSAL_MAX_MS 10000
+#define NO_OWNER_RETRY_MS 300
+#define LABELS_MAX 100 /* organisations with counters of their own */
+#define HTTP_TOO_MANY_REQUESTS 429
+
+struct edge_rates {
+	edge_t *edge;
+	msp_rate_owner_t *owner;
+	msp_rate_leases_t *leases;
+	msp_map_t *alone; /* msp_rate_share_t by organisation */
+	edge_exclusions_t excluded; /* as owners */
+	TAILQ_HEAD(, edge_request) waiting;
+	/* The questions that are under way. */
+	msp_rate_ask_t asks[MSP_RATES_PER_MESSAGE_MAX];
+	size_t ask_count;
+	unsigned int questions;
+	bool was_late; /* the answer to the last one */
+	char asked_vm[MSP_NAME_SIZE];
+	bool is_asking; /* guards against a second batch from within one */
+	msp_call_t *call;
+	msp_time_t told_at;
+	msp_time_t asked_at; /* last question of another VM */
+	msp_map_t *labels; /* organisations that are counted by name */
+};
+
+static size_t
+find_own_place(const msp_settings_t *settings, const char *place)
+{
+	size_t i;
+
+	for (i = 0; i < settings->edge.place_count; i++) {
+		if (strcmp(settings->edge.places[i].place, place) == 0)
+			break;
+	}
+	return i;
+}
+
+msp_status_t
+open_rates(edge_t *edge)
+{
+	const msp_settings_t *settings = edge->daemon->settings;
+	const msp_env_t *env = &edge->daemon->env;
+	msp_rate_owner_options_t options = {
+	    .place_count = settings->edge.place_count,
+	    .place = find_own_place(settings, settings->place),
+	    .slack = settings->edge.rate_slack,
+	};
+	edge_rates_t *rates = calloc(1, sizeof(*rates));
+
+	edge->rate_messages = (edge_broadcast_t){.edge = edge,
+	    .path = RATE_DEMAND_PATH,
+	    .lost_counter = "msp_rate_demand_not_told_total"};
+	edge->rates = rates;
+	if (rates == NULL)
+		return msp_fail(MSP_E_NO_MEMORY, "no memory for rate limits");
+	rates->edge = edge;
+	TAILQ_INIT(&rates->waiting);
+	rates->owner = msp_new_rate_owner(env, &options);
+	rates->leases = msp_new_rate_leases(env);
+	rates->alone = msp_new_map();
+	rates->labels = msp_new_map();
+	return rates->owner == NULL || rates->leases == NULL ||
+		rates->alone == NULL || rates->labels == NULL
+	    ? msp_fail(MSP_E_NO_MEMORY, "no memory for rate limits")
+	    : MSP_OK;
+}
+
+void
+close_rates(edge_t *edge)
+{
+	edge_rates_t *rates = edge->rates;
+
+	if (rates == NULL)
+		return;
+	msp_cancel_call(rates->call);
+	msp_drop_rate_owner(rates->owner);
+	msp_drop_rate_leases(rates->leases);
+	if (rates->alone != NULL)
+		msp_drop_map_and_values(rates->alone);
+	if (rates->labels != NULL)
+		msp_drop_map_and_values(rates->labels);
+	free(rates);
+	edge->rates = NULL;
+}
+
+/* Counts by organisation; those beyond LABELS_MAX are counted together. */
+static void
+count_rate(edge_rates_t *rates, const char *organisation, const char *result)
+{
+	char name[MSP_ORGANISATION_NAME_SIZE];
+
+	if (msp_map_get(rates->labels, organisation) == NULL &&
+	    (msp_map_count(rates->labels) == LABELS_MAX ||
+		msp_map_get_or_add(rates->labels, organisation, 1) == NULL))
+		organisation = "other";
+	msp_add_to_counter(rates->edge->daemon->counters, 1,
+	    "msp_rate_limited_total{organisation=\"%s\",result=\"%s\"}",
+	    clean_log_value(organisation, name, sizeof(name)), result);
+}
+
+static const msp_organisation_t *
+get_organisation(const edge_request_t *request)
+{
+	return request->criteria.organisation;
+}
+
+static void
+start(edge_request_t *request, const char *result)
+{
+	request->rate = RATE_ADMITTED;
+	count_rate(
+	    request->edge->rates, get_organisation(request)->name, result);
+	start_admitted_request(request);
+}
+
+/* Answers 429 with the time until there is room again. */
+static void
+refuse(edge_request_t *request, msp_time_t wait)
+{
+	edge_t *edge = request->edge;
+	uint32_t wait_ms = REFUSAL_MAX_MS;
+
+	request->rate = RATE_FREE;
+	count_rate(edge->rates, get_organisation(request)->name, "refused");
+	if (wait < REFUSAL_MAX_MS * MSP_MS)
+		wait_ms = (uint32_t)(wait / MSP_MS);
+	if (wait_ms < REFUSAL_MIN_MS)
+		wait_ms = REFUSAL_MIN_MS;
+	request->retry_after_ms = wait_ms;
+	/* Callers that are refused together must not return together. */
+	wait_ms += (uint32_t)msp_random_below(
+	    &edge->daemon->env, wait_ms / 4 + REFUSAL_MIN_MS);
+	send_local_reply(
+	    request, HTTP_TOO_MANY_REQUESTS, wait_ms, "rate-limit");
+}
+
+/* No owner could be asked: uses this VM's even part of the limit. */
+static void
+admit_alone(edge_request_t *request)
+{
+	edge_t *edge = request->edge;
+	edge_rates_t *rates = edge->rates;
+	const msp_organisation_t *organisation = get_organisation(request);
+	msp_time_t now = msp_now(&edge->daemon->env);
+	msp_rate_share_t *share = msp_map_get_or_add(
+	    rates->alone, organisation->name, sizeof(*share));
+	msp_shared_rate_t rate = {
+	    .per_second = organisation->limit.per_second * ALONE_PART,
+	    .burst = organisation->limit.burst * ALONE_PART};
+	msp_sender_rank_t rank;
+
+	if (share != NULL && msp_rate_share_is_old(share, now)) {
+		rank_rate_sender(edge, organisation->name, &rank);
+		msp_set_rate_share(share, now, &rate, &rank);
+	}
+	if (share != NULL && msp_rate_share_allows(share, now)) {
+		msp_use_rate_share(share);
+		start(request, "admitted-alone");
+		return;
+	}
+	request->rate = RATE_FREE;
+	count_rate(rates, organisation->name, "no-owner");
+	refuse_request(request, NO_OWNER_RETRY_MS, "no-rate-owner");
+}
+
+static bool
+is_self(const edge_t *edge, const msp_member_t *member)
+{
+	return strcmp(member->name, edge->daemon->settings->vm) == 0;
+}
+
+/*
+ * Lists the VMs that may own the limits for this data centre, best first. They
+ * are few, so that VMs which reach no other one do not all become owners.
+ */
+static size_t
+list_owners(const edge_t *edge, const msp_member_t *owners[OWNERS_MAX])
+{
+	static const edge_exclusions_t nobody;
+	msp_reader_t ranked[MSP_MEMBERS_MAX];
+	size_t count = rank_vms_for_role(edge, OWNER_ROLE, &nobody, ranked);
+	size_t i;
+
+	if (count > OWNERS_MAX)
+		count = OWNERS_MAX;
+	for (i = 0; i < count; i++)
+		owners[i] = msp_find_member(
+		    get_membership(edge->daemon->members), ranked[i].name);
+	return count;
+}
+
+static bool
+is_first_owner(const edge_t *edge)
+{
+	const msp_member_t *owners[OWNERS_MAX];
+
+	return list_owners(edge, owners) > 0 && is_self(edge, owners[0]);
+}
+
+static bool
+has_contact(const edge_t *edge)
+{
+	const msp_membership_t *list = get_membership(edge->daemon->members);
+	msp_time_t silence = (msp_time_t)(CONTACT_PERIODS * (double)MSP_MS *
+	    edge->daemon->settings->gossip_period_ms);
+
+	return msp_now(&edge->daemon->env) <
+	    msp_membership_heard_at(list) + silence;
+}
+
+/*
+ * Whether this VM sees most of the VMs of its data centre. One that is cut off
+ * from them must not admit requests beside their owner.
+ */
+static bool
+may_be_owner(const edge_t *edge)
+{
+	const msp_membership_t *list = get_membership(edge->daemon->members);
+	const msp_member_t *live[MSP_MEMBERS_MAX];
+	size_t count = msp_list_live_members(list, live, MSP_MEMBERS_MAX);
+	size_t known;
+
+	if (edge->daemon->leaving || msp_membership_is_paused(list) ||
+	    msp_membership_is_superseded(list) || edge->vm_profiles == NULL)
+		return false;
+	known = msp_map_count(edge->vm_profiles);
+	return 2 * count > known && (known < 2 || has_contact(edge));
+}
+
+/*
+ * Whether this VM may admit its own requests as the owner. If it isn't the
+ * first choice, others must have turned to it too: the first may be lost to
+ * this VM only.
+ */
+static bool
+may_ask_self(const edge_rates_t *rates)
+{
+	const edge_t *edge = rates->edge;
+
+	return may_be_owner(edge) &&
+	    (is_first_owner(edge) ||
+		msp_now(&edge->daemon->env) < rates->asked_at + ASKED_TIME);
+}
+
+static void ask_owner(edge_rates_t *rates);
+
+/* Ends the batch; with `has_owner` its grants have been applied. */
+static void
+finish_batch(edge_rates_t *rates, bool has_owner)
+{
+	edge_request_t *request;
+	edge_request_t *next;
+	msp_time_t wait;
+
+	TAILQ_FOREACH_SAFE(request, &rates->waiting, rate_link, next) {
+		const char *name = get_organisation(request)->name;
+		msp_rate_verdict_t verdict = MSP_RATE_REFUSED;
+
+		if (!msp_is_rate_asked(rates->leases, name))
+			continue;
+		TAILQ_REMOVE(&rates->waiting, request, rate_link);
+		request->rate = RATE_FREE;
+		if (has_owner)
+			verdict = msp_take_granted(rates->leases, name, &wait);
+		else
+			msp_withdraw_rate_wait(rates->leases, name);
+		if (verdict == MSP_RATE_ADMITTED)
+			start(request, "admitted");
+		else if (has_owner)
+			refuse(request, wait);
+		else
+			admit_alone(request);
+	}
+}
+
+/* Begins a new batch if there is anything to ask or tell. */
+static void
+begin_batch(edge_rates_t *rates)
+{
+	if (rates->is_asking || rates->call != NULL)
+		return;
+	rates->ask_count = msp_collect_rate_asks(
+	    rates->leases, rates->asks, MSP_RATES_PER_MESSAGE_MAX);
+	if (rates->ask_count == 0)
+		return;
+	rates->questions = 0;
+	rates->was_late = false;
+	ask_owner(rates);
+}
+
+/* Ends the batch and begins the next, for those that have come meanwhile. */
+static void
+go_on(edge_rates_t *rates, bool has_owner)
+{
+	rates->is_asking = true;
+	finish_batch(rates, has_owner);
+	rates->is_asking = false;
+	if (!TAILQ_EMPTY(&rates->waiting))
+		begin_batch(rates);
+}
+
+/* This VM is the owner. */
+static void
+ask_self(edge_rates_t *rates)
+{
+	msp_rate_grant_t grant;
+	size_t i;
+
+	if (!may_ask_self(rates)) {
+		go_on(rates, false);
+		return;
+	}
+	msp_act_as_rate_owner(rates->owner, is_first_owner(rates->edge));
+	for (i = 0; i < rates->ask_count; i++) {
+		msp_ask_rate_owner(rates->owner, &rates->asks[i], &grant);
+		msp_apply_rate_grant(rates->leases, &grant);
+	}
+	go_on(rates, true);
+}
+
+static void
+apply_grants(edge_rates_t *rates, const char *text)
+{
+	msp_rate_grant_t *grants =
+	    calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*grants));
+	size_t count = 0;
+	size_t i;
+
+	if (grants == NULL ||
+	    msp_decode_rate_grants(text, grants, &count) != MSP_OK)
+		log_warn("event=rate-owner vm=%s error=%s", rates->asked_vm,
+		    grants == NULL ? "no-memory" : msp_last_message());
+	for (i = 0; i < count; i++)
+		msp_apply_rate_grant(rates->leases, &grants[i]);
+	free(grants);
+}
+
+static void
+handle_owner_answer(void *ctx, msp_call_result_t *result)
+{
+	edge_rates_t *rates = ctx;
+	bool answered =
+	    result->status == MSP_OK && result->response->status == 200;
+
+	rates->call = NULL;
+	if (answered) {
+		apply_grants(rates, msp_buffer_text(&result->response->body));
+		go_on(rates, true);
+		return;
+	}
+	/* This VM may be the one that is slow: the same is asked again. */
+	if (result->status == MSP_E_DEADLINE && !rates->was_late) {
+		rates->was_late = true;
+		ask_owner(rates);
+		return;
+	}
+	msp_add_to_counter(rates->edge->daemon->counters, 1,
+	    "msp_rate_owners_passed_over_total");
+	log_info("event=rate-owner vm=%s state=passed-over status=%s",
+	    rates->asked_vm, msp_status_name(result->status));
+	if (result->status == MSP_E_PEER_DOWN)
+		msp_report_refused_connection(
+		    get_membership(rates->edge->daemon->members),
+		    rates->asked_vm);
+	exclude_vm(&rates->excluded, rates->asked_vm,
+	    msp_now(&rates->edge->daemon->env) + OWNER_EXCLUSION);
+	if (rates->questions < QUESTIONS_MAX)
+		ask_owner(rates);
+	else
+		go_on(rates, false);
+}
+
+static bool
+start_ask(edge_rates_t *rates, const msp_member_t *member)
+{
+	msp_call_options_t options = {.address = member->address,
+	    .port = member->peer_port,
+	    .timeout_ms = ASK_TIMEOUT_MS};
+	msp_request_t request = {.method = "POST", .path = RATE_ASK_PATH};
+
+	if (msp_encode_rate_asks(
+		rates->asks, rates->ask_count, &request.body) == MSP_OK)
+		rates->call = msp_start_call(rates->edge->forward_client,
+		    &options, &request, handle_owner_answer, rates);
+	msp_drop_request(&request);
+	return rates->call != NULL;
+}
+
+/* The VM to ask; NULL: none can be reached. */
+static const msp_member_t *
+find_owner(const edge_rates_t *rates)
+{
+	const edge_t *edge = rates->edge;
+	const msp_member_t *owners[OWNERS_MAX];
+	size_t count = list_owners(edge, owners);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (is_self(edge, owners[i]) ||
+		    !is_vm_excluded(edge, &rates->excluded, owners[i]->name))
+			return owners[i];
+	}
+	return NULL;
+}
+
+static void
+ask_owner(edge_rates_t *rates)
+{
+	const msp_member_t *owner = find_owner(rates);
+
+	rates->questions++;
+	if (owner == NULL) {
+		go_on(rates, false);
+	} else if (is_self(rates->edge, owner)) {
+		ask_self(rates);
+	} else {
+		strlcpy(rates->asked_vm, owner->name, sizeof(rates->asked_vm));
+		if (!start_ask(rates, owner))
+			go_on(rates, false);
+	}
+}
+
+void
+admit_by_rate(edge_request_t *request)
+{
+	edge_rates_t *rates = request->edge->rates;
+	const msp_organisation_t *organisation = get_organisation(request);
+	msp_time_t wait;
+
+	if (organisation == NULL || organisation->limit.per_second <= 0 ||
+	    request->is_forwarded) {
+		start_admitted_request(request);
+		return;
+	}
+	switch (msp_take_lease(
+	    rates->leases, organisation, request->routes->version, &wait)) {
+	case MSP_RATE_ADMITTED:
+		start(request, "admitted");
+		return;
+	case MSP_RATE_REFUSED:
+		refuse(request, wait);
+		return;
+	case MSP_RATE_ASK:
+		break;
+	}
+	request->rate = RATE_WAITING;
+	TAILQ_INSERT_TAIL(&rates->waiting, request, rate_link);
+	begin_batch(rates);
+}
+
+void
+charge_retry(const edge_request_t *request)
+{
+	if (request->rate == RATE_ADMITTED)
+		msp_charge_lease(request->edge->rates->leases,
+		    get_organisation(request)->name);
+}
+
+void
+end_rate_use(edge_request_t *request)
+{
+	edge_rates_t *rates = request->edge->rates;
+
+	if (request->rate == RATE_WAITING) {
+		TAILQ_REMOVE(&rates->waiting, request, rate_link);
+		msp_withdraw_rate_wait(
+		    rates->leases, get_organisation(request)->name);
+	} else if (request->rate == RATE_ADMITTED && !request->may_have_run &&
+	    !request->from_target &&
+	    (request->call == NULL || !msp_call_maybe_sent(request->call))) {
+		msp_return_lease(
+		    rates->leases, get_organisation(request)->name);
+	}
+	request->rate = RATE_FREE;
+}
+
+void
+serve_rate_asks(edge_t *edge, msp_exchange_t *exchange)
+{
+	const msp_request_t *request = msp_exchange_request(exchange);
+	msp_rate_ask_t *asks = calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*asks));
+	msp_response_t response = {.status = 200};
+	msp_status_t status = MSP_E_NO_MEMORY;
+	msp_rate_grant_t grant;
+	size_t count = 0;
+	size_t i;
+
+	if (asks != NULL)
+		status = msp_decode_rate_asks(
+		    msp_buffer_text(&request->body), asks, &count);
+	if (status == MSP_OK && !may_be_owner(edge))
+		status = msp_fail(MSP_E_NOT_READY,
+		    "this VM does not see most of its data centre");
+	if (status == MSP_OK) {
+		msp_act_as_rate_owner(edge->rates->owner, is_first_owner(edge));
+		edge->rates->asked_at = msp_now(&edge->daemon->env);
+	}
+	for (i = 0; i < count && status == MSP_OK; i++) {
+		msp_ask_rate_owner(edge->rates->owner, &asks[i], &grant);
+		status = msp_encode_rate_grants(&grant, 1, &response.body);
+	}
+	free(asks);
+	msp_add_to_counter(edge->daemon->counters, 1,
+	    "msp_rate_asks_served_total{result=\"%s\"}",
+	    msp_status_name(status));
+	if (status == MSP_OK) {
+		msp_send_exchange_response(exchange, &response);
+	} else {
+		msp_drop_response(&response);
+		answer_error(exchange,
+		    status == MSP_E_SYNTAX ? MSP_E_BAD_REQUEST : status);
+	}
+}
+
+/* Sends a message about demand to those that may own the limits. */
+static void
+send_to_owners(edge_rates_t *rates, const char *text)
+{
+	edge_t *edge = rates->edge;
+	const msp_member_t *owners[OWNERS_MAX];
+	size_t count = list_owners(edge, owners);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (!is_self(edge, owners[i]))
+			send_to_member(&edge->rate_messages, owners[i], text);
+	}
+}
+
+void
+serve_rate_demand(edge_t *edge, msp_exchange_t *exchange)
+{
+	const msp_request_t *request = msp_exchange_request(exchange);
+	const char *text = msp_buffer_text(&request->body);
+	msp_rate_demand_t *demand =
+	    calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*demand));
+	msp_response_t response = {.status = 204};
+	char place[MSP_NAME_SIZE];
+	msp_status_t status = MSP_E_NO_MEMORY;
+	size_t count = 0;
+
+	if (demand != NULL)
+		status = msp_decode_rate_demand(
+		    text, place, sizeof(place), demand, &count);
+	if (status == MSP_OK) {
+		msp_hear_rate_demand(edge->rates->owner,
+		    find_own_place(edge->daemon->settings, place), demand,
+		    count);
+		if (is_to_pass_on(request))
+			send_to_owners(edge->rates, text);
+	}
+	free(demand);
+	if (status == MSP_OK)
+		msp_send_exchange_response(exchange, &response);
+	else
+		answer_error(exchange,
+		    status == MSP_E_SYNTAX ? MSP_E_BAD_REQUEST : status);
+}
+
+/* Tells the other data centres what this one is asked for. */
+static void
+tell_demand(edge_rates_t *rates)
+{
+	msp_rate_demand_t *demand =
+	    calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*demand));
+	const char *place = rates->edge->daemon->settings->place;
+	size_t count = demand == NULL ? 0 : MSP_RATES_PER_MESSAGE_MAX;
+
+	while (count == MSP_RATES_PER_MESSAGE_MAX) {
+		msp_buffer_t text = {0};
+
+		count = msp_tell_rate_demand(
+		    rates->owner, demand, MSP_RATES_PER_MESSAGE_MAX);
+		if (msp_encode_rate_demand(place, demand, count, &text) ==
+		    MSP_OK) {
+			send_to_other_places(&rates->edge->rate_messages,
+			    msp_buffer_text(&text));
+			send_to_owners(rates, msp_buffer_text(&text));
+		}
+		msp_drop_buffer(&text);
+	}
+	free(demand);
+}
+
+void
+tick_rates(edge_t *edge)
+{
+	edge_rates_t *rates = edge->rates;
+	msp_time_t now = msp_now(&edge->daemon->env);
+
+	if (edge->routes == NULL || edge->routes->organisations == NULL)
+		return;
+	begin_batch(rates);
+	if (now < rates->told_at + DEMAND_INTERVAL)
+		return;
+	rates->told_at = now;
+	msp_tidy_rate_leases(rates->leases);
+	if (!is_first_owner(edge) || !may_be_owner(edge))
+		return;
+	msp_act_as_rate_owner(rates->owner, true);
+	tell_demand(rates);
+}
+
+void
+update_rate_gauges(const edge_t *edge)
+{
+	msp_counters_t *counters = edge->daemon->counters;
+	const msp_organisations_t *set =
+	    edge->routes == NULL ? NULL : edge->routes->organisations;
+
+	*msp_get_counter(counters, "msp_organisations") =
+	    set == NULL ? 0 : msp_count_organisations(set);
+	*msp_get_counter(counters, "msp_api_keys") =
+	    set == NULL ? 0 : msp_count_api_keys(set);
+	*msp_get_counter(counters, "msp_organisations_bytes") =
+	    set == NULL ? 0 : msp_organisations_size(set);
+	*msp_get_counter(counters, "msp_rate_buckets") =
+	    msp_count_rate_buckets(edge->rates->owner);
+	*msp_get_counter(counters, "msp_rate_leases") =
+	    msp_count_rate_leases(edge->rates->leases);
+}
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -42,6 +42,8 @@
 		return false;
 	}
 	request->criteria.route = route;
+	request->criteria.homes.route = &route->homes;
+	request->terms_version = edge->routes->version;
 	request->criteria.service = msp_find_service_config(
 	    edge->routes, msp_pick_service(edge->split, route));
 	return true;
@@ -147,7 +149,7 @@
 		refuse_request(request, NOT_READY_RETRY_MS, "leaving");
 		return;
 	}
-	if (!find_service(request, message))
+	if (!find_service(request, message) || !find_organisation(request))
 		return;
 	request->is_idempotent = request->criteria.route->idempotent &&
 	    (!request->is_forwarded || request->terms.is_idempotent);
@@ -163,6 +165,12 @@
 		refuse_request(request, RETRY_AFTER_MAX_MS, "quarantined");
 		return;
 	}
+	admit_by_rate(request);
+}
+
+void
+start_admitted_request(edge_request_t *request)
+{
 	set_attempts(request);
 	send_request(request);
 }
@@ -177,6 +185,8 @@
 		report_cancelled_hop(request);
 	else
 		report_cancelled_attempt(request);
+	if (msp_call_maybe_sent(request->call))
+		request->may_have_run = true;
 	msp_cancel_call(request->call);
 	request->call = NULL;
 	if (request->forward.in_flight)
@@ -197,6 +207,10 @@
 	request->exchange = NULL;
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_callers_gone_total");
 	log_request_end(request, MSP_LINE_NOTABLE, 0, "caller-gone");
+	if (request->rate == RATE_WAITING) {
+		free_edge_request(request);
+		return;
+	}
 	/* A request that must not be repeated is left to complete. */
 	if (!request->is_idempotent && msp_call_maybe_sent(request->call))
 		return;
@@ -211,6 +225,10 @@
 	edge_request_t *next;
 
 	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
+		if (request->rate == RATE_WAITING) {
+			end_before_stop(request);
+			continue;
+		}
 		if (request->exchange == NULL ||
 		    msp_call_maybe_sent(request->call))
 			continue;
@@ -232,6 +250,7 @@
 		}
 		if (request->call != NULL) {
 			msp_cancel_call(request->call);
+			request->call = NULL;
 			if (!request->forward.in_flight)
 				msp_release_view_target(request->choice.target);
 		}
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -34,6 +34,13 @@
 	uint32_t failed_connects; /* to targets, with nothing sent */
 } edge_forward_t;
 
+/* What became of a request by the rate limit of its organisation. */
+typedef enum rate_state {
+	RATE_FREE, /* no limit, or another VM has admitted it */
+	RATE_WAITING, /* for the owner of the limit */
+	RATE_ADMITTED,
+} rate_state_t;
+
 /* One caller's request. */
 struct edge_request {
 	TAILQ_ENTRY(edge_request) link;
@@ -41,8 +48,11 @@
 	msp_exchange_t *exchange; /* NULL once the caller has disconnected */
 	caller_fields_t caller;
 	msp_route_table_t *routes; /* in force at its arrival; a reference */
-	/* Of criteria.home_route, a reference; or NULL. */
-	msp_route_table_t *home_routes;
+	/* References to newer routes that the criteria point to; or NULL. */
+	msp_route_table_t *home_routes; /* criteria.homes.route */
+	msp_route_table_t *organisation_routes; /* criteria.organisation */
+	uint64_t terms_version; /* of the routes by which these were set */
+	bool is_revoked; /* the caller's key was taken away meanwhile */
 	msp_digest_t fingerprint;
 	msp_time_t arrival;
 	msp_time_t deadline; /* for the final response */
@@ -66,6 +76,8 @@
 	bool is_forwarded;
 	forward_terms_t terms;
 	uint32_t retry_after_ms; /* of a refusal, without jitter */
+	rate_state_t rate;
+	TAILQ_ENTRY(edge_request) rate_link; /* if RATE_WAITING */
 };
 
 /* edge_request.c */
@@ -77,17 +89,47 @@
 void begin_edge_request(
     edge_t *edge, msp_exchange_t *exchange, const forward_terms_t *terms);
 
+/* Goes on with a request that its organisation's limit admits. */
+void start_admitted_request(edge_request_t *request);
+
+/*
+ * edge_routes.c: before an attempt, takes the caller's organisation and the
+ * home regions from the routes that are in force now. A route that is no longer
+ * there keeps its home regions.
+ */
+void update_request_terms(edge_request_t *request);
+
 /*
- * edge_routes.c: before an attempt, takes the home regions from the routes that
- * are in force now. A route that is no longer there keeps its own.
+ * Whether the request's home regions and organisation, if it has any, are
+ * known. If other VMs have had newer routes for some time, they may have
+ * changed.
  */
-void update_home_route(edge_request_t *request);
+bool are_terms_known(const edge_request_t *request);
+
+/* edge_organisation.c: which organisation a request belongs to */
 
 /*
- * Whether the home regions of the request's route, if it has any, are known. If
- * other VMs have had newer routes for some time, they may have changed.
+ * Finds the request's organisation by its API key, or by the name that the VM
+ * has told which forwarded it. Returns false, and has ended the request, if it
+ * may not be served.
  */
-bool may_use_homes(const edge_request_t *request);
+bool find_organisation(edge_request_t *request);
+
+/* The same by the routes that are in force now; sets `is_revoked`. */
+void update_organisation(edge_request_t *request);
+
+/*
+ * Ends a request whose key is no longer valid; no target has executed it unless
+ * `may_have_run` is set.
+ */
+void end_revoked_request(edge_request_t *request);
+
+/* Whether the configuration that the request arrived under has organisations.
+ */
+bool has_organisations(const edge_request_t *request);
+
+/* The name of the request's organisation; NULL if it has none. */
+const char *get_organisation_name(const edge_request_t *request);
 
 /*
  * edge_answer.c: how a request ends. All functions but log_request_end() free
@@ -167,6 +209,20 @@
 void encode_forward_answer(const edge_request_t *request,
     msp_response_t *response, const char *outcome);
 
+/* edge_rates.c: rate limits of organisations */
+
+/*
+ * Admits the request by the limit of its organisation, if that has one, and
+ * then calls start_admitted_request(), now or later; or refuses it.
+ */
+void admit_by_rate(edge_request_t *request);
+
+/* The request may be executed a second time. */
+void charge_retry(const edge_request_t *request);
+
+/* To be called before a request is freed. */
+void end_rate_use(edge_request_t *request);
+
 /* edge_retry.c: whether it is sent once more */
 
 /*
--- a/source/spindled/edge_retry.c
+++ b/source/spindled/edge_retry.c
@@ -78,5 +78,9 @@
 		return true;
 	if (request->sent_count >= request->max_attempts)
 		return false;
-	return take_retry(edge, request->criteria.service->name);
+	if (!take_retry(edge, request->criteria.service->name))
+		return false;
+	if (request->may_have_run)
+		charge_retry(request);
+	return true;
 }
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -25,22 +25,23 @@
 }
 
 void
-update_home_route(edge_request_t *request)
+update_request_terms(edge_request_t *request)
 {
 	const edge_t *edge = request->edge;
 	const msp_request_t *message = msp_exchange_request(request->exchange);
 	const msp_path_route_t *route;
 
-	if (edge->routes == request->routes ||
-	    edge->routes == request->home_routes)
+	if (edge->routes->version == request->terms_version)
 		return;
+	request->terms_version = edge->routes->version;
+	update_organisation(request);
 	route =
 	    msp_match_path_route(edge->routes, message->host, message->path);
 	if (route == NULL)
 		return;
 	msp_drop_route_table(request->home_routes);
 	request->home_routes = msp_keep_route_table(edge->routes);
-	request->criteria.home_route = route;
+	request->criteria.homes.route = &route->homes;
 }
 
 /*
@@ -78,11 +79,12 @@
 }
 
 bool
-may_use_homes(const edge_request_t *request)
+are_terms_known(const edge_request_t *request)
 {
 	const edge_t *edge = request->edge;
 
-	if (msp_home_route(&request->criteria)->home_region_count == 0)
+	if (!msp_has_homes(&request->criteria.homes) &&
+	    request->criteria.organisation == NULL)
 		return true;
 	if (request->is_forwarded &&
 	    request->terms.routes_version > get_routes_version(edge))
--- a/source/spindled/edge_sender_rank.c
+++ b/source/spindled/edge_sender_rank.c
@@ -83,12 +83,10 @@
 
 /* A VM that does not know the others of its data centre has no part. */
 static void
-rank_vm(const edge_t *edge, const msp_view_target_t *target,
-    msp_sender_rank_t *rank)
+rank_vm(const edge_t *edge, uint64_t key, msp_sender_rank_t *rank)
 {
 	const msp_membership_t *list = get_membership(edge->daemon->members);
 	const msp_member_t *self = msp_membership_self(list);
-	uint64_t key = msp_hash_text(target->registration.id, 0);
 	uint64_t score = msp_rendezvous_score(self->name, key);
 	size_t i;
 
@@ -114,5 +112,22 @@
 
 	*rank = (msp_sender_rank_t){0};
 	rank_place(edge, target, rank);
-	rank_vm(edge, target, rank);
+	rank_vm(edge, msp_hash_text(target->registration.id, 0), rank);
+}
+
+void
+rank_rate_sender(
+    const edge_t *edge, const char *organisation, msp_sender_rank_t *rank)
+{
+	const msp_settings_t *settings = edge->daemon->settings;
+	uint64_t key = msp_hash_text(organisation, 0);
+	uint64_t own = msp_hash_text(settings->place, key);
+	size_t i;
+
+	*rank = (msp_sender_rank_t){.place_count = settings->edge.place_count};
+	for (i = 0; i < settings->edge.place_count; i++) {
+		if (msp_hash_text(settings->edge.places[i].place, key) < own)
+			rank->place++;
+	}
+	rank_vm(edge, key, rank);
 }
--- a/source/spindled/edge_source.c
+++ b/source/spindled/edge_source.c
@@ -5,7 +5,6 @@
 #include "edge_private.h"
 #include "log.h"
 #include "members.h"
-#include "monsoonspindle/coord/rendezvous.h"
 
 #define READER_ROLE "store-reader" /* the key that ranks the members */
 #define READER_EXCLUSION (8 * MSP_SECOND)
@@ -42,55 +41,6 @@
 	return true;
 }
 
-static bool
-is_excluded(const edge_table_t *table, const char *vm)
-{
-	msp_time_t now = msp_now(&table->edge->daemon->env);
-	size_t i;
-
-	for (i = 0; i < EDGE_EXCLUDED_READERS_MAX; i++) {
-		if (now < table->excluded_readers[i].until &&
-		    strcmp(table->excluded_readers[i].vm, vm) == 0)
-			return true;
-	}
-	return false;
-}
-
-static uint32_t
-get_link_mbps(const edge_t *edge, const char *vm)
-{
-	const edge_vm_profile_t *profile = NULL;
-
-	if (edge->link_speed_gate.is_open)
-		profile = find_vm_profile(edge, vm);
-	return profile == NULL ? 0 : profile->link_mbps;
-}
-
-/* Lists the members that may read the table for this data centre. */
-static size_t
-list_readers(const edge_table_t *table, msp_reader_t *readers)
-{
-	const edge_t *edge = table->edge;
-	const msp_membership_t *list = get_membership(edge->daemon->members);
-	const char *self = edge->daemon->settings->vm;
-	const msp_member_t *live[MSP_MEMBERS_MAX];
-	size_t live_count = msp_list_live_members(list, live, MSP_MEMBERS_MAX);
-	size_t count = 0;
-	size_t i;
-
-	for (i = 0; i < live_count; i++) {
-		const char *name = live[i]->name;
-
-		if (live[i]->state == MSP_MEMBER_LEAVING ||
-		    (strcmp(name, self) != 0 && is_excluded(table, name)))
-			continue;
-		readers[count++] = (msp_reader_t){.name = name,
-		    .link_mbps = get_link_mbps(edge, name),
-		    .is_suspect = live[i]->state == MSP_MEMBER_SUSPECT};
-	}
-	return count;
-}
-
 /*
  * Returns the member that reads a table for this data centre, or NULL if it is
  * this VM. Members that recently failed to answer, or whose own copy was stale,
@@ -102,13 +52,12 @@
 	const edge_t *edge = table->edge;
 	const msp_settings_t *settings = edge->daemon->settings;
 	msp_reader_t readers[MSP_MEMBERS_MAX];
-	size_t count = list_readers(table, readers);
+	size_t count =
+	    rank_vms_for_role(edge, READER_ROLE, &table->excluded, readers);
 	const char *reader;
 
 	if (count == 0)
 		return NULL;
-	msp_rank_readers(
-	    readers, count, msp_shard_key(READER_ROLE, settings->place, 0));
 	reader = readers[msp_choose_reader(readers, count, table->kind)].name;
 	return strcmp(reader, settings->vm) == 0
 	    ? NULL
@@ -147,27 +96,17 @@
 	return true;
 }
 
-/* Excludes the current reader; overwrites the entry that expires first. */
 static void
 exclude_reader(edge_table_t *table)
 {
 	const msp_member_t *reader = find_reader(table);
-	size_t at = 0;
-	size_t i;
 
 	if (reader == NULL)
 		return;
-	for (i = 1; i < EDGE_EXCLUDED_READERS_MAX; i++) {
-		if (table->excluded_readers[i].until <
-		    table->excluded_readers[at].until)
-			at = i;
-	}
 	log_info("event=reader table=%s vm=%s state=passed-over", table->name,
 	    reader->name);
-	strlcpy(table->excluded_readers[at].vm, reader->name,
-	    sizeof(table->excluded_readers[at].vm));
-	table->excluded_readers[at].until =
-	    msp_now(&table->edge->daemon->env) + READER_EXCLUSION;
+	exclude_vm(&table->excluded, reader->name,
+	    msp_now(&table->edge->daemon->env) + READER_EXCLUSION);
 }
 
 /*
--- a/source/spindled/forward_codec.c
+++ b/source/spindled/forward_codec.c
@@ -13,6 +13,7 @@
 #define HEADER_ATTEMPTS_LEFT "msp-retries"
 #define HEADER_ATTEMPTS_USED "msp-attempt"
 #define HEADER_TIME_LEFT "msp-time-left-ms"
+#define HEADER_ORGANISATION "msp-organisation"
 #define ATTEMPTS_MAX 1000
 #define TIME_LEFT_MAX_MS 3600000
 
@@ -48,6 +49,9 @@
 	if (status == MSP_OK)
 		status = msp_print_header(
 		    &out->headers, HEADER_TIME_LEFT, "%u", terms->time_left_ms);
+	if (status == MSP_OK && terms->organisation[0] != '\0')
+		status = msp_add_header(
+		    &out->headers, HEADER_ORGANISATION, terms->organisation);
 	if (status != MSP_OK)
 		msp_drop_request(out);
 	return status;
@@ -73,7 +77,9 @@
 	    decode_internal_number(headers, HEADER_ATTEMPTS_LEFT, ATTEMPTS_MAX,
 		&attempts) != MSP_OK ||
 	    decode_internal_number(headers, HEADER_TIME_LEFT, TIME_LEFT_MAX_MS,
-		&time_left_ms) != MSP_OK)
+		&time_left_ms) != MSP_OK ||
+	    decode_internal_text(headers, HEADER_ORGANISATION,
+		out->organisation, sizeof(out->organisation)) != MSP_OK)
 		return MSP_E_BAD_REQUEST;
 	if (out->id[0] == '\0')
 		return msp_fail(MSP_E_BAD_REQUEST, HEADER_ID ": missing");
--- a/source/spindled/forward_codec.h
+++ b/source/spindled/forward_codec.h
@@ -1,13 +1,15 @@
 #ifndef SPINDLED_FORWARD_CODEC_H
 #define SPINDLED_FORWARD_CODEC_H
 
+#include "monsoonspindle/config/organisation.h"
 #include "monsoonspindle/net/http.h"
 #include "proxy_request.h"
 
 /*
  * A request that one VM forwards to another, as an HTTP message between their
- * peer listeners: the caller's request with internal headers. Its answer is
- * that of encode_proxy_result(). The second VM never forwards it again.
+ * peer listeners: the caller's request with internal headers, and without the
+ * caller's API key if there are organisations. Its answer is that of
+ * encode_proxy_result(). The second VM never forwards it again.
  */
 typedef struct forward_terms {
 	char id[PROXY_ID_SIZE]; /* of this hop; the answer has it too */
@@ -16,6 +18,8 @@
 	uint64_t routes_version; /* of these routes */
 	uint32_t attempts_left; /* targets that may get the request */
 	uint32_t time_left_ms; /* for the answer of the second VM */
+	/* Of the caller, by the first VM; "": none. */
+	char organisation[MSP_ORGANISATION_NAME_SIZE];
 } forward_terms_t;
 
 /* Whether a request that the peer listener received is a forwarded one. */
--- a/source/spindled/proxy_codec.c
+++ b/source/spindled/proxy_codec.c
@@ -47,7 +47,8 @@
     "msp-retries", "msp-hops", "msp-time-left-ms", "msp-target", "msp-vm",
     "msp-refusal", "msp-run", "msp-started", "msp-retry-after-ms", "msp-ask",
     "msp-said-no", "msp-age-us", "msp-outcome-status", "msp-incarnation",
-    "msp-attempt", "msp-release-seen", "msp-after-release", "msp-released"};
+    "msp-attempt", "msp-organisation", "msp-release-seen", "msp-after-release",
+    "msp-released"};
 
 msp_status_t
 register_internal_headers(void)
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -62,6 +62,16 @@
 	return msp_rate_share_allows(&limit->share, now);
 }
 
+uint32_t
+msp_request_priority(const msp_balance_request_t *request)
+{
+	const msp_organisation_t *organisation = request->organisation;
+
+	return organisation != NULL && organisation->has_priority
+	    ? organisation->priority
+	    : request->route->priority;
+}
+
 /* Returns NULL if out of memory. */
 static msp_service_state_t *
 find_service_state(msp_balancer_t *balancer, const char *service)
@@ -78,8 +88,7 @@
 {
 
 	/* A retry may go anywhere; home regions already restrict the route. */
-	if (request->tried_count > 0 ||
-	    msp_home_route(request)->home_region_count > 0)
+	if (request->tried_count > 0 || msp_has_homes(&request->homes))
 		return false;
 	msp_update_region_share(share, msp_now(&balancer->env),
 	    msp_compute_utilisation(&loads->local),
@@ -228,7 +237,7 @@
 {
 	msp_service_state_t *service =
 	    find_service_state(balancer, request->service->name);
-	uint32_t priority = request->route->priority;
+	uint32_t priority = msp_request_priority(request);
 	msp_time_t now = msp_now(&balancer->env);
 	msp_ranking_scope_t scope = {0};
 	msp_region_loads_t loads;
--- a/source/steer/balancer_rank.c
+++ b/source/steer/balancer_rank.c
@@ -21,20 +21,13 @@
 	return false;
 }
 
-const msp_path_route_t *
-msp_home_route(const msp_balance_request_t *request)
-{
-	return request->home_route == NULL ? request->route
-					   : request->home_route;
-}
-
 /* Whether the target may have the request if it can be reached. */
 static bool
 may_serve(msp_balancer_t *balancer, const msp_balance_request_t *request,
     const msp_view_target_t *target)
 {
 	return msp_target_is_usable(target, request->service->name) &&
-	    msp_route_allows_region(msp_home_route(request), target->region) &&
+	    msp_homes_allow(&request->homes, target->region) &&
 	    !balancer->callbacks.is_evacuated(
 		balancer->callbacks.ctx, target->registration.place);
 }
--- a/source/steer/forward_choice.c
+++ b/source/steer/forward_choice.c
@@ -111,9 +111,8 @@
 {
 	size_t i;
 
-	if (query->route->home_region_count > 0 &&
-	    (vm->region == NULL ||
-		!msp_route_allows_region(query->route, vm->region)))
+	if (msp_has_homes(&query->homes) &&
+	    (vm->region == NULL || !msp_homes_allow(&query->homes, vm->region)))
 		return false;
 	*rank = RANK_ELSEWHERE;
 	if (strcmp(vm->place, query->place) == 0)
--- a/tests/config/test_route_table.c
+++ b/tests/config/test_route_table.c
@@ -128,15 +128,16 @@
 	msp_route_table_t *table = new_table();
 	msp_path_route_t *route =
 	    add_route(table, "a.example", "/x/", "desk", 1);
+	msp_homes_t homes = {.route = &route->homes};
 	msp_region_name_t *region;
 
 	(void)state;
-	assert_true(msp_route_allows_region(route, "north"));
-	region = msp_add_home_region(route);
+	assert_true(msp_homes_allow(&homes, "north"));
+	region = msp_add_region(&route->homes);
 	assert_non_null(region);
 	strcpy(region->name, "north");
-	assert_true(msp_route_allows_region(route, "north"));
-	assert_false(msp_route_allows_region(route, "south"));
+	assert_true(msp_homes_allow(&homes, "north"));
+	assert_false(msp_homes_allow(&homes, "south"));
 	msp_drop_route_table(table);
 }
 
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -72,9 +72,113 @@
 	assert_true(fields[0].object_hash != fields[2].object_hash);
 }
 
+typedef struct key_case {
+	const char *fields[2]; /* Authorization */
+	key_field_t expected;
+	const char *key;
+} key_case_t;
+
+static void
+decodes_api_keys(void **state)
+{
+	static char too_long[MSP_API_KEY_MAX + 9];
+	static const key_case_t cases[] = {
+	    {{NULL}, KEY_FIELD_MISSING, NULL},
+	    {{"Bearer abc"}, KEY_FIELD_VALID, "abc"},
+	    {{"bearer abc"}, KEY_FIELD_VALID, "abc"},
+	    {{"BEARER  abc  "}, KEY_FIELD_VALID, "abc"},
+	    {{"Bearer a~!\"=/+"}, KEY_FIELD_VALID, "a~!\"=/+"},
+	    {{""}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer "}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearerabc"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer\tabc"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer a b"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer a\xc3\xa4"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Basic abc"}, KEY_FIELD_MALFORMED, NULL},
+	    {{"abc"}, KEY_FIELD_MALFORMED, NULL},
+	    {{too_long}, KEY_FIELD_MALFORMED, NULL},
+	    {{"Bearer abc", "Bearer abc"}, KEY_FIELD_REPEATED, NULL},
+	    {{"Bearer abc", "Bearer xyz"}, KEY_FIELD_REPEATED, NULL},
+	};
+	caller_fields_t fields;
+	size_t i;
+	size_t j;
+
+	(void)state;
+	snprintf(
+	    too_long, sizeof(too_long), "Bearer %0*d", MSP_API_KEY_MAX + 1, 0);
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_request_t request = {.method = "GET", .path = "/"};
+
+		for (j = 0; j < 2 && cases[i].fields[j] != NULL; j++)
+			msp_add_header(&request.headers, "authorization",
+			    cases[i].fields[j]);
+		decode_caller_fields(&request, &fields);
+		if (fields.key_field != cases[i].expected)
+			fail_msg("case %zu: %d", i, fields.key_field);
+		if (cases[i].key != NULL) {
+			assert_int_equal(fields.key_len, strlen(cases[i].key));
+			assert_memory_equal(
+			    fields.key, cases[i].key, fields.key_len);
+		}
+		msp_drop_request(&request);
+	}
+}
+
+typedef struct organisation_case {
+	bool has_organisations;
+	const char *organisation; /* of the caller; NULL: none */
+	const char *key_seen; /* by the target; NULL: none */
+	const char *name_seen;
+} organisation_case_t;
+
+/* The key stays here, and only this system names the organisation. */
+static void
+target_gets_the_organisation_and_no_key(void **state)
+{
+	static const organisation_case_t cases[] = {
+	    {false, NULL, "Bearer abc", "forged"},
+	    {true, "north", NULL, "north"},
+	    {true, NULL, NULL, NULL},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_request_t request = {.method = "GET", .path = "/"};
+		target_terms_t terms = {.target_id = "i-1",
+		    .time_left_ms = 10,
+		    .has_organisations = cases[i].has_organisations,
+		    .organisation = cases[i].organisation};
+		const char *key;
+		const char *name;
+		msp_request_t out;
+
+		msp_add_header(&request.headers, "authorization", "Bearer abc");
+		msp_add_header(&request.headers, "tenant", "forged");
+		assert_int_equal(
+		    encode_target_request(&request, &terms, &out), MSP_OK);
+		key = msp_find_header(&out.headers, "Authorization");
+		name = msp_find_header(&out.headers, "Tenant");
+		assert_int_equal(key == NULL, cases[i].key_seen == NULL);
+		assert_int_equal(name == NULL, cases[i].name_seen == NULL);
+		if (key != NULL)
+			assert_string_equal(key, cases[i].key_seen);
+		if (name != NULL)
+			assert_string_equal(name, cases[i].name_seen);
+		strip_organisation_fields(&request.headers);
+		assert_int_equal(request.headers.count, 0);
+		msp_drop_request(&out);
+		msp_drop_request(&request);
+	}
+}
+
 static void
 target_request_has_time_left_and_target_id(void **state)
 {
+	target_terms_t terms = {.target_id = "i-1", .time_left_ms = 1234};
+
 	msp_request_t request = {
 	    .method = "POST", .path = "/x/1?q=2", .host = "a.example"};
 	msp_request_t out;
@@ -85,8 +189,7 @@
 	msp_add_header(&request.headers, "Target-Instance", "forged");
 	msp_add_header(&request.headers, "cookie", "Affinity-Key=17");
 	msp_append_data(&request.body, "body", 4);
-	assert_int_equal(
-	    encode_target_request(&request, "i-1", 1234, &out), MSP_OK);
+	assert_int_equal(encode_target_request(&request, &terms, &out), MSP_OK);
 	assert_string_equal(out.method, "POST");
 	assert_string_equal(out.path, "/x/1?q=2");
 	assert_string_equal(out.host, "a.example");
@@ -438,6 +541,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(decodes_deadline_and_affinity_key),
 	    cmocka_unit_test(hashes_affinity_keys),
+	    cmocka_unit_test(decodes_api_keys),
+	    cmocka_unit_test(target_gets_the_organisation_and_no_key),
 	    cmocka_unit_test(target_request_has_time_left_and_target_id),
 	    cmocka_unit_test(classifies_target_responses),
 	    cmocka_unit_test(
--- a/tests/platform/test_manifest.c
+++ b/tests/platform/test_manifest.c
@@ -110,7 +110,8 @@
 	assert_int_equal(route->service_count, 2);
 	assert_int_equal(route->services[0].weight, 90);
 	assert_string_equal(route->services[1].service, "vault");
-	assert_false(msp_route_allows_region(route, "south"));
+	assert_false(
+	    msp_homes_allow(&(msp_homes_t){.route = &route->homes}, "south"));
 	route = msp_match_path_route(table, "a.example", "/y/");
 	assert_non_null(route);
 	assert_false(route->idempotent);
@@ -125,6 +126,128 @@
 	msp_drop_route_table(table);
 }
 
+#define ORGANISATIONS(text_)                                   \
+	"{\"version\":\"r7\",\"routes\":[" ROUTE "]," SERVICES \
+	",\"tenants\":" text_ "}"
+
+static void
+decodes_organisations(void **state)
+{
+	static const char text[] =
+	    ORGANISATIONS("[{\"name\":\"north\",\"apiKeys\":[\"k1\",\"k2\"],"
+			  "\"priority\":1,\"ratePerS\":12.5,\"burst\":30,"
+			  "\"homeRegions\":[\"n\"]},{\"name\":\"south\","
+			  "\"apiKeys\":[]}]");
+	msp_route_table_t *table = decode_manifest(text, strlen(text));
+	const msp_organisation_t *found;
+
+	(void)state;
+	assert_non_null(table);
+	assert_non_null(table->organisations);
+	found = msp_find_key_holder(table->organisations, "k2", 2);
+	assert_string_equal(found->name, "north");
+	assert_true(found->has_priority);
+	assert_int_equal(found->priority, 1);
+	assert_true(found->limit.per_second == 12.5);
+	assert_true(found->limit.burst == 30);
+	assert_string_equal(found->homes.names[0].name, "n");
+	found = msp_find_organisation(table->organisations, "south");
+	assert_false(found->has_priority);
+	assert_true(found->limit.per_second == 0);
+	assert_int_equal(found->homes.count, 0);
+	msp_drop_route_table(table);
+}
+
+static void
+only_a_list_switches_organisations_on(void **state)
+{
+	static const char without[] = DOCUMENT("\"r7\"", ROUTE);
+	static const char none[] = ORGANISATIONS("[]");
+	msp_route_table_t *table = decode_manifest(without, strlen(without));
+
+	(void)state;
+	assert_null(table->organisations);
+	msp_drop_route_table(table);
+	table = decode_manifest(none, strlen(none));
+	assert_non_null(table->organisations);
+	assert_null(msp_find_key_holder(table->organisations, "k", 1));
+	msp_drop_route_table(table);
+}
+
+static void
+rejects_invalid_organisations(void **state)
+{
+	static const invalid_case_t cases[] = {
+	    {ORGANISATIONS("7"), "\"tenants\""},
+	    {ORGANISATIONS("[7]"), "\"name\""},
+	    {ORGANISATIONS("[{\"name\":\"a\"}]"), "\"apiKeys\""},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[7]}]"), "apiKeys"},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
+		"a key of 0 bytes"},
+	    /* Each would lift the limit. */
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[],"
+			   "\"ratePerS\":\"5\"}]"),
+		"\"ratePerS\""},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[],"
+			   "\"ratePerS\":-1}]"),
+		"\"ratePerS\""},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[],"
+			   "\"homeRegions\":\"n\"}]"),
+		"homeRegions"},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+			   "{\"name\":\"b\",\"apiKeys\":[\"k\"]}]"),
+		"same key"},
+	    {ORGANISATIONS("[{\"name\":\"a\",\"apiKeys\":[]},"
+			   "{\"name\":\"a\",\"apiKeys\":[]}]"),
+		"two organisations"},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		assert_null(
+		    decode_manifest(cases[i].text, strlen(cases[i].text)));
+		if (strstr(msp_last_message(), cases[i].message) == NULL)
+			fail_msg("case %zu: %s", i, msp_last_message());
+	}
+}
+
+static void
+kinds_say_what_may_be_repeated(void **state)
+{
+	static const struct {
+		const char *kind;
+		bool idempotent;
+	} cases[] = {
+	    {"idempotent", true},
+	    {"download", true},
+	    {"non_idempotent", false},
+	    {"Download", false},
+	    {"", false},
+	    {"stream", false},
+	};
+	char text[1024];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_route_table_t *table;
+
+		snprintf(text, sizeof(text),
+		    "{\"version\":\"r7\",\"routes\":[{\"name\":\"r\","
+		    "\"host\":\"a\",\"prefix\":\"/\",\"kind\":\"%s\","
+		    "\"timeoutMs\":1,\"targetLatencyMs\":1,"
+		    "\"service\":\"desk\"}]," SERVICES "}",
+		    cases[i].kind);
+		table = decode_manifest(text, strlen(text));
+		assert_non_null(table);
+		assert_int_equal(
+		    table->routes[0].idempotent, cases[i].idempotent);
+		assert_false(table->routes[0].is_public);
+		msp_drop_route_table(table);
+	}
+}
+
 /* The operator may add this many routes in one change. */
 static void
 decodes_hundreds_of_routes(void **state)
@@ -158,6 +281,10 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(rejects_invalid_documents),
 	    cmocka_unit_test(decodes_all_fields),
+	    cmocka_unit_test(decodes_organisations),
+	    cmocka_unit_test(only_a_list_switches_organisations_on),
+	    cmocka_unit_test(rejects_invalid_organisations),
+	    cmocka_unit_test(kinds_say_what_may_be_repeated),
 	    cmocka_unit_test(decodes_hundreds_of_routes),
 	};
 
--- a/tests/steer/test_forward_choice.c
+++ b/tests/steer/test_forward_choice.c
@@ -73,7 +73,7 @@
 	msp_forward_query_t query = {.place = "n-a",
 	    .region = "north",
 	    .service = SERVICE,
-	    .route = fixture->route,
+	    .homes = {.route = &fixture->route->homes},
 	    .tried = tried,
 	    .tried_count = tried_count};
 	msp_forward_pick_t picked = {0};
@@ -129,7 +129,7 @@
 		tear_down(state);
 		set_up(state);
 		if (test->homes != NULL)
-			strcpy(msp_add_home_region(fixture->route)->name,
+			strcpy(msp_add_region(&fixture->route->homes)->name,
 			    test->homes);
 		picked = pick(fixture, test->vms, CASE_VMS, test->tried,
 		    test->tried_count);
