--- /dev/null
+++ b/tests/process/test_edge_organisations.c
@@ -0,0 +1,346 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "edge_fixture.h"
+
+/*
+ * Organisations whose callers name themselves by API keys: which requests are
+ * accepted, what targets get, and limits and home regions.
+ */
+
+#define LOG_DELAY_MAX (5 * MSP_SECOND)
+#define TIMELY_REQUESTS 40 /* earn a retry */
+#define BURST 4
+#define ROUTE(name_, prefix_, members_)                                        \
+	"{\"name\":\"" name_ "\",\"host\":\"a.example\",\"prefix\":\"" prefix_ \
+	"\",\"kind\":\"idempotent\",\"timeoutMs\":5000,"                       \
+	"\"targetLatencyMs\":500,\"service\":\"desk\",\"maxAttempts\":"        \
+	"2" members_ "}"
+#define NORTH "{\"name\":\"north\",\"apiKeys\":[\"key-n\",\"key-n2\"]}"
+#define SOUTH                                                           \
+	"{\"name\":\"south\",\"apiKeys\":[\"key-s\"],\"homeRegions\":[" \
+	"\"south\"]}"
+#define LIMITED                                          \
+	"{\"name\":\"limited\",\"apiKeys\":[\"key-l\"]," \
+	"\"ratePerS\":0.5,\"burst\":4}"
+
+static void
+put_organisations(
+    edge_fixture_t *fixture, unsigned int version, const char *organisations)
+{
+	char text[4096];
+	char line[64];
+
+	snprintf(text, sizeof(text),
+	    "{\"version\":\"r%u\",\"routes\":[" ROUTE(
+		"a", "/read/", "") "," ROUTE("p", "/public/",
+		",\"public\":true") "," ROUTE("h", "/home/",
+		",\"homeRegions\":[\"north\"]") "],\"services\":[{\"name\":"
+						"\"desk\",\"healthPath\":\"/"
+						"health\","
+						"\"maxConns\":100,"
+						"\"coldStartS\":3.0,"
+						"\"coldPerS\":3.4}],"
+						"\"tenants\":[%s]}",
+	    version, organisations);
+	put_edge_row(fixture, "op", "config", text);
+	snprintf(line, sizeof(line), "state=in-force version=%u ", version);
+	run_edge_until_logged(fixture, line, LOG_DELAY_MAX);
+}
+
+static int
+set_up(void **state)
+{
+	edge_fixture_t *fixture = new_edge_fixture();
+
+	set_up_routes_and_targets(fixture);
+	put_organisations(fixture, 10, NORTH "," SOUTH "," LIMITED);
+	*state = fixture;
+	return 0;
+}
+
+static int
+tear_down(void **state)
+{
+	drop_edge_fixture(*state);
+	return 0;
+}
+
+/* The target that got the last request; NULL: none did. */
+static edge_target_t *
+find_used_target(edge_fixture_t *fixture)
+{
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++) {
+		if (fixture->targets[i].request_count > 0)
+			return &fixture->targets[i];
+	}
+	return NULL;
+}
+
+static void
+clear_targets(edge_fixture_t *fixture)
+{
+	unsigned int i;
+
+	for (i = 0; i < EDGE_TARGETS; i++) {
+		fixture->targets[i].request_count = 0;
+		fixture->targets[i].seen_key[0] = '\0';
+		fixture->targets[i].seen_organisation[0] = '\0';
+	}
+}
+
+typedef struct key_case {
+	const char *key; /* Authorization */
+	const char *path;
+	int http_status;
+	const char *organisation; /* that the target sees */
+} key_case_t;
+
+/* Guards against requests that run without a key, or with the key (UNASKED). */
+static void
+keys_decide_who_is_served(void **state)
+{
+	static const key_case_t cases[] = {
+	    {"Bearer key-n", "/read/1", 200, "north"},
+	    {"bearer key-n2", "/read/1", 200, "north"},
+	    {NULL, "/read/1", 401, NULL},
+	    {"Bearer other", "/read/1", 401, NULL},
+	    {"Bearer key-", "/read/1", 401, NULL},
+	    {"Bearer key-n key-s", "/read/1", 401, NULL},
+	    {"Basic key-n", "/read/1", 401, NULL},
+	    {"key-n", "/read/1", 401, NULL},
+	    {"", "/read/1", 401, NULL},
+	    {NULL, "/public/1", 200, ""},
+	    {"Bearer other", "/public/1", 200, ""},
+	    {"Bearer key-n", "/public/1", 200, "north"},
+	    {"Bearer other", "/unknown/1", 404, NULL},
+	    /* No target is in the home region of this organisation. */
+	    {"Bearer key-s", "/read/1", 503, NULL},
+	    /* Homes of the route and of the organisation have none in common.
+	     */
+	    {"Bearer key-s", "/home/1", 503, NULL},
+	    {"Bearer key-n", "/home/1", 200, "north"},
+	};
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+	edge_target_t *target;
+	size_t i;
+
+	fixture->claimed_organisation = "forged";
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		clear_targets(fixture);
+		fixture->key = cases[i].key;
+		send_edge_request(fixture, "GET", cases[i].path, &response);
+		if (response.http_status != cases[i].http_status)
+			fail_msg("case %zu: %d", i, response.http_status);
+		target = find_used_target(fixture);
+		assert_int_equal(target == NULL, cases[i].organisation == NULL);
+		if (target == NULL)
+			continue;
+		assert_string_equal(target->seen_key, "");
+		assert_string_equal(
+		    target->seen_organisation, cases[i].organisation);
+	}
+}
+
+/* Guards against keys that are refused late, or run late (CONFIG). */
+static void
+keys_are_added_and_taken_away_by_versions(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+
+	fixture->key = "Bearer key-new";
+	send_edge_request(fixture, "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 401);
+	put_organisations(fixture, 11,
+	    "{\"name\":\"north\",\"apiKeys\":[\"key-n2\",\"key-new\"]}");
+	send_edge_request(fixture, "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 200);
+	fixture->key = "Bearer key-n";
+	send_edge_request(fixture, "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 401);
+}
+
+/* Guards against a second run of a request whose key was taken away. */
+static void
+retry_ends_when_its_key_is_taken_away(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	edge_target_t *first = NULL;
+	caller_response_t response;
+	unsigned int i;
+
+	fixture->key = "Bearer key-n";
+	for (i = 0; i < TIMELY_REQUESTS; i++)
+		send_edge_request(fixture, "GET", "/read/1", &response);
+	clear_targets(fixture);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = TARGET_DELAYS;
+	start_edge_request(
+	    fixture, fixture->caller_port, "GET", "/read/1", &response);
+	while (first == NULL && response.done == 0) {
+		run_edge_for(fixture, MSP_MS);
+		first = find_used_target(fixture);
+	}
+	assert_non_null(first);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = TARGET_ANSWERS;
+	put_organisations(fixture, 11, SOUTH);
+	fail_pending_request(first);
+	run_edge_until(fixture, &response.done, 1);
+	assert_int_equal(count_target_requests(fixture), 1);
+	/* It may have run, so that nothing else is true. */
+	assert_int_equal(response.http_status, 502);
+}
+
+/* Guards against more than the limit, and refusals of others (QUOTA). */
+static void
+limit_binds_its_organisation_only(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+	unsigned int served = 0;
+	unsigned int i;
+
+	run_edge_for(fixture, 8 * MSP_SECOND);
+	clear_targets(fixture);
+	fixture->key = "Bearer key-l";
+	for (i = 0; i < 3 * BURST; i++) {
+		send_edge_request(fixture, "GET", "/read/1", &response);
+		if (response.http_status == 200) {
+			served++;
+			continue;
+		}
+		assert_int_equal(response.http_status, 429);
+		assert_true(strtod(response.retry_after, NULL) > 0);
+		assert_string_equal(response.body, "rate-limit\n");
+	}
+	assert_in_range(served, BURST, BURST + 1);
+	assert_int_equal(count_target_requests(fixture), served);
+	fixture->key = "Bearer key-n";
+	for (i = 0; i < 3 * BURST; i++) {
+		send_edge_request(fixture, "GET", "/read/1", &response);
+		assert_int_equal(response.http_status, 200);
+	}
+	assert_true(read_edge_counter(fixture,
+			"msp_rate_limited_total{organisation=\"limited\","
+			"result=\"refused\"}") > 0);
+}
+
+/* Guards against requests that count although no target has run them. */
+static void
+requests_that_do_not_run_are_given_back(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+	unsigned int i;
+
+	run_edge_for(fixture, 8 * MSP_SECOND);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = TARGET_SHEDS;
+	fixture->key = "Bearer key-l";
+	for (i = 0; i < 2 * BURST; i++) {
+		send_edge_request(fixture, "GET", "/read/1", &response);
+		assert_int_equal(response.http_status, 503);
+	}
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = TARGET_ANSWERS;
+	for (i = 0; i < BURST; i++) {
+		send_edge_request(fixture, "GET", "/read/1", &response);
+		assert_int_equal(response.http_status, 200);
+	}
+}
+
+/* Guards against credit for requests that run although nobody waits (QUOTA). */
+static void
+requests_that_callers_abandon_count(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	caller_response_t responses[BURST];
+	msp_call_t *calls[BURST];
+	caller_response_t response;
+	unsigned int i;
+
+	run_edge_for(fixture, 8 * MSP_SECOND);
+	clear_targets(fixture);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].behaviour = TARGET_DELAYS;
+	fixture->key = "Bearer key-l";
+	for (i = 0; i < BURST; i++)
+		calls[i] = start_edge_request(fixture, fixture->caller_port,
+		    "GET", "/read/1", &responses[i]);
+	while (count_target_requests(fixture) < BURST)
+		run_edge_for(fixture, MSP_MS);
+	for (i = 0; i < BURST; i++)
+		msp_cancel_call(calls[i]);
+	run_edge_for(fixture, 300 * MSP_MS);
+	send_edge_request(fixture, "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 429);
+	for (i = 0; i < EDGE_TARGETS; i++)
+		fixture->targets[i].pending = NULL;
+}
+
+/* Guards against keys that leave the VM. */
+static void
+forwarded_request_has_the_name_and_not_the_key(void **state)
+{
+	edge_fixture_t *pair[2];
+	caller_response_t response;
+	edge_target_t *target;
+	unsigned int i;
+
+	(void)state;
+	new_edge_pair(pair);
+	for (i = 0; i < 2; i++) {
+		set_up_routes_and_targets(pair[i]);
+		put_organisations(pair[i], 10, NORTH);
+	}
+	stop_targets(pair[0]);
+	pair[0]->key = "Bearer key-n";
+	pair[0]->claimed_organisation = "forged";
+	send_edge_request(pair[0], "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 200);
+	target = find_used_target(pair[1]);
+	assert_non_null(target);
+	assert_string_equal(target->seen_key, "");
+	assert_string_equal(target->seen_organisation, "north");
+	/* The other VM does not know the organisation (any more). */
+	clear_targets(pair[1]);
+	put_organisations(pair[1], 11, SOUTH);
+	send_edge_request(pair[0], "GET", "/read/1", &response);
+	assert_int_equal(response.http_status, 503);
+	assert_null(find_used_target(pair[1]));
+	drop_edge_pair(pair);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test_setup_teardown(
+		keys_decide_who_is_served, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		keys_are_added_and_taken_away_by_versions, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		retry_ends_when_its_key_is_taken_away, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		limit_binds_its_organisation_only, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		requests_that_do_not_run_are_given_back, set_up, tear_down),
+	    cmocka_unit_test_setup_teardown(
+		requests_that_callers_abandon_count, set_up, tear_down),
+	    cmocka_unit_test(forwarded_request_has_the_name_and_not_the_key),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -79,6 +79,16 @@
 /* Closes all connections of the target, which keeps listening on its port. */
 static void close_target_connections(edge_target_t *target);
 
+/* Copies a header field, or "" if there is none. */
+static void
+copy_field(
+    const msp_request_t *request, const char *name, char *out, size_t size)
+{
+	const char *value = msp_find_header(&request->headers, name);
+
+	snprintf(out, size, "%s", value == NULL ? "" : value);
+}
+
 static void
 handle_target_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -102,6 +112,10 @@
 	}
 	snprintf(
 	    target->seen_host, sizeof(target->seen_host), "%s", request->host);
+	copy_field(request, "Authorization", target->seen_key,
+	    sizeof(target->seen_key));
+	copy_field(request, "Tenant", target->seen_organisation,
+	    sizeof(target->seen_organisation));
 	target->seen_time_left_ms =
 	    deadline_ms == NULL ? 0 : (uint32_t)strtoul(deadline_ms, NULL, 10);
 	switch (target->behaviour) {
@@ -273,6 +287,11 @@
 	    &request.headers, "Deadline-Ms", "%u", fixture->deadline_ms);
 	msp_print_header(
 	    &request.headers, "cookie", "Affinity-Key=%u", fixture->object);
+	if (fixture->key != NULL)
+		msp_add_header(&request.headers, "Authorization", fixture->key);
+	if (fixture->claimed_organisation != NULL)
+		msp_add_header(
+		    &request.headers, "Tenant", fixture->claimed_organisation);
 	if (strcmp(method, "POST") == 0)
 		msp_append_data(&request.body, "order", 5);
 	return msp_start_call(
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -50,6 +50,8 @@
 	char id[16];
 	char seen_host[64]; /* of the last request */
 	uint32_t seen_time_left_ms; /* Deadline-Ms of the last request */
+	char seen_key[64]; /* Authorization of the last request; "": none */
+	char seen_organisation[64];
 } edge_target_t;
 
 struct edge_fixture {
@@ -73,6 +75,8 @@
 	uint16_t peer_port;
 	uint32_t deadline_ms; /* the callers' Deadline-Ms */
 	unsigned int object; /* the callers' affinity key */
+	const char *key; /* the callers' Authorization field; NULL: none */
+	const char *claimed_organisation; /* that callers name; NULL: none */
 	/*
 	 * If set, handles the targets' requests other than health checks in
 	 * place of the targets' behaviours.
