--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -47,8 +47,26 @@
     {"no-routes",
 	"the VM had no routes yet, so it was refused; it did not run"},
     {"routes-outdated",
-	"another VM had newer routes, so that the home regions of the route "
-	"may have changed; it did not run"},
+	"another VM had newer routes, so that home regions, or the caller's "
+	"key, may have changed; it did not run"},
+    {"key-missing", "it had no API key, and its route is not public"},
+    {"key-malformed", "its Authorization field is not \"Bearer KEY\""},
+    {"key-repeated", "it had more than one Authorization field"},
+    {"key-unknown",
+	"no organisation had its API key in the version in force at the VM, "
+	"and the VM knew of no newer version"},
+    {"key-revoked",
+	"its API key was taken away after it had arrived; it did not run "
+	"unless the status is 502"},
+    {"unknown-organisation",
+	"another VM forwarded it for an organisation that this VM's version "
+	"does not have; it did not run here"},
+    {"rate-limit",
+	"its organisation had used up its limit in this data centre; it did "
+	"not run"},
+    {"no-rate-owner",
+	"no VM that keeps the limits of organisations for this data centre "
+	"could be asked, and this VM's own part was used up; it did not run"},
     {"no-route", "no route in force at the VM matches its host and path"},
     {"leaving",
 	"the VM was stopping and might not have finished it in time, so it was "
