--- a/measure/soak.c
+++ b/measure/soak.c
@@ -29,7 +29,8 @@
 	    "REFUSED=%u TWICE=%u "
 	    "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u DROPPED=%u "
 	    "BUDGET=%u/%u worst_budget=%.2f TIME=%u GONE=%u LIMIT=%u "
-	    "HOME=%u CONFIG=%u/%u DRAIN=%u/%u worst_drain_ms=%u RECOVER=%u "
+	    "HOME=%u CONFIG=%u/%u KEYS=%u+%u/%u QUOTA=%u DRAIN=%u/%u "
+	    "worst_drain_ms=%u RECOVER=%u "
 	    "crashed=%u "
 	    "folder=%s\n",
 	    options->profile, (unsigned long long)options->seed,
@@ -50,8 +51,10 @@
 	    result->lost, result->dropped, result->over_budget, result->repeats,
 	    result->worst_budget, result->beyond_time, result->to_gone,
 	    result->over_limit, result->outside_home, result->by_older_routes,
-	    result->judged_markers, result->to_leaving, result->judged_drains,
-	    result->worst_drain_ms, result->not_recovered, result->crashed,
+	    result->judged_markers, result->wrong_organisation,
+	    result->by_older_keys, result->judged_keys, result->over_rate,
+	    result->to_leaving, result->judged_drains, result->worst_drain_ms,
+	    result->not_recovered, result->crashed,
 	    result->folder[0] == '\0' ? "-" : result->folder);
 }
 
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -186,6 +186,11 @@
     /* Responses without end, each within its bound, took all memory. */
     {"endless_responses_do_not_take_all_memory", "endless", 1, false,
 	LIMIT_SECONDS, 2, TARGETS},
+    /* Nothing knew of organisations: no key was checked, and all went on. */
+    {"keys_and_limits_of_organisations_hold", "organisations", 1, true,
+	LIMIT_SECONDS, VMS, TARGETS},
+    {"keys_and_limits_hold_while_vms_restart", "organisations-faults", 1, false,
+	HOMES_SECONDS, VMS, TARGETS},
     {"all_faults_together_break_no_rule", "all", 1, false, SECONDS, VMS,
 	TARGETS},
 };
@@ -253,7 +258,9 @@
 			 "lost %u, dropped %u, over a budget %u, beyond the "
 			 "client's time %u, of gone clients %u, over a limit "
 			 "%u, "
-			 "outside their homes %u, by older routes %u, to "
+			 "outside their homes %u, by older routes %u, of a "
+			 "wrong organisation %u, by older keys %u, over a "
+			 "rate %u, to "
 			 "leaving targets %u, not recovered %u (cut VMs "
 			 "served %u of %u, the others %u of %u), crashed %u of "
 			 "%u requests; %s",
@@ -262,7 +269,8 @@
 		    result.misrouted, result.unread_but_run, result.lost,
 		    result.dropped, result.over_budget, result.beyond_time,
 		    result.to_gone, result.over_limit, result.outside_home,
-		    result.by_older_routes, result.to_leaving,
+		    result.by_older_routes, result.wrong_organisation,
+		    result.by_older_keys, result.over_rate, result.to_leaving,
 		    result.not_recovered, result.cut_served, result.cut_tries,
 		    result.whole_served, result.whole_tries, result.crashed,
 		    result.requests, result.folder);
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -175,7 +175,8 @@
 	    count_beyond(result->to_gone, FEW) +
 	    count_beyond(result->beyond_time, BEYOND_TIME_MAX) +
 	    result->over_limit + result->outside_home +
-	    result->by_older_routes + result->to_leaving +
+	    result->by_older_routes + result->wrong_organisation +
+	    result->by_older_keys + result->over_rate + result->to_leaving +
 	    result->not_recovered + result->crashed;
 }
 
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -51,6 +51,7 @@
 	unsigned int route_bytes; /* of the last version */
 	unsigned int judged_homes; /* requests on routes with homes */
 	unsigned int judged_markers; /* requests on marker routes */
+	unsigned int judged_keys; /* requests with keys that reached targets */
 	unsigned int judged_drains; /* requests to targets that leave */
 	unsigned int worst_drain_ms; /* since the target said that it leaves */
 	unsigned int repeats; /* arrivals beyond the first of a request */
@@ -79,6 +80,9 @@
 	unsigned int over_limit; /* requests above a limit that was named */
 	unsigned int outside_home; /* reached a target outside their homes */
 	unsigned int by_older_routes; /* answered by routes not in force */
+	unsigned int wrong_organisation; /* as a target saw it */
+	unsigned int by_older_keys; /* run, or refused, by keys not in force */
+	unsigned int over_rate; /* above the limit of an organisation */
 	unsigned int to_leaving; /* reached a target that left long ago */
 	unsigned int
 	    not_recovered; /* cuts in which cut VMs served too little */
--- a/tests/support/soak_client.c
+++ b/tests/support/soak_client.c
@@ -190,6 +190,7 @@
 	end_try(client, message->status);
 	if (request->is_marker)
 		judge_soak_marker(client->vm, request);
+	judge_soak_key_answer(client->vm, request);
 	if (message->status == HTTP_OK)
 		client->vm->served++;
 	open = end_request(client, !closes);
--- a/tests/support/soak_draw.c
+++ b/tests/support/soak_draw.c
@@ -105,6 +105,7 @@
 	    "Cookie: Affinity-Key=%u\r\nDeadline-Ms: %u\r\n",
 	    request->method, request->path, request->host, request->id,
 	    (unsigned int)soak_random(soak->loop, OBJECTS), deadline_ms);
+	append_soak_key(soak, request, out);
 	for (; field_count > 0; field_count--)
 		msp_append_printf(out, "X-Field-%u: %s\r\n",
 		    (unsigned int)field_count, request->id);
--- a/tests/support/soak_ledger.h
+++ b/tests/support/soak_ledger.h
@@ -35,6 +35,9 @@
 	unsigned int vm;
 	bool safe; /* may run more than once */
 	bool is_marker; /* asks for a marker route */
+	unsigned int organisation;
+	unsigned int key; /* number of the organisation's key */
+	bool has_unknown_key;
 	bool to_stopping_vm; /* sent after the VM was told to stop */
 	int answer; /* status, SOAK_NO_ANSWER, SOAK_CUT or the like */
 	unsigned int runs;
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -20,6 +20,8 @@
 #define SOAK_REMOVED_IDS 8 /* of a target that are remembered */
 #define SOAK_RETRY_RATIO 0.2 /* of the VMs' settings */
 #define SOAK_RETRY_SLACK 120U /* arrivals in a window; of the same */
+#define SOAK_ORGANISATIONS_MAX 16
+#define SOAK_RATE_ARRIVALS 65536 /* more than come in a window */
 #define SOAK_VMS_MAX 128
 #define SOAK_TARGETS_MAX 64
 
@@ -119,6 +121,8 @@
 	uint32_t fast_bandwidth; /* of their links */
 	uint32_t far_rate; /* bytes per second of a connection to the store
 			      from other regions; 0: no limit */
+	unsigned int organisations; /* whose clients have keys; 0: none */
+	double organisation_rate; /* limit of the first, requests per second */
 	bool markers; /* routes that tell which version a VM has */
 	double link_cuts; /* resets of all connections over a VM's link, per
 			     second */
@@ -170,6 +174,23 @@
 	soak_timer_t change;
 } soak_routes_t;
 
+/* An organisation, whose key is replaced from time to time. */
+typedef struct soak_organisation {
+	unsigned int keys; /* so far; the last one is in the newest version */
+	unsigned int replaced_in; /* version with the last key */
+	unsigned int acknowledged_keys; /* the newest one that was acknowledged
+					 */
+	msp_time_t acknowledged_at;
+} soak_organisation_t;
+
+typedef struct soak_organisations {
+	soak_organisation_t list[SOAK_ORGANISATIONS_MAX];
+	/* At targets, of the one with a limit; a ring. */
+	msp_time_t arrivals[SOAK_RATE_ARRIVALS];
+	unsigned int arrival_count;
+	unsigned int first_arrival; /* of the last window */
+} soak_organisations_t;
+
 /* One direction of a VM's link, or of a connection. */
 typedef struct soak_flow {
 	double credit; /* bytes that may be sent now */
@@ -281,6 +302,7 @@
 	soak_restore_step_t restore_step;
 	msp_rng_t restore_rng; /* of its own, so that a seed names them */
 	soak_routes_t routes;
+	soak_organisations_t organisations;
 	route_judge_t homes;
 	pid_t store_pid;
 	soak_stream_t store; /* commands to the store, and acknowledgements */
@@ -316,6 +338,14 @@
 /* Asks each VM for marker routes, again and again. */
 void start_soak_markers(soak_t *soak);
 
+/* Organisations, their keys and the rules about them. */
+void append_soak_organisations(soak_t *soak, msp_buffer_t *text);
+void acknowledge_soak_organisations(soak_t *soak, unsigned int version);
+void append_soak_key(soak_t *soak, soak_request_t *request, msp_buffer_t *out);
+void judge_soak_organisation(const soak_target_t *target,
+    const soak_message_t *message, const soak_request_t *request);
+void judge_soak_key_answer(const soak_vm_t *vm, const soak_request_t *request);
+
 /* What an arrival at a target says of the rules. */
 void open_soak_arrival_judges(soak_target_t *target);
 /* `time_left` is what the target was told; MSP_NEVER: nothing. */
--- a/tests/support/soak_routes.c
+++ b/tests/support/soak_routes.c
@@ -192,7 +192,9 @@
 	msp_append_printf(&text,
 	    "],\"limits\":{\"maxHeaderBytes\":16384,"
 	    "\"maxBodyBytes\":67108864,\"headerTimeoutMs\":3000,"
-	    "\"idleTimeoutMs\":15000}}");
+	    "\"idleTimeoutMs\":15000}");
+	append_soak_organisations(soak, &text);
+	msp_append_printf(&text, "}");
 	write_soak_routes(soak, routes->version, &text);
 	soak->result->route_versions++;
 	soak->result->route_bytes = (unsigned int)text.len;
@@ -298,6 +300,7 @@
 {
 	soak->routes.acknowledged = version;
 	acknowledge_judged_version(&soak->homes, soak_now(), version);
+	acknowledge_soak_organisations(soak, version);
 }
 
 void
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -420,6 +420,7 @@
 	soak_target_t *target = conn->target;
 	soak_t *soak = target->soak;
 	msp_time_t time_left = MSP_NEVER;
+	const soak_request_t *request;
 	char text[64];
 
 	conn->busy = true;
@@ -445,6 +446,9 @@
 	}
 	conn->vm = find_sender(conn);
 	judge_soak_arrival(target, conn->vm, conn->request_id, time_left);
+	request = msp_map_get(soak->ledger.requests, conn->request_id);
+	if (request != NULL)
+		judge_soak_organisation(target, &conn->message, request);
 	if (target->running < soak->profile->slots) {
 		start_work(conn);
 		return;
