edge: a VM that has just started finds the owner of the limits in the list of VMs

After a restart of all VMs nobody saw most members for a second: 4,162 requests were refused as no-rate-owner in it, and buckets began empty. Now such VMs rank the platform's list, and a process starts with a quarter of a second's worth.

--- a/include/monsoonspindle/coord/rate_owner.h
+++ b/include/monsoonspindle/coord/rate_owner.h
@@ -21,7 +21,8 @@
  * part, so that a first caller need not wait until others have heard of it.
  *
  * A VM that becomes the owner starts with empty buckets, because the one before
- * may just have spent them. No I/O.
+ * may just have spent them; after the start of its process, with what came in
+ * while it can't have admitted anything. No I/O.
  */
 typedef struct msp_rate_owner msp_rate_owner_t;
 
--- a/source/coord/rate_owner.c
+++ b/source/coord/rate_owner.c
@@ -20,6 +20,8 @@
 #define TOLD_TIME (3 * MSP_SECOND)
 /* A data centre that tells nothing keeps its parts for so long. */
 #define SILENCE_MAX MSP_MINUTE
+/* A process takes at least so long to start again; meanwhile it admits none. */
+#define RESTART_TIME (250 * MSP_MS)
 /* Of its data centre's part, an owner uses so much that is not the first. */
 #define STANDBY_PART 0.1
 /* A data centre is silent if it has told nothing for so long. */
@@ -75,7 +77,8 @@
 	owner->env = *env;
 	owner->options = *options;
 	owner->created_at = msp_now(env);
-	owner->started_at = owner->created_at;
+	owner->started_at = owner->created_at - RESTART_TIME;
+	owner->acts_until = owner->created_at + OWNER_TIME;
 	owner->share = 1;
 	owner->buckets = msp_new_map();
 	if (owner->buckets != NULL)
--- a/source/spindled/edge_broadcast.c
+++ b/source/spindled/edge_broadcast.c
@@ -104,10 +104,10 @@
 }
 
 void
-send_to_member(
-    const edge_broadcast_t *kind, const msp_member_t *member, const char *text)
+send_to_one_vm(const edge_broadcast_t *kind, const char *address, uint16_t port,
+    const char *text)
 {
-	send_to_vm(kind, member->address, member->peer_port, text, false);
+	send_to_vm(kind, address, port, text, false);
 }
 
 void
--- a/source/spindled/edge_broadcast.h
+++ b/source/spindled/edge_broadcast.h
@@ -1,7 +1,6 @@
 #ifndef SPINDLED_EDGE_BROADCAST_H
 #define SPINDLED_EDGE_BROADCAST_H
 
-#include "monsoonspindle/coord/member.h"
 #include "monsoonspindle/net/http.h"
 
 /*
@@ -25,9 +24,9 @@
 /* Sends it to VMs of each other data centre only, for them to pass on. */
 void send_to_other_places(const edge_broadcast_t *kind, const char *text);
 
-/* Sends it to one VM of this data centre only. */
-void send_to_member(
-    const edge_broadcast_t *kind, const msp_member_t *member, const char *text);
+/* Sends it to the VM with this peer listener only. */
+void send_to_one_vm(const edge_broadcast_t *kind, const char *address,
+    uint16_t port, const char *text);
 
 /* Whether a message was received for this VM to pass on. */
 bool is_to_pass_on(const msp_request_t *request);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -47,6 +47,8 @@
 typedef struct edge_vm_profile {
 	msp_protocol_range_t speaks;
 	uint32_t link_mbps; /* of its network link; 0: not known */
+	char address[MSP_ADDRESS_SIZE];
+	uint16_t peer_port;
 } edge_vm_profile_t;
 
 /* A table of the platform's store that this VM follows. */
--- /dev/null
+++ b/source/spindled/edge_rate_roles.h
@@ -0,0 +1,42 @@
+#ifndef SPINDLED_EDGE_RATE_ROLES_H
+#define SPINDLED_EDGE_RATE_ROLES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Which VM owns the rate limits of organisations for this data centre: the
+ * first by the membership. A VM that has just started and doesn't know most
+ * members yet goes by the platform's list of VMs.
+ */
+
+struct edge;
+
+#define RATE_OWNERS_MAX 3 /* VMs that may be the owner */
+
+/* A VM that may be the owner. Borrowed until the next event. */
+typedef struct rate_owner_vm {
+	const char *name;
+	const char *address;
+	uint16_t port;
+	bool is_self;
+} rate_owner_vm_t;
+
+/*
+ * Lists the VMs that may be the owner, best first. They are few, so that VMs
+ * which reach no other one do not all become owners.
+ */
+size_t list_rate_owners(
+    const struct edge *edge, rate_owner_vm_t owners[RATE_OWNERS_MAX]);
+
+/* Whether this VM is the first of them. */
+bool is_first_rate_owner(const struct edge *edge);
+
+/*
+ * Whether this VM sees most of the VMs of its data centre, or has just started.
+ * One that is cut off from them must not admit requests beside their owner.
+ */
+bool may_be_rate_owner(const struct edge *edge);
+
+#endif
--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -3,6 +3,7 @@
 
 #include <bsd/string.h>
 
+#include "edge_rate_roles.h"
 #include "edge_request.h"
 #include "members.h"
 #include "monsoonspindle/coord/rate_codec.h"
@@ -15,10 +16,8 @@
  * One question is under way at a time, for all requests that wait.
  */
 
-#define OWNER_ROLE "rate-owner" /* the key that ranks the members */
 /* Small VMs under load take their time to read an answer. */
 #define ASK_TIMEOUT_MS 400
-#define OWNERS_MAX 3 /* VMs that may be the owner */
 #define QUESTIONS_MAX 3 /* for one request */
 #define OWNER_EXCLUSION (2 * MSP_SECOND)
 #define DEMAND_INTERVAL (500 * MSP_MS)
@@ -27,14 +26,13 @@
  * owner goes on to admit requests up to the whole part of the data centre.
  */
 #define ALONE_PART 0.25
-/* A VM that hears of no other member for so many gossip periods is cut off. */
-#define CONTACT_PERIODS 2.5
 /* Another VM has asked within this time: it too takes this one for the owner.
  */
 #define ASKED_TIME MSP_SECOND
 #define REFUSAL_MIN_MS 50
 #define REFUSAL_MAX_MS 10000
-#define NO_OWNER_RETRY_MS 300
+/* By then a VM that has just started knows who the owner is. */
+#define NO_OWNER_RETRY_MS 800
 #define LABELS_MAX 100 /* organisations with counters of their own */
 #define HTTP_TOO_MANY_REQUESTS 429
 
@@ -198,70 +196,6 @@
 	refuse_request(request, NO_OWNER_RETRY_MS, "no-rate-owner");
 }
 
-static bool
-is_self(const edge_t *edge, const msp_member_t *member)
-{
-	return strcmp(member->name, edge->daemon->settings->vm) == 0;
-}
-
-/*
- * Lists the VMs that may own the limits for this data centre, best first. They
- * are few, so that VMs which reach no other one do not all become owners.
- */
-static size_t
-list_owners(const edge_t *edge, const msp_member_t *owners[OWNERS_MAX])
-{
-	static const edge_exclusions_t nobody;
-	msp_reader_t ranked[MSP_MEMBERS_MAX];
-	size_t count = rank_vms_for_role(edge, OWNER_ROLE, &nobody, ranked);
-	size_t i;
-
-	if (count > OWNERS_MAX)
-		count = OWNERS_MAX;
-	for (i = 0; i < count; i++)
-		owners[i] = msp_find_member(
-		    get_membership(edge->daemon->members), ranked[i].name);
-	return count;
-}
-
-static bool
-is_first_owner(const edge_t *edge)
-{
-	const msp_member_t *owners[OWNERS_MAX];
-
-	return list_owners(edge, owners) > 0 && is_self(edge, owners[0]);
-}
-
-static bool
-has_contact(const edge_t *edge)
-{
-	const msp_membership_t *list = get_membership(edge->daemon->members);
-	msp_time_t silence = (msp_time_t)(CONTACT_PERIODS * (double)MSP_MS *
-	    edge->daemon->settings->gossip_period_ms);
-
-	return msp_now(&edge->daemon->env) <
-	    msp_membership_heard_at(list) + silence;
-}
-
-/*
- * Whether this VM sees most of the VMs of its data centre. One that is cut off
- * from them must not admit requests beside their owner.
- */
-static bool
-may_be_owner(const edge_t *edge)
-{
-	const msp_membership_t *list = get_membership(edge->daemon->members);
-	const msp_member_t *live[MSP_MEMBERS_MAX];
-	size_t count = msp_list_live_members(list, live, MSP_MEMBERS_MAX);
-	size_t known;
-
-	if (edge->daemon->leaving || msp_membership_is_paused(list) ||
-	    msp_membership_is_superseded(list) || edge->vm_profiles == NULL)
-		return false;
-	known = msp_map_count(edge->vm_profiles);
-	return 2 * count > known && (known < 2 || has_contact(edge));
-}
-
 /*
  * Whether this VM may admit its own requests as the owner. If it isn't the
  * first choice, others must have turned to it too: the first may be lost to
@@ -272,8 +206,8 @@
 {
 	const edge_t *edge = rates->edge;
 
-	return may_be_owner(edge) &&
-	    (is_first_owner(edge) ||
+	return may_be_rate_owner(edge) &&
+	    (is_first_rate_owner(edge) ||
 		msp_now(&edge->daemon->env) < rates->asked_at + ASKED_TIME);
 }
 
@@ -345,7 +279,7 @@
 		go_on(rates, false);
 		return;
 	}
-	msp_act_as_rate_owner(rates->owner, is_first_owner(rates->edge));
+	msp_act_as_rate_owner(rates->owner, is_first_rate_owner(rates->edge));
 	for (i = 0; i < rates->ask_count; i++) {
 		msp_ask_rate_owner(rates->owner, &rates->asks[i], &grant);
 		msp_apply_rate_grant(rates->leases, &grant);
@@ -406,10 +340,10 @@
 }
 
 static bool
-start_ask(edge_rates_t *rates, const msp_member_t *member)
+start_ask(edge_rates_t *rates, const rate_owner_vm_t *owner)
 {
-	msp_call_options_t options = {.address = member->address,
-	    .port = member->peer_port,
+	msp_call_options_t options = {.address = owner->address,
+	    .port = owner->port,
 	    .timeout_ms = ASK_TIMEOUT_MS};
 	msp_request_t request = {.method = "POST", .path = RATE_ASK_PATH};
 
@@ -421,36 +355,36 @@
 	return rates->call != NULL;
 }
 
-/* The VM to ask; NULL: none can be reached. */
-static const msp_member_t *
-find_owner(const edge_rates_t *rates)
+/* Fills in the VM to ask; returns false if none can be reached. */
+static bool
+find_owner(const edge_rates_t *rates, rate_owner_vm_t *owner)
 {
-	const edge_t *edge = rates->edge;
-	const msp_member_t *owners[OWNERS_MAX];
-	size_t count = list_owners(edge, owners);
+	rate_owner_vm_t owners[RATE_OWNERS_MAX];
+	size_t count = list_rate_owners(rates->edge, owners);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (is_self(edge, owners[i]) ||
-		    !is_vm_excluded(edge, &rates->excluded, owners[i]->name))
-			return owners[i];
+		*owner = owners[i];
+		if (owner->is_self ||
+		    !is_vm_excluded(rates->edge, &rates->excluded, owner->name))
+			return true;
 	}
-	return NULL;
+	return false;
 }
 
 static void
 ask_owner(edge_rates_t *rates)
 {
-	const msp_member_t *owner = find_owner(rates);
+	rate_owner_vm_t owner;
 
 	rates->questions++;
-	if (owner == NULL) {
+	if (!find_owner(rates, &owner)) {
 		go_on(rates, false);
-	} else if (is_self(rates->edge, owner)) {
+	} else if (owner.is_self) {
 		ask_self(rates);
 	} else {
-		strlcpy(rates->asked_vm, owner->name, sizeof(rates->asked_vm));
-		if (!start_ask(rates, owner))
+		strlcpy(rates->asked_vm, owner.name, sizeof(rates->asked_vm));
+		if (!start_ask(rates, &owner))
 			go_on(rates, false);
 	}
 }
@@ -523,11 +457,12 @@
 	if (asks != NULL)
 		status = msp_decode_rate_asks(
 		    msp_buffer_text(&request->body), asks, &count);
-	if (status == MSP_OK && !may_be_owner(edge))
+	if (status == MSP_OK && !may_be_rate_owner(edge))
 		status = msp_fail(MSP_E_NOT_READY,
 		    "this VM does not see most of its data centre");
 	if (status == MSP_OK) {
-		msp_act_as_rate_owner(edge->rates->owner, is_first_owner(edge));
+		msp_act_as_rate_owner(
+		    edge->rates->owner, is_first_rate_owner(edge));
 		edge->rates->asked_at = msp_now(&edge->daemon->env);
 	}
 	for (i = 0; i < count && status == MSP_OK; i++) {
@@ -551,14 +486,14 @@
 static void
 send_to_owners(edge_rates_t *rates, const char *text)
 {
-	edge_t *edge = rates->edge;
-	const msp_member_t *owners[OWNERS_MAX];
-	size_t count = list_owners(edge, owners);
+	rate_owner_vm_t owners[RATE_OWNERS_MAX];
+	size_t count = list_rate_owners(rates->edge, owners);
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (!is_self(edge, owners[i]))
-			send_to_member(&edge->rate_messages, owners[i], text);
+		if (!owners[i].is_self)
+			send_to_one_vm(&rates->edge->rate_messages,
+			    owners[i].address, owners[i].port, text);
 	}
 }
 
@@ -630,7 +565,7 @@
 		return;
 	rates->told_at = now;
 	msp_tidy_rate_leases(rates->leases);
-	if (!is_first_owner(edge) || !may_be_owner(edge))
+	if (!is_first_rate_owner(edge) || !may_be_rate_owner(edge))
 		return;
 	msp_act_as_rate_owner(rates->owner, true);
 	tell_demand(rates);
--- a/source/spindled/edge_vms.c
+++ b/source/spindled/edge_vms.c
@@ -66,6 +66,8 @@
 		return;
 	profile->speaks = vm->speaks;
 	profile->link_mbps = vm->link_mbps;
+	profile->peer_port = vm->peer_port;
+	strlcpy(profile->address, vm->address, sizeof(profile->address));
 	if (msp_map_put(lists->profiles, name, profile) != MSP_OK)
 		free(profile);
 }
