--- a/measure/rate_limits.c
+++ b/measure/rate_limits.c
@@ -8,7 +8,7 @@
  * beyond the limit, needless refusals, messages and waits, without faults and
  * with each.
  *
- *   rate_limits [seeds]
+ *   rate_limits [first seed]
  */
 
 #define SEEDS 20
@@ -39,7 +39,7 @@
 
 static void
 print_way(const load_t *load, rate_sim_way_t way, rate_sim_fault_t fault,
-    unsigned int seeds)
+    uint64_t first_seed)
 {
 	rate_sim_options_t options = {.way = way,
 	    .fault = fault,
@@ -56,8 +56,8 @@
 	double worst = 0;
 	unsigned int i;
 
-	for (i = 1; i <= seeds; i++) {
-		options.seed = i;
+	for (i = 0; i < SEEDS; i++) {
+		options.seed = first_seed + i;
 		run_rate_sim(&options, &result);
 		sum.requests += result.requests;
 		sum.refused += result.refused;
@@ -73,14 +73,13 @@
 	    100.0 * sum.refused / sum.requests,
 	    100.0 * sum.refused_below / sum.requests, worst,
 	    (double)sum.asks / sum.requests,
-	    sum.demand_messages / PLAY_S / seeds, sum.added_ms / seeds);
+	    sum.demand_messages / PLAY_S / SEEDS, sum.added_ms / SEEDS);
 }
 
 int
 main(int argc, char **argv)
 {
-	unsigned int seeds =
-	    argc > 1 ? (unsigned int)strtoul(argv[1], NULL, 10) : SEEDS;
+	uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	rate_sim_fault_t fault;
 	rate_sim_way_t way;
 	size_t i;
@@ -91,11 +90,11 @@
 	       "|---|---|---|---|---|---|---|---|---|\n");
 	for (i = 0; i < sizeof(loads) / sizeof(*loads); i++) {
 		for (way = RATE_SIM_EVEN; way <= RATE_SIM_DEMAND; way++)
-			print_way(&loads[i], way, RATE_SIM_NO_FAULT, seeds);
+			print_way(&loads[i], way, RATE_SIM_NO_FAULT, seed);
 	}
 	for (fault = 1; fault < RATE_SIM_FAULT_COUNT; fault++) {
-		print_way(&loads[2], RATE_SIM_DEMAND, fault, seeds);
-		print_way(&loads[4], RATE_SIM_DEMAND, fault, seeds);
+		print_way(&loads[2], RATE_SIM_DEMAND, fault, seed);
+		print_way(&loads[4], RATE_SIM_DEMAND, fault, seed);
 	}
 	return 0;
 }
