--- a/tests/platform/test_manifest.c
+++ b/tests/platform/test_manifest.c
@@ -24,6 +24,19 @@
 	const char *message; /* a part of the expected message */
 } invalid_case_t;
 
+static void
+assert_rejected(const invalid_case_t *cases, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		assert_null(
+		    decode_manifest(cases[i].text, strlen(cases[i].text)));
+		if (strstr(msp_last_message(), cases[i].message) == NULL)
+			fail_msg("case %zu: %s", i, msp_last_message());
+	}
+}
+
 static void
 rejects_invalid_documents(void **state)
 {
@@ -66,15 +79,9 @@
 			    "\"homeRegions\":{\"0\":\"north\"}}"),
 		"homeRegions: not a list"},
 	};
-	size_t i;
 
 	(void)state;
-	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-		assert_null(
-		    decode_manifest(cases[i].text, strlen(cases[i].text)));
-		if (strstr(msp_last_message(), cases[i].message) == NULL)
-			fail_msg("case %zu: %s", i, msp_last_message());
-	}
+	assert_rejected(cases, sizeof(cases) / sizeof(*cases));
 }
 
 static void
@@ -201,15 +208,9 @@
 			   "{\"name\":\"a\",\"apiKeys\":[]}]"),
 		"two organisations"},
 	};
-	size_t i;
 
 	(void)state;
-	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
-		assert_null(
-		    decode_manifest(cases[i].text, strlen(cases[i].text)));
-		if (strstr(msp_last_message(), cases[i].message) == NULL)
-			fail_msg("case %zu: %s", i, msp_last_message());
-	}
+	assert_rejected(cases, sizeof(cases) / sizeof(*cases));
 }
 
 static void
