edge: turns over requests start at the first, since a refusal may free others; the owner's side of rate limits in a file of its own

A response may show that its connection is closed; then the other requests of the connection are freed while the loop that refuses them holds the next one. Found by reading, in finish_batch and in refuse_unsent_requests (planned stop). Not reproduced: the new test of pipelines that close while the owner is asked passes with and without the change, 12 pipelines under the sanitizers.

--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -4,11 +4,8 @@
 #include <bsd/string.h>
 
 #include "edge_rate_roles.h"
-#include "edge_request.h"
+#include "edge_rates_private.h"
 #include "members.h"
-#include "monsoonspindle/coord/rate_codec.h"
-#include "monsoonspindle/coord/rate_leases.h"
-#include "problem.h"
 
 /*
  * The rate limits of organisations. The VM that ranks first in this data centre
@@ -20,7 +17,6 @@
 #define ASK_TIMEOUT_MS 400
 #define QUESTIONS_MAX 3 /* for one request */
 #define OWNER_EXCLUSION (2 * MSP_SECOND)
-#define DEMAND_INTERVAL (500 * MSP_MS)
 /*
  * Without an owner a VM uses this much of its even part of a limit, since the
  * owner goes on to admit requests up to the whole part of the data centre.
@@ -36,28 +32,8 @@
 #define LABELS_MAX 100 /* organisations with counters of their own */
 #define HTTP_TOO_MANY_REQUESTS 429
 
-struct edge_rates {
-	edge_t *edge;
-	msp_rate_owner_t *owner;
-	msp_rate_leases_t *leases;
-	msp_map_t *alone; /* msp_rate_share_t by organisation */
-	edge_exclusions_t excluded; /* as owners */
-	TAILQ_HEAD(, edge_request) waiting;
-	/* The questions that are under way. */
-	msp_rate_ask_t asks[MSP_RATES_PER_MESSAGE_MAX];
-	size_t ask_count;
-	unsigned int questions;
-	bool was_late; /* the answer to the last one */
-	char asked_vm[MSP_NAME_SIZE];
-	bool is_asking; /* guards against a second batch from within one */
-	msp_call_t *call;
-	msp_time_t told_at;
-	msp_time_t asked_at; /* last question of another VM */
-	msp_map_t *labels; /* organisations that are counted by name */
-};
-
-static size_t
-find_own_place(const msp_settings_t *settings, const char *place)
+size_t
+find_rate_place(const msp_settings_t *settings, const char *place)
 {
 	size_t i;
 
@@ -75,7 +51,7 @@
 	const msp_env_t *env = &edge->daemon->env;
 	msp_rate_owner_options_t options = {
 	    .place_count = settings->edge.place_count,
-	    .place = find_own_place(settings, settings->place),
+	    .place = find_rate_place(settings, settings->place),
 	    .slack = settings->edge.rate_slack,
 	};
 	edge_rates_t *rates = calloc(1, sizeof(*rates));
@@ -213,20 +189,35 @@
 
 static void ask_owner(edge_rates_t *rates);
 
-/* Ends the batch; with `has_owner` its grants have been applied. */
+/* The first waiting request that the owner was asked for; NULL: none. */
+static edge_request_t *
+find_asked_request(const edge_rates_t *rates)
+{
+	edge_request_t *request;
+
+	TAILQ_FOREACH(request, &rates->waiting, rate_link) {
+		if (msp_is_rate_asked(
+			rates->leases, get_organisation(request)->name))
+			return request;
+	}
+	return NULL;
+}
+
+/*
+ * Ends the batch; with `has_owner` its grants have been applied. A response to
+ * one request may show that its connection is closed, which frees others of
+ * the connection; so each turn starts at the first.
+ */
 static void
 finish_batch(edge_rates_t *rates, bool has_owner)
 {
 	edge_request_t *request;
-	edge_request_t *next;
 	msp_time_t wait;
 
-	TAILQ_FOREACH_SAFE(request, &rates->waiting, rate_link, next) {
+	while ((request = find_asked_request(rates)) != NULL) {
 		const char *name = get_organisation(request)->name;
 		msp_rate_verdict_t verdict = MSP_RATE_REFUSED;
 
-		if (!msp_is_rate_asked(rates->leases, name))
-			continue;
 		TAILQ_REMOVE(&rates->waiting, request, rate_link);
 		request->rate = RATE_FREE;
 		if (has_owner)
@@ -242,9 +233,8 @@
 	}
 }
 
-/* Begins a new batch if there is anything to ask or tell. */
-static void
-begin_batch(edge_rates_t *rates)
+void
+begin_rate_batch(edge_rates_t *rates)
 {
 	if (rates->is_asking || rates->call != NULL)
 		return;
@@ -265,7 +255,7 @@
 	finish_batch(rates, has_owner);
 	rates->is_asking = false;
 	if (!TAILQ_EMPTY(&rates->waiting))
-		begin_batch(rates);
+		begin_rate_batch(rates);
 }
 
 /* This VM is the owner. */
@@ -414,7 +404,7 @@
 	}
 	request->rate = RATE_WAITING;
 	TAILQ_INSERT_TAIL(&rates->waiting, request, rate_link);
-	begin_batch(rates);
+	begin_rate_batch(rates);
 }
 
 void
@@ -442,150 +432,3 @@
 	}
 	request->rate = RATE_FREE;
 }
-
-void
-serve_rate_asks(edge_t *edge, msp_exchange_t *exchange)
-{
-	const msp_request_t *request = msp_exchange_request(exchange);
-	msp_rate_ask_t *asks = calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*asks));
-	msp_response_t response = {.status = 200};
-	msp_status_t status = MSP_E_NO_MEMORY;
-	msp_rate_grant_t grant;
-	size_t count = 0;
-	size_t i;
-
-	if (asks != NULL)
-		status = msp_decode_rate_asks(
-		    msp_buffer_text(&request->body), asks, &count);
-	if (status == MSP_OK && !may_be_rate_owner(edge))
-		status = msp_fail(MSP_E_NOT_READY,
-		    "this VM does not see most of its data centre");
-	if (status == MSP_OK) {
-		msp_act_as_rate_owner(
-		    edge->rates->owner, is_first_rate_owner(edge));
-		edge->rates->asked_at = msp_now(&edge->daemon->env);
-	}
-	for (i = 0; i < count && status == MSP_OK; i++) {
-		msp_ask_rate_owner(edge->rates->owner, &asks[i], &grant);
-		status = msp_encode_rate_grants(&grant, 1, &response.body);
-	}
-	free(asks);
-	msp_add_to_counter(edge->daemon->counters, 1,
-	    "msp_rate_asks_served_total{result=\"%s\"}",
-	    msp_status_name(status));
-	if (status == MSP_OK) {
-		msp_send_exchange_response(exchange, &response);
-	} else {
-		msp_drop_response(&response);
-		answer_error(exchange,
-		    status == MSP_E_SYNTAX ? MSP_E_BAD_REQUEST : status);
-	}
-}
-
-/* Sends a message about demand to those that may own the limits. */
-static void
-send_to_owners(edge_rates_t *rates, const char *text)
-{
-	rate_owner_vm_t owners[RATE_OWNERS_MAX];
-	size_t count = list_rate_owners(rates->edge, owners);
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		if (!owners[i].is_self)
-			send_to_one_vm(&rates->edge->rate_messages,
-			    owners[i].address, owners[i].port, text);
-	}
-}
-
-void
-serve_rate_demand(edge_t *edge, msp_exchange_t *exchange)
-{
-	const msp_request_t *request = msp_exchange_request(exchange);
-	const char *text = msp_buffer_text(&request->body);
-	msp_rate_demand_t *demand =
-	    calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*demand));
-	msp_response_t response = {.status = 204};
-	char place[MSP_NAME_SIZE];
-	msp_status_t status = MSP_E_NO_MEMORY;
-	size_t count = 0;
-
-	if (demand != NULL)
-		status = msp_decode_rate_demand(
-		    text, place, sizeof(place), demand, &count);
-	if (status == MSP_OK) {
-		msp_hear_rate_demand(edge->rates->owner,
-		    find_own_place(edge->daemon->settings, place), demand,
-		    count);
-		if (is_to_pass_on(request))
-			send_to_owners(edge->rates, text);
-	}
-	free(demand);
-	if (status == MSP_OK)
-		msp_send_exchange_response(exchange, &response);
-	else
-		answer_error(exchange,
-		    status == MSP_E_SYNTAX ? MSP_E_BAD_REQUEST : status);
-}
-
-/* Tells the other data centres what this one is asked for. */
-static void
-tell_demand(edge_rates_t *rates)
-{
-	msp_rate_demand_t *demand =
-	    calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*demand));
-	const char *place = rates->edge->daemon->settings->place;
-	size_t count = demand == NULL ? 0 : MSP_RATES_PER_MESSAGE_MAX;
-
-	while (count == MSP_RATES_PER_MESSAGE_MAX) {
-		msp_buffer_t text = {0};
-
-		count = msp_tell_rate_demand(
-		    rates->owner, demand, MSP_RATES_PER_MESSAGE_MAX);
-		if (msp_encode_rate_demand(place, demand, count, &text) ==
-		    MSP_OK) {
-			send_to_other_places(&rates->edge->rate_messages,
-			    msp_buffer_text(&text));
-			send_to_owners(rates, msp_buffer_text(&text));
-		}
-		msp_drop_buffer(&text);
-	}
-	free(demand);
-}
-
-void
-tick_rates(edge_t *edge)
-{
-	edge_rates_t *rates = edge->rates;
-	msp_time_t now = msp_now(&edge->daemon->env);
-
-	if (edge->routes == NULL || edge->routes->organisations == NULL)
-		return;
-	begin_batch(rates);
-	if (now < rates->told_at + DEMAND_INTERVAL)
-		return;
-	rates->told_at = now;
-	msp_tidy_rate_leases(rates->leases);
-	if (!is_first_rate_owner(edge) || !may_be_rate_owner(edge))
-		return;
-	msp_act_as_rate_owner(rates->owner, true);
-	tell_demand(rates);
-}
-
-void
-update_rate_gauges(const edge_t *edge)
-{
-	msp_counters_t *counters = edge->daemon->counters;
-	const msp_organisations_t *set =
-	    edge->routes == NULL ? NULL : edge->routes->organisations;
-
-	*msp_get_counter(counters, "msp_organisations") =
-	    set == NULL ? 0 : msp_count_organisations(set);
-	*msp_get_counter(counters, "msp_api_keys") =
-	    set == NULL ? 0 : msp_count_api_keys(set);
-	*msp_get_counter(counters, "msp_organisations_bytes") =
-	    set == NULL ? 0 : msp_organisations_size(set);
-	*msp_get_counter(counters, "msp_rate_buckets") =
-	    msp_count_rate_buckets(edge->rates->owner);
-	*msp_get_counter(counters, "msp_rate_leases") =
-	    msp_count_rate_leases(edge->rates->leases);
-}
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -218,21 +218,33 @@
 	free_edge_request(request);
 }
 
+/* A request of which nothing was sent; NULL if there is none. */
+static edge_request_t *
+find_unsent_request(const edge_t *edge)
+{
+	edge_request_t *request;
+
+	TAILQ_FOREACH(request, &edge->requests, link) {
+		if (request->rate == RATE_WAITING ||
+		    (request->exchange != NULL && request->call != NULL &&
+			!msp_call_maybe_sent(request->call)))
+			return request;
+	}
+	return NULL;
+}
+
+/*
+ * A refusal may show that its connection is closed, which frees other requests
+ * of the connection; so each turn starts at the first.
+ */
 void
 refuse_unsent_requests(edge_t *edge)
 {
 	edge_request_t *request;
-	edge_request_t *next;
 
-	TAILQ_FOREACH_SAFE(request, &edge->requests, link, next) {
-		if (request->rate == RATE_WAITING) {
-			end_before_stop(request);
-			continue;
-		}
-		if (request->exchange == NULL ||
-		    msp_call_maybe_sent(request->call))
-			continue;
-		cancel_attempt(request);
+	while ((request = find_unsent_request(edge)) != NULL) {
+		if (request->rate != RATE_WAITING)
+			cancel_attempt(request);
 		end_before_stop(request);
 	}
 }
--- a/tests/process/test_edge_organisations.c
+++ b/tests/process/test_edge_organisations.c
@@ -7,8 +7,10 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <sys/wait.h>
 
 #include "edge_fixture.h"
+#include "raw_socket.h"
 
 /*
  * Organisations whose callers name themselves by API keys: which requests are
@@ -18,6 +20,8 @@
 #define LOG_DELAY_MAX (5 * MSP_SECOND)
 #define TIMELY_REQUESTS 40 /* earn a retry */
 #define BURST 4
+#define PIPELINES 12
+#define PIPELINE_REQUESTS 4
 #define ROUTE(name_, prefix_, members_)                                        \
 	"{\"name\":\"" name_ "\",\"host\":\"a.example\",\"prefix\":\"" prefix_ \
 	"\",\"kind\":\"idempotent\",\"timeoutMs\":5000,"                       \
@@ -323,6 +327,112 @@
 	drop_edge_pair(pair);
 }
 
+/* Another VM of the data centre, which owns the limits. */
+typedef struct fake_owner {
+	msp_http_server_t *server;
+	msp_exchange_t *question; /* not answered yet */
+	unsigned int questions;
+} fake_owner_t;
+
+static void
+hold_question(void *ctx, msp_exchange_t *exchange)
+{
+	fake_owner_t *owner = ctx;
+	msp_response_t response = {.status = 503};
+
+	if (strcmp(msp_exchange_request(exchange)->path, "/v1/rates/ask") !=
+	    0) {
+		msp_send_exchange_response(exchange, &response);
+		return;
+	}
+	owner->question = exchange;
+	owner->questions++;
+}
+
+static void
+forget_question(void *ctx, msp_exchange_t *exchange)
+{
+	fake_owner_t *owner = ctx;
+
+	if (owner->question == exchange)
+		owner->question = NULL;
+}
+
+static void
+refuse_question(fake_owner_t *owner)
+{
+	msp_response_t response = {.status = 200};
+
+	if (owner->question == NULL)
+		return;
+	msp_append_printf(&response.body, "0 1000 limited\n");
+	msp_send_exchange_response(owner->question, &response);
+	owner->question = NULL;
+}
+
+/*
+ * Guards against use of requests that are freed while others of their
+ * connection are refused: the client has closed it just before.
+ */
+static void
+pipelines_that_close_while_the_owner_is_asked_do_no_harm(void **state)
+{
+	static const char manifest[] =
+	    "{\"version\":\"r10\",\"routes\":[" ROUTE("a", "/read/",
+		"") "],\"services\":[{\"name\":\"desk\",\"healthPath\":"
+		    "\"/health\"}],\"tenants\":[" LIMITED "]}";
+	fake_owner_t owner = {0};
+	msp_loop_t *loop = msp_new_loop(100);
+	msp_http_server_options_t options = {.address = "127.0.0.1",
+	    .handler = {.on_request = hold_question,
+		.on_disconnect = forget_question,
+		.ctx = &owner}};
+	edge_fixture_t neighbour = {.link_mbps = 1000};
+	edge_fixture_t *fixture;
+	unsigned int i;
+	unsigned int j;
+
+	(void)state;
+	owner.server = msp_new_http_server(loop, &options);
+	assert_non_null(owner.server);
+	neighbour.peer_port = msp_http_server_port(owner.server);
+	fixture = new_edge_neighbour(&neighbour, manifest);
+	run_edge_until_logged(
+	    fixture, "state=in-force version=10 ", LOG_DELAY_MAX);
+	for (i = 0; i < PIPELINES; i++) {
+		raw_socket_t raw =
+		    raw_connect(fixture->loop, fixture->caller_port);
+		unsigned int before = owner.questions;
+		unsigned int turns;
+
+		for (j = 0; j < PIPELINE_REQUESTS; j++)
+			assert_true(raw_send_text(&raw,
+			    "GET /read/1 HTTP/1.1\r\nHost: a.example\r\n"
+			    "Request-Id: pipelined\r\nDeadline-Ms: 3000\r\n"
+			    "Authorization: Bearer key-l\r\n\r\n"));
+		/* The second question is for all but the first request. */
+		for (turns = 0; turns < 200 && owner.questions < before + 2;
+		     turns++) {
+			if (owner.questions == before + 1)
+				refuse_question(&owner);
+			run_edge_for(fixture, MSP_MS);
+			msp_step_loop(loop, 1);
+		}
+		raw_close(&raw);
+		refuse_question(&owner);
+		for (turns = 0; turns < 120; turns++) {
+			run_edge_for(fixture, MSP_MS);
+			msp_step_loop(loop, 1);
+			refuse_question(&owner);
+		}
+	}
+	assert_true(owner.questions > 0);
+	assert_int_equal(waitpid(fixture->pid, NULL, WNOHANG), 0);
+	drop_edge_fixture(fixture);
+	msp_drop_http_server(owner.server);
+	msp_drop_loop(loop);
+}
+
 int
 main(void)
 {
@@ -340,6 +450,8 @@
 	    cmocka_unit_test_setup_teardown(
 		requests_that_callers_abandon_count, set_up, tear_down),
 	    cmocka_unit_test(forwarded_request_has_the_name_and_not_the_key),
+	    cmocka_unit_test(
+		pipelines_that_close_while_the_owner_is_asked_do_no_harm),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -504,8 +504,9 @@
 
 	snprintf(row, sizeof(row),
 	    "{\"place\":\"north-a\",\"address\":\"" ADDRESS "\","
-	    "\"peer_port\":%u,\"caller_port\":1,\"leaving\":false}",
-	    neighbour->peer_port);
+	    "\"peer_port\":%u,\"caller_port\":1,\"leaving\":false,"
+	    "\"link_mbps\":%u}",
+	    neighbour->peer_port, neighbour->link_mbps);
 	put_edge_row(fixture, "vms", "vm-1", row);
 	put_edge_row(fixture, "op", "config", manifest);
 	start_fixture(fixture);
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -86,6 +86,7 @@
 	void (*handle_disconnect)(void *ctx, msp_exchange_t *exchange);
 	void *handler_ctx;
 	const char *vm; /* its name; NULL: "vm-1" */
+	uint32_t link_mbps; /* that a neighbour's list of VMs names; 0: none */
 	const char *settings_members; /* added to the settings file; or NULL */
 	bool has_south; /* the settings name the data centre "south-a" too */
 	char settings_path[128];
