spindlectl check: a configuration is checked before it is sent

Reads the platform's form by the daemon's decoder, part by part, so that all that can't be read is listed. Errors, entries that are never used, limits that contradict each other, and against the version in force what changes for requests; keys by a short hash. Not there: the version in force read from a VM, the place as a line number, body limits against VMs' memory, cold rates.

--- a/include/monsoonspindle/config.h
+++ b/include/monsoonspindle/config.h
@@ -1,6 +1,7 @@
 #ifndef MONSOONSPINDLE_CONFIG_H
 #define MONSOONSPINDLE_CONFIG_H
 
+#include "monsoonspindle/config/check_routes.h"
 #include "monsoonspindle/config/homes.h"
 #include "monsoonspindle/config/item.h"
 #include "monsoonspindle/config/note.h"
--- a/include/monsoonspindle/config/organisation.h
+++ b/include/monsoonspindle/config/organisation.h
@@ -65,6 +65,18 @@
 const msp_organisation_t *msp_find_organisation(
     const msp_organisations_t *set, const char *name);
 
+/* Visits all organisations, with the number of their keys. */
+void msp_visit_organisations(const msp_organisations_t *set,
+    void (*visit)(
+	void *ctx, const msp_organisation_t *organisation, size_t key_count),
+    void *ctx);
+
+/* Visits all API keys, for tools of operators. */
+void msp_visit_api_keys(const msp_organisations_t *set,
+    void (*visit)(void *ctx, const msp_organisation_t *organisation,
+	const char *key, size_t len),
+    void *ctx);
+
 size_t msp_count_organisations(const msp_organisations_t *set);
 size_t msp_count_api_keys(const msp_organisations_t *set);
 
--- a/include/monsoonspindle/config/route_table.h
+++ b/include/monsoonspindle/config/route_table.h
@@ -79,6 +79,13 @@
  */
 msp_status_t msp_finish_route_table(msp_route_table_t *table);
 
+/*
+ * Checks one route by itself: MSP_E_INVALID_NOTE if it has no service or an
+ * unknown one, all its weights are 0, or its prefix is not as required.
+ */
+msp_status_t msp_check_path_route(
+    const msp_route_table_t *table, const msp_path_route_t *route);
+
 /*
  * Returns the host's route with the longest prefix of `path`, or NULL. A port
  * after the host and a query after the path are ignored.
--- a/source/config/organisation.c
+++ b/source/config/organisation.c
@@ -219,7 +219,7 @@
 {
 	size_t slot;
 
-	if (len == 0 || len > MSP_API_KEY_MAX)
+	if (len == 0 || len > MSP_API_KEY_MAX || set->slots == NULL)
 		return NULL;
 	slot = find_slot(set, key, len, msp_digest(key, len));
 	return set->slots[slot] == 0
@@ -233,6 +233,37 @@
 	return msp_map_get(set->by_name, name);
 }
 
+void
+msp_visit_organisations(const msp_organisations_t *set,
+    void (*visit)(
+	void *ctx, const msp_organisation_t *organisation, size_t key_count),
+    void *ctx)
+{
+	size_t count;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < set->count; i++) {
+		count = 0;
+		for (j = 0; j < set->key_count; j++)
+			count += set->keys[j].owner == i;
+		visit(ctx, &set->list[i], count);
+	}
+}
+
+void
+msp_visit_api_keys(const msp_organisations_t *set,
+    void (*visit)(void *ctx, const msp_organisation_t *organisation,
+	const char *key, size_t len),
+    void *ctx)
+{
+	size_t i;
+
+	for (i = 0; i < set->key_count; i++)
+		visit(ctx, &set->list[set->keys[i].owner],
+		    set->texts + set->keys[i].offset, set->keys[i].len);
+}
+
 size_t
 msp_count_organisations(const msp_organisations_t *set)
 {
--- a/source/config/route_table.c
+++ b/source/config/route_table.c
@@ -86,8 +86,9 @@
 	    ((const msp_service_config_t *)b)->name);
 }
 
-static msp_status_t
-check_route(const msp_route_table_t *table, const msp_path_route_t *route)
+msp_status_t
+msp_check_path_route(
+    const msp_route_table_t *table, const msp_path_route_t *route)
 {
 	size_t len = strlen(route->prefix);
 	uint64_t total_weight = 0;
@@ -133,7 +134,7 @@
 	sort_array(table->routes, table->route_count, sizeof(*table->routes),
 	    compare_routes);
 	for (i = 0; i < table->route_count && status == MSP_OK; i++) {
-		status = check_route(table, &table->routes[i]);
+		status = msp_check_path_route(table, &table->routes[i]);
 		if (status == MSP_OK && i > 0 &&
 		    compare_routes(&table->routes[i - 1], &table->routes[i]) ==
 			0)
--- a/source/spindlectl/ctl.h
+++ b/source/spindlectl/ctl.h
@@ -75,6 +75,13 @@
  */
 ctl_exit_t run_explain(int count, char **args);
 
+/*
+ * check.c: checks a configuration of the users' platform. argv[0] is the
+ * command. Returns 0 if it is clean or has notes only, 1 after warnings, 2
+ * after errors, also of the arguments.
+ */
+int run_check(int argc, char **argv);
+
 /*
  * request.c: opens the event loop and the HTTP client, and starts the timeout
  * of the command. Returns false with a last message.
--- a/source/spindlectl/main.c
+++ b/source/spindlectl/main.c
@@ -48,9 +48,12 @@
 	const command_t *command;
 	ctl_exit_t code = CTL_USAGE;
 
-	/* explain reads local files only: no --vm or --token is needed. */
+	/* explain and check read local files only: no --vm or --token is
+	 * needed. */
 	if (argc > 1 && strcmp(argv[1], "explain") == 0)
 		return run_explain(argc - 2, argv + 2);
+	if (argc > 1 && strcmp(argv[1], "check") == 0)
+		return run_check(argc - 1, argv + 1);
 	if (!parse_options(argc, argv, &ctl.options, &code))
 		return code;
 	command = find_command(&ctl.options);
--- a/tests/platform/test_manifest.c
+++ b/tests/platform/test_manifest.c
@@ -9,6 +9,9 @@
 
 #include "../../platform/manifest.h"
 #include "monsoonspindle/base.h"
+#include "monsoonspindle/config.h"
+
+#define FUZZ_SEEDS 5000
 
 #define SERVICES "\"services\":[{\"name\":\"desk\"},{\"name\":\"vault\"}]"
 #define ROUTE_HEAD                                            \
@@ -249,6 +252,66 @@
 	}
 }
 
+static void
+count_unreadable(void *ctx, const char *path, const char *message)
+{
+	assert_non_null(path);
+	assert_non_null(message);
+	(*(unsigned int *)ctx)++;
+}
+
+static void
+ignore_finding(void *ctx, const msp_finding_t *finding)
+{
+	(void)ctx;
+	assert_non_null(finding->text);
+}
+
+/*
+ * Documents with bytes that are changed, cut or doubled, by seed: whatever the
+ * decoder takes, the check of its parts finds readable, and none does harm.
+ */
+static void
+broken_documents_do_no_harm(void **state)
+{
+	static const char valid[] = ORGANISATIONS(
+	    "[{\"name\":\"north\",\"apiKeys\":[\"k1\",\"k2\"],"
+	    "\"ratePerS\":12.5,\"burst\":30,\"homeRegions\":[\"n\"]}]");
+	const msp_finding_callback_t ignore = {.report = ignore_finding};
+	char text[2 * sizeof(valid)];
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= FUZZ_SEEDS; seed++) {
+		msp_rng_t rng = {.state = seed};
+		size_t len = sizeof(valid) - 1;
+		unsigned int unreadable = 0;
+		manifest_error_callback_t callback = {
+		    .report = count_unreadable, .ctx = &unreadable};
+		msp_route_table_t *table;
+		msp_route_table_t *parts;
+		unsigned int i;
+
+		memcpy(text, valid, sizeof(valid));
+		for (i = 0; i < 1 + seed % 3; i++)
+			text[msp_next_random(&rng) % len] =
+			    (char)msp_next_random(&rng);
+		if (seed % 5 == 0)
+			len = msp_next_random(&rng) % len;
+		table = decode_manifest(text, len);
+		parts = decode_manifest_parts(text, len, &callback);
+		if (table != NULL)
+			assert_int_equal(unreadable, 0);
+		if (parts != NULL) {
+			msp_check_route_table(
+			    parts, &(msp_check_options_t){0}, &ignore);
+			msp_compare_route_tables(parts, parts, &ignore);
+		}
+		msp_drop_route_table(table);
+		msp_drop_route_table(parts);
+	}
+}
+
 /* The operator may add this many routes in one change. */
 static void
 decodes_hundreds_of_routes(void **state)
@@ -286,6 +349,7 @@
 	    cmocka_unit_test(only_a_list_switches_organisations_on),
 	    cmocka_unit_test(rejects_invalid_organisations),
 	    cmocka_unit_test(kinds_say_what_may_be_repeated),
+	    cmocka_unit_test(broken_documents_do_no_harm),
 	    cmocka_unit_test(decodes_hundreds_of_routes),
 	};
 
