--- a/tests/support/target_sim.c
+++ b/tests/support/target_sim.c
@@ -15,6 +15,7 @@
 #define WINDOW (2 * MSP_SECOND)
 #define OBJECTS_MAX 256
 #define JOBS_MAX 4096
+#define TOLD_MAX 8192
 #define REGIONS_MAX 8
 /* Smaller windows are skipped: their shares vary too much by chance. */
 #define WINDOW_REQUESTS_MIN 60
@@ -37,8 +38,17 @@
 	msp_balance_choice_t choice;
 } job_t;
 
+/* A load that is on its way to the VMs of a region. */
+typedef struct told_load {
+	msp_time_t due;
+	unsigned int from; /* VM */
+	unsigned int target;
+	msp_server_load_t load;
+} told_load_t;
+
 typedef struct sim_target {
 	unsigned int region;
+	unsigned int requests; /* since the last result */
 	unsigned int running;
 	unsigned int waiting;
 	double factor; /* of the service time */
@@ -74,6 +84,9 @@
 	unsigned int window[REGIONS_MAX][REGIONS_MAX];
 	unsigned int last_window[REGIONS_MAX][REGIONS_MAX];
 	msp_time_t window_ends;
+	told_load_t told[TOLD_MAX]; /* a ring, in the order of `due` */
+	uint64_t told_first;
+	uint64_t told_end;
 	target_sim_result_t result;
 };
 
@@ -288,19 +301,32 @@
 		sim->result.peak_rate = target->in_second;
 }
 
+/* The VM of the region that chooses the target. */
+static unsigned int
+pick_chooser(
+    const target_sim_t *sim, unsigned int entry_vm, unsigned int object)
+{
+	if (sim->config.choosers == TARGET_SIM_ENTRY_VM)
+		return entry_vm;
+	return entry_vm - entry_vm % sim->config.vms +
+	    (unsigned int)(msp_hash(&object, sizeof(object), 2) %
+		sim->config.vms);
+}
+
 static void
 send_request(target_sim_t *sim, unsigned int region)
 {
-	unsigned int vm_index = region * sim->config.vms +
+	unsigned int entry_vm = region * sim->config.vms +
 	    (unsigned int)msp_random_below(&sim->env, sim->config.vms);
+	unsigned int object =
+	    (unsigned int)msp_random_below(&sim->env, sim->config.objects);
+	unsigned int vm_index = pick_chooser(sim, entry_vm, object);
 	sim_vm_t *vm = &sim->vms[vm_index];
 	job_t *job = find_free_job(sim);
 	unsigned int target;
 
-	*job = (job_t){.vm = vm_index,
-	    .object =
-		(unsigned int)msp_random_below(&sim->env, sim->config.objects),
-	    .sent = sim->clock.now};
+	*job =
+	    (job_t){.vm = vm_index, .object = object, .sent = sim->clock.now};
 	job->request = (msp_balance_request_t){.route = &sim->table->routes[0],
 	    .service = &sim->table->services[0],
 	    .object_hash = msp_hash(&job->object, sizeof(job->object), 1),
@@ -321,7 +347,8 @@
 	job->used = true;
 	job->target = target;
 	job->order = ++sim->order;
-	job->arrives = sim->clock.now;
+	job->arrives = sim->clock.now + sim->config.hop;
+	sim->targets[target].requests++;
 	if (sim->targets[target].region != region) {
 		job->arrives += sim->config.rtt / 2;
 		sim->result.remote++;
@@ -330,6 +357,46 @@
 	count_arrival(sim, target);
 }
 
+/* The other VMs of the region learn of a load later. */
+static void
+tell_load(target_sim_t *sim, const job_t *job, const msp_server_load_t *load)
+{
+	if (sim->config.told_after == 0 ||
+	    sim->told_end - sim->told_first == TOLD_MAX)
+		return;
+	sim->told[sim->told_end++ % TOLD_MAX] =
+	    (told_load_t){.due = sim->clock.now + sim->config.told_after,
+		.from = job->vm,
+		.target = job->target,
+		.load = *load};
+}
+
+static void
+hear_load(target_sim_t *sim, const told_load_t *told)
+{
+	unsigned int first = sim->vms[told->from].region * sim->config.vms;
+	char id[16];
+	unsigned int i;
+
+	snprintf(id, sizeof(id), "t%u", told->target);
+	for (i = first; i < first + sim->config.vms; i++) {
+		msp_view_target_t *target =
+		    msp_find_view_target(sim->vms[i].view, id);
+
+		if (i != told->from && target != NULL)
+			msp_record_server_load(
+			    &target->traffic, sim->clock.now, &told->load);
+	}
+}
+
+static void
+hear_loads(target_sim_t *sim)
+{
+	while (sim->told_first < sim->told_end &&
+	    sim->told[sim->told_first % TOLD_MAX].due <= sim->clock.now)
+		hear_load(sim, &sim->told[sim->told_first++ % TOLD_MAX]);
+}
+
 static void
 end_job(target_sim_t *sim, job_t *job, bool responded)
 {
@@ -345,6 +412,7 @@
 	if (target->region != vm->region)
 		took += sim->config.rtt / 2;
 	msp_record_server_load(&view_target->traffic, sim->clock.now, &load);
+	tell_load(sim, job, &load);
 	if (!responded)
 		msp_record_target_full(&view_target->traffic, sim->clock.now);
 	msp_end_balanced_request(
@@ -523,6 +591,7 @@
 		if (sim->clock.now >= sim->window_ends)
 			end_window(sim);
 		end_jobs(sim);
+		hear_loads(sim);
 		run_targets(sim);
 		for (i = 0; i < count; i++) {
 			target_sim_load_t load = loads[i];
@@ -538,7 +607,20 @@
 take_target_sim_result(target_sim_t *sim)
 {
 	target_sim_result_t result = sim->result;
+	unsigned int most = 0;
+	unsigned int i;
 
+	for (i = 0; i < sim->target_count; i++) {
+		sim_target_t *target = &sim->targets[i];
+
+		if (target->requests > most)
+			most = target->requests;
+		result.idle += target->requests == 0;
+		target->requests = 0;
+	}
+	if (result.sent > result.refused)
+		result.busiest = (double)most * sim->target_count /
+		    (result.sent - result.refused);
 	sim->result = (target_sim_result_t){0};
 	return result;
 }
--- a/tests/support/target_sim.h
+++ b/tests/support/target_sim.h
@@ -11,10 +11,16 @@
  * TARGET_SIM_MISS_FACTOR times as long.
  */
 
-#define TARGET_SIM_TARGETS_MAX 64
-#define TARGET_SIM_VMS_MAX 32
+#define TARGET_SIM_TARGETS_MAX 256
+#define TARGET_SIM_VMS_MAX 384
 #define TARGET_SIM_MISS_FACTOR 3.3
 
+/* Who chooses the target of a request. */
+typedef enum target_sim_choosers {
+	TARGET_SIM_ENTRY_VM, /* the VM that got it */
+	TARGET_SIM_OBJECT_VM, /* in its region, always the same for an object */
+} target_sim_choosers_t;
+
 typedef struct target_sim_config {
 	unsigned int regions;
 	unsigned int targets[8]; /* of each region */
@@ -28,6 +34,13 @@
 	uint32_t goal_ms; /* latency objective */
 	uint32_t timeout_ms;
 	bool without_objects; /* requests are not for an object */
+	target_sim_choosers_t choosers;
+	msp_time_t hop; /* to another VM of the region and back */
+	/*
+	 * After this time the other VMs of the region know the load that a
+	 * response has told; 0: never.
+	 */
+	msp_time_t told_after;
 } target_sim_config_t;
 
 /* Requests per second over a time span, from one region or (-1) from each. */
@@ -51,6 +64,8 @@
 	 */
 	double worst_shift;
 	unsigned int peak_rate; /* requests to target 0 in one second */
+	double busiest; /* requests to the busiest target, of the mean */
+	unsigned int idle; /* targets without any request */
 } target_sim_result_t;
 
 typedef struct target_sim target_sim_t;
