--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -81,7 +81,8 @@
 
 	if (rates == NULL)
 		return;
-	msp_cancel_call(rates->call);
+	if (rates->call != NULL)
+		msp_cancel_call(rates->call);
 	msp_drop_rate_owner(rates->owner);
 	msp_drop_rate_leases(rates->leases);
 	if (rates->alone != NULL)
