--- a/tests/support/soak_vm.c
+++ b/tests/support/soak_vm.c
@@ -246,6 +246,19 @@
 	kill(vm->pid, SIGKILL);
 }
 
+/*
+ * Whether a process that was told to end has crashed instead. Sanitizers end
+ * one with another exit code than 0.
+ */
+static bool
+ends_badly(int status)
+{
+	if (WIFSIGNALED(status))
+		return WTERMSIG(status) != SIGKILL &&
+		    WTERMSIG(status) != SIGTERM;
+	return WEXITSTATUS(status) != 0;
+}
+
 static void
 handle_reap(void *ctx)
 {
@@ -260,7 +273,7 @@
 		if (vm->pid <= 0 ||
 		    waitpid(vm->pid, &status, WNOHANG) != vm->pid)
 			continue;
-		if (!vm->expected_end) {
+		if (!vm->expected_end || ends_badly(status)) {
 			soak->result->crashed++;
 			report_soak(&soak->ledger, "CRASH", "vm=%u status=%d",
 			    i, status);
