tests: one step for a configuration in force and for a delayed request; retries when keys change

test_edge_homes and test_edge_organisations each wrote the configuration's row, waited for its version, and held the first target that got a request. Both now call tests/support/edge_steps.c.

Two tests are new, and red at this commit on asan: - retry_goes_by_the_newest_organisations: a configuration that brings organisations while a request is under way; the retry passed the API key on ("Bearer key-n" != ""). - limit_gets_back_requests_whose_key_is_changed: the key of a public route goes while a target holds the request and then sheds it; the VM ended.

--- a/tests/process/test_edge_homes.c
+++ b/tests/process/test_edge_homes.c
@@ -7,14 +7,13 @@
 
 #include <cmocka.h>
 
-#include "edge_fixture.h"
+#include "edge_steps.h"
 
 /*
  * Home regions of routes that change while a request is under way. All targets
  * are in the region "north".
  */
 
-#define LOG_DELAY_MAX (5 * MSP_SECOND)
 #define GOOD_REQUESTS 20 /* earn one retry */
 #define ROUTE(prefix_, homes_)                                            \
 	"{\"name\":\"" prefix_                                            \
@@ -47,51 +46,13 @@
 put_routes(edge_fixture_t *fixture, unsigned int version, const char *routes)
 {
 	char text[2048];
-	char line[64];
 
 	snprintf(text, sizeof(text),
-	    "{\"version\":\"r%u\",\"routes\":[%s],"
+	    "\"routes\":[%s],"
 	    "\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
-	    "\"maxConns\":100,\"coldStartS\":3.0,\"coldPerS\":3.4}]}",
-	    version, routes);
-	put_edge_row(fixture, "op", "config", text);
-	snprintf(line, sizeof(line), "state=in-force version=%u ", version);
-	run_edge_until_logged(fixture, line, LOG_DELAY_MAX);
-}
-
-static edge_target_t *
-find_pending_target(edge_fixture_t *fixture)
-{
-	unsigned int i;
-
-	for (i = 0; i < EDGE_TARGETS; i++) {
-		if (fixture->targets[i].pending != NULL)
-			return &fixture->targets[i];
-	}
-	return NULL;
-}
-
-/* The first target that gets the request answers, with 500, once told to. */
-static edge_target_t *
-start_request(edge_fixture_t *fixture, caller_response_t *response)
-{
-	edge_target_t *first = NULL;
-	unsigned int i;
-
-	for (i = 0; i < EDGE_TARGETS; i++) {
-		fixture->targets[i].behaviour = TARGET_DELAYS;
-		fixture->targets[i].request_count = 0;
-	}
-	start_edge_request(
-	    fixture, fixture->caller_port, "GET", "/a/b/1", response);
-	while (first == NULL && response->done == 0) {
-		run_edge_for(fixture, MSP_MS);
-		first = find_pending_target(fixture);
-	}
-	assert_non_null(first);
-	for (i = 0; i < EDGE_TARGETS; i++)
-		fixture->targets[i].behaviour = TARGET_ANSWERS;
-	return first;
+	    "\"maxConns\":100,\"coldStartS\":3.0,\"coldPerS\":3.4}]",
+	    routes);
+	put_edge_config(fixture, version, text);
 }
 
 /* A VM that has just started has no part of the slack: it earns retries. */
@@ -115,7 +76,7 @@
 	edge_target_t *first;
 
 	put_routes(fixture, version, item->before);
-	first = start_request(fixture, &response);
+	first = start_delayed_request(fixture, "/a/b/1", &response);
 	put_routes(fixture, version + 1, item->after);
 	fail_pending_request(first);
 	run_edge_until(fixture, &response.done, 1);
--- a/tests/process/test_edge_organisations.c
+++ b/tests/process/test_edge_organisations.c
@@ -9,7 +9,7 @@
 #include <cmocka.h>
 #include <sys/wait.h>
 
-#include "edge_fixture.h"
+#include "edge_steps.h"
 #include "raw_socket.h"
 
 /*
@@ -34,29 +34,33 @@
 #define LIMITED                                          \
 	"{\"name\":\"limited\",\"apiKeys\":[\"key-l\"]," \
 	"\"ratePerS\":0.5,\"burst\":4}"
+#define AMPLE                                          \
+	"{\"name\":\"ample\",\"apiKeys\":[\"key-l\"]," \
+	"\"ratePerS\":1000,\"burst\":1000}"
+#define NORTH_WITH_KEY_L "{\"name\":\"north\",\"apiKeys\":[\"key-l\"]}"
 
+/* With `organisations` NULL, callers need no keys. */
 static void
 put_organisations(
     edge_fixture_t *fixture, unsigned int version, const char *organisations)
 {
-	char text[4096];
-	char line[64];
-
-	snprintf(text, sizeof(text),
-	    "{\"version\":\"r%u\",\"routes\":[" ROUTE(
-		"a", "/read/", "") "," ROUTE("p", "/public/",
-		",\"public\":true") "," ROUTE("h", "/home/",
+	char text[2048] = "";
+	char members[4096];
+
+	if (organisations != NULL)
+		snprintf(
+		    text, sizeof(text), ",\"tenants\":[%s]", organisations);
+	snprintf(members, sizeof(members),
+	    "\"routes\":[" ROUTE("a", "/read/", "") "," ROUTE(
+		"p", "/public/", ",\"public\":true") "," ROUTE("h", "/home/",
 		",\"homeRegions\":[\"north\"]") "],\"services\":[{\"name\":"
 						"\"desk\",\"healthPath\":\"/"
 						"health\","
 						"\"maxConns\":100,"
 						"\"coldStartS\":3.0,"
-						"\"coldPerS\":3.4}],"
-						"\"tenants\":[%s]}",
-	    version, organisations);
-	put_edge_row(fixture, "op", "config", text);
-	snprintf(line, sizeof(line), "state=in-force version=%u ", version);
-	run_edge_until_logged(fixture, line, LOG_DELAY_MAX);
+						"\"coldPerS\":3.4}]%s",
+	    text);
+	put_edge_config(fixture, version, members);
 }
 
 static int
@@ -175,30 +179,28 @@
 	assert_int_equal(response.http_status, 401);
 }
 
-/* Guards against a second run of a request whose key was taken away. */
+/* Earns the VM, which has just started, a retry. */
 static void
-retry_ends_when_its_key_is_taken_away(void **state)
+fill_retry_budget(edge_fixture_t *fixture)
 {
-	edge_fixture_t *fixture = *state;
-	edge_target_t *first = NULL;
 	caller_response_t response;
 	unsigned int i;
 
 	fixture->key = "Bearer key-n";
 	for (i = 0; i < TIMELY_REQUESTS; i++)
 		send_edge_request(fixture, "GET", "/read/1", &response);
-	clear_targets(fixture);
-	for (i = 0; i < EDGE_TARGETS; i++)
-		fixture->targets[i].behaviour = TARGET_DELAYS;
-	start_edge_request(
-	    fixture, fixture->caller_port, "GET", "/read/1", &response);
-	while (first == NULL && response.done == 0) {
-		run_edge_for(fixture, MSP_MS);
-		first = find_used_target(fixture);
-	}
-	assert_non_null(first);
-	for (i = 0; i < EDGE_TARGETS; i++)
-		fixture->targets[i].behaviour = TARGET_ANSWERS;
+}
+
+/* Guards against a second run of a request whose key was taken away. */
+static void
+retry_ends_when_its_key_is_taken_away(void **state)
+{
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+	edge_target_t *first;
+
+	fill_retry_budget(fixture);
+	first = start_delayed_request(fixture, "/read/1", &response);
 	put_organisations(fixture, 11, SOUTH);
 	fail_pending_request(first);
 	run_edge_until(fixture, &response.done, 1);
@@ -207,6 +209,107 @@
 	assert_int_equal(response.http_status, 502);
 }
 
+typedef struct retry_case {
+	const char *name;
+	const char *before; /* organisations at its arrival; NULL: no keys */
+	const char *after; /* at its retry */
+	const char *path;
+	const char *key; /* Authorization */
+	const char *organisation; /* that the second target sees; NULL: none */
+} retry_case_t;
+
+static const retry_case_t retry_cases[] = {
+    {"key moves", AMPLE "," NORTH, NORTH_WITH_KEY_L, "/read/1", "Bearer key-l",
+	"north"},
+    {"key of a public route goes", AMPLE "," NORTH, SOUTH, "/public/1",
+	"Bearer key-l", ""},
+    {"organisations go", NORTH, NULL, "/read/1", "Bearer key-n", "north"},
+    {"organisations come, with the key", NULL, NORTH, "/read/1", "Bearer key-n",
+	"north"},
+    {"organisations come, without the key", NULL, NORTH, "/read/1",
+	"Bearer other", NULL},
+    {"organisations come, route is public", NULL, NORTH, "/public/1",
+	"Bearer other", ""},
+};
+
+static edge_fixture_t *
+start_retry_case(const retry_case_t *item, edge_target_t **first,
+    caller_response_t *response)
+{
+	edge_fixture_t *fixture = new_edge_fixture();
+
+	set_up_routes_and_targets(fixture);
+	put_organisations(fixture, 10, item->before);
+	fill_retry_budget(fixture);
+	clear_targets(fixture);
+	fixture->key = item->key;
+	*first = start_delayed_request(fixture, item->path, response);
+	put_organisations(fixture, 11, item->after);
+	return fixture;
+}
+
+/* Guards against retries under a name, or with a key, of older versions. */
+static void
+retry_goes_by_the_newest_organisations(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(retry_cases) / sizeof(*retry_cases); i++) {
+		const retry_case_t *item = &retry_cases[i];
+		caller_response_t response;
+		edge_target_t *first;
+		edge_target_t *second;
+		edge_fixture_t *fixture =
+		    start_retry_case(item, &first, &response);
+
+		first->request_count = 0;
+		fail_pending_request(first);
+		run_edge_until(fixture, &response.done, 1);
+		second = find_used_target(fixture);
+		if ((second != NULL) != (item->organisation != NULL) ||
+		    (response.http_status == 200) != (second != NULL))
+			fail_msg(
+			    "%s: status %d", item->name, response.http_status);
+		if (second != NULL) {
+			assert_string_equal(second->seen_key, "");
+			assert_string_equal(
+			    second->seen_organisation, item->organisation);
+		}
+		drop_edge_fixture(fixture);
+	}
+}
+
+/*
+ * A VM crashed when the limit got back a request that had lost its organisation
+ * meanwhile, and had run nowhere.
+ */
+static void
+limit_gets_back_requests_whose_key_is_changed(void **state)
+{
+	size_t i;
+	unsigned int j;
+
+	(void)state;
+	for (i = 0; i < sizeof(retry_cases) / sizeof(*retry_cases); i++) {
+		caller_response_t response;
+		edge_target_t *first;
+		edge_fixture_t *fixture =
+		    start_retry_case(&retry_cases[i], &first, &response);
+
+		for (j = 0; j < EDGE_TARGETS; j++)
+			fixture->targets[j].behaviour = TARGET_SHEDS;
+		shed_pending_request(first);
+		run_edge_until(fixture, &response.done, 1);
+		run_edge_for(fixture, 100 * MSP_MS);
+		if (waitpid(fixture->pid, NULL, WNOHANG) != 0)
+			fail_msg("%s: the VM has ended", retry_cases[i].name);
+		assert_int_equal(response.http_status,
+		    retry_cases[i].organisation == NULL ? 401 : 503);
+		drop_edge_fixture(fixture);
+	}
+}
+
 /* Guards against more than the limit, and refusals of others (QUOTA). */
 static void
 limit_binds_its_organisation_only(void **state)
@@ -443,6 +546,8 @@
 		keys_are_added_and_taken_away_by_versions, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
 		retry_ends_when_its_key_is_taken_away, set_up, tear_down),
+	    cmocka_unit_test(retry_goes_by_the_newest_organisations),
+	    cmocka_unit_test(limit_gets_back_requests_whose_key_is_changed),
 	    cmocka_unit_test_setup_teardown(
 		limit_binds_its_organisation_only, set_up, tear_down),
 	    cmocka_unit_test_setup_teardown(
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -716,6 +716,12 @@
 	end_pending_request(target, TARGET_FAILS);
 }
 
+void
+shed_pending_request(edge_target_t *target)
+{
+	end_pending_request(target, TARGET_SHEDS);
+}
+
 unsigned int
 count_target_requests(const edge_fixture_t *fixture)
 {
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -192,9 +192,13 @@
 /* Restarts the targets that do not run, on the same ports. */
 void restart_targets(edge_fixture_t *fixture);
 
-/* Answers the pending request of a target, or answers it with 500. */
+/*
+ * Answers the pending request of a target, answers it with 500, or with 503
+ * that says that it was not executed.
+ */
 void answer_pending_request(edge_target_t *target);
 void fail_pending_request(edge_target_t *target);
+void shed_pending_request(edge_target_t *target);
 
 /* Number of requests that all targets received together. */
 unsigned int count_target_requests(const edge_fixture_t *fixture);
