edge: a limit keeps the organisation that it admitted a request by; organisations that come take effect on retries

A request whose key was taken away on a public route lost its organisation at its retry; when it had run nowhere, the limit's credit went through that NULL and the VM crashed. If the key had moved, the credit went to the new holder. The request now names the organisation whose limit admitted it.

A request from before the configuration had organisations went on without them: its retry passed the key to the target, without a name. It now looks its key up once the newest routes have organisations, and ends if that is not known and the route is not public. Whether a route is public is read from the newest routes too.

--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -395,7 +395,7 @@
 	terms = (target_terms_t){
 	    .target_id = request->choice.target->registration.id,
 	    .time_left_ms = (uint32_t)(time_left / MSP_MS),
-	    .has_organisations = has_organisations(request),
+	    .has_organisations = request->has_organisations,
 	    .organisation = get_organisation_name(request)};
 	status = encode_target_request(
 	    msp_exchange_request(request->exchange), &terms, &out);
--- a/source/spindled/edge_forward.c
+++ b/source/spindled/edge_forward.c
@@ -261,7 +261,7 @@
 	if (encode_forwarded_request(
 		msp_exchange_request(request->exchange), terms, &out) != MSP_OK)
 		return false;
-	if (has_organisations(request))
+	if (request->has_organisations)
 		strip_organisation_fields(&out.headers);
 	request->call = msp_start_call(request->edge->forward_client, &options,
 	    &out, handle_hop_done, request);
--- a/source/spindled/edge_organisation.c
+++ b/source/spindled/edge_organisation.c
@@ -1,17 +1,8 @@
-#include <bsd/string.h>
-
 #include "edge_request.h"
 
 #define HTTP_BAD_REQUEST 400
 #define HTTP_UNAUTHORIZED 401
 
-bool
-has_organisations(const edge_request_t *request)
-{
-	return request->routes != NULL &&
-	    request->routes->organisations != NULL;
-}
-
 const char *
 get_organisation_name(const edge_request_t *request)
 {
@@ -92,7 +83,8 @@
 {
 	const msp_organisation_t *organisation;
 
-	if (!has_organisations(request))
+	request->has_organisations = request->routes->organisations != NULL;
+	if (!request->has_organisations)
 		return true;
 	organisation = look_up(request, request->routes);
 	set_organisation(request, organisation);
@@ -109,17 +101,25 @@
 	return false;
 }
 
+/*
+ * A request that was accepted without an organisation remains so while
+ * organisations are in force: no limit has admitted it. One from before there
+ * were any counts for no limit either.
+ */
 void
-update_organisation(edge_request_t *request)
+update_organisation(edge_request_t *request, const msp_path_route_t *route)
 {
 	msp_route_table_t *routes = request->edge->routes;
 	const msp_organisation_t *organisation;
 
-	if (request->criteria.organisation == NULL ||
-	    routes->organisations == NULL)
+	if (routes->organisations == NULL)
 		return;
-	organisation = look_up(request, routes);
-	if (organisation == NULL && !request->criteria.route->is_public) {
+	organisation =
+	    request->has_organisations && request->criteria.organisation == NULL
+	    ? NULL
+	    : look_up(request, routes);
+	request->has_organisations = true;
+	if (organisation == NULL && !route->is_public) {
 		request->is_revoked = true;
 		return;
 	}
--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -108,18 +108,12 @@
 	    clean_log_value(organisation, name, sizeof(name)), result);
 }
 
-static const msp_organisation_t *
-get_organisation(const edge_request_t *request)
-{
-	return request->criteria.organisation;
-}
-
 static void
 start(edge_request_t *request, const char *result)
 {
 	request->rate = RATE_ADMITTED;
 	count_rate(
-	    request->edge->rates, get_organisation(request)->name, result);
+	    request->edge->rates, request->rate_organisation->name, result);
 	start_admitted_request(request);
 }
 
@@ -131,7 +125,7 @@
 	uint32_t wait_ms = REFUSAL_MAX_MS;
 
 	request->rate = RATE_FREE;
-	count_rate(edge->rates, get_organisation(request)->name, "refused");
+	count_rate(edge->rates, request->rate_organisation->name, "refused");
 	if (wait < REFUSAL_MAX_MS * MSP_MS)
 		wait_ms = (uint32_t)(wait / MSP_MS);
 	if (wait_ms < REFUSAL_MIN_MS)
@@ -150,7 +144,7 @@
 {
 	edge_t *edge = request->edge;
 	edge_rates_t *rates = edge->rates;
-	const msp_organisation_t *organisation = get_organisation(request);
+	const msp_organisation_t *organisation = request->rate_organisation;
 	msp_time_t now = msp_now(&edge->daemon->env);
 	msp_rate_share_t *share = msp_map_get_or_add(
 	    rates->alone, organisation->name, sizeof(*share));
@@ -198,7 +192,7 @@
 
 	TAILQ_FOREACH(request, &rates->waiting, rate_link) {
 		if (msp_is_rate_asked(
-			rates->leases, get_organisation(request)->name))
+			rates->leases, request->rate_organisation->name))
 			return request;
 	}
 	return NULL;
@@ -216,7 +210,7 @@
 	msp_time_t wait;
 
 	while ((request = find_asked_request(rates)) != NULL) {
-		const char *name = get_organisation(request)->name;
+		const char *name = request->rate_organisation->name;
 		msp_rate_verdict_t verdict = MSP_RATE_REFUSED;
 
 		TAILQ_REMOVE(&rates->waiting, request, rate_link);
@@ -384,7 +378,7 @@
 admit_by_rate(edge_request_t *request)
 {
 	edge_rates_t *rates = request->edge->rates;
-	const msp_organisation_t *organisation = get_organisation(request);
+	const msp_organisation_t *organisation = request->criteria.organisation;
 	msp_time_t wait;
 
 	if (organisation == NULL || organisation->limit.per_second <= 0 ||
@@ -392,6 +386,7 @@
 		start_admitted_request(request);
 		return;
 	}
+	request->rate_organisation = organisation;
 	switch (msp_take_lease(
 	    rates->leases, organisation, request->routes->version, &wait)) {
 	case MSP_RATE_ADMITTED:
@@ -413,7 +408,7 @@
 {
 	if (request->rate == RATE_ADMITTED)
 		msp_charge_lease(request->edge->rates->leases,
-		    get_organisation(request)->name);
+		    request->rate_organisation->name);
 }
 
 void
@@ -424,12 +419,12 @@
 	if (request->rate == RATE_WAITING) {
 		TAILQ_REMOVE(&rates->waiting, request, rate_link);
 		msp_withdraw_rate_wait(
-		    rates->leases, get_organisation(request)->name);
+		    rates->leases, request->rate_organisation->name);
 	} else if (request->rate == RATE_ADMITTED && !request->may_have_run &&
 	    !request->from_target &&
 	    (request->call == NULL || !msp_call_maybe_sent(request->call))) {
 		msp_return_lease(
-		    rates->leases, get_organisation(request)->name);
+		    rates->leases, request->rate_organisation->name);
 	}
 	request->rate = RATE_FREE;
 }
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -52,6 +52,7 @@
 	msp_route_table_t *home_routes; /* criteria.homes.route */
 	msp_route_table_t *organisation_routes; /* criteria.organisation */
 	uint64_t terms_version; /* of the routes by which these were set */
+	bool has_organisations; /* some routes that it was handled by have */
 	bool is_revoked; /* the caller's key was taken away meanwhile */
 	msp_digest_t fingerprint;
 	msp_time_t arrival;
@@ -77,6 +78,8 @@
 	forward_terms_t terms;
 	uint32_t retry_after_ms; /* of a refusal, without jitter */
 	rate_state_t rate;
+	/* By whose limit it was admitted or waits; part of `routes`. */
+	const msp_organisation_t *rate_organisation;
 	TAILQ_ENTRY(edge_request) rate_link; /* if RATE_WAITING */
 };
 
@@ -115,8 +118,12 @@
  */
 bool find_organisation(edge_request_t *request);
 
-/* The same by the routes that are in force now; sets `is_revoked`. */
-void update_organisation(edge_request_t *request);
+/*
+ * The same by the routes that are in force now, in which `route` is that of the
+ * request; sets `is_revoked`.
+ */
+void update_organisation(
+    edge_request_t *request, const msp_path_route_t *route);
 
 /*
  * Ends a request whose key is no longer valid; no target has executed it unless
@@ -124,10 +131,6 @@
  */
 void end_revoked_request(edge_request_t *request);
 
-/* Whether the configuration that the request arrived under has organisations.
- */
-bool has_organisations(const edge_request_t *request);
-
 /* The name of the request's organisation; NULL if it has none. */
 const char *get_organisation_name(const edge_request_t *request);
 
--- a/source/spindled/edge_routes.c
+++ b/source/spindled/edge_routes.c
@@ -34,9 +34,10 @@
 	if (edge->routes->version == request->terms_version)
 		return;
 	request->terms_version = edge->routes->version;
-	update_organisation(request);
 	route =
 	    msp_match_path_route(edge->routes, message->host, message->path);
+	update_organisation(
+	    request, route == NULL ? request->criteria.route : route);
 	if (route == NULL)
 		return;
 	msp_drop_route_table(request->home_routes);
