--- a/source/config/organisation.c
+++ b/source/config/organisation.c
@@ -239,14 +239,14 @@
 	void *ctx, const msp_organisation_t *organisation, size_t key_count),
     void *ctx)
 {
+	size_t at = 0; /* keys stand in the order of their organisations */
 	size_t count;
 	size_t i;
-	size_t j;
 
 	for (i = 0; i < set->count; i++) {
-		count = 0;
-		for (j = 0; j < set->key_count; j++)
-			count += set->keys[j].owner == i;
+		for (count = 0; at < set->key_count && set->keys[at].owner == i;
+		     at++)
+			count++;
 		visit(ctx, &set->list[i], count);
 	}
 }
--- a/source/coord/rate_leases.c
+++ b/source/coord/rate_leases.c
@@ -1,8 +1,6 @@
 #include "monsoonspindle/coord/rate_leases.h"
 
-#include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <bsd/string.h>
 
