--- a/source/spindled/edge_peer_listener.c
+++ b/source/spindled/edge_peer_listener.c
@@ -316,6 +316,36 @@
 	}
 }
 
+/* A message of another VM, other than a read of rows. */
+typedef struct vm_message {
+	const char *path; /* its beginning */
+	void (*serve)(edge_t *edge, msp_exchange_t *exchange);
+} vm_message_t;
+
+static const vm_message_t vm_messages[] = {
+    {STRIKES_PATH, serve_strikes},
+    {LIMITS_PATH, serve_limits},
+    {RATE_ASK_PATH, serve_rate_asks},
+    {RATE_DEMAND_PATH, serve_rate_demand},
+};
+
+/* Returns false if it is none of these. */
+static bool
+serve_vm_message(edge_t *edge, msp_exchange_t *exchange)
+{
+	const char *path = msp_exchange_request(exchange)->path;
+	size_t i;
+
+	for (i = 0; i < sizeof(vm_messages) / sizeof(*vm_messages); i++) {
+		if (strncmp(path, vm_messages[i].path,
+			strlen(vm_messages[i].path)) == 0) {
+			vm_messages[i].serve(edge, exchange);
+			return true;
+		}
+	}
+	return false;
+}
+
 static void
 handle_peer_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -329,25 +359,8 @@
 		serve_edge_forward(edge, exchange);
 		return;
 	}
-	if (strncmp(request->path, STRIKES_PATH, sizeof(STRIKES_PATH) - 1) ==
-	    0) {
-		serve_strikes(edge, exchange);
+	if (serve_vm_message(edge, exchange))
 		return;
-	}
-	if (strncmp(request->path, LIMITS_PATH, sizeof(LIMITS_PATH) - 1) == 0) {
-		serve_limits(edge, exchange);
-		return;
-	}
-	if (strncmp(request->path, RATE_ASK_PATH, sizeof(RATE_ASK_PATH) - 1) ==
-	    0) {
-		serve_rate_asks(edge, exchange);
-		return;
-	}
-	if (strncmp(request->path, RATE_DEMAND_PATH,
-		sizeof(RATE_DEMAND_PATH) - 1) == 0) {
-		serve_rate_demand(edge, exchange);
-		return;
-	}
 	status = decode_row_query(request, &query);
 	if (status == MSP_E_NOT_FOUND)
 		count_unknown_message(edge);
