edge: rank the VMs once for the question whether this one owns the limits

may_be_rate_owner and is_first_rate_owner were asked one after the other, and the second ranks all members each time: twice for each question of another VM, twice or three times for an own one. get_rate_role answers both. test_edge_organisations and test_rate_limits pass (asan).

--- a/source/spindled/edge_rate_owner.c
+++ b/source/spindled/edge_rate_owner.c
@@ -17,6 +17,7 @@
 	const msp_request_t *request = msp_exchange_request(exchange);
 	msp_rate_ask_t *asks = calloc(MSP_RATES_PER_MESSAGE_MAX, sizeof(*asks));
 	msp_response_t response = {.status = 200};
+	rate_role_t role = get_rate_role(edge);
 	msp_status_t status = MSP_E_NO_MEMORY;
 	msp_rate_grant_t grant;
 	size_t count = 0;
@@ -25,12 +26,12 @@
 	if (asks != NULL)
 		status = msp_decode_rate_asks(
 		    msp_buffer_text(&request->body), asks, &count);
-	if (status == MSP_OK && !may_be_rate_owner(edge))
+	if (status == MSP_OK && role == RATE_NO_OWNER)
 		status = msp_fail(MSP_E_NOT_READY,
 		    "this VM does not see most of its data centre");
 	if (status == MSP_OK) {
 		msp_act_as_rate_owner(
-		    edge->rates->owner, is_first_rate_owner(edge));
+		    edge->rates->owner, role == RATE_FIRST_OWNER);
 		edge->rates->asked_at = msp_now(&edge->daemon->env);
 	}
 	for (i = 0; i < count && status == MSP_OK; i++) {
@@ -133,7 +134,7 @@
 		return;
 	rates->told_at = now;
 	msp_tidy_rate_leases(rates->leases);
-	if (!is_first_rate_owner(edge) || !may_be_rate_owner(edge))
+	if (get_rate_role(edge) != RATE_FIRST_OWNER)
 		return;
 	msp_act_as_rate_owner(rates->owner, true);
 	tell_demand(rates);
--- a/source/spindled/edge_rate_roles.c
+++ b/source/spindled/edge_rate_roles.c
@@ -107,16 +107,8 @@
 	return count;
 }
 
-bool
-is_first_rate_owner(const edge_t *edge)
-{
-	rate_owner_vm_t owners[RATE_OWNERS_MAX];
-
-	return list_rate_owners(edge, owners) > 0 && owners[0].is_self;
-}
-
-bool
-may_be_rate_owner(const edge_t *edge)
+static bool
+is_owner_possible(const edge_t *edge)
 {
 	const msp_membership_t *list = get_membership(edge->daemon->members);
 	size_t listed = count_listed(edge);
@@ -128,3 +120,15 @@
 		return true;
 	return sees_most_members(edge) && (listed < 2 || has_contact(edge));
 }
+
+rate_role_t
+get_rate_role(const edge_t *edge)
+{
+	rate_owner_vm_t owners[RATE_OWNERS_MAX];
+
+	if (!is_owner_possible(edge))
+		return RATE_NO_OWNER;
+	return list_rate_owners(edge, owners) > 0 && owners[0].is_self
+	    ? RATE_FIRST_OWNER
+	    : RATE_STANDBY_OWNER;
+}
--- a/source/spindled/edge_rate_roles.h
+++ b/source/spindled/edge_rate_roles.h
@@ -30,13 +30,17 @@
 size_t list_rate_owners(
     const struct edge *edge, rate_owner_vm_t owners[RATE_OWNERS_MAX]);
 
-/* Whether this VM is the first of them. */
-bool is_first_rate_owner(const struct edge *edge);
+typedef enum rate_role {
+	RATE_NO_OWNER,
+	RATE_STANDBY_OWNER, /* for VMs that can't use the first */
+	RATE_FIRST_OWNER,
+} rate_role_t;
 
 /*
- * Whether this VM sees most of the VMs of its data centre, or has just started.
- * One that is cut off from them must not admit requests beside their owner.
+ * What this VM may be. It owns no limits unless it sees most of the VMs of its
+ * data centre, or has just started: one that is cut off from them must not
+ * admit requests beside their owner.
  */
-bool may_be_rate_owner(const struct edge *edge);
+rate_role_t get_rate_role(const struct edge *edge);
 
 #endif
--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -168,18 +168,16 @@
 }
 
 /*
- * Whether this VM may admit its own requests as the owner. If it isn't the
- * first choice, others must have turned to it too: the first may be lost to
- * this VM only.
+ * Whether this VM may admit its own requests in its role. On standby, others
+ * must have turned to it too: the first may be lost to this VM only.
  */
 static bool
-may_ask_self(const edge_rates_t *rates)
+may_ask_self(const edge_rates_t *rates, rate_role_t role)
 {
-	const edge_t *edge = rates->edge;
-
-	return may_be_rate_owner(edge) &&
-	    (is_first_rate_owner(edge) ||
-		msp_now(&edge->daemon->env) < rates->asked_at + ASKED_TIME);
+	return role == RATE_FIRST_OWNER ||
+	    (role == RATE_STANDBY_OWNER &&
+		msp_now(&rates->edge->daemon->env) <
+		    rates->asked_at + ASKED_TIME);
 }
 
 static void ask_owner(edge_rates_t *rates);
@@ -257,14 +255,15 @@
 static void
 ask_self(edge_rates_t *rates)
 {
+	rate_role_t role = get_rate_role(rates->edge);
 	msp_rate_grant_t grant;
 	size_t i;
 
-	if (!may_ask_self(rates)) {
+	if (!may_ask_self(rates, role)) {
 		go_on(rates, false);
 		return;
 	}
-	msp_act_as_rate_owner(rates->owner, is_first_rate_owner(rates->edge));
+	msp_act_as_rate_owner(rates->owner, role == RATE_FIRST_OWNER);
 	for (i = 0; i < rates->ask_count; i++) {
 		msp_ask_rate_owner(rates->owner, &rates->asks[i], &grant);
 		msp_apply_rate_grant(rates->leases, &grant);
