base, spindlectl: one function reads a file into a buffer

The commands check and apply and the settings each had the loop. It is now msp_append_stream; the two commands, which also take standard input, share read_input_file.

--- a/include/monsoonspindle/base/buffer.h
+++ b/include/monsoonspindle/base/buffer.h
@@ -2,6 +2,7 @@
 #define MONSOONSPINDLE_BASE_BUFFER_H
 
 #include <stddef.h>
+#include <stdio.h>
 
 #include "monsoonspindle/base/memory_budget.h"
 #include "monsoonspindle/base/status.h"
@@ -29,6 +30,13 @@
 msp_status_t msp_append_printf(msp_buffer_t *buffer, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
+/*
+ * Appends what is left of a stream. MSP_E_IO: it can't be read; the message has
+ * `path`. What was read before an error stays.
+ */
+msp_status_t msp_append_stream(
+    msp_buffer_t *buffer, FILE *file, const char *path);
+
 /* Empties the buffer but keeps its memory for reuse. */
 void msp_clear_buffer(msp_buffer_t *buffer);
 
--- a/source/base/buffer.c
+++ b/source/base/buffer.c
@@ -1,11 +1,11 @@
 #include "monsoonspindle/base/buffer.h"
 
 #include <stdarg.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define INITIAL_CAPACITY 256
+#define READ_BYTES 4096
 
 static msp_status_t
 reserve(msp_buffer_t *buffer, size_t more)
@@ -52,6 +52,21 @@
 	return MSP_OK;
 }
 
+msp_status_t
+msp_append_stream(msp_buffer_t *buffer, FILE *file, const char *path)
+{
+	char part[READ_BYTES];
+	msp_status_t status = MSP_OK;
+	size_t len;
+
+	while (
+	    status == MSP_OK && (len = fread(part, 1, sizeof(part), file)) > 0)
+		status = msp_append_data(buffer, part, len);
+	if (status == MSP_OK && ferror(file))
+		status = msp_fail(MSP_E_IO, "%s: read error", path);
+	return status;
+}
+
 msp_status_t
 msp_append_printf(msp_buffer_t *buffer, const char *fmt, ...)
 {
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -8,7 +8,6 @@
 #include "monsoonspindle/config/prefix.h"
 
 #define SETTINGS_BYTES_MAX (256 * 1024)
-#define READ_BYTES 4096
 #define CALLER_PORT_HELP "HTTP from callers"
 #define OPERATOR_PORT_HELP "HTTP from operators"
 #define OPERATOR_TOKEN_HELP "secret that operators send"
@@ -395,18 +394,12 @@
 static msp_status_t
 read_file(const char *path, msp_buffer_t *text)
 {
-	char part[READ_BYTES];
-	msp_status_t status = MSP_OK;
 	FILE *file = fopen(path, "r");
-	size_t len;
+	msp_status_t status;
 
 	if (file == NULL)
 		return msp_fail(MSP_E_IO, "%s: %s", path, strerror(errno));
-	while (
-	    status == MSP_OK && (len = fread(part, 1, sizeof(part), file)) > 0)
-		status = msp_append_data(text, part, len);
-	if (status == MSP_OK && ferror(file))
-		status = msp_fail(MSP_E_IO, "%s: read error", path);
+	status = msp_append_stream(text, file, path);
 	fclose(file);
 	if (status == MSP_E_TOO_LARGE)
 		msp_fail(status, "%s: document: larger than %zu bytes", path,
--- a/source/spindlectl/check.c
+++ b/source/spindlectl/check.c
@@ -15,8 +15,7 @@
 
 #define REGIONS_MAX 64
 #define ARG_ERRORS_MAX 8
-#define READ_SIZE 65536
-#define FILE_MAX ((size_t)64 << 20) /* bytes */
+#define DOCUMENT_BYTES_MAX ((size_t)64 << 20)
 
 /* Exit codes of this command. */
 typedef enum check_exit {
@@ -64,34 +63,15 @@
 	print_finding(ctx, &finding);
 }
 
-/* Reads a whole file; "-" is standard input. */
-static bool
-read_file(const char *path, msp_buffer_t *out)
-{
-	FILE *file = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
-	char data[READ_SIZE];
-	bool ok = file != NULL;
-	size_t len;
-
-	while (ok && (len = fread(data, 1, sizeof(data), file)) > 0)
-		ok = out->len + len <= FILE_MAX &&
-		    msp_append_data(out, data, len) == MSP_OK;
-	if (file == NULL || ferror(file))
-		ok = false;
-	if (file != NULL && file != stdin)
-		fclose(file);
-	if (!ok)
-		print_ctl_error("%s: cannot be read", path);
-	return ok;
-}
-
 static msp_route_table_t *
 read_table(const char *path, const manifest_error_callback_t *callback)
 {
 	msp_route_table_t *table = NULL;
-	msp_buffer_t text = {0};
+	msp_buffer_t text = {.limit = DOCUMENT_BYTES_MAX};
 
-	if (read_file(path, &text))
+	if (read_input_file(path, &text) != MSP_OK)
+		print_ctl_error("%s", msp_last_message());
+	else
 		table = decode_manifest_parts(
 		    msp_buffer_text(&text), text.len, callback);
 	msp_drop_buffer(&text);
--- a/source/spindlectl/ctl.h
+++ b/source/spindlectl/ctl.h
@@ -141,6 +141,9 @@
 const char *get_json_text(json_object *object, const char *key);
 uint64_t get_json_number(json_object *object, const char *key);
 
+/* input_file.c: reads a whole file; "-" is standard input. */
+msp_status_t read_input_file(const char *path, msp_buffer_t *text);
+
 /*
  * note_file.c: reads and parses a note; "-" is standard input. On an error,
  * prints it, sets *code and returns NULL.
--- a/source/spindlectl/note_file.c
+++ b/source/spindlectl/note_file.c
@@ -1,47 +1,20 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "ctl.h"
 
-#define READ_CHUNK_SIZE 4096
-
-static msp_status_t
-read_all(FILE *file, const char *path, msp_buffer_t *text)
-{
-	char chunk[READ_CHUNK_SIZE];
-	msp_status_t status = MSP_OK;
-	size_t len;
-
-	while (status == MSP_OK &&
-	    (len = fread(chunk, 1, sizeof(chunk), file)) > 0)
-		status = msp_append_data(text, chunk, len);
-	if (status == MSP_OK && ferror(file))
-		status = msp_fail(MSP_E_IO, "%s: cannot be read", path);
-	return status;
-}
-
 msp_note_t *
 read_note_file(const char *path, ctl_exit_t *code)
 {
-	bool is_stdin = strcmp(path, "-") == 0;
-	FILE *file = is_stdin ? stdin : fopen(path, "r");
 	msp_buffer_t text = {.limit = MSP_NOTE_BYTES_MAX + 1};
 	msp_note_t *note = NULL;
-	msp_status_t status;
+	msp_status_t status = read_input_file(path, &text);
 
 	*code = CTL_USAGE;
-	if (file == NULL) {
-		print_ctl_error("%s: %s", path, strerror(errno));
-		return NULL;
-	}
-	status = read_all(file, path, &text);
-	if (!is_stdin)
-		fclose(file);
 	if (status == MSP_OK)
 		status = msp_parse_note(msp_buffer_text(&text), text.len,
-		    is_stdin ? "standard input" : path, &note);
+		    strcmp(path, "-") == 0 ? "standard input" : path, &note);
 	if (status != MSP_OK)
 		print_ctl_error("%s", msp_last_message());
 	else
