config: check and comparison share their search of routes and regions; services that change

find_same_prefix and find_route were the same search, has_region stood in homes.c too, and services were searched by a loop beside msp_find_service_config.

--- a/include/monsoonspindle/config/homes.h
+++ b/include/monsoonspindle/config/homes.h
@@ -24,6 +24,7 @@
 /* Appends an empty name and returns it to fill in; NULL: out of memory. */
 msp_region_name_t *msp_add_region(msp_region_list_t *list);
 void msp_clear_regions(msp_region_list_t *list);
+bool msp_lists_region(const msp_region_list_t *list, const char *region);
 
 /* The home regions that bind one request. */
 typedef struct msp_homes {
--- a/source/config/check_routes.c
+++ b/source/config/check_routes.c
@@ -53,14 +53,12 @@
 		    route->max_attempts);
 }
 
-/* Whether another route before this one has the same host and prefix. */
-static const msp_path_route_t *
-find_same_prefix(const msp_route_table_t *table, size_t index)
+const msp_path_route_t *
+find_same_route(const msp_route_table_t *table, const msp_path_route_t *route)
 {
-	const msp_path_route_t *route = &table->routes[index];
 	size_t i;
 
-	for (i = 0; i < index; i++) {
+	for (i = 0; i < table->route_count; i++) {
 		if (strcmp(table->routes[i].host, route->host) == 0 &&
 		    strcmp(table->routes[i].prefix, route->prefix) == 0)
 			return &table->routes[i];
@@ -73,14 +71,14 @@
     const msp_check_options_t *options, const msp_finding_callback_t *callback)
 {
 	const msp_path_route_t *route = &table->routes[index];
-	const msp_path_route_t *same = find_same_prefix(table, index);
+	const msp_path_route_t *same = find_same_route(table, route);
 	finding_writer_t writer = {.callback = callback};
 
 	set_finding_place(&writer, "route %s", route->name);
 	if (msp_check_path_route(table, route) != MSP_OK)
 		report_finding(
 		    &writer, MSP_FINDING_ERROR, "%s", msp_last_message());
-	if (same != NULL)
+	if (same != route)
 		report_finding(&writer, MSP_FINDING_ERROR,
 		    "never matches: route %s has its host and prefix, %s%s",
 		    same->name, route->host, route->prefix);
--- a/source/config/compare_routes.c
+++ b/source/config/compare_routes.c
@@ -6,19 +6,6 @@
 
 /* Compares two configurations, for operators. */
 
-static const msp_path_route_t *
-find_route(const msp_route_table_t *table, const msp_path_route_t *route)
-{
-	size_t i;
-
-	for (i = 0; i < table->route_count; i++) {
-		if (strcmp(table->routes[i].host, route->host) == 0 &&
-		    strcmp(table->routes[i].prefix, route->prefix) == 0)
-			return &table->routes[i];
-	}
-	return NULL;
-}
-
 static double
 compute_share(const msp_path_route_t *route, const char *service)
 {
@@ -73,24 +60,30 @@
 }
 
 static void
-compare_flag(
-    finding_writer_t *writer, const char *name, bool before, bool after)
+compare_rate(
+    finding_writer_t *writer, const char *name, double before, double after)
 {
 	if (before != after)
-		report_finding(writer, MSP_FINDING_NOTE, "%s: %s, %s before",
-		    name, after ? "yes" : "no", before ? "yes" : "no");
+		report_finding(writer, MSP_FINDING_NOTE,
+		    "%s: %.3g, %.3g before", name, after, before);
 }
 
-static bool
-has_region(const msp_region_list_t *list, const char *name)
+static void
+compare_text(finding_writer_t *writer, const char *name, const char *before,
+    const char *after)
 {
-	size_t i;
+	if (strcmp(before, after) != 0)
+		report_finding(writer, MSP_FINDING_NOTE,
+		    "%s: \"%s\", \"%s\" before", name, after, before);
+}
 
-	for (i = 0; i < list->count; i++) {
-		if (strcmp(list->names[i].name, name) == 0)
-			return true;
-	}
-	return false;
+static void
+compare_flag(
+    finding_writer_t *writer, const char *name, bool before, bool after)
+{
+	if (before != after)
+		report_finding(writer, MSP_FINDING_NOTE, "%s: %s, %s before",
+		    name, after ? "yes" : "no", before ? "yes" : "no");
 }
 
 static void
@@ -100,7 +93,7 @@
 	size_t i;
 
 	for (i = 0; i < after->count; i++) {
-		if (!has_region(before, after->names[i].name))
+		if (!msp_lists_region(before, after->names[i].name))
 			report_finding(writer, MSP_FINDING_NOTE,
 			    "home region %s is added%s", after->names[i].name,
 			    before->count == 0
@@ -108,7 +101,7 @@
 				: "");
 	}
 	for (i = 0; i < before->count; i++) {
-		if (!has_region(after, before->names[i].name))
+		if (!msp_lists_region(after, before->names[i].name))
 			report_finding(writer, MSP_FINDING_NOTE,
 			    "home region %s is removed%s",
 			    before->names[i].name,
@@ -147,7 +140,7 @@
 		const msp_path_route_t *route = &after->routes[i];
 
 		set_finding_place(writer, "route %s", route->name);
-		other = find_route(before, route);
+		other = find_same_route(before, route);
 		if (other == NULL)
 			report_finding(writer, MSP_FINDING_NOTE,
 			    "is added for %s%s", route->host, route->prefix);
@@ -158,7 +151,7 @@
 		const msp_path_route_t *route = &before->routes[i];
 
 		set_finding_place(writer, "route %s", route->name);
-		if (find_route(after, route) == NULL)
+		if (find_same_route(after, route) == NULL)
 			report_finding(writer, MSP_FINDING_NOTE,
 			    "is removed: requests for %s%s fall to a shorter "
 			    "prefix, or get 404",
@@ -166,26 +159,43 @@
 	}
 }
 
+static void
+compare_service(finding_writer_t *writer, const msp_service_config_t *before,
+    const msp_service_config_t *after)
+{
+	compare_text(
+	    writer, "health path", before->health_path, after->health_path);
+	compare_number(writer, "connections to a target",
+	    before->max_connections, after->max_connections);
+	compare_rate(writer, "requests a second of a cold target",
+	    before->cold_requests_per_s, after->cold_requests_per_s);
+	compare_number(
+	    writer, "time until warm, ms", before->cold_ms, after->cold_ms);
+}
+
 static void
 compare_all_services(const msp_route_table_t *before,
     const msp_route_table_t *after, finding_writer_t *writer)
 {
+	const msp_service_config_t *other;
 	size_t i;
 
 	for (i = 0; i < after->service_count; i++) {
 		const msp_service_config_t *service = &after->services[i];
-		size_t j = 0;
 
-		while (j < before->service_count &&
-		    strcmp(before->services[j].name, service->name) != 0)
-			j++;
+		other = msp_find_service_config(before, service->name);
 		set_finding_place(writer, "service %s", service->name);
-		if (j == before->service_count)
+		if (other == NULL)
 			report_finding(writer, MSP_FINDING_NOTE, "is added");
 		else
-			compare_number(writer, "connections to a target",
-			    before->services[j].max_connections,
-			    service->max_connections);
+			compare_service(writer, other, service);
+	}
+	for (i = 0; i < before->service_count; i++) {
+		const char *name = before->services[i].name;
+
+		set_finding_place(writer, "service %s", name);
+		if (msp_find_service_config(after, name) == NULL)
+			report_finding(writer, MSP_FINDING_NOTE, "is removed");
 	}
 }
 
@@ -209,10 +219,7 @@
 			? "raised"
 			: "lowered",
 		    after->per_second, before->per_second);
-	if (before->burst != after->burst)
-		report_finding(writer, MSP_FINDING_NOTE,
-		    "its burst: %.3g, %.3g before", after->burst,
-		    before->burst);
+	compare_rate(writer, "its burst", before->burst, after->burst);
 }
 
 static void
--- a/source/config/homes.c
+++ b/source/config/homes.c
@@ -25,13 +25,11 @@
 	return list != NULL && list->count > 0;
 }
 
-static bool
-allows_region(const msp_region_list_t *list, const char *region)
+bool
+msp_lists_region(const msp_region_list_t *list, const char *region)
 {
 	size_t i;
 
-	if (!has_regions(list))
-		return true;
 	for (i = 0; i < list->count; i++) {
 		if (strcmp(list->names[i].name, region) == 0)
 			return true;
@@ -39,6 +37,12 @@
 	return false;
 }
 
+static bool
+allows_region(const msp_region_list_t *list, const char *region)
+{
+	return !has_regions(list) || msp_lists_region(list, region);
+}
+
 bool
 msp_has_homes(const msp_homes_t *homes)
 {
