--- a/source/spindled/edge_rate_owner.c
+++ b/source/spindled/edge_rate_owner.c
@@ -26,7 +26,7 @@
 	if (asks != NULL)
 		status = msp_decode_rate_asks(
 		    msp_buffer_text(&request->body), asks, &count);
-	if (status == MSP_OK && role == RATE_NO_OWNER)
+	if (status == MSP_OK && role == RATE_NOT_OWNER)
 		status = msp_fail(MSP_E_NOT_READY,
 		    "this VM does not see most of its data centre");
 	if (status == MSP_OK) {
--- a/source/spindled/edge_rate_roles.c
+++ b/source/spindled/edge_rate_roles.c
@@ -127,7 +127,7 @@
 	rate_owner_vm_t owners[RATE_OWNERS_MAX];
 
 	if (!is_owner_possible(edge))
-		return RATE_NO_OWNER;
+		return RATE_NOT_OWNER;
 	return list_rate_owners(edge, owners) > 0 && owners[0].is_self
 	    ? RATE_FIRST_OWNER
 	    : RATE_STANDBY_OWNER;
--- a/source/spindled/edge_rate_roles.h
+++ b/source/spindled/edge_rate_roles.h
@@ -31,7 +31,7 @@
     const struct edge *edge, rate_owner_vm_t owners[RATE_OWNERS_MAX]);
 
 typedef enum rate_role {
-	RATE_NO_OWNER,
+	RATE_NOT_OWNER,
 	RATE_STANDBY_OWNER, /* for VMs that can't use the first */
 	RATE_FIRST_OWNER,
 } rate_role_t;
