coord, config: one loop reads the lines of rate messages, one function finds a data centre of the settings

The three decoders had the loop each, and three places searched the list of data centres. test_rate_limits, test_rate_limit_model, test_settings, test_edge_organisations, test_edge_old_builds and test_edge_forward pass (asan).

--- a/include/monsoonspindle/config/settings.h
+++ b/include/monsoonspindle/config/settings.h
@@ -120,6 +120,10 @@
 	msp_settings_log_t log;
 } msp_settings_t;
 
+/* The data centre of this name among those of the settings; or NULL. */
+const msp_settings_place_t *msp_find_settings_place(
+    const msp_settings_edge_t *edge, const char *place);
+
 /*
  * Loads settings in JSON with comments. Unknown, duplicate and missing keys,
  * wrong types and values out of range are errors; the message contains the
--- a/source/config/settings.c
+++ b/source/config/settings.c
@@ -298,16 +298,16 @@
 	return MSP_OK;
 }
 
-static bool
-has_place(const msp_settings_edge_t *edge, const char *place)
+const msp_settings_place_t *
+msp_find_settings_place(const msp_settings_edge_t *edge, const char *place)
 {
 	size_t i;
 
 	for (i = 0; i < edge->place_count; i++) {
 		if (strcmp(edge->places[i].place, place) == 0)
-			return true;
+			return &edge->places[i];
 	}
-	return false;
+	return NULL;
 }
 
 /* Checks the keys of a VM that balances requests over targets itself. */
@@ -323,7 +323,7 @@
 		return fail_missing(context, "directory", "IP:PORT");
 	if (edge->store.port == 0)
 		return fail_missing(context, "store", "IP:PORT");
-	if (!has_place(edge, settings->place)) {
+	if (msp_find_settings_place(edge, settings->place) == NULL) {
 		push_field_path(context, "places", 0);
 		return fail_field(
 		    context, "does not contain \"%s\"", settings->place);
--- a/source/coord/rate_codec.c
+++ b/source/coord/rate_codec.c
@@ -34,6 +34,26 @@
 	    MSP_E_TOO_LARGE, "too many organisations in one message");
 }
 
+/* Reads one line and returns the next; NULL: it is malformed. */
+typedef const char *read_line_t(const char *at, void *out);
+
+/* Reads all lines of a text into `list`, whose elements have `size` bytes. */
+static msp_status_t
+read_lines(
+    const char *text, read_line_t *read, void *list, size_t size, size_t *count)
+{
+	*count = 0;
+	while (*text != '\0') {
+		if (*count == MSP_RATES_PER_MESSAGE_MAX)
+			return fail_count();
+		text = read(text, (char *)list + *count * size);
+		if (text == NULL)
+			return fail_line();
+		(*count)++;
+	}
+	return MSP_OK;
+}
+
 msp_status_t
 msp_encode_rate_asks(
     const msp_rate_ask_t *asks, size_t count, msp_buffer_t *out)
@@ -57,8 +77,9 @@
 }
 
 static const char *
-read_ask(const char *at, msp_rate_ask_t *out)
+read_ask(const char *at, void *ctx)
 {
+	msp_rate_ask_t *out = ctx;
 	int len = 0;
 
 	*out = (msp_rate_ask_t){0};
@@ -77,16 +98,7 @@
 msp_status_t
 msp_decode_rate_asks(const char *text, msp_rate_ask_t *out, size_t *count)
 {
-	*count = 0;
-	while (*text != '\0') {
-		if (*count == MSP_RATES_PER_MESSAGE_MAX)
-			return fail_count();
-		text = read_ask(text, &out[*count]);
-		if (text == NULL)
-			return fail_line();
-		(*count)++;
-	}
-	return MSP_OK;
+	return read_lines(text, read_ask, out, sizeof(*out), count);
 }
 
 msp_status_t
@@ -103,8 +115,9 @@
 }
 
 static const char *
-read_grant(const char *at, msp_rate_grant_t *out)
+read_grant(const char *at, void *ctx)
 {
+	msp_rate_grant_t *out = ctx;
 	int len = 0;
 
 	*out = (msp_rate_grant_t){0};
@@ -119,16 +132,7 @@
 msp_status_t
 msp_decode_rate_grants(const char *text, msp_rate_grant_t *out, size_t *count)
 {
-	*count = 0;
-	while (*text != '\0') {
-		if (*count == MSP_RATES_PER_MESSAGE_MAX)
-			return fail_count();
-		text = read_grant(text, &out[*count]);
-		if (text == NULL)
-			return fail_line();
-		(*count)++;
-	}
-	return MSP_OK;
+	return read_lines(text, read_grant, out, sizeof(*out), count);
 }
 
 msp_status_t
@@ -145,8 +149,9 @@
 }
 
 static const char *
-read_demand(const char *at, msp_rate_demand_t *out)
+read_demand(const char *at, void *ctx)
 {
+	msp_rate_demand_t *out = ctx;
 	int len = 0;
 
 	*out = (msp_rate_demand_t){0};
@@ -168,13 +173,5 @@
 	memcpy(place, text, len);
 	place[len] = '\0';
 	text += len + 1;
-	while (*text != '\0') {
-		if (*count == MSP_RATES_PER_MESSAGE_MAX)
-			return fail_count();
-		text = read_demand(text, &out[*count]);
-		if (text == NULL)
-			return fail_line();
-		(*count)++;
-	}
-	return MSP_OK;
+	return read_lines(text, read_demand, out, sizeof(*out), count);
 }
--- a/source/spindled/edge_forward_vms.c
+++ b/source/spindled/edge_forward_vms.c
@@ -1,19 +1,13 @@
-#include <string.h>
-
 #include "edge_private.h"
 #include "members.h"
 
 const char *
 find_place_region(const edge_t *edge, const char *place)
 {
-	const msp_settings_edge_t *settings = &edge->daemon->settings->edge;
-	size_t i;
+	const msp_settings_place_t *found =
+	    msp_find_settings_place(&edge->daemon->settings->edge, place);
 
-	for (i = 0; i < settings->place_count; i++) {
-		if (strcmp(settings->places[i].place, place) == 0)
-			return settings->places[i].region;
-	}
-	return NULL;
+	return found == NULL ? NULL : found->region;
 }
 
 /* Members that serve requests themselves; a release of 0 means no routes. */
--- a/source/spindled/edge_rates.c
+++ b/source/spindled/edge_rates.c
@@ -1,5 +1,4 @@
 #include <stdlib.h>
-#include <string.h>
 
 #include <bsd/string.h>
 
@@ -35,13 +34,11 @@
 size_t
 find_rate_place(const msp_settings_t *settings, const char *place)
 {
-	size_t i;
+	const msp_settings_place_t *found =
+	    msp_find_settings_place(&settings->edge, place);
 
-	for (i = 0; i < settings->edge.place_count; i++) {
-		if (strcmp(settings->edge.places[i].place, place) == 0)
-			break;
-	}
-	return i;
+	return found == NULL ? settings->edge.place_count
+			     : (size_t)(found - settings->edge.places);
 }
 
 msp_status_t
