--- a/review/standins-2/behind.c
+++ b/review/standins-2/behind.c
@@ -212,8 +212,8 @@
 			continue;
 		note("counted: %s, sent to %s %.3f s after a server saw r12 "
 		     "from it, run by %s of the old service, answered %d",
-		    order->id, vms[0].name, order->sent - first,
-		    order->target, order->status);
+		    order->id, vms[0].name, order->sent - first, order->target,
+		    order->status);
 		count++;
 	}
 	return count;
@@ -241,8 +241,8 @@
 	for (i = 0; i < order_count; i++)
 		answered += orders[i].status == 200;
 	regressions = count_regressions();
-	note("orders: %d sent, %d answered with success", order_count,
-	    answered);
+	note(
+	    "orders: %d sent, %d answered with success", order_count, answered);
 	note("orders handled by the older version at a VM that had shown the "
 	     "newer one: %d",
 	    regressions);
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -29,7 +29,11 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { HELD = 0, BROKEN = 1, CANNOT_RUN = 2 };
+enum {
+	HELD = 0,
+	BROKEN = 1,
+	CANNOT_RUN = 2
+};
 #define RUN_SECONDS_MAX 115
 #define HEAD_MAX 16384
 
@@ -193,8 +197,8 @@
 static int
 free_port(void)
 {
-	struct sockaddr_in sa = {.sin_family = AF_INET,
-	    .sin_addr = {htonl(INADDR_LOOPBACK)}};
+	struct sockaddr_in sa = {
+	    .sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
 	int tries;
 
 	for (tries = 0; tries < 100; tries++) {
@@ -478,8 +482,8 @@
 static int
 compare_rows(const void *a, const void *b)
 {
-	return strcmp((*(const row_t *const *)a)->key,
-	    (*(const row_t *const *)b)->key);
+	return strcmp(
+	    (*(const row_t *const *)a)->key, (*(const row_t *const *)b)->key);
 }
 
 static void
@@ -509,8 +513,8 @@
 	for (i = at + 1; i < store_history_count; i++) {
 		if (strcmp(store_history[i]->key, store_history[at]->key) ==
 			0 &&
-		    strcmp(store_history[i]->table,
-			store_history[at]->table) == 0)
+		    strcmp(store_history[i]->table, store_history[at]->table) ==
+			0)
 			return true;
 	}
 	return false;
@@ -707,6 +711,7 @@
 
 #define CONNECTIONS_MAX 512
 #define HEARTBEAT_S 1.5
+#define LEAVING_FIELDS "Server-Leaving: 1\r\nConnection: close\r\n"
 
 typedef struct target {
 	char id[32];
@@ -720,6 +725,7 @@
 	int running;
 	double work_s;
 	double down_s; /* until it is back after a crash */
+	bool leaving; /* it says so in its row and in its answers */
 	int connections[CONNECTIONS_MAX]; /* -1: free */
 	pthread_mutex_t lock;
 	void (*on_run)(struct target *target, const char *id, const char *path);
@@ -747,9 +753,10 @@
 
 	snprintf(text, sizeof(text),
 	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
 	    "\"coldRemainingMs\":0,\"seq\":%llu,\"born\":%llu}",
 	    target->service, target->port, target->place, target->slots,
+	    target->leaving ? "draining" : "ready",
 	    (unsigned long long)++target->sequence,
 	    (unsigned long long)target->born);
 	put_row("servers", target->id, text);
@@ -758,8 +765,12 @@
 static void *
 beat(void *ctx)
 {
+	static int count;
 	target_t *target = ctx;
+	int number = __atomic_fetch_add(&count, 1, __ATOMIC_RELAXED);
 
+	/* Targets don't beat in step. */
+	pause_for(HEARTBEAT_S * (number * 5 % 12) / 12);
 	while (target != NULL) {
 		pause_for(HEARTBEAT_S);
 		pthread_mutex_lock(&target->lock);
@@ -820,6 +831,17 @@
 	pthread_mutex_unlock(&target->lock);
 }
 
+/* The target reports that it is leaving; the store accepts that at once. */
+static inline void
+begin_leaving(target_t *target)
+{
+	pthread_mutex_lock(&target->lock);
+	target->leaving = true;
+	write_heartbeat(target);
+	pthread_mutex_unlock(&target->lock);
+	note("target %s reports that it is draining", target->id);
+}
+
 static void *
 restart_later(void *ctx)
 {
@@ -831,7 +853,7 @@
 	return NULL;
 }
 
-static void
+static inline void
 crash_target(target_t *target)
 {
 	stop_target(target);
@@ -890,9 +912,11 @@
 	snprintf(body, sizeof(body), "%s by %s", id, target->id);
 	snprintf(answer, sizeof(answer),
 	    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s.%s\r\n"
-	    "Server-Load: %d,0,%d\r\nContent-Length: %zu\r\n\r\n%s",
-	    id, id, target->running + 1, target->slots, strlen(body), body);
-	return send_all(connection->fd, answer, strlen(answer));
+	    "Server-Load: %d,0,%d\r\n%sContent-Length: %zu\r\n\r\n%s",
+	    id, id, target->running + 1, target->slots,
+	    target->leaving ? LEAVING_FIELDS : "", strlen(body), body);
+	return send_all(connection->fd, answer, strlen(answer)) &&
+	    strstr(answer, LEAVING_FIELDS) == NULL;
 }
 
 static void *
@@ -984,17 +1008,19 @@
 write_settings(vm_t *vm, const char *folder, const door_t *door,
     const place_t *places, int place_count)
 {
+	char name[sizeof(vm->name)];
 	FILE *out;
 	int i;
 
+	strcpy(name, vm->name);
 	vm->front = free_port();
 	vm->ready = free_port();
 	vm->directory = free_port();
 	vm->peer = free_port();
 	vm->metrics = free_port();
-	snprintf(vm->settings, sizeof(vm->settings), "%.400s/%.31s.json", folder,
-	    vm->name);
-	snprintf(vm->log, sizeof(vm->log), "%.400s/%.31s.log", folder, vm->name);
+	snprintf(
+	    vm->settings, sizeof(vm->settings), "%.400s/%s.json", folder, name);
+	snprintf(vm->log, sizeof(vm->log), "%.400s/%s.log", folder, name);
 	out = fopen(vm->settings, "w");
 	if (out == NULL)
 		cannot_run("no settings file");
@@ -1012,7 +1038,7 @@
 		    i == 0 ? "" : ",", places[i].name, places[i].region);
 	fprintf(out,
 	    "],\"cold_over\":1.5,\"cold_slack\":5,\"retry_ratio\":0.2,"
-	    "\"retry_slack\":120,\"retry_window_ms\":10000,"
+	    "\"rate_slack\":20,\"retry_slack\":120,\"retry_window_ms\":10000,"
 	    "\"heartbeat_ms\":1500,\"drain_ms\":2500,\"stop_grace_ms\":6000},"
 	    "\"limits\":{\"memory_mb\":182,\"max_connections\":1200},"
 	    "\"log\":{\"file\":\"-\"}}\n");
@@ -1066,10 +1092,25 @@
 	note("%s has ended, status %d", vm->name, status);
 }
 
+/* The process of the VM ends at once. */
+static inline void
+kill_vm(vm_t *vm)
+{
+	kill(vm->pid, SIGKILL);
+	waitpid(vm->pid, NULL, 0);
+	processes[vm->process] = 0;
+	vm->pid = 0;
+	note("%s is killed", vm->name);
+}
+
 /* Clients */
 
+/* Further header fields of the calling thread's requests, each with CRLF. */
+static __thread const char *client_fields = "";
+
 typedef struct answer {
 	int status; /* 0: none */
+	bool leaving; /* it bears Server-Leaving */
 	char body[256];
 } answer_t;
 
@@ -1085,15 +1126,19 @@
 
 	snprintf(head, sizeof(head),
 	    "%s %s HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: %s\r\n"
-	    "Deadline-Ms: %d\r\nContent-Length: %zu\r\n\r\n%s",
-	    method, path, id, deadline_ms, strlen(body), body);
+	    "Deadline-Ms: %d\r\n%sContent-Length: %zu\r\n\r\n%s",
+	    method, path, id, deadline_ms, client_fields, strlen(body), body);
 	stream->fd = connect_to(vm->front);
 	if (stream->fd >= 0) {
-		setsockopt(stream->fd, SOL_SOCKET, SO_RCVTIMEO, &limit,
-		    sizeof(limit));
+		setsockopt(
+		    stream->fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
 		if (send_all(stream->fd, head, strlen(head)) &&
 		    read_message(stream, message)) {
+			char text[8];
+
 			sscanf(message->head, "HTTP/1.1 %d", &answer.status);
+			answer.leaving = find_field(
+			    message, "Server-Leaving", text, sizeof(text));
 			snprintf(answer.body, sizeof(answer.body), "%s",
 			    message->body);
 			free(message->body);
