--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -78,7 +78,7 @@
 	va_list args;
 
 	pthread_mutex_lock(&record_lock);
-	fprintf(record_file, "%8.3f ", now());
+	fprintf(record_file, "%6ld ms ", (long)(now() * 1000));
 	va_start(args, fmt);
 	vfprintf(record_file, fmt, args);
 	va_end(args);
@@ -171,8 +171,26 @@
 
 /* Sockets */
 
+/*
+ * Ports are taken in turn, from below those that the system gives to outgoing
+ * connections, so that none of these has the port of a process that restarts.
+ */
+#define PORT_FIRST 12000
+#define PORT_COUNT 19000
+#define PORT_STEP 97 /* between cases that run at the same time */
+
 static int
-listen_at(int *port)
+next_port(void)
+{
+	static unsigned int taken;
+	unsigned int number = __atomic_fetch_add(&taken, 1, __ATOMIC_RELAXED);
+
+	return PORT_FIRST +
+	    (int)(((unsigned int)getpid() * PORT_STEP + number) % PORT_COUNT);
+}
+
+static int
+try_listen(int *port)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET,
 	    .sin_port = htons((uint16_t)*port),
@@ -193,6 +211,26 @@
 	return fd;
 }
 
+/* Listens at the port, or at a free one if it is 0; returns -1 if it fails. */
+static int
+listen_at(int *port)
+{
+	int tries;
+
+	if (*port != 0)
+		return try_listen(port);
+	for (tries = 0; tries < 100; tries++) {
+		int candidate = next_port();
+		int fd = try_listen(&candidate);
+
+		if (fd >= 0) {
+			*port = candidate;
+			return fd;
+		}
+	}
+	return -1;
+}
+
 /* A port that is free now, for TCP and UDP. */
 static int
 free_port(void)
