--- a/review/standins-2/split.c
+++ b/review/standins-2/split.c
@@ -23,7 +23,7 @@
 #define STAYING_PER_S 12 /* of the other tenant, in the north */
 #define CONTACT_S 4.0 /* contactMs */
 #define AWAY_S 7.0 /* for which the clients are in the south */
-#define CUT_S 5.5
+#define CUT_S 5.0
 #define BACK_S 1.5 /* after the begin of the cut */
 #define HOT_S 6.5
 #define WINDOW_S 5.0 /* quotaWindowS */
