--- a/review/standins-2/behind.c
+++ b/review/standins-2/behind.c
@@ -6,6 +6,7 @@
  *
  * usage: behind FOLDER RECORD
  */
+#define CASE 7 /* whose ports are used */
 #include "kit.h"
 
 #define VMS 3
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -174,10 +174,12 @@
 /*
  * Ports are taken in turn, from below those that the system gives to outgoing
  * connections, so that none of these has the port of a process that restarts.
+ * For the same reason each case has ports of its own: cases may run at the same
+ * time.
  */
-#define PORT_FIRST 12000
-#define PORT_COUNT 19000
-#define PORT_STEP 97 /* between cases that run at the same time */
+#define PORT_COUNT 3800
+#define PORT_FIRST (12000 + (CASE - 6) * PORT_COUNT)
+#define PORT_STEP 97 /* between runs that follow each other */
 
 static int
 next_port(void)
--- a/review/standins-2/leaving.c
+++ b/review/standins-2/leaving.c
@@ -4,6 +4,7 @@
  *
  * usage: leaving FOLDER RECORD
  */
+#define CASE 9 /* whose ports are used */
 #include "kit.h"
 
 #define VMS 3
--- a/review/standins-2/replaced.c
+++ b/review/standins-2/replaced.c
@@ -6,6 +6,7 @@
  *
  * usage: replaced FOLDER RECORD
  */
+#define CASE 8 /* whose ports are used */
 #include "kit.h"
 
 #define ZONES 2
--- a/review/standins-2/restarts.c
+++ b/review/standins-2/restarts.c
@@ -5,6 +5,7 @@
  *
  * usage: restarts FOLDER RECORD
  */
+#define CASE 6 /* whose ports are used */
 #include "kit.h"
 
 #define VMS 4
--- a/review/standins-2/split.c
+++ b/review/standins-2/split.c
@@ -6,6 +6,7 @@
  *
  * usage: split FOLDER RECORD
  */
+#define CASE 10 /* whose ports are used */
 #include "kit.h"
 
 #define ZONES 2
