--- a/review/standins-3/case_deadly.c
+++ b/review/standins-3/case_deadly.c
@@ -150,7 +150,8 @@
 	machine_t *machine = deployment.machines[index];
 
 	record("machine %d gets SIGTERM", machine->number);
-	restart_machine(machine);
+	stop_machine(machine);
+	start_machine_again(machine);
 	started_at[machine->number] = now_s();
 	record("machine %d has ended and starts again", machine->number);
 	wait_until_ready();
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -17,6 +17,8 @@
 
 /* A small deployment, and clients that ask one machine each. */
 typedef struct deployment {
+	const char *tenants; /* of the manifest, as JSON; NULL: none */
+	const char *key; /* that all clients send; NULL: none */
 	upstream_t *servers[DEPLOYMENT_SERVERS];
 	bool (*on_arrival)(upstream_t *upstream, int machine,
 	    const char *request_id, const char *start);
@@ -31,7 +33,7 @@
 /* A new server in the place of one that has crashed, cold at first. */
 upstream_t *replace_server(deployment_t *of, int index);
 void start_traffic(const deployment_t *of);
-/* Ends the program with code 2 if hardly any request was served. */
+/* Ends the program with code 2 if hardly any request was answered. */
 void stop_traffic(void);
 
 #endif
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -64,7 +64,7 @@
 
 /* Calls `serve` in a thread for each connection, and closes it after that. */
 listener_t *open_listener(uint16_t port, serve_t *serve, void *ctx);
-/* Closes the listener and resets its connections. */
+/* Closes the listener and its connections. */
 void close_listener(listener_t *listener);
 
 /* The platform's store, as PROTOCOL.md has it: rows-get, rows-feed, rows-tx. */
@@ -128,12 +128,14 @@
 machine_t *start_machine(
     const char *zone, const char *region, const char *places);
 void wait_until_ready(void);
-/* Sends SIGTERM, and starts the process again when it has ended. */
-void restart_machine(machine_t *machine);
+void stop_machine(machine_t *machine); /* SIGTERM */
+/* Waits until the process has ended, and starts it again. */
+void start_machine_again(machine_t *machine);
 
 /* One request of a client, on a kept connection or a new one. */
 typedef struct client {
 	const machine_t *machine;
+	const char *key; /* of its tenant; NULL: none */
 	stream_t stream; /* fd -1: none is open */
 } client_t;
 
