--- a/review/standins-3/case_quota.c
+++ b/review/standins-3/case_quota.c
@@ -17,6 +17,7 @@
 #define SLACK 20.0 /* quotaSlack */
 #define CALM_S 5.0
 #define GAP_S 1.0 /* between two stops */
+#define POLL_S 0.02
 #define TURNS 2
 #define TURN_S 14.0
 #define RUNS_MAX 65536
@@ -44,32 +45,46 @@
 	pthread_mutex_unlock(&lock);
 }
 
-static void *
-start_again(void *ctx)
+/* Starts what has ended again; returns the number of those still stopping. */
+static int
+start_ended(bool *stopping)
 {
-	machine_t *machine = ctx;
+	int count = 0;
+	int i;
+
+	for (i = 0; i < DEPLOYMENT_MACHINES; i++) {
+		machine_t *machine = deployment.machines[i];
 
-	start_machine_again(machine);
-	record("machine %d has ended and starts again", machine->number);
-	return NULL;
+		if (stopping[i] && start_machine_if_ended(machine)) {
+			stopping[i] = false;
+			record("machine %d has ended and starts again",
+			    machine->number);
+		}
+		count += stopping[i];
+	}
+	return count;
 }
 
 static void
 restart_in_turn(void)
 {
-	pthread_t threads[DEPLOYMENT_MACHINES];
-	machine_t *machine;
-	int i;
+	bool stopping[DEPLOYMENT_MACHINES] = {false};
+	double next = now_s();
+	int stopped = 0;
 
-	for (i = 0; i < DEPLOYMENT_MACHINES; i++) {
-		machine = deployment.machines[order[i]];
-		record("machine %d gets SIGTERM", machine->number);
-		stop_machine(machine);
-		pthread_create(&threads[i], NULL, start_again, machine);
-		sleep_until(now_s() + GAP_S);
+	while (stopped < DEPLOYMENT_MACHINES || start_ended(stopping) > 0) {
+		if (stopped < DEPLOYMENT_MACHINES && now_s() >= next) {
+			machine_t *machine =
+			    deployment.machines[order[stopped]];
+
+			record("machine %d gets SIGTERM", machine->number);
+			stop_machine(machine);
+			stopping[order[stopped++]] = true;
+			next += GAP_S;
+		}
+		start_ended(stopping);
+		sleep_until(now_s() + POLL_S);
 	}
-	for (i = 0; i < DEPLOYMENT_MACHINES; i++)
-		pthread_join(threads[i], NULL);
 }
 
 /* The most runs in a window, and the time at which it ends. */
@@ -116,10 +131,10 @@
 	}
 	stop_traffic();
 	worst = find_worst(&end);
-	record("%s: at most %zu requests in %.0f s (until %.3f), %.1f are "
-	       "allowed; %zu in all",
-	    (double)worst > allowed ? "BROKEN" : "HELD", worst, WINDOW_S, end,
-	    allowed, run_count);
+	record("%s: at most %zu requests in %.0f s (until %.0f ms), %.1f "
+	       "are allowed; %zu in all",
+	    (double)worst > allowed ? "BROKEN" : "HELD", worst, WINDOW_S,
+	    end * 1000, allowed, run_count);
 	close_world();
 	return (double)worst > allowed ? 1 : 0;
 }
--- a/review/standins-3/world.c
+++ b/review/standins-3/world.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -29,6 +30,9 @@
 static bool has_folder;
 static machine_t machines[WORLD_MACHINES];
 static int machine_count;
+static pthread_mutex_t process_lock = PTHREAD_MUTEX_INITIALIZER;
+static pid_t program_pid;
+static sigset_t stop_signals;
 
 static double
 read_clock(void)
@@ -54,11 +58,39 @@
 		usleep((useconds_t)(left * 1e6));
 }
 
+/* Ends the processes if the program is told to stop. */
+static void *
+wait_for_stop(void *ctx)
+{
+	int number;
+
+	(void)ctx;
+	sigwait(&stop_signals, &number);
+	give_up("stopped by signal %d", number);
+}
+
+/* All threads leave these signals to one. */
+static void
+watch_signals(void)
+{
+	pthread_t thread;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&stop_signals);
+	sigaddset(&stop_signals, SIGTERM);
+	sigaddset(&stop_signals, SIGINT);
+	sigaddset(&stop_signals, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
+	program_pid = getpid();
+	if (pthread_create(&thread, NULL, wait_for_stop, NULL) != 0)
+		exit(2);
+}
+
 void
 open_record(const char *path)
 {
 	start_s = read_clock();
-	signal(SIGPIPE, SIG_IGN);
+	watch_signals();
 	srandom((unsigned int)time(NULL) ^ (unsigned int)getpid());
 	record_file = fopen(path, "w");
 	if (record_file == NULL) {
@@ -73,7 +105,7 @@
 	va_list args;
 
 	pthread_mutex_lock(&record_lock);
-	fprintf(record_file, "%8.3f ", now_s());
+	fprintf(record_file, "%6.0f ms  ", now_s() * 1000);
 	va_start(args, format);
 	vfprintf(record_file, format, args);
 	va_end(args);
@@ -92,7 +124,7 @@
 	va_end(args);
 	fputc('\n', stderr);
 	close_world();
-	exit(2);
+	_exit(2);
 }
 
 bool
@@ -128,21 +160,41 @@
 	return -1;
 }
 
-/* A port that is free at all addresses, for TCP and UDP. */
+static bool
+is_free(const char *address, uint16_t port)
+{
+	int stream = bind_port(address, port, SOCK_STREAM);
+	int datagram = bind_port(address, port, SOCK_DGRAM);
+
+	if (stream >= 0)
+		close(stream);
+	if (datagram >= 0)
+		close(datagram);
+	return stream >= 0 && datagram >= 0;
+}
+
+/* Of its own, also beside another run. */
+static void
+print_address(int number, char *out, size_t size)
+{
+	snprintf(out, size, "127.0.%d.%d", 1 + getpid() % 250, number);
+}
+
+/* A port that is free at the addresses of the case, for TCP and UDP. */
 uint16_t
 pick_port(void)
 {
-	int stream;
-	int datagram;
+	char address[32];
+	bool free;
+	int i;
 
 	for (; next_port < PORT_END; next_port++) {
-		stream = bind_port("0.0.0.0", next_port, SOCK_STREAM);
-		datagram = bind_port("0.0.0.0", next_port, SOCK_DGRAM);
-		if (stream >= 0)
-			close(stream);
-		if (datagram >= 0)
-			close(datagram);
-		if (stream >= 0 && datagram >= 0)
+		free = is_free(CLIENT_ADDRESS, next_port);
+		for (i = 1; i <= WORLD_MACHINES && free; i++) {
+			print_address(i, address, sizeof(address));
+			free = is_free(address, next_port);
+		}
+		if (free)
 			return next_port++;
 	}
 	give_up("no free port");
@@ -361,14 +413,24 @@
 	fclose(file);
 }
 
+/*
+ * Only to be called by the first thread: the process ends with the thread that
+ * has started it, however that ends.
+ */
 static pid_t
 run_program(const machine_t *machine)
 {
+	sigset_t none;
 	pid_t pid = fork();
 	int log;
 
 	if (pid != 0)
 		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
+	if (getppid() != program_pid)
+		_exit(127);
 	log = open(machine->log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 	dup2(log, STDOUT_FILENO);
 	dup2(log, STDERR_FILENO);
@@ -376,6 +438,16 @@
 	_exit(127);
 }
 
+static void
+start_process(machine_t *machine)
+{
+	pthread_mutex_lock(&process_lock);
+	machine->pid = run_program(machine);
+	pthread_mutex_unlock(&process_lock);
+	if (machine->pid < 0)
+		give_up("no process");
+}
+
 machine_t *
 start_machine(const char *zone, const char *region, const char *places)
 {
@@ -387,9 +459,8 @@
 		give_up("no folder");
 	has_folder = true;
 	machine->number = ++machine_count;
-	/* Of its own, also beside another run. */
-	snprintf(machine->address, sizeof(machine->address), "127.0.%d.%d",
-	    1 + getpid() % 250, machine->number);
+	print_address(
+	    machine->number, machine->address, sizeof(machine->address));
 	snprintf(machine->zone, sizeof(machine->zone), "%s", zone);
 	snprintf(machine->settings, sizeof(machine->settings), "%s/%d.json",
 	    folder, machine->number);
@@ -400,9 +471,7 @@
 	directory = pick_port();
 	peer = pick_port();
 	write_settings(machine, region, places, directory, peer);
-	machine->pid = run_program(machine);
-	if (machine->pid < 0)
-		give_up("no process");
+	start_process(machine);
 	return machine;
 }
 
@@ -465,35 +534,36 @@
 	kill(machine->pid, SIGTERM);
 }
 
-void
-start_machine_again(machine_t *machine)
+bool
+start_machine_if_ended(machine_t *machine)
 {
-	waitpid(machine->pid, NULL, 0);
-	machine->pid = run_program(machine);
-	if (machine->pid < 0)
-		give_up("no process");
+	if (waitpid(machine->pid, NULL, WNOHANG) != machine->pid)
+		return false;
+	start_process(machine);
+	return true;
 }
 
 void
 close_world(void)
 {
-	char path[WORLD_PATH];
 	int i;
 
+	/* Never given back: nothing is started any more. */
+	pthread_mutex_lock(&process_lock);
 	for (i = 0; i < machine_count; i++) {
+		if (machines[i].pid <= 0)
+			continue;
 		kill(machines[i].pid, SIGKILL);
 		waitpid(machines[i].pid, NULL, 0);
-		if (getenv("KEEP") != NULL)
-			continue;
+	}
+	for (i = 0; i < machine_count && getenv("KEEP") == NULL; i++) {
 		unlink(machines[i].settings);
 		unlink(machines[i].log);
 	}
 	if (has_folder && getenv("KEEP") == NULL)
 		rmdir(folder);
-	snprintf(path, sizeof(path), "%s", folder);
-	if (has_folder && getenv("KEEP") != NULL)
-		fprintf(stderr, "logs: %s\n", path);
-	machine_count = 0;
+	else if (has_folder)
+		fprintf(stderr, "logs: %s\n", folder);
 }
 
 /* Clients */
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -18,7 +18,7 @@
 #define WORLD_FIELDS 64
 #define WORLD_MACHINES 8
 
-/* record.txt: a line with the time since the start, in seconds. */
+/* record.txt: a line with the time since the start. */
 void open_record(const char *path);
 void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
@@ -107,8 +107,8 @@
     const char *zone, const char *region, const char *places);
 void wait_until_ready(void);
 void stop_machine(machine_t *machine); /* SIGTERM */
-/* Waits until the process has ended, and starts it again. */
-void start_machine_again(machine_t *machine);
+/* Starts the process again, if it has ended. By the first thread only. */
+bool start_machine_if_ended(machine_t *machine);
 
 /* One request of a client, on a kept connection or a new one. */
 typedef struct client {
