edge: log and count the pauses that targets ask for, and what is sent in them

Nothing told a 503 with Retry-After from one without, nor that a request was sent to a target that had asked for a pause, so that the hypotheses of docs/incidents/2026-12-07-target-pause.md could not be told apart.

The pause is read (platform/header_fields), kept with the process of the target (steer/target_pause) and reported: event=target-pause with the requests that the target had been given and that had sent it nothing yet, event=sent-in-pause by kind, counters and a gauge. Where requests are sent is not changed.

--- a/include/monsoonspindle/steer.h
+++ b/include/monsoonspindle/steer.h
@@ -19,6 +19,7 @@
 #include "monsoonspindle/steer/traffic_split.h"
 #include "monsoonspindle/steer/strike_sync.h"
 #include "monsoonspindle/steer/target_limit.h"
+#include "monsoonspindle/steer/target_pause.h"
 #include "monsoonspindle/steer/target_traffic.h"
 #include "monsoonspindle/steer/target_view.h"
 #include "monsoonspindle/steer/client_block.h"
--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -10,6 +10,7 @@
 #include "monsoonspindle/base/env.h"
 #include "monsoonspindle/base/status.h"
 #include "monsoonspindle/steer/target_limit.h"
+#include "monsoonspindle/steer/target_pause.h"
 #include "monsoonspindle/steer/target_traffic.h"
 
 /* Sizes of text in bytes, with the final 0. */
@@ -57,7 +58,9 @@
 	msp_time_t cold_until; /* 0: not cold */
 	uint32_t ref_count; /* references of the view and of requests */
 	msp_target_traffic_t traffic;
-	msp_target_limit_t limit; /* of the current incarnation */
+	/* Of the current incarnation. */
+	msp_target_limit_t limit;
+	msp_target_pause_t pause;
 } msp_view_target_t;
 
 TAILQ_HEAD(msp_view_targets, msp_view_target);
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -123,6 +123,8 @@
 	msp_time_t now = get_now(edge);
 	msp_time_t duration = now - request->sent_at;
 	target_fields_t fields;
+	bool same_process =
+	    target->registration.incarnation == request->sent_incarnation;
 	bool failed;
 	bool ok;
 
@@ -135,8 +137,9 @@
 	    edge->balancer, &request->criteria, &request->choice, duration, ok);
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
-	if (fields.is_own && !fields.wrong_target &&
-	    target->registration.incarnation == request->sent_incarnation)
+	if (!fields.wrong_target && same_process)
+		observe_target_pause(edge, target, &fields.pause);
+	if (fields.is_own && !fields.wrong_target && same_process)
 		observe_target_limit(edge, target, request->sent_at,
 		    fields.limit_field, fields.limit_per_second);
 	/* Another request's "not executed" says nothing about this one. */
@@ -363,6 +366,7 @@
 	msp_request_t out = {0};
 	msp_call_options_t options;
 	target_terms_t terms;
+	const char *kind;
 	msp_status_t status;
 
 	update_request_terms(request);
@@ -409,9 +413,11 @@
 		fail_request(request, "no-memory");
 		return;
 	}
+	kind = request->criteria.tried_count == 0 ? "request" : "retry";
 	msp_begin_balanced_request(edge->balancer, &request->choice);
-	count_sent_request(edge, request->choice.target,
-	    request->criteria.tried_count == 0 ? "request" : "retry");
+	count_sent_request(edge, request->choice.target, kind);
+	report_paused_send(
+	    edge, request->choice.target, kind, request->caller.id);
 	record_tried_target(request);
 	request->sent_count++;
 	request->sent_at = now;
--- a/source/spindled/edge_listeners.c
+++ b/source/spindled/edge_listeners.c
@@ -158,6 +158,7 @@
 	*msp_get_counter(counters, "msp_forwards_in_flight") =
 	    count_forwards(edge);
 	update_limit_gauges(edge);
+	update_pause_gauges(edge);
 	update_rate_gauges(edge);
 	msp_add_header(&response.headers, "Content-Type",
 	    "text/plain; version=0.0.4; charset=utf-8");
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -263,6 +263,25 @@
 void count_sent_request(
     edge_t *edge, const msp_view_target_t *target, const char *kind);
 
+/* edge_pause.c: pauses that targets ask for when they refuse a request */
+
+/*
+ * Applies what a response asks for. It must come from this process of the
+ * target; to which request does not matter.
+ */
+void observe_target_pause(
+    edge_t *edge, msp_view_target_t *target, const pause_request_t *asked);
+
+/*
+ * Logs and counts that a request is sent to the target if that has asked for a
+ * pause. `kind` is as for count_sent_request(); `id` may be NULL.
+ */
+void report_paused_send(const edge_t *edge, const msp_view_target_t *target,
+    const char *kind, const char *id);
+
+/* Sets the metric of targets that are paused. */
+void update_pause_gauges(const edge_t *edge);
+
 /* edge_sender_rank.c */
 
 /*
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -213,6 +213,8 @@
 	    end.health.limit_field != LIMIT_FIELD_MISSING)
 		observe_target_limit(edge, target, end.sent_at,
 		    end.health.limit_field, end.health.limit_per_second);
+	if (same_incarnation && end.health.same_target)
+		observe_target_pause(edge, target, &end.health.pause);
 	record_probe_result(edge, target, result);
 	if (same_incarnation && target->traffic.suspect_since != 0)
 		judge_suspect(edge, target, &end);
@@ -257,6 +259,7 @@
 	target->traffic.probed_at = probe->sent_at;
 	msp_use_target_limit(&target->limit);
 	count_sent_request(edge, target, "probe");
+	report_paused_send(edge, target, "probe", NULL);
 	msp_add_to_counter(edge->daemon->counters, 1, "msp_probes_total");
 }
 
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -132,6 +132,7 @@
 	target->region = region;
 	target->traffic = (msp_target_traffic_t){0};
 	target->limit = (msp_target_limit_t){0};
+	target->pause = (msp_target_pause_t){0};
 	set_cold(view, target);
 	set_status(view, target,
 	    registration->draining ? MSP_TARGET_DRAINING : MSP_TARGET_LISTED,
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -418,6 +418,65 @@
 	}
 }
 
+/*
+ * Guards against a target that gets requests all through a pause that it asked
+ * for, and against nonsense that is taken for a pause.
+ */
+static void
+reads_pauses_of_refusals_only(void **state)
+{
+	static const struct {
+		int http_status;
+		const char *values[3];
+		pause_field_t field;
+		uint32_t ms;
+	} cases[] = {
+	    {503, {NULL}, PAUSE_FIELD_MISSING, 0},
+	    {503, {"3"}, PAUSE_FIELD_VALID, 3000},
+	    {503, {"0.25"}, PAUSE_FIELD_VALID, 250},
+	    {503, {"0.0001"}, PAUSE_FIELD_VALID, 1},
+	    {503, {"0"}, PAUSE_FIELD_VALID, 0},
+	    {503, {"3600"}, PAUSE_FIELD_VALID, 3600000},
+	    {503, {"3601"}, PAUSE_FIELD_CUT, 3600000},
+	    {503, {"31536000"}, PAUSE_FIELD_CUT, 3600000},
+	    {503, {""}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"-3"}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"1e3"}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"nan"}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"3 s"}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"Sun, 06 Nov 1994 08:49:37 GMT"}, PAUSE_FIELD_MALFORMED, 0},
+	    {503, {"2", "3"}, PAUSE_FIELD_VALID, 3000},
+	    {503, {"3", "2"}, PAUSE_FIELD_VALID, 3000},
+	    {503, {"soon", "2"}, PAUSE_FIELD_VALID, 2000},
+	    {503, {"2", "soon"}, PAUSE_FIELD_VALID, 2000},
+	    {503, {"4000", "2"}, PAUSE_FIELD_CUT, 3600000},
+	    {200, {"3"}, PAUSE_FIELD_MISSING, 0},
+	    {429, {"3"}, PAUSE_FIELD_MISSING, 0},
+	    {500, {"3"}, PAUSE_FIELD_MISSING, 0},
+	};
+	const sent_request_t sent = {.caller_id = "a", .target_id = "i-1"};
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_response_t response = {.status = cases[i].http_status};
+		target_fields_t fields;
+		health_fields_t health;
+
+		for (k = 0; cases[i].values[k] != NULL; k++)
+			msp_add_header(&response.headers, "retry-after",
+			    cases[i].values[k]);
+		decode_target_fields(&response, &sent, &fields);
+		decode_health_fields(&response, "i-1", &health);
+		assert_int_equal(fields.pause.field, cases[i].field);
+		assert_int_equal(fields.pause.ms, cases[i].ms);
+		assert_int_equal(health.pause.field, cases[i].field);
+		assert_int_equal(health.pause.ms, cases[i].ms);
+		msp_drop_response(&response);
+	}
+}
+
 static void
 strips_fields_meant_for_the_vm(void **state)
 {
@@ -548,6 +607,7 @@
 	    cmocka_unit_test(
 		response_without_id_is_own_only_on_a_new_connection),
 	    cmocka_unit_test(reads_only_decimal_limits),
+	    cmocka_unit_test(reads_pauses_of_refusals_only),
 	    cmocka_unit_test(strips_fields_meant_for_the_vm),
 	    cmocka_unit_test(local_replies_have_retry_after),
 	    cmocka_unit_test(decodes_directory_queries),
