soak: targets that ask for pauses, and the judge PAUSE, which the daemon breaks

Targets of the profiles pauses, pauses-all and pauses-signals refuse all requests for 1 to 5 s with 503, Not-Executed and Retry-After, each VM on links of its own, so that the sender is known.

--- a/measure/soak.c
+++ b/measure/soak.c
@@ -24,11 +24,12 @@
 	    "unanswered=%u pipelined=%u unread=%u "
 	    "runs=%u shed=%u endless=%u worst_memory_mb=%u extra=%u limits=%u "
 	    "limit_use=%.2f "
-	    "worst_limit=%.2f versions=%u bytes=%u homes=%u lag_ms=%u "
+	    "worst_limit=%.2f pauses=%u worst_pause=%u versions=%u bytes=%u "
+	    "homes=%u lag_ms=%u "
 	    "faults=%u restores=%u cuts=%u cut_served=%u/%u whole_served=%u/%u "
 	    "REFUSED=%u TWICE=%u "
 	    "MIXED=%u UNASKED=%u ROUTE=%u UNREAD=%u LOST=%u DROPPED=%u "
-	    "BUDGET=%u/%u worst_budget=%.2f TIME=%u GONE=%u LIMIT=%u "
+	    "BUDGET=%u/%u worst_budget=%.2f TIME=%u GONE=%u LIMIT=%u PAUSE=%u "
 	    "HOME=%u CONFIG=%u/%u KEYS=%u+%u/%u QUOTA=%u DRAIN=%u/%u "
 	    "worst_drain_ms=%u RECOVER=%u "
 	    "crashed=%u "
@@ -42,15 +43,16 @@
 	    result->limit_capacity > 0
 		? result->limit_used / result->limit_capacity
 		: 0,
-	    result->worst_limit_ratio, result->route_versions,
-	    result->route_bytes, result->judged_homes, result->lag_ms,
-	    result->faults, result->restores, result->cuts, result->cut_served,
-	    result->cut_tries, result->whole_served, result->whole_tries,
-	    result->refused_but_run, result->run_twice, result->mixed,
-	    result->unasked, result->misrouted, result->unread_but_run,
-	    result->lost, result->dropped, result->over_budget, result->repeats,
-	    result->worst_budget, result->beyond_time, result->to_gone,
-	    result->over_limit, result->outside_home, result->by_older_routes,
+	    result->worst_limit_ratio, result->pauses, result->worst_pause,
+	    result->route_versions, result->route_bytes, result->judged_homes,
+	    result->lag_ms, result->faults, result->restores, result->cuts,
+	    result->cut_served, result->cut_tries, result->whole_served,
+	    result->whole_tries, result->refused_but_run, result->run_twice,
+	    result->mixed, result->unasked, result->misrouted,
+	    result->unread_but_run, result->lost, result->dropped,
+	    result->over_budget, result->repeats, result->worst_budget,
+	    result->beyond_time, result->to_gone, result->over_limit,
+	    result->in_pauses, result->outside_home, result->by_older_routes,
 	    result->judged_markers, result->wrong_organisation,
 	    result->by_older_keys, result->judged_keys, result->over_rate,
 	    result->to_leaving, result->judged_drains, result->worst_drain_ms,
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -33,6 +33,7 @@
 #define CUT_VMS 12
 #define CUT_TARGETS 12
 #define CUT_TRIES_MIN 50 /* fewer judge nothing */
+#define PAUSE_SECONDS 8
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
 #define REPLACED_SECONDS 8
@@ -110,6 +111,16 @@
     /* VMs that restart and freeze must not take others' parts of a limit. */
     {"limits_hold_while_vms_restart", "limits-signals", 1, false, LIMIT_SECONDS,
 	VMS, TARGETS},
+    /*
+     * Targets that had answered 503 with Retry-After went on getting requests
+     * from the same VM all through the time that they had named.
+     */
+    {"targets_that_ask_for_pauses_get_no_requests", "pauses", 1, false,
+	PAUSE_SECONDS, VMS, TARGETS},
+    {"targets_that_all_ask_for_pauses_get_no_requests", "pauses-all", 1, false,
+	PAUSE_SECONDS, VMS, TARGETS},
+    {"pauses_are_kept_while_targets_and_vms_restart", "pauses-signals", 1,
+	false, PAUSE_SECONDS, VMS, TARGETS},
     /* VMs that restart or lose the store must not go back to older homes. */
     {"homes_hold_while_vms_restart_and_the_store_fails", "homes", 1, false,
 	HOMES_SECONDS, VMS, TARGETS},
@@ -257,7 +268,7 @@
 			 "%u, unasked %u, misrouted %u, run though unread %u, "
 			 "lost %u, dropped %u, over a budget %u, beyond the "
 			 "client's time %u, of gone clients %u, over a limit "
-			 "%u, "
+			 "%u, to pausing targets %u, "
 			 "outside their homes %u, by older routes %u, of a "
 			 "wrong organisation %u, by older keys %u, over a "
 			 "rate %u, to "
@@ -268,12 +279,13 @@
 		    result.run_twice, result.mixed, result.unasked,
 		    result.misrouted, result.unread_but_run, result.lost,
 		    result.dropped, result.over_budget, result.beyond_time,
-		    result.to_gone, result.over_limit, result.outside_home,
-		    result.by_older_routes, result.wrong_organisation,
-		    result.by_older_keys, result.over_rate, result.to_leaving,
-		    result.not_recovered, result.cut_served, result.cut_tries,
-		    result.whole_served, result.whole_tries, result.crashed,
-		    result.requests, result.folder);
+		    result.to_gone, result.over_limit, result.in_pauses,
+		    result.outside_home, result.by_older_routes,
+		    result.wrong_organisation, result.by_older_keys,
+		    result.over_rate, result.to_leaving, result.not_recovered,
+		    result.cut_served, result.cut_tries, result.whole_served,
+		    result.whole_tries, result.crashed, result.requests,
+		    result.folder);
 }
 
 int
--- a/tests/support/soak.c
+++ b/tests/support/soak.c
@@ -174,7 +174,7 @@
 	    result->lost + result->dropped + result->over_budget +
 	    count_beyond(result->to_gone, FEW) +
 	    count_beyond(result->beyond_time, BEYOND_TIME_MAX) +
-	    result->over_limit + result->outside_home +
+	    result->over_limit + result->in_pauses + result->outside_home +
 	    result->by_older_routes + result->wrong_organisation +
 	    result->by_older_keys + result->over_rate + result->to_leaving +
 	    result->not_recovered + result->crashed;
--- a/tests/support/soak.h
+++ b/tests/support/soak.h
@@ -47,6 +47,8 @@
 	double limit_capacity; /* requests that limits allowed while named */
 	unsigned int limit_used; /* requests that came meanwhile */
 	double worst_limit_ratio; /* of requests to those allowed in 4 s */
+	unsigned int pauses; /* that targets asked for */
+	unsigned int worst_pause; /* most late requests of a VM in one */
 	unsigned int route_versions;
 	unsigned int route_bytes; /* of the last version */
 	unsigned int judged_homes; /* requests on routes with homes */
@@ -78,6 +80,7 @@
 	unsigned int beyond_time;
 	unsigned int to_gone; /* arrived long after their client had left */
 	unsigned int over_limit; /* requests above a limit that was named */
+	unsigned int in_pauses; /* reached targets that wanted nothing */
 	unsigned int outside_home; /* reached a target outside their homes */
 	unsigned int by_older_routes; /* answered by routes not in force */
 	unsigned int wrong_organisation; /* as a target saw it */
--- a/tests/support/soak_arrival.c
+++ b/tests/support/soak_arrival.c
@@ -163,4 +163,6 @@
 		judge_gone(target, &soak->vms[sender], request);
 	}
 	judge_limit(target, sender);
+	if (!reads_late(target))
+		judge_soak_pause(target, sender, request_id);
 }
--- a/tests/support/soak_link.c
+++ b/tests/support/soak_link.c
@@ -82,7 +82,8 @@
 bool
 has_soak_links(const soak_t *soak)
 {
-	return soak->profile->link_delay_ms > 0 || soak->profile->cut_ways != 0;
+	return soak->profile->link_delay_ms > 0 ||
+	    soak->profile->cut_ways != 0 || soak->profile->pausing > 0;
 }
 
 void
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -11,6 +11,7 @@
 #include "soak_ledger.h"
 #include "soak_limit.h"
 #include "soak_loop.h"
+#include "soak_pause.h"
 #include "soak_recover.h"
 #include "soak_route_judge.h"
 
@@ -112,6 +113,8 @@
 	double limits; /* share of targets that name limits at times */
 	double limit_min; /* requests per second */
 	double limit_max;
+	double pausing; /* share of targets that ask for pauses at times */
+	uint32_t pausing_ms; /* longest of these pauses */
 	double homes; /* share of requests on routes with homes */
 	double home_changes; /* versions of the routes, per second */
 	uint32_t routes_size; /* to which they grow, in bytes */
@@ -234,6 +237,9 @@
 	soak_timer_t limit_change; /* names or lifts a limit */
 	limit_judge_t limit;
 	drain_judge_t drain;
+	soak_timer_t pause_change; /* begins or ends a pause */
+	msp_time_t paused_until; /* refuses all requests; 0: does not */
+	pause_judge_t pause;
 } soak_target_t;
 
 /* A process of the daemon. */
@@ -352,6 +358,17 @@
 void judge_soak_arrival(soak_target_t *target, unsigned int sender,
     const char *request_id, msp_time_t time_left);
 
+/* Targets that want nothing for a time, and the rule PAUSE. */
+void start_soak_target_pauses(soak_target_t *target);
+void stop_soak_target_pauses(soak_target_t *target);
+bool is_soak_target_paused(const soak_target_t *target);
+/* Adds what a refusal of the target says about a pause. */
+void append_soak_pause(const soak_target_t *target, msp_buffer_t *out);
+/* A refusal was sent to this VM. */
+void tell_soak_pause(soak_target_t *target, unsigned int vm);
+void judge_soak_pause(
+    soak_target_t *target, unsigned int sender, const char *request_id);
+
 /* The entry of a target in the store. */
 void put_soak_target_row(soak_target_t *target);
 void remove_soak_target_row(soak_target_t *target, const char *id);
@@ -369,7 +386,7 @@
 void mute_soak_target(soak_target_t *target, msp_time_t duration);
 void cut_soak_target(soak_target_t *target);
 
-/* A VM that was restarted or frozen has not been told of any limit. */
+/* A VM that was restarted or frozen has not been told of any limit or pause. */
 void excuse_soak_vm(const soak_vm_t *vm);
 
 /* Draws the rest of a request whose id, kind and VM are set, and writes it. */
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -146,6 +146,8 @@
 		msp_append_printf(out, "Request-Id: %s\r\n", conn->request_id);
 	if (refuses)
 		msp_append_printf(out, "Not-Executed: 1\r\n");
+	if (refuses && status == HTTP_UNAVAILABLE)
+		append_soak_pause(target, out);
 	else if (!conn->is_probe)
 		msp_append_printf(out, "Response-Signature: %016" PRIx64 "\r\n",
 		    sign_soak_response(conn->request_id, status, &body));
@@ -231,12 +233,25 @@
 }
 
 /* A response that waits in a silent link tells its VM nothing yet. */
+static bool
+is_heard(const soak_conn_t *conn)
+{
+	return conn->link_vm == NULL ||
+	    conn->link_vm->silent_until <= soak_now();
+}
+
 static void
 tell_limit(const soak_conn_t *conn)
 {
-	if (conn->link_vm != NULL && conn->link_vm->silent_until > soak_now())
-		return;
-	tell_judged_limit(&conn->target->limit, soak_now(), conn->vm);
+	if (is_heard(conn))
+		tell_judged_limit(&conn->target->limit, soak_now(), conn->vm);
+}
+
+static void
+tell_pause(const soak_conn_t *conn)
+{
+	if (is_heard(conn))
+		tell_soak_pause(conn->target, conn->vm);
 }
 
 /* Sends a chunk of a response that has no end, and another one soon. */
@@ -316,6 +331,8 @@
 		    soak_now() + soak_between(soak->loop, 0, PIECE_PAUSE_MAX));
 	}
 	send_soak_data(&conn->stream, out.data, len);
+	if (len == out.len && refuses && status == HTTP_UNAVAILABLE)
+		tell_pause(conn);
 	if (len == out.len && !conn->is_probe)
 		send_extra(conn, &out);
 	if (conn->ending && conn->late.slot == 0)
@@ -449,6 +466,11 @@
 	request = msp_map_get(soak->ledger.requests, conn->request_id);
 	if (request != NULL)
 		judge_soak_organisation(target, &conn->message, request);
+	if (is_soak_target_paused(target)) {
+		soak->result->shed++;
+		respond(conn, HTTP_UNAVAILABLE, true);
+		return;
+	}
 	if (target->running < soak->profile->slots) {
 		start_work(conn);
 		return;
@@ -615,6 +637,7 @@
 	target->draining = false;
 	/* A new process has named no limit. */
 	lift_judged_limit(&target->limit);
+	end_judged_pauses(&target->pause);
 	target->listener.on_accept = handle_accept;
 	target->listener.ctx = target;
 	open_soak_stream(target->soak->loop, &target->listener, fd);
@@ -673,8 +696,10 @@
 {
 	unsigned int i;
 
-	for (i = 0; i < vm->soak->options->targets; i++)
+	for (i = 0; i < vm->soak->options->targets; i++) {
 		excuse_limit_vm(&vm->soak->targets[i].limit, vm->index);
+		excuse_pause_vm(&vm->soak->targets[i].pause, vm->index);
+	}
 }
 
 /* Lifts the limit that is named, or names the next one. */
@@ -856,6 +881,7 @@
 		set_soak_timer(soak->loop, &target->heartbeat,
 		    soak_now() + soak_between(soak->loop, 0, HEARTBEAT));
 		start_limits(target);
+		start_soak_target_pauses(target);
 	}
 	return 0;
 }
@@ -872,6 +898,7 @@
 		clear_soak_timer(soak->loop, &soak->targets[i].change);
 		clear_soak_timer(soak->loop, &soak->targets[i].former_end);
 		clear_soak_timer(soak->loop, &soak->targets[i].limit_change);
+		stop_soak_target_pauses(&soak->targets[i]);
 		stop_target(&soak->targets[i]);
 		drop_limit_judge(&soak->targets[i].limit);
 	}
