steer, edge: a target that asks for a pause gets nothing from this VM until its end

Cause: the field was read by nothing on this path. A 503 made a target dear for 100 ms (msp_record_target_full()), which a load report with a free slot ended, and never was a reason not to send.

Now a pause is a state of the target's process (steer/target_pause) that every way to send asks: the balancer leaves the target out, of its capacity too, health checks wait, requests that wait for a connection to it are recalled. Each response with the field binds, whichever request it answers; the longest pause stands; a row that lapses does not end it, a new process does. It counts as no failure. If no target is left, requests are refused at once until the first pause ends (outcome=target-pause), or forwarded if all others are suspect. Load returns by steps.

--- a/include/monsoonspindle/steer/balancer.h
+++ b/include/monsoonspindle/steer/balancer.h
@@ -86,11 +86,14 @@
 	size_t limited_count;
 	/* Targets that were left out with msp_max_in_flight() requests. */
 	size_t busy_count;
+	/* Targets that were left out since they asked for a pause. */
+	size_t paused_count;
 	/* Without a target: `wait` is until such a target may be used. */
 	bool is_limited;
+	bool is_paused;
 	/*
-	 * MSP_E_NO_TARGET: there are targets that may have the request, and all
-	 * of them are suspect.
+	 * Without a target: there are targets that may have the request, and
+	 * all of them but those that have asked for a pause are suspect.
 	 */
 	bool all_suspect;
 } msp_balance_choice_t;
@@ -107,7 +110,8 @@
  * MSP_E_OVERLOAD if none is expected to respond in the time left, or if this VM
  * has as many requests in flight at each as it may; `choice` then holds the
  * highest-ranked target. MSP_E_OVERLOAD without a target: all that are eligible
- * have named limits, and this VM's parts are used up.
+ * have asked for a pause, or have named limits of which this VM's parts are
+ * used up.
  */
 msp_status_t msp_balance(msp_balancer_t *balancer,
     const msp_balance_request_t *request, msp_balance_choice_t *choice);
--- a/source/spindlectl/explain.c
+++ b/source/spindlectl/explain.c
@@ -41,6 +41,10 @@
     {"target-limit",
 	"all targets that could take it had named limits, and this VM's parts "
 	"of them were used up, so it was refused on arrival; it did not run"},
+    {"target-pause",
+	"all targets that could take it had asked this VM for a pause, so it "
+	"was refused on arrival with the time until the first one ends; it did "
+	"not run"},
     {"no-target",
 	"no target could take it (all are draining, suspect, cold or "
 	"evacuated), so it was refused; it did not run"},
--- a/source/spindled/edge.c
+++ b/source/spindled/edge.c
@@ -214,6 +214,7 @@
 	drop_probes(edge);
 	close_strikes(edge);
 	close_limits(edge);
+	close_pauses(edge);
 	msp_drop_http_client(edge->store_http);
 	msp_drop_balancer(edge->balancer);
 	msp_drop_latency_model(edge->latency_model);
--- a/source/spindled/edge_answer.c
+++ b/source/spindled/edge_answer.c
@@ -101,7 +101,8 @@
 	    " routes_age_ms=%" PRId64 " homes=%s organisation=%s "
 	    "organisation_homes=%s targets_age_ms=%" PRId64
 	    " target=%s region=%s warmth=%s load=%.1f "
-	    "wait_ms=%" PRId64 " limited=%zu busy=%zu expected_ms=%" PRIu64
+	    "wait_ms=%" PRId64
+	    " limited=%zu paused=%zu busy=%zu expected_ms=%" PRIu64
 	    " took_ms=%" PRIu64 " left_ms=%" PRId64
 	    " sent=%u tried=%zu goal_ms=%u hops=%zu forwarded_by=%s forward=%s "
 	    "pipeline_position=%zu held_ms=%" PRIu64 " from=%s",
@@ -120,7 +121,8 @@
 	    choice->target == NULL ? "-" : choice->target->region,
 	    msp_warmth_name(choice->warmth), choice->load,
 	    time_to_log_ms(choice->wait), choice->limited_count,
-	    choice->busy_count, choice->expected_latency / MSP_MS,
+	    choice->paused_count, choice->busy_count,
+	    choice->expected_latency / MSP_MS,
 	    (now - request->arrival) / MSP_MS,
 	    ((int64_t)request->deadline - (int64_t)now) / (int64_t)MSP_MS,
 	    request->sent_count, request->criteria.tried_count,
@@ -224,15 +226,16 @@
     edge_request_t *request, uint32_t retry_after_ms, const char *outcome)
 {
 	edge_t *edge = request->edge;
+	uint32_t jitter_ms;
 
 	if (retry_after_ms < RETRY_AFTER_MIN_MS)
 		retry_after_ms = RETRY_AFTER_MIN_MS;
-	if (retry_after_ms > RETRY_AFTER_MAX_MS)
-		retry_after_ms = RETRY_AFTER_MAX_MS;
 	request->retry_after_ms = retry_after_ms;
 	/* Jitter, so that callers refused together don't return together. */
+	jitter_ms = retry_after_ms < RETRY_AFTER_MAX_MS ? retry_after_ms
+							: RETRY_AFTER_MAX_MS;
 	retry_after_ms +=
-	    (uint32_t)msp_random_below(&edge->daemon->env, retry_after_ms + 1);
+	    (uint32_t)msp_random_below(&edge->daemon->env, jitter_ms + 1);
 	send_local_reply(request, HTTP_UNAVAILABLE, retry_after_ms, outcome);
 }
 
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -34,6 +34,16 @@
 	return left < before_stop ? left : before_stop;
 }
 
+/* The end of a pause is known, how long another wait takes is estimated. */
+static uint32_t
+get_retry_after_ms(const msp_balance_choice_t *choice)
+{
+	msp_time_t most = choice->is_paused ? PAUSE_MAX_MS : RETRY_AFTER_MAX_MS;
+	msp_time_t wait_ms = choice->wait / MSP_MS + 1;
+
+	return (uint32_t)(wait_ms < most ? wait_ms : most);
+}
+
 void
 end_without_target(edge_request_t *request, msp_status_t status)
 {
@@ -43,9 +53,9 @@
 
 	if (status == MSP_E_OVERLOAD) {
 		outcome = choice->is_limited ? "target-limit" : "overload";
-		retry_after_ms = choice->wait / MSP_MS > RETRY_AFTER_MAX_MS
-		    ? RETRY_AFTER_MAX_MS
-		    : (uint32_t)(choice->wait / MSP_MS);
+		if (choice->is_paused)
+			outcome = "target-pause";
+		retry_after_ms = get_retry_after_ms(choice);
 	}
 	if (request->may_have_run)
 		fail_request(request, outcome);
@@ -62,7 +72,7 @@
 		refuse_request(request, RETRY_AT_ONCE_MS, "leaving");
 }
 
-static void
+void
 retry_or_fail(edge_request_t *request, const char *outcome)
 {
 	if (!may_retry(request)) {
@@ -93,7 +103,8 @@
 	if (fields->wrong_target) {
 		msp_mark_target_removed(
 		    edge->view, target, "another-target-there");
-	} else if (http_status == HTTP_UNAVAILABLE) {
+	} else if (http_status == HTTP_UNAVAILABLE &&
+	    !msp_target_is_paused(&target->pause, now)) {
 		msp_record_target_full(&target->traffic, now);
 		/* Refusing with free slots counts as a failure. */
 		msp_record_target_outcome(
@@ -152,7 +163,9 @@
 	report_attempt_response(
 	    request, result, &fields, ok ? ATTEMPT_EXECUTED : ATTEMPT_UNKNOWN);
 	request->may_have_run = true;
-	msp_record_target_outcome(&target->traffic, now, ok && !failed);
+	/* A target that asks for a pause has not failed. */
+	if (!msp_target_is_paused(&target->pause, now))
+		msp_record_target_outcome(&target->traffic, now, ok && !failed);
 	if (!ok && !failed) {
 		/* Not a valid response to this request. */
 		if (request->is_idempotent)
--- a/source/spindled/edge_forward_serve.c
+++ b/source/spindled/edge_forward_serve.c
@@ -19,6 +19,7 @@
     {"quarantined", MSP_E_QUARANTINED},
     {"overload", MSP_E_OVERLOAD},
     {"target-limit", MSP_E_OVERLOAD},
+    {"target-pause", MSP_E_OVERLOAD},
     {"target-full", MSP_E_OVERLOAD},
     {"no-memory", MSP_E_NO_MEMORY},
 };
--- a/source/spindled/edge_pause.c
+++ b/source/spindled/edge_pause.c
@@ -12,7 +12,14 @@
     [PAUSE_FIELD_MALFORMED] = "malformed",
 };
 
-/* Requests that were given to the target and have sent it nothing yet. */
+/* Whether the request was given to a target and has sent it nothing yet. */
+static bool
+is_unsent(const edge_request_t *request)
+{
+	return request->call != NULL && !request->forward.in_flight &&
+	    !msp_call_maybe_sent(request->call);
+}
+
 static size_t
 count_unsent_requests(const edge_t *edge, const msp_view_target_t *target)
 {
@@ -20,14 +27,49 @@
 	size_t count = 0;
 
 	TAILQ_FOREACH(request, &edge->requests, link) {
-		if (request->call != NULL && request->choice.target == target &&
-		    !request->forward.in_flight &&
-		    !msp_call_maybe_sent(request->call))
+		if (is_unsent(request) && request->choice.target == target)
 			count++;
 	}
 	return count;
 }
 
+static edge_request_t *
+find_paused_request(const edge_t *edge)
+{
+	msp_time_t now = msp_now(&edge->daemon->env);
+	edge_request_t *request;
+
+	TAILQ_FOREACH(request, &edge->requests, link) {
+		if (is_unsent(request) &&
+		    msp_target_is_paused(&request->choice.target->pause, now))
+			return request;
+	}
+	return NULL;
+}
+
+/*
+ * Requests that wait for a connection to a target that now wants none go
+ * elsewhere. As in refuse_unsent_requests(), each turn starts at the first.
+ */
+static void
+handle_recall_timer(void *ctx)
+{
+	edge_t *edge = ctx;
+	edge_request_t *request;
+
+	close_pauses(edge);
+	while ((request = find_paused_request(edge)) != NULL)
+		recall_request(request, "target-pause");
+}
+
+static uint64_t
+get_pause_left_ms(const msp_view_target_t *target, msp_time_t now)
+{
+	return msp_target_is_paused(&target->pause, now)
+	    ? (target->pause.until - now) / MSP_MS
+	    : 0;
+}
+
 static void
 report_pause(const edge_t *edge, const msp_view_target_t *target,
     const pause_request_t *asked, msp_pause_change_t change)
@@ -47,19 +89,34 @@
 	    target->registration.id, target->registration.service,
 	    target->registration.incarnation, msp_pause_change_name(change),
 	    field_names[asked->field], asked->ms,
-	    msp_target_pause_left(&target->pause, now) / MSP_MS,
-	    target->traffic.in_flight, count_unsent_requests(edge, target));
+	    get_pause_left_ms(target, now), target->traffic.in_flight,
+	    count_unsent_requests(edge, target));
 }
 
 void
 observe_target_pause(
     edge_t *edge, msp_view_target_t *target, const pause_request_t *asked)
 {
+	const msp_pause_request_t request = {.span = asked->ms * MSP_MS,
+	    .slots = target->registration.slots,
+	    .vms = count_known_vms(edge)};
+	msp_pause_change_t change;
+
 	if (asked->field == PAUSE_FIELD_MISSING)
 		return;
-	report_pause(edge, target, asked,
-	    msp_apply_target_pause(&target->pause, msp_now(&edge->daemon->env),
-		asked->ms * MSP_MS));
+	change = msp_apply_target_pause(
+	    &target->pause, &edge->daemon->env, &request);
+	report_pause(edge, target, asked, change);
+	if (change == MSP_PAUSE_BEGUN && edge->recall_timer == NULL)
+		edge->recall_timer = msp_new_timer(
+		    edge->daemon->loop, 0, 0, handle_recall_timer, edge);
+}
+
+void
+close_pauses(edge_t *edge)
+{
+	msp_drop_timer(edge->recall_timer);
+	edge->recall_timer = NULL;
 }
 
 void
@@ -78,7 +135,7 @@
 	    " left_ms=%" PRIu64,
 	    clean_log_value(id, text, sizeof(text)), target->registration.id,
 	    kind, (now - target->pause.began) / MSP_MS,
-	    msp_target_pause_left(&target->pause, now) / MSP_MS);
+	    get_pause_left_ms(target, now));
 }
 
 void
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -133,6 +133,7 @@
 	edge_rates_t *rates; /* limits of organisations */
 	edge_broadcast_t rate_messages; /* demand of this data centre */
 	LIST_HEAD(, edge_probe) probes;
+	msp_timer_t *recall_timer; /* set after a pause has begun */
 	msp_timer_t *probe_timer; /* set while any target is suspect */
 	msp_timer_t *view_timer;
 };
@@ -279,6 +280,8 @@
 void report_paused_send(const edge_t *edge, const msp_view_target_t *target,
     const char *kind, const char *id);
 
+void close_pauses(edge_t *edge);
+
 /* Sets the metric of targets that are paused. */
 void update_pause_gauges(const edge_t *edge);
 
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -238,6 +238,7 @@
 	/* A check of a target that is not suspect shows that connects work. */
 	options.unused_connection = target->traffic.suspect_since == 0;
 	if (config == NULL || config->health_path[0] != '/' ||
+	    msp_target_is_paused(&target->pause, msp_now(&edge->daemon->env)) ||
 	    !msp_target_limit_allows(edge->balancer, target))
 		return;
 	probe = calloc(1, sizeof(*probe));
--- a/source/spindled/edge_request.c
+++ b/source/spindled/edge_request.c
@@ -196,6 +196,14 @@
 	    false);
 }
 
+void
+recall_request(edge_request_t *request, const char *reason)
+{
+	cancel_attempt(request);
+	request->sent_count--;
+	retry_or_fail(request, reason);
+}
+
 void
 handle_edge_caller_disconnect(void *ctx, msp_exchange_t *exchange)
 {
--- a/source/spindled/edge_request.h
+++ b/source/spindled/edge_request.h
@@ -95,6 +95,12 @@
 /* Goes on with a request that its organisation's limit admits. */
 void start_admitted_request(edge_request_t *request);
 
+/*
+ * Takes the request back from a target to which nothing of it was sent, and
+ * sends it to another one, if it may be; `reason` is for logs.
+ */
+void recall_request(edge_request_t *request, const char *reason);
+
 /*
  * edge_routes.c: before an attempt, takes the caller's organisation and the
  * home regions from the routes that are in force now. A route that is no longer
@@ -245,6 +251,12 @@
  */
 msp_time_t get_attempt_time(const edge_request_t *request);
 
+/*
+ * Sends the request to another target, or ends it if it may not be sent again;
+ * `outcome` is why the last attempt has failed.
+ */
+void retry_or_fail(edge_request_t *request, const char *outcome);
+
 /* Ends a request for which no target was found, for the given reason. */
 void end_without_target(edge_request_t *request, msp_status_t status);
 
--- a/source/steer/balancer.c
+++ b/source/steer/balancer.c
@@ -145,6 +145,25 @@
 	return msp_rate_share_allows(share, now);
 }
 
+/* Tells which of the targets that were left out may be used first, and when. */
+static msp_status_t
+explain_no_target(const msp_ranking_t *ranking, msp_balance_choice_t *choice)
+{
+	if (ranking->limited_count == 0 && ranking->paused_count == 0)
+		return msp_fail(
+		    MSP_E_NO_TARGET, "no target is eligible for the request");
+	choice->is_limited = ranking->limited_count > 0;
+	choice->is_paused = ranking->pause_wait < ranking->limit_wait;
+	if (choice->is_paused) {
+		choice->wait = ranking->pause_wait;
+		return msp_fail(MSP_E_OVERLOAD,
+		    "all eligible targets have asked for a pause");
+	}
+	choice->wait = ranking->limit_wait;
+	return msp_fail(MSP_E_OVERLOAD,
+	    "all eligible targets are at the limits they named");
+}
+
 /*
  * Chooses the first target of the ranking that can respond in time, unless a
  * later one costs much less.
@@ -183,6 +202,7 @@
 		*choice = option;
 	}
 	choice->limited_count = ranking->limited_count;
+	choice->paused_count = ranking->paused_count;
 	choice->busy_count = ranking->busy_count;
 	if (found)
 		return MSP_OK;
@@ -196,14 +216,7 @@
 		return msp_fail(
 		    MSP_E_OVERLOAD, "no target is expected to respond in time");
 	choice->target = NULL;
-	if (ranking->limited_count > 0) {
-		choice->is_limited = true;
-		choice->wait = ranking->limit_wait;
-		return msp_fail(MSP_E_OVERLOAD,
-		    "all eligible targets are at the limits they named");
-	}
-	return msp_fail(
-	    MSP_E_NO_TARGET, "no target is eligible for the request");
+	return explain_no_target(ranking, choice);
 }
 
 /* Chooses among the targets of the scope. */
@@ -257,7 +270,7 @@
 		status =
 		    choose_in_scope(balancer, request, &loads, &scope, choice);
 	}
-	if (status == MSP_E_NO_TARGET)
+	if (status == MSP_E_NO_TARGET || choice->is_paused)
 		choice->all_suspect = msp_are_all_suspect(balancer, request);
 	if (status == MSP_OK && msp_limit_in_force(&choice->target->limit))
 		msp_record_limit_use(&service->limit_priority, now, priority);
--- a/source/steer/balancer_private.h
+++ b/source/steer/balancer_private.h
@@ -64,6 +64,8 @@
 	msp_view_target_t *least_busy; /* of these; NULL: none */
 	size_t limited_count; /* eligible targets that are at their limits */
 	msp_time_t limit_wait; /* until one of these may be used */
+	size_t paused_count; /* eligible targets that have asked for a pause */
+	msp_time_t pause_wait; /* until one of these may be used */
 } msp_ranking_t;
 
 /* balancer_load.c: load of regions and targets */
@@ -85,7 +87,10 @@
 bool msp_is_candidate(msp_balancer_t *balancer,
     const msp_balance_request_t *request, const msp_view_target_t *target);
 
-/* Whether targets may serve the request and all of these are suspect. */
+/*
+ * Whether targets may serve the request, and all of these but those that have
+ * asked for a pause are suspect.
+ */
 bool msp_are_all_suspect(
     msp_balancer_t *balancer, const msp_balance_request_t *request);
 
--- a/source/steer/balancer_rank.c
+++ b/source/steer/balancer_rank.c
@@ -32,16 +32,23 @@
 		balancer->callbacks.ctx, target->registration.place);
 }
 
-/* Whether the target is eligible for the request. */
-bool
-msp_is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
+/* Whether the target may have the request unless it has asked for a pause. */
+static bool
+is_trusted(msp_balancer_t *balancer, const msp_balance_request_t *request,
     const msp_view_target_t *target)
 {
 	return target->traffic.suspect_since == 0 &&
 	    may_serve(balancer, request, target);
 }
 
-/* Whether targets may serve the request and all of these are suspect. */
+bool
+msp_is_candidate(msp_balancer_t *balancer, const msp_balance_request_t *request,
+    const msp_view_target_t *target)
+{
+	return is_trusted(balancer, request, target) &&
+	    !msp_target_is_paused(&target->pause, msp_now(&balancer->env));
+}
+
 bool
 msp_are_all_suspect(
     msp_balancer_t *balancer, const msp_balance_request_t *request)
@@ -50,11 +57,11 @@
 	bool found = false;
 
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
-		if (!may_serve(balancer, request, target))
-			continue;
-		if (target->traffic.suspect_since == 0)
+		if (msp_is_candidate(balancer, request, target))
 			return false;
-		found = true;
+		if (target->traffic.suspect_since != 0 &&
+		    may_serve(balancer, request, target))
+			found = true;
 	}
 	return found;
 }
@@ -114,9 +121,25 @@
 	return true;
 }
 
+/* Leaves out a target that has asked for a pause, or returns from one. */
+static bool
+leave_out_paused(const msp_balancer_t *balancer, msp_ranking_t *ranking,
+    const msp_view_target_t *target)
+{
+	msp_time_t wait = msp_target_pause_wait(
+	    &target->pause, msp_now(&balancer->env), target->traffic.in_flight);
+
+	if (wait == 0)
+		return false;
+	ranking->paused_count++;
+	if (wait < ranking->pause_wait)
+		ranking->pause_wait = wait;
+	return true;
+}
+
 /* Leaves out a target at its limit. */
 static void
-leave_out(const msp_balancer_t *balancer, msp_ranking_t *ranking,
+leave_out_limited(const msp_balancer_t *balancer, msp_ranking_t *ranking,
     msp_view_target_t *target)
 {
 	msp_time_t wait =
@@ -139,17 +162,19 @@
 	msp_view_target_t *target;
 	double utilisation;
 
-	*ranking = (msp_ranking_t){.limit_wait = MSP_NEVER};
+	*ranking =
+	    (msp_ranking_t){.limit_wait = MSP_NEVER, .pause_wait = MSP_NEVER};
 	TAILQ_FOREACH(target, msp_view_targets(balancer->view), link) {
-		if (!msp_is_candidate(balancer, request, target) ||
-		    was_tried(request, target) ||
+		if (!is_trusted(balancer, request, target) ||
 		    (scope->local_only &&
-			!msp_is_local_target(balancer, target)))
+			!msp_is_local_target(balancer, target)) ||
+		    leave_out_paused(balancer, ranking, target) ||
+		    was_tried(request, target))
 			continue;
 		if (!msp_target_limit_allows(balancer, target) ||
 		    (scope->without_limited &&
 			msp_limit_in_force(&target->limit))) {
-			leave_out(balancer, ranking, target);
+			leave_out_limited(balancer, ranking, target);
 			continue;
 		}
 		if (leave_out_busy(ranking, target))
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -345,7 +345,8 @@
 			set_status(view, target, MSP_TARGET_REMOVED,
 			    "not-back-in-time");
 		if (target->status == MSP_TARGET_REMOVED &&
-		    now >= target->status_changed_at + MSP_REMOVED_RETENTION)
+		    now >= target->status_changed_at + MSP_REMOVED_RETENTION &&
+		    !msp_target_is_paused(&target->pause, now))
 			drop_target(view, target);
 	}
 }
--- a/tests/steer/test_limit_sync.c
+++ b/tests/steer/test_limit_sync.c
@@ -43,7 +43,8 @@
 find_region(void *ctx, const char *place)
 {
 	(void)ctx;
-	return place;
+	(void)place;
+	return "a"; /* the target is there */
 }
 
 static void
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -23,6 +23,7 @@
 #define MAX_FDS 4096
 #define WAIT_LIMIT (20 * MSP_SECOND)
 #define BODY "the whole answer"
+#define HTTP_UNAVAILABLE 503
 
 static bool
 sheds(target_behaviour_t behaviour)
@@ -72,6 +73,8 @@
 		msp_add_header(
 		    &response.headers, "Response-Signature", target->id);
 	msp_add_header(&response.headers, "Server-Load", "1,0,5");
+	if (response.status == HTTP_UNAVAILABLE && target->pause != NULL)
+		msp_add_header(&response.headers, "Retry-After", target->pause);
 	msp_append_data(&response.body, BODY, strlen(BODY));
 	msp_send_exchange_response(exchange, &response);
 }
@@ -89,6 +92,16 @@
 	snprintf(out, size, "%s", value == NULL ? "" : value);
 }
 
+static void
+shed_probe(const edge_target_t *target, msp_response_t *response)
+{
+	response->status = HTTP_UNAVAILABLE;
+	msp_add_header(&response->headers, "Not-Executed", "1");
+	if (target->pause != NULL)
+		msp_add_header(
+		    &response->headers, "Retry-After", target->pause);
+}
+
 static void
 handle_target_request(void *ctx, msp_exchange_t *exchange)
 {
@@ -101,6 +114,8 @@
 	if (strcmp(request->path, "/health") == 0) {
 		target->probe_count++;
 		msp_add_header(&response.headers, "Instance-Id", target->id);
+		if (target->sheds_probes)
+			shed_probe(target, &response);
 		msp_send_exchange_response(exchange, &response);
 		return;
 	}
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -43,6 +43,8 @@
 	msp_http_server_t *server; /* NULL if it has exited */
 	uint16_t port;
 	target_behaviour_t behaviour;
+	const char *pause; /* Retry-After of its refusals; NULL: none */
+	bool sheds_probes; /* refuses health checks too */
 	unsigned int request_count; /* without health checks */
 	unsigned int probe_count;
 	unsigned int closed_count; /* requests whose connection was closed */
--- a/tests/support/target_sim.c
+++ b/tests/support/target_sim.c
@@ -11,6 +11,8 @@
 
 #include <cmocka.h>
 
+#include "soak_pause.h"
+
 #define STEP (5 * MSP_MS)
 #define WINDOW (2 * MSP_SECOND)
 #define OBJECTS_MAX 256
@@ -26,6 +28,7 @@
 
 typedef struct job {
 	bool used;
+	bool arrived;
 	bool running;
 	unsigned int vm;
 	unsigned int target;
@@ -54,6 +57,8 @@
 	double factor; /* of the service time */
 	msp_time_t cold_until;
 	uint64_t last_used[OBJECTS_MAX]; /* order of the last use; 0: never */
+	msp_time_t paused_until;
+	pause_judge_t pause;
 	msp_time_t second; /* the current one */
 	unsigned int in_second; /* requests in it */
 } sim_target_t;
@@ -266,6 +271,15 @@
 	sim->targets[index].factor = factor;
 }
 
+void
+pause_sim_targets(target_sim_t *sim, unsigned int count, msp_time_t span)
+{
+	unsigned int i;
+
+	for (i = 0; i < count; i++)
+		sim->targets[i].paused_until = sim->clock.now + span;
+}
+
 void
 evacuate_sim_region(target_sim_t *sim, unsigned int region)
 {
@@ -426,6 +440,48 @@
 	job->used = false;
 }
 
+static bool
+is_sim_target_paused(const target_sim_t *sim, const sim_target_t *target)
+{
+	return sim->clock.now < target->paused_until;
+}
+
+/* Refuses the job and asks its VM for a pause. */
+static void
+pause_job(target_sim_t *sim, job_t *job)
+{
+	sim_target_t *target = &sim->targets[job->target];
+	const msp_pause_request_t request = {
+	    .span = target->paused_until - sim->clock.now,
+	    .slots = sim->config.slots,
+	    .vms = sim->vm_count};
+
+	sim->result.paused++;
+	msp_apply_target_pause(&job->choice.target->pause, &sim->env, &request);
+	tell_judged_pause(
+	    &target->pause, sim->clock.now, job->vm, target->paused_until);
+	end_job(sim, job, false);
+}
+
+static void
+take_arrivals(target_sim_t *sim)
+{
+	unsigned int i;
+
+	for (i = 0; i < JOBS_MAX; i++) {
+		job_t *job = &sim->jobs[i];
+		sim_target_t *target = &sim->targets[job->target];
+
+		if (!job->used || job->arrived || job->arrives > sim->clock.now)
+			continue;
+		job->arrived = true;
+		sim->result.in_pauses += judge_pause_arrival(&target->pause,
+					     sim->clock.now, job->vm) > 0;
+		if (is_sim_target_paused(sim, target))
+			pause_job(sim, job);
+	}
+}
+
 /* Whether the object is among those that the target used last. */
 static bool
 is_cached(
@@ -509,10 +565,12 @@
 		job = &sim->jobs[i];
 		if (!job->used || job->running || job->arrives > sim->clock.now)
 			continue;
-		if (sim->targets[job->target].waiting < sim->config.queue_max)
+		if (sim->targets[job->target].waiting < sim->config.queue_max) {
 			sim->targets[job->target].waiting++;
-		else
+		} else {
+			sim->result.shed++;
 			end_job(sim, job, false);
+		}
 	}
 }
 
@@ -592,6 +650,7 @@
 			end_window(sim);
 		end_jobs(sim);
 		hear_loads(sim);
+		take_arrivals(sim);
 		run_targets(sim);
 		for (i = 0; i < count; i++) {
 			target_sim_load_t load = loads[i];
--- a/tests/support/target_sim.h
+++ b/tests/support/target_sim.h
@@ -55,7 +55,10 @@
 	unsigned int sent;
 	unsigned int in_time; /* responses within the latency objective */
 	unsigned int late; /* responses after it */
-	unsigned int refused;
+	unsigned int refused; /* by VMs and by targets */
+	unsigned int shed; /* by targets whose queues are full */
+	unsigned int paused; /* refused by targets that asked for a pause */
+	unsigned int in_pauses; /* arrivals that break the rule PAUSE */
 	unsigned int remote; /* sent to another region */
 	unsigned int cache_misses;
 	/*
@@ -80,6 +83,12 @@
 /* Multiplies the service times of target `index` by `factor` from now on. */
 void slow_sim_target(target_sim_t *sim, unsigned int index, double factor);
 
+/*
+ * Targets 0 to `count` - 1 refuse all requests for `span` from now on, and ask
+ * for a pause of the time that is left.
+ */
+void pause_sim_targets(target_sim_t *sim, unsigned int count, msp_time_t span);
+
 /* Evacuates a region: no request may go to its targets from now on. */
 void evacuate_sim_region(target_sim_t *sim, unsigned int region);
 
