net: one reader of Retry-After for both interfaces

The platform's interface and the own one each parsed the field; the own one dropped fractions, so that a pause of 0.5 s was none. msp_read_retry_after() reads both now, msp_parse_decimal() (base) is shared with the limits. Forms as before: the table of platform/test_header_fields is unchanged but for names.

--- a/include/monsoonspindle/base.h
+++ b/include/monsoonspindle/base.h
@@ -4,6 +4,7 @@
 #include "monsoonspindle/base/base64.h"
 #include "monsoonspindle/base/buffer.h"
 #include "monsoonspindle/base/counters.h"
+#include "monsoonspindle/base/decimal.h"
 #include "monsoonspindle/base/decision.h"
 #include "monsoonspindle/base/env.h"
 #include "monsoonspindle/base/hash.h"
--- a/include/monsoonspindle/net.h
+++ b/include/monsoonspindle/net.h
@@ -7,6 +7,7 @@
 #include "monsoonspindle/net/line_writer.h"
 #include "monsoonspindle/net/loop.h"
 #include "monsoonspindle/net/query.h"
+#include "monsoonspindle/net/retry_after.h"
 #include "monsoonspindle/net/rpc.h"
 
 #endif
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -38,7 +38,8 @@
 static uint32_t
 get_retry_after_ms(const msp_balance_choice_t *choice)
 {
-	msp_time_t most = choice->is_paused ? PAUSE_MAX_MS : RETRY_AFTER_MAX_MS;
+	msp_time_t most =
+	    choice->is_paused ? MSP_RETRY_AFTER_MAX_MS : RETRY_AFTER_MAX_MS;
 	msp_time_t wait_ms = choice->wait / MSP_MS + 1;
 
 	return (uint32_t)(wait_ms < most ? wait_ms : most);
--- a/source/spindled/edge_pause.c
+++ b/source/spindled/edge_pause.c
@@ -5,13 +5,6 @@
 
 /* Pauses that targets ask this VM for when they refuse a request. */
 
-static const char *const field_names[] = {
-    [PAUSE_FIELD_MISSING] = "missing",
-    [PAUSE_FIELD_VALID] = "valid",
-    [PAUSE_FIELD_CUT] = "cut",
-    [PAUSE_FIELD_MALFORMED] = "malformed",
-};
-
 /* Whether the request was given to a target and has sent it nothing yet. */
 static bool
 is_unsent(const edge_request_t *request)
@@ -72,15 +65,16 @@
 
 static void
 report_pause(const edge_t *edge, const msp_view_target_t *target,
-    const pause_request_t *asked, msp_pause_change_t change)
+    const msp_retry_after_t *asked, msp_pause_change_t change)
 {
 	msp_time_t now = msp_now(&edge->daemon->env);
 
 	msp_add_to_counter(edge->daemon->counters, 1,
 	    "msp_target_pauses_total{field=\"%s\",change=\"%s\"}",
-	    field_names[asked->field], msp_pause_change_name(change));
+	    msp_retry_after_form_name(asked->form),
+	    msp_pause_change_name(change));
 	/* Each response in a pause extends it a little. */
-	if (change != MSP_PAUSE_BEGUN && asked->field == PAUSE_FIELD_VALID)
+	if (change != MSP_PAUSE_BEGUN && asked->form == MSP_RETRY_AFTER_VALID)
 		return;
 	log_request(MSP_LINE_VITAL,
 	    "event=target-pause target=%s service=%s incarnation=%" PRIu64
@@ -88,21 +82,21 @@
 	    " in_flight=%u unsent=%zu",
 	    target->registration.id, target->registration.service,
 	    target->registration.incarnation, msp_pause_change_name(change),
-	    field_names[asked->field], asked->ms,
+	    msp_retry_after_form_name(asked->form), asked->ms,
 	    get_pause_left_ms(target, now), target->traffic.in_flight,
 	    count_unsent_requests(edge, target));
 }
 
 void
 observe_target_pause(
-    edge_t *edge, msp_view_target_t *target, const pause_request_t *asked)
+    edge_t *edge, msp_view_target_t *target, const msp_retry_after_t *asked)
 {
 	const msp_pause_request_t request = {.span = asked->ms * MSP_MS,
 	    .slots = target->registration.slots,
 	    .vms = count_known_vms(edge)};
 	msp_pause_change_t change;
 
-	if (asked->field == PAUSE_FIELD_MISSING)
+	if (asked->form == MSP_RETRY_AFTER_MISSING)
 		return;
 	change = msp_apply_target_pause(
 	    &target->pause, &edge->daemon->env, &request);
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -271,7 +271,7 @@
  * target; to which request does not matter.
  */
 void observe_target_pause(
-    edge_t *edge, msp_view_target_t *target, const pause_request_t *asked);
+    edge_t *edge, msp_view_target_t *target, const msp_retry_after_t *asked);
 
 /*
  * Logs and counts that a request is sent to the target if that has asked for a
--- a/source/spindled/target_call.c
+++ b/source/spindled/target_call.c
@@ -7,7 +7,6 @@
 #include "proxy_codec.h"
 
 #define HTTP_SERVICE_UNAVAILABLE 503
-#define RETRY_AFTER_MAX_S 60
 #define PROBE_TIMEOUT_MS 300
 
 static target_call_t *
@@ -29,21 +28,13 @@
 static bool
 is_shed(const msp_response_t *response, msp_time_t *retry_after)
 {
-	const char *value;
-	long seconds;
+	msp_retry_after_t field;
 
 	if (response->status != HTTP_SERVICE_UNAVAILABLE)
 		return false;
-	value = msp_find_header(&response->headers, "retry-after");
-	if (value == NULL)
-		return false;
-	seconds = strtol(value, NULL, 10);
-	if (seconds < 0)
-		seconds = 0;
-	if (seconds > RETRY_AFTER_MAX_S)
-		seconds = RETRY_AFTER_MAX_S;
-	*retry_after = (msp_time_t)seconds * MSP_SECOND;
-	return true;
+	field = msp_read_retry_after(&response->headers);
+	*retry_after = field.ms * MSP_MS;
+	return field.form != MSP_RETRY_AFTER_MISSING;
 }
 
 static const char *
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -428,31 +428,32 @@
 	static const struct {
 		int http_status;
 		const char *values[3];
-		pause_field_t field;
+		msp_retry_after_form_t form;
 		uint32_t ms;
 	} cases[] = {
-	    {503, {NULL}, PAUSE_FIELD_MISSING, 0},
-	    {503, {"3"}, PAUSE_FIELD_VALID, 3000},
-	    {503, {"0.25"}, PAUSE_FIELD_VALID, 250},
-	    {503, {"0.0001"}, PAUSE_FIELD_VALID, 1},
-	    {503, {"0"}, PAUSE_FIELD_VALID, 0},
-	    {503, {"3600"}, PAUSE_FIELD_VALID, 3600000},
-	    {503, {"3601"}, PAUSE_FIELD_CUT, 3600000},
-	    {503, {"31536000"}, PAUSE_FIELD_CUT, 3600000},
-	    {503, {""}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"-3"}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"1e3"}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"nan"}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"3 s"}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"Sun, 06 Nov 1994 08:49:37 GMT"}, PAUSE_FIELD_MALFORMED, 0},
-	    {503, {"2", "3"}, PAUSE_FIELD_VALID, 3000},
-	    {503, {"3", "2"}, PAUSE_FIELD_VALID, 3000},
-	    {503, {"soon", "2"}, PAUSE_FIELD_VALID, 2000},
-	    {503, {"2", "soon"}, PAUSE_FIELD_VALID, 2000},
-	    {503, {"4000", "2"}, PAUSE_FIELD_CUT, 3600000},
-	    {200, {"3"}, PAUSE_FIELD_MISSING, 0},
-	    {429, {"3"}, PAUSE_FIELD_MISSING, 0},
-	    {500, {"3"}, PAUSE_FIELD_MISSING, 0},
+	    {503, {NULL}, MSP_RETRY_AFTER_MISSING, 0},
+	    {503, {"3"}, MSP_RETRY_AFTER_VALID, 3000},
+	    {503, {"0.25"}, MSP_RETRY_AFTER_VALID, 250},
+	    {503, {"0.0001"}, MSP_RETRY_AFTER_VALID, 1},
+	    {503, {"0"}, MSP_RETRY_AFTER_VALID, 0},
+	    {503, {"3600"}, MSP_RETRY_AFTER_VALID, 3600000},
+	    {503, {"3601"}, MSP_RETRY_AFTER_CUT, 3600000},
+	    {503, {"31536000"}, MSP_RETRY_AFTER_CUT, 3600000},
+	    {503, {""}, MSP_RETRY_AFTER_MALFORMED, 0},
+	    {503, {"-3"}, MSP_RETRY_AFTER_MALFORMED, 0},
+	    {503, {"1e3"}, MSP_RETRY_AFTER_MALFORMED, 0},
+	    {503, {"nan"}, MSP_RETRY_AFTER_MALFORMED, 0},
+	    {503, {"3 s"}, MSP_RETRY_AFTER_MALFORMED, 0},
+	    {503, {"Sun, 06 Nov 1994 08:49:37 GMT"}, MSP_RETRY_AFTER_MALFORMED,
+		0},
+	    {503, {"2", "3"}, MSP_RETRY_AFTER_VALID, 3000},
+	    {503, {"3", "2"}, MSP_RETRY_AFTER_VALID, 3000},
+	    {503, {"soon", "2"}, MSP_RETRY_AFTER_VALID, 2000},
+	    {503, {"2", "soon"}, MSP_RETRY_AFTER_VALID, 2000},
+	    {503, {"4000", "2"}, MSP_RETRY_AFTER_CUT, 3600000},
+	    {200, {"3"}, MSP_RETRY_AFTER_MISSING, 0},
+	    {429, {"3"}, MSP_RETRY_AFTER_MISSING, 0},
+	    {500, {"3"}, MSP_RETRY_AFTER_MISSING, 0},
 	};
 	const sent_request_t sent = {.caller_id = "a", .target_id = "i-1"};
 	size_t i;
@@ -469,9 +470,9 @@
 			    cases[i].values[k]);
 		decode_target_fields(&response, &sent, &fields);
 		decode_health_fields(&response, "i-1", &health);
-		assert_int_equal(fields.pause.field, cases[i].field);
+		assert_int_equal(fields.pause.form, cases[i].form);
 		assert_int_equal(fields.pause.ms, cases[i].ms);
-		assert_int_equal(health.pause.field, cases[i].field);
+		assert_int_equal(health.pause.form, cases[i].form);
 		assert_int_equal(health.pause.ms, cases[i].ms);
 		msp_drop_response(&response);
 	}
