steer: a target that sheds gets nothing for all of the time that it named

The cap is gone; the reader of the field bounds it to an hour.

Failed before: steer/test_dispatcher shedding_target_gets_nothing_for_the_time_it_named at 5 s. process/test_callers, test_target_sheds and the dispatcher's tests pass.

--- a/source/steer/target.c
+++ b/source/steer/target.c
@@ -5,7 +5,6 @@
 
 #define BACKOFF_MIN (100 * MSP_MS)
 #define BACKOFF_MAX (2 * MSP_SECOND)
-#define RETRY_AFTER_MAX MSP_SECOND
 /* Growth of the limit, in slots, over as many responses as its value. */
 #define LIMIT_GROWTH 0.25
 /* Number of responses that the moving mean of the latency covers. */
@@ -181,8 +180,6 @@
 		target->ramping = false;
 		target->last_shed = now;
 	}
-	if (retry_after > RETRY_AFTER_MAX)
-		retry_after = RETRY_AFTER_MAX;
 	if (target->backoff_until < now + retry_after)
 		target->backoff_until = now + retry_after;
 }
--- a/tests/steer/test_dispatcher.c
+++ b/tests/steer/test_dispatcher.c
@@ -222,6 +222,44 @@
 	msp_drop_dispatcher(fixture.dispatcher);
 }
 
+/*
+ * Guards against a target that sheds with a long Retry-After and gets requests
+ * again after one second.
+ */
+static void
+shedding_target_gets_nothing_for_the_time_it_named(void **state)
+{
+	static const msp_time_t spans[] = {
+	    500 * MSP_MS, MSP_SECOND, 5 * MSP_SECOND, 60 * MSP_SECOND};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(spans) / sizeof(*spans); i++) {
+		msp_job_t job = {.class = MSP_CLASS_COMMIT};
+		msp_job_t early = {.class = MSP_CLASS_INTERACTIVE};
+		msp_job_t late = {.class = MSP_CLASS_COMMIT};
+		dispatcher_fixture_t fixture;
+
+		set_up_dispatcher_fixture(&fixture, 1, 2);
+		msp_submit_job(fixture.dispatcher, &job);
+		msp_end_attempt(fixture.dispatcher, &job, fixture.attempt,
+		    MSP_OUTCOME_SHED, spans[i]);
+		advance_dispatcher_fixture(&fixture, spans[i] - 400 * MSP_MS);
+		msp_submit_job(fixture.dispatcher, &early);
+		advance_dispatcher_fixture(&fixture, 350 * MSP_MS);
+		assert_int_equal(fixture.starts, 1);
+		assert_int_equal(fixture.refusals, 2);
+		assert_int_equal(fixture.refusal.run, MSP_RUN_NOT_EXECUTED);
+		advance_dispatcher_fixture(&fixture, 100 * MSP_MS);
+		msp_submit_job(fixture.dispatcher, &late);
+		assert_int_equal(fixture.starts, 2);
+		assert_int_equal(msp_end_attempt(fixture.dispatcher, &late,
+				     fixture.attempt, MSP_OUTCOME_COMPLETE, 0),
+		    MSP_JOB_DONE);
+		msp_drop_dispatcher(fixture.dispatcher);
+	}
+}
+
 int
 main(void)
 {
@@ -232,6 +270,8 @@
 	    cmocka_unit_test(nothing_starts_after_a_pause),
 	    cmocka_unit_test(retired_dispatcher_refuses_its_queue),
 	    cmocka_unit_test(hedges_are_cancelled_with_the_job),
+	    cmocka_unit_test(
+		shedding_target_gets_nothing_for_the_time_it_named),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
