edge: a target that says in a response that it leaves is draining from then on

Now each response of the target's process says so, whichever request it answers, health checks too; the mark goes with the process, and a row that says ready does not lift it.

Without a target that says otherwise nothing changes.

--- a/include/monsoonspindle/steer/target_view.h
+++ b/include/monsoonspindle/steer/target_view.h
@@ -138,6 +138,13 @@
 void msp_mark_target_removed(
     msp_target_view_t *view, msp_view_target_t *target, const char *reason);
 
+/*
+ * The target's process has said in a response that it leaves, whatever its row
+ * says. It stays draining until a new process replaces it.
+ */
+void msp_mark_target_leaving(
+    msp_target_view_t *view, msp_view_target_t *target);
+
 /* Returns all targets, with the removed ones. */
 const struct msp_view_targets *msp_view_targets(const msp_target_view_t *view);
 
--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -150,7 +150,8 @@
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
 	if (!fields.wrong_target && same_process)
-		observe_target_pause(edge, target, &fields.pause);
+		observe_target_wishes(
+		    edge, target, &fields.pause, fields.leaving);
 	if (fields.is_own && !fields.wrong_target && same_process)
 		observe_target_limit(edge, target, request->sent_at,
 		    fields.limit_field, fields.limit_per_second);
--- a/source/spindled/edge_pause.c
+++ b/source/spindled/edge_pause.c
@@ -87,8 +87,8 @@
 	    count_unsent_requests(edge, target));
 }
 
-void
-observe_target_pause(
+static void
+observe_pause(
     edge_t *edge, msp_view_target_t *target, const msp_retry_after_t *asked)
 {
 	const msp_pause_request_t request = {.span = asked->ms * MSP_MS,
@@ -106,6 +106,15 @@
 		    edge->daemon->loop, 0, 0, handle_recall_timer, edge);
 }
 
+void
+observe_target_wishes(edge_t *edge, msp_view_target_t *target,
+    const msp_retry_after_t *pause, bool leaving)
+{
+	observe_pause(edge, target, pause);
+	if (leaving)
+		msp_mark_target_leaving(edge->view, target);
+}
+
 void
 close_pauses(edge_t *edge)
 {
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -267,11 +267,12 @@
 /* edge_pause.c: pauses that targets ask for when they refuse a request */
 
 /*
- * Applies what a response asks for. It must come from this process of the
- * target; to which request does not matter.
+ * Applies what a response says of later requests: a pause, or that the target
+ * leaves. It must come from this process of the target; to which request does
+ * not matter.
  */
-void observe_target_pause(
-    edge_t *edge, msp_view_target_t *target, const msp_retry_after_t *asked);
+void observe_target_wishes(edge_t *edge, msp_view_target_t *target,
+    const msp_retry_after_t *pause, bool leaving);
 
 /*
  * Logs and counts that a request is sent to the target if that has asked for a
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -214,7 +214,8 @@
 		observe_target_limit(edge, target, end.sent_at,
 		    end.health.limit_field, end.health.limit_per_second);
 	if (same_incarnation && end.health.same_target)
-		observe_target_pause(edge, target, &end.health.pause);
+		observe_target_wishes(
+		    edge, target, &end.health.pause, end.health.leaving);
 	record_probe_result(edge, target, result);
 	if (same_incarnation && target->traffic.suspect_since != 0)
 		judge_suspect(edge, target, &end);
--- a/source/steer/target_view.c
+++ b/source/steer/target_view.c
@@ -360,6 +360,15 @@
 		set_status(view, target, MSP_TARGET_REMOVED, reason);
 }
 
+void
+msp_mark_target_leaving(msp_target_view_t *view, msp_view_target_t *target)
+{
+	target->registration.draining = true;
+	if (target->status == MSP_TARGET_LISTED ||
+	    target->status == MSP_TARGET_HELD)
+		set_status(view, target, MSP_TARGET_DRAINING, "response");
+}
+
 const struct msp_view_targets *
 msp_view_targets(const msp_target_view_t *view)
 {
--- a/tests/platform/test_header_fields.c
+++ b/tests/platform/test_header_fields.c
@@ -478,6 +478,48 @@
 	}
 }
 
+/*
+ * Guards against a target that says in its responses that it leaves, and gets
+ * requests until its row says so too.
+ */
+static void
+reads_whether_a_target_leaves(void **state)
+{
+	static const struct {
+		const char *values[2];
+		bool leaving;
+	} cases[] = {
+	    {{NULL, NULL}, false},
+	    {{"1", NULL}, true},
+	    {{"true", NULL}, true},
+	    {{"1", "1"}, true},
+	    {{"0", NULL}, false},
+	    {{"", NULL}, false},
+	    {{"1", "0"}, false},
+	};
+	const sent_request_t sent = {.caller_id = "a", .target_id = "i-1"};
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		msp_response_t response = {.status = 200};
+		target_fields_t fields;
+		health_fields_t health;
+
+		for (k = 0; k < 2 && cases[i].values[k] != NULL; k++)
+			msp_add_header(&response.headers, "server-leaving",
+			    cases[i].values[k]);
+		decode_target_fields(&response, &sent, &fields);
+		decode_health_fields(&response, "i-1", &health);
+		assert_int_equal(fields.leaving, cases[i].leaving);
+		assert_int_equal(health.leaving, cases[i].leaving);
+		strip_target_fields(&response);
+		assert_int_equal(response.headers.count, 0);
+		msp_drop_response(&response);
+	}
+}
+
 static void
 strips_fields_meant_for_the_vm(void **state)
 {
@@ -609,6 +651,7 @@
 		response_without_id_is_own_only_on_a_new_connection),
 	    cmocka_unit_test(reads_only_decimal_limits),
 	    cmocka_unit_test(reads_pauses_of_refusals_only),
+	    cmocka_unit_test(reads_whether_a_target_leaves),
 	    cmocka_unit_test(strips_fields_meant_for_the_vm),
 	    cmocka_unit_test(local_replies_have_retry_after),
 	    cmocka_unit_test(decodes_directory_queries),
--- a/tests/process/test_edge_pauses.c
+++ b/tests/process/test_edge_pauses.c
@@ -283,6 +283,45 @@
 	}
 }
 
+/*
+ * Guards against requests to a target that has said in a response that it
+ * leaves, while its row says that it is ready.
+ */
+static void
+a_target_that_says_that_it_leaves_gets_no_more_requests(void **state)
+{
+	static const target_behaviour_t behaviours[] = {TARGET_ANSWERS,
+	    TARGET_SHEDS, TARGET_SHEDS_WITHOUT_ID, TARGET_FAILS,
+	    TARGET_SENDS_WRONG_ID, TARGET_CLOSES_CONNECTION};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(behaviours) / sizeof(*behaviours); i++) {
+		edge_fixture_t *fixture = new_edge_fixture();
+		edge_target_t *target = &fixture->targets[0];
+
+		set_up_routes_and_targets(fixture);
+		target->says_leaving = true;
+		pause_first_target(fixture, behaviours[i], NULL);
+		target->behaviour = TARGET_ANSWERS;
+		run_edge_until_logged(
+		    fixture, "state=draining reason=response", LOG_DELAY_MAX);
+		put_edge_target(fixture, 0, false);
+		run_edge_for(fixture, AT_ONCE);
+		assert_int_equal(send_requests(fixture, REQUESTS), REQUESTS);
+		assert_int_equal(target->request_count, 1);
+		remove_targets(fixture, 1);
+		assert_int_equal(send_requests(fixture, REQUESTS), 0);
+		assert_int_equal(target->request_count, 1);
+		target->says_leaving = false;
+		put_first_target_again(fixture, 2);
+		run_edge_until_logged(
+		    fixture, " incarnation=2 cold_ms", LOG_DELAY_MAX);
+		assert_int_equal(send_requests(fixture, REQUESTS), REQUESTS);
+		drop_edge_fixture(fixture);
+	}
+}
+
 /* A target on a plain socket that accepts one connection and no more. */
 typedef struct narrow_target {
 	raw_socket_t listener;
@@ -421,6 +460,8 @@
 		a_target_that_asks_for_a_pause_gets_no_more_requests),
 	    EDGE_TEST(requests_are_refused_at_once_if_all_targets_want_none),
 	    EDGE_TEST(a_target_that_asks_for_a_pause_gets_no_health_checks),
+	    cmocka_unit_test(
+		a_target_that_says_that_it_leaves_gets_no_more_requests),
 	    EDGE_TEST(requests_that_wait_for_a_connection_go_elsewhere),
 	    cmocka_unit_test(
 		a_pause_goes_with_the_process_and_not_with_its_row),
--- a/tests/process/test_soak.c
+++ b/tests/process/test_soak.c
@@ -34,6 +34,7 @@
 #define CUT_TARGETS 12
 #define CUT_TRIES_MIN 50 /* fewer judge nothing */
 #define PAUSE_SECONDS 8
+#define LEAVING_SECONDS 12
 #define LIMIT_SECONDS 9 /* a limit is judged from 4 s after its naming */
 #define HOMES_SECONDS 12 /* routes grow for 6 s, and bind 4 s later */
 #define REPLACED_SECONDS 8
@@ -121,6 +122,14 @@
 	PAUSE_SECONDS, VMS, TARGETS},
     {"pauses_are_kept_while_targets_and_vms_restart", "pauses-signals", 1,
 	false, PAUSE_SECONDS, VMS, TARGETS},
+    /*
+     * Targets that said in their responses that they leave went on getting
+     * requests until their rows said so too.
+     */
+    {"targets_that_say_that_they_leave_get_no_requests", "leaving", 1, false,
+	LEAVING_SECONDS, VMS, TARGETS},
+    {"the_same_while_vms_and_targets_restart", "leaving-signals", 1, false,
+	LEAVING_SECONDS, VMS, TARGETS},
     /* VMs that restart or lose the store must not go back to older homes. */
     {"homes_hold_while_vms_restart_and_the_store_fails", "homes", 1, false,
 	HOMES_SECONDS, VMS, TARGETS},
--- a/tests/support/edge_fixture.c
+++ b/tests/support/edge_fixture.c
@@ -73,6 +73,8 @@
 		msp_add_header(
 		    &response.headers, "Response-Signature", target->id);
 	msp_add_header(&response.headers, "Server-Load", "1,0,5");
+	if (target->says_leaving)
+		msp_add_header(&response.headers, "Server-Leaving", "1");
 	if (response.status == HTTP_UNAVAILABLE && target->pause != NULL)
 		msp_add_header(&response.headers, "Retry-After", target->pause);
 	msp_append_data(&response.body, BODY, strlen(BODY));
@@ -114,6 +116,9 @@
 	if (strcmp(request->path, "/health") == 0) {
 		target->probe_count++;
 		msp_add_header(&response.headers, "Instance-Id", target->id);
+		if (target->says_leaving)
+			msp_add_header(
+			    &response.headers, "Server-Leaving", "1");
 		if (target->sheds_probes)
 			shed_probe(target, &response);
 		msp_send_exchange_response(exchange, &response);
--- a/tests/support/edge_fixture.h
+++ b/tests/support/edge_fixture.h
@@ -45,6 +45,7 @@
 	target_behaviour_t behaviour;
 	const char *pause; /* Retry-After of its refusals; NULL: none */
 	bool sheds_probes; /* refuses health checks too */
+	bool says_leaving; /* in all responses */
 	unsigned int request_count; /* without health checks */
 	unsigned int probe_count;
 	unsigned int closed_count; /* requests whose connection was closed */
--- a/tests/support/soak_arrival.c
+++ b/tests/support/soak_arrival.c
@@ -156,6 +156,7 @@
 		judge_soak_home(target, request);
 		judge_repeat(target, request);
 		judge_time(target, sender, request, time_left);
+		judge_soak_leaving(target, sender, request);
 		request->arrivals++;
 	}
 	if (request != NULL && sender < soak->options->vms) {
--- a/tests/support/soak_link.c
+++ b/tests/support/soak_link.c
@@ -83,7 +83,8 @@
 has_soak_links(const soak_t *soak)
 {
 	return soak->profile->link_delay_ms > 0 ||
-	    soak->profile->cut_ways != 0 || soak->profile->pausing > 0;
+	    soak->profile->cut_ways != 0 || soak->profile->pausing > 0 ||
+	    soak->profile->quiet_drains > 0;
 }
 
 void
--- a/tests/support/soak_private.h
+++ b/tests/support/soak_private.h
@@ -133,6 +133,7 @@
 	 */
 	double restores;
 	uint32_t drain_ms; /* until a draining target ends; 0: default */
+	double quiet_drains; /* told in responses only, not in the row */
 	double faults; /* per second */
 	unsigned int fault_kinds; /* soak_fault_t */
 	soak_owed_t owed;
@@ -220,6 +221,8 @@
 	bool reports_load;
 	bool up;
 	bool draining;
+	bool drains_quietly; /* its row says nothing of it */
+	msp_time_t told_leaving[SOAK_VMS_MAX]; /* VMs, by responses; 0: not */
 	bool silent; /* neither reads nor answers */
 	bool deaf; /* accepts no connections */
 	bool mute; /* does not answer what it has run */
@@ -369,6 +372,13 @@
 void judge_soak_pause(
     soak_target_t *target, unsigned int sender, const char *request_id);
 
+/* Targets that say in their responses that they leave, and the rule DRAIN. */
+void append_soak_leaving(const soak_target_t *target, msp_buffer_t *out);
+/* A response was sent to this VM. */
+void tell_soak_leaving(soak_target_t *target, unsigned int vm);
+void judge_soak_leaving(
+    soak_target_t *target, unsigned int sender, const soak_request_t *request);
+
 /* The entry of a target in the store. */
 void put_soak_target_row(soak_target_t *target);
 void remove_soak_target_row(soak_target_t *target, const char *id);
--- a/tests/support/soak_target.c
+++ b/tests/support/soak_target.c
@@ -153,6 +153,7 @@
 		    sign_soak_response(conn->request_id, status, &body));
 	if (conn->is_probe)
 		msp_append_printf(out, "Instance-Id: %s\r\n", target->id);
+	append_soak_leaving(target, out);
 	if (target->reports_load)
 		msp_append_printf(out, "Server-Load: %u,%u,%u\r\n",
 		    target->running, target->waiting_count,
@@ -333,6 +334,8 @@
 	send_soak_data(&conn->stream, out.data, len);
 	if (len == out.len && refuses && status == HTTP_UNAVAILABLE)
 		tell_pause(conn);
+	if (len == out.len && is_heard(conn))
+		tell_soak_leaving(target, conn->vm);
 	if (len == out.len && !conn->is_probe)
 		send_extra(conn, &out);
 	if (conn->ending && conn->late.slot == 0)
@@ -638,6 +641,7 @@
 	/* A new process has named no limit. */
 	lift_judged_limit(&target->limit);
 	end_judged_pauses(&target->pause);
+	memset(target->told_leaving, 0, sizeof(target->told_leaving));
 	target->listener.on_accept = handle_accept;
 	target->listener.ctx = target;
 	open_soak_stream(target->soak->loop, &target->listener, fd);
@@ -786,8 +790,13 @@
 	if (is_changing(target))
 		return;
 	target->draining = true;
+	/* Without draws that would change the seeds of other profiles. */
+	target->drains_quietly = target->soak->profile->quiet_drains > 0 &&
+	    soak_chance(
+		target->soak->loop, target->soak->profile->quiet_drains);
 	put_soak_target_row(target);
-	begin_judged_drain(&target->drain, soak_now());
+	if (!target->drains_quietly)
+		begin_judged_drain(&target->drain, soak_now());
 	change_later(target,
 	    target->soak->profile->drain_ms == 0
 		? DRAIN_TIME
--- a/tests/support/soak_target_row.c
+++ b/tests/support/soak_target_row.c
@@ -20,8 +20,8 @@
 	    target->service,
 	    has_soak_links(target->soak) ? SOAK_LINKS_ALIAS : "127.0.0.1",
 	    target->link_port, target->zone, target->soak->profile->slots,
-	    target->draining ? "draining" : "ready", ++target->seq,
-	    target->born);
+	    target->draining && !target->drains_quietly ? "draining" : "ready",
+	    ++target->seq, target->born);
 	put_soak_row(target->soak, key, value);
 }
 
