--- a/source/spindled/edge_pause.c
+++ b/source/spindled/edge_pause.c
@@ -3,7 +3,10 @@
 #include "edge_request.h"
 #include "log.h"
 
-/* Pauses that targets ask this VM for when they refuse a request. */
+/*
+ * What targets say of later requests in their responses: how long they want
+ * none from this VM, and that they leave.
+ */
 
 /* Whether the request was given to a target and has sent it nothing yet. */
 static bool
--- a/source/spindled/edge_private.h
+++ b/source/spindled/edge_private.h
@@ -264,7 +264,7 @@
 void count_sent_request(
     edge_t *edge, const msp_view_target_t *target, const char *kind);
 
-/* edge_pause.c: pauses that targets ask for when they refuse a request */
+/* edge_pause.c: what targets say of later requests in their responses */
 
 /*
  * Applies what a response says of later requests: a pause, or that the target
