edge: what the head of a target's response says counts also if its body is cut

A pause or the news that a target leaves was heard from complete responses only; where the body of a refusal was cut, the VM took it for a broken connection and the target got the next request.

Failed before: process/test_edge_pauses a_pause_is_heard_from_the_head_of_a_response.

--- a/source/spindled/edge_attempt.c
+++ b/source/spindled/edge_attempt.c
@@ -126,6 +126,35 @@
 	decode_target_fields(result->response, &sent, fields);
 }
 
+/* Whether the target's process is the one that the request was sent to. */
+static bool
+is_same_process(const edge_request_t *request)
+{
+	return request->choice.target->registration.incarnation ==
+	    request->sent_incarnation;
+}
+
+static void
+observe_wishes(const edge_request_t *request, const target_fields_t *fields)
+{
+	if (!fields->wrong_target && is_same_process(request))
+		observe_target_wishes(request->edge, request->choice.target,
+		    &fields->pause, fields->leaving);
+}
+
+/* What the head of a response says counts also if its body is cut. */
+static void
+observe_cut_response(
+    const edge_request_t *request, const msp_call_result_t *result)
+{
+	target_fields_t fields;
+
+	if (result->response->status == 0)
+		return;
+	decode_response(request, result, &fields);
+	observe_wishes(request, &fields);
+}
+
 static void
 handle_response(edge_request_t *request, const msp_call_result_t *result)
 {
@@ -135,8 +164,6 @@
 	msp_time_t now = get_now(edge);
 	msp_time_t duration = now - request->sent_at;
 	target_fields_t fields;
-	bool same_process =
-	    target->registration.incarnation == request->sent_incarnation;
 	bool failed;
 	bool ok;
 
@@ -149,10 +176,8 @@
 	    edge->balancer, &request->criteria, &request->choice, duration, ok);
 	if (fields.has_load && fields.id_matches)
 		msp_record_server_load(&target->traffic, now, &fields.load);
-	if (!fields.wrong_target && same_process)
-		observe_target_wishes(
-		    edge, target, &fields.pause, fields.leaving);
-	if (fields.is_own && !fields.wrong_target && same_process)
+	observe_wishes(request, &fields);
+	if (fields.is_own && !fields.wrong_target && is_same_process(request))
 		observe_target_limit(edge, target, request->sent_at,
 		    fields.limit_field, fields.limit_per_second);
 	/* Another request's "not executed" says nothing about this one. */
@@ -222,6 +247,7 @@
 
 	msp_end_balanced_request(edge->balancer, &request->criteria,
 	    &request->choice, now - request->sent_at, false);
+	observe_cut_response(request, result);
 	report_attempt_failure(request, result,
 	    result->maybe_sent ? ATTEMPT_UNKNOWN : ATTEMPT_NOT_EXECUTED);
 	if (!result->maybe_sent) {
--- a/source/spindled/edge_probe.c
+++ b/source/spindled/edge_probe.c
@@ -200,22 +200,25 @@
 	bool same_incarnation =
 	    probe->incarnation == target->registration.incarnation;
 	probe_end_t end = {.status = result->status, .sent_at = probe->sent_at};
+	health_fields_t head = {0};
 
 	LIST_REMOVE(probe, link);
 	free(probe);
 	target->traffic.probing = false;
-	if (result->status == MSP_OK)
+	if (result->response->status != 0)
 		decode_health_fields(
-		    result->response, target->registration.id, &end.health);
+		    result->response, target->registration.id, &head);
+	if (result->status == MSP_OK)
+		end.health = head;
 	/* Whether health checks name limits too is not specified. */
 	if (result->status == MSP_OK && same_incarnation &&
 	    end.health.same_target &&
 	    end.health.limit_field != LIMIT_FIELD_MISSING)
 		observe_target_limit(edge, target, end.sent_at,
 		    end.health.limit_field, end.health.limit_per_second);
-	if (same_incarnation && end.health.same_target)
-		observe_target_wishes(
-		    edge, target, &end.health.pause, end.health.leaving);
+	/* What the head of a response says counts also if its body is cut. */
+	if (same_incarnation && head.same_target)
+		observe_target_wishes(edge, target, &head.pause, head.leaving);
 	record_probe_result(edge, target, result);
 	if (same_incarnation && target->traffic.suspect_since != 0)
 		judge_suspect(edge, target, &end);
--- a/tests/process/test_edge_pauses.c
+++ b/tests/process/test_edge_pauses.c
@@ -449,6 +449,34 @@
 	close_narrow_target(&target);
 }
 
+/*
+ * Guards against a pause that is not heard, since the body of the response that
+ * asks for it is cut.
+ */
+static void
+a_pause_is_heard_from_the_head_of_a_response(void **state)
+{
+	static const char head[] =
+	    "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+	    "Retry-After: " PAUSE_TEXT "\r\nContent-Length: 10\r\n\r\ncut";
+	edge_fixture_t *fixture = *state;
+	caller_response_t response;
+	narrow_target_t target = {0};
+
+	remove_targets(fixture, 0);
+	open_narrow_target(fixture, &target);
+	start_edge_request(
+	    fixture, fixture->caller_port, "POST", "/write/1", &response);
+	accept_one_request(fixture, &target);
+	assert_true(raw_send_text(&target.connection, head));
+	raw_close(&target.connection);
+	run_edge_until(fixture, &response.done, 1);
+	assert_int_equal(response.http_status, 502);
+	run_edge_until_logged(
+	    fixture, "event=target-pause target=i-narrow", LOG_DELAY_MAX);
+	close_narrow_target(&target);
+}
+
 #define EDGE_TEST(name_) \
 	cmocka_unit_test_setup_teardown(name_, set_up, tear_down)
 
@@ -462,6 +490,7 @@
 	    EDGE_TEST(a_target_that_asks_for_a_pause_gets_no_health_checks),
 	    cmocka_unit_test(
 		a_target_that_says_that_it_leaves_gets_no_more_requests),
+	    EDGE_TEST(a_pause_is_heard_from_the_head_of_a_response),
 	    EDGE_TEST(requests_that_wait_for_a_connection_go_elsewhere),
 	    cmocka_unit_test(
 		a_pause_goes_with_the_process_and_not_with_its_row),
