--- a/tests/steer/test_balancer_limits.c
+++ b/tests/steer/test_balancer_limits.c
@@ -9,7 +9,8 @@
 
 #include "monsoonspindle/steer/balancer.h"
 
-/* One VM that balances over targets of one service, some with limits. */
+/* One VM that balances over targets of one service, some with limits or pauses.
+ */
 
 #define START (100 * MSP_SECOND)
 #define SERVICE "desk"
@@ -349,6 +350,70 @@
 	}
 }
 
+typedef struct pause_case {
+	const char *name;
+	unsigned int paused; /* of three targets, the first ones */
+	unsigned int suspect; /* the next ones */
+	msp_status_t status;
+	bool is_paused;
+	bool all_suspect; /* so that another VM may serve the request */
+} pause_case_t;
+
+static void
+set_states(fixture_t *fixture, const pause_case_t *item, msp_time_t span)
+{
+	const msp_pause_request_t request = {
+	    .span = span, .slots = 9, .vms = 1};
+	msp_view_target_t *target;
+	unsigned int i = 0;
+
+	TAILQ_FOREACH(target, msp_view_targets(fixture->view), link) {
+		if (i < item->paused)
+			msp_apply_target_pause(
+			    &target->pause, &fixture->env, &request);
+		else if (i < item->paused + item->suspect)
+			target->traffic.suspect_since = fixture->clock.now;
+		i++;
+	}
+}
+
+/*
+ * Guards against a request that is refused for the pauses of some targets,
+ * though another VM may reach the others, and against one that is forwarded to
+ * get around them.
+ */
+static void
+paused_targets_are_no_reason_to_forward(void **state)
+{
+	static const pause_case_t cases[] = {
+	    {"none paused", 0, 2, MSP_OK, false, false},
+	    {"some paused", 2, 0, MSP_OK, false, false},
+	    {"all paused", 3, 0, MSP_E_OVERLOAD, true, false},
+	    {"all others suspect", 1, 2, MSP_E_OVERLOAD, true, true},
+	    {"all suspect", 0, 3, MSP_E_NO_TARGET, false, true},
+	};
+	const msp_time_t span = 3 * MSP_SECOND;
+	msp_balance_choice_t choice;
+	fixture_t fixture;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		print_message("%s\n", cases[i].name);
+		set_up(&fixture, 3);
+		set_states(&fixture, &cases[i], span);
+		assert_int_equal(send(&fixture, 0, &choice), cases[i].status);
+		assert_int_equal(choice.is_paused, cases[i].is_paused);
+		assert_int_equal(choice.all_suspect, cases[i].all_suspect);
+		if (cases[i].is_paused)
+			assert_int_equal(choice.wait, span);
+		fixture.clock.now += span;
+		if (cases[i].paused > 0)
+			assert_int_equal(send(&fixture, 0, &choice), MSP_OK);
+		tear_down(&fixture);
+	}
+}
+
 int
 main(void)
 {
@@ -359,6 +424,7 @@
 	    cmocka_unit_test(
 		requests_beyond_all_limits_are_refused_with_a_time),
 	    cmocka_unit_test(urgent_requests_come_first_at_limits),
+	    cmocka_unit_test(paused_targets_are_no_reason_to_forward),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
